--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,59 @@
+"""Runs a small system on loopback, uses it, and stops it."""
+
+import asyncio
+import pathlib
+import signal
+import tempfile
+import time
+
+from bulrushhold import client
+from bulrushhold import testing
+
+PROMPT = [{'role': 'user', 'content': 'Review the hygiene report of oven 1'}]
+
+
+async def use(deployment: testing.Deployment) -> None:
+    """Stream an answer through an engine's death, and book a slot."""
+    async with client.Client('vendors', deployment.seeds) as caller:
+        tokens: list[str] = []
+        started = time.monotonic()
+        async for token in caller.generate('small', PROMPT, max_tokens=30):
+            tokens.append(token)
+            if len(tokens) == 10:
+                busy = tokens[0].partition('-')[0]
+                print(f'10 tokens received; engine {busy} is killed now')
+                deployment.kill(busy, signal.SIGKILL)
+        spent = time.monotonic() - started
+        print(f'whole answer of {len(tokens)} tokens in {spent:.2f} s:')
+        print('   ', ''.join(tokens))
+        answer = await caller.call(
+            'booking', 'slots', method='POST', body={'slot': 'oven-1 9:00'}
+        )
+        print('booked:', answer.body.decode())
+        print('the booking service ran:', deployment.booked())
+
+
+def main() -> None:
+    """Run the demo in a temporary folder."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        deployment = testing.Deployment(folder)
+        try:
+            started = time.monotonic()
+            deployment.start()
+            spent = time.monotonic() - started
+            print(f'3 control, 3 entry, 2 engines: ready in {spent:.1f} s')
+            asyncio.run(use(deployment))
+            path = folder / 'table.csv'
+            deployment.cli('table', 'pull', str(path))
+            path.write_text(
+                path.read_text().replace('planners,chat,2', 'planners,chat,3')
+            )
+            print(deployment.cli('table', 'push', '--wait', str(path)))
+            print(deployment.cli('table', 'history'))
+        finally:
+            deployment.stop()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/bulrushhold/cli.py
@@ -0,0 +1,296 @@
+"""The command line: daemons and operators' commands."""
+
+import asyncio
+import json
+import os
+import pathlib
+import sys
+import time
+import typing as t
+import urllib.error
+import urllib.request
+
+import click
+
+import bulrushhold
+from bulrushhold import composition
+from bulrushhold import errors
+from bulrushhold import settings
+
+REQUEST_S: t.Final = 15.0
+WAIT_POLL_S: t.Final = 0.5
+_FILE = click.Path(dir_okay=False)
+
+
+class _Group(click.Group):
+    """Turns the project's errors into one line and exit status 1."""
+
+    def invoke(self, ctx: click.Context) -> t.Any:
+        """Run the command."""
+        try:
+            return super().invoke(ctx)
+        except errors.BulrushholdError as error:
+            click.echo(f'bulrushhold: {error}', err=True)
+            sys.exit(1)
+
+
+@click.group(cls=_Group)
+@click.version_option(bulrushhold.__version__, prog_name='bulrushhold')
+def main() -> None:
+    """Serves long generations on engines that fail."""
+
+
+def _settings_option(function: t.Any) -> t.Any:
+    return click.option(
+        '--settings', 'path', required=True, type=_FILE, help='Settings file.'
+    )(function)
+
+
+def _level_option(function: t.Any) -> t.Any:
+    return click.option(
+        '--log-level', default='INFO', help='Least level that is logged.'
+    )(function)
+
+
+@main.command('entry')
+@_settings_option
+@_level_option
+def run_entry(path: str, log_level: str) -> None:
+    """Run an entry process."""
+    from bulrushhold import node
+
+    config = settings.load(path, settings.Entry)
+    node.configure_logs(log_level, config.name)
+    asyncio.run(composition.run_entry(config))
+
+
+@main.command('control')
+@_settings_option
+@_level_option
+def run_control(path: str, log_level: str) -> None:
+    """Run a control process."""
+    from bulrushhold import node
+
+    config = settings.load(path, settings.Control)
+    node.configure_logs(log_level, config.name)
+    pathlib.Path(config.data_dir).mkdir(parents=True, exist_ok=True)
+    asyncio.run(composition.run_control(config))
+
+
+@main.command('control-found')
+@_settings_option
+def found_control(path: str) -> None:
+    """Found a new log: once, on each first control instance.
+
+    Never on an instance whose disk was lost: started with an empty data
+    folder, it joins by itself.
+    """
+    from bulrushhold import control
+    from bulrushhold import node
+
+    config = settings.load(path, settings.Control)
+    click.echo(control.found(config, node.FileLog(config.data_dir)))
+
+
+@main.group('settings')
+def settings_group() -> None:
+    """Work with settings files."""
+
+
+@settings_group.command('check')
+@click.argument('path', type=_FILE)
+def check_settings(path: str) -> None:
+    """Check a settings file of either daemon."""
+    config = settings.load_any(path)
+    click.echo(f'{path}: good settings of {config.name}')
+
+
+def _entry_option(function: t.Any) -> t.Any:
+    return click.option(
+        '--entry',
+        'address',
+        required=True,
+        envvar='BULRUSHHOLD_ENTRY',
+        help='Address of any entry, as 10.0.0.1:8080.',
+    )(function)
+
+
+def _key_option(function: t.Any) -> t.Any:
+    return click.option(
+        '--key-file',
+        required=True,
+        envvar='BULRUSHHOLD_KEY_FILE',
+        type=_FILE,
+        help='File with the operator key.',
+    )(function)
+
+
+@main.group('table')
+def table_group() -> None:
+    """Read and edit the table of client accounts."""
+
+
+@table_group.command('pull')
+@_entry_option
+@_key_option
+@click.argument('path', type=_FILE)
+def pull(address: str, key_file: str, path: str) -> None:
+    """Write the table to a CSV file, to be edited and pushed."""
+    _, body = _http('GET', address, '/v1/table', key_file)
+    pathlib.Path(path).write_bytes(body)
+
+
+@table_group.command('show')
+@_entry_option
+@_key_option
+def show(address: str, key_file: str) -> None:
+    """Print the table."""
+    _, body = _http('GET', address, '/v1/table', key_file)
+    click.echo(body.decode(), nl=False)
+
+
+@table_group.command('history')
+@_entry_option
+@_key_option
+def history(address: str, key_file: str) -> None:
+    """Print the last edits, newest first."""
+    _, body = _http('GET', address, '/v1/table/history', key_file)
+    for item in json.loads(body):
+        at = time.strftime('%Y-%m-%d %H:%M:%S', time.gmtime(item['at']))
+        click.echo(f'{item["revision"]} {at} {item["author"]}')
+        for change in item['changes']:
+            click.echo(f'    {change}')
+
+
+@table_group.command('push')
+@_entry_option
+@_key_option
+@click.option('--edit-id', default='', help='Names the edit, for a resend.')
+@click.option('--author', default=lambda: os.environ.get('USER', ''))
+@click.option('--wait', is_flag=True, help='Until in force everywhere.')
+@click.option('--wait-s', default=30.0, help='Seconds to wait at most.')
+@click.argument('path', type=_FILE)
+def push(
+    address: str,
+    key_file: str,
+    edit_id: str,
+    author: str,
+    wait: bool,
+    wait_s: float,
+    path: str,
+) -> None:
+    """Push an edited CSV file: all of it is taken, or nothing."""
+    import uuid_utils
+
+    edit_id = edit_id or str(uuid_utils.uuid7())
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise errors.BulrushholdError(
+            error.strerror or 'unreadable', 'push', path
+        ) from error
+    query = f'/v1/table?edit={edit_id}&author={author}'
+    click.echo(f'edit {edit_id}')
+    status, body = _http('POST', address, query, key_file, text)
+    outcome = json.loads(body)
+    if not outcome.get('accepted'):
+        _show_refusal(status, outcome)
+        sys.exit(1)
+    revision = outcome['revision']
+    click.echo(f'accepted: revision {revision}, {outcome["changed"]} rows')
+    if wait:
+        _wait_in_force(address, revision, wait_s)
+
+
+def _show_refusal(status: int, outcome: dict[str, t.Any]) -> None:
+    reason = outcome.get('reason') or outcome.get('error', {}).get('reason')
+    click.echo(f'refused: {reason or status}', err=True)
+    for cell in outcome.get('cells', ()):
+        click.echo(f'    {cell}', err=True)
+    for conflict in outcome.get('conflicts', ()):
+        click.echo(
+            f'    {conflict["row"]}, {conflict["column"]}: accepted '
+            f'{conflict["accepted"]}, yours {conflict["refused"]}',
+            err=True,
+        )
+
+
+def _wait_in_force(address: str, revision: int, wait_s: float) -> None:
+    end = time.monotonic() + wait_s
+    while True:
+        _, body = _http('GET', address, '/v1/status')
+        status = json.loads(body)
+        known = status['control'].get('in_force', {})
+        late = sorted(
+            name
+            for name in status['entries']
+            if known.get(name, (0, 0))[0] < revision
+        )
+        if not late:
+            click.echo(f'in force on {len(status["entries"])} instances')
+            return
+        if time.monotonic() > end:
+            raise errors.BulrushholdError(
+                f'not in force on: {", ".join(late)}', 'push', address
+            )
+        time.sleep(WAIT_POLL_S)
+
+
+@main.command('status')
+@_entry_option
+def show_status(address: str) -> None:
+    """Print the status of an entry and of control as JSON."""
+    _, body = _http('GET', address, '/v1/status')
+    click.echo(json.dumps(json.loads(body), indent=2))
+
+
+@main.group('quarantine')
+def quarantine_group() -> None:
+    """See and lift the quarantine of contents that kill engines."""
+
+
+@quarantine_group.command('show')
+@_entry_option
+def show_quarantine(address: str) -> None:
+    """Print the fingerprints that are refused."""
+    _, body = _http('GET', address, '/v1/status')
+    for fingerprint in json.loads(body)['quarantined']:
+        click.echo(fingerprint)
+
+
+@quarantine_group.command('lift')
+@_entry_option
+@_key_option
+@click.argument('fingerprint')
+def lift_quarantine(address: str, key_file: str, fingerprint: str) -> None:
+    """Let a content run again."""
+    _http('DELETE', address, f'/v1/quarantine/{fingerprint}', key_file)
+
+
+def _http(
+    method: str,
+    address: str,
+    path: str,
+    key_file: str = '',
+    body: bytes | None = None,
+) -> tuple[int, bytes]:
+    """Make one request of an entry; answers to edits may be refusals."""
+    request = urllib.request.Request(
+        f'http://{address}{path}', data=body, method=method
+    )
+    if key_file:
+        key = settings.read_key(key_file)
+        request.add_header('Authorization', f'Bearer {key}')
+    try:
+        with urllib.request.urlopen(request, timeout=REQUEST_S) as response:
+            return response.status, response.read()
+    except urllib.error.HTTPError as error:
+        content = error.read()
+        if method == 'POST':
+            return error.code, content
+        reason = json.loads(content).get('error', {}).get('reason', '')
+        raise errors.BulrushholdError(
+            reason or str(error), path, address
+        ) from error
+    except (OSError, ValueError) as error:
+        raise errors.BulrushholdError(str(error), path, address) from error
--- /dev/null
+++ b/src/bulrushhold/client.py
@@ -0,0 +1,270 @@
+"""The caller's side: asks which entries to use, and sticks to the answer.
+
+A caller needs no more than HTTP; this thin library does what a careful
+caller does. It keeps the list of entries a while, names each request with
+a key, and goes on at another entry from the last token it has.
+"""
+
+import asyncio
+import collections.abc as cabc
+import json
+import time
+import typing as t
+
+import aiohttp
+import attrs
+import uuid_utils
+
+from bulrushhold import errors
+
+ASK_S: t.Final = 2.0
+PAUSE_S: t.Final = 0.2
+IDLE_S: t.Final = 30.0
+_BROKEN: t.Final = (
+    aiohttp.ClientError,
+    ConnectionError,
+    asyncio.TimeoutError,
+)
+
+
+@attrs.frozen
+class Answer:
+    """A plain service's answer."""
+
+    status: int
+    body: bytes
+
+
+class Client:
+    """Uses the system for one client account.
+
+    :param seeds: addresses of entries known beforehand.
+    :param deadline_s: seconds for which a request is tried on.
+    """
+
+    def __init__(
+        self,
+        account: str,
+        seeds: list[str],
+        *,
+        data_centre: str = '',
+        deadline_s: float = 60.0,
+    ) -> None:
+        self.account = account
+        self.seeds = seeds
+        self.data_centre = data_centre
+        self.deadline_s = deadline_s
+        self.entries: list[str] = []
+        self.keep_until = 0.0
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=1.0, sock_read=IDLE_S
+            )
+        )
+
+    async def __aenter__(self) -> 'Client':
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
+
+    async def generate(
+        self,
+        model: str,
+        messages: list[dict[str, str]],
+        *,
+        max_tokens: int = 1024,
+        work: str = 'chat',
+        key: str = '',
+    ) -> cabc.AsyncGenerator[str, None]:
+        """Yield the tokens of one answer, whole.
+
+        :raises RequestError: where the system refuses, or no entry could
+            be reached until the deadline.
+        """
+        key = key or str(uuid_utils.uuid7())
+        body = {
+            'model': model,
+            'messages': messages,
+            'max_tokens': max_tokens,
+            'stream': True,
+        }
+        headers = {'Bulrushhold-Work': work, 'Idempotency-Key': key}
+        have = 0
+        end = time.monotonic() + self.deadline_s
+        skip: set[str] = set()
+        while True:
+            entry = await self._pick(skip, end)
+            if have:
+                headers['Last-Event-ID'] = str(have - 1)
+            try:
+                async for offset, token in self._read(entry, body, headers):
+                    if offset is None:
+                        return
+                    if offset != have:
+                        raise _lost(f'token {offset} after {have}', entry)
+                    have += 1
+                    # Each token shows that the system is alive.
+                    end = time.monotonic() + self.deadline_s
+                    yield token
+                raise _lost('the stream ended early', entry)
+            except _BROKEN as error:
+                skip = {entry}
+                if time.monotonic() > end:
+                    raise _lost(str(error), entry) from error
+            except errors.RequestError as error:
+                if not _try_elsewhere(error) or time.monotonic() > end:
+                    raise
+                skip = {entry}
+                await asyncio.sleep(min(PAUSE_S, error.retry_after or 0))
+
+    async def call(
+        self,
+        service: str,
+        path: str,
+        *,
+        method: str = 'GET',
+        body: dict[str, t.Any] | None = None,
+        key: str = '',
+    ) -> Answer:
+        """Call a plain service.
+
+        A call that may run once keeps its key through every try, so that
+        a try whose answer was lost can't run it again.
+
+        :raises RequestError: with ``ran`` as far as it is known.
+        """
+        key = key or str(uuid_utils.uuid7())
+        end = time.monotonic() + self.deadline_s
+        skip: set[str] = set()
+        while True:
+            entry = await self._pick(skip, end)
+            url = f'http://{entry}/v1/services/{service}/{path}'
+            try:
+                async with self.session.request(
+                    method,
+                    url,
+                    json=body,
+                    headers={
+                        'Bulrushhold-Account': self.account,
+                        'Idempotency-Key': key,
+                    },
+                ) as response:
+                    content = await response.read()
+                    error = _error_in(response.status, content, entry)
+                if error is None:
+                    return Answer(response.status, content)
+                if error.status != 503 or time.monotonic() > end:
+                    raise error
+            except _BROKEN as error:
+                if time.monotonic() > end:
+                    raise errors.RequestError(
+                        str(error), 'call', entry, ran=errors.Ran.UNKNOWN
+                    ) from error
+            skip = {entry}
+            await asyncio.sleep(PAUSE_S)
+
+    async def _read(
+        self, entry: str, body: dict[str, t.Any], headers: dict[str, str]
+    ) -> cabc.AsyncGenerator[tuple[int | None, str], None]:
+        url = f'http://{entry}/v1/chat/completions'
+        sent = {**headers, 'Bulrushhold-Account': self.account}
+        async with self.session.post(url, json=body, headers=sent) as response:
+            if response.status != 200:
+                content = await response.read()
+                error = _error_in(response.status, content, entry)
+                raise error or _lost(f'status {response.status}', entry)
+            offset = -1
+            failing = False
+            async for raw in response.content:
+                line = raw.rstrip(b'\n')
+                if line.startswith(b'id: '):
+                    offset = int(line[4:])
+                elif line == b'event: error':
+                    failing = True
+                elif line == b'data: [DONE]':
+                    yield None, ''
+                    return
+                elif line.startswith(b'data: '):
+                    if failing:
+                        error = _error_in(500, line[6:], entry)
+                        raise error or _lost('bad error event', entry)
+                    token = _token_in(line[6:])
+                    if token is not None:
+                        yield offset, token
+
+    async def _pick(self, skip: set[str], end: float) -> str:
+        while True:
+            if time.monotonic() >= self.keep_until:
+                await self._refresh(skip)
+            for entry in self.entries or self.seeds:
+                if entry not in skip:
+                    return entry
+            skip.clear()
+            self.keep_until = 0.0
+            if time.monotonic() > end:
+                raise errors.RequestError(
+                    'no entry could be reached', 'client', retry_after=1.0
+                )
+            await asyncio.sleep(PAUSE_S)
+
+    async def _refresh(self, skip: set[str]) -> None:
+        params = {
+            'account': self.account,
+            'data_centre': self.data_centre,
+        }
+        known = [*self.entries, *self.seeds]
+        order = [e for e in known if e not in skip] or known
+        for entry in dict.fromkeys(order):
+            try:
+                async with self.session.get(
+                    f'http://{entry}/v1/entries',
+                    params=params,
+                    timeout=aiohttp.ClientTimeout(total=ASK_S),
+                ) as response:
+                    if response.status != 200:
+                        continue
+                    answer = await response.json()
+            except _BROKEN:
+                continue
+            self.entries = answer['entries']
+            self.keep_until = time.monotonic() + answer['keep_s']
+            return
+
+
+def _token_in(data: bytes) -> str | None:
+    delta = json.loads(data)['choices'][0]['delta']
+    return delta.get('content')
+
+
+def _error_in(
+    status: int, content: bytes, entry: str
+) -> errors.RequestError | None:
+    """Return the system's error in an answer; a service's own is none."""
+    if status < 400:
+        return None
+    try:
+        fields = json.loads(content)['error']
+        return errors.RequestError(
+            fields['reason'],
+            fields['step'],
+            fields['peer'] or entry,
+            ran=errors.Ran(fields['ran']),
+            status=status,
+            retry_after=fields.get('retry_after'),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def _lost(reason: str, entry: str) -> aiohttp.ClientPayloadError:
+    return aiohttp.ClientPayloadError(f'{entry}: {reason}')
+
+
+def _try_elsewhere(error: errors.RequestError) -> bool:
+    """Whether another entry may go on with the same key."""
+    return error.status == 503 or error.step in ('fenced', 'entry')
--- /dev/null
+++ b/src/bulrushhold/composition.py
@@ -0,0 +1,275 @@
+"""The composition root: wires the parts of each process.
+
+Imports stand in the methods: control must not load the HTTP stack, which
+alone would take a third of its memory budget.
+"""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+import typing as t
+
+import loguru
+
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import settings
+
+if t.TYPE_CHECKING:
+    from bulrushhold import decisions
+
+
+DRAIN_CHECK_S: t.Final = 0.1
+
+
+async def run_control(config: settings.Control) -> None:
+    """Run a control process until it is told to stop.
+
+    :raises StorageError: where its data folder can't be trusted.
+    """
+    from bulrushhold import control
+    from bulrushhold import decisions
+    from bulrushhold import node
+
+    store = node.FileLog(config.data_dir)
+    durable, ident = control.open_replica(config, store)
+    replica = decisions.Replica(
+        ident,
+        durable,
+        decisions.Timing(config.heartbeat_s, config.election_s),
+        random.Random(),
+        time.monotonic(),
+    )
+    state = decisions.ReplicatedState.restore(replica.snapshot.state)
+    transport = node.ZmqTransport(str(config.peer))
+    metrics = node.make_metrics(config.metrics, 'bulrushhold.control')
+    server = control.ControlServer(
+        config, replica, state, store, transport, metrics
+    )
+    stop = asyncio.Event()
+    _on_signals(stop.set)
+    serving = asyncio.ensure_future(server.run())
+    stopping = asyncio.ensure_future(stop.wait())
+    loguru.logger.bind(replica=ident).info('control started')
+    try:
+        await asyncio.wait(
+            (serving, stopping), return_when=asyncio.FIRST_COMPLETED
+        )
+        if serving.done():
+            serving.result()
+    finally:
+        serving.cancel()
+        stopping.cancel()
+        await transport.close()
+        store.close()
+
+
+class EntryProcess:
+    """An entry with all its parts, as :func:`run_entry` runs it."""
+
+    def __init__(self, config: settings.Entry) -> None:
+        from bulrushhold import decisions
+        from bulrushhold import entry
+        from bulrushhold import node
+
+        self.config = config
+        self.metrics = node.make_metrics(config.metrics, 'bulrushhold.entry')
+        self.transport = node.ZmqTransport(str(config.peer))
+        self.control = entry.ControlClient(
+            [str(address) for address in config.control], self.transport
+        )
+        self.table = entry.TableView(config, self.control)
+        self.router = decisions.Router()
+        self.store = decisions.CopyStore(config.copies.keep_s)
+        self.copies = entry.CopyWriter(
+            config.copies, self.transport, self.metrics
+        )
+        self.background: set[asyncio.Task[t.Any]] = set()
+
+    async def start(self) -> None:
+        """Open the sockets, and serve."""
+        import aiohttp
+        from aiohttp import web
+
+        from bulrushhold import entry
+        from bulrushhold import web as adapters
+
+        config = self.config
+        # No limit: the default of 100 connections would hold back the
+        # hundred-and-first stream, as if an engine were slow.
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            auto_decompress=False,
+        )
+        self.view = entry.PlatformView(
+            config,
+            adapters.HttpPlatformList(self.session, config.platform_url),
+            self.router,
+        )
+        keys = entry.KeyTaker(
+            config,
+            self.transport,
+            self.store,
+            self.view.listed,
+            self.view.copy_peers,
+        )
+        runner = entry.GenerationRunner(
+            config.recovery,
+            self.router,
+            adapters.HttpEngineClient(self.session),
+            _policy(config.recovery),
+            self.copies,
+            _Quarantine(self),
+            self.metrics,
+        )
+        self.streams = entry.Streams(
+            config, runner, keys, self.copies, self.store
+        )
+        self.table.changed.append(
+            lambda: self.streams.refuse_quarantined(self.table.quarantined)
+        )
+        services = entry.ServiceRunner(
+            self.router,
+            adapters.HttpServiceClient(self.session),
+            self.control,
+            self.metrics,
+        )
+        self.server = entry.EntryServer(
+            config,
+            self.view,
+            self.table,
+            self.control,
+            self.streams,
+            services,
+            self.metrics,
+            _operator_key(config),
+        )
+        await self.view.poll()
+        self.spawn(self.table.run())
+        self.spawn(self.view.run())
+        self.spawn(self._follow_peers())
+        self.spawn(self.streams.sweep())
+        self.runner = web.AppRunner(
+            self.server.application(), access_log=None, shutdown_timeout=5.0
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, config.http.host, config.http.port)
+        await site.start()
+        loguru.logger.bind(http=str(config.http)).info('entry started')
+
+    async def drain(self) -> None:
+        """Take nothing new, and wait for what is in progress."""
+        self.server.draining = True
+        self.view.draining = True
+        loguru.logger.info('draining')
+        end = time.monotonic() + self.config.drain_deadline_s
+        while self.server.busy and time.monotonic() < end:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        for task in list(self.background):
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
+        await self.runner.cleanup()
+        await self.copies.close()
+        await self.session.close()
+        await self.transport.close()
+
+    def spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        """Run work in the background until the process closes."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[t.Any]) -> None:
+        self.background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            loguru.logger.opt(exception=task.exception()).error(
+                'background work failed'
+            )
+
+    async def _follow_peers(self) -> None:
+        while True:
+            self.copies.set_peers(self.view.copy_peers())
+            await self.view.changed.wait()
+            self.view.changed.clear()
+
+
+class _Quarantine:
+    """Refuses contents here at once, and everywhere through control."""
+
+    def __init__(self, process: EntryProcess) -> None:
+        self.process = process
+        self.own: set[str] = set()
+
+    def refused(self, fingerprint: str) -> bool:
+        """Whether the content is quarantined."""
+        return (
+            fingerprint in self.own
+            or fingerprint in self.process.table.quarantined
+        )
+
+    def add(self, fingerprint: str, reason: str) -> None:
+        """Have the content refused by every entry."""
+        self.own.add(fingerprint)
+        self.process.streams.refuse_quarantined(frozenset(self.own))
+        self.process.spawn(self._tell(fingerprint, reason))
+
+    async def _tell(self, fingerprint: str, reason: str) -> None:
+        order = messages.Quarantine(fingerprint, reason, time.time())
+        while True:
+            with contextlib.suppress(errors.PeerError):
+                await self.process.control.propose(order, 10.0)
+                break
+        # From here on control's list counts, so that operators can lift.
+        await asyncio.sleep(2 * self.process.config.table_poll_s)
+        self.own.discard(fingerprint)
+
+
+async def run_entry(config: settings.Entry) -> None:
+    """Run an entry until it is told to stop, then drain it.
+
+    A second signal stops it without waiting for its streams.
+    """
+    process = EntryProcess(config)
+    signals = asyncio.Queue[None]()
+    _on_signals(lambda: signals.put_nowait(None))
+    await process.start()
+    await signals.get()
+    drained = asyncio.ensure_future(process.drain())
+    again = asyncio.ensure_future(signals.get())
+    await asyncio.wait((drained, again), return_when=asyncio.FIRST_COMPLETED)
+    drained.cancel()
+    again.cancel()
+    await process.close()
+
+
+def _policy(config: settings.Recovery) -> 'decisions.RecoveryPolicy':
+    from bulrushhold import decisions
+
+    policies: dict[str, type[decisions.RecoveryPolicy]] = {
+        'thrifty': decisions.ThriftyPolicy,
+        'prompt': decisions.PromptPolicy,
+    }
+    return policies[config.policy](
+        config.gap_factor,
+        config.min_gap_s,
+        config.max_gap_s,
+        config.first_token_s,
+        decisions.WorkBudget(config.extra_share),
+    )
+
+
+def _operator_key(config: settings.Entry) -> str:
+    if not config.operator_key_file:
+        return ''
+    return settings.read_key(config.operator_key_file)
+
+
+def _on_signals(call: t.Callable[[], None]) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, call)
--- /dev/null
+++ b/src/bulrushhold/control/_server.py
@@ -0,0 +1,324 @@
+"""The control process: drives one replica of the replicated log."""
+
+import asyncio
+import collections.abc as cabc
+import time
+import typing as t
+
+import attrs
+import loguru
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import settings
+
+PROPOSAL_TIMEOUT_S: t.Final = 3.0
+JOIN_EVERY_S: t.Final = 1.0
+FORGET_EVERY_S: t.Final = 30.0
+IN_FORCE_KEPT_S: t.Final = 60.0
+_REPLICA_MESSAGES: t.Final = (
+    messages.VoteRequest,
+    messages.VoteReply,
+    messages.AppendRequest,
+    messages.AppendReply,
+    messages.InstallSnapshot,
+)
+
+
+@attrs.define
+class _Waiting:
+    """A proposal whose entry isn't applied yet."""
+
+    term: int
+    future: 'asyncio.Future[bytes | None]'
+
+
+class ControlServer:
+    """Saves, sends and applies what its replica decides.
+
+    :param replica: the pure decisions.
+    :param state: what committed commands made.
+    """
+
+    def __init__(
+        self,
+        config: settings.Control,
+        replica: decisions.Replica,
+        state: decisions.ReplicatedState,
+        store: ports.LogStore,
+        transport: ports.Transport,
+        metrics: ports.Metrics,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.config = config
+        self.replica = replica
+        self.state = state
+        self.store = store
+        self.transport = transport
+        self.metrics = metrics
+        self.clock = clock
+        self.waiting: dict[int, _Waiting] = {}
+        self.in_force: dict[str, tuple[int, float]] = {}
+        self.since_snapshot = 0
+        self.work = asyncio.Event()
+        self.next_join = 0.0
+        self.next_forget = 0.0
+        for kind in _REPLICA_MESSAGES:
+            transport.handle(kind, self._on_replica_message)
+        transport.handle(messages.JoinRequest, self._on_join)
+        transport.handle(messages.Proposal, self._on_proposal)
+        transport.handle(messages.TableRead, self._on_table_read)
+        transport.handle(messages.HistoryRead, self._on_history_read)
+        transport.handle(messages.StatusRead, self._on_status_read)
+
+    async def run(self) -> None:
+        """Serve until cancelled.
+
+        :raises StorageError: where the disk fails; the others go on.
+        """
+        beat = self.config.heartbeat_s / 3
+        while True:
+            self.replica.tick(self.clock())
+            self._look_after_members()
+            self.drive()
+            try:
+                await asyncio.wait_for(self.work.wait(), beat)
+            except TimeoutError:
+                continue
+            finally:
+                self.work.clear()
+
+    def drive(self) -> None:
+        """Do all that the replica wants done: save, send, apply."""
+        while True:
+            self.replica.flush(self.clock())
+            ready = self.replica.take_ready()
+            if ready.snapshot is not None:
+                self._install(ready)
+            elif ready.must_save:
+                last = self.replica.last_index
+                self.store.save(ready.term, ready.vote, ready.entries)
+                self.replica.saved_up_to(last)
+            for peer, message in ready.outbox:
+                self._send(peer, message)
+            for entry in ready.committed:
+                self._apply(entry)
+            if not (ready.must_save or ready.committed):
+                return
+
+    def _install(self, ready: decisions.Ready) -> None:
+        snapshot = ready.snapshot
+        assert snapshot is not None
+        self.store.save(ready.term, ready.vote, [])
+        self.store.save_snapshot(snapshot, ready.entries)
+        self.replica.saved_up_to(self.replica.last_index)
+        self.state = decisions.ReplicatedState.restore(snapshot.state)
+        self.since_snapshot = 0
+
+    def _send(self, peer: str, message: messages.Message) -> None:
+        config = self.replica.config
+        address = config.voters.get(peer) or config.learners.get(peer)
+        if address is None:
+            # A voter that this replica's log doesn't know yet.
+            name = peer.partition('.')[0]
+            known = self.config.replicas.get(name)
+            address = str(known) if known else None
+        if address:
+            self.transport.send(address, message)
+
+    def _apply(self, entry: messages.LogEntry) -> None:
+        result = b''
+        if entry.kind == messages.KIND_COMMAND:
+            result = self.state.apply(entry.data)
+        waiting = self.waiting.pop(entry.index, None)
+        if waiting is not None and not waiting.future.done():
+            same = waiting.term == entry.term
+            waiting.future.set_result(result if same else None)
+        self.since_snapshot += 1
+        if (
+            self.since_snapshot >= self.config.snapshot_every
+            and entry.index == self.replica.applied
+        ):
+            self._snapshot(entry.index)
+
+    def _snapshot(self, index: int) -> None:
+        snapshot = self.replica.compact(index, self.state.dump())
+        saved = self.replica.saved - index
+        self.store.save_snapshot(snapshot, self.replica.entries[:saved])
+        self.since_snapshot = 0
+        loguru.logger.bind(index=index).info('snapshot')
+
+    # Members
+
+    def _look_after_members(self) -> None:
+        now = self.clock()
+        if now < self.next_join:
+            return
+        self.next_join = now + JOIN_EVERY_S
+        if self.replica.role is decisions.Role.LEADER:
+            self._promote_learners()
+            self._forget_old_claims(now)
+        elif self.replica.ident not in self.replica.config.voters:
+            request = messages.JoinRequest(
+                self.replica.ident, str(self.config.peer)
+            )
+            for address in self.config.replicas.values():
+                if address != self.config.peer:
+                    self.transport.send(str(address), request)
+
+    def _promote_learners(self) -> None:
+        change = decisions.next_config(self.replica)
+        if change is not None and self.replica.change_config(change.config):
+            node.log_decision(
+                'membership',
+                reason=change.reason,
+                voters=sorted(change.config.voters),
+                learners=sorted(change.config.learners),
+            )
+
+    async def _on_join(self, request: messages.JoinRequest) -> None:
+        config = decisions.with_learner(self.replica, request)
+        if config is not None and self.replica.change_config(config):
+            node.log_decision(
+                'membership',
+                reason='an empty replica joins as a learner',
+                voters=sorted(config.voters),
+                learners=sorted(config.learners),
+            )
+            self.work.set()
+
+    def _forget_old_claims(self, now: float) -> None:
+        if now < self.next_forget:
+            return
+        self.next_forget = now + FORGET_EVERY_S
+        before = time.time() - self.config.claim_keep_s
+        self.replica.propose(messages.encode(messages.ForgetClaims(before)))
+
+    # Requests
+
+    async def _on_replica_message(self, message: messages.Message) -> None:
+        self.replica.receive(message, self.clock())
+        self.work.set()
+
+    async def _on_proposal(
+        self, proposal: messages.Proposal
+    ) -> messages.ProposalReply:
+        proposed = self.replica.propose(proposal.command)
+        if proposed is None:
+            return messages.ProposalReply(
+                'not_leader', self.replica.leader_address()
+            )
+        index, term = proposed
+        future: asyncio.Future[bytes | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.waiting[index] = _Waiting(term, future)
+        self.work.set()
+        try:
+            result = await asyncio.wait_for(future, PROPOSAL_TIMEOUT_S)
+        except TimeoutError:
+            self.waiting.pop(index, None)
+            return messages.ProposalReply('unknown')
+        if result is None:
+            return messages.ProposalReply(
+                'not_leader', self.replica.leader_address()
+            )
+        return messages.ProposalReply('done', result=result)
+
+    async def _on_table_read(
+        self, read: messages.TableRead
+    ) -> messages.TableReply:
+        if not self.replica.lease_holds(self.clock()):
+            return messages.TableReply(
+                'not_leader', self.replica.leader_address()
+            )
+        if read.instance:
+            self.in_force[read.instance] = (read.known, self.clock())
+        table = self.state.table
+        whole = read.known < table.floor or read.known > table.revision
+        known = 0 if whole else read.known
+        rows, removed = table.changes_since(known)
+        return messages.TableReply(
+            'done',
+            revision=table.revision,
+            whole=whole or known == 0,
+            rows=rows,
+            removed=removed,
+            quarantine_revision=self.state.quarantine_revision,
+            quarantined=sorted(self.state.quarantined),
+        )
+
+    async def _on_history_read(
+        self, read: messages.HistoryRead
+    ) -> messages.HistoryReply:
+        if not self.replica.lease_holds(self.clock()):
+            return messages.HistoryReply(
+                'not_leader', self.replica.leader_address()
+            )
+        items = self.state.table.history[-read.limit :]
+        return messages.HistoryReply('done', items=items[::-1])
+
+    async def _on_status_read(
+        self, read: messages.StatusRead
+    ) -> messages.StatusReply:
+        del read
+        now = self.clock()
+        replica = self.replica
+        recent = {
+            name: (revision, round(now - at, 3))
+            for name, (revision, at) in self.in_force.items()
+            if now - at < IN_FORCE_KEPT_S
+        }
+        return messages.StatusReply(
+            replica=replica.ident,
+            role=replica.role.value,
+            term=replica.term,
+            leader=replica.leader,
+            commit=replica.commit,
+            revision=self.state.table.revision,
+            voters=sorted(replica.config.voters),
+            learners=sorted(replica.config.learners),
+            in_force=recent,
+        )
+
+
+def open_replica(
+    config: settings.Control, store: node.FileLog
+) -> tuple[decisions.Durable, str]:
+    """Read the data folder; an empty one gets a new identity.
+
+    :returns: what the disk holds, and the replica's identity.
+    :raises StorageError: where the folder can't be trusted.
+    """
+    identity = store.identity()
+    if identity is None:
+        # Never a founder: a lost disk that founded the log again under its
+        # old name could vote twice in one term and undo what was committed.
+        identity = node.Identity(decisions.new_identity(config.name))
+        store.write_identity(identity)
+    return store.load(identity.founding), identity.replica
+
+
+def found(config: settings.Control, store: node.FileLog) -> str:
+    """Make this data folder one of the first members of a new log.
+
+    :raises StorageError: where the folder is already in use.
+    """
+    if store.identity() is not None:
+        raise errors.StorageError(
+            'the data folder already belongs to a replica',
+            'found',
+            str(store.folder),
+        )
+    voters = {
+        f'{name}.founder': str(address)
+        for name, address in config.replicas.items()
+    }
+    identity = node.Identity(
+        f'{config.name}.founder', messages.Config(voters=voters)
+    )
+    store.write_identity(identity)
+    return identity.replica
--- /dev/null
+++ b/src/bulrushhold/decisions/__init__.py
@@ -0,0 +1,69 @@
+"""Pure decisions: no sockets, no clock, no random source of their own."""
+
+from bulrushhold.decisions._claims import ClaimState
+from bulrushhold.decisions._copies import CopyStore
+from bulrushhold.decisions._homes import copy_peers
+from bulrushhold.decisions._homes import entries_for
+from bulrushhold.decisions._homes import homes
+from bulrushhold.decisions._homes import ranked
+from bulrushhold.decisions._lifecycle import Lifecycle
+from bulrushhold.decisions._members import new_identity
+from bulrushhold.decisions._members import next_config
+from bulrushhold.decisions._members import with_learner
+from bulrushhold.decisions._recovery import Action
+from bulrushhold.decisions._recovery import GapEstimate
+from bulrushhold.decisions._recovery import PromptPolicy
+from bulrushhold.decisions._recovery import RecoveryPolicy
+from bulrushhold.decisions._recovery import ThriftyPolicy
+from bulrushhold.decisions._recovery import WorkBudget
+from bulrushhold.decisions._replica import Durable
+from bulrushhold.decisions._replica import Ready
+from bulrushhold.decisions._replica import Replica
+from bulrushhold.decisions._replica import Role
+from bulrushhold.decisions._replica import Timing
+from bulrushhold.decisions._routing import BackendState
+from bulrushhold.decisions._routing import Choice
+from bulrushhold.decisions._routing import Router
+from bulrushhold.decisions._statemachine import ReplicatedState
+from bulrushhold.decisions._suspects import content_fingerprint
+from bulrushhold.decisions._suspects import Suspects
+from bulrushhold.decisions._table import TableState
+from bulrushhold.decisions._tablecsv import read as read_csv
+from bulrushhold.decisions._tablecsv import write as write_csv
+from bulrushhold.decisions._transcript import Transcript
+from bulrushhold.decisions._transcript import Verdict
+
+__all__ = [
+    'Action',
+    'BackendState',
+    'Choice',
+    'ClaimState',
+    'CopyStore',
+    'Durable',
+    'GapEstimate',
+    'Lifecycle',
+    'PromptPolicy',
+    'Ready',
+    'RecoveryPolicy',
+    'Replica',
+    'ReplicatedState',
+    'Role',
+    'Router',
+    'Suspects',
+    'TableState',
+    'ThriftyPolicy',
+    'Timing',
+    'Transcript',
+    'Verdict',
+    'WorkBudget',
+    'content_fingerprint',
+    'copy_peers',
+    'entries_for',
+    'homes',
+    'new_identity',
+    'next_config',
+    'ranked',
+    'read_csv',
+    'with_learner',
+    'write_csv',
+]
--- /dev/null
+++ b/src/bulrushhold/decisions/_copies.py
@@ -0,0 +1,121 @@
+"""What an entry keeps for others: pointers and transcript copies."""
+
+import attrs
+
+from bulrushhold import messages
+
+
+@attrs.define
+class Pointer:
+    """Who serves a key, as one of its pointer homes knows it."""
+
+    epoch: int
+    fingerprint: str
+    copies: list[str]
+    used_at: float
+
+
+@attrs.define
+class Copy:
+    """A transcript kept for another entry.
+
+    :param fence: least epoch that may write.
+    :param written: epoch that wrote the tokens.
+    """
+
+    fence: int
+    written: int
+    tokens: list[str]
+    version: str
+    finish: str
+    used_at: float
+
+
+class CopyStore:
+    """Pointers and copies, dropped ``keep_s`` after their last use."""
+
+    def __init__(self, keep_s: float) -> None:
+        self.keep_s = keep_s
+        self.pointers: dict[str, Pointer] = {}
+        self.copies: dict[str, Copy] = {}
+
+    def take_pointer(
+        self, take: messages.PointerTake, now: float
+    ) -> messages.PointerState:
+        """Register the asking entry, unless a higher epoch is known."""
+        pointer = self.pointers.get(take.key)
+        if pointer is None:
+            self.pointers[take.key] = Pointer(
+                take.epoch, take.fingerprint, take.copies, now
+            )
+            return messages.PointerState(True, take.epoch, [])
+        pointer.used_at = now
+        if pointer.fingerprint != take.fingerprint:
+            return messages.PointerState(
+                False, pointer.epoch, [], mismatch=True
+            )
+        former = pointer.copies
+        if take.epoch <= pointer.epoch:
+            return messages.PointerState(False, pointer.epoch, former)
+        pointer.epoch = take.epoch
+        # The former copies stay reachable until the new ones hold the
+        # whole transcript: the new entry may die before that.
+        pointer.copies = list(dict.fromkeys(take.copies + former))[:6]
+        return messages.PointerState(True, take.epoch, former)
+
+    def append(
+        self, append: messages.CopyAppend, now: float
+    ) -> messages.CopyAck:
+        """Add tokens to a copy, or tell from where to send again."""
+        copy = self.copies.get(append.key)
+        if copy is None:
+            copy = Copy(append.epoch, 0, [], '', '', now)
+            self.copies[append.key] = copy
+        if append.epoch < copy.fence:
+            return messages.CopyAck(False, len(copy.tokens))
+        copy.fence = append.epoch
+        copy.used_at = now
+        if copy.written != append.epoch:
+            # Tokens of a former entry: only a whole transcript replaces
+            # them, else a gap could be filled with another text.
+            if append.offset != 0:
+                return messages.CopyAck(True, 0)
+            copy.tokens = []
+            copy.written = append.epoch
+        if append.offset > len(copy.tokens):
+            return messages.CopyAck(True, len(copy.tokens))
+        copy.tokens[append.offset :] = append.tokens
+        copy.version = append.version
+        copy.finish = append.finish
+        return messages.CopyAck(True, len(copy.tokens))
+
+    def take(self, take: messages.CopyTake, now: float) -> messages.CopyState:
+        """Hand a copy over and fence the entry that wrote it.
+
+        The fence is kept also where there is no copy yet: an append of
+        the former entry that is still under way must not create one.
+        """
+        copy = self.copies.get(take.key)
+        if copy is None:
+            copy = Copy(0, 0, [], '', '', now)
+            self.copies[take.key] = copy
+        copy.used_at = now
+        if take.epoch < copy.fence:
+            return messages.CopyState(False, copy.fence)
+        copy.fence = take.epoch
+        return messages.CopyState(
+            True,
+            copy.fence,
+            copy.written,
+            list(copy.tokens),
+            copy.version,
+            copy.finish,
+        )
+
+    def expire(self, now: float) -> None:
+        """Drop what was not used for ``keep_s``."""
+        oldest = now - self.keep_s
+        for store in (self.pointers, self.copies):
+            old = [k for k, item in store.items() if item.used_at < oldest]
+            for key in old:
+                del store[key]
--- /dev/null
+++ b/src/bulrushhold/decisions/_homes.py
@@ -0,0 +1,88 @@
+"""Which instances hold what: rendezvous hashing over data centres.
+
+Highest random weight (Thaler and Ravishankar, 1998): every process that
+knows the same instances picks the same homes without a message, and the
+loss of one moves only what was on it.
+"""
+
+import collections.abc as cabc
+import math
+import typing as t
+
+import xxhash
+
+from bulrushhold import ports
+
+SMALL_ACCOUNT_ENTRIES: t.Final = 3
+_T = t.TypeVar('_T')
+
+
+def ranked(
+    key: str, candidates: cabc.Iterable[_T], name: cabc.Callable[[_T], str]
+) -> list[_T]:
+    """Return the candidates, the one of most weight for the key first."""
+    digest = xxhash.xxh3_64_intdigest
+    return sorted(
+        candidates,
+        key=lambda item: digest(f'{key}\0{name(item)}'.encode()),
+        reverse=True,
+    )
+
+
+def homes(
+    key: str, entries: cabc.Iterable[ports.Instance], count: int
+) -> list[ports.Instance]:
+    """Return ``count`` entries for a key, in differing data centres.
+
+    Where there are fewer data centres than homes, the best of the rest
+    follow.
+    """
+    order = ranked(key, entries, lambda entry: entry.name)
+    return _spread(order, count, set())
+
+
+def copy_peers(
+    own: ports.Instance, entries: cabc.Iterable[ports.Instance], count: int
+) -> list[ports.Instance]:
+    """Return the peers that hold one entry's transcripts.
+
+    They follow from the entry and not from the key: with 390 entries and
+    homes by key, every token would be a message of its own to one of 389
+    peers; with few peers, one message carries a batch of streams.
+    """
+    others = [entry for entry in entries if entry.name != own.name]
+    order = ranked(f'copies of {own.name}', others, lambda e: e.name)
+    return _spread(order, count, {own.data_centre})
+
+
+def _spread(
+    order: list[ports.Instance], count: int, used: set[str]
+) -> list[ports.Instance]:
+    chosen: list[ports.Instance] = []
+    used = set(used)
+    for entry in order:
+        if entry.data_centre not in used and len(chosen) < count:
+            chosen.append(entry)
+            used.add(entry.data_centre)
+    rest = [entry for entry in order if entry not in chosen]
+    return chosen + rest[: max(0, count - len(chosen))]
+
+
+def entries_for(
+    account: str,
+    share: float,
+    entries: list[ports.Instance],
+    near: str = '',
+) -> list[ports.Instance]:
+    """Return the entries that an account should use, in order.
+
+    A small account gets a stable few, so that its limits are split few
+    ways; a large one gets more, so that no entry carries it alone.
+
+    :param share: of the sum of all accounts' weights, 0 to 1.
+    :param near: the caller's data centre, whose entries come first.
+    """
+    count = max(SMALL_ACCOUNT_ENTRIES, math.ceil(2 * share * len(entries)))
+    order = ranked(f'entries of {account}', entries, lambda e: e.name)
+    chosen = _spread(order, min(count, len(entries)), set())
+    return sorted(chosen, key=lambda entry: entry.data_centre != near)
--- /dev/null
+++ b/src/bulrushhold/decisions/_replica.py
@@ -0,0 +1,585 @@
+"""One replica of the replicated log, as pure decisions.
+
+After Raft (Ongaro and Ousterhout, 2014) with pre-vote, quorum check,
+leader lease and one membership change at a time (Ongaro's thesis,
+chapters 4, 6 and 9). Messages and ticks go in; what must be saved, sent
+and applied comes out of :meth:`Replica.take_ready`. The driver saves
+before it sends.
+"""
+
+import enum
+import random
+import typing as t
+
+import attrs
+import msgspec
+
+from bulrushhold import messages
+
+MAX_ENTRIES_PER_APPEND: t.Final = 512
+
+
+class Role(enum.StrEnum):
+    """What a replica does in its term."""
+
+    FOLLOWER = 'follower'
+    PRE_CANDIDATE = 'pre-candidate'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+@attrs.frozen
+class Timing:
+    """Seconds between beats, and of the least silence before a vote.
+
+    A lease lasts ``lease_s`` from before its beat left. A follower
+    gives no vote for ``election_s`` after a beat arrived, which is
+    later, so no other leader can exist while the lease lasts; the
+    difference allows for clocks that run at different speeds.
+    """
+
+    heartbeat_s: float = 0.15
+    election_s: float = 1.0
+
+    @property
+    def lease_s(self) -> float:
+        """Seconds for which a beat, once acknowledged, gives the lease."""
+        return self.election_s * 0.8
+
+
+@attrs.define
+class Durable:
+    """What a replica has on its disk."""
+
+    term: int = 0
+    vote: str = ''
+    entries: list[messages.LogEntry] = attrs.field(factory=list)
+    snapshot: messages.InstallSnapshot | None = None
+    founding: messages.Config = attrs.field(factory=messages.Config)
+
+
+@attrs.define
+class Ready:
+    """What the driver must do: save, then send, then apply.
+
+    :param snapshot: received from the leader; replaces log and state.
+    :param outbox: replica identity and message.
+    """
+
+    term: int = 0
+    vote: str = ''
+    must_save: bool = False
+    entries: list[messages.LogEntry] = attrs.field(factory=list)
+    snapshot: messages.InstallSnapshot | None = None
+    outbox: list[tuple[str, messages.Message]] = attrs.field(factory=list)
+    committed: list[messages.LogEntry] = attrs.field(factory=list)
+
+
+@attrs.define
+class Progress:
+    """What the leader knows of one other replica."""
+
+    match: int = 0
+    next: int = 1
+    acked_at: float = -1e9
+
+
+class Replica:
+    """The decisions of one replica.
+
+    :param ident: this replica's identity; a lost disk means a new one.
+    :param durable: what was read from the data folder.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        ident: str,
+        durable: Durable,
+        timing: Timing,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.ident = ident
+        self.timing = timing
+        self.rng = rng
+        self.term = durable.term
+        self.vote = durable.vote
+        self.snapshot = durable.snapshot or messages.InstallSnapshot(
+            0, '', 0, 0, durable.founding, b'', 0
+        )
+        self.entries = list(durable.entries)
+        self.commit = self.snapshot.index
+        self.applied = self.snapshot.index
+        self.saved = self.last_index
+        self._read_config()
+        self.role = Role.FOLLOWER
+        self.leader = ''
+        self.votes: set[str] = set()
+        self.progress: dict[str, Progress] = {}
+        self.beat = 0
+        self.beat_times: dict[int, float] = {}
+        self.next_beat = 0.0
+        # A restart forgets which beats were acknowledged. Voting at once
+        # could elect a second leader within the first one's lease, so a
+        # started replica keeps silent as if it had just heard a leader.
+        self.heard_at = now
+        self.election_at = 0.0
+        self._reset_election(now)
+        self._ready = Ready(term=self.term, vote=self.vote)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, saved or not."""
+        return self.snapshot.index + len(self.entries)
+
+    @property
+    def commits_in_term(self) -> bool:
+        """Whether this replica leads and has committed in its term."""
+        return (
+            self.role is Role.LEADER
+            and self._term_of(self.commit) == self.term
+        )
+
+    def lease_holds(self, now: float) -> bool:
+        """Whether no other leader can exist at ``now``.
+
+        Call it with a clock read after any wait: a process frozen between
+        the check and the use would otherwise act on a lease gone by.
+        """
+        until = self._quorum_beat() + self.timing.lease_s
+        return self.commits_in_term and now < until
+
+    def leader_address(self) -> str:
+        """Address of the leader, or ``''`` where unknown."""
+        return self.config.voters.get(self.leader, '')
+
+    def propose(self, data: bytes) -> tuple[int, int] | None:
+        """Append a command as leader; return its index and term.
+
+        ``None`` where this replica isn't the leader: nothing happened.
+        """
+        if self.role is not Role.LEADER:
+            return None
+        self._append(messages.KIND_COMMAND, data)
+        return self.last_index, self.term
+
+    def change_config(self, config: messages.Config) -> bool:
+        """Start a membership change, unless one is under way.
+
+        Only one at a time, and only after an entry of this term is
+        committed; else two majorities that share no replica could form.
+        """
+        if not self.commits_in_term or self.config_index > self.commit:
+            return False
+        self._append(messages.KIND_CONFIG, msgspec.msgpack.encode(config))
+        return True
+
+    def tick(self, now: float) -> None:
+        """Let time pass: beats, elections, and the leader's own check."""
+        if self.role is Role.LEADER:
+            if now >= self.next_beat:
+                self._broadcast(now)
+            if now > self._quorum_beat() + self.timing.election_s:
+                self._become_follower(self.term, '', now)
+        elif now >= self.election_at and self.ident in self.config.voters:
+            self._start_vote(now, pre=True)
+
+    def receive(self, message: messages.Message, now: float) -> None:
+        """Take one message from another replica."""
+        if isinstance(message, messages.VoteRequest):
+            self._on_vote_request(message, now)
+        elif isinstance(message, messages.VoteReply):
+            self._on_vote_reply(message, now)
+        elif isinstance(message, messages.AppendRequest):
+            self._on_append(message, now)
+        elif isinstance(message, messages.AppendReply):
+            self._on_append_reply(message, now)
+        elif isinstance(message, messages.InstallSnapshot):
+            self._on_snapshot(message, now)
+
+    def flush(self, now: float) -> None:
+        """As leader, send appended entries without waiting for a beat."""
+        if self.role is Role.LEADER and any(
+            p.next <= self.last_index for p in self.progress.values()
+        ):
+            self._broadcast(now)
+
+    def take_ready(self) -> Ready:
+        """Return what there is to do; the driver then calls `saved_up_to`.
+
+        :returns: entries to save, messages to send once they are saved,
+            and committed entries to apply.
+        """
+        ready = self._ready
+        ready.term, ready.vote = self.term, self.vote
+        last = min(self.commit, self.saved)
+        first = self.applied + 1
+        if last >= first:
+            ready.committed = self._slice(first, last - first + 1)
+            self.applied = last
+        self._ready = Ready(term=self.term, vote=self.vote)
+        return ready
+
+    def saved_up_to(self, index: int) -> None:
+        """Learn from the driver that all entries up to it are synced."""
+        self.saved = min(index, self.last_index)
+        if self.role is Role.LEADER:
+            self._advance_commit()
+
+    def compact(self, index: int, state: bytes) -> messages.InstallSnapshot:
+        """Drop the entries up to ``index`` in favour of a snapshot."""
+        term = self._term_of(index)
+        config = self._config_at(index)
+        kept = self._slice(index + 1, self.last_index - index)
+        self.snapshot = messages.InstallSnapshot(
+            self.term, self.ident, index, term, config, state, 0
+        )
+        self.entries = kept
+        return self.snapshot
+
+    # Elections
+
+    def _start_vote(self, now: float, *, pre: bool) -> None:
+        self._reset_election(now)
+        self.leader = ''
+        if pre:
+            self.role = Role.PRE_CANDIDATE
+        else:
+            self.role = Role.CANDIDATE
+            self.term += 1
+            self.vote = self.ident
+            self._ready.must_save = True
+        self.votes = {self.ident}
+        request = messages.VoteRequest(
+            self.term + 1 if pre else self.term,
+            self.ident,
+            self.last_index,
+            self._term_of(self.last_index),
+            pre,
+        )
+        for peer in self._others():
+            self._send(peer, request)
+        self._count_votes(now)
+
+    def _on_vote_request(
+        self, request: messages.VoteRequest, now: float
+    ) -> None:
+        # While a leader is heard no vote is given and no term taken over.
+        # A replica that was cut off can so neither unseat a working leader
+        # nor break the lease that the leader relies on.
+        led = now < self.heard_at + self.timing.election_s
+        if led or self.lease_holds(now) or request.term < self.term:
+            self._reply_vote(request, granted=False)
+            return
+        if not request.pre and request.term > self.term:
+            self._become_follower(request.term, '', now)
+        up_to_date = (request.last_term, request.last_index) >= (
+            self._term_of(self.last_index),
+            self.last_index,
+        )
+        free = request.pre or self.vote in ('', request.candidate)
+        granted = up_to_date and free
+        if granted and not request.pre:
+            self.vote = request.candidate
+            self._ready.must_save = True
+            self._reset_election(now)
+        self._reply_vote(request, granted=granted)
+
+    def _reply_vote(
+        self, request: messages.VoteRequest, *, granted: bool
+    ) -> None:
+        self._send(
+            request.candidate,
+            messages.VoteReply(
+                self.term, self.ident, granted, request.pre, request.term
+            ),
+        )
+
+    def _on_vote_reply(self, reply: messages.VoteReply, now: float) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, '', now)
+            return
+        if not reply.granted:
+            return
+        if reply.pre:
+            due = self.role is Role.PRE_CANDIDATE
+            current = reply.asked == self.term + 1
+        else:
+            due = self.role is Role.CANDIDATE
+            current = reply.asked == self.term
+        if due and current:
+            self.votes.add(reply.voter)
+            self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        voters = self.config.voters
+        if len(self.votes & voters.keys()) <= len(voters) // 2:
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self._start_vote(now, pre=False)
+        elif self.role is Role.CANDIDATE:
+            self._become_leader(now)
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.ident
+        self.progress = {
+            peer: Progress(next=self.last_index + 1) for peer in self._others()
+        }
+        self.beat_times = {}
+        # The lease starts with nothing; the quorum check gets one round.
+        for progress in self.progress.values():
+            progress.acked_at = now - self.timing.lease_s
+        # Entries of former terms count as committed only through one of
+        # this term (Raft, section 5.4.2).
+        self._append(messages.KIND_NOOP, b'')
+        self._broadcast(now)
+
+    def _become_follower(self, term: int, leader: str, now: float) -> None:
+        if term > self.term:
+            self.term = term
+            self.vote = ''
+            self._ready.must_save = True
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._reset_election(now)
+
+    def _reset_election(self, now: float) -> None:
+        least = self.timing.election_s
+        self.election_at = now + least * (1 + self.rng.random())
+
+    # Replication
+
+    def _append(self, kind: int, data: bytes) -> None:
+        entry = messages.LogEntry(self.last_index + 1, self.term, kind, data)
+        self.entries.append(entry)
+        self._ready.entries.append(entry)
+        self._ready.must_save = True
+        if kind == messages.KIND_CONFIG:
+            self._read_config()
+            self._track_members()
+
+    def _track_members(self) -> None:
+        others = self._others()
+        for peer in others:
+            self.progress.setdefault(peer, Progress(next=self.last_index))
+        for peer in set(self.progress) - set(others):
+            del self.progress[peer]
+
+    def _broadcast(self, now: float) -> None:
+        self.beat += 1
+        self.beat_times[self.beat] = now
+        self.next_beat = now + self.timing.heartbeat_s
+        oldest = now - 2 * self.timing.election_s
+        for beat in [b for b, at in self.beat_times.items() if at < oldest]:
+            del self.beat_times[beat]
+        for peer in self.progress:
+            self._send_append(peer)
+
+    def _send_append(self, peer: str) -> None:
+        progress = self.progress[peer]
+        previous = progress.next - 1
+        if previous < self.snapshot.index:
+            self._send(
+                peer,
+                attrs.evolve(
+                    self.snapshot,
+                    term=self.term,
+                    leader=self.ident,
+                    beat=self.beat,
+                ),
+            )
+            progress.next = self.snapshot.index + 1
+            return
+        entries = self._slice(progress.next, MAX_ENTRIES_PER_APPEND)
+        self._send(
+            peer,
+            messages.AppendRequest(
+                self.term,
+                self.ident,
+                previous,
+                self._term_of(previous),
+                entries,
+                self.commit,
+                self.beat,
+            ),
+        )
+        # Optimistic: the next append goes on from here. A reply that says
+        # otherwise, or a lost message seen at the next beat, sets it back.
+        progress.next += len(entries)
+
+    def _on_append(self, request: messages.AppendRequest, now: float) -> None:
+        if request.term < self.term:
+            self._reply_append(request, success=False, match=self.last_index)
+            return
+        self._follow(request.term, request.leader, now)
+        if request.prev_index < self.snapshot.index:
+            self._reply_append(request, success=False, match=self.commit)
+            return
+        if (
+            request.prev_index > self.last_index
+            or self._term_of(request.prev_index) != request.prev_term
+        ):
+            hint = min(self.last_index, request.prev_index - 1)
+            self._reply_append(
+                request, success=False, match=max(hint, self.commit)
+            )
+            return
+        self._store(request.entries)
+        match = request.prev_index + len(request.entries)
+        self.commit = max(self.commit, min(request.commit, match))
+        self._reply_append(request, success=True, match=match)
+
+    def _store(self, entries: list[messages.LogEntry]) -> None:
+        for entry in entries:
+            if entry.index <= self.last_index:
+                if self._term_of(entry.index) == entry.term:
+                    continue
+                del self.entries[entry.index - self.snapshot.index - 1 :]
+                self.saved = min(self.saved, entry.index - 1)
+                if self.config_index >= entry.index:
+                    self._read_config()
+            self.entries.append(entry)
+            self._ready.entries.append(entry)
+            self._ready.must_save = True
+            if entry.kind == messages.KIND_CONFIG:
+                self._read_config()
+
+    def _follow(self, term: int, leader: str, now: float) -> None:
+        self._become_follower(term, leader, now)
+        self.heard_at = now
+
+    def _reply_append(
+        self, request: t.Any, *, success: bool, match: int
+    ) -> None:
+        self._send(
+            request.leader,
+            messages.AppendReply(
+                self.term, self.ident, success, match, request.beat
+            ),
+        )
+
+    def _on_append_reply(
+        self, reply: messages.AppendReply, now: float
+    ) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, '', now)
+            return
+        progress = self.progress.get(reply.follower)
+        if (
+            self.role is not Role.LEADER
+            or progress is None
+            or reply.term < self.term
+        ):
+            return
+        sent = self.beat_times.get(reply.beat)
+        if sent is not None:
+            progress.acked_at = max(progress.acked_at, sent)
+        if not reply.success:
+            progress.next = max(progress.match, reply.match) + 1
+            if progress.next > self.last_index + 1:
+                progress.next = self.last_index + 1
+            self._send_append(reply.follower)
+            return
+        if reply.match > progress.match:
+            progress.match = reply.match
+            self._advance_commit()
+        progress.next = max(progress.next, progress.match + 1)
+        if reply.beat == self.beat and progress.match + 1 < progress.next:
+            # An append before the newest beat was lost: send it again.
+            progress.next = progress.match + 1
+
+    def _advance_commit(self) -> None:
+        voters = self.config.voters
+        matches = sorted(
+            (
+                self.saved if voter == self.ident else self._match(voter)
+                for voter in voters
+            ),
+            reverse=True,
+        )
+        index = matches[len(voters) // 2]
+        if index > self.commit and self._term_of(index) == self.term:
+            self.commit = index
+
+    def _match(self, peer: str) -> int:
+        progress = self.progress.get(peer)
+        return progress.match if progress else 0
+
+    def _quorum_beat(self) -> float:
+        """Return when the newest beat a majority has answered left."""
+        voters = self.config.voters
+        times = sorted(
+            (
+                float('inf')
+                if voter == self.ident
+                else self.progress[voter].acked_at
+                for voter in voters
+                if voter == self.ident or voter in self.progress
+            ),
+            reverse=True,
+        )
+        quorum = len(voters) // 2
+        return times[quorum] if quorum < len(times) else -1e9
+
+    def _on_snapshot(
+        self, request: messages.InstallSnapshot, now: float
+    ) -> None:
+        if request.term < self.term:
+            self._reply_append(request, success=False, match=self.last_index)
+            return
+        self._follow(request.term, request.leader, now)
+        if request.index > self.commit:
+            self.snapshot = request
+            self.entries = []
+            self.commit = self.applied = self.saved = request.index
+            self._ready.entries = []
+            self._ready.snapshot = request
+            self._ready.must_save = True
+            self._read_config()
+        self._reply_append(request, success=True, match=request.index)
+
+    # The log
+
+    def _slice(self, first: int, count: int) -> list[messages.LogEntry]:
+        start = first - self.snapshot.index - 1
+        return self.entries[start : start + count]
+
+    def _term_of(self, index: int) -> int:
+        if index == self.snapshot.index:
+            return self.snapshot.index_term
+        if index < self.snapshot.index or index > self.last_index:
+            return 0
+        return self.entries[index - self.snapshot.index - 1].term
+
+    def _read_config(self) -> None:
+        """Take the members from the last configuration in the log."""
+        self.config_index = self.snapshot.index
+        self.config = self.snapshot.config
+        for entry in reversed(self.entries):
+            if entry.kind == messages.KIND_CONFIG:
+                self.config_index = entry.index
+                self.config = msgspec.msgpack.decode(
+                    entry.data, type=messages.Config
+                )
+                return
+
+    def _config_at(self, index: int) -> messages.Config:
+        config = self.snapshot.config
+        for entry in self.entries:
+            if entry.index > index:
+                break
+            if entry.kind == messages.KIND_CONFIG:
+                config = msgspec.msgpack.decode(
+                    entry.data, type=messages.Config
+                )
+        return config
+
+    def _others(self) -> list[str]:
+        config = self.config
+        members = {**config.learners, **config.voters}
+        return [peer for peer in members if peer != self.ident]
+
+    def _send(self, peer: str, message: messages.Message) -> None:
+        self._ready.outbox.append((peer, message))
--- /dev/null
+++ b/src/bulrushhold/decisions/_table.py
@@ -0,0 +1,185 @@
+"""The operators' table: rows, revisions, edits and their history."""
+
+import typing as t
+
+import attrs
+
+from bulrushhold import messages
+
+COLUMNS: t.Final = tuple(field.name for field in attrs.fields(messages.Row))
+KEY_COLUMNS: t.Final = ('account', 'work')
+VALUE_COLUMNS: t.Final = tuple(
+    name for name in COLUMNS if name not in KEY_COLUMNS
+)
+HISTORY_LIMIT: t.Final = 20_000
+EDIT_IDS_KEPT: t.Final = 20_000
+
+
+@attrs.define
+class Version:
+    """A row as of a revision; ``row`` is ``None`` where it was removed."""
+
+    revision: int
+    row: messages.Row | None
+
+
+@attrs.define
+class TableState:
+    """The table with the versions that three-way edits need.
+
+    :param versions: per row key its versions, oldest first.
+    :param outcomes: edit id to its first outcome, oldest first.
+    :param floor: the oldest revision an edit may be based on.
+    """
+
+    revision: int = 0
+    floor: int = 0
+    versions: dict[str, list[Version]] = attrs.field(factory=dict)
+    outcomes: dict[str, messages.EditOutcome] = attrs.field(factory=dict)
+    history: list[messages.HistoryItem] = attrs.field(factory=list)
+
+    def rows(self) -> list[messages.Row]:
+        """Return the rows in force, by key."""
+        current = (versions[-1].row for versions in self.versions.values())
+        return sorted(
+            (row for row in current if row is not None),
+            key=lambda row: row.key,
+        )
+
+    def changes_since(
+        self, known: int
+    ) -> tuple[list[messages.Row], list[str]]:
+        """Return the rows set and the keys removed after ``known``."""
+        rows = []
+        removed = []
+        for key, versions in self.versions.items():
+            last = versions[-1]
+            if last.revision <= known:
+                continue
+            if last.row is None:
+                removed.append(key)
+            else:
+                rows.append(last.row)
+        return rows, removed
+
+    def apply(self, edit: messages.TableEdit) -> messages.EditOutcome:
+        """Take or refuse an edit; a resent one gets its first outcome."""
+        first = self.outcomes.get(edit.edit_id)
+        if first is not None:
+            return first
+        outcome = self._apply_new(edit)
+        self.outcomes[edit.edit_id] = outcome
+        while len(self.outcomes) > EDIT_IDS_KEPT:
+            del self.outcomes[next(iter(self.outcomes))]
+        return outcome
+
+    def _apply_new(self, edit: messages.TableEdit) -> messages.EditOutcome:
+        if not self.floor <= edit.base <= self.revision:
+            return messages.EditOutcome(
+                False,
+                self.revision,
+                reason=f'revision {edit.base} is unknown or too old; '
+                'pull the table again',
+            )
+        wanted = {row.key: row for row in edit.rows}
+        changed: dict[str, messages.Row | None] = {}
+        conflicts: list[messages.Conflict] = []
+        for key in sorted(wanted.keys() | self.versions.keys()):
+            merged, found = self._merge(key, wanted.get(key), edit.base)
+            conflicts += found
+            if merged != self._at(key, self.revision):
+                changed[key] = merged
+        if conflicts:
+            return messages.EditOutcome(
+                False,
+                self.revision,
+                reason='changed by someone else since it was pulled',
+                conflicts=conflicts,
+            )
+        if changed:
+            self._commit(edit, changed)
+        return messages.EditOutcome(True, self.revision, len(changed))
+
+    def _merge(
+        self, key: str, wanted: messages.Row | None, base: int
+    ) -> tuple[messages.Row | None, list[messages.Conflict]]:
+        """Merge one row: what the operator changed since ``base`` counts.
+
+        Without the row as of ``base``, a cell that the operator never
+        touched would look like a change and turn another's edit back.
+        """
+        before = self._at(key, base)
+        now = self._at(key, self.revision)
+        if wanted == before or wanted == now:
+            return now, []
+        if before == now:
+            return wanted, []
+        if wanted is None or now is None or before is None:
+            return now, [
+                messages.Conflict(key, 'row', _show(now), _show(wanted))
+            ]
+        cells: dict[str, t.Any] = {}
+        conflicts = []
+        for name in VALUE_COLUMNS:
+            old, mine, theirs = (
+                getattr(row, name) for row in (before, wanted, now)
+            )
+            if mine not in (old, theirs):
+                cells[name] = mine
+                if theirs != old:
+                    conflicts.append(
+                        messages.Conflict(key, name, str(theirs), str(mine))
+                    )
+        return attrs.evolve(now, **cells), conflicts
+
+    def _commit(
+        self,
+        edit: messages.TableEdit,
+        changed: dict[str, messages.Row | None],
+    ) -> None:
+        self.revision += 1
+        notes = []
+        for key, row in changed.items():
+            notes.append(_note(key, self._at(key, self.revision), row))
+            versions = self.versions.setdefault(key, [])
+            versions.append(Version(self.revision, row))
+        self.history.append(
+            messages.HistoryItem(self.revision, edit.author, edit.at, notes)
+        )
+        if len(self.history) > HISTORY_LIMIT:
+            self._forget(self.history.pop(0).revision)
+
+    def _forget(self, revision: int) -> None:
+        """Drop versions that no edit can be based on any more."""
+        self.floor = revision
+        for versions in self.versions.values():
+            while len(versions) > 1 and versions[1].revision <= revision:
+                del versions[0]
+
+    def _at(self, key: str, revision: int) -> messages.Row | None:
+        found = None
+        for version in self.versions.get(key, ()):
+            if version.revision <= revision:
+                found = version.row
+        return found
+
+
+def _note(
+    key: str, before: messages.Row | None, after: messages.Row | None
+) -> str:
+    if after is None:
+        return f'{key} removed'
+    if before is None:
+        return f'{key} added'
+    cells = (
+        f'{name} {getattr(before, name)} -> {getattr(after, name)}'
+        for name in VALUE_COLUMNS
+        if getattr(before, name) != getattr(after, name)
+    )
+    return f'{key}: ' + ', '.join(cells)
+
+
+def _show(row: messages.Row | None) -> str:
+    if row is None:
+        return 'removed'
+    return ', '.join(f'{name}={getattr(row, name)}' for name in VALUE_COLUMNS)
--- /dev/null
+++ b/src/bulrushhold/decisions/_tablecsv.py
@@ -0,0 +1,209 @@
+"""The table as a CSV file, for any spreadsheet.
+
+Every row carries the table's revision as of the pull, so that a push
+tells what the operator changed and what others have changed since.
+"""
+
+import csv
+import io
+import math
+import typing as t
+
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold.decisions import _table
+
+REVISION_COLUMN: t.Final = 'revision'
+_TRUE: t.Final = ('yes', 'true', '1', 'x')
+_FALSE: t.Final = ('no', 'false', '0', '')
+_NAME_CHARACTERS: t.Final = frozenset(
+    'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./'
+)
+
+
+def write(rows: list[messages.Row], revision: int) -> str:
+    """Return the rows as CSV text with a header line."""
+    out = io.StringIO()
+    writer = csv.writer(out, lineterminator='\n')
+    writer.writerow([*_table.COLUMNS, REVISION_COLUMN])
+    for row in rows:
+        cells = [_format(getattr(row, name)) for name in _table.COLUMNS]
+        writer.writerow([*cells, revision])
+    return out.getvalue()
+
+
+def read(text: str) -> tuple[list[messages.Row], int]:
+    """Return the rows of a CSV text and the revision it was pulled at.
+
+    Spreadsheets may save with ``;`` or tabs between cells and with a
+    byte order mark; both are taken.
+
+    :raises ExceptionGroup: of :class:`~bulrushhold.errors.CellError`, one
+        for each bad cell; nothing of the file may then be used.
+    """
+    lines = text.removeprefix('\ufeff').splitlines()
+    if not lines:
+        raise _group([_bad(1, '', 'the file is empty')])
+    delimiter = max(',;\t', key=lines[0].count)
+    cells = list(csv.reader(lines, delimiter=delimiter))
+    header = [name.strip().lower() for name in cells[0]]
+    _check_header(header)
+    problems: list[errors.CellError] = []
+    rows: list[messages.Row] = []
+    bases: set[int] = set()
+    for number, line in enumerate(cells[1:], start=2):
+        if not any(cell.strip() for cell in line):
+            continue
+        values = dict(zip(header, line, strict=False))
+        row = _read_row(number, values, problems)
+        base = _read_base(number, values, problems)
+        if base is not None:
+            bases.add(base)
+        if row is not None:
+            rows.append(row)
+    problems += _check_whole(rows, bases)
+    if problems:
+        raise _group(problems)
+    return rows, max(bases, default=0)
+
+
+def _check_header(header: list[str]) -> None:
+    wanted = [*_table.COLUMNS, REVISION_COLUMN]
+    problems = [
+        _bad(1, name, 'column is missing')
+        for name in wanted
+        if name not in header
+    ]
+    problems += [
+        _bad(1, name, 'unknown column')
+        for name in header
+        if name and name not in wanted
+    ]
+    if len(set(header)) < len(header):
+        problems.append(_bad(1, '', 'a column stands twice'))
+    if problems:
+        raise _group(problems)
+
+
+def _check_whole(
+    rows: list[messages.Row], bases: set[int]
+) -> list[errors.CellError]:
+    problems = []
+    keys: set[str] = set()
+    for row in rows:
+        if row.key in keys:
+            problems.append(errors.CellError('stands twice', f'row {row.key}'))
+        keys.add(row.key)
+    if len(bases) > 1:
+        problems.append(
+            errors.CellError(
+                f'rows come from several pulls: {sorted(bases)}',
+                f'column {REVISION_COLUMN}',
+            )
+        )
+    return problems
+
+
+def _read_row(
+    number: int, values: dict[str, str], problems: list[errors.CellError]
+) -> messages.Row | None:
+    fields: dict[str, t.Any] = {}
+    before = len(problems)
+    for name in _table.COLUMNS:
+        text = values.get(name, '').strip()
+        try:
+            fields[name] = _READERS[name](text)
+        except ValueError as error:
+            problems.append(_bad(number, name, f'{error}: {text!r}'))
+    return messages.Row(**fields) if len(problems) == before else None
+
+
+def _read_base(
+    number: int, values: dict[str, str], problems: list[errors.CellError]
+) -> int | None:
+    text = values.get(REVISION_COLUMN, '').strip()
+    if not text:
+        return None
+    try:
+        return int(_whole(text))
+    except ValueError as error:
+        problems.append(_bad(number, REVISION_COLUMN, f'{error}: {text!r}'))
+        return None
+
+
+def _name(text: str) -> str:
+    if not text or len(text) > 64 or not set(text) <= _NAME_CHARACTERS:
+        raise ValueError('needs 1 to 64 of letters, digits and -_./')
+    return text
+
+
+def _account(text: str) -> str:
+    if '/' in text:
+        raise ValueError('an account may hold no /')
+    return _name(text)
+
+
+def _number(text: str, least: float) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        raise ValueError('needs a number') from None
+    if not math.isfinite(value) or value < least or value > 1e12:
+        raise ValueError(f'needs a number from {least:g} to 1e12')
+    return value
+
+
+def _positive(text: str) -> float:
+    return _number(text, 0.001)
+
+
+def _rate(text: str) -> float:
+    return _number(text, 0)
+
+
+def _whole(text: str) -> int:
+    value = _number(text, 0)
+    if value != int(value):
+        raise ValueError('needs a whole number')
+    return int(value)
+
+
+def _flag(text: str) -> bool:
+    if text.lower() in _TRUE:
+        return True
+    if text.lower() in _FALSE:
+        return False
+    raise ValueError('needs yes or no')
+
+
+_READERS: t.Final[dict[str, t.Any]] = {
+    'account': _account,
+    'work': _name,
+    'weight': _positive,
+    'token_rate': _rate,
+    'concurrency': _whole,
+    'deadline_s': _positive,
+    'priority': _whole,
+    'idempotent': _flag,
+}
+
+
+def _format(value: t.Any) -> str:
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, float):
+        return f'{value:.12g}'
+    return str(value)
+
+
+def _bad(number: int, column: str, reason: str) -> errors.CellError:
+    where = f'row {number}'
+    if column:
+        where += f', column {column}'
+    return errors.CellError(reason, where)
+
+
+def _group(
+    problems: list[errors.CellError],
+) -> 'ExceptionGroup[errors.CellError]':
+    return ExceptionGroup('the table has wrong cells', problems)
--- /dev/null
+++ b/src/bulrushhold/entry/__init__.py
@@ -0,0 +1,23 @@
+"""The entry process: callers' streams and calls, and operators' edits."""
+
+from bulrushhold.entry._control import ControlClient
+from bulrushhold.entry._control import TableView
+from bulrushhold.entry._copywriter import CopyWriter
+from bulrushhold.entry._keys import KeyTaker
+from bulrushhold.entry._runner import GenerationRunner
+from bulrushhold.entry._server import EntryServer
+from bulrushhold.entry._services import ServiceRunner
+from bulrushhold.entry._streams import Streams
+from bulrushhold.entry._view import PlatformView
+
+__all__ = [
+    'ControlClient',
+    'CopyWriter',
+    'EntryServer',
+    'GenerationRunner',
+    'KeyTaker',
+    'PlatformView',
+    'ServiceRunner',
+    'Streams',
+    'TableView',
+]
--- /dev/null
+++ b/src/bulrushhold/entry/_control.py
@@ -0,0 +1,209 @@
+"""The entry's side of control: commands and the table in force."""
+
+import asyncio
+import collections.abc as cabc
+import time
+import typing as t
+
+import attrs
+import loguru
+
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import ports
+from bulrushhold import settings
+
+TRY_S: t.Final = 1.0
+PROPOSAL_TRY_S: t.Final = 3.5
+PAUSE_S: t.Final = 0.1
+
+
+class ControlClient:
+    """Finds the leader and asks it.
+
+    Every command names itself (edit id, claim holder), so that one whose
+    answer was lost is simply sent again.
+    """
+
+    def __init__(
+        self, addresses: list[str], transport: ports.Transport
+    ) -> None:
+        self.addresses = addresses
+        self.transport = transport
+        self.leader = addresses[0]
+
+    async def propose(
+        self, command: messages.Message, deadline_s: float
+    ) -> t.Any:
+        """Have a command committed, and return its result.
+
+        :param deadline_s: seconds to go on trying.
+        :raises PeerError: where that isn't known to have happened; the
+            command may yet be committed.
+        """
+        proposal = messages.Proposal(messages.encode(command))
+        reply = await self._ask(proposal, PROPOSAL_TRY_S, deadline_s)
+        if not reply.result:
+            return None
+        result = messages.decode(reply.result)
+        if isinstance(result, messages.Failure):
+            raise errors.PeerError(result.reason, 'propose', self.leader)
+        return result
+
+    async def read(
+        self, request: messages.Message, deadline_s: float
+    ) -> t.Any:
+        """Ask the leader for something it answers under its lease.
+
+        :raises PeerError: where no leader answered in time.
+        """
+        return await self._ask(request, TRY_S, deadline_s)
+
+    async def read_status(self) -> dict[str, t.Any]:
+        """Return the status of the leader, or of whoever answers.
+
+        :raises PeerError: where no control instance answered.
+        """
+        last: errors.PeerError | None = None
+        status: messages.StatusReply | None = None
+        for address in [self.leader, *self.addresses]:
+            try:
+                status = await self.transport.request(
+                    address, messages.StatusRead(), TRY_S / 2
+                )
+            except errors.PeerError as error:
+                last = error
+                continue
+            if status.role == 'leader':
+                break
+        if status is None:
+            raise last or errors.PeerError('no control', 'status')
+        return attrs.asdict(status)
+
+    async def _ask(
+        self, request: messages.Message, try_s: float, deadline_s: float
+    ) -> t.Any:
+        end = time.monotonic() + deadline_s
+        last: errors.PeerError | None = None
+        while True:
+            left = end - time.monotonic()
+            if left <= 0:
+                raise last or errors.PeerError(
+                    'no leader', 'control', self.leader
+                )
+            try:
+                reply = await self.transport.request(
+                    self.leader, request, min(try_s, left)
+                )
+            except errors.PeerError as error:
+                last = error
+                self._next_leader('')
+                continue
+            if reply.status == 'done':
+                return reply
+            last = errors.PeerError(reply.status, 'control', self.leader)
+            if reply.status == 'not_leader':
+                self._next_leader(reply.leader)
+            await asyncio.sleep(min(PAUSE_S, max(0.0, left)))
+
+    def _next_leader(self, hint: str) -> None:
+        if hint and hint != self.leader:
+            self.leader = hint
+            return
+        if self.leader not in self.addresses:
+            self.leader = self.addresses[0]
+            return
+        position = self.addresses.index(self.leader) + 1
+        self.leader = self.addresses[position % len(self.addresses)]
+
+
+class TableView:
+    """The table in force at this entry; its revision only grows.
+
+    :param confirmed_at: monotonic seconds at which the last poll that a
+        leader answered under its lease was sent.
+    """
+
+    def __init__(
+        self,
+        config: settings.Entry,
+        control: ControlClient,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.config = config
+        self.control = control
+        self.clock = clock
+        self.rows: dict[str, messages.Row] = {}
+        self.accounts: dict[str, float] = {}
+        self.quarantined: frozenset[str] = frozenset()
+        self.revision = 0
+        self.confirmed_at: float | None = None
+        self.changed: list[cabc.Callable[[], None]] = []
+
+    @property
+    def known(self) -> bool:
+        """Whether a leader has ever confirmed a table."""
+        return self.confirmed_at is not None
+
+    def in_force(self) -> bool:
+        """Whether new work may be judged by this table.
+
+        A cut-off entry could go on with limits that operators have long
+        taken back; the setting ``when_table_stale`` decides.
+        """
+        if self.confirmed_at is None:
+            return False
+        if self.config.when_table_stale == 'serve':
+            return True
+        age = self.clock() - self.confirmed_at
+        return age < self.config.table_lease_s
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            try:
+                await self.poll()
+            except errors.PeerError as error:
+                loguru.logger.warning('table not confirmed: {}', error)
+            await asyncio.sleep(self.config.table_poll_s)
+
+    async def poll(self) -> None:
+        """Ask for changes once, and take them in."""
+        sent = self.clock()
+        read = messages.TableRead(self.revision, self.config.name)
+        reply = await self.control.read(read, TRY_S * 3)
+        self.take(reply, sent)
+
+    def take(self, reply: messages.TableReply, sent: float) -> None:
+        """Take in a leader's answer to a poll sent at ``sent``."""
+        if reply.revision < self.revision:
+            # Only a leader of a log that lost commits could say this.
+            loguru.logger.error(
+                'table revision {} after {}; not taken',
+                reply.revision,
+                self.revision,
+            )
+            return
+        self.confirmed_at = sent
+        fresh = frozenset(reply.quarantined)
+        if reply.revision == self.revision and fresh == self.quarantined:
+            return
+        if reply.whole:
+            self.rows = {}
+        for key in reply.removed:
+            self.rows.pop(key, None)
+        for row in reply.rows:
+            self.rows[row.key] = row
+        self.quarantined = fresh
+        self._weigh()
+        if reply.revision != self.revision:
+            loguru.logger.bind(revision=reply.revision).info('table in force')
+        self.revision = reply.revision
+        for call in self.changed:
+            call()
+
+    def _weigh(self) -> None:
+        self.accounts = {}
+        for row in self.rows.values():
+            weight = self.accounts.get(row.account, 0.0)
+            self.accounts[row.account] = weight + row.weight
--- /dev/null
+++ b/src/bulrushhold/entry/_copywriter.py
@@ -0,0 +1,190 @@
+"""Sends transcripts to this entry's copy peers before they are shown."""
+
+import asyncio
+import time
+import typing as t
+
+import attrs
+import loguru
+
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import ports
+from bulrushhold import settings
+from bulrushhold.entry import _generation
+
+LOST_PEER_PAUSE_S: t.Final = 5.0
+MAX_TOKENS_PER_APPEND: t.Final = 20_000
+
+
+@attrs.define(eq=False)
+class _Peer:
+    """One copy peer and the streams that it lags behind in."""
+
+    address: str
+    dirty: dict[str, _generation.Generation] = attrs.field(factory=dict)
+    work: asyncio.Event = attrs.field(factory=asyncio.Event)
+    down_until: float = 0.0
+
+
+class CopyWriter:
+    """Appends the tokens of all streams, batched per peer.
+
+    One batch at a time is under way to a peer, and batches are at least
+    ``batch_s`` apart: an idle entry sends each token at once, and a busy
+    one sends the tokens of many streams in one message.
+    """
+
+    def __init__(
+        self,
+        config: settings.Copies,
+        transport: ports.Transport,
+        metrics: ports.Metrics,
+    ) -> None:
+        self.config = config
+        self.transport = transport
+        self.metrics = metrics
+        self.peers: dict[str, _Peer] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.open: dict[str, _generation.Generation] = {}
+
+    def set_peers(self, addresses: list[str]) -> None:
+        """Write to these peers from now on.
+
+        A new peer first gets the transcripts that are open.
+        """
+        for address in set(self.peers) - set(addresses):
+            del self.peers[address]
+            self.tasks.pop(address).cancel()
+        for address in addresses:
+            if address not in self.peers:
+                peer = _Peer(address, dirty=dict(self.open))
+                peer.work.set()
+                self.peers[address] = peer
+                self.tasks[address] = asyncio.get_running_loop().create_task(
+                    self._write(peer)
+                )
+        for generation in self.open.values():
+            self._show(generation)
+
+    def wrote(self, generation: _generation.Generation) -> None:
+        """Learn that a transcript has grown or ended."""
+        self.open[generation.key] = generation
+        if not self.peers:
+            self._show(generation)
+            return
+        now = time.monotonic()
+        waiting = False
+        for peer in self.peers.values():
+            peer.dirty[generation.key] = generation
+            peer.work.set()
+            waiting = waiting or now >= peer.down_until
+        if not waiting:
+            self._show(generation)
+
+    async def close(self) -> None:
+        """Stop writing."""
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _show(self, generation: _generation.Generation) -> None:
+        """Let the caller see what every live peer holds.
+
+        With no live peer the tokens are shown all the same: waiting
+        would turn the loss of copies into the loss of the answer.
+        """
+        now = time.monotonic()
+        acked = [
+            generation.acked.get(peer.address, 0)
+            for peer in self.peers.values()
+            if now >= peer.down_until
+        ]
+        length = len(generation.transcript.tokens)
+        if self.peers and not acked:
+            self.metrics.count('copies.none')
+        generation.show(min([length, *acked]))
+        if generation.shown_whole:
+            self.open.pop(generation.key, None)
+
+    async def _write(self, peer: _Peer) -> None:
+        while True:
+            await peer.work.wait()
+            peer.work.clear()
+            batch, peer.dirty = peer.dirty, {}
+            started = time.monotonic()
+            await self._send(peer, list(batch.values()))
+            spent = time.monotonic() - started
+            await asyncio.sleep(max(0.0, self.config.batch_s - spent))
+
+    async def _send(
+        self, peer: _Peer, batch: list[_generation.Generation]
+    ) -> None:
+        appends = [self._append_for(peer, g) for g in batch]
+        try:
+            reply = await self.transport.request(
+                peer.address,
+                messages.CopyBatch(appends),
+                self.config.ack_s,
+            )
+        except errors.PeerError as error:
+            await self._lose(peer, batch, error)
+            return
+        for generation, append, ack in zip(
+            batch, appends, reply.acks, strict=True
+        ):
+            self._take_ack(peer, generation, append, ack)
+
+    def _append_for(
+        self, peer: _Peer, generation: _generation.Generation
+    ) -> messages.CopyAppend:
+        offset = generation.acked.get(peer.address, 0)
+        transcript = generation.transcript
+        tokens = transcript.tokens[offset : offset + MAX_TOKENS_PER_APPEND]
+        whole = offset + len(tokens) == len(transcript.tokens)
+        return messages.CopyAppend(
+            generation.key,
+            generation.epoch,
+            offset,
+            tokens,
+            transcript.version,
+            transcript.finish if whole else '',
+        )
+
+    def _take_ack(
+        self,
+        peer: _Peer,
+        generation: _generation.Generation,
+        append: messages.CopyAppend,
+        ack: messages.CopyAck,
+    ) -> None:
+        if not ack.ok:
+            generation.fence(peer.address)
+            self.open.pop(generation.key, None)
+            return
+        generation.acked[peer.address] = ack.length
+        done = append.offset + len(append.tokens)
+        if ack.length < done or done < len(generation.transcript.tokens):
+            peer.dirty[generation.key] = generation
+            peer.work.set()
+        self._show(generation)
+
+    async def _lose(
+        self,
+        peer: _Peer,
+        batch: list[_generation.Generation],
+        error: errors.PeerError,
+    ) -> None:
+        loguru.logger.warning('copy peer lost: {}', error)
+        self.metrics.count('copies.peer_lost')
+        peer.down_until = time.monotonic() + LOST_PEER_PAUSE_S
+        for generation in [*batch, *self.open.values()]:
+            self._show(generation)
+        await asyncio.sleep(LOST_PEER_PAUSE_S)
+        # A peer that was restarted has nothing: all goes there again.
+        for generation in self.open.values():
+            generation.acked.pop(peer.address, None)
+        peer.dirty = dict(self.open)
+        if peer.dirty:
+            peer.work.set()
--- /dev/null
+++ b/src/bulrushhold/entry/_requests.py
@@ -0,0 +1,138 @@
+"""Checks callers' requests before anything is done with them."""
+
+import collections.abc as cabc
+import typing as t
+import uuid
+
+import attrs
+import msgspec
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold.entry import _generation
+
+ACCOUNT_HEADER: t.Final = 'Bulrushhold-Account'
+WORK_HEADER: t.Final = 'Bulrushhold-Work'
+KEY_HEADER: t.Final = 'Idempotency-Key'
+RESUME_HEADER: t.Final = 'Last-Event-ID'
+DEFAULT_WORK: t.Final = 'chat'
+MAX_TOKENS: t.Final = 32_768
+MAX_KEY_LENGTH: t.Final = 128
+_VALIDATORS = attrs.validators
+
+
+@attrs.frozen
+class ChatBody:
+    """The body of a chat completion, as far as the system reads it."""
+
+    model: str = attrs.field(validator=_VALIDATORS.min_len(1))
+    messages: list[dict[str, t.Any]] = attrs.field(
+        validator=_VALIDATORS.min_len(1)
+    )
+    stream: bool = False
+    max_tokens: int = attrs.field(
+        default=1024,
+        validator=_VALIDATORS.and_(
+            _VALIDATORS.ge(1), _VALIDATORS.le(MAX_TOKENS)
+        ),
+    )
+
+
+_BODIES = msgspec.json.Decoder(ChatBody)
+
+
+def bad(reason: str, status: int = 400) -> errors.RequestError:
+    """Return the refusal of a request that was not understood."""
+    return errors.RequestError(reason, 'request', status=status)
+
+
+def read_chat(body: bytes) -> ChatBody:
+    """Return the checked body of a chat completion.
+
+    :raises RequestError: telling the field and what is wrong with it.
+    """
+    try:
+        return _BODIES.decode(body)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise bad(' '.join(str(error).split())) from error
+
+
+def find_row(
+    headers: cabc.Mapping[str, str],
+    rows: cabc.Mapping[str, messages.Row],
+    accounts: cabc.Container[str],
+    work: str,
+) -> messages.Row:
+    """Return the table's row for a request.
+
+    :raises RequestError: where the account is unknown, or may not do
+        that kind of work.
+    """
+    account = headers.get(ACCOUNT_HEADER, '')
+    if not account:
+        raise bad(f'header {ACCOUNT_HEADER} is missing', 401)
+    if account not in accounts:
+        raise bad(f'unknown account {account!r}', 403)
+    row = rows.get(f'{account}/{work}')
+    if row is None:
+        raise bad(f'account {account!r} has no row for work {work!r}', 403)
+    return row
+
+
+def order_of(chat: ChatBody, row: messages.Row) -> _generation.Order:
+    """Return the order for a generation, with its fingerprint."""
+    content = msgspec.json.encode((chat.model, chat.messages, chat.max_tokens))
+    return _generation.Order(
+        row.account,
+        row.work,
+        chat.model,
+        chat.messages,
+        chat.max_tokens,
+        decisions.content_fingerprint(content),
+        row,
+    )
+
+
+def read_key(headers: cabc.Mapping[str, str]) -> str:
+    """Return the idempotency key, or ``''`` where there is none.
+
+    :raises RequestError: where it is too long or not printable.
+    """
+    key = headers.get(KEY_HEADER, '')
+    if len(key) > MAX_KEY_LENGTH or not (key.isprintable() and key.isascii()):
+        raise bad(f'header {KEY_HEADER} must be printable, 128 at most')
+    return key
+
+
+def read_resume(headers: cabc.Mapping[str, str]) -> int:
+    """Return how many tokens the caller has: last offset plus one.
+
+    :raises RequestError: where the header is no offset.
+    """
+    text = headers.get(RESUME_HEADER, '')
+    if not text:
+        return 0
+    if not (text.isascii() and text.isdigit()) or len(text) > 9:
+        raise bad(f'header {RESUME_HEADER} must be a token offset')
+    return int(text) + 1
+
+
+def key_time(key: str) -> float:
+    """Return the time that a UUIDv7 key carries, seconds since the epoch.
+
+    RFC 9562: its first 48 bits are milliseconds. Claims are forgotten by
+    it, so that a late resend is known to be late.
+
+    :raises RequestError: where the key isn't a UUIDv7.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        parsed = None
+    if parsed is None or parsed.version != 7:
+        raise bad(
+            f'header {KEY_HEADER} must be a UUIDv7 for a call that may not '
+            'be repeated'
+        )
+    return (parsed.int >> 80) / 1000
--- /dev/null
+++ b/src/bulrushhold/entry/_runner.py
@@ -0,0 +1,519 @@
+"""Runs generations: attempts on engines until one answer is whole."""
+
+import asyncio
+import contextlib
+import time
+import typing as t
+
+import attrs
+import loguru
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import settings
+from bulrushhold.entry import _copywriter
+from bulrushhold.entry import _generation
+
+RETRY_AFTER_S: t.Final = 2.0
+NO_ENGINE_PAUSE_S: t.Final = 0.1
+QUARANTINE_REASON: t.Final = 'two engines died while they ran this content'
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    """One attempt of a generation on one engine.
+
+    :param counted: its engine's death has been counted.
+    :param suspect: it counts among the suspects on its engine.
+    """
+
+    number: int
+    state: decisions.BackendState
+    heard_at: float
+    started: bool = False
+    counted: bool = False
+    suspect: bool = False
+    task: asyncio.Task[None] | None = None
+
+
+class Quarantine(t.Protocol):
+    """Who may refuse a content everywhere."""
+
+    def refused(self, fingerprint: str) -> bool:
+        """Whether the content is quarantined."""
+        ...
+
+    def add(self, fingerprint: str, reason: str) -> None:
+        """Have the content refused by every entry."""
+        ...
+
+
+class GenerationRunner:
+    """Dispatches, watches and continues generations."""
+
+    def __init__(
+        self,
+        config: settings.Recovery,
+        router: decisions.Router,
+        engines: ports.EngineClient,
+        policy: decisions.RecoveryPolicy,
+        copies: _copywriter.CopyWriter,
+        quarantine: Quarantine,
+        metrics: ports.Metrics,
+    ) -> None:
+        self.config = config
+        self.router = router
+        self.engines = engines
+        self.policy = policy
+        self.copies = copies
+        self.quarantine = quarantine
+        self.metrics = metrics
+        self.suspects = decisions.Suspects()
+        self.running: dict[
+            str, list[tuple[_generation.Generation, _Attempt]]
+        ] = {}
+        self.probes: dict[str, asyncio.Task[None]] = {}
+        self.background: set[asyncio.Task[None]] = set()
+
+    async def run(self, generation: _generation.Generation) -> None:
+        """Bring a generation to its end: whole, or refused."""
+        live: dict[int, _Attempt] = {}
+        try:
+            await self._run(generation, live)
+        except errors.RequestError as error:
+            if not generation.lifecycle.ended:
+                generation.lifecycle.move('refuse')
+                generation.fail(error)
+        finally:
+            for attempt in list(live.values()):
+                self._stop(generation, attempt, live)
+
+    async def _run(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+    ) -> None:
+        started = time.monotonic()
+        while not generation.transcript.finish:
+            if generation.lifecycle.ended:
+                return
+            if not live:
+                await self._start(generation, live, started)
+                continue
+            self._drop_losers(generation, live)
+            await self._watch(generation, live)
+        generation.lifecycle.move('finish')
+        self.suspects.clear(generation.order.fingerprint)
+
+    # Dispatch
+
+    async def _start(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+        started: float,
+        *,
+        avoid: frozenset[str] = frozenset(),
+    ) -> None:
+        order = generation.order
+        transcript = generation.transcript
+        await self._await_verdict(generation)
+        if self.quarantine.refused(order.fingerprint):
+            raise self._refusal(
+                generation, QUARANTINE_REASON, status=422, retry=None
+            )
+        if transcript.last_attempt >= self.config.max_attempts:
+            raise self._refusal(generation, 'too many engines were lost')
+        choice = self.router.choose_engine(
+            order.model,
+            order.affinity,
+            time.monotonic(),
+            version=transcript.version if transcript.tokens else '',
+            avoid=generation.lost_engines | avoid,
+            suspect=self.suspects.is_suspect(order.fingerprint),
+        )
+        node.log_decision(
+            'route',
+            request=generation.key,
+            account=order.account,
+            attempt=transcript.last_attempt + 1,
+            offset=len(transcript.tokens),
+            candidates=choice.candidates,
+            chosen=choice.chosen,
+            reason=choice.reason,
+        )
+        if choice.state is None:
+            waited = time.monotonic() - started
+            recovering = transcript.last_attempt > 0
+            if waited > order.row.deadline_s and not recovering:
+                raise self._refusal(generation, choice.reason)
+            if waited > order.row.deadline_s + 30:
+                raise self._refusal(generation, choice.reason)
+            if not self._may_come_back(generation):
+                raise self._refusal(generation, choice.reason)
+            await asyncio.sleep(NO_ENGINE_PAUSE_S)
+            return
+        self._dispatch(generation, live, choice.state)
+
+    def _dispatch(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+        state: decisions.BackendState,
+    ) -> None:
+        transcript = generation.transcript
+        version = state.server.models[generation.order.model]
+        number = transcript.start_attempt(version)
+        suspect = self.suspects.is_suspect(generation.order.fingerprint)
+        attempt = _Attempt(number, state, time.monotonic(), suspect=suspect)
+        live[number] = attempt
+        state.own += 1
+        state.suspects += suspect
+        self.running.setdefault(state.server.name, []).append(
+            (generation, attempt)
+        )
+        if generation.lifecycle.state != 'streaming':
+            generation.lifecycle.move('dispatch')
+        self.metrics.count('attempts')
+        attempt.task = asyncio.get_running_loop().create_task(
+            self._read(generation, attempt)
+        )
+        # A callback: a task cancelled before its first step runs no line.
+        attempt.task.add_done_callback(
+            lambda _: self._leave(generation, attempt)
+        )
+
+    def _may_come_back(self, generation: _generation.Generation) -> bool:
+        """Whether an engine of the needed model and version is listed."""
+        order = generation.order
+        version = generation.transcript.version
+        return any(
+            order.model in state.server.models
+            and version in ('', state.server.models[order.model])
+            for state in self.router.states.values()
+        )
+
+    # Reading
+
+    async def _read(
+        self, generation: _generation.Generation, attempt: _Attempt
+    ) -> None:
+        order = generation.order
+        state = attempt.state
+        address = state.server.address
+        stream = self.engines.stream(
+            address,
+            ports.Generate(
+                generation.key,
+                attempt.number,
+                order.model,
+                order.messages,
+                list(generation.transcript.tokens),
+                order.max_tokens,
+                order.row.priority,
+                order.row.deadline_s,
+            ),
+        )
+        try:
+            async with contextlib.aclosing(stream) as events:
+                async for event in events:
+                    if not self._take(generation, attempt, event):
+                        break
+                    if generation.transcript.finish:
+                        break
+            self._report(state)
+        except errors.EngineRefusedError as error:
+            self._log_loss(generation, attempt, error)
+            self._refused(generation, attempt, error)
+        except errors.EngineLostError as error:
+            self._log_loss(generation, attempt, error)
+            self._lost(generation, attempt)
+        finally:
+            generation.transcript.end_attempt(attempt.number)
+            generation.attempt_ended.set()
+
+    def _take(
+        self,
+        generation: _generation.Generation,
+        attempt: _Attempt,
+        event: ports.Token | ports.Finish,
+    ) -> bool:
+        """Take one event; return whether to go on reading."""
+        transcript = generation.transcript
+        if isinstance(event, ports.Finish):
+            verdict = transcript.accept_finish(
+                event.request, event.attempt, event.offset, event.reason
+            )
+        else:
+            verdict = transcript.accept_token(
+                event.request, event.attempt, event.offset, event.text
+            )
+        if verdict is not decisions.Verdict.ACCEPTED:
+            return self._drop(generation, attempt, verdict)
+        now = time.monotonic()
+        if attempt.started:
+            attempt.state.gaps.add(now - attempt.heard_at)
+        else:
+            self._first_event(generation, attempt)
+        attempt.heard_at = now
+        generation.last_token_at = now
+        self.policy.budget.delivered += 1
+        self.copies.wrote(generation)
+        return True
+
+    def _first_event(
+        self, generation: _generation.Generation, attempt: _Attempt
+    ) -> None:
+        attempt.started = True
+        attempt.state.succeeded()
+        if generation.lifecycle.state in ('dispatched', 'recovering'):
+            generation.lifecycle.move('stream')
+        if generation.last_token_at:
+            gap = time.monotonic() - generation.last_token_at
+            self.metrics.time('resume', gap)
+        # The supervisor learns which contender won.
+        generation.attempt_ended.set()
+
+    def _drop(
+        self,
+        generation: _generation.Generation,
+        attempt: _Attempt,
+        verdict: decisions.Verdict,
+    ) -> bool:
+        self.metrics.count(f'tokens.{verdict.value}')
+        loguru.logger.bind(
+            request=generation.key,
+            attempt=attempt.number,
+            engine=attempt.state.server.name,
+        ).warning('token dropped: {}', verdict.value)
+        return verdict is decisions.Verdict.REPEATED
+
+    def _report(self, state: decisions.BackendState) -> None:
+        running = self.engines.reports.pop(state.server.address, None)
+        if running is not None:
+            state.report(running, time.monotonic())
+
+    def _leave(
+        self, generation: _generation.Generation, attempt: _Attempt
+    ) -> None:
+        state = attempt.state
+        state.own -= 1
+        state.suspects -= attempt.suspect
+        here = self.running.get(state.server.name, [])
+        with contextlib.suppress(ValueError):
+            here.remove((generation, attempt))
+
+    # Loss
+
+    def _refused(
+        self,
+        generation: _generation.Generation,
+        attempt: _Attempt,
+        error: errors.EngineRefusedError,
+    ) -> None:
+        attempt.state.failed(time.monotonic())
+        generation.lost_engines.add(attempt.state.server.name)
+        if error.final and not generation.lifecycle.ended:
+            # Another engine would find the same fault in the request.
+            attempt.state.succeeded()
+            generation.lifecycle.move('refuse')
+            generation.fail(
+                errors.RequestError(
+                    error.reason,
+                    error.step,
+                    error.peer,
+                    ran=errors.Ran.UNKNOWN,
+                    status=400,
+                )
+            )
+
+    def _lost(
+        self, generation: _generation.Generation, attempt: _Attempt
+    ) -> None:
+        state = attempt.state
+        state.failed(time.monotonic())
+        generation.lost_engines.add(state.server.name)
+        self.metrics.count('engines.lost')
+        name = state.server.name
+        if attempt.counted or name in self.probes:
+            return
+        here = list(self.running.get(name, []))
+        probe = asyncio.get_running_loop().create_task(
+            self._probe(state, here)
+        )
+        self.probes[name] = probe
+        probe.add_done_callback(lambda _: self.probes.pop(name, None))
+
+    async def _probe(
+        self,
+        state: decisions.BackendState,
+        here: list[tuple[_generation.Generation, _Attempt]],
+    ) -> None:
+        """Count a death, where the engine is really gone.
+
+        A stream that broke alone, on an engine that still accepts
+        connections, makes nobody a suspect.
+        """
+        if await self.engines.alive(state.server.address):
+            return
+        for _, attempt in here:
+            attempt.counted = True
+        contents = [g.order.fingerprint for g, _ in here]
+        node.log_decision(
+            'engine died',
+            engine=state.server.name,
+            suspects=len(set(contents)),
+            reason='connection refused',
+        )
+        for fingerprint in self.suspects.engine_died(contents):
+            self.quarantine.add(fingerprint, QUARANTINE_REASON)
+
+    async def _await_verdict(self, generation: _generation.Generation) -> None:
+        """Let a suspect go on only when its engine's fate is known.
+
+        Without the wait, a crashing request could reach a third engine
+        before the second death has named it.
+        """
+        if not self.suspects.is_suspect(generation.order.fingerprint):
+            return
+        for name in generation.lost_engines & self.probes.keys():
+            probe = self.probes.get(name)
+            if probe is not None:
+                await asyncio.wait([probe])
+
+    async def _watch(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+    ) -> None:
+        """Wait for an attempt's end or for its silence."""
+        generation.attempt_ended.clear()
+        self._reap(generation, live)
+        if not live or generation.transcript.finish:
+            return
+        newest = max(live.values(), key=lambda a: a.heard_at)
+        gaps = newest.state.gaps
+        limit = self.policy.check_after(gaps, started=newest.started)
+        now = time.monotonic()
+        if len(live) > 1 or now - newest.heard_at >= limit:
+            limit = self.policy.loss_after(gaps, started=newest.started)
+        left = newest.heard_at + limit - now
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                generation.attempt_ended.wait(), max(0.01, left)
+            )
+        self._reap(generation, live)
+        if live and not generation.transcript.finish:
+            await self._judge_silence(generation, live)
+
+    async def _judge_silence(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+    ) -> None:
+        newest = max(live.values(), key=lambda a: a.heard_at)
+        action = self.policy.on_silence(
+            time.monotonic() - newest.heard_at,
+            newest.state.gaps,
+            started=newest.started,
+            reserve=len(live) > 1,
+            cost=generation.order.prompt_tokens
+            + len(generation.transcript.tokens),
+        )
+        if action is decisions.Action.WAIT:
+            return
+        node.log_decision(
+            'silence',
+            request=generation.key,
+            engine=newest.state.server.name,
+            action=action.value,
+            silence_s=round(time.monotonic() - newest.heard_at, 3),
+        )
+        if action is decisions.Action.RESERVE:
+            busy = frozenset(a.state.server.name for a in live.values())
+            await self._start(generation, live, time.monotonic(), avoid=busy)
+            return
+        for attempt in list(live.values()):
+            attempt.state.failed(time.monotonic())
+            generation.lost_engines.add(attempt.state.server.name)
+            self._stop(generation, attempt, live)
+
+    def _drop_losers(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+    ) -> None:
+        """Stop the attempts that another one has overtaken."""
+        contenders = generation.transcript.contenders
+        for attempt in list(live.values()):
+            ended = attempt.task is not None and attempt.task.done()
+            if attempt.number not in contenders and not ended:
+                self._stop(generation, attempt, live)
+
+    def _reap(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+    ) -> None:
+        for number, attempt in list(live.items()):
+            if attempt.task is not None and attempt.task.done():
+                del live[number]
+        recovering = not live and not generation.transcript.finish
+        if recovering and not generation.lifecycle.ended:
+            if generation.lifecycle.state != 'recovering':
+                generation.lifecycle.move('lose')
+        self._drop_losers(generation, live)
+
+    def _stop(
+        self,
+        generation: _generation.Generation,
+        attempt: _Attempt,
+        live: dict[int, _Attempt],
+    ) -> None:
+        """Hear an attempt no more, and tell its engine."""
+        live.pop(attempt.number, None)
+        generation.transcript.end_attempt(attempt.number)
+        if attempt.task is None or attempt.task.done():
+            return
+        attempt.task.cancel()
+        work = asyncio.get_running_loop().create_task(
+            self.engines.cancel(
+                attempt.state.server.address,
+                generation.key,
+                attempt.number,
+            )
+        )
+        self.background.add(work)
+        work.add_done_callback(self.background.discard)
+        live_state = generation.lifecycle.state
+        if not live and live_state in ('dispatched', 'streaming'):
+            if not generation.transcript.finish:
+                generation.lifecycle.move('lose')
+
+    def _log_loss(
+        self,
+        generation: _generation.Generation,
+        attempt: _Attempt,
+        error: errors.BackendError,
+    ) -> None:
+        loguru.logger.bind(
+            request=generation.key, attempt=attempt.number
+        ).warning('attempt lost: {}', error)
+
+    def _refusal(
+        self,
+        generation: _generation.Generation,
+        reason: str,
+        status: int = 503,
+        retry: float | None = RETRY_AFTER_S,
+    ) -> errors.RequestError:
+        ran = (
+            errors.Ran.YES
+            if generation.transcript.last_attempt
+            else errors.Ran.NO
+        )
+        return errors.RequestError(
+            reason, 'generation', '', ran=ran, status=status, retry_after=retry
+        )
--- /dev/null
+++ b/src/bulrushhold/entry/_server.py
@@ -0,0 +1,490 @@
+"""The entry's HTTP interface to callers and operators."""
+
+import asyncio
+import hmac
+import time
+import typing as t
+
+from aiohttp import web
+import loguru
+import msgspec
+import uuid_utils
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import settings
+from bulrushhold.entry import _control
+from bulrushhold.entry import _generation
+from bulrushhold.entry import _requests
+from bulrushhold.entry import _services
+from bulrushhold.entry import _streams
+from bulrushhold.entry import _view
+
+PUSH_DEADLINE_S: t.Final = 10.0
+NOT_READY_RETRY_S: t.Final = 2.0
+DRAIN_RETRY_S: t.Final = 0.0
+_JSON: t.Final = 'application/json'
+_DONE: t.Final = b'data: [DONE]\n\n'
+_encode = msgspec.json.encode
+
+
+class EntryServer:
+    """Answers HTTP requests with what the entry's parts decide."""
+
+    def __init__(
+        self,
+        config: settings.Entry,
+        view: _view.PlatformView,
+        table: _control.TableView,
+        control: _control.ControlClient,
+        streams: _streams.Streams,
+        services: _services.ServiceRunner,
+        metrics: ports.Metrics,
+        operator_key: str,
+    ) -> None:
+        self.config = config
+        self.view = view
+        self.table = table
+        self.control = control
+        self.streams = streams
+        self.services = services
+        self.metrics = metrics
+        self.operator_key = operator_key
+        self.draining = False
+        self.calls = 0
+
+    def application(self) -> web.Application:
+        """Return the aiohttp application with all routes."""
+        app = web.Application(
+            client_max_size=self.config.max_body_bytes,
+            middlewares=[self._as_json_errors],
+        )
+        app.add_routes(
+            [
+                web.get('/v1/entries', self._entries),
+                web.post('/v1/chat/completions', self._chat),
+                web.route('*', '/v1/services/{service}/{path:.*}', self._call),
+                web.get('/healthz', self._health),
+                web.get('/readyz', self._ready),
+                web.get('/v1/status', self._status),
+                web.get('/v1/table', self._pull),
+                web.post('/v1/table', self._push),
+                web.get('/v1/table/history', self._history),
+                web.delete('/v1/quarantine/{fingerprint}', self._lift),
+            ]
+        )
+        return app
+
+    @property
+    def busy(self) -> int:
+        """Requests in progress."""
+        return self.streams.running + self.calls
+
+    # Errors and admission
+
+    @web.middleware
+    async def _as_json_errors(
+        self, request: web.Request, handler: t.Any
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except errors.RequestError as error:
+            return self._error(error)
+        except web.HTTPRequestEntityTooLarge:
+            limit = self.config.max_body_bytes
+            return self._error(
+                _requests.bad(f'the body exceeds {limit} bytes', 413)
+            )
+        except web.HTTPException as error:
+            return self._error(_requests.bad(error.reason, error.status))
+        except ConnectionResetError:
+            raise
+        except Exception:
+            loguru.logger.exception('request failed')
+            return self._error(
+                errors.RequestError(
+                    'internal error',
+                    'entry',
+                    ran=errors.Ran.UNKNOWN,
+                    status=500,
+                )
+            )
+
+    def _error(self, error: errors.RequestError) -> web.Response:
+        self.metrics.count(f'refused.{error.status}')
+        headers = {}
+        if error.retry_after is not None:
+            headers['Retry-After'] = str(max(0, round(error.retry_after)))
+        return web.Response(
+            status=error.status,
+            body=_encode(error.body()),
+            content_type=_JSON,
+            headers=headers,
+        )
+
+    def _admit(self) -> None:
+        """Refuse new work where this entry mustn't take any.
+
+        :raises RequestError: with ``ran`` ``no``.
+        """
+        others = ', '.join(
+            instance.http
+            for instance in self.view.listed()
+            if instance.name != self.config.name
+        )
+        if self.draining:
+            raise errors.RequestError(
+                f'this entry is draining; use {others or "another"}',
+                'admission',
+                status=503,
+                retry_after=DRAIN_RETRY_S,
+            )
+        if not self.table.in_force():
+            raise errors.RequestError(
+                f'no confirmed table at this entry; use {others or "another"}',
+                'admission',
+                status=503,
+                retry_after=NOT_READY_RETRY_S,
+            )
+
+    def _row(self, request: web.Request, work: str) -> messages.Row:
+        return _requests.find_row(
+            request.headers, self.table.rows, self.table.accounts, work
+        )
+
+    # Generations
+
+    async def _chat(self, request: web.Request) -> web.StreamResponse:
+        key = _requests.read_key(request.headers)
+        have = _requests.read_resume(request.headers)
+        chat = _requests.read_chat(await request.read())
+        account = request.headers.get(_requests.ACCOUNT_HEADER, '')
+        if f'{account}/{key}' not in self.streams.generations:
+            # A stream that is here may be read on while the entry drains.
+            self._admit()
+        work = request.headers.get(
+            _requests.WORK_HEADER, _requests.DEFAULT_WORK
+        )
+        row = self._row(request, work)
+        order = _requests.order_of(chat, row)
+        if not self.view.serves(chat.model):
+            raise _requests.bad(f'unknown model {chat.model!r}', 404)
+        if order.fingerprint in self.table.quarantined:
+            raise errors.RequestError(
+                'this content is quarantined: it killed two engines',
+                'quarantine',
+                status=422,
+            )
+        ours = not key
+        key = key or str(uuid_utils.uuid7())
+        generation = await self.streams.open(
+            f'{row.account}/{key}', order, have, ours=ours
+        )
+        self.metrics.count('generations')
+        generation.readers += 1
+        try:
+            if chat.stream:
+                return await self._stream(request, generation, key, have)
+            return await self._whole(generation, key)
+        finally:
+            generation.readers -= 1
+
+    async def _whole(
+        self, generation: _generation.Generation, key: str
+    ) -> web.Response:
+        while not generation.ended:
+            await generation.wait()
+        if generation.error is not None:
+            raise generation.error
+        transcript = generation.transcript
+        body = {
+            'id': key,
+            'model': generation.order.model,
+            'choices': [
+                {
+                    'index': 0,
+                    'message': {
+                        'role': 'assistant',
+                        'content': ''.join(transcript.tokens),
+                    },
+                    'finish_reason': transcript.finish,
+                }
+            ],
+            'usage': {'completion_tokens': len(transcript.tokens)},
+        }
+        return web.Response(
+            body=_encode(body),
+            content_type=_JSON,
+            headers={_requests.KEY_HEADER: key},
+        )
+
+    async def _stream(
+        self,
+        request: web.Request,
+        generation: _generation.Generation,
+        key: str,
+        have: int,
+    ) -> web.StreamResponse:
+        while generation.visible <= have and not generation.ended:
+            await generation.wait()
+        if generation.error is not None and generation.visible <= have:
+            # Before the first byte, a refusal can still be an HTTP status.
+            raise generation.error
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-store',
+                _requests.KEY_HEADER: key,
+            }
+        )
+        await response.prepare(request)
+        tokens = generation.transcript.tokens
+        sent = have
+        while True:
+            if sent < generation.visible:
+                visible = generation.visible
+                await response.write(_events(tokens, sent, visible))
+                sent = visible
+            elif generation.ended:
+                break
+            else:
+                await generation.wait()
+        await response.write(_end(generation))
+        await response.write_eof()
+        return response
+
+    # Plain services
+
+    async def _call(self, request: web.Request) -> web.Response:
+        service = request.match_info['service']
+        path = request.match_info['path']
+        self._admit()
+        row = self._row(request, f'{service}/{path.partition("/")[0]}')
+        key = _requests.read_key(request.headers)
+        call = ports.ServiceCall(
+            request=str(uuid_utils.uuid4()),
+            method=request.method,
+            path=f'/{path}',
+            query=request.query_string,
+            body=await request.read(),
+            content_type=request.content_type,
+            timeout_s=row.deadline_s,
+        )
+        self.calls += 1
+        try:
+            if row.idempotent:
+                answer = await self.services.repeatable(service, row, call)
+            else:
+                answer = await self._call_once(service, row, call, key)
+        finally:
+            self.calls -= 1
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={'Content-Type': answer.content_type},
+        )
+
+    async def _call_once(
+        self,
+        service: str,
+        row: messages.Row,
+        call: ports.ServiceCall,
+        key: str,
+    ) -> ports.ServiceAnswer:
+        if not key:
+            raise _requests.bad(
+                f'header {_requests.KEY_HEADER} is needed: this call may '
+                'not be repeated'
+            )
+        # Shielded: a caller who leaves must not stop the call between its
+        # run and the record of its outcome.
+        return await asyncio.shield(
+            asyncio.ensure_future(self.services.once(service, row, call, key))
+        )
+
+    # Entries and health
+
+    async def _entries(self, request: web.Request) -> web.Response:
+        account = request.query.get('account', '')
+        if not account:
+            raise _requests.bad('parameter account is missing')
+        near = request.query.get('data_centre', '')
+        weights = self.table.accounts
+        share = weights.get(account, 0.0) / (sum(weights.values()) or 1.0)
+        chosen = decisions.entries_for(
+            account, share, self.view.listed(), near
+        )
+        body = {
+            'entries': [instance.http for instance in chosen],
+            'revision': self.table.revision,
+            'keep_s': self.config.answer_ttl_s,
+        }
+        return web.Response(body=_encode(body), content_type=_JSON)
+
+    async def _health(self, request: web.Request) -> web.Response:
+        del request
+        return web.Response(text='ok\n')
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        del request
+        self._admit()
+        return web.Response(text='ready\n')
+
+    async def _status(self, request: web.Request) -> web.Response:
+        del request
+        backends = [
+            {
+                'name': state.server.name,
+                'kind': state.server.kind,
+                'own': state.own,
+                'leaving': state.server.leaving,
+                'open': time.monotonic() >= state.closed_until,
+            }
+            for state in self.view.router.states.values()
+        ]
+        try:
+            control = await self.control.read_status()
+        except errors.PeerError as error:
+            control = {'error': str(error)}
+        body = {
+            'name': self.config.name,
+            'draining': self.draining,
+            'table_revision': self.table.revision,
+            'table_in_force': self.table.in_force(),
+            'generations': self.streams.running,
+            'calls': self.calls,
+            'backend_servers': backends,
+            'quarantined': sorted(self.table.quarantined),
+            'entries': {
+                instance.name: instance.http for instance in self.view.listed()
+            },
+            'control': control,
+        }
+        return web.Response(body=_encode(body), content_type=_JSON)
+
+    # Operators
+
+    def _check_operator(self, request: web.Request) -> None:
+        given = request.headers.get('Authorization', '')
+        wanted = f'Bearer {self.operator_key}'
+        if not self.operator_key:
+            raise _requests.bad('no operator key is set at this entry', 403)
+        if not hmac.compare_digest(given.encode(), wanted.encode()):
+            raise _requests.bad('the operator key is wrong or missing', 403)
+
+    async def _pull(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        read = messages.TableRead(0, '')
+        reply = await self._ask(read)
+        text = decisions.write_csv(reply.rows, reply.revision)
+        return web.Response(
+            text=text,
+            content_type='text/csv',
+            headers={'Table-Revision': str(reply.revision)},
+        )
+
+    async def _push(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        edit_id = request.query.get('edit', '')
+        if not edit_id or len(edit_id) > _requests.MAX_KEY_LENGTH:
+            raise _requests.bad('parameter edit is missing or too long')
+        try:
+            text = (await request.read()).decode('utf-8')
+            rows, base = decisions.read_csv(text)
+        except UnicodeDecodeError:
+            raise _requests.bad('the table is not UTF-8 text') from None
+        except ExceptionGroup as group:
+            cells = [str(error) for error in group.exceptions]
+            return web.Response(
+                status=422,
+                body=_encode({'accepted': False, 'cells': cells}),
+                content_type=_JSON,
+            )
+        edit = messages.TableEdit(
+            edit_id,
+            base,
+            request.query.get('author', ''),
+            time.time(),
+            rows,
+        )
+        try:
+            outcome = await self.control.propose(edit, PUSH_DEADLINE_S)
+        except errors.PeerError as error:
+            raise errors.RequestError(
+                f'{error.reason}; push again under the same edit id',
+                'push',
+                error.peer,
+                ran=errors.Ran.UNKNOWN,
+                status=503,
+                retry_after=NOT_READY_RETRY_S,
+            ) from error
+        node.log_decision(
+            'table edit',
+            edit=edit_id,
+            accepted=outcome.accepted,
+            revision=outcome.revision,
+            changed=outcome.changed,
+        )
+        return web.Response(
+            status=200 if outcome.accepted else 409,
+            body=_encode(outcome),
+            content_type=_JSON,
+        )
+
+    async def _history(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        reply = await self._ask(messages.HistoryRead())
+        return web.Response(body=_encode(reply.items), content_type=_JSON)
+
+    async def _lift(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        order = messages.Quarantine(
+            request.match_info['fingerprint'], '', time.time(), lift=True
+        )
+        try:
+            await self.control.propose(order, PUSH_DEADLINE_S)
+        except errors.PeerError as error:
+            raise self._no_control(error) from error
+        return web.Response(body=b'{}', content_type=_JSON)
+
+    async def _ask(self, read: messages.Message) -> t.Any:
+        try:
+            return await self.control.read(read, PUSH_DEADLINE_S)
+        except errors.PeerError as error:
+            raise self._no_control(error) from error
+
+    def _no_control(self, error: errors.PeerError) -> errors.RequestError:
+        return errors.RequestError(
+            error.reason,
+            'control',
+            error.peer,
+            ran=errors.Ran.UNKNOWN,
+            status=503,
+            retry_after=NOT_READY_RETRY_S,
+        )
+
+
+def _events(tokens: list[str], start: int, stop: int) -> bytes:
+    """Return server-sent events for tokens; the id is the offset."""
+    parts = []
+    for offset in range(start, stop):
+        delta = _encode(tokens[offset])
+        parts.append(
+            b'id: %d\ndata: {"choices":[{"index":0,"delta":{"content":%b}}]}'
+            b'\n\n' % (offset, delta)
+        )
+    return b''.join(parts)
+
+
+def _end(generation: _generation.Generation) -> bytes:
+    """Return the end mark, or the event of an honest refusal."""
+    if generation.error is not None:
+        return b'event: error\ndata: %b\n\n' % _encode(generation.error.body())
+    finish = _encode(generation.transcript.finish)
+    return (
+        b'data: {"choices":[{"index":0,"delta":{},"finish_reason":%b}]}\n\n'
+        % finish
+    ) + _DONE
--- /dev/null
+++ b/src/bulrushhold/entry/_services.py
@@ -0,0 +1,250 @@
+"""Calls of plain services: repeated freely, or claimed and run once."""
+
+import time
+import typing as t
+
+import uuid_utils
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold.entry import _control
+from bulrushhold.entry import _requests
+
+CLAIM_S: t.Final = 5.0
+END_CLAIM_S: t.Final = 5.0
+CLOSE_CLAIM_S: t.Final = 5.0
+MAX_TRIES: t.Final = 3
+MAX_RECORDED_BYTES: t.Final = 64 << 10
+RETRY_AFTER_S: t.Final = 1.0
+MAX_KEY_AHEAD_S: t.Final = 300.0
+
+
+class ServiceRunner:
+    """Routes calls to plain services."""
+
+    def __init__(
+        self,
+        router: decisions.Router,
+        services: ports.ServiceClient,
+        control: _control.ControlClient,
+        metrics: ports.Metrics,
+    ) -> None:
+        self.router = router
+        self.services = services
+        self.control = control
+        self.metrics = metrics
+
+    async def repeatable(
+        self, service: str, row: messages.Row, call: ports.ServiceCall
+    ) -> ports.ServiceAnswer:
+        """Make an idempotent call; another server gets it on a failure.
+
+        :raises RequestError: where every try failed in the deadline.
+        """
+        end = time.monotonic() + row.deadline_s
+        tried: set[str] = set()
+        last: errors.BackendError | None = None
+        while len(tried) < MAX_TRIES and time.monotonic() < end:
+            state = self._choose(service, row, call, tried)
+            if state is None:
+                break
+            tried.add(state.server.name)
+            try:
+                return await self._call(state, call)
+            except errors.BackendError as error:
+                last = error
+        if last is None:
+            raise self._no_server(service)
+        raise errors.RequestError(
+            last.reason,
+            last.step,
+            last.peer,
+            ran=errors.Ran.UNKNOWN,
+            status=502,
+            retry_after=RETRY_AFTER_S,
+        )
+
+    async def once(
+        self,
+        service: str,
+        row: messages.Row,
+        call: ports.ServiceCall,
+        key: str,
+    ) -> ports.ServiceAnswer:
+        """Make a call that may run once, under a claim.
+
+        :raises RequestError: with ``ran`` as far as it is known.
+        """
+        name = f'{row.account}/{key}'
+        holder = str(uuid_utils.uuid4())
+        content = b'\0'.join(
+            (call.method.encode(), call.path.encode(), call.query.encode())
+        )
+        claim = messages.Claim(
+            name,
+            _checked_time(key),
+            decisions.content_fingerprint(content + b'\0' + call.body),
+            holder,
+        )
+        outcome = await self._claim(claim)
+        if not outcome.granted:
+            return self._former(outcome)
+        return await self._run_claimed(service, row, call, claim)
+
+    async def _claim(self, claim: messages.Claim) -> messages.ClaimOutcome:
+        try:
+            return await self.control.propose(claim, CLAIM_S)
+        except errors.PeerError as error:
+            # The claim may still be committed, for this holder only, and
+            # this holder won't run it: a later try learns "unknown" at
+            # worst, never a second run.
+            raise errors.RequestError(
+                'no majority of control to claim the run',
+                'claim',
+                error.peer,
+                ran=errors.Ran.UNKNOWN,
+                status=503,
+                retry_after=RETRY_AFTER_S,
+            ) from error
+
+    def _former(self, outcome: messages.ClaimOutcome) -> ports.ServiceAnswer:
+        """Answer a key that was claimed before, from its outcome."""
+        if outcome.state == 'done' and outcome.ran == 'yes':
+            return ports.ServiceAnswer(
+                outcome.status, outcome.body, 'application/json'
+            )
+        reasons = {
+            'open': ('the call is under way, or its entry was lost', 409),
+            'done': ('the call was made and its outcome is unknown', 409),
+            'closed': ('the call was refused before; use a new key', 409),
+            'expired': ('the key is too old to know what became of it', 410),
+            'mismatch': ('the key was used for another request', 422),
+        }
+        reason, status = reasons[outcome.state]
+        ran = errors.Ran.UNKNOWN
+        if outcome.state in ('closed', 'mismatch'):
+            ran = errors.Ran.NO
+        raise errors.RequestError(reason, 'claim', ran=ran, status=status)
+
+    async def _run_claimed(
+        self,
+        service: str,
+        row: messages.Row,
+        call: ports.ServiceCall,
+        claim: messages.Claim,
+    ) -> ports.ServiceAnswer:
+        tried: set[str] = set()
+        end = time.monotonic() + row.deadline_s
+        while len(tried) < MAX_TRIES and time.monotonic() < end:
+            state = self._choose(service, row, call, tried)
+            if state is None:
+                break
+            tried.add(state.server.name)
+            try:
+                answer = await self._call(state, call)
+            except errors.BackendError as error:
+                if error.step == 'connect':
+                    continue
+                await self._end(claim, errors.Ran.UNKNOWN, 0, b'')
+                raise errors.RequestError(
+                    error.reason,
+                    error.step,
+                    error.peer,
+                    ran=errors.Ran.UNKNOWN,
+                    status=502,
+                ) from error
+            await self._end(claim, errors.Ran.YES, answer.status, answer.body)
+            return answer
+        return await self._refuse_claimed(service, claim)
+
+    async def _refuse_claimed(
+        self, service: str, claim: messages.Claim
+    ) -> t.NoReturn:
+        """Close the claim, then say that the call was not run.
+
+        In the other order, a caller that hears ``no`` and tries again
+        could meet a claim that still looks as if it were running.
+        """
+        closed = await self._end(claim, errors.Ran.NO, 0, b'')
+        refusal = self._no_server(service)
+        if not closed:
+            refusal.ran = errors.Ran.UNKNOWN
+        raise refusal
+
+    async def _end(
+        self,
+        claim: messages.Claim,
+        ran: errors.Ran,
+        status: int,
+        body: bytes,
+    ) -> bool:
+        if len(body) > MAX_RECORDED_BYTES:
+            ran, status, body = errors.Ran.UNKNOWN, 0, b''
+        end = messages.ClaimEnd(
+            claim.key, claim.holder, ran.value, status, body
+        )
+        try:
+            await self.control.propose(end, END_CLAIM_S)
+        except errors.PeerError:
+            self.metrics.count('claims.end_lost')
+            return False
+        return True
+
+    def _choose(
+        self,
+        service: str,
+        row: messages.Row,
+        call: ports.ServiceCall,
+        tried: set[str],
+    ) -> decisions.BackendState | None:
+        choice = self.router.choose_service(
+            service, time.monotonic(), avoid=tried
+        )
+        state = choice.state
+        if state is not None and state.server.name in tried:
+            state = None
+        node.log_decision(
+            'route',
+            request=call.request,
+            account=row.account,
+            candidates=choice.candidates,
+            chosen=state.server.name if state else '',
+            reason=choice.reason,
+        )
+        return state
+
+    async def _call(
+        self, state: decisions.BackendState, call: ports.ServiceCall
+    ) -> ports.ServiceAnswer:
+        state.own += 1
+        started = time.monotonic()
+        try:
+            answer = await self.services.call(state.server.address, call)
+        except errors.BackendError:
+            state.failed(time.monotonic())
+            self.metrics.count('services.failed')
+            raise
+        finally:
+            state.own -= 1
+            self.metrics.time('services', time.monotonic() - started)
+        state.succeeded()
+        return answer
+
+    def _no_server(self, service: str) -> errors.RequestError:
+        known = self.router.has_kind(service)
+        return errors.RequestError(
+            f'no server of service {service!r}',
+            'route',
+            status=503 if known else 404,
+            retry_after=RETRY_AFTER_S if known else None,
+        )
+
+
+def _checked_time(key: str) -> float:
+    at = _requests.key_time(key)
+    if at > time.time() + MAX_KEY_AHEAD_S:
+        raise _requests.bad('the idempotency key is dated in the future')
+    return at
--- /dev/null
+++ b/src/bulrushhold/entry/_streams.py
@@ -0,0 +1,168 @@
+"""Generations served by this entry: found, started, kept and ended."""
+
+import asyncio
+import time
+import typing as t
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import settings
+from bulrushhold.entry import _copywriter
+from bulrushhold.entry import _generation
+from bulrushhold.entry import _keys
+from bulrushhold.entry import _runner
+
+SWEEP_S: t.Final = 0.5
+
+
+class Streams:
+    """All generations of this entry, by key."""
+
+    def __init__(
+        self,
+        config: settings.Entry,
+        runner: _runner.GenerationRunner,
+        keys: _keys.KeyTaker,
+        copies: _copywriter.CopyWriter,
+        store: decisions.CopyStore,
+    ) -> None:
+        self.config = config
+        self.runner = runner
+        self.keys = keys
+        self.copies = copies
+        self.store = store
+        self.generations: dict[str, _generation.Generation] = {}
+        self.opening: dict[str, asyncio.Lock] = {}
+
+    async def open(
+        self, key: str, order: _generation.Order, have: int, *, ours: bool
+    ) -> _generation.Generation:
+        """Return the generation of a key, started or continued.
+
+        :param have: tokens that the caller already has.
+        :param ours: the key was made here, so nobody else can know it.
+        :raises RequestError: where the answer can't honestly go on.
+        """
+        lock = self.opening.setdefault(key, asyncio.Lock())
+        async with lock:
+            generation = self.generations.get(key)
+            if generation is None or self._superseded(generation):
+                generation = await self._start(key, order, ours=ours)
+        if not lock.locked():
+            self.opening.pop(key, None)
+        if generation.order.fingerprint != order.fingerprint:
+            raise errors.RequestError(
+                'the idempotency key was used for another request',
+                'key',
+                status=422,
+            )
+        if have > len(generation.transcript.tokens):
+            if generation.readers == 0:
+                self.cancel(generation, 'its former answer is lost')
+            raise errors.RequestError(
+                f'the answer is not known up to token {have}; ask anew, '
+                'under a new key',
+                'resume',
+                ran=errors.Ran.YES,
+                status=410,
+            )
+        return generation
+
+    def cancel(self, generation: _generation.Generation, reason: str) -> None:
+        """End a generation that nobody wants any more."""
+        if not generation.lifecycle.ended:
+            generation.lifecycle.move('cancel')
+        generation.fail(
+            errors.RequestError(
+                reason, 'cancel', ran=errors.Ran.YES, status=410
+            )
+        )
+        if generation.task is not None:
+            generation.task.cancel()
+
+    def refuse_quarantined(self, quarantined: frozenset[str]) -> None:
+        """End the generations whose content is quarantined by now."""
+        for generation in self.generations.values():
+            refused = generation.order.fingerprint in quarantined
+            if refused and not generation.lifecycle.ended:
+                generation.lifecycle.move('refuse')
+                generation.fail(
+                    errors.RequestError(
+                        _runner.QUARANTINE_REASON,
+                        'quarantine',
+                        ran=errors.Ran.YES,
+                        status=422,
+                    )
+                )
+
+    async def sweep(self) -> None:
+        """Cancel streams whose caller left; forget old ones."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            self.store.expire(now)
+            for key, generation in list(self.generations.items()):
+                self._sweep_one(key, generation, now)
+
+    def _sweep_one(
+        self, key: str, generation: _generation.Generation, now: float
+    ) -> None:
+        if generation.readers:
+            generation.left_at = None
+            return
+        if generation.left_at is None:
+            generation.left_at = now
+        left = now - generation.left_at
+        if generation.ended and left > self.config.copies.keep_s:
+            del self.generations[key]
+        elif not generation.ended and left > self.config.recovery.orphan_s:
+            self.cancel(generation, 'the caller left')
+
+    @property
+    def running(self) -> int:
+        """Generations that haven't ended."""
+        return sum(not g.ended for g in self.generations.values())
+
+    def _superseded(self, generation: _generation.Generation) -> bool:
+        """Whether the caller's return needs a new start here."""
+        return generation.lifecycle.state in ('fenced', 'cancelled') or (
+            generation.lifecycle.state == 'refused'
+            and not generation.transcript.tokens
+        )
+
+    async def _start(
+        self, key: str, order: _generation.Order, *, ours: bool
+    ) -> _generation.Generation:
+        if ours:
+            # Register without waiting: the caller learns the key with the
+            # first bytes of the answer, not before.
+            epoch = self.keys.fresh_epoch()
+            self.keys.register(key, epoch, order.fingerprint)
+            taken = _keys.Taken(epoch, None)
+        else:
+            taken = await self.keys.take(key, order.fingerprint)
+        generation = _generation.Generation(key, order, taken.epoch)
+        if taken.former is not None:
+            _restore(generation, taken.former)
+        self.generations[key] = generation
+        self.copies.wrote(generation)
+        if generation.transcript.finish:
+            generation.lifecycle.move('finish')
+            return generation
+        generation.task = asyncio.get_running_loop().create_task(
+            self.runner.run(generation)
+        )
+        return generation
+
+
+def _restore(
+    generation: _generation.Generation, former: messages.CopyState
+) -> None:
+    transcript = generation.transcript
+    transcript.tokens = list(former.tokens)
+    transcript.version = former.version
+    transcript.finish = former.finish
+    # What a former entry wrote to its copies may have been shown: it is
+    # settled, and shown again without waiting.
+    generation.show(len(transcript.tokens))
--- /dev/null
+++ b/src/bulrushhold/entry/_view.py
@@ -0,0 +1,89 @@
+"""What this entry takes for live: the platform's list and its own signs."""
+
+import asyncio
+import time
+import typing as t
+
+import loguru
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import ports
+from bulrushhold import settings
+
+POLL_S: t.Final = 1.0
+
+
+class PlatformView:
+    """Follows the platform's list.
+
+    The last list stays in use while the platform can't be asked: an
+    outage of the list must not become an outage of the system.
+    """
+
+    def __init__(
+        self,
+        config: settings.Entry,
+        platform: ports.PlatformList,
+        router: decisions.Router,
+    ) -> None:
+        self.config = config
+        self.platform = platform
+        self.router = router
+        self.entries: list[ports.Instance] = []
+        self.heard_at = 0.0
+        self.changed = asyncio.Event()
+        self.draining = False
+
+    @property
+    def own(self) -> ports.Instance:
+        """This entry as others should see it."""
+        return ports.Instance(
+            self.config.name,
+            self.config.data_centre,
+            str(self.config.http),
+            str(self.config.peer),
+        )
+
+    def listed(self) -> list[ports.Instance]:
+        """Return the entries that callers may use."""
+        own = self.config.name if self.draining else ''
+        return [
+            entry
+            for entry in self.entries
+            if not entry.leaving and entry.name != own
+        ]
+
+    def copy_peers(self) -> list[str]:
+        """Return the addresses that hold this entry's transcripts."""
+        peers = decisions.copy_peers(
+            self.own, self.listed(), self.config.copies.count
+        )
+        return [peer.peer for peer in peers]
+
+    def serves(self, model: str) -> bool:
+        """Whether any engine is listed with a model."""
+        return any(
+            model in state.server.models
+            for state in self.router.states.values()
+        )
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(POLL_S)
+
+    async def poll(self) -> None:
+        """Ask the platform once."""
+        try:
+            platform = await self.platform.fetch()
+        except errors.PeerError as error:
+            loguru.logger.warning('platform list: {}', error)
+            return
+        self.heard_at = time.monotonic()
+        if platform is None:
+            return
+        self.entries = platform.entries
+        self.router.update(platform.backend_servers)
+        self.changed.set()
--- /dev/null
+++ b/src/bulrushhold/messages.py
@@ -0,0 +1,482 @@
+"""Typed messages between processes, and their codec (MessagePack)."""
+
+import typing as t
+
+import attrs
+import msgspec
+
+from bulrushhold import errors
+
+
+@attrs.frozen
+class LogEntry:
+    """One entry of the replicated log.
+
+    :param kind: one of the ``KIND_`` constants.
+    """
+
+    index: int
+    term: int
+    kind: int
+    data: bytes
+
+
+KIND_NOOP: t.Final = 0
+KIND_COMMAND: t.Final = 1
+KIND_CONFIG: t.Final = 2
+
+
+@attrs.frozen
+class Config:
+    """Members of the replicated log: replica identity to address."""
+
+    voters: dict[str, str] = attrs.field(factory=dict)
+    learners: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class VoteRequest:
+    """Asks for a vote; a pre-vote only asks whether one would be given."""
+
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+@attrs.frozen
+class VoteReply:
+    """Answers :class:`VoteRequest`; ``asked`` is the term asked for."""
+
+    term: int
+    voter: str
+    granted: bool
+    pre: bool
+    asked: int
+
+
+@attrs.frozen
+class AppendRequest:
+    """Entries, or a heartbeat; ``beat`` counts the leader's beats."""
+
+    term: int
+    leader: str
+    prev_index: int
+    prev_term: int
+    entries: list[LogEntry]
+    commit: int
+    beat: int
+
+
+@attrs.frozen
+class AppendReply:
+    """Answers :class:`AppendRequest` and :class:`InstallSnapshot`.
+
+    :param match: last index known equal (success) or to try next.
+    """
+
+    term: int
+    follower: str
+    success: bool
+    match: int
+    beat: int
+
+
+@attrs.frozen
+class InstallSnapshot:
+    """The whole state, for a follower behind the log's first entry."""
+
+    term: int
+    leader: str
+    index: int
+    index_term: int
+    config: Config
+    state: bytes
+    beat: int
+
+
+@attrs.frozen
+class JoinRequest:
+    """A replica with an empty disk asks to be a learner."""
+
+    replica: str
+    address: str
+
+
+@attrs.frozen
+class Row:
+    """One row of the table: a client account's limits for a kind of work.
+
+    :param weight: share under overload, relative to other rows.
+    :param token_rate: engine tokens a second; 0 means no limit.
+    :param concurrency: requests at once; 0 means no limit.
+    :param deadline_s: seconds within which the first token is due.
+    :param priority: passed on to engines; lower goes first.
+    :param idempotent: whether the call may be repeated.
+    """
+
+    account: str
+    work: str
+    weight: float
+    token_rate: float
+    concurrency: int
+    deadline_s: float
+    priority: int
+    idempotent: bool
+
+    @property
+    def key(self) -> str:
+        """Name of the row in the table."""
+        return f'{self.account}/{self.work}'
+
+
+@attrs.frozen
+class TableEdit:
+    """One pushed edit, checked against the rows as of ``base``.
+
+    :param edit_id: names the edit; a resend returns its first outcome.
+    :param base: revision of the table that the operator had pulled.
+    """
+
+    edit_id: str
+    base: int
+    author: str
+    at: float
+    rows: list[Row]
+
+
+@attrs.frozen
+class Conflict:
+    """One cell changed by two operators; the accepted value stays."""
+
+    row: str
+    column: str
+    accepted: str
+    refused: str
+
+
+@attrs.frozen
+class EditOutcome:
+    """What became of a :class:`TableEdit`."""
+
+    accepted: bool
+    revision: int
+    changed: int = 0
+    reason: str = ''
+    conflicts: list[Conflict] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Claim:
+    """Reserves one run of a non-idempotent call.
+
+    :param key: account and idempotency key.
+    :param key_time: seconds since the epoch that the key carries.
+    :param fingerprint: hash of the call, to refuse a key's reuse.
+    :param holder: the run that may go ahead if the claim is granted.
+    """
+
+    key: str
+    key_time: float
+    fingerprint: str
+    holder: str
+
+
+@attrs.frozen
+class ClaimEnd:
+    """Ends a claim: its outcome, or closed without a run."""
+
+    key: str
+    holder: str
+    ran: str
+    status: int
+    body: bytes
+
+
+@attrs.frozen
+class ClaimOutcome:
+    """The state of a claim after a command.
+
+    :param granted: this holder may run the call, once.
+    :param state: ``open``, ``done``, ``closed``, ``expired`` or
+        ``mismatch``.
+    """
+
+    granted: bool
+    state: str
+    ran: str = 'unknown'
+    status: int = 0
+    body: bytes = b''
+
+
+@attrs.frozen
+class ForgetClaims:
+    """Moves the watermark before which claims are forgotten."""
+
+    before: float
+
+
+@attrs.frozen
+class Quarantine:
+    """Refuses a request content; ``lift`` takes it back."""
+
+    fingerprint: str
+    reason: str
+    at: float
+    lift: bool = False
+
+
+@attrs.frozen
+class Proposal:
+    """A command for the replicated state, in its encoded form."""
+
+    command: bytes
+
+
+@attrs.frozen
+class ProposalReply:
+    """Answers :class:`Proposal`.
+
+    :param status: ``done``, ``not_leader`` (it was not proposed) or
+        ``unknown`` (it may yet be committed).
+    :param leader: address of the leader, where known.
+    """
+
+    status: str
+    leader: str = ''
+    result: bytes = b''
+
+
+@attrs.frozen
+class TableRead:
+    """Asks the leader for what changed after revision ``known``.
+
+    :param instance: the asking entry, whose revision in force is kept;
+        ``''`` for an operator's pull.
+    """
+
+    known: int
+    instance: str
+
+
+@attrs.frozen
+class TableReply:
+    """The table under the leader's lease, whole or as a change."""
+
+    status: str
+    leader: str = ''
+    revision: int = 0
+    whole: bool = False
+    rows: list[Row] = attrs.field(factory=list)
+    removed: list[str] = attrs.field(factory=list)
+    quarantine_revision: int = 0
+    quarantined: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class HistoryRead:
+    """Asks for the table's edits, newest first."""
+
+    limit: int = 50
+
+
+@attrs.frozen
+class HistoryItem:
+    """One accepted edit."""
+
+    revision: int
+    author: str
+    at: float
+    changes: list[str]
+
+
+@attrs.frozen
+class HistoryReply:
+    """Answers :class:`HistoryRead`."""
+
+    status: str
+    leader: str = ''
+    items: list[HistoryItem] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class StatusRead:
+    """Asks a process for its status."""
+
+
+@attrs.frozen
+class StatusReply:
+    """The status of a control process.
+
+    :param in_force: instance to revision in force and seconds since it
+        was last heard; only the leader knows.
+    """
+
+    replica: str
+    role: str
+    term: int
+    leader: str
+    commit: int
+    revision: int
+    voters: list[str]
+    learners: list[str]
+    in_force: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class PointerTake:
+    """Registers who serves a key, at the key's pointer homes.
+
+    :param epoch: of the entry that asks; the highest wins.
+    :param copies: addresses that will hold this entry's transcript.
+    """
+
+    key: str
+    epoch: int
+    fingerprint: str
+    copies: list[str]
+
+
+@attrs.frozen
+class PointerState:
+    """Answers :class:`PointerTake`.
+
+    :param epoch: the epoch now in force at this home.
+    :param former: addresses with the former entry's transcript.
+    """
+
+    granted: bool
+    epoch: int
+    former: list[str]
+    mismatch: bool = False
+
+
+@attrs.frozen
+class CopyAppend:
+    """Tokens for the copy of one transcript.
+
+    :param epoch: of the entry that serves the request; higher wins.
+    :param offset: position of the first of ``tokens``.
+    :param version: of the model that produced them.
+    :param finish: why the generation ended, with its last append.
+    """
+
+    key: str
+    epoch: int
+    offset: int
+    tokens: list[str]
+    version: str
+    finish: str = ''
+
+
+@attrs.frozen
+class CopyBatch:
+    """All appends of one entry for one peer since the last batch."""
+
+    appends: list[CopyAppend]
+
+
+@attrs.frozen
+class CopyAck:
+    """What became of one append.
+
+    :param ok: ``False`` where a higher epoch fences the sender.
+    :param length: tokens that the copy now holds.
+    """
+
+    ok: bool
+    length: int
+
+
+@attrs.frozen
+class CopyBatchAck:
+    """Answers :class:`CopyBatch`, in its order."""
+
+    acks: list[CopyAck]
+
+
+@attrs.frozen
+class CopyTake:
+    """Asks for a key's copy and fences the entry that wrote it."""
+
+    key: str
+    epoch: int
+
+
+@attrs.frozen
+class CopyState:
+    """Answers :class:`CopyTake` with what the peer holds.
+
+    :param written: epoch of the entry that wrote the tokens, 0 for none.
+    """
+
+    granted: bool
+    epoch: int
+    written: int = 0
+    tokens: list[str] = attrs.field(factory=list)
+    version: str = ''
+    finish: str = ''
+
+
+@attrs.frozen
+class Failure:
+    """A peer's handler failed; carries the reason to the asker."""
+
+    reason: str
+
+
+Message = t.Any
+
+_CLASSES: t.Final[tuple[type, ...]] = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    InstallSnapshot,
+    JoinRequest,
+    TableEdit,
+    EditOutcome,
+    Claim,
+    ClaimEnd,
+    ClaimOutcome,
+    ForgetClaims,
+    Quarantine,
+    Proposal,
+    ProposalReply,
+    TableRead,
+    TableReply,
+    HistoryRead,
+    HistoryReply,
+    StatusRead,
+    StatusReply,
+    PointerTake,
+    PointerState,
+    CopyBatch,
+    CopyBatchAck,
+    CopyTake,
+    CopyState,
+    Failure,
+)
+_DECODERS = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in _CLASSES}
+_ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(message: Message) -> bytes:
+    """Return the wire form of a message: its name and its fields."""
+    return _ENCODER.encode((type(message).__name__, message))
+
+
+def decode(data: bytes) -> Message:
+    """Return the message in ``data``.
+
+    :raises PeerError: where it is malformed or of no known kind.
+    """
+    try:
+        name, body = _ENVELOPE.decode(data)
+        return _DECODERS[name].decode(body)
+    except (msgspec.DecodeError, KeyError) as error:
+        raise errors.PeerError(
+            f'malformed message: {error}', 'decode'
+        ) from error
--- /dev/null
+++ b/src/bulrushhold/node/__init__.py
@@ -0,0 +1,19 @@
+"""Adapters of a process without HTTP: zmq, disk, logs, metrics."""
+
+from bulrushhold.node._filelog import FileLog
+from bulrushhold.node._filelog import Identity
+from bulrushhold.node._logs import configure as configure_logs
+from bulrushhold.node._logs import decision as log_decision
+from bulrushhold.node._statsd import make as make_metrics
+from bulrushhold.node._statsd import NoMetrics
+from bulrushhold.node._zmqtransport import ZmqTransport
+
+__all__ = [
+    'FileLog',
+    'Identity',
+    'NoMetrics',
+    'ZmqTransport',
+    'configure_logs',
+    'log_decision',
+    'make_metrics',
+]
--- /dev/null
+++ b/src/bulrushhold/node/_filelog.py
@@ -0,0 +1,251 @@
+"""The replicated log on disk: checksummed records, synced.
+
+Files of the data folder: ``identity`` (who this replica is),
+``snapshot`` (whole state) and ``log`` (entries after it). Whole files
+are replaced by a rename, with a sync of the file before it and of the
+folder after it.
+"""
+
+import os
+import pathlib
+import struct
+import typing as t
+import zlib
+
+import attrs
+import msgspec
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import ports
+
+_HEADER: t.Final = struct.Struct('<II')
+MAX_RECORD_BYTES: t.Final = 256 << 20
+
+
+@attrs.frozen
+class Identity:
+    """Who a replica is; a new disk means a new one.
+
+    :param founding: the first members, for those that found the log;
+        empty for a replica that joins.
+    """
+
+    replica: str
+    founding: messages.Config = attrs.field(factory=messages.Config)
+
+
+@attrs.frozen
+class _Record:
+    """One synced write: the vote, and entries."""
+
+    term: int
+    vote: str
+    entries: list[messages.LogEntry]
+
+
+_RECORDS = msgspec.msgpack.Decoder(_Record)
+_SNAPSHOTS = msgspec.msgpack.Decoder(messages.InstallSnapshot)
+
+
+class FileLog(ports.LogStore):
+    """The data folder of one replica.
+
+    :param folder: must exist; one process at a time.
+    """
+
+    def __init__(self, folder: str | os.PathLike[str]) -> None:
+        self.folder = pathlib.Path(folder)
+        self.log_path = self.folder / 'log'
+        self.snapshot_path = self.folder / 'snapshot'
+        self.identity_path = self.folder / 'identity'
+        self.file: t.BinaryIO | None = None
+        self.term = 0
+        self.vote = ''
+
+    def identity(self) -> Identity | None:
+        """Return the stored identity, or ``None`` in an empty folder.
+
+        :raises StorageError: where it is damaged, or files of a log are
+            there without it.
+        """
+        data = self._read(self.identity_path)
+        if data is None:
+            if self.log_path.exists() or self.snapshot_path.exists():
+                raise self._error('identity is missing', self.identity_path)
+            return None
+        payloads, _ = self._records(data, self.identity_path, torn=False)
+        try:
+            return msgspec.msgpack.decode(payloads[0], type=Identity)
+        except (msgspec.DecodeError, IndexError) as error:
+            raise self._error('damaged', self.identity_path) from error
+
+    def write_identity(self, identity: Identity) -> None:
+        """Store the identity of a new replica."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        payload = msgspec.msgpack.encode(identity)
+        self._replace(self.identity_path, _frame(payload))
+
+    def load(self, founding: messages.Config) -> decisions.Durable:
+        """Read snapshot and log; cut a torn tail.
+
+        :raises StorageError: naming file and offset of any other damage.
+        """
+        durable = decisions.Durable(founding=founding)
+        snapshot = self._read(self.snapshot_path)
+        if snapshot is not None:
+            durable.snapshot = self._load_snapshot(snapshot)
+        data = self._read(self.log_path) or b''
+        payloads, good = self._records(data, self.log_path, torn=True)
+        for payload in payloads:
+            self._replay(_RECORDS.decode(payload), durable)
+        if durable.snapshot is not None:
+            durable.term = max(durable.term, durable.snapshot.term)
+        self.term, self.vote = durable.term, durable.vote
+        self._open(good)
+        return durable
+
+    def save(
+        self, term: int, vote: str, entries: list[messages.LogEntry]
+    ) -> None:
+        """Append one record and sync it."""
+        self.term, self.vote = term, vote
+        payload = msgspec.msgpack.encode(_Record(term, vote, entries))
+        try:
+            assert self.file is not None
+            self.file.write(_frame(payload))
+            self.file.flush()
+            os.fdatasync(self.file.fileno())
+        except OSError as error:
+            # After a failed sync the kernel may have dropped the pages and
+            # a second sync would succeed without them: only a stop, and a
+            # read of what is really there, is safe.
+            raise self._error(str(error), self.log_path) from error
+
+    def save_snapshot(
+        self, snapshot: messages.InstallSnapshot, tail: list[messages.LogEntry]
+    ) -> None:
+        """Store a snapshot, then start the log anew with the tail.
+
+        A crash between the two leaves the new snapshot with the old log,
+        whose entries up to the snapshot are passed over on loading.
+        """
+        self._replace(
+            self.snapshot_path, _frame(msgspec.msgpack.encode(snapshot))
+        )
+        record = _Record(self.term, self.vote, tail)
+        if self.file is not None:
+            self.file.close()
+        self._replace(self.log_path, _frame(msgspec.msgpack.encode(record)))
+        self._open(self.log_path.stat().st_size)
+
+    def close(self) -> None:
+        """Close the log file."""
+        if self.file is not None:
+            self.file.close()
+            self.file = None
+
+    def _load_snapshot(self, data: bytes) -> messages.InstallSnapshot:
+        payloads, _ = self._records(data, self.snapshot_path, torn=False)
+        try:
+            return _SNAPSHOTS.decode(payloads[0])
+        except (msgspec.DecodeError, IndexError) as error:
+            raise self._error('damaged', self.snapshot_path) from error
+
+    def _replay(self, record: _Record, durable: decisions.Durable) -> None:
+        durable.term, durable.vote = record.term, record.vote
+        first = durable.snapshot.index if durable.snapshot else 0
+        for entry in record.entries:
+            if entry.index <= first:
+                continue
+            position = entry.index - first - 1
+            if position > len(durable.entries):
+                raise self._error(
+                    f'entry {entry.index} follows a gap', self.log_path
+                )
+            del durable.entries[position:]
+            durable.entries.append(entry)
+
+    def _records(
+        self, data: bytes, path: pathlib.Path, *, torn: bool
+    ) -> tuple[list[bytes], int]:
+        """Return the payloads and the length of the good part.
+
+        A write that a crash cut short is the last one, and was never
+        acknowledged: it may be cut off. Damage with good records behind
+        it is a lost promise, and no replica may start on it.
+        """
+        payloads: list[bytes] = []
+        offset = 0
+        while offset < len(data):
+            payload = _payload_at(data, offset)
+            if payload is None:
+                if torn and not _any_record_after(data, offset):
+                    break
+                raise self._error(f'damaged at offset {offset}', path)
+            payloads.append(payload)
+            offset += _HEADER.size + len(payload)
+        return payloads, offset
+
+    def _open(self, length: int) -> None:
+        try:
+            self.file = open(self.log_path, 'ab')
+            self.file.truncate(length)
+            os.fsync(self.file.fileno())
+            self._sync_folder()
+        except OSError as error:
+            raise self._error(str(error), self.log_path) from error
+
+    def _read(self, path: pathlib.Path) -> bytes | None:
+        try:
+            return path.read_bytes()
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            raise self._error(str(error), path) from error
+
+    def _replace(self, path: pathlib.Path, data: bytes) -> None:
+        fresh = path.with_suffix('.new')
+        try:
+            with open(fresh, 'wb') as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(fresh, path)
+            self._sync_folder()
+        except OSError as error:
+            raise self._error(str(error), path) from error
+
+    def _sync_folder(self) -> None:
+        handle = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    def _error(self, reason: str, path: pathlib.Path) -> errors.StorageError:
+        return errors.StorageError(reason, 'storage', str(path))
+
+
+def _frame(payload: bytes) -> bytes:
+    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def _payload_at(data: bytes, offset: int) -> bytes | None:
+    start = offset + _HEADER.size
+    if start > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    payload = data[start : start + length]
+    if length == 0 or len(payload) < length:
+        return None
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def _any_record_after(data: bytes, offset: int) -> bool:
+    """Whether a good record stands anywhere behind a bad one."""
+    return any(
+        _payload_at(data, start) is not None
+        for start in range(offset + 1, len(data) - _HEADER.size)
+    )
--- /dev/null
+++ b/src/bulrushhold/settings.py
@@ -0,0 +1,218 @@
+"""Settings files: JSON with comments, checked whole before use."""
+
+import os
+import pathlib
+import typing as t
+
+import attrs
+import json5
+import msgspec
+
+from bulrushhold import errors
+
+_V = attrs.validators
+_POSITIVE = _V.gt(0)
+_NOT_NEGATIVE = _V.ge(0)
+_PORT = _V.and_(_V.ge(1), _V.le(65535))
+_NAME = _V.matches_re(r'[a-z0-9][a-z0-9-]{0,31}')
+
+
+@attrs.frozen
+class Address:
+    """A TCP address by IP number."""
+
+    host: str = attrs.field(
+        validator=_V.matches_re(r'(\d{1,3}\.){3}\d{1,3}|[0-9a-f:]+')
+    )
+    port: int = attrs.field(validator=_PORT)
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+@attrs.frozen
+class Metrics:
+    """Where statsd datagrams go."""
+
+    host: str = '127.0.0.1'
+    port: int = attrs.field(default=8125, validator=_PORT)
+
+
+@attrs.frozen
+class Recovery:
+    """How a generation goes on after its engine is lost.
+
+    Times are seconds. ``gap_factor`` times the engine's own recent p99
+    token gap, bounded by the two gap limits, is when silence counts as
+    a loss. A stream whose caller left is kept for ``orphan_s``.
+    """
+
+    policy: t.Literal['thrifty', 'prompt'] = 'thrifty'
+    gap_factor: float = attrs.field(default=8.0, validator=_POSITIVE)
+    min_gap_s: float = attrs.field(default=0.5, validator=_POSITIVE)
+    max_gap_s: float = attrs.field(default=1.5, validator=_POSITIVE)
+    first_token_s: float = attrs.field(default=20.0, validator=_POSITIVE)
+    max_attempts: int = attrs.field(default=6, validator=_POSITIVE)
+    orphan_s: float = attrs.field(default=15.0, validator=_NOT_NEGATIVE)
+    extra_share: float = attrs.field(default=0.1, validator=_NOT_NEGATIVE)
+
+
+@attrs.frozen
+class Copies:
+    """Copies of a transcript on other entries.
+
+    :param count: copies besides the entry's own, 0 to 3.
+    :param batch_s: how long tokens gather before one append.
+    :param ack_s: how long an append waits before a home counts as lost.
+    :param keep_s: how long a transcript is kept after its last append.
+    """
+
+    count: int = attrs.field(default=2, validator=_V.and_(_V.ge(0), _V.le(3)))
+    batch_s: float = attrs.field(default=0.02, validator=_NOT_NEGATIVE)
+    ack_s: float = attrs.field(default=0.25, validator=_POSITIVE)
+    keep_s: float = attrs.field(default=60.0, validator=_POSITIVE)
+
+
+@attrs.frozen
+class Entry:
+    """Settings of one entry process."""
+
+    name: str = attrs.field(validator=_NAME)
+    data_centre: str = attrs.field(validator=_NAME)
+    http: Address
+    peer: Address
+    control: list[Address] = attrs.field(validator=_V.min_len(1))
+    platform_url: str = attrs.field(validator=_V.matches_re(r'https?://.+'))
+    operator_key_file: str = ''
+    recovery: Recovery = attrs.field(factory=Recovery)
+    copies: Copies = attrs.field(factory=Copies)
+    metrics: Metrics | None = None
+    max_body_bytes: int = attrs.field(default=1 << 20, validator=_POSITIVE)
+    table_poll_s: float = attrs.field(default=1.0, validator=_POSITIVE)
+    table_lease_s: float = attrs.field(default=30.0, validator=_POSITIVE)
+    when_table_stale: t.Literal['refuse', 'serve'] = 'refuse'
+    answer_ttl_s: float = attrs.field(default=30.0, validator=_POSITIVE)
+    drain_deadline_s: float = attrs.field(default=600.0, validator=_POSITIVE)
+    queue_limit: int = attrs.field(default=512, validator=_POSITIVE)
+
+
+@attrs.frozen
+class Control:
+    """Settings of one control process.
+
+    :param replicas: name to peer address of every control instance.
+    :param election_s: least silence after which a leader is replaced.
+    """
+
+    name: str = attrs.field(validator=_NAME)
+    data_centre: str = attrs.field(validator=_NAME)
+    peer: Address
+    data_dir: str = attrs.field(validator=_V.min_len(1))
+    replicas: dict[str, Address] = attrs.field(validator=_V.min_len(1))
+    metrics: Metrics | None = None
+    heartbeat_s: float = attrs.field(default=0.15, validator=_POSITIVE)
+    election_s: float = attrs.field(default=1.0, validator=_POSITIVE)
+    snapshot_every: int = attrs.field(default=10_000, validator=_POSITIVE)
+    claim_keep_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
+
+    def __attrs_post_init__(self) -> None:
+        if len(self.replicas) not in (1, 3, 5, 7):
+            raise ValueError('`replicas` must hold 1, 3, 5 or 7 instances')
+        if self.replicas.get(self.name) != self.peer:
+            raise ValueError('`replicas` must hold this name and `peer`')
+        if self.heartbeat_s * 3 > self.election_s:
+            raise ValueError('`election_s` must be 3 `heartbeat_s` or more')
+
+
+_Role = t.TypeVar('_Role', Entry, Control)
+
+
+def load(path: str | os.PathLike[str], role: type[_Role]) -> _Role:
+    """Read and check one settings file.
+
+    :param path: the file.
+    :param role: :class:`Entry` or :class:`Control`.
+    :raises SettingsError: on one line: file, path in it and reason.
+    """
+    document = _parse(path)
+    peer = os.fspath(path)
+    unknown = _unknown_field(document, role, '$')
+    if unknown:
+        raise errors.SettingsError(
+            f'unknown field at `{unknown}`', 'settings', peer
+        )
+    try:
+        return msgspec.convert(document, role)
+    except (msgspec.ValidationError, ValueError) as error:
+        reason = ' '.join(str(error).split())
+        raise errors.SettingsError(reason, 'settings', peer) from error
+
+
+def load_any(path: str | os.PathLike[str]) -> Entry | Control:
+    """Read a settings file of either role, told by ``data_dir``."""
+    document = _parse(path)
+    return load(path, Control if 'data_dir' in document else Entry)
+
+
+def read_key(path: str) -> str:
+    """Return the operator key that a file holds.
+
+    :raises SettingsError: where it can't be read or is too short.
+    """
+    try:
+        key = pathlib.Path(path).read_text(encoding='utf-8').strip()
+    except OSError as error:
+        raise errors.SettingsError(
+            error.strerror or 'unreadable', 'operator key', path
+        ) from error
+    if len(key) < 16:
+        raise errors.SettingsError(
+            'the key needs 16 characters or more', 'operator key', path
+        )
+    return key
+
+
+def _parse(path: str | os.PathLike[str]) -> dict[str, t.Any]:
+    peer = os.fspath(path)
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        document = json5.loads(text, allow_duplicate_keys=False)
+    except OSError as error:
+        raise errors.SettingsError(
+            error.strerror or 'unreadable', 'settings', peer
+        ) from error
+    except ValueError as error:
+        reason = ' '.join(str(error).split())
+        raise errors.SettingsError(reason, 'settings', peer) from error
+    if not isinstance(document, dict):
+        raise errors.SettingsError('expected an object', 'settings', peer)
+    return document
+
+
+def _unknown_field(value: t.Any, shape: t.Any, path: str) -> str | None:
+    """Return the path of the first field that ``shape`` doesn't know.
+
+    msgspec passes over unknown fields of attrs classes; a misspelt
+    setting would then silently keep its default.
+    """
+    for option in t.get_args(shape) or (shape,):
+        if isinstance(value, list) and attrs.has(option):
+            for number, item in enumerate(value):
+                found = _unknown_field(item, option, f'{path}[{number}]')
+                if found:
+                    return found
+        elif isinstance(value, dict) and t.get_origin(shape) is dict:
+            for key, item in value.items():
+                found = _unknown_field(item, option, f'{path}.{key}')
+                if found:
+                    return found
+        elif isinstance(value, dict) and attrs.has(option):
+            fields = attrs.fields_dict(option)
+            for key, item in value.items():
+                if key not in fields:
+                    return f'{path}.{key}'
+                inner = fields[key].type
+                found = _unknown_field(item, inner, f'{path}.{key}')
+                if found:
+                    return found
+    return None
--- /dev/null
+++ b/src/bulrushhold/testing/_booking.py
@@ -0,0 +1,57 @@
+"""A booking service that counts how often each slot was booked."""
+
+import asyncio
+import collections
+
+from aiohttp import web
+
+from bulrushhold.testing import _http
+
+
+class BookingService(_http.HttpStandIn):
+    """Books slots, as often as it is asked to.
+
+    :param delay_s: seconds from the booking to its answer.
+    """
+
+    def __init__(self, port: int = 0, *, delay_s: float = 0.0) -> None:
+        super().__init__(port)
+        self.delay_s = delay_s
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.drop_answer = False
+        self.crossed = False
+        self.lookups = 0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the service's routes."""
+        return [
+            web.post('/slots', self._book),
+            web.get('/availability', self._look_up),
+            web.get('/runs', self._count),
+        ]
+
+    async def _book(self, request: web.Request) -> web.Response:
+        slot = (await request.json())['slot']
+        self.runs[slot] += 1
+        if self.drop_answer and request.transport is not None:
+            request.transport.abort()
+        await asyncio.sleep(self.delay_s)
+        return self._answer(request, {'booked': slot})
+
+    async def _look_up(self, request: web.Request) -> web.Response:
+        self.lookups += 1
+        if self.drop_answer and request.transport is not None:
+            request.transport.abort()
+        return self._answer(request, {'free': ['oven-1', 'oven-2']})
+
+    async def _count(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(dict(self.runs))
+
+    def _answer(
+        self, request: web.Request, body: dict[str, object]
+    ) -> web.Response:
+        answered = request.headers.get('X-Request-Id', '')
+        if self.crossed:
+            answered = 'another'
+        return web.json_response(body, headers={'X-Request-Id': answered})
