--- /dev/null
+++ b/src/bulrushhold/testing/_deployment.py
@@ -0,0 +1,280 @@
+"""A whole deployment on loopback, as processes, for demos and tests.
+
+The product starts no processes; this stand-in for an operator does.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing as t
+import urllib.error
+import urllib.request
+
+from bulrushhold.testing import _ports
+
+START_S: t.Final = 30.0
+OPERATOR_KEY: t.Final = 'demo-operator-key-0001'
+FIRST_TABLE: t.Final = (
+    'account,work,weight,token_rate,concurrency,deadline_s,priority,'
+    'idempotent,revision\n'
+    'vendors,chat,1,0,0,20,1,yes,0\n'
+    'vendors,booking/slots,1,0,0,5,0,no,0\n'
+    'vendors,booking/availability,1,0,0,5,0,yes,0\n'
+    'planners,chat,2,0,0,20,1,yes,0\n'
+    'planners,booking/slots,1,0,0,5,0,no,0\n'
+)
+
+
+class Deployment:
+    """Control, entries, engines, a booking service and a platform list.
+
+    :param folder: for settings, data and logs.
+    :param gap_s: seconds between an engine's tokens.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        controls: int = 3,
+        entries: int = 3,
+        engines: int = 2,
+        gap_s: float = 0.05,
+        entry_settings: dict[str, t.Any] | None = None,
+        control_settings: dict[str, t.Any] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.gap_s = gap_s
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.entry_settings = entry_settings or {}
+        self.control_settings = control_settings or {}
+        ports = iter(_ports.free_ports(controls + 2 * entries + engines + 2))
+        self.platform_port = next(ports)
+        self.booking_port = next(ports)
+        self.controls = {f'c{n + 1}': next(ports) for n in range(controls)}
+        self.http = {f'e{n + 1}': next(ports) for n in range(entries)}
+        self.peers = {name: next(ports) for name in self.http}
+        self.engines = {f'm{n + 1}': next(ports) for n in range(engines)}
+        self.key_file = folder / 'operator.key'
+
+    @property
+    def seeds(self) -> list[str]:
+        """Addresses of all entries."""
+        return [f'127.0.0.1:{port}' for port in self.http.values()]
+
+    def start(self) -> None:
+        """Write all files, start all processes, push the first table."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.key_file.write_text(OPERATOR_KEY)
+        self._write('platform.json', self.platform_list())
+        self._stand_in(
+            'platform',
+            '--port',
+            str(self.platform_port),
+            '--list',
+            str(self.folder / 'platform.json'),
+        )
+        self._stand_in('booking', '--port', str(self.booking_port))
+        for name in self.engines:
+            self.start_engine(name)
+        for name in self.controls:
+            path = self._write_control(name)
+            self._command('control-found', '--settings', str(path))
+            self.start_control(name)
+        self.await_port(self.platform_port)
+        for name in self.http:
+            self._write_entry(name)
+            self.start_entry(name)
+        self.await_ready()
+        table = self.folder / 'first.csv'
+        table.write_text(FIRST_TABLE)
+        self.cli('table', 'push', '--wait', str(table))
+
+    def platform_list(
+        self, leaving: t.Collection[str] = ()
+    ) -> dict[str, t.Any]:
+        """Return the list, with some names marked as leaving."""
+        centres = ('north', 'centre', 'south')
+        entries = [
+            {
+                'name': name,
+                'data_centre': centres[number % 3],
+                'http': f'127.0.0.1:{self.http[name]}',
+                'peer': f'127.0.0.1:{self.peers[name]}',
+                'leaving': name in leaving,
+            }
+            for number, name in enumerate(self.http)
+        ]
+        servers: list[dict[str, t.Any]] = [
+            {
+                'name': name,
+                'kind': 'engine',
+                'address': f'127.0.0.1:{port}',
+                'data_centre': centres[number % 3],
+                'leaving': name in leaving,
+                'models': {'small': 'v1'},
+            }
+            for number, (name, port) in enumerate(self.engines.items())
+        ]
+        servers.append(
+            {
+                'name': 'booking-1',
+                'kind': 'booking',
+                'address': f'127.0.0.1:{self.booking_port}',
+                'data_centre': 'north',
+                'leaving': 'booking-1' in leaving,
+            }
+        )
+        return {'entries': entries, 'backend_servers': servers}
+
+    def start_engine(self, name: str) -> None:
+        """Start an engine."""
+        self._stand_in(
+            'engine',
+            '--name',
+            name,
+            '--port',
+            str(self.engines[name]),
+            '--gap-s',
+            str(self.gap_s),
+            process=name,
+        )
+
+    def start_control(self, name: str) -> None:
+        """Start a control process."""
+        path = self.folder / f'{name}.json'
+        self._spawn(name, '-m', 'bulrushhold', 'control', '--settings', path)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry process."""
+        path = self.folder / f'{name}.json'
+        self._spawn(name, '-m', 'bulrushhold', 'entry', '--settings', path)
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> None:
+        """Send a process that this deployment started a signal."""
+        process = self.processes[name]
+        process.send_signal(number)
+        if number == signal.SIGKILL:
+            process.wait()
+
+    def cli(self, *words: str) -> str:
+        """Run an operators' command, and return what it printed."""
+        environment = {
+            'BULRUSHHOLD_ENTRY': self.seeds[0],
+            'BULRUSHHOLD_KEY_FILE': str(self.key_file),
+        }
+        return self._command(*words, environment=environment)
+
+    def await_port(self, port: int) -> None:
+        """Wait until a process listens."""
+        self._await(f'http://127.0.0.1:{port}/', any_status=True)
+
+    def await_ready(self, names: t.Iterable[str] | None = None) -> None:
+        """Wait until entries are ready."""
+        for name in names or self.http:
+            self._await(f'http://127.0.0.1:{self.http[name]}/readyz')
+
+    def booked(self) -> dict[str, int]:
+        """Return how often each slot was booked."""
+        url = f'http://127.0.0.1:{self.booking_port}/runs'
+        with urllib.request.urlopen(url, timeout=5) as response:
+            return json.load(response)
+
+    def status(self, name: str = 'e1') -> dict[str, t.Any]:
+        """Return the status that an entry tells."""
+        url = f'http://127.0.0.1:{self.http[name]}/v1/status'
+        with urllib.request.urlopen(url, timeout=10) as response:
+            return json.load(response)
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def _write_control(self, name: str) -> pathlib.Path:
+        replicas = {
+            other: {'host': '127.0.0.1', 'port': port}
+            for other, port in self.controls.items()
+        }
+        document = {
+            'name': name,
+            'data_centre': 'north',
+            'peer': replicas[name],
+            'data_dir': str(self.folder / f'data-{name}'),
+            'replicas': replicas,
+            **self.control_settings,
+        }
+        return self._write(f'{name}.json', document)
+
+    def _write_entry(self, name: str) -> pathlib.Path:
+        own = self.platform_list()['entries'][list(self.http).index(name)]
+        document = {
+            'name': name,
+            'data_centre': own['data_centre'],
+            'http': {'host': '127.0.0.1', 'port': self.http[name]},
+            'peer': {'host': '127.0.0.1', 'port': self.peers[name]},
+            'control': [
+                {'host': '127.0.0.1', 'port': port}
+                for port in self.controls.values()
+            ],
+            'platform_url': f'http://127.0.0.1:{self.platform_port}/list',
+            'operator_key_file': str(self.key_file),
+            **self.entry_settings,
+        }
+        return self._write(f'{name}.json', document)
+
+    def _write(self, name: str, document: t.Any) -> pathlib.Path:
+        path = self.folder / name
+        path.write_text(json.dumps(document, indent=2))
+        return path
+
+    def _stand_in(self, kind: str, *words: str, process: str = '') -> None:
+        self._spawn(process or kind, '-m', 'bulrushhold.testing', kind, *words)
+
+    def _spawn(self, name: str, *words: t.Any) -> None:
+        log = open(self.folder / f'{name}.log', 'ab')
+        with log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *map(str, words)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def _command(
+        self, *words: str, environment: dict[str, str] | None = None
+    ) -> str:
+        done = subprocess.run(
+            [sys.executable, '-m', 'bulrushhold', *words],
+            capture_output=True,
+            text=True,
+            check=False,
+            env={**os.environ, **(environment or {})},
+        )
+        if done.returncode:
+            raise RuntimeError(f'{words}: {done.stderr}{done.stdout}')
+        return done.stdout
+
+    def _await(self, url: str, *, any_status: bool = False) -> None:
+        end = time.monotonic() + START_S
+        while True:
+            try:
+                with urllib.request.urlopen(url, timeout=2):
+                    return
+            except urllib.error.HTTPError:
+                if any_status:
+                    return
+            except OSError:
+                pass
+            dead = [n for n, p in self.processes.items() if p.poll()]
+            if dead or time.monotonic() > end:
+                raise RuntimeError(f'{url} did not come up; ended: {dead}')
+            time.sleep(0.02)
--- /dev/null
+++ b/src/bulrushhold/testing/_engine.py
@@ -0,0 +1,147 @@
+"""A model engine that streams tokens, and fails when told to."""
+
+import asyncio
+import itertools
+import json
+import typing as t
+
+from aiohttp import web
+
+from bulrushhold.testing import _http
+
+CRASH_WORD: t.Final = 'CRASH'
+
+
+class Engine(_http.HttpStandIn):
+    """Streams tokens that tell which generation they belong to.
+
+    Token ``i`` of a generation is ``<generation>:<i> ``. A fresh request
+    gets a new generation; one with a prefix goes on with the prefix's, as
+    a sampler would. A mixed answer therefore shows in its text.
+
+    :param gap_s: seconds between tokens.
+    :param slots: streams at once; more wait their turn.
+    """
+
+    numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        name: str,
+        port: int = 0,
+        *,
+        gap_s: float = 0.01,
+        slots: int = 1000,
+    ) -> None:
+        super().__init__(port)
+        self.name = name
+        self.gap_s = gap_s
+        self.slots = asyncio.Semaphore(slots)
+        self.running: dict[tuple[str, int], asyncio.Event] = {}
+        self.generated = 0
+        self.prefilled = 0
+        self.requests = 0
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.crossed = False
+        self.drop_end_mark = False
+        self.refuse_status = 0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the engine's routes."""
+        return [
+            web.post('/v1/chat/completions', self._complete),
+            web.post('/v1/cancel', self._cancel),
+            web.get('/v1/work', self._work),
+        ]
+
+    def freeze(self) -> None:
+        """Go silent, with all connections open."""
+        self.thawed.clear()
+
+    def thaw(self) -> None:
+        """Go on as if nothing had been."""
+        self.thawed.set()
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        order = await request.json()
+        self.requests += 1
+        if self.refuse_status:
+            return web.Response(status=self.refuse_status)
+        if CRASH_WORD in json.dumps(order['messages']):
+            await self.crash()
+        key = (order['request'], order['attempt'])
+        cancelled = self.running[key] = asyncio.Event()
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'X-Running': str(len(self.running)),
+            }
+        )
+        try:
+            await response.prepare(request)
+            async with self.slots:
+                await self._stream(order, response, cancelled)
+        finally:
+            self.running.pop(key, None)
+        return response
+
+    async def _stream(
+        self,
+        order: dict[str, t.Any],
+        response: web.StreamResponse,
+        cancelled: asyncio.Event,
+    ) -> None:
+        prefix = order['prefix']
+        self.prefilled += len(json.dumps(order['messages'])) // 4
+        self.prefilled += len(prefix)
+        if prefix:
+            generation = prefix[0].partition(':')[0]
+        else:
+            generation = f'{self.name}-{next(self.numbers)}'
+        stamp = {
+            'request': 'another' if self.crossed else order['request'],
+            'attempt': order['attempt'],
+        }
+        for offset in range(len(prefix), order['max_tokens']):
+            await asyncio.sleep(self.gap_s)
+            await self.thawed.wait()
+            if cancelled.is_set():
+                return
+            self.generated += 1
+            token = f'{generation}:{offset} '
+            event = {**stamp, 'offset': offset, 'token': token}
+            await response.write(b'data: %b\n\n' % json.dumps(event).encode())
+        if self.drop_end_mark:
+            return
+        event = {**stamp, 'offset': order['max_tokens'], 'finish': 'stop'}
+        await response.write(b'data: %b\n\n' % json.dumps(event).encode())
+
+    async def crash(self) -> None:
+        """Die: drop every connection, and accept no more."""
+        runner, self.runner = self.runner, None
+        assert runner is not None
+        for site in list(runner.sites):
+            await site.stop()
+        assert runner.server is not None
+        for connection in list(runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        running = self.running.get((order['request'], order['attempt']))
+        if running is not None:
+            running.set()
+        return web.Response()
+
+    async def _work(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(
+            {
+                'generated': self.generated,
+                'prefilled': self.prefilled,
+                'requests': self.requests,
+                'running': len(self.running),
+            }
+        )
--- /dev/null
+++ b/src/bulrushhold/web/_engine.py
@@ -0,0 +1,144 @@
+"""Model engines over HTTP, with tokens as server-sent events."""
+
+import asyncio
+import collections.abc as cabc
+import typing as t
+
+import aiohttp
+import attrs
+import msgspec
+
+from bulrushhold import errors
+from bulrushhold import ports
+
+CONNECT_S: t.Final = 1.0
+PROBE_S: t.Final = 0.3
+RUNNING_HEADER: t.Final = 'X-Running'
+FINAL_STATUSES: t.Final = frozenset((400, 413, 422))
+_DATA: t.Final = b'data: '
+
+
+@attrs.frozen
+class _Event:
+    """One event of an engine's stream: a token or the end mark."""
+
+    request: str
+    attempt: int
+    offset: int
+    token: str = ''
+    finish: str = ''
+
+
+_EVENTS = msgspec.json.Decoder(_Event)
+_ENCODER = msgspec.json.Encoder()
+_BROKEN: t.Final = (
+    aiohttp.ClientError,
+    ConnectionError,
+    asyncio.TimeoutError,
+)
+
+
+class HttpEngineClient(ports.EngineClient):
+    """Speaks the completions protocol with request and attempt numbers.
+
+    :param session: shared by all adapters of the process.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_S
+        )
+        self.reports: dict[str, int] = {}
+
+    async def stream(
+        self, address: str, order: ports.Generate
+    ) -> cabc.AsyncGenerator[ports.Token | ports.Finish, None]:
+        """Yield the engine's events until its end mark."""
+        response = await self._open(address, order)
+        try:
+            pending = b''
+            async for chunk in response.content.iter_any():
+                *lines, pending = (pending + chunk).split(b'\n')
+                for line in lines:
+                    if line.startswith(_DATA):
+                        yield _event(line, address)
+        except _BROKEN as error:
+            raise errors.EngineLostError(
+                str(error) or type(error).__name__, 'stream', address
+            ) from error
+        finally:
+            # Never back to the pool: what is left of a stream that was
+            # given up on would answer the next request.
+            response.close()
+        raise errors.EngineLostError(
+            'the stream ended without its end mark', 'stream', address
+        )
+
+    async def cancel(self, address: str, request: str, attempt: int) -> None:
+        """Tell the engine to stop an attempt."""
+        body = {'request': request, 'attempt': attempt}
+        try:
+            async with self.session.post(
+                f'http://{address}/v1/cancel',
+                json=body,
+                timeout=aiohttp.ClientTimeout(total=CONNECT_S),
+            ):
+                pass
+        except _BROKEN:
+            return
+
+    async def alive(self, address: str) -> bool:
+        """Whether anything accepts connections there."""
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(*address.rsplit(':', 1)), PROBE_S
+            )
+        except TimeoutError:
+            # Frozen or far, but not known to be dead.
+            return True
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    async def _open(
+        self, address: str, order: ports.Generate
+    ) -> aiohttp.ClientResponse:
+        try:
+            response = await self.session.post(
+                f'http://{address}/v1/chat/completions',
+                data=_ENCODER.encode(order),
+                headers={'Content-Type': 'application/json'},
+                timeout=self.timeout,
+            )
+        except _BROKEN as error:
+            raise errors.EngineLostError(
+                str(error) or type(error).__name__, 'connect', address
+            ) from error
+        running = response.headers.get(RUNNING_HEADER, '')
+        if running.isdigit():
+            self.reports[address] = int(running)
+        if response.status != 200:
+            response.close()
+            raise errors.EngineRefusedError(
+                f'status {response.status}',
+                'dispatch',
+                address,
+                final=response.status in FINAL_STATUSES,
+            )
+        return response
+
+
+def _event(line: bytes, address: str) -> ports.Token | ports.Finish:
+    try:
+        event = _EVENTS.decode(line[len(_DATA) :])
+    except msgspec.DecodeError as error:
+        raise errors.EngineLostError(
+            f'malformed event: {error}', 'stream', address
+        ) from error
+    if event.finish:
+        return ports.Finish(
+            event.request, event.attempt, event.offset, event.finish
+        )
+    return ports.Token(event.request, event.attempt, event.offset, event.token)
--- /dev/null
+++ b/src/bulrushhold/web/_platform.py
@@ -0,0 +1,54 @@
+"""The platform's list of instances and backend servers, over HTTP."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+from bulrushhold import errors
+from bulrushhold import ports
+
+TIMEOUT_S = 2.0
+
+
+class HttpPlatformList(ports.PlatformList):
+    """Asks for the list, and gets it only when it has changed.
+
+    With 600 engines the list is tens of kilobytes; asked for each second
+    without its entity tag, it alone would break the traffic budget.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url
+        self.tag = ''
+
+    async def fetch(self) -> ports.Platform | None:
+        """Return the list, or ``None`` where it hasn't changed."""
+        headers = {'If-None-Match': self.tag} if self.tag else {}
+        try:
+            async with self.session.get(
+                self.url,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            ) as response:
+                if response.status == 304:
+                    return None
+                if response.status != 200:
+                    raise errors.PeerError(
+                        f'status {response.status}', 'platform', self.url
+                    )
+                body = await response.read()
+                tag = response.headers.get('ETag', '')
+            platform = msgspec.json.decode(body, type=ports.Platform)
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            ConnectionError,
+            msgspec.DecodeError,
+        ) as error:
+            raise errors.PeerError(
+                str(error) or type(error).__name__, 'platform', self.url
+            ) from error
+        self.tag = tag
+        return platform
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,273 @@
+"""Shared fixtures: a small system within the test's own loop."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import time
+
+import aiohttp
+import attrs
+import pytest
+import pytest_asyncio
+
+from bulrushhold import client
+from bulrushhold import composition
+from bulrushhold import control
+from bulrushhold import decisions
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import settings
+from bulrushhold import testing
+
+KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+OPERATOR_KEY = 'operator-key-for-tests'
+PROMPT = [{'role': 'user', 'content': 'hello'}]
+
+
+def known_red():
+    if not KNOWN_RED.exists():
+        return {}
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.split()[0]: line for line in lines if line.strip()}
+
+
+def pytest_collection_modifyitems(config, items):
+    red = known_red()
+    passed_over = [item for item in items if item.nodeid in red]
+    for item in passed_over:
+        items.remove(item)
+    config.hook.pytest_deselected(items=passed_over)
+
+
+def pytest_terminal_summary(terminalreporter):
+    for line in known_red().values():
+        terminalreporter.write_line(f'KNOWN RED: {line}')
+
+
+def row(account='vendors', work='chat', **cells):
+    values = {
+        'weight': 1.0,
+        'token_rate': 0.0,
+        'concurrency': 0,
+        'deadline_s': 10.0,
+        'priority': 0,
+        'idempotent': True,
+        **cells,
+    }
+    return messages.Row(account, work, **values)
+
+
+FIRST_ROWS = [
+    row(),
+    row('planners'),
+    row(work='booking/slots', idempotent=False),
+    row(work='booking/availability'),
+]
+
+
+@attrs.define
+class System:
+    """One control replica, entries, engines, a booking service."""
+
+    folder: pathlib.Path
+    recovery: dict = attrs.field(factory=dict)
+    copies: dict = attrs.field(factory=dict)
+    options: dict = attrs.field(factory=dict)
+    entries: dict = attrs.field(factory=dict)
+    engines: dict = attrs.field(factory=dict)
+    clients: list = attrs.field(factory=list)
+
+    async def start(self, entries, engines, gap_s):
+        self.booking = testing.BookingService()
+        await self.booking.start()
+        for number in range(engines):
+            name = f'm{number + 1}'
+            self.engines[name] = testing.Engine(name, gap_s=gap_s)
+            await self.engines[name].start()
+        count = 1 + 2 * entries
+        free = [
+            settings.Address('127.0.0.1', port)
+            for port in testing.free_ports(count)
+        ]
+        self.control_address = free.pop()
+        self.addresses = {
+            f'e{n + 1}': (free.pop(), free.pop()) for n in range(entries)
+        }
+        self.platform = testing.PlatformService(self.listing())
+        await self.platform.start()
+        self.key_file = self.folder / 'operator.key'
+        self.key_file.write_text(OPERATOR_KEY)
+        await self._start_control()
+        for name in self.addresses:
+            await self.start_entry(name)
+        await self.edit(FIRST_ROWS, 0)
+
+    def listing(self, leaving=()):
+        centres = ('north', 'centre', 'south')
+        return ports.Platform(
+            [
+                ports.Instance(
+                    name,
+                    centres[n % 3],
+                    str(http),
+                    str(peer),
+                    name in leaving,
+                )
+                for n, (name, (http, peer)) in enumerate(
+                    self.addresses.items()
+                )
+            ],
+            [
+                ports.BackendServer(
+                    name,
+                    'engine',
+                    engine.address,
+                    'north',
+                    name in leaving,
+                    {'small': 'v1'},
+                )
+                for name, engine in self.engines.items()
+            ]
+            + [
+                ports.BackendServer(
+                    'booking-1', 'booking', self.booking.address, 'north'
+                )
+            ],
+        )
+
+    async def relist(self, leaving=()):
+        self.platform.platform = self.listing(leaving)
+        for entry in self.entries.values():
+            await entry.view.poll()
+
+    async def _start_control(self):
+        config = settings.Control(
+            'c1',
+            'north',
+            self.control_address,
+            str(self.folder / 'c1'),
+            {'c1': self.control_address},
+            heartbeat_s=0.01,
+            election_s=0.03,
+        )
+        store = node.FileLog(config.data_dir)
+        control.found(config, store)
+        durable, ident = control.open_replica(config, store)
+        replica = decisions.Replica(
+            ident,
+            durable,
+            decisions.Timing(0.01, 0.03),
+            random.Random(1),
+            time.monotonic(),
+        )
+        self.control_transport = node.ZmqTransport(str(config.peer))
+        self.control = control.ControlServer(
+            config,
+            replica,
+            decisions.ReplicatedState(),
+            store,
+            self.control_transport,
+            node.NoMetrics(),
+        )
+        self.control_task = asyncio.ensure_future(self.control.run())
+
+    async def start_entry(self, name):
+        http, peer = self.addresses[name]
+        config = settings.Entry(
+            name,
+            ('north', 'centre', 'south')[int(name[1:]) % 3 - 1],
+            http,
+            peer,
+            [self.control_address],
+            f'http://{self.platform.address}/list',
+            str(self.key_file),
+            recovery=settings.Recovery(**self.recovery),
+            copies=settings.Copies(**self.copies),
+            table_poll_s=0.05,
+            **self.options,
+        )
+        self.entries[name] = composition.EntryProcess(config)
+        await self.entries[name].start()
+
+    async def edit(self, rows, base, edit_id=None):
+        """Push an edit, and wait until every entry has it in force."""
+        edit = messages.TableEdit(
+            edit_id or f'edit-{base}', base, 'test', 0.0, rows
+        )
+        some = next(iter(self.entries.values()))
+        outcome = await some.control.propose(edit, 5)
+        for entry in self.entries.values():
+            while entry.table.revision < outcome.revision:
+                await entry.table.poll()
+        return outcome
+
+    def client(self, account='vendors', **options):
+        seeds = [str(http) for http, _ in self.addresses.values()]
+        caller = client.Client(account, seeds, **options)
+        self.clients.append(caller)
+        return caller
+
+    async def post(self, path, body, entry='e1', **headers):
+        """Make one plain HTTP request; return status, headers, JSON."""
+        http, _ = self.addresses[entry]
+        sent = {
+            name.replace('_', '-'): value for name, value in headers.items()
+        }
+        async with aiohttp.ClientSession() as session:
+            url = f'http://{http}{path}'
+            async with session.post(url, data=body, headers=sent) as response:
+                return (
+                    response.status,
+                    response.headers,
+                    await response.json(content_type=None),
+                )
+
+    async def stop(self):
+        for caller in self.clients:
+            await caller.close()
+        for entry in self.entries.values():
+            await entry.close()
+        self.control_task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.control_task
+        await self.control_transport.close()
+        for stand_in in [
+            *self.engines.values(),
+            self.booking,
+            self.platform,
+        ]:
+            stand_in.thaw() if hasattr(stand_in, 'thaw') else None
+            await stand_in.stop()
+
+
+@pytest_asyncio.fixture
+async def make_system(tmp_path):
+    systems = []
+
+    async def make(entries=1, engines=2, gap_s=0.005, **options):
+        system = System(tmp_path, **options)
+        systems.append(system)
+        await system.start(entries, engines, gap_s)
+        return system
+
+    yield make
+    for system in systems:
+        await system.stop()
+
+
+@pytest_asyncio.fixture
+async def system(make_system):
+    return await make_system()
+
+
+@pytest.fixture
+def rng():
+    return random.Random(7)
+
+
+def assert_whole(tokens, count):
+    """All tokens are there, in order, of one generation."""
+    generation = tokens[0].partition(':')[0]
+    assert tokens == [f'{generation}:{n} ' for n in range(count)]
--- /dev/null
+++ b/tests/test_generations.py
@@ -0,0 +1,221 @@
+"""Generations: one whole answer, or an honest refusal, through losses."""
+
+import asyncio
+import json
+
+import pytest
+
+from bulrushhold import errors
+from tests import conftest
+
+
+async def read(caller, count=40, prompt=None, on=None, **options):
+    """Read an answer; call ``on[n]`` once n tokens are there."""
+    tokens = []
+    async for token in caller.generate(
+        'small', prompt or conftest.PROMPT, max_tokens=count, **options
+    ):
+        tokens.append(token)
+        if on and len(tokens) in on:
+            await on[len(tokens)](tokens)
+    return tokens
+
+
+def engine_of(system, tokens):
+    return system.engines[tokens[0].partition('-')[0]]
+
+
+async def test_an_answer_is_whole(system):
+    tokens = await read(system.client())
+    conftest.assert_whole(tokens, 40)
+
+
+async def test_an_engine_killed_mid_stream_is_continued_elsewhere(system):
+    # The caller sees a short pause and then the rest. Its engine drops the
+    # connection after 10 tokens; another continues exactly those, so that
+    # no token is missing, repeated or of another generation.
+    async def kill(tokens):
+        await engine_of(system, tokens).crash()
+
+    tokens = await read(system.client(), on={10: kill})
+    conftest.assert_whole(tokens, 40)
+    assert sum(e.requests for e in system.engines.values()) == 2
+
+
+@pytest.mark.parametrize('policy', ['thrifty', 'prompt'])
+async def test_a_frozen_engine_that_wakes_adds_no_token(make_system, policy):
+    # The caller sees one pause. The engine goes silent with its connection
+    # open; after the silence limit another continues. Then the first wakes
+    # and sends on, as attempt 1, which nobody hears any more.
+    system = await make_system(
+        recovery={'policy': policy, 'min_gap_s': 0.1, 'max_gap_s': 0.2}
+    )
+    first = []
+
+    async def freeze(tokens):
+        first.append(engine_of(system, tokens))
+        first[0].freeze()
+
+    async def thaw(tokens):
+        first[0].thaw()
+
+    tokens = await read(system.client(), on={10: freeze, 20: thaw})
+    conftest.assert_whole(tokens, 40)
+
+
+async def test_a_stream_without_its_end_mark_is_continued(system):
+    # The caller sees nothing of it. The engine closes after all tokens but
+    # before its end mark: whether more was to come isn't known, so another
+    # engine is asked, which has nothing to add.
+    for engine in system.engines.values():
+        engine.drop_end_mark = True
+
+    async def mend(tokens):
+        for engine in system.engines.values():
+            if engine is not engine_of(system, tokens):
+                engine.drop_end_mark = False
+
+    tokens = await read(system.client(), on={1: mend})
+    conftest.assert_whole(tokens, 40)
+
+
+async def test_a_crossed_reply_is_dropped(system):
+    # The caller sees its own answer. One engine answers with another
+    # request's tokens; the first of them ends that attempt, and the other
+    # engine serves the request.
+    crossed = system.engines['m1']
+    crossed.crossed = True
+    for _ in range(4):
+        tokens = await read(system.client(), 5)
+        conftest.assert_whole(tokens, 5)
+        assert tokens[0].startswith('m2-')
+
+
+async def test_without_an_engine_of_the_version_the_refusal_is_honest(
+    make_system,
+):
+    # The caller sees an error event after its 10 tokens. The only other
+    # engine has another version, and a text of it must not be joined to
+    # what was delivered.
+    system = await make_system(engines=1)
+
+    async def kill(tokens):
+        await engine_of(system, tokens).crash()
+        system.engines.clear()
+        await system.relist()
+
+    with pytest.raises(errors.RequestError) as caught:
+        await read(system.client(), on={10: kill})
+    assert caught.value.ran is errors.Ran.YES
+
+
+async def test_a_crasher_costs_two_engines_and_no_more(make_system):
+    # The caller sees a refusal, and again one under a new key. Its content
+    # kills each engine that runs it; the second death names it, and the
+    # other engines live.
+    system = await make_system(engines=4)
+    prompt = [{'role': 'user', 'content': 'CRASH please'}]
+    for _ in range(3):
+        with pytest.raises(errors.RequestError) as caught:
+            await read(system.client(), prompt=prompt)
+        assert caught.value.status == 422
+    alive = [e for e in system.engines.values() if e.runner is not None]
+    assert len(alive) == 2
+
+
+async def test_an_innocent_beside_a_crasher_is_served(make_system):
+    # The caller sees its whole answer. A crasher kills the engine under
+    # it; both are suspects then, but they go on to different engines, and
+    # the second death names the crasher alone.
+    system = await make_system(engines=4)
+    crashers = []
+
+    async def send_crasher(tokens):
+        prompt = [{'role': 'user', 'content': 'hello CRASH'}]
+        crashers.append(
+            asyncio.ensure_future(read(system.client(), prompt=prompt))
+        )
+
+    tokens = await read(system.client(), 60, on={5: send_crasher})
+    conftest.assert_whole(tokens, 60)
+    with pytest.raises(errors.RequestError):
+        await crashers[0]
+
+
+async def test_a_key_used_for_another_content_is_refused(system):
+    await read(system.client(), 5, key='one')
+    with pytest.raises(errors.RequestError, match='another request'):
+        await read(system.client(), 6, key='one')
+
+
+async def test_a_resent_key_gets_the_same_answer(system):
+    first = await read(system.client(), 5, key='one')
+    second = await read(system.client(), 5, key='one')
+    assert first == second
+    assert sum(e.requests for e in system.engines.values()) == 1
+
+
+async def test_a_lost_entry_is_replaced_by_another(make_system):
+    # The caller's library sees its connection close after 10 tokens, and
+    # asks another entry with the key and the last offset. That one takes
+    # the transcript from the first entry's copy peers and goes on.
+    system = await make_system(entries=3)
+    caller = system.client()
+
+    async def stop_entry(tokens):
+        entry = system.entries.pop(serving(system))
+        await entry.close()
+
+    tokens = await read(caller, on={10: stop_entry})
+    conftest.assert_whole(tokens, 40)
+
+
+def serving(system):
+    """Return the name of the entry that has the running generation."""
+    return next(
+        name for name, entry in system.entries.items() if entry.streams.running
+    )
+
+
+async def test_a_former_entry_is_fenced_when_another_takes_over(make_system):
+    # A caller reads at e1, then asks e2 with the same key. e2 continues
+    # its tokens; e1's next append is refused by its peers, and its reader
+    # gets an error event instead of a second copy of the answer.
+    system = await make_system(entries=3, gap_s=0.02)
+    body = json.dumps(
+        {
+            'model': 'small',
+            'messages': conftest.PROMPT,
+            'max_tokens': 40,
+        }
+    )
+    headers = {'Bulrushhold_Account': 'vendors', 'Idempotency_Key': 'k'}
+    first = asyncio.ensure_future(
+        system.post('/v1/chat/completions', body, 'e1', **headers)
+    )
+    while not system.entries['e1'].streams.running:
+        await asyncio.sleep(0)
+    generation = system.entries['e1'].streams.generations['vendors/k']
+    while generation.visible < 5:
+        await generation.wait()
+    status, _, answer = await system.post(
+        '/v1/chat/completions', body, 'e2', **headers
+    )
+    assert status == 200
+    text = answer['choices'][0]['message']['content']
+    conftest.assert_whole([f'{part} ' for part in text.split()], 40)
+    status, _, refusal = await first
+    assert status == 409
+    assert refusal['error']['step'] == 'fenced'
+
+
+async def test_a_resume_past_the_known_answer_is_refused(system):
+    status, _, answer = await system.post(
+        '/v1/chat/completions',
+        json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
+        Bulrushhold_Account='vendors',
+        Idempotency_Key='unknown',
+        Last_Event_ID='9',
+    )
+    assert status == 410
+    assert answer['error']['step'] == 'resume'
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,105 @@
+"""Plain services: repeated freely, or run at most once."""
+
+import uuid
+
+import pytest
+import uuid_utils
+
+from bulrushhold import errors
+
+
+def key():
+    return str(uuid_utils.uuid7())
+
+
+async def book(system, slot='oven-1', **options):
+    return await system.client().call(
+        'booking', 'slots', method='POST', body={'slot': slot}, **options
+    )
+
+
+async def test_a_resent_booking_gets_the_first_outcome(system):
+    name = key()
+    first = await book(system, key=name)
+    second = await book(system, key=name)
+    assert first == second
+    assert system.booking.runs == {'oven-1': 1}
+
+
+async def test_a_booking_whose_answer_was_lost_isnt_run_again(system):
+    # The caller sees "unknown". The service books, then its connection
+    # breaks before the answer; sending the call again could book twice.
+    system.booking.drop_answer = True
+    name = key()
+    for _ in range(2):
+        with pytest.raises(errors.RequestError) as caught:
+            await book(system, key=name)
+        assert caught.value.ran is errors.Ran.UNKNOWN
+        system.booking.drop_answer = False
+    assert system.booking.runs == {'oven-1': 1}
+
+
+async def test_a_crossed_answer_is_not_taken_for_the_bookings(system):
+    # The caller sees "unknown": the answer names another request.
+    system.booking.crossed = True
+    with pytest.raises(errors.RequestError) as caught:
+        await book(system)
+    assert caught.value.ran is errors.Ran.UNKNOWN
+
+
+async def test_told_not_run_means_closed_for_good(system):
+    # The caller hears "no" since nothing accepted the connection. The
+    # claim is closed before that is said, so that even the same key sent
+    # again, with the service back, can't run what was said not to run.
+    port = system.booking.port
+    await system.booking.stop()
+    name = key()
+    caller = system.client(deadline_s=0)
+    with pytest.raises(errors.RequestError) as caught:
+        await caller.call(
+            'booking', 'slots', method='POST', body={'slot': 'a'}, key=name
+        )
+    assert caught.value.ran is errors.Ran.NO
+    system.booking.port = port
+    await system.booking.start()
+    with pytest.raises(errors.RequestError, match='use a new key'):
+        await book(system, 'a', key=name)
+    assert not system.booking.runs
+
+
+async def test_a_key_used_for_another_booking_is_refused(system):
+    name = key()
+    await book(system, 'oven-1', key=name)
+    with pytest.raises(errors.RequestError) as caught:
+        await book(system, 'oven-2', key=name)
+    assert caught.value.status == 422
+    assert system.booking.runs == {'oven-1': 1}
+
+
+async def test_a_key_older_than_the_watermark_is_refused(system):
+    old = uuid.UUID(int=(1_000_000 << 80) | (7 << 76) | (2 << 62))
+    system.control.state.claims.forget(2_000.0)
+    with pytest.raises(errors.RequestError, match='too old'):
+        await book(system, key=str(old))
+    assert not system.booking.runs
+
+
+async def test_a_look_up_may_be_repeated(system):
+    answer = await system.client().call('booking', 'availability')
+    assert b'oven-1' in answer.body
+
+
+async def test_without_control_a_booking_isnt_run(system):
+    # The caller hears that nothing is known to have run, and nothing did:
+    # no majority, no claim, no run.
+    system.control_task.cancel()
+    await system.control_transport.close()
+    status, _, answer = await system.post(
+        '/v1/services/booking/slots',
+        b'{"slot": "a"}',
+        Bulrushhold_Account='vendors',
+        Idempotency_Key=key(),
+    )
+    assert status == 503
+    assert answer['error']['step'] == 'claim'
+    assert not system.booking.runs
