--- a/src/bulrushhold/decisions/_members.py
+++ b/src/bulrushhold/decisions/_members.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from bulrushhold import messages
 from bulrushhold.decisions import _replica
+from bulrushhold import messages
 
 
 @attrs.frozen
--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from bulrushhold import ports
 from bulrushhold.decisions import _homes
 from bulrushhold.decisions import _recovery
+from bulrushhold import ports
 
 AFFINITY_CHOICES: t.Final = 2
 LOAD_BOUND: t.Final = 1.25
--- a/src/bulrushhold/decisions/_statemachine.py
+++ b/src/bulrushhold/decisions/_statemachine.py
@@ -3,9 +3,9 @@
 import attrs
 import msgspec
 
-from bulrushhold import messages
 from bulrushhold.decisions import _claims
 from bulrushhold.decisions import _table
+from bulrushhold import messages
 
 
 @attrs.define
--- a/src/bulrushhold/decisions/_tablecsv.py
+++ b/src/bulrushhold/decisions/_tablecsv.py
@@ -9,9 +9,9 @@
 import math
 import typing as t
 
+from bulrushhold.decisions import _table
 from bulrushhold import errors
 from bulrushhold import messages
-from bulrushhold.decisions import _table
 
 REVISION_COLUMN: t.Final = 'revision'
 _TRUE: t.Final = ('yes', 'true', '1', 'x')
--- a/src/bulrushhold/entry/_copywriter.py
+++ b/src/bulrushhold/entry/_copywriter.py
@@ -7,11 +7,11 @@
 import attrs
 import loguru
 
+from bulrushhold.entry import _generation
 from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import ports
 from bulrushhold import settings
-from bulrushhold.entry import _generation
 
 LOST_PEER_PAUSE_S: t.Final = 5.0
 MAX_TOKENS_PER_APPEND: t.Final = 20_000
--- a/src/bulrushhold/entry/_requests.py
+++ b/src/bulrushhold/entry/_requests.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from bulrushhold import decisions
+from bulrushhold.entry import _generation
 from bulrushhold import errors
 from bulrushhold import messages
-from bulrushhold.entry import _generation
 
 ACCOUNT_HEADER: t.Final = 'Bulrushhold-Account'
 WORK_HEADER: t.Final = 'Bulrushhold-Work'
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -9,12 +9,12 @@
 import loguru
 
 from bulrushhold import decisions
+from bulrushhold.entry import _copywriter
+from bulrushhold.entry import _generation
 from bulrushhold import errors
 from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import settings
-from bulrushhold.entry import _copywriter
-from bulrushhold.entry import _generation
 
 RETRY_AFTER_S: t.Final = 2.0
 NO_ENGINE_PAUSE_S: t.Final = 0.1
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -11,17 +11,17 @@
 import uuid_utils
 
 from bulrushhold import decisions
-from bulrushhold import errors
-from bulrushhold import messages
-from bulrushhold import node
-from bulrushhold import ports
-from bulrushhold import settings
 from bulrushhold.entry import _control
 from bulrushhold.entry import _generation
 from bulrushhold.entry import _requests
 from bulrushhold.entry import _services
 from bulrushhold.entry import _streams
 from bulrushhold.entry import _view
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import settings
 
 PUSH_DEADLINE_S: t.Final = 10.0
 NOT_READY_RETRY_S: t.Final = 2.0
--- a/src/bulrushhold/entry/_services.py
+++ b/src/bulrushhold/entry/_services.py
@@ -6,12 +6,12 @@
 import uuid_utils
 
 from bulrushhold import decisions
+from bulrushhold.entry import _control
+from bulrushhold.entry import _requests
 from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import node
 from bulrushhold import ports
-from bulrushhold.entry import _control
-from bulrushhold.entry import _requests
 
 CLAIM_S: t.Final = 5.0
 END_CLAIM_S: t.Final = 5.0
--- a/src/bulrushhold/entry/_streams.py
+++ b/src/bulrushhold/entry/_streams.py
@@ -5,13 +5,13 @@
 import typing as t
 
 from bulrushhold import decisions
-from bulrushhold import errors
-from bulrushhold import messages
-from bulrushhold import settings
 from bulrushhold.entry import _copywriter
 from bulrushhold.entry import _generation
 from bulrushhold.entry import _keys
 from bulrushhold.entry import _runner
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import settings
 
 SWEEP_S: t.Final = 0.5
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -67,7 +67,7 @@
 ]
 
 
-@attrs.define
+@attrs.define(slots=False)
 class System:
     """One control replica, entries, engines, a booking service."""
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,9 +1,9 @@
 """Requests: every bad one gets one clear error, and nothing runs."""
 
 import json
+import uuid
 
 import pytest
-import uuid_utils
 
 GOOD = {'model': 'small', 'messages': [{'role': 'user', 'content': 'hi'}]}
 VENDORS = {'Bulrushhold_Account': 'vendors'}
@@ -61,7 +61,7 @@
 
 
 async def test_a_key_dated_in_the_future_is_refused(system):
-    key = uuid_utils.uuid7(timestamp=4102444800, nanos=0)
+    key = uuid.UUID(int=(4_102_444_800_000 << 80) | (7 << 76) | (2 << 62))
     got, _, answer = await system.post(
         '/v1/services/booking/slots',
         b'{"slot": "a"}',
