--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,194 @@
+"""Processor time per relayed token, against a bare asyncio byte relay.
+
+Engines and callers are the same for both. Prints ratios of one run:
+
+    python bench/relay.py [--streams N] [--tokens N] [--rounds N]
+"""
+
+import asyncio
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing as t
+
+import aiohttp
+import attrs
+import click
+import psutil
+
+from bulrushhold import testing
+
+GAP_S: t.Final = 0.05
+MODEL: t.Final = 'small'
+
+
+@attrs.frozen
+class Cost:
+    """What a run cost the process between callers and engines."""
+
+    tokens: int
+    cpu_s: float
+
+    @property
+    def per_token_us(self) -> float:
+        """Microseconds of processor time per token."""
+        return self.cpu_s / self.tokens * 1e6
+
+
+def cpu_seconds(processes: list[psutil.Process]) -> float:
+    """Return the processor seconds that processes have used."""
+    times = [process.cpu_times() for process in processes]
+    return sum(used.user + used.system for used in times)
+
+
+async def drive(
+    address: str, streams: int, tokens: int, headers: dict[str, str]
+) -> None:
+    """Read ``streams`` answers of ``tokens`` tokens at once."""
+    timeout = aiohttp.ClientTimeout(total=None)
+    connector = aiohttp.TCPConnector(limit=0)
+
+    async def one(number: int) -> None:
+        body = {
+            'model': MODEL,
+            'messages': [{'role': 'user', 'content': f'prompt {number}'}],
+            'max_tokens': tokens,
+            'stream': True,
+            'request': f'r{number}',
+            'attempt': 1,
+            'prefix': [],
+        }
+        async with session.post(
+            f'http://{address}/v1/chat/completions', json=body, headers=headers
+        ) as response:
+            assert response.status == 200, await response.text()
+            async for _ in response.content.iter_any():
+                pass
+
+    async with aiohttp.ClientSession(
+        timeout=timeout, connector=connector
+    ) as session:
+        await asyncio.gather(*(one(number) for number in range(streams)))
+
+
+def measure(
+    pids: list[int],
+    address: str,
+    streams: int,
+    tokens: int,
+    headers: dict[str, str],
+) -> Cost:
+    """Drive one address and return the cost of the processes."""
+    processes = [psutil.Process(pid) for pid in pids]
+    before = cpu_seconds(processes)
+    asyncio.run(drive(address, streams, tokens, headers))
+    return Cost(streams * tokens, cpu_seconds(processes) - before)
+
+
+async def bare_relay(port: int, to: int) -> None:
+    """Copy bytes between connections, and do nothing else."""
+
+    async def copy(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        upstream = await asyncio.open_connection('127.0.0.1', to)
+        await asyncio.gather(
+            copy(reader, upstream[1]), copy(upstream[0], writer)
+        )
+
+    server = await asyncio.start_server(serve, '127.0.0.1', port)
+    await server.serve_forever()
+
+
+@click.group(invoke_without_command=True)
+@click.option('--streams', default=100)
+@click.option('--tokens', default=100)
+@click.option('--rounds', default=3)
+@click.pass_context
+def main(ctx: click.Context, streams: int, tokens: int, rounds: int) -> None:
+    """Measure, or run the bare relay."""
+    if ctx.invoked_subcommand is None:
+        compare(streams, tokens, rounds)
+
+
+@main.command('bare')
+@click.argument('port', type=int)
+@click.argument('to', type=int)
+def run_bare(port: int, to: int) -> None:
+    """Run the bare relay."""
+    asyncio.run(bare_relay(port, to))
+
+
+def compare(streams: int, tokens: int, rounds: int) -> None:
+    """Print the cost of entries, without and with copies, and ratios."""
+    for copies in (0, 2):
+        with tempfile.TemporaryDirectory() as folder:
+            deployment = testing.Deployment(
+                pathlib.Path(folder),
+                entries=1 + copies,
+                engines=1,
+                gap_s=GAP_S,
+                entry_settings={'copies': {'count': copies}},
+            )
+            try:
+                deployment.start()
+                report(deployment, copies, streams, tokens, rounds)
+            finally:
+                deployment.stop()
+
+
+def report(
+    deployment: testing.Deployment,
+    copies: int,
+    streams: int,
+    tokens: int,
+    rounds: int,
+) -> None:
+    """Alternate between the bare relay and the entry, and print both."""
+    names = [*deployment.http]
+    pids = [deployment.processes[name].pid for name in names]
+    idle = psutil.Process(pids[0]).memory_info().rss
+    control = psutil.Process(deployment.processes['c1'].pid)
+    print(
+        f'copies {copies}: idle RSS entry {idle / 2**20:.1f} MiB, '
+        f'control {control.memory_info().rss / 2**20:.1f} MiB'
+    )
+    (port,) = testing.free_ports(1)
+    engine = deployment.engines['m1']
+    bare = subprocess.Popen(
+        [sys.executable, __file__, 'bare', str(port), str(engine)]
+    )
+    try:
+        deployment.await_port(port)
+        headers = {
+            'Bulrushhold-Account': 'vendors',
+            'Content-Type': 'application/json',
+        }
+        for _ in range(rounds):
+            base = measure(
+                [bare.pid], f'127.0.0.1:{port}', streams, tokens, headers
+            )
+            ours = measure(
+                pids, deployment.seeds[0], streams, tokens, headers
+            )
+            ratio = ours.per_token_us / base.per_token_us
+            print(
+                f'  bare {base.per_token_us:.1f} us/token, all entries '
+                f'{ours.per_token_us:.1f} us/token, ratio {ratio:.2f}'
+            )
+    finally:
+        bare.kill()
+        bare.wait()
+
+
+if __name__ == '__main__':
+    main()
