Relay tokens without a task switch towards the caller

Change: engine events go to a plain call instead of an async generator; tokens are written to the caller within the call that makes them visible; copy batches are acknowledged by their exceptions only.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -177,9 +177,7 @@
             base = measure(
                 [bare.pid], f'127.0.0.1:{port}', streams, tokens, headers
             )
-            ours = measure(
-                pids, deployment.seeds[0], streams, tokens, headers
-            )
+            ours = measure(pids, deployment.seeds[0], streams, tokens, headers)
             ratio = ours.per_token_us / base.per_token_us
             print(
                 f'  bare {base.per_token_us:.1f} us/token, all entries '
--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -152,7 +152,12 @@
         self.spawn(self._follow_peers())
         self.spawn(self.streams.sweep())
         self.runner = web.AppRunner(
-            self.server.application(), access_log=None, shutdown_timeout=5.0
+            self.server.application(),
+            access_log=None,
+            shutdown_timeout=5.0,
+            # Else a caller that leaves before the first token would hold
+            # its stream until an engine sends one.
+            handler_cancellation=True,
         )
         await self.runner.setup()
         site = web.TCPSite(self.runner, config.http.host, config.http.port)
--- a/src/bulrushhold/decisions/_copies.py
+++ b/src/bulrushhold/decisions/_copies.py
@@ -63,31 +63,45 @@
         pointer.copies = list(dict.fromkeys(take.copies + former))[:6]
         return messages.PointerState(True, take.epoch, former)
 
+    def append_all(
+        self, batch: messages.CopyBatch, now: float
+    ) -> messages.CopyBatchAck:
+        """Take a batch, and name the appends that weren't stored."""
+        exceptions = []
+        for number, append in enumerate(batch.appends):
+            ok, length = self.append(append, now)
+            if not ok or length != append.offset + len(append.tokens):
+                exceptions.append(messages.CopyAck(number, ok, length))
+        return messages.CopyBatchAck(exceptions)
+
     def append(
         self, append: messages.CopyAppend, now: float
-    ) -> messages.CopyAck:
-        """Add tokens to a copy, or tell from where to send again."""
+    ) -> tuple[bool, int]:
+        """Add tokens to a copy, or tell from where to send again.
+
+        :returns: whether the sender isn't fenced, and the tokens held.
+        """
         copy = self.copies.get(append.key)
         if copy is None:
             copy = Copy(append.epoch, 0, [], '', '', now)
             self.copies[append.key] = copy
         if append.epoch < copy.fence:
-            return messages.CopyAck(False, len(copy.tokens))
+            return False, len(copy.tokens)
         copy.fence = append.epoch
         copy.used_at = now
         if copy.written != append.epoch:
             # Tokens of a former entry: only a whole transcript replaces
             # them, else a gap could be filled with another text.
             if append.offset != 0:
-                return messages.CopyAck(True, 0)
+                return True, 0
             copy.tokens = []
             copy.written = append.epoch
         if append.offset > len(copy.tokens):
-            return messages.CopyAck(True, len(copy.tokens))
+            return True, len(copy.tokens)
         copy.tokens[append.offset :] = append.tokens
         copy.version = append.version
         copy.finish = append.finish
-        return messages.CopyAck(True, len(copy.tokens))
+        return True, len(copy.tokens)
 
     def take(self, take: messages.CopyTake, now: float) -> messages.CopyState:
         """Hand a copy over and fence the entry that wrote it.
--- a/src/bulrushhold/decisions/_transcript.py
+++ b/src/bulrushhold/decisions/_transcript.py
@@ -45,24 +45,23 @@
         """Hear an attempt no more, whatever it still sends."""
         self.contenders.pop(attempt, None)
 
-    def accept_token(
-        self, request: str, attempt: int, offset: int, text: str
+    def accept(
+        self, request: str, attempt: int, offset: int, text: str, finish: str
     ) -> Verdict:
-        """Append one token, if it is the next one of a contender."""
-        verdict = self._judge(request, attempt, offset)
-        if verdict is Verdict.ACCEPTED:
-            self._settle(attempt)
-            self.tokens.append(text)
-        return verdict
+        """Take one token or end mark, if it comes next and may come.
 
-    def accept_finish(
-        self, request: str, attempt: int, offset: int, reason: str
-    ) -> Verdict:
-        """Take an end mark, if no token before it is missing."""
+        :param finish: ``''`` for a token, else why the answer ended.
+        """
         verdict = self._judge(request, attempt, offset)
-        if verdict is Verdict.ACCEPTED:
-            self._settle(attempt)
-            self.finish = reason
+        if verdict is not Verdict.ACCEPTED:
+            return verdict
+        if len(self.contenders) > 1:
+            self.contenders = {attempt: self.contenders[attempt]}
+        self.version = self.contenders[attempt]
+        if finish:
+            self.finish = finish
+        else:
+            self.tokens.append(text)
         return verdict
 
     def _judge(self, request: str, attempt: int, offset: int) -> Verdict:
@@ -75,8 +74,3 @@
         if offset > len(self.tokens):
             return Verdict.MISSING
         return Verdict.ACCEPTED
-
-    def _settle(self, attempt: int) -> None:
-        if len(self.contenders) > 1:
-            self.contenders = {attempt: self.contenders[attempt]}
-        self.version = self.contenders[attempt]
--- /dev/null
+++ b/src/bulrushhold/entry/_callerstream.py
@@ -0,0 +1,107 @@
+"""Writes one generation to one caller as server-sent events."""
+
+import asyncio
+import typing as t
+
+from aiohttp import web
+import msgspec
+
+from bulrushhold.entry import _generation
+
+_DONE: t.Final = b'data: [DONE]\n\n'
+_encode = msgspec.json.encode
+
+
+class CallerStream:
+    """Sends tokens as they become visible.
+
+    Tokens are written within the call that makes them visible, as long
+    as the connection takes them; a task's wake-up for each token would
+    cost about as much as its relay. Where the caller reads more slowly
+    than the engine writes, the handler's task takes over and waits.
+
+    :param have: tokens that the caller already has.
+    """
+
+    def __init__(
+        self,
+        generation: _generation.Generation,
+        response: web.StreamResponse,
+        have: int,
+    ) -> None:
+        self.generation = generation
+        self.response = response
+        self.sent = have
+        self.wanted = asyncio.Event()
+        self.transport: asyncio.Transport | None = None
+
+    async def run(self, transport: asyncio.Transport | None) -> None:
+        """Write until the end mark or the refusal is out.
+
+        :raises ConnectionResetError: where the caller has left.
+        """
+        self.transport = transport
+        self.generation.listeners.append(self._on_more)
+        try:
+            while not self.generation.ended:
+                await self._catch_up()
+                await self.wanted.wait()
+                self.wanted.clear()
+            await self._catch_up()
+        finally:
+            self.generation.listeners.remove(self._on_more)
+        await self.response.write(_end(self.generation))
+        await self.response.write_eof()
+
+    def _on_more(self) -> None:
+        transport = self.transport
+        if (
+            transport is None
+            or transport.is_closing()
+            or transport.get_write_buffer_size()
+            or self.generation.ended
+        ):
+            self.wanted.set()
+            return
+        data = self._take()
+        if not data:
+            return
+        try:
+            # With an empty buffer this write ends without waiting.
+            self.response.write(data).send(None)
+        except StopIteration:
+            return
+        except ConnectionError:
+            self.wanted.set()
+
+    async def _catch_up(self) -> None:
+        while data := self._take():
+            await self.response.write(data)
+
+    def _take(self) -> bytes:
+        """Return events for what is visible and not yet sent."""
+        start, self.sent = self.sent, max(self.sent, self.generation.visible)
+        return _events(self.generation.transcript.tokens, start, self.sent)
+
+
+def _events(tokens: list[str], start: int, stop: int) -> bytes:
+    """Return server-sent events for tokens; the id is the offset."""
+    parts = []
+    for offset in range(start, stop):
+        delta = _encode(tokens[offset])
+        parts.append(
+            b'id: %d\ndata: {"choices":[{"index":0,"delta":{"content":%b}}]}'
+            b'\n\n' % (offset, delta)
+        )
+    return b''.join(parts)
+
+
+def _end(generation: _generation.Generation) -> bytes:
+    """Return the end mark, or the event of an honest refusal."""
+    if generation.error is not None:
+        return b'event: error\ndata: %b\n\n' % _encode(generation.error.body())
+    finish = _encode(generation.transcript.finish)
+    return (
+        b'data: {"choices":[{"index":0,"delta":{},"finish_reason":%b}]}\n\n'
+        % finish
+    ) + _DONE
--- a/src/bulrushhold/entry/_copywriter.py
+++ b/src/bulrushhold/entry/_copywriter.py
@@ -131,10 +131,16 @@
         except errors.PeerError as error:
             await self._lose(peer, batch, error)
             return
-        for generation, append, ack in zip(
-            batch, appends, reply.acks, strict=True
-        ):
-            self._take_ack(peer, generation, append, ack)
+        unlike = {ack.number: ack for ack in reply.exceptions}
+        for number, append in enumerate(appends):
+            ack = unlike.get(number)
+            length = append.offset + len(append.tokens)
+            self._take_ack(
+                peer,
+                batch[number],
+                length if ack is None else ack.length,
+                fenced=ack is not None and not ack.ok,
+            )
 
     def _append_for(
         self, peer: _Peer, generation: _generation.Generation
@@ -156,16 +162,16 @@
         self,
         peer: _Peer,
         generation: _generation.Generation,
-        append: messages.CopyAppend,
-        ack: messages.CopyAck,
+        length: int,
+        *,
+        fenced: bool,
     ) -> None:
-        if not ack.ok:
+        if fenced:
             generation.fence(peer.address)
             self.open.pop(generation.key, None)
             return
-        generation.acked[peer.address] = ack.length
-        done = append.offset + len(append.tokens)
-        if ack.length < done or done < len(generation.transcript.tokens):
+        generation.acked[peer.address] = length
+        if length < len(generation.transcript.tokens):
             peer.dirty[generation.key] = generation
             peer.work.set()
         self._show(generation)
--- a/src/bulrushhold/entry/_generation.py
+++ b/src/bulrushhold/entry/_generation.py
@@ -1,6 +1,7 @@
 """One caller's generation: its transcript and who waits for it."""
 
 import asyncio
+import collections.abc as cabc
 import typing as t
 
 import attrs
@@ -64,6 +65,7 @@
         self.lost_engines: set[str] = set()
         self.acked: dict[str, int] = {}
         self.task: asyncio.Task[None] | None = None
+        self.listeners: list[cabc.Callable[[], None]] = []
         self._waiters: list[asyncio.Future[None]] = []
 
     @property
@@ -104,7 +106,11 @@
         self.wake()
 
     def wake(self) -> None:
-        """Wake the readers."""
+        """Tell the readers that there is more, or the end."""
+        for listener in self.listeners:
+            listener()
+        if not self._waiters:
+            return
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             if not waiter.done():
--- a/src/bulrushhold/entry/_keys.py
+++ b/src/bulrushhold/entry/_keys.py
@@ -150,7 +150,4 @@
     async def _on_batch(
         self, batch: messages.CopyBatch
     ) -> messages.CopyBatchAck:
-        now = time.monotonic()
-        return messages.CopyBatchAck(
-            [self.store.append(append, now) for append in batch.appends]
-        )
+        return self.store.append_all(batch, time.monotonic())
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -203,26 +203,22 @@
         order = generation.order
         state = attempt.state
         address = state.server.address
-        stream = self.engines.stream(
-            address,
-            ports.Generate(
-                generation.key,
-                attempt.number,
-                order.model,
-                order.messages,
-                list(generation.transcript.tokens),
-                order.max_tokens,
-                order.row.priority,
-                order.row.deadline_s,
-            ),
+        engine_order = ports.Generate(
+            generation.key,
+            attempt.number,
+            order.model,
+            order.messages,
+            list(generation.transcript.tokens),
+            order.max_tokens,
+            order.row.priority,
+            order.row.deadline_s,
         )
+
+        def take(event: ports.Event) -> bool:
+            return self._take(generation, attempt, event)
+
         try:
-            async with contextlib.aclosing(stream) as events:
-                async for event in events:
-                    if not self._take(generation, attempt, event):
-                        break
-                    if generation.transcript.finish:
-                        break
+            await self.engines.run(address, engine_order, take)
             self._report(state)
         except errors.EngineRefusedError as error:
             self._log_loss(generation, attempt, error)
@@ -238,18 +234,17 @@
         self,
         generation: _generation.Generation,
         attempt: _Attempt,
-        event: ports.Token | ports.Finish,
+        event: ports.Event,
     ) -> bool:
         """Take one event; return whether to go on reading."""
         transcript = generation.transcript
-        if isinstance(event, ports.Finish):
-            verdict = transcript.accept_finish(
-                event.request, event.attempt, event.offset, event.reason
-            )
-        else:
-            verdict = transcript.accept_token(
-                event.request, event.attempt, event.offset, event.text
-            )
+        verdict = transcript.accept(
+            event.request,
+            event.attempt,
+            event.offset,
+            event.token,
+            event.finish,
+        )
         if verdict is not decisions.Verdict.ACCEPTED:
             return self._drop(generation, attempt, verdict)
         now = time.monotonic()
@@ -261,7 +256,7 @@
         generation.last_token_at = now
         self.policy.budget.delivered += 1
         self.copies.wrote(generation)
-        return True
+        return not event.finish
 
     def _first_event(
         self, generation: _generation.Generation, attempt: _Attempt
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -11,6 +11,7 @@
 import uuid_utils
 
 from bulrushhold import decisions
+from bulrushhold.entry import _callerstream
 from bulrushhold.entry import _control
 from bulrushhold.entry import _generation
 from bulrushhold.entry import _requests
@@ -27,7 +28,6 @@
 NOT_READY_RETRY_S: t.Final = 2.0
 DRAIN_RETRY_S: t.Final = 0.0
 _JSON: t.Final = 'application/json'
-_DONE: t.Final = b'data: [DONE]\n\n'
 _encode = msgspec.json.encode
 
 
@@ -241,19 +241,8 @@
             }
         )
         await response.prepare(request)
-        tokens = generation.transcript.tokens
-        sent = have
-        while True:
-            if sent < generation.visible:
-                visible = generation.visible
-                await response.write(_events(tokens, sent, visible))
-                sent = visible
-            elif generation.ended:
-                break
-            else:
-                await generation.wait()
-        await response.write(_end(generation))
-        await response.write_eof()
+        stream = _callerstream.CallerStream(generation, response, have)
+        await stream.run(request.transport)
         return response
 
     # Plain services
@@ -465,26 +454,3 @@
             status=503,
             retry_after=NOT_READY_RETRY_S,
         )
-
-
-def _events(tokens: list[str], start: int, stop: int) -> bytes:
-    """Return server-sent events for tokens; the id is the offset."""
-    parts = []
-    for offset in range(start, stop):
-        delta = _encode(tokens[offset])
-        parts.append(
-            b'id: %d\ndata: {"choices":[{"index":0,"delta":{"content":%b}}]}'
-            b'\n\n' % (offset, delta)
-        )
-    return b''.join(parts)
-
-
-def _end(generation: _generation.Generation) -> bytes:
-    """Return the end mark, or the event of an honest refusal."""
-    if generation.error is not None:
-        return b'event: error\ndata: %b\n\n' % _encode(generation.error.body())
-    finish = _encode(generation.transcript.finish)
-    return (
-        b'data: {"choices":[{"index":0,"delta":{},"finish_reason":%b}]}\n\n'
-        % finish
-    ) + _DONE
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -379,21 +379,23 @@
 
 @attrs.frozen
 class CopyAck:
-    """What became of one append.
+    """What became of one append that wasn't simply stored.
 
+    :param number: position of the append in its batch.
     :param ok: ``False`` where a higher epoch fences the sender.
     :param length: tokens that the copy now holds.
     """
 
+    number: int
     ok: bool
     length: int
 
 
 @attrs.frozen
 class CopyBatchAck:
-    """Answers :class:`CopyBatch`, in its order."""
+    """Answers :class:`CopyBatch`; appends it doesn't name were stored."""
 
-    acks: list[CopyAck]
+    exceptions: list[CopyAck]
 
 
 @attrs.frozen
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -41,27 +41,20 @@
 
 
 @attrs.frozen
-class Token:
-    """One token as an engine sent it.
+class Event:
+    """One token or the end mark, as an engine sent it.
 
     :param request: the request id that the engine's reply names.
     :param attempt: the attempt that the engine's reply names.
+    :param offset: of the token; of the end mark, the number of tokens.
+    :param finish: ``''`` for a token, else why the answer ended.
     """
 
     request: str
     attempt: int
     offset: int
-    text: str
-
-
-@attrs.frozen
-class Finish:
-    """An engine's end mark: ``reason`` is ``stop`` or ``length``."""
-
-    request: str
-    attempt: int
-    offset: int
-    reason: str
+    token: str = ''
+    finish: str = ''
 
 
 @attrs.frozen
@@ -92,12 +85,18 @@
     reports: dict[str, int]
 
     @abc.abstractmethod
-    def stream(
-        self, address: str, order: Generate
-    ) -> cabc.AsyncGenerator[Token | Finish, None]:
-        """Yield the engine's events until its end mark.
+    async def run(
+        self,
+        address: str,
+        order: Generate,
+        take: cabc.Callable[[Event], bool],
+    ) -> None:
+        """Give the engine's events to ``take`` until it returns ``False``.
+
+        A plain call for each event: an async generator would cost a
+        task's step and more for each token.
 
-        :raises EngineLostError: where the stream breaks off.
+        :raises EngineLostError: where the stream breaks off before that.
         :raises EngineRefusedError: where the engine won't run it.
         """
 
--- a/src/bulrushhold/web/_engine.py
+++ b/src/bulrushhold/web/_engine.py
@@ -5,7 +5,6 @@
 import typing as t
 
 import aiohttp
-import attrs
 import msgspec
 
 from bulrushhold import errors
@@ -18,18 +17,7 @@
 _DATA: t.Final = b'data: '
 
 
-@attrs.frozen
-class _Event:
-    """One event of an engine's stream: a token or the end mark."""
-
-    request: str
-    attempt: int
-    offset: int
-    token: str = ''
-    finish: str = ''
-
-
-_EVENTS = msgspec.json.Decoder(_Event)
+_EVENTS = msgspec.json.Decoder(ports.Event)
 _ENCODER = msgspec.json.Encoder()
 _BROKEN: t.Final = (
     aiohttp.ClientError,
@@ -51,22 +39,32 @@
         )
         self.reports: dict[str, int] = {}
 
-    async def stream(
-        self, address: str, order: ports.Generate
-    ) -> cabc.AsyncGenerator[ports.Token | ports.Finish, None]:
-        """Yield the engine's events until its end mark."""
+    async def run(
+        self,
+        address: str,
+        order: ports.Generate,
+        take: cabc.Callable[[ports.Event], bool],
+    ) -> None:
+        """Give the engine's events to ``take`` until it has enough."""
         response = await self._open(address, order)
+        read = response.content.readany
+        pending = b''
         try:
-            pending = b''
-            async for chunk in response.content.iter_any():
+            while chunk := await read():
                 *lines, pending = (pending + chunk).split(b'\n')
                 for line in lines:
-                    if line.startswith(_DATA):
-                        yield _event(line, address)
+                    if line.startswith(_DATA) and not take(
+                        _EVENTS.decode(line[len(_DATA) :])
+                    ):
+                        return
         except _BROKEN as error:
             raise errors.EngineLostError(
                 str(error) or type(error).__name__, 'stream', address
             ) from error
+        except msgspec.DecodeError as error:
+            raise errors.EngineLostError(
+                f'malformed event: {error}', 'stream', address
+            ) from error
         finally:
             # Never back to the pool: what is left of a stream that was
             # given up on would answer the next request.
@@ -128,17 +126,3 @@
                 final=response.status in FINAL_STATUSES,
             )
         return response
-
-
-def _event(line: bytes, address: str) -> ports.Token | ports.Finish:
-    try:
-        event = _EVENTS.decode(line[len(_DATA) :])
-    except msgspec.DecodeError as error:
-        raise errors.EngineLostError(
-            f'malformed event: {error}', 'stream', address
-        ) from error
-    if event.finish:
-        return ports.Finish(
-            event.request, event.attempt, event.offset, event.finish
-        )
-    return ports.Token(event.request, event.attempt, event.offset, event.token)
