--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -130,6 +130,9 @@
         self.table.changed.append(
             lambda: self.streams.refuse_quarantined(self.table.quarantined)
         )
+        self.table.changed.append(
+            lambda: runner.suspects.learn(self.table.suspects)
+        )
         services = entry.ServiceRunner(
             self.router,
             adapters.HttpServiceClient(self.session),
@@ -223,12 +226,20 @@
         self.process.streams.refuse_quarantined(frozenset(self.own))
         self.process.spawn(self._tell(fingerprint, reason))
 
-    async def _tell(self, fingerprint: str, reason: str) -> None:
-        order = messages.Quarantine(fingerprint, reason, time.time())
+    def suspect(self, fingerprints: list[str]) -> None:
+        """Tell every entry that an engine died under these contents."""
+        self.process.spawn(self._propose(messages.Suspected(fingerprints)))
+
+    async def _propose(self, order: messages.Message) -> None:
         while True:
             with contextlib.suppress(errors.PeerError):
                 await self.process.control.propose(order, 10.0)
                 break
+
+    async def _tell(self, fingerprint: str, reason: str) -> None:
+        await self._propose(
+            messages.Quarantine(fingerprint, reason, time.time())
+        )
         # From here on control's list counts, so that operators can lift.
         await asyncio.sleep(2 * self.process.config.table_poll_s)
         self.own.discard(fingerprint)
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -247,8 +247,10 @@
             whole=whole or known == 0,
             rows=rows,
             removed=removed,
-            quarantine_revision=self.state.quarantine_revision,
-            quarantined=sorted(self.state.quarantined),
+            refusals_revision=self.state.refusals_revision,
+            refusals=None
+            if read.known_refusals == self.state.refusals_revision
+            else self.state.refusals(),
         )
 
     async def _on_history_read(
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -21,6 +21,7 @@
 from bulrushhold.decisions._replica import Replica
 from bulrushhold.decisions._replica import Role
 from bulrushhold.decisions._replica import Timing
+from bulrushhold.decisions._retries import RetryBudget
 from bulrushhold.decisions._routing import BackendState
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
@@ -47,6 +48,7 @@
     'RecoveryPolicy',
     'Replica',
     'ReplicatedState',
+    'RetryBudget',
     'Role',
     'Router',
     'Suspects',
--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -14,6 +14,7 @@
 REPORT_HALF_LIFE_S: t.Final = 2.0
 FIRST_PAUSE_S: t.Final = 0.5
 LONGEST_PAUSE_S: t.Final = 15.0
+LIST_LAG_S: t.Final = 30.0
 
 
 @attrs.define
@@ -25,6 +26,7 @@
     :param own_at_report: this entry's own part of it.
     :param failures: failures in a row.
     :param closed_until: monotonic seconds until it gets no request.
+    :param left_until: the same, after it asked for no new work.
     """
 
     server: ports.BackendServer
@@ -35,6 +37,7 @@
     failures: int = 0
     closed_until: float = 0.0
     listed: bool = True
+    left_until: float = 0.0
     suspects: int = 0
     gaps: _recovery.GapEstimate = attrs.field(factory=_recovery.GapEstimate)
 
@@ -88,11 +91,7 @@
         self.states: dict[str, BackendState] = {}
 
     def update(self, servers: list[ports.BackendServer]) -> None:
-        """Take in the platform's list.
-
-        A server that this entry has seen leave stays left until it is
-        listed under another address: the list lags.
-        """
+        """Take in the platform's list."""
         listed = {server.name: server for server in servers}
         for name, state in list(self.states.items()):
             if name not in listed:
@@ -104,15 +103,18 @@
             if state is None or state.server.address != server.address:
                 self.states[name] = BackendState(server)
                 continue
-            left = state.server.leaving
-            state.server = attrs.evolve(server, leaving=server.leaving or left)
+            state.server = server
             state.listed = True
 
-    def mark_leaving(self, name: str) -> None:
-        """Give a server nothing new, ahead of the platform's list."""
+    def mark_leaving(self, name: str, now: float) -> None:
+        """Give a server nothing new, ahead of the platform's list.
+
+        Only for as long as the list may lag: a server that was restarted
+        under its old name would else never get work again.
+        """
         state = self.states.get(name)
         if state is not None:
-            state.server = attrs.evolve(state.server, leaving=True)
+            state.left_until = now + LIST_LAG_S
 
     def choose_engine(
         self,
@@ -171,7 +173,7 @@
             if state.server.kind == kind
             and state.listed
             and not state.server.leaving
-            and now >= state.closed_until
+            and now >= max(state.closed_until, state.left_until)
         ]
 
     def _choose(
--- a/src/bulrushhold/decisions/_statemachine.py
+++ b/src/bulrushhold/decisions/_statemachine.py
@@ -1,5 +1,7 @@
 """The replicated state: table, claims and quarantine, from commands."""
 
+import typing as t
+
 import attrs
 import msgspec
 
@@ -7,18 +9,22 @@
 from bulrushhold.decisions import _table
 from bulrushhold import messages
 
+SUSPECTS_KEPT: t.Final = 500
+
 
 @attrs.define
 class ReplicatedState:
     """What every replica holds after the same commands.
 
     :param quarantined: request fingerprint to why it is refused.
+    :param suspects: request fingerprint to the deaths it was present at.
     """
 
     table: _table.TableState = attrs.field(factory=_table.TableState)
     claims: _claims.ClaimState = attrs.field(factory=_claims.ClaimState)
     quarantined: dict[str, str] = attrs.field(factory=dict)
-    quarantine_revision: int = 0
+    suspects: dict[str, int] = attrs.field(factory=dict)
+    refusals_revision: int = 0
 
     def apply(self, command: bytes) -> bytes:
         """Apply one committed command; return its encoded result.
@@ -39,14 +45,37 @@
         if isinstance(message, messages.Quarantine):
             self._quarantine(message)
             return b''
+        if isinstance(message, messages.Suspected):
+            self._suspect(message)
+            return b''
         return messages.encode(messages.Failure('not a command'))
 
     def _quarantine(self, order: messages.Quarantine) -> None:
         if order.lift:
             self.quarantined.pop(order.fingerprint, None)
+            self.suspects.pop(order.fingerprint, None)
         else:
             self.quarantined[order.fingerprint] = order.reason
-        self.quarantine_revision += 1
+        self.refusals_revision += 1
+
+    def _suspect(self, order: messages.Suspected) -> None:
+        """Remember the contents, so that every entry treats them alike.
+
+        A caller whose request killed one engine may send it again through
+        another entry; without this, that entry would count from nothing.
+        """
+        for fingerprint in order.fingerprints:
+            deaths = self.suspects.pop(fingerprint, 0)
+            self.suspects[fingerprint] = deaths + 1
+        while len(self.suspects) > SUSPECTS_KEPT:
+            del self.suspects[next(iter(self.suspects))]
+        self.refusals_revision += 1
+
+    def refusals(self) -> messages.Refusals:
+        """Return what entries need of quarantine and suspects."""
+        return messages.Refusals(
+            sorted(self.quarantined), sorted(self.suspects)
+        )
 
     def dump(self) -> bytes:
         """Return the whole state, for a snapshot."""
--- a/src/bulrushhold/decisions/_suspects.py
+++ b/src/bulrushhold/decisions/_suspects.py
@@ -1,5 +1,6 @@
 """Which request kills the engines it runs on."""
 
+import collections.abc as cabc
 import typing as t
 
 import attrs
@@ -30,6 +31,11 @@
         """Whether an engine has died under this content."""
         return fingerprint in self.deaths
 
+    def learn(self, fingerprints: cabc.Iterable[str]) -> None:
+        """Take over suspects that other entries have found."""
+        for fingerprint in fingerprints:
+            self.deaths.setdefault(fingerprint, 1)
+
     def engine_died(self, fingerprints: list[str]) -> list[str]:
         """Count a death; return the contents to be quarantined.
 
--- a/src/bulrushhold/entry/_control.py
+++ b/src/bulrushhold/entry/_control.py
@@ -136,6 +136,8 @@
         self.rows: dict[str, messages.Row] = {}
         self.accounts: dict[str, float] = {}
         self.quarantined: frozenset[str] = frozenset()
+        self.suspects: frozenset[str] = frozenset()
+        self.refusals_revision = -1
         self.revision = 0
         self.confirmed_at: float | None = None
         self.changed: list[cabc.Callable[[], None]] = []
@@ -170,7 +172,9 @@
     async def poll(self) -> None:
         """Ask for changes once, and take them in."""
         sent = self.clock()
-        read = messages.TableRead(self.revision, self.config.name)
+        read = messages.TableRead(
+            self.revision, self.config.name, self.refusals_revision
+        )
         reply = await self.control.read(read, TRY_S * 3)
         self.take(reply, sent)
 
@@ -185,22 +189,32 @@
             )
             return
         self.confirmed_at = sent
-        fresh = frozenset(reply.quarantined)
-        if reply.revision == self.revision and fresh == self.quarantined:
-            return
+        changed = self._take_refusals(reply)
+        if reply.revision != self.revision:
+            self._take_rows(reply)
+            changed = True
+        if changed:
+            for call in self.changed:
+                call()
+
+    def _take_rows(self, reply: messages.TableReply) -> None:
         if reply.whole:
             self.rows = {}
         for key in reply.removed:
             self.rows.pop(key, None)
         for row in reply.rows:
             self.rows[row.key] = row
-        self.quarantined = fresh
-        self._weigh()
-        if reply.revision != self.revision:
-            loguru.logger.bind(revision=reply.revision).info('table in force')
         self.revision = reply.revision
-        for call in self.changed:
-            call()
+        self._weigh()
+        loguru.logger.bind(revision=reply.revision).info('table in force')
+
+    def _take_refusals(self, reply: messages.TableReply) -> bool:
+        if reply.refusals is None:
+            return False
+        self.quarantined = frozenset(reply.refusals.quarantined)
+        self.suspects = frozenset(reply.refusals.suspects)
+        self.refusals_revision = reply.refusals_revision
+        return True
 
     def _weigh(self) -> None:
         self.accounts = {}
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -26,6 +26,7 @@
     """One attempt of a generation on one engine.
 
     :param counted: its engine's death has been counted.
+    :param reached: its request may have reached the engine.
     :param suspect: it counts among the suspects on its engine.
     """
 
@@ -35,6 +36,7 @@
     started: bool = False
     counted: bool = False
     suspect: bool = False
+    reached: bool = True
     task: asyncio.Task[None] | None = None
 
 
@@ -49,6 +51,10 @@
         """Have the content refused by every entry."""
         ...
 
+    def suspect(self, fingerprints: list[str]) -> None:
+        """Tell every entry that an engine died under these contents."""
+        ...
+
 
 class GenerationRunner:
     """Dispatches, watches and continues generations."""
@@ -70,6 +76,7 @@
         self.copies = copies
         self.quarantine = quarantine
         self.metrics = metrics
+        self.retries = decisions.RetryBudget()
         self.suspects = decisions.Suspects()
         self.running: dict[
             str, list[tuple[_generation.Generation, _Attempt]]
@@ -126,6 +133,10 @@
             )
         if transcript.last_attempt >= self.config.max_attempts:
             raise self._refusal(generation, 'too many engines were lost')
+        if not self.retries.allows(order.account, transcript.last_attempt):
+            raise self._refusal(
+                generation, 'the retry budget of the account is spent'
+            )
         choice = self.router.choose_engine(
             order.model,
             order.affinity,
@@ -176,6 +187,7 @@
         )
         if generation.lifecycle.state != 'streaming':
             generation.lifecycle.move('dispatch')
+        self.retries.count(generation.order.account, number)
         self.metrics.count('attempts')
         attempt.task = asyncio.get_running_loop().create_task(
             self._read(generation, attempt)
@@ -219,14 +231,15 @@
 
         try:
             await self.engines.run(address, engine_order, take)
-            self._report(state)
         except errors.EngineRefusedError as error:
             self._log_loss(generation, attempt, error)
             self._refused(generation, attempt, error)
         except errors.EngineLostError as error:
             self._log_loss(generation, attempt, error)
+            attempt.reached = error.step != 'connect'
             self._lost(generation, attempt)
         finally:
+            self._report(state)
             generation.transcript.end_attempt(attempt.number)
             generation.attempt_ended.set()
 
@@ -263,6 +276,7 @@
     ) -> None:
         attempt.started = True
         attempt.state.succeeded()
+        self._report(attempt.state)
         if generation.lifecycle.state in ('dispatched', 'recovering'):
             generation.lifecycle.move('stream')
         if generation.last_token_at:
@@ -286,9 +300,12 @@
         return verdict is decisions.Verdict.REPEATED
 
     def _report(self, state: decisions.BackendState) -> None:
-        running = self.engines.reports.pop(state.server.address, None)
-        if running is not None:
-            state.report(running, time.monotonic())
+        report = self.engines.reports.pop(state.server.address, None)
+        if report is None:
+            return
+        state.report(report.running, time.monotonic())
+        if report.leaving:
+            self.router.mark_leaving(state.server.name, time.monotonic())
 
     def _leave(
         self, generation: _generation.Generation, attempt: _Attempt
@@ -332,7 +349,7 @@
         generation.lost_engines.add(state.server.name)
         self.metrics.count('engines.lost')
         name = state.server.name
-        if attempt.counted or name in self.probes:
+        if attempt.counted or not attempt.reached or name in self.probes:
             return
         here = list(self.running.get(name, []))
         probe = asyncio.get_running_loop().create_task(
@@ -353,6 +370,8 @@
         """
         if await self.engines.alive(state.server.address):
             return
+        # Who found the engine dead already can't have killed it.
+        here = [(g, attempt) for g, attempt in here if attempt.reached]
         for _, attempt in here:
             attempt.counted = True
         contents = [g.order.fingerprint for g, _ in here]
@@ -362,8 +381,12 @@
             suspects=len(set(contents)),
             reason='connection refused',
         )
-        for fingerprint in self.suspects.engine_died(contents):
+        named = self.suspects.engine_died(contents)
+        for fingerprint in named:
             self.quarantine.add(fingerprint, QUARANTINE_REASON)
+        others = sorted(set(contents) - set(named))
+        if others:
+            self.quarantine.suspect(others)
 
     async def _await_verdict(self, generation: _generation.Generation) -> None:
         """Let a suspect go on only when its engine's fate is known.
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -248,16 +248,36 @@
     result: bytes = b''
 
 
+@attrs.frozen
+class Suspected:
+    """Contents that ran on an engine when it died."""
+
+    fingerprints: list[str]
+
+
+@attrs.frozen
+class Refusals:
+    """Contents that are refused, and those that may become so.
+
+    :param suspects: each has seen one engine die.
+    """
+
+    quarantined: list[str]
+    suspects: list[str]
+
+
 @attrs.frozen
 class TableRead:
     """Asks the leader for what changed after revision ``known``.
 
     :param instance: the asking entry, whose revision in force is kept;
         ``''`` for an operator's pull.
+    :param known_refusals: revision of quarantine and suspects it has.
     """
 
     known: int
     instance: str
+    known_refusals: int = -1
 
 
 @attrs.frozen
@@ -270,8 +290,8 @@
     whole: bool = False
     rows: list[Row] = attrs.field(factory=list)
     removed: list[str] = attrs.field(factory=list)
-    quarantine_revision: int = 0
-    quarantined: list[str] = attrs.field(factory=list)
+    refusals_revision: int = 0
+    refusals: Refusals | None = None
 
 
 @attrs.frozen
@@ -444,6 +464,7 @@
     ClaimOutcome,
     ForgetClaims,
     Quarantine,
+    Suspected,
     Proposal,
     ProposalReply,
     TableRead,
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -75,14 +75,25 @@
     deadline_s: float
 
 
+@attrs.frozen
+class LoadReport:
+    """What an engine's reply told of itself.
+
+    :param running: requests running there, of all entries.
+    :param leaving: it asks for no new work, ahead of the platform's list.
+    """
+
+    running: int
+    leaving: bool = False
+
+
 class EngineClient(abc.ABC):
     """Speaks one protocol of model engines.
 
-    :param reports: address to the requests running there, as the engine's
-        last reply told; taken out by the reader.
+    :param reports: address to the newest report; taken out by the reader.
     """
 
-    reports: dict[str, int]
+    reports: dict[str, LoadReport]
 
     @abc.abstractmethod
     async def run(
--- a/src/bulrushhold/testing/_engine.py
+++ b/src/bulrushhold/testing/_engine.py
@@ -46,6 +46,7 @@
         self.crossed = False
         self.drop_end_mark = False
         self.refuse_status = 0
+        self.leaving = False
 
     def routes(self) -> list[web.RouteDef]:
         """Return the engine's routes."""
@@ -72,12 +73,13 @@
             await self.crash()
         key = (order['request'], order['attempt'])
         cancelled = self.running[key] = asyncio.Event()
-        response = web.StreamResponse(
-            headers={
-                'Content-Type': 'text/event-stream',
-                'X-Running': str(len(self.running)),
-            }
-        )
+        headers = {
+            'Content-Type': 'text/event-stream',
+            'X-Running': str(len(self.running)),
+        }
+        if self.leaving:
+            headers['X-Leaving'] = '1'
+        response = web.StreamResponse(headers=headers)
         try:
             await response.prepare(request)
             async with self.slots:
--- a/src/bulrushhold/web/_engine.py
+++ b/src/bulrushhold/web/_engine.py
@@ -13,6 +13,7 @@
 CONNECT_S: t.Final = 1.0
 PROBE_S: t.Final = 0.3
 RUNNING_HEADER: t.Final = 'X-Running'
+LEAVING_HEADER: t.Final = 'X-Leaving'
 FINAL_STATUSES: t.Final = frozenset((400, 413, 422))
 _DATA: t.Final = b'data: '
 
@@ -24,6 +25,11 @@
     ConnectionError,
     asyncio.TimeoutError,
 )
+# No byte of a request can have left.
+_UNREACHED: t.Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 
 
 class HttpEngineClient(ports.EngineClient):
@@ -37,7 +43,7 @@
         self.timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_S
         )
-        self.reports: dict[str, int] = {}
+        self.reports: dict[str, ports.LoadReport] = {}
 
     async def run(
         self,
@@ -110,13 +116,19 @@
                 headers={'Content-Type': 'application/json'},
                 timeout=self.timeout,
             )
+        except _UNREACHED as error:
+            raise errors.EngineLostError(
+                str(error), 'connect', address
+            ) from error
         except _BROKEN as error:
             raise errors.EngineLostError(
-                str(error) or type(error).__name__, 'connect', address
+                str(error) or type(error).__name__, 'dispatch', address
             ) from error
         running = response.headers.get(RUNNING_HEADER, '')
         if running.isdigit():
-            self.reports[address] = int(running)
+            self.reports[address] = ports.LoadReport(
+                int(running), LEAVING_HEADER in response.headers
+            )
         if response.status != 200:
             response.close()
             raise errors.EngineRefusedError(
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from bulrushhold.entry import _requests
 from bulrushhold import errors
+from bulrushhold import messages
 from tests import conftest
 
 
@@ -219,3 +221,119 @@
     )
     assert status == 410
     assert answer['error']['step'] == 'resume'
+
+
+async def test_a_caller_that_left_has_its_stream_kept_then_cancelled(
+    make_system,
+):
+    # The caller goes after 3 tokens. Its stream is kept for orphan_s, so
+    # that it may come back; then the engine is told to stop.
+    system = await make_system(
+        engines=1, gap_s=0.05, recovery={'orphan_s': 0.1}
+    )
+    stream = system.client().generate(
+        'small', conftest.PROMPT, max_tokens=1000
+    )
+    async for _ in stream:
+        break
+    await stream.aclose()
+    engine = system.engines['m1']
+    while engine.running:
+        await asyncio.sleep(0.01)
+    assert engine.generated < 1000
+    (generation,) = system.entries['e1'].streams.generations.values()
+    assert generation.lifecycle.state == 'cancelled'
+
+
+async def test_a_leaving_engine_keeps_its_streams_and_gets_none_new(system):
+    # The platform lists an engine as leaving while it serves a stream:
+    # that stream ends there, and all later ones go to the other engine.
+    served = []
+
+    async def leave(tokens):
+        served.append(tokens[0].partition('-')[0])
+        await system.relist(leaving=served)
+
+    tokens = await read(system.client(), on={3: leave})
+    conftest.assert_whole(tokens, 40)
+    for number in range(6):
+        prompt = [{'role': 'user', 'content': f'prompt {number}'}]
+        later = await read(system.client(), 2, prompt)
+        assert later[0].partition('-')[0] != served[0]
+    assert system.engines[served[0]].requests == 1
+
+
+async def test_an_engine_that_asks_for_no_work_is_left_before_the_list_says(
+    system,
+):
+    # The platform's list lags: it still shows the engine as live. The
+    # engine's own reply says that it leaves, and gets nothing new.
+    leaving = system.engines['m1']
+    leaving.leaving = True
+    for number in range(12):
+        prompt = [{'role': 'user', 'content': f'prompt {number}'}]
+        conftest.assert_whole(await read(system.client(), 2, prompt), 2)
+    assert leaving.requests <= 1
+
+
+async def test_a_crasher_sent_through_another_entry_is_known_there(
+    make_system,
+):
+    # A crasher kills one engine, and its entry is lost with it. Sent again
+    # through another entry, which has learnt of the first death, it is
+    # named by the second one: two engines in all.
+    system = await make_system(entries=2, engines=4)
+    prompt = [{'role': 'user', 'content': 'CRASH please'}]
+    chat = _requests.ChatBody('small', prompt, max_tokens=40)
+    content = _requests.order_of(chat, conftest.row()).fingerprint
+    first = system.entries['e1']
+    await system.engines['m1'].crash()
+    await first.control.propose(messages.Suspected([content]), 5)
+    second = system.entries['e2']
+    while content not in second.table.suspects:
+        await second.table.poll()
+    await first.close()
+    del system.entries['e1']
+    with pytest.raises(errors.RequestError) as caught:
+        await read(system.client(), prompt=prompt)
+    assert caught.value.status == 422
+    dead = [e for e in system.engines.values() if e.runner is None]
+    assert len(dead) == 2
+
+
+async def test_operators_can_lift_a_quarantine(system):
+    entry = system.entries['e1']
+    await entry.control.propose(messages.Quarantine('f' * 32, 'test', 0.0), 5)
+    await entry.table.poll()
+    assert entry.table.quarantined == {'f' * 32}
+    await entry.control.propose(
+        messages.Quarantine('f' * 32, '', 0.0, lift=True), 5
+    )
+    await entry.table.poll()
+    assert not entry.table.quarantined
+
+
+async def test_a_draining_entry_finishes_its_streams(make_system):
+    # The operator drains an entry in mid-stream. Its caller gets the rest;
+    # a new caller hears ran: no and the other's address.
+    system = await make_system(entries=2, gap_s=0.01)
+    draining = []
+
+    async def drain(tokens):
+        entry = system.entries[serving(system)]
+        draining.append(asyncio.ensure_future(entry.drain()))
+        await asyncio.sleep(0)
+        status, _, answer = await system.post(
+            '/v1/chat/completions',
+            json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
+            entry.config.name,
+            Bulrushhold_Account='vendors',
+        )
+        other = 'e2' if entry.config.name == 'e1' else 'e1'
+        assert status == 503
+        assert answer['error']['ran'] == 'no'
+        assert str(system.addresses[other][0]) in answer['error']['reason']
+
+    tokens = await read(system.client(), on={5: drain})
+    conftest.assert_whole(tokens, 40)
+    await draining[0]
