--- a/src/bulrushhold/client.py
+++ b/src/bulrushhold/client.py
@@ -19,7 +19,7 @@
 
 ASK_S: t.Final = 2.0
 PAUSE_S: t.Final = 0.2
-IDLE_S: t.Final = 30.0
+IDLE_S: t.Final = 1.5
 _BROKEN: t.Final = (
     aiohttp.ClientError,
     ConnectionError,
@@ -57,9 +57,7 @@
         self.entries: list[str] = []
         self.keep_until = 0.0
         self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=1.0, sock_read=IDLE_S
-            )
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0)
         )
 
     async def __aenter__(self) -> 'Client':
@@ -173,7 +171,13 @@
     ) -> cabc.AsyncGenerator[tuple[int | None, str], None]:
         url = f'http://{entry}/v1/chat/completions'
         sent = {**headers, 'Bulrushhold-Account': self.account}
-        async with self.session.post(url, json=body, headers=sent) as response:
+        # An entry shows life twice a second, also while its engine is quiet.
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=1.0, sock_read=IDLE_S
+        )
+        async with self.session.post(
+            url, json=body, headers=sent, timeout=timeout
+        ) as response:
             if response.status != 200:
                 content = await response.read()
                 error = _error_in(response.status, content, entry)
--- a/src/bulrushhold/entry/_callerstream.py
+++ b/src/bulrushhold/entry/_callerstream.py
@@ -1,6 +1,7 @@
 """Writes one generation to one caller as server-sent events."""
 
 import asyncio
+import contextlib
 import typing as t
 
 from aiohttp import web
@@ -8,6 +9,8 @@
 
 from bulrushhold.entry import _generation
 
+KEEP_ALIVE_S: t.Final = 0.5
+_KEEP_ALIVE: t.Final = b': quiet\n\n'
 _DONE: t.Final = b'data: [DONE]\n\n'
 _encode = msgspec.json.encode
 
@@ -45,14 +48,26 @@
         try:
             while not self.generation.ended:
                 await self._catch_up()
-                await self.wanted.wait()
-                self.wanted.clear()
+                await self._wait()
             await self._catch_up()
         finally:
             self.generation.listeners.remove(self._on_more)
         await self.response.write(_end(self.generation))
         await self.response.write_eof()
 
+    async def _wait(self) -> None:
+        """Wait until there is work here; show life meanwhile.
+
+        Without the comment lines a caller couldn't tell a frozen entry
+        from an engine that takes its time.
+        """
+        sent = self.sent
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.wanted.wait(), KEEP_ALIVE_S)
+        self.wanted.clear()
+        if sent == self.sent and not self.generation.ended:
+            await self.response.write(_KEEP_ALIVE)
+
     def _on_more(self) -> None:
         transport = self.transport
         if (
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -1,6 +1,7 @@
 """The entry's HTTP interface to callers and operators."""
 
 import asyncio
+import contextlib
 import hmac
 import time
 import typing as t
@@ -27,6 +28,7 @@
 PUSH_DEADLINE_S: t.Final = 10.0
 NOT_READY_RETRY_S: t.Final = 2.0
 DRAIN_RETRY_S: t.Final = 0.0
+HEADERS_WITHIN_S: t.Final = 0.5
 _JSON: t.Final = 'application/json'
 _encode = msgspec.json.encode
 
@@ -228,8 +230,7 @@
         key: str,
         have: int,
     ) -> web.StreamResponse:
-        while generation.visible <= have and not generation.ended:
-            await generation.wait()
+        await self._await_first(generation, have)
         if generation.error is not None and generation.visible <= have:
             # Before the first byte, a refusal can still be an HTTP status.
             raise generation.error
@@ -245,6 +246,18 @@
         await stream.run(request.transport)
         return response
 
+    async def _await_first(
+        self, generation: _generation.Generation, have: int
+    ) -> None:
+        """Wait for the first token, or as long as headers may be late."""
+
+        async def wait() -> None:
+            while generation.visible <= have and not generation.ended:
+                await generation.wait()
+
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(wait(), HEADERS_WITHIN_S)
+
     # Plain services
 
     async def _call(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,191 @@
+"""Real processes, killed and frozen by signals."""
+
+import asyncio
+import signal
+
+import pytest
+
+from bulrushhold import client
+from bulrushhold import testing
+from tests import conftest
+
+COUNT = 60
+
+
+@pytest.fixture(scope='module')
+def deployment(tmp_path_factory):
+    deployed = testing.Deployment(
+        tmp_path_factory.mktemp('deployment'), engines=3, gap_s=0.02
+    )
+    try:
+        deployed.start()
+        yield deployed
+    finally:
+        deployed.stop()
+
+
+def caller_of(deployment):
+    return client.Client('vendors', deployment.seeds)
+
+
+async def read(deployment, act, at=10):
+    """Read an answer, and call ``act`` with the tokens at ``at``."""
+    tokens = []
+    async with caller_of(deployment) as caller:
+        async for token in caller.generate(
+            'small', conftest.PROMPT, max_tokens=COUNT
+        ):
+            tokens.append(token)
+            if len(tokens) == at:
+                await asyncio.to_thread(act, tokens)
+    conftest.assert_whole(tokens, COUNT)
+
+
+def engine_of(tokens):
+    return tokens[0].partition('-')[0]
+
+
+def serving(deployment):
+    """Return the name of the entry that has the running generation."""
+    return next(
+        name
+        for name in deployment.http
+        if deployment.status(name)['generations']
+    )
+
+
+async def test_an_engine_killed(deployment):
+    killed = []
+
+    def kill(tokens):
+        killed.append(engine_of(tokens))
+        deployment.kill(killed[0])
+
+    await read(deployment, kill)
+    deployment.start_engine(killed[0])
+    deployment.await_port(deployment.engines[killed[0]])
+
+
+async def test_an_engine_frozen_and_woken(deployment):
+    frozen = []
+
+    def freeze(tokens):
+        frozen.append(engine_of(tokens))
+        deployment.kill(frozen[0], signal.SIGSTOP)
+
+    await read(deployment, freeze)
+    deployment.kill(frozen[0], signal.SIGCONT)
+
+
+async def test_an_entry_killed(deployment):
+    killed = []
+
+    def kill(tokens):
+        killed.append(serving(deployment))
+        deployment.kill(killed[0])
+
+    await read(deployment, kill)
+    deployment.start_entry(killed[0])
+    deployment.await_ready(killed)
+
+
+async def test_an_entry_frozen_and_woken_while_another_goes_on(deployment):
+    # The caller sees a pause of the client's idle limit: the frozen entry
+    # sends no sign of life. Another entry takes the transcript over and
+    # fences it, so that on waking it adds nothing.
+    frozen = []
+
+    def freeze(tokens):
+        frozen.append(serving(deployment))
+        deployment.kill(frozen[0], signal.SIGSTOP)
+
+    await read(deployment, freeze)
+    deployment.kill(frozen[0], signal.SIGCONT)
+    deployment.await_ready(frozen)
+
+
+async def test_an_engine_and_its_entry_killed_together(deployment):
+    killed = []
+
+    def kill(tokens):
+        killed.extend((serving(deployment), engine_of(tokens)))
+        for name in killed:
+            deployment.kill(name)
+
+    await read(deployment, kill)
+    deployment.start_entry(killed[0])
+    deployment.start_engine(killed[1])
+    deployment.await_ready(killed[:1])
+
+
+async def test_a_drained_entry_ends_its_streams_and_exits_with_0(deployment):
+    drained = []
+
+    def drain(tokens):
+        drained.append(serving(deployment))
+        deployment.kill(drained[0], signal.SIGTERM)
+
+    await read(deployment, drain)
+    process = deployment.processes[drained[0]]
+    assert await asyncio.to_thread(process.wait, 20) == 0
+    deployment.start_entry(drained[0])
+    deployment.await_ready(drained)
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+async def test_the_control_leader_lost_while_slots_are_booked(
+    deployment, number
+):
+    # Callers see bookings answered once each, some later than others. The
+    # leader of control dies, or freezes and wakes later, while they book
+    # under keys that they keep through every try.
+    leader = deployment.status()['control']['leader'].partition('.')[0]
+    slots = [f'{number.name}-{n}' for n in range(30)]
+    async with caller_of(deployment) as caller:
+
+        async def book(slot):
+            answer = await caller.call(
+                'booking', 'slots', method='POST', body={'slot': slot}
+            )
+            return answer.status
+
+        tasks = [asyncio.ensure_future(book(slot)) for slot in slots[:10]]
+        deployment.kill(leader, number)
+        tasks += [asyncio.ensure_future(book(slot)) for slot in slots[10:]]
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+    if number is signal.SIGSTOP:
+        deployment.kill(leader, signal.SIGCONT)
+    else:
+        deployment.start_control(leader)
+    booked = deployment.booked()
+    for slot, result in zip(slots, results, strict=True):
+        runs = booked.get(slot, 0)
+        assert runs <= 1
+        if result == 200:
+            assert runs == 1
+        elif result.ran == 'no':
+            assert runs == 0
+    assert results.count(200) >= 20
+
+
+async def test_no_accepted_edit_is_lost_through_leaders(deployment, tmp_path):
+    # An operator pushes edit after edit while one leader after another is
+    # killed. Each push that was accepted is in the table at the end.
+    path = tmp_path / 'table.csv'
+
+    def push_all():
+        for number in range(1, 7):
+            if number % 3 == 0:
+                status = deployment.status()['control']
+                leader = status['leader'].partition('.')[0]
+                deployment.kill(leader)
+                deployment.start_control(leader)
+            deployment.cli('table', 'pull', str(path))
+            with path.open('a') as table:
+                table.write(f'account{number},chat,{number},0,0,9,0,yes,\n')
+            deployment.cli('table', 'push', '--wait', str(path))
+
+    await asyncio.to_thread(push_all)
+    table = deployment.cli('table', 'show')
+    for number in range(1, 7):
+        assert f'account{number},chat,{number},' in table
