--- a/src/bulrushhold/decisions/_recovery.py
+++ b/src/bulrushhold/decisions/_recovery.py
@@ -51,14 +51,15 @@
 
 @attrs.define
 class WorkBudget:
-    """Bounds engine work beyond a run without failures.
+    """Bounds engine work on attempts that turn out not to be needed.
 
     :param share: extra tokens allowed, per token delivered.
-    :param floor: extra tokens allowed before any was delivered.
+    :param floor: extra tokens allowed besides; it must cover the reserves
+        of all streams of one engine, which are under way at once.
     """
 
     share: float
-    floor: float = 2000.0
+    floor: float = 20_000.0
     delivered: int = 0
     spent: float = 0.0
 
@@ -71,6 +72,10 @@
         """Count extra tokens."""
         self.spent += tokens
 
+    def refund(self, tokens: float) -> None:
+        """Take back tokens that a loss would have cost anyway."""
+        self.spent = max(0.0, self.spent - tokens)
+
 
 class RecoveryPolicy(abc.ABC):
     """Decides about silence; lost connections need no decision.
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -27,6 +27,7 @@
 
     :param counted: its engine's death has been counted.
     :param reached: its request may have reached the engine.
+    :param reserved: tokens spent from the budget, if it was a reserve.
     :param suspect: it counts among the suspects on its engine.
     """
 
@@ -37,6 +38,7 @@
     counted: bool = False
     suspect: bool = False
     reached: bool = True
+    reserved: int = 0
     task: asyncio.Task[None] | None = None
 
 
@@ -275,6 +277,7 @@
         self, generation: _generation.Generation, attempt: _Attempt
     ) -> None:
         attempt.started = True
+        self.policy.budget.refund(attempt.reserved)
         attempt.state.succeeded()
         self._report(attempt.state)
         if generation.lifecycle.state in ('dispatched', 'recovering'):
@@ -432,13 +435,14 @@
         live: dict[int, _Attempt],
     ) -> None:
         newest = max(live.values(), key=lambda a: a.heard_at)
+        order = generation.order
+        cost = order.prompt_tokens + len(generation.transcript.tokens)
         action = self.policy.on_silence(
             time.monotonic() - newest.heard_at,
             newest.state.gaps,
             started=newest.started,
             reserve=len(live) > 1,
-            cost=generation.order.prompt_tokens
-            + len(generation.transcript.tokens),
+            cost=cost,
         )
         if action is decisions.Action.WAIT:
             return
@@ -452,6 +456,9 @@
         if action is decisions.Action.RESERVE:
             busy = frozenset(a.state.server.name for a in live.values())
             await self._start(generation, live, time.monotonic(), avoid=busy)
+            for attempt in live.values():
+                if attempt.state.server.name not in busy:
+                    attempt.reserved = cost
             return
         for attempt in list(live.values()):
             attempt.state.failed(time.monotonic())
--- a/src/bulrushhold/testing/_engine.py
+++ b/src/bulrushhold/testing/_engine.py
@@ -84,6 +84,9 @@
             await response.prepare(request)
             async with self.slots:
                 await self._stream(order, response, cancelled)
+        except ConnectionError:
+            # The entry has closed the connection; nobody reads on.
+            return response
         finally:
             self.running.pop(key, None)
         return response
