Never mix two texts of one key: a majority knows when a text began

Change: who begins a text says so at a majority of the key's pointer homes first; copies from before that aren't taken; a returning caller's entry asks the majority whether the key is still its own.

--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -82,7 +82,9 @@
         )
         self.table = entry.TableView(config, self.control)
         self.router = decisions.Router()
-        self.store = decisions.CopyStore(config.copies.keep_s)
+        self.store = decisions.CopyStore(
+            config.copies.keep_s, time.monotonic()
+        )
         self.copies = entry.CopyWriter(
             config.copies, self.transport, self.metrics
         )
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -31,6 +31,9 @@
 from bulrushhold.decisions._table import TableState
 from bulrushhold.decisions._tablecsv import read as read_csv
 from bulrushhold.decisions._tablecsv import write as write_csv
+from bulrushhold.decisions._takeover import best_copy
+from bulrushhold.decisions._takeover import Standing
+from bulrushhold.decisions._takeover import standing
 from bulrushhold.decisions._transcript import Transcript
 from bulrushhold.decisions._transcript import Verdict
 
@@ -51,6 +54,7 @@
     'RetryBudget',
     'Role',
     'Router',
+    'Standing',
     'Suspects',
     'TableState',
     'ThriftyPolicy',
@@ -58,6 +62,7 @@
     'Transcript',
     'Verdict',
     'WorkBudget',
+    'best_copy',
     'content_fingerprint',
     'copy_peers',
     'entries_for',
@@ -66,6 +71,7 @@
     'next_config',
     'ranked',
     'read_csv',
+    'standing',
     'with_learner',
     'write_csv',
 ]
--- a/src/bulrushhold/decisions/_copies.py
+++ b/src/bulrushhold/decisions/_copies.py
@@ -1,17 +1,28 @@
 """What an entry keeps for others: pointers and transcript copies."""
 
+import typing as t
+
 import attrs
 
 from bulrushhold import messages
 
+MAX_COPY_ADDRESSES: t.Final = 6
+
 
 @attrs.define
 class Pointer:
-    """Who serves a key, as one of its pointer homes knows it."""
+    """Who serves a key, as one of its pointer homes knows it.
+
+    :param since: epoch that began the newest text.
+    :param sure: the home had run long enough to know an earlier use of
+        the key, or saw the text begin.
+    """
 
     epoch: int
     fingerprint: str
     copies: list[str]
+    since: int
+    sure: bool
     used_at: float
 
 
@@ -32,10 +43,14 @@
 
 
 class CopyStore:
-    """Pointers and copies, dropped ``keep_s`` after their last use."""
+    """Pointers and copies, dropped ``keep_s`` after their last use.
 
-    def __init__(self, keep_s: float) -> None:
+    :param now: monotonic seconds.
+    """
+
+    def __init__(self, keep_s: float, now: float) -> None:
         self.keep_s = keep_s
+        self.started_at = now
         self.pointers: dict[str, Pointer] = {}
         self.copies: dict[str, Copy] = {}
 
@@ -45,23 +60,37 @@
         """Register the asking entry, unless a higher epoch is known."""
         pointer = self.pointers.get(take.key)
         if pointer is None:
+            # A home that has just been started may have forgotten the key.
+            sure = now >= self.started_at + self.keep_s
             self.pointers[take.key] = Pointer(
-                take.epoch, take.fingerprint, take.copies, now
+                take.epoch,
+                take.fingerprint,
+                take.copies,
+                take.epoch if take.begins else 0,
+                sure or take.begins,
+                now,
             )
-            return messages.PointerState(True, take.epoch, [])
+            return messages.PointerState(True, take.epoch, [], 0, sure)
         pointer.used_at = now
-        if pointer.fingerprint != take.fingerprint:
+        former = pointer.copies
+        since = pointer.since
+        mismatch = pointer.fingerprint != take.fingerprint
+        if mismatch or take.epoch < pointer.epoch:
             return messages.PointerState(
-                False, pointer.epoch, [], mismatch=True
+                False, pointer.epoch, former, since, pointer.sure, mismatch
             )
-        former = pointer.copies
-        if take.epoch <= pointer.epoch:
-            return messages.PointerState(False, pointer.epoch, former)
         pointer.epoch = take.epoch
-        # The former copies stay reachable until the new ones hold the
-        # whole transcript: the new entry may die before that.
-        pointer.copies = list(dict.fromkeys(take.copies + former))[:6]
-        return messages.PointerState(True, take.epoch, former)
+        sure = pointer.sure
+        if take.begins:
+            pointer.sure = True
+            pointer.since = take.epoch
+            pointer.copies = take.copies
+        else:
+            # The former copies stay reachable until the new ones hold the
+            # whole transcript: the new entry may die before that.
+            joined = dict.fromkeys(take.copies + former)
+            pointer.copies = list(joined)[:MAX_COPY_ADDRESSES]
+        return messages.PointerState(True, take.epoch, former, since, sure)
 
     def append_all(
         self, batch: messages.CopyBatch, now: float
--- a/src/bulrushhold/entry/_keys.py
+++ b/src/bulrushhold/entry/_keys.py
@@ -18,6 +18,7 @@
 POINTER_HOMES: t.Final = 3
 ASK_S: t.Final = 0.4
 TRIES: t.Final = 4
+RETRY_AFTER_S: t.Final = 1.0
 
 
 @attrs.frozen
@@ -57,40 +58,88 @@
         """Return an epoch that no other entry uses: time, then name."""
         return (int(time.time() * 1000) << 16) | self.tie
 
-    async def take(self, key: str, fingerprint: str) -> Taken:
+    async def take(self, key: str, fingerprint: str, have: int) -> Taken:
         """Become the one entry that serves a key.
 
+        :param have: tokens that the caller has.
         :raises RequestError: where the key was used for another content,
-            or entries keep taking it from each other.
+            its homes can't be asked, or what the caller has may be of a
+            text that can't be found.
         """
         epoch = self.fresh_epoch()
+        lacking = False
         for _ in range(TRIES):
-            states = await self._take_pointers(key, epoch, fingerprint)
-            if any(state.mismatch for state in states):
+            found = await self._take_pointers(key, epoch, fingerprint)
+            if found.mismatch:
                 raise errors.RequestError(
                     'the idempotency key was used for another request',
                     'key',
                     status=422,
                 )
-            highest = max((s.epoch for s in states), default=epoch)
-            if highest > epoch:
+            if not found.majority:
+                lacking = True
+                continue
+            if found.epoch > epoch:
                 # A clock behind another's: go on from the epoch in force.
-                epoch = (((highest >> 16) + 1) << 16) | self.tie
+                epoch = (((found.epoch >> 16) + 1) << 16) | self.tie
                 continue
-            former = {a for state in states for a in state.former}
-            copy = await self._take_copies(key, epoch, former)
-            return Taken(epoch, copy)
+            copy = await self._take_copies(key, epoch, found)
+            known = len(copy.tokens) if copy else 0
+            if have and (have > known or not found.sure):
+                raise errors.RequestError(
+                    f'the answer is not known up to token {have}; ask '
+                    'anew, under a new key',
+                    'resume',
+                    ran=errors.Ran.UNKNOWN,
+                    status=410,
+                )
+            if copy is not None and not (copy.tokens or copy.finish):
+                copy = None
+            if copy is not None or await self._begin(key, epoch, fingerprint):
+                return Taken(epoch, copy)
+        if lacking:
+            raise self._no_majority()
         raise errors.RequestError(
             'other entries are taking this request over',
             'key',
             status=409,
             ran=errors.Ran.UNKNOWN,
-            retry_after=1.0,
+            retry_after=RETRY_AFTER_S,
         )
 
+    def _no_majority(self) -> errors.RequestError:
+        return errors.RequestError(
+            'too few entries that would know the key can be asked',
+            'key',
+            ran=errors.Ran.UNKNOWN,
+            status=503,
+            retry_after=RETRY_AFTER_S,
+        )
+
+    async def _begin(self, key: str, epoch: int, fingerprint: str) -> bool:
+        """Say at a majority of homes that a new text begins."""
+        found = await self._take_pointers(key, epoch, fingerprint, begins=True)
+        return found.majority and found.epoch == epoch
+
+    async def still_ours(self, key: str, epoch: int, fingerprint: str) -> bool:
+        """Whether no other entry has taken a key over from this one.
+
+        A caller may come back to an entry that doesn't know yet that
+        another one has served it in between, maybe from another text.
+
+        :raises RequestError: where too few homes can be asked.
+        """
+        for _ in range(TRIES):
+            found = await self._take_pointers(key, epoch, fingerprint)
+            if found.majority:
+                return found.epoch == epoch
+        raise self._no_majority()
+
     def register(self, key: str, epoch: int, fingerprint: str) -> None:
         """Register a key that was made here, without waiting."""
-        take = messages.PointerTake(key, epoch, fingerprint, self.copies())
+        take = messages.PointerTake(
+            key, epoch, fingerprint, self.copies(), begins=True
+        )
         for home in decisions.homes(key, self.entries(), POINTER_HOMES):
             if home.peer == self.own:
                 self.store.take_pointer(take, time.monotonic())
@@ -98,28 +147,28 @@
                 self.transport.send(home.peer, take)
 
     async def _take_pointers(
-        self, key: str, epoch: int, fingerprint: str
-    ) -> list[messages.PointerState]:
-        take = messages.PointerTake(key, epoch, fingerprint, self.copies())
+        self, key: str, epoch: int, fingerprint: str, *, begins: bool = False
+    ) -> decisions.Standing:
+        take = messages.PointerTake(
+            key, epoch, fingerprint, self.copies(), begins
+        )
         homes = decisions.homes(key, self.entries(), POINTER_HOMES)
-        return await self._ask([home.peer for home in homes], take)
+        states = await self._ask([home.peer for home in homes], take)
+        return decisions.standing(states, len(homes))
 
     async def _take_copies(
-        self, key: str, epoch: int, former: set[str]
+        self, key: str, epoch: int, found: decisions.Standing
     ) -> messages.CopyState | None:
-        states = await self._ask(sorted(former), messages.CopyTake(key, epoch))
-        found = [s for s in states if s.granted and s.written]
-        if not found:
-            return None
-        # The last writer's text; of its copies the longest.
-        best = max(found, key=lambda s: (s.written, len(s.tokens)))
-        node.log_decision(
-            'take over',
-            request=key,
-            offset=len(best.tokens),
-            finish=best.finish,
-            reason='another entry served this key',
-        )
+        states = await self._ask(found.former, messages.CopyTake(key, epoch))
+        best = decisions.best_copy(states, found.since)
+        if best is not None:
+            node.log_decision(
+                'take over',
+                request=key,
+                offset=len(best.tokens),
+                finish=best.finish,
+                reason='another entry served this key',
+            )
         return best
 
     async def _ask(self, addresses: list[str], message: t.Any) -> list[t.Any]:
--- a/src/bulrushhold/entry/_streams.py
+++ b/src/bulrushhold/entry/_streams.py
@@ -47,8 +47,8 @@
         lock = self.opening.setdefault(key, asyncio.Lock())
         async with lock:
             generation = self.generations.get(key)
-            if generation is None or self._superseded(generation):
-                generation = await self._start(key, order, ours=ours)
+            if generation is None or await self._superseded(generation):
+                generation = await self._start(key, order, have, ours=ours)
         if not lock.locked():
             self.opening.pop(key, None)
         if generation.order.fingerprint != order.fingerprint:
@@ -58,8 +58,6 @@
                 status=422,
             )
         if have > len(generation.transcript.tokens):
-            if generation.readers == 0:
-                self.cancel(generation, 'its former answer is lost')
             raise errors.RequestError(
                 f'the answer is not known up to token {have}; ask anew, '
                 'under a new key',
@@ -124,15 +122,22 @@
         """Generations that haven't ended."""
         return sum(not g.ended for g in self.generations.values())
 
-    def _superseded(self, generation: _generation.Generation) -> bool:
+    async def _superseded(self, generation: _generation.Generation) -> bool:
         """Whether the caller's return needs a new start here."""
-        return generation.lifecycle.state in ('fenced', 'cancelled') or (
-            generation.lifecycle.state == 'refused'
-            and not generation.transcript.tokens
+        state = generation.lifecycle.state
+        if state in ('fenced', 'cancelled'):
+            return True
+        if state == 'refused' and not generation.transcript.tokens:
+            return True
+        ours = await self.keys.still_ours(
+            generation.key, generation.epoch, generation.order.fingerprint
         )
+        if not ours:
+            generation.fence('a pointer home')
+        return not ours
 
     async def _start(
-        self, key: str, order: _generation.Order, *, ours: bool
+        self, key: str, order: _generation.Order, have: int, *, ours: bool
     ) -> _generation.Generation:
         if ours:
             # Register without waiting: the caller learns the key with the
@@ -141,7 +146,7 @@
             self.keys.register(key, epoch, order.fingerprint)
             taken = _keys.Taken(epoch, None)
         else:
-            taken = await self.keys.take(key, order.fingerprint)
+            taken = await self.keys.take(key, order.fingerprint, have)
         generation = _generation.Generation(key, order, taken.epoch)
         if taken.former is not None:
             _restore(generation, taken.former)
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -350,12 +350,15 @@
 
     :param epoch: of the entry that asks; the highest wins.
     :param copies: addresses that will hold this entry's transcript.
+    :param begins: the entry begins a new text; copies written before
+        this epoch are of a former one.
     """
 
     key: str
     epoch: int
     fingerprint: str
     copies: list[str]
+    begins: bool = False
 
 
 @attrs.frozen
@@ -364,11 +367,16 @@
 
     :param epoch: the epoch now in force at this home.
     :param former: addresses with the former entry's transcript.
+    :param since: the epoch that began the newest text, 0 for none.
+    :param sure: the home knows the key, or has run for long enough to
+        know every key in use.
     """
 
     granted: bool
     epoch: int
     former: list[str]
+    since: int = 0
+    sure: bool = True
     mismatch: bool = False
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -199,8 +199,7 @@
         some = next(iter(self.entries.values()))
         outcome = await some.control.propose(edit, 5)
         for entry in self.entries.values():
-            while entry.table.revision < outcome.revision:
-                await entry.table.poll()
+            await until(lambda e=entry: e.table.revision >= outcome.revision)
         return outcome
 
     def client(self, account='vendors', **options):
@@ -242,6 +241,14 @@
             await stand_in.stop()
 
 
+async def until(condition, seconds=20.0):
+    """Let the loop run until a condition holds; fail if it never does."""
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, 'the condition never came to hold'
+        await asyncio.sleep(0.005)
+
+
 @pytest_asyncio.fixture
 async def make_system(tmp_path):
     systems = []
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -195,11 +195,9 @@
     first = asyncio.ensure_future(
         system.post('/v1/chat/completions', body, 'e1', **headers)
     )
-    while not system.entries['e1'].streams.running:
-        await asyncio.sleep(0)
+    await conftest.until(lambda: system.entries['e1'].streams.running)
     generation = system.entries['e1'].streams.generations['vendors/k']
-    while generation.visible < 5:
-        await generation.wait()
+    await conftest.until(lambda: generation.visible >= 5)
     status, _, answer = await system.post(
         '/v1/chat/completions', body, 'e2', **headers
     )
@@ -238,8 +236,7 @@
         break
     await stream.aclose()
     engine = system.engines['m1']
-    while engine.running:
-        await asyncio.sleep(0.01)
+    await conftest.until(lambda: not engine.running)
     assert engine.generated < 1000
     (generation,) = system.entries['e1'].streams.generations.values()
     assert generation.lifecycle.state == 'cancelled'
@@ -282,7 +279,7 @@
     # A crasher kills one engine, and its entry is lost with it. Sent again
     # through another entry, which has learnt of the first death, it is
     # named by the second one: two engines in all.
-    system = await make_system(entries=2, engines=4)
+    system = await make_system(entries=3, engines=4)
     prompt = [{'role': 'user', 'content': 'CRASH please'}]
     chat = _requests.ChatBody('small', prompt, max_tokens=40)
     content = _requests.order_of(chat, conftest.row()).fingerprint
@@ -290,8 +287,7 @@
     await system.engines['m1'].crash()
     await first.control.propose(messages.Suspected([content]), 5)
     second = system.entries['e2']
-    while content not in second.table.suspects:
-        await second.table.poll()
+    await conftest.until(lambda: content in second.table.suspects)
     await first.close()
     del system.entries['e1']
     with pytest.raises(errors.RequestError) as caught:
