Tests of the replicated log, the data folder and the table

Seeded schedules (150 of 1,200 steps at 3 replicas, 50 at 5) find no broken property; two known bugs, a vote that isn't synced and a restart that forgets leases, are each caught by a written schedule that passes without them.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,6 @@
 """Shared fixtures: a small system within the test's own loop."""
 
 import asyncio
-import contextlib
 import pathlib
 import random
 import time
@@ -99,7 +98,7 @@
         await self.platform.start()
         self.key_file = self.folder / 'operator.key'
         self.key_file.write_text(OPERATOR_KEY)
-        await self._start_control()
+        self._found_control()
         for name in self.addresses:
             await self.start_entry(name)
         await self.edit(FIRST_ROWS, 0)
@@ -142,7 +141,7 @@
         for entry in self.entries.values():
             await entry.view.poll()
 
-    async def _start_control(self):
+    def _found_control(self):
         config = settings.Control(
             'c1',
             'north',
@@ -152,13 +151,18 @@
             heartbeat_s=0.01,
             election_s=0.03,
         )
+        control.found(config, node.FileLog(config.data_dir))
+        self.control_config = config
+        self._run_control()
+
+    def _run_control(self):
+        config = self.control_config
         store = node.FileLog(config.data_dir)
-        control.found(config, store)
         durable, ident = control.open_replica(config, store)
         replica = decisions.Replica(
             ident,
             durable,
-            decisions.Timing(0.01, 0.03),
+            decisions.Timing(config.heartbeat_s, config.election_s),
             random.Random(1),
             time.monotonic(),
         )
@@ -166,13 +170,23 @@
         self.control = control.ControlServer(
             config,
             replica,
-            decisions.ReplicatedState(),
+            decisions.ReplicatedState.restore(replica.snapshot.state),
             store,
             self.control_transport,
             node.NoMetrics(),
         )
         self.control_task = asyncio.ensure_future(self.control.run())
 
+    async def restart_control(self):
+        await self.stop_control()
+        self._run_control()
+
+    async def stop_control(self):
+        self.control_task.cancel()
+        await asyncio.gather(self.control_task, return_exceptions=True)
+        await self.control_transport.close()
+        self.control.store.close()
+
     async def start_entry(self, name):
         http, peer = self.addresses[name]
         config = settings.Entry(
@@ -228,10 +242,7 @@
             await caller.close()
         for entry in self.entries.values():
             await entry.close()
-        self.control_task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self.control_task
-        await self.control_transport.close()
+        await self.stop_control()
         for stand_in in [
             *self.engines.values(),
             self.booking,
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,464 @@
+"""The replicated log, over random schedules of its pure decisions.
+
+Replicas, disks, clocks and the network are played by one seeded schedule:
+messages are delivered late, twice, out of order or never; replicas crash
+between any two steps, freeze, are cut off one way or both, and lose disks.
+"""
+
+import random
+
+import attrs
+import pytest
+
+from bulrushhold import decisions
+from bulrushhold import messages
+
+TIMING = decisions.Timing(heartbeat_s=0.15, election_s=1.0)
+SCHEDULES = 150
+STEPS = 1200
+
+
+class Broken(AssertionError):
+    """A property of the log doesn't hold."""
+
+
+@attrs.define
+class Disk:
+    """What a replica has synced."""
+
+    term: int = 0
+    vote: str = ''
+    entries: list = attrs.field(factory=list)
+    snapshot: messages.InstallSnapshot = None
+
+    def save(self, ready):
+        self.term, self.vote = ready.term, ready.vote
+        for entry in ready.entries:
+            first = self.snapshot.index if self.snapshot else 0
+            del self.entries[entry.index - first - 1 :]
+            self.entries.append(entry)
+
+
+class Cluster:
+    def __init__(self, seed, size=3, *, bug=''):
+        self.rng = random.Random(seed)
+        self.bug = bug
+        self.now = 0.0
+        self.founding = messages.Config(
+            voters={f'r{n}.0': f'address {n}' for n in range(size)}
+        )
+        self.disks = {name: Disk() for name in self.founding.voters}
+        self.replicas = {}
+        self.frozen_until = {}
+        self.cut = set()
+        self.network = []
+        self.committed = {}
+        self.leaders = {}
+        self.applied = {}
+        self.acknowledged = 0
+        self.proposals = 0
+        self.calm = False
+        for name in self.disks:
+            self.start(name)
+
+    def start(self, name, founding=None):
+        disk = self.disks[name]
+        durable = decisions.Durable(
+            disk.term,
+            '' if self.bug == 'vote not synced' else disk.vote,
+            list(disk.entries),
+            disk.snapshot,
+            self.founding if founding is None else founding,
+        )
+        replica = decisions.Replica(name, durable, TIMING, self.rng, self.now)
+        if self.bug == 'restart forgets leases':
+            replica.heard_at = -1e9
+        self.replicas[name] = replica
+        start = disk.snapshot.index if disk.snapshot else 0
+        self.applied[name] = start
+
+    def crash(self, name):
+        self.replicas.pop(name, None)
+
+    def drive(self, name):
+        """Save, send and apply, crashing in between now and then."""
+        replica = self.replicas[name]
+        while True:
+            replica.flush(self.now)
+            last = replica.last_index
+            ready = replica.take_ready()
+            if ready.must_save:
+                if not self.calm and self.rng.random() < 0.01:
+                    self.crash(name)
+                    return
+                if ready.snapshot is not None:
+                    self.disks[name] = Disk(snapshot=ready.snapshot)
+                    self.applied[name] = ready.snapshot.index
+                self.disks[name].save(ready)
+                replica.saved_up_to(last)
+            for peer, message in ready.outbox:
+                self.network.append((name, peer, message))
+            for entry in ready.committed:
+                self.apply(name, entry)
+            if not (ready.must_save or ready.committed):
+                break
+        self.check_leader(replica)
+
+    def apply(self, name, entry):
+        if entry.index != self.applied[name] + 1:
+            raise Broken(f'{name} applies {entry.index} out of order')
+        self.applied[name] = entry.index
+        known = self.committed.setdefault(entry.index, entry)
+        if known != entry:
+            raise Broken(f'two entries committed at {entry.index}')
+
+    def check_leader(self, replica):
+        if replica.role is decisions.Role.LEADER:
+            first = self.leaders.setdefault(replica.term, replica.ident)
+            if first != replica.ident:
+                raise Broken(f'two leaders in term {replica.term}')
+
+    def check_leases(self):
+        """Who holds the lease has all that any leader has committed."""
+        newest = max(self.committed, default=0)
+        for name, replica in self.replicas.items():
+            if replica.lease_holds(self.now) and replica.commit < newest:
+                raise Broken(f'{name} holds a lease but lacks {newest}')
+
+    # Steps
+
+    def pass_time(self):
+        # Now and then everything stands still for longer than a lease.
+        pause = 1.5 if self.rng.random() < 0.04 else 0.15
+        self.now += self.rng.random() * pause
+        for name in list(self.replicas):
+            if self.awake(name):
+                self.replicas[name].tick(self.now)
+                self.drive(name)
+
+    def awake(self, name):
+        return self.frozen_until.get(name, 0.0) <= self.now
+
+    def deliver(self):
+        if not self.network:
+            return
+        # Mostly the oldest first, as TCP would; sometimes any.
+        late = self.rng.random() < 0.3
+        number = self.rng.randrange(len(self.network)) if late else 0
+        sender, receiver, message = self.network.pop(number)
+        if self.rng.random() < 0.02:
+            self.network.append((sender, receiver, message))
+        lost = self.rng.random() < 0.02 or (sender, receiver) in self.cut
+        if lost or receiver not in self.replicas:
+            return
+        if not self.awake(receiver):
+            self.network.append((sender, receiver, message))
+            return
+        self.replicas[receiver].receive(message, self.now)
+        self.drive(receiver)
+
+    def propose(self):
+        for name, replica in list(self.replicas.items()):
+            if replica.role is decisions.Role.LEADER and self.awake(name):
+                self.proposals += 1
+                replica.propose(b'command %d' % self.proposals)
+                self.drive(name)
+
+    def trouble(self):
+        name = self.rng.choice(list(self.disks))
+        kind = self.rng.randrange(8)
+        if kind == 0:
+            self.crash(name)
+        elif kind == 1:
+            self.frozen_until[name] = self.now + self.rng.random() * 4
+        elif kind == 2:
+            other = self.rng.choice(list(self.disks))
+            self.cut |= {(name, other), (other, name)}
+            if self.rng.random() < 0.3:
+                self.cut.discard((other, name))
+        elif kind == 3:
+            self.cut.clear()
+        elif kind == 4:
+            self.compact(name)
+        else:
+            # A quick restart, as a supervisor does it.
+            self.bounce()
+
+    def compact(self, name):
+        replica = self.replicas.get(name)
+        if replica is None or replica.applied <= replica.snapshot.index + 5:
+            return
+        snapshot = replica.compact(replica.applied, b'')
+        saved = replica.saved - snapshot.index
+        disk = self.disks[name]
+        self.disks[name] = Disk(
+            disk.term, disk.vote, replica.entries[:saved], snapshot
+        )
+
+    def recover(self):
+        for name in self.disks:
+            if name not in self.replicas:
+                self.start(name)
+
+    def run(self, steps=STEPS):
+        choices = [
+            (self.deliver, 20 * len(self.disks)),
+            (self.pass_time, 20),
+            (self.propose, 4),
+            (self.trouble, 3),
+            (self.recover, 2),
+        ]
+        weights = [weight for _, weight in choices]
+        for _ in range(steps):
+            (step,) = self.rng.choices(choices, weights)
+            step[0]()
+            self.check_leases()
+
+    def bounce(self, name=None):
+        name = name or self.rng.choice(list(self.disks))
+        self.crash(name)
+        self.start(name)
+
+    def deliver_all(self, sender, receiver):
+        """Deliver what is under way from one replica to another."""
+        due = [m for m in self.network if m[:2] == (sender, receiver)]
+        for item in due:
+            self.network.remove(item)
+            self.replicas[receiver].receive(item[2], self.now)
+            self.drive(receiver)
+
+    def tick(self, *names):
+        for name in names:
+            self.replicas[name].tick(self.now)
+            self.drive(name)
+
+    def settle(self, seconds=12.0):
+        """End all trouble, and let the replicas agree."""
+        self.calm = True
+        self.cut.clear()
+        self.frozen_until.clear()
+        self.recover()
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.05
+            for name in list(self.replicas):
+                self.replicas[name].tick(self.now)
+                self.drive(name)
+            for _ in range(len(self.network)):
+                sender, receiver, message = self.network.pop(0)
+                if receiver in self.replicas:
+                    self.replicas[receiver].receive(message, self.now)
+                    self.drive(receiver)
+            self.recover()
+
+    def leader(self):
+        return next(
+            replica
+            for replica in self.replicas.values()
+            if replica.role is decisions.Role.LEADER
+        )
+
+
+@pytest.mark.parametrize('size', [3, 5])
+def test_no_schedule_breaks_the_log(size):
+    # Callers must never see a committed entry change or vanish, two leaders
+    # in one term, or an old value read under a lease; and once trouble
+    # ends, the log must go on.
+    committed = 0
+    schedules = SCHEDULES if size == 3 else SCHEDULES // 3
+    for seed in range(schedules):
+        cluster = Cluster(seed, size)
+        try:
+            cluster.run()
+            before = max(cluster.committed, default=0)
+            cluster.settle()
+            cluster.propose()
+            cluster.settle(1.0)
+            leader = cluster.leader()
+        except (Broken, StopIteration) as error:
+            pytest.fail(f'seed {seed}, {size} replicas: {error!r}')
+        assert leader.commit > before, f'seed {seed}: stuck'
+        committed += len(cluster.committed)
+    # A search in which little is ever committed would prove nothing.
+    assert committed > 8 * schedules
+
+
+def vote_twice(bug):
+    """A voter restarts between two requests of one term."""
+    cluster = Cluster(1, 3, bug=bug)
+    cluster.calm = True
+    a, b, voter = cluster.disks
+    cluster.now = 10.0
+    cluster.tick(a, b)
+    for candidate in (a, b):
+        cluster.deliver_all(candidate, voter)
+        cluster.deliver_all(voter, candidate)
+    cluster.deliver_all(a, voter)
+    cluster.bounce(voter)
+    cluster.deliver_all(voter, a)
+    cluster.now += TIMING.election_s
+    cluster.deliver_all(b, voter)
+    cluster.deliver_all(voter, b)
+    assert cluster.leaders == {1: a}
+
+
+def elect_within_a_lease(bug):
+    """A follower restarts right after it has extended a lease."""
+    cluster = Cluster(1, 3, bug=bug)
+    cluster.settle(5.0)
+    leader = cluster.leader().ident
+    follower, other = (n for n in cluster.disks if n != leader)
+    for _ in range(15):
+        cluster.now += TIMING.heartbeat_s
+        cluster.tick(leader)
+        cluster.deliver_all(leader, follower)
+        cluster.deliver_all(follower, leader)
+    cluster.network.clear()
+    cluster.bounce(follower)
+    cluster.tick(other)
+    for _ in range(4):
+        cluster.deliver_all(other, follower)
+        cluster.deliver_all(follower, other)
+        cluster.check_leases()
+    assert cluster.replicas[leader].lease_holds(cluster.now)
+
+
+SCHEDULED = {
+    'vote not synced': vote_twice,
+    'restart forgets leases': elect_within_a_lease,
+}
+
+
+@pytest.mark.parametrize('bug', SCHEDULED)
+def test_a_known_bug_is_caught_and_its_schedule_passes_without_it(bug):
+    # The random schedules rarely reach these orders, so they stand here.
+    SCHEDULED[bug]('')
+    with pytest.raises(Broken):
+        SCHEDULED[bug](bug)
+
+
+def settled(size=3):
+    cluster = Cluster(1, size)
+    cluster.settle(5.0)
+    return cluster
+
+
+def test_a_leader_frozen_past_its_lease_says_so_on_waking():
+    # The old leader wakes after others have elected a new one. Before any
+    # message arrives, its own clock tells that its lease is over.
+    cluster = settled()
+    old = cluster.leader()
+    assert old.lease_holds(cluster.now)
+    assert not old.lease_holds(cluster.now + TIMING.lease_s)
+
+
+def test_a_minority_elects_nobody_and_commits_nothing():
+    cluster = settled()
+    alone = cluster.leader().ident
+    for other in cluster.disks:
+        if other != alone:
+            cluster.cut |= {(alone, other), (other, alone)}
+    before = cluster.replicas[alone].commit
+    cluster.replicas[alone].propose(b'lost')
+    for _ in range(100):
+        cluster.pass_time()
+        for _ in range(10):
+            cluster.deliver()
+    assert cluster.replicas[alone].commit == before
+    assert cluster.replicas[alone].role is not decisions.Role.LEADER
+
+
+def test_a_replica_cut_off_one_way_does_not_unseat_the_leader():
+    # It hears nobody but is heard: without pre-vote its growing term would
+    # end the leader's again and again.
+    cluster = settled()
+    leader = cluster.leader()
+    deaf = next(n for n in cluster.disks if n != leader.ident)
+    cluster.cut = {(other, deaf) for other in cluster.disks}
+    term = leader.term
+    for _ in range(200):
+        cluster.now += 0.05
+        cluster.tick(*cluster.disks)
+        while cluster.network:
+            cluster.deliver()
+    assert cluster.leader().ident == leader.ident
+    assert cluster.leader().term == term
+
+
+def replace_disk(cluster, name):
+    """Lose a replica's disk; it joins as a new identity."""
+    cluster.crash(name)
+    del cluster.disks[name]
+    fresh = f'{decisions_name(name)}.new'
+    cluster.disks[fresh] = Disk()
+    cluster.start(fresh, founding=messages.Config())
+    return fresh
+
+
+def decisions_name(ident):
+    return ident.partition('.')[0]
+
+
+def repair(cluster, fresh, rounds=80):
+    """Let the leader take the new replica in, step by step."""
+    for _ in range(rounds):
+        leader = cluster.leader()
+        request = messages.JoinRequest(fresh, 'address')
+        config = decisions.with_learner(leader, request)
+        change = decisions.next_config(leader)
+        if config is not None:
+            leader.change_config(config)
+        elif change is not None:
+            leader.change_config(change.config)
+        cluster.settle(0.5)
+
+
+def test_a_lost_disk_is_replaced_and_then_another_may_be_lost():
+    # An operator loses one disk, and right after the repair a second
+    # replica. All that was committed must still be there.
+    cluster = settled()
+    for _ in range(30):
+        cluster.propose()
+    cluster.settle(2.0)
+    lost = next(n for n in cluster.disks if n != cluster.leader().ident)
+    fresh = replace_disk(cluster, lost)
+    repair(cluster, fresh)
+    assert set(cluster.leader().config.voters) == set(cluster.disks)
+    assert not cluster.leader().config.learners
+    before = max(cluster.committed)
+    second = next(
+        n for n in cluster.disks if n not in (fresh, cluster.leader().ident)
+    )
+    cluster.crash(second)
+    del cluster.disks[second]
+    cluster.propose()
+    cluster.settle(6.0)
+    assert cluster.leader().commit > before
+
+
+def test_an_empty_replica_has_no_vote_before_it_holds_the_log():
+    cluster = settled()
+    lost = next(n for n in cluster.disks if n != cluster.leader().ident)
+    fresh = replace_disk(cluster, lost)
+    leader = cluster.leader()
+    request = messages.JoinRequest(fresh, 'address')
+    leader.change_config(decisions.with_learner(leader, request))
+    assert decisions.next_config(leader) is None
+    assert fresh not in leader.config.voters
+    cluster.replicas[fresh].tick(cluster.now + 100)
+    assert cluster.replicas[fresh].role is decisions.Role.FOLLOWER
+
+
+def test_a_follower_behind_the_snapshot_gets_it():
+    cluster = settled()
+    leader = cluster.leader().ident
+    late = next(n for n in cluster.disks if n != leader)
+    cluster.crash(late)
+    for _ in range(20):
+        cluster.propose()
+        for _ in range(20):
+            cluster.deliver()
+    cluster.compact(leader)
+    assert cluster.replicas[leader].snapshot.index > 5
+    cluster.settle(3.0)
+    assert cluster.replicas[late].commit == cluster.replicas[leader].commit
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -92,8 +92,7 @@
 async def test_without_control_a_booking_isnt_run(system):
     # The caller hears that nothing is known to have run, and nothing did:
     # no majority, no claim, no run.
-    system.control_task.cancel()
-    await system.control_transport.close()
+    await system.stop_control()
     status, _, answer = await system.post(
         '/v1/services/booking/slots',
         b'{"slot": "a"}',
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,190 @@
+"""The data folder: what is synced lasts, and what can't be trusted stops."""
+
+import os
+
+import attrs
+import pytest
+
+from bulrushhold import control
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import settings
+from tests import conftest
+
+FOUNDING = messages.Config(voters={'c1.founder': '127.0.0.1:1'})
+
+
+def entries(first, last, term=1):
+    return [
+        messages.LogEntry(n, term, messages.KIND_COMMAND, b'data %d' % n)
+        for n in range(first, last + 1)
+    ]
+
+
+@pytest.fixture
+def store(tmp_path):
+    log = node.FileLog(tmp_path)
+    log.write_identity(node.Identity('c1.founder', FOUNDING))
+    log.load(FOUNDING)
+    yield log
+    log.close()
+
+
+def reopen(store):
+    store.close()
+    again = node.FileLog(store.folder)
+    durable = again.load(FOUNDING)
+    again.close()
+    return durable
+
+
+def test_what_was_saved_is_read_again(store):
+    store.save(1, 'c1', entries(1, 3))
+    store.save(2, 'c2', [])
+    durable = reopen(store)
+    assert (durable.term, durable.vote) == (2, 'c2')
+    assert durable.entries == entries(1, 3)
+
+
+def test_an_entry_replaces_all_from_its_index_on(store):
+    store.save(1, '', entries(1, 5))
+    store.save(2, '', entries(3, 3, term=2))
+    assert reopen(store).entries == entries(1, 2) + entries(3, 3, term=2)
+
+
+@pytest.mark.parametrize('lost', [1, 5, 20])
+def test_a_torn_last_write_is_cut(store, lost):
+    # The process died within its last write, which it had told nobody of.
+    store.save(1, '', entries(1, 1))
+    store.save(1, '', entries(2, 2))
+    size = store.log_path.stat().st_size
+    os.truncate(store.log_path, size - lost)
+    assert reopen(store).entries == entries(1, 1)
+    again = node.FileLog(store.folder)
+    again.load(FOUNDING)
+    again.save(1, '', entries(2, 2))
+    again.close()
+    assert reopen(store).entries == entries(1, 2)
+
+
+def test_damage_before_the_tail_stops_the_start(store):
+    # A bit flips in a record whose write was acknowledged. Cutting it off
+    # would take committed entries back; the operator gets file and offset.
+    store.save(1, '', entries(1, 1))
+    offset = store.log_path.stat().st_size
+    store.save(1, '', entries(2, 2))
+    store.save(1, '', entries(3, 3))
+    with store.log_path.open('r+b') as file:
+        file.seek(offset + 12)
+        file.write(b'\xff')
+    with pytest.raises(errors.StorageError) as caught:
+        reopen(store)
+    assert f'offset {offset}' in caught.value.reason
+    assert caught.value.peer == str(store.log_path)
+
+
+@pytest.mark.parametrize('name', ['identity', 'snapshot'])
+def test_a_damaged_whole_file_stops_the_start(store, name):
+    state = messages.InstallSnapshot(1, '', 2, 1, FOUNDING, b'state', 0)
+    store.save_snapshot(state, [])
+    path = store.folder / name
+    path.write_bytes(path.read_bytes()[:-1] + b'\x00')
+    with pytest.raises(errors.StorageError, match=name):
+        store.identity()
+        reopen(store)
+
+
+def test_a_log_without_its_identity_stops_the_start(store):
+    store.save(1, '', entries(1, 1))
+    store.identity_path.unlink()
+    with pytest.raises(errors.StorageError, match='identity is missing'):
+        store.identity()
+
+
+def test_a_crash_between_snapshot_and_log_loses_nothing(store):
+    # The snapshot was renamed into place, the log not yet begun anew: its
+    # entries up to the snapshot are passed over, the later ones count.
+    store.save(3, 'c1', entries(1, 5))
+    old_log = store.log_path.read_bytes()
+    state = messages.InstallSnapshot(3, '', 3, 1, FOUNDING, b'state', 0)
+    store.save_snapshot(state, entries(4, 5))
+    store.log_path.write_bytes(old_log)
+    durable = reopen(store)
+    assert durable.snapshot.index == 3
+    assert durable.entries == entries(4, 5)
+    assert (durable.term, durable.vote) == (3, 'c1')
+
+
+def test_a_failed_sync_is_the_end_of_the_process(store, monkeypatch):
+    # After a failed sync a second one may succeed without the lost pages.
+    def fail(handle):
+        raise OSError(5, 'Input/output error')
+
+    monkeypatch.setattr(os, 'fdatasync', fail)
+    with pytest.raises(errors.StorageError, match='Input/output error'):
+        store.save(1, '', entries(1, 1))
+
+
+def test_a_folder_in_use_is_not_founded_again(store):
+    address = settings.Address('127.0.0.1', 1)
+    config = settings.Control(
+        'c1', 'north', address, str(store.folder), {'c1': address}
+    )
+    with pytest.raises(errors.StorageError, match='already belongs'):
+        control.found(config, store)
+
+
+def test_an_empty_folder_never_founds_a_log(tmp_path):
+    # A lost disk that took its old name again could vote twice in a term.
+    address = settings.Address('127.0.0.1', 1)
+    config = settings.Control(
+        'c1', 'north', address, str(tmp_path), {'c1': address}
+    )
+    store = node.FileLog(tmp_path)
+    durable, ident = control.open_replica(config, store)
+    store.close()
+    assert ident.startswith('c1.')
+    assert ident != 'c1.founder'
+    assert durable.founding == messages.Config()
+
+
+async def test_a_full_disk_ends_control_with_its_reason(make_system):
+    # The disk fills up: the process ends, naming the file, instead of
+    # answering as if the edit had been stored.
+    system = await make_system()
+
+    def fail(*args):
+        raise errors.StorageError('No space left on device', 'storage', 'log')
+
+    system.control.store.save = fail
+    with pytest.raises(errors.PeerError):
+        await system.entries['e1'].control.propose(
+            messages.ForgetClaims(0.0), 0.3
+        )
+    assert isinstance(system.control_task.exception(), errors.StorageError)
+
+
+async def test_all_is_there_after_500_edits_and_a_restart(make_system):
+    system = await make_system()
+    entry = system.entries['e1']
+    rows = list(system.control.state.table.rows())
+    for number in range(500):
+        rows[0] = attrs.evolve(rows[0], priority=number + 1)
+        edit = messages.TableEdit(f'n{number}', number + 1, '', 0.0, rows)
+        outcome = await entry.control.propose(edit, 5)
+        assert outcome.accepted, outcome
+    before = system.control.state.table
+    await system.restart_control()
+    await until_leader(system)
+    after = system.control.state.table
+    assert after.revision == before.revision == 501
+    assert after.rows() == before.rows()
+    assert after.outcomes == before.outcomes
+
+
+async def until_leader(system):
+    await conftest.until(
+        lambda: system.control.replica.commits_in_term
+        and system.control.replica.applied == system.control.replica.commit
+    )
--- /dev/null
+++ b/tests/test_table.py
@@ -0,0 +1,217 @@
+"""The table: edits of operators, racing, resent and wrong."""
+
+import attrs
+import pytest
+
+from bulrushhold import decisions
+from bulrushhold import messages
+from tests import conftest
+
+
+def edit(name, base, rows):
+    return messages.TableEdit(name, base, 'operator', 0.0, rows)
+
+
+@pytest.fixture
+def table():
+    state = decisions.TableState()
+    rows = [conftest.row(), conftest.row('planners')]
+    assert state.apply(edit('first', 0, rows)).accepted
+    return state
+
+
+def change(table, account, **cells):
+    return [
+        attrs.evolve(row, **cells) if row.account == account else row
+        for row in table.rows()
+    ]
+
+
+def row_of(table, account):
+    return next(row for row in table.rows() if row.account == account)
+
+
+def test_a_resent_edit_gets_its_first_outcome(table):
+    rows = change(table, 'vendors', weight=2.0)
+    first = table.apply(edit('e', 1, rows))
+    table.apply(edit('f', 2, change(table, 'vendors', weight=3.0)))
+    assert table.apply(edit('e', 1, rows)) == first
+    assert row_of(table, 'vendors').weight == 3.0
+
+
+def test_of_a_race_on_one_number_one_wins_and_the_other_sees_both(table):
+    mine = change(table, 'vendors', weight=2.0)
+    theirs = change(table, 'vendors', weight=3.0)
+    assert table.apply(edit('theirs', 1, theirs)).accepted
+    outcome = table.apply(edit('mine', 1, mine))
+    assert not outcome.accepted
+    assert outcome.conflicts == [
+        messages.Conflict('vendors/chat', 'weight', '3.0', '2.0')
+    ]
+    assert row_of(table, 'vendors').weight == 3.0
+
+
+def test_edits_of_different_cells_are_both_taken(table):
+    mine = change(table, 'vendors', weight=2.0)
+    theirs = change(table, 'vendors', concurrency=9)
+    others = change(table, 'planners', weight=5.0)
+    for number, rows in enumerate((mine, theirs, others)):
+        assert table.apply(edit(f'e{number}', 1, rows)).accepted
+    row = row_of(table, 'vendors')
+    assert (row.weight, row.concurrency) == (2.0, 9)
+    assert row_of(table, 'planners').weight == 5.0
+
+
+def test_a_stale_pull_does_not_turn_anothers_edit_back(table):
+    # The operator pulled before another's edit and pushes a change of a
+    # different row; the cells that it didn't touch stay as they are now.
+    stale = change(table, 'planners', weight=5.0)
+    table.apply(edit('theirs', 1, change(table, 'vendors', weight=3.0)))
+    assert table.apply(edit('mine', 1, stale)).accepted
+    assert row_of(table, 'vendors').weight == 3.0
+
+
+def test_removing_a_line_removes_the_row_but_not_a_newer_one(table):
+    pulled = table.rows()
+    added = [*pulled, conftest.row('bakers')]
+    assert table.apply(edit('add', 1, added)).accepted
+    assert table.apply(edit('remove', 1, pulled[:1])).accepted
+    accounts = [row.account for row in table.rows()]
+    assert accounts == ['bakers', pulled[0].account]
+
+
+def test_removing_a_row_that_another_changed_is_a_conflict(table):
+    pulled = table.rows()
+    table.apply(edit('theirs', 1, change(table, 'vendors', weight=3.0)))
+    outcome = table.apply(edit('mine', 1, pulled[:1]))
+    assert [c.row for c in outcome.conflicts] == ['vendors/chat']
+
+
+def test_an_edit_based_on_the_future_is_refused(table):
+    assert not table.apply(edit('e', 9, table.rows())).accepted
+
+
+def test_changes_since_tell_rows_set_and_removed(table):
+    table.apply(edit('e', 1, [attrs.evolve(table.rows()[0], weight=7.0)]))
+    rows, removed = table.changes_since(1)
+    assert [row.weight for row in rows] == [7.0]
+    assert removed == ['vendors/chat']
+
+
+def test_a_snapshot_holds_everything(table):
+    state = decisions.ReplicatedState(table=table)
+    restored = decisions.ReplicatedState.restore(state.dump())
+    assert restored == state
+
+
+def test_csv_goes_out_and_in_unchanged(table):
+    text = decisions.write_csv(table.rows(), table.revision)
+    assert decisions.read_csv(text) == (table.rows(), 1)
+    # As a spreadsheet may save it.
+    saved = '\ufeff' + text.replace(',', ';').replace('\n', '\r\n')
+    assert decisions.read_csv(saved) == (table.rows(), 1)
+
+
+HEADER = (
+    'account,work,weight,token_rate,concurrency,deadline_s,priority,'
+    'idempotent,revision\n'
+)
+
+BAD_CELLS = [
+    ('vendors,chat,0,0,0,9,0,yes,1\n', 'row 2, column weight'),
+    ('vendors,chat,x,0,0,9,0,yes,1\n', "needs a number: 'x'"),
+    ('vendors,chat,nan,0,0,9,0,yes,1\n', 'column weight'),
+    ('vendors,chat,1,0,1.5,9,0,yes,1\n', 'needs a whole number'),
+    ('vendors,chat,1,0,0,9,0,maybe,1\n', 'needs yes or no'),
+    ('a/b,chat,1,0,0,9,0,yes,1\n', 'row 2, column account'),
+    (',chat,1,0,0,9,0,yes,1\n', 'row 2, column account'),
+    ('a,chat,1,0,0,9,0,yes,1\na,chat,2,0,0,9,0,yes,1\n', 'row a/chat'),
+    ('a,chat,1,0,0,9,0,yes,1\nb,chat,2,0,0,9,0,yes,2\n', 'several pulls'),
+    ('a,chat,1,0,0,9,0,yes,x\n', 'row 2, column revision'),
+]
+
+
+@pytest.mark.parametrize(('lines', 'reason'), BAD_CELLS)
+def test_a_bad_cell_is_named(lines, reason):
+    with pytest.raises(ExceptionGroup) as caught:
+        decisions.read_csv(HEADER + lines)
+    assert reason in ' '.join(map(str, caught.value.exceptions))
+
+
+def test_every_bad_cell_is_named_at_once():
+    with pytest.raises(ExceptionGroup) as caught:
+        decisions.read_csv(HEADER + ',chat,x,0,0,9,0,yes,1\n')
+    assert len(caught.value.exceptions) == 2
+
+
+@pytest.mark.parametrize(
+    ('text', 'reason'),
+    [
+        ('', 'the file is empty'),
+        ('account,work\n', 'column weight: column is missing'),
+        (HEADER.replace('weight', 'weight,size'), 'unknown column'),
+    ],
+)
+def test_a_bad_header_is_named(text, reason):
+    with pytest.raises(ExceptionGroup) as caught:
+        decisions.read_csv(text)
+    assert reason in ' '.join(map(str, caught.value.exceptions))
+
+
+async def test_a_bad_push_changes_nothing(system):
+    status, _, answer = await system.post(
+        '/v1/table?edit=e1',
+        HEADER + 'vendors,chat,0,0,0,9,0,yes,1\n',
+        Authorization=f'Bearer {conftest.OPERATOR_KEY}',
+    )
+    assert status == 422
+    assert answer['cells'] == [
+        'row 2, column weight: needs a number from 0.001 to 1e12: \'0\''
+    ]
+    assert system.control.state.table.revision == 1
+
+
+@pytest.mark.parametrize('key', ['', 'Bearer wrong', 'Bearer '])
+async def test_only_the_operator_key_may_push(system, key):
+    status, _, answer = await system.post(
+        '/v1/table?edit=e1', HEADER, Authorization=key
+    )
+    assert (status, answer['error']['ran']) == (403, 'no')
+
+
+async def test_an_entry_never_goes_back_to_an_older_table(system):
+    # A replica that lags answers an entry that has already seen more.
+    table = system.entries['e1'].table
+    old = messages.TableReply('done', revision=0, whole=True)
+    table.take(old, 0.0)
+    assert table.revision == 1
+    assert table.rows
+
+
+async def test_an_entry_cut_off_from_control_refuses_new_work(make_system):
+    # Control is gone for longer than the table's lease. A caller hears
+    # ran: no and other entries, instead of limits long taken back.
+    system = await make_system(options={'table_lease_s': 0.1})
+    await system.stop_control()
+    entry = system.entries['e1']
+    await conftest.until(lambda: not entry.table.in_force())
+    status, _, answer = await system.post(
+        '/v1/chat/completions',
+        '{"model": "small", "messages": [{"role": "user"}]}',
+        Bulrushhold_Account='vendors',
+    )
+    assert (status, answer['error']['ran']) == (503, 'no')
+    assert answer['error']['step'] == 'admission'
+
+
+async def test_serving_on_with_a_stale_table_is_a_setting(make_system):
+    system = await make_system(
+        options={'table_lease_s': 0.01, 'when_table_stale': 'serve'}
+    )
+    await system.stop_control()
+    status, _, _ = await system.post(
+        '/v1/chat/completions',
+        '{"model": "small", "messages": [{"role": "user"}], "max_tokens": 2}',
+        Bulrushhold_Account='vendors',
+    )
+    assert status == 200
