An edit in the log holds only what the push changes

Cause: starting after 500 edits of a 100-row table took 0.34 s and 5.8 MiB, and the 50,000-edit run didn't end in three minutes: every edit held the whole table. Ruled out: the log's reading itself. Change: the entry takes the difference to the table as of the pull; control merges those rows only.

--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -238,6 +238,8 @@
         if read.instance:
             self.in_force[read.instance] = (read.known, self.clock())
         table = self.state.table
+        if read.at >= 0:
+            return self._table_at(read.at)
         whole = read.known < table.floor or read.known > table.revision
         known = 0 if whole else read.known
         rows, removed = table.changes_since(known)
@@ -253,6 +255,14 @@
             else self.state.refusals(),
         )
 
+    def _table_at(self, revision: int) -> messages.TableReply:
+        table = self.state.table
+        if not table.knows(revision):
+            return messages.TableReply('done', revision=-1)
+        return messages.TableReply(
+            'done', revision=revision, whole=True, rows=table.rows(revision)
+        )
+
     async def _on_history_read(
         self, read: messages.HistoryRead
     ) -> messages.HistoryReply:
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -28,6 +28,7 @@
 from bulrushhold.decisions._statemachine import ReplicatedState
 from bulrushhold.decisions._suspects import content_fingerprint
 from bulrushhold.decisions._suspects import Suspects
+from bulrushhold.decisions._table import difference
 from bulrushhold.decisions._table import TableState
 from bulrushhold.decisions._tablecsv import read as read_csv
 from bulrushhold.decisions._tablecsv import write as write_csv
@@ -65,6 +66,7 @@
     'best_copy',
     'content_fingerprint',
     'copy_peers',
+    'difference',
     'entries_for',
     'homes',
     'new_identity',
--- a/src/bulrushhold/decisions/_table.py
+++ b/src/bulrushhold/decisions/_table.py
@@ -38,14 +38,20 @@
     outcomes: dict[str, messages.EditOutcome] = attrs.field(factory=dict)
     history: list[messages.HistoryItem] = attrs.field(factory=list)
 
-    def rows(self) -> list[messages.Row]:
-        """Return the rows in force, by key."""
-        current = (versions[-1].row for versions in self.versions.values())
+    def rows(self, revision: int | None = None) -> list[messages.Row]:
+        """Return the rows in force, or as of a revision, by key."""
+        if revision is None:
+            revision = self.revision
+        found = (self._at(key, revision) for key in self.versions)
         return sorted(
-            (row for row in current if row is not None),
+            (row for row in found if row is not None),
             key=lambda row: row.key,
         )
 
+    def knows(self, revision: int) -> bool:
+        """Whether an edit can be based on a revision."""
+        return self.floor <= revision <= self.revision
+
     def changes_since(
         self, known: int
     ) -> tuple[list[messages.Row], list[str]]:
@@ -74,18 +80,19 @@
         return outcome
 
     def _apply_new(self, edit: messages.TableEdit) -> messages.EditOutcome:
-        if not self.floor <= edit.base <= self.revision:
+        if not self.knows(edit.base):
             return messages.EditOutcome(
                 False,
                 self.revision,
                 reason=f'revision {edit.base} is unknown or too old; '
                 'pull the table again',
             )
-        wanted = {row.key: row for row in edit.rows}
+        wanted: dict[str, messages.Row | None] = dict.fromkeys(edit.removed)
+        wanted |= {row.key: row for row in edit.rows}
         changed: dict[str, messages.Row | None] = {}
         conflicts: list[messages.Conflict] = []
-        for key in sorted(wanted.keys() | self.versions.keys()):
-            merged, found = self._merge(key, wanted.get(key), edit.base)
+        for key in sorted(wanted):
+            merged, found = self._merge(key, wanted[key], edit.base)
             conflicts += found
             if merged != self._at(key, self.revision):
                 changed[key] = merged
@@ -157,11 +164,20 @@
                 del versions[0]
 
     def _at(self, key: str, revision: int) -> messages.Row | None:
-        found = None
-        for version in self.versions.get(key, ()):
+        for version in reversed(self.versions.get(key, ())):
             if version.revision <= revision:
-                found = version.row
-        return found
+                return version.row
+        return None
+
+
+def difference(
+    before: list[messages.Row], after: list[messages.Row]
+) -> tuple[list[messages.Row], list[str]]:
+    """Return the rows to set and the keys to remove between two tables."""
+    known = {row.key: row for row in before}
+    rows = [row for row in after if known.get(row.key) != row]
+    removed = known.keys() - {row.key for row in after}
+    return rows, sorted(removed)
 
 
 def _note(
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -405,12 +405,16 @@
                 body=_encode({'accepted': False, 'cells': cells}),
                 content_type=_JSON,
             )
+        # Where the base is too old this finds no rows; control refuses it.
+        former = await self._ask(messages.TableRead(0, '', at=base))
+        changed, removed = decisions.difference(former.rows, rows)
         edit = messages.TableEdit(
             edit_id,
             base,
             request.query.get('author', ''),
             time.time(),
-            rows,
+            changed,
+            removed,
         )
         try:
             outcome = await self.control.propose(edit, PUSH_DEADLINE_S)
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -133,10 +133,15 @@
 
 @attrs.frozen
 class TableEdit:
-    """One pushed edit, checked against the rows as of ``base``.
+    """What one push changes in the table as of ``base``.
+
+    Only rows that differ from those at ``base``: a whole table of 27,000
+    accounts in the log for each of 310 edits a day would be a gigabyte.
 
     :param edit_id: names the edit; a resend returns its first outcome.
     :param base: revision of the table that the operator had pulled.
+    :param rows: added or changed.
+    :param removed: keys of rows taken out.
     """
 
     edit_id: str
@@ -144,6 +149,7 @@
     author: str
     at: float
     rows: list[Row]
+    removed: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -273,11 +279,14 @@
     :param instance: the asking entry, whose revision in force is kept;
         ``''`` for an operator's pull.
     :param known_refusals: revision of quarantine and suspects it has.
+    :param at: if not negative, the whole table as of this revision is
+        wanted.
     """
 
     known: int
     instance: str
     known_refusals: int = -1
+    at: int = -1
 
 
 @attrs.frozen
