Limits and weights: quota leases from a home, fair queue, refusals at once

Also mended: processes that could not be stopped. Cause: asyncio.wait_for of Python 3.11 may return a result and drop a cancellation that came in the same turn; two test runs hung in stopping control. Ruled out: handlers of aiohttp, which end by a timeout. Change: asyncio.timeout everywhere. The new test failed before and passes now. 148 tests pass.

--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -117,12 +117,20 @@
             self.view.listed,
             self.view.copy_peers,
         )
+        self.admission = entry.Admission(
+            config,
+            self.transport,
+            lambda: self.table.rows,
+            self.view.listed,
+            self.metrics,
+        )
         runner = entry.GenerationRunner(
             config.recovery,
             self.router,
             adapters.HttpEngineClient(self.session),
             _policy(config.recovery),
             self.copies,
+            self.admission,
             _Quarantine(self),
             self.metrics,
         )
@@ -148,6 +156,7 @@
             self.control,
             self.streams,
             services,
+            self.admission,
             self.metrics,
             _operator_key(config),
         )
@@ -156,6 +165,7 @@
         self.spawn(self.view.run())
         self.spawn(self._follow_peers())
         self.spawn(self.streams.sweep())
+        self.spawn(self.admission.sweep())
         self.runner = web.AppRunner(
             self.server.application(),
             access_log=None,
@@ -204,6 +214,7 @@
     async def _follow_peers(self) -> None:
         while True:
             self.copies.set_peers(self.view.copy_peers())
+            self.admission.set_capacity(self.view.engine_slots())
             await self.view.changed.wait()
             self.view.changed.clear()
 
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc as cabc
+import contextlib
 import time
 import typing as t
 
@@ -84,12 +85,12 @@
             self.replica.tick(self.clock())
             self._look_after_members()
             self.drive()
-            try:
-                await asyncio.wait_for(self.work.wait(), beat)
-            except TimeoutError:
-                continue
-            finally:
-                self.work.clear()
+            # Not wait_for: in Python 3.11 it may return a result and forget
+            # a cancellation that came with it; the process would never end.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(beat):
+                    await self.work.wait()
+            self.work.clear()
 
     def drive(self) -> None:
         """Do all that the replica wants done: save, send, apply."""
@@ -218,7 +219,8 @@
         self.waiting[index] = _Waiting(term, future)
         self.work.set()
         try:
-            result = await asyncio.wait_for(future, PROPOSAL_TIMEOUT_S)
+            async with asyncio.timeout(PROPOSAL_TIMEOUT_S):
+                result = await future
         except TimeoutError:
             self.waiting.pop(index, None)
             return messages.ProposalReply('unknown')
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -2,6 +2,7 @@
 
 from bulrushhold.decisions._claims import ClaimState
 from bulrushhold.decisions._copies import CopyStore
+from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._homes import copy_peers
 from bulrushhold.decisions._homes import entries_for
 from bulrushhold.decisions._homes import homes
@@ -10,6 +11,10 @@
 from bulrushhold.decisions._members import new_identity
 from bulrushhold.decisions._members import next_config
 from bulrushhold.decisions._members import with_learner
+from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
+from bulrushhold.decisions._quota import QuotaHome
+from bulrushhold.decisions._quota import QuotaShare
+from bulrushhold.decisions._quota import RENEW_S as QUOTA_RENEW_S
 from bulrushhold.decisions._recovery import Action
 from bulrushhold.decisions._recovery import GapEstimate
 from bulrushhold.decisions._recovery import PromptPolicy
@@ -45,9 +50,14 @@
     'ClaimState',
     'CopyStore',
     'Durable',
+    'FairQueue',
     'GapEstimate',
     'Lifecycle',
     'PromptPolicy',
+    'QUOTA_LEASE_S',
+    'QUOTA_RENEW_S',
+    'QuotaHome',
+    'QuotaShare',
     'Ready',
     'RecoveryPolicy',
     'Replica',
--- /dev/null
+++ b/src/bulrushhold/decisions/_fairqueue.py
@@ -0,0 +1,126 @@
+"""Weighted fair queueing of requests by engine tokens.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996): a flow's next request
+starts at the virtual time at which its last one, divided by its weight, would
+have ended. A burst of one flow then waits behind its own requests only.
+"""
+
+import collections
+import collections.abc as cabc
+import typing as t
+
+import attrs
+
+RATE_GAIN: t.Final = 0.1
+
+
+@attrs.define
+class _Flow:
+    """One row's queue.
+
+    :param finish: virtual time at which its last request ends.
+    """
+
+    weight: float
+    finish: float = 0.0
+    items: collections.deque[tuple[float, t.Any]] = attrs.field(
+        factory=collections.deque
+    )
+
+
+class FairQueue:
+    """Requests that wait for one of ``capacity`` places."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self.running = 0
+        self.flows: dict[str, _Flow] = {}
+        self.virtual = 0.0
+        self.spacing = 0.0
+        self.ended_at: float | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return sum(len(flow.items) for flow in self.flows.values())
+
+    def push(self, name: str, weight: float, cost: float, item: t.Any) -> None:
+        """Queue a request of ``cost`` expected tokens."""
+        flow = self.flows.get(name)
+        if flow is None:
+            flow = self.flows[name] = _Flow(weight)
+        flow.weight = weight
+        flow.items.append((cost, item))
+
+    def pop(self, ready: cabc.Callable[[str], bool]) -> t.Any | None:
+        """Return the next request that may start, or ``None``.
+
+        :param ready: whether a flow's limits allow one more.
+        """
+        if self.running >= self.capacity:
+            return None
+        best = min(
+            (
+                (max(flow.finish, self.virtual), name)
+                for name, flow in self.flows.items()
+                if flow.items and ready(name)
+            ),
+            default=None,
+        )
+        if best is None:
+            return None
+        start, name = best
+        flow = self.flows[name]
+        cost, item = flow.items.popleft()
+        flow.finish = start + cost / flow.weight
+        self.virtual = start
+        self.running += 1
+        return item
+
+    def remove(self, name: str, item: t.Any) -> bool:
+        """Take a request out that waits no more."""
+        flow = self.flows.get(name)
+        for entry in flow.items if flow else ():
+            if entry[1] is item:
+                flow.items.remove(entry)
+                return True
+        return False
+
+    def done(
+        self, name: str, expected: float, actual: float, now: float
+    ) -> None:
+        """Free a place, and charge the flow what it really used."""
+        self.running -= 1
+        flow = self.flows.get(name)
+        if flow is not None:
+            flow.finish += (actual - expected) / flow.weight
+        if self.ended_at is not None:
+            gap = now - self.ended_at
+            self.spacing += RATE_GAIN * (gap - self.spacing)
+        self.ended_at = now
+        self._forget_idle()
+
+    def expected_wait(self, name: str, weight: float) -> float:
+        """Return seconds that a new request of a flow will wait.
+
+        Its share of the places that come free, by its weight among the
+        flows that wait.
+        """
+        if self.running < self.capacity and not self.waiting:
+            return 0.0
+        flow = self.flows.get(name)
+        own = len(flow.items) if flow else 0
+        others = sum(
+            f.weight for n, f in self.flows.items() if f.items and n != name
+        )
+        return (own + 1) * self.spacing * (weight + others) / weight
+
+    def _forget_idle(self) -> None:
+        """Drop flows that owe nothing; they start at the present time."""
+        idle = [
+            name
+            for name, flow in self.flows.items()
+            if not flow.items and flow.finish <= self.virtual
+        ]
+        for name in idle:
+            del self.flows[name]
--- /dev/null
+++ b/src/bulrushhold/decisions/_quota.py
@@ -0,0 +1,186 @@
+"""Limits of a row shared by all entries: short leases from a home.
+
+Each row has one home among the entries (rendezvous hash). The home splits
+most of the row's limits into leases; the rest is split evenly among all
+entries beforehand, as a floor that needs no home. Leases that may still be
+in use are never granted again, so that the sum over the entries doesn't pass
+the table, also when a holder is frozen or a home is replaced.
+"""
+
+import math
+import typing as t
+
+import attrs
+
+from bulrushhold import messages
+
+LEASE_S: t.Final = 2.0
+RENEW_S: t.Final = 1.0
+FLOOR_SHARE: t.Final = 0.1
+BURST_S: t.Final = 1.0
+
+
+@attrs.define
+class _Holder:
+    """One entry's lease, as the home knows it.
+
+    :param want: requests running and waiting there.
+    """
+
+    want: float
+    rate: float = 0.0
+    slots: int = 0
+    until: float = 0.0
+
+
+class QuotaHome:
+    """Grants leases for the rows whose home this entry is.
+
+    :param now: monotonic seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.rows: dict[str, dict[str, _Holder]] = {}
+        self.open_at = now + LEASE_S
+
+    def homes_changed(self, now: float) -> None:
+        """Learn that rows may have come here from other homes."""
+        self.open_at = now + LEASE_S
+
+    def grant(
+        self, ask: messages.QuotaAsk, row: messages.Row, now: float
+    ) -> messages.QuotaGrant:
+        """Grant a lease within what no other lease may still use.
+
+        A row that is new here, soon after the entries have changed, may
+        have had another home, whose leases are still in use: the wait of
+        one lease time outlasts all of them.
+        """
+        known = ask.row in self.rows
+        holders = self.rows.setdefault(ask.row, {})
+        self._expire(holders, now)
+        if not known and now < self.open_at:
+            del self.rows[ask.row]
+            return messages.QuotaGrant(0.0, 0, LEASE_S)
+        holder = holders.setdefault(ask.holder, _Holder(ask.want))
+        others = [h for n, h in holders.items() if n != ask.holder]
+        holder.want = ask.want
+        share = ask.want / (ask.want + sum(h.want for h in others))
+        rate_limit = row.token_rate * (1 - FLOOR_SHARE)
+        free_rate = rate_limit - sum(h.rate for h in others)
+        holder.rate = max(0.0, min(rate_limit * share, free_rate))
+        slot_limit = leased_slots(row, ask.entries)
+        free_slots = slot_limit - sum(h.slots for h in others)
+        slots = min(max(1, round(slot_limit * share)), free_slots)
+        # What runs there already can't be taken back.
+        holder.slots = max(0, slots, ask.running)
+        holder.until = now + LEASE_S
+        return messages.QuotaGrant(holder.rate, holder.slots, LEASE_S)
+
+    def _expire(self, holders: dict[str, _Holder], now: float) -> None:
+        for name in [n for n, h in holders.items() if now >= h.until]:
+            del holders[name]
+
+    def forget(self, now: float) -> None:
+        """Drop the rows without leases."""
+        for key, holders in list(self.rows.items()):
+            self._expire(holders, now)
+            if not holders:
+                del self.rows[key]
+
+
+def floor_slots(row: messages.Row, entries: int) -> int:
+    """Return the requests at once that every entry may always run."""
+    return math.floor(row.concurrency * FLOOR_SHARE / max(1, entries))
+
+
+def leased_slots(row: messages.Row, entries: int) -> int:
+    """Return the requests at once that the home may split up."""
+    return row.concurrency - floor_slots(row, entries) * entries
+
+
+@attrs.define
+class QuotaShare:
+    """This entry's share of one row's limits: floor and lease.
+
+    :param granted_from: when the ask for the lease left, in monotonic
+        seconds; the lease is counted from there, as the home counts it
+        from later.
+    :param tokens: what may still be spent; below 0 it is a debt.
+    """
+
+    row: messages.Row
+    entries: int
+    rate: float = 0.0
+    slots: int = 0
+    granted_from: float = -1e9
+    running: int = 0
+    waiting: int = 0
+    tokens: float = 0.0
+    filled_at: float = 0.0
+    used_at: float = 0.0
+
+    def take_grant(self, grant: messages.QuotaGrant, sent: float) -> None:
+        """Take in a lease that was asked for at ``sent``."""
+        self._fill(sent)
+        self.rate = grant.rate
+        self.slots = grant.slots
+        self.granted_from = sent
+
+    def allows(self, now: float) -> bool:
+        """Whether one more request may start now."""
+        self._fill(now)
+        if self.row.concurrency and self.running >= self._slots(now):
+            return False
+        return not self.row.token_rate or self.tokens > 0
+
+    def start(self, expected: float, now: float) -> None:
+        """Count a request that starts, with its expected tokens."""
+        self._fill(now)
+        self.running += 1
+        self.used_at = now
+        self.tokens -= expected
+
+    def finish(self, expected: float, actual: float, now: float) -> None:
+        """Count its end, and settle what was expected."""
+        self._fill(now)
+        self.running -= 1
+        self.used_at = now
+        self.tokens += expected - actual
+
+    def retry_after(self, now: float) -> float:
+        """Return seconds until tokens are there again."""
+        self._fill(now)
+        if self.row.token_rate and self.tokens <= 0:
+            rate = max(self._rate(now), self.row.token_rate * 0.01)
+            return max(1.0, -self.tokens / rate)
+        return LEASE_S
+
+    @property
+    def running_on_lease(self) -> int:
+        """Requests at once beyond the floor."""
+        return max(0, self.running - floor_slots(self.row, self.entries))
+
+    @property
+    def limited(self) -> bool:
+        """Whether the row has any limit."""
+        return bool(self.row.concurrency or self.row.token_rate)
+
+    def _leased(self, now: float) -> bool:
+        return now < self.granted_from + LEASE_S
+
+    def _rate(self, now: float) -> float:
+        floor = self.row.token_rate * FLOOR_SHARE / max(1, self.entries)
+        return floor + (self.rate if self._leased(now) else 0.0)
+
+    def _slots(self, now: float) -> int:
+        floor = floor_slots(self.row, self.entries)
+        return floor + (self.slots if self._leased(now) else 0)
+
+    def _fill(self, now: float) -> None:
+        if now <= self.filled_at:
+            return
+        rate = self._rate(now)
+        earned = rate * min(now - self.filled_at, BURST_S)
+        self.tokens = min(self.tokens + earned, max(1.0, rate * BURST_S))
+        self.filled_at = now
--- a/src/bulrushhold/entry/__init__.py
+++ b/src/bulrushhold/entry/__init__.py
@@ -1,5 +1,6 @@
 """The entry process: callers' streams and calls, and operators' edits."""
 
+from bulrushhold.entry._admission import Admission
 from bulrushhold.entry._control import ControlClient
 from bulrushhold.entry._control import TableView
 from bulrushhold.entry._copywriter import CopyWriter
@@ -11,6 +12,7 @@
 from bulrushhold.entry._view import PlatformView
 
 __all__ = [
+    'Admission',
     'ControlClient',
     'CopyWriter',
     'EntryServer',
--- /dev/null
+++ b/src/bulrushhold/entry/_admission.py
@@ -0,0 +1,264 @@
+"""Admits requests within limits and weights, or refuses at once."""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import time
+import typing as t
+
+import attrs
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import settings
+
+ASK_S: t.Final = 0.5
+IDLE_S: t.Final = 10.0
+SWEEP_S: t.Final = 0.25
+EXPECTED_TOKENS: t.Final = 256.0
+EXPECTED_GAIN: t.Final = 0.1
+
+
+@attrs.define(eq=False)
+class Place:
+    """An admitted request's place; given back by :meth:`Admission.leave`.
+
+    :param expected: tokens it was charged for beforehand.
+    """
+
+    row: messages.Row
+    expected: float
+    queued: bool
+    granted: asyncio.Future[None]
+
+
+class Admission:
+    """Fair queue, quotas and the home's side of quotas of one entry."""
+
+    def __init__(
+        self,
+        config: settings.Entry,
+        transport: ports.Transport,
+        rows: cabc.Callable[[], cabc.Mapping[str, messages.Row]],
+        entries: cabc.Callable[[], list[ports.Instance]],
+        metrics: ports.Metrics,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.config = config
+        self.transport = transport
+        self.rows = rows
+        self.entries = entries
+        self.metrics = metrics
+        self.clock = clock
+        self.queue = decisions.FairQueue(1)
+        self.home = decisions.QuotaHome(clock())
+        self.shares: dict[str, decisions.QuotaShare] = {}
+        self.expected: dict[str, float] = {}
+        self.asking: dict[str, asyncio.Task[None]] = {}
+        self.known_entries: list[str] = []
+        transport.handle(messages.QuotaAsk, self._on_ask)
+
+    def set_capacity(self, engine_slots: int) -> None:
+        """Take this entry's part of the engines' places."""
+        names = [entry.name for entry in self.entries()]
+        if names != self.known_entries:
+            self.known_entries = names
+            self.home.homes_changed(self.clock())
+        self.queue.capacity = max(1, engine_slots // max(1, len(names)))
+        self._pump()
+
+    async def enter(self, row: messages.Row) -> Place:
+        """Wait for a place for a generation.
+
+        :raises RequestError: at once, where the row's limits or the queue
+            can't give one before the deadline; with when to come back.
+        """
+        expected = self.expected.get(row.key, EXPECTED_TOKENS)
+        share = self._share(row)
+        wait = self.queue.expected_wait(row.key, row.weight)
+        if wait > row.deadline_s or self.queue.waiting >= (
+            self.config.queue_limit
+        ):
+            raise self._refusal(row, 'the queue is too long', wait)
+        await self._await_lease(share)
+        delay = (
+            0.0
+            if share.allows(self.clock())
+            else (share.retry_after(self.clock()))
+        )
+        if delay > row.deadline_s:
+            raise self._refusal(row, 'the limits of the row are used', delay)
+        place = Place(
+            row,
+            expected,
+            True,
+            asyncio.get_running_loop().create_future(),
+        )
+        self.queue.push(row.key, row.weight, expected, place)
+        share.waiting += 1
+        self._pump()
+        await self._await_place(place, share)
+        return place
+
+    async def enter_call(self, row: messages.Row) -> Place:
+        """Take a place for a plain call: limits apply, but no queue.
+
+        Look-ups so stay quick beside long generations.
+
+        :raises RequestError: where the row's limits are used.
+        """
+        share = self._share(row)
+        await self._await_lease(share)
+        now = self.clock()
+        if not share.allows(now):
+            raise self._refusal(
+                row, 'the limits of the row are used', share.retry_after(now)
+            )
+        share.start(1.0, now)
+        done = asyncio.get_running_loop().create_future()
+        return Place(row, 1.0, False, done)
+
+    def leave(self, place: Place, tokens: int) -> None:
+        """Give a place back, and charge the tokens really used."""
+        now = self.clock()
+        share = self._share(place.row)
+        if not place.queued:
+            share.finish(1.0, 1.0, now)
+            return
+        share.finish(place.expected, tokens, now)
+        self.queue.done(place.row.key, place.expected, tokens, now)
+        key = place.row.key
+        former = self.expected.get(key, EXPECTED_TOKENS)
+        self.expected[key] = former + EXPECTED_GAIN * (tokens - former)
+        self._pump()
+
+    async def sweep(self) -> None:
+        """Renew leases in use, and start what has come to be allowed."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = self.clock()
+            self.home.forget(now)
+            self._pump()
+            for key, share in list(self.shares.items()):
+                busy = share.running or share.waiting
+                if not busy and now - share.used_at > IDLE_S:
+                    del self.shares[key]
+                elif busy and now - share.granted_from > (
+                    decisions.QUOTA_RENEW_S
+                ):
+                    self._ask_for(share)
+
+    async def _await_place(
+        self, place: Place, share: decisions.QuotaShare
+    ) -> None:
+        row = place.row
+        try:
+            async with asyncio.timeout(row.deadline_s):
+                await place.granted
+        except TimeoutError:
+            raise self._refusal(
+                row, 'no place before the deadline', row.deadline_s
+            ) from None
+        finally:
+            share.waiting -= 1
+            if not place.granted.done() or place.granted.cancelled():
+                self.queue.remove(row.key, place)
+
+    def _pump(self) -> None:
+        """Give places to those whose turn it is."""
+        now = self.clock()
+
+        def ready(key: str) -> bool:
+            share = self.shares.get(key)
+            return share is None or not share.limited or share.allows(now)
+
+        while (place := self.queue.pop(ready)) is not None:
+            if place.granted.done():
+                # It gave up in the same moment; its place is free again.
+                self.queue.done(place.row.key, place.expected, 0.0, now)
+                continue
+            self._share(place.row).start(place.expected, now)
+            place.granted.set_result(None)
+
+    # Quotas
+
+    def _share(self, row: messages.Row) -> decisions.QuotaShare:
+        share = self.shares.get(row.key)
+        if share is None:
+            share = decisions.QuotaShare(row, len(self.entries()))
+            share.filled_at = share.used_at = self.clock()
+            self.shares[row.key] = share
+        share.row = row
+        share.entries = max(1, len(self.entries()))
+        return share
+
+    async def _await_lease(self, share: decisions.QuotaShare) -> None:
+        """Ask for the first lease before judging by it."""
+        leased = self.clock() < share.granted_from + decisions.QUOTA_LEASE_S
+        if not share.limited or leased or share.allows(self.clock()):
+            if share.limited and not leased:
+                self._ask_for(share)
+            return
+        task = self._ask_for(share)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ASK_S):
+                await asyncio.shield(task)
+
+    def _ask_for(self, share: decisions.QuotaShare) -> asyncio.Task[None]:
+        key = share.row.key
+        task = self.asking.get(key)
+        if task is None or task.done():
+            task = asyncio.get_running_loop().create_task(self._ask(share))
+            self.asking[key] = task
+            task.add_done_callback(lambda _: self.asking.pop(key, None))
+        return task
+
+    async def _ask(self, share: decisions.QuotaShare) -> None:
+        if not share.limited:
+            return
+        entries = self.entries()
+        homes = decisions.homes(f'quota {share.row.key}', entries, 1)
+        if not homes:
+            return
+        want = max(1.0, float(share.running + share.waiting))
+        ask = messages.QuotaAsk(
+            share.row.key,
+            self.config.name,
+            want,
+            share.running_on_lease,
+            len(entries),
+        )
+        sent = self.clock()
+        try:
+            if homes[0].name == self.config.name:
+                grant = await self._on_ask(ask)
+            else:
+                grant = await self.transport.request(homes[0].peer, ask, ASK_S)
+        except errors.PeerError:
+            self.metrics.count('quota.home_lost')
+            return
+        share.take_grant(grant, sent)
+        self._pump()
+
+    async def _on_ask(self, ask: messages.QuotaAsk) -> messages.QuotaGrant:
+        row = self.rows().get(ask.row)
+        if row is None:
+            return messages.QuotaGrant(0.0, 0, decisions.QUOTA_LEASE_S)
+        return self.home.grant(ask, row, self.clock())
+
+    def _refusal(
+        self, row: messages.Row, reason: str, wait: float
+    ) -> errors.RequestError:
+        self.metrics.count('shed')
+        node.log_decision(
+            'shed', row=row.key, reason=reason, wait_s=round(wait, 3)
+        )
+        return errors.RequestError(
+            reason,
+            'admission',
+            status=429,
+            retry_after=max(1.0, wait),
+        )
--- a/src/bulrushhold/entry/_callerstream.py
+++ b/src/bulrushhold/entry/_callerstream.py
@@ -63,7 +63,8 @@
         """
         sent = self.sent
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.wanted.wait(), KEEP_ALIVE_S)
+            async with asyncio.timeout(KEEP_ALIVE_S):
+                await self.wanted.wait()
         self.wanted.clear()
         if sent == self.sent and not self.generation.ended:
             await self.response.write(_KEEP_ALIVE)
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -9,6 +9,7 @@
 import loguru
 
 from bulrushhold import decisions
+from bulrushhold.entry import _admission
 from bulrushhold.entry import _copywriter
 from bulrushhold.entry import _generation
 from bulrushhold import errors
@@ -68,6 +69,7 @@
         engines: ports.EngineClient,
         policy: decisions.RecoveryPolicy,
         copies: _copywriter.CopyWriter,
+        admission: _admission.Admission,
         quarantine: Quarantine,
         metrics: ports.Metrics,
     ) -> None:
@@ -76,6 +78,7 @@
         self.engines = engines
         self.policy = policy
         self.copies = copies
+        self.admission = admission
         self.quarantine = quarantine
         self.metrics = metrics
         self.retries = decisions.RetryBudget()
@@ -89,7 +92,11 @@
     async def run(self, generation: _generation.Generation) -> None:
         """Bring a generation to its end: whole, or refused."""
         live: dict[int, _Attempt] = {}
+        place: _admission.Place | None = None
+        former = len(generation.transcript.tokens)
         try:
+            generation.lifecycle.move('queue')
+            place = await self.admission.enter(generation.order.row)
             await self._run(generation, live)
         except errors.RequestError as error:
             if not generation.lifecycle.ended:
@@ -98,6 +105,9 @@
         finally:
             for attempt in list(live.values()):
                 self._stop(generation, attempt, live)
+            if place is not None:
+                made = len(generation.transcript.tokens) - former
+                self.admission.leave(place, made)
 
     async def _run(
         self,
@@ -422,9 +432,8 @@
             limit = self.policy.loss_after(gaps, started=newest.started)
         left = newest.heard_at + limit - now
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(
-                generation.attempt_ended.wait(), max(0.01, left)
-            )
+            async with asyncio.timeout(max(0.01, left)):
+                await generation.attempt_ended.wait()
         self._reap(generation, live)
         if live and not generation.transcript.finish:
             await self._judge_silence(generation, live)
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -12,6 +12,7 @@
 import uuid_utils
 
 from bulrushhold import decisions
+from bulrushhold.entry import _admission
 from bulrushhold.entry import _callerstream
 from bulrushhold.entry import _control
 from bulrushhold.entry import _generation
@@ -44,6 +45,7 @@
         control: _control.ControlClient,
         streams: _streams.Streams,
         services: _services.ServiceRunner,
+        admission: _admission.Admission,
         metrics: ports.Metrics,
         operator_key: str,
     ) -> None:
@@ -53,6 +55,7 @@
         self.control = control
         self.streams = streams
         self.services = services
+        self.admission = admission
         self.metrics = metrics
         self.operator_key = operator_key
         self.draining = False
@@ -251,12 +254,10 @@
     ) -> None:
         """Wait for the first token, or as long as headers may be late."""
 
-        async def wait() -> None:
-            while generation.visible <= have and not generation.ended:
-                await generation.wait()
-
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(wait(), HEADERS_WITHIN_S)
+            async with asyncio.timeout(HEADERS_WITHIN_S):
+                while generation.visible <= have and not generation.ended:
+                    await generation.wait()
 
     # Plain services
 
@@ -275,6 +276,7 @@
             content_type=request.content_type,
             timeout_s=row.deadline_s,
         )
+        place = await self.admission.enter_call(row)
         self.calls += 1
         try:
             if row.idempotent:
@@ -283,6 +285,7 @@
                 answer = await self._call_once(service, row, call, key)
         finally:
             self.calls -= 1
+            self.admission.leave(place, 1)
         return web.Response(
             status=answer.status,
             body=answer.body,
@@ -357,6 +360,8 @@
             'table_revision': self.table.revision,
             'table_in_force': self.table.in_force(),
             'generations': self.streams.running,
+            'waiting': self.admission.queue.waiting,
+            'places': self.admission.queue.capacity,
             'calls': self.calls,
             'backend_servers': backends,
             'quarantined': sorted(self.table.quarantined),
--- a/src/bulrushhold/entry/_view.py
+++ b/src/bulrushhold/entry/_view.py
@@ -61,6 +61,16 @@
         )
         return [peer.peer for peer in peers]
 
+    def engine_slots(self) -> int:
+        """Return the requests that all listed engines run well at once."""
+        return sum(
+            state.server.slots
+            for state in self.router.states.values()
+            if state.server.kind == 'engine'
+            and state.listed
+            and not state.server.leaving
+        )
+
     def serves(self, model: str) -> bool:
         """Whether any engine is listed with a model."""
         return any(
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -458,6 +458,33 @@
     finish: str = ''
 
 
+@attrs.frozen
+class QuotaAsk:
+    """Asks a row's home for a lease on its limits.
+
+    :param row: key of the row.
+    :param holder: the asking entry.
+    :param want: requests running and waiting there, at least 1.
+    :param running: those that run beyond the floor.
+    :param entries: entries that the asker counts, for the floor.
+    """
+
+    row: str
+    holder: str
+    want: float
+    running: int
+    entries: int
+
+
+@attrs.frozen
+class QuotaGrant:
+    """A lease: tokens a second and requests at once, for some seconds."""
+
+    rate: float
+    slots: int
+    lease_s: float
+
+
 @attrs.frozen
 class Failure:
     """A peer's handler failed; carries the reason to the asker."""
@@ -496,6 +523,8 @@
     CopyBatchAck,
     CopyTake,
     CopyState,
+    QuotaAsk,
+    QuotaGrant,
     Failure,
 )
 _DECODERS = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in _CLASSES}
--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -58,7 +58,8 @@
         step = type(message).__name__
         try:
             self._transmit(address, number, messages.encode(message))
-            reply = await asyncio.wait_for(future, timeout)
+            async with asyncio.timeout(timeout):
+                reply = await future
         except TimeoutError:
             raise errors.PeerError('no answer', step, address) from None
         finally:
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -163,7 +163,9 @@
     """A backend server as the platform lists it.
 
     :param kind: ``engine`` or the name of a plain service.
-    :param version: of model and adapter; continuations need the same.
+    :param models: name to version, of model and adapter; continuations
+        need the same version.
+    :param slots: requests that an engine runs well at once.
     """
 
     name: str
@@ -172,6 +174,7 @@
     data_centre: str
     leaving: bool = False
     models: dict[str, str] = attrs.field(factory=dict)
+    slots: int = 64
 
 
 @attrs.frozen
--- a/src/bulrushhold/web/_engine.py
+++ b/src/bulrushhold/web/_engine.py
@@ -95,9 +95,10 @@
     async def alive(self, address: str) -> bool:
         """Whether anything accepts connections there."""
         try:
-            _, writer = await asyncio.wait_for(
-                asyncio.open_connection(*address.rsplit(':', 1)), PROBE_S
-            )
+            async with asyncio.timeout(PROBE_S):
+                _, writer = await asyncio.open_connection(
+                    *address.rsplit(':', 1)
+                )
         except TimeoutError:
             # Frozen or far, but not known to be dead.
             return True
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,264 @@
+"""Limits and weights: shared by all entries, and never passed."""
+
+import asyncio
+
+import pytest
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import ports
+from tests import conftest
+
+LEASE_S = decisions.QUOTA_LEASE_S
+ENTRIES = ('e1', 'e2', 'e3')
+LIMITED = conftest.row(token_rate=100.0, concurrency=10)
+
+
+def ask(holder, want=1.0, running=0):
+    return messages.QuotaAsk(LIMITED.key, holder, want, running, len(ENTRIES))
+
+
+def test_leases_and_floors_never_pass_the_table(rng):
+    # Entries ask in any order, freeze through their lease, and wake. At no
+    # time may the leases in use and all floors exceed the row's limits.
+    home = decisions.QuotaHome(-100.0)
+    shares = {n: decisions.QuotaShare(LIMITED, len(ENTRIES)) for n in ENTRIES}
+    now = 0.0
+    for _ in range(3000):
+        now += rng.random() * 0.5
+        name = rng.choice(ENTRIES)
+        share = shares[name]
+        sent = now
+        running = share.running_on_lease
+        grant = home.grant(ask(name, rng.randint(1, 9), running), LIMITED, now)
+        # The answer may come late; the lease counts from when it was sent.
+        now += rng.random() * 0.3
+        share.take_grant(grant, sent)
+        rates = [s._rate(now) for s in shares.values()]
+        slots = [s._slots(now) for s in shares.values()]
+        assert sum(rates) <= LIMITED.token_rate + 1e-6
+        assert sum(slots) <= LIMITED.concurrency
+
+
+def test_a_new_home_waits_until_its_predecessors_leases_are_over():
+    # The home is lost; the next one knows no lease. It grants nothing for
+    # one lease time, while the old ones may still be in use.
+    home = decisions.QuotaHome(10.0)
+    assert home.grant(ask('e1'), LIMITED, 10.1).slots == 0
+    assert home.grant(ask('e1'), LIMITED, 10.0 + LEASE_S).slots > 0
+
+
+def test_a_row_first_used_later_waits_for_nothing():
+    home = decisions.QuotaHome(10.0)
+    assert home.grant(ask('e1'), LIMITED, 100.0).slots == 10
+
+
+def test_a_frozen_holder_has_nothing_beyond_its_floor_on_waking():
+    share = decisions.QuotaShare(LIMITED, len(ENTRIES))
+    share.take_grant(messages.QuotaGrant(90.0, 10, LEASE_S), 50.0)
+    assert share.allows(51.0)
+    share.running = 1
+    assert not share.allows(50.0 + LEASE_S)
+
+
+def test_demand_moves_the_lease():
+    home = decisions.QuotaHome(-100.0)
+    for now in (0.0, 1.0, 2.0, 3.0):
+        first = home.grant(ask('e1', 9.0), LIMITED, now)
+        second = home.grant(ask('e2', 1.0), LIMITED, now)
+    assert first.rate == pytest.approx(81.0)
+    assert second.rate == pytest.approx(9.0)
+    assert first.slots + second.slots <= 10
+
+
+def test_a_debt_is_paid_before_the_next_request():
+    share = decisions.QuotaShare(conftest.row(token_rate=10.0), 1)
+    share.take_grant(messages.QuotaGrant(9.0, 0, LEASE_S), 0.0)
+    assert share.allows(0.5)
+    share.start(60.0, 0.5)
+    assert not share.allows(1.0)
+    assert share.retry_after(1.0) > 1.0
+
+
+def run_queue(weights, seconds, backlog, rng):
+    """Serve a queue of always waiting flows; return tokens of each."""
+    queue = decisions.FairQueue(4)
+    served = dict.fromkeys(weights, 0.0)
+    running = []
+    now = 0.0
+    for name in weights:
+        for _ in range(backlog):
+            queue.push(name, weights[name], 100.0, name)
+    while now < seconds:
+        while (name := queue.pop(lambda _: True)) is not None:
+            tokens = rng.uniform(20, 400)
+            running.append((now + tokens / 100, name, tokens))
+            queue.push(name, weights[name], 100.0, name)
+        running.sort()
+        now, name, tokens = running.pop(0)
+        served[name] += tokens
+        queue.done(name, 100.0, tokens, now)
+    return served
+
+
+def test_under_overload_shares_follow_the_weights(rng):
+    weights = {'a': 1.0, 'b': 2.0, 'c': 5.0}
+    served = run_queue(weights, 2000.0, 20, rng)
+    total = sum(served.values())
+    for name, weight in weights.items():
+        wanted = weight / sum(weights.values())
+        assert served[name] / total == pytest.approx(wanted, rel=0.05)
+
+
+def test_a_burst_of_one_row_does_not_delay_anothers_request():
+    queue = decisions.FairQueue(1)
+    for number in range(100):
+        queue.push('large', 1.0, 100.0, number)
+    assert queue.pop(lambda _: True) == 0
+    queue.push('small', 1.0, 100.0, 'small')
+    queue.done('large', 100.0, 100.0, 1.0)
+    assert queue.pop(lambda _: True) == 'small'
+
+
+def test_an_idle_row_saves_up_nothing():
+    queue = decisions.FairQueue(1)
+    for number in range(50):
+        queue.push('busy', 1.0, 10.0, number)
+        queue.pop(lambda _: True)
+        queue.done('busy', 10.0, 10.0, float(number))
+    for number in range(10):
+        queue.push('idle', 1.0, 10.0, f'idle {number}')
+        queue.push('busy', 1.0, 10.0, f'busy {number}')
+    order = []
+    for number in range(8):
+        order.append(queue.pop(lambda _: True).partition(' ')[0])
+        queue.done(order[-1], 10.0, 10.0, 50.0 + number)
+    assert 3 <= order.count('busy') <= 5
+
+
+async def read(caller, count, prompt='hello'):
+    message = [{'role': 'user', 'content': prompt}]
+    return [
+        token
+        async for token in caller.generate('small', message, max_tokens=count)
+    ]
+
+
+async def limited_system(make_system, **cells):
+    system = await make_system(entries=3)
+    rows = [*conftest.FIRST_ROWS[1:], conftest.row(**cells)]
+    await system.edit(rows, 1)
+    return system
+
+
+async def test_concurrency_holds_over_all_entries(make_system):
+    # Callers send far more than the row allows, through all entries. The
+    # engines never see more than the limit at once, and all are answered.
+    system = await limited_system(make_system, concurrency=3)
+    most = 0
+
+    async def watch():
+        nonlocal most
+        while True:
+            running = sum(len(e.running) for e in system.engines.values())
+            most = max(most, running)
+            await asyncio.sleep(0.001)
+
+    watcher = asyncio.ensure_future(watch())
+    clients = [system.client(deadline_s=30.0) for _ in range(9)]
+    for number, caller in enumerate(clients):
+        caller.entries = [str(system.addresses[f'e{number % 3 + 1}'][0])]
+        caller.keep_until = float('inf')
+    answers = await asyncio.gather(
+        *(read(c, 10, f'prompt {n}') for n, c in enumerate(clients)),
+        return_exceptions=True,
+    )
+    watcher.cancel()
+    whole = [a for a in answers if isinstance(a, list)]
+    refused = [a for a in answers if not isinstance(a, list)]
+    assert all(r.status == 429 and r.retry_after for r in refused)
+    assert whole
+    assert 1 <= most <= 3
+
+
+async def test_what_cannot_meet_its_deadline_is_refused_at_once(make_system):
+    # The row's tokens are spent for longer than its deadline. The caller
+    # hears so at once, with when to come back, and isn't kept waiting.
+    system = await limited_system(make_system, token_rate=20, deadline_s=0.5)
+    caller = system.client()
+    await read(caller, 200)
+    with pytest.raises(errors.RequestError) as caught:
+        await read(caller, 5)
+    assert caught.value.status == 429
+    assert caught.value.ran is errors.Ran.NO
+    assert caught.value.retry_after > 1
+
+
+async def test_look_ups_need_no_place_in_the_queue(make_system):
+    system = await make_system(gap_s=0.05)
+    entry = system.entries['e1']
+    entry.admission.queue.capacity = 1
+    drafts = [
+        asyncio.ensure_future(read(system.client(), 40, f'draft {n}'))
+        for n in range(5)
+    ]
+    await conftest.until(lambda: entry.admission.queue.waiting >= 3)
+    answer = await system.client().call('booking', 'availability')
+    assert answer.status == 200
+    assert entry.admission.queue.waiting >= 3
+    for draft in drafts:
+        draft.cancel()
+    await asyncio.gather(*drafts, return_exceptions=True)
+
+
+def servers(count):
+    return [
+        ports.BackendServer(
+            f'm{n}', 'engine', f'127.0.0.1:{n}', 'north', False, {'s': 'v1'}
+        )
+        for n in range(count)
+    ]
+
+
+def test_a_stale_report_does_not_draw_a_herd():
+    # One engine reported to be idle some seconds ago, the others busy.
+    # Requests that follow aren't all sent there.
+    router = decisions.Router()
+    router.update(servers(8))
+    for state in router.states.values():
+        state.report(0 if state.server.name == 'm0' else 6, 0.0)
+    chosen = []
+    for number in range(40):
+        choice = router.choose_engine('s', f'prompt {number}', 1.0)
+        choice.state.own += 1
+        chosen.append(choice.chosen)
+    assert chosen.count('m0') <= 15
+    loads = [s.own for s in router.states.values()]
+    assert max(loads) <= 15
+
+
+def test_a_prefix_keeps_its_engines_until_they_are_loaded():
+    router = decisions.Router()
+    router.update(servers(8))
+    chosen = [
+        router.choose_engine('s', 'one prefix', 1.0).chosen for _ in range(9)
+    ]
+    assert len(set(chosen)) == 1
+    for _ in range(40):
+        router.choose_engine('s', 'one prefix', 1.0).state.own += 1
+    assert len({s.own for s in router.states.values() if s.own}) >= 1
+    assert max(s.own for s in router.states.values()) <= 10
+
+
+def test_a_failing_server_is_left_and_tried_again_gently():
+    router = decisions.Router()
+    router.update(servers(2))
+    state = router.states['m0']
+    state.failed(10.0)
+    state.failed(10.0)
+    names = {router.choose_engine('s', str(n), 10.9).chosen for n in range(20)}
+    assert names == {'m1'}
+    assert 'm0' in {
+        router.choose_engine('s', str(n), 11.1).chosen for n in range(20)
+    }
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,6 @@
 """The data folder: what is synced lasts, and what can't be trusted stops."""
 
+import asyncio
 import os
 
 import attrs
@@ -188,3 +189,15 @@
         lambda: system.control.replica.commits_in_term
         and system.control.replica.applied == system.control.replica.commit
     )
+
+
+async def test_control_stops_though_work_arrives_with_the_cancellation(
+    system,
+):
+    # The operator stops control. In the same turn of the loop a message
+    # arrives; asyncio.wait_for of Python 3.11 then returns and forgets the
+    # cancellation, and the process would never end.
+    system.control.work.set()
+    system.control_task.cancel()
+    await asyncio.wait([system.control_task], timeout=2.0)
+    assert system.control_task.cancelled()
