--- a/src/bulrushhold/decisions/_table.py
+++ b/src/bulrushhold/decisions/_table.py
@@ -28,6 +28,8 @@
     """The table with the versions that three-way edits need.
 
     :param versions: per row key its versions, oldest first.
+    :param changed: revision and the keys it changed, oldest first; a poll
+        of an entry that is up to date so costs nothing.
     :param outcomes: edit id to its first outcome, oldest first.
     :param floor: the oldest revision an edit may be based on.
     """
@@ -35,6 +37,7 @@
     revision: int = 0
     floor: int = 0
     versions: dict[str, list[Version]] = attrs.field(factory=dict)
+    changed: list[tuple[int, list[str]]] = attrs.field(factory=list)
     outcomes: dict[str, messages.EditOutcome] = attrs.field(factory=dict)
     history: list[messages.HistoryItem] = attrs.field(factory=list)
 
@@ -56,12 +59,17 @@
         self, known: int
     ) -> tuple[list[messages.Row], list[str]]:
         """Return the rows set and the keys removed after ``known``."""
+        keys: dict[str, None] = {}
+        for revision, changed in reversed(self.changed):
+            if revision <= known:
+                break
+            keys |= dict.fromkeys(changed)
+        if known < self.floor:
+            keys = dict.fromkeys(self.versions)
         rows = []
         removed = []
-        for key, versions in self.versions.items():
-            last = versions[-1]
-            if last.revision <= known:
-                continue
+        for key in keys:
+            last = self.versions[key][-1]
             if last.row is None:
                 removed.append(key)
             else:
@@ -150,10 +158,12 @@
             notes.append(_note(key, self._at(key, self.revision), row))
             versions = self.versions.setdefault(key, [])
             versions.append(Version(self.revision, row))
+        self.changed.append((self.revision, list(changed)))
         self.history.append(
             messages.HistoryItem(self.revision, edit.author, edit.at, notes)
         )
         if len(self.history) > HISTORY_LIMIT:
+            self.changed.pop(0)
             self._forget(self.history.pop(0).revision)
 
     def _forget(self, revision: int) -> None:
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -113,6 +113,7 @@
         table.revision,
         table.floor,
         table.versions,
+        table.changed,
         table.outcomes,
         table.history,
     )
