Refresh pointers of long texts; flat engine choice; quiet idle control

Causes: homes forgot the pointer of a text that ran longer than keep_s, so that the loss of its entry ended in a refusal; the in-process tests of a lost entry only closed it gently and had proved nothing about a loss (the process tests with SIGKILL did); choosing an engine ranked all of them for each request; control woke every 50 ms, a learner would have spun. Changes: the serving entry refreshes its pointers three times per keep_s, with the epoch that began the text; homes aren't sure of keys for keep_s after the list of entries changed; tests cut an entry off at once; ranking once per bucket of prompts; control sleeps until its next beat or election.

--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -114,7 +114,7 @@
             config,
             self.transport,
             self.store,
-            self.view.listed,
+            lambda: self.view.entries,
             self.view.copy_peers,
         )
         self.admission = entry.Admission(
@@ -212,9 +212,14 @@
             )
 
     async def _follow_peers(self) -> None:
+        known: set[str] = set()
         while True:
             self.copies.set_peers(self.view.copy_peers())
             self.admission.set_capacity(self.view.engine_slots())
+            names = {instance.name for instance in self.view.entries}
+            if names != known:
+                known = names
+                self.store.homes_changed(time.monotonic())
             await self.view.changed.wait()
             self.view.changed.clear()
 
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -18,6 +18,7 @@
 
 PROPOSAL_TIMEOUT_S: t.Final = 3.0
 JOIN_EVERY_S: t.Final = 1.0
+SHORTEST_WAIT_S: t.Final = 0.001
 FORGET_EVERY_S: t.Final = 30.0
 IN_FORCE_KEPT_S: t.Final = 60.0
 _REPLICA_MESSAGES: t.Final = (
@@ -80,7 +81,6 @@
 
         :raises StorageError: where the disk fails; the others go on.
         """
-        beat = self.config.heartbeat_s / 3
         while True:
             self.replica.tick(self.clock())
             self._look_after_members()
@@ -88,10 +88,15 @@
             # Not wait_for: in Python 3.11 it may return a result and forget
             # a cancellation that came with it; the process would never end.
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(beat):
+                async with asyncio.timeout(self._wake_in()):
                     await self.work.wait()
             self.work.clear()
 
+    def _wake_in(self) -> float:
+        now = self.clock()
+        left = min(self.replica.wake_in(now), self.next_join - now)
+        return max(SHORTEST_WAIT_S, left)
+
     def drive(self) -> None:
         """Do all that the replica wants done: save, send, apply."""
         while True:
--- a/src/bulrushhold/decisions/_copies.py
+++ b/src/bulrushhold/decisions/_copies.py
@@ -50,10 +50,18 @@
 
     def __init__(self, keep_s: float, now: float) -> None:
         self.keep_s = keep_s
-        self.started_at = now
+        self.sure_from = now + keep_s
         self.pointers: dict[str, Pointer] = {}
         self.copies: dict[str, Copy] = {}
 
+    def homes_changed(self, now: float) -> None:
+        """Learn that keys may have come here from other homes.
+
+        Until every one of them has been refreshed or forgotten, not to
+        know a key says nothing about it.
+        """
+        self.sure_from = now + self.keep_s
+
     def take_pointer(
         self, take: messages.PointerTake, now: float
     ) -> messages.PointerState:
@@ -61,13 +69,13 @@
         pointer = self.pointers.get(take.key)
         if pointer is None:
             # A home that has just been started may have forgotten the key.
-            sure = now >= self.started_at + self.keep_s
+            sure = now >= self.sure_from
             self.pointers[take.key] = Pointer(
                 take.epoch,
                 take.fingerprint,
                 take.copies,
-                take.epoch if take.begins else 0,
-                sure or take.begins,
+                take.epoch if take.begins else take.since,
+                sure or take.begins or take.since > 0,
                 now,
             )
             return messages.PointerState(True, take.epoch, [], 0, sure)
@@ -81,6 +89,9 @@
             )
         pointer.epoch = take.epoch
         sure = pointer.sure
+        if take.since:
+            pointer.sure = True
+            pointer.since = max(pointer.since, take.since)
         if take.begins:
             pointer.sure = True
             pointer.since = take.epoch
--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -182,8 +182,16 @@
                 self._broadcast(now)
             if now > self._quorum_beat() + self.timing.election_s:
                 self._become_follower(self.term, '', now)
-        elif now >= self.election_at and self.ident in self.config.voters:
-            self._start_vote(now, pre=True)
+        elif now >= self.election_at:
+            if self.ident in self.config.voters:
+                self._start_vote(now, pre=True)
+            else:
+                self._reset_election(now)
+
+    def wake_in(self, now: float) -> float:
+        """Return seconds until :meth:`tick` has something to do."""
+        leads = self.role is Role.LEADER
+        return (self.next_beat if leads else self.election_at) - now
 
     def receive(self, message: messages.Message, now: float) -> None:
         """Take one message from another replica."""
--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import attrs
+import xxhash
 
 from bulrushhold.decisions import _homes
 from bulrushhold.decisions import _recovery
@@ -15,6 +16,8 @@
 FIRST_PAUSE_S: t.Final = 0.5
 LONGEST_PAUSE_S: t.Final = 15.0
 LIST_LAG_S: t.Final = 30.0
+BUCKETS: t.Final = 1024
+MEAN_KEPT_S: t.Final = 0.2
 
 
 @attrs.define
@@ -52,6 +55,15 @@
         age = max(0.0, now - self.reported_at)
         return self.own + others * 0.5 ** (age / REPORT_HALF_LIFE_S)
 
+    def open(self, now: float) -> bool:
+        """Whether it may get new requests."""
+        return (
+            self.listed
+            and not self.server.leaving
+            and now >= self.closed_until
+            and now >= self.left_until
+        )
+
     def report(self, running: int, now: float) -> None:
         """Take in a load report."""
         self.running = running
@@ -89,9 +101,13 @@
 
     def __init__(self) -> None:
         self.states: dict[str, BackendState] = {}
+        self.orders: dict[str, list[BackendState]] = {}
+        self.mean = 0.0
+        self.mean_until = 0.0
 
     def update(self, servers: list[ports.BackendServer]) -> None:
         """Take in the platform's list."""
+        self.orders = {}
         listed = {server.name: server for server in servers}
         for name, state in list(self.states.items()):
             if name not in listed:
@@ -135,18 +151,30 @@
             gets one without another suspect, so that a second death
             names it alone.
         """
-        able = [
-            state
-            for state in self._open('engine', now)
-            if model in state.server.models
-            and version in ('', state.server.models[model])
-        ]
-        if not able:
-            return Choice(None, [], 'no engine of that model and version')
-        fresh = [s for s in able if s.server.name not in avoid] or able
+
+        def able(state: BackendState) -> bool:
+            found = state.server.models.get(model)
+            return (
+                state.open(now)
+                and found is not None
+                and (version in ('', found))
+            )
+
+        passes: list[cabc.Callable[[BackendState], bool]] = []
         if suspect:
-            fresh = [s for s in fresh if s.suspects == 0] or fresh
-        return self._choose(fresh, f'{model}\0{affinity}', now)
+            passes.append(
+                lambda s: able(s)
+                and s.server.name not in avoid
+                and s.suspects == 0
+            )
+        passes.append(lambda s: able(s) and s.server.name not in avoid)
+        passes.append(able)
+        order = self._ranked(model, affinity)
+        for allowed in passes:
+            choice = self._walk(order, allowed, now)
+            if choice is not None:
+                return choice
+        return Choice(None, [], 'no engine of that model and version')
 
     def choose_service(
         self,
@@ -170,26 +198,62 @@
         return [
             state
             for state in self.states.values()
-            if state.server.kind == kind
-            and state.listed
-            and not state.server.leaving
-            and now >= max(state.closed_until, state.left_until)
+            if state.server.kind == kind and state.open(now)
         ]
 
-    def _choose(
-        self, able: list[BackendState], affinity: str, now: float
-    ) -> Choice:
+    def _ranked(self, model: str, affinity: str) -> list[BackendState]:
+        """Return the engines in the order that a prompt prefers.
+
+        Ranked once for each bucket of prompts and list of engines: ranking
+        600 engines for each request would take a node's whole budget.
+        """
+        bucket = xxhash.xxh3_64_intdigest(affinity.encode()) % BUCKETS
+        key = f'{model}\0{bucket}'
+        order = self.orders.get(key)
+        if order is None:
+            engines = [
+                s for s in self.states.values() if s.server.kind == 'engine'
+            ]
+            order = _homes.ranked(key, engines, lambda s: s.server.name)
+            self.orders[key] = order
+        return order
+
+    def _walk(
+        self,
+        order: list[BackendState],
+        allowed: cabc.Callable[[BackendState], bool],
+        now: float,
+    ) -> Choice | None:
         """Take the better of two that the prompt's prefix prefers.
 
         Their load is bounded by the mean (consistent hashing with bounded
         loads, Mirrokni et al., 2016); beyond that, the cache isn't worth
         the wait and the request goes further down the ranking.
         """
-        order = _homes.ranked(affinity, able, lambda s: s.server.name)
-        loads = {s.server.name: s.load(now) for s in able}
-        bound = LOAD_BOUND * (sum(loads.values()) + 1) / len(able)
-        within = [s for s in order if loads[s.server.name] <= bound]
-        two = (within or order)[:AFFINITY_CHOICES]
-        best = min(two, key=lambda s: loads[s.server.name])
+        bound = LOAD_BOUND * (self._mean_load(now) + 1 / max(1, len(order)))
+        two: list[tuple[float, BackendState]] = []
+        over: tuple[float, BackendState] | None = None
+        for state in order:
+            if not allowed(state):
+                continue
+            load = state.load(now)
+            if load <= bound:
+                two.append((load, state))
+                if len(two) == AFFINITY_CHOICES:
+                    break
+            elif over is None or load < over[0]:
+                over = (load, state)
+        if not two and over is None:
+            return None
+        best = min(two or [over], key=lambda pair: pair[0])[1]
+        names = [s.server.name for _, s in two] or [best.server.name]
         reason = 'prefix' if best is order[0] else 'load'
-        return Choice(best, [s.server.name for s in two], reason)
+        return Choice(best, names, reason)
+
+    def _mean_load(self, now: float) -> float:
+        """Return the mean load of open engines, at most a second old."""
+        if now >= self.mean_until:
+            loads = [s.load(now) for s in self._open('engine', now)]
+            self.mean = sum(loads) / max(1, len(loads))
+            self.mean_until = now + MEAN_KEPT_S
+        return max(self.mean, 1.0)
--- a/src/bulrushhold/entry/_generation.py
+++ b/src/bulrushhold/entry/_generation.py
@@ -46,6 +46,8 @@
     :param key: account and idempotency key.
     :param epoch: fences former entries that served the same key.
 
+    ``since`` is the epoch that began the text.
+
     ``visible`` tokens may be shown to the caller; ``acked`` tells for
     each copy peer how many it holds.
     """
@@ -54,6 +56,8 @@
         self.key = key
         self.order = order
         self.epoch = epoch
+        self.since = epoch
+        self.refresh_at = 0.0
         self.transcript = decisions.Transcript(key)
         self.lifecycle = decisions.Lifecycle()
         self.error: errors.RequestError | None = None
--- a/src/bulrushhold/entry/_keys.py
+++ b/src/bulrushhold/entry/_keys.py
@@ -25,10 +25,12 @@
 class Taken:
     """A key that this entry now serves.
 
+    :param since: the epoch that began its text.
     :param former: what the former entry had written, if it was found.
     """
 
     epoch: int
+    since: int
     former: messages.CopyState | None
 
 
@@ -95,8 +97,10 @@
                 )
             if copy is not None and not (copy.tokens or copy.finish):
                 copy = None
-            if copy is not None or await self._begin(key, epoch, fingerprint):
-                return Taken(epoch, copy)
+            if copy is not None:
+                return Taken(epoch, found.since, copy)
+            if await self._begin(key, epoch, fingerprint):
+                return Taken(epoch, epoch, None)
         if lacking:
             raise self._no_majority()
         raise errors.RequestError(
@@ -135,10 +139,16 @@
                 return found.epoch == epoch
         raise self._no_majority()
 
-    def register(self, key: str, epoch: int, fingerprint: str) -> None:
-        """Register a key that was made here, without waiting."""
+    def refresh(
+        self, key: str, epoch: int, since: int, fingerprint: str
+    ) -> None:
+        """Tell the homes of a key that this entry serves it, and wait not.
+
+        A text that runs for minutes would else be forgotten by its homes,
+        and a home that has come anew wouldn't learn of it.
+        """
         take = messages.PointerTake(
-            key, epoch, fingerprint, self.copies(), begins=True
+            key, epoch, fingerprint, self.copies(), since=since
         )
         for home in decisions.homes(key, self.entries(), POINTER_HOMES):
             if home.peer == self.own:
--- a/src/bulrushhold/entry/_streams.py
+++ b/src/bulrushhold/entry/_streams.py
@@ -97,15 +97,27 @@
     async def sweep(self) -> None:
         """Cancel streams whose caller left; forget old ones."""
         while True:
-            await asyncio.sleep(SWEEP_S)
+            await asyncio.sleep(min(SWEEP_S, self._refresh_s / 2))
             now = time.monotonic()
             self.store.expire(now)
             for key, generation in list(self.generations.items()):
                 self._sweep_one(key, generation, now)
 
+    @property
+    def _refresh_s(self) -> float:
+        return self.config.copies.keep_s / 3
+
     def _sweep_one(
         self, key: str, generation: _generation.Generation, now: float
     ) -> None:
+        if not generation.ended and now >= generation.refresh_at:
+            generation.refresh_at = now + self._refresh_s
+            self.keys.refresh(
+                key,
+                generation.epoch,
+                generation.since,
+                generation.order.fingerprint,
+            )
         if generation.readers:
             generation.left_at = None
             return
@@ -143,11 +155,13 @@
             # Register without waiting: the caller learns the key with the
             # first bytes of the answer, not before.
             epoch = self.keys.fresh_epoch()
-            self.keys.register(key, epoch, order.fingerprint)
-            taken = _keys.Taken(epoch, None)
+            self.keys.refresh(key, epoch, epoch, order.fingerprint)
+            taken = _keys.Taken(epoch, epoch, None)
         else:
             taken = await self.keys.take(key, order.fingerprint, have)
         generation = _generation.Generation(key, order, taken.epoch)
+        generation.since = taken.since
+        generation.refresh_at = time.monotonic() + self._refresh_s
         if taken.former is not None:
             _restore(generation, taken.former)
         self.generations[key] = generation
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -361,6 +361,8 @@
     :param copies: addresses that will hold this entry's transcript.
     :param begins: the entry begins a new text; copies written before
         this epoch are of a former one.
+    :param since: the epoch that began the text, where the entry that
+        serves it refreshes the pointer; else 0.
     """
 
     key: str
@@ -368,6 +370,7 @@
     fingerprint: str
     copies: list[str]
     begins: bool = False
+    since: int = 0
 
 
 @attrs.frozen
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -205,6 +205,20 @@
         self.entries[name] = composition.EntryProcess(config)
         await self.entries[name].start()
 
+    async def kill_entry(self, name):
+        """Cut an entry off from everyone at once, as its death would."""
+        entry = self.entries.pop(name)
+        await entry.transport.close()
+        for generation in entry.streams.generations.values():
+            if generation.task is not None:
+                generation.task.cancel()
+        for site in list(entry.runner.sites):
+            await site.stop()
+        for connection in list(entry.runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await entry.close()
+
     async def edit(self, rows, base, edit_id=None):
         """Push an edit, and wait until every entry has it in force."""
         edit = messages.TableEdit(
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -165,13 +165,26 @@
     caller = system.client()
 
     async def stop_entry(tokens):
-        entry = system.entries.pop(serving(system))
-        await entry.close()
+        await system.kill_entry(serving(system))
 
     tokens = await read(caller, on={10: stop_entry})
     conftest.assert_whole(tokens, 40)
 
 
+async def test_a_text_older_than_copies_are_kept_is_still_taken_over(
+    make_system,
+):
+    # The answer takes several times as long as pointers and copies are
+    # kept. Its entry refreshes them, so that its loss is no end to it.
+    system = await make_system(entries=3, gap_s=0.02, copies={'keep_s': 0.4})
+
+    async def stop_entry(tokens):
+        await system.kill_entry(serving(system))
+
+    tokens = await read(system.client(), 90, on={80: stop_entry})
+    conftest.assert_whole(tokens, 90)
+
+
 def serving(system):
     """Return the name of the entry that has the running generation."""
     return next(
@@ -288,8 +301,7 @@
     await first.control.propose(messages.Suspected([content]), 5)
     second = system.entries['e2']
     await conftest.until(lambda: content in second.table.suspects)
-    await first.close()
-    del system.entries['e1']
+    await system.kill_entry('e1')
     with pytest.raises(errors.RequestError) as caught:
         await read(system.client(), prompt=prompt)
     assert caught.value.status == 422
