--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -82,6 +82,10 @@
         )
         self.table = entry.TableView(config, self.control)
         self.router = decisions.Router()
+        self.membership = decisions.Membership(
+            config.name, int(time.time() * 1000), random.Random()
+        )
+        self.prober = entry.Prober(self.membership, self.transport)
         self.store = decisions.CopyStore(
             config.copies.keep_s, time.monotonic()
         )
@@ -109,6 +113,7 @@
             config,
             adapters.HttpPlatformList(self.session, config.platform_url),
             self.router,
+            self.membership,
         )
         keys = entry.KeyTaker(
             config,
@@ -163,6 +168,7 @@
         await self.view.poll()
         self.spawn(self.table.run())
         self.spawn(self.view.run())
+        self.spawn(self.prober.run())
         self.spawn(self._follow_peers())
         self.spawn(self.streams.sweep())
         self.spawn(self.admission.sweep())
@@ -182,7 +188,7 @@
     async def drain(self) -> None:
         """Take nothing new, and wait for what is in progress."""
         self.server.draining = True
-        self.view.draining = True
+        self.prober.leave()
         loguru.logger.info('draining')
         end = time.monotonic() + self.config.drain_deadline_s
         while self.server.busy and time.monotonic() < end:
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -11,6 +11,9 @@
 from bulrushhold.decisions._members import new_identity
 from bulrushhold.decisions._members import next_config
 from bulrushhold.decisions._members import with_learner
+from bulrushhold.decisions._membership import Membership
+from bulrushhold.decisions._membership import PERIOD_S as MEMBERSHIP_PERIOD_S
+from bulrushhold.decisions._membership import PROBE_S as MEMBERSHIP_PROBE_S
 from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
 from bulrushhold.decisions._quota import QuotaHome
 from bulrushhold.decisions._quota import QuotaShare
@@ -53,6 +56,9 @@
     'FairQueue',
     'GapEstimate',
     'Lifecycle',
+    'MEMBERSHIP_PERIOD_S',
+    'MEMBERSHIP_PROBE_S',
+    'Membership',
     'PromptPolicy',
     'QUOTA_LEASE_S',
     'QUOTA_RENEW_S',
--- /dev/null
+++ b/src/bulrushhold/entry/_members.py
@@ -0,0 +1,108 @@
+"""Probes the other entries, and answers their probes."""
+
+import asyncio
+import collections.abc as cabc
+import time
+import typing as t
+
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+
+PERIOD_S: t.Final = decisions.MEMBERSHIP_PERIOD_S
+PROBE_S: t.Final = decisions.MEMBERSHIP_PROBE_S
+
+
+class Prober:
+    """Drives the membership decisions over the transport."""
+
+    def __init__(
+        self,
+        membership: decisions.Membership,
+        transport: ports.Transport,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.membership = membership
+        self.transport = transport
+        self.clock = clock
+        transport.handle(messages.Probe, self._on_probe)
+        transport.handle(messages.ProbeFor, self._on_probe_for)
+        transport.handle(messages.MemberNews, self._on_news)
+
+    async def run(self, period_s: float = PERIOD_S) -> None:
+        """Probe one entry each period, until cancelled."""
+        while True:
+            started = self.clock()
+            target = self.membership.next_target()
+            if target is not None:
+                await self._probe(target)
+            self.membership.tick(self.clock())
+            spent = self.clock() - started
+            await asyncio.sleep(max(0.0, period_s - spent))
+
+    def leave(self) -> None:
+        """Tell every entry that this one takes nothing new.
+
+        One message each, once: riding on probes alone, the word would
+        take a period for each doubling of those who know it.
+        """
+        news = self.membership.leave()
+        for member in self.membership.members.values():
+            self.transport.send(member.instance.peer, news)
+
+    async def _probe(self, target: ports.Instance) -> None:
+        if await self._ask(target.peer, PROBE_S):
+            self.membership.answered(target.name, self.clock())
+            return
+        helpers = self.membership.helpers(target.name)
+        asked = messages.ProbeFor(target.peer, self.membership.tell())
+        answers = await asyncio.gather(
+            *(self._ask_helper(helper, asked) for helper in helpers)
+        )
+        if any(answers):
+            return
+        before = self.membership.usable(target.name)
+        self.membership.silent(target.name, self.clock())
+        if before:
+            node.log_decision(
+                'member silent',
+                member=target.name,
+                helpers=[helper.name for helper in helpers],
+                reason='no answer to this entry or its helpers',
+            )
+
+    async def _ask(self, address: str, timeout: float) -> bool:
+        probe = messages.Probe(self.membership.tell())
+        try:
+            reply = await self.transport.request(address, probe, timeout)
+        except errors.PeerError:
+            return False
+        self.membership.hear(reply.news, self.clock())
+        return True
+
+    async def _ask_helper(
+        self, helper: ports.Instance, asked: messages.ProbeFor
+    ) -> bool:
+        try:
+            reply = await self.transport.request(
+                helper.peer, asked, 2 * PROBE_S
+            )
+        except errors.PeerError:
+            return False
+        return reply.answered
+
+    async def _on_probe(self, probe: messages.Probe) -> messages.ProbeReply:
+        self.membership.hear(probe.news, self.clock())
+        return messages.ProbeReply(True, self.membership.tell())
+
+    async def _on_probe_for(
+        self, asked: messages.ProbeFor
+    ) -> messages.ProbeReply:
+        self.membership.hear(asked.news, self.clock())
+        answered = await self._ask(asked.target, PROBE_S)
+        return messages.ProbeReply(answered, self.membership.tell())
+
+    async def _on_news(self, news: messages.MemberNews) -> None:
+        self.membership.hear([news], self.clock())
--- a/src/bulrushhold/entry/_view.py
+++ b/src/bulrushhold/entry/_view.py
@@ -26,14 +26,15 @@
         config: settings.Entry,
         platform: ports.PlatformList,
         router: decisions.Router,
+        membership: decisions.Membership,
     ) -> None:
         self.config = config
         self.platform = platform
         self.router = router
+        self.membership = membership
         self.entries: list[ports.Instance] = []
         self.heard_at = 0.0
         self.changed = asyncio.Event()
-        self.draining = False
 
     @property
     def own(self) -> ports.Instance:
@@ -47,11 +48,10 @@
 
     def listed(self) -> list[ports.Instance]:
         """Return the entries that callers may use."""
-        own = self.config.name if self.draining else ''
         return [
             entry
             for entry in self.entries
-            if not entry.leaving and entry.name != own
+            if not entry.leaving and self.membership.usable(entry.name)
         ]
 
     def copy_peers(self) -> list[str]:
@@ -95,5 +95,6 @@
         if platform is None:
             return
         self.entries = platform.entries
+        self.membership.update_list(platform.entries)
         self.router.update(platform.backend_servers)
         self.changed.set()
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -488,6 +488,42 @@
     lease_s: float
 
 
+@attrs.frozen
+class MemberNews:
+    """What is said of one entry.
+
+    :param incarnation: the entry's own number; only it may raise it.
+    :param status: a value of the membership's ``Status``.
+    """
+
+    name: str
+    incarnation: int
+    status: str
+
+
+@attrs.frozen
+class Probe:
+    """Asks an entry for a sign of life, and tells it news."""
+
+    news: list[MemberNews]
+
+
+@attrs.frozen
+class ProbeFor:
+    """Asks an entry to probe another one, by its address."""
+
+    target: str
+    news: list[MemberNews]
+
+
+@attrs.frozen
+class ProbeReply:
+    """Answers :class:`Probe` and :class:`ProbeFor`."""
+
+    answered: bool
+    news: list[MemberNews]
+
+
 @attrs.frozen
 class Failure:
     """A peer's handler failed; carries the reason to the asker."""
@@ -528,6 +564,10 @@
     CopyState,
     QuotaAsk,
     QuotaGrant,
+    MemberNews,
+    Probe,
+    ProbeFor,
+    ProbeReply,
     Failure,
 )
 _DECODERS = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in _CLASSES}
