--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,257 @@
+"""Routing and weights over the decision code, under load and stale reports.
+
+    python -m bench.routing
+
+Entries route to engines by the real decisions; engines are queues with a
+cache of prompt prefixes. Load reports reach the entries 2 s late. The same
+arrivals go through round robin, least reported load, and ours.
+"""
+
+import collections
+import collections.abc as cabc
+import heapq
+import random
+import typing as t
+
+import attrs
+
+from bulrushhold import decisions
+from bulrushhold import ports
+
+ENTRIES: t.Final = 10
+ENGINES: t.Final = 20
+SLOTS: t.Final = 8
+PREFIXES: t.Final = 120
+CACHED: t.Final = 16
+REPORT_LAG_S: t.Final = 2.0
+SECONDS: t.Final = 300.0
+SERVICE_S: t.Final = 4.0
+PREFILL_S: t.Final = 1.0
+LOAD: t.Final = 0.85
+
+
+@attrs.define
+class Engine:
+    """Requests running and waiting, and the prefixes in its cache."""
+
+    name: str
+    running: int = 0
+    queue: collections.deque[tuple[float, str, int]] = attrs.field(
+        factory=collections.deque
+    )
+    cache: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+    def has(self, prefix: str) -> bool:
+        """Look a prefix up, and keep it as the newest."""
+        known = prefix in self.cache
+        self.cache[prefix] = None
+        self.cache.move_to_end(prefix)
+        if len(self.cache) > CACHED:
+            self.cache.popitem(last=False)
+        return known
+
+
+@attrs.define
+class Result:
+    """Waits in engines' queues, and cache hits."""
+
+    waits: list[float] = attrs.field(factory=list)
+    hits: int = 0
+
+
+class Simulation:
+    """One run of arrivals through one way of routing.
+
+    :param choose: entry, prefix and time to engine name.
+    """
+
+    def __init__(
+        self, choose: cabc.Callable[[int, str, float], str], seed: int
+    ) -> None:
+        self.choose = choose
+        self.rng = random.Random(seed)
+        self.engines = {f'm{n}': Engine(f'm{n}') for n in range(ENGINES)}
+        self.events: list[tuple[float, int, str, t.Any]] = []
+        self.number = 0
+        self.result = Result()
+        self.on_done: cabc.Callable[[int, str], None] = lambda *_: None
+        self.on_report: cabc.Callable[[dict[str, int], float], None] = (
+            lambda *_: None
+        )
+
+    def at(self, when: float, kind: str, data: t.Any) -> None:
+        self.number += 1
+        heapq.heappush(self.events, (when, self.number, kind, data))
+
+    def run(self) -> Result:
+        self.at(0.0, 'arrive', None)
+        self.at(0.0, 'report', None)
+        while self.events:
+            now, _, kind, data = heapq.heappop(self.events)
+            if now > SECONDS:
+                break
+            getattr(self, kind)(now, data)
+        return self.result
+
+    def arrive(self, now: float, data: None) -> None:
+        del data
+        mean = SERVICE_S + PREFILL_S / 2
+        rate = LOAD * ENGINES * SLOTS / mean
+        self.at(now + self.rng.expovariate(rate), 'arrive', None)
+        rank = min(PREFIXES, int(self.rng.paretovariate(1.0)))
+        prefix = f'prefix {rank}'
+        caller = self.rng.randrange(ENTRIES)
+        engine = self.engines[self.choose(caller, prefix, now)]
+        engine.queue.append((now, prefix, caller))
+        self.start(engine, now)
+
+    def start(self, engine: Engine, now: float) -> None:
+        while engine.queue and engine.running < SLOTS:
+            arrived, prefix, caller = engine.queue.popleft()
+            engine.running += 1
+            self.result.waits.append(now - arrived)
+            spent = self.rng.expovariate(1 / SERVICE_S)
+            if engine.has(prefix):
+                self.result.hits += 1
+            else:
+                spent += PREFILL_S
+            self.at(now + spent, 'done', (engine.name, caller))
+
+    def done(self, now: float, data: tuple[str, int]) -> None:
+        name, caller = data
+        engine = self.engines[name]
+        engine.running -= 1
+        self.on_done(caller, name)
+        self.start(engine, now)
+
+    def report(self, now: float, data: None) -> None:
+        del data
+        loads = {
+            e.name: e.running + len(e.queue) for e in self.engines.values()
+        }
+        self.at(now + REPORT_LAG_S, 'reported', loads)
+        self.at(now + 1.0, 'report', None)
+
+    def reported(self, now: float, loads: dict[str, int]) -> None:
+        self.on_report(loads, now)
+
+
+def round_robin(seed: int) -> Result:
+    turns = [random.Random(n).randrange(ENGINES) for n in range(ENTRIES)]
+
+    def choose(caller: int, prefix: str, now: float) -> str:
+        del prefix, now
+        turns[caller] += 1
+        return f'm{turns[caller] % ENGINES}'
+
+    return Simulation(choose, seed).run()
+
+
+def least_reported(seed: int) -> Result:
+    known = {f'm{n}': 0 for n in range(ENGINES)}
+    rng = random.Random(seed)
+
+    def choose(caller: int, prefix: str, now: float) -> str:
+        del caller, prefix, now
+        least = min(known.values())
+        return rng.choice([n for n, load in known.items() if load == least])
+
+    simulation = Simulation(choose, seed)
+    simulation.on_report = lambda loads, now: known.update(loads)
+    return simulation.run()
+
+
+def ours(seed: int) -> Result:
+    routers = [decisions.Router() for _ in range(ENTRIES)]
+    servers = [
+        ports.BackendServer(
+            f'm{n}', 'engine', f'1:{n}', 'd', False, {'s': 'v1'}
+        )
+        for n in range(ENGINES)
+    ]
+    for router in routers:
+        router.update(servers)
+
+    def choose(caller: int, prefix: str, now: float) -> str:
+        choice = routers[caller].choose_engine('s', prefix, now)
+        assert choice.state is not None
+        choice.state.own += 1
+        return choice.chosen
+
+    def done(caller: int, name: str) -> None:
+        routers[caller].states[name].own -= 1
+
+    def report(loads: dict[str, int], now: float) -> None:
+        for router in routers:
+            for name, load in loads.items():
+                router.states[name].report(load, now - REPORT_LAG_S)
+
+    simulation = Simulation(choose, seed)
+    simulation.on_done = done
+    simulation.on_report = report
+    return simulation.run()
+
+
+def weights(overload: float, seed: int) -> float:
+    """Return the largest relative deviation of a share from its weight."""
+    rng = random.Random(seed)
+    shares = {f'a{n}': float(n % 4 + 1) for n in range(10)}
+    total = sum(shares.values())
+    queue = decisions.FairQueue(16)
+    served = dict.fromkeys(shares, 0.0)
+    running: list[tuple[float, int, str, float]] = []
+    capacity = 16 / 2.0
+    arrivals = {
+        n: rng.expovariate(overload * capacity * w / total)
+        for n, w in shares.items()
+    }
+    number = 0
+    now = 0.0
+    while now < 2000.0:
+        name = min(arrivals, key=lambda n: arrivals[n])
+        if running and running[0][0] < arrivals[name]:
+            now, _, name, tokens = heapq.heappop(running)
+            queue.done(name, 100.0, tokens, now)
+            served[name] += tokens
+        else:
+            now = arrivals[name]
+            rate = overload * capacity * shares[name] / total
+            arrivals[name] += rng.expovariate(rate)
+            queue.push(name, shares[name], 100.0, name)
+        while (ready := queue.pop(lambda _: True)) is not None:
+            tokens = rng.uniform(20, 180)
+            number += 1
+            heapq.heappush(running, (now + tokens / 50, number, ready, tokens))
+    everything = sum(served.values())
+    return max(
+        abs(served[n] / everything / (w / total) - 1)
+        for n, w in shares.items()
+    )
+
+
+def main() -> None:
+    for name, way in (
+        ('round robin', round_robin),
+        ('least reported load', least_reported),
+        ('ours', ours),
+    ):
+        results = [way(seed) for seed in range(3)]
+        waits = sorted(w for r in results for w in r.waits)
+        hits = sum(r.hits for r in results)
+        print(
+            f'{name}: queue p50 {waits[len(waits) // 2]:.2f} s, p95 '
+            f'{waits[int(len(waits) * 0.95)]:.2f} s; cache hits '
+            f'{hits / len(waits):.1%} of {len(waits)}',
+            flush=True,
+        )
+    deviation = max(weights(2.0, seed) for seed in range(3))
+    print(
+        f'one entry, 2x overload, 10 rows: largest deviation of a share '
+        f'from its weight {deviation:.1%}'
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/src/bulrushhold/entry/_services.py
+++ b/src/bulrushhold/entry/_services.py
@@ -1,5 +1,6 @@
 """Calls of plain services: repeated freely, or claimed and run once."""
 
+import asyncio
 import time
 import typing as t
 
@@ -14,8 +15,9 @@
 from bulrushhold import ports
 
 CLAIM_S: t.Final = 5.0
-END_CLAIM_S: t.Final = 5.0
+END_CLAIM_S: t.Final = 30.0
 CLOSE_CLAIM_S: t.Final = 5.0
+RECORD_WAIT_S: t.Final = 1.0
 MAX_TRIES: t.Final = 3
 MAX_RECORDED_BYTES: t.Final = 64 << 10
 RETRY_AFTER_S: t.Final = 1.0
@@ -36,6 +38,7 @@
         self.services = services
         self.control = control
         self.metrics = metrics
+        self.records: set[asyncio.Task[bool]] = set()
 
     async def repeatable(
         self, service: str, row: messages.Row, call: ports.ServiceCall
@@ -148,7 +151,9 @@
             except errors.BackendError as error:
                 if error.step == 'connect':
                     continue
-                await self._end(claim, errors.Ran.UNKNOWN, 0, b'')
+                await self._end(
+                    claim, errors.Ran.UNKNOWN, 0, b'', RECORD_WAIT_S
+                )
                 raise errors.RequestError(
                     error.reason,
                     error.step,
@@ -156,7 +161,7 @@
                     ran=errors.Ran.UNKNOWN,
                     status=502,
                 ) from error
-            await self._end(claim, errors.Ran.YES, answer.status, answer.body)
+            await self._record(claim, answer)
             return answer
         return await self._refuse_claimed(service, claim)
 
@@ -168,18 +173,34 @@
         In the other order, a caller that hears ``no`` and tries again
         could meet a claim that still looks as if it were running.
         """
-        closed = await self._end(claim, errors.Ran.NO, 0, b'')
+        closed = await self._end(claim, errors.Ran.NO, 0, b'', CLOSE_CLAIM_S)
         refusal = self._no_server(service)
         if not closed:
             refusal.ran = errors.Ran.UNKNOWN
         raise refusal
 
+    async def _record(
+        self, claim: messages.Claim, answer: ports.ServiceAnswer
+    ) -> None:
+        """Record an outcome, but don't keep the caller waiting for it.
+
+        While control has no leader the record is tried on in the
+        background; a resend until then hears that the call is under way.
+        """
+        work = asyncio.get_running_loop().create_task(
+            self._end(claim, errors.Ran.YES, answer.status, answer.body)
+        )
+        self.records.add(work)
+        work.add_done_callback(self.records.discard)
+        await asyncio.wait([work], timeout=RECORD_WAIT_S)
+
     async def _end(
         self,
         claim: messages.Claim,
         ran: errors.Ran,
         status: int,
         body: bytes,
+        within_s: float = END_CLAIM_S,
     ) -> bool:
         if len(body) > MAX_RECORDED_BYTES:
             ran, status, body = errors.Ran.UNKNOWN, 0, b''
@@ -187,7 +208,7 @@
             claim.key, claim.holder, ran.value, status, body
         )
         try:
-            await self.control.propose(end, END_CLAIM_S)
+            await self.control.propose(end, within_s)
         except errors.PeerError:
             self.metrics.count('claims.end_lost')
             return False
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -345,3 +345,66 @@
     tokens = await read(system.client(), on={5: drain})
     conftest.assert_whole(tokens, 40)
     await draining[0]
+
+
+async def test_an_engine_frozen_before_its_first_token_is_replaced(
+    make_system,
+):
+    # Callers see a late first token. The chosen engine accepts the request
+    # and says nothing; after first_token_s another one starts afresh.
+    system = await make_system(recovery={'first_token_s': 0.2})
+    system.engines['m1'].freeze()
+    for number in range(12):
+        prompt = [{'role': 'user', 'content': f'prompt {number}'}]
+        tokens = await read(system.client(), 5, prompt)
+        conftest.assert_whole(tokens, 5)
+        assert tokens[0].startswith('m2-')
+    assert system.engines['m1'].requests >= 1
+
+
+async def test_an_engine_that_grows_slow_is_not_taken_for_dead(make_system):
+    # The engine slows down to ten times its gap. The silence limit follows
+    # its gaps, and the stream stays where it is.
+    system = await make_system(
+        gap_s=0.005, recovery={'min_gap_s': 0.03, 'max_gap_s': 2.0}
+    )
+
+    def slow(gap_s):
+        async def act(tokens):
+            for engine in system.engines.values():
+                engine.gap_s = gap_s
+
+        return act
+
+    steps = {20: slow(0.012), 40: slow(0.025), 60: slow(0.05)}
+    tokens = await read(system.client(), 80, on=steps)
+    conftest.assert_whole(tokens, 80)
+    assert sum(e.requests for e in system.engines.values()) == 1
+
+
+async def test_without_its_copy_peers_an_entry_still_serves(make_system):
+    # Both peers that hold the copies die in mid-stream. The caller sees a
+    # pause of ack_s, then the rest, shown without copies.
+    system = await make_system(entries=3)
+
+    async def kill_peers(tokens):
+        own = serving(system)
+        for name in [n for n in system.entries if n != own]:
+            await system.kill_entry(name)
+
+    tokens = await read(system.client(), on={10: kill_peers})
+    conftest.assert_whole(tokens, 40)
+
+
+async def test_an_entry_killed_before_the_first_token(make_system):
+    # The caller has nothing yet when its entry dies. Another entry finds
+    # no copy, begins the text, and the first one's is heard no more.
+    system = await make_system(entries=3, gap_s=0.3)
+    reading = asyncio.ensure_future(read(system.client(), 4))
+    await conftest.until(
+        lambda: any(e.requests for e in system.engines.values())
+    )
+    for engine in system.engines.values():
+        engine.gap_s = 0.005
+    await system.kill_entry(serving(system))
+    conftest.assert_whole(await reading, 4)
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,11 +1,13 @@
 """Plain services: repeated freely, or run at most once."""
 
+import asyncio
 import uuid
 
 import pytest
 import uuid_utils
 
 from bulrushhold import errors
+from tests import conftest
 
 
 def key():
@@ -102,3 +104,78 @@
     assert status == 503
     assert answer['error']['step'] == 'claim'
     assert not system.booking.runs
+
+
+async def resend_elsewhere(system, name):
+    """Send a booking's key again, through what entries are left."""
+    with pytest.raises(errors.RequestError) as caught:
+        await book(system, key=name)
+    return caught.value
+
+
+async def test_an_entry_killed_between_run_and_reply_means_unknown(
+    make_system,
+):
+    # The caller's entry dies after the service has booked and before the
+    # answer is out. Sent again elsewhere, the key is found claimed with no
+    # outcome: the caller hears "unknown", and nothing is booked twice.
+    system = await make_system(entries=2)
+    system.booking.delay_s = 30.0
+    name = key()
+    first = asyncio.ensure_future(
+        system.post(
+            '/v1/services/booking/slots',
+            b'{"slot": "oven-1"}',
+            Bulrushhold_Account='vendors',
+            Idempotency_Key=name,
+        )
+    )
+    await conftest.until(lambda: system.booking.runs)
+    await system.kill_entry('e1')
+    error = await resend_elsewhere(system, name)
+    assert (error.status, error.ran) == (409, errors.Ran.UNKNOWN)
+    assert system.booking.runs == {'oven-1': 1}
+    await asyncio.gather(first, return_exceptions=True)
+
+
+async def test_an_entry_killed_between_claim_and_run_runs_nothing_more(
+    make_system,
+):
+    # The entry dies with the claim committed and the call not yet sent.
+    # Nobody else can know that, so nobody may run it: "unknown".
+    system = await make_system(entries=2)
+    reached = asyncio.Event()
+
+    class Stuck:
+        async def call(self, address, call):
+            reached.set()
+            await asyncio.Event().wait()
+
+    system.entries['e1'].server.services.services = Stuck()
+    name = key()
+    first = asyncio.ensure_future(
+        system.post(
+            '/v1/services/booking/slots',
+            b'{"slot": "oven-1"}',
+            Bulrushhold_Account='vendors',
+            Idempotency_Key=name,
+        )
+    )
+    await reached.wait()
+    await system.kill_entry('e1')
+    error = await resend_elsewhere(system, name)
+    assert error.ran is errors.Ran.UNKNOWN
+    assert not system.booking.runs
+    await asyncio.gather(first, return_exceptions=True)
+
+
+async def test_control_lost_after_the_claim_delays_the_answer_little(system):
+    # Control is gone between the claim and the record of the outcome. The
+    # caller gets its answer; the record is tried on in the background.
+    system.booking.delay_s = 0.2
+    booking = asyncio.ensure_future(book(system))
+    await conftest.until(lambda: system.booking.runs)
+    await system.stop_control()
+    answer = await booking
+    assert answer.status == 200
+    assert system.entries['e1'].server.services.records
