Route a prompt to as many engines as its share of the requests needs

Cause of the queues: every entry sent a common prompt to the same first two engines within a bound of its own view, at 6.8 of 8 places in use; reports 2 s late then made all entries move together.

--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -1,6 +1,9 @@
 """Which backend server gets a request, and why."""
 
 import collections.abc as cabc
+import itertools
+import math
+import random
 import typing as t
 
 import attrs
@@ -10,14 +13,19 @@
 from bulrushhold.decisions import _recovery
 from bulrushhold import ports
 
-AFFINITY_CHOICES: t.Final = 2
-LOAD_BOUND: t.Final = 1.25
-REPORT_HALF_LIFE_S: t.Final = 2.0
+LEAST_SPREAD: t.Final = 4
+TIGHT_BOUND: t.Final = 1.05
+LOOSE_BOUND: t.Final = 1.25
+FULL: t.Final = 0.85
+COUNTS_KEPT: t.Final = 2000.0
+MIN_COUNTED: t.Final = 50.0
+REPORT_HALF_LIFE_S: t.Final = 1.0
 FIRST_PAUSE_S: t.Final = 0.5
 LONGEST_PAUSE_S: t.Final = 15.0
 LIST_LAG_S: t.Final = 30.0
 BUCKETS: t.Final = 1024
-MEAN_KEPT_S: t.Final = 0.2
+MEAN_KEPT_S: t.Final = 0.5
+DRAWS: t.Final = 8
 
 
 @attrs.define
@@ -44,16 +52,19 @@
     suspects: int = 0
     gaps: _recovery.GapEstimate = attrs.field(factory=_recovery.GapEstimate)
 
-    def load(self, now: float) -> float:
+    def load(self, now: float, mean_others: float = 0.0) -> float:
         """Return the requests thought to run there.
 
-        The own part is exact. The others' part comes from an old report
-        and loses weight with age: were it trusted for long, all entries
-        would run to the engine that was idle seconds ago.
+        The own part is exact. The others' part comes from a report, and
+        fades with its age towards the mean of all: were an old report
+        trusted, all entries would run to the engine that was idle then.
+
+        :param mean_others: others' requests per engine, by all reports.
         """
         others = max(0, self.running - self.own_at_report)
         age = max(0.0, now - self.reported_at)
-        return self.own + others * 0.5 ** (age / REPORT_HALF_LIFE_S)
+        trust = 0.5 ** (age / REPORT_HALF_LIFE_S)
+        return self.own + mean_others + (others - mean_others) * trust
 
     def open(self, now: float) -> bool:
         """Whether it may get new requests."""
@@ -97,12 +108,19 @@
 
 
 class Router:
-    """Chooses backend servers from the platform's list and own signs."""
+    """Chooses backend servers from the platform's list and own signs.
+
+    :param rng: draws the engines that are compared.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng or random.Random()
         self.states: dict[str, BackendState] = {}
         self.orders: dict[str, list[BackendState]] = {}
+        self.counts: dict[str, float] = {}
+        self.counted = 0.0
         self.mean = 0.0
+        self.mean_others = 0.0
         self.mean_until = 0.0
 
     def update(self, servers: list[ports.BackendServer]) -> None:
@@ -169,9 +187,9 @@
             )
         passes.append(lambda s: able(s) and s.server.name not in avoid)
         passes.append(able)
-        order = self._ranked(model, affinity)
+        order, spread = self._ranked(model, affinity)
         for allowed in passes:
-            choice = self._walk(order, allowed, now)
+            choice = self._choose(order, spread, allowed, now)
             if choice is not None:
                 return choice
         return Choice(None, [], 'no engine of that model and version')
@@ -201,11 +219,15 @@
             if state.server.kind == kind and state.open(now)
         ]
 
-    def _ranked(self, model: str, affinity: str) -> list[BackendState]:
-        """Return the engines in the order that a prompt prefers.
+    def _ranked(
+        self, model: str, affinity: str
+    ) -> tuple[list[BackendState], int]:
+        """Return the engines as a prompt prefers them, and how many it needs.
 
         Ranked once for each bucket of prompts and list of engines: ranking
-        600 engines for each request would take a node's whole budget.
+        600 engines for each request would take a node's whole budget. A
+        prompt needs engines by its share of the requests: kept to a few,
+        one that half of all requests begin with would queue there.
         """
         bucket = xxhash.xxh3_64_intdigest(affinity.encode()) % BUCKETS
         key = f'{model}\0{bucket}'
@@ -216,44 +238,76 @@
             ]
             order = _homes.ranked(key, engines, lambda s: s.server.name)
             self.orders[key] = order
-        return order
-
-    def _walk(
+        share = self._share_of(key)
+        return order, LEAST_SPREAD + math.ceil(share * len(order))
+
+    def _share_of(self, key: str) -> float:
+        """Count a request, and return its bucket's share of late."""
+        self.counts[key] = self.counts.get(key, 0.0) + 1.0
+        self.counted += 1.0
+        if self.counted > COUNTS_KEPT:
+            self.counts = {k: n / 2 for k, n in self.counts.items() if n > 1}
+            self.counted = sum(self.counts.values())
+        # A bucket met for the first time says nothing about its share.
+        return (self.counts[key] - 1) / max(self.counted, MIN_COUNTED)
+
+    def _choose(
         self,
         order: list[BackendState],
+        spread: int,
         allowed: cabc.Callable[[BackendState], bool],
         now: float,
     ) -> Choice | None:
-        """Take the better of two that the prompt's prefix prefers.
+        """Take the better of two of the engines that the prompt prefers.
 
-        Their load is bounded by the mean (consistent hashing with bounded
-        loads, Mirrokni et al., 2016); beyond that, the cache isn't worth
-        the wait and the request goes further down the ranking.
+        Two drawn at random (Mitzenmacher, 2001), since every entry sees
+        the same late reports and would else choose the same engine. Where
+        both are loaded well above the mean, the cache isn't worth the wait
+        and two of all engines are drawn.
         """
-        bound = LOAD_BOUND * (self._mean_load(now) + 1 / max(1, len(order)))
-        two: list[tuple[float, BackendState]] = []
-        over: tuple[float, BackendState] | None = None
-        for state in order:
-            if not allowed(state):
-                continue
-            load = state.load(now)
-            if load <= bound:
-                two.append((load, state))
-                if len(two) == AFFINITY_CHOICES:
-                    break
-            elif over is None or load < over[0]:
-                over = (load, state)
-        if not two and over is None:
+        self._measure(now)
+        two = self._draw(order[:spread], allowed)
+        reason = 'prefix'
+        if not two or self._least(two, now)[1] > self._bound(two[0]):
+            two = self._draw(order, allowed) or two
+            reason = 'load'
+        if not two:
             return None
-        best = min(two or [over], key=lambda pair: pair[0])[1]
-        names = [s.server.name for _, s in two] or [best.server.name]
-        reason = 'prefix' if best is order[0] else 'load'
-        return Choice(best, names, reason)
-
-    def _mean_load(self, now: float) -> float:
-        """Return the mean load of open engines, at most a second old."""
-        if now >= self.mean_until:
-            loads = [s.load(now) for s in self._open('engine', now)]
-            self.mean = sum(loads) / max(1, len(loads))
-            self.mean_until = now + MEAN_KEPT_S
-        return max(self.mean, 1.0)
+        best, _ = self._least(two, now)
+        return Choice(best, [s.server.name for s in two], reason)
+
+    def _draw(
+        self,
+        order: list[BackendState],
+        allowed: cabc.Callable[[BackendState], bool],
+    ) -> list[BackendState]:
+        """Draw two engines that are allowed, mostly without a full scan."""
+        few = self.rng.sample(order, min(DRAWS, len(order)))
+        two = list(itertools.islice(filter(allowed, few), 2))
+        if two or len(order) <= DRAWS:
+            return two
+        able = list(filter(allowed, order))
+        return self.rng.sample(able, min(2, len(able)))
+
+    def _least(
+        self, able: list[BackendState], now: float
+    ) -> tuple[BackendState, float]:
+        loads = [(s.load(now, self.mean_others), s) for s in able]
+        load, state = min(loads, key=lambda pair: pair[0])
+        return state, load
+
+    def _bound(self, state: BackendState) -> float:
+        """Return the load up to which a prefix keeps its engine."""
+        loose = min(LOOSE_BOUND * self.mean, FULL * state.server.slots)
+        return max(TIGHT_BOUND * self.mean, loose, 1.0)
+
+    def _measure(self, now: float) -> None:
+        """Take the mean loads of open engines, once in a while."""
+        if now < self.mean_until:
+            return
+        able = self._open('engine', now)
+        others = [max(0, s.running - s.own_at_report) for s in able]
+        self.mean_others = sum(others) / max(1, len(able))
+        loads = [s.load(now, self.mean_others) for s in able]
+        self.mean = sum(loads) / max(1, len(able))
+        self.mean_until = now + MEAN_KEPT_S
