Places at the engines follow the weights over all entries

An entry leases its part of the engines' slots from a home, in proportion to the weights in use there; without a home the parts are equal. Cause: the lease was raised to what ran. Now what runs counts at the home, and the holder starts nothing in its place. A lease is also bounded by what the holder can use, so that the rest stays free.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -107,7 +107,7 @@
     for count in (10, 30, 100, 300):
         home = decisions.QuotaHome(-10.0)
         asks = [
-            messages.QuotaAsk('a/chat', f'e{n}', 1.0, 0, count)
+            messages.QuotaAsk('a/chat', f'e{n}', 1.0, 9, 0, count)
             for n in range(count)
         ]
 
--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -126,6 +126,7 @@
             config,
             self.transport,
             lambda: self.table.rows,
+            lambda: self.table.accounts,
             self.view.listed,
             self.metrics,
         )
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -5,8 +5,10 @@
 from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._homes import copy_peers
 from bulrushhold.decisions._homes import entries_for
+from bulrushhold.decisions._homes import entries_wanted
 from bulrushhold.decisions._homes import homes
 from bulrushhold.decisions._homes import ranked
+from bulrushhold.decisions._homes import SMALL_ACCOUNT_ENTRIES
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._members import new_identity
 from bulrushhold.decisions._members import next_config
@@ -71,6 +73,7 @@
     'RetryBudget',
     'Role',
     'Router',
+    'SMALL_ACCOUNT_ENTRIES',
     'Standing',
     'Suspects',
     'TableState',
@@ -84,6 +87,7 @@
     'copy_peers',
     'difference',
     'entries_for',
+    'entries_wanted',
     'homes',
     'new_identity',
     'next_config',
--- a/src/bulrushhold/decisions/_homes.py
+++ b/src/bulrushhold/decisions/_homes.py
@@ -68,6 +68,17 @@
     return chosen + rest[: max(0, count - len(chosen))]
 
 
+def entries_wanted(share: float, entries: int) -> int:
+    """Return over how many entries an account's callers are spread.
+
+    1 for a small account: its callers all use the first of a few.
+
+    :param share: of the sum of all accounts' weights, 0 to 1.
+    """
+    count = min(entries, math.ceil(2 * share * entries))
+    return count if count > SMALL_ACCOUNT_ENTRIES else 1
+
+
 def entries_for(
     account: str,
     share: float,
@@ -82,7 +93,7 @@
     :param share: of the sum of all accounts' weights, 0 to 1.
     :param near: the caller's data centre, whose entries come first.
     """
-    count = max(SMALL_ACCOUNT_ENTRIES, math.ceil(2 * share * len(entries)))
+    count = max(SMALL_ACCOUNT_ENTRIES, entries_wanted(share, len(entries)))
     order = ranked(f'entries of {account}', entries, lambda e: e.name)
     chosen = _spread(order, min(count, len(entries)), set())
     return sorted(chosen, key=lambda entry: entry.data_centre != near)
--- a/src/bulrushhold/decisions/_quota.py
+++ b/src/bulrushhold/decisions/_quota.py
@@ -18,13 +18,15 @@
 RENEW_S: t.Final = 1.0
 FLOOR_SHARE: t.Final = 0.1
 BURST_S: t.Final = 1.0
+NEED_FACTOR: t.Final = 1.5
 
 
 @attrs.define
 class _Holder:
     """One entry's lease, as the home knows it.
 
-    :param want: requests running and waiting there.
+    :param want: its claim to a part.
+    :param slots: requests at once that it may run, or runs still.
     """
 
     want: float
@@ -71,11 +73,14 @@
         holder.rate = max(0.0, min(rate_limit * share, free_rate))
         slot_limit = leased_slots(row, ask.entries)
         free_slots = slot_limit - sum(h.slots for h in others)
-        slots = min(max(1, round(slot_limit * share)), free_slots)
-        # What runs there already can't be taken back.
-        holder.slots = max(0, slots, ask.running)
+        # What isn't needed stays free for whoever comes next.
+        slots = min(max(1, round(slot_limit * share)), free_slots, ask.need)
+        slots = max(0, slots)
+        # What runs there already counts until it ends, but the holder is
+        # not to start anything in its place.
+        holder.slots = max(slots, ask.running)
         holder.until = now + LEASE_S
-        return messages.QuotaGrant(holder.rate, holder.slots, LEASE_S)
+        return messages.QuotaGrant(holder.rate, slots, LEASE_S)
 
     def _expire(self, holders: dict[str, _Holder], now: float) -> None:
         for name in [n for n, h in holders.items() if now >= h.until]:
@@ -156,6 +161,19 @@
             return max(1.0, -self.tokens / rate)
         return LEASE_S
 
+    @property
+    def need(self) -> int:
+        """Requests at once that could be used before the next renewal."""
+        return math.ceil(NEED_FACTOR * (self.running + self.waiting)) + 2
+
+    def slots_now(self, now: float) -> int:
+        """Return the requests at once that may run now."""
+        return self._slots(now)
+
+    def leased(self, now: float) -> bool:
+        """Whether a lease with any slots is in force."""
+        return self.slots > 0 and self._leased(now)
+
     @property
     def running_on_lease(self) -> int:
         """Requests at once beyond the floor."""
--- a/src/bulrushhold/entry/_admission.py
+++ b/src/bulrushhold/entry/_admission.py
@@ -20,6 +20,7 @@
 SWEEP_S: t.Final = 0.25
 EXPECTED_TOKENS: t.Final = 256.0
 EXPECTED_GAIN: t.Final = 0.1
+PLACES: t.Final = 'engine places'
 
 
 @attrs.define(eq=False)
@@ -43,6 +44,7 @@
         config: settings.Entry,
         transport: ports.Transport,
         rows: cabc.Callable[[], cabc.Mapping[str, messages.Row]],
+        accounts: cabc.Callable[[], cabc.Mapping[str, float]],
         entries: cabc.Callable[[], list[ports.Instance]],
         metrics: ports.Metrics,
         clock: cabc.Callable[[], float] = time.monotonic,
@@ -50,6 +52,7 @@
         self.config = config
         self.transport = transport
         self.rows = rows
+        self.accounts = accounts
         self.entries = entries
         self.metrics = metrics
         self.clock = clock
@@ -59,15 +62,19 @@
         self.expected: dict[str, float] = {}
         self.asking: dict[str, asyncio.Task[None]] = {}
         self.known_entries: list[str] = []
+        self.engine_slots = 1
+        self.places = decisions.QuotaShare(self._places_row(), 1)
         transport.handle(messages.QuotaAsk, self._on_ask)
 
     def set_capacity(self, engine_slots: int) -> None:
-        """Take this entry's part of the engines' places."""
+        """Take in how many requests all engines run well at once."""
         names = [entry.name for entry in self.entries()]
         if names != self.known_entries:
             self.known_entries = names
             self.home.homes_changed(self.clock())
-        self.queue.capacity = max(1, engine_slots // max(1, len(names)))
+        self.engine_slots = engine_slots
+        self.places.row = self._places_row()
+        self.places.entries = max(1, len(names))
         self._pump()
 
     async def enter(self, row: messages.Row) -> Place:
@@ -97,6 +104,8 @@
             True,
             asyncio.get_running_loop().create_future(),
         )
+        if not self.places.leased(self.clock()):
+            self._ask_for(self.places)
         self.queue.push(row.key, row.weight, expected, place)
         share.waiting += 1
         self._pump()
@@ -146,10 +155,14 @@
                 busy = share.running or share.waiting
                 if not busy and now - share.used_at > IDLE_S:
                     del self.shares[key]
-                elif busy and now - share.granted_from > (
-                    decisions.QUOTA_RENEW_S
-                ):
-                    self._ask_for(share)
+                elif busy:
+                    self._renew(share, now)
+            if self.places.running or self.places.waiting:
+                self._renew(self.places, now)
+
+    def _renew(self, share: decisions.QuotaShare, now: float) -> None:
+        if now - share.granted_from > decisions.QUOTA_RENEW_S:
+            self._ask_for(share)
 
     async def _await_place(
         self, place: Place, share: decisions.QuotaShare
@@ -167,9 +180,45 @@
             if not place.granted.done() or place.granted.cancelled():
                 self.queue.remove(row.key, place)
 
+    def _places_row(self) -> messages.Row:
+        """Return a row whose limit is what all engines run at once."""
+        return messages.Row(
+            '', PLACES, 1.0, 0.0, self.engine_slots, 1.0, 0, True
+        )
+
+    def _capacity(self, now: float) -> int:
+        """Return this entry's places: by weights, or else an equal part.
+
+        Places are leased like a row's limit, in proportion to the weights
+        of the rows in use at each entry. Without a home they are split
+        evenly: that bends the weights, but wastes no engine.
+        """
+        if self.places.leased(now):
+            return max(1, self.places.slots_now(now))
+        return max(1, self.engine_slots // self.places.entries)
+
+    def _claim_to_places(self) -> float:
+        """Return the weights in use here, each account's split by entries.
+
+        An account large enough for several entries has its callers spread
+        over them, and claims a part of its weight at each.
+        """
+        weights = self.accounts()
+        total = sum(weights.values()) or 1.0
+        claim = 0.0
+        for share in self.shares.values():
+            if share.running or share.waiting:
+                part = weights.get(share.row.account, 0.0) / total
+                ways = decisions.entries_wanted(part, self.places.entries)
+                claim += share.row.weight / ways
+        return max(claim, 0.001)
+
     def _pump(self) -> None:
         """Give places to those whose turn it is."""
         now = self.clock()
+        self.queue.capacity = self._capacity(now)
+        self.places.running = self.queue.running
+        self.places.waiting = self.queue.waiting
 
         def ready(key: str) -> bool:
             share = self.shares.get(key)
@@ -224,10 +273,13 @@
         if not homes:
             return
         want = max(1.0, float(share.running + share.waiting))
+        if share is self.places:
+            want = self._claim_to_places()
         ask = messages.QuotaAsk(
             share.row.key,
             self.config.name,
             want,
+            share.need,
             share.running_on_lease,
             len(entries),
         )
@@ -245,6 +297,8 @@
 
     async def _on_ask(self, ask: messages.QuotaAsk) -> messages.QuotaGrant:
         row = self.rows().get(ask.row)
+        if ask.row == self.places.row.key:
+            row = self.places.row
         if row is None:
             return messages.QuotaGrant(0.0, 0, decisions.QUOTA_LEASE_S)
         return self.home.grant(ask, row, self.clock())
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hmac
+import random
 import time
 import typing as t
 
@@ -322,6 +323,9 @@
         chosen = decisions.entries_for(
             account, share, self.view.listed(), near
         )
+        if len(chosen) > decisions.SMALL_ACCOUNT_ENTRIES:
+            # Callers use the first: a large account's are to be spread.
+            random.shuffle(chosen)
         body = {
             'entries': [instance.http for instance in chosen],
             'revision': self.table.revision,
--- a/src/bulrushhold/messages.py
+++ b/src/bulrushhold/messages.py
@@ -467,7 +467,8 @@
 
     :param row: key of the row.
     :param holder: the asking entry.
-    :param want: requests running and waiting there, at least 1.
+    :param want: the asker's claim to a part, relative to others'.
+    :param need: requests at once that it could use now.
     :param running: those that run beyond the floor.
     :param entries: entries that the asker counts, for the floor.
     """
@@ -475,6 +476,7 @@
     row: str
     holder: str
     want: float
+    need: int
     running: int
     entries: int
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -74,6 +74,7 @@
     recovery: dict = attrs.field(factory=dict)
     copies: dict = attrs.field(factory=dict)
     options: dict = attrs.field(factory=dict)
+    slots: int = 64
     entries: dict = attrs.field(factory=dict)
     engines: dict = attrs.field(factory=dict)
     clients: list = attrs.field(factory=list)
@@ -126,6 +127,7 @@
                     'north',
                     name in leaving,
                     {'small': 'v1'},
+                    self.slots,
                 )
                 for name, engine in self.engines.items()
             ]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -16,8 +16,10 @@
 LIMITED = conftest.row(token_rate=100.0, concurrency=10)
 
 
-def ask(holder, want=1.0, running=0):
-    return messages.QuotaAsk(LIMITED.key, holder, want, running, len(ENTRIES))
+def ask(holder, want=1.0, running=0, need=99):
+    return messages.QuotaAsk(
+        LIMITED.key, holder, want, need, running, len(ENTRIES)
+    )
 
 
 def test_leases_and_floors_never_pass_the_table(rng):
@@ -73,6 +75,59 @@
     assert first.slots + second.slots <= 10
 
 
+def test_a_holder_that_runs_more_than_its_part_starts_nothing_new():
+    # Another entry has come, and half of the slots is its. What runs beyond
+    # that ends by itself; the freed slots aren't filled again, and until
+    # then the other gets only what is really free.
+    home = decisions.QuotaHome(-100.0)
+    assert home.grant(ask('e1'), LIMITED, 0.0).slots == 10
+    home.grant(ask('e2'), LIMITED, 1.0)
+    assert home.grant(ask('e1', running=10), LIMITED, 1.1).slots == 5
+    assert home.grant(ask('e2'), LIMITED, 1.2).slots == 0
+    assert home.grant(ask('e1', running=7), LIMITED, 2.0).slots == 5
+    assert home.grant(ask('e2'), LIMITED, 2.1).slots == 3
+
+
+def test_what_is_not_needed_stays_free_for_others():
+    home = decisions.QuotaHome(-100.0)
+    assert home.grant(ask('e1', 1.0, need=2), LIMITED, 0.0).slots == 2
+    assert home.grant(ask('e2', 1.0, need=9), LIMITED, 0.0).slots == 5
+
+
+async def read_on(caller, prompt):
+    while True:
+        await read(caller, 8, prompt)
+
+
+async def test_places_at_entries_follow_the_weights_in_use_there(
+    make_system,
+):
+    # Two accounts of weights 1 and 3 each load another entry far beyond the
+    # engines. Each entry gets places in proportion, not an equal part.
+    system = await make_system(entries=2, gap_s=0.05, slots=16)
+    light, heavy = conftest.row('light'), conftest.row('heavy', weight=3.0)
+    await system.edit([*conftest.FIRST_ROWS, light, heavy], 1)
+    callers = []
+    for name, account in (('e1', 'light'), ('e2', 'heavy')):
+        caller = system.client(account)
+        caller.entries = [str(system.addresses[name][0])]
+        caller.keep_until = float('inf')
+        callers += [
+            asyncio.ensure_future(read_on(caller, f'{account} {n}'))
+            for n in range(40)
+        ]
+    queues = [system.entries[n].admission.queue for n in ('e1', 'e2')]
+
+    def in_proportion():
+        one, other = (queue.capacity for queue in queues)
+        return 2.2 < other / one < 3.8
+
+    await conftest.until(in_proportion)
+    for caller in callers:
+        caller.cancel()
+    await asyncio.gather(*callers, return_exceptions=True)
+
+
 def test_a_debt_is_paid_before_the_next_request():
     share = decisions.QuotaShare(conftest.row(token_rate=10.0), 1)
     share.take_grant(messages.QuotaGrant(9.0, 0, LEASE_S), 0.0)
@@ -199,7 +254,8 @@
 async def test_look_ups_need_no_place_in_the_queue(make_system):
     system = await make_system(gap_s=0.05)
     entry = system.entries['e1']
-    entry.admission.queue.capacity = 1
+    entry.admission.engine_slots = 1
+    entry.admission.places.row = entry.admission._places_row()
     drafts = [
         asyncio.ensure_future(read(system.client(), 40, f'draft {n}'))
         for n in range(5)
