--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 
 bench: setup
 	$(PY) bench/relay.py
+	$(PY) -m bench.resume
+	$(PY) -m bench.routing
+	$(PY) -m bench.slopes
+	$(PY) -m bench.control
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -137,6 +137,7 @@
                 entries=1 + copies,
                 engines=1,
                 gap_s=GAP_S,
+                slots=10 * streams,
                 entry_settings={'copies': {'count': copies}},
             )
             try:
--- a/bench/resume.py
+++ b/bench/resume.py
@@ -3,7 +3,7 @@
 The plain way asks another engine from nothing after a break or a fixed
 silence. All three meet the same faults in one run:
 
-    python bench/resume.py [--streams N] [--tokens N] [--seed N]
+    python -m bench.resume [--streams N] [--tokens N] [--seed N]
 
 Resume latency is the wait, in a stream whose engine was lost, from the
 token before the loss to the next token the caller hasn't had. Extra work is
--- a/src/bulrushhold/cli.py
+++ b/src/bulrushhold/cli.py
@@ -7,8 +7,6 @@
 import sys
 import time
 import typing as t
-import urllib.error
-import urllib.request
 
 import click
 
@@ -275,6 +273,10 @@
     body: bytes | None = None,
 ) -> tuple[int, bytes]:
     """Make one request of an entry; answers to edits may be refusals."""
+    # Here, since the daemons share this module and need no HTTP client.
+    import urllib.error
+    import urllib.request
+
     request = urllib.request.Request(
         f'http://{address}{path}', data=body, method=method
     )
--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -249,7 +249,8 @@
             self.counts = {k: n / 2 for k, n in self.counts.items() if n > 1}
             self.counted = sum(self.counts.values())
         # A bucket met for the first time says nothing about its share.
-        return (self.counts[key] - 1) / max(self.counted, MIN_COUNTED)
+        former = self.counts.get(key, 1.0) - 1.0
+        return max(0.0, former) / max(self.counted, MIN_COUNTED)
 
     def _choose(
         self,
--- a/src/bulrushhold/entry/_callerstream.py
+++ b/src/bulrushhold/entry/_callerstream.py
@@ -1,7 +1,7 @@
 """Writes one generation to one caller as server-sent events."""
 
 import asyncio
-import contextlib
+import time
 import typing as t
 
 from aiohttp import web
@@ -36,6 +36,8 @@
         self.response = response
         self.sent = have
         self.wanted = asyncio.Event()
+        self.sent_at = time.monotonic()
+        self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
 
     async def run(self, transport: asyncio.Transport | None) -> None:
@@ -45,12 +47,15 @@
         """
         self.transport = transport
         self.generation.listeners.append(self._on_more)
+        self._check_quiet()
         try:
             while not self.generation.ended:
                 await self._catch_up()
                 await self._wait()
             await self._catch_up()
         finally:
+            if self.timer is not None:
+                self.timer.cancel()
             self.generation.listeners.remove(self._on_more)
         await self.response.write(_end(self.generation))
         await self.response.write_eof()
@@ -61,14 +66,24 @@
         Without the comment lines a caller couldn't tell a frozen entry
         from an engine that takes its time.
         """
-        sent = self.sent
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(KEEP_ALIVE_S):
-                await self.wanted.wait()
+        await self.wanted.wait()
         self.wanted.clear()
-        if sent == self.sent and not self.generation.ended:
+        if self._quiet_for() >= KEEP_ALIVE_S and not self.generation.ended:
+            self.sent_at = time.monotonic()
             await self.response.write(_KEEP_ALIVE)
 
+    def _quiet_for(self) -> float:
+        return time.monotonic() - self.sent_at
+
+    def _check_quiet(self) -> None:
+        """Wake the task once nothing was sent for a while."""
+        left = KEEP_ALIVE_S - self._quiet_for()
+        if left <= 0:
+            self.wanted.set()
+            left = KEEP_ALIVE_S
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(max(0.01, left), self._check_quiet)
+
     def _on_more(self) -> None:
         transport = self.transport
         if (
@@ -97,6 +112,7 @@
     def _take(self) -> bytes:
         """Return events for what is visible and not yet sent."""
         start, self.sent = self.sent, max(self.sent, self.generation.visible)
+        self.sent_at = time.monotonic()
         return _events(self.generation.transcript.tokens, start, self.sent)
 
 
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -43,6 +43,55 @@
     task: asyncio.Task[None] | None = None
 
 
+class _SilenceTimer:
+    """Wakes a generation's task when its attempts have been silent.
+
+    Only then: a task woken for each check would cost a fifth of what the
+    tokens themselves cost.
+    """
+
+    def __init__(
+        self,
+        policy: decisions.RecoveryPolicy,
+        generation: _generation.Generation,
+        live: dict[int, _Attempt],
+    ) -> None:
+        self.policy = policy
+        self.generation = generation
+        self.live = live
+        self.loop = asyncio.get_running_loop()
+        self.until_loss = False
+        newest = self._newest()
+        silence = time.monotonic() - newest.heard_at
+        # Past the first limit, or with a reserve, only a loss is waited for.
+        self.until_loss = len(live) > 1 or silence >= self._limit(newest)
+        self.handle: asyncio.TimerHandle | None = None
+        self._check()
+
+    def cancel(self) -> None:
+        """Check no more."""
+        if self.handle is not None:
+            self.handle.cancel()
+
+    def _check(self) -> None:
+        newest = self._newest()
+        silence = time.monotonic() - newest.heard_at
+        left = self._limit(newest) - silence
+        if left <= 0:
+            self.generation.attempt_ended.set()
+            return
+        self.handle = self.loop.call_later(max(0.01, left), self._check)
+
+    def _newest(self) -> _Attempt:
+        return max(self.live.values(), key=lambda a: a.heard_at)
+
+    def _limit(self, attempt: _Attempt) -> float:
+        gaps = attempt.state.gaps
+        if self.until_loss:
+            return self.policy.loss_after(gaps, started=attempt.started)
+        return self.policy.check_after(gaps, started=attempt.started)
+
+
 class Quarantine(t.Protocol):
     """Who may refuse a content everywhere."""
 
@@ -102,6 +151,20 @@
             if not generation.lifecycle.ended:
                 generation.lifecycle.move('refuse')
                 generation.fail(error)
+        except Exception:
+            # Unexpected; without an end the caller would wait for ever for
+            # an answer that no task works on.
+            loguru.logger.exception('generation failed')
+            if not generation.lifecycle.ended:
+                generation.lifecycle.move('refuse')
+                generation.fail(
+                    errors.RequestError(
+                        'internal error',
+                        'generation',
+                        ran=errors.Ran.UNKNOWN,
+                        status=500,
+                    )
+                )
         finally:
             for attempt in list(live.values()):
                 self._stop(generation, attempt, live)
@@ -424,16 +487,11 @@
         self._reap(generation, live)
         if not live or generation.transcript.finish:
             return
-        newest = max(live.values(), key=lambda a: a.heard_at)
-        gaps = newest.state.gaps
-        limit = self.policy.check_after(gaps, started=newest.started)
-        now = time.monotonic()
-        if len(live) > 1 or now - newest.heard_at >= limit:
-            limit = self.policy.loss_after(gaps, started=newest.started)
-        left = newest.heard_at + limit - now
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.01, left)):
-                await generation.attempt_ended.wait()
+        timer = _SilenceTimer(self.policy, generation, live)
+        try:
+            await generation.attempt_ended.wait()
+        finally:
+            timer.cancel()
         self._reap(generation, live)
         if live and not generation.transcript.finish:
             await self._judge_silence(generation, live)
--- a/src/bulrushhold/testing/_deployment.py
+++ b/src/bulrushhold/testing/_deployment.py
@@ -34,6 +34,7 @@
 
     :param folder: for settings, data and logs.
     :param gap_s: seconds between an engine's tokens.
+    :param slots: requests that an engine runs well at once.
     """
 
     def __init__(
@@ -44,11 +45,13 @@
         entries: int = 3,
         engines: int = 2,
         gap_s: float = 0.05,
+        slots: int = 64,
         entry_settings: dict[str, t.Any] | None = None,
         control_settings: dict[str, t.Any] | None = None,
     ) -> None:
         self.folder = folder
         self.gap_s = gap_s
+        self.slots = slots
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.entry_settings = entry_settings or {}
         self.control_settings = control_settings or {}
@@ -117,6 +120,7 @@
                 'data_centre': centres[number % 3],
                 'leaving': name in leaving,
                 'models': {'small': 'v1'},
+                'slots': self.slots,
             }
             for number, (name, port) in enumerate(self.engines.items())
         ]
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -408,3 +408,36 @@
         engine.gap_s = 0.005
     await system.kill_entry(serving(system))
     conftest.assert_whole(await reading, 4)
+
+
+async def test_a_quiet_engine_is_told_from_a_lost_entry(make_system):
+    # The engine pauses for longer than the client waits for any sign of
+    # its entry. The entry's comment lines show that it lives; the client
+    # stays, and gets the rest when the engine goes on.
+    system = await make_system(
+        engines=1, recovery={'min_gap_s': 20.0, 'max_gap_s': 20.0}
+    )
+    engine = system.engines['m1']
+
+    async def pause(tokens):
+        engine.freeze()
+        asyncio.get_running_loop().call_later(2.0, engine.thaw)
+
+    tokens = await read(system.client(), 20, on={5: pause})
+    conftest.assert_whole(tokens, 20)
+    assert engine.requests == 1
+
+
+async def test_an_error_of_our_own_ends_the_request_honestly(system):
+    # A decision raises what nobody expected. The caller hears so at once,
+    # instead of waiting for an answer that no task works on any more.
+    def fail(*args, **options):
+        raise KeyError('unexpected')
+
+    system.entries['e1'].router.choose_engine = fail
+    status, _, answer = await system.post(
+        '/v1/chat/completions',
+        json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
+        Bulrushhold_Account='vendors',
+    )
+    assert (status, answer['error']['ran']) == (500, 'unknown')
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -329,3 +329,12 @@
     assert 'm0' in {
         router.choose_engine('s', str(n), 11.1).chosen for n in range(20)
     }
+
+
+def test_many_different_prompts_can_be_routed(rng):
+    # The counts of prompts are halved now and then, and the rare forgotten,
+    # the one just counted among them.
+    router = decisions.Router(rng)
+    router.update(servers(3))
+    for number in range(20_000):
+        assert router.choose_engine('s', f'prompt {number}', 1.0).state
