--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -164,7 +164,7 @@
             services,
             self.admission,
             self.metrics,
-            _operator_key(config),
+            entry.OperatorRoutes(self.control, _operator_key(config)),
         )
         await self.view.poll()
         self.spawn(self.table.run())
--- a/src/bulrushhold/entry/__init__.py
+++ b/src/bulrushhold/entry/__init__.py
@@ -6,6 +6,7 @@
 from bulrushhold.entry._copywriter import CopyWriter
 from bulrushhold.entry._keys import KeyTaker
 from bulrushhold.entry._members import Prober
+from bulrushhold.entry._operators import OperatorRoutes
 from bulrushhold.entry._runner import GenerationRunner
 from bulrushhold.entry._server import EntryServer
 from bulrushhold.entry._services import ServiceRunner
@@ -19,6 +20,7 @@
     'EntryServer',
     'GenerationRunner',
     'KeyTaker',
+    'OperatorRoutes',
     'PlatformView',
     'Prober',
     'ServiceRunner',
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -5,11 +5,11 @@
 import time
 import typing as t
 
-import attrs
 import loguru
 
 from bulrushhold import decisions
 from bulrushhold.entry import _admission
+from bulrushhold.entry import _attempts
 from bulrushhold.entry import _copywriter
 from bulrushhold.entry import _generation
 from bulrushhold import errors
@@ -22,76 +22,6 @@
 QUARANTINE_REASON: t.Final = 'two engines died while they ran this content'
 
 
-@attrs.define(eq=False)
-class _Attempt:
-    """One attempt of a generation on one engine.
-
-    :param counted: its engine's death has been counted.
-    :param reached: its request may have reached the engine.
-    :param reserved: tokens spent from the budget, if it was a reserve.
-    :param suspect: it counts among the suspects on its engine.
-    """
-
-    number: int
-    state: decisions.BackendState
-    heard_at: float
-    started: bool = False
-    counted: bool = False
-    suspect: bool = False
-    reached: bool = True
-    reserved: int = 0
-    task: asyncio.Task[None] | None = None
-
-
-class _SilenceTimer:
-    """Wakes a generation's task when its attempts have been silent.
-
-    Only then: a task woken for each check would cost a fifth of what the
-    tokens themselves cost.
-    """
-
-    def __init__(
-        self,
-        policy: decisions.RecoveryPolicy,
-        generation: _generation.Generation,
-        live: dict[int, _Attempt],
-    ) -> None:
-        self.policy = policy
-        self.generation = generation
-        self.live = live
-        self.loop = asyncio.get_running_loop()
-        self.until_loss = False
-        newest = self._newest()
-        silence = time.monotonic() - newest.heard_at
-        # Past the first limit, or with a reserve, only a loss is waited for.
-        self.until_loss = len(live) > 1 or silence >= self._limit(newest)
-        self.handle: asyncio.TimerHandle | None = None
-        self._check()
-
-    def cancel(self) -> None:
-        """Check no more."""
-        if self.handle is not None:
-            self.handle.cancel()
-
-    def _check(self) -> None:
-        newest = self._newest()
-        silence = time.monotonic() - newest.heard_at
-        left = self._limit(newest) - silence
-        if left <= 0:
-            self.generation.attempt_ended.set()
-            return
-        self.handle = self.loop.call_later(max(0.01, left), self._check)
-
-    def _newest(self) -> _Attempt:
-        return max(self.live.values(), key=lambda a: a.heard_at)
-
-    def _limit(self, attempt: _Attempt) -> float:
-        gaps = attempt.state.gaps
-        if self.until_loss:
-            return self.policy.loss_after(gaps, started=attempt.started)
-        return self.policy.check_after(gaps, started=attempt.started)
-
-
 class Quarantine(t.Protocol):
     """Who may refuse a content everywhere."""
 
@@ -133,14 +63,14 @@
         self.retries = decisions.RetryBudget()
         self.suspects = decisions.Suspects()
         self.running: dict[
-            str, list[tuple[_generation.Generation, _Attempt]]
+            str, list[tuple[_generation.Generation, _attempts.Attempt]]
         ] = {}
         self.probes: dict[str, asyncio.Task[None]] = {}
         self.background: set[asyncio.Task[None]] = set()
 
     async def run(self, generation: _generation.Generation) -> None:
         """Bring a generation to its end: whole, or refused."""
-        live: dict[int, _Attempt] = {}
+        live: dict[int, _attempts.Attempt] = {}
         place: _admission.Place | None = None
         former = len(generation.transcript.tokens)
         try:
@@ -175,7 +105,7 @@
     async def _run(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
     ) -> None:
         started = time.monotonic()
         while not generation.transcript.finish:
@@ -194,7 +124,7 @@
     async def _start(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
         started: float,
         *,
         avoid: frozenset[str] = frozenset(),
@@ -246,14 +176,16 @@
     def _dispatch(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
         state: decisions.BackendState,
     ) -> None:
         transcript = generation.transcript
         version = state.server.models[generation.order.model]
         number = transcript.start_attempt(version)
         suspect = self.suspects.is_suspect(generation.order.fingerprint)
-        attempt = _Attempt(number, state, time.monotonic(), suspect=suspect)
+        attempt = _attempts.Attempt(
+            number, state, time.monotonic(), suspect=suspect
+        )
         live[number] = attempt
         state.own += 1
         state.suspects += suspect
@@ -285,7 +217,7 @@
     # Reading
 
     async def _read(
-        self, generation: _generation.Generation, attempt: _Attempt
+        self, generation: _generation.Generation, attempt: _attempts.Attempt
     ) -> None:
         order = generation.order
         state = attempt.state
@@ -321,7 +253,7 @@
     def _take(
         self,
         generation: _generation.Generation,
-        attempt: _Attempt,
+        attempt: _attempts.Attempt,
         event: ports.Event,
     ) -> bool:
         """Take one event; return whether to go on reading."""
@@ -347,7 +279,7 @@
         return not event.finish
 
     def _first_event(
-        self, generation: _generation.Generation, attempt: _Attempt
+        self, generation: _generation.Generation, attempt: _attempts.Attempt
     ) -> None:
         attempt.started = True
         self.policy.budget.refund(attempt.reserved)
@@ -364,7 +296,7 @@
     def _drop(
         self,
         generation: _generation.Generation,
-        attempt: _Attempt,
+        attempt: _attempts.Attempt,
         verdict: decisions.Verdict,
     ) -> bool:
         self.metrics.count(f'tokens.{verdict.value}')
@@ -384,7 +316,7 @@
             self.router.mark_leaving(state.server.name, time.monotonic())
 
     def _leave(
-        self, generation: _generation.Generation, attempt: _Attempt
+        self, generation: _generation.Generation, attempt: _attempts.Attempt
     ) -> None:
         state = attempt.state
         state.own -= 1
@@ -398,7 +330,7 @@
     def _refused(
         self,
         generation: _generation.Generation,
-        attempt: _Attempt,
+        attempt: _attempts.Attempt,
         error: errors.EngineRefusedError,
     ) -> None:
         attempt.state.failed(time.monotonic())
@@ -418,7 +350,7 @@
             )
 
     def _lost(
-        self, generation: _generation.Generation, attempt: _Attempt
+        self, generation: _generation.Generation, attempt: _attempts.Attempt
     ) -> None:
         state = attempt.state
         state.failed(time.monotonic())
@@ -437,7 +369,7 @@
     async def _probe(
         self,
         state: decisions.BackendState,
-        here: list[tuple[_generation.Generation, _Attempt]],
+        here: list[tuple[_generation.Generation, _attempts.Attempt]],
     ) -> None:
         """Count a death, where the engine is really gone.
 
@@ -480,14 +412,14 @@
     async def _watch(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
     ) -> None:
         """Wait for an attempt's end or for its silence."""
         generation.attempt_ended.clear()
         self._reap(generation, live)
         if not live or generation.transcript.finish:
             return
-        timer = _SilenceTimer(self.policy, generation, live)
+        timer = _attempts.SilenceTimer(self.policy, generation, live)
         try:
             await generation.attempt_ended.wait()
         finally:
@@ -499,7 +431,7 @@
     async def _judge_silence(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
     ) -> None:
         newest = max(live.values(), key=lambda a: a.heard_at)
         order = generation.order
@@ -535,7 +467,7 @@
     def _drop_losers(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
     ) -> None:
         """Stop the attempts that another one has overtaken."""
         contenders = generation.transcript.contenders
@@ -547,7 +479,7 @@
     def _reap(
         self,
         generation: _generation.Generation,
-        live: dict[int, _Attempt],
+        live: dict[int, _attempts.Attempt],
     ) -> None:
         for number, attempt in list(live.items()):
             if attempt.task is not None and attempt.task.done():
@@ -561,8 +493,8 @@
     def _stop(
         self,
         generation: _generation.Generation,
-        attempt: _Attempt,
-        live: dict[int, _Attempt],
+        attempt: _attempts.Attempt,
+        live: dict[int, _attempts.Attempt],
     ) -> None:
         """Hear an attempt no more, and tell its engine."""
         live.pop(attempt.number, None)
@@ -587,7 +519,7 @@
     def _log_loss(
         self,
         generation: _generation.Generation,
-        attempt: _Attempt,
+        attempt: _attempts.Attempt,
         error: errors.BackendError,
     ) -> None:
         loguru.logger.bind(
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import hmac
 import random
 import time
 import typing as t
@@ -17,17 +16,16 @@
 from bulrushhold.entry import _callerstream
 from bulrushhold.entry import _control
 from bulrushhold.entry import _generation
+from bulrushhold.entry import _operators
 from bulrushhold.entry import _requests
 from bulrushhold.entry import _services
 from bulrushhold.entry import _streams
 from bulrushhold.entry import _view
 from bulrushhold import errors
 from bulrushhold import messages
-from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import settings
 
-PUSH_DEADLINE_S: t.Final = 10.0
 NOT_READY_RETRY_S: t.Final = 2.0
 DRAIN_RETRY_S: t.Final = 0.0
 HEADERS_WITHIN_S: t.Final = 0.5
@@ -48,7 +46,7 @@
         services: _services.ServiceRunner,
         admission: _admission.Admission,
         metrics: ports.Metrics,
-        operator_key: str,
+        operators: _operators.OperatorRoutes,
     ) -> None:
         self.config = config
         self.view = view
@@ -58,7 +56,7 @@
         self.services = services
         self.admission = admission
         self.metrics = metrics
-        self.operator_key = operator_key
+        self.operators = operators
         self.draining = False
         self.calls = 0
 
@@ -76,12 +74,9 @@
                 web.get('/healthz', self._health),
                 web.get('/readyz', self._ready),
                 web.get('/v1/status', self._status),
-                web.get('/v1/table', self._pull),
-                web.post('/v1/table', self._push),
-                web.get('/v1/table/history', self._history),
-                web.delete('/v1/quarantine/{fingerprint}', self._lift),
             ]
         )
+        app.add_routes(self.operators.routes())
         return app
 
     @property
@@ -375,108 +370,3 @@
             'control': control,
         }
         return web.Response(body=_encode(body), content_type=_JSON)
-
-    # Operators
-
-    def _check_operator(self, request: web.Request) -> None:
-        given = request.headers.get('Authorization', '')
-        wanted = f'Bearer {self.operator_key}'
-        if not self.operator_key:
-            raise _requests.bad('no operator key is set at this entry', 403)
-        if not hmac.compare_digest(given.encode(), wanted.encode()):
-            raise _requests.bad('the operator key is wrong or missing', 403)
-
-    async def _pull(self, request: web.Request) -> web.Response:
-        self._check_operator(request)
-        read = messages.TableRead(0, '')
-        reply = await self._ask(read)
-        text = decisions.write_csv(reply.rows, reply.revision)
-        return web.Response(
-            text=text,
-            content_type='text/csv',
-            headers={'Table-Revision': str(reply.revision)},
-        )
-
-    async def _push(self, request: web.Request) -> web.Response:
-        self._check_operator(request)
-        edit_id = request.query.get('edit', '')
-        if not edit_id or len(edit_id) > _requests.MAX_KEY_LENGTH:
-            raise _requests.bad('parameter edit is missing or too long')
-        try:
-            text = (await request.read()).decode('utf-8')
-            rows, base = decisions.read_csv(text)
-        except UnicodeDecodeError:
-            raise _requests.bad('the table is not UTF-8 text') from None
-        except ExceptionGroup as group:
-            cells = [str(error) for error in group.exceptions]
-            return web.Response(
-                status=422,
-                body=_encode({'accepted': False, 'cells': cells}),
-                content_type=_JSON,
-            )
-        # Where the base is too old this finds no rows; control refuses it.
-        former = await self._ask(messages.TableRead(0, '', at=base))
-        changed, removed = decisions.difference(former.rows, rows)
-        edit = messages.TableEdit(
-            edit_id,
-            base,
-            request.query.get('author', ''),
-            time.time(),
-            changed,
-            removed,
-        )
-        try:
-            outcome = await self.control.propose(edit, PUSH_DEADLINE_S)
-        except errors.PeerError as error:
-            raise errors.RequestError(
-                f'{error.reason}; push again under the same edit id',
-                'push',
-                error.peer,
-                ran=errors.Ran.UNKNOWN,
-                status=503,
-                retry_after=NOT_READY_RETRY_S,
-            ) from error
-        node.log_decision(
-            'table edit',
-            edit=edit_id,
-            accepted=outcome.accepted,
-            revision=outcome.revision,
-            changed=outcome.changed,
-        )
-        return web.Response(
-            status=200 if outcome.accepted else 409,
-            body=_encode(outcome),
-            content_type=_JSON,
-        )
-
-    async def _history(self, request: web.Request) -> web.Response:
-        self._check_operator(request)
-        reply = await self._ask(messages.HistoryRead())
-        return web.Response(body=_encode(reply.items), content_type=_JSON)
-
-    async def _lift(self, request: web.Request) -> web.Response:
-        self._check_operator(request)
-        order = messages.Quarantine(
-            request.match_info['fingerprint'], '', time.time(), lift=True
-        )
-        try:
-            await self.control.propose(order, PUSH_DEADLINE_S)
-        except errors.PeerError as error:
-            raise self._no_control(error) from error
-        return web.Response(body=b'{}', content_type=_JSON)
-
-    async def _ask(self, read: messages.Message) -> t.Any:
-        try:
-            return await self.control.read(read, PUSH_DEADLINE_S)
-        except errors.PeerError as error:
-            raise self._no_control(error) from error
-
-    def _no_control(self, error: errors.PeerError) -> errors.RequestError:
-        return errors.RequestError(
-            error.reason,
-            'control',
-            error.peer,
-            ran=errors.Ran.UNKNOWN,
-            status=503,
-            retry_after=NOT_READY_RETRY_S,
-        )
