--- a/src/bulrushhold/entry/_admission.py
+++ b/src/bulrushhold/entry/_admission.py
@@ -132,17 +132,18 @@
 
     def leave(self, place: Place, tokens: int) -> None:
         """Give a place back, and charge the tokens really used."""
+        self._release(place, tokens)
+        if place.queued:
+            key = place.row.key
+            former = self.expected.get(key, EXPECTED_TOKENS)
+            self.expected[key] = former + EXPECTED_GAIN * (tokens - former)
+
+    def _release(self, place: Place, tokens: int) -> None:
         now = self.clock()
-        share = self._share(place.row)
-        if not place.queued:
-            share.finish(1.0, 1.0, now)
-            return
-        share.finish(place.expected, tokens, now)
-        self.queue.done(place.row.key, place.expected, tokens, now)
-        key = place.row.key
-        former = self.expected.get(key, EXPECTED_TOKENS)
-        self.expected[key] = former + EXPECTED_GAIN * (tokens - former)
-        self._pump()
+        self._share(place.row).finish(place.expected, tokens, now)
+        if place.queued:
+            self.queue.done(place.row.key, place.expected, tokens, now)
+            self._pump()
 
     async def sweep(self) -> None:
         """Renew leases in use, and start what has come to be allowed."""
@@ -171,14 +172,19 @@
         try:
             async with asyncio.timeout(row.deadline_s):
                 await place.granted
-        except TimeoutError:
-            raise self._refusal(
-                row, 'no place before the deadline', row.deadline_s
-            ) from None
+        except BaseException as error:
+            if place.granted.done() and not place.granted.cancelled():
+                # Granted in the turn in which the caller left.
+                self._release(place, 0)
+            else:
+                self.queue.remove(row.key, place)
+            if isinstance(error, TimeoutError):
+                raise self._refusal(
+                    row, 'no place before the deadline', row.deadline_s
+                ) from None
+            raise
         finally:
             share.waiting -= 1
-            if not place.granted.done() or place.granted.cancelled():
-                self.queue.remove(row.key, place)
 
     def _places_row(self) -> messages.Row:
         """Return a row whose limit is what all engines run at once."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -338,3 +338,19 @@
     router.update(servers(3))
     for number in range(20_000):
         assert router.choose_engine('s', f'prompt {number}', 1.0).state
+
+
+async def test_a_place_granted_to_one_who_just_left_is_given_back(system):
+    # A caller leaves in the very turn in which its place comes free. The
+    # place must not stay taken for good: each such loss would make the
+    # entry smaller.
+    admission = system.entries['e1'].admission
+    admission.queue.running = admission.queue.capacity
+    waiting = asyncio.ensure_future(admission.enter(conftest.row()))
+    await conftest.until(lambda: admission.queue.waiting == 1)
+    admission.queue.running = 0
+    admission._pump()
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert admission.queue.running == 0
+    assert admission.shares['vendors/chat'].running == 0
