--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 lint: setup
 	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
-	.venv/bin/flake8 src tests bench examples
+	.venv/bin/flake8 src tests bench examples platform
 	.venv/bin/lint-imports
 
 test: lint
--- a/src/bulrushhold/cli.py
+++ b/src/bulrushhold/cli.py
@@ -58,8 +58,9 @@
     from bulrushhold import node
 
     config = settings.load(path, settings.Entry)
-    node.configure_logs(log_level, config.name)
+    writer = node.configure_logs(log_level, config.name)
     asyncio.run(composition.run_entry(config))
+    writer.close()
 
 
 @main.command('control')
@@ -70,9 +71,10 @@
     from bulrushhold import node
 
     config = settings.load(path, settings.Control)
-    node.configure_logs(log_level, config.name)
+    writer = node.configure_logs(log_level, config.name)
     pathlib.Path(config.data_dir).mkdir(parents=True, exist_ok=True)
     asyncio.run(composition.run_control(config))
+    writer.close()
 
 
 @main.command('control-found')
--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -4,6 +4,7 @@
 alone would take a third of its memory budget.
 """
 
+import abc
 import asyncio
 import contextlib
 import random
@@ -11,6 +12,7 @@
 import time
 import typing as t
 
+import attrs
 import loguru
 
 from bulrushhold import errors
@@ -18,17 +20,69 @@
 from bulrushhold import settings
 
 if t.TYPE_CHECKING:
+    import aiohttp
+    from aiohttp import web
+
+    from bulrushhold import calls
+    from bulrushhold import control
     from bulrushhold import decisions
+    from bulrushhold import forwarding
+    from bulrushhold import ports
 
 
 DRAIN_CHECK_S: t.Final = 0.1
+DISK_RETRY_S: t.Final = 0.5
+# Left of the time before the kill, for closing and for a busy machine.
+EXIT_MARGIN_S: t.Final = 0.7
+# A request taken later than this before the end would be cut off.
+LAST_TAKEN_S: t.Final = 2.0
 
 
-async def run_control(config: settings.Control) -> None:
+async def run_control(
+    config: settings.Control,
+    attach: t.Callable[['control.ControlServer'], 'Attachment'] | None = None,
+) -> None:
     """Run a control process until it is told to stop.
 
+    :param attach: adds what serves beside the replica, such as the
+        operators' port.
     :raises StorageError: where its data folder can't be trusted.
     """
+    stop = asyncio.Event()
+    _on_signals(stop.set)
+    while not stop.is_set():
+        try:
+            await _serve_control(config, attach, stop)
+        except errors.StorageError as error:
+            if attach is None:
+                raise
+            # The disk is full or refuses to sync. What was written isn't
+            # sure to be there, so that the replica begins anew from what
+            # the disk gives back; leaving the process would do the same,
+            # but count as a crash of its own.
+            loguru.logger.bind(error=str(error)).error('disk failed')
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DISK_RETRY_S):
+                    await stop.wait()
+
+
+class Attachment(abc.ABC):
+    """What runs beside the replica in a control process."""
+
+    @abc.abstractmethod
+    async def start(self) -> None:
+        """Open ports and begin background work."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close ports and end background work."""
+
+
+async def _serve_control(
+    config: settings.Control,
+    attach: t.Callable[['control.ControlServer'], 'Attachment'] | None,
+    stop: asyncio.Event,
+) -> None:
     from bulrushhold import control
     from bulrushhold import decisions
     from bulrushhold import node
@@ -40,16 +94,23 @@
         durable,
         decisions.Timing(config.heartbeat_s, config.election_s),
         random.Random(),
-        time.monotonic(),
+        node.boot_time(),
     )
     state = decisions.ReplicatedState.restore(replica.snapshot.state)
     transport = node.ZmqTransport(str(config.peer))
     metrics = node.make_metrics(config.metrics, 'bulrushhold.control')
     server = control.ControlServer(
-        config, replica, state, store, transport, metrics
+        config,
+        replica,
+        state,
+        store,
+        transport,
+        metrics,
+        node.boot_time,
     )
-    stop = asyncio.Event()
-    _on_signals(stop.set)
+    attachment = attach(server) if attach else None
+    if attachment is not None:
+        await attachment.start()
     serving = asyncio.ensure_future(server.run())
     stopping = asyncio.ensure_future(stop.wait())
     loguru.logger.bind(replica=ident).info('control started')
@@ -62,8 +123,12 @@
     finally:
         serving.cancel()
         stopping.cancel()
+        await asyncio.gather(serving, stopping, return_exceptions=True)
+        if attachment is not None:
+            await attachment.close()
         await transport.close()
         store.close()
+        loguru.logger.bind(replica=ident).info('control stopped')
 
 
 class EntryProcess:
@@ -213,10 +278,7 @@
 
     def _ended(self, task: asyncio.Task[t.Any]) -> None:
         self.background.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            loguru.logger.opt(exception=task.exception()).error(
-                'background work failed'
-            )
+        _log_end(task)
 
     async def _follow_peers(self) -> None:
         known: set[str] = set()
@@ -231,6 +293,143 @@
             self.view.changed.clear()
 
 
+@attrs.frozen
+class ForwardingAdapters:
+    """What a forwarding entry is given from outside.
+
+    :param backends: makes the reader of the platform's list.
+    :param sites: further ports, with what each answers.
+    """
+
+    callers: 'calls.CallerDialect'
+    engines: 'calls.EngineDialect'
+    backends: t.Callable[['aiohttp.ClientSession'], 'ports.BackendList']
+    sites: list[
+        tuple[
+            settings.Address,
+            t.Callable[['forwarding.Fleet'], 'web.Application'],
+        ]
+    ]
+
+
+class ForwardingEntry:
+    """An entry that forwards opaque requests, with all its parts."""
+
+    def __init__(
+        self, config: settings.Forwarding, adapters: ForwardingAdapters
+    ) -> None:
+        self.config = config
+        self.adapters = adapters
+        self.background: list[asyncio.Task[t.Any]] = []
+        self.runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Open the sockets, and serve."""
+        from aiohttp import web
+
+        from bulrushhold import decisions
+        from bulrushhold import forwarding
+        from bulrushhold import messages
+        from bulrushhold import node
+        from bulrushhold import web as adapters
+
+        config = self.config
+        self.transport = node.ZmqTransport(str(config.peer))
+        self.session = adapters.make_session()
+        self.client = adapters.HttpBackendClient(self.adapters.engines)
+        placement = decisions.Placement(config.name, random.Random())
+        self.fleet = forwarding.Fleet(
+            messages.ListedEntry(
+                config.name, config.data_centre, str(config.callers), True
+            ),
+            [str(seed) for seed in config.seeds],
+            self.transport,
+            self.adapters.backends(self.session),
+            placement,
+        )
+        self.metrics = node.make_served_metrics('bulrushhold_entry')
+        parts = forwarding.Parts(
+            placement,
+            self.client,
+            decisions.RepeatBudget(
+                config.repeat_ratio,
+                config.repeat_allowance,
+                config.repeat_window_s,
+            ),
+            self.metrics,
+        )
+        self.forwarder = forwarding.Forwarder(self.fleet, parts)
+        self.ingress = adapters.Ingress(
+            self.forwarder.handle, self.adapters.callers
+        )
+        self.follow = in_background(self.fleet.follow())
+        self.background.append(in_background(self.fleet.read_list_alone()))
+        self.background.append(in_background(self.fleet.share()))
+        await self.ingress.start(config.callers.host, config.callers.port)
+        for address, make in self.adapters.sites:
+            await self._open(web, address, make(self.fleet))
+        if config.metrics is not None:
+            await self._open(
+                web, config.metrics, adapters.metrics_application(self.metrics)
+            )
+        loguru.logger.bind(callers=str(config.callers)).info('entry started')
+
+    async def _open(
+        self, web: t.Any, address: settings.Address, app: 'web.Application'
+    ) -> None:
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, address.host, address.port).start()
+        self.runners.append(runner)
+
+    async def drain(self) -> None:
+        """Tell callers to leave, and serve those that still come.
+
+        Callers learn late that this entry leaves, and a request may cross
+        a close unseen. So connections stay open until callers are gone,
+        and only then new requests are refused.
+        """
+        begun = time.monotonic()
+        self.fleet.leave()
+        self.ingress.draining = True
+        self.follow.cancel()
+        self.follow = in_background(self.fleet.follow())
+        loguru.logger.info('draining')
+        last = begun + self.config.grace_s - EXIT_MARGIN_S
+        while time.monotonic() < last:
+            await asyncio.sleep(DRAIN_CHECK_S)
+            now = time.monotonic()
+            lingered = now > begun + self.config.linger_s
+            if now > last - LAST_TAKEN_S:
+                self.forwarder.closing = True
+            if lingered and not self.ingress.busy:
+                break
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        tasks = [self.follow, *self.background]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.ingress.close()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.client.close()
+        await self.session.close()
+        await self.transport.close()
+        loguru.logger.info('entry stopped')
+
+
+async def run_forwarding(entry: ForwardingEntry) -> None:
+    """Run a forwarding entry until it is told to stop, then drain it."""
+    stop = asyncio.Event()
+    _on_signals(stop.set)
+    await entry.start()
+    await stop.wait()
+    await entry.drain()
+    await entry.close()
+
+
 class _Quarantine:
     """Refuses contents here at once, and everywhere through control."""
 
@@ -288,6 +487,22 @@
     await process.close()
 
 
+def in_background(
+    work: t.Coroutine[t.Any, t.Any, t.Any],
+) -> asyncio.Task[t.Any]:
+    """Run work that is never to end, and log it if it does."""
+    task = asyncio.get_running_loop().create_task(work)
+    task.add_done_callback(_log_end)
+    return task
+
+
+def _log_end(task: asyncio.Task[t.Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        loguru.logger.opt(exception=task.exception()).error(
+            'background work failed'
+        )
+
+
 def _policy(config: settings.Recovery) -> 'decisions.RecoveryPolicy':
     from bulrushhold import decisions
 
@@ -314,3 +529,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, call)
+    # Without a handler it ends the process. Settings are read again by
+    # whoever follows them.
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: loguru.logger.info('asked to reload')
+    )
--- /dev/null
+++ b/src/bulrushhold/control/_hub.py
@@ -0,0 +1,278 @@
+"""Hands news from control to entries, by calls that are held.
+
+A poll each second would bring a change late by up to a second; a held
+call brings it within one way of the network, and costs one message per
+entry and 0.4 s while nothing changes.
+"""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+import loguru
+
+from bulrushhold.control import _registry
+from bulrushhold.control import _server
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+
+# Calls to the platform's list are limited for all readers together; a list
+# that lags by 0.8 s gains little from more.
+LIST_EVERY_S: t.Final = 0.4
+LIST_TIMEOUT_S: t.Final = 1.0
+MAX_HOLD_S: t.Final = 1.0
+# Entries that start together become one piece of news instead of one each.
+GATHER_S: t.Final = 0.05
+# Sightings of engines come with every stream that begins; each batch costs
+# a message per entry. A prompt is read for a second.
+SIGHTINGS_GATHER_S: t.Final = 0.03
+FORWARD_S: t.Final = 0.7
+PUT_S: t.Final = 2.5
+PAUSE_S: t.Final = 0.1
+
+
+class Hub:
+    """The leader's side of entries' held calls, and the list's reader.
+
+    :param source: reads the platform's list of backend servers.
+    """
+
+    def __init__(
+        self,
+        server: _server.ControlServer,
+        source: ports.BackendList,
+    ) -> None:
+        self.server = server
+        self.source = source
+        self.registry = _registry.EntryRegistry()
+        self.board = decisions.SightingBoard()
+        self.told_sightings = 0
+        self.gathering = False
+        self.backends: list[messages.ListedBackend] | None = None
+        self.backends_number = 0
+        self.backends_at = 0.0
+        self.news = asyncio.Event()
+        server.applied_hooks.append(self._wake)
+        server.transport.handle(messages.Watch, self._on_watch)
+        server.transport.handle(messages.Sighting, self._on_sighting)
+        server.transport.handle(messages.RouteMapRead, self._on_read)
+
+    async def run(self) -> None:
+        """Read the list and watch over entries while this one leads."""
+        while True:
+            if self.leads:
+                self.registry.lead(self.server.replica.term, self._now())
+                self._expire()
+                await self._read_list()
+            await asyncio.sleep(LIST_EVERY_S)
+
+    @property
+    def leads(self) -> bool:
+        """Whether what this process says is what control says."""
+        return self.server.replica.lease_holds(self._now())
+
+    def _now(self) -> float:
+        return self.server.clock()
+
+    def _wake(self) -> None:
+        self.news.set()
+        self.news = asyncio.Event()
+
+    def _expire(self) -> None:
+        gone = self.registry.expire(self._now())
+        if gone:
+            node.log_decision('entries silent', entries=gone)
+            for name in gone:
+                self.board.forget(name)
+            self._wake()
+
+    async def _read_list(self) -> None:
+        try:
+            async with asyncio.timeout(LIST_TIMEOUT_S):
+                backends = await self.source.fetch()
+        except (TimeoutError, errors.PeerError) as error:
+            loguru.logger.bind(error=str(error)).warning('list not read')
+            return
+        self.backends_at = self._now()
+        if backends != self.backends:
+            self.backends = backends
+            self.backends_number += 1
+            node.log_decision(
+                'list changed',
+                version=self.backends_number,
+                backends=len(backends),
+                leaving=[b.ident for b in backends if b.leaving],
+            )
+            self._wake()
+
+    async def _on_sighting(self, sighting: messages.Sighting) -> None:
+        urgent = self.board.take(
+            sighting.entry, sighting.engines, sighting.lost, self._now()
+        )
+        if urgent:
+            node.log_decision(
+                'engines lost', engines=sighting.lost, by=sighting.entry
+            )
+            self._tell_sightings()
+        elif not self.gathering:
+            self.gathering = True
+            asyncio.get_running_loop().call_later(
+                SIGHTINGS_GATHER_S, self._tell_sightings
+            )
+
+    def _tell_sightings(self) -> None:
+        self.gathering = False
+        self.told_sightings = self.board.number
+        self._wake()
+
+    # Held calls
+
+    async def _on_watch(self, watch: messages.Watch) -> messages.WatchReply:
+        if not self.leads:
+            return self._not_leader()
+        self.registry.lead(self.server.replica.term, self._now())
+        if self.registry.hear(watch.entry, self._now()):
+            asyncio.get_running_loop().call_later(GATHER_S, self._wake)
+        end = self._now() + min(watch.hold_s, MAX_HOLD_S)
+        while not self._has_news(watch):
+            left = end - self._now()
+            if left <= 0:
+                break
+            news = self.news
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await news.wait()
+        # Again, as late as can be: while the call was held this process may
+        # have been suspended, and another may lead by now.
+        if not self.leads:
+            return self._not_leader()
+        return self._reply(watch)
+
+    def _has_news(self, watch: messages.Watch) -> bool:
+        entries = self.registry.version(self._now())
+        return (
+            self.server.state.map_version > watch.known_map
+            or self._backends_version() != watch.known_backends
+            or entries not in ('', watch.known_entries)
+            or self.told_sightings > watch.known_sightings
+        )
+
+    def _backends_version(self) -> str:
+        if self.backends is None:
+            return ''
+        return f'{self.registry.term}.{self.backends_number}'
+
+    def _reply(self, watch: messages.Watch) -> messages.WatchReply:
+        put = self.server.state.route_map
+        newer = put is not None and put.version > watch.known_map
+        version = self._backends_version()
+        fresh = bool(version) and version != watch.known_backends
+        now = self._now()
+        entries_version = self.registry.version(now)
+        moved = entries_version not in ('', watch.known_entries)
+        return messages.WatchReply(
+            'done',
+            core=sorted(self.server.replica.config.voters.values()),
+            route_map=put.packed if put is not None and newer else None,
+            backends_version=version,
+            backends=self.backends if fresh else None,
+            backends_age_s=round(now - self.backends_at, 3),
+            entries_version=entries_version,
+            entries=self.registry.entries() if moved else None,
+            sightings=self._sightings(watch),
+        )
+
+    def _sightings(self, watch: messages.Watch) -> messages.Sightings | None:
+        known = watch.known_sightings
+        if self.board.number == known:
+            return None
+        if self.board.number < known:
+            # The entry's number is another leader's; tell it all.
+            known = 0
+        return messages.Sightings(
+            self.board.number,
+            self.board.others(watch.entry.name),
+            self.board.lost_since(known),
+        )
+
+    def _not_leader(self) -> messages.WatchReply:
+        replica = self.server.replica
+        return messages.WatchReply(
+            'not_leader',
+            replica.leader_address(),
+            core=sorted(replica.config.voters.values()),
+        )
+
+    # The operator's route map
+
+    async def put_map(
+        self, put: messages.RouteMapPut
+    ) -> messages.RouteMapOutcome:
+        """Have a checked route map in the log, from any control process.
+
+        :raises PeerError: where that isn't known to have happened. The
+            same map sent again does no harm.
+        """
+        command = messages.encode(put)
+        reply = await self._at_leader(
+            messages.Proposal(command), lambda: self.server.propose(command)
+        )
+        return messages.decode(reply.result)
+
+    async def read_map(self) -> messages.RouteMapReply:
+        """Return the newest route map, as its operator sent it.
+
+        :raises PeerError: where it isn't sure which one is the newest.
+        """
+        return await self._at_leader(
+            messages.RouteMapRead(),
+            lambda: self._on_read(messages.RouteMapRead()),
+        )
+
+    async def _on_read(
+        self, read: messages.RouteMapRead
+    ) -> messages.RouteMapReply:
+        del read
+        if not self.leads:
+            return messages.RouteMapReply(
+                'not_leader', self.server.replica.leader_address()
+            )
+        put = self.server.state.route_map
+        if put is None:
+            return messages.RouteMapReply('done')
+        return messages.RouteMapReply(
+            'done', version=put.version, source=put.source
+        )
+
+    async def _at_leader(
+        self,
+        request: messages.Message,
+        here: cabc.Callable[[], cabc.Awaitable[t.Any]],
+    ) -> t.Any:
+        """Do it here as leader, else ask the leader, until the time is up."""
+        step = type(request).__name__
+        end = self._now() + PUT_S
+        last = errors.PeerError('no leader is known', step)
+        while self._now() < end:
+            replica = self.server.replica
+            leader = replica.leader_address()
+            reply = None
+            if replica.role is decisions.Role.LEADER:
+                reply = await here()
+            elif leader:
+                try:
+                    reply = await self.server.transport.request(
+                        leader, request, FORWARD_S
+                    )
+                except errors.PeerError as error:
+                    last = error
+            if reply is not None and reply.status == 'done':
+                return reply
+            if reply is not None:
+                last = errors.PeerError(reply.status, step, leader)
+            await asyncio.sleep(PAUSE_S)
+        raise last
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -17,7 +17,10 @@
 from bulrushhold import settings
 
 PROPOSAL_TIMEOUT_S: t.Final = 3.0
-JOIN_EVERY_S: t.Final = 1.0
+JOIN_EVERY_S: t.Final = 0.5
+# Longer than an election, so that a replica asks to join only where it has
+# really been left out, such as after a long freeze.
+LEFT_OUT_S: t.Final = 2.5
 SHORTEST_WAIT_S: t.Final = 0.001
 FORGET_EVERY_S: t.Final = 30.0
 IN_FORCE_KEPT_S: t.Final = 60.0
@@ -62,6 +65,9 @@
         self.transport = transport
         self.metrics = metrics
         self.clock = clock
+        self.contacts = list(config.contacts)
+        self.applied_hooks: list[cabc.Callable[[], None]] = []
+        self.log_bytes = 0
         self.waiting: dict[int, _Waiting] = {}
         self.in_force: dict[str, tuple[int, float]] = {}
         self.since_snapshot = 0
@@ -112,6 +118,9 @@
                 self._send(peer, message)
             for entry in ready.committed:
                 self._apply(entry)
+            if ready.committed or ready.snapshot is not None:
+                for hook in self.applied_hooks:
+                    hook()
             if not (ready.must_save or ready.committed):
                 return
 
@@ -144,10 +153,12 @@
             same = waiting.term == entry.term
             waiting.future.set_result(result if same else None)
         self.since_snapshot += 1
-        if (
+        self.log_bytes += len(entry.data)
+        large = (
             self.since_snapshot >= self.config.snapshot_every
-            and entry.index == self.replica.applied
-        ):
+            or self.log_bytes >= self.config.snapshot_bytes
+        )
+        if large and entry.index == self.replica.applied:
             self._snapshot(entry.index)
 
     def _snapshot(self, index: int) -> None:
@@ -155,6 +166,7 @@
         saved = self.replica.saved - index
         self.store.save_snapshot(snapshot, self.replica.entries[:saved])
         self.since_snapshot = 0
+        self.log_bytes = 0
         loguru.logger.bind(index=index).info('snapshot')
 
     # Members
@@ -167,16 +179,30 @@
         if self.replica.role is decisions.Role.LEADER:
             self._promote_learners()
             self._forget_old_claims(now)
-        elif self.replica.ident not in self.replica.config.voters:
-            request = messages.JoinRequest(
-                self.replica.ident, str(self.config.peer)
-            )
-            for address in self.config.replicas.values():
-                if address != self.config.peer:
-                    self.transport.send(str(address), request)
+        elif (
+            self.replica.ident not in self.replica.config.voters
+            or self.replica.silent_for(now) > LEFT_OUT_S
+        ):
+            self._ask_to_join()
+
+    def _ask_to_join(self) -> None:
+        request = messages.JoinRequest(
+            self.replica.ident, str(self.config.peer)
+        )
+        config = self.replica.config
+        known = {
+            *map(str, self.config.replicas.values()),
+            *map(str, self.contacts),
+            *config.voters.values(),
+            *config.learners.values(),
+        }
+        for address in sorted(known - {str(self.config.peer)}):
+            self.transport.send(address, request)
 
     def _promote_learners(self) -> None:
-        change = decisions.next_config(self.replica)
+        change = decisions.next_config(
+            self.replica, self.clock(), self.config.voters
+        )
         if change is not None and self.replica.change_config(change.config):
             node.log_decision(
                 'membership',
@@ -186,6 +212,12 @@
             )
 
     async def _on_join(self, request: messages.JoinRequest) -> None:
+        if self.replica.role is not decisions.Role.LEADER:
+            # The newcomer may know none but this replica, from an old list.
+            leader = self.replica.leader_address()
+            if leader and leader != str(self.config.peer):
+                self.transport.send(leader, request)
+            return
         config = decisions.with_learner(self.replica, request)
         if config is not None and self.replica.change_config(config):
             node.log_decision(
@@ -212,7 +244,11 @@
     async def _on_proposal(
         self, proposal: messages.Proposal
     ) -> messages.ProposalReply:
-        proposed = self.replica.propose(proposal.command)
+        return await self.propose(proposal.command)
+
+    async def propose(self, command: bytes) -> messages.ProposalReply:
+        """Have a command committed, as leader, and return its result."""
+        proposed = self.replica.propose(command)
         if proposed is None:
             return messages.ProposalReply(
                 'not_leader', self.replica.leader_address()
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -16,6 +16,8 @@
 from bulrushhold.decisions._membership import Membership
 from bulrushhold.decisions._membership import PERIOD_S as MEMBERSHIP_PERIOD_S
 from bulrushhold.decisions._membership import PROBE_S as MEMBERSHIP_PROBE_S
+from bulrushhold.decisions._placing import Placed
+from bulrushhold.decisions._placing import Placement
 from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
 from bulrushhold.decisions._quota import QuotaHome
 from bulrushhold.decisions._quota import QuotaShare
@@ -26,6 +28,7 @@
 from bulrushhold.decisions._recovery import RecoveryPolicy
 from bulrushhold.decisions._recovery import ThriftyPolicy
 from bulrushhold.decisions._recovery import WorkBudget
+from bulrushhold.decisions._repeats import RepeatBudget
 from bulrushhold.decisions._replica import Durable
 from bulrushhold.decisions._replica import Ready
 from bulrushhold.decisions._replica import Replica
@@ -35,6 +38,7 @@
 from bulrushhold.decisions._routing import BackendState
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
+from bulrushhold.decisions._sightings import SightingBoard
 from bulrushhold.decisions._statemachine import ReplicatedState
 from bulrushhold.decisions._suspects import content_fingerprint
 from bulrushhold.decisions._suspects import Suspects
@@ -61,6 +65,8 @@
     'MEMBERSHIP_PERIOD_S',
     'MEMBERSHIP_PROBE_S',
     'Membership',
+    'Placed',
+    'Placement',
     'PromptPolicy',
     'QUOTA_LEASE_S',
     'QUOTA_RENEW_S',
@@ -68,12 +74,14 @@
     'QuotaShare',
     'Ready',
     'RecoveryPolicy',
+    'RepeatBudget',
     'Replica',
     'ReplicatedState',
     'RetryBudget',
     'Role',
     'Router',
     'SMALL_ACCOUNT_ENTRIES',
+    'SightingBoard',
     'Standing',
     'Suspects',
     'TableState',
--- a/src/bulrushhold/decisions/_members.py
+++ b/src/bulrushhold/decisions/_members.py
@@ -1,6 +1,7 @@
 """How a replica with an empty disk replaces its former self."""
 
 import os
+import typing as t
 
 import attrs
 
@@ -8,6 +9,14 @@
 from bulrushhold import messages
 
 
+# Ten lost beats and an election's length: longer than any pause of a process
+# that merely syncs or is short of processor time.
+DEAD_S: t.Final = 1.5
+# A learner that answered within this time can be relied on for the next
+# majority.
+RECENT_S: t.Final = 1.0
+
+
 @attrs.frozen
 class MemberChange:
     """One membership change and why it is made."""
@@ -42,25 +51,34 @@
     return attrs.evolve(config, learners=learners)
 
 
-def next_config(replica: _replica.Replica) -> MemberChange | None:
-    """Return the next step of a replacement, if one is due.
+def next_config(
+    replica: _replica.Replica, now: float | None = None, wanted: int = 0
+) -> MemberChange | None:
+    """Return the next step of a replacement or repair, if one is due.
 
     The learner first gets a vote, once it holds all that is committed;
-    only then does its former self lose its own. In the other order, the
+    only then does the lost replica lose its own. In the other order, the
     loss of one more replica in between could take the last full copy.
+
+    :param now: seconds of the replica's clock; ``None`` to pass over
+        how long ago others were heard.
+    :param wanted: voters to have; fewer are filled up from the learners,
+        and a voter that is silent is replaced by one.
     """
     config = replica.config
-    retired = _retired_voter(config)
-    if retired is not None:
+    leaves = _leaving_voter(replica, now, wanted)
+    if leaves is not None:
+        ident, reason = leaves
         voters = dict(config.voters)
-        del voters[retired]
-        return MemberChange(
-            attrs.evolve(config, voters=voters),
-            f'{retired} was replaced; its disk is gone',
-        )
+        del voters[ident]
+        return MemberChange(attrs.evolve(config, voters=voters), reason)
+    short = len(config.voters) < wanted
+    short = short or bool(_silent_voters(replica, now))
     for ident, address in config.learners.items():
-        progress = replica.progress.get(ident)
-        if progress and progress.match >= replica.commit:
+        returns = instance_name(ident) in map(instance_name, config.voters)
+        if (short or returns or not wanted) and _caught_up(
+            replica, ident, now
+        ):
             learners = dict(config.learners)
             del learners[ident]
             voters = {**config.voters, ident: address}
@@ -71,6 +89,46 @@
     return None
 
 
+def _leaving_voter(
+    replica: _replica.Replica, now: float | None, wanted: int
+) -> tuple[str, str] | None:
+    retired = _retired_voter(replica.config)
+    if retired is not None:
+        return retired, f'{retired} was replaced; its disk is gone'
+    if wanted and len(replica.config.voters) > wanted:
+        silent = _silent_voters(replica, now)
+        if silent:
+            return silent[0], f'{silent[0]} is silent and was replaced'
+    return None
+
+
+def _silent_voters(replica: _replica.Replica, now: float | None) -> list[str]:
+    if now is None:
+        return []
+    return [
+        ident
+        for ident in replica.config.voters
+        if ident in replica.progress
+        and now - replica.progress[ident].acked_at > DEAD_S
+    ]
+
+
+def _caught_up(
+    replica: _replica.Replica, ident: str, now: float | None
+) -> bool:
+    """Whether a learner holds all that is committed, and is alive.
+
+    In a quiet log a learner that is gone holds everything too; a vote
+    for it would make every later majority harder to reach.
+    """
+    progress = replica.progress.get(ident)
+    return (
+        progress is not None
+        and progress.match >= replica.commit
+        and (now is None or now - progress.acked_at < RECENT_S)
+    )
+
+
 def _retired_voter(config: messages.Config) -> str | None:
     """Return the elder of two voters of one instance."""
     seen: dict[str, str] = {}
--- /dev/null
+++ b/src/bulrushhold/decisions/_placing.py
@@ -0,0 +1,380 @@
+"""Chooses the backend server for an opaque request, and for its backup.
+
+Answers two loads: plain services whose copies differ in speed and fail
+in part, and model engines on which one long prompt delays all others.
+Each entry sees its own requests exactly and those of others only as
+servers tell of them, late.
+"""
+
+import collections
+import random
+import typing as t
+
+import attrs
+import xxhash
+
+from bulrushhold import messages
+
+# What a server told of other entries' requests counts half after this time;
+# a plain request lasts about 0.1 s, so that more would be a mere memory.
+REPORT_HALF_S: t.Final = 0.5
+# Weight of the newest sample in the means of latency and failures: ten
+# requests, so that a server that turns slow is known within a second.
+SMOOTHING: t.Final = 0.1
+FAILURE_SMOOTHING: t.Final = 0.2
+# Failures are forgotten with time, or a server left alone would stay so.
+FAILURE_HALF_S: t.Final = 3.0
+# A request that may run once is lost where it fails, so that a server that
+# fails one in ten is as bad as one three times as slow.
+ONCE_FAILURE_WEIGHT: t.Final = 20.0
+REPEATABLE_FAILURE_WEIGHT: t.Final = 6.0
+# Seconds that an engine reads at, per token: 8 tokens in a ms.
+READ_S_PER_TOKEN: t.Final = 1 / 8000
+# How much one running stream delays a new one, in seconds of reading.
+RUNNING_S: t.Final = 0.08
+# Entries that see the same loads should differ in what they choose; less
+# than what any real difference of load weighs.
+AFFINITY_S: t.Final = 0.06
+# Engines of one data centre that fail within this time make the whole data
+# centre suspect, for as long: it lost power, or is cut off.
+ZONE_WINDOW_S: t.Final = 1.3
+ZONE_FAILURES: t.Final = 2
+ZONE_PENALTY_S: t.Final = 3.0
+SUSPECT_S: t.Final = 1.0
+LATENCY_FLOOR_S: t.Final = 0.005
+# What other entries have running is told within 0.1 s, as long as control is
+# there; after this time it says nothing any more.
+HEARD_S: t.Final = 2.0
+PARTS_KEPT: t.Final = 4000
+# A part read longer ago than this has probably been evicted.
+PART_KEPT_S: t.Final = 20.0
+
+
+NOTHING: t.Final = messages.EngineSeen(0, 0)
+
+
+@attrs.define
+class Placed:
+    """One backend server and what this entry knows of it.
+
+    :param inflight: requests of this entry.
+    :param reading: prompt tokens of this entry's streams that have shown
+        no event yet.
+    :param memory: tokens that this entry's streams and backups hold.
+    :param foreign: requests of other entries, as of ``foreign_at``.
+    :param others: what other entries say they have running there.
+    :param lost_at: when it last died or couldn't be reached; a copy made
+        there before is gone.
+    """
+
+    ident: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool = False
+    inflight: int = 0
+    reading: int = 0
+    memory: int = 0
+    foreign: float = 0.0
+    foreign_at: float = 0.0
+    latency: float = 0.0
+    failures: float = 0.0
+    failed_at: float = 0.0
+    suspect_until: float = 0.0
+    affinity: float = 0.0
+    others: messages.EngineSeen = NOTHING
+    lost_at: float = float('-inf')
+
+    def foreign_now(self, now: float) -> float:
+        """Return the requests of others, as far as they are still there."""
+        age = now - self.foreign_at
+        return self.foreign * 0.5 ** (age / REPORT_HALF_S)
+
+    def failures_now(self, now: float) -> float:
+        """Return the share of requests that lately failed there."""
+        age = now - self.failed_at
+        return self.failures * 0.5 ** (age / FAILURE_HALF_S)
+
+
+def _ignore() -> None:
+    """Tell nobody of news."""
+
+
+class Placement:
+    """All backend servers, and the choice among them.
+
+    :param name: of this entry; entries differ in which engine they
+        choose among equals.
+    """
+
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self.name = name
+        self.rng = rng
+        self.on_news: t.Callable[[], None] = _ignore
+        self.lost: list[str] = []
+        self.heard_at = 0.0
+        self.backends: dict[str, Placed] = {}
+        self.services: dict[str, list[Placed]] = {}
+        self.zone_failures: dict[
+            tuple[str, str], collections.deque[tuple[float, str]]
+        ] = {}
+        self.parts: collections.OrderedDict[str, tuple[str, float]] = (
+            collections.OrderedDict()
+        )
+
+    def update(self, listed: list[messages.ListedBackend]) -> None:
+        """Take the newest list; what is known of those that stay is kept."""
+        backends = {}
+        for item in listed:
+            known = self.backends.get(item.ident)
+            if known is None or known.address != item.address:
+                known = Placed(
+                    item.ident,
+                    item.service,
+                    item.address,
+                    item.data_centre,
+                    item.slots,
+                    affinity=self._affinity(item.ident),
+                )
+            known.leaving = item.leaving
+            backends[item.ident] = known
+        self.backends = backends
+        self.services = {}
+        for backend in backends.values():
+            self.services.setdefault(backend.service, []).append(backend)
+
+    def _affinity(self, ident: str) -> float:
+        digest = xxhash.xxh64_intdigest(f'{self.name}/{ident}'.encode())
+        return digest / (1 << 64) * AFFINITY_S
+
+    def usable(self, service: str) -> list[Placed]:
+        """Return the servers that may get new requests."""
+        return [b for b in self.services.get(service, ()) if not b.leaving]
+
+    def choose(
+        self, service: str, now: float, *, once: bool, tried: set[str]
+    ) -> Placed | None:
+        """Return the server with the least wait for a plain request.
+
+        :param once: the request is lost where it fails.
+        :param tried: idents that it has been to.
+        """
+        weight = ONCE_FAILURE_WEIGHT if once else REPEATABLE_FAILURE_WEIGHT
+
+        def wait(backend: Placed) -> float:
+            load = backend.inflight + backend.foreign_now(now) + 1
+            # Far below its places a server is as quick as when idle.
+            load = max(1.0, load / max(1.0, backend.slots * 0.5))
+            latency = max(backend.latency, LATENCY_FLOOR_S)
+            penalty = 1 + weight * backend.failures_now(now)
+            noise = 1 + 0.2 * self.rng.random()
+            return load * latency * penalty * noise
+
+        return self._best(service, now, tried, wait)
+
+    def choose_engine(
+        self,
+        service: str,
+        now: float,
+        *,
+        tokens: int,
+        part: str,
+        tried: set[str],
+        avoid_zone: str = '',
+    ) -> Placed | None:
+        """Return the engine that will show the first event soonest.
+
+        :param tokens: of the prompt.
+        :param part: last part of the prompt; an engine that has read it
+            needn't read it again.
+        :param avoid_zone: data centre that just lost this stream.
+        """
+        cached = self._cached_at(part, now)
+        heard = now - self.heard_at < HEARD_S
+
+        def wait(backend: Placed) -> float:
+            own = 0 if backend.ident == cached else tokens
+            others = backend.others if heard else NOTHING
+            reading = backend.reading + others.reading + own
+            seconds = reading * READ_S_PER_TOKEN
+            running = backend.inflight + others.running
+            seconds += running * RUNNING_S + backend.affinity
+            seconds *= 1 + REPEATABLE_FAILURE_WEIGHT * backend.failures_now(
+                now
+            )
+            if backend.data_centre == avoid_zone:
+                seconds += ZONE_PENALTY_S
+            return seconds + self._zone_penalty(backend, now)
+
+        return self._best(service, now, tried, wait)
+
+    def choose_backup(
+        self, engine: Placed, now: float, tried: set[str]
+    ) -> Placed | None:
+        """Return where a copy of a run's memory is safest.
+
+        In another data centre, since engines of one are lost together,
+        and where few others are: it has to be able to go on at once.
+        """
+
+        def cost(backend: Placed) -> float:
+            same = backend.data_centre == engine.data_centre
+            load = backend.inflight + backend.others.running
+            return (
+                load
+                + backend.memory / 8000
+                + 100 * same
+                + 10 * self._zone_penalty(backend, now)
+                + self.rng.random()
+            )
+
+        tried = tried | {engine.ident}
+        return self._best(engine.service, now, tried, cost, strict=True)
+
+    def _best(
+        self,
+        service: str,
+        now: float,
+        tried: set[str],
+        cost: t.Callable[[Placed], float],
+        *,
+        strict: bool = False,
+    ) -> Placed | None:
+        usable = self.usable(service)
+        fresh = [b for b in usable if b.ident not in tried]
+        calm = [b for b in fresh if b.suspect_until <= now]
+        if calm:
+            return min(calm, key=cost)
+        if strict or not fresh:
+            return None
+        # All are suspect: the one that was left longest ago may be back.
+        return min(fresh, key=lambda b: b.suspect_until)
+
+    def keeps_copy(self, backend: Placed, since: float) -> bool:
+        """Whether a copy made there at ``since`` can still be there."""
+        return (
+            backend.ident in self.backends
+            and not backend.leaving
+            and backend.lost_at < since
+        )
+
+    # What is learnt
+
+    def failed(self, ident: str, now: float, *, gone: bool) -> None:
+        """Learn that a request failed there.
+
+        :param gone: the server can't be reached or is silent.
+        """
+        backend = self.backends.get(ident)
+        if backend is None:
+            return
+        self._sample_failure(backend, 1.0, now)
+        if gone:
+            if backend.suspect_until <= now:
+                self.lost.append(ident)
+                self.on_news()
+            self._suspect(backend, now)
+
+    def _suspect(self, backend: Placed, now: float) -> None:
+        backend.lost_at = now
+        backend.suspect_until = now + SUSPECT_S
+        zone = (backend.service, backend.data_centre)
+        recent = self.zone_failures.setdefault(
+            zone, collections.deque(maxlen=8)
+        )
+        if all(known != backend.ident for _, known in recent):
+            recent.append((now, backend.ident))
+
+    def succeeded(self, ident: str, now: float, latency: float | None) -> None:
+        """Learn that a request went well, and how long it took."""
+        backend = self.backends.get(ident)
+        if backend is None:
+            return
+        self._sample_failure(backend, 0.0, now)
+        backend.suspect_until = 0.0
+        if latency is not None:
+            old = backend.latency or latency
+            backend.latency = old + SMOOTHING * (latency - old)
+
+    def reported(
+        self, ident: str, running: int, waiting: int, now: float
+    ) -> None:
+        """Learn what a server told of its load."""
+        backend = self.backends.get(ident)
+        if backend is not None:
+            foreign = running + waiting - backend.inflight
+            backend.foreign = max(0.0, foreign)
+            backend.foreign_at = now
+
+    def began(self, backend: Placed, tokens: int) -> None:
+        """Learn that a stream went to an engine, with a prompt to read."""
+        backend.inflight += 1
+        backend.reading += tokens
+        self.on_news()
+
+    def has_read(self, backend: Placed, tokens: int) -> None:
+        """Learn that an engine has read a stream's prompt."""
+        backend.reading -= tokens
+        self.on_news()
+
+    def ended(self, backend: Placed, tokens: int) -> None:
+        """Learn that a stream left an engine, with this unread."""
+        backend.inflight -= 1
+        backend.reading -= tokens
+        self.on_news()
+
+    def sighted(self) -> tuple[dict[str, messages.EngineSeen], list[str]]:
+        """Return what other entries should know; losses only once."""
+        lost, self.lost = self.lost, []
+        seen = {
+            backend.ident: messages.EngineSeen(
+                backend.reading, backend.inflight
+            )
+            for backend in self.backends.values()
+            if backend.inflight
+        }
+        return seen, lost
+
+    def heard(self, sightings: messages.Sightings, now: float) -> None:
+        """Learn what other entries see."""
+        self.heard_at = now
+        for ident, backend in self.backends.items():
+            backend.others = sightings.engines.get(ident, NOTHING)
+        for ident in sightings.lost:
+            backend = self.backends.get(ident)
+            if backend is not None and backend.suspect_until <= now:
+                self._suspect(backend, now)
+
+    def moved(self, ident: str) -> None:
+        """Learn that another server has this one's address."""
+        backend = self.backends.get(ident)
+        if backend is not None:
+            backend.leaving = True
+
+    def read(self, part: str, ident: str, now: float) -> None:
+        """Learn that an engine has read a part of a prompt."""
+        if part:
+            self.parts[part] = (ident, now)
+            self.parts.move_to_end(part)
+            while len(self.parts) > PARTS_KEPT:
+                self.parts.popitem(last=False)
+
+    def _cached_at(self, part: str, now: float) -> str:
+        ident, at = self.parts.get(part, ('', 0.0))
+        return ident if now - at < PART_KEPT_S else ''
+
+    def _sample_failure(
+        self, backend: Placed, sample: float, now: float
+    ) -> None:
+        old = backend.failures_now(now)
+        backend.failures = old + FAILURE_SMOOTHING * (sample - old)
+        backend.failed_at = now
+
+    def _zone_penalty(self, backend: Placed, now: float) -> float:
+        recent = self.zone_failures.get((backend.service, backend.data_centre))
+        if not recent:
+            return 0.0
+        while recent and now - recent[0][0] > ZONE_WINDOW_S:
+            recent.popleft()
+        return ZONE_PENALTY_S if len(recent) >= ZONE_FAILURES else 0.0
--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -17,6 +17,9 @@
 from bulrushhold import messages
 
 MAX_ENTRIES_PER_APPEND: t.Final = 512
+# Whole route maps go through the log: a follower that is far behind gets
+# them in parts that a link of 100 Mbit/s carries within one beat.
+MAX_BYTES_PER_APPEND: t.Final = 1 << 20
 
 
 class Role(enum.StrEnum):
@@ -150,6 +153,10 @@
         until = self._quorum_beat() + self.timing.lease_s
         return self.commits_in_term and now < until
 
+    def silent_for(self, now: float) -> float:
+        """Return seconds since a leader was last heard; 0 as leader."""
+        return 0.0 if self.role is Role.LEADER else now - self.heard_at
+
     def leader_address(self) -> str:
         """Address of the leader, or ``''`` where unknown."""
         return self.config.voters.get(self.leader, '')
@@ -400,7 +407,10 @@
             )
             progress.next = self.snapshot.index + 1
             return
-        entries = self._slice(progress.next, MAX_ENTRIES_PER_APPEND)
+        entries = _at_most(
+            self._slice(progress.next, MAX_ENTRIES_PER_APPEND),
+            MAX_BYTES_PER_APPEND,
+        )
         self._send(
             peer,
             messages.AppendRequest(
@@ -591,3 +601,15 @@
 
     def _send(self, peer: str, message: messages.Message) -> None:
         self._ready.outbox.append((peer, message))
+
+
+def _at_most(
+    entries: list[messages.LogEntry], limit: int
+) -> list[messages.LogEntry]:
+    """Return the first entries within ``limit`` bytes, but at least one."""
+    size = 0
+    for number, entry in enumerate(entries):
+        size += len(entry.data)
+        if size > limit and number:
+            return entries[:number]
+    return entries
--- a/src/bulrushhold/decisions/_statemachine.py
+++ b/src/bulrushhold/decisions/_statemachine.py
@@ -25,6 +25,7 @@
     quarantined: dict[str, str] = attrs.field(factory=dict)
     suspects: dict[str, int] = attrs.field(factory=dict)
     refusals_revision: int = 0
+    route_map: messages.RouteMapPut | None = None
 
     def apply(self, command: bytes) -> bytes:
         """Apply one committed command; return its encoded result.
@@ -48,8 +49,25 @@
         if isinstance(message, messages.Suspected):
             self._suspect(message)
             return b''
+        if isinstance(message, messages.RouteMapPut):
+            return messages.encode(self._put_map(message))
         return messages.encode(messages.Failure('not a command'))
 
+    @property
+    def map_version(self) -> int:
+        """Version of the route map in force; 0 where there is none."""
+        return self.route_map.version if self.route_map else 0
+
+    def _put_map(
+        self, order: messages.RouteMapPut
+    ) -> messages.RouteMapOutcome:
+        # An equal version keeps what is held: an operator that resends after
+        # a lost answer, or races another one, must not change what some
+        # entries already obey under that number.
+        if order.version > self.map_version:
+            self.route_map = order
+        return messages.RouteMapOutcome(self.map_version)
+
     def _quarantine(self, order: messages.Quarantine) -> None:
         if order.lift:
             self.quarantined.pop(order.fingerprint, None)
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -55,6 +55,10 @@
     """The control instance asked isn't the leader, or lost its lease."""
 
 
+class RouteMapError(BulrushholdError):
+    """An operator's route map can't be read or obeyed; nothing changed."""
+
+
 class CellError(BulrushholdError):
     """One wrong cell of a pushed table; ``step`` is row and column."""
 
--- /dev/null
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -0,0 +1,96 @@
+"""Decides on each opaque request: who may send it, and where it goes."""
+
+import random
+import typing as t
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold.forwarding import _fleet
+from bulrushhold.forwarding import _parts
+from bulrushhold.forwarding import _plain
+from bulrushhold.forwarding import _streams
+from bulrushhold import node
+from bulrushhold import routes
+
+# A process that has just started knows the route map within half a second.
+START_RETRY_S: t.Final = 0.5
+
+
+class Forwarder:
+    """The way of every opaque request through this entry."""
+
+    def __init__(self, fleet: _fleet.Fleet, parts: _parts.Parts) -> None:
+        self.fleet = fleet
+        self.parts = parts
+        self.closing = False
+        fleet.changed.append(self._on_fleet)
+
+    def _on_fleet(self) -> None:
+        self.parts.budget.entries = self.fleet.count()
+
+    async def handle(
+        self, call: calls.Call, out: calls.CallerStream
+    ) -> calls.Reply | None:
+        """Serve one request; ``None`` where the answer went to ``out``.
+
+        :raises RequestError: the honest refusal.
+        """
+        begun = self.parts.clock()
+        try:
+            job = self._accept(call, begun)
+            if job.route.kind is routes.Kind.STREAM:
+                reply = await _streams.StreamRun(self.parts, job, out).run()
+            else:
+                reply = await _plain.PlainRun(self.parts, job).run()
+        except errors.RequestError as error:
+            self.parts.metrics.count(f'requests.refused.{error.status}')
+            _log_refusal(call, error, self.fleet.map_version)
+            raise
+        self.parts.metrics.count('requests.answered')
+        self.parts.metrics.time('requests', self.parts.clock() - begun)
+        return reply
+
+    def _accept(self, call: calls.Call, now: float) -> _parts.Job:
+        index = self.fleet.index
+        if index is None or self.closing:
+            raise errors.RequestError(
+                'leaving' if self.closing else 'no route map yet',
+                'accept',
+                status=503,
+                retry_after=START_RETRY_S,
+            )
+        path = call.target.partition('?')[0]
+        route = index.find(call.host, path)
+        if route is None:
+            raise errors.RequestError('no such route', 'accept', status=404)
+        account = _account(index, route, call)
+        service = index.target(route, random.random())
+        self.parts.budget.first(service, now)
+        end = now + min(call.wait_s, route.timeout_s)
+        return _parts.Job(call, route, service, account, end)
+
+
+def _account(
+    index: routes.RouteIndex, route: routes.Route, call: calls.Call
+) -> str:
+    account = index.accounts.get(call.key)
+    if account is not None:
+        return account.name
+    if index.needs_keys and not route.public:
+        raise errors.RequestError('unknown key', 'accept', status=401)
+    return ''
+
+
+def _log_refusal(
+    call: calls.Call, error: errors.RequestError, version: int
+) -> None:
+    node.log_decision(
+        'refused',
+        request=call.ident,
+        status=error.status,
+        ran=error.ran.value,
+        step=error.step,
+        peer=error.peer,
+        reason=error.reason,
+        map_version=version,
+    )
--- /dev/null
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -0,0 +1,197 @@
+"""Runs a plain request: one answer, whole or not at all."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import attrs
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold.forwarding import _parts
+
+# An idempotent request that waits this many times the mean is taken to
+# another server: at 6 a server's own slow answers, one in a hundred, pass.
+PATIENCE: t.Final = 6.0
+LEAST_PATIENCE_S: t.Final = 0.12
+# All servers are full or away: a place is free again within one request.
+PAUSE_S: t.Final = 0.04
+# Below this much time left a server can't answer any more.
+LEAST_LEFT_S: t.Final = 0.01
+
+
+@attrs.frozen
+class _Result:
+    """What one attempt came to.
+
+    :param reply: the server's own answer, if any.
+    :param ran: whether the server may have run the request.
+    """
+
+    ran: errors.Ran
+    reason: str = ''
+    reply: calls.Reply | None = None
+
+
+class PlainRun:
+    """One request's way through one or more backend servers."""
+
+    def __init__(self, parts: _parts.Parts, job: _parts.Job) -> None:
+        self.parts = parts
+        self.job = job
+        self.tried: set[str] = set()
+        self.attempts = 0
+        self.repeatable = job.route.repeatable
+
+    async def run(self) -> calls.Reply:
+        """Return the answer.
+
+        :raises RequestError: with what is certain of the request.
+        """
+        last: _Result | None = None
+        while True:
+            backend = self._choose()
+            if backend is None:
+                if last is not None and last.reply is not None:
+                    return last.reply
+                raise self._failure(last, '')
+            last = await self._attempt(backend)
+            if last.reply is not None and last.reply.status < 500:
+                return last.reply
+            done = last.ran is not errors.Ran.NO and not self.repeatable
+            if done or not await self._may_repeat(last):
+                if last.reply is not None:
+                    return last.reply
+                raise self._failure(last, backend.ident)
+
+    def _left(self) -> float:
+        return self.job.end - self.parts.clock()
+
+    def _choose(self) -> decisions.Placed | None:
+        if self._left() < LEAST_LEFT_S:
+            return None
+        return self.parts.placement.choose(
+            self.job.service,
+            self.parts.clock(),
+            once=not self.repeatable,
+            tried=self.tried,
+        )
+
+    async def _may_repeat(self, last: _Result) -> bool:
+        if last.ran is not errors.Ran.NO:
+            self.attempts += 1
+        if self.attempts >= self.job.route.max_attempts:
+            return False
+        usable = self.parts.placement.usable(self.job.service)
+        if all(b.ident in self.tried for b in usable):
+            await asyncio.sleep(PAUSE_S)
+            self.tried.clear()
+        if self._left() < LEAST_LEFT_S:
+            return False
+        return self.parts.budget.take(self.job.service, self.parts.clock())
+
+    def _failure(
+        self, last: _Result | None, ident: str
+    ) -> errors.RequestError:
+        if last is None:
+            return _parts.refuse(self.job, 'no backend server is there')
+        if last.ran is errors.Ran.NO and not self.attempts:
+            return _parts.refuse(self.job, last.reason)
+        late = self._left() < LEAST_LEFT_S
+        return _parts.give_up(self.job, last.reason, ident, late=late)
+
+    async def _attempt(self, backend: decisions.Placed) -> _Result:
+        self.tried.add(backend.ident)
+        begun = self.parts.clock()
+        backend.inflight += 1
+        task = asyncio.ensure_future(self._exchange(backend))
+        try:
+            result = await self._wait(task, backend)
+        finally:
+            backend.inflight -= 1
+            if not task.done():
+                task.cancel()
+                # The connection has to be closed before another server gets
+                # the request, or both work on it.
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+        self._judge(backend, result, self.parts.clock() - begun)
+        return result
+
+    async def _wait(
+        self, task: 'asyncio.Future[_Result]', backend: decisions.Placed
+    ) -> _Result:
+        if self.repeatable and self._another_allowed():
+            usual = backend.latency or self.job.route.aim_s / 2
+            patience = max(LEAST_PATIENCE_S, PATIENCE * usual)
+            await asyncio.wait({task}, timeout=min(patience, self._left() / 2))
+            if not task.done():
+                return _Result(errors.Ran.UNKNOWN, 'no answer yet')
+        await asyncio.wait({task}, timeout=max(0.0, self._left()))
+        if task.done():
+            return task.result()
+        return _Result(errors.Ran.UNKNOWN, 'no answer in time')
+
+    def _another_allowed(self) -> bool:
+        """Whether leaving a slow server leads anywhere."""
+        others = self.parts.placement.usable(self.job.service)
+        return self.attempts + 1 < self.job.route.max_attempts and any(
+            b.ident not in self.tried and b.suspect_until == 0 for b in others
+        )
+
+    async def _exchange(self, backend: decisions.Placed) -> _Result:
+        attempt = calls.Attempt(
+            backend.address,
+            backend.ident,
+            self.job.account,
+            self._left(),
+            fresh=not self.repeatable,
+        )
+        answer = None
+        try:
+            answer = await self.parts.client.send(self.job.call, attempt)
+            head = answer.head
+            _parts.learn(self.parts, backend.ident, head)
+            if head.not_run:
+                if head.status == 421:
+                    self.parts.placement.moved(backend.ident)
+                return _Result(errors.Ran.NO, f'refused with {head.status}')
+            if not head.own or not head.genuine:
+                return _Result(errors.Ran.UNKNOWN, 'a foreign answer')
+            body = await answer.body()
+            return _Result(
+                errors.Ran.YES,
+                f'failed with {head.status}',
+                calls.Reply(head.status, head.headers, body),
+            )
+        except errors.BackendError as error:
+            sent = error.step != 'connect'
+            ran = errors.Ran.UNKNOWN if sent else errors.Ran.NO
+            return _Result(ran, str(error))
+        finally:
+            if answer is not None:
+                answer.close()
+
+    def _judge(
+        self, backend: decisions.Placed, result: _Result, seconds: float
+    ) -> None:
+        now = self.parts.clock()
+        good = result.reply is not None and result.reply.status < 500
+        if good:
+            self.parts.placement.succeeded(backend.ident, now, seconds)
+            return
+        unreachable = (
+            result.ran is errors.Ran.NO
+            and 'connect' in (result.reason.split(' ', 1)[0])
+        )
+        self.parts.placement.failed(backend.ident, now, gone=unreachable)
+        self.parts.metrics.count('attempts.failed')
+        _parts.log(
+            self.job,
+            'attempt failed',
+            backend=backend.ident,
+            ran=result.ran.value,
+            reason=result.reason,
+            seconds=round(seconds, 3),
+        )
--- a/src/bulrushhold/node/__init__.py
+++ b/src/bulrushhold/node/__init__.py
@@ -1,9 +1,12 @@
 """Adapters of a process without HTTP: zmq, disk, logs, metrics."""
 
+from bulrushhold.node._clock import boot_time
 from bulrushhold.node._filelog import FileLog
 from bulrushhold.node._filelog import Identity
 from bulrushhold.node._logs import configure as configure_logs
 from bulrushhold.node._logs import decision as log_decision
+from bulrushhold.node._served import make as make_served_metrics
+from bulrushhold.node._served import ServedMetrics
 from bulrushhold.node._statsd import make as make_metrics
 from bulrushhold.node._statsd import NoMetrics
 from bulrushhold.node._zmqtransport import ZmqTransport
@@ -12,8 +15,11 @@
     'FileLog',
     'Identity',
     'NoMetrics',
+    'ServedMetrics',
     'ZmqTransport',
+    'boot_time',
     'configure_logs',
     'log_decision',
     'make_metrics',
+    'make_served_metrics',
 ]
--- a/src/bulrushhold/node/_logs.py
+++ b/src/bulrushhold/node/_logs.py
@@ -1,21 +1,104 @@
-"""Logs as JSON lines, through loguru."""
+"""Logs as JSON lines on standard output, through loguru.
+
+A process must not wait for whoever reads its log, nor write without
+bound: lines go through a short queue to a thread of their own, and those
+that find no room, or come too fast, are dropped and counted.
+"""
 
 import json
+import os
+import queue
 import sys
+import threading
+import time
 import typing as t
 
 import loguru
 
+# 300 lines of 300 bytes are 90 KB/s, and about 2 % of a core.
+LINES_PER_S: t.Final = 300
+QUEUE_LINES: t.Final = 2000
+FLUSH_S: t.Final = 1.0
+
+
+class LineWriter:
+    """Writes lines to a file that may block, without blocking the caller.
+
+    :param descriptor: of the file.
+    :param clock: seconds, for the bound on lines.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        clock: t.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.descriptor = descriptor
+        self.clock = clock
+        self.lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
+        self.second = 0
+        self.in_second = 0
+        self.dropped = 0
+        self.thread = threading.Thread(target=self._write, daemon=True)
+        self.thread.start()
+
+    def put(self, line: str) -> None:
+        """Queue a line, or count it as dropped."""
+        second = int(self.clock())
+        if second != self.second:
+            self.second, self.in_second = second, 0
+            self._tell_dropped()
+        self.in_second += 1
+        if self.in_second > LINES_PER_S:
+            self.dropped += 1
+            return
+        self._queue(line)
+
+    def close(self) -> None:
+        """Write what is queued, for a short while at most."""
+        try:
+            self.lines.put_nowait(None)
+        except queue.Full:
+            return
+        self.thread.join(FLUSH_S)
+
+    def _queue(self, line: str) -> None:
+        try:
+            self.lines.put_nowait(line)
+        except queue.Full:
+            self.dropped += 1
+
+    def _tell_dropped(self) -> None:
+        if self.dropped:
+            count, self.dropped = self.dropped, 0
+            self._queue(json.dumps({'message': 'lines dropped', 'n': count}))
+
+    def _write(self) -> None:
+        while (line := self.lines.get()) is not None:
+            data = line.encode() + b'\n'
+            try:
+                while data:
+                    data = data[os.write(self.descriptor, data) :]
+            except OSError:
+                # Nobody can be told that the log is gone; requests go on.
+                self.dropped += 1
+
 
-def configure(level: str, process: str) -> None:
-    """Write log lines to standard error, one JSON object each.
+def configure(level: str, process: str) -> LineWriter:
+    """Write log lines to standard output, one JSON object each.
 
     :param level: least level that is written.
     :param process: name put on each line.
     """
+    writer = LineWriter(sys.stdout.fileno())
     loguru.logger.remove()
     loguru.logger.configure(extra={'process': process})
-    loguru.logger.add(_write, level=level, format='{message}')
+    loguru.logger.add(
+        lambda message: writer.put(_line(message.record)),
+        level=level,
+        format='{message}',
+    )
+    return writer
 
 
 def decision(name: str, **fields: t.Any) -> None:
@@ -23,8 +106,7 @@
     loguru.logger.bind(decision=name, **fields).info(name)
 
 
-def _write(message: t.Any) -> None:
-    record = message.record
+def _line(record: t.Any) -> str:
     line = {
         'time': record['time'].isoformat(),
         'level': record['level'].name,
@@ -34,4 +116,4 @@
     if record['exception'] is not None:
         error = record['exception'].value
         line['error'] = f'{type(error).__name__}: {error}'
-    sys.stderr.write(json.dumps(line, default=str) + '\n')
+    return json.dumps(line, default=str)
--- /dev/null
+++ b/src/bulrushhold/node/_served.py
@@ -0,0 +1,70 @@
+"""Counters and latency histograms, served as text."""
+
+import re
+
+import prometheus_client
+
+from bulrushhold import ports
+
+# Seconds; from a plain answer to a long stream.
+BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+_UNFIT = re.compile('[^a-zA-Z0-9_]')
+
+
+class ServedMetrics(ports.Metrics):
+    """Keeps figures in this process until they are asked for.
+
+    :param prefix: put before every name.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+        self.registry = prometheus_client.CollectorRegistry()
+        self.counters: dict[str, prometheus_client.Counter] = {}
+        self.histograms: dict[str, prometheus_client.Histogram] = {}
+        self.gauges: dict[str, prometheus_client.Gauge] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        counter = self.counters.get(name)
+        if counter is None:
+            counter = prometheus_client.Counter(
+                self._full(name), name, registry=self.registry
+            )
+            self.counters[name] = counter
+        counter.inc(amount)
+
+    def time(self, name: str, seconds: float) -> None:
+        """Record one duration in a histogram."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = prometheus_client.Histogram(
+                self._full(name) + '_seconds',
+                name,
+                registry=self.registry,
+                buckets=BUCKETS,
+            )
+            self.histograms[name] = histogram
+        histogram.observe(seconds)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a level."""
+        gauge = self.gauges.get(name)
+        if gauge is None:
+            gauge = prometheus_client.Gauge(
+                self._full(name), name, registry=self.registry
+            )
+            self.gauges[name] = gauge
+        gauge.set(value)
+
+    def text(self) -> bytes:
+        """Return all figures in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _full(self, name: str) -> str:
+        return f'{self.prefix}_{_UNFIT.sub("_", name)}'
+
+
+def make(prefix: str) -> ServedMetrics:
+    """Return metrics that are served by this process."""
+    return ServedMetrics(prefix)
--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -15,6 +15,10 @@
 
 HIGH_WATER_MARK: t.Final = 4096
 MAX_MESSAGE_BYTES: t.Final = 256 << 20
+# A silent connection is replaced within an election's time, so that one
+# replica's reconnection never costs an election.
+PROBE_MS: t.Final = 300
+SILENCE_MS: t.Final = 900
 _ONE_WAY: t.Final = b''
 
 
@@ -133,4 +137,11 @@
     socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
     socket.setsockopt(zmq.RECONNECT_IVL, 50)
-    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 250)
+    # A connection may fall silent for good without a reset, while new ones
+    # work. Without probes of its own zmq would keep it for hours, and a
+    # replica would stay out of reach of its leader.
+    socket.setsockopt(zmq.HEARTBEAT_IVL, PROBE_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, SILENCE_MS)
+    socket.setsockopt(zmq.HANDSHAKE_IVL, SILENCE_MS)
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -207,6 +207,17 @@
         """
 
 
+class BackendList(abc.ABC):
+    """Reads the platform's list of backend servers."""
+
+    @abc.abstractmethod
+    async def fetch(self) -> list[messages.ListedBackend]:
+        """Return the whole list, in an order that only changes with it.
+
+        :raises PeerError: where the platform can't be asked.
+        """
+
+
 class Metrics(abc.ABC):
     """Counts and times; loses data rather than wait."""
 
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -102,6 +102,12 @@
 
     :param replicas: name to peer address of every control instance.
     :param election_s: least silence after which a leader is replaced.
+    :param contacts: control instances to ask, where this one is to join
+        a log whose members it doesn't know; it is then the only one in
+        ``replicas``.
+    :param voters: replicas that are to have a vote, an odd number; 0 for
+        as many as the log was founded with.
+    :param snapshot_bytes: size of the log after which it is compacted.
     """
 
     name: str = attrs.field(validator=_NAME)
@@ -114,6 +120,9 @@
     election_s: float = attrs.field(default=1.0, validator=_POSITIVE)
     snapshot_every: int = attrs.field(default=10_000, validator=_POSITIVE)
     claim_keep_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
+    contacts: list[Address] = attrs.field(factory=list)
+    voters: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    snapshot_bytes: int = attrs.field(default=8 << 20, validator=_POSITIVE)
 
     def __attrs_post_init__(self) -> None:
         if len(self.replicas) not in (1, 3, 5, 7):
@@ -124,14 +133,41 @@
             raise ValueError('`election_s` must be 3 `heartbeat_s` or more')
 
 
-_Role = t.TypeVar('_Role', Entry, Control)
+@attrs.frozen
+class Forwarding:
+    """Settings of an entry that forwards opaque requests.
+
+    :param seeds: peer addresses of control processes; may be out of date.
+    :param repeat_ratio: repeats to backend servers, of all entries, for
+        each request of callers.
+    :param repeat_allowance: repeats in a window besides.
+    :param grace_s: from the signal to stop until the process is killed.
+    :param linger_s: how long callers may still come after that signal.
+    """
+
+    name: str = attrs.field(validator=_NAME)
+    data_centre: str = attrs.field(validator=_NAME)
+    callers: Address
+    peer: Address
+    seeds: list[Address] = attrs.field(validator=_V.min_len(1))
+    repeat_ratio: float = attrs.field(default=0.5, validator=_NOT_NEGATIVE)
+    repeat_allowance: float = attrs.field(
+        default=50.0, validator=_NOT_NEGATIVE
+    )
+    repeat_window_s: float = attrs.field(default=10.0, validator=_POSITIVE)
+    grace_s: float = attrs.field(default=8.0, validator=_POSITIVE)
+    linger_s: float = attrs.field(default=4.5, validator=_POSITIVE)
+    metrics: Address | None = None
+
+
+_Role = t.TypeVar('_Role', Entry, Control, Forwarding)
 
 
 def load(path: str | os.PathLike[str], role: type[_Role]) -> _Role:
     """Read and check one settings file.
 
     :param path: the file.
-    :param role: :class:`Entry` or :class:`Control`.
+    :param role: the class of its settings.
     :raises SettingsError: on one line: file, path in it and reason.
     """
     document = _parse(path)
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -1,7 +1,19 @@
-"""Adapters over HTTP: engines, plain services and the platform's list."""
+"""Adapters over HTTP: callers, backend servers, the platform's list."""
 
+from bulrushhold.web._backends import HttpBackendClient
+from bulrushhold.web._connections import make_session
 from bulrushhold.web._engine import HttpEngineClient
+from bulrushhold.web._ingress import Ingress
+from bulrushhold.web._metrics import metrics_application
 from bulrushhold.web._platform import HttpPlatformList
 from bulrushhold.web._service import HttpServiceClient
 
-__all__ = ['HttpEngineClient', 'HttpPlatformList', 'HttpServiceClient']
+__all__ = [
+    'HttpBackendClient',
+    'HttpEngineClient',
+    'HttpPlatformList',
+    'HttpServiceClient',
+    'Ingress',
+    'make_session',
+    'metrics_application',
+]
--- /dev/null
+++ b/src/bulrushhold/web/_ingress.py
@@ -0,0 +1,130 @@
+"""Takes callers' opaque requests over HTTP."""
+
+import asyncio
+import collections.abc as cabc
+import json
+import typing as t
+
+from aiohttp import web
+import loguru
+
+from bulrushhold import calls
+from bulrushhold import errors
+
+# Callers decide how long to keep an idle connection; closing it first could
+# cross a request, which would be lost unseen.
+IDLE_S: t.Final = 3600.0
+MAX_BODY_BYTES: t.Final = 64 << 20
+MAX_FIELD_BYTES: t.Final = 65536
+
+Handle = cabc.Callable[
+    [calls.Call, calls.CallerStream], cabc.Awaitable[calls.Reply | None]
+]
+
+
+class _HttpCallerStream(calls.CallerStream):
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        self.request = request
+        self.response = web.StreamResponse()
+        self.closing = closing
+        self.begun = False
+
+    async def begin(self, status: int, headers: calls.Headers) -> None:
+        self.response.set_status(status)
+        self.response.headers.extend(headers)
+        self.response.enable_chunked_encoding()
+        if self.closing:
+            self.response.force_close()
+        self.begun = True
+        await self.response.prepare(self.request)
+
+    async def write(self, data: bytes) -> None:
+        await self.response.write(data)
+
+    async def end(self) -> None:
+        await self.response.write_eof()
+
+    def cut(self) -> None:
+        # What is written goes out, the end mark of the body doesn't.
+        if self.request.transport is not None:
+            self.request.transport.close()
+
+
+class Ingress:
+    """The HTTP server for callers.
+
+    :param handle: gives a reply, or ``None`` where it used the stream.
+    """
+
+    def __init__(self, handle: Handle, dialect: calls.CallerDialect) -> None:
+        self.handle = handle
+        self.dialect = dialect
+        self.draining = False
+        self.busy = 0
+        self.server = web.Server(
+            self._on_request,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_S,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+        )
+
+    async def start(self, host: str, port: int) -> None:
+        """Open the port."""
+        self.runner = web.ServerRunner(self.server)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port, backlog=1024).start()
+
+    async def close(self) -> None:
+        """Close the port and all connections."""
+        await self.runner.cleanup()
+
+    async def _on_request(self, request: web.BaseRequest) -> t.Any:
+        self.busy += 1
+        try:
+            return await self._serve(request)
+        finally:
+            self.busy -= 1
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        request._client_max_size = MAX_BODY_BYTES
+        stream = _HttpCallerStream(request, self.draining)
+        ident = ''
+        try:
+            body = await request.read()
+            call = self.dialect.read_call(
+                request.method, request.raw_path, request.headers, body
+            )
+            ident = call.ident
+            reply = await self.handle(call, stream)
+        except errors.RequestError as error:
+            reply = _refusal(error, self.dialect.echo(ident))
+        except (asyncio.CancelledError, ConnectionError):
+            raise
+        except Exception:
+            loguru.logger.bind(request=ident).exception('request failed')
+            error = errors.RequestError(
+                'internal error', 'entry', ran=errors.Ran.UNKNOWN, status=500
+            )
+            reply = _refusal(error, self.dialect.echo(ident))
+        if stream.begun:
+            return stream.response
+        assert reply is not None
+        response = web.Response(
+            status=reply.status, headers=reply.headers, body=reply.body
+        )
+        if self.draining:
+            response.force_close()
+        return response
+
+
+def _refusal(
+    error: errors.RequestError, headers: calls.Headers
+) -> calls.Reply:
+    more = [('Content-Type', 'application/json'), *headers]
+    if error.retry_after is not None:
+        more.append(('Retry-After', f'{error.retry_after:.2f}'))
+    body = json.dumps(error.body()).encode()
+    return calls.Reply(error.status, tuple(more), body)
--- /dev/null
+++ b/src/bulrushhold/web/_metrics.py
@@ -0,0 +1,21 @@
+"""Serves a process's figures to whoever collects them."""
+
+from aiohttp import web
+
+from bulrushhold import node
+
+PATH = '/metrics'
+
+
+def metrics_application(metrics: node.ServedMetrics) -> web.Application:
+    """Return the application that answers with all figures as text."""
+
+    async def read(request: web.Request) -> web.Response:
+        del request
+        return web.Response(
+            body=metrics.text(), headers={'Content-Type': 'text/plain'}
+        )
+
+    app = web.Application()
+    app.router.add_get(PATH, read)
+    return app
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,360 @@
+"""Opaque requests over backend servers that fail in every way."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import routes
+
+
+@attrs.define
+class Script:
+    """What one engine does with the next request.
+
+    :param events: numbers of the events it sends.
+    :param then: ``end``, ``reset``, ``silent`` or ``half`` an event.
+    """
+
+    status: int = 200
+    events: tuple = ()
+    then: str = 'end'
+    not_run: bool = False
+    own: bool = True
+    genuine: bool = True
+    error: str = ''
+    body: bytes = b'done'
+
+
+class FakeAnswer(calls.BackendAnswer):
+    def __init__(self, client, address, script):
+        self.script = script
+        self.client = client
+        self.address = address
+        self.left = list(script.events)
+        self.head = calls.AnswerHead(
+            script.status,
+            (('X-Engine', address),),
+            script.own,
+            script.genuine,
+            script.not_run,
+        )
+
+    async def chunk(self):
+        if self.left:
+            return event(self.left.pop(0))
+        if self.script.then == 'half':
+            self.script.then = 'reset'
+            return b'id: 99\ndata'
+        if self.script.then == 'reset':
+            raise errors.BackendError('reset', 'answer', self.address)
+        if self.script.then == 'silent':
+            await asyncio.sleep(60)
+        return b''
+
+    async def body(self):
+        if self.script.then == 'silent':
+            await asyncio.sleep(60)
+        if self.script.then == 'reset':
+            raise errors.BackendError('reset', 'answer', self.address)
+        return self.script.body
+
+    def close(self):
+        self.client.log.append(('close', self.address))
+
+
+class FakeClient(calls.BackendClient):
+    def __init__(self):
+        self.scripts = []
+        self.dead = set()
+        self.log = []
+        self.attempts = []
+        self.copies = []
+
+    async def send(self, call, attempt):
+        self.log.append(('send', attempt.address))
+        self.attempts.append(attempt)
+        script = self.scripts.pop(0)
+        if script.error:
+            raise errors.BackendError('lost', script.error, attempt.address)
+        return FakeAnswer(self, attempt.address, script)
+
+    async def alive(self, address, timeout):
+        return address not in self.dead
+
+    async def copy_run(self, call, source, target, timeout):
+        self.copies.append((source, target))
+        return calls.RunCopy(source, f'h{len(self.copies)}')
+
+    async def close(self):
+        pass
+
+
+class FakeCaller(calls.CallerStream):
+    def __init__(self):
+        self.begun = False
+        self.data = b''
+        self.ended = self.was_cut = False
+        self.headers = ()
+
+    async def begin(self, status, headers):
+        self.begun = True
+        self.headers = headers
+
+    async def write(self, data):
+        self.data += data
+
+    async def end(self):
+        self.ended = True
+
+    def cut(self):
+        self.was_cut = True
+
+
+def event(number):
+    return f'id: {number}\ndata: t{number}\n\n'.encode()
+
+
+def text(*numbers):
+    return b''.join(map(event, numbers))
+
+
+@pytest.fixture
+def client():
+    return FakeClient()
+
+
+@pytest.fixture
+def parts(client):
+    placement = decisions.Placement('e1', random.Random(1))
+    placement.update(
+        [
+            messages.ListedBackend(
+                f'i{n}', 'engines', f'10.0.0.{n}:80', f'dc{n % 3}', 64
+            )
+            for n in range(6)
+        ]
+    )
+    return forwarding.Parts(
+        placement,
+        client,
+        decisions.RepeatBudget(1.0, 100, 10.0),
+        node.NoMetrics(),
+    )
+
+
+def a_job(parts, kind, wait_s=5.0, after=None, attempts=5):
+    call = calls.Call(
+        'req-1',
+        'POST',
+        '/a/x',
+        'h',
+        'k',
+        (),
+        b'',
+        wait_s,
+        after,
+        calls.Prompt(8000, 100, ('p',)),
+    )
+    route = routes.Route(
+        'r',
+        'h',
+        '/a/',
+        kind,
+        [routes.Target('engines', 1)],
+        wait_s,
+        0.3,
+        max_attempts=attempts,
+        resumable=True,
+    )
+    return forwarding.Job(
+        call, route, 'engines', 'acct', parts.clock() + wait_s
+    )
+
+
+async def stream(parts, **options):
+    out = FakeCaller()
+    job = a_job(parts, routes.Kind.STREAM, **options)
+    reply = await forwarding.StreamRun(parts, job, out).run()
+    return out, reply
+
+
+async def plain(parts, kind, **options):
+    return await forwarding.PlainRun(
+        parts, a_job(parts, kind, **options)
+    ).run()
+
+
+async def test_a_whole_stream_goes_through(client, parts):
+    client.scripts = [Script(events=(1, 2, 3))]
+    out, reply = await stream(parts)
+    assert reply is None
+    assert out.data == text(1, 2, 3)
+    assert out.ended and not out.was_cut
+    assert client.attempts[0].backup
+
+
+async def test_a_broken_stream_goes_on_in_the_same_answer(client, parts):
+    # The engine dies in the middle of an event. The caller sees the next
+    # event from another engine, in the same answer; the half event is
+    # nowhere in it, and the first engine is left before the second one works.
+    client.scripts = [
+        Script(events=(1, 2), then='half'),
+        Script(events=(3, 4)),
+    ]
+    out, _ = await stream(parts)
+    assert out.data == text(1, 2, 3, 4)
+    assert out.ended
+    first, second = client.attempts
+    assert second.after == 2
+    assert second.address != first.address
+    assert client.log.index(('close', first.address)) < client.log.index(
+        ('send', second.address)
+    )
+
+
+async def test_the_copy_is_asked_for_only_where_one_can_be(
+    client, parts, monkeypatch
+):
+    # Engines copy a run's memory several times a second: a run that ended
+    # before has no copy, and the asking would only cost a refusal.
+    client.scripts = [Script(error='send'), Script(events=(1,))]
+    await stream(parts)
+    assert client.attempts[1].copy is None
+    monkeypatch.setattr('bulrushhold.forwarding._streams.COPY_AFTER_S', 0.0)
+    client.attempts.clear()
+    client.scripts = [
+        Script(events=(1,), then='reset'),
+        Script(events=(2,)),
+    ]
+    await stream(parts)
+    first, second = client.attempts
+    assert second.copy == calls.RunCopy(first.backup)
+    assert second.address == first.backup
+
+
+async def test_repeated_events_are_dropped_and_a_gap_is_a_loss(client, parts):
+    client.scripts = [
+        Script(events=(1, 2), then='reset'),
+        Script(events=(2, 3, 5)),
+        Script(events=(4, 5, 6)),
+    ]
+    out, _ = await stream(parts)
+    assert out.data == text(1, 2, 3, 4, 5, 6)
+    assert out.ended
+
+
+async def test_a_stream_with_nowhere_to_go_looks_broken(client, parts):
+    client.scripts = [Script(events=(1,), then='reset')] * 5
+    client.scripts = [attrs.evolve(s) for s in client.scripts]
+    for script in client.scripts[1:]:
+        script.events = ()
+    out, _ = await stream(parts)
+    assert out.data == text(1)
+    assert out.was_cut and not out.ended
+
+
+async def test_a_silent_engine_without_a_sign_of_life_is_left(client, parts):
+    # The engine loses power: no reset comes. It is asked, gives no answer,
+    # and the stream goes on elsewhere within half a second.
+    client.scripts = [
+        Script(events=(1,), then='silent'),
+        Script(events=(2,)),
+    ]
+    run = asyncio.ensure_future(stream(parts))
+    await asyncio.sleep(0.01)
+    client.dead.add(client.attempts[0].address)
+    out, _ = await asyncio.wait_for(run, 0.5)
+    assert out.data == text(1, 2)
+
+
+async def test_a_stream_that_reached_nobody_is_refused_as_not_run(
+    client, parts
+):
+    parts.placement.update([])
+    with pytest.raises(errors.RequestError) as caught:
+        await stream(parts)
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NO
+    assert caught.value.retry_after > 0
+
+
+async def test_a_caller_that_comes_back_gets_what_it_lacks(client, parts):
+    client.scripts = [Script(events=(8, 9))]
+    out, _ = await stream(parts, after=7)
+    assert client.attempts[0].after == 7
+    assert out.data == text(8, 9)
+
+
+async def test_a_call_that_may_run_once_is_not_sent_twice(client, parts):
+    client.scripts = [Script(error='send')]
+    with pytest.raises(errors.RequestError) as caught:
+        await plain(parts, routes.Kind.ONCE)
+    assert caught.value.status == 502
+    assert caught.value.ran is errors.Ran.UNKNOWN
+    assert len(client.attempts) == 1
+
+
+@pytest.mark.parametrize(
+    'first', [Script(error='connect'), Script(status=503, not_run=True)]
+)
+async def test_a_call_that_surely_did_not_run_goes_elsewhere(
+    client, parts, first
+):
+    client.scripts = [first, Script()]
+    reply = await plain(parts, routes.Kind.ONCE)
+    assert reply.body == b'done'
+    assert client.attempts[0].address != client.attempts[1].address
+    assert all(attempt.fresh for attempt in client.attempts)
+
+
+async def test_an_own_failure_is_passed_on_where_it_may_run_once(
+    client, parts
+):
+    client.scripts = [Script(status=500, body=b'broken')]
+    reply = await plain(parts, routes.Kind.ONCE)
+    assert (reply.status, reply.body) == (500, b'broken')
+
+
+async def test_a_look_up_that_fails_is_tried_elsewhere(client, parts):
+    client.scripts = [Script(status=500), Script()]
+    reply = await plain(parts, routes.Kind.IDEMPOTENT)
+    assert reply.status == 200
+
+
+@pytest.mark.parametrize('fault', [{'own': False}, {'genuine': False}])
+async def test_somebody_elses_answer_is_never_passed_on(client, parts, fault):
+    # A late answer to another request comes on the kept connection.
+    client.scripts = [Script(body=b'theirs', **fault), Script(body=b'mine')]
+    reply = await plain(parts, routes.Kind.IDEMPOTENT)
+    assert reply.body == b'mine'
+
+
+async def test_the_last_attempt_is_waited_for(client, parts):
+    # Two servers are allowed. A first one that is slow is left; leaving the
+    # second one too would throw away an answer that is on its way.
+    client.scripts = [Script(then='silent'), Script(then='silent')]
+    with pytest.raises(errors.RequestError) as caught:
+        await plain(parts, routes.Kind.IDEMPOTENT, wait_s=1.0, attempts=2)
+    assert caught.value.status == 504
+    assert client.attempts[1].left_s < 0.6
+    assert len(client.attempts) == 2
+
+
+def test_events_are_whole_however_they_arrive():
+    data = text(1, 2, 3)
+    for size in range(1, len(data)):
+        splitter = forwarding.EventSplitter()
+        events = []
+        for start in range(0, len(data), size):
+            events += splitter.feed(data[start : start + size])
+        assert [e.number for e in events] == [1, 2, 3]
+        assert b''.join(e.data for e in events) == data
+        assert not splitter.rest
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,155 @@
+"""Placing opaque requests, with the clock in hand."""
+
+import random
+
+from bulrushhold import decisions
+from bulrushhold import messages
+
+
+def placement(name='e1', engines=6, seed=1):
+    made = decisions.Placement(name, random.Random(seed))
+    made.update(
+        [
+            messages.ListedBackend(
+                f'i{n}', 'engines', f'10.0.0.{n}:80', f'dc{n % 3}', 64
+            )
+            for n in range(engines)
+        ]
+    )
+    return made
+
+
+def place(made, now=0.0, tried=(), part=''):
+    return made.choose_engine(
+        'engines', now, tokens=8000, part=part, tried=set(tried)
+    )
+
+
+def test_prompts_spread_while_engines_are_idle():
+    made = placement()
+    chosen = []
+    for _ in range(6):
+        engine = place(made)
+        made.began(engine, 8000)
+        chosen.append(engine.ident)
+    assert len(set(chosen)) == 6
+
+
+def test_prompts_of_other_entries_count_as_own_ones():
+    # A data centre dies; each entry moves its streams at the same moment.
+    # Unless each hears what the others place, all choose the same engines
+    # and every prompt waits for several others to be read.
+    first, second = placement('e1'), placement('e2')
+    for _ in range(5):
+        engine = place(first)
+        first.began(engine, 8000)
+    seen, lost = first.sighted()
+    second.heard(messages.Sightings(1, seen, lost), 0.0)
+    assert place(second).ident not in seen
+
+
+def test_what_others_said_long_ago_counts_no_more():
+    made = placement(engines=2)
+    favourite = place(made).ident
+    seen = {favourite: messages.EngineSeen(8000, 1)}
+    made.heard(messages.Sightings(1, seen, []), 0.0)
+    assert place(made, now=1.0).ident != favourite
+    assert place(made, now=5.0).ident == favourite
+
+
+def test_a_lost_engine_is_left_alone_and_its_data_centre_avoided():
+    made = placement()
+    made.failed('i0', 0.0, gone=True)
+    made.failed('i3', 0.1, gone=True)
+    for _ in range(4):
+        engine = place(made, now=0.2)
+        assert engine.data_centre != 'dc0'
+        made.began(engine, 8000)
+    _, lost = made.sighted()
+    assert lost == ['i0', 'i3']
+    _, lost = made.sighted()
+    assert lost == []
+
+
+def test_a_loss_that_another_entry_saw_is_not_told_again():
+    made = placement()
+    made.heard(messages.Sightings(1, {}, ['i1']), 0.0)
+    assert made.backends['i1'].suspect_until > 0
+    assert made.sighted()[1] == []
+
+
+def test_backups_lie_in_another_data_centre():
+    made = placement()
+    engine = place(made)
+    backup = made.choose_backup(engine, 0.0, set())
+    assert backup.data_centre != engine.data_centre
+
+
+def test_a_copy_is_gone_with_its_engine_or_its_restart():
+    made = placement()
+    backup = made.backends['i1']
+    assert made.keeps_copy(backup, 0.0)
+    made.failed('i1', 1.0, gone=True)
+    assert not made.keeps_copy(backup, 0.5)
+    assert made.keeps_copy(backup, 1.5)
+    made.update([])
+    assert not made.keeps_copy(backup, 1.5)
+
+
+def test_an_engine_that_read_the_prompt_gets_the_next_one():
+    made = placement()
+    made.read('session-7', 'i4', 0.0)
+    assert place(made, now=1.0, part='session-7').ident == 'i4'
+    made.began(made.backends['i4'], 30000)
+    assert place(made, now=1.0, part='session-7').ident != 'i4'
+
+
+def test_a_server_that_fails_in_part_gets_no_request_that_may_run_once():
+    made = placement(engines=3)
+    for n in range(3):
+        made.succeeded(f'i{n}', 0.0, 0.06)
+    for _ in range(4):
+        made.failed('i0', 0.0, gone=False)
+    chosen = {
+        made.choose('engines', 0.1, once=True, tried=set()).ident
+        for _ in range(50)
+    }
+    assert 'i0' not in chosen
+
+
+def test_leaving_servers_get_nothing_and_all_suspect_is_better_than_none():
+    made = placement(engines=2)
+    made.failed('i0', 0.0, gone=True)
+    made.failed('i1', 0.5, gone=True)
+    assert place(made, now=0.6).ident == 'i0'
+    made.moved('i0')
+    assert place(made, now=0.6).ident == 'i1'
+
+
+def test_repeats_are_bounded_by_requests_and_a_shared_allowance():
+    budget = decisions.RepeatBudget(0.5, 20, 10.0)
+    budget.entries = 4
+    taken = sum(budget.take('engines', 0.0) for _ in range(50))
+    assert taken == 4  # 20 over 4 entries, with a margin of a fifth.
+    for _ in range(100):
+        budget.first('engines', 1.0)
+    taken += sum(budget.take('engines', 1.0) for _ in range(100))
+    assert taken == 44
+    assert budget.take('desk', 1.0)
+    assert not budget.take('engines', 9.0)
+    assert budget.take('engines', 10.5)
+
+
+def test_the_board_tells_each_entry_of_the_others():
+    board = decisions.SightingBoard()
+    use = messages.EngineSeen(8000, 1)
+    board.take('e1', {'i1': use}, [], 0.0)
+    urgent = board.take('e2', {'i1': use, 'i2': use}, ['i9'], 0.0)
+    assert urgent
+    assert board.others('e1') == {'i1': use, 'i2': use}
+    assert board.others('e3')['i1'] == messages.EngineSeen(16000, 2)
+    assert board.lost_since(1) == ['i9']
+    assert board.lost_since(2) == []
+    assert not board.take('e1', {}, ['i9'], 0.1)
+    board.forget('e2')
+    assert board.others('e1') == {}
