--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -172,6 +172,13 @@
         :raises BackendError: where there is no such copy now.
         """
 
+    @abc.abstractmethod
+    async def drop_copy(self, copy: RunCopy, timeout: float) -> None:
+        """Free the memory of a copy that was ordered; errors are of no use.
+
+        :param timeout: seconds.
+        """
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Close all connections."""
@@ -228,6 +235,10 @@
     def copy_order(self, call: Call, target: str) -> tuple[str, bytes]:
         """Return path and body of the order to copy a run."""
 
+    @abc.abstractmethod
+    def drop_path(self, copy: RunCopy) -> str:
+        """Return the path at which a copy is dropped."""
+
     @abc.abstractmethod
     def read_copy(self, body: bytes) -> str:
         """Return the copy's name from the answer to such an order.
--- a/src/bulrushhold/composition.py
+++ b/src/bulrushhold/composition.py
@@ -32,6 +32,8 @@
 
 DRAIN_CHECK_S: t.Final = 0.1
 DISK_RETRY_S: t.Final = 0.5
+# Ports that answer at once need no time to close.
+CLOSE_S: t.Final = 0.2
 # Left of the time before the kill, for closing and for a busy machine.
 EXIT_MARGIN_S: t.Final = 0.7
 # A request taken later than this before the end would be cut off.
@@ -377,7 +379,7 @@
     async def _open(
         self, web: t.Any, address: settings.Address, app: 'web.Application'
     ) -> None:
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         await runner.setup()
         await web.TCPSite(runner, address.host, address.port).start()
         self.runners.append(runner)
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -272,6 +272,8 @@
         self.parts.placement.succeeded(
             self.engine.ident, self.parts.clock(), None
         )
+        self.close()
+        await self.drop_copy()
         return None
 
     def close(self) -> None:
@@ -283,6 +285,17 @@
         if self.renewal is not None:
             self.renewal.cancel()
 
+    async def drop_copy(self) -> None:
+        """Free the copy that was ordered, once the stream is whole.
+
+        Engines free it themselves, but only seconds later, and until then
+        the memory of 8,000 tokens is missing there.
+        """
+        copy = self.stream.copy
+        if copy is not None:
+            self.stream.copy = None
+            await self.parts.client.drop_copy(copy, RENEW_S)
+
     async def _open(self) -> calls.BackendAnswer:
         attempt = calls.Attempt(
             self.engine.address,
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import aiohttp
+import loguru
 import yarl
 
 from bulrushhold import calls
@@ -120,6 +121,19 @@
             raise errors.BackendError(f'status {status}', 'copy', source)
         return calls.RunCopy(source, self.dialect.read_copy(answer))
 
+    async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
+        """Free a copy; see :meth:`calls.BackendClient.drop_copy`."""
+        url = f'http://{copy.address}{self.dialect.drop_path(copy)}'
+        try:
+            async with asyncio.timeout(timeout):
+                async with self.fresh.delete(url) as response:
+                    await response.read()
+        except (TimeoutError, *_LOST) as error:
+            # The engine frees it by itself some seconds later.
+            loguru.logger.bind(peer=copy.address, error=str(error)).debug(
+                'copy not dropped'
+            )
+
     async def close(self) -> None:
         """Close all connections."""
         await self.kept.close()
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -14,6 +14,8 @@
 # Callers decide how long to keep an idle connection; closing it first could
 # cross a request, which would be lost unseen.
 IDLE_S: t.Final = 3600.0
+# What is still in progress when the port closes has had its time.
+CLOSE_S: t.Final = 0.2
 MAX_BODY_BYTES: t.Final = 64 << 20
 MAX_FIELD_BYTES: t.Final = 65536
 
@@ -73,7 +75,7 @@
 
     async def start(self, host: str, port: int) -> None:
         """Open the port."""
-        self.runner = web.ServerRunner(self.server)
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=CLOSE_S)
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port, backlog=1024).start()
 
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,325 @@
+"""The platform's words, decoded once and given back."""
+
+import json
+
+import multidict
+import pytest
+
+from adapter import _callers
+from adapter import _engines
+from adapter import _list
+from adapter import _operators
+from adapter import _settings
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold import routes
+
+HEADERS = multidict.CIMultiDict(
+    [
+        ('Host', 'forms.example'),
+        ('Bulrushhold-Request-Id', 'req-1'),
+        ('Bulrushhold-Deadline-Ms', '2500'),
+        ('Bulrushhold-Credential', 'secret'),
+        ('Bulrushhold-Token-Counts', '1460,80'),
+        ('Bulrushhold-Prompt-Prefix', '5c1e:800,91bd:410'),
+        ('Last-Event-Id', '12'),
+        ('X-Own', 'kept'),
+    ]
+)
+
+
+def read_call(headers=HEADERS):
+    return _callers.PlatformCallers().read_call('POST', '/a/b?c', headers, b'')
+
+
+def sent(call, **options):
+    attempt = calls.Attempt('10.0.0.1:80', 'i-1', 'acct', 1.25, **options)
+    pairs = _engines.PlatformEngines().request_headers(call, attempt)
+    return multidict.CIMultiDict(pairs)
+
+
+def test_a_request_is_decoded():
+    call = read_call()
+    assert call.ident == 'req-1'
+    assert call.host == 'forms.example'
+    assert call.key == 'secret'
+    assert call.wait_s == 2.5
+    assert call.after == 12
+    assert call.prompt == calls.Prompt(1460, 80, ('5c1e', '91bd'))
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'Bulrushhold-Tenant',
+        'Bulrushhold-Expect-Instance',
+        'Bulrushhold-Hold',
+        'Bulrushhold-Pin-Ms',
+        'Bulrushhold-Kv-Backup',
+        'Kv-From',
+        'Kv-Fetch',
+        'Bulrushhold-Request-Priority',
+        'Bulrushhold-Expect-Version',
+        'Bulrushhold-Credential',
+        'Connection',
+    ],
+)
+def test_callers_cannot_set_what_is_ours(name):
+    headers = multidict.CIMultiDict(HEADERS)
+    headers[name] = 'forged'
+    assert 'forged' not in sent(read_call(headers)).values()
+
+
+def test_headers_named_by_the_connection_stay_on_it():
+    headers = multidict.CIMultiDict(HEADERS)
+    headers['Connection'] = 'close, X-Own'
+    assert 'X-Own' not in sent(read_call(headers))
+
+
+def test_an_attempt_tells_what_is_left_and_who_is_meant():
+    headers = sent(
+        read_call(),
+        after=7,
+        backup='10.0.0.2:80',
+        copy=calls.RunCopy('10.0.0.3:80'),
+    )
+    assert headers['Bulrushhold-Deadline-Ms'] == '1250'
+    assert headers['Bulrushhold-Expect-Instance'] == 'i-1'
+    assert headers['Bulrushhold-Tenant'] == 'acct'
+    assert headers['Last-Event-Id'] == '7'
+    assert headers['Bulrushhold-Kv-Backup'] == '10.0.0.2:80'
+    assert headers['Kv-From'] == '10.0.0.3:80/req-1'
+    assert headers['X-Own'] == 'kept'
+    assert len(headers.getall('Last-Event-Id')) == 1
+
+
+def test_a_copy_by_order_has_a_name_of_its_own():
+    headers = sent(read_call(), copy=calls.RunCopy('10.0.0.3:80', 'h7'))
+    assert headers['Kv-From'] == '10.0.0.3:80/h7'
+
+
+def head(status=200, **headers):
+    pairs = multidict.CIMultiDict(
+        {'Bulrushhold-Request-Id': 'req-1', **headers}
+    )
+    return _engines.PlatformEngines().read_head(read_call(), status, pairs)
+
+
+def test_an_answer_is_judged_by_id_mark_and_encoding():
+    marked = head(**{'Bulrushhold-Response-Stamp': 's'})
+    assert marked.own and marked.genuine and not marked.not_run
+    assert not head(**{'Bulrushhold-Request-Id': 'req-2'}).own
+    assert not head(**{'Content-Encoding': 'gzip'}).own
+    assert not head().genuine
+    assert head(503, **{'Bulrushhold-Not-Run': '1'}).not_run
+    assert head(421).not_run
+    assert not head(500).not_run
+
+
+def test_load_is_read_or_passed_over():
+    load = head(**{'Bulrushhold-Instance-Load': '3,1,8'}).load
+    assert load == calls.BackendLoad(3, 1, 8)
+    assert head(**{'Bulrushhold-Instance-Load': 'x'}).load is None
+
+
+@pytest.mark.parametrize(
+    'name', ['Bulrushhold-Deadline-Ms', 'Bulrushhold-Token-Counts']
+)
+def test_a_header_that_cannot_be_read_is_refused_by_name(name):
+    headers = multidict.CIMultiDict(HEADERS)
+    headers[name] = 'x'
+    with pytest.raises(errors.RequestError) as caught:
+        read_call(headers)
+    assert caught.value.status == 400
+    assert name in caught.value.reason
+
+
+# Operators' documents
+
+DOCUMENT = {
+    'config-version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'hostname': 'forms.example',
+            'path-prefix': '/a/',
+            'kind': 'streaming',
+            'timeout-ms': 25000,
+            'target-latency-ms': 4500,
+            'priority': 1,
+            'weighted-backends': [
+                {'service': 's-1', 'weight': 90},
+                {'service': 's-2', 'weight': 10},
+            ],
+            'max-attempts': 5,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'target-gap-ms': 700,
+        },
+        {
+            'name': 'r-2',
+            'hostname': 'forms.example',
+            'path-prefix': '/b/',
+            'kind': 'unsafe',
+            'timeout-ms': 3000,
+            'service': 's-2',
+        },
+    ],
+    'services': [
+        {'name': 's-1', 'max-conns': 370, 'engine': {'backups': True}},
+        {'name': 's-2', 'max-conns': 110},
+    ],
+    'limits': {'idle-timeout-ms': 15000, 'new-field': 1},
+    'tenants': [{'name': 't-1', 'api-keys': ['k-1'], 'priority': 1}],
+}
+
+
+def test_a_document_becomes_a_route_map():
+    route_map = _operators.read_document(json.dumps(DOCUMENT).encode())
+    stream, once = route_map.routes
+    assert route_map.version == 7
+    assert stream.kind is routes.Kind.STREAM
+    assert stream.repeatable and stream.timeout_s == 25.0
+    assert [part.weight for part in stream.targets] == [90, 10]
+    assert once.kind is routes.Kind.ONCE and not once.repeatable
+    assert route_map.services[0].backups
+    assert route_map.accounts == [routes.ClientAccount('t-1', ['k-1'], 1)]
+
+
+def changed(path, value):
+    document = json.loads(json.dumps(DOCUMENT))
+    *way, last = path
+    part = document
+    for step in way:
+        part = part[step]
+    part[last] = value
+    return json.dumps(document).encode()
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        json.dumps(DOCUMENT).encode()[:-20],
+        b'',
+        b'[]',
+        changed(('routes', 1, 'service'), 'nobody'),
+        changed(('routes', 1, 'path-prefix'), '/a/'),
+        changed(('routes', 0, 'weighted-backends', 0, 'weight'), -10),
+        changed(('routes', 1, 'timeout-ms'), 0),
+        changed(('routes', 1, 'service'), None),
+        changed(
+            ('tenants',),
+            [
+                {'name': 'x', 'api-keys': ['k']},
+                {'name': 'y', 'api-keys': ['k']},
+            ],
+        ),
+        changed(('config-version',), 'seven'),
+    ],
+)
+def test_an_invalid_document_is_refused(data):
+    with pytest.raises(errors.RouteMapError):
+        _operators.read_document(data)
+
+
+# The list
+
+ITEM = {
+    'id': 'i-1',
+    'service': 's-1',
+    'address': '10.0.0.1:80',
+    'zone': 'north',
+    'slots': 8,
+    'state': 'draining',
+}
+
+
+def test_an_item_of_the_list_is_decoded():
+    backend = _list._backend({**ITEM, 'more': 1})
+    assert backend.leaving and backend.data_centre == 'north'
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'id': 7},
+        {'service': None},
+        {'address': 'nowhere'},
+        {'state': 'starting'},
+        {'state': ['ready']},
+        {'slots': '8'},
+        {'zone': ''},
+    ],
+)
+def test_an_item_of_another_writer_names_no_server(change):
+    assert _list._backend({**ITEM, **change}) is None
+    assert _list._backend('text') is None
+
+
+# Settings
+
+SETTINGS = """
+node-name = "front-a-1"
+ip = "10.1.0.19"
+zone = "a"
+internal-ports = [7340, 7355]
+seeds = ["10.1.0.19:8229", "10.2.0.36:8229", "10.3.0.3:8229"]
+bootstrap = true
+data-dir = "/data/x"
+unknown = 1
+[listen]
+control = "10.1.0.19:8229"
+[fault-tolerance]
+machines = 1
+[bounds]
+grace-s = 8
+retry-budget-ratio = 0.8
+[cloud]
+address = "10.200.0.61:8223"
+"""
+
+
+def load(tmp_path, text=SETTINGS):
+    path = tmp_path / 'local.toml'
+    path.write_text(text)
+    return _settings.load(str(path))
+
+
+def test_the_first_seeds_found_the_log(tmp_path):
+    control = load(tmp_path).control()
+    assert control.name == '10-1-0-19'
+    assert sorted(control.replicas) == ['10-1-0-19', '10-2-0-36', '10-3-0-3']
+    assert str(control.replicas['10-2-0-36']) == '10.2.0.36:7341'
+    assert control.voters == 3 and not control.contacts
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        SETTINGS.replace('bootstrap = true', 'bootstrap = false'),
+        SETTINGS.replace('ip = "10.1.0.19"', 'ip = "10.1.0.77"'),
+    ],
+)
+def test_any_other_instance_joins_and_never_founds(tmp_path, text):
+    # An instance that lost its disk, or replaces another one, must not found
+    # a second log beside the one that holds what was acknowledged.
+    control = load(tmp_path, text).control()
+    assert list(control.replicas) == [control.name]
+    assert len(control.contacts) == 3
+
+
+@pytest.mark.parametrize(
+    ('text', 'named'),
+    [
+        (SETTINGS.replace('ip = "10.1.0.19"', ''), 'ip'),
+        (SETTINGS.replace('[7340, 7355]', '"x"'), 'internal-ports'),
+        (SETTINGS.replace('10.2.0.36:8229', 'there'), 'there'),
+        ('= broken', 'line 1'),
+    ],
+)
+def test_wrong_settings_are_named_on_one_line(tmp_path, text, named):
+    with pytest.raises(errors.SettingsError) as caught:
+        load(tmp_path, text)
+    assert named in str(caught.value)
+    assert '\n' not in str(caught.value)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -93,6 +93,9 @@
         self.copies.append((source, target))
         return calls.RunCopy(source, f'h{len(self.copies)}')
 
+    async def drop_copy(self, copy, timeout):
+        self.copies.append(('drop', copy))
+
     async def close(self):
         pass
 
@@ -240,6 +243,43 @@
     assert second.address == first.backup
 
 
+async def test_a_copy_is_made_anew_where_the_backup_is_lost(client, parts):
+    # The engine with the copy crashes, its data centre being the first to
+    # go; seconds later the engine that runs the stream crashes too. The
+    # caller waits for neither prompt nor events that were there before.
+    client.scripts = [
+        Script(events=(1, 2), then='reset'),
+        Script(events=(3,)),
+    ]
+    answer = FakeAnswer.chunk
+    parts.placement.failed('i5', parts.clock(), gone=True)
+
+    async def slowly(self):
+        await asyncio.sleep(0.02)
+        if self.left == [2]:
+            backup = client.attempts[0].backup
+            ident = f'i{backup[7]}'
+            parts.placement.failed(ident, parts.clock(), gone=True)
+        if not self.left and self.script.then == 'reset':
+            await asyncio.sleep(0.1)
+        return await answer(self)
+
+    FakeAnswer.chunk = slowly
+    try:
+        with pytest.MonkeyPatch.context() as patch:
+            streams = 'bulrushhold.forwarding._streams'
+            patch.setattr(f'{streams}.COPY_AFTER_S', 0.0)
+            out, _ = await stream(parts)
+    finally:
+        FakeAnswer.chunk = answer
+    first, second = client.attempts
+    source, target = client.copies[0]
+    assert source == first.address and target != first.backup
+    assert second.address == target
+    assert second.copy == calls.RunCopy(first.address, 'h1')
+    assert out.data == text(1, 2, 3)
+
+
 async def test_repeated_events_are_dropped_and_a_gap_is_a_loss(client, parts):
     client.scripts = [
         Script(events=(1, 2), then='reset'),
