Draw the engines to choose among, so that entries don't herd

Cause: entries that place the streams of a dead data centre within 30 ms see the same loads; two or more took the same restarted engine, whose second prompt showed no event for 4 s.

--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -35,6 +35,10 @@
 # Entries that see the same loads should differ in what they choose; less
 # than what any real difference of load weighs.
 AFFINITY_S: t.Final = 0.06
+# Engines to choose among, drawn anew for each stream. When a data centre dies,
+# all entries place its streams within the 30 ms that news takes: the best of
+# all 60 engines would get several prompts, the best of a few differs.
+DRAWN: t.Final = 5
 # Engines of one data centre that fail within this time make the whole data
 # centre suspect, for as long: it lost power, or is cut off.
 ZONE_WINDOW_S: t.Final = 1.3
@@ -226,7 +230,9 @@
             seconds += self._penalty(backend, now)
             return seconds + self._full_penalty(backend, others, tokens)
 
-        return self._best(service, now, tried, wait)
+        return self._best(
+            service, now, tried, wait, drawn=DRAWN, always=cached
+        )
 
     def choose_backup(
         self, engine: Placed, now: float, tried: set[str], tokens: int
@@ -251,7 +257,9 @@
             )
 
         tried = tried | {engine.ident}
-        return self._best(engine.service, now, tried, cost, strict=True)
+        return self._best(
+            engine.service, now, tried, cost, strict=True, drawn=2 * DRAWN
+        )
 
     def _best(
         self,
@@ -261,12 +269,14 @@
         cost: t.Callable[[Placed], float],
         *,
         strict: bool = False,
+        drawn: int = 0,
+        always: str = '',
     ) -> Placed | None:
         usable = self.usable(service)
         fresh = [b for b in usable if b.ident not in tried]
         calm = [b for b in fresh if b.suspect_until <= now]
         if calm:
-            return min(calm, key=cost)
+            return min(self._draw(calm, drawn, always), key=cost)
         if strict or not fresh:
             return None
         # All are suspect: the one that was left longest ago may be back.
@@ -281,6 +291,17 @@
             and backend.lost_at < since
         )
 
+    def _draw(
+        self, backends: list[Placed], number: int, always: str
+    ) -> list[Placed]:
+        if not number or len(backends) <= number:
+            return backends
+        drawn = self.rng.sample(backends, number)
+        known = self.backends.get(always)
+        if known is not None and known in backends:
+            drawn.append(known)
+        return drawn
+
     # What is learnt
 
     def failed(self, ident: str, now: float, *, gone: bool) -> None:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -48,6 +48,7 @@
         self.sent = sent
         self.gone = gone
         self.seconds = 0.0
+        self.last_before: int | None = None
 
 
 class StreamRun:
@@ -91,12 +92,13 @@
             engine, copy = self._choose()
             if engine is None:
                 return self._end_early(reason, peer)
-            begun = self.parts.clock()
+            begun, last = self.parts.clock(), self.last
             try:
                 return await self._attempt(engine, copy)
             except _Lost as lost:
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.parts.clock() - begun
+                lost.last_before = last
                 self._learn_loss(engine, lost)
                 if not await self._may_repeat(lost):
                     return self._end_early(reason, peer)
@@ -130,7 +132,8 @@
         return engine, None
 
     async def _may_repeat(self, lost: _Lost) -> bool:
-        if not lost.sent or lost.seconds < COPY_AFTER_S:
+        begun = lost.gone or self.last != lost.last_before
+        if not (lost.sent and begun) or lost.seconds < COPY_AFTER_S:
             # Nothing can lie at the backup yet; asking would cost a refusal.
             self.backup = self.copy = None
         if lost.sent:
@@ -339,7 +342,8 @@
 
     async def _check_first(self, begun: float) -> None:
         waited = self.parts.clock() - begun
-        ahead = self.engine.reading * READ_S_PER_TOKEN
+        ahead = self.engine.reading + self.engine.others.reading
+        ahead *= READ_S_PER_TOKEN
         most = max(FIRST_LEAST_S, FIRST_FACTOR * ahead)
         if self.stream._left() <= 0:
             raise _Lost('no event in time', gone=False)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -215,3 +215,18 @@
         if backend is not favourite:
             backup = made.choose_backup(backend, 0.0, set(), 8000)
             assert backup is not favourite
+
+
+def test_entries_that_place_at_once_do_not_all_choose_the_idlest():
+    # Thirty streams of a dead data centre are placed by as many entries
+    # before any hears of another. The idlest engines would read five prompts
+    # one after the other, which takes as many seconds.
+    counts = {}
+    for entry in range(30):
+        made = placement(f'e{entry}', engines=60, seed=entry)
+        busy = messages.EngineSeen(0, 2, 20_000)
+        seen = {f'i{n}': busy for n in range(6, 60)}
+        made.heard(messages.Sightings(1, seen, []), 0.0)
+        ident = place(made).ident
+        counts[ident] = counts.get(ident, 0) + 1
+    assert max(counts.values()) <= 4
