--- /dev/null
+++ b/src/bulrushhold/composition/__init__.py
@@ -0,0 +1,25 @@
+"""The composition root: wires the parts of each process.
+
+Imports stand in the methods: control must not load the HTTP stack, which
+alone would take a third of its memory budget.
+"""
+
+from bulrushhold.composition._background import in_background
+from bulrushhold.composition._control import Attachment
+from bulrushhold.composition._control import run_control
+from bulrushhold.composition._entry import EntryProcess
+from bulrushhold.composition._entry import run_entry
+from bulrushhold.composition._forwarding import ForwardingAdapters
+from bulrushhold.composition._forwarding import ForwardingEntry
+from bulrushhold.composition._forwarding import run_forwarding
+
+__all__ = [
+    'Attachment',
+    'EntryProcess',
+    'ForwardingAdapters',
+    'ForwardingEntry',
+    'in_background',
+    'run_control',
+    'run_entry',
+    'run_forwarding',
+]
--- /dev/null
+++ b/src/bulrushhold/composition/_entry.py
@@ -0,0 +1,260 @@
+"""Wires and runs an entry with the product's own interface."""
+
+import asyncio
+import contextlib
+import random
+import time
+import typing as t
+
+import loguru
+
+from bulrushhold.composition import _background
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import settings
+
+if t.TYPE_CHECKING:
+    from bulrushhold import decisions
+
+DRAIN_CHECK_S: t.Final = 0.1
+
+
+class EntryProcess:
+    """An entry with all its parts, as :func:`run_entry` runs it."""
+
+    def __init__(self, config: settings.Entry) -> None:
+        from bulrushhold import decisions
+        from bulrushhold import entry
+        from bulrushhold import node
+
+        self.config = config
+        self.metrics = node.make_metrics(config.metrics, 'bulrushhold.entry')
+        self.transport = node.ZmqTransport(str(config.peer))
+        self.control = entry.ControlClient(
+            [str(address) for address in config.control], self.transport
+        )
+        self.table = entry.TableView(config, self.control)
+        self.router = decisions.Router()
+        self.membership = decisions.Membership(
+            config.name, int(time.time() * 1000), random.Random()
+        )
+        self.prober = entry.Prober(self.membership, self.transport)
+        self.store = decisions.CopyStore(
+            config.copies.keep_s, time.monotonic()
+        )
+        self.copies = entry.CopyWriter(
+            config.copies, self.transport, self.metrics
+        )
+        self.background: set[asyncio.Task[t.Any]] = set()
+
+    async def start(self) -> None:
+        """Open the sockets, and serve."""
+        import aiohttp
+        from aiohttp import web
+
+        from bulrushhold import entry
+        from bulrushhold import web as adapters
+
+        config = self.config
+        # No limit: the default of 100 connections would hold back the
+        # hundred-and-first stream, as if an engine were slow.
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            auto_decompress=False,
+        )
+        self.view = entry.PlatformView(
+            config,
+            adapters.HttpPlatformList(self.session, config.platform_url),
+            self.router,
+            self.membership,
+        )
+        keys = entry.KeyTaker(
+            config,
+            self.transport,
+            self.store,
+            lambda: self.view.entries,
+            self.view.copy_peers,
+        )
+        self.admission = entry.Admission(
+            config,
+            self.transport,
+            lambda: self.table.rows,
+            lambda: self.table.accounts,
+            self.view.listed,
+            self.metrics,
+        )
+        runner = entry.GenerationRunner(
+            config.recovery,
+            self.router,
+            adapters.HttpEngineClient(self.session),
+            _policy(config.recovery),
+            self.copies,
+            self.admission,
+            _Quarantine(self),
+            self.metrics,
+        )
+        self.streams = entry.Streams(
+            config, runner, keys, self.copies, self.store
+        )
+        self.table.changed.append(
+            lambda: self.streams.refuse_quarantined(self.table.quarantined)
+        )
+        self.table.changed.append(
+            lambda: runner.suspects.learn(self.table.suspects)
+        )
+        services = entry.ServiceRunner(
+            self.router,
+            adapters.HttpServiceClient(self.session),
+            self.control,
+            self.metrics,
+        )
+        self.server = entry.EntryServer(
+            config,
+            self.view,
+            self.table,
+            self.control,
+            self.streams,
+            services,
+            self.admission,
+            self.metrics,
+            entry.OperatorRoutes(self.control, _operator_key(config)),
+        )
+        await self.view.poll()
+        self.spawn(self.table.run())
+        self.spawn(self.view.run())
+        self.spawn(self.prober.run())
+        self.spawn(self._follow_peers())
+        self.spawn(self.streams.sweep())
+        self.spawn(self.admission.sweep())
+        self.runner = web.AppRunner(
+            self.server.application(),
+            access_log=None,
+            shutdown_timeout=5.0,
+            # Else a caller that leaves before the first token would hold
+            # its stream until an engine sends one.
+            handler_cancellation=True,
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, config.http.host, config.http.port)
+        await site.start()
+        loguru.logger.bind(http=str(config.http)).info('entry started')
+
+    async def drain(self) -> None:
+        """Take nothing new, and wait for what is in progress."""
+        self.server.draining = True
+        self.prober.leave()
+        loguru.logger.info('draining')
+        end = time.monotonic() + self.config.drain_deadline_s
+        while self.server.busy and time.monotonic() < end:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        for task in list(self.background):
+            task.cancel()
+        await asyncio.gather(*self.background, return_exceptions=True)
+        await self.runner.cleanup()
+        await self.copies.close()
+        await self.session.close()
+        await self.transport.close()
+
+    def spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        """Run work in the background until the process closes."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[t.Any]) -> None:
+        self.background.discard(task)
+        _background.log_end(task)
+
+    async def _follow_peers(self) -> None:
+        known: set[str] = set()
+        while True:
+            self.copies.set_peers(self.view.copy_peers())
+            self.admission.set_capacity(self.view.engine_slots())
+            names = {instance.name for instance in self.view.entries}
+            if names != known:
+                known = names
+                self.store.homes_changed(time.monotonic())
+            await self.view.changed.wait()
+            self.view.changed.clear()
+
+
+class _Quarantine:
+    """Refuses contents here at once, and everywhere through control."""
+
+    def __init__(self, process: EntryProcess) -> None:
+        self.process = process
+        self.own: set[str] = set()
+
+    def refused(self, fingerprint: str) -> bool:
+        """Whether the content is quarantined."""
+        return (
+            fingerprint in self.own
+            or fingerprint in self.process.table.quarantined
+        )
+
+    def add(self, fingerprint: str, reason: str) -> None:
+        """Have the content refused by every entry."""
+        self.own.add(fingerprint)
+        self.process.streams.refuse_quarantined(frozenset(self.own))
+        self.process.spawn(self._tell(fingerprint, reason))
+
+    def suspect(self, fingerprints: list[str]) -> None:
+        """Tell every entry that an engine died under these contents."""
+        self.process.spawn(self._propose(messages.Suspected(fingerprints)))
+
+    async def _propose(self, order: messages.Message) -> None:
+        while True:
+            with contextlib.suppress(errors.PeerError):
+                await self.process.control.propose(order, 10.0)
+                break
+
+    async def _tell(self, fingerprint: str, reason: str) -> None:
+        await self._propose(
+            messages.Quarantine(fingerprint, reason, time.time())
+        )
+        # From here on control's list counts, so that operators can lift.
+        await asyncio.sleep(2 * self.process.config.table_poll_s)
+        self.own.discard(fingerprint)
+
+
+async def run_entry(config: settings.Entry) -> None:
+    """Run an entry until it is told to stop, then drain it.
+
+    A second signal stops it without waiting for its streams.
+    """
+    process = EntryProcess(config)
+    signals = asyncio.Queue[None]()
+    _background.on_signals(lambda: signals.put_nowait(None))
+    await process.start()
+    await signals.get()
+    drained = asyncio.ensure_future(process.drain())
+    again = asyncio.ensure_future(signals.get())
+    await asyncio.wait((drained, again), return_when=asyncio.FIRST_COMPLETED)
+    drained.cancel()
+    again.cancel()
+    await process.close()
+
+
+def _policy(config: settings.Recovery) -> 'decisions.RecoveryPolicy':
+    from bulrushhold import decisions
+
+    policies: dict[str, type[decisions.RecoveryPolicy]] = {
+        'thrifty': decisions.ThriftyPolicy,
+        'prompt': decisions.PromptPolicy,
+    }
+    return policies[config.policy](
+        config.gap_factor,
+        config.min_gap_s,
+        config.max_gap_s,
+        config.first_token_s,
+        decisions.WorkBudget(config.extra_share),
+    )
+
+
+def _operator_key(config: settings.Entry) -> str:
+    if not config.operator_key_file:
+        return ''
+    return settings.read_key(config.operator_key_file)
--- /dev/null
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -0,0 +1,169 @@
+"""Wires and runs an entry that forwards opaque requests."""
+
+import asyncio
+import random
+import time
+import typing as t
+
+import attrs
+import loguru
+
+from bulrushhold.composition import _background
+from bulrushhold import settings
+
+if t.TYPE_CHECKING:
+    import aiohttp
+    from aiohttp import web
+
+    from bulrushhold import calls
+    from bulrushhold import forwarding
+    from bulrushhold import ports
+
+DRAIN_CHECK_S: t.Final = 0.1
+# Ports that answer at once need no time to close.
+CLOSE_S: t.Final = 0.2
+# Left of the time before the kill, for closing and for a busy machine.
+EXIT_MARGIN_S: t.Final = 0.7
+# A request taken later than this before the end would be cut off.
+LAST_TAKEN_S: t.Final = 2.0
+
+
+@attrs.frozen
+class ForwardingAdapters:
+    """What a forwarding entry is given from outside.
+
+    :param backends: makes the reader of the platform's list.
+    :param sites: further ports, with what each answers.
+    """
+
+    callers: 'calls.CallerDialect'
+    engines: 'calls.EngineDialect'
+    backends: t.Callable[['aiohttp.ClientSession'], 'ports.BackendList']
+    sites: list[
+        tuple[
+            settings.Address,
+            t.Callable[['forwarding.Fleet'], 'web.Application'],
+        ]
+    ]
+
+
+class ForwardingEntry:
+    """An entry that forwards opaque requests, with all its parts."""
+
+    def __init__(
+        self, config: settings.Forwarding, adapters: ForwardingAdapters
+    ) -> None:
+        self.config = config
+        self.adapters = adapters
+        self.background: list[asyncio.Task[t.Any]] = []
+        self.runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Open the sockets, and serve."""
+        from aiohttp import web
+
+        from bulrushhold import decisions
+        from bulrushhold import forwarding
+        from bulrushhold import messages
+        from bulrushhold import node
+        from bulrushhold import web as adapters
+
+        config = self.config
+        self.transport = node.ZmqTransport(str(config.peer))
+        self.session = adapters.make_session()
+        self.client = adapters.HttpBackendClient(self.adapters.engines)
+        placement = decisions.Placement(random.Random())
+        budget = decisions.RepeatBudget(
+            config.repeat_ratio,
+            config.repeat_allowance,
+            config.repeat_window_s,
+        )
+        self.fleet = forwarding.Fleet(
+            messages.ListedEntry(
+                config.name, config.data_centre, str(config.callers), True
+            ),
+            [str(seed) for seed in config.seeds],
+            self.transport,
+            self.adapters.backends(self.session),
+            placement,
+            budget,
+        )
+        self.metrics = node.make_served_metrics('bulrushhold_entry')
+        parts = forwarding.Parts(
+            placement,
+            self.client,
+            budget,
+            self.metrics,
+        )
+        self.forwarder = forwarding.Forwarder(self.fleet, parts)
+        self.ingress = adapters.Ingress(
+            self.forwarder.handle, self.adapters.callers
+        )
+        self.follow = _background.in_background(self.fleet.follow())
+        self.background.append(
+            _background.in_background(self.fleet.read_list_alone())
+        )
+        self.background.append(_background.in_background(self.fleet.share()))
+        await self.ingress.start(config.callers.host, config.callers.port)
+        for address, make in self.adapters.sites:
+            await self._open(web, address, make(self.fleet))
+        if config.metrics is not None:
+            await self._open(
+                web, config.metrics, adapters.metrics_application(self.metrics)
+            )
+        loguru.logger.bind(callers=str(config.callers)).info('entry started')
+
+    async def _open(
+        self, web: t.Any, address: settings.Address, app: 'web.Application'
+    ) -> None:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
+        await runner.setup()
+        await web.TCPSite(runner, address.host, address.port).start()
+        self.runners.append(runner)
+
+    async def drain(self) -> None:
+        """Tell callers to leave, and serve those that still come.
+
+        Callers learn late that this entry leaves, and a request may cross
+        a close unseen. So connections stay open until callers are gone,
+        and only then new requests are refused.
+        """
+        begun = time.monotonic()
+        self.fleet.leave()
+        self.ingress.draining = True
+        self.follow.cancel()
+        self.follow = _background.in_background(self.fleet.follow())
+        loguru.logger.info('draining')
+        last = begun + self.config.grace_s - EXIT_MARGIN_S
+        while time.monotonic() < last:
+            await asyncio.sleep(DRAIN_CHECK_S)
+            now = time.monotonic()
+            lingered = now > begun + self.config.linger_s
+            if now > last - LAST_TAKEN_S:
+                self.forwarder.closing = True
+            if lingered and not self.ingress.busy:
+                break
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        tasks = [self.follow, *self.background]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.ingress.close()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.client.close()
+        await self.session.close()
+        await self.transport.close()
+        loguru.logger.info('entry stopped')
+
+
+async def run_forwarding(entry: ForwardingEntry) -> None:
+    """Run a forwarding entry until it is told to stop, then drain it."""
+    stop = asyncio.Event()
+    _background.on_signals(stop.set)
+    await entry.start()
+    await stop.wait()
+    await entry.drain()
+    await entry.close()
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -29,12 +29,12 @@
 from bulrushhold.decisions._recovery import ThriftyPolicy
 from bulrushhold.decisions._recovery import WorkBudget
 from bulrushhold.decisions._repeats import RepeatBudget
-from bulrushhold.decisions._replica import Durable
-from bulrushhold.decisions._replica import Ready
 from bulrushhold.decisions._replica import Replica
-from bulrushhold.decisions._replica import Role
-from bulrushhold.decisions._replica import Timing
 from bulrushhold.decisions._retries import RetryBudget
+from bulrushhold.decisions._roles import Durable
+from bulrushhold.decisions._roles import Ready
+from bulrushhold.decisions._roles import Role
+from bulrushhold.decisions._roles import Timing
 from bulrushhold.decisions._routing import BackendState
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -7,13 +7,13 @@
 before it sends.
 """
 
-import enum
 import random
 import typing as t
 
 import attrs
 import msgspec
 
+from bulrushhold.decisions import _roles
 from bulrushhold import messages
 
 MAX_ENTRIES_PER_APPEND: t.Final = 512
@@ -22,71 +22,6 @@
 MAX_BYTES_PER_APPEND: t.Final = 1 << 20
 
 
-class Role(enum.StrEnum):
-    """What a replica does in its term."""
-
-    FOLLOWER = 'follower'
-    PRE_CANDIDATE = 'pre-candidate'
-    CANDIDATE = 'candidate'
-    LEADER = 'leader'
-
-
-@attrs.frozen
-class Timing:
-    """Seconds between beats, and of the least silence before a vote.
-
-    A lease lasts ``lease_s`` from before its beat left. A follower
-    gives no vote for ``election_s`` after a beat arrived, which is
-    later, so no other leader can exist while the lease lasts; the
-    difference allows for clocks that run at different speeds.
-    """
-
-    heartbeat_s: float = 0.15
-    election_s: float = 1.0
-
-    @property
-    def lease_s(self) -> float:
-        """Seconds for which a beat, once acknowledged, gives the lease."""
-        return self.election_s * 0.8
-
-
-@attrs.define
-class Durable:
-    """What a replica has on its disk."""
-
-    term: int = 0
-    vote: str = ''
-    entries: list[messages.LogEntry] = attrs.field(factory=list)
-    snapshot: messages.InstallSnapshot | None = None
-    founding: messages.Config = attrs.field(factory=messages.Config)
-
-
-@attrs.define
-class Ready:
-    """What the driver must do: save, then send, then apply.
-
-    :param snapshot: received from the leader; replaces log and state.
-    :param outbox: replica identity and message.
-    """
-
-    term: int = 0
-    vote: str = ''
-    must_save: bool = False
-    entries: list[messages.LogEntry] = attrs.field(factory=list)
-    snapshot: messages.InstallSnapshot | None = None
-    outbox: list[tuple[str, messages.Message]] = attrs.field(factory=list)
-    committed: list[messages.LogEntry] = attrs.field(factory=list)
-
-
-@attrs.define
-class Progress:
-    """What the leader knows of one other replica."""
-
-    match: int = 0
-    next: int = 1
-    acked_at: float = -1e9
-
-
 class Replica:
     """The decisions of one replica.
 
@@ -98,8 +33,8 @@
     def __init__(
         self,
         ident: str,
-        durable: Durable,
-        timing: Timing,
+        durable: _roles.Durable,
+        timing: _roles.Timing,
         rng: random.Random,
         now: float,
     ) -> None:
@@ -116,10 +51,10 @@
         self.applied = self.snapshot.index
         self.saved = self.last_index
         self._read_config()
-        self.role = Role.FOLLOWER
+        self.role = _roles.Role.FOLLOWER
         self.leader = ''
         self.votes: set[str] = set()
-        self.progress: dict[str, Progress] = {}
+        self.progress: dict[str, _roles.Progress] = {}
         self.beat = 0
         self.beat_times: dict[int, float] = {}
         self.next_beat = 0.0
@@ -129,7 +64,7 @@
         self.heard_at = now
         self.election_at = 0.0
         self._reset_election(now)
-        self._ready = Ready(term=self.term, vote=self.vote)
+        self._ready = _roles.Ready(term=self.term, vote=self.vote)
 
     @property
     def last_index(self) -> int:
@@ -140,7 +75,7 @@
     def commits_in_term(self) -> bool:
         """Whether this replica leads and has committed in its term."""
         return (
-            self.role is Role.LEADER
+            self.role is _roles.Role.LEADER
             and self._term_of(self.commit) == self.term
         )
 
@@ -155,7 +90,7 @@
 
     def silent_for(self, now: float) -> float:
         """Return seconds since a leader was last heard; 0 as leader."""
-        return 0.0 if self.role is Role.LEADER else now - self.heard_at
+        return 0.0 if self.role is _roles.Role.LEADER else now - self.heard_at
 
     def leader_address(self) -> str:
         """Address of the leader, or ``''`` where unknown."""
@@ -166,7 +101,7 @@
 
         ``None`` where this replica isn't the leader: nothing happened.
         """
-        if self.role is not Role.LEADER:
+        if self.role is not _roles.Role.LEADER:
             return None
         self._append(messages.KIND_COMMAND, data)
         return self.last_index, self.term
@@ -184,7 +119,7 @@
 
     def tick(self, now: float) -> None:
         """Let time pass: beats, elections, and the leader's own check."""
-        if self.role is Role.LEADER:
+        if self.role is _roles.Role.LEADER:
             if now >= self.next_beat:
                 self._broadcast(now)
             if now > self._quorum_beat() + self.timing.election_s:
@@ -197,7 +132,7 @@
 
     def wake_in(self, now: float) -> float:
         """Return seconds until :meth:`tick` has something to do."""
-        leads = self.role is Role.LEADER
+        leads = self.role is _roles.Role.LEADER
         return (self.next_beat if leads else self.election_at) - now
 
     def receive(self, message: messages.Message, now: float) -> None:
@@ -215,12 +150,12 @@
 
     def flush(self, now: float) -> None:
         """As leader, send appended entries without waiting for a beat."""
-        if self.role is Role.LEADER and any(
+        if self.role is _roles.Role.LEADER and any(
             p.next <= self.last_index for p in self.progress.values()
         ):
             self._broadcast(now)
 
-    def take_ready(self) -> Ready:
+    def take_ready(self) -> _roles.Ready:
         """Return what there is to do; the driver then calls `saved_up_to`.
 
         :returns: entries to save, messages to send once they are saved,
@@ -233,13 +168,13 @@
         if last >= first:
             ready.committed = self._slice(first, last - first + 1)
             self.applied = last
-        self._ready = Ready(term=self.term, vote=self.vote)
+        self._ready = _roles.Ready(term=self.term, vote=self.vote)
         return ready
 
     def saved_up_to(self, index: int) -> None:
         """Learn from the driver that all entries up to it are synced."""
         self.saved = min(index, self.last_index)
-        if self.role is Role.LEADER:
+        if self.role is _roles.Role.LEADER:
             self._advance_commit()
 
     def compact(self, index: int, state: bytes) -> messages.InstallSnapshot:
@@ -259,9 +194,9 @@
         self._reset_election(now)
         self.leader = ''
         if pre:
-            self.role = Role.PRE_CANDIDATE
+            self.role = _roles.Role.PRE_CANDIDATE
         else:
-            self.role = Role.CANDIDATE
+            self.role = _roles.Role.CANDIDATE
             self.term += 1
             self.vote = self.ident
             self._ready.must_save = True
@@ -318,10 +253,10 @@
         if not reply.granted:
             return
         if reply.pre:
-            due = self.role is Role.PRE_CANDIDATE
+            due = self.role is _roles.Role.PRE_CANDIDATE
             current = reply.asked == self.term + 1
         else:
-            due = self.role is Role.CANDIDATE
+            due = self.role is _roles.Role.CANDIDATE
             current = reply.asked == self.term
         if due and current:
             self.votes.add(reply.voter)
@@ -331,16 +266,17 @@
         voters = self.config.voters
         if len(self.votes & voters.keys()) <= len(voters) // 2:
             return
-        if self.role is Role.PRE_CANDIDATE:
+        if self.role is _roles.Role.PRE_CANDIDATE:
             self._start_vote(now, pre=False)
-        elif self.role is Role.CANDIDATE:
+        elif self.role is _roles.Role.CANDIDATE:
             self._become_leader(now)
 
     def _become_leader(self, now: float) -> None:
-        self.role = Role.LEADER
+        self.role = _roles.Role.LEADER
         self.leader = self.ident
         self.progress = {
-            peer: Progress(next=self.last_index + 1) for peer in self._others()
+            peer: _roles.Progress(next=self.last_index + 1)
+            for peer in self._others()
         }
         self.beat_times = {}
         # The lease starts with nothing; the quorum check gets one round.
@@ -356,7 +292,7 @@
             self.term = term
             self.vote = ''
             self._ready.must_save = True
-        self.role = Role.FOLLOWER
+        self.role = _roles.Role.FOLLOWER
         self.leader = leader
         self._reset_election(now)
 
@@ -378,7 +314,9 @@
     def _track_members(self) -> None:
         others = self._others()
         for peer in others:
-            self.progress.setdefault(peer, Progress(next=self.last_index))
+            self.progress.setdefault(
+                peer, _roles.Progress(next=self.last_index)
+            )
         for peer in set(self.progress) - set(others):
             del self.progress[peer]
 
@@ -486,7 +424,7 @@
             return
         progress = self.progress.get(reply.follower)
         if (
-            self.role is not Role.LEADER
+            self.role is not _roles.Role.LEADER
             or progress is None
             or reply.term < self.term
         ):
--- /dev/null
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -0,0 +1,316 @@
+"""The events of one engine, on to the caller, until it is lost."""
+
+import asyncio
+import contextlib
+import typing as t
+
+import attrs
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold.forwarding import _events
+from bulrushhold.forwarding import _parts
+
+if t.TYPE_CHECKING:
+    from bulrushhold.forwarding import _streams
+
+# Silence in mid-stream after which the engine is asked whether it lives. Its
+# events are 20 to 60 ms apart; other prompts read in between stretch that.
+ASK_AFTER_S: t.Final = 0.15
+# An engine that lives answers within 10 ms, whatever it is busy with.
+ASK_S: t.Final = 0.12
+# Asked once more: on a link that loses one packet in 25, a fifth of the first
+# answers come too late, and a living engine would be given up by all entries.
+ASKED: t.Final = 2
+# An engine that lives, but leaves a stream silent for this long, is slower
+# than going on elsewhere: a continuation from a copy takes 0.1 s.
+SILENT_S: t.Final = 0.6
+# Before its first event a stream waits for its prompt to be read, 1 s for
+# 8,000 tokens, and for those before it.
+FIRST_ASK_S: t.Final = 0.5
+FIRST_LEAST_S: t.Final = 3.0
+FIRST_FACTOR: t.Final = 3.0
+# A copy made by order is dropped when it hasn't grown for 4 s; what the run
+# made since is read again, some 200 tokens in 1.5 s.
+RENEW_S: t.Final = 1.5
+READ_S_PER_TOKEN: t.Final = 1 / 8000
+
+
+@attrs.define(slots=False)
+class StreamLostError(errors.EngineLostError):
+    """An engine is lost to a stream, which may go on elsewhere.
+
+    :param sent: the request may have reached the engine.
+    :param gone: it is dead or out of reach, not merely at fault.
+    :param seconds: since the stream was placed there.
+    :param last_before: number of the caller's last event at that time.
+    """
+
+    sent: bool = True
+    gone: bool = True
+    seconds: float = 0.0
+    last_before: int | None = None
+
+
+def _look_at(sending: 'asyncio.Future[calls.BackendAnswer]') -> None:
+    """Take the outcome of a sending that nobody waits for any more."""
+    if not sending.cancelled():
+        sending.exception()
+
+
+class Flow:
+    """The events of one engine, on to the caller."""
+
+    def __init__(
+        self,
+        run: '_streams.StreamRun',
+        engine: decisions.Placed,
+        copy: calls.RunCopy | None,
+        backup: decisions.Placed | None,
+        reading: int,
+    ) -> None:
+        self.stream = run
+        self.parts = run.parts
+        self.engine = engine
+        self.copy = copy
+        self.backup = backup
+        self.reading = reading
+        self.answer: calls.BackendAnswer | None = None
+        self.sending: asyncio.Future[calls.BackendAnswer] | None = None
+        self.spoke = False
+        self.renewal: asyncio.Task[None] | None = None
+
+    async def run(self) -> calls.Reply | None:
+        answer = await self._open()
+        head = answer.head
+        _parts.learn(self.parts, self.engine.ident, head)
+        if head.not_run:
+            if head.status == 421:
+                self.parts.placement.moved(self.engine.ident)
+            raise StreamLostError(
+                f'refused with {head.status}', sent=False, gone=False
+            )
+        if not head.own or not head.genuine:
+            raise StreamLostError('a foreign answer', gone=False)
+        if head.status >= 300:
+            return await self._failure(answer)
+        await self._relay(answer)
+        self.parts.placement.succeeded(
+            self.engine.ident, self.parts.clock(), None
+        )
+        self.close()
+        await self.drop_copy()
+        return None
+
+    def close(self) -> None:
+        """Leave the engine; it stops working on the stream."""
+        if self.answer is not None:
+            self.answer.close()
+        if self.sending is not None:
+            self.sending.cancel()
+            self.sending.add_done_callback(_look_at)
+        if self.renewal is not None:
+            self.renewal.cancel()
+
+    async def drop_copy(self) -> None:
+        """Free the copy that was ordered, once the stream is whole.
+
+        Engines free it themselves, but only seconds later, and until then
+        the memory of 8,000 tokens is missing there.
+        """
+        copy = self.stream.copy
+        if copy is not None:
+            self.stream.copy = None
+            await self.parts.client.drop_copy(copy, RENEW_S)
+
+    async def _open(self) -> calls.BackendAnswer:
+        attempt = calls.Attempt(
+            self.engine.address,
+            self.engine.ident,
+            self.stream.job.account,
+            self.stream.left(),
+            after=self.stream.last,
+            backup=self.backup.address if self.backup else '',
+            copy=self.copy,
+            # A kept connection that the engine closes meanwhile would look
+            # like a crash; a new one costs a ms of a stream of seconds.
+            fresh=True,
+        )
+        self.sending = asyncio.ensure_future(
+            self.parts.client.send(self.stream.job.call, attempt)
+        )
+        begun = self.parts.clock()
+        while True:
+            await asyncio.wait({self.sending}, timeout=FIRST_ASK_S)
+            if self.sending.done():
+                break
+            await self._check_first(begun)
+        try:
+            self.answer = self.sending.result()
+        except errors.BackendError as error:
+            sent = error.step != 'connect'
+            raise StreamLostError(str(error), sent=sent) from error
+        return self.answer
+
+    async def _check_first(self, begun: float) -> None:
+        waited = self.parts.clock() - begun
+        ahead = self.engine.reading + self.engine.others.reading
+        ahead *= READ_S_PER_TOKEN
+        most = max(FIRST_LEAST_S, FIRST_FACTOR * ahead)
+        if self.stream.left() <= 0:
+            raise StreamLostError('no event in time', gone=False)
+        if waited > most:
+            raise StreamLostError(f'no event for {waited:.2f} s', gone=False)
+        await self._ask_for_life()
+
+    async def _ask_for_life(self) -> None:
+        for _ in range(ASKED):
+            if await self.parts.client.alive(self.engine.address, ASK_S):
+                return
+        raise StreamLostError('silent, and gives no sign of life')
+
+    async def _failure(self, answer: calls.BackendAnswer) -> calls.Reply:
+        try:
+            body = await answer.body()
+        except errors.BackendError as error:
+            raise StreamLostError(str(error), gone=False) from error
+        head = answer.head
+        reply = calls.Reply(head.status, head.headers, body)
+        if head.status < 500 or not self.stream.job.route.repeatable:
+            return reply
+        self.stream.failed = reply
+        raise StreamLostError(f'failed with {head.status}', gone=False)
+
+    async def _relay(self, answer: calls.BackendAnswer) -> None:
+        splitter = _events.EventSplitter()
+        while True:
+            chunk = await self._chunk(answer)
+            if not chunk:
+                break
+            try:
+                events = splitter.feed(chunk)
+            except errors.BackendError as error:
+                raise StreamLostError(str(error), gone=False) from error
+            await self._show_next(answer, events)
+            self._look_after_copy()
+        if splitter.rest:
+            raise StreamLostError(
+                'ended in the middle of an event', gone=False
+            )
+        if not self.stream.out.begun:
+            await self.stream.out.begin(
+                answer.head.status, answer.head.headers
+            )
+        await self.stream.out.end()
+
+    def _look_after_copy(self) -> None:
+        """Have a new copy made where the backup was lost.
+
+        Engines fail a data centre at a time: those that hold the copies go
+        first as often as those that run the streams, and a stream whose
+        copy is gone would have its whole prompt read again.
+        """
+        if (
+            self.renewal is None
+            and self.backup is not None
+            and not self._is_kept(self.backup)
+        ):
+            self.renewal = asyncio.ensure_future(self._renew_copy())
+
+    def _is_kept(self, backup: decisions.Placed) -> bool:
+        since = self.stream.backup_since
+        return self.parts.placement.keeps_copy(backup, since)
+
+    async def _renew_copy(self) -> None:
+        stream = self.stream
+        while True:
+            target = stream.choose_backup(self.engine)
+            if target is None:
+                await asyncio.sleep(RENEW_S)
+                continue
+            self._keep_copy_at(target)
+            while self._is_kept(target):
+                try:
+                    stream.copy = await self.parts.client.copy_run(
+                        stream.job.call,
+                        self.engine.address,
+                        target.address,
+                        RENEW_S,
+                    )
+                except errors.BackendError as error:
+                    stream.backup = None
+                    _parts.log(
+                        stream.job, 'copy not renewed', reason=str(error)
+                    )
+                    await asyncio.sleep(RENEW_S)
+                    break
+                stream.backup = target
+                await asyncio.sleep(RENEW_S)
+
+    def _keep_copy_at(self, target: decisions.Placed) -> None:
+        stream = self.stream
+        stream.backup = stream.copy = None
+        stream.backup_since = self.parts.clock()
+        assert self.backup is not None
+        self.backup.memory -= stream.memory
+        target.memory += stream.memory
+        self.backup = target
+        _parts.log(stream.job, 'copy renewed', at=target.ident)
+
+    async def _show_next(
+        self, answer: calls.BackendAnswer, events: list[_events.Event]
+    ) -> None:
+        """Show the events that go on where the caller's stream stands."""
+        data = b''
+        gap = ''
+        for event in events:
+            last = self.stream.last
+            if event.number is not None and last is not None:
+                if event.number <= last:
+                    continue
+                if event.number != last + 1:
+                    gap = f'event {event.number} after {last}'
+                    break
+            if event.number is not None:
+                self.stream.last = event.number
+            data += event.data
+        if data:
+            await self._show(answer, data)
+        if gap:
+            raise StreamLostError(gap, gone=False)
+
+    async def _show(self, answer: calls.BackendAnswer, data: bytes) -> None:
+        if not self.spoke:
+            self.spoke = True
+            self.parts.placement.has_read(self.engine, self.reading)
+            self.reading = 0
+            self.stream.took(self.engine.ident)
+            self.parts.placement.read(
+                self.stream.part, self.engine.ident, self.parts.clock()
+            )
+        out = self.stream.out
+        if not out.begun:
+            await out.begin(answer.head.status, answer.head.headers)
+        await out.write(data)
+
+    async def _chunk(self, answer: calls.BackendAnswer) -> bytes:
+        begun = self.parts.clock()
+        while True:
+            ask = ASK_AFTER_S if self.spoke else FIRST_ASK_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ask):
+                    return await self._read(answer)
+            if not self.spoke:
+                await self._check_first(begun)
+                continue
+            silent = self.parts.clock() - begun
+            if silent > SILENT_S or self.stream.left() <= 0:
+                raise StreamLostError(f'silent for {silent:.2f} s', gone=False)
+            await self._ask_for_life()
+
+    async def _read(self, answer: calls.BackendAnswer) -> bytes:
+        try:
+            return await answer.chunk()
+        except errors.BackendError as error:
+            raise StreamLostError(str(error)) from error
--- /dev/null
+++ b/src/bulrushhold/messages/__init__.py
@@ -0,0 +1,131 @@
+"""Typed messages between processes, and their codec."""
+
+from bulrushhold.messages._codec import decode
+from bulrushhold.messages._codec import encode
+from bulrushhold.messages._codec import Failure
+from bulrushhold.messages._codec import Message
+from bulrushhold.messages._codec import pack_map
+from bulrushhold.messages._codec import unpack_map
+from bulrushhold.messages._entries import CopyAck
+from bulrushhold.messages._entries import CopyAppend
+from bulrushhold.messages._entries import CopyBatch
+from bulrushhold.messages._entries import CopyBatchAck
+from bulrushhold.messages._entries import CopyState
+from bulrushhold.messages._entries import CopyTake
+from bulrushhold.messages._entries import MemberNews
+from bulrushhold.messages._entries import PointerState
+from bulrushhold.messages._entries import PointerTake
+from bulrushhold.messages._entries import Probe
+from bulrushhold.messages._entries import ProbeFor
+from bulrushhold.messages._entries import ProbeReply
+from bulrushhold.messages._entries import QuotaAsk
+from bulrushhold.messages._entries import QuotaGrant
+from bulrushhold.messages._fleet import EngineSeen
+from bulrushhold.messages._fleet import ListedBackend
+from bulrushhold.messages._fleet import ListedEntry
+from bulrushhold.messages._fleet import RouteMapOutcome
+from bulrushhold.messages._fleet import RouteMapPut
+from bulrushhold.messages._fleet import RouteMapRead
+from bulrushhold.messages._fleet import RouteMapReply
+from bulrushhold.messages._fleet import ServiceTraffic
+from bulrushhold.messages._fleet import Sighting
+from bulrushhold.messages._fleet import Sightings
+from bulrushhold.messages._fleet import Watch
+from bulrushhold.messages._fleet import WatchReply
+from bulrushhold.messages._log import AppendReply
+from bulrushhold.messages._log import AppendRequest
+from bulrushhold.messages._log import Config
+from bulrushhold.messages._log import InstallSnapshot
+from bulrushhold.messages._log import JoinRequest
+from bulrushhold.messages._log import KIND_COMMAND
+from bulrushhold.messages._log import KIND_CONFIG
+from bulrushhold.messages._log import KIND_NOOP
+from bulrushhold.messages._log import LogEntry
+from bulrushhold.messages._log import VoteReply
+from bulrushhold.messages._log import VoteRequest
+from bulrushhold.messages._state import Claim
+from bulrushhold.messages._state import ClaimEnd
+from bulrushhold.messages._state import ClaimOutcome
+from bulrushhold.messages._state import Conflict
+from bulrushhold.messages._state import EditOutcome
+from bulrushhold.messages._state import ForgetClaims
+from bulrushhold.messages._state import HistoryItem
+from bulrushhold.messages._state import HistoryRead
+from bulrushhold.messages._state import HistoryReply
+from bulrushhold.messages._state import Proposal
+from bulrushhold.messages._state import ProposalReply
+from bulrushhold.messages._state import Quarantine
+from bulrushhold.messages._state import Refusals
+from bulrushhold.messages._state import Row
+from bulrushhold.messages._state import StatusRead
+from bulrushhold.messages._state import StatusReply
+from bulrushhold.messages._state import Suspected
+from bulrushhold.messages._state import TableEdit
+from bulrushhold.messages._state import TableRead
+from bulrushhold.messages._state import TableReply
+
+__all__ = [
+    'AppendReply',
+    'AppendRequest',
+    'Claim',
+    'ClaimEnd',
+    'ClaimOutcome',
+    'Config',
+    'Conflict',
+    'CopyAck',
+    'CopyAppend',
+    'CopyBatch',
+    'CopyBatchAck',
+    'CopyState',
+    'CopyTake',
+    'EditOutcome',
+    'EngineSeen',
+    'Failure',
+    'ForgetClaims',
+    'HistoryItem',
+    'HistoryRead',
+    'HistoryReply',
+    'InstallSnapshot',
+    'JoinRequest',
+    'KIND_COMMAND',
+    'KIND_CONFIG',
+    'KIND_NOOP',
+    'ListedBackend',
+    'ListedEntry',
+    'LogEntry',
+    'MemberNews',
+    'Message',
+    'PointerState',
+    'PointerTake',
+    'Probe',
+    'ProbeFor',
+    'ProbeReply',
+    'Proposal',
+    'ProposalReply',
+    'Quarantine',
+    'QuotaAsk',
+    'QuotaGrant',
+    'Refusals',
+    'RouteMapOutcome',
+    'RouteMapPut',
+    'RouteMapRead',
+    'RouteMapReply',
+    'Row',
+    'ServiceTraffic',
+    'Sighting',
+    'Sightings',
+    'StatusRead',
+    'StatusReply',
+    'Suspected',
+    'TableEdit',
+    'TableRead',
+    'TableReply',
+    'VoteReply',
+    'VoteRequest',
+    'Watch',
+    'WatchReply',
+    'decode',
+    'encode',
+    'pack_map',
+    'unpack_map',
+]
--- /dev/null
+++ b/src/bulrushhold/messages/_codec.py
@@ -0,0 +1,116 @@
+"""The codec of all messages (MessagePack)."""
+
+import typing as t
+import zlib
+
+import attrs
+import msgspec
+
+from bulrushhold import errors
+from bulrushhold.messages import _entries
+from bulrushhold.messages import _fleet
+from bulrushhold.messages import _log
+from bulrushhold.messages import _state
+from bulrushhold import routes
+
+
+@attrs.frozen
+class Failure:
+    """A peer's handler failed; carries the reason to the asker."""
+
+    reason: str
+
+
+Message = t.Any
+
+_CLASSES: t.Final[tuple[type, ...]] = (
+    _log.VoteRequest,
+    _log.VoteReply,
+    _log.AppendRequest,
+    _log.AppendReply,
+    _log.InstallSnapshot,
+    _log.JoinRequest,
+    _state.TableEdit,
+    _state.EditOutcome,
+    _state.Claim,
+    _state.ClaimEnd,
+    _state.ClaimOutcome,
+    _state.ForgetClaims,
+    _state.Quarantine,
+    _state.Suspected,
+    _state.Proposal,
+    _state.ProposalReply,
+    _state.TableRead,
+    _state.TableReply,
+    _state.HistoryRead,
+    _state.HistoryReply,
+    _state.StatusRead,
+    _state.StatusReply,
+    _entries.PointerTake,
+    _entries.PointerState,
+    _entries.CopyBatch,
+    _entries.CopyBatchAck,
+    _entries.CopyTake,
+    _entries.CopyState,
+    _entries.QuotaAsk,
+    _entries.QuotaGrant,
+    _entries.MemberNews,
+    _entries.Probe,
+    _entries.ProbeFor,
+    _entries.ProbeReply,
+    _fleet.RouteMapPut,
+    _fleet.RouteMapOutcome,
+    _fleet.RouteMapRead,
+    _fleet.RouteMapReply,
+    _fleet.Sighting,
+    _fleet.Watch,
+    _fleet.WatchReply,
+    Failure,
+)
+_DECODERS = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in _CLASSES}
+_ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(message: Message) -> bytes:
+    """Return the wire form of a message: its name and its fields."""
+    return _ENCODER.encode((type(message).__name__, message))
+
+
+def decode(data: bytes) -> Message:
+    """Return the message in ``data``.
+
+    :raises PeerError: where it is malformed or of no known kind.
+    """
+    try:
+        name, body = _ENVELOPE.decode(data)
+        return _DECODERS[name].decode(body)
+    except (msgspec.DecodeError, KeyError) as error:
+        raise errors.PeerError(
+            f'malformed message: {error}', 'decode'
+        ) from error
+
+
+_MAP_DECODER = msgspec.msgpack.Decoder(routes.RouteMap)
+
+
+def pack_map(route_map: routes.RouteMap) -> bytes:
+    """Return a route map in a form fit for many entries.
+
+    A map of 400 routes is 60 KB and packs to 5 KB; an entry may have a
+    link of 5 Mbit/s.
+    """
+    return zlib.compress(_ENCODER.encode(route_map), 3)
+
+
+def unpack_map(data: bytes) -> routes.RouteMap:
+    """Return the route map in ``data``.
+
+    :raises PeerError: where it is malformed.
+    """
+    try:
+        return _MAP_DECODER.decode(zlib.decompress(data))
+    except (msgspec.DecodeError, zlib.error) as error:
+        raise errors.PeerError(
+            f'malformed route map: {error}', 'decode'
+        ) from error
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,40 @@
+"""Plays seeds by hand: ``python -m tests.soak --seeds 1-50``."""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import click
+
+from tests.soak import run
+
+
+@click.command()
+@click.option('--seeds', default='1-10', help='FIRST-LAST, or one seed.')
+@click.option('--seconds', default=8.0, help='Of trouble in each run.')
+@click.option('--net', default=40, help='Third part of the addresses.')
+@click.option('--keep', default='', help='Folder for logs of broken runs.')
+def main(seeds: str, seconds: float, net: int, keep: str) -> None:
+    """Play each seed, and name the promises that were broken."""
+    first, _, last = seeds.partition('-')
+    failed = []
+    for seed in range(int(first), int(last or first) + 1):
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep or None)
+        report = asyncio.run(run.Run(seed, folder, net, seconds).play())
+        click.echo(
+            f'seed {seed}: {report.served} of {report.asked} served, '
+            f'{len(report.faults)} faults, {len(report.broken)} broken'
+        )
+        for line in report.broken[:10]:
+            click.echo(f'    {line}')
+        if report.broken:
+            failed.append(seed)
+            click.echo(f'    faults: {", ".join(report.faults)}')
+            click.echo(f'    logs: {pathlib.Path(folder)}')
+    click.echo(f'failed seeds: {failed or "none"}')
+    sys.exit(bool(failed))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/soak/standins.py
@@ -0,0 +1,232 @@
+"""Stand-ins of the soak: engines, the platform's list, a faulty proxy."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+
+from aiohttp import web
+import attrs
+
+EVENTS = 40
+EVENT_S = 0.01
+STREAM_PATH = '/stream/'
+ONCE_PATH = '/once/'
+READ_PATH = '/read/'
+
+
+@attrs.define
+class Seen:
+    """What engines saw of all requests, for the checks."""
+
+    runs: dict = attrs.field(factory=dict)
+    forged: list = attrs.field(factory=list)
+    copies: set = attrs.field(factory=set)
+    once: set = attrs.field(factory=set)
+
+
+class Engine:
+    """One backend server behind a proxy; speaks the platform's protocol."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, service, zone, seen, rng):
+        self.service = service
+        self.zone = zone
+        self.seen = seen
+        self.rng = rng
+        self.ident = f'i-{next(self.numbers)}'
+        self.up = asyncio.Event()
+        self.up.set()
+        self.grey = 0.0
+        self.proxy = Proxy()
+
+    async def start(self):
+        server = web.Server(self.handle, access_log=None)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        await self.proxy.start(*site._server.sockets[0].getsockname()[:2])
+
+    async def stop(self):
+        await self.proxy.stop()
+        await self.runner.cleanup()
+
+    def crash(self):
+        """Lose all runs and come back as another incarnation."""
+        self.proxy.reset()
+        address = self.proxy.address
+        self.seen.copies = {c for c in self.seen.copies if c[0] != address}
+        self.ident = f'i-{next(self.numbers)}'
+
+    def listed(self):
+        return {
+            'id': self.ident,
+            'service': self.service,
+            'address': self.proxy.address,
+            'zone': self.zone,
+            'slots': 16,
+            'state': 'ready',
+        }
+
+    async def handle(self, request):
+        ident = request.headers.get('Bulrushhold-Request-Id', '')
+        if request.path == '/bulrushhold/report':
+            return web.json_response({'running': 0})
+        if request.path == '/bulrushhold/kv-move':
+            order = await request.json()
+            self.seen.copies.add((order['target'], order['id']))
+            return web.json_response({'handle': order['id'], 'made': 1})
+        if request.path.startswith('/bulrushhold/'):
+            return web.Response()
+        headers = {'Bulrushhold-Request-Id': ident}
+        expected = request.headers.get('Bulrushhold-Expect-Instance')
+        if expected != self.ident:
+            headers['Bulrushhold-Instance-Id'] = self.ident
+            return web.Response(status=421, headers=headers)
+        self._look_for_forged(request)
+        copy = request.headers.get('Kv-From')
+        if copy and (self.proxy.address, copy.split('/')[1]) not in (
+            self.seen.copies
+        ):
+            headers['Bulrushhold-Not-Run'] = '1'
+            return web.Response(status=503, headers=headers)
+        body = await request.read()
+        runs = self.seen.runs
+        runs[ident] = runs.get(ident, 0) + 1
+        if request.path.startswith(ONCE_PATH):
+            self.seen.once.add(ident)
+        headers['Bulrushhold-Response-Stamp'] = f'{self.ident}.{ident}'
+        if request.path.startswith(STREAM_PATH):
+            return await self._stream(request, ident, headers)
+        await asyncio.sleep(self.rng.random() * 0.02)
+        if self.rng.random() < self.grey:
+            return web.Response(status=500, headers=headers)
+        return web.Response(
+            body=answer(request.raw_path, body), headers=headers
+        )
+
+    def _look_for_forged(self, request):
+        names = ('Bulrushhold-Credential', 'Bulrushhold-Hold')
+        for name in names:
+            if name in request.headers:
+                self.seen.forged.append((request.raw_path, name))
+        if request.headers.get('Bulrushhold-Tenant') != 'vendors':
+            self.seen.forged.append((request.raw_path, 'account'))
+
+    async def _stream(self, request, ident, headers):
+        backup = request.headers.get('Bulrushhold-Kv-Backup')
+        if backup:
+            self.seen.copies.add((backup, ident))
+        response = web.StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        # A caller that leaves closes the connection; there is nobody to tell.
+        with contextlib.suppress(ConnectionError):
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(EVENT_S)
+                await response.write(event(request.raw_path, number))
+            await response.write_eof()
+        return response
+
+
+def answer(target, body):
+    return b'answer to ' + target.encode() + b' ' + body
+
+
+def event(target, number):
+    return f'id: {number}\ndata: {target} {number}\n\n'.encode()
+
+
+class PlatformListServer:
+    """Lists engines, late and with items of other writers."""
+
+    def __init__(self, engines):
+        self.engines = engines
+        self.lag_s = 0.3
+
+    async def start(self):
+        app = web.Application()
+        app.router.add_get('/instances', self._list)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, '127.0.0.1', 0)
+        await site.start()
+        host, port = site._server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{port}'
+
+    async def stop(self):
+        await self.runner.cleanup()
+
+    async def _list(self, request):
+        items = [engine.listed() for engine in self.engines]
+        await asyncio.sleep(self.lag_s)
+        items.append({'id': 7, 'state': 'odd'})
+        body = json.dumps({'instances': items, 'next': None})
+        return web.Response(text=body, content_type='application/json')
+
+
+class Proxy:
+    """A loopback proxy whose connections misbehave.
+
+    ``fault`` is ``''``, ``delay``, ``silent`` (nothing passes, no reset),
+    ``one_way`` (only towards the target) or ``refuse``.
+    """
+
+    def __init__(self):
+        self.fault = ''
+        self.connections = set()
+        self.address = ''
+
+    async def start(self, host, port, listen='127.0.0.1', listen_port=0):
+        self.target = (host, port)
+        self.server = await asyncio.start_server(
+            self._serve, listen, listen_port
+        )
+        bound = self.server.sockets[0].getsockname()
+        self.address = f'{bound[0]}:{bound[1]}'
+
+    async def stop(self):
+        self.server.close()
+        self.reset()
+
+    def reset(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        if self.fault == 'refuse':
+            writer.transport.abort()
+            return
+        try:
+            there, back = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.connections |= {writer, back}
+        try:
+            await asyncio.gather(
+                self._pump(reader, back, towards=True),
+                self._pump(there, writer, towards=False),
+            )
+        finally:
+            self.connections -= {writer, back}
+            for end in (writer, back):
+                end.close()
+
+    async def _pump(self, reader, writer, *, towards):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                if self.fault == 'delay':
+                    await asyncio.sleep(0.1)
+                while self.fault == 'silent' or (
+                    self.fault == 'one_way' and not towards
+                ):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        with contextlib.suppress(OSError):
+            writer.close()
--- /dev/null
+++ b/tests/soak/system.py
@@ -0,0 +1,186 @@
+"""The real programs as processes, each with a loopback address."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import aiohttp
+import attrs
+
+ROOT = pathlib.Path(__file__).parents[2]
+CONTROLS = 3
+ENTRIES = 4
+SETTINGS = """
+node-name = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+internal-ports = [{internal}, {internal_end}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+data-dir = "{data}"
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+directory = "{ip}:{directory}"
+[fault-tolerance]
+machines = 1
+[bounds]
+grace-s = 4
+retry-budget-ratio = 0.8
+retry-budget-slack = 150
+budget-window-s = 10
+[cloud]
+address = "{cloud}"
+"""
+
+
+@attrs.define
+class Program:
+    """One process and what the soak did to it."""
+
+    role: str
+    name: str
+    ip: str
+    settings: pathlib.Path
+    log: pathlib.Path
+    process: subprocess.Popen | None = None
+    stopped: bool = False
+    ended_by_us: bool = False
+    own_ends: int = 0
+
+
+class System:
+    """Three control processes and four entries.
+
+    :param net: third part of the loopback addresses, so that runs beside
+        each other don't meet.
+    """
+
+    def __init__(self, folder, cloud, net, base=21000):
+        self.folder = pathlib.Path(folder)
+        self.cloud = cloud
+        self.net = net
+        self.ports = {
+            'front': base,
+            'ready': base + 1,
+            'control': base + 2,
+            'directory': base + 3,
+            'internal': base + 10,
+            'internal_end': base + 25,
+        }
+        self.programs = []
+        for number in range(1, ENTRIES + 1):
+            if number <= CONTROLS:
+                self._add('control', number)
+            self._add('entry', number)
+
+    def _add(self, role, number):
+        ip = f'127.0.{self.net}.{number}'
+        name = f'{role}-{number}'
+        program = Program(
+            role,
+            name,
+            ip,
+            self.folder / f'{name}.toml',
+            self.folder / f'{name}.log',
+        )
+        self.programs.append(program)
+        self.write_settings(program, bootstrap=True)
+
+    def write_settings(self, program, *, bootstrap):
+        seeds = ', '.join(
+            f'"127.0.{self.net}.{n}:{self.ports["control"]}"'
+            for n in range(1, CONTROLS + 1)
+        )
+        text = SETTINGS.format(
+            name=program.name,
+            ip=program.ip,
+            zone=f'zone-{program.ip[-1]}',
+            seeds=seeds,
+            bootstrap=str(bootstrap).lower(),
+            data=self.folder / 'data' / program.name,
+            cloud=self.cloud,
+            **self.ports,
+        )
+        program.settings.write_text(text)
+
+    def of(self, role):
+        return [p for p in self.programs if p.role == role]
+
+    def start(self, program):
+        program.ended_by_us = program.stopped = False
+        with open(program.log, 'ab') as log:
+            program.process = subprocess.Popen(
+                [sys.executable, 'platform/run.py', program.role],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={'BULRUSHHOLD_NODE_FILE': str(program.settings)},
+            )
+        self.write_settings(program, bootstrap=False)
+
+    def start_all(self):
+        for program in self.programs:
+            self.start(program)
+            # The first start reads its settings before they change.
+            self.write_settings(program, bootstrap=True)
+
+    def settle(self):
+        for program in self.programs:
+            self.write_settings(program, bootstrap=False)
+
+    def signal(self, program, number):
+        if program.process is None or program.process.poll() is not None:
+            return
+        if number == signal.SIGSTOP:
+            program.stopped = True
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            program.ended_by_us = True
+        if number == signal.SIGCONT:
+            program.stopped = False
+        program.process.send_signal(number)
+
+    async def ended(self, program):
+        """Wait for the end of a program that was told to stop."""
+        while program.process.poll() is None:
+            await asyncio.sleep(0.05)
+
+    def restart_ended(self):
+        for program in self.programs:
+            if program.process.poll() is None:
+                continue
+            if not program.ended_by_us:
+                program.own_ends += 1
+            self.start(program)
+
+    def stop_all(self):
+        for program in self.programs:
+            if program.process and program.process.poll() is None:
+                program.process.send_signal(signal.SIGCONT)
+                program.process.kill()
+        for program in self.programs:
+            if program.process:
+                program.process.wait()
+
+    def url(self, program, port, path):
+        return f'http://{program.ip}:{self.ports[port]}{path}'
+
+    async def ready(self, session, within_s=20.0):
+        end = time.monotonic() + within_s
+        for program in self.of('entry'):
+            url = self.url(program, 'ready', '/bulrushhold/ready')
+            while True:
+                with contextlib.suppress(
+                    aiohttp.ClientError, OSError, TimeoutError
+                ):
+                    async with session.get(url) as response:
+                        if response.status == 200:
+                            break
+                if time.monotonic() > end:
+                    raise TimeoutError(f'{program.name} is not ready')
+                await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,28 @@
+"""The platform's words stay in its folder."""
+
+import pathlib
+import re
+
+ROOT = pathlib.Path(__file__).parents[1]
+WIRE_NAMES = re.compile(
+    r'Config\.(Put|Get)|Kv-(From|Fetch|Backup)|kv-(move|handle|events)|'
+    r'Response-Stamp|Bulrushhold-(Not-Run|Tenant|Credential|Deadline)|'
+    r'weighted-backends|target-latency|hold-take|BULRUSHHOLD_NODE_FILE'
+)
+
+
+def test_wire_names_of_the_platform_stay_in_its_folder():
+    found = [
+        f'{path.relative_to(ROOT)}:{number}'
+        for folder in ('src', 'tests', 'bench', 'examples')
+        for path in sorted((ROOT / folder).rglob('*.py'))
+        if 'platform' not in path.parts[-2:-1]
+        and path != pathlib.Path(__file__)
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if WIRE_NAMES.search(line)
+    ]
+    assert found == []
+
+
+def test_the_folder_cannot_hide_the_standard_module():
+    assert not (ROOT / 'platform' / '__init__.py').exists()
