A replica that joins learns where the members are; a full disk is one error

Ruled out: a slow election (no replica ever led) and a lost JoinRequest (the learner was listed 0.01 s after its start). Change: the leader answers a JoinRequest with the members' addresses. Unbuffered now.

--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -66,6 +66,7 @@
         self.metrics = metrics
         self.clock = clock
         self.contacts = list(config.contacts)
+        self.told = messages.Config()
         self.applied_hooks: list[cabc.Callable[[], None]] = []
         self.log_bytes = 0
         self.waiting: dict[int, _Waiting] = {}
@@ -77,6 +78,7 @@
         for kind in _REPLICA_MESSAGES:
             transport.handle(kind, self._on_replica_message)
         transport.handle(messages.JoinRequest, self._on_join)
+        transport.handle(messages.JoinReply, self._on_join_reply)
         transport.handle(messages.Proposal, self._on_proposal)
         transport.handle(messages.TableRead, self._on_table_read)
         transport.handle(messages.HistoryRead, self._on_history_read)
@@ -135,7 +137,7 @@
 
     def _send(self, peer: str, message: messages.Message) -> None:
         config = self.replica.config
-        address = config.voters.get(peer) or config.learners.get(peer)
+        address = _address_in(config, peer) or _address_in(self.told, peer)
         if address is None:
             # A voter that this replica's log doesn't know yet.
             name = peer.partition('.')[0]
@@ -195,6 +197,7 @@
             *map(str, self.contacts),
             *config.voters.values(),
             *config.learners.values(),
+            *self.told.voters.values(),
         }
         for address in sorted(known - {str(self.config.peer)}):
             self.transport.send(address, request)
@@ -218,6 +221,8 @@
             if leader and leader != str(self.config.peer):
                 self.transport.send(leader, request)
             return
+        reply = messages.JoinReply(self.replica.config)
+        self.transport.send(request.address, reply)
         config = decisions.with_learner(self.replica, request)
         if config is not None and self.replica.change_config(config):
             node.log_decision(
@@ -228,6 +233,9 @@
             )
             self.work.set()
 
+    async def _on_join_reply(self, reply: messages.JoinReply) -> None:
+        self.told = reply.config
+
     def _forget_old_claims(self, now: float) -> None:
         if now < self.next_forget:
             return
@@ -340,6 +348,10 @@
         )
 
 
+def _address_in(config: messages.Config, replica: str) -> str | None:
+    return config.voters.get(replica) or config.learners.get(replica)
+
+
 def open_replica(
     config: settings.Control, store: node.FileLog
 ) -> tuple[decisions.Durable, str]:
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -36,6 +36,7 @@
 from bulrushhold.messages._log import AppendRequest
 from bulrushhold.messages._log import Config
 from bulrushhold.messages._log import InstallSnapshot
+from bulrushhold.messages._log import JoinReply
 from bulrushhold.messages._log import JoinRequest
 from bulrushhold.messages._log import KIND_COMMAND
 from bulrushhold.messages._log import KIND_CONFIG
@@ -86,6 +87,7 @@
     'HistoryRead',
     'HistoryReply',
     'InstallSnapshot',
+    'JoinReply',
     'JoinRequest',
     'KIND_COMMAND',
     'KIND_CONFIG',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -29,6 +29,7 @@
     _log.AppendRequest,
     _log.AppendReply,
     _log.InstallSnapshot,
+    _log.JoinReply,
     _log.JoinRequest,
     _state.TableEdit,
     _state.EditOutcome,
--- a/src/bulrushhold/messages/_log.py
+++ b/src/bulrushhold/messages/_log.py
@@ -99,3 +99,14 @@
 
     replica: str
     address: str
+
+
+@attrs.frozen
+class JoinReply:
+    """Tells a replica that asked to join where the members are.
+
+    Its own log is empty, and the instances it was told of may be gone:
+    without this it couldn't answer the leader that sends it the log.
+    """
+
+    config: Config
--- a/src/bulrushhold/node/_filelog.py
+++ b/src/bulrushhold/node/_filelog.py
@@ -60,7 +60,7 @@
         self.log_path = self.folder / 'log'
         self.snapshot_path = self.folder / 'snapshot'
         self.identity_path = self.folder / 'identity'
-        self.file: t.BinaryIO | None = None
+        self.file: t.IO[bytes] | None = None
         self.term = 0
         self.vote = ''
 
@@ -114,8 +114,7 @@
         payload = msgspec.msgpack.encode(_Record(term, vote, entries))
         try:
             assert self.file is not None
-            self.file.write(_frame(payload))
-            self.file.flush()
+            _write_all(self.file.fileno(), _frame(payload))
             os.fdatasync(self.file.fileno())
         except OSError as error:
             # After a failed sync the kernel may have dropped the pages and
@@ -190,7 +189,9 @@
 
     def _open(self, length: int) -> None:
         try:
-            self.file = open(self.log_path, 'ab')
+            # Unbuffered: what a full disk refused would else be written
+            # again when the file is closed, and fail there.
+            self.file = open(self.log_path, 'ab', buffering=0)
             self.file.truncate(length)
             os.fsync(self.file.fileno())
             self._sync_folder()
@@ -228,6 +229,11 @@
         return errors.StorageError(reason, 'storage', str(path))
 
 
+def _write_all(descriptor: int, data: bytes) -> None:
+    while data:
+        data = data[os.write(descriptor, data) :]
+
+
 def _frame(payload: bytes) -> bytes:
     return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,154 @@
+"""Control processes that know each other from a few addresses only."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest_asyncio
+
+from bulrushhold import control
+from bulrushhold import decisions
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import settings
+from bulrushhold import testing
+
+TIMING = decisions.Timing(heartbeat_s=0.03, election_s=0.15)
+
+
+class Core:
+    """Control processes in the test's own loop, over real sockets."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.running = {}
+
+    def address(self):
+        return settings.Address('127.0.0.1', testing.free_ports(1)[0])
+
+    def start(self, name, peer, replicas=None, contacts=()):
+        config = settings.Control(
+            name,
+            'dc',
+            peer,
+            str(self.folder / name),
+            replicas or {name: peer},
+            contacts=list(contacts),
+            voters=3,
+            heartbeat_s=TIMING.heartbeat_s,
+            election_s=TIMING.election_s,
+        )
+        store = node.FileLog(config.data_dir)
+        (self.folder / name).mkdir(exist_ok=True)
+        if replicas and store.identity() is None:
+            control.found(config, store)
+        durable, ident = control.open_replica(config, store)
+        replica = decisions.Replica(
+            ident, durable, TIMING, random.Random(name), node.boot_time()
+        )
+        state = decisions.ReplicatedState.restore(replica.snapshot.state)
+        transport = node.ZmqTransport(str(peer))
+        server = control.ControlServer(
+            config,
+            replica,
+            state,
+            store,
+            transport,
+            node.NoMetrics(),
+            node.boot_time,
+        )
+        task = asyncio.ensure_future(server.run())
+        self.running[name] = (server, task)
+        return server
+
+    async def stop(self, name):
+        server, task = self.running.pop(name)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        await server.transport.close()
+        server.store.close()
+
+    def leader(self):
+        for server, _ in self.running.values():
+            if server.replica.lease_holds(node.boot_time()):
+                return server
+        return None
+
+    async def until(self, condition, seconds=10.0):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    def voters(self):
+        leader = self.leader()
+        names = leader.replica.config.voters if leader else ()
+        return sorted(ident.partition('.')[0] for ident in names)
+
+
+@pytest_asyncio.fixture
+async def core(tmp_path):
+    made = Core(tmp_path)
+    yield made
+    for name in list(made.running):
+        await made.stop(name)
+
+
+async def founded(core):
+    peers = {name: core.address() for name in ('a', 'b', 'c')}
+    for name, peer in peers.items():
+        core.start(name, peer, peers)
+    await core.until(lambda: core.leader() is not None)
+    command = messages.encode(messages.RouteMapPut(7, b'packed', b'source'))
+    assert (await core.leader().propose(command)).status == 'done'
+    return peers
+
+
+async def test_a_newcomer_at_another_address_becomes_a_voter(core):
+    # A core machine is gone for good. An empty one comes elsewhere, and
+    # knows the others only from a list that still names the lost one. If it
+    # can't answer the leader, it never catches up, and the next lost disk
+    # takes the last copy but one of what was acknowledged.
+    peers = await founded(core)
+    lost = next(n for n in 'abc' if core.running[n][0] is not core.leader())
+    await core.stop(lost)
+    newcomer = core.start('d', core.address(), contacts=peers.values())
+    wanted = sorted({'a', 'b', 'c', 'd'} - {lost})
+    await core.until(lambda: core.voters() == wanted)
+    assert newcomer.state.map_version == 7
+    second = next(
+        n
+        for n in core.running
+        if n != 'd' and core.running[n][0] is not core.leader()
+    )
+    await core.stop(second)
+    command = messages.encode(messages.RouteMapPut(9, b'packed', b'source'))
+    reply = await core.leader().propose(command)
+    assert reply.status == 'done'
+
+
+async def test_an_instance_that_lost_its_disk_becomes_a_voter_again(core):
+    peers = await founded(core)
+    lost = next(n for n in 'abc' if core.running[n][0] is not core.leader())
+    await core.stop(lost)
+    for file in (core.folder / lost).iterdir():
+        file.unlink()
+    others = [peer for name, peer in peers.items() if name != lost]
+    again = core.start(lost, peers[lost], contacts=[peers[lost], *others])
+    ident = again.replica.ident
+    await core.until(
+        lambda: core.leader() is not None
+        and ident in core.leader().replica.config.voters
+    )
+    await core.until(lambda: core.voters() == ['a', 'b', 'c'])
+    assert again.state.map_version == 7
+
+
+async def test_a_newcomer_that_knows_one_follower_only_finds_the_leader(core):
+    peers = await founded(core)
+    follower = next(
+        n for n in 'abc' if core.running[n][0] is not core.leader()
+    )
+    newcomer = core.start('d', core.address(), contacts=[peers[follower]])
+    await core.until(lambda: newcomer.state.map_version == 7)
+    await core.until(lambda: newcomer.replica.leader_address() != '')
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -201,3 +201,34 @@
     system.control_task.cancel()
     await asyncio.wait([system.control_task], timeout=2.0)
     assert system.control_task.cancelled()
+
+
+def test_a_full_disk_is_one_error_and_nothing_half_written_remains(
+    tmp_path, monkeypatch
+):
+    # The disk takes half a record and then no more. The replica begins anew
+    # from what is there; closing the file must not write the rest again and
+    # end the process with an error of its own.
+    store = node.FileLog(tmp_path)
+    store.write_identity(node.Identity('a.founder'))
+    store.load(messages.Config())
+    store.save(1, 'a', [messages.LogEntry(1, 1, 1, b'kept')])
+    real = os.write
+
+    def half(descriptor, data):
+        if len(data) < 20:
+            raise OSError(28, 'No space left on device')
+        return real(descriptor, data[: len(data) // 2])
+
+    monkeypatch.setattr(os, 'write', half)
+    with pytest.raises(errors.StorageError):
+        store.save(1, 'a', [messages.LogEntry(2, 1, 1, bytes(50))])
+    store.close()
+    monkeypatch.setattr(os, 'write', real)
+    again = node.FileLog(tmp_path)
+    durable = again.load(messages.Config())
+    assert [entry.data for entry in durable.entries] == [b'kept']
+    again.save(1, 'a', [messages.LogEntry(2, 1, 1, b'next')])
+    again.close()
+    entries = node.FileLog(tmp_path).load(messages.Config()).entries
+    assert [entry.data for entry in entries] == [b'kept', b'next']
