Control on two instances a data centre: one founder, relays without a disk

Cause: grown deployments have two disks in each data centre and are to bear the loss of two at once; three replicas hold an acknowledged route map on two of them. Five are wanted there, and where only one instance of a data centre has a disk, the second serves operators as a relay. Ruled out: founding by the seeds, which may name relays only; founding by all who come, which has no fixed number. Change: the first seed founds alone or appoints the one that does; a new log acknowledges nothing before it has its voters.

--- a/src/bulrushhold/composition/__init__.py
+++ b/src/bulrushhold/composition/__init__.py
@@ -12,12 +12,14 @@
 from bulrushhold.composition._forwarding import ForwardingAdapters
 from bulrushhold.composition._forwarding import ForwardingEntry
 from bulrushhold.composition._forwarding import run_forwarding
+from bulrushhold.composition._relay import RelayProcess
 
 __all__ = [
     'Attachment',
     'EntryProcess',
     'ForwardingAdapters',
     'ForwardingEntry',
+    'RelayProcess',
     'in_background',
     'run_control',
     'run_entry',
--- a/src/bulrushhold/composition/_control.py
+++ b/src/bulrushhold/composition/_control.py
@@ -99,6 +99,7 @@
             (serving, stopping), return_when=asyncio.FIRST_COMPLETED
         )
         if serving.done():
+            # With no error it has founded the log, and begins anew with it.
             serving.result()
     finally:
         serving.cancel()
--- a/src/bulrushhold/control/__init__.py
+++ b/src/bulrushhold/control/__init__.py
@@ -1,7 +1,9 @@
 """The control process: one replica of the system's durable state."""
 
+from bulrushhold.control._calls import LeaderCalls
 from bulrushhold.control._hub import Hub
 from bulrushhold.control._registry import EntryRegistry
+from bulrushhold.control._relay import Relay
 from bulrushhold.control._server import ControlServer
 from bulrushhold.control._server import found
 from bulrushhold.control._server import open_replica
@@ -10,6 +12,8 @@
     'ControlServer',
     'EntryRegistry',
     'Hub',
+    'LeaderCalls',
+    'Relay',
     'found',
     'open_replica',
 ]
--- a/src/bulrushhold/control/_hub.py
+++ b/src/bulrushhold/control/_hub.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-import collections.abc as cabc
 import contextlib
 import typing as t
 
 import loguru
 
+from bulrushhold.control import _calls
 from bulrushhold.control import _registry
 from bulrushhold.control import _server
 from bulrushhold import decisions
@@ -31,9 +31,6 @@
 # Sightings of engines come with every stream that begins; each batch costs
 # a message per entry. A prompt is read for a second.
 SIGHTINGS_GATHER_S: t.Final = 0.03
-FORWARD_S: t.Final = 0.7
-PUT_S: t.Final = 2.5
-PAUSE_S: t.Final = 0.1
 
 
 class Hub:
@@ -57,6 +54,9 @@
         self.backends_number = 0
         self.backends_at = 0.0
         self.news = asyncio.Event()
+        self.calls = _calls.LeaderCalls(
+            server.transport, server.replica.leader_address, self._here
+        )
         server.applied_hooks.append(self._wake)
         server.transport.handle(messages.Watch, self._on_watch)
         server.transport.handle(messages.Sighting, self._on_sighting)
@@ -209,30 +209,6 @@
 
     # The operator's route map
 
-    async def put_map(
-        self, put: messages.RouteMapPut
-    ) -> messages.RouteMapOutcome:
-        """Have a checked route map in the log, from any control process.
-
-        :raises PeerError: where that isn't known to have happened. The
-            same map sent again does no harm.
-        """
-        command = messages.encode(put)
-        reply = await self._at_leader(
-            messages.Proposal(command), lambda: self.server.propose(command)
-        )
-        return messages.decode(reply.result)
-
-    async def read_map(self) -> messages.RouteMapReply:
-        """Return the newest route map, as its operator sent it.
-
-        :raises PeerError: where it isn't sure which one is the newest.
-        """
-        return await self._at_leader(
-            messages.RouteMapRead(),
-            lambda: self._on_read(messages.RouteMapRead()),
-        )
-
     async def _on_read(
         self, read: messages.RouteMapRead
     ) -> messages.RouteMapReply:
@@ -248,31 +224,10 @@
             'done', version=put.version, source=put.source
         )
 
-    async def _at_leader(
-        self,
-        request: messages.Message,
-        here: cabc.Callable[[], cabc.Awaitable[t.Any]],
-    ) -> t.Any:
-        """Do it here as leader, else ask the leader, until the time is up."""
-        step = type(request).__name__
-        end = self._now() + PUT_S
-        last = errors.PeerError('no leader is known', step)
-        while self._now() < end:
-            replica = self.server.replica
-            leader = replica.leader_address()
-            reply = None
-            if replica.role is decisions.Role.LEADER:
-                reply = await here()
-            elif leader:
-                try:
-                    reply = await self.server.transport.request(
-                        leader, request, FORWARD_S
-                    )
-                except errors.PeerError as error:
-                    last = error
-            if reply is not None and reply.status == 'done':
-                return reply
-            if reply is not None:
-                last = errors.PeerError(reply.status, step, leader)
-            await asyncio.sleep(PAUSE_S)
-        raise last
+    async def _here(self, request: messages.Message) -> t.Any:
+        """Answer as leader; ``None`` where another one has to."""
+        if self.server.replica.role is not decisions.Role.LEADER:
+            return None
+        if isinstance(request, messages.Proposal):
+            return await self.server.propose(request.command)
+        return await self._on_read(messages.RouteMapRead())
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -18,6 +18,11 @@
 
 PROPOSAL_TIMEOUT_S: t.Final = 3.0
 JOIN_EVERY_S: t.Final = 0.5
+# While there are fewer voters than wanted, so that a new log is complete
+# within a second or two.
+GROW_EVERY_S: t.Final = 0.1
+# After this time a new log makes do with the replicas that have come.
+FOUNDING_S: t.Final = 6.0
 # Longer than an election, so that a replica asks to join only where it has
 # really been left out, such as after a long freeze.
 LEFT_OUT_S: t.Final = 2.5
@@ -65,10 +70,12 @@
         self.transport = transport
         self.metrics = metrics
         self.clock = clock
+        self.started_at = clock()
         self.contacts = list(config.contacts)
         self.told = messages.Config()
         self.applied_hooks: list[cabc.Callable[[], None]] = []
         self.log_bytes = 0
+        self.founded = False
         self.waiting: dict[int, _Waiting] = {}
         self.in_force: dict[str, tuple[int, float]] = {}
         self.since_snapshot = 0
@@ -79,13 +86,15 @@
             transport.handle(kind, self._on_replica_message)
         transport.handle(messages.JoinRequest, self._on_join)
         transport.handle(messages.JoinReply, self._on_join_reply)
+        transport.handle(messages.CoreRead, self._on_core_read)
+        transport.handle(messages.Found, self._on_found)
         transport.handle(messages.Proposal, self._on_proposal)
         transport.handle(messages.TableRead, self._on_table_read)
         transport.handle(messages.HistoryRead, self._on_history_read)
         transport.handle(messages.StatusRead, self._on_status_read)
 
     async def run(self) -> None:
-        """Serve until cancelled.
+        """Serve until cancelled, or until the log was founded here.
 
         :raises StorageError: where the disk fails; the others go on.
         """
@@ -99,6 +108,8 @@
                 async with asyncio.timeout(self._wake_in()):
                     await self.work.wait()
             self.work.clear()
+            if self.founded:
+                return
 
     def _wake_in(self) -> float:
         now = self.clock()
@@ -179,6 +190,8 @@
             return
         self.next_join = now + JOIN_EVERY_S
         if self.replica.role is decisions.Role.LEADER:
+            if self._too_few_voters():
+                self.next_join = now + GROW_EVERY_S
             self._promote_learners()
             self._forget_old_claims(now)
         elif (
@@ -233,6 +246,30 @@
             )
             self.work.set()
 
+    def _too_few_voters(self) -> bool:
+        return len(self.replica.config.voters) < self.config.voters
+
+    async def _on_core_read(
+        self, read: messages.CoreRead
+    ) -> messages.CoreReply:
+        del read
+        replica = self.replica
+        return messages.CoreReply(replica.leader_address(), replica.config)
+
+    async def _on_found(self, order: messages.Found) -> None:
+        del order
+        durable = self.replica.term or self.replica.last_index
+        if not self.config.founds or durable or self.replica.config.voters:
+            return
+        voters = {self.replica.ident: str(self.config.peer)}
+        identity = node.Identity(
+            self.replica.ident, messages.Config(voters=voters)
+        )
+        self.store.write_identity(identity)
+        node.log_decision('log founded', replica=self.replica.ident)
+        self.founded = True
+        self.work.set()
+
     async def _on_join_reply(self, reply: messages.JoinReply) -> None:
         self.told = reply.config
 
@@ -256,6 +293,8 @@
 
     async def propose(self, command: bytes) -> messages.ProposalReply:
         """Have a command committed, as leader, and return its result."""
+        if self._still_growing():
+            return messages.ProposalReply('unknown')
         proposed = self.replica.propose(command)
         if proposed is None:
             return messages.ProposalReply(
@@ -279,6 +318,15 @@
             )
         return messages.ProposalReply('done', result=result)
 
+    def _still_growing(self) -> bool:
+        """Whether a new log has too few replicas to promise anything.
+
+        It begins with one voter. What that one alone acknowledged would
+        be gone with its disk.
+        """
+        young = self.clock() - self.started_at < FOUNDING_S
+        return self.config.founds and young and self._too_few_voters()
+
     async def _on_table_read(
         self, read: messages.TableRead
     ) -> messages.TableReply:
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -35,6 +35,9 @@
 from bulrushhold.messages._log import AppendReply
 from bulrushhold.messages._log import AppendRequest
 from bulrushhold.messages._log import Config
+from bulrushhold.messages._log import CoreRead
+from bulrushhold.messages._log import CoreReply
+from bulrushhold.messages._log import Found
 from bulrushhold.messages._log import InstallSnapshot
 from bulrushhold.messages._log import JoinReply
 from bulrushhold.messages._log import JoinRequest
@@ -79,10 +82,13 @@
     'CopyBatchAck',
     'CopyState',
     'CopyTake',
+    'CoreRead',
+    'CoreReply',
     'EditOutcome',
     'EngineSeen',
     'Failure',
     'ForgetClaims',
+    'Found',
     'HistoryItem',
     'HistoryRead',
     'HistoryReply',
--- a/src/bulrushhold/messages/_log.py
+++ b/src/bulrushhold/messages/_log.py
@@ -110,3 +110,24 @@
     """
 
     config: Config
+
+
+@attrs.frozen
+class Found:
+    """Tells the one replica that is to found the log to do so."""
+
+
+@attrs.frozen
+class CoreRead:
+    """Asks a control process who leads, and who the members are."""
+
+
+@attrs.frozen
+class CoreReply:
+    """Answers :class:`CoreRead`.
+
+    :param leader: its address, or ``''`` where unknown.
+    """
+
+    leader: str
+    config: Config
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -107,6 +107,8 @@
         ``replicas``.
     :param voters: replicas that are to have a vote, an odd number; 0 for
         as many as the log was founded with.
+    :param founds: this is the first start of the whole system; the
+        process may found the log, alone, and others join it.
     :param snapshot_bytes: size of the log after which it is compacted.
     """
 
@@ -122,6 +124,7 @@
     claim_keep_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
     contacts: list[Address] = attrs.field(factory=list)
     voters: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    founds: bool = False
     snapshot_bytes: int = attrs.field(default=8 << 20, validator=_POSITIVE)
 
     def __attrs_post_init__(self) -> None:
