--- a/src/bulrushhold/cli.py
+++ b/src/bulrushhold/cli.py
@@ -267,6 +267,54 @@
     _http('DELETE', address, f'/v1/quarantine/{fingerprint}', key_file)
 
 
+@main.command('explain')
+@click.argument('request_id')
+@click.argument('files', nargs=-1, required=True, type=_FILE)
+def explain(request_id: str, files: tuple[str, ...]) -> None:
+    """Print what the logs in FILES say of one request, in order.
+
+    FILES hold JSON lines of any number of processes; other text before
+    the JSON of a line is passed over.
+    """
+    found = [
+        line
+        for path in files
+        for line in _log_lines(path)
+        if line.get('request') == request_id
+    ]
+    if not found:
+        raise errors.BulrushholdError(
+            f'no line names {request_id}', 'explain', ', '.join(files)
+        )
+    for line in sorted(found, key=lambda line: str(line.get('time'))):
+        click.echo(_told(line))
+
+
+def _log_lines(path: str) -> t.Iterator[dict[str, t.Any]]:
+    try:
+        with open(path, encoding='utf-8', errors='replace') as file:
+            for text in file:
+                try:
+                    line = json.loads(text[text.index('{') :])
+                except ValueError:
+                    # Not a log line, or one that was cut off.
+                    continue
+                if isinstance(line, dict):
+                    yield line
+    except OSError as error:
+        raise errors.BulrushholdError(
+            error.strerror or 'unreadable', 'explain', path
+        ) from error
+
+
+def _told(line: dict[str, t.Any]) -> str:
+    shown = ('time', 'process', 'message')
+    hidden = {*shown, 'level', 'decision', 'request'}
+    head = ' '.join(str(line.get(name, '')) for name in shown)
+    fields = (f'{k}={v}' for k, v in line.items() if k not in hidden)
+    return f'{head}: {" ".join(fields)}'
+
+
 def _http(
     method: str,
     address: str,
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,42 @@
+"""From a request's id to what became of it, by the logs alone."""
+
+from click import testing
+import pytest
+
+from bulrushhold import cli
+
+LINES = [
+    '  5.2 entry-2 {"time": "T2", "message": "refused", "process": "e2", '
+    '"request": "r-1", "status": 503, "reason": "no engine"}',
+    'not a log line { at all',
+    '{"time": "T1", "message": "stream placed", "process": "e2", '
+    '"request": "r-1", "engine": "i-7"}',
+    '{"time": "T1", "message": "stream placed", "request": "r-2"}',
+]
+
+
+@pytest.fixture
+def log(tmp_path):
+    path = tmp_path / 'entry.log'
+    path.write_text('\n'.join(LINES))
+    return str(path)
+
+
+def run(*words):
+    return testing.CliRunner().invoke(cli.main, ['explain', *words])
+
+
+def test_lines_of_one_request_are_told_in_order(log):
+    result = run('r-1', log)
+    assert result.exit_code == 0
+    assert result.output.splitlines() == [
+        'T1 e2 stream placed: engine=i-7',
+        'T2 e2 refused: status=503 reason=no engine',
+    ]
+
+
+def test_an_unknown_request_and_an_unreadable_file_are_one_line(log):
+    for words in (('r-9', log), ('r-1', log + '.gone')):
+        result = run(*words)
+        assert result.exit_code == 1
+        assert len(result.output.splitlines()) == 1
