--- a/src/bulrushhold/decisions/_repeats.py
+++ b/src/bulrushhold/decisions/_repeats.py
@@ -23,7 +23,11 @@
 # What others sent is known 0.1 s late. A data centre's loss makes all entries
 # repeat at once what ran there: at 90 engines and 200 streams some 70 repeats,
 # a fifth of the budget, before their news arrives.
-TOGETHER: t.Final = 0.75
+TOGETHER: t.Final = 0.7
+# A stream that was lost midway can't be refused any more: its caller would
+# have to ask for it all again. One that has shown nothing is refused as not
+# run instead, and comes back as a request of its own.
+TOGETHER_BEGUN: t.Final = 0.9
 HEARD_S: t.Final = 2.0
 
 
@@ -51,24 +55,28 @@
         """Count a request that a caller sent for the service."""
         self._recent(self.firsts, service, now).append(now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Whether one more repeat may be sent; it is then counted."""
+    def take(self, service: str, now: float, *, begun: bool = False) -> bool:
+        """Whether one more repeat may be sent; it is then counted.
+
+        :param begun: the caller has a part of the answer.
+        """
         firsts = len(self._recent(self.firsts, service, now))
         repeats = self._recent(self.repeats, service, now)
         part = self.ratio * firsts + self.allowance / max(1, self.entries)
         within = len(repeats) + 1 <= part * MARGIN
-        if not within and not self._far_from_bound(service, now):
+        most = TOGETHER_BEGUN if begun else TOGETHER
+        if not within and not self._far_from_bound(service, now, most):
             return False
         repeats.append(now)
         return True
 
-    def _far_from_bound(self, service: str, now: float) -> bool:
+    def _far_from_bound(self, service: str, now: float, most: float) -> bool:
         others = self.others.get(service)
         if others is None or now - self.heard_at > HEARD_S:
             return False
         firsts = others.firsts + len(self.firsts.get(service, ()))
         repeats = others.repeats + len(self.repeats.get(service, ()))
-        return repeats < TOGETHER * (self.ratio * firsts + self.allowance)
+        return repeats < most * (self.ratio * firsts + self.allowance)
 
     def heard(
         self, others: dict[str, messages.ServiceTraffic], now: float
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -89,7 +89,11 @@
             self.tried.clear()
         if self._left() < LEAST_LEFT_S:
             return False
-        return self.parts.budget.take(self.job.service, self.parts.clock())
+        if self.parts.budget.take(self.job.service, self.parts.clock()):
+            return True
+        self.parts.metrics.count('repeats.refused')
+        _parts.log(self.job, 'repeat budget spent')
+        return False
 
     def _failure(
         self, last: _Result | None, ident: str
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -113,7 +113,13 @@
             self.tried.clear()
         if self.left() < LEAST_LEFT_S:
             return False
-        return self.parts.budget.take(self.job.service, self.parts.clock())
+        if self.parts.budget.take(
+            self.job.service, self.parts.clock(), begun=self.out.begun
+        ):
+            return True
+        self.parts.metrics.count('repeats.refused')
+        _parts.log(self.job, 'repeat budget spent', begun=self.out.begun)
+        return False
 
     def _end_early(self, reason: str, peer: str) -> calls.Reply | None:
         _parts.log(
