--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,24 @@
+"""Two short seeds of the soak in each run, and all that ever failed.
+
+No seed of the final checks has failed so far. The first run of all broke
+every check of plain answers, because the soak's own client rewrote the
+targets that it asked for.
+"""
+
+import pytest
+
+from tests.soak import run
+
+SECONDS = 4.0
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+async def test_promises_hold_while_processes_and_connections_fail(
+    tmp_path, seed
+):
+    # Callers, an operator and engines see only whole answers of their own,
+    # at most one run of what may run once, true refusals, and no older map
+    # than was acknowledged; afterwards all is served again.
+    report = await run.Run(seed, tmp_path, 90 + seed, SECONDS).play()
+    assert report.broken == []
+    assert report.served > 20
