Replicas announce control to relays among their seeds

Relays keep nothing and knew only each other, so no entry found control again. Ruled out: a core without quorum (it had elected a leader; two of the three replicas were intact).

--- a/src/bulrushhold/control/_relay.py
+++ b/src/bulrushhold/control/_relay.py
@@ -56,6 +56,7 @@
         transport.handle(messages.JoinRequest, self._on_join)
         transport.handle(messages.Watch, self._on_watch)
         transport.handle(messages.CoreRead, self._on_core_read)
+        transport.handle(messages.CoreReply, self._on_news)
 
     async def run(self) -> None:
         """Look for the leader, again and again."""
@@ -73,13 +74,17 @@
                 reply = await self.transport.request(
                     address, messages.CoreRead(), ASK_S
                 )
-                if reply.config.voters:
-                    self.core = sorted(reply.config.voters.values())
+                self._learn(reply)
                 if reply.leader:
-                    self._follow(reply.leader)
                     return
         self.leader = ''
 
+    def _learn(self, news: messages.CoreReply) -> None:
+        if news.config.voters:
+            self.core = sorted(news.config.voters.values())
+        if news.leader:
+            self._follow(news.leader)
+
     def _follow(self, leader: str) -> None:
         if leader != self.leader:
             node.log_decision('control found', peer=leader)
@@ -119,5 +124,8 @@
         voters = {address: address for address in self.core}
         return messages.CoreReply(self.leader, messages.Config(voters=voters))
 
+    async def _on_news(self, news: messages.CoreReply) -> None:
+        self._learn(news)
+
     async def _never_here(self, request: messages.Message) -> None:
         del request
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -189,6 +189,7 @@
         if now < self.next_join:
             return
         self.next_join = now + JOIN_EVERY_S
+        self._announce()
         if self.replica.role is decisions.Role.LEADER:
             if self._too_few_voters():
                 self.next_join = now + GROW_EVERY_S
@@ -200,6 +201,21 @@
         ):
             self._ask_to_join()
 
+    def _announce(self) -> None:
+        """Tell contacts that aren't members where control is.
+
+        Relays keep nothing. After a loss of all power, one whose seeds name
+        relays only could ask nobody that knows a replica, and entries could
+        ask nobody but such relays.
+        """
+        config = self.replica.config
+        news = messages.CoreReply(self.replica.leader_address(), config)
+        members = {*config.voters.values(), *config.learners.values()}
+        others = set(map(str, self.contacts)) - members
+        for address in sorted(others - {str(self.config.peer)}):
+            if config.voters:
+                self.transport.send(address, news)
+
     def _ask_to_join(self) -> None:
         request = messages.JoinRequest(
             self.replica.ident, str(self.config.peer)
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -207,3 +207,25 @@
 def _split(address):
     host, _, port = address.rpartition(':')
     return host, int(port)
+
+
+async def test_a_relay_that_knows_only_itself_hears_where_control_is(core):
+    # The seeds were exchanged for three instances without a disk; then all
+    # lost power. Relays and entries start with these seeds only, and nobody
+    # they can ask knows a replica: nothing would be served ever again.
+    address = core.address()
+    peers = {name: core.address() for name in 'abc'}
+    for name, peer in peers.items():
+        core.start(name, peer, peers, contacts=[address])
+    transport = node.ZmqTransport(str(address))
+    relay = control.Relay(
+        transport, str(address), [str(address)], appoints=False
+    )
+    look = asyncio.ensure_future(relay.run())
+    await core.until(lambda: relay.leader != '')
+    assert relay.core == sorted(map(str, peers.values()))
+    entry = messages.ListedEntry('e1', 'dc', '127.0.0.1:1', True)
+    reply = await relay._on_watch(messages.Watch(entry, 0, '', '', hold_s=0.0))
+    assert reply.leader == relay.leader
+    look.cancel()
+    await transport.close()
