--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -21,6 +21,9 @@
 # Over a hold by what a reply takes on a slow link and a busy leader.
 REPLY_S: t.Final = 0.5
 PAUSE_S: t.Final = 0.05
+# For how long one that gave no answer is asked only if all gave none: the
+# others answer within ms.
+SHUN_S: t.Final = 2.0
 # A data centre's engines are lost within a few ms; one message tells them.
 SHARE_S: t.Final = 0.01
 # Again without news: a new leader has heard nothing, and the traffic ages.
@@ -61,6 +64,7 @@
         self.core: list[str] = []
         self.leader = ''
         self.in_touch_at = 0.0
+        self.silent_at: dict[str, float] = {}
         self.index: routes.RouteIndex | None = None
         self.backends_version = ''
         self.backends_at = 0.0
@@ -102,10 +106,20 @@
                         'control lost'
                     )
                 self.leader = ''
+                self.silent_at[address] = time.monotonic()
                 await asyncio.sleep(PAUSE_S)
 
     def _any_control(self) -> str:
-        return random.choice(sorted({*self.seeds, *self.core}))
+        known = sorted({*self.seeds, *self.core})
+        now = time.monotonic()
+        # A leader that froze gives no answer for 0.8 s; drawn again and again
+        # by chance, it kept an entry from a new route map for over 2 s.
+        better = [
+            address
+            for address in known
+            if now - self.silent_at.get(address, -SHUN_S) >= SHUN_S
+        ]
+        return random.choice(better or known)
 
     async def _watch(self, address: str) -> None:
         ready = self.ready and self.me.ready
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -492,3 +492,24 @@
     assert len(fleet.addresses(2)) == 2
     fleet.leave()
     assert '10.0.1.1:80' not in fleet.addresses(64)
+
+
+async def test_a_silent_control_process_is_not_drawn_again_at_once(fleet):
+    # The leader's machine freezes, and the entry looks for another one among
+    # three addresses. Drawing the frozen one again costs 0.8 s each time, and
+    # a new route map comes too late.
+    fleet.seeds = ['frozen', 'b', 'c']
+    asked = []
+
+    async def watch(address):
+        asked.append(address)
+        if address == 'frozen' and len(asked) < 40:
+            raise errors.PeerError('no answer')
+        fleet.leader = ''
+        if len(asked) >= 40:
+            raise asyncio.CancelledError
+
+    fleet._watch = watch
+    with pytest.raises(asyncio.CancelledError):
+        await fleet.follow()
+    assert asked.count('frozen') <= 1
