Log how long each stream's caller waited

Cause: late streams could not be told from those that came in time; the log held placements and losses only. One line at each stream's end now gives the first event, the longest pause and the runs lost.

--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -292,6 +292,7 @@
         out = self.stream.out
         if not out.begun:
             await out.begin(answer.head.status, answer.head.headers)
+        self.stream.shows()
         await out.write(data)
 
     async def _chunk(self, answer: calls.BackendAnswer) -> bytes:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -41,6 +41,10 @@
         )
         self.lost_zone = ''
         self.lost_at: float | None = None
+        self.begun_at = parts.clock()
+        self.first_s: float | None = None
+        self.shown_at = 0.0
+        self.longest_pause_s = 0.0
         self.failed: calls.Reply | None = None
         self.tokens = job.call.prompt.tokens if job.call.prompt else 0
         parts_ = job.call.prompt.parts if job.call.prompt else ()
@@ -58,7 +62,7 @@
                 return self._end_early(reason, peer)
             begun, last = self.parts.clock(), self.last
             try:
-                return await self._attempt(engine, copy)
+                reply = await self._attempt(engine, copy)
             except _flow.StreamLostError as lost:
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.parts.clock() - begun
@@ -66,6 +70,9 @@
                 self._learn_loss(engine, lost)
                 if not await self._may_repeat(lost):
                     return self._end_early(reason, peer)
+            else:
+                self._log_end('stream whole' if reply is None else 'failed')
+                return reply
 
     def left(self) -> float:
         return self.job.end - self.parts.clock()
@@ -121,15 +128,32 @@
         _parts.log(self.job, 'repeat budget spent', begun=self.out.begun)
         return False
 
-    def _end_early(self, reason: str, peer: str) -> calls.Reply | None:
+    def shows(self) -> None:
+        """Learn that events go out to the caller now."""
+        now = self.parts.clock()
+        if self.first_s is None:
+            self.first_s = now - self.begun_at
+            self.parts.metrics.time('streams.first', self.first_s)
+        else:
+            pause = now - self.shown_at
+            self.longest_pause_s = max(self.longest_pause_s, pause)
+        self.shown_at = now
+
+    def _log_end(self, outcome: str, **fields: t.Any) -> None:
+        first_s = self.first_s
         _parts.log(
             self.job,
-            'stream ended early',
-            reason=reason,
-            peer=peer,
+            outcome,
             last=self.last,
-            runs=self.runs,
+            lost_runs=self.runs,
+            first_s=None if first_s is None else round(first_s, 3),
+            longest_pause_s=round(self.longest_pause_s, 3),
+            seconds=round(self.parts.clock() - self.begun_at, 3),
+            **fields,
         )
+
+    def _end_early(self, reason: str, peer: str) -> calls.Reply | None:
+        self._log_end('stream ended early', reason=reason, peer=peer)
         self.parts.metrics.count('streams.broken')
         if self.out.begun:
             self.out.cut()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+import loguru
 import pytest
 
 from bulrushhold import calls
@@ -182,6 +183,14 @@
     )
 
 
+@pytest.fixture
+def logged():
+    lines = []
+    sink = loguru.logger.add(lambda line: lines.append(line.record['extra']))
+    yield lines
+    loguru.logger.remove(sink)
+
+
 async def stream(parts, **options):
     out = FakeCaller()
     job = a_job(parts, routes.Kind.STREAM, **options)
@@ -223,6 +232,18 @@
     )
 
 
+async def test_the_log_tells_how_long_a_caller_waited(client, parts, logged):
+    # A caller complains of a pause. Its stream ended whole, and one line says
+    # when the first event came and how long the worst pause was.
+    client.scripts = [Script(events=(1,), then='reset'), Script(events=(2,))]
+    await stream(parts)
+    end = logged[-1]
+    assert end['decision'] == 'stream whole'
+    assert (end['last'], end['lost_runs']) == (2, 1)
+    assert 0 <= end['longest_pause_s'] <= end['seconds']
+    assert 0 <= end['first_s'] <= end['seconds']
+
+
 async def test_the_copy_is_asked_for_only_where_one_can_be(
     client, parts, monkeypatch
 ):
