Refuse opaque requests that kill the engines they run on

Cause: on the forwarding path nothing told a request that crashes each engine from an innocent one; its caller could send it again without end, each time costing every stream on up to five engines. Ruled out: parting suspects as the product's own interface does (needs a delay that streams can't have). Change: engines that died alone under one fingerprint are counted by all entries, through the sightings; the third has it refused for a minute.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -78,6 +78,7 @@
             config.repeat_allowance,
             config.repeat_window_s,
         )
+        crashers = decisions.Crashers(placement.lost_near)
         self.fleet = forwarding.Fleet(
             messages.ListedEntry(
                 config.name, config.data_centre, str(config.callers), True
@@ -87,6 +88,7 @@
             self.adapters.backends(self.session),
             placement,
             budget,
+            crashers,
         )
         self.metrics = node.make_served_metrics('bulrushhold_entry')
         parts = forwarding.Parts(
@@ -94,6 +96,7 @@
             self.client,
             budget,
             self.metrics,
+            crashers,
         )
         self.forwarder = forwarding.Forwarder(self.fleet, parts)
         self.ingress = adapters.Ingress(
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -2,6 +2,8 @@
 
 from bulrushhold.decisions._claims import ClaimState
 from bulrushhold.decisions._copies import CopyStore
+from bulrushhold.decisions._crashers import Crashers
+from bulrushhold.decisions._crashers import fingerprint
 from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._homes import copy_peers
 from bulrushhold.decisions._homes import entries_for
@@ -58,6 +60,7 @@
     'Choice',
     'ClaimState',
     'CopyStore',
+    'Crashers',
     'Durable',
     'FairQueue',
     'GapEstimate',
@@ -96,6 +99,7 @@
     'difference',
     'entries_for',
     'entries_wanted',
+    'fingerprint',
     'homes',
     'new_identity',
     'next_config',
--- /dev/null
+++ b/src/bulrushhold/decisions/_crashers.py
@@ -0,0 +1,111 @@
+"""Which opaque request kills the engines that it runs on.
+
+Such a request comes again, by its caller or by going on elsewhere, and each
+time an engine and all streams on it are lost. Innocent requests lose engines
+too: when a data centre loses power, and when they run beside a crasher. So
+only deaths of single engines count, and only several of them under the same
+request name it.
+"""
+
+import collections.abc as cabc
+import typing as t
+
+import attrs
+import xxhash
+
+from bulrushhold import messages
+
+# Engines lost under one request before it is refused. An innocent one that
+# shares an engine with a crasher is placed elsewhere by its prompt, so that
+# three such meetings in a row are rare; a crasher costs no more than these.
+DEATHS: t.Final = 3
+# Deaths this close in time, of this many engines in one data centre, have
+# another cause: engines of one data centre fall silent within 0.6 s.
+TOGETHER_S: t.Final = 1.3
+TOGETHER: t.Final = 3
+# An engine is back some seconds after a crash, and callers come again at
+# once; one that was deployed anew may serve the request.
+KEPT_S: t.Final = 60.0
+REMEMBERED: t.Final = 10_000
+
+
+def fingerprint(target: str, key: str, body: bytes) -> str:
+    """Return what a request and its repetitions have in common.
+
+    :param key: names the client account.
+    """
+    digest = xxhash.xxh3_64(f'{target}\n{key}\n'.encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+@attrs.frozen
+class _Death:
+    fingerprint: str
+    engine: str
+    at: float
+
+
+class Crashers:
+    """Deaths of engines by request, from this entry and all others.
+
+    :param lost_near: returns how many engines of an engine's data centre
+        were lost within some seconds of a moment, it included.
+    """
+
+    def __init__(
+        self, lost_near: cabc.Callable[[str, float, float], int]
+    ) -> None:
+        self.lost_near = lost_near
+        self.fresh: list[_Death] = []
+        self.lone: list[messages.EngineDeath] = []
+        self.deaths: dict[str, dict[str, float]] = {}
+
+    def died(self, fingerprint: str, engine: str, now: float) -> None:
+        """Learn that an engine died under a request of this entry."""
+        self.fresh.append(_Death(fingerprint, engine, now))
+
+    def settle(self, now: float) -> None:
+        """Count the deaths that had the time to turn out as one of many."""
+        ripe = [d for d in self.fresh if now - d.at >= TOGETHER_S]
+        self.fresh = [d for d in self.fresh if now - d.at < TOGETHER_S]
+        for death in ripe:
+            near = self.lost_near(death.engine, death.at, TOGETHER_S)
+            if near < TOGETHER:
+                self._count(death.fingerprint, death.engine, now)
+                self.lone.append(
+                    messages.EngineDeath(death.fingerprint, death.engine)
+                )
+
+    def told(self) -> list[messages.EngineDeath]:
+        """Return what other entries should know; each death only once."""
+        lone, self.lone = self.lone, []
+        return lone
+
+    def heard(
+        self, deaths: cabc.Iterable[messages.EngineDeath], now: float
+    ) -> None:
+        """Learn what other entries count."""
+        for death in deaths:
+            self._count(death.fingerprint, death.engine, now)
+
+    def served(self, fingerprint: str) -> None:
+        """Learn that a request was served whole: it is no crasher."""
+        self.deaths.pop(fingerprint, None)
+
+    def refused_for(self, fingerprint: str, now: float) -> float:
+        """Return for how many seconds a request is refused; 0 for not."""
+        deaths = self.deaths.get(fingerprint)
+        if deaths is None:
+            return 0.0
+        recent = [at for at in deaths.values() if now - at < KEPT_S]
+        if not recent:
+            del self.deaths[fingerprint]
+        if len(recent) < DEATHS:
+            return 0.0
+        return max(recent) + KEPT_S - now
+
+    def _count(self, fingerprint: str, engine: str, now: float) -> None:
+        self.deaths.setdefault(fingerprint, {})[engine] = now
+        while len(self.deaths) > REMEMBERED:
+            del self.deaths[next(iter(self.deaths))]
--- a/src/bulrushhold/decisions/_sightings.py
+++ b/src/bulrushhold/decisions/_sightings.py
@@ -15,8 +15,8 @@
 
 from bulrushhold import messages
 
-# Losses are told to entries that were out of touch for a moment; an engine
-# that was lost longer ago has been restarted or taken off the list.
+# Losses and deaths are told to entries that were out of touch for a moment; an
+# engine that was lost longer ago has been restarted or taken off the list.
 LOSS_KEPT_S: t.Final = 2.0
 NOTHING: t.Final = messages.EngineSeen(0, 0)
 NO_TRAFFIC: t.Final = messages.ServiceTraffic(0, 0)
@@ -30,6 +30,13 @@
     moved: bool
 
 
+@attrs.frozen
+class _Death:
+    number: int
+    death: messages.EngineDeath
+    at: float
+
+
 class SightingBoard:
     """The newest word of every entry."""
 
@@ -40,6 +47,7 @@
         self.engines: dict[str, messages.EngineSeen] = {}
         self.traffic: dict[str, messages.ServiceTraffic] = {}
         self.losses: collections.deque[_Loss] = collections.deque()
+        self.deaths: collections.deque[_Death] = collections.deque()
 
     def take(self, sighting: messages.Sighting, now: float) -> bool:
         """Take what an entry says; return whether an engine was lost."""
@@ -47,6 +55,11 @@
         self.said[sighting.entry] = sighting
         while self.losses and now - self.losses[0].at > LOSS_KEPT_S:
             self.losses.popleft()
+        while self.deaths and now - self.deaths[0].at > LOSS_KEPT_S:
+            self.deaths.popleft()
+        self.deaths.extend(
+            _Death(self.number, death, now) for death in sighting.deaths
+        )
         known = {(loss.ident, loss.moved) for loss in self.losses}
         told = {(ident, False) for ident in sighting.lost}
         told |= {(ident, True) for ident in sighting.moved}
@@ -77,6 +90,7 @@
             [loss.ident for loss in news if not loss.moved],
             [loss.ident for loss in news if loss.moved],
             traffic,
+            [d.death for d in self.deaths if d.number > since],
         )
 
     def _add_up(self) -> None:
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -54,6 +54,7 @@
         source: ports.BackendList,
         placement: decisions.Placement,
         budget: decisions.RepeatBudget,
+        crashers: decisions.Crashers,
     ) -> None:
         self.me = me
         self.seeds = seeds
@@ -61,6 +62,7 @@
         self.source = source
         self.placement = placement
         self.budget = budget
+        self.crashers = crashers
         self.core: list[str] = []
         self.leader = ''
         self.in_touch_at = 0.0
@@ -162,6 +164,7 @@
             now = time.monotonic()
             self.placement.heard(reply.sightings, now)
             self.budget.heard(reply.sightings.traffic, now)
+            self.crashers.heard(reply.sightings.deaths, now)
         self.budget.entries = self.count()
         for hook in self.changed:
             hook()
@@ -173,13 +176,20 @@
                 async with asyncio.timeout(SHARE_AGAIN_S):
                     await self.seen.wait()
             self.seen.clear()
-            sighting = self.placement.sighted(
-                self.me.name, self.budget.traffic(time.monotonic())
-            )
+            sighting = self._sighting(time.monotonic())
             if self.leader:
                 self.transport.send(self.leader, sighting)
             await asyncio.sleep(SHARE_S)
 
+    def _sighting(self, now: float) -> messages.Sighting:
+        self.crashers.settle(now)
+        return attrs.evolve(
+            self.placement.sighted(self.me.name, self.budget.traffic(now)),
+            # A loss is old news by the time there is a leader again; what
+            # crashes engines still does.
+            deaths=self.crashers.told() if self.leader else [],
+        )
+
     def _take_map(self, route_map: routes.RouteMap) -> None:
         # Forward only: a reply that was overtaken on its way must not bring
         # back what operators have replaced.
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from bulrushhold import calls
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _fleet
 from bulrushhold.forwarding import _parts
@@ -81,9 +82,24 @@
             raise errors.RequestError('no such route', 'accept', status=404)
         account = _account(index, route, call)
         service = index.target(route, random.random())
+        fingerprint = decisions.fingerprint(path, call.key, call.body)
+        self._refuse_crasher(fingerprint, service, now)
         self.parts.budget.first(service, now)
         end = now + min(call.wait_s, route.timeout_s)
-        return _parts.Job(call, route, service, account, end)
+        return _parts.Job(call, route, service, account, end, fingerprint)
+
+    def _refuse_crasher(
+        self, fingerprint: str, service: str, now: float
+    ) -> None:
+        seconds = self.parts.crashers.refused_for(fingerprint, now)
+        if seconds:
+            raise errors.RequestError(
+                'engines died under this request',
+                'accept',
+                service,
+                status=503,
+                retry_after=seconds,
+            )
 
 
 def _account(
--- a/src/bulrushhold/forwarding/_parts.py
+++ b/src/bulrushhold/forwarding/_parts.py
@@ -27,6 +27,7 @@
     client: calls.BackendClient
     budget: decisions.RepeatBudget
     metrics: ports.Metrics
+    crashers: decisions.Crashers
     clock: cabc.Callable[[], float] = time.monotonic
 
 
@@ -35,6 +36,7 @@
     """One accepted request and where it is to go.
 
     :param end: when its time is over, by the parts' clock.
+    :param fingerprint: the same for all repetitions of the request.
     """
 
     call: calls.Call
@@ -42,6 +44,7 @@
     service: str
     account: str
     end: float
+    fingerprint: str = ''
 
 
 def log(job: Job, decision: str, **fields: t.Any) -> None:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -71,6 +71,8 @@
                 if not await self._may_repeat(lost):
                     return self._end_early(reason, peer)
             else:
+                if reply is None:
+                    self.parts.crashers.served(self.job.fingerprint)
                 self._log_end('stream whole' if reply is None else 'failed')
                 return reply
 
@@ -221,6 +223,8 @@
         self.parts.metrics.count('engines.lost')
         if lost.gone:
             self.lost_data_centre = engine.data_centre
+        if lost.gone and lost.sent:
+            self.parts.crashers.died(self.job.fingerprint, engine.ident, now)
         if self.out.begun and self.lost_at is None:
             self.lost_at = now
         _parts.log(
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -20,6 +20,7 @@
 from bulrushhold.messages._entries import ProbeReply
 from bulrushhold.messages._entries import QuotaAsk
 from bulrushhold.messages._entries import QuotaGrant
+from bulrushhold.messages._fleet import EngineDeath
 from bulrushhold.messages._fleet import EngineSeen
 from bulrushhold.messages._fleet import ListedBackend
 from bulrushhold.messages._fleet import ListedEntry
@@ -85,6 +86,7 @@
     'CoreRead',
     'CoreReply',
     'EditOutcome',
+    'EngineDeath',
     'EngineSeen',
     'Failure',
     'ForgetClaims',
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -93,6 +93,17 @@
     repeats: int
 
 
+@attrs.frozen
+class EngineDeath:
+    """An engine was lost alone, with this request on it.
+
+    :param fingerprint: of the request and all its repetitions.
+    """
+
+    fingerprint: str
+    engine: str
+
+
 @attrs.frozen
 class Sighting:
     """What one entry sees of engines; replaces what it said before.
@@ -101,6 +112,7 @@
     :param moved: engines whose address has just been found to be another
         one's.
     :param traffic: by service.
+    :param deaths: seen since it last spoke.
     """
 
     entry: str
@@ -108,6 +120,7 @@
     lost: list[str]
     moved: list[str] = attrs.field(factory=list)
     traffic: dict[str, ServiceTraffic] = attrs.field(factory=dict)
+    deaths: list[EngineDeath] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -118,6 +131,7 @@
     :param lost: engines lost since the number that was asked with.
     :param moved: engines since then known to be at no address any more.
     :param traffic: by service.
+    :param deaths: since then.
     """
 
     number: int
@@ -125,6 +139,7 @@
     lost: list[str]
     moved: list[str] = attrs.field(factory=list)
     traffic: dict[str, ServiceTraffic] = attrs.field(factory=dict)
+    deaths: list[EngineDeath] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -151,6 +151,7 @@
         client,
         decisions.RepeatBudget(1.0, 100, 10.0),
         node.NoMetrics(),
+        decisions.Crashers(placement.lost_near),
     )
 
 
@@ -438,6 +439,7 @@
         None,
         parts.placement,
         parts.budget,
+        parts.crashers,
     )
 
 
