--- a/src/bulrushhold/composition/_control.py
+++ b/src/bulrushhold/composition/_control.py
@@ -76,7 +76,7 @@
         random.Random(),
         node.boot_time(),
     )
-    state = decisions.ReplicatedState.restore(replica.snapshot.state)
+    state = decisions.ReplicatedState.restore(replica.log.snapshot.state)
     transport = node.ZmqTransport(str(config.peer))
     metrics = node.make_metrics(config.metrics, 'bulrushhold.control')
     server = control.ControlServer(
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -177,7 +177,7 @@
     def _snapshot(self, index: int) -> None:
         snapshot = self.replica.compact(index, self.state.dump())
         saved = self.replica.saved - index
-        self.store.save_snapshot(snapshot, self.replica.entries[:saved])
+        self.store.save_snapshot(snapshot, self.replica.log.entries[:saved])
         self.since_snapshot = 0
         self.log_bytes = 0
         loguru.logger.bind(index=index).info('snapshot')
--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -13,6 +13,7 @@
 import attrs
 import msgspec
 
+from bulrushhold.decisions import _raftlog
 from bulrushhold.decisions import _roles
 from bulrushhold import messages
 
@@ -43,14 +44,13 @@
         self.rng = rng
         self.term = durable.term
         self.vote = durable.vote
-        self.snapshot = durable.snapshot or messages.InstallSnapshot(
+        snapshot = durable.snapshot or messages.InstallSnapshot(
             0, '', 0, 0, durable.founding, b'', 0
         )
-        self.entries = list(durable.entries)
-        self.commit = self.snapshot.index
-        self.applied = self.snapshot.index
+        self.log = _raftlog.RaftLog(snapshot, list(durable.entries))
+        self.commit = snapshot.index
+        self.applied = snapshot.index
         self.saved = self.last_index
-        self._read_config()
         self.role = _roles.Role.FOLLOWER
         self.leader = ''
         self.votes: set[str] = set()
@@ -63,7 +63,7 @@
         # started replica keeps silent as if it had just heard a leader.
         self.heard_at = now
         self.started_at = now
-        self.term_leader = self._find_term_leader()
+        self.term_leader = self.log.leader_of(self.term)
         self.election_at = 0.0
         self._reset_election(now)
         self._ready = _roles.Ready(term=self.term, vote=self.vote)
@@ -71,14 +71,19 @@
     @property
     def last_index(self) -> int:
         """Index of the last entry, saved or not."""
-        return self.snapshot.index + len(self.entries)
+        return self.log.last_index
+
+    @property
+    def config(self) -> messages.Config:
+        """The members, as the newest entry that names them has it."""
+        return self.log.config
 
     @property
     def commits_in_term(self) -> bool:
         """Whether this replica leads and has committed in its term."""
         return (
             self.role is _roles.Role.LEADER
-            and self._term_of(self.commit) == self.term
+            and self.log.term_of(self.commit) == self.term
         )
 
     def lease_holds(self, now: float) -> bool:
@@ -114,7 +119,7 @@
         Only one at a time, and only after an entry of this term is
         committed; else two majorities that share no replica could form.
         """
-        if not self.commits_in_term or self.config_index > self.commit:
+        if not self.commits_in_term or self.log.config_index > self.commit:
             return False
         self._append(messages.KIND_CONFIG, msgspec.msgpack.encode(config))
         return True
@@ -168,7 +173,7 @@
         last = min(self.commit, self.saved)
         first = self.applied + 1
         if last >= first:
-            ready.committed = self._slice(first, last - first + 1)
+            ready.committed = self.log.slice(first, last - first + 1)
             self.applied = last
         self._ready = _roles.Ready(term=self.term, vote=self.vote)
         return ready
@@ -181,14 +186,7 @@
 
     def compact(self, index: int, state: bytes) -> messages.InstallSnapshot:
         """Drop the entries up to ``index`` in favour of a snapshot."""
-        term = self._term_of(index)
-        config = self._config_at(index)
-        kept = self._slice(index + 1, self.last_index - index)
-        self.snapshot = messages.InstallSnapshot(
-            self.term, self.ident, index, term, config, state, 0
-        )
-        self.entries = kept
-        return self.snapshot
+        return self.log.compact(index, self.term, self.ident, state)
 
     # Elections
 
@@ -208,7 +206,7 @@
             self.term + 1 if pre else self.term,
             self.ident,
             self.last_index,
-            self._term_of(self.last_index),
+            self.log.term_of(self.last_index),
             pre,
         )
         for peer in self._others():
@@ -232,7 +230,7 @@
         if not request.pre and request.term > self.term:
             self._become_follower(request.term, '', now)
         up_to_date = (request.last_term, request.last_index) >= (
-            self._term_of(self.last_index),
+            self.log.term_of(self.last_index),
             self.last_index,
         )
         free = request.pre or self.vote in ('', request.candidate)
@@ -320,24 +318,14 @@
         young = now - self.started_at < 2 * self.timing.election_s
         return young and self.term_leader == self.ident
 
-    def _find_term_leader(self) -> str:
-        """Return who led this term, where the log holds its first entry."""
-        for entry in reversed(self.entries):
-            if entry.term != self.term:
-                break
-            if entry.kind == messages.KIND_NOOP:
-                return entry.data.decode()
-        return ''
-
     # Replication
 
     def _append(self, kind: int, data: bytes) -> None:
         entry = messages.LogEntry(self.last_index + 1, self.term, kind, data)
-        self.entries.append(entry)
+        self.log.append(entry)
         self._ready.entries.append(entry)
         self._ready.must_save = True
         if kind == messages.KIND_CONFIG:
-            self._read_config()
             self._track_members()
 
     def _track_members(self) -> None:
@@ -362,21 +350,20 @@
     def _send_append(self, peer: str) -> None:
         progress = self.progress[peer]
         previous = progress.next - 1
-        if previous < self.snapshot.index:
+        if previous < self.log.snapshot.index:
             self._send(
                 peer,
                 attrs.evolve(
-                    self.snapshot,
+                    self.log.snapshot,
                     term=self.term,
                     leader=self.ident,
                     beat=self.beat,
                 ),
             )
-            progress.next = self.snapshot.index + 1
+            progress.next = self.log.snapshot.index + 1
             return
-        entries = _at_most(
-            self._slice(progress.next, MAX_ENTRIES_PER_APPEND),
-            MAX_BYTES_PER_APPEND,
+        entries = self.log.slice_within(
+            progress.next, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND
         )
         self._send(
             peer,
@@ -384,7 +371,7 @@
                 self.term,
                 self.ident,
                 previous,
-                self._term_of(previous),
+                self.log.term_of(previous),
                 entries,
                 self.commit,
                 self.beat,
@@ -399,12 +386,12 @@
             self._reply_append(request, success=False, match=self.last_index)
             return
         self._follow(request.term, request.leader, now)
-        if request.prev_index < self.snapshot.index:
+        if request.prev_index < self.log.snapshot.index:
             self._reply_append(request, success=False, match=self.commit)
             return
         if (
             request.prev_index > self.last_index
-            or self._term_of(request.prev_index) != request.prev_term
+            or self.log.term_of(request.prev_index) != request.prev_term
         ):
             hint = min(self.last_index, request.prev_index - 1)
             self._reply_append(
@@ -419,18 +406,14 @@
     def _store(self, entries: list[messages.LogEntry]) -> None:
         for entry in entries:
             if entry.index <= self.last_index:
-                if self._term_of(entry.index) == entry.term:
+                if self.log.term_of(entry.index) == entry.term:
                     continue
-                del self.entries[entry.index - self.snapshot.index - 1 :]
+                self.log.truncate(entry.index)
                 self.saved = min(self.saved, entry.index - 1)
-                if self.config_index >= entry.index:
-                    self._read_config()
-            self.entries.append(entry)
+            self.log.append(entry)
             self._ready.entries.append(entry)
             self._ready.must_save = True
-            if entry.kind == messages.KIND_CONFIG:
-                self._read_config()
-            elif entry.kind == messages.KIND_NOOP and entry.term == self.term:
+            if entry.kind == messages.KIND_NOOP and entry.term == self.term:
                 self.term_leader = entry.data.decode()
 
     def _follow(self, term: int, leader: str, now: float) -> None:
@@ -487,7 +470,7 @@
             reverse=True,
         )
         index = matches[len(voters) // 2]
-        if index > self.commit and self._term_of(index) == self.term:
+        if index > self.commit and self.log.term_of(index) == self.term:
             self.commit = index
 
     def _match(self, peer: str) -> int:
@@ -518,51 +501,13 @@
             return
         self._follow(request.term, request.leader, now)
         if request.index > self.commit:
-            self.snapshot = request
-            self.entries = []
+            self.log.replace(request)
             self.commit = self.applied = self.saved = request.index
             self._ready.entries = []
             self._ready.snapshot = request
             self._ready.must_save = True
-            self._read_config()
         self._reply_append(request, success=True, match=request.index)
 
-    # The log
-
-    def _slice(self, first: int, count: int) -> list[messages.LogEntry]:
-        start = first - self.snapshot.index - 1
-        return self.entries[start : start + count]
-
-    def _term_of(self, index: int) -> int:
-        if index == self.snapshot.index:
-            return self.snapshot.index_term
-        if index < self.snapshot.index or index > self.last_index:
-            return 0
-        return self.entries[index - self.snapshot.index - 1].term
-
-    def _read_config(self) -> None:
-        """Take the members from the last configuration in the log."""
-        self.config_index = self.snapshot.index
-        self.config = self.snapshot.config
-        for entry in reversed(self.entries):
-            if entry.kind == messages.KIND_CONFIG:
-                self.config_index = entry.index
-                self.config = msgspec.msgpack.decode(
-                    entry.data, type=messages.Config
-                )
-                return
-
-    def _config_at(self, index: int) -> messages.Config:
-        config = self.snapshot.config
-        for entry in self.entries:
-            if entry.index > index:
-                break
-            if entry.kind == messages.KIND_CONFIG:
-                config = msgspec.msgpack.decode(
-                    entry.data, type=messages.Config
-                )
-        return config
-
     def _others(self) -> list[str]:
         config = self.config
         members = {**config.learners, **config.voters}
@@ -570,15 +515,3 @@
 
     def _send(self, peer: str, message: messages.Message) -> None:
         self._ready.outbox.append((peer, message))
-
-
-def _at_most(
-    entries: list[messages.LogEntry], limit: int
-) -> list[messages.LogEntry]:
-    """Return the first entries within ``limit`` bytes, but at least one."""
-    size = 0
-    for number, entry in enumerate(entries):
-        size += len(entry.data)
-        if size > limit and number:
-            return entries[:number]
-    return entries
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -172,7 +172,7 @@
         self.control = control.ControlServer(
             config,
             replica,
-            decisions.ReplicatedState.restore(replica.snapshot.state),
+            decisions.ReplicatedState.restore(replica.log.snapshot.state),
             store,
             self.control_transport,
             node.NoMetrics(),
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -47,7 +47,7 @@
         replica = decisions.Replica(
             ident, durable, TIMING, random.Random(name), node.boot_time()
         )
-        state = decisions.ReplicatedState.restore(replica.snapshot.state)
+        state = decisions.ReplicatedState.restore(replica.log.snapshot.state)
         transport = node.ZmqTransport(str(peer))
         server = control.ControlServer(
             config,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -186,13 +186,16 @@
 
     def compact(self, name):
         replica = self.replicas.get(name)
-        if replica is None or replica.applied <= replica.snapshot.index + 5:
+        if (
+            replica is None
+            or replica.applied <= replica.log.snapshot.index + 5
+        ):
             return
         snapshot = replica.compact(replica.applied, b'')
         saved = replica.saved - snapshot.index
         disk = self.disks[name]
         self.disks[name] = Disk(
-            disk.term, disk.vote, replica.entries[:saved], snapshot
+            disk.term, disk.vote, replica.log.entries[:saved], snapshot
         )
 
     def recover(self):
@@ -459,7 +462,7 @@
         for _ in range(20):
             cluster.deliver()
     cluster.compact(leader)
-    assert cluster.replicas[leader].snapshot.index > 5
+    assert cluster.replicas[leader].log.snapshot.index > 5
     cluster.settle(3.0)
     assert cluster.replicas[late].commit == cluster.replicas[leader].commit
 
