--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -1,7 +1,6 @@
 """Wires and runs an entry with the product's own interface."""
 
 import asyncio
-import contextlib
 import random
 import time
 import typing as t
@@ -9,8 +8,6 @@
 import loguru
 
 from bulrushhold.composition import _background
-from bulrushhold import errors
-from bulrushhold import messages
 from bulrushhold import settings
 
 if t.TYPE_CHECKING:
@@ -83,6 +80,13 @@
             self.view.listed,
             self.metrics,
         )
+        quarantine = entry.SharedQuarantine(
+            self.control,
+            self.table,
+            lambda own: self.streams.refuse_quarantined(own),
+            self.spawn,
+            config.table_poll_s,
+        )
         runner = entry.GenerationRunner(
             config.recovery,
             self.router,
@@ -90,7 +94,7 @@
             _policy(config.recovery),
             self.copies,
             self.admission,
-            _Quarantine(self),
+            quarantine,
             self.metrics,
         )
         self.streams = entry.Streams(
@@ -181,45 +185,6 @@
             self.view.changed.clear()
 
 
-class _Quarantine:
-    """Refuses contents here at once, and everywhere through control."""
-
-    def __init__(self, process: EntryProcess) -> None:
-        self.process = process
-        self.own: set[str] = set()
-
-    def refused(self, fingerprint: str) -> bool:
-        """Whether the content is quarantined."""
-        return (
-            fingerprint in self.own
-            or fingerprint in self.process.table.quarantined
-        )
-
-    def add(self, fingerprint: str, reason: str) -> None:
-        """Have the content refused by every entry."""
-        self.own.add(fingerprint)
-        self.process.streams.refuse_quarantined(frozenset(self.own))
-        self.process.spawn(self._tell(fingerprint, reason))
-
-    def suspect(self, fingerprints: list[str]) -> None:
-        """Tell every entry that an engine died under these contents."""
-        self.process.spawn(self._propose(messages.Suspected(fingerprints)))
-
-    async def _propose(self, order: messages.Message) -> None:
-        while True:
-            with contextlib.suppress(errors.PeerError):
-                await self.process.control.propose(order, 10.0)
-                break
-
-    async def _tell(self, fingerprint: str, reason: str) -> None:
-        await self._propose(
-            messages.Quarantine(fingerprint, reason, time.time())
-        )
-        # From here on control's list counts, so that operators can lift.
-        await asyncio.sleep(2 * self.process.config.table_poll_s)
-        self.own.discard(fingerprint)
-
-
 async def run_entry(config: settings.Entry) -> None:
     """Run an entry until it is told to stop, then drain it.
 
--- a/src/bulrushhold/entry/__init__.py
+++ b/src/bulrushhold/entry/__init__.py
@@ -7,6 +7,8 @@
 from bulrushhold.entry._keys import KeyTaker
 from bulrushhold.entry._members import Prober
 from bulrushhold.entry._operators import OperatorRoutes
+from bulrushhold.entry._quarantine import Quarantine
+from bulrushhold.entry._quarantine import SharedQuarantine
 from bulrushhold.entry._runner import GenerationRunner
 from bulrushhold.entry._server import EntryServer
 from bulrushhold.entry._services import ServiceRunner
@@ -23,7 +25,9 @@
     'OperatorRoutes',
     'PlatformView',
     'Prober',
+    'Quarantine',
     'ServiceRunner',
+    'SharedQuarantine',
     'Streams',
     'TableView',
 ]
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -12,6 +12,7 @@
 from bulrushhold.entry import _attempts
 from bulrushhold.entry import _copywriter
 from bulrushhold.entry import _generation
+from bulrushhold.entry import _quarantine
 from bulrushhold import errors
 from bulrushhold import node
 from bulrushhold import ports
@@ -22,22 +23,6 @@
 QUARANTINE_REASON: t.Final = 'two engines died while they ran this content'
 
 
-class Quarantine(t.Protocol):
-    """Who may refuse a content everywhere."""
-
-    def refused(self, fingerprint: str) -> bool:
-        """Whether the content is quarantined."""
-        ...
-
-    def add(self, fingerprint: str, reason: str) -> None:
-        """Have the content refused by every entry."""
-        ...
-
-    def suspect(self, fingerprints: list[str]) -> None:
-        """Tell every entry that an engine died under these contents."""
-        ...
-
-
 class GenerationRunner:
     """Dispatches, watches and continues generations."""
 
@@ -49,7 +34,7 @@
         policy: decisions.RecoveryPolicy,
         copies: _copywriter.CopyWriter,
         admission: _admission.Admission,
-        quarantine: Quarantine,
+        quarantine: _quarantine.Quarantine,
         metrics: ports.Metrics,
     ) -> None:
         self.config = config
