--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Opaque requests over backend servers that fail in every way."""
--- /dev/null
+++ b/tests/forwarding/conftest.py
@@ -0,0 +1,58 @@
+"""The parts of one forwarding entry, over fakes."""
+
+import random
+
+import loguru
+import pytest
+
+from bulrushhold import decisions
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import node
+from tests.forwarding import fakes
+
+
+@pytest.fixture
+def client():
+    return fakes.FakeClient()
+
+
+@pytest.fixture
+def parts(client):
+    placement = decisions.Placement(random.Random(1))
+    placement.update(
+        [
+            messages.ListedBackend(
+                f'i{n}', 'engines', f'10.0.0.{n}:80', f'dc{n % 3}', 64
+            )
+            for n in range(6)
+        ]
+    )
+    return forwarding.Parts(
+        placement,
+        client,
+        decisions.RepeatBudget(1.0, 100, 10.0),
+        node.NoMetrics(),
+        decisions.Crashers(placement.lost_near),
+    )
+
+
+@pytest.fixture
+def logged():
+    lines = []
+    sink = loguru.logger.add(lambda line: lines.append(line.record['extra']))
+    yield lines
+    loguru.logger.remove(sink)
+
+
+@pytest.fixture
+def fleet(parts):
+    return forwarding.Fleet(
+        messages.ListedEntry('e1', 'dc0', '10.0.1.1:80', True),
+        ['10.0.2.1:70'],
+        fakes.FakeTransport(),
+        None,
+        parts.placement,
+        parts.budget,
+        parts.crashers,
+    )
--- /dev/null
+++ b/tests/forwarding/fakes.py
@@ -0,0 +1,196 @@
+"""Backend servers, callers and control as scripts play them."""
+
+import asyncio
+
+import attrs
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import routes
+
+
+@attrs.define
+class Script:
+    """What one engine does with the next request.
+
+    :param events: numbers of the events it sends.
+    :param then: ``end``, ``reset``, ``silent`` or ``half`` an event.
+    """
+
+    status: int = 200
+    events: tuple = ()
+    then: str = 'end'
+    not_run: bool = False
+    own: bool = True
+    genuine: bool = True
+    error: str = ''
+    body: bytes = b'done'
+
+
+class FakeAnswer(calls.BackendAnswer):
+    def __init__(self, client, address, script):
+        self.script = script
+        self.client = client
+        self.address = address
+        self.left = list(script.events)
+        self.head = calls.AnswerHead(
+            script.status,
+            (('X-Engine', address),),
+            script.own,
+            script.genuine,
+            script.not_run,
+        )
+
+    async def chunk(self):
+        if self.left:
+            return event(self.left.pop(0))
+        if self.script.then == 'half':
+            self.script.then = 'reset'
+            return b'id: 99\ndata'
+        if self.script.then == 'reset':
+            raise errors.BackendError('reset', 'answer', self.address)
+        if self.script.then == 'silent':
+            await asyncio.sleep(60)
+        return b''
+
+    async def body(self):
+        if self.script.then == 'silent':
+            await asyncio.sleep(60)
+        if self.script.then == 'reset':
+            raise errors.BackendError('reset', 'answer', self.address)
+        return self.script.body
+
+    def close(self):
+        self.client.log.append(('close', self.address))
+
+
+class FakeClient(calls.BackendClient):
+    def __init__(self):
+        self.scripts = []
+        self.dead = set()
+        self.log = []
+        self.attempts = []
+        self.copies = []
+
+    async def send(self, call, attempt):
+        self.log.append(('send', attempt.address))
+        self.attempts.append(attempt)
+        script = self.scripts.pop(0)
+        if script.error:
+            raise errors.BackendError('lost', script.error, attempt.address)
+        return FakeAnswer(self, attempt.address, script)
+
+    async def alive(self, address, timeout):
+        return address not in self.dead
+
+    async def copy_run(self, call, source, target, timeout):
+        self.copies.append((source, target))
+        return calls.RunCopy(source, f'h{len(self.copies)}')
+
+    async def drop_copy(self, copy, timeout):
+        self.copies.append(('drop', copy))
+
+    async def close(self):
+        pass
+
+
+class FakeCaller(calls.CallerStream):
+    def __init__(self):
+        self.begun = False
+        self.data = b''
+        self.ended = self.was_cut = False
+        self.headers = ()
+
+    async def begin(self, status, headers):
+        self.begun = True
+        self.headers = headers
+
+    async def write(self, data):
+        self.data += data
+
+    async def end(self):
+        self.ended = True
+
+    def cut(self):
+        self.was_cut = True
+
+
+def event(number):
+    return f'id: {number}\ndata: t{number}\n\n'.encode()
+
+
+def text(*numbers):
+    return b''.join(map(event, numbers))
+
+
+def a_job(parts, kind, wait_s=5.0, after=None, attempts=5):
+    call = calls.Call(
+        'req-1',
+        'POST',
+        '/a/x',
+        'h',
+        'k',
+        (),
+        b'',
+        wait_s,
+        after,
+        calls.Prompt(8000, 100, ('p',)),
+    )
+    route = routes.Route(
+        'r',
+        'h',
+        '/a/',
+        kind,
+        [routes.Target('engines', 1)],
+        wait_s,
+        0.3,
+        max_attempts=attempts,
+        resumable=True,
+    )
+    return forwarding.Job(
+        call, route, 'engines', 'acct', parts.clock() + wait_s
+    )
+
+
+async def stream(parts, **options):
+    out = FakeCaller()
+    job = a_job(parts, routes.Kind.STREAM, **options)
+    reply = await forwarding.StreamRun(parts, job, out).run()
+    return out, reply
+
+
+async def plain(parts, kind, **options):
+    return await forwarding.PlainRun(
+        parts, a_job(parts, kind, **options)
+    ).run()
+
+
+class FakeTransport:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, address, message):
+        self.sent.append((address, message))
+
+
+def a_reply(version=1, **more):
+    route_map = routes.RouteMap(
+        version,
+        [
+            routes.Route(
+                'r',
+                'h',
+                '/a/',
+                routes.Kind.IDEMPOTENT,
+                [routes.Target('engines', 1)],
+                3.0,
+                0.3,
+            )
+        ],
+        [routes.Service('engines')],
+    )
+    return messages.WatchReply(
+        'done', route_map=messages.pack_map(route_map), **more
+    )
--- a/tests/test_crashers.py
+++ b/tests/forwarding/test_crashers.py
@@ -1,5 +1,6 @@
 """Opaque requests that kill the engines they run on, and innocent ones."""
 
+import attrs
 import pytest
 
 from bulrushhold import decisions
@@ -7,11 +8,7 @@
 from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import routes
-from tests import test_forwarding as forwarded
-
-client = forwarded.client
-parts = forwarded.parts
-fleet = forwarded.fleet
+from tests.forwarding import fakes
 
 
 def crashers(near=1):
@@ -99,34 +96,34 @@
     # A request has cost three engines. Its caller sends it once more: it
     # gets a true "not run" at once, and says when to come back. Another
     # request of the same caller to the same path is served.
-    fleet._take(forwarded.a_reply())
+    fleet._take(fakes.a_reply())
     forwarder = forwarding.Forwarder(fleet, parts)
-    call = forwarded.a_job(parts, routes.Kind.IDEMPOTENT).call
+    call = fakes.a_job(parts, routes.Kind.IDEMPOTENT).call
     bad = decisions.fingerprint('/a/x', call.key, b'bad')
     parts.crashers.heard(
         [messages.EngineDeath(bad, f'i{n}') for n in range(3)],
         parts.clock(),
     )
-    client.scripts = [forwarded.Script()]
+    client.scripts = [fakes.Script()]
     with pytest.raises(errors.RequestError) as caught:
         await forwarder.handle(
-            forwarded.attrs.evolve(call, body=b'bad'), forwarded.FakeCaller()
+            attrs.evolve(call, body=b'bad'), fakes.FakeCaller()
         )
     assert caught.value.status == 503
     assert caught.value.ran is errors.Ran.NO
     assert 50 < caught.value.retry_after <= 60
     assert client.log == []
-    reply = await forwarder.handle(call, forwarded.FakeCaller())
+    reply = await forwarder.handle(call, fakes.FakeCaller())
     assert reply.status == 200
 
 
 async def test_an_engine_lost_under_a_stream_is_counted(client, parts):
     client.scripts = [
-        forwarded.Script(events=(1,), then='reset'),
-        forwarded.Script(events=(2,), then='reset'),
-        forwarded.Script(events=(3,)),
+        fakes.Script(events=(1,), then='reset'),
+        fakes.Script(events=(2,), then='reset'),
+        fakes.Script(events=(3,)),
     ]
     parts.crashers.lost_near = lambda engine, at, within: 1
-    await forwarded.stream(parts)
+    await fakes.stream(parts)
     parts.crashers.settle(parts.clock() + 2.0)
     assert len(parts.crashers.told()) == 2
--- /dev/null
+++ b/tests/forwarding/test_fleet.py
@@ -0,0 +1,85 @@
+"""What an entry knows of the system, and how it serves before that."""
+
+import asyncio
+
+import pytest
+
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import routes
+from tests.forwarding import fakes
+
+
+async def test_a_request_at_a_starting_entry_waits_for_the_map(
+    client, parts, fleet
+):
+    # All instances lost power and start together. A caller comes 0.1 s
+    # before the entry knows the map, and may come back only once.
+    client.scripts = [fakes.Script()]
+    forwarder = forwarding.Forwarder(fleet, parts)
+    call = fakes.a_job(parts, routes.Kind.IDEMPOTENT).call
+    run = asyncio.ensure_future(forwarder.handle(call, fakes.FakeCaller()))
+    await asyncio.sleep(0.05)
+    fleet._take(fakes.a_reply())
+    assert (await run).status == 200
+
+
+async def test_without_a_map_the_answer_is_a_promise_not_a_404(parts, fleet):
+    forwarder = forwarding.Forwarder(fleet, parts)
+    call = fakes.a_job(parts, routes.Kind.ONCE, wait_s=0.1).call
+    with pytest.raises(errors.RequestError) as caught:
+        await forwarder.handle(call, fakes.FakeCaller())
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NO
+
+
+async def test_the_map_in_force_never_goes_back(fleet):
+    fleet._take(fakes.a_reply(5))
+    fleet._take(fakes.a_reply(4))
+    assert fleet.map_version == 5
+
+
+async def test_directory_answers_hold_while_control_is_away(fleet):
+    entries = [
+        messages.ListedEntry(f'e{n}', 'dc', f'10.0.1.{n}:80', n != 3)
+        for n in range(1, 5)
+    ]
+    fleet._take(
+        fakes.a_reply(
+            entries_version='1.1',
+            entries=entries,
+            backends_version='1.1',
+            backends=[],
+        )
+    )
+    fleet._take(messages.WatchReply('done'))
+    assert sorted(fleet.addresses(64)) == [
+        '10.0.1.1:80',
+        '10.0.1.2:80',
+        '10.0.1.4:80',
+    ]
+    assert len(fleet.addresses(2)) == 2
+    fleet.leave()
+    assert '10.0.1.1:80' not in fleet.addresses(64)
+
+
+async def test_a_silent_control_process_is_not_drawn_again_at_once(fleet):
+    # The leader's machine freezes, and the entry looks for another one among
+    # three addresses. Drawing the frozen one again costs 0.8 s each time, and
+    # a new route map comes too late.
+    fleet.seeds = ['frozen', 'b', 'c']
+    asked = []
+
+    async def watch(address):
+        asked.append(address)
+        if address == 'frozen' and len(asked) < 40:
+            raise errors.PeerError('no answer')
+        fleet.leader = ''
+        if len(asked) >= 40:
+            raise asyncio.CancelledError
+
+    fleet._watch = watch
+    with pytest.raises(asyncio.CancelledError):
+        await fleet.follow()
+    assert asked.count('frozen') <= 1
--- a/tests/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -1,5 +1,7 @@
 """Streams of a crowd: what callers get, played over the pure decisions."""
 
+import asyncio
+
 import random
 import statistics
 
@@ -8,12 +10,11 @@
 
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import routes
-from tests import test_forwarding as forwarded
+from tests.forwarding import fakes
 
-client = forwarded.client
-parts = forwarded.parts
 
 AIM_S = 4.5
 LEAVE_S = 4 * AIM_S
@@ -189,7 +190,7 @@
     parts.placement.heard_at = parts.clock()
     parts.gate.waiting = 200
     with pytest.raises(errors.RequestError) as caught:
-        await forwarded.stream(parts, wait_s=25.0)
+        await fakes.stream(parts, wait_s=25.0)
     assert caught.value.status == 503
     assert caught.value.ran is errors.Ran.NO
     assert caught.value.retry_after == 8.0
@@ -201,18 +202,16 @@
     parts.placement.capacity = {'engines': 20_000}
     for backend in parts.placement.backends.values():
         backend.memory = 20_000
-    client.scripts = [forwarded.Script(events=(1, 2))]
-    out = forwarded.FakeCaller()
-    job = forwarded.a_job(parts, routes.Kind.STREAM)
-    run = forwarded.asyncio.ensure_future(
-        forwarded.forwarding.StreamRun(parts, job, out).run()
-    )
-    await forwarded.asyncio.sleep(0.15)
+    client.scripts = [fakes.Script(events=(1, 2))]
+    out = fakes.FakeCaller()
+    job = fakes.a_job(parts, routes.Kind.STREAM)
+    run = asyncio.ensure_future(forwarding.StreamRun(parts, job, out).run())
+    await asyncio.sleep(0.15)
     assert client.log == []
     assert parts.gate.waiting == 1
     parts.placement.backends['i3'].memory = 0
     await run
-    assert out.data == forwarded.text(1, 2)
+    assert out.data == fakes.text(1, 2)
     assert parts.gate.waiting == 0
     # In a crowd memory is worth more than a copy: none is asked for where
     # it would fill an engine.
--- a/tests/test_patience.py
+++ b/tests/forwarding/test_patience.py
@@ -1,13 +1,11 @@
 """How long a living but slow engine is waited for."""
 
+import asyncio
+
 import pytest
 
 from bulrushhold.forwarding import _flow
-from tests import test_forwarding as forwarded
-
-client = forwarded.client
-parts = forwarded.parts
-logged = forwarded.logged
+from tests.forwarding import fakes
 
 
 @pytest.fixture
@@ -40,11 +38,11 @@
     for backend in parts.placement.backends.values():
         backend.memory = 20_000 if full else 0
     client.scripts = [
-        forwarded.Script(events=(1,), then='silent'),
-        forwarded.Script(events=(2,)),
+        fakes.Script(events=(1,), then='silent'),
+        fakes.Script(events=(2,)),
     ]
-    out, _ = await forwarded.stream(parts)
-    assert out.data == forwarded.text(1, 2)
+    out, _ = await fakes.stream(parts)
+    assert out.data == fakes.text(1, 2)
     assert bool(client.attempts[0].backup) is not full
     assert least <= paused(logged) < least + 0.3
 
@@ -62,9 +60,9 @@
         for backend in parts.placement.backends.values():
             backend.reading = busy
         if len(answers) == 1:
-            await forwarded.asyncio.sleep(0.5)
-        return forwarded.FakeAnswer(
-            client, attempt.address, forwarded.Script(events=(1,))
+            await asyncio.sleep(0.5)
+        return fakes.FakeAnswer(
+            client, attempt.address, fakes.Script(events=(1,))
         )
 
     monkeypatch.setattr(client, 'send', send)
@@ -72,5 +70,5 @@
     monkeypatch.setattr(
         'bulrushhold.decisions._placing.CROWDED_S_PER_TOKEN', 1 / 200_000
     )
-    await forwarded.stream(parts)
+    await fakes.stream(parts)
     assert (len(answers) > 1) is moved
--- /dev/null
+++ b/tests/forwarding/test_plain.py
@@ -0,0 +1,68 @@
+"""Plain requests over backend servers that fail."""
+
+import pytest
+
+from bulrushhold import errors
+from bulrushhold import routes
+from tests.forwarding import fakes
+
+
+async def test_a_call_that_may_run_once_is_not_sent_twice(client, parts):
+    client.scripts = [fakes.Script(error='send')]
+    with pytest.raises(errors.RequestError) as caught:
+        await fakes.plain(parts, routes.Kind.ONCE)
+    assert caught.value.status == 502
+    assert caught.value.ran is errors.Ran.UNKNOWN
+    assert len(client.attempts) == 1
+
+
+@pytest.mark.parametrize(
+    'first',
+    [fakes.Script(error='connect'), fakes.Script(status=503, not_run=True)],
+)
+async def test_a_call_that_surely_did_not_run_goes_elsewhere(
+    client, parts, first
+):
+    client.scripts = [first, fakes.Script()]
+    reply = await fakes.plain(parts, routes.Kind.ONCE)
+    assert reply.body == b'done'
+    assert client.attempts[0].address != client.attempts[1].address
+    assert all(attempt.fresh for attempt in client.attempts)
+
+
+async def test_an_own_failure_is_passed_on_where_it_may_run_once(
+    client, parts
+):
+    client.scripts = [fakes.Script(status=500, body=b'broken')]
+    reply = await fakes.plain(parts, routes.Kind.ONCE)
+    assert (reply.status, reply.body) == (500, b'broken')
+
+
+async def test_a_look_up_that_fails_is_tried_elsewhere(client, parts):
+    client.scripts = [fakes.Script(status=500), fakes.Script()]
+    reply = await fakes.plain(parts, routes.Kind.IDEMPOTENT)
+    assert reply.status == 200
+
+
+@pytest.mark.parametrize('fault', [{'own': False}, {'genuine': False}])
+async def test_somebody_elses_answer_is_never_passed_on(client, parts, fault):
+    # A late answer to another request comes on the kept connection.
+    client.scripts = [
+        fakes.Script(body=b'theirs', **fault),
+        fakes.Script(body=b'mine'),
+    ]
+    reply = await fakes.plain(parts, routes.Kind.IDEMPOTENT)
+    assert reply.body == b'mine'
+
+
+async def test_the_last_attempt_is_waited_for(client, parts):
+    # Two servers are allowed. A first one that is slow is left; leaving the
+    # second one too would throw away an answer that is on its way.
+    client.scripts = [fakes.Script(then='silent'), fakes.Script(then='silent')]
+    with pytest.raises(errors.RequestError) as caught:
+        await fakes.plain(
+            parts, routes.Kind.IDEMPOTENT, wait_s=1.0, attempts=2
+        )
+    assert caught.value.status == 504
+    assert client.attempts[1].left_s < 0.6
+    assert len(client.attempts) == 2
--- /dev/null
+++ b/tests/forwarding/test_streams.py
@@ -0,0 +1,176 @@
+"""Streams of events over engines that fail in every way."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold import forwarding
+from tests.forwarding import fakes
+
+
+async def test_a_whole_stream_goes_through(client, parts):
+    client.scripts = [fakes.Script(events=(1, 2, 3))]
+    out, reply = await fakes.stream(parts)
+    assert reply is None
+    assert out.data == fakes.text(1, 2, 3)
+    assert out.ended and not out.was_cut
+    assert client.attempts[0].backup
+
+
+async def test_a_broken_stream_goes_on_in_the_same_answer(client, parts):
+    # The engine dies in the middle of an event. The caller sees the next
+    # event from another engine, in the same answer; the half event is
+    # nowhere in it, and the first engine is left before the second one works.
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='half'),
+        fakes.Script(events=(3, 4)),
+    ]
+    out, _ = await fakes.stream(parts)
+    assert out.data == fakes.text(1, 2, 3, 4)
+    assert out.ended
+    first, second = client.attempts
+    assert second.after == 2
+    assert second.address != first.address
+    assert client.log.index(('close', first.address)) < client.log.index(
+        ('send', second.address)
+    )
+
+
+async def test_the_log_tells_how_long_a_caller_waited(client, parts, logged):
+    # A caller complains of a pause. Its stream ended whole, and one line says
+    # when the first event came and how long the worst pause was.
+    client.scripts = [
+        fakes.Script(events=(1,), then='reset'),
+        fakes.Script(events=(2,)),
+    ]
+    await fakes.stream(parts)
+    end = logged[-1]
+    assert end['decision'] == 'stream whole'
+    assert (end['last'], end['lost_runs']) == (2, 1)
+    assert 0 <= end['longest_pause_s'] <= end['seconds']
+    assert 0 <= end['first_s'] <= end['seconds']
+
+
+async def test_the_copy_is_asked_for_only_where_one_can_be(
+    client, parts, monkeypatch
+):
+    # Engines copy a run's memory several times a second: a run that ended
+    # before has no copy, and the asking would only cost a refusal.
+    client.scripts = [fakes.Script(error='send'), fakes.Script(events=(1,))]
+    await fakes.stream(parts)
+    assert client.attempts[1].copy is None
+    monkeypatch.setattr('bulrushhold.forwarding._streams.COPY_AFTER_S', 0.0)
+    client.attempts.clear()
+    client.scripts = [
+        fakes.Script(events=(1,), then='reset'),
+        fakes.Script(events=(2,)),
+    ]
+    await fakes.stream(parts)
+    first, second = client.attempts
+    assert second.copy == calls.RunCopy(first.backup)
+    assert second.address == first.backup
+
+
+async def test_a_copy_is_made_anew_where_the_backup_is_lost(client, parts):
+    # The engine with the copy crashes, its data centre being the first to
+    # go; seconds later the engine that runs the stream crashes too. The
+    # caller waits for neither prompt nor events that were there before.
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(3,)),
+    ]
+    answer = fakes.FakeAnswer.chunk
+    parts.placement.failed('i5', parts.clock(), gone=True)
+
+    async def slowly(self):
+        await asyncio.sleep(0.02)
+        if self.left == [2]:
+            backup = client.attempts[0].backup
+            ident = f'i{backup[7]}'
+            parts.placement.failed(ident, parts.clock(), gone=True)
+        if not self.left and self.script.then == 'reset':
+            await asyncio.sleep(0.1)
+        return await answer(self)
+
+    fakes.FakeAnswer.chunk = slowly
+    try:
+        with pytest.MonkeyPatch.context() as patch:
+            streams = 'bulrushhold.forwarding._streams'
+            patch.setattr(f'{streams}.COPY_AFTER_S', 0.0)
+            out, _ = await fakes.stream(parts)
+    finally:
+        fakes.FakeAnswer.chunk = answer
+    first, second = client.attempts
+    source, target = client.copies[0]
+    assert source == first.address and target != first.backup
+    assert second.address == target
+    assert second.copy == calls.RunCopy(first.address, 'h1')
+    assert out.data == fakes.text(1, 2, 3)
+
+
+async def test_repeated_events_are_dropped_and_a_gap_is_a_loss(client, parts):
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(2, 3, 5)),
+        fakes.Script(events=(4, 5, 6)),
+    ]
+    out, _ = await fakes.stream(parts)
+    assert out.data == fakes.text(1, 2, 3, 4, 5, 6)
+    assert out.ended
+
+
+async def test_a_stream_with_nowhere_to_go_looks_broken(client, parts):
+    client.scripts = [fakes.Script(events=(1,), then='reset')] * 5
+    client.scripts = [attrs.evolve(s) for s in client.scripts]
+    for script in client.scripts[1:]:
+        script.events = ()
+    out, _ = await fakes.stream(parts)
+    assert out.data == fakes.text(1)
+    assert out.was_cut and not out.ended
+
+
+async def test_a_silent_engine_without_a_sign_of_life_is_left(client, parts):
+    # The engine loses power: no reset comes. It is asked, gives no answer,
+    # and the stream goes on elsewhere within half a second.
+    client.scripts = [
+        fakes.Script(events=(1,), then='silent'),
+        fakes.Script(events=(2,)),
+    ]
+    run = asyncio.ensure_future(fakes.stream(parts))
+    await asyncio.sleep(0.01)
+    client.dead.add(client.attempts[0].address)
+    out, _ = await asyncio.wait_for(run, 0.5)
+    assert out.data == fakes.text(1, 2)
+
+
+async def test_a_stream_that_reached_nobody_is_refused_as_not_run(
+    client, parts
+):
+    parts.placement.update([])
+    with pytest.raises(errors.RequestError) as caught:
+        await fakes.stream(parts)
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NO
+    assert caught.value.retry_after > 0
+
+
+async def test_a_caller_that_comes_back_gets_what_it_lacks(client, parts):
+    client.scripts = [fakes.Script(events=(8, 9))]
+    out, _ = await fakes.stream(parts, after=7)
+    assert client.attempts[0].after == 7
+    assert out.data == fakes.text(8, 9)
+
+
+def test_events_are_whole_however_they_arrive():
+    data = fakes.text(1, 2, 3)
+    for size in range(1, len(data)):
+        splitter = forwarding.EventSplitter()
+        events = []
+        for start in range(0, len(data), size):
+            events += splitter.feed(data[start : start + size])
+        assert [e.number for e in events] == [1, 2, 3]
+        assert b''.join(e.data for e in events) == data
+        assert not splitter.rest
