--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -91,6 +91,32 @@
     line('choose an engine, by engines', figures, 'us a request')
 
 
+def placing() -> None:
+    looks, choices = {}, {}
+    for count in (18, 90, 600):
+        placement = decisions.Placement(random.Random(1))
+        placement.capacity = {'s': 88_000}
+        placement.update(
+            [
+                messages.ListedBackend(
+                    f'i{n}', 's', f'h{n}:1', f'dc{n % 3}', 64
+                )
+                for n in range(count)
+            ]
+        )
+        numbers = itertools.count()
+        looks[count] = cost_us(
+            lambda p=placement: p.outlook('s', 0.0, tokens=8000, memory=8500)
+        )
+        choices[count] = cost_us(
+            lambda p=placement, n=numbers: p.choose_engine(
+                's', 0.0, tokens=8000, part=str(next(n)), tried=set()
+            )
+        )
+    line('gate, one look, by engines', looks, 'us')
+    line('placing a prompt, by engines', choices, 'us')
+
+
 def homes() -> None:
     figures = {}
     for count in (10, 30, 100, 390):
@@ -282,6 +308,7 @@
     print(f'{os.cpu_count()} cores, {usage[0]} open files at most')
     for part in (
         routing,
+        placing,
         homes,
         quota,
         fair_queue,
