The gate forgets what others had at engines, and refuses prompts that fit nowhere

Cause, found by reading: while control is away, what other entries had in engines' memory stayed as last heard, so that engines that were full once would hold streams back for good; and a prompt larger than any engine's memory waited as long as its caller before it was refused. Both tests fail without it.

--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -192,14 +192,13 @@
         """
         cached = self._cached_at(part, now)
         ranks = self._ranks(service, part, tried)
-        heard = now - self.heard_at < HEARD_S
 
         def wait(backend: _placed.Placed) -> float:
             rank = ranks.get(backend.ident, DRAWN)
             own = 0 if backend.ident == cached else tokens
             if returns:
                 own = own * rank // DRAWN
-            others = backend.others if heard else _placed.NOTHING
+            others = self._others(backend, now)
             reading = backend.reading + others.reading + own
             seconds = reading * READ_S_PER_TOKEN
             running = backend.inflight + others.running
@@ -210,7 +209,7 @@
             if backend.data_centre == avoid_data_centre:
                 seconds += DATA_CENTRE_PENALTY_S
             seconds += self._penalty(backend, now)
-            return seconds + self._full_penalty(backend, tokens)
+            return seconds + self._full_penalty(backend, now, tokens)
 
         drawn = {*ranks, cached}
         best = self._best(service, now, tried, wait, drawn=drawn)
@@ -261,14 +260,14 @@
                 + (backend.memory + others.memory) / 8000
                 + 100 * same
                 + 10 * self._penalty(backend, now)
-                + 10 * self._full_penalty(backend, tokens)
+                + 10 * self._full_penalty(backend, now, tokens)
                 + self.rng.random()
             )
 
         tried = tried | {engine.ident}
         best = self._best(engine.service, now, tried, cost, strict=True)
         most = COPIES_FULL_CROWDED if crowded else COPIES_FULL
-        if best is None or not self._has_room(best, tokens, most):
+        if best is None or not self._has_room(best, now, tokens, most):
             return None
         return best
 
@@ -285,25 +284,40 @@
             for b in self.usable(service)
             if b.suspect_until <= now and not self._penalty(b, now)
         ]
-        heard = now - self.heard_at < HEARD_S
         first_s = float('inf')
         quiet = False
         for backend in calm:
-            if not self._has_room(backend, memory, 1.0):
+            if not self._has_room(backend, now, memory, 1.0):
                 continue
-            others = backend.others.reading if heard else 0
+            others = self._others(backend, now).reading
             reading = backend.reading + others + tokens
             first_s = min(first_s, reading * CROWDED_S_PER_TOKEN)
             quiet = quiet or reading <= QUIET_PROMPTS * tokens
         return _gate.Outlook(first_s, quiet, len(calm))
 
+    def can_hold(self, service: str, tokens: int) -> bool:
+        """Whether a prompt fits into an engine that has nothing else."""
+        capacity = self.capacity.get(service, 0)
+        return not capacity or tokens <= capacity
+
     def _has_room(
-        self, backend: _placed.Placed, tokens: int, share: float
+        self, backend: _placed.Placed, now: float, tokens: int, share: float
     ) -> bool:
         capacity = self.capacity.get(backend.service, 0)
-        held = backend.memory + backend.others.memory + tokens
+        held = backend.memory + self._others(backend, now).memory + tokens
         return not capacity or held <= capacity * share
 
+    def _others(
+        self, backend: _placed.Placed, now: float
+    ) -> messages.EngineSeen:
+        """Return what others have there, unless that is too old to tell.
+
+        While control is away for long, an engine that was full would seem
+        so for good, and streams be held back from idle engines.
+        """
+        heard = now - self.heard_at < HEARD_S
+        return backend.others if heard else _placed.NOTHING
+
     def _best(
         self,
         service: str,
@@ -485,8 +499,11 @@
         backend.failures = old + FAILURE_SMOOTHING * (sample - old)
         backend.failed_at = now
 
-    def _full_penalty(self, backend: _placed.Placed, tokens: int) -> float:
-        return 0.0 if self._has_room(backend, tokens, FULL) else FULL_PENALTY_S
+    def _full_penalty(
+        self, backend: _placed.Placed, now: float, tokens: int
+    ) -> float:
+        room = self._has_room(backend, now, tokens, FULL)
+        return 0.0 if room else FULL_PENALTY_S
 
     def _penalty(self, backend: _placed.Placed, now: float) -> float:
         unproven = now - backend.lost_at < UNPROVEN_S
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -14,6 +14,9 @@
 # All engines are full or away: places come free several times a second.
 PAUSE_S: t.Final = 0.05
 LEAST_LEFT_S: t.Final = 0.05
+# A prompt larger than any engine's memory is served only once operators have
+# put up larger ones; callers leave long before.
+TOO_LARGE_RETRY_S: t.Final = 60.0
 # Sightings of other entries come as often.
 GATE_CHECK_S: t.Final = 0.05
 
@@ -85,6 +88,12 @@
 
         :raises RequestError: where that would take too long.
         """
+        if not self.parts.placement.can_hold(self.job.service, self.tokens):
+            raise _parts.refuse(
+                self.job,
+                f'no engine holds {self.tokens} tokens',
+                TOO_LARGE_RETRY_S,
+            )
         gate = self.parts.gate
         entries = self.parts.budget.entries
         begun = self.parts.clock()
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -216,3 +216,30 @@
     # In a crowd memory is worth more than a copy: none is asked for where
     # it would fill an engine.
     assert client.attempts[0].backup == ''
+
+
+def test_engines_that_were_full_long_ago_hold_nobody_back():
+    # Control is lost in a crowd. What other entries had at engines then is
+    # all an entry knows of them; seconds later that says nothing any more.
+    placement = decisions.Placement(random.Random(1))
+    placement.capacity = {'s': CAPACITY}
+    placement.update([messages.ListedBackend('i0', 's', 'h0:1', 'dc0', 64)])
+    full = {'i0': messages.EngineSeen(40_000, 10, CAPACITY)}
+    placement.heard(messages.Sightings(1, full, []), 0.0)
+    at_once = placement.outlook('s', 0.1, tokens=PROMPT, memory=MEMORY)
+    assert at_once.first_s == float('inf')
+    later = placement.outlook('s', 10.0, tokens=PROMPT, memory=MEMORY)
+    assert later.quiet
+    assert later.first_s < AIM_S
+
+
+async def test_a_prompt_that_no_engine_holds_is_refused_at_once(client, parts):
+    # Waiting for room would end in a refusal after as long as callers wait.
+    parts.placement.capacity = {'engines': 5000}
+    begun = parts.clock()
+    with pytest.raises(errors.RequestError) as caught:
+        await fakes.stream(parts, wait_s=25.0)
+    assert parts.clock() - begun < 0.5
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NO
+    assert client.log == []
