--- /dev/null
+++ b/tests/test_fault_steps.py
@@ -0,0 +1,135 @@
+"""Faults before the first token and after the last one."""
+
+import asyncio
+import json
+
+from tests import conftest
+from tests import test_generations as generations
+
+COUNT = 6
+LAST = COUNT
+
+
+async def dispatched(system):
+    """Wait until an engine has the request, and return that engine."""
+    await conftest.until(
+        lambda: any(e.running for e in system.engines.values())
+    )
+    return next(e for e in system.engines.values() if e.running)
+
+
+def reading(system):
+    return asyncio.ensure_future(
+        generations.read(system.client(), count=COUNT)
+    )
+
+
+def hurry(system):
+    for engine in system.engines.values():
+        engine.gap_s = 0.005
+
+
+async def test_a_caller_gone_before_the_first_token_is_noticed_by_it(
+    make_system,
+):
+    # The caller leaves while its prompt is being read. The entry learns so
+    # as it shows the first token; the stream is kept for orphan_s, and then
+    # the engine is told to stop.
+    system = await make_system(
+        engines=1, gap_s=0.2, recovery={'orphan_s': 0.05}
+    )
+    run = reading(system)
+    engine = await dispatched(system)
+    run.cancel()
+    await asyncio.gather(run, return_exceptions=True)
+    await conftest.until(lambda: not engine.running)
+    assert engine.generated < COUNT
+
+
+async def test_an_entry_drained_before_the_first_token_serves_it(make_system):
+    system = await make_system(entries=2, gap_s=0.3)
+    run = reading(system)
+    await dispatched(system)
+    entry = system.entries[generations.serving(system)]
+    draining = asyncio.ensure_future(entry.drain())
+    await asyncio.sleep(0.05)
+    hurry(system)
+    conftest.assert_whole(await run, COUNT)
+    await draining
+
+
+async def test_an_entry_drained_after_the_last_token_ends_its_answer(
+    make_system,
+):
+    # The end mark is still to come when the entry is told to leave.
+    system = await make_system(entries=2, gap_s=0.02)
+    draining = []
+
+    async def drain(tokens):
+        entry = next(iter(system.entries.values()))
+        draining.append(asyncio.ensure_future(entry.drain()))
+
+    tokens = await generations.read(system.client(), COUNT, on={LAST: drain})
+    conftest.assert_whole(tokens, COUNT)
+    await asyncio.gather(*draining)
+
+
+async def test_an_engine_that_leaves_before_the_first_token_serves_it(
+    make_system,
+):
+    # The platform lists the engine as leaving while it reads the prompt: it
+    # finishes what it has.
+    system = await make_system(gap_s=0.3)
+    run = reading(system)
+    engine = await dispatched(system)
+    await system.relist(leaving=[engine.name])
+    hurry(system)
+    tokens = await run
+    conftest.assert_whole(tokens, COUNT)
+    assert tokens[0].startswith(engine.name)
+    assert sum(e.requests for e in system.engines.values()) == 1
+
+
+async def test_an_engine_and_its_entry_killed_before_the_first_token(
+    make_system,
+):
+    # The caller has nothing yet when both die. Another entry begins the
+    # text at another engine; nothing of the first one is heard.
+    system = await make_system(entries=3, gap_s=0.3)
+    run = reading(system)
+    engine = await dispatched(system)
+    hurry(system)
+    await engine.crash()
+    await system.kill_entry(generations.serving(system))
+    tokens = await run
+    conftest.assert_whole(tokens, COUNT)
+    assert not tokens[0].startswith(engine.name)
+
+
+async def test_an_entry_killed_after_the_last_token(make_system):
+    # The caller has all tokens, but no end mark. It asks another entry for
+    # what comes after the last one, and hears that nothing does.
+    system = await make_system(entries=3, gap_s=0.05)
+
+    async def kill(tokens):
+        running = [n for n, e in system.entries.items() if e.streams.running]
+        if running:
+            await system.kill_entry(running[0])
+
+    tokens = await generations.read(system.client(), COUNT, on={LAST: kill})
+    conftest.assert_whole(tokens, COUNT)
+
+
+async def test_a_model_that_no_engine_has_any_more_is_refused_as_not_run(
+    make_system,
+):
+    system = await make_system(engines=1)
+    system.engines.clear()
+    await system.relist()
+    status, _, answer = await system.post(
+        '/v1/chat/completions',
+        json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
+        Bulrushhold_Account='vendors',
+    )
+    assert status == 404
+    assert answer['error']['ran'] == 'no'
