--- a/tests/forwarding/test_patience.py
+++ b/tests/forwarding/test_patience.py
@@ -1,6 +1,7 @@
 """How long a living but slow engine is waited for."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -72,3 +73,32 @@
     )
     await fakes.stream(parts)
     assert (len(answers) > 1) is moved
+
+
+async def test_an_entry_that_stood_still_reads_what_has_come(
+    client, parts, monkeypatch
+):
+    # The entry's machine freezes for a second in mid-stream. The engine goes
+    # on, and its events lie in the socket when the entry wakes: the caller
+    # should get them at once. Taken for a silent engine, the stream is moved
+    # instead, and its prompt read again.
+    monkeypatch.setattr(_flow, 'SILENT_S', 0.3)
+    monkeypatch.setattr(_flow, 'SILENT_ALONE_S', 0.3)
+    client.scripts = [
+        fakes.Script(events=(1, 2, 3)),
+        fakes.Script(events=(3,)),
+    ]
+    answer = fakes.FakeAnswer.chunk
+    freezes = [1.0]
+
+    async def chunk(self):
+        if self.left == [3] and freezes:
+            # Whoever waits in vain has lost nothing: the event stays.
+            asyncio.get_running_loop().call_soon(time.sleep, freezes.pop())
+            await asyncio.sleep(0.01)
+        return await answer(self)
+
+    monkeypatch.setattr(fakes.FakeAnswer, 'chunk', chunk)
+    out, _ = await fakes.stream(parts)
+    assert out.data == fakes.text(1, 2, 3)
+    assert len(client.attempts) == 1
