An entry that stood still reads what has come before it blames its engines

Cause: the silence of an engine was the time on the clock. Ruled out: the engines, which went on; the order of timers and sockets in the loop, which gives events first but cancels the read all the same. Change: only the part of a wait that fits its timeout counts as silence.

--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -1,6 +1,7 @@
 """The events of one engine, on to the caller, until it is lost."""
 
 import asyncio
+import collections.abc as cabc
 import contextlib
 import typing as t
 
@@ -63,6 +64,29 @@
         sending.exception()
 
 
+class _Silence:
+    """How long an engine has sent nothing while this process could read.
+
+    A machine that stood still wakes with all its timers due, and with its
+    engines' events unread in its sockets. Counted by the clock, the time it
+    stood still would look like its engines' silence, and all of them would
+    be left at once.
+    """
+
+    def __init__(self, clock: cabc.Callable[[], float]) -> None:
+        self.clock = clock
+        self.seconds = 0.0
+
+    @contextlib.contextmanager
+    def counted(self, most_s: float) -> cabc.Iterator[None]:
+        """Count the time that a wait takes, up to its timeout."""
+        begun = self.clock()
+        try:
+            yield
+        finally:
+            self.seconds += min(self.clock() - begun, most_s)
+
+
 class Flow:
     """The events of one engine, on to the caller."""
 
@@ -144,12 +168,13 @@
         self.sending = asyncio.ensure_future(
             self.parts.client.send(self.stream.job.call, attempt)
         )
-        begun = self.parts.clock()
+        silence = _Silence(self.parts.clock)
         while True:
-            await asyncio.wait({self.sending}, timeout=FIRST_ASK_S)
+            with silence.counted(FIRST_ASK_S):
+                await asyncio.wait({self.sending}, timeout=FIRST_ASK_S)
             if self.sending.done():
                 break
-            await self._check_first(begun)
+            await self._check_first(silence)
         try:
             self.answer = self.sending.result()
         except errors.BackendError as error:
@@ -157,8 +182,8 @@
             raise StreamLostError(str(error), sent=sent) from error
         return self.answer
 
-    async def _check_first(self, begun: float) -> None:
-        waited = self.parts.clock() - begun
+    async def _check_first(self, silence: '_Silence') -> None:
+        waited = silence.seconds
         ahead = self.engine.reading + self.engine.others.reading
         ahead *= READ_S_PER_TOKEN
         most = max(FIRST_LEAST_S, FIRST_FACTOR * ahead)
@@ -166,11 +191,15 @@
             raise StreamLostError('no event in time', gone=False)
         if waited > most and 2 * self.stream.outlook().first_s < waited:
             raise StreamLostError(f'no event for {waited:.2f} s', gone=False)
-        await self._ask_for_life()
+        await self._ask_for_life(silence)
 
-    async def _ask_for_life(self) -> None:
+    async def _ask_for_life(self, silence: '_Silence') -> None:
         for _ in range(ASKED):
-            if await self.parts.client.alive(self.engine.address, ASK_S):
+            with silence.counted(ASK_S):
+                alive = await self.parts.client.alive(
+                    self.engine.address, ASK_S
+                )
+            if alive:
                 return
         raise StreamLostError('silent, and gives no sign of life')
 
@@ -303,20 +332,20 @@
         await out.write(data)
 
     async def _chunk(self, answer: calls.BackendAnswer) -> bytes:
-        begun = self.parts.clock()
+        silence = _Silence(self.parts.clock)
         while True:
             ask = ASK_AFTER_S if self.spoke else FIRST_ASK_S
-            with contextlib.suppress(TimeoutError):
+            with contextlib.suppress(TimeoutError), silence.counted(ask):
                 async with asyncio.timeout(ask):
                     return await self._read(answer)
             if not self.spoke:
-                await self._check_first(begun)
+                await self._check_first(silence)
                 continue
-            silent = self.parts.clock() - begun
+            silent = silence.seconds
             most = SILENT_S if self._has_copy() else SILENT_ALONE_S
             if silent > most or self.stream.left() <= 0:
                 raise StreamLostError(f'silent for {silent:.2f} s', gone=False)
-            await self._ask_for_life()
+            await self._ask_for_life(silence)
 
     async def _read(self, answer: calls.BackendAnswer) -> bytes:
         try:
