Each stream has one closing line

Change: 'stream left' with the reason, 'stream refused' at the gate. Before: test_each_stream_has_one_closing_line finds 3 lines for 6 streams.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -198,6 +198,11 @@
 
     begun: bool
 
+    @property
+    @abc.abstractmethod
+    def connected(self) -> bool:
+        """Whether the caller is still there, as far as is known."""
+
     @abc.abstractmethod
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the beginning of the answer."""
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -6,6 +6,7 @@
 
 from bulrushhold import calls
 from bulrushhold import decisions
+from bulrushhold import errors
 from bulrushhold.forwarding import _flow
 from bulrushhold.forwarding import _parts
 
@@ -61,6 +62,18 @@
 
         :raises RequestError: where nothing has gone out yet.
         """
+        try:
+            return await self._run()
+        except (asyncio.CancelledError, ConnectionError):
+            # Without a line of its own a stream that nobody waits for any
+            # more couldn't be told from one that was lost.
+            left = not self.out.connected
+            self._log_end(
+                'stream left', reason='caller left' if left else 'entry ends'
+            )
+            raise
+
+    async def _run(self) -> calls.Reply | None:
         reason, peer = 'no engine is there', ''
         await self._pass_gate()
         while True:
@@ -89,10 +102,8 @@
         :raises RequestError: where that would take too long.
         """
         if not self.parts.placement.can_hold(self.job.service, self.tokens):
-            raise _parts.refuse(
-                self.job,
-                f'no engine holds {self.tokens} tokens',
-                TOO_LARGE_RETRY_S,
+            raise self._refuse(
+                f'no engine holds {self.tokens} tokens', TOO_LARGE_RETRY_S
             )
         gate = self.parts.gate
         entries = self.parts.budget.entries
@@ -128,12 +139,17 @@
             )
         if verdict is decisions.GateVerdict.REFUSE:
             self.parts.metrics.count('streams.refused_full')
-            raise _parts.refuse(
-                self.job,
+            raise self._refuse(
                 f'engines are full, {gate.waiting} wait here',
                 gate.retry_after_s(outlook, entries),
             )
 
+    def _refuse(
+        self, reason: str, retry_after_s: float
+    ) -> errors.RequestError:
+        self._log_end('stream refused', reason=reason)
+        return _parts.refuse(self.job, reason, retry_after_s)
+
     def outlook(self) -> decisions.Outlook:
         """Return what engines could do for this stream's prompt."""
         return self.parts.placement.outlook(
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -31,6 +31,11 @@
         self.closing = closing
         self.begun = False
 
+    @property
+    def connected(self) -> bool:
+        transport = self.request.transport
+        return transport is not None and not transport.is_closing()
+
     async def begin(self, status: int, headers: calls.Headers) -> None:
         self.response.set_status(status)
         self.response.headers.extend(headers)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -97,10 +97,13 @@
 
 
 class FakeCaller(calls.CallerStream):
+    connected = True
+
     def __init__(self):
         self.begun = False
         self.data = b''
         self.ended = self.was_cut = False
+        self.connected = True
         self.headers = ()
 
     async def begin(self, status, headers):
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -8,6 +8,7 @@
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import forwarding
+from bulrushhold import routes
 from tests.forwarding import fakes
 
 
@@ -54,6 +55,55 @@
     assert 0 <= end['first_s'] <= end['seconds']
 
 
+async def test_each_stream_has_one_closing_line(client, parts, logged):
+    # Operators ask what became of each stream of an hour. One went out whole,
+    # one broke, one was refused since nothing is there, one caller hung up in
+    # the middle, one was cut as its entry ended, and one was too large.
+    async def left(connected):
+        client.scripts = [fakes.Script(events=(1,), then='silent')]
+        out = fakes.FakeCaller()
+        job = fakes.a_job(parts, routes.Kind.STREAM)
+        run = asyncio.ensure_future(
+            forwarding.StreamRun(parts, job, out).run()
+        )
+        await asyncio.sleep(0.02)
+        out.connected = connected
+        run.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await run
+
+    client.scripts = [fakes.Script(events=(1, 2))]
+    await fakes.stream(parts)
+    client.scripts = [fakes.Script(events=(1,), then='reset')]
+    await fakes.stream(parts, attempts=1)
+    broken = client.attempts[-1].address
+    await left(False)
+    await left(True)
+    parts.placement.capacity = {'engines': 5000}
+    with pytest.raises(errors.RequestError):
+        await fakes.stream(parts)
+    parts.placement.update([])
+    parts.placement.capacity = {}
+    with pytest.raises(errors.RequestError):
+        await fakes.stream(parts)
+    closing = (
+        'stream whole',
+        'stream ended early',
+        'stream left',
+        'stream refused',
+    )
+    lines = [line for line in logged if line.get('decision') in closing]
+    assert [(line['decision'], line.get('reason')) for line in lines] == [
+        ('stream whole', None),
+        ('stream ended early', f'answer {broken}: reset'),
+        ('stream left', 'caller left'),
+        ('stream left', 'entry ends'),
+        ('stream refused', 'no engine holds 8000 tokens'),
+        ('stream ended early', 'no engine is there'),
+    ]
+    assert all(line['seconds'] >= 0 for line in lines)
+
+
 async def test_the_copy_is_asked_for_only_where_one_can_be(
     client, parts, monkeypatch
 ):
