Engines' speeds are learned, and leaving a living engine is a comparison

Change: decisions/_speeds learns, per service, seconds a token, pauses and run times from own streams and the sums of all others, and starts from the route's aim and pause; decisions/_patience leaves a living engine only after twice what going on elsewhere takes; placing counts in prompts, the gate in learned rates.

--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -21,6 +21,8 @@
 from bulrushhold.decisions._membership import Membership
 from bulrushhold.decisions._membership import PERIOD_S as MEMBERSHIP_PERIOD_S
 from bulrushhold.decisions._membership import PROBE_S as MEMBERSHIP_PROBE_S
+from bulrushhold.decisions._patience import leave_unread_s
+from bulrushhold.decisions._patience import Patience
 from bulrushhold.decisions._placed import Placed
 from bulrushhold.decisions._placing import Placement
 from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
@@ -44,6 +46,10 @@
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
 from bulrushhold.decisions._sightings import SightingBoard
+from bulrushhold.decisions._speeds import EngineSpeeds
+from bulrushhold.decisions._speeds import Pauses
+from bulrushhold.decisions._speeds import Reading
+from bulrushhold.decisions._speeds import Wanted
 from bulrushhold.decisions._statemachine import ReplicatedState
 from bulrushhold.decisions._suspects import content_fingerprint
 from bulrushhold.decisions._suspects import Suspects
@@ -65,6 +71,7 @@
     'CopyStore',
     'Crashers',
     'Durable',
+    'EngineSpeeds',
     'FairQueue',
     'GapEstimate',
     'GateVerdict',
@@ -73,6 +80,8 @@
     'MEMBERSHIP_PROBE_S',
     'Membership',
     'Outlook',
+    'Patience',
+    'Pauses',
     'Placed',
     'Placement',
     'PromptPolicy',
@@ -80,6 +89,7 @@
     'QUOTA_RENEW_S',
     'QuotaHome',
     'QuotaShare',
+    'Reading',
     'Ready',
     'RecoveryPolicy',
     'RepeatBudget',
@@ -98,6 +108,7 @@
     'Timing',
     'Transcript',
     'Verdict',
+    'Wanted',
     'WorkBudget',
     'best_copy',
     'content_fingerprint',
@@ -107,6 +118,7 @@
     'entries_wanted',
     'fingerprint',
     'homes',
+    'leave_unread_s',
     'new_identity',
     'next_config',
     'ranked',
--- a/src/bulrushhold/decisions/_gate.py
+++ b/src/bulrushhold/decisions/_gate.py
@@ -3,11 +3,10 @@
 Answers the load of a crowd: several times the usual streams for some
 seconds, while a part of the engines is gone. Engines queue what they get,
 in order. Sent there at once, all streams wait as long as the first of the
-crowd, also those that come when it is over: with four times the streams for
-7 s, 60 % of all first events of a day came too late. So an engine gets only
-as many prompts as it shows an event of in time. What is late already
-waits here, and goes where it delays nobody else; what would wait for longer
-than its caller does is refused at once, and told when to come back.
+crowd, also those that come when it is over. So an engine gets only as many
+prompts as it shows an event of in time. What is late already waits here, and
+goes where it delays nobody else; what would wait for longer than its caller
+does is refused at once, and told when to come back.
 """
 
 import enum
@@ -16,12 +15,9 @@
 import attrs
 
 # Of the time that a caller waits without an event, as a multiple of the aim
-# for the first one: callers leave after four, and a quiet engine needs half
-# the aim to read one prompt behind another.
+# for the first one: callers leave after four, and what is left is for reading
+# the prompt at a quiet engine.
 MOST_WAIT: t.Final = 3.4
-# Streams that an engine finishes in a second while a crowd is there: 10 fit
-# into its memory, and each takes 10 to 13 s, its prompt included.
-ENGINE_PER_S: t.Final = 0.7
 # For how long after a stream had to wait the crowd counts as still there: a
 # stream that went to an engine then has its prompt read by that time.
 CROWD_S: t.Final = 5.0
@@ -47,11 +43,13 @@
         infinite where none has room.
     :param quiet: an engine with room has little else to read.
     :param engines: how many take part.
+    :param per_s: streams that they end together in a second.
     """
 
     first_s: float
     quiet: bool
     engines: int
+    per_s: float
 
 
 class StreamGate:
@@ -103,8 +101,11 @@
 
         Callers draw entries at random, so that as many wait at others.
         """
-        rate = max(1, outlook.engines) * ENGINE_PER_S
-        return self.waiting * max(1, entries) / rate
+        if not self.waiting:
+            return 0.0
+        if not outlook.per_s:
+            return float('inf')
+        return self.waiting * max(1, entries) / outlook.per_s
 
     def retry_after_s(self, outlook: Outlook, entries: int) -> float:
         """Return when a refused caller is to come back, in seconds."""
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -16,6 +16,7 @@
 
 from bulrushhold.decisions import _gate
 from bulrushhold.decisions import _placed
+from bulrushhold.decisions import _speeds
 from bulrushhold import messages
 
 # Weight of the newest sample in the means of latency and failures: ten
@@ -26,43 +27,38 @@
 # fails one in ten is as bad as one three times as slow.
 ONCE_FAILURE_WEIGHT: t.Final = 20.0
 REPEATABLE_FAILURE_WEIGHT: t.Final = 6.0
-# Seconds that an engine reads at, per token: 8 tokens in a ms.
-READ_S_PER_TOKEN: t.Final = 1 / 8000
-# How much one running stream delays a new one, in seconds of reading.
-RUNNING_S: t.Final = 0.08
+# What speaks against an engine is counted in prompts of the stream's size:
+# what it has to read before, and in place of each of these as much more.
+#
+# A stream that runs there stretches the reading of a new prompt a little.
+RUNNING_PROMPTS: t.Final = 0.08
 # Engines to choose among, ranked by a hash of the prompt's last part. When a
 # data centre dies, all entries place its streams within the 30 ms that news
-# takes: the best of all 60 engines would get several prompts, the best of a
+# takes: the best of all engines would get several prompts, the best of a
 # few differs. And a caller that comes back through another entry, since its
 # own one was lost, is sent to the engine that has its prompt in memory.
 DRAWN: t.Final = 5
-# Seconds by which each rank is put behind the one before: one running stream.
-RANK_S: t.Final = 0.08
+# Each rank is put behind the one before by as much as one running stream.
+RANK_PROMPTS: t.Final = 0.08
 # Engines of one data centre that fail within this time make the whole data
 # centre suspect, for as long: it lost power, or is cut off.
 DATA_CENTRE_WINDOW_S: t.Final = 1.3
 DATA_CENTRE_FAILURES: t.Final = 2
-DATA_CENTRE_PENALTY_S: t.Final = 3.0
+DATA_CENTRE_PROMPTS: t.Final = 3.0
 # An engine that was lost looks idle, and would get the next prompts of all
 # entries as soon as it is tried again. Mostly it is down, or back under a new
 # identity before the list says so; until then it is the last choice.
 UNPROVEN_S: t.Final = 6.0
-UNPROVEN_PENALTY_S: t.Final = 2.5
-# A prompt that finds no memory waits until another stream has ended, which
-# takes seconds; 0.85 leaves room for what grows and for what others place
-# before their news arrives.
+UNPROVEN_PROMPTS: t.Final = 2.5
+# A prompt that finds no memory waits until another stream has ended; the rest
+# is for what grows and for what others place before their news arrives.
 FULL: t.Final = 0.85
-FULL_PENALTY_S: t.Final = 4.0
-# A copy takes as much memory as its stream. After the loss of a data centre
-# the engines left are 0.6 full, copies included. At a bound of 0.4 twice as
-# many streams read their prompts again on days without a crowd.
+FULL_PROMPTS: t.Final = 4.0
+# A copy takes as much memory as its stream, and keeps it if the stream's
+# engine is lost; above this new prompts would find no room.
 COPIES_FULL: t.Final = 0.7
-# While streams wait for engines, that memory is worth more to them: copies at
-# any engine halved what was finished, and first events came after 7 s, not 5.
+# While streams wait for engines, that memory is worth more to them.
 COPIES_FULL_CROWDED: t.Final = 0.4
-# While other prompts and streams are there, each token takes longer to read:
-# measured from 1.2 to 1.5 times as long, at one to five prompts ahead.
-CROWDED_S_PER_TOKEN: t.Final = 1.3 * READ_S_PER_TOKEN
 # One that is late anyway goes where at most one prompt of its size is ahead.
 QUIET_PROMPTS: t.Final = 2
 SUSPECT_S: t.Final = 1.0
@@ -76,12 +72,12 @@
 
 
 # Entries that place at the same moment don't see each other's choice. A mean
-# head start of this many seconds, drawn for each prompt and engine, keeps them
-# from meeting at the idlest one.
-SPREAD_S: t.Final = 0.1
-# While streams of a lost data centre are placed, some twelve at once, or while
-# no news comes, most of the load of the next second isn't known: one prompt.
-BLIND_SPREAD_S: t.Final = 0.8
+# head start, drawn for each prompt and engine, keeps them from meeting at the
+# idlest one.
+SPREAD_PROMPTS: t.Final = 0.1
+# While streams of a lost data centre are placed, many at once, or while no
+# news comes, most of the load of the next prompts isn't known.
+BLIND_SPREAD_PROMPTS: t.Final = 0.8
 BLIND_AFTER_LOSS_S: t.Final = 0.5
 BLIND_UNHEARD_S: t.Final = 0.5
 
@@ -110,6 +106,7 @@
         self.left: list[str] = []
         self.heard_at = 0.0
         self.capacity: dict[str, int] = {}
+        self.speeds = _speeds.EngineSpeeds()
         self.backends: dict[str, _placed.Placed] = {}
         self.services: dict[str, list[_placed.Placed]] = {}
         self.gone: set[str] = set()
@@ -183,6 +180,9 @@
     ) -> _placed.Placed | None:
         """Return the engine that will show the first event soonest.
 
+        All engines of a service count as equally fast, so that tokens to be
+        read stand for time.
+
         :param tokens: of the prompt.
         :param part: last part of the prompt; an engine that has read it
             needn't read it again.
@@ -192,6 +192,7 @@
         """
         cached = self._cached_at(part, now)
         ranks = self._ranks(service, part, tried)
+        prompt = max(1, tokens)
 
         def wait(backend: _placed.Placed) -> float:
             rank = ranks.get(backend.ident, DRAWN)
@@ -199,17 +200,16 @@
             if returns:
                 own = own * rank // DRAWN
             others = self._others(backend, now)
-            reading = backend.reading + others.reading + own
-            seconds = reading * READ_S_PER_TOKEN
+            prompts = (backend.reading + others.reading + own) / prompt
             running = backend.inflight + others.running
-            seconds += running * RUNNING_S + rank * RANK_S
-            seconds *= 1 + REPEATABLE_FAILURE_WEIGHT * backend.failures_now(
+            prompts += running * RUNNING_PROMPTS + rank * RANK_PROMPTS
+            prompts *= 1 + REPEATABLE_FAILURE_WEIGHT * backend.failures_now(
                 now
             )
             if backend.data_centre == avoid_data_centre:
-                seconds += DATA_CENTRE_PENALTY_S
-            seconds += self._penalty(backend, now)
-            return seconds + self._full_penalty(backend, now, tokens)
+                prompts += DATA_CENTRE_PROMPTS
+            prompts += self._penalty(backend, now)
+            return prompts + self._full_penalty(backend, now, tokens)
 
         drawn = {*ranks, cached}
         best = self._best(service, now, tried, wait, drawn=drawn)
@@ -218,7 +218,7 @@
         # All of the few are reading: an idle engine elsewhere is worth more
         # than what the few are for.
         blind = self._is_blind(service, now)
-        spread = BLIND_SPREAD_S if blind else SPREAD_S
+        spread = BLIND_SPREAD_PROMPTS if blind else SPREAD_PROMPTS
 
         def spread_wait(backend: _placed.Placed) -> float:
             return wait(backend) + spread * _share_of(part, backend.ident)
@@ -272,17 +272,27 @@
         return best
 
     def outlook(
-        self, service: str, now: float, *, tokens: int, memory: int
+        self,
+        service: str,
+        now: float,
+        *,
+        wanted: _speeds.Wanted,
+        memory: int,
+        but: str = '',
     ) -> _gate.Outlook:
         """Return what engines could do for one more prompt.
 
-        :param tokens: of the prompt.
         :param memory: tokens that it will hold in all.
+        :param but: engine that the others are to be compared with.
         """
+        tokens = wanted.tokens
+        token_s = self.speeds.token_s(service, wanted, now, but=but)
         calm = [
             b
             for b in self.usable(service)
-            if b.suspect_until <= now and not self._penalty(b, now)
+            if b.suspect_until <= now
+            and b.ident != but
+            and not self._penalty(b, now)
         ]
         first_s = float('inf')
         quiet = False
@@ -291,9 +301,25 @@
                 continue
             others = self._others(backend, now).reading
             reading = backend.reading + others + tokens
-            first_s = min(first_s, reading * CROWDED_S_PER_TOKEN)
+            first_s = min(first_s, reading * token_s)
             quiet = quiet or reading <= QUIET_PROMPTS * tokens
-        return _gate.Outlook(first_s, quiet, len(calm))
+        per_s = self._finished_per_s(service, now, tokens * token_s, memory)
+        return _gate.Outlook(first_s, quiet, len(calm), len(calm) * per_s)
+
+    def _finished_per_s(
+        self, service: str, now: float, prompt_s: float, memory: int
+    ) -> float:
+        """Return how many such streams an engine ends in a second.
+
+        It reads one prompt after the other, and its memory holds a few of
+        them until they have been written.
+        """
+        reads = 1 / prompt_s if prompt_s else float('inf')
+        run_s = self.speeds.run_s(service, now)
+        capacity = self.capacity.get(service, 0)
+        if not run_s or not capacity or not memory:
+            return reads
+        return min(reads, max(1.0, FULL * capacity / memory) / run_s)
 
     def can_hold(self, service: str, tokens: int) -> bool:
         """Whether a prompt fits into an engine that has nothing else."""
@@ -448,6 +474,7 @@
         self,
         entry: str,
         traffic: dict[str, messages.ServiceTraffic],
+        now: float,
     ) -> messages.Sighting:
         """Return what other entries should know; losses only once."""
         lost, self.lost = self.lost, []
@@ -459,11 +486,15 @@
             for backend in self.backends.values()
             if backend.inflight or backend.memory
         }
-        return messages.Sighting(entry, seen, lost, left, traffic)
+        speeds = self.speeds.told(now)
+        return messages.Sighting(
+            entry, seen, lost, left, traffic, speeds=speeds
+        )
 
     def heard(self, sightings: messages.Sightings, now: float) -> None:
         """Learn what other entries see."""
         self.heard_at = now
+        self.speeds.heard(sightings.speeds)
         for ident, backend in self.backends.items():
             backend.others = sightings.engines.get(ident, _placed.NOTHING)
         for ident in sightings.lost:
@@ -503,11 +534,11 @@
         self, backend: _placed.Placed, now: float, tokens: int
     ) -> float:
         room = self._has_room(backend, now, tokens, FULL)
-        return 0.0 if room else FULL_PENALTY_S
+        return 0.0 if room else FULL_PROMPTS
 
     def _penalty(self, backend: _placed.Placed, now: float) -> float:
         unproven = now - backend.lost_at < UNPROVEN_S
-        penalty = UNPROVEN_PENALTY_S if unproven else 0.0
+        penalty = UNPROVEN_PROMPTS if unproven else 0.0
         return penalty + self._data_centre_penalty(backend, now)
 
     def _data_centre_penalty(
@@ -521,7 +552,5 @@
         while recent and now - recent[0][0] > DATA_CENTRE_WINDOW_S:
             recent.popleft()
         return (
-            DATA_CENTRE_PENALTY_S
-            if len(recent) >= DATA_CENTRE_FAILURES
-            else 0.0
+            DATA_CENTRE_PROMPTS if len(recent) >= DATA_CENTRE_FAILURES else 0.0
         )
--- a/src/bulrushhold/decisions/_sightings.py
+++ b/src/bulrushhold/decisions/_sightings.py
@@ -20,6 +20,7 @@
 LOSS_KEPT_S: t.Final = 2.0
 NOTHING: t.Final = messages.EngineSeen(0, 0)
 NO_TRAFFIC: t.Final = messages.ServiceTraffic(0, 0)
+NO_SPEED: t.Final = messages.EngineSpeed()
 
 
 @attrs.frozen
@@ -46,6 +47,7 @@
         self.summed = 0
         self.engines: dict[str, messages.EngineSeen] = {}
         self.traffic: dict[str, messages.ServiceTraffic] = {}
+        self.speeds: dict[str, messages.EngineSpeed] = {}
         self.losses: collections.deque[_Loss] = collections.deque()
         self.deaths: collections.deque[_Death] = collections.deque()
 
@@ -79,10 +81,12 @@
         """
         self._add_up()
         engines, traffic = dict(self.engines), dict(self.traffic)
+        speeds = dict(self.speeds)
         own = self.said.get(entry)
         if own is not None:
             _add(engines, own.engines, -1)
             _add_traffic(traffic, own.traffic, -1)
+            _add_speeds(speeds, own.speeds, -1)
         news = [loss for loss in self.losses if loss.number > since]
         return messages.Sightings(
             self.number,
@@ -91,6 +95,7 @@
             [loss.ident for loss in news if loss.moved],
             traffic,
             [d.death for d in self.deaths if d.number > since],
+            speeds,
         )
 
     def _add_up(self) -> None:
@@ -102,10 +107,11 @@
         if self.summed == self.number:
             return
         self.summed = self.number
-        self.engines, self.traffic = {}, {}
+        self.engines, self.traffic, self.speeds = {}, {}, {}
         for sighting in self.said.values():
             _add(self.engines, sighting.engines, 1)
             _add_traffic(self.traffic, sighting.traffic, 1)
+            _add_speeds(self.speeds, sighting.speeds, 1)
 
 
 def _add(
@@ -135,3 +141,17 @@
             known.firsts + sign * one.firsts,
             known.repeats + sign * one.repeats,
         )
+
+
+def _add_speeds(
+    totals: dict[str, messages.EngineSpeed],
+    more: dict[str, messages.EngineSpeed],
+    sign: int,
+) -> None:
+    for service, one in more.items():
+        known = totals.get(service, NO_SPEED)
+        pairs = zip(attrs.astuple(known), attrs.astuple(one), strict=True)
+        # Sums of fractions, less one of them, may end a hair below zero.
+        totals[service] = messages.EngineSpeed(
+            *(max(0.0, a + sign * b) for a, b in pairs)
+        )
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -184,7 +184,9 @@
     def _sighting(self, now: float) -> messages.Sighting:
         self.crashers.settle(now)
         return attrs.evolve(
-            self.placement.sighted(self.me.name, self.budget.traffic(now)),
+            self.placement.sighted(
+                self.me.name, self.budget.traffic(now), now
+            ),
             # A loss is old news by the time there is a leader again; what
             # crashes engines still does.
             deaths=self.crashers.told() if self.leader else [],
--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -16,30 +16,18 @@
 if t.TYPE_CHECKING:
     from bulrushhold.forwarding import _streams
 
-# Silence in mid-stream after which the engine is asked whether it lives. Its
-# events are 20 to 60 ms apart; other prompts read in between stretch that.
-ASK_AFTER_S: t.Final = 0.15
 # An engine that lives answers within 10 ms, whatever it is busy with.
 ASK_S: t.Final = 0.12
 # Asked once more: on a link that loses one packet in 25, a fifth of the first
 # answers come too late, and a living engine would be given up by all entries.
 ASKED: t.Final = 2
-# An engine that lives, but leaves a stream silent for this long, is slower
-# than going on elsewhere: a continuation from a copy takes 0.1 s.
-SILENT_S: t.Final = 0.6
-# Without a copy the prompt has to be read again, which takes 1 s and more. An
-# engine that lives is mostly busy with others' prompts; leaving it then, in a
-# crowd, cost 38 of 346 streams of a day their prompt.
-SILENT_ALONE_S: t.Final = 2.5
-# Before its first event a stream waits for its prompt to be read, 1 s for
-# 8,000 tokens, and for those before it.
+# Before its first event a stream waits for its prompt to be read.
 FIRST_ASK_S: t.Final = 0.5
-FIRST_LEAST_S: t.Final = 3.0
-FIRST_FACTOR: t.Final = 3.0
+# Pauses between events are learnt in batches: several times a second.
+LEARN_S: t.Final = 0.2
 # A copy made by order is dropped when it hasn't grown for 4 s; what the run
 # made since is read again, some 200 tokens in 1.5 s.
 RENEW_S: t.Final = 1.5
-READ_S_PER_TOKEN: t.Final = 1 / 8000
 
 
 @attrs.define(slots=False)
@@ -108,6 +96,13 @@
         self.sending: asyncio.Future[calls.BackendAnswer] | None = None
         self.spoke = False
         self.renewal: asyncio.Task[None] | None = None
+        self.speeds = run.parts.placement.speeds
+        self.begun = run.parts.clock()
+        self.unread: decisions.Reading | None = None
+        self.here_s = 0.0
+        self.learnt_at = self.shown_at = self.begun
+        self.patience = self._look_at_pauses()
+        self.pauses = decisions.Pauses(self.patience.usual_pause_s)
 
     async def run(self) -> calls.Reply | None:
         answer = await self._open()
@@ -124,15 +119,18 @@
         if head.status >= 300:
             return await self._failure(answer)
         await self._relay(answer)
-        self.parts.placement.succeeded(
-            self.engine.ident, self.parts.clock(), None
-        )
+        now = self.parts.clock()
+        self.parts.placement.succeeded(self.engine.ident, now, None)
+        if self.copy is None and self.stream.job.call.after is None:
+            self.speeds.ran(self.stream.job.service, now - self.begun, now)
         self.close()
         await self.drop_copy()
         return None
 
     def close(self) -> None:
         """Leave the engine; it stops working on the stream."""
+        if self.unread is not None:
+            self.speeds.forget(self.unread)
         if self.answer is not None:
             self.answer.close()
         if self.sending is not None:
@@ -168,6 +166,7 @@
         self.sending = asyncio.ensure_future(
             self.parts.client.send(self.stream.job.call, attempt)
         )
+        self._expect_first()
         silence = _Silence(self.parts.clock)
         while True:
             with silence.counted(FIRST_ASK_S):
@@ -182,14 +181,26 @@
             raise StreamLostError(str(error), sent=sent) from error
         return self.answer
 
+    def _expect_first(self) -> None:
+        """Take down when the first event is expected."""
+        if not self.reading or self.stream.job.call.after is not None:
+            # What a caller comes back for may be in memory: no measure.
+            return
+        now = self.parts.clock()
+        tokens = self.engine.reading + self.engine.others.reading
+        service = self.stream.job.service
+        self.unread = self.speeds.reads(
+            service, self.engine.ident, tokens, now
+        )
+        token_s = self.speeds.token_s(service, self.stream.wanted, now)
+        self.here_s = tokens * token_s
+
     async def _check_first(self, silence: '_Silence') -> None:
         waited = silence.seconds
-        ahead = self.engine.reading + self.engine.others.reading
-        ahead *= READ_S_PER_TOKEN
-        most = max(FIRST_LEAST_S, FIRST_FACTOR * ahead)
         if self.stream.left() <= 0:
             raise StreamLostError('no event in time', gone=False)
-        if waited > most and 2 * self.stream.outlook().first_s < waited:
+        elsewhere_s = self.stream.outlook(self.engine.ident).first_s
+        if waited > decisions.leave_unread_s(self.here_s, elsewhere_s):
             raise StreamLostError(f'no event for {waited:.2f} s', gone=False)
         await self._ask_for_life(silence)
 
@@ -317,14 +328,20 @@
             raise StreamLostError(gap, gone=False)
 
     async def _show(self, answer: calls.BackendAnswer, data: bytes) -> None:
+        now = self.parts.clock()
+        if self.spoke:
+            self.pauses.add(now - self.shown_at)
+            if now - self.learnt_at > LEARN_S:
+                self._learn_pauses(now)
+        self.shown_at = now
         if not self.spoke:
             self.spoke = True
+            if self.unread is not None:
+                self.speeds.read(self.unread, self.stream.wanted, now)
             self.parts.placement.has_read(self.engine, self.reading)
             self.reading = 0
             self.stream.took(self.engine.ident)
-            self.parts.placement.read(
-                self.stream.part, self.engine.ident, self.parts.clock()
-            )
+            self.parts.placement.read(self.stream.part, self.engine.ident, now)
         out = self.stream.out
         if not out.begun:
             await out.begin(answer.head.status, answer.head.headers)
@@ -334,7 +351,7 @@
     async def _chunk(self, answer: calls.BackendAnswer) -> bytes:
         silence = _Silence(self.parts.clock)
         while True:
-            ask = ASK_AFTER_S if self.spoke else FIRST_ASK_S
+            ask = self.patience.ask_after_s if self.spoke else FIRST_ASK_S
             with contextlib.suppress(TimeoutError), silence.counted(ask):
                 async with asyncio.timeout(ask):
                     return await self._read(answer)
@@ -342,11 +359,29 @@
                 await self._check_first(silence)
                 continue
             silent = silence.seconds
-            most = SILENT_S if self._has_copy() else SILENT_ALONE_S
-            if silent > most or self.stream.left() <= 0:
+            if silent > self._most_silent_s() or self.stream.left() <= 0:
                 raise StreamLostError(f'silent for {silent:.2f} s', gone=False)
             await self._ask_for_life(silence)
 
+    def _most_silent_s(self) -> float:
+        if self._has_copy():
+            return self.patience.leave_with_copy_s()
+        elsewhere_s = self.stream.outlook(self.engine.ident).first_s
+        return self.patience.leave_without_copy_s(elsewhere_s)
+
+    def _learn_pauses(self, now: float) -> None:
+        self.speeds.paused(self.stream.job.service, self.pauses, now)
+        self.learnt_at = now
+        self.patience = self._look_at_pauses()
+        self.pauses = decisions.Pauses(self.patience.usual_pause_s)
+
+    def _look_at_pauses(self) -> decisions.Patience:
+        wanted = self.stream.wanted
+        usual = self.speeds.usual_pause_s(
+            self.stream.job.service, wanted, self.parts.clock()
+        )
+        return decisions.Patience(usual, wanted.gap_s)
+
     async def _read(self, answer: calls.BackendAnswer) -> bytes:
         try:
             return await answer.chunk()
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -54,6 +54,11 @@
         self.longest_pause_s = 0.0
         self.failed: calls.Reply | None = None
         self.tokens = job.call.prompt.tokens if job.call.prompt else 0
+        self.wanted = decisions.Wanted(
+            self.tokens,
+            job.route.aim_s or job.route.timeout_s,
+            job.route.gap_s or job.route.aim_s or job.route.timeout_s,
+        )
         parts_ = job.call.prompt.parts if job.call.prompt else ()
         self.part = parts_[-1] if parts_ else ''
 
@@ -150,13 +155,17 @@
         self._log_end('stream refused', reason=reason)
         return _parts.refuse(self.job, reason, retry_after_s)
 
-    def outlook(self) -> decisions.Outlook:
-        """Return what engines could do for this stream's prompt."""
+    def outlook(self, but: str = '') -> decisions.Outlook:
+        """Return what engines could do for this stream's prompt.
+
+        :param but: engine that the others are to be compared with.
+        """
         return self.parts.placement.outlook(
             self.job.service,
             self.parts.clock(),
-            tokens=self.tokens,
+            wanted=self.wanted,
             memory=self.memory,
+            but=but,
         )
 
     def left(self) -> float:
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -22,6 +22,7 @@
 from bulrushhold.messages._entries import QuotaGrant
 from bulrushhold.messages._fleet import EngineDeath
 from bulrushhold.messages._fleet import EngineSeen
+from bulrushhold.messages._fleet import EngineSpeed
 from bulrushhold.messages._fleet import ListedBackend
 from bulrushhold.messages._fleet import ListedEntry
 from bulrushhold.messages._fleet import RouteMapOutcome
@@ -88,6 +89,7 @@
     'EditOutcome',
     'EngineDeath',
     'EngineSeen',
+    'EngineSpeed',
     'Failure',
     'ForgetClaims',
     'Found',
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -104,6 +104,30 @@
     engine: str
 
 
+@attrs.frozen
+class EngineSpeed:
+    """What was lately seen of a service's engines; adds up over entries.
+
+    Sums, in which what was seen longer ago counts less.
+
+    :param tokens: of prompts that were read, and of those ahead of them.
+    :param read_s: seconds from sending them to their first events.
+    :param pauses: between events of runs.
+    :param pause_s: their seconds.
+    :param pause_sq: the squares of their seconds.
+    :param runs: streams written whole by one engine.
+    :param run_s: seconds from sending them to their last events.
+    """
+
+    tokens: float = 0.0
+    read_s: float = 0.0
+    pauses: float = 0.0
+    pause_s: float = 0.0
+    pause_sq: float = 0.0
+    runs: float = 0.0
+    run_s: float = 0.0
+
+
 @attrs.frozen
 class Sighting:
     """What one entry sees of engines; replaces what it said before.
@@ -113,6 +137,7 @@
         one's.
     :param traffic: by service.
     :param deaths: seen since it last spoke.
+    :param speeds: by service.
     """
 
     entry: str
@@ -121,6 +146,7 @@
     moved: list[str] = attrs.field(factory=list)
     traffic: dict[str, ServiceTraffic] = attrs.field(factory=dict)
     deaths: list[EngineDeath] = attrs.field(factory=list)
+    speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -132,6 +158,7 @@
     :param moved: engines since then known to be at no address any more.
     :param traffic: by service.
     :param deaths: since then.
+    :param speeds: by service.
     """
 
     number: int
@@ -140,6 +167,7 @@
     moved: list[str] = attrs.field(factory=list)
     traffic: dict[str, ServiceTraffic] = attrs.field(factory=dict)
     deaths: list[EngineDeath] = attrs.field(factory=list)
+    speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
 
 
 @attrs.frozen
