A caller that comes back goes where its prompt is still in memory

Cause: when entries are lost, who knew which engine has read a prompt is lost with them. Ruled out: engines that had dropped the prompts; asked, they have them. Change: for a caller that says which event it has last, the five likely engines are asked what they keep, within 0.1 s; the guess is gone.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -160,6 +160,16 @@
         Costs it no place; a busy engine answers as an idle one does.
         """
 
+    @abc.abstractmethod
+    async def parts_kept(self, address: str, timeout: float) -> frozenset[str]:
+        """Return the names of the prompts' parts in an engine's memory.
+
+        Holds up the engine's work a little.
+
+        :param timeout: seconds.
+        :raises BackendError: where it doesn't tell in time.
+        """
+
     @abc.abstractmethod
     async def copy_run(
         self, call: Call, source: str, target: str, timeout: float
@@ -255,6 +265,17 @@
     def probe_path(self) -> str:
         """Return the path at which an engine tells of itself."""
 
+    @abc.abstractmethod
+    def parts_path(self) -> str:
+        """Return the path at which an engine tells what it keeps."""
+
+    @abc.abstractmethod
+    def read_parts(self, body: bytes) -> frozenset[str]:
+        """Return the names of the parts that an engine keeps.
+
+        :raises BackendError: where they can't be read.
+        """
+
 
 class CallerDialect(abc.ABC):
     """The protocol that callers speak, decoded at the edge."""
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -176,7 +176,6 @@
         part: str,
         tried: set[str],
         avoid_data_centre: str = '',
-        returns: bool = False,
     ) -> _placed.Placed | None:
         """Return the engine that will show the first event soonest.
 
@@ -187,8 +186,6 @@
         :param part: last part of the prompt; an engine that has read it
             needn't read it again.
         :param avoid_data_centre: data centre that just lost this stream.
-        :param returns: the caller has been here before, so that the first
-            engines by rank may have the prompt in memory.
         """
         cached = self._cached_at(part, now)
         ranks = self._ranks(service, part, tried)
@@ -197,8 +194,6 @@
         def wait(backend: _placed.Placed) -> float:
             rank = ranks.get(backend.ident, DRAWN)
             own = 0 if backend.ident == cached else tokens
-            if returns:
-                own = own * rank // DRAWN
             others = self._others(backend, now)
             prompts = (backend.reading + others.reading + own) / prompt
             running = backend.inflight + others.running
@@ -225,6 +220,21 @@
 
         return self._best(service, now, tried, spread_wait)
 
+    def likely_keepers(
+        self, service: str, part: str, now: float
+    ) -> list[_placed.Placed]:
+        """Return the engines that may have a part of a prompt in memory.
+
+        None where it is known which one has, or where it has no name.
+        """
+        if not part or self._cached_at(part, now):
+            return []
+        return [
+            backend
+            for ident in self._ranks(service, part, set())
+            if (backend := self.backends[ident]).suspect_until <= now
+        ]
+
     def _is_blind(self, service: str, now: float) -> bool:
         """Whether other entries place streams now that aren't known here."""
         if now - self.heard_at > BLIND_UNHEARD_S:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -18,6 +18,8 @@
 # A prompt larger than any engine's memory is served only once operators have
 # put up larger ones; callers leave long before.
 TOO_LARGE_RETRY_S: t.Final = 60.0
+# Engines tell what they keep within ms; a caller that returns has waited.
+LOOK_S: t.Final = 0.1
 # Sightings of other entries come as often.
 GATE_CHECK_S: t.Final = 0.05
 
@@ -80,6 +82,8 @@
 
     async def _run(self) -> calls.Reply | None:
         reason, peer = 'no engine is there', ''
+        if self.job.call.after is not None:
+            await self._look_for_prompt()
         await self._pass_gate()
         while True:
             engine, copy = self._choose()
@@ -101,6 +105,48 @@
                 self._log_end('stream whole' if reply is None else 'failed')
                 return reply
 
+    async def _look_for_prompt(self) -> None:
+        """Find the engine that has read the prompt of a caller that returns.
+
+        Its entry was lost, perhaps all entries, and with them who knew which
+        engine has the prompt in memory. Reading it again would take the
+        caller's time, and that of all who wait behind it.
+        """
+        keepers = self.parts.placement.likely_keepers(
+            self.job.service, self.part, self.parts.clock()
+        )
+        kept = await asyncio.gather(
+            *(
+                self.parts.client.parts_kept(keeper.address, LOOK_S)
+                for keeper in keepers
+            ),
+            return_exceptions=True,
+        )
+        holders = []
+        for keeper, parts in zip(keepers, kept, strict=True):
+            if isinstance(parts, errors.BackendError):
+                _parts.log(
+                    self.job,
+                    'parts not told',
+                    engine=keeper.ident,
+                    reason=str(parts),
+                )
+            elif isinstance(parts, BaseException):
+                raise parts
+            elif self.part in parts:
+                holders.append(keeper)
+        if holders:
+            best = min(holders, key=lambda h: h.reading + h.others.reading)
+            self.parts.placement.read(
+                self.part, best.ident, self.parts.clock()
+            )
+        _parts.log(
+            self.job,
+            'prompt looked for',
+            asked=len(keepers),
+            found=[holder.ident for holder in holders],
+        )
+
     async def _pass_gate(self) -> None:
         """Wait until an engine can take the stream without delay to others.
 
@@ -193,7 +239,6 @@
             part=self.part,
             tried=self.tried,
             avoid_data_centre=self.lost_data_centre,
-            returns=self.job.call.after is not None and not self.runs,
         )
         return engine, None
 
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -101,6 +101,20 @@
         except (TimeoutError, *_LOST):
             return False
 
+    async def parts_kept(self, address: str, timeout: float) -> frozenset[str]:
+        """Ask an engine what it keeps; see :class:`calls.BackendClient`."""
+        url = yarl.URL(f'http://{address}{self.dialect.parts_path()}')
+        try:
+            async with asyncio.timeout(timeout):
+                async with self.kept.get(url) as response:
+                    body = await response.read()
+                    status = response.status
+        except (TimeoutError, *_LOST) as error:
+            raise _lost(error, 'parts', address) from error
+        if status != 200:
+            raise errors.BackendError(f'status {status}', 'parts', address)
+        return self.dialect.read_parts(body)
+
     async def copy_run(
         self, call: calls.Call, source: str, target: str, timeout: float
     ) -> calls.RunCopy:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -73,6 +73,8 @@
         self.log = []
         self.attempts = []
         self.copies = []
+        self.kept = {}
+        self.asked = []
 
     async def send(self, call, attempt):
         self.log.append(('send', attempt.address))
@@ -85,6 +87,12 @@
     async def alive(self, address, timeout):
         return address not in self.dead
 
+    async def parts_kept(self, address, timeout):
+        self.asked.append(address)
+        if address in self.dead:
+            raise errors.BackendError('silent', 'parts', address)
+        return self.kept.get(address, frozenset())
+
     async def copy_run(self, call, source, target, timeout):
         self.copies.append((source, target))
         return calls.RunCopy(source, f'h{len(self.copies)}')
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -214,6 +214,27 @@
     assert out.data == fakes.text(8, 9)
 
 
+async def test_a_caller_that_comes_back_goes_where_its_prompt_is_kept(
+    client, parts
+):
+    # All entries lost power, and with them who knew which engine has read the
+    # prompt. The engines lost nothing: asked, one of them has it. Another one
+    # is silent, and holds the caller up no longer than it is waited for.
+    keepers = parts.placement.likely_keepers('engines', 'p', parts.clock())
+    client.dead.add(keepers[0].address)
+    client.kept[keepers[-1].address] = frozenset(['other', 'p'])
+    client.scripts = [fakes.Script(events=(8, 9))]
+    out, _ = await fakes.stream(parts, after=7)
+    assert client.attempts[0].address == keepers[-1].address
+    assert out.data == fakes.text(8, 9)
+
+
+async def test_a_new_caller_has_no_engine_asked_for_its_prompt(client, parts):
+    client.scripts = [fakes.Script(events=(1,))]
+    await fakes.stream(parts)
+    assert client.asked == []
+
+
 def test_events_are_whole_however_they_arrive():
     data = fakes.text(1, 2, 3)
     for size in range(1, len(data)):
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -36,6 +36,12 @@
     def probe_path(self):
         return '/report'
 
+    def parts_path(self):
+        return '/parts'
+
+    def read_parts(self, body):
+        return frozenset(body.decode().split())
+
 
 @attrs.define
 class Server:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -283,8 +283,8 @@
         }
         first.heard(messages.Sightings(1, busy, []), 0.0)
         engine = place(first, part=part)
-        again = second.choose_engine(
-            'engines', 1.0, tokens=8000, part=part, tried=set(), returns=True
-        )
-        same += again is not None and again.ident == engine.ident
-    assert same >= 20
+        keepers = second.likely_keepers('engines', part, 1.0)
+        assert engine.ident in {keeper.ident for keeper in keepers}
+        second.read(part, engine.ident, 1.0)
+        same += place(second, now=1.0, part=part).ident == engine.ident
+    assert same == 40
