--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -79,6 +79,7 @@
             config.repeat_window_s,
         )
         crashers = decisions.Crashers(placement.lost_near)
+        gate = decisions.StreamGate()
         self.fleet = forwarding.Fleet(
             messages.ListedEntry(
                 config.name, config.data_centre, str(config.callers), True
@@ -89,6 +90,7 @@
             placement,
             budget,
             crashers,
+            gate,
         )
         self.metrics = node.make_served_metrics('bulrushhold_entry')
         parts = forwarding.Parts(
@@ -97,6 +99,7 @@
             budget,
             self.metrics,
             crashers,
+            gate,
         )
         self.forwarder = forwarding.Forwarder(self.fleet, parts)
         self.ingress = adapters.Ingress(
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -6,6 +6,7 @@
 from bulrushhold.decisions._crashers import fingerprint
 from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._gate import Outlook
+from bulrushhold.decisions._gate import retry_after_s
 from bulrushhold.decisions._gate import StreamGate
 from bulrushhold.decisions._gate import Verdict as GateVerdict
 from bulrushhold.decisions._homes import copy_peers
@@ -123,6 +124,7 @@
     'next_config',
     'ranked',
     'read_csv',
+    'retry_after_s',
     'standing',
     'with_learner',
     'write_csv',
--- a/src/bulrushhold/decisions/_gate.py
+++ b/src/bulrushhold/decisions/_gate.py
@@ -9,6 +9,7 @@
 does is refused at once, and told when to come back.
 """
 
+import collections
 import enum
 import typing as t
 
@@ -25,6 +26,8 @@
 # the queue is gone, and not after they have left.
 LEAST_RETRY_S: t.Final = 1.0
 MOST_RETRY_S: t.Final = 8.0
+# How many wait elsewhere is told with each change; older news is no news.
+HEARD_S: t.Final = 2.0
 
 
 class Verdict(enum.Enum):
@@ -56,9 +59,16 @@
     """Lets streams of this entry to engines, and counts those that wait."""
 
     def __init__(self) -> None:
-        self.waiting = 0
+        self.waiting: collections.Counter[str] = collections.Counter()
+        self.others: dict[str, int] = {}
+        self.heard_at = float('-inf')
         self.held_at = float('-inf')
 
+    def heard(self, others: dict[str, int], now: float) -> None:
+        """Learn how many streams wait at all other entries, by service."""
+        self.others = others
+        self.heard_at = now
+
     def held(self, now: float) -> None:
         """Learn that a stream has to wait."""
         self.held_at = now
@@ -74,13 +84,13 @@
         waited_s: float,
         left_s: float,
         aim_s: float,
-        entries: int,
+        queue_s: float,
     ) -> Verdict:
         """Return what becomes of a stream that has waited for so long.
 
         :param left_s: until its time is over.
         :param aim_s: from its arrival to its first event.
-        :param entries: that send to the same engines.
+        :param queue_s: until all that wait are placed.
         """
         if not outlook.engines or not aim_s:
             # There is nothing to wait for that could be foreseen.
@@ -92,22 +102,29 @@
         most = min(MOST_WAIT * aim_s, left_s)
         if waited_s >= most:
             return Verdict.REFUSE
-        if not waited_s and self.queue_s(outlook, entries) > most:
+        if not waited_s and queue_s > most:
             return Verdict.REFUSE
         return Verdict.WAIT
 
-    def queue_s(self, outlook: Outlook, entries: int) -> float:
+    def queue_s(
+        self, service: str, outlook: Outlook, entries: int, now: float
+    ) -> float:
         """Return seconds until all that wait at all entries are placed.
 
-        Callers draw entries at random, so that as many wait at others.
+        :param entries: that send to the same engines. Callers draw entries
+            at random, so that as many wait at others where nothing is heard
+            of these.
         """
-        if not self.waiting:
+        own = self.waiting[service]
+        if now - self.heard_at < HEARD_S:
+            waiting = own + self.others.get(service, 0)
+        else:
+            waiting = own * max(1, entries)
+        if not waiting:
             return 0.0
-        if not outlook.per_s:
-            return float('inf')
-        return self.waiting * max(1, entries) / outlook.per_s
-
-    def retry_after_s(self, outlook: Outlook, entries: int) -> float:
-        """Return when a refused caller is to come back, in seconds."""
-        queue = self.queue_s(outlook, entries)
-        return min(MOST_RETRY_S, max(LEAST_RETRY_S, queue))
+        return waiting / outlook.per_s if outlook.per_s else float('inf')
+
+
+def retry_after_s(queue_s: float) -> float:
+    """Return when a refused caller is to come back, in seconds."""
+    return min(MOST_RETRY_S, max(LEAST_RETRY_S, queue_s))
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -274,12 +274,14 @@
                 + self.rng.random()
             )
 
-        tried = tried | {engine.ident}
-        best = self._best(engine.service, now, tried, cost, strict=True)
         most = COPIES_FULL_CROWDED if crowded else COPIES_FULL
-        if best is None or not self._has_room(best, now, tokens, most):
-            return None
-        return best
+        full = {
+            backend.ident
+            for backend in self.usable(engine.service)
+            if not self._has_room(backend, now, tokens, most)
+        }
+        tried = tried | full | {engine.ident}
+        return self._best(engine.service, now, tried, cost, strict=True)
 
     def outlook(
         self,
--- a/src/bulrushhold/decisions/_sightings.py
+++ b/src/bulrushhold/decisions/_sightings.py
@@ -140,6 +140,7 @@
         totals[service] = messages.ServiceTraffic(
             known.firsts + sign * one.firsts,
             known.repeats + sign * one.repeats,
+            known.waiting + sign * one.waiting,
         )
 
 
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -55,6 +55,7 @@
         placement: decisions.Placement,
         budget: decisions.RepeatBudget,
         crashers: decisions.Crashers,
+        gate: decisions.StreamGate,
     ) -> None:
         self.me = me
         self.seeds = seeds
@@ -63,6 +64,7 @@
         self.placement = placement
         self.budget = budget
         self.crashers = crashers
+        self.gate = gate
         self.core: list[str] = []
         self.leader = ''
         self.in_touch_at = 0.0
@@ -165,6 +167,9 @@
             self.placement.heard(reply.sightings, now)
             self.budget.heard(reply.sightings.traffic, now)
             self.crashers.heard(reply.sightings.deaths, now)
+            traffic = reply.sightings.traffic
+            waiting = {name: one.waiting for name, one in traffic.items()}
+            self.gate.heard(waiting, now)
         self.budget.entries = self.count()
         for hook in self.changed:
             hook()
@@ -183,10 +188,12 @@
 
     def _sighting(self, now: float) -> messages.Sighting:
         self.crashers.settle(now)
+        traffic = {
+            service: attrs.evolve(one, waiting=self.gate.waiting[service])
+            for service, one in self.budget.traffic(now).items()
+        }
         return attrs.evolve(
-            self.placement.sighted(
-                self.me.name, self.budget.traffic(now), now
-            ),
+            self.placement.sighted(self.me.name, traffic, now),
             # A loss is old news by the time there is a leader again; what
             # crashes engines still does.
             deaths=self.crashers.told() if self.leader else [],
--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -36,12 +36,15 @@
 
     :param sent: the request may have reached the engine.
     :param gone: it is dead or out of reach, not merely at fault.
+    :param reset: it broke the connection; dead engines do, and living ones
+        that are at fault.
     :param seconds: since the stream was placed there.
     :param last_before: number of the caller's last event at that time.
     """
 
     sent: bool = True
     gone: bool = True
+    reset: bool = False
     seconds: float = 0.0
     last_before: int | None = None
 
@@ -178,7 +181,7 @@
             self.answer = self.sending.result()
         except errors.BackendError as error:
             sent = error.step != 'connect'
-            raise StreamLostError(str(error), sent=sent) from error
+            raise StreamLostError(str(error), sent=sent, reset=sent) from error
         return self.answer
 
     def _expect_first(self) -> None:
@@ -386,4 +389,4 @@
         try:
             return await answer.chunk()
         except errors.BackendError as error:
-            raise StreamLostError(str(error)) from error
+            raise StreamLostError(str(error), reset=True) from error
--- a/src/bulrushhold/forwarding/_parts.py
+++ b/src/bulrushhold/forwarding/_parts.py
@@ -28,7 +28,7 @@
     budget: decisions.RepeatBudget
     metrics: ports.Metrics
     crashers: decisions.Crashers
-    gate: decisions.StreamGate = attrs.field(factory=decisions.StreamGate)
+    gate: decisions.StreamGate
     clock: cabc.Callable[[], float] = time.monotonic
 
 
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -96,6 +96,7 @@
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.parts.clock() - begun
                 lost.last_before = last
+                await self._look_whether_gone(engine, lost)
                 self._learn_loss(engine, lost)
                 if not await self._may_repeat(lost):
                     return self._end_early(reason, peer)
@@ -157,27 +158,35 @@
                 f'no engine holds {self.tokens} tokens', TOO_LARGE_RETRY_S
             )
         gate = self.parts.gate
-        entries = self.parts.budget.entries
         begun = self.parts.clock()
         waited = 0.0
-        gate.waiting += 1
+        service = self.job.service
+        gate.waiting[service] += 1
         try:
             while True:
                 outlook = self.outlook()
+                queue_s = gate.queue_s(
+                    service,
+                    outlook,
+                    self.parts.budget.entries,
+                    self.parts.clock(),
+                )
                 verdict = gate.judge(
                     outlook,
                     waited_s=waited,
                     left_s=self.left(),
                     aim_s=self.job.route.aim_s,
-                    entries=entries,
+                    queue_s=queue_s,
                 )
                 if verdict is not decisions.GateVerdict.WAIT:
                     break
+                if not waited:
+                    self.parts.placement.on_news()
                 gate.held(self.parts.clock())
                 await asyncio.sleep(GATE_CHECK_S * (0.5 + random.random()))
                 waited = self.parts.clock() - begun
         finally:
-            gate.waiting -= 1
+            gate.waiting[service] -= 1
         if waited:
             _parts.log(
                 self.job,
@@ -186,13 +195,13 @@
                 verdict=verdict.value,
                 first_s=round(outlook.first_s, 2),
                 engines=outlook.engines,
-                waiting=gate.waiting,
+                waiting=gate.waiting[service],
             )
         if verdict is decisions.GateVerdict.REFUSE:
             self.parts.metrics.count('streams.refused_full')
             raise self._refuse(
-                f'engines are full, {gate.waiting} wait here',
-                gate.retry_after_s(outlook, entries),
+                f'engines are full, {gate.waiting[service]} wait here',
+                decisions.retry_after_s(queue_s),
             )
 
     def _refuse(
@@ -243,7 +252,7 @@
         return engine, None
 
     async def _may_repeat(self, lost: _flow.StreamLostError) -> bool:
-        begun = lost.gone or self.last != lost.last_before
+        begun = lost.gone or lost.reset or self.last != lost.last_before
         if not (lost.sent and begun) or lost.seconds < COPY_AFTER_S:
             # Nothing can lie at the backup yet; asking would cost a refusal.
             self.backup = self.copy = None
@@ -357,6 +366,20 @@
             crowded=self.parts.gate.crowded(now),
         )
 
+    async def _look_whether_gone(
+        self, engine: decisions.Placed, lost: _flow.StreamLostError
+    ) -> None:
+        """Tell a dead engine from one that lost an answer.
+
+        A dead one refuses connections at once. One that lives is still good
+        for others' streams and keeps its copies; taken for dead by all
+        entries, a few such faults leave them without engines.
+        """
+        if lost.reset and await self.parts.client.alive(
+            engine.address, _flow.ASK_S
+        ):
+            lost.gone = False
+
     def _learn_loss(
         self, engine: decisions.Placed, lost: _flow.StreamLostError
     ) -> None:
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -87,10 +87,12 @@
 
     :param firsts: that callers sent.
     :param repeats: that were sent to a backend server once more.
+    :param waiting: streams that are held until an engine can take them.
     """
 
     firsts: int
     repeats: int
+    waiting: int = 0
 
 
 @attrs.frozen
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -16,7 +16,8 @@
     """What one engine does with the next request.
 
     :param events: numbers of the events it sends.
-    :param then: ``end``, ``reset``, ``silent`` or ``half`` an event.
+    :param then: ``end``, ``reset``, ``crash``, ``silent`` or ``half`` an
+        event.
     """
 
     status: int = 200
@@ -49,7 +50,9 @@
         if self.script.then == 'half':
             self.script.then = 'reset'
             return b'id: 99\ndata'
-        if self.script.then == 'reset':
+        if self.script.then == 'crash':
+            self.client.dead.add(self.address)
+        if self.script.then in ('reset', 'crash'):
             raise errors.BackendError('reset', 'answer', self.address)
         if self.script.then == 'silent':
             await asyncio.sleep(60)
--- a/tests/forwarding/test_crashers.py
+++ b/tests/forwarding/test_crashers.py
@@ -119,8 +119,8 @@
 
 async def test_an_engine_lost_under_a_stream_is_counted(client, parts):
     client.scripts = [
-        fakes.Script(events=(1,), then='reset'),
-        fakes.Script(events=(2,), then='reset'),
+        fakes.Script(events=(1,), then='crash'),
+        fakes.Script(events=(2,), then='crash'),
         fakes.Script(events=(3,)),
     ]
     parts.crashers.lost_near = lambda engine, at, within: 1
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -30,13 +30,14 @@
     first_s, *, quiet=False, waited=0.0, left=25.0, waiting=0, engines=9
 ):
     gate = decisions.StreamGate()
-    gate.waiting = waiting
+    gate.waiting['s'] = waiting
+    outlook = decisions.Outlook(first_s, quiet, engines, 0.7 * engines)
     return gate.judge(
-        decisions.Outlook(first_s, quiet, engines, 0.7 * engines),
+        outlook,
         waited_s=waited,
         left_s=left,
         aim_s=AIM_S,
-        entries=9,
+        queue_s=gate.queue_s('s', outlook, 9, 0.0),
     )
 
 
@@ -59,12 +60,29 @@
 def test_a_refused_caller_is_told_when_the_queue_is_gone():
     gate = decisions.StreamGate()
     outlook = decisions.Outlook(9.0, False, 9, 6.3)
-    gate.waiting = 4
-    assert gate.retry_after_s(outlook, 9) == pytest.approx(36 / 6.3)
-    gate.waiting = 100
-    assert gate.retry_after_s(outlook, 9) == 8.0
-    gate.waiting = 0
-    assert gate.retry_after_s(outlook, 9) == 1.0
+    gate.waiting['s'] = 4
+    queue_s = gate.queue_s('s', outlook, 9, 0.0)
+    assert decisions.retry_after_s(queue_s) == pytest.approx(36 / 6.3)
+    gate.waiting['s'] = 100
+    queue_s = gate.queue_s('s', outlook, 9, 0.0)
+    assert decisions.retry_after_s(queue_s) == 8.0
+    gate.waiting['s'] = 0
+    queue_s = gate.queue_s('s', outlook, 9, 0.0)
+    assert decisions.retry_after_s(queue_s) == 1.0
+
+
+def test_a_stream_that_waits_alone_is_not_taken_for_a_crowd():
+    # Engines fail in part, and two of them are left. One stream waits here;
+    # others tell that nobody waits there. It is served within seconds, and
+    # must not be refused as if as many waited at each of 67 entries.
+    gate = decisions.StreamGate()
+    outlook = decisions.Outlook(9.0, False, 2, 1.4)
+    gate.waiting['s'] = 1
+    assert gate.queue_s('s', outlook, 67, 0.0) > 15.3
+    gate.heard({'s': 0}, 0.0)
+    assert gate.queue_s('s', outlook, 67, 0.1) < 1.0
+    gate.heard({'s': 66}, 0.2)
+    assert gate.queue_s('s', outlook, 67, 0.3) > 15.3
 
 
 def test_without_engines_or_an_aim_nothing_is_held():
@@ -128,13 +146,14 @@
         # The newest first: it can still be in time.
         for stream in reversed(list(held)):
             outlook = placement.outlook('s', now, wanted=WANTED, memory=MEMORY)
-            gate.waiting = len(held)
+            gate.waiting['s'] = len(held)
+            queue_s = gate.queue_s('s', outlook, 1, now)
             verdict = gate.judge(
                 outlook,
                 waited_s=now - stream['at'],
                 left_s=25.0,
                 aim_s=AIM_S,
-                entries=1,
+                queue_s=queue_s,
             )
             if gated and verdict is decisions.GateVerdict.WAIT:
                 continue
@@ -191,14 +210,14 @@
     for backend in parts.placement.backends.values():
         backend.memory = 10_000
     parts.placement.heard_at = parts.clock()
-    parts.gate.waiting = 200
+    parts.gate.waiting['engines'] = 200
     with pytest.raises(errors.RequestError) as caught:
         await fakes.stream(parts, wait_s=25.0)
     assert caught.value.status == 503
     assert caught.value.ran is errors.Ran.NO
     assert caught.value.retry_after == 8.0
     assert client.log == []
-    assert parts.gate.waiting == 200
+    assert parts.gate.waiting['engines'] == 200
 
 
 async def test_a_held_stream_goes_as_soon_as_there_is_room(client, parts):
@@ -211,11 +230,11 @@
     run = asyncio.ensure_future(forwarding.StreamRun(parts, job, out).run())
     await asyncio.sleep(0.15)
     assert client.log == []
-    assert parts.gate.waiting == 1
+    assert parts.gate.waiting['engines'] == 1
     parts.placement.backends['i3'].memory = 0
     await run
     assert out.data == fakes.text(1, 2)
-    assert parts.gate.waiting == 0
+    assert parts.gate.waiting['engines'] == 0
     # In a crowd memory is worth more than a copy: none is asked for where
     # it would fill an engine.
     assert client.attempts[0].backup == ''
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -161,6 +161,27 @@
     assert out.data == fakes.text(1, 2, 3)
 
 
+@pytest.mark.parametrize('then', ['reset', 'crash'])
+async def test_an_engine_that_loses_an_answer_is_not_taken_for_dead(
+    client, parts, then
+):
+    # Engines lose a part of their answers for some seconds: callers' streams
+    # go on elsewhere. They run others' streams all the while; taken for dead
+    # by all entries, hardly an engine would be left to place streams at, and
+    # callers would be refused.
+    client.scripts = [
+        fakes.Script(events=(1,), then=then),
+        fakes.Script(events=(2,)),
+    ]
+    out, _ = await fakes.stream(parts)
+    assert out.data == fakes.text(1, 2)
+    dead = then == 'crash'
+    ident = parts.placement.sighted('e1', {}, parts.clock()).lost
+    engine = f'i{client.attempts[0].address[7]}'
+    assert ident == ([engine] if dead else [])
+    assert (parts.placement.backends[engine].suspect_until > 0) is dead
+
+
 async def test_repeated_events_are_dropped_and_a_gap_is_a_loss(client, parts):
     client.scripts = [
         fakes.Script(events=(1, 2), then='reset'),
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -83,6 +83,24 @@
     assert backup.data_centre != engine.data_centre
 
 
+def test_a_copy_goes_where_there_is_room_for_it():
+    # Streams aren't spread evenly. The engine with the fewest of them holds
+    # copies of many others; a stream without a copy would have its prompt
+    # read again when its engine is lost.
+    made = placement()
+    made.capacity = {'engines': 88_000}
+    engine = place(made)
+    others = [b for b in made.backends.values() if b is not engine]
+    roomy = next(b for b in others if b.data_centre != engine.data_centre)
+    for backend in others:
+        backend.memory = 60_000
+    roomy.memory = 20_000
+    roomy.inflight = 9
+    assert made.choose_backup(engine, 0.0, set(), 8000) is roomy
+    roomy.memory = 60_000
+    assert made.choose_backup(engine, 0.0, set(), 8000) is None
+
+
 def test_a_copy_is_gone_with_its_engine_or_its_restart():
     made = placement()
     backup = made.backends['i1']
