--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -141,6 +141,7 @@
         self.follow = _background.in_background(self.fleet.follow())
         loguru.logger.info('draining')
         last = begun + self.config.grace_s - EXIT_MARGIN_S
+        self.forwarder.ends_at = last
         while time.monotonic() < last:
             await asyncio.sleep(DRAIN_CHECK_S)
             now = time.monotonic()
--- a/src/bulrushhold/decisions/_gate.py
+++ b/src/bulrushhold/decisions/_gate.py
@@ -5,8 +5,9 @@
 in order. Sent there at once, all streams wait as long as the first of the
 crowd, also those that come when it is over. So an engine gets only as many
 prompts as it shows an event of in time. What is late already waits here, and
-goes where it delays nobody else; what would wait for longer than its caller
-does is refused at once, and told when to come back.
+goes where it delays nobody else, or after half of the time that its caller
+waits; what would wait for longer is refused at once, and told when to come
+back.
 """
 
 import collections
@@ -19,6 +20,9 @@
 # for the first one: callers leave after four, and what is left is for reading
 # the prompt at a quiet engine.
 MOST_WAIT: t.Final = 3.4
+# Half of the prompts take longer than their mean: as many times as long is
+# allowed for.
+SURE: t.Final = 1.3
 # For how long after a stream had to wait the crowd counts as still there: a
 # stream that went to an engine then has its prompt read by that time.
 CROWD_S: t.Final = 5.0
@@ -44,15 +48,21 @@
 
     :param first_s: until its first event, at the best engine with room;
         infinite where none has room.
-    :param quiet: an engine with room has little else to read.
+    :param quiet: an engine with room has nothing to read, or so little that
+        the next prompt is in time there as well.
     :param engines: how many take part.
     :param per_s: streams that they end together in a second.
+    :param write_s: least time from its first event to its last one.
+    :param spare: more than one engine could show an event in time, or most
+        have no room, so that those that have waited longest get what is left.
     """
 
     first_s: float
     quiet: bool
     engines: int
     per_s: float
+    write_s: float = 0.0
+    spare: bool = True
 
 
 class StreamGate:
@@ -85,24 +95,32 @@
         left_s: float,
         aim_s: float,
         queue_s: float,
+        arrives: bool = False,
+        begun: bool = False,
     ) -> Verdict:
         """Return what becomes of a stream that has waited for so long.
 
         :param left_s: until its time is over.
         :param aim_s: from its arrival to its first event.
         :param queue_s: until all that wait are placed.
+        :param arrives: it is looked at for the first time.
+        :param begun: its caller has a part of it, and so has waited for too
+            long already; how much there is to come isn't known.
         """
         if not outlook.engines or not aim_s:
             # There is nothing to wait for that could be foreseen.
             return Verdict.PLACE
-        if waited_s + outlook.first_s <= aim_s:
-            return Verdict.PLACE
-        if outlook.quiet:
+        whole_s = outlook.first_s + outlook.write_s
+        if not begun and left_s < whole_s < float('inf'):
+            return Verdict.REFUSE
+        if not begun and waited_s + SURE * outlook.first_s <= aim_s:
             return Verdict.PLACE
         most = min(MOST_WAIT * aim_s, left_s)
+        if outlook.quiet and (outlook.spare or waited_s >= most / 2):
+            return Verdict.PLACE
         if waited_s >= most:
             return Verdict.REFUSE
-        if not waited_s and queue_s > most:
+        if arrives and not begun and queue_s > most:
             return Verdict.REFUSE
         return Verdict.WAIT
 
--- a/src/bulrushhold/decisions/_patience.py
+++ b/src/bulrushhold/decisions/_patience.py
@@ -14,10 +14,7 @@
 import attrs
 
 TIMES: t.Final = 2.0
-# Of the longest pause wanted: asked in its first half, a dead engine can be
-# left and its copy be taken into use within the other half.
-ASK_SHARE: t.Final = 0.5
-# A copy is taken into use within the rest.
+# Of the longest pause wanted; a copy is taken into use within the rest.
 LEAVE_SHARE: t.Final = 0.85
 # Below this, asking costs more than it tells.
 LEAST_ASK_S: t.Final = 0.05
@@ -27,18 +24,29 @@
 class Patience:
     """Bounds for one silent engine, in seconds.
 
-    :param usual_pause_s: between its events.
+    :param common_pause_s: between its events, mostly.
+    :param usual_pause_s: between its events, nearly always.
     :param gap_s: longest pause that is wanted there.
+    :param asking_s: until an engine that gives no answer is given up.
     """
 
+    common_pause_s: float
     usual_pause_s: float
     gap_s: float
+    asking_s: float
 
     @property
     def ask_after_s(self) -> float:
-        """Silence after which the engine is asked whether it lives."""
+        """Silence after which the engine is asked whether it lives.
+
+        Early enough for the next event to come from elsewhere, which takes as
+        long as a usual pause, within the longest pause that is wanted; but
+        not at each pause, which would keep engines busy with answers.
+        """
+        latest = self.gap_s - self.asking_s - self.usual_pause_s
         return max(
-            LEAST_ASK_S, min(self.usual_pause_s, ASK_SHARE * self.gap_s)
+            LEAST_ASK_S,
+            min(self.usual_pause_s, max(latest, self.common_pause_s)),
         )
 
     def leave_with_copy_s(self) -> float:
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -56,11 +56,16 @@
 FULL_PROMPTS: t.Final = 4.0
 # A copy takes as much memory as its stream, and keeps it if the stream's
 # engine is lost; above this new prompts would find no room.
-COPIES_FULL: t.Final = 0.7
+COPIES_FULL: t.Final = 0.85
 # While streams wait for engines, that memory is worth more to them.
-COPIES_FULL_CROWDED: t.Final = 0.4
-# One that is late anyway goes where at most one prompt of its size is ahead.
-QUIET_PROMPTS: t.Final = 2
+COPIES_FULL_CROWDED: t.Final = 0.7
+# One that is late anyway goes where all prompts, its own included, are read
+# within this share of the aim: the next one is then in time there, too.
+QUIET: t.Final = 0.7
+# Engines that could show an event in time while one that is late is placed.
+SPARE: t.Final = 2
+# Of the mean time of runs, what even a short one takes.
+LEAST_RUN: t.Final = 0.5
 SUSPECT_S: t.Final = 1.0
 LATENCY_FLOOR_S: t.Final = 0.005
 # What other entries have running is told within 0.1 s, as long as control is
@@ -308,15 +313,27 @@
         ]
         first_s = float('inf')
         quiet = False
+        roomy = in_time = 0
         for backend in calm:
             if not self._has_room(backend, now, memory, 1.0):
                 continue
             others = self._others(backend, now).reading
             reading = backend.reading + others + tokens
             first_s = min(first_s, reading * token_s)
-            quiet = quiet or reading <= QUIET_PROMPTS * tokens
+            roomy += 1
+            in_time += reading * token_s <= wanted.aim_s
+            little = reading * token_s <= QUIET * wanted.aim_s
+            quiet = quiet or little or reading == tokens
         per_s = self._finished_per_s(service, now, tokens * token_s, memory)
-        return _gate.Outlook(first_s, quiet, len(calm), len(calm) * per_s)
+        run_s = self.speeds.run_s(service, now) or 0.0
+        return _gate.Outlook(
+            first_s,
+            quiet,
+            len(calm),
+            len(calm) * per_s,
+            max(0.0, LEAST_RUN * run_s - tokens * token_s),
+            in_time >= min(SPARE, roomy) or 2 * roomy < len(calm),
+        )
 
     def _finished_per_s(
         self, service: str, now: float, prompt_s: float, memory: int
--- a/src/bulrushhold/decisions/_speeds.py
+++ b/src/bulrushhold/decisions/_speeds.py
@@ -20,15 +20,14 @@
 # whose events come several times within the longest pause wanted.
 PROMPTS_PER_AIM: t.Final = 3.0
 PAUSES_PER_GAP: t.Final = 5.0
-# What routes tell of pauses counts as much as so many events.
+# What routes tell counts as much as so many prompts, and so many events.
+PRIOR_PROMPTS: t.Final = 0.2
 PRIOR_PAUSES: t.Final = 20.0
 # Less than this is what is left of a run that was seen long ago.
 LEAST_RUNS: t.Final = 0.05
 # One sample counts for no more than this many times what is usual: a frozen
 # entry, or an engine that died unseen, isn't a slow service.
 MOST_TIMES: t.Final = 4.0
-# Standard deviations over the mean up to which a pause is usual (RFC 6298).
-DEVIATIONS: t.Final = 4.0
 NOTHING: t.Final = messages.EngineSpeed()
 
 
@@ -154,8 +153,9 @@
             be compared with the others.
         """
         seen = self._all(service, now)
-        tokens = seen.tokens + max(1, wanted.tokens)
-        seconds = seen.read_s + wanted.aim_s / PROMPTS_PER_AIM
+        tokens = seen.tokens + PRIOR_PROMPTS * max(1, wanted.tokens)
+        aimed_s = wanted.aim_s / PROMPTS_PER_AIM
+        seconds = seen.read_s + PRIOR_PROMPTS * aimed_s
         token_s = seconds / tokens
         for reading in self.readings:
             if reading.service != service or reading.engine == but:
@@ -166,14 +166,19 @@
                 seconds += waited
         return seconds / tokens
 
-    def usual_pause_s(self, service: str, wanted: Wanted, now: float) -> float:
-        """Return the longest pause between events that is nothing unusual."""
+    def pause_s(
+        self, service: str, wanted: Wanted, now: float, deviations: float
+    ) -> float:
+        """Return a pause between events, as far above their mean as told.
+
+        :param deviations: standard deviations above the mean.
+        """
         seen = self._all(service, now)
         expected = wanted.gap_s / PAUSES_PER_GAP
         count = seen.pauses + PRIOR_PAUSES
         mean = (seen.pause_s + PRIOR_PAUSES * expected) / count
         square = (seen.pause_sq + PRIOR_PAUSES * expected * expected) / count
-        return mean + DEVIATIONS * math.sqrt(max(0.0, square - mean * mean))
+        return mean + deviations * math.sqrt(max(0.0, square - mean * mean))
 
     def run_s(self, service: str, now: float) -> float | None:
         """Return how long a run takes at an engine; ``None``: unknown."""
--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -1,7 +1,6 @@
 """The events of one engine, on to the caller, until it is lost."""
 
 import asyncio
-import collections.abc as cabc
 import contextlib
 import typing as t
 
@@ -11,23 +10,24 @@
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _events
+from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _parts
 
 if t.TYPE_CHECKING:
     from bulrushhold.forwarding import _streams
 
-# An engine that lives answers within 10 ms, whatever it is busy with.
-ASK_S: t.Final = 0.12
-# Asked once more: on a link that loses one packet in 25, a fifth of the first
-# answers come too late, and a living engine would be given up by all entries.
-ASKED: t.Final = 2
 # Before its first event a stream waits for its prompt to be read.
 FIRST_ASK_S: t.Final = 0.5
 # Pauses between events are learnt in batches: several times a second.
 LEARN_S: t.Final = 0.2
+# Standard deviations above the mean pause, within which pauses mostly and
+# nearly always are (the latter as in RFC 6298).
+COMMON: t.Final = 1.5
+USUAL: t.Final = 4.0
 # A copy made by order is dropped when it hasn't grown for 4 s; what the run
 # made since is read again, some 200 tokens in 1.5 s.
 RENEW_S: t.Final = 1.5
+COPY_KEPT_S: t.Final = 4.0
 
 
 @attrs.define(slots=False)
@@ -49,33 +49,10 @@
     last_before: int | None = None
 
 
-def _look_at(sending: 'asyncio.Future[calls.BackendAnswer]') -> None:
-    """Take the outcome of a sending that nobody waits for any more."""
-    if not sending.cancelled():
-        sending.exception()
-
-
-class _Silence:
-    """How long an engine has sent nothing while this process could read.
-
-    A machine that stood still wakes with all its timers due, and with its
-    engines' events unread in its sockets. Counted by the clock, the time it
-    stood still would look like its engines' silence, and all of them would
-    be left at once.
-    """
-
-    def __init__(self, clock: cabc.Callable[[], float]) -> None:
-        self.clock = clock
-        self.seconds = 0.0
-
-    @contextlib.contextmanager
-    def counted(self, most_s: float) -> cabc.Iterator[None]:
-        """Count the time that a wait takes, up to its timeout."""
-        begun = self.clock()
-        try:
-            yield
-        finally:
-            self.seconds += min(self.clock() - begun, most_s)
+def _look_at(order: 'asyncio.Future[t.Any]') -> None:
+    """Take the outcome of an order that nobody waits for any more."""
+    if not order.cancelled():
+        order.exception()
 
 
 class Flow:
@@ -170,7 +147,7 @@
             self.parts.client.send(self.stream.job.call, attempt)
         )
         self._expect_first()
-        silence = _Silence(self.parts.clock)
+        silence = _liveness.Silence(self.parts.clock)
         while True:
             with silence.counted(FIRST_ASK_S):
                 await asyncio.wait({self.sending}, timeout=FIRST_ASK_S)
@@ -198,7 +175,7 @@
         token_s = self.speeds.token_s(service, self.stream.wanted, now)
         self.here_s = tokens * token_s
 
-    async def _check_first(self, silence: '_Silence') -> None:
+    async def _check_first(self, silence: _liveness.Silence) -> None:
         waited = silence.seconds
         if self.stream.left() <= 0:
             raise StreamLostError('no event in time', gone=False)
@@ -207,14 +184,13 @@
             raise StreamLostError(f'no event for {waited:.2f} s', gone=False)
         await self._ask_for_life(silence)
 
-    async def _ask_for_life(self, silence: '_Silence') -> None:
-        for _ in range(ASKED):
-            with silence.counted(ASK_S):
-                alive = await self.parts.client.alive(
-                    self.engine.address, ASK_S
-                )
-            if alive:
-                return
+    async def _ask_for_life(self, silence: _liveness.Silence) -> None:
+        with silence.counted(_liveness.ASKED_S):
+            alive = await _liveness.is_alive(
+                self.parts.client, self.engine.address
+            )
+        if alive:
+            return
         raise StreamLostError('silent, and gives no sign of life')
 
     async def _failure(self, answer: calls.BackendAnswer) -> calls.Reply:
@@ -280,7 +256,9 @@
                 await asyncio.sleep(RENEW_S)
                 continue
             self._keep_copy_at(target)
+            made_at = float('-inf')
             while self._is_kept(target):
+                now = self.parts.clock()
                 try:
                     stream.copy = await self.parts.client.copy_run(
                         stream.job.call,
@@ -289,13 +267,17 @@
                         RENEW_S,
                     )
                 except errors.BackendError as error:
-                    stream.backup = None
+                    # Mostly the run's own engine is being lost: the copy made
+                    # last is what its stream goes on from.
                     _parts.log(
                         stream.job, 'copy not renewed', reason=str(error)
                     )
                     await asyncio.sleep(RENEW_S)
-                    break
+                    if now - made_at > COPY_KEPT_S:
+                        break
+                    continue
                 stream.backup = target
+                made_at = now
                 await asyncio.sleep(RENEW_S)
 
     def _keep_copy_at(self, target: decisions.Placed) -> None:
@@ -352,7 +334,7 @@
         await out.write(data)
 
     async def _chunk(self, answer: calls.BackendAnswer) -> bytes:
-        silence = _Silence(self.parts.clock)
+        silence = _liveness.Silence(self.parts.clock)
         while True:
             ask = self.patience.ask_after_s if self.spoke else FIRST_ASK_S
             with contextlib.suppress(TimeoutError), silence.counted(ask):
@@ -380,10 +362,18 @@
 
     def _look_at_pauses(self) -> decisions.Patience:
         wanted = self.stream.wanted
-        usual = self.speeds.usual_pause_s(
-            self.stream.job.service, wanted, self.parts.clock()
+        common, usual = (
+            self.speeds.pause_s(
+                self.stream.job.service,
+                wanted,
+                self.parts.clock(),
+                deviations,
+            )
+            for deviations in (COMMON, USUAL)
+        )
+        return decisions.Patience(
+            common, usual, wanted.gap_s, _liveness.ASKED_S
         )
-        return decisions.Patience(usual, wanted.gap_s)
 
     async def _read(self, answer: calls.BackendAnswer) -> bytes:
         try:
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -21,6 +21,10 @@
 # may lose two fifths and still be served.
 START_WAIT_S: t.Final = 1.5
 START_WAIT_SHARE: t.Final = 0.4
+# Other entries serve at once what this one refuses as it leaves.
+ELSEWHERE_RETRY_S: t.Final = 0.05
+# Nearly all streams take less than this many times the mean.
+LONG_RUN: t.Final = 1.4
 
 
 class Forwarder:
@@ -30,6 +34,7 @@
         self.fleet = fleet
         self.parts = parts
         self.closing = False
+        self.ends_at = float('inf')
 
     async def handle(
         self, call: calls.Call, out: calls.CallerStream
@@ -82,12 +87,32 @@
             raise errors.RequestError('no such route', 'accept', status=404)
         account = _account(index, route, call)
         service = index.target(route, random.random())
+        if route.kind is routes.Kind.STREAM:
+            self._refuse_what_would_be_cut(service, route, now)
         fingerprint = decisions.fingerprint(path, call.key, call.body)
         self._refuse_crasher(fingerprint, service, now)
         self.parts.budget.first(service, now)
         end = now + min(call.wait_s, route.timeout_s)
         return _parts.Job(call, route, service, account, end, fingerprint)
 
+    def _refuse_what_would_be_cut(
+        self, service: str, route: routes.Route, now: float
+    ) -> None:
+        """Send a stream's caller elsewhere while this entry is leaving.
+
+        Callers learn late that it leaves. A stream that is taken now would be
+        cut in the middle as the process ends; refused at once, its caller is
+        served by another entry, in time.
+        """
+        run_s = self.parts.placement.speeds.run_s(service, now)
+        if now + LONG_RUN * (run_s or route.aim_s) > self.ends_at:
+            raise errors.RequestError(
+                'leaving, and streams take longer than that',
+                'accept',
+                status=503,
+                retry_after=ELSEWHERE_RETRY_S,
+            )
+
     def _refuse_crasher(
         self, fingerprint: str, service: str, now: float
     ) -> None:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -1,14 +1,16 @@
 """Runs a stream of events, across the losses of engines."""
 
 import asyncio
-import random
 import typing as t
 
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _flow
+from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _parts
+from bulrushhold.forwarding import _prompts
+from bulrushhold.forwarding import _turns
 
 # An engine sends its run's memory to the backup several times a second.
 COPY_AFTER_S: t.Final = 0.3
@@ -18,10 +20,6 @@
 # A prompt larger than any engine's memory is served only once operators have
 # put up larger ones; callers leave long before.
 TOO_LARGE_RETRY_S: t.Final = 60.0
-# Engines tell what they keep within ms; a caller that returns has waited.
-LOOK_S: t.Final = 0.1
-# Sightings of other entries come as often.
-GATE_CHECK_S: t.Final = 0.05
 
 
 class StreamRun:
@@ -82,11 +80,9 @@
 
     async def _run(self) -> calls.Reply | None:
         reason, peer = 'no engine is there', ''
-        if self.job.call.after is not None:
-            await self._look_for_prompt()
-        await self._pass_gate()
+        await self._enter()
         while True:
-            engine, copy = self._choose()
+            engine, copy = await self._choose()
             if engine is None:
                 return self._end_early(reason, peer)
             begun, last = self.parts.clock(), self.last
@@ -106,50 +102,18 @@
                 self._log_end('stream whole' if reply is None else 'failed')
                 return reply
 
-    async def _look_for_prompt(self) -> None:
-        """Find the engine that has read the prompt of a caller that returns.
-
-        Its entry was lost, perhaps all entries, and with them who knew which
-        engine has the prompt in memory. Reading it again would take the
-        caller's time, and that of all who wait behind it.
-        """
-        keepers = self.parts.placement.likely_keepers(
-            self.job.service, self.part, self.parts.clock()
-        )
-        kept = await asyncio.gather(
-            *(
-                self.parts.client.parts_kept(keeper.address, LOOK_S)
-                for keeper in keepers
-            ),
-            return_exceptions=True,
-        )
-        holders = []
-        for keeper, parts in zip(keepers, kept, strict=True):
-            if isinstance(parts, errors.BackendError):
-                _parts.log(
-                    self.job,
-                    'parts not told',
-                    engine=keeper.ident,
-                    reason=str(parts),
-                )
-            elif isinstance(parts, BaseException):
-                raise parts
-            elif self.part in parts:
-                holders.append(keeper)
-        if holders:
-            best = min(holders, key=lambda h: h.reading + h.others.reading)
-            self.parts.placement.read(
-                self.part, best.ident, self.parts.clock()
-            )
-        _parts.log(
+    async def _wait_for_turn(self) -> _turns.Turn:
+        begun = self.last is not None
+        return await _turns.wait_for_turn(
+            self.parts,
             self.job,
-            'prompt looked for',
-            asked=len(keepers),
-            found=[holder.ident for holder in holders],
+            self.outlook,
+            since=self.parts.clock() if begun else self.begun_at,
+            begun=begun,
         )
 
-    async def _pass_gate(self) -> None:
-        """Wait until an engine can take the stream without delay to others.
+    async def _enter(self) -> None:
+        """Wait until an engine can take the stream for the first time.
 
         :raises RequestError: where that would take too long.
         """
@@ -157,52 +121,16 @@
             raise self._refuse(
                 f'no engine holds {self.tokens} tokens', TOO_LARGE_RETRY_S
             )
-        gate = self.parts.gate
-        begun = self.parts.clock()
-        waited = 0.0
-        service = self.job.service
-        gate.waiting[service] += 1
-        try:
-            while True:
-                outlook = self.outlook()
-                queue_s = gate.queue_s(
-                    service,
-                    outlook,
-                    self.parts.budget.entries,
-                    self.parts.clock(),
-                )
-                verdict = gate.judge(
-                    outlook,
-                    waited_s=waited,
-                    left_s=self.left(),
-                    aim_s=self.job.route.aim_s,
-                    queue_s=queue_s,
-                )
-                if verdict is not decisions.GateVerdict.WAIT:
-                    break
-                if not waited:
-                    self.parts.placement.on_news()
-                gate.held(self.parts.clock())
-                await asyncio.sleep(GATE_CHECK_S * (0.5 + random.random()))
-                waited = self.parts.clock() - begun
-        finally:
-            gate.waiting[service] -= 1
-        if waited:
-            _parts.log(
-                self.job,
-                'stream held',
-                seconds=round(waited, 3),
-                verdict=verdict.value,
-                first_s=round(outlook.first_s, 2),
-                engines=outlook.engines,
-                waiting=gate.waiting[service],
-            )
-        if verdict is decisions.GateVerdict.REFUSE:
+        returns = self.job.call.after is not None
+        if returns and await _prompts.find_prompt(
+            self.parts, self.job, self.part
+        ):
+            # Nothing is to be read that others would have to wait for.
+            return
+        turn = await self._wait_for_turn()
+        if not turn.comes:
             self.parts.metrics.count('streams.refused_full')
-            raise self._refuse(
-                f'engines are full, {gate.waiting[service]} wait here',
-                decisions.retry_after_s(queue_s),
-            )
+            raise self._refuse('engines are full', turn.retry_after_s)
 
     def _refuse(
         self, reason: str, retry_after_s: float
@@ -226,7 +154,7 @@
     def left(self) -> float:
         return self.job.end - self.parts.clock()
 
-    def _choose(
+    async def _choose(
         self,
     ) -> tuple[decisions.Placed | None, calls.RunCopy | None]:
         """Return the engine to go to, and the copy that it goes on from."""
@@ -241,6 +169,9 @@
             and self.parts.placement.keeps_copy(backup, self.backup_since)
         ):
             return backup, copy or calls.RunCopy(backup.address)
+        if self.runs and not (await self._wait_for_turn()).comes:
+            return None, None
+        now = self.parts.clock()
         engine = self.parts.placement.choose_engine(
             self.job.service,
             now,
@@ -269,7 +200,9 @@
         if self.left() < LEAST_LEFT_S:
             return False
         if self.parts.budget.take(
-            self.job.service, self.parts.clock(), begun=self.out.begun
+            self.job.service,
+            self.parts.clock(),
+            begun=self.out.begun,
         ):
             return True
         self.parts.metrics.count('repeats.refused')
@@ -376,7 +309,7 @@
         entries, a few such faults leave them without engines.
         """
         if lost.reset and await self.parts.client.alive(
-            engine.address, _flow.ASK_S
+            engine.address, _liveness.ASK_S
         ):
             lost.gone = False
 
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -34,6 +34,33 @@
     assert caught.value.ran is errors.Ran.NO
 
 
+@pytest.mark.parametrize(('run_s', 'served'), [(1.0, True), (7.0, False)])
+async def test_a_leaving_entry_sends_elsewhere_what_it_would_cut(
+    client, parts, fleet, run_s, served
+):
+    # An instance is stopped for planned work, and callers still come to it
+    # for seconds. It has five seconds left. A stream that takes seven would
+    # be cut in the middle: its caller hears at once that nothing ran, and is
+    # served by another entry.
+    fleet._take(fakes.a_reply(kind=routes.Kind.STREAM))
+    forwarder = forwarding.Forwarder(fleet, parts)
+    forwarder.ends_at = parts.clock() + 5.0
+    parts.placement.speeds.ran('engines', run_s, parts.clock())
+    client.scripts = [fakes.Script(events=(1, 2))]
+    call = fakes.a_job(parts, routes.Kind.STREAM).call
+    out = fakes.FakeCaller()
+    if served:
+        await forwarder.handle(call, out)
+        assert out.ended
+        return
+    with pytest.raises(errors.RequestError) as caught:
+        await forwarder.handle(call, out)
+    assert caught.value.status == 503
+    assert caught.value.ran is errors.Ran.NO
+    assert caught.value.retry_after < 0.1
+    assert client.log == []
+
+
 async def test_the_map_in_force_never_goes_back(fleet):
     fleet._take(fakes.a_reply(5))
     fleet._take(fakes.a_reply(4))
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -182,6 +182,44 @@
     assert (parts.placement.backends[engine].suspect_until > 0) is dead
 
 
+async def test_the_copy_made_last_is_kept_while_its_engine_is_lost(
+    client, parts, monkeypatch
+):
+    # The backup is lost, and a new copy is made elsewhere. Then the engine
+    # loses power, just as the copy is to be renewed: the order fails before
+    # the loss is known. The stream goes on from the copy made last.
+    order = client.copy_run
+
+    async def copy_run(call, source, target, timeout):
+        if client.copies:
+            raise errors.BackendError('no answer', 'copy', source)
+        return await order(call, source, target, timeout)
+
+    async def chunk(self):
+        if not self.left and self.script.then == 'crash':
+            await asyncio.sleep(0.1)
+        return await fakes.FakeAnswer.whole_chunk(self)
+
+    monkeypatch.setattr(client, 'copy_run', copy_run)
+    monkeypatch.setattr(fakes.FakeAnswer, 'chunk', chunk)
+    monkeypatch.setattr('bulrushhold.forwarding._flow.RENEW_S', 0.02)
+    monkeypatch.setattr('bulrushhold.forwarding._streams.COPY_AFTER_S', 0.0)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='crash'),
+        fakes.Script(events=(3,)),
+    ]
+    run = asyncio.ensure_future(fakes.stream(parts))
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    backup = f'i{client.attempts[0].backup[7]}'
+    parts.placement.failed(backup, parts.clock(), gone=True)
+    out, _ = await run
+    assert out.data == fakes.text(1, 2, 3)
+    assert client.attempts[1].copy == calls.RunCopy(
+        client.attempts[0].address, 'h1'
+    )
+
+
 async def test_repeated_events_are_dropped_and_a_gap_is_a_loss(client, parts):
     client.scripts = [
         fakes.Script(events=(1, 2), then='reset'),
