Sums of engines' speeds are added field by field

Cause: the leader adds them up for each piece of news; walking over attrs fields costs several times the additions.

--- a/src/bulrushhold/decisions/_sightings.py
+++ b/src/bulrushhold/decisions/_sightings.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from bulrushhold.decisions import _speeds
 from bulrushhold import messages
 
 # Losses and deaths are told to entries that were out of touch for a moment; an
@@ -20,7 +21,6 @@
 LOSS_KEPT_S: t.Final = 2.0
 NOTHING: t.Final = messages.EngineSeen(0, 0)
 NO_TRAFFIC: t.Final = messages.ServiceTraffic(0, 0)
-NO_SPEED: t.Final = messages.EngineSpeed()
 
 
 @attrs.frozen
@@ -150,9 +150,5 @@
     sign: int,
 ) -> None:
     for service, one in more.items():
-        known = totals.get(service, NO_SPEED)
-        pairs = zip(attrs.astuple(known), attrs.astuple(one), strict=True)
-        # Sums of fractions, less one of them, may end a hair below zero.
-        totals[service] = messages.EngineSpeed(
-            *(max(0.0, a + sign * b) for a, b in pairs)
-        )
+        known = totals.get(service, _speeds.NOTHING)
+        totals[service] = _speeds.add(known, one, sign)
--- a/src/bulrushhold/decisions/_speeds.py
+++ b/src/bulrushhold/decisions/_speeds.py
@@ -187,7 +187,7 @@
 
     def _all(self, service: str, now: float) -> messages.EngineSpeed:
         others = self.others.get(service, NOTHING)
-        return _plus(others, self._own(service, now))
+        return add(others, self._own(service, now))
 
     def _own(self, service: str, now: float) -> messages.EngineSpeed:
         own = self.own.get(service)
@@ -197,19 +197,25 @@
         self, service: str, more: messages.EngineSpeed, now: float
     ) -> None:
         own = self.own.setdefault(service, _Own(NOTHING, now))
-        own.speed = _plus(_faded(own, now), more)
+        own.speed = add(_faded(own, now), more)
         own.at = now
 
 
 def _faded(own: _Own, now: float) -> messages.EngineSpeed:
     share = 0.5 ** (max(0.0, now - own.at) / HALF_S)
-    return messages.EngineSpeed(
-        *(share * value for value in attrs.astuple(own.speed))
-    )
+    return add(NOTHING, own.speed, share)
 
 
-def _plus(
-    one: messages.EngineSpeed, other: messages.EngineSpeed
+def add(
+    one: messages.EngineSpeed, other: messages.EngineSpeed, times: float = 1.0
 ) -> messages.EngineSpeed:
-    pairs = zip(attrs.astuple(one), attrs.astuple(other), strict=True)
-    return messages.EngineSpeed(*(a + b for a, b in pairs))
+    """Return the sums of one, and of the other so many times."""
+    return messages.EngineSpeed(
+        one.tokens + times * other.tokens,
+        one.read_s + times * other.read_s,
+        one.pauses + times * other.pauses,
+        one.pause_s + times * other.pause_s,
+        one.pause_sq + times * other.pause_sq,
+        one.runs + times * other.runs,
+        one.run_s + times * other.run_s,
+    )
