--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -16,7 +16,7 @@
 if t.TYPE_CHECKING:
     from bulrushhold.forwarding import _streams
 
-# Before its first event a stream waits for its prompt to be read.
+# While a prompt is read, its engine is asked so often whether it lives.
 FIRST_ASK_S: t.Final = 0.5
 # Pauses between events are learnt in batches: several times a second.
 LEARN_S: t.Final = 0.2
@@ -24,10 +24,11 @@
 # nearly always are (the latter as in RFC 6298).
 COMMON: t.Final = 1.5
 USUAL: t.Final = 4.0
-# A copy made by order is dropped when it hasn't grown for 4 s; what the run
-# made since is read again, some 200 tokens in 1.5 s.
-RENEW_S: t.Final = 1.5
+# Engines drop a copy made by order when it hasn't grown for this long.
 COPY_KEPT_S: t.Final = 4.0
+# Renewed often enough to outlive one order that fails. What the run made since
+# the last one is read again.
+RENEW_S: t.Final = 1.5
 
 
 @attrs.define(slots=False)
@@ -123,7 +124,7 @@
         """Free the copy that was ordered, once the stream is whole.
 
         Engines free it themselves, but only seconds later, and until then
-        the memory of 8,000 tokens is missing there.
+        the memory of a whole prompt is missing there.
         """
         copy = self.stream.copy
         if copy is not None:
--- a/src/bulrushhold/forwarding/_liveness.py
+++ b/src/bulrushhold/forwarding/_liveness.py
@@ -7,7 +7,8 @@
 
 from bulrushhold import calls
 
-# An engine that lives answers within 10 ms, whatever it is busy with.
+# Many times the way there and back: a report needs no place in the engine's
+# batch, so that a busy one answers as soon as an idle one.
 ASK_S: t.Final = 0.12
 # Asked twice, the second time half of that later.
 ASKED_S: t.Final = 1.5 * ASK_S
