Fuzzing of what comes from outside; deep nesting and odd numbers are one error

Found by the new tests: a route map, a list page, and an engine's answer about its memory that are nested without end ended in a RecursionError (a 500 for operators, a failed request for a caller, an end of the list's reader). By reading, with tests: a list page whose instances are a number did too; a caller's waiting time of "nan" and token counts below zero were taken. Ruled out by the same tests, 200 examples each: event streams, messages of peers, items of the list, damaged logs.

--- /dev/null
+++ b/tests/platform/test_fuzzing.py
@@ -0,0 +1,259 @@
+"""What comes from outside, malformed: one clear error, and nothing else.
+
+Each target plays some hundred examples here, the same ones in every run;
+``FUZZ_EXAMPLES=10000`` plays as many new ones by hand.
+"""
+
+import asyncio
+import json
+import math
+import os
+
+import hypothesis
+from hypothesis import strategies as st
+import multidict
+import pytest
+
+from adapter import _callers
+from adapter import _engines
+from adapter import _list
+from adapter import _operators
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import node
+
+EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '0'))
+fuzzed = hypothesis.settings(
+    max_examples=EXAMPLES or 200,
+    derandomize=not EXAMPLES,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=12), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+DEEP = st.sampled_from(
+    [b'[' * 100_000, b'{"held":' * 100_000, b'{"a":' * 9999]
+)
+BODY = st.binary(max_size=200) | JSON.map(lambda j: json.dumps(j).encode())
+HEADER = st.text(
+    st.characters(min_codepoint=32, max_codepoint=255), max_size=30
+)
+NUMBER = st.sampled_from(
+    ['5', 'nan', 'inf', '-inf', '-1', '1e999', '1_0', '٣']
+)
+
+
+def document(**changes):
+    route = {
+        'hostname': 'h',
+        'path-prefix': '/a/',
+        'kind': 'safe',
+        'timeout-ms': 3000,
+        'service': 's',
+    }
+    whole = {
+        'config-version': 3,
+        'routes': [route],
+        'services': [{'name': 's'}],
+        'tenants': [{'name': 'a', 'api-keys': ['k']}],
+    }
+    return {**whole, **changes}
+
+
+@fuzzed
+@hypothesis.given(BODY | DEEP)
+def test_any_route_map_is_read_or_refused(body):
+    try:
+        _operators.read_document(body)
+    except errors.RouteMapError as error:
+        assert str(error)
+
+
+@fuzzed
+@hypothesis.given(
+    st.sampled_from(['config-version', 'routes', 'services', 'tenants', 'x']),
+    JSON,
+)
+def test_any_field_of_a_route_map_is_read_or_refused(name, value):
+    try:
+        body = json.dumps(document(**{name: value})).encode()
+        route_map = _operators.read_document(body)
+    except errors.RouteMapError as error:
+        assert str(error)
+    else:
+        messages.unpack_map(messages.pack_map(route_map))
+
+
+@fuzzed
+@hypothesis.given(JSON)
+def test_any_item_of_the_list_names_a_server_or_none(item):
+    found = _list._backend(item)
+    assert found is None or found.slots >= 1
+
+
+class _Response:
+    status = 200
+
+    def __init__(self, body):
+        self.body = body
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        pass
+
+    async def read(self):
+        return self.body
+
+
+class _Session:
+    def __init__(self, bodies):
+        self.bodies = list(bodies)
+
+    def get(self, url, params=None):
+        return _Response(self.bodies.pop(0) if self.bodies else b'{}')
+
+
+@fuzzed
+@hypothesis.given(
+    st.lists(
+        BODY
+        | DEEP
+        | st.fixed_dictionaries({'instances': JSON, 'next': JSON}).map(
+            lambda page: json.dumps(page).encode()
+        ),
+        max_size=3,
+    )
+)
+def test_any_list_is_read_or_given_up(bodies):
+    backends = _list.PlatformBackends(_Session(bodies), '10.0.0.1:1')
+    try:
+        found = asyncio.run(backends.fetch())
+    except errors.PeerError as error:
+        assert str(error)
+    else:
+        assert all(one.ident for one in found)
+
+
+@fuzzed
+@hypothesis.given(BODY | DEEP)
+def test_any_answer_about_memory_is_read_or_given_up(body):
+    engines = _engines.PlatformEngines()
+    for read in (engines.read_parts, engines.read_copy):
+        try:
+            read(body)
+        except errors.BackendError as error:
+            assert str(error)
+
+
+@fuzzed
+@hypothesis.given(
+    st.fixed_dictionaries(
+        {},
+        optional={
+            name: NUMBER
+            | st.tuples(NUMBER, NUMBER).map(','.join)
+            | st.integers().map(str)
+            | HEADER
+            for name in (
+                'Bulrushhold-Request-Id',
+                'Bulrushhold-Deadline-Ms',
+                'Bulrushhold-Token-Counts',
+                'Bulrushhold-Prompt-Prefix',
+                'Last-Event-Id',
+                'Connection',
+            )
+        },
+    )
+)
+def test_any_request_is_read_or_refused(headers):
+    headers = {'Bulrushhold-Request-Id': 'r', **headers}
+    try:
+        call = _callers.PlatformCallers().read_call(
+            'POST', '/a', multidict.CIMultiDict(headers), b''
+        )
+    except errors.RequestError as error:
+        assert error.status == 400
+    else:
+        assert not math.isnan(call.wait_s) and call.wait_s >= 0
+        if call.prompt is not None:
+            assert min(call.prompt.tokens, call.prompt.output_tokens) >= 0
+
+
+@fuzzed
+@hypothesis.given(st.lists(st.binary(max_size=60) | st.just(b'id: 3\n\n')))
+def test_any_stream_gives_all_its_bytes_or_one_error(chunks):
+    splitter = forwarding.EventSplitter()
+    out = b''
+    try:
+        for chunk in chunks:
+            out += b''.join(event.data for event in splitter.feed(chunk))
+    except errors.BackendError as error:
+        assert str(error)
+    else:
+        assert out + splitter.rest == b''.join(chunks)
+
+
+@fuzzed
+@hypothesis.given(st.binary(max_size=300))
+def test_any_message_of_a_peer_is_read_or_refused(data):
+    for body in (
+        data,
+        b'\x92\xa8Sighting' + data,
+        b'\x92\xaaWatchReply' + data,
+    ):
+        try:
+            messages.decode(body)
+        except errors.PeerError as error:
+            assert str(error)
+
+
+@pytest.fixture(scope='module')
+def written(tmp_path_factory):
+    folder = tmp_path_factory.mktemp('written')
+    founding = messages.Config(voters={'c1.founder': '127.0.0.1:1'})
+    log = node.FileLog(folder)
+    log.write_identity(node.Identity('c1.founder', founding))
+    log.load(founding)
+    for number in range(1, 9):
+        entry = messages.LogEntry(
+            number, 1, messages.KIND_COMMAND, b'data %d' % number
+        )
+        log.save(1, '', [entry])
+    log.close()
+    return folder, founding, log.log_path.read_bytes()
+
+
+@fuzzed
+@hypothesis.given(
+    st.integers(0, 400), st.integers(0, 255), st.integers(0, 400)
+)
+def test_any_damage_to_a_log_is_a_torn_end_or_one_error(
+    written, at, byte, length
+):
+    folder, founding, whole = written
+    damaged = bytearray(whole[: max(1, length)])
+    damaged[at % len(damaged)] = byte
+    (folder / 'log').write_bytes(damaged)
+    log = node.FileLog(folder)
+    try:
+        durable = log.load(founding)
+    except errors.StorageError as error:
+        assert 'log' in str(error)
+    else:
+        log.close()
+        kept = [entry.data for entry in durable.entries]
+        assert kept == [b'data %d' % n for n in range(1, len(kept) + 1)]
