--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -22,6 +22,8 @@
 NEWS_S: t.Final = 0.05
 # Until a platform lists an engine that came back.
 LIST_LAG_S: t.Final = 0.8
+# Callers wait for a first event for as many times the aim.
+LEAVE: t.Final = 4
 
 
 @attrs.frozen
@@ -72,6 +74,11 @@
         )
 
 
+def emulated_now() -> float:
+    """Return emulated seconds."""
+    return asyncio.get_running_loop().time()
+
+
 class _Caller(calls.CallerStream):
     def __init__(self, outcome: Outcome) -> None:
         self.outcome = outcome
@@ -86,7 +93,7 @@
         self.begun = True
 
     async def write(self, data: bytes) -> None:
-        now = asyncio.get_running_loop().time()
+        now = emulated_now()
         outcome = self.outcome
         if outcome.first_s is None:
             outcome.first_s = now - outcome.arrived
@@ -97,7 +104,7 @@
 
     async def end(self) -> None:
         self.outcome.whole = True
-        self.outcome.ended = asyncio.get_running_loop().time()
+        self.outcome.ended = emulated_now()
 
     def cut(self) -> None:
         pass
@@ -133,7 +140,7 @@
 
     def _tell(self) -> None:
         self.telling = False
-        now = asyncio.get_running_loop().time()
+        now = emulated_now()
         traffic = {
             service: attrs.evolve(one, waiting=self.gate.waiting[service])
             for service, one in self.budget.traffic(now).items()
@@ -216,13 +223,12 @@
     async def play(self, load: Load) -> list[Outcome]:
         """Have callers come, and return what each of them got."""
         callers = []
-        loop = asyncio.get_running_loop()
-        while loop.time() < load.seconds:
+        while emulated_now() < load.seconds:
             await asyncio.sleep(self.rng.expovariate(load.per_s))
             part = f'p{len(callers)}'
             prompt = self._draw(load.prompt, load.spread)
             self.lengths[part] = self._draw(load.output, load.spread)
-            outcome = Outcome(loop.time())
+            outcome = Outcome(emulated_now())
             self.outcomes.append(outcome)
             callers.append(
                 asyncio.ensure_future(self._call(load, part, prompt, outcome))
@@ -238,8 +244,7 @@
         self, load: Load, part: str, prompt: int, outcome: Outcome
     ) -> None:
         for attempt in range(2):
-            left = outcome.arrived + load.timeout_s
-            left -= asyncio.get_running_loop().time()
+            left = outcome.arrived + load.timeout_s - emulated_now()
             try:
                 await self._try(load, f'{part}-{attempt}', part, prompt, left)
             except errors.RequestError as error:
@@ -257,35 +262,39 @@
         outcome = self.outcomes[int(part[1:])]
         entry = self.rng.choice(self.entries)
         prompts = calls.Prompt(prompt, load.output, (part,))
-        call = calls.Call(
-            ident, 'POST', '/a/', 'h', 'k', (), b'', left, None, prompts
-        )
-        route = routes.Route(
-            'r',
-            'h',
-            '/a/',
-            routes.Kind.STREAM,
-            [routes.Target(SERVICE, 1.0)],
-            load.timeout_s,
-            load.aim_s,
-            max_attempts=5,
-            resumable=True,
-            gap_s=load.gap_s,
-        )
-        now = asyncio.get_running_loop().time()
-        job = forwarding.Job(call, route, SERVICE, 'a', now + left)
+        now = emulated_now()
+        job = _job(load, ident, prompts, now, left)
         entry.budget.first(SERVICE, now)
-        run = forwarding.StreamRun(entry.parts, job, _Caller(outcome)).run()
-        try:
-            async with asyncio.timeout(left) as limit:
-                waiter = asyncio.ensure_future(run)
-                limit_s = min(left, 4 * load.aim_s)
-                await asyncio.wait({waiter}, timeout=limit_s)
-                if not waiter.done() and outcome.first_s is None:
-                    waiter.cancel()
-                    await asyncio.gather(waiter, return_exceptions=True)
-                    return
-                del limit
-                await waiter
-        except TimeoutError:
+        run = asyncio.ensure_future(
+            forwarding.StreamRun(entry.parts, job, _Caller(outcome)).run()
+        )
+        # Callers leave without a first event, and at the end of their time.
+        await asyncio.wait({run}, timeout=min(left, LEAVE * load.aim_s))
+        if outcome.first_s is not None:
+            await asyncio.wait({run}, timeout=now + left - emulated_now())
+        if not run.done():
+            run.cancel()
+            await asyncio.wait({run})
             return
+        run.result()
+
+
+def _job(
+    load: Load, ident: str, prompt: calls.Prompt, now: float, left: float
+) -> forwarding.Job:
+    call = calls.Call(
+        ident, 'POST', '/a/', 'h', 'k', (), b'', left, None, prompt
+    )
+    route = routes.Route(
+        'r',
+        'h',
+        '/a/',
+        routes.Kind.STREAM,
+        [routes.Target(SERVICE, 1.0)],
+        load.timeout_s,
+        load.aim_s,
+        max_attempts=5,
+        resumable=True,
+        gap_s=load.gap_s,
+    )
+    return forwarding.Job(call, route, SERVICE, 'a', now + left)
