Runs of the soak beside each other use loopback networks of their own

Cause: the soak of a seed used fixed addresses (127.0.91.* for seed 1). Seen: seed 1 played twice at once with the old code, 'ran 2 times' and 'ended by itself' in both runs; alone it passes (12.5 s). Ruled out: load and the sources, since the same seed fails at once when doubled and never alone.

Change: a run claims a free network by a bound socket that it holds to its end.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -8,20 +8,22 @@
 import click
 
 from tests.platform.soak import run
+from tests.platform.soak import system
 
 
 @click.command()
 @click.option('--seeds', default='1-10', help='FIRST-LAST, or one seed.')
 @click.option('--seconds', default=8.0, help='Of trouble in each run.')
-@click.option('--net', default=40, help='Third part of the addresses.')
 @click.option('--keep', default='', help='Folder for logs of broken runs.')
-def main(seeds: str, seconds: float, net: int, keep: str) -> None:
+def main(seeds: str, seconds: float, keep: str) -> None:
     """Play each seed, and name the promises that were broken."""
     first, _, last = seeds.partition('-')
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep or None)
-        report = asyncio.run(run.Run(seed, folder, net, seconds).play())
+        with system.Network() as net:
+            soak = run.Run(seed, folder, net.number, seconds)
+            report = asyncio.run(soak.play())
         click.echo(
             f'seed {seed}: {report.served} of {report.asked} served, '
             f'{len(report.faults)} faults, {len(report.broken)} broken'
--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -13,6 +14,9 @@
 
 ROOT = pathlib.Path(__file__).parents[3]
 CONTROLS = 3
+BASE_PORT = 21000
+NETWORKS = range(40, 250)
+CLAIM_HOST = 254
 ENTRIES = 4
 SETTINGS = """
 node-name = "{name}"
@@ -54,14 +58,44 @@
     own_ends: int = 0
 
 
+class Network:
+    """A part of the loopback addresses that no other run uses.
+
+    Two runs on the same addresses share the ports' queues: each one's
+    callers, engines and faults reach processes of the other.
+
+    :ivar number: third part of the addresses.
+    """
+
+    def __init__(self):
+        for number in NETWORKS:
+            claim = socket.socket()
+            try:
+                claim.bind((f'127.0.{number}.{CLAIM_HOST}', BASE_PORT))
+            except OSError:
+                claim.close()
+                continue
+            # Without it the address could be bound a second time.
+            claim.listen()
+            self.claim = claim
+            self.number = number
+            return
+        raise RuntimeError('no loopback network is free')
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        self.claim.close()
+
+
 class System:
     """Three control processes and four entries.
 
-    :param net: third part of the loopback addresses, so that runs beside
-        each other don't meet.
+    :param net: number of the run's :class:`Network`.
     """
 
-    def __init__(self, folder, cloud, net, base=21000):
+    def __init__(self, folder, cloud, net, base=BASE_PORT):
         self.folder = pathlib.Path(folder)
         self.cloud = cloud
         self.net = net
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.platform.soak import run
+from tests.platform.soak import system
 
 SECONDS = 4.0
 
@@ -19,6 +20,13 @@
     # Callers, an operator and engines see only whole answers of their own,
     # at most one run of what may run once, true refusals, and no older map
     # than was acknowledged; afterwards all is served again.
-    report = await run.Run(seed, tmp_path, 90 + seed, SECONDS).play()
+    with system.Network() as net:
+        report = await run.Run(seed, tmp_path, net.number, SECONDS).play()
     assert report.broken == []
     assert report.served > 20
+
+
+def test_runs_beside_each_other_use_networks_of_their_own():
+    """Guards against two runs whose processes share addresses."""
+    with system.Network() as one, system.Network() as other:
+        assert one.number != other.number
