An abandoned sending's answer is closed, and busy processes blame no engine

Ruled out: a close that comes late (the engine was not closed at all), and a connection that is kept (streams use connections of their own).

Change: an abandoned sending's answer is closed, whether it has come or comes yet; what came while the engine was asked is used instead of leaving; the question counts steps of the loop instead of time, so that a process that gets to its sockets late doesn't take engines for dead.

Three tests, each failed before: the stream is sent twice, the answer is not closed, the living engine is taken for dead.

--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -29,6 +29,7 @@
 # Renewed often enough to outlive one order that fails. What the run made since
 # the last one is read again.
 RENEW_S: t.Final = 1.5
+NO_SIGN_OF_LIFE: t.Final = 'silent, and gives no sign of life'
 
 
 @attrs.define(slots=False)
@@ -50,10 +51,14 @@
     last_before: int | None = None
 
 
-def _look_at(order: 'asyncio.Future[t.Any]') -> None:
-    """Take the outcome of an order that nobody waits for any more."""
-    if not order.cancelled():
-        order.exception()
+def _close_answer(sending: 'asyncio.Future[calls.BackendAnswer]') -> None:
+    """Close what an abandoned sending brought, if anything.
+
+    Without this the engine would go on with the run until the connection
+    is garbage collected.
+    """
+    if not sending.cancelled() and sending.exception() is None:
+        sending.result().close()
 
 
 class Flow:
@@ -112,14 +117,18 @@
         """Leave the engine; it stops working on the stream."""
         if self.unread is not None:
             self.speeds.forget(self.unread)
-        if self.answer is not None:
-            self.answer.close()
         if self.sending is not None:
-            self.sending.cancel()
-            self.sending.add_done_callback(_look_at)
+            self._abandon(self.sending)
         if self.renewal is not None:
             self.renewal.cancel()
 
+    def _abandon(self, sending: 'asyncio.Future[calls.BackendAnswer]') -> None:
+        if sending.done():
+            _close_answer(sending)
+            return
+        sending.cancel()
+        sending.add_done_callback(_close_answer)
+
     async def drop_copy(self) -> None:
         """Free the copy that was ordered, once the stream is whole.
 
@@ -149,12 +158,15 @@
         )
         self._expect_first()
         silence = _liveness.Silence(self.parts.clock)
-        while True:
+        while not self.sending.done():
             with silence.counted(FIRST_ASK_S):
                 await asyncio.wait({self.sending}, timeout=FIRST_ASK_S)
             if self.sending.done():
                 break
-            await self._check_first(silence)
+            self._check_first(silence)
+            alive = await self._is_alive(silence)
+            if not alive and not self.sending.done():
+                raise StreamLostError(NO_SIGN_OF_LIFE)
         try:
             self.answer = self.sending.result()
         except errors.BackendError as error:
@@ -176,23 +188,19 @@
         token_s = self.speeds.token_s(service, self.stream.wanted, now)
         self.here_s = tokens * token_s
 
-    async def _check_first(self, silence: _liveness.Silence) -> None:
+    def _check_first(self, silence: _liveness.Silence) -> None:
         waited = silence.seconds
         if self.stream.left() <= 0:
             raise StreamLostError('no event in time', gone=False)
         elsewhere_s = self.stream.outlook(self.engine.ident).first_s
         if waited > decisions.leave_unread_s(self.here_s, elsewhere_s):
             raise StreamLostError(f'no event for {waited:.2f} s', gone=False)
-        await self._ask_for_life(silence)
 
-    async def _ask_for_life(self, silence: _liveness.Silence) -> None:
+    async def _is_alive(self, silence: _liveness.Silence) -> bool:
         with silence.counted(_liveness.ASKED_S):
-            alive = await _liveness.is_alive(
+            return await _liveness.is_alive(
                 self.parts.client, self.engine.address
             )
-        if alive:
-            return
-        raise StreamLostError('silent, and gives no sign of life')
 
     async def _failure(self, answer: calls.BackendAnswer) -> calls.Reply:
         try:
@@ -341,13 +349,25 @@
             with contextlib.suppress(TimeoutError), silence.counted(ask):
                 async with asyncio.timeout(ask):
                     return await self._read(answer)
-            if not self.spoke:
-                await self._check_first(silence)
-                continue
-            silent = silence.seconds
-            if silent > self._most_silent_s() or self.stream.left() <= 0:
-                raise StreamLostError(f'silent for {silent:.2f} s', gone=False)
-            await self._ask_for_life(silence)
+            if self.spoke:
+                self._check_silence(silence)
+            else:
+                self._check_first(silence)
+            if not await self._is_alive(silence):
+                return await self._read_at_once(answer)
+
+    def _check_silence(self, silence: _liveness.Silence) -> None:
+        silent = silence.seconds
+        if silent > self._most_silent_s() or self.stream.left() <= 0:
+            raise StreamLostError(f'silent for {silent:.2f} s', gone=False)
+
+    async def _read_at_once(self, answer: calls.BackendAnswer) -> bytes:
+        """Return what came while the engine was asked for a sign of life."""
+        try:
+            async with asyncio.timeout(0):
+                return await self._read(answer)
+        except TimeoutError:
+            raise StreamLostError(NO_SIGN_OF_LIFE) from None
 
     def _most_silent_s(self) -> float:
         if self._has_copy():
--- a/src/bulrushhold/forwarding/_liveness.py
+++ b/src/bulrushhold/forwarding/_liveness.py
@@ -7,38 +7,53 @@
 
 from bulrushhold import calls
 
-# Many times the way there and back: a report needs no place in the engine's
-# batch, so that a busy one answers as soon as an idle one.
-ASK_S: t.Final = 0.12
-# Asked twice, the second time half of that later.
-ASKED_S: t.Final = 1.5 * ASK_S
+# Engines answer a report within milliseconds, however busy they are.
+ASKED_S: t.Final = 0.18
+STEP_S: t.Final = 0.03
+STEPS: t.Final = round(ASKED_S / STEP_S)
+# On a lossy link the answer to a single question is often late.
+SECOND_ASK_STEP: t.Final = STEPS // 3
+MOST_ASK_S: t.Final = 2.0
 
 
 async def is_alive(client: calls.BackendClient, address: str) -> bool:
-    """Whether an engine answers, asked twice half of a wait apart.
+    """Return whether an engine answers one of two questions.
 
-    On a link that loses one packet in 25, a fifth of the answers to a single
-    question come too late, and a living engine would be given up by all.
+    Counts steps instead of time. A process that is short of processor time
+    reads its sockets late; by the clock it would take living engines for
+    dead, and their streams would be read again elsewhere.
     """
-
-    async def ask_again() -> bool:
-        await asyncio.sleep(ASK_S / 2)
-        return await client.alive(address, ASK_S)
-
-    asked = [
-        asyncio.ensure_future(client.alive(address, ASK_S)),
-        asyncio.ensure_future(ask_again()),
-    ]
+    asked: set[asyncio.Future[bool]] = set()
     try:
-        for answer in asyncio.as_completed(asked):
-            if await answer:
+        for step in range(STEPS):
+            if step in (0, SECOND_ASK_STEP):
+                ask = client.alive(address, MOST_ASK_S)
+                asked.add(asyncio.ensure_future(ask))
+            answers = await _next_answers(asked)
+            if any(answer.result() for answer in answers):
                 return True
+            asked -= answers
+            if not asked and step >= SECOND_ASK_STEP:
+                return False
     finally:
         for ask in asked:
             ask.cancel()
     return False
 
 
+async def _next_answers(
+    asked: set['asyncio.Future[bool]'],
+) -> set['asyncio.Future[bool]']:
+    """Return the answers that come within one step."""
+    if not asked:
+        await asyncio.sleep(STEP_S)
+        return set()
+    answers, _ = await asyncio.wait(
+        asked, timeout=STEP_S, return_when=asyncio.FIRST_COMPLETED
+    )
+    return answers
+
+
 class Silence:
     """How long an engine has sent nothing while this process could read.
 
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -309,7 +309,7 @@
         entries, a few such faults leave them without engines.
         """
         if lost.reset and await self.parts.client.alive(
-            engine.address, _liveness.ASK_S
+            engine.address, _liveness.ASKED_S
         ):
             lost.gone = False
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -28,6 +28,7 @@
     genuine: bool = True
     error: str = ''
     body: bytes = b'done'
+    opens_after_s: float = 0.0
 
 
 class FakeAnswer(calls.BackendAnswer):
@@ -81,6 +82,8 @@
         self.copies = []
         self.kept = {}
         self.asked = []
+        self.opened = []
+        self.alive_after_s = 0.0
 
     async def send(self, call, attempt):
         self.log.append(('send', attempt.address))
@@ -88,9 +91,19 @@
         script = self.scripts.pop(0)
         if script.error:
             raise errors.BackendError('lost', script.error, attempt.address)
+        if script.opens_after_s:
+            await asyncio.sleep(script.opens_after_s)
+        self.opened.append(attempt.address)
         return FakeAnswer(self, attempt.address, script)
 
     async def alive(self, address, timeout):
+        try:
+            async with asyncio.timeout(timeout):
+                # Several reads of a socket, as with a real answer.
+                for _ in range(5):
+                    await asyncio.sleep(self.alive_after_s / 5)
+        except TimeoutError:
+            return False
         return address not in self.dead
 
     async def parts_kept(self, address, timeout):
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -1,6 +1,7 @@
 """Streams of events over engines that fail in every way."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
@@ -8,6 +9,7 @@
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import forwarding
+from bulrushhold.forwarding import _liveness as liveness
 from bulrushhold import routes
 from tests.forwarding import fakes
 
@@ -304,3 +306,52 @@
         assert [e.number for e in events] == [1, 2, 3]
         assert b''.join(e.data for e in events) == data
         assert not splitter.rest
+
+
+async def test_an_answer_that_opens_while_its_engine_is_asked_is_used(
+    client, parts
+):
+    """Guards against two engines at work on one stream.
+
+    The answer opens while its engine is asked for a sign of life.
+    """
+    client.scripts = [fakes.Script(events=(1, 2), opens_after_s=0.56)]
+    client.alive_after_s = 0.12
+    client.dead = {f'10.0.0.{n}:80' for n in range(6)}
+    out, _ = await fakes.stream(parts, aim_s=3.0)
+    assert out.data == fakes.text(1, 2)
+    assert len(client.attempts) == 1
+
+
+async def test_an_answer_that_opens_as_its_caller_leaves_is_closed(
+    client, parts
+):
+    """Guards against an engine that goes on for a caller that has left."""
+    client.scripts = [fakes.Script(events=(1,), opens_after_s=0.02)]
+    run = asyncio.ensure_future(fakes.stream(parts))
+    while not client.opened:
+        await asyncio.sleep(0)
+    run.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await run
+    address = client.attempts[0].address
+    assert client.log == [('send', address), ('close', address)]
+
+
+async def test_a_process_that_wakes_late_takes_no_engine_for_dead(client):
+    """Guards against a busy process that blames engines for its own delay.
+
+    The engine answers at once; the process gets to its sockets each 0.1 s.
+    """
+    client.alive_after_s = 0.01
+    loop = asyncio.get_running_loop()
+    handles = []
+
+    def occupy():
+        time.sleep(0.1)
+        handles.append(loop.call_soon(occupy))
+
+    occupy()
+    alive = await liveness.is_alive(client, '10.0.0.1:80')
+    handles[-1].cancel()
+    assert alive
