--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -122,15 +122,15 @@
 def speeds() -> None:
     news = {}
     for count in (10, 67, 390):
-        board = decisions.SightingBoard()
+        loads = decisions.LoadAggregator()
         placement = decisions.Placement(random.Random(1))
         placement.speeds.ran('s', 7.0, 0.0)
-        said = placement.sighted('e0', {}, 0.0)
+        said = placement.load_report('e0', {}, 0.0)
         for number in range(count):
             told = attrs.evolve(said, entry=f'e{number}')
-            board.take(told, 0.0)
+            loads.take(told, 0.0)
         news[count] = cost_us(
-            lambda b=board, s=said: (b.take(s, 0.0), b.others('e1', 0))
+            lambda b=loads, s=said: (b.take(s, 0.0), b.others('e1', 0))
         )
     line('one piece of news at the leader, by entries', news, 'us')
     learned = decisions.EngineSpeeds()
--- a/src/bulrushhold/composition/_relay.py
+++ b/src/bulrushhold/composition/_relay.py
@@ -18,11 +18,17 @@
     """A relay with its sockets.
 
     :param peer: its own address among control processes.
+    :param data_centre: whose entries it serves.
     :param contacts: other control processes; may be changed in place.
     """
 
     def __init__(
-        self, peer: str, contacts: list[str], *, appoints: bool
+        self,
+        peer: str,
+        data_centre: str,
+        contacts: list[str],
+        *,
+        appoints: bool,
     ) -> None:
         from bulrushhold import control
         from bulrushhold import node
@@ -33,6 +39,7 @@
         self.relay = control.Relay(
             self.transport, peer, contacts, appoints=appoints
         )
+        self.fleet = control.FleetRelay(self.relay, data_centre)
         self.calls = self.relay.calls
 
     async def run(
@@ -43,7 +50,10 @@
 
         stop = asyncio.Event()
         _background.on_signals(stop.set)
-        look = _background.in_background(self.relay.run())
+        tasks = [
+            _background.in_background(self.relay.run()),
+            _background.in_background(self.fleet.run()),
+        ]
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         await runner.setup()
         if operators is not None:
@@ -51,7 +61,9 @@
             await site.start()
         loguru.logger.bind(peer=self.peer).info('relay started')
         await stop.wait()
-        look.cancel()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await runner.cleanup()
         await self.transport.close()
         loguru.logger.bind(peer=self.peer).info('relay stopped')
--- a/src/bulrushhold/control/__init__.py
+++ b/src/bulrushhold/control/__init__.py
@@ -1,7 +1,8 @@
 """The control process: one replica of the system's durable state."""
 
 from bulrushhold.control._calls import LeaderCalls
-from bulrushhold.control._hub import Hub
+from bulrushhold.control._fleetcontrol import FleetControl
+from bulrushhold.control._fleetcontrol import FleetRelay
 from bulrushhold.control._registry import EntryRegistry
 from bulrushhold.control._relay import Relay
 from bulrushhold.control._server import ControlServer
@@ -11,7 +12,8 @@
 __all__ = [
     'ControlServer',
     'EntryRegistry',
-    'Hub',
+    'FleetControl',
+    'FleetRelay',
     'LeaderCalls',
     'Relay',
     'found',
--- /dev/null
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -0,0 +1,99 @@
+"""What serves a fleet of entries at one control process."""
+
+import asyncio
+
+from bulrushhold.control import _calls
+from bulrushhold.control import _follower
+from bulrushhold.control import _leader
+from bulrushhold.control import _news
+from bulrushhold.control import _relay
+from bulrushhold.control import _server
+from bulrushhold.control import _watch
+from bulrushhold import messages
+from bulrushhold import ports
+
+
+class FleetControl:
+    """The news of control and the load reports, at a replica.
+
+    :param data_centre: of this process.
+    :param source: reads the platform's list of backend servers.
+    """
+
+    def __init__(
+        self,
+        server: _server.ControlServer,
+        data_centre: str,
+        source: ports.BackendList,
+    ) -> None:
+        me = messages.ControlNode(
+            str(server.config.peer), data_centre, replica=True
+        )
+        self.news = _news.News(server.clock)
+        self.leader = _leader.LeaderNews(
+            server, me, self.news, source, lambda: self.watch.entries()
+        )
+        self.follower = _follower.NewsFollower(
+            server.transport,
+            me,
+            self.news,
+            server.replica.leader_address,
+            lambda: self.watch.entries(),
+            server.clock,
+        )
+        self.watch = _watch.WatchServer(
+            server.transport,
+            me,
+            self.news,
+            self._in_touch,
+            server.replica.leader_address,
+            server.clock,
+        )
+        self.watch.on_attached.append(self._announce)
+
+    @property
+    def calls(self) -> _calls.LeaderCalls:
+        """Operators' calls, answered by the leader."""
+        return self.leader.calls
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await asyncio.gather(
+            self.leader.run(), self.follower.run(), self.watch.run()
+        )
+
+    def _in_touch(self) -> bool:
+        return self.leader.leads or self.follower.in_touch
+
+    def _announce(self) -> None:
+        self.leader.announce()
+        self.follower.announce()
+
+
+class FleetRelay:
+    """The news of control and the load reports, without a replica."""
+
+    def __init__(self, relay: _relay.Relay, data_centre: str) -> None:
+        me = messages.ControlNode(relay.peer, data_centre, replica=False)
+        self.news = _news.News(relay.clock)
+        self.follower = _follower.NewsFollower(
+            relay.transport,
+            me,
+            self.news,
+            lambda: relay.leader,
+            lambda: self.watch.entries(),
+            relay.clock,
+        )
+        self.watch = _watch.WatchServer(
+            relay.transport,
+            me,
+            self.news,
+            lambda: self.follower.in_touch,
+            lambda: relay.leader,
+            relay.clock,
+        )
+        self.watch.on_attached.append(self.follower.announce)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await asyncio.gather(self.follower.run(), self.watch.run())
--- /dev/null
+++ b/src/bulrushhold/control/_news.py
@@ -0,0 +1,127 @@
+"""What control says, as far as one control process knows it."""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+import xxhash
+
+from bulrushhold import messages
+
+MAX_HOLD_S: t.Final = 1.0
+
+
+class News:
+    """The newest route map, backend servers, entries and control processes.
+
+    Made by the leader, and handed on by all other control processes with
+    the leader's versions.
+
+    :param clock: seconds; goes on while the machine is suspended.
+    """
+
+    def __init__(self, clock: cabc.Callable[[], float]) -> None:
+        self.clock = clock
+        self.core: list[str] = []
+        self.route_map: bytes | None = None
+        self.map_version = 0
+        self.backends: list[messages.ListedBackend] | None = None
+        self.backends_version = ''
+        self.backends_at = 0.0
+        self.entries: list[messages.ListedEntry] = []
+        self.entries_version = ''
+        self.nodes: list[messages.ControlNode] = []
+        self.nodes_version = ''
+        self.changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake the long polls that wait for news."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def wait(
+        self, ready: cabc.Callable[[], bool], hold_s: float
+    ) -> None:
+        """Wait until ``ready``, for a bounded time."""
+        end = self.clock() + min(hold_s, MAX_HOLD_S)
+        while not ready():
+            left = end - self.clock()
+            if left <= 0:
+                return
+            changed = self.changed
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await changed.wait()
+
+    def is_newer_than(self, known: messages.Known) -> bool:
+        """Whether a process that knows so much is to be answered."""
+        return (
+            self.map_version > known.route_map
+            or self.backends_version not in ('', known.backends)
+            or self.entries_version not in ('', known.entries)
+            or self.nodes_version not in ('', known.nodes)
+        )
+
+    def reply(self, known: messages.Known) -> messages.WatchReply:
+        """Return what a process doesn't know yet."""
+        newer_map = self.map_version > known.route_map
+        newer_backends = self.backends_version not in ('', known.backends)
+        newer_entries = self.entries_version not in ('', known.entries)
+        newer_nodes = self.nodes_version not in ('', known.nodes)
+        return messages.WatchReply(
+            'done',
+            core=self.core,
+            route_map=self.route_map if newer_map else None,
+            map_version=self.map_version,
+            backends_version=self.backends_version,
+            backends=self.backends if newer_backends else None,
+            backends_age_s=round(self.clock() - self.backends_at, 3),
+            entries_version=self.entries_version,
+            entries=self.entries if newer_entries else None,
+            nodes_version=self.nodes_version,
+            nodes=self.nodes if newer_nodes else None,
+        )
+
+    def known(self) -> messages.Known:
+        """Return the versions of all that is here."""
+        return messages.Known(
+            self.map_version,
+            self.backends_version,
+            self.entries_version,
+            self.nodes_version,
+        )
+
+    def take(self, reply: messages.WatchReply) -> None:
+        """Take what the leader answered; wake long polls if it is news."""
+        known = self.known()
+        if reply.core:
+            self.core = reply.core
+        # Forward only: a leader that was just deposed may answer late.
+        if reply.route_map is not None:
+            if reply.map_version > self.map_version:
+                self.route_map = reply.route_map
+                self.map_version = reply.map_version
+        version = reply.backends_version
+        if messages.is_newer(version, self.backends_version):
+            self.backends = reply.backends
+            self.backends_version = version
+        if version and version == self.backends_version:
+            self.backends_at = self.clock() - reply.backends_age_s
+        if messages.is_newer(reply.entries_version, self.entries_version):
+            assert reply.entries is not None
+            self.entries = reply.entries
+            self.entries_version = reply.entries_version
+        if reply.nodes is not None:
+            self.nodes = reply.nodes
+            self.nodes_version = reply.nodes_version
+        if self.known() != known:
+            self.notify()
+
+    def take_nodes(self, nodes: list[messages.ControlNode]) -> None:
+        """Take the control processes that the leader hears of."""
+        if nodes != self.nodes:
+            self.nodes = nodes
+            text = '/'.join(sorted(map(str, nodes)))
+            self.nodes_version = xxhash.xxh64_hexdigest(text)
+            self.notify()
--- a/src/bulrushhold/control/_relay.py
+++ b/src/bulrushhold/control/_relay.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
-import time
 import typing as t
 
 from bulrushhold.control import _calls
@@ -17,6 +16,8 @@
 from bulrushhold import ports
 
 LOOK_EVERY_S: t.Final = 0.3
+# Entries wait for news while no leader is known.
+SEEK_EVERY_S: t.Final = 0.1
 ASK_S: t.Final = 0.3
 # All instances start within 0.3 s of each other, and take as long to start.
 FOUND_AFTER_S: t.Final = 0.7
@@ -38,7 +39,7 @@
         contacts: list[str],
         *,
         appoints: bool,
-        clock: cabc.Callable[[], float] = time.monotonic,
+        clock: cabc.Callable[[], float] = node.boot_time,
     ) -> None:
         self.transport = transport
         self.peer = peer
@@ -54,7 +55,6 @@
             transport, lambda: self.leader, self._never_here
         )
         transport.handle(messages.JoinRequest, self._on_join)
-        transport.handle(messages.Watch, self._on_watch)
         transport.handle(messages.CoreRead, self._on_core_read)
         transport.handle(messages.CoreReply, self._on_news)
 
@@ -63,7 +63,8 @@
         while True:
             await self._look()
             self._appoint()
-            await asyncio.sleep(LOOK_EVERY_S)
+            every = LOOK_EVERY_S if self.leader else SEEK_EVERY_S
+            await asyncio.sleep(every)
 
     async def _look(self) -> None:
         known = [self.leader, *self.core, *self.newcomers.values()]
@@ -113,10 +114,6 @@
         if self.leader:
             self.transport.send(self.leader, request)
 
-    async def _on_watch(self, watch: messages.Watch) -> messages.WatchReply:
-        del watch
-        return messages.WatchReply('not_leader', self.leader, core=self.core)
-
     async def _on_core_read(
         self, read: messages.CoreRead
     ) -> messages.CoreReply:
--- /dev/null
+++ b/src/bulrushhold/control/_watch.py
@@ -0,0 +1,196 @@
+"""Serves the entries at one control process: news and load reports."""
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import random
+import typing as t
+
+import attrs
+
+from bulrushhold.control import _news
+from bulrushhold.control import _registry
+from bulrushhold import decisions
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+
+# Reports come with every stream that begins; each batch costs a message for
+# each entry. A prompt is read for many times as long.
+PUBLISH_EVERY_S: t.Final = 0.05
+# Without changes, so that others know that this process lives.
+REFRESH_S: t.Final = 0.2
+# Processes that don't send sums, in case that they have entries soon.
+SEND_TO_ALL_EVERY_S: t.Final = 1.0
+EXPIRE_EVERY_S: t.Final = 0.1
+# Entries that start together become one piece of news.
+GATHER_S: t.Final = 0.05
+
+
+class WatchServer:
+    """Answers entries' long polls, and exchanges load with its peers.
+
+    Load reports need no agreement: they go from each entry to one control
+    process of its data centre, and from there as sums to the others, so that
+    no process hears of every entry, and none is needed by all.
+
+    :param me: this process.
+    :param news: what control says.
+    :param in_touch: whether that is what control says now.
+    :param leader: returns the address to be named while it isn't.
+    """
+
+    def __init__(
+        self,
+        transport: ports.Transport,
+        me: messages.ControlNode,
+        news: _news.News,
+        in_touch: cabc.Callable[[], bool],
+        leader: cabc.Callable[[], str],
+        clock: cabc.Callable[[], float],
+    ) -> None:
+        self.transport = transport
+        self.me = me
+        self.news = news
+        self.in_touch = in_touch
+        self.leader = leader
+        self.clock = clock
+        self.loads = decisions.LoadAggregator(
+            me.address, me.data_centre, random.getrandbits(32)
+        )
+        self.attached = _registry.EntryRegistry()
+        self.on_attached: list[cabc.Callable[[], None]] = []
+        self.published = 0
+        self.publishing = False
+        self.attaching = False
+        self.unsent = asyncio.Event()
+        self.sent_to_all_at = float('-inf')
+        transport.handle(messages.Watch, self._on_watch)
+        transport.handle(messages.LoadReport, self._on_load_report)
+        transport.handle(messages.NodeLoad, self._on_node_load)
+
+    def entries(self) -> list[messages.ListedEntry]:
+        """Return the entries that are attached here."""
+        return self.attached.entries()
+
+    async def run(self) -> None:
+        """Exchange sums and drop silent entries until cancelled."""
+        await asyncio.gather(self._expire(), self._send_sums())
+
+    # Entries
+
+    async def _on_watch(self, watch: messages.Watch) -> messages.WatchReply:
+        if self.attached.hear(watch.entry, self.clock()):
+            self._tell_attached()
+        if self.in_touch():
+            await self.news.wait(lambda: self._has_news(watch), watch.hold_s)
+        # Again, as late as can be: the process may have been suspended.
+        if self.in_touch():
+            reply = self.news.reply(watch.known)
+        else:
+            core = self.news.core
+            reply = messages.WatchReply('not_leader', self.leader(), core)
+        return attrs.evolve(reply, loads=self._summary(watch))
+
+    def _tell_attached(self) -> None:
+        if not self.attaching:
+            self.attaching = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(GATHER_S, self._run_hooks)
+
+    def _run_hooks(self) -> None:
+        self.attaching = False
+        for hook in self.on_attached:
+            hook()
+
+    def _has_news(self, watch: messages.Watch) -> bool:
+        return self.published > watch.known_loads or self.news.is_newer_than(
+            watch.known
+        )
+
+    def _summary(self, watch: messages.Watch) -> messages.LoadSummary | None:
+        known = watch.known_loads
+        if self.loads.number == known:
+            return None
+        if self.loads.number < known:
+            # The number was given before this process started.
+            known = 0
+        return self.loads.others(watch.entry.name, known, self.clock())
+
+    async def _on_load_report(
+        self, report: messages.LoadReport
+    ) -> messages.Received:
+        if self.loads.take(report, self.clock()):
+            node.log_decision(
+                'engines lost',
+                engines=report.lost,
+                replaced=report.replaced,
+                by=report.entry,
+            )
+            self._publish()
+        else:
+            self._publish_soon()
+        self.unsent.set()
+        return messages.Received()
+
+    async def _on_node_load(self, load: messages.NodeLoad) -> None:
+        known = self.loads.number
+        if self.loads.take_node(load, self.clock()):
+            self._publish()
+        elif self.loads.number != known:
+            self._publish_soon()
+
+    def _publish_soon(self) -> None:
+        if not self.publishing:
+            self.publishing = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(PUBLISH_EVERY_S, self._publish)
+
+    def _publish(self) -> None:
+        self.publishing = False
+        self.published = self.loads.number
+        self.news.notify()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_EVERY_S)
+            now = self.clock()
+            gone = self.attached.expire(now)
+            for name in gone:
+                self.loads.forget(name)
+            if gone:
+                node.log_decision('entries silent', entries=gone)
+                self._run_hooks()
+            if self.loads.expire(now) or gone:
+                self._publish_soon()
+
+    # Other control processes
+
+    async def _send_sums(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REFRESH_S):
+                    await self.unsent.wait()
+            self.unsent.clear()
+            if self.loads.reports:
+                self._send_sum()
+            await asyncio.sleep(PUBLISH_EVERY_S)
+
+    def _send_sum(self) -> None:
+        now = self.clock()
+        load = self.loads.node_load(now)
+        for address in self._receivers(now):
+            self.transport.send(address, load)
+
+    def _receivers(self, now: float) -> set[str]:
+        """Return the processes that have entries, or are likely to."""
+        to_all = now - self.sent_to_all_at > SEND_TO_ALL_EVERY_S
+        if to_all:
+            self.sent_to_all_at = now
+        likely = {
+            known.address
+            for known in self.news.nodes
+            if to_all or not known.replica
+        }
+        likely.update(self.loads.live_nodes(now))
+        return likely - {self.me.address}
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -1,6 +1,7 @@
 """Pure decisions: no sockets, no clock, no random source of their own."""
 
 from bulrushhold.decisions._claims import ClaimState
+from bulrushhold.decisions._controlservers import ControlServers
 from bulrushhold.decisions._copies import CopyStore
 from bulrushhold.decisions._crashers import Crashers
 from bulrushhold.decisions._crashers import fingerprint
@@ -16,6 +17,7 @@
 from bulrushhold.decisions._homes import ranked
 from bulrushhold.decisions._homes import SMALL_ACCOUNT_ENTRIES
 from bulrushhold.decisions._lifecycle import Lifecycle
+from bulrushhold.decisions._loadreports import LoadAggregator
 from bulrushhold.decisions._members import new_identity
 from bulrushhold.decisions._members import next_config
 from bulrushhold.decisions._members import with_learner
@@ -46,7 +48,6 @@
 from bulrushhold.decisions._routing import BackendState
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
-from bulrushhold.decisions._sightings import SightingBoard
 from bulrushhold.decisions._speeds import EngineSpeeds
 from bulrushhold.decisions._speeds import Pauses
 from bulrushhold.decisions._speeds import Reading
@@ -69,6 +70,7 @@
     'BackendState',
     'Choice',
     'ClaimState',
+    'ControlServers',
     'CopyStore',
     'Crashers',
     'Durable',
@@ -77,6 +79,7 @@
     'GapEstimate',
     'GateVerdict',
     'Lifecycle',
+    'LoadAggregator',
     'MEMBERSHIP_PERIOD_S',
     'MEMBERSHIP_PROBE_S',
     'Membership',
@@ -100,7 +103,6 @@
     'Role',
     'Router',
     'SMALL_ACCOUNT_ENTRIES',
-    'SightingBoard',
     'Standing',
     'StreamGate',
     'Suspects',
--- a/src/bulrushhold/decisions/_crashers.py
+++ b/src/bulrushhold/decisions/_crashers.py
@@ -58,7 +58,7 @@
     ) -> None:
         self.lost_near = lost_near
         self.fresh: list[_Death] = []
-        self.lone: list[messages.EngineDeath] = []
+        self.lone: list[messages.CrashReport] = []
         self.deaths: dict[str, dict[str, float]] = {}
 
     def died(self, fingerprint: str, engine: str, now: float) -> None:
@@ -74,20 +74,24 @@
             if near < TOGETHER:
                 self._count(death.fingerprint, death.engine, now)
                 self.lone.append(
-                    messages.EngineDeath(death.fingerprint, death.engine)
+                    messages.CrashReport(death.fingerprint, death.engine)
                 )
 
-    def told(self) -> list[messages.EngineDeath]:
+    def take_pending(self) -> list[messages.CrashReport]:
         """Return what other entries should know; each death only once."""
         lone, self.lone = self.lone, []
         return lone
 
-    def heard(
-        self, deaths: cabc.Iterable[messages.EngineDeath], now: float
+    def report_again(self, reports: list[messages.CrashReport]) -> None:
+        """Put back what may not have arrived."""
+        self.lone = reports + self.lone
+
+    def add_reports(
+        self, reports: cabc.Iterable[messages.CrashReport], now: float
     ) -> None:
-        """Learn what other entries count."""
-        for death in deaths:
-            self._count(death.fingerprint, death.engine, now)
+        """Count what other entries report."""
+        for report in reports:
+            self._count(report.fingerprint, report.engine, now)
 
     def served(self, fingerprint: str) -> None:
         """Learn that a request was served whole: it is no crasher."""
--- a/src/bulrushhold/decisions/_gate.py
+++ b/src/bulrushhold/decisions/_gate.py
@@ -31,7 +31,7 @@
 LEAST_RETRY_S: t.Final = 1.0
 MOST_RETRY_S: t.Final = 8.0
 # How many wait elsewhere is told with each change; older news is no news.
-HEARD_S: t.Final = 2.0
+REPORTS_KEPT_S: t.Final = 2.0
 
 
 class Verdict(enum.Enum):
@@ -71,13 +71,13 @@
     def __init__(self) -> None:
         self.waiting: collections.Counter[str] = collections.Counter()
         self.others: dict[str, int] = {}
-        self.heard_at = float('-inf')
+        self.last_report_at = float('-inf')
         self.held_at = float('-inf')
 
-    def heard(self, others: dict[str, int], now: float) -> None:
+    def apply_loads(self, others: dict[str, int], now: float) -> None:
         """Learn how many streams wait at all other entries, by service."""
         self.others = others
-        self.heard_at = now
+        self.last_report_at = now
 
     def held(self, now: float) -> None:
         """Learn that a stream has to wait."""
@@ -134,7 +134,7 @@
             of these.
         """
         own = self.waiting[service]
-        if now - self.heard_at < HEARD_S:
+        if now - self.last_report_at < REPORTS_KEPT_S:
             waiting = own + self.others.get(service, 0)
         else:
             waiting = own * max(1, entries)
--- a/src/bulrushhold/decisions/_known.py
+++ b/src/bulrushhold/decisions/_known.py
@@ -34,7 +34,7 @@
 SUSPECT_S: t.Final = 1.0
 # What other entries have running is told within 0.1 s, as long as control is
 # there; after this time it says nothing any more.
-HEARD_S: t.Final = 2.0
+REPORTS_KEPT_S: t.Final = 2.0
 PARTS_KEPT: t.Final = 4000
 # A part read longer ago than this has probably been evicted.
 PART_KEPT_S: t.Final = 20.0
@@ -49,9 +49,11 @@
 
     def __init__(self) -> None:
         self.on_news: t.Callable[[], None] = _ignore
-        self.untold_losses: list[str] = []
-        self.untold_moves: list[str] = []
-        self.heard_at = 0.0
+        self.pending_losses: list[str] = []
+        self.pending_replaced: list[str] = []
+        self.last_report_at = 0.0
+        self.load_age_s = 0.0
+        self.silent_data_centres: list[str] = []
         self.capacity: dict[str, int] = {}
         self.speeds = _speeds.EngineSpeeds()
         self.backends: dict[str, _placed.Placed] = {}
@@ -109,13 +111,13 @@
 
     def seen_by_others(
         self, backend: _placed.Placed, now: float
-    ) -> messages.EngineSeen:
+    ) -> messages.EngineLoad:
         """Return what others have there, unless that is too old to tell.
 
         While control is away for long, an engine that was full would seem
         so for good, and streams be held back from idle engines.
         """
-        heard = now - self.heard_at < HEARD_S
+        heard = now - self.last_report_at < REPORTS_KEPT_S
         return backend.others if heard else _placed.NOTHING
 
     def keeps_copy(self, backend: _placed.Placed, since: float) -> bool:
@@ -140,7 +142,7 @@
         self._sample_failure(backend, 1.0, now)
         if gone:
             if backend.suspect_until <= now:
-                self.untold_losses.append(ident)
+                self.pending_losses.append(ident)
                 self.on_news()
             self._suspect(backend, now)
 
@@ -207,45 +209,56 @@
         backend.reading -= tokens
         self.on_news()
 
-    def sighted(
+    def load_report(
         self,
         entry: str,
         traffic: dict[str, messages.ServiceTraffic],
         now: float,
-    ) -> messages.Sighting:
+    ) -> messages.LoadReport:
         """Return what other entries should know; losses only once."""
-        lost, self.untold_losses = self.untold_losses, []
-        moved, self.untold_moves = self.untold_moves, []
+        lost, self.pending_losses = self.pending_losses, []
+        replaced, self.pending_replaced = self.pending_replaced, []
         seen = {
-            backend.ident: messages.EngineSeen(
+            backend.ident: messages.EngineLoad(
                 backend.reading, backend.inflight, backend.memory
             )
             for backend in self.backends.values()
             if backend.inflight or backend.memory
         }
-        speeds = self.speeds.told(now)
-        return messages.Sighting(
-            entry, seen, lost, moved, traffic, speeds=speeds
+        speeds = self.speeds.published(now)
+        return messages.LoadReport(
+            entry, seen, lost, replaced, traffic, speeds=speeds
         )
 
-    def heard(self, sightings: messages.Sightings, now: float) -> None:
+    def report_again(self, report: messages.LoadReport) -> None:
+        """Put the events of a report that may not have arrived back."""
+        self.pending_losses = report.lost + self.pending_losses
+        self.pending_replaced = report.replaced + self.pending_replaced
+
+    def confirm_loads(self, now: float) -> None:
+        """Learn that what others have running hasn't changed."""
+        self.last_report_at = now - self.load_age_s
+
+    def apply_loads(self, summary: messages.LoadSummary, now: float) -> None:
         """Learn what other entries see."""
-        self.heard_at = now
-        self.speeds.heard(sightings.speeds)
+        self.load_age_s = summary.age_s
+        self.last_report_at = now - summary.age_s
+        self.silent_data_centres = summary.silent
+        self.speeds.apply_loads(summary.speeds)
         for ident, backend in self.backends.items():
-            backend.others = sightings.engines.get(ident, _placed.NOTHING)
-        for ident in sightings.lost:
+            backend.others = summary.engines.get(ident, _placed.NOTHING)
+        for ident in summary.lost:
             backend = self.backends.get(ident)
             if backend is not None and backend.suspect_until <= now:
                 self._suspect(backend, now)
-        for ident in sightings.moved:
+        for ident in summary.replaced:
             self.gone.add(ident)
 
-    def moved(self, ident: str) -> None:
+    def replaced(self, ident: str) -> None:
         """Learn that another server has this one's address."""
         if ident not in self.gone:
             self.gone.add(ident)
-            self.untold_moves.append(ident)
+            self.pending_replaced.append(ident)
             self.on_news()
 
     def read(self, part: str, ident: str, now: float) -> None:
--- /dev/null
+++ b/src/bulrushhold/decisions/_loadreports.py
@@ -0,0 +1,308 @@
+"""Adds up load reports, by entry within one control process and by process.
+
+An entry alone learns of an engine's loss only from its own streams, and of
+the prompts that others send there not at all. Entries report to a control
+process of their data centre; these exchange sums, so that traffic between
+data centres grows with data centres and engines, not with entries.
+"""
+
+import collections
+import typing as t
+
+import attrs
+
+from bulrushhold.decisions import _speeds
+from bulrushhold import messages
+
+# Events reach processes that were out of touch for a moment; an engine that
+# was lost longer ago has been restarted or taken off the list.
+EVENT_KEPT_S: t.Final = 2.0
+# Several sums in a row are missing.
+SILENT_AFTER_S: t.Final = 0.8
+# A sum that is older says nothing about the load of engines.
+SUM_KEPT_S: t.Final = 2.0
+# After this time its entries report elsewhere.
+NODE_KEPT_S: t.Final = 10.0
+NO_LOAD: t.Final = messages.EngineLoad(0, 0)
+NO_TRAFFIC: t.Final = messages.ServiceTraffic(0, 0)
+
+
+@attrs.frozen
+class _Event:
+    """A loss, a replacement or a crash, numbered in order of arrival.
+
+    :param local: reported by an entry of this process.
+    """
+
+    number: int
+    at: float
+    local: bool
+    lost: str = ''
+    replaced: str = ''
+    crash: messages.CrashReport | None = None
+
+
+@attrs.define
+class _Node:
+    """What another control process has sent.
+
+    :param received: number of its newest event that has arrived.
+    :param acknowledged: number of the newest event from here that has
+        arrived there.
+    """
+
+    load: messages.NodeLoad
+    at: float
+    received: int = 0
+    acknowledged: int = 0
+
+
+class LoadAggregator:
+    """The newest reports of all entries, those of others as sums.
+
+    :param node: peer address of this process.
+    :param incarnation: differs between starts of this process.
+    """
+
+    def __init__(
+        self, node: str = '', data_centre: str = '', incarnation: int = 0
+    ) -> None:
+        self.node = node
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self.number = 0
+        self.reports: dict[str, messages.LoadReport] = {}
+        self.nodes: dict[str, _Node] = {}
+        self.events: collections.deque[_Event] = collections.deque()
+        self.local = _Total()
+        self.total = _Total()
+        self.added_up: tuple[int, list[str]] = (-1, [])
+
+    # What arrives
+
+    def take(self, report: messages.LoadReport, now: float) -> bool:
+        """Take an entry's report; return whether it holds new events."""
+        self.number += 1
+        self.reports[report.entry] = report
+        return self._take_events(report, now, local=True)
+
+    def forget(self, entry: str) -> None:
+        """Drop the report of an entry that is gone."""
+        if self.reports.pop(entry, None):
+            self.number += 1
+
+    def take_node(self, load: messages.NodeLoad, now: float) -> bool:
+        """Take another process's sum; return whether it holds new events."""
+        known = self.nodes.get(load.node)
+        restarted = known is None or known.load.incarnation != load.incarnation
+        node = _Node(load, now) if known is None or restarted else known
+        self.number += node is not known or node.load.sum != load.sum
+        self.nodes[load.node] = node
+        node.load = load
+        node.at = now
+        node.received = load.number
+        incarnation, number = load.acknowledged.get(self.node, (0, 0))
+        if incarnation == self.incarnation:
+            node.acknowledged = max(node.acknowledged, number)
+        return self._take_events(load.sum, now, local=False)
+
+    def expire(self, now: float) -> bool:
+        """Drop old events and sums; return whether any sum was dropped."""
+        while self.events and now - self.events[0].at > EVENT_KEPT_S:
+            self.events.popleft()
+        gone = [
+            address
+            for address, node in self.nodes.items()
+            if now - node.at > NODE_KEPT_S
+        ]
+        for address in gone:
+            del self.nodes[address]
+        self.number += bool(gone)
+        return bool(gone)
+
+    def _take_events(
+        self, report: messages.LoadReport, now: float, *, local: bool
+    ) -> bool:
+        if not report.urgent:
+            return False
+        self.expire(now)
+        known = {(e.lost, e.replaced, e.crash) for e in self.events}
+        events = [
+            *(
+                _Event(self.number, now, local, lost=ident)
+                for ident in report.lost
+            ),
+            *(
+                _Event(self.number, now, local, replaced=ident)
+                for ident in report.replaced
+            ),
+            *(
+                _Event(self.number, now, local, crash=crash)
+                for crash in report.crashes
+            ),
+        ]
+        fresh = [
+            event
+            for event in events
+            if (event.lost, event.replaced, event.crash) not in known
+        ]
+        self.events.extend(fresh)
+        return bool(fresh)
+
+    # What is published
+
+    def others(
+        self, entry: str, since: int, now: float = 0.0
+    ) -> messages.LoadSummary:
+        """Return what all other entries have running.
+
+        :param since: number of the summary that the entry has.
+        """
+        self._add_up(now)
+        own = self.reports.get(entry)
+        total = self.total.without(own) if own is not None else self.total
+        events = [event for event in self.events if event.number > since]
+        return messages.LoadSummary(
+            self.number,
+            total.engines,
+            [event.lost for event in events if event.lost],
+            [event.replaced for event in events if event.replaced],
+            total.traffic,
+            [event.crash for event in events if event.crash is not None],
+            total.speeds,
+            self.age_s(now),
+            self.silent(now),
+        )
+
+    def node_load(self, now: float) -> messages.NodeLoad:
+        """Return the sum of this process's entries, for other processes."""
+        self._add_up(now)
+        acknowledged = [node.acknowledged for node in self.nodes.values()]
+        since = min(acknowledged, default=0)
+        events = [e for e in self.events if e.local and e.number > since]
+        return messages.NodeLoad(
+            self.node,
+            self.data_centre,
+            self.incarnation,
+            self.number,
+            messages.LoadReport(
+                self.node,
+                self.local.engines,
+                [event.lost for event in events if event.lost],
+                [event.replaced for event in events if event.replaced],
+                self.local.traffic,
+                [event.crash for event in events if event.crash is not None],
+                self.local.speeds,
+            ),
+            {
+                address: (node.load.incarnation, node.received)
+                for address, node in self.nodes.items()
+            },
+        )
+
+    def live_nodes(self, now: float) -> list[str]:
+        """Return the addresses of processes that have lately sent sums."""
+        return [a for a, node in self.nodes.items() if _is_live(node, now)]
+
+    def silent(self, now: float) -> list[str]:
+        """Return the data centres whose sums are missing."""
+        live = {
+            node.load.data_centre
+            for node in self.nodes.values()
+            if _is_live(node, now)
+        }
+        known = {node.load.data_centre for node in self.nodes.values()}
+        return sorted(known - live - {self.data_centre})
+
+    def age_s(self, now: float) -> float:
+        """Return the age of the oldest sum that isn't missing, in seconds."""
+        ages = [
+            now - node.at
+            for node in self.nodes.values()
+            if _is_live(node, now)
+        ]
+        return round(max(ages, default=0.0), 3)
+
+    def _add_up(self, now: float) -> None:
+        """Add up all reports and sums, once for all that ask."""
+        kept = [
+            address
+            for address, node in self.nodes.items()
+            if now - node.at <= SUM_KEPT_S
+        ]
+        if self.added_up == (self.number, kept):
+            return
+        self.added_up = (self.number, kept)
+        self.local = _Total()
+        for report in self.reports.values():
+            self.local.add(report, 1)
+        self.total = self.local.copy()
+        for address in kept:
+            self.total.add(self.nodes[address].load.sum, 1)
+
+
+def _is_live(node: _Node, now: float) -> bool:
+    return now - node.at <= SILENT_AFTER_S
+
+
+class _Total:
+    """A sum of reports, without their events."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, messages.EngineLoad] = {}
+        self.traffic: dict[str, messages.ServiceTraffic] = {}
+        self.speeds: dict[str, messages.EngineSpeed] = {}
+
+    def copy(self) -> '_Total':
+        """Return a sum of its own."""
+        total = _Total()
+        total.engines = dict(self.engines)
+        total.traffic = dict(self.traffic)
+        total.speeds = dict(self.speeds)
+        return total
+
+    def without(self, report: messages.LoadReport) -> '_Total':
+        """Return the sum less one report."""
+        total = self.copy()
+        total.add(report, -1)
+        return total
+
+    def add(self, report: messages.LoadReport, sign: int) -> None:
+        """Add a report, or take it off."""
+        _add_engines(self.engines, report.engines, sign)
+        _add_traffic(self.traffic, report.traffic, sign)
+        for service, speed in report.speeds.items():
+            known = self.speeds.get(service, _speeds.NOTHING)
+            self.speeds[service] = _speeds.add(known, speed, sign)
+
+
+def _add_engines(
+    totals: dict[str, messages.EngineLoad],
+    more: dict[str, messages.EngineLoad],
+    sign: int,
+) -> None:
+    for ident, one in more.items():
+        known = totals.get(ident, NO_LOAD)
+        total = messages.EngineLoad(
+            known.reading + sign * one.reading,
+            known.running + sign * one.running,
+            known.memory + sign * one.memory,
+        )
+        if total == NO_LOAD:
+            totals.pop(ident, None)
+        else:
+            totals[ident] = total
+
+
+def _add_traffic(
+    totals: dict[str, messages.ServiceTraffic],
+    more: dict[str, messages.ServiceTraffic],
+    sign: int,
+) -> None:
+    for service, one in more.items():
+        known = totals.get(service, NO_TRAFFIC)
+        totals[service] = messages.ServiceTraffic(
+            known.firsts + sign * one.firsts,
+            known.repeats + sign * one.repeats,
+            known.waiting + sign * one.waiting,
+        )
--- a/src/bulrushhold/decisions/_placed.py
+++ b/src/bulrushhold/decisions/_placed.py
@@ -11,7 +11,7 @@
 REPORT_HALF_S: t.Final = 0.5
 # Failures are forgotten with time, or a server left alone would stay so.
 FAILURE_HALF_S: t.Final = 3.0
-NOTHING: t.Final = messages.EngineSeen(0, 0)
+NOTHING: t.Final = messages.EngineLoad(0, 0)
 
 
 @attrs.define
@@ -43,7 +43,7 @@
     failures: float = 0.0
     failed_at: float = 0.0
     suspect_until: float = 0.0
-    others: messages.EngineSeen = NOTHING
+    others: messages.EngineLoad = NOTHING
     lost_at: float = float('-inf')
 
     def foreign_now(self, now: float) -> float:
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -54,7 +54,7 @@
 # news comes, most of the load of the next prompts isn't known.
 BLIND_SPREAD_PROMPTS: t.Final = 0.8
 BLIND_AFTER_LOSS_S: t.Final = 0.5
-BLIND_UNHEARD_S: t.Final = 0.5
+BLIND_AFTER_S: t.Final = 0.5
 
 
 def _share_of(part: str, ident: str) -> float:
@@ -165,7 +165,8 @@
 
     def _is_blind(self, service: str, now: float) -> bool:
         """Whether other entries place streams now that aren't known here."""
-        if now - self.heard_at > BLIND_UNHEARD_S:
+        old = now - self.last_report_at > BLIND_AFTER_S
+        if old or self.silent_data_centres:
             return True
         return any(
             now - backend.lost_at < BLIND_AFTER_LOSS_S
--- a/src/bulrushhold/decisions/_repeats.py
+++ b/src/bulrushhold/decisions/_repeats.py
@@ -28,7 +28,7 @@
 # have to ask for it all again. One that has shown nothing is refused as not
 # run instead, and comes back as a request of its own.
 TOGETHER_BEGUN: t.Final = 0.9
-HEARD_S: t.Final = 2.0
+REPORTS_KEPT_S: t.Final = 2.0
 
 
 class RepeatBudget:
@@ -47,7 +47,7 @@
         self.window_s = window_s
         self.entries = 1
         self.others: dict[str, messages.ServiceTraffic] = {}
-        self.heard_at = float('-inf')
+        self.last_report_at = float('-inf')
         self.firsts: dict[str, collections.deque[float]] = {}
         self.repeats: dict[str, collections.deque[float]] = {}
 
@@ -72,18 +72,18 @@
 
     def _far_from_bound(self, service: str, now: float, most: float) -> bool:
         others = self.others.get(service)
-        if others is None or now - self.heard_at > HEARD_S:
+        if others is None or now - self.last_report_at > REPORTS_KEPT_S:
             return False
         firsts = others.firsts + len(self.firsts.get(service, ()))
         repeats = others.repeats + len(self.repeats.get(service, ()))
         return repeats < most * (self.ratio * firsts + self.allowance)
 
-    def heard(
+    def apply_loads(
         self, others: dict[str, messages.ServiceTraffic], now: float
     ) -> None:
         """Learn what all other entries sent within the window."""
         self.others = others
-        self.heard_at = now
+        self.last_report_at = now
 
     def traffic(self, now: float) -> dict[str, messages.ServiceTraffic]:
         """Return what this entry sent within the window, by service."""
--- a/src/bulrushhold/decisions/_speeds.py
+++ b/src/bulrushhold/decisions/_speeds.py
@@ -131,11 +131,11 @@
         """Learn how long an engine took from a prompt to its last event."""
         self._add(service, messages.EngineSpeed(runs=1, run_s=seconds), now)
 
-    def heard(self, others: dict[str, messages.EngineSpeed]) -> None:
+    def apply_loads(self, others: dict[str, messages.EngineSpeed]) -> None:
         """Learn what all other entries saw."""
         self.others = others
 
-    def told(self, now: float) -> dict[str, messages.EngineSpeed]:
+    def published(self, now: float) -> dict[str, messages.EngineSpeed]:
         """Return what this entry saw, for others."""
         return {service: self._own(service, now) for service in self.own}
 
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -145,19 +145,19 @@
             service: attrs.evolve(one, waiting=self.gate.waiting[service])
             for service, one in self.budget.traffic(now).items()
         }
-        sighting = self.placement.sighted(self.name, traffic, now)
-        self.system.board.take(sighting, now)
+        report = self.placement.load_report(self.name, traffic, now)
+        self.system.loads.take(report, now)
         for entry in self.system.entries:
             entry.hear(now)
 
     def hear(self, now: float) -> None:
         """Take the news of all other entries."""
-        news = self.system.board.others(self.name, self.number)
+        news = self.system.loads.others(self.name, self.number)
         self.number = news.number
-        self.placement.heard(news, now)
-        self.budget.heard(news.traffic, now)
+        self.placement.apply_loads(news, now)
+        self.budget.apply_loads(news.traffic, now)
         waiting = {name: one.waiting for name, one in news.traffic.items()}
-        self.gate.heard(waiting, now)
+        self.gate.apply_loads(waiting, now)
 
 
 class System:
@@ -178,7 +178,7 @@
             place = f'dc{number % 3}'
             self.engines[address] = _engine.Engine(address, place, one)
         self.lengths: dict[str, int] = {}
-        self.board = decisions.SightingBoard()
+        self.loads = decisions.LoadAggregator()
         client = _client.EmulatedClient(self.engines, self.lengths)
         self.entries = [_Entry(f'e{n}', self, client) for n in range(entries)]
         self.outcomes: list[Outcome] = []
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -21,9 +21,8 @@
 # Over a hold by what a reply takes on a slow link and a busy leader.
 REPLY_S: t.Final = 0.5
 PAUSE_S: t.Final = 0.05
-# For how long one that gave no answer is asked only if all gave none: the
-# others answer within ms.
-SHUN_S: t.Final = 2.0
+# Until a report of lost engines is sent again.
+EVENTS_S: t.Final = 0.3
 # A data centre's engines are lost within a few ms; one message tells them.
 SHARE_S: t.Final = 0.01
 # Again without news: a new leader has heard nothing, and the traffic ages.
@@ -58,23 +57,23 @@
         gate: decisions.StreamGate,
     ) -> None:
         self.me = me
-        self.seeds = seeds
         self.transport = transport
         self.source = source
         self.placement = placement
         self.budget = budget
         self.crashers = crashers
         self.gate = gate
-        self.core: list[str] = []
-        self.leader = ''
-        self.in_touch_at = 0.0
-        self.silent_at: dict[str, float] = {}
+        self.servers = decisions.ControlServers(
+            me.data_centre, seeds, random.Random()
+        )
+        self.server = ''
         self.index: routes.RouteIndex | None = None
         self.backends_version = ''
         self.backends_at = 0.0
         self.entries: list[messages.ListedEntry] = []
         self.entries_version = ''
-        self.sightings_number = 0
+        self.nodes_version = ''
+        self.loads_number = 0
         self.started = asyncio.Event()
         self.seen = asyncio.Event()
         placement.on_news = self.seen.set
@@ -98,105 +97,149 @@
         """Return the number of entries, this one included."""
         return max(1, len(self.entries))
 
+    @property
+    def seeds(self) -> list[str]:
+        """Addresses of control processes from the settings."""
+        return self.servers.seeds
+
+    @seeds.setter
+    def seeds(self, seeds: list[str]) -> None:
+        self.servers.seeds = seeds
+
     async def follow(self) -> None:
-        """Hold a call at control's leader, again and again."""
+        """Hold a long poll at a control process, again and again."""
         while True:
-            address = self.leader or self._any_control()
+            address = self.servers.choose(self.server, time.monotonic())
             try:
-                await self._watch(address)
+                answered = await self._watch(address)
             except errors.PeerError as error:
-                if self.leader:
+                answered = False
+                if self.server == address:
                     loguru.logger.bind(peer=address, error=str(error)).warning(
                         'control lost'
                     )
-                self.leader = ''
-                self.silent_at[address] = time.monotonic()
+                self.servers.failed(address, time.monotonic())
+            if not answered:
+                self.server = ''
                 await asyncio.sleep(PAUSE_S)
 
-    def _any_control(self) -> str:
-        known = sorted({*self.seeds, *self.core})
-        now = time.monotonic()
-        # A leader that froze gives no answer for 0.8 s; drawn again and again
-        # by chance, it kept an entry from a new route map for over 2 s.
-        better = [
-            address
-            for address in known
-            if now - self.silent_at.get(address, -SHUN_S) >= SHUN_S
-        ]
-        return random.choice(better or known)
-
-    async def _watch(self, address: str) -> None:
-        ready = self.ready and self.me.ready
-        watch = messages.Watch(
-            messages.ListedEntry(
-                self.me.name, self.me.data_centre, self.me.callers, ready
-            ),
-            self.map_version,
-            self.backends_version,
-            self.entries_version,
-            HOLD_S,
-            self.sightings_number,
+    async def _watch(self, address: str) -> bool:
+        """Poll a control process; return whether control answers there."""
+        if address != self.server:
+            # Numbers of another process's summaries mean nothing here.
+            self.loads_number = 0
+        reply = await self.transport.request(
+            address, self._watch_request(), HOLD_S + REPLY_S
         )
-        reply = await self.transport.request(address, watch, HOLD_S + REPLY_S)
-        if reply.core:
-            self.core = reply.core
+        self.servers.learn(reply)
+        self._take_loads(reply.loads, address)
         if reply.status != 'done':
-            self.leader = '' if reply.leader == address else reply.leader
-            await asyncio.sleep(PAUSE_S)
-            return
-        if self.leader != address:
-            self.leader = address
+            self.servers.not_in_touch(address, reply.leader, time.monotonic())
+            return False
+        if self.server != address:
+            self.server = address
             node.log_decision('control found', peer=address)
-        self.in_touch_at = time.monotonic()
+            self.seen.set()
         self._take(reply)
+        return True
+
+    def _watch_request(self) -> messages.Watch:
+        ready = self.ready and self.me.ready
+        return messages.Watch(
+            attrs.evolve(self.me, ready=ready),
+            messages.Known(
+                self.map_version,
+                self.backends_version,
+                self.entries_version,
+                self.nodes_version,
+            ),
+            HOLD_S,
+            self.loads_number,
+        )
 
     def _take(self, reply: messages.WatchReply) -> None:
         if reply.route_map is not None:
             self._take_map(messages.unpack_map(reply.route_map))
-        if reply.backends_version:
-            self.backends_at = time.monotonic() - reply.backends_age_s
-        if reply.backends is not None:
-            self.backends_version = reply.backends_version
-            self._take_backends(reply.backends)
-        if reply.entries is not None:
+        self._take_list(reply)
+        if messages.is_newer(reply.entries_version, self.entries_version):
             self.entries_version = reply.entries_version
-            self.entries = reply.entries
-        if reply.sightings is not None:
-            self.sightings_number = reply.sightings.number
-            now = time.monotonic()
-            self.placement.heard(reply.sightings, now)
-            self.budget.heard(reply.sightings.traffic, now)
-            self.crashers.heard(reply.sightings.deaths, now)
-            traffic = reply.sightings.traffic
-            waiting = {name: one.waiting for name, one in traffic.items()}
-            self.gate.heard(waiting, now)
+            self.entries = reply.entries or []
+        if reply.nodes is not None:
+            self.nodes_version = reply.nodes_version
         self.budget.entries = self.count()
         for hook in self.changed:
             hook()
 
+    def _take_list(self, reply: messages.WatchReply) -> None:
+        """Take the list, unless it is older than what this entry has.
+
+        A control process that is out of touch with the leader would bring
+        back engines that have left.
+        """
+        version = reply.backends_version
+        read_at = time.monotonic() - reply.backends_age_s
+        if reply.backends is not None and (
+            messages.is_newer(version, self.backends_version)
+            if self.backends_version
+            else read_at > self.backends_at
+        ):
+            self.backends_version = version
+            self._take_backends(reply.backends)
+        if version and version == self.backends_version:
+            self.backends_at = max(self.backends_at, read_at)
+
+    def _take_loads(
+        self, summary: messages.LoadSummary | None, address: str
+    ) -> None:
+        now = time.monotonic()
+        if summary is None:
+            if address == self.server:
+                # Nothing has changed since the summary before.
+                self.placement.confirm_loads(now)
+            return
+        self.loads_number = summary.number
+        self.placement.apply_loads(summary, now)
+        self.budget.apply_loads(summary.traffic, now)
+        self.crashers.add_reports(summary.crashes, now)
+        waiting = {
+            name: traffic.waiting for name, traffic in summary.traffic.items()
+        }
+        self.gate.apply_loads(waiting, now)
+
     async def share(self) -> None:
-        """Tell control what this entry sees of engines, as it changes."""
+        """Report what this entry has running, as it changes."""
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(SHARE_AGAIN_S):
                     await self.seen.wait()
             self.seen.clear()
-            sighting = self._sighting(time.monotonic())
-            if self.leader:
-                self.transport.send(self.leader, sighting)
+            if self.server:
+                await self._report(self._load_report(time.monotonic()))
             await asyncio.sleep(SHARE_S)
 
-    def _sighting(self, now: float) -> messages.Sighting:
+    async def _report(self, report: messages.LoadReport) -> None:
+        if not report.urgent:
+            self.transport.send(self.server, report)
+            return
+        try:
+            await self.transport.request(self.server, report, EVENTS_S)
+        except errors.PeerError as error:
+            loguru.logger.bind(peer=self.server, error=str(error)).warning(
+                'events not acknowledged'
+            )
+            self.placement.report_again(report)
+            self.crashers.report_again(report.crashes)
+            self.seen.set()
+
+    def _load_report(self, now: float) -> messages.LoadReport:
         self.crashers.settle(now)
         traffic = {
             service: attrs.evolve(one, waiting=self.gate.waiting[service])
             for service, one in self.budget.traffic(now).items()
         }
         return attrs.evolve(
-            self.placement.sighted(self.me.name, traffic, now),
-            # A loss is old news by the time there is a leader again; what
-            # crashes engines still does.
-            deaths=self.crashers.told() if self.leader else [],
+            self.placement.load_report(self.me.name, traffic, now),
+            crashes=self.crashers.take_pending(),
         )
 
     def _take_map(self, route_map: routes.RouteMap) -> None:
--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -96,7 +96,7 @@
         _parts.learn(self.parts, self.engine.ident, head)
         if head.not_run:
             if head.status == 421:
-                self.parts.placement.moved(self.engine.ident)
+                self.parts.placement.replaced(self.engine.ident)
             raise StreamLostError(
                 f'refused with {head.status}', sent=False, gone=False
             )
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -159,7 +159,7 @@
             _parts.learn(self.parts, backend.ident, head)
             if head.not_run:
                 if head.status == 421:
-                    self.parts.placement.moved(backend.ident)
+                    self.parts.placement.replaced(backend.ident)
                 return _Result(errors.Ran.NO, f'refused with {head.status}')
             if not head.own or not head.genuine:
                 return _Result(errors.Ran.UNKNOWN, 'a foreign answer')
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -272,8 +272,8 @@
             reading=engine.reading + engine.others.reading,
             running=engine.inflight + engine.others.running,
             memory=engine.memory + engine.others.memory,
-            heard_s=round(
-                self.parts.clock() - self.parts.placement.heard_at, 2
+            load_age_s=round(
+                self.parts.clock() - self.parts.placement.last_report_at, 2
             ),
         )
         try:
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -20,18 +20,24 @@
 from bulrushhold.messages._entries import ProbeReply
 from bulrushhold.messages._entries import QuotaAsk
 from bulrushhold.messages._entries import QuotaGrant
-from bulrushhold.messages._fleet import EngineDeath
-from bulrushhold.messages._fleet import EngineSeen
+from bulrushhold.messages._fleet import ControlNode
+from bulrushhold.messages._fleet import CrashReport
+from bulrushhold.messages._fleet import EngineLoad
 from bulrushhold.messages._fleet import EngineSpeed
+from bulrushhold.messages._fleet import is_newer
+from bulrushhold.messages._fleet import Known
 from bulrushhold.messages._fleet import ListedBackend
 from bulrushhold.messages._fleet import ListedEntry
+from bulrushhold.messages._fleet import LoadReport
+from bulrushhold.messages._fleet import LoadSummary
+from bulrushhold.messages._fleet import NodeLoad
+from bulrushhold.messages._fleet import NodeWatch
+from bulrushhold.messages._fleet import Received
 from bulrushhold.messages._fleet import RouteMapOutcome
 from bulrushhold.messages._fleet import RouteMapPut
 from bulrushhold.messages._fleet import RouteMapRead
 from bulrushhold.messages._fleet import RouteMapReply
 from bulrushhold.messages._fleet import ServiceTraffic
-from bulrushhold.messages._fleet import Sighting
-from bulrushhold.messages._fleet import Sightings
 from bulrushhold.messages._fleet import Watch
 from bulrushhold.messages._fleet import WatchReply
 from bulrushhold.messages._log import AppendReply
@@ -78,6 +84,7 @@
     'ClaimOutcome',
     'Config',
     'Conflict',
+    'ControlNode',
     'CopyAck',
     'CopyAppend',
     'CopyBatch',
@@ -86,9 +93,9 @@
     'CopyTake',
     'CoreRead',
     'CoreReply',
+    'CrashReport',
     'EditOutcome',
-    'EngineDeath',
-    'EngineSeen',
+    'EngineLoad',
     'EngineSpeed',
     'Failure',
     'ForgetClaims',
@@ -102,11 +109,16 @@
     'KIND_COMMAND',
     'KIND_CONFIG',
     'KIND_NOOP',
+    'Known',
     'ListedBackend',
     'ListedEntry',
+    'LoadReport',
+    'LoadSummary',
     'LogEntry',
     'MemberNews',
     'Message',
+    'NodeLoad',
+    'NodeWatch',
     'PointerState',
     'PointerTake',
     'Probe',
@@ -117,6 +129,7 @@
     'Quarantine',
     'QuotaAsk',
     'QuotaGrant',
+    'Received',
     'Refusals',
     'RouteMapOutcome',
     'RouteMapPut',
@@ -124,8 +137,6 @@
     'RouteMapReply',
     'Row',
     'ServiceTraffic',
-    'Sighting',
-    'Sightings',
     'StatusRead',
     'StatusReply',
     'Suspected',
@@ -140,4 +151,5 @@
     'encode',
     'pack_map',
     'unpack_map',
+    'is_newer',
 ]
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -68,7 +68,7 @@
 
 
 @attrs.frozen
-class EngineSeen:
+class EngineLoad:
     """What entries have running on one engine.
 
     :param reading: prompt tokens that have shown no event yet.
@@ -96,8 +96,8 @@
 
 
 @attrs.frozen
-class EngineDeath:
-    """An engine was lost alone, with this request on it.
+class CrashReport:
+    """An engine crashed alone, with this request on it.
 
     :param fingerprint: of the request and all its repetitions.
     """
@@ -131,73 +131,142 @@
 
 
 @attrs.frozen
-class Sighting:
-    """What one entry sees of engines; replaces what it said before.
+class LoadReport:
+    """What one entry has running; replaces its report before.
 
     :param lost: engines that it has just lost.
-    :param moved: engines whose address has just been found to be another
-        one's.
+    :param replaced: engines at whose address it has just found another one.
     :param traffic: by service.
-    :param deaths: seen since it last spoke.
+    :param crashes: since its report before.
     :param speeds: by service.
     """
 
     entry: str
-    engines: dict[str, EngineSeen]
+    engines: dict[str, EngineLoad]
     lost: list[str]
-    moved: list[str] = attrs.field(factory=list)
+    replaced: list[str] = attrs.field(factory=list)
     traffic: dict[str, ServiceTraffic] = attrs.field(factory=dict)
-    deaths: list[EngineDeath] = attrs.field(factory=list)
+    crashes: list[CrashReport] = attrs.field(factory=list)
     speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
 
+    @property
+    def urgent(self) -> bool:
+        """Whether it holds news that no later report repeats."""
+        return bool(self.lost or self.replaced or self.crashes)
+
 
 @attrs.frozen
-class Sightings:
-    """What all other entries see of engines.
+class Received:
+    """Acknowledges a message that is sent again otherwise."""
+
+
+@attrs.frozen
+class NodeLoad:
+    """The sum of the entries at one control process, for the others.
+
+    :param node: peer address of the sender.
+    :param incarnation: differs between starts of the sender.
+    :param number: of the newest event in the sum.
+    :param sum: its events are those that a receiver hasn't acknowledged.
+    :param acknowledged: by peer address, its incarnation and the number of
+        the newest event that has arrived from there.
+    """
 
-    :param number: of the news; counts up while one process leads.
+    node: str
+    data_centre: str
+    incarnation: int
+    number: int
+    sum: LoadReport
+    acknowledged: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class LoadSummary:
+    """What all other entries have running.
+
+    :param number: of the summary; counts up while one process makes them.
     :param lost: engines lost since the number that was asked with.
-    :param moved: engines since then known to be at no address any more.
+    :param replaced: since then.
     :param traffic: by service.
-    :param deaths: since then.
+    :param crashes: since then.
     :param speeds: by service.
+    :param age_s: of the oldest sum in it.
+    :param silent: data centres whose sums are missing.
     """
 
     number: int
-    engines: dict[str, EngineSeen]
+    engines: dict[str, EngineLoad]
     lost: list[str]
-    moved: list[str] = attrs.field(factory=list)
+    replaced: list[str] = attrs.field(factory=list)
     traffic: dict[str, ServiceTraffic] = attrs.field(factory=dict)
-    deaths: list[EngineDeath] = attrs.field(factory=list)
+    crashes: list[CrashReport] = attrs.field(factory=list)
     speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
+    age_s: float = 0.0
+    silent: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class ControlNode:
+    """A control process, as entries and its peers find it.
+
+    :param address: for messages between processes.
+    :param replica: it keeps the log; one that doesn't has more time for
+        entries.
+    """
+
+    address: str
+    data_centre: str
+    replica: bool
+
+
+@attrs.frozen
+class Known:
+    """Versions of what the asking process already has.
+
+    :param route_map: in force there; 0 for none.
+    """
+
+    route_map: int = 0
+    backends: str = ''
+    entries: str = ''
+    nodes: str = ''
 
 
 @attrs.frozen
 class Watch:
-    """An entry's held call: answered as soon as there is news.
+    """An entry's long poll: answered as soon as there is news.
 
     :param entry: the asking entry, which so stays listed.
-    :param known_map: version of the route map in force there.
-    :param known_backends: version of the list it has.
-    :param known_entries: version of the entries it has.
-    :param known_sightings: number of the sightings it has.
+    :param known_loads: number of its newest summary from this process.
     :param hold_s: answer after this time, with news or without.
     """
 
     entry: ListedEntry
-    known_map: int
-    known_backends: str
-    known_entries: str
+    known: Known
+    hold_s: float
+    known_loads: int = 0
+
+
+@attrs.frozen
+class NodeWatch:
+    """A control process's long poll at the leader.
+
+    :param entries: that are attached to the asking process.
+    """
+
+    node: ControlNode
+    entries: list[ListedEntry]
+    known: Known
     hold_s: float
-    known_sightings: int = 0
 
 
 @attrs.frozen
 class WatchReply:
-    """Answers :class:`Watch`; what hasn't changed is ``None``.
+    """Answers a long poll; what hasn't changed is ``None``.
 
-    :param core: addresses of the control processes.
+    :param core: addresses of the replicas.
     :param route_map: compressed; see :func:`pack_map`.
+    :param map_version: of the route map that is known here.
     :param backends_age_s: since the platform's list was read.
     """
 
@@ -205,9 +274,24 @@
     leader: str = ''
     core: list[str] = attrs.field(factory=list)
     route_map: bytes | None = None
+    map_version: int = 0
     backends_version: str = ''
     backends: list[ListedBackend] | None = None
     backends_age_s: float = 0.0
     entries_version: str = ''
     entries: list[ListedEntry] | None = None
-    sightings: Sightings | None = None
+    nodes_version: str = ''
+    nodes: list[ControlNode] | None = None
+    loads: LoadSummary | None = None
+
+
+def is_newer(version: str, known: str) -> bool:
+    """Whether a version of a leader's news is newer than another one.
+
+    :param version: ``TERM.NUMBER``, or ``''`` for none.
+    """
+    return _order(version) > _order(known)
+
+
+def _order(version: str) -> tuple[int, ...]:
+    return tuple(map(int, version.split('.'))) if version else ()
--- a/tests/forwarding/test_crashers.py
+++ b/tests/forwarding/test_crashers.py
@@ -64,16 +64,18 @@
 def test_deaths_that_other_entries_saw_count_once_each():
     # The caller sends its request through another entry each time. Entries
     # tell each other through control, which may say a thing twice.
-    board = decisions.SightingBoard()
+    loads = decisions.LoadAggregator()
     last = crashers()
     for number in range(3):
         made = crashers()
         kill(made, 'bad', [f'i{number}'])
-        seen = messages.Sighting(f'e{number}', {}, [], deaths=made.told())
-        board.take(seen, 10.0)
-        last.heard(board.others('e9', 0).deaths, 10.0)
+        seen = messages.LoadReport(
+            f'e{number}', {}, [], crashes=made.take_pending()
+        )
+        loads.take(seen, 10.0)
+        last.add_reports(loads.others('e9', 0).crashes, 10.0)
         assert bool(last.refused_for('bad', 10.0)) == (number == 2)
-    assert made.told() == []
+    assert made.take_pending() == []
 
 
 def test_engines_of_one_data_centre_are_counted_together():
@@ -100,8 +102,8 @@
     forwarder = forwarding.Forwarder(fleet, parts)
     call = fakes.a_job(parts, routes.Kind.IDEMPOTENT).call
     bad = decisions.fingerprint('/a/x', call.key, b'bad')
-    parts.crashers.heard(
-        [messages.EngineDeath(bad, f'i{n}') for n in range(3)],
+    parts.crashers.add_reports(
+        [messages.CrashReport(bad, f'i{n}') for n in range(3)],
         parts.clock(),
     )
     client.scripts = [fakes.Script()]
@@ -126,4 +128,4 @@
     parts.crashers.lost_near = lambda engine, at, within: 1
     await fakes.stream(parts)
     parts.crashers.settle(parts.clock() + 2.0)
-    assert len(parts.crashers.told()) == 2
+    assert len(parts.crashers.take_pending()) == 2
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -80,9 +80,9 @@
     outlook = decisions.Outlook(9.0, False, 2, 1.4)
     gate.waiting['s'] = 1
     assert gate.queue_s('s', outlook, 67, 0.0) > 15.3
-    gate.heard({'s': 0}, 0.0)
+    gate.apply_loads({'s': 0}, 0.0)
     assert gate.queue_s('s', outlook, 67, 0.1) < 1.0
-    gate.heard({'s': 66}, 0.2)
+    gate.apply_loads({'s': 66}, 0.2)
     assert gate.queue_s('s', outlook, 67, 0.3) > 15.3
 
 
@@ -217,7 +217,7 @@
     parts.placement.capacity = {'engines': 10_000}
     for backend in parts.placement.backends.values():
         backend.memory = 10_000
-    parts.placement.heard_at = parts.clock()
+    parts.placement.last_report_at = parts.clock()
     parts.gate.waiting['engines'] = 200
     begun = parts.clock()
     with pytest.raises(errors.RequestError) as caught:
@@ -256,8 +256,8 @@
     placement = decisions.Placement(random.Random(1))
     placement.capacity = {'s': CAPACITY}
     placement.update([messages.ListedBackend('i0', 's', 'h0:1', 'dc0', 64)])
-    full = {'i0': messages.EngineSeen(40_000, 10, CAPACITY)}
-    placement.heard(messages.Sightings(1, full, []), 0.0)
+    full = {'i0': messages.EngineLoad(40_000, 10, CAPACITY)}
+    placement.apply_loads(messages.LoadSummary(1, full, []), 0.0)
     at_once = placement.outlook('s', 0.1, wanted=WANTED, memory=MEMORY)
     assert at_once.first_s == float('inf')
     later = placement.outlook('s', 10.0, wanted=WANTED, memory=MEMORY)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -178,7 +178,7 @@
     out, _ = await fakes.stream(parts)
     assert out.data == fakes.text(1, 2)
     dead = then == 'crash'
-    ident = parts.placement.sighted('e1', {}, parts.clock()).lost
+    ident = parts.placement.load_report('e1', {}, parts.clock()).lost
     engine = f'i{client.attempts[0].address[7]}'
     assert ident == ([engine] if dead else [])
     assert (parts.placement.backends[engine].suspect_until > 0) is dead
--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -212,7 +212,7 @@
 def test_any_message_of_a_peer_is_read_or_refused(data):
     for body in (
         data,
-        b'\x92\xa8Sighting' + data,
+        b'\x92\xaaLoadReport' + data,
         b'\x92\xaaWatchReply' + data,
     ):
         try:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import attrs
 import pytest
@@ -240,7 +241,9 @@
         self.transport = self
         self.role = decisions.Role.LEADER
         self.term = 1
-        self.config = messages.Config(voters={'a': '10.0.0.1:1'})
+        self.config = types.SimpleNamespace(
+            voters={'a': '10.0.0.1:1'}, peer='10.0.0.1:1'
+        )
         self.lease = True
         self.handlers = {}
 
@@ -266,18 +269,17 @@
 
 
 @pytest.fixture
-async def hub(server):
-    return control.Hub(server, FakeBackends())
+async def fleet(server):
+    return control.FleetControl(server, 'dc', FakeBackends())
 
 
-def watch(known_map=0, hold_s=1.0, name='e1', **known):
+def watch(known_map=0, hold_s=1.0, name='e1'):
     entry = messages.ListedEntry(name, 'dc', f'10.0.1.{name[1:]}:80', True)
-    fields = {'known_backends': '', 'known_entries': ''} | known
-    return messages.Watch(entry, known_map, hold_s=hold_s, **fields)
+    return messages.Watch(entry, messages.Known(known_map), hold_s)
 
 
-async def test_a_held_call_is_answered_as_soon_as_there_is_news(hub, server):
-    call = asyncio.ensure_future(hub._on_watch(watch()))
+async def test_a_held_call_is_answered_as_soon_as_there_is_news(fleet, server):
+    call = asyncio.ensure_future(fleet.watch._on_watch(watch()))
     await asyncio.sleep(0.02)
     assert not call.done()
     server.put(3)
@@ -285,35 +287,34 @@
     assert (reply.status, reply.route_map) == ('done', b'map')
 
 
-async def test_a_call_held_past_the_lease_says_nothing(hub, server):
+async def test_a_call_held_past_the_lease_says_nothing(fleet, server):
     # The process is suspended while the call is held. Its state may be old
     # by the time the answer leaves.
-    call = asyncio.ensure_future(hub._on_watch(watch(hold_s=0.1)))
+    call = asyncio.ensure_future(fleet.watch._on_watch(watch(hold_s=0.1)))
     await asyncio.sleep(0.02)
     server.lease = False
     server.put(3)
     reply = await call
     assert reply.status == 'not_leader' and reply.route_map is None
-    read = await hub._on_read(messages.RouteMapRead())
+    read = await fleet.leader._on_read(messages.RouteMapRead())
     assert read.status == 'not_leader' and not read.source
 
 
-async def test_sightings_reach_other_entries_at_once(hub, server):
-    known = {'known_sightings': 0}
-    call = asyncio.ensure_future(hub._on_watch(watch(name='e2', **known)))
+async def test_losses_reach_other_entries_at_once(fleet, server):
+    call = asyncio.ensure_future(fleet.watch._on_watch(watch(name='e2')))
     await asyncio.sleep(0.02)
-    await hub._on_sighting(messages.Sighting('e1', {}, ['i7']))
+    await fleet.watch._on_load_report(messages.LoadReport('e1', {}, ['i7']))
     reply = await asyncio.wait_for(call, 0.2)
-    assert reply.sightings.lost == ['i7']
+    assert reply.loads.lost == ['i7']
 
 
-async def test_the_list_is_kept_while_it_cannot_be_read(hub):
+async def test_the_list_is_kept_while_it_cannot_be_read(fleet):
     backend = messages.ListedBackend('i1', 's', '10.0.0.9:1', 'dc', 4)
-    hub.source.listed = [backend]
-    await hub._read_list()
-    hub.source.failing = True
-    await hub._read_list()
-    reply = await hub._on_watch(watch(hold_s=0.0))
+    fleet.leader.source.listed = [backend]
+    await fleet.leader._read_list()
+    fleet.leader.source.failing = True
+    await fleet.leader._read_list()
+    reply = await fleet.watch._on_watch(watch(hold_s=0.0))
     assert reply.backends == [backend]
 
 
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -58,7 +58,7 @@
             node.NoMetrics(),
             node.boot_time,
         )
-        control.Hub(server, None)
+        control.FleetControl(server, 'dc', None)
         task = asyncio.ensure_future(server.run())
         self.running[name] = (server, task)
         return server
@@ -221,11 +221,14 @@
     relay = control.Relay(
         transport, str(address), [str(address)], appoints=False
     )
+    fleet = control.FleetRelay(relay, 'dc')
     look = asyncio.ensure_future(relay.run())
     await core.until(lambda: relay.leader != '')
     assert relay.core == sorted(map(str, peers.values()))
     entry = messages.ListedEntry('e1', 'dc', '127.0.0.1:1', True)
-    reply = await relay._on_watch(messages.Watch(entry, 0, '', '', hold_s=0.0))
+    reply = await fleet.watch._on_watch(
+        messages.Watch(entry, messages.Known(), hold_s=0.0)
+    )
     assert reply.leader == relay.leader
     look.cancel()
     await transport.close()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -43,16 +43,16 @@
     for _ in range(5):
         engine = place(first)
         first.began(engine, 8000)
-    seen = first.sighted('e1', {}, 0.0).engines
-    second.heard(messages.Sightings(1, seen, []), 0.0)
+    seen = first.load_report('e1', {}, 0.0).engines
+    second.apply_loads(messages.LoadSummary(1, seen, []), 0.0)
     assert place(second).ident not in seen
 
 
 def test_what_others_said_long_ago_counts_no_more():
     made = placement(engines=2)
     favourite = place(made).ident
-    seen = {favourite: messages.EngineSeen(8000, 1)}
-    made.heard(messages.Sightings(1, seen, []), 0.0)
+    seen = {favourite: messages.EngineLoad(8000, 1)}
+    made.apply_loads(messages.LoadSummary(1, seen, []), 0.0)
     assert place(made, now=1.0).ident != favourite
     assert place(made, now=5.0).ident == favourite
 
@@ -65,15 +65,15 @@
         engine = place(made, now=0.2)
         assert engine.data_centre != 'dc0'
         made.began(engine, 8000)
-    assert made.sighted('e1', {}, 0.0).lost == ['i0', 'i3']
-    assert made.sighted('e1', {}, 0.0).lost == []
+    assert made.load_report('e1', {}, 0.0).lost == ['i0', 'i3']
+    assert made.load_report('e1', {}, 0.0).lost == []
 
 
 def test_a_loss_that_another_entry_saw_is_not_told_again():
     made = placement()
-    made.heard(messages.Sightings(1, {}, ['i1']), 0.0)
+    made.apply_loads(messages.LoadSummary(1, {}, ['i1']), 0.0)
     assert made.backends['i1'].suspect_until > 0
-    assert made.sighted('e1', {}, 0.0).lost == []
+    assert made.load_report('e1', {}, 0.0).lost == []
 
 
 def test_backups_lie_in_another_data_centre():
@@ -138,7 +138,7 @@
     made.failed('i0', 0.0, gone=True)
     made.failed('i1', 0.5, gone=True)
     assert place(made, now=0.6).ident == 'i0'
-    made.moved('i0')
+    made.replaced('i0')
     assert place(made, now=0.6).ident == 'i1'
 
 
@@ -160,14 +160,14 @@
     # The engines of a data centre are back under new identities, and the
     # platform's list still has the old ones. One refusal tells all entries.
     first, second = placement(), placement()
-    first.moved('i2')
-    told = first.sighted('e1', {}, 0.0)
-    assert told.moved == ['i2']
-    second.heard(messages.Sightings(1, {}, [], told.moved), 0.0)
+    first.replaced('i2')
+    told = first.load_report('e1', {}, 0.0)
+    assert told.replaced == ['i2']
+    second.apply_loads(messages.LoadSummary(1, {}, [], told.replaced), 0.0)
     for made in (first, second):
         assert 'i2' not in {b.ident for b in made.usable('engines')}
         assert not made.keeps_copy(made.backends['i2'], 1.0)
-    assert second.sighted('e2', {}, 0.0).moved == []
+    assert second.load_report('e2', {}, 0.0).replaced == []
 
 
 def test_many_entries_may_use_the_budget_that_others_leave():
@@ -179,36 +179,36 @@
         budget.first('engines', 0.0)
     assert sum(budget.take('engines', 0.1) for _ in range(8)) == 4
     quiet = messages.ServiceTraffic(270, 20)
-    budget.heard({'engines': quiet}, 0.2)
+    budget.apply_loads({'engines': quiet}, 0.2)
     assert sum(budget.take('engines', 0.3) for _ in range(8)) == 8
-    budget.heard({'engines': messages.ServiceTraffic(270, 265)}, 0.4)
+    budget.apply_loads({'engines': messages.ServiceTraffic(270, 265)}, 0.4)
     assert not budget.take('engines', 0.5)
     assert budget.take('engines', 0.5, begun=True)
-    budget.heard({'engines': messages.ServiceTraffic(270, 340)}, 0.5)
+    budget.apply_loads({'engines': messages.ServiceTraffic(270, 340)}, 0.5)
     assert not budget.take('engines', 0.5, begun=True)
-    budget.heard({'engines': quiet}, 0.6)
+    budget.apply_loads({'engines': quiet}, 0.6)
     assert not budget.take('engines', 3.0)
 
 
 def test_the_board_tells_each_entry_of_the_others():
-    board = decisions.SightingBoard()
-    use = messages.EngineSeen(8000, 1)
+    loads = decisions.LoadAggregator()
+    use = messages.EngineLoad(8000, 1)
     traffic = {'engines': messages.ServiceTraffic(10, 2)}
-    board.take(messages.Sighting('e1', {'i1': use}, [], [], traffic), 0.0)
-    news = messages.Sighting(
+    loads.take(messages.LoadReport('e1', {'i1': use}, [], [], traffic), 0.0)
+    news = messages.LoadReport(
         'e2', {'i1': use, 'i2': use}, ['i9'], ['i8'], traffic
     )
-    assert board.take(news, 0.0)
-    assert board.others('e1', 0).engines == {'i1': use, 'i2': use}
-    every = board.others('e3', 0)
-    assert every.engines['i1'] == messages.EngineSeen(16000, 2)
+    assert loads.take(news, 0.0)
+    assert loads.others('e1', 0).engines == {'i1': use, 'i2': use}
+    every = loads.others('e3', 0)
+    assert every.engines['i1'] == messages.EngineLoad(16000, 2)
     assert every.traffic == {'engines': messages.ServiceTraffic(20, 4)}
-    assert (every.lost, every.moved) == (['i9'], ['i8'])
-    later = board.others('e3', 2)
-    assert (later.lost, later.moved) == ([], [])
-    assert not board.take(messages.Sighting('e1', {}, ['i9']), 0.1)
-    board.forget('e2')
-    assert board.others('e1', 0).engines == {}
+    assert (every.lost, every.replaced) == (['i9'], ['i8'])
+    later = loads.others('e3', 2)
+    assert (later.lost, later.replaced) == ([], [])
+    assert not loads.take(messages.LoadReport('e1', {}, ['i9']), 0.1)
+    loads.forget('e2')
+    assert loads.others('e1', 0).engines == {}
 
 
 def test_a_lost_engine_that_looks_idle_is_the_last_choice():
@@ -229,8 +229,8 @@
     made = placement(engines=3)
     made.capacity = {'engines': 88_000}
     favourite = place(made)
-    seen = {favourite.ident: messages.EngineSeen(0, 0, 72_000)}
-    made.heard(messages.Sightings(1, seen, []), 0.0)
+    seen = {favourite.ident: messages.EngineLoad(0, 0, 72_000)}
+    made.apply_loads(messages.LoadSummary(1, seen, []), 0.0)
     assert place(made).ident != favourite.ident
     for backend in made.backends.values():
         if backend is not favourite:
@@ -245,9 +245,9 @@
     counts = {}
     for entry in range(300):
         made = placement(engines=60, seed=entry)
-        busy = messages.EngineSeen(0, 2, 20_000)
+        busy = messages.EngineLoad(0, 2, 20_000)
         seen = {f'i{n}': busy for n in range(6, 60)}
-        made.heard(messages.Sightings(1, seen, []), 0.0)
+        made.apply_loads(messages.LoadSummary(1, seen, []), 0.0)
         ident = place(made, part=f'session-{entry}').ident
         counts[ident] = counts.get(ident, 0) + 1
     assert max(counts.values()) <= 40
@@ -269,7 +269,7 @@
     for draw in range(draws):
         rng = random.Random(draw)
         seen = {
-            f'i{n}': messages.EngineSeen(
+            f'i{n}': messages.EngineLoad(
                 8000 * (rng.random() < 0.8),
                 rng.randrange(1, 4),
                 rng.randrange(10_000, 40_000),
@@ -280,7 +280,7 @@
         placed = {}
         for number in range(streams):
             made = placement(engines, seed=100 * draw + number)
-            made.heard(messages.Sightings(1, seen, lost), 0.0)
+            made.apply_loads(messages.LoadSummary(1, seen, lost), 0.0)
             ident = place(made, 0.01, part=f'{draw}-{number}').ident
             placed[ident] = placed.get(ident, 0) + 1
             ahead += placed[ident] + seen[ident].reading / 8000
@@ -296,10 +296,10 @@
         first, second = placement(engines=18), placement(engines=18, seed=9)
         part = f'session-{number}'
         busy = {
-            f'i{n}': messages.EngineSeen(0, (n * number) % 4, 0)
+            f'i{n}': messages.EngineLoad(0, (n * number) % 4, 0)
             for n in range(18)
         }
-        first.heard(messages.Sightings(1, busy, []), 0.0)
+        first.apply_loads(messages.LoadSummary(1, busy, []), 0.0)
         engine = place(first, part=part)
         keepers = second.likely_keepers('engines', part, 1.0)
         assert engine.ident in {keeper.ident for keeper in keepers}
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -44,18 +44,18 @@
 
 def test_entries_add_up_what_each_saw():
     # Each of ten entries sees few streams: alone it would go by the route.
-    board = decisions.SightingBoard()
+    loads = decisions.LoadAggregator()
     for number in range(10):
         placement = decisions.Placement(None)
         read(placement.speeds, 3.0, 0.0)
         placement.speeds.ran('s', 9.0, 3.0)
-        board.take(placement.sighted(f'e{number}', {}, 3.0), 3.0)
+        loads.take(placement.load_report(f'e{number}', {}, 3.0), 3.0)
     last = decisions.EngineSpeeds()
-    last.heard(board.others('e99', 0).speeds)
+    last.apply_loads(loads.others('e99', 0).speeds)
     assert 8000 * last.token_s('s', WANTED, 3.0) > 2.7
     assert last.run_s('s', 3.0) == pytest.approx(9.0)
     own = decisions.EngineSpeeds()
-    own.heard(board.others('e1', 0).speeds)
+    own.apply_loads(loads.others('e1', 0).speeds)
     assert own.others['s'].runs == pytest.approx(9.0)
 
 
@@ -65,7 +65,7 @@
     others = messages.EngineSpeed(
         80_000, 10 * READ_S, 1000, 1000 * PAUSE_S, 1000 * PAUSE_S**2
     )
-    speeds.heard({'s': others})
+    speeds.apply_loads({'s': others})
     before = speeds.token_s('s', WANTED, 10.0)
     read(speeds, 60.0, 10.0)
     assert speeds.token_s('s', WANTED, 70.0) < 1.5 * before
