Tests of load reports by data centre, without the platform

Ruled out as noise: a hash of a text failed silently in the leader's loop (TypeError); found by these tests, mended here.

--- a/src/bulrushhold/control/_news.py
+++ b/src/bulrushhold/control/_news.py
@@ -122,6 +122,6 @@
         """Take the control processes that the leader hears of."""
         if nodes != self.nodes:
             self.nodes = nodes
-            text = '/'.join(sorted(map(str, nodes)))
+            text = '/'.join(sorted(map(str, nodes))).encode()
             self.nodes_version = xxhash.xxh64_hexdigest(text)
             self.notify()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -19,6 +19,7 @@
 from bulrushhold import ports
 from bulrushhold import settings
 from bulrushhold import testing
+from tests import cores
 
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 OPERATOR_KEY = 'operator-key-for-tests'
@@ -305,3 +306,11 @@
     """All tokens are there, in order, of one generation."""
     generation = tokens[0].partition(':')[0]
     assert tokens == [f'{generation}:{n} ' for n in range(count)]
+
+
+@pytest_asyncio.fixture
+async def core(tmp_path):
+    made = cores.Core(tmp_path)
+    yield made
+    for name in list(made.running):
+        await made.stop(name)
--- /dev/null
+++ b/tests/test_fleet_control.py
@@ -0,0 +1,168 @@
+"""Entries of several data centres, their control processes and the leader."""
+
+import asyncio
+import random
+import time
+
+import pytest_asyncio
+
+from bulrushhold import control
+from bulrushhold import decisions
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+from bulrushhold import routes
+
+ENGINES = [
+    messages.ListedBackend(f'i{n}', 'engines', f'10.0.0.{n}:80', 'a', 8)
+    for n in range(4)
+]
+
+
+class Listing(ports.BackendList):
+    async def fetch(self):
+        return ENGINES
+
+
+class Fleet:
+    """Three replicas, a relay in each of two data centres, two entries."""
+
+    def __init__(self, core):
+        self.core = core
+        self.tasks = {}
+        self.transports = {}
+        self.relays = {}
+        self.entries = {}
+
+    async def start(self):
+        peers = {name: self.core.address() for name in 'xyz'}
+        for name, peer in peers.items():
+            server = self.core.start(name, peer, peers)
+            fleet = control.FleetControl(server, 'x', Listing())
+            self.run(name, fleet.run())
+        contacts = list(map(str, peers.values()))
+        for name in 'ab':
+            self.start_relay(name, contacts)
+        await self.core.until(lambda: self.core.leader() is not None)
+        self.put(1)
+        for name in 'ab':
+            self.start_entry(name, contacts)
+        await self.core.until(self.settled)
+
+    def put(self, version):
+        route_map = routes.RouteMap(version, [], [routes.Service('engines')])
+        packed = messages.pack_map(route_map)
+        order = messages.RouteMapPut(version, packed, b'source')
+        self.core.leader().replica.propose(messages.encode(order))
+        self.core.leader().work.set()
+
+    def run(self, name, work):
+        self.tasks.setdefault(name, []).append(asyncio.ensure_future(work))
+
+    def start_relay(self, name, contacts):
+        address = str(self.core.address())
+        transport = node.ZmqTransport(address)
+        relay = control.Relay(transport, address, contacts, appoints=False)
+        fleet = control.FleetRelay(relay, name)
+        self.run(f'relay-{name}', relay.run())
+        self.run(f'relay-{name}', fleet.run())
+        self.transports[f'relay-{name}'] = transport
+        self.relays[name] = address
+
+    def start_entry(self, name, contacts):
+        placement = decisions.Placement(random.Random(1))
+        transport = node.ZmqTransport(str(self.core.address()))
+        entry = forwarding.Fleet(
+            messages.ListedEntry(f'e-{name}', name, '10.0.1.1:80', True),
+            contacts,
+            transport,
+            Listing(),
+            placement,
+            decisions.RepeatBudget(1.0, 100, 10.0),
+            decisions.Crashers(placement.lost_near),
+            decisions.StreamGate(),
+        )
+        self.run(name, entry.follow())
+        self.run(name, entry.share())
+        self.transports[name] = transport
+        self.entries[name] = entry
+
+    def settled(self):
+        return all(
+            entry.server == self.relays[name] and entry.count() == 2
+            for name, entry in self.entries.items()
+        )
+
+    async def stop(self, name):
+        tasks = self.tasks.pop(name)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if name in self.transports:
+            await self.transports.pop(name).close()
+
+    async def close(self):
+        for name in list(self.tasks):
+            await self.stop(name)
+
+    async def sees_running(self, count):
+        """Wait until entry b sees so many streams of entry a."""
+        backend = self.entries['b'].placement.backends['i1']
+        await self.core.until(lambda: backend.others.running == count)
+
+
+@pytest_asyncio.fixture
+async def fleet(core):
+    made = Fleet(core)
+    await made.start()
+    yield made
+    await made.close()
+
+
+async def test_entries_use_the_relay_of_their_data_centre(fleet):
+    placement = fleet.entries['a'].placement
+    placement.began(placement.backends['i1'], 8000)
+    begun = time.monotonic()
+    await fleet.sees_running(1)
+    assert time.monotonic() - begun < 0.3
+
+
+async def test_a_loss_reaches_other_data_centres_at_once(fleet):
+    now = time.monotonic()
+    fleet.entries['a'].placement.failed('i2', now, gone=True)
+    backend = fleet.entries['b'].placement.backends['i2']
+    await fleet.core.until(lambda: backend.suspect_until > now, 0.3)
+
+
+async def test_load_is_shared_while_the_leader_is_gone(fleet):
+    """Guards against entries that are blind while a leader is replaced."""
+    leader = fleet.core.leader().config.name
+    await fleet.stop(leader)
+    await fleet.core.stop(leader)
+    placement = fleet.entries['a'].placement
+    for count in range(1, 6):
+        placement.began(placement.backends['i1'], 8000)
+        async with asyncio.timeout(0.3):
+            await fleet.sees_running(count)
+
+
+async def test_a_lost_relay_is_replaced_and_nothing_is_lost(fleet):
+    """Guards against a data centre that is blind without its relay."""
+    await fleet.stop('relay-a')
+    entry = fleet.entries['a']
+    entry.placement.failed('i3', time.monotonic(), gone=True)
+    entry.placement.began(entry.placement.backends['i1'], 8000)
+    begun = time.monotonic()
+    await fleet.sees_running(1)
+    assert time.monotonic() - begun < 1.5
+    assert fleet.entries['b'].placement.backends['i3'].suspect_until
+    fleet.put(2)
+    await fleet.core.until(lambda: entry.map_version == 2, 1.0)
+    assert entry.count() == 2
+
+
+async def test_a_new_map_is_in_force_in_all_data_centres(fleet):
+    fleet.put(5)
+    for entry in fleet.entries.values():
+        await fleet.core.until(lambda e=entry: e.map_version == 5, 1.0)
