Differences of load, chosen links, and openings shared by those that wait

Summaries of 2.5 KB to 40 entries 20 times a second need 16 Mbit/s; control used 0.32 cores there, and its entry got neither. Change: summaries and sums hold what has changed since the receiver's last one; entries get them each 0.1 s; the process with the fastest link of a data centre serves its entries.

Copies of one moment all went to the emptiest engine: two are drawn. An idle engine without room was chosen beside empty ones. A stream that began without a copy never got one. Each has a test that failed before.

--- a/src/bulrushhold/composition/_relay.py
+++ b/src/bulrushhold/composition/_relay.py
@@ -19,6 +19,7 @@
 
     :param peer: its own address among control processes.
     :param data_centre: whose entries it serves.
+    :param link_mbps: of its instance.
     :param contacts: other control processes; may be changed in place.
     """
 
@@ -29,6 +30,7 @@
         contacts: list[str],
         *,
         appoints: bool,
+        link_mbps: float = 0.0,
     ) -> None:
         from bulrushhold import control
         from bulrushhold import node
@@ -39,7 +41,7 @@
         self.relay = control.Relay(
             self.transport, peer, contacts, appoints=appoints
         )
-        self.fleet = control.FleetRelay(self.relay, data_centre)
+        self.fleet = control.FleetRelay(self.relay, data_centre, link_mbps)
         self.calls = self.relay.calls
 
     async def run(
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -18,6 +18,7 @@
 
     :param data_centre: of this process.
     :param source: reads the platform's list of backend servers.
+    :param link_mbps: of this instance.
     """
 
     def __init__(
@@ -25,9 +26,10 @@
         server: _server.ControlServer,
         data_centre: str,
         source: ports.BackendList,
+        link_mbps: float = 0.0,
     ) -> None:
         me = messages.ControlNode(
-            str(server.config.peer), data_centre, replica=True
+            str(server.config.peer), data_centre, True, link_mbps
         )
         self.news = _news.News(server.clock)
         self.leader = _leader.LeaderNews(
@@ -73,8 +75,10 @@
 class FleetRelay:
     """The news of control and the load reports, without a replica."""
 
-    def __init__(self, relay: _relay.Relay, data_centre: str) -> None:
-        me = messages.ControlNode(relay.peer, data_centre, replica=False)
+    def __init__(
+        self, relay: _relay.Relay, data_centre: str, link_mbps: float = 0.0
+    ) -> None:
+        me = messages.ControlNode(relay.peer, data_centre, False, link_mbps)
         self.news = _news.News(relay.clock)
         self.follower = _follower.NewsFollower(
             relay.transport,
--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -17,9 +17,11 @@
 
 # Reports come with every stream that begins; each batch costs a message for
 # each entry. A prompt is read for many times as long.
-PUBLISH_EVERY_S: t.Final = 0.05
+PUBLISH_EVERY_S: t.Final = 0.1
+# Sums go to a few processes only.
+EXCHANGE_EVERY_S: t.Final = 0.05
 # Without changes, so that others know that this process lives.
-REFRESH_S: t.Final = 0.2
+REFRESH_S: t.Final = 0.1
 # Processes that don't send sums, in case that they have entries soon.
 SEND_TO_ALL_EVERY_S: t.Final = 1.0
 EXPIRE_EVERY_S: t.Final = 0.1
@@ -112,7 +114,7 @@
         known = watch.known_loads
         if self.loads.number == known:
             return None
-        if self.loads.number < known:
+        if not known or self.loads.number < known:
             # The number was given before this process started.
             known = 0
         return self.loads.others(watch.entry.name, known, self.clock())
@@ -174,7 +176,7 @@
             self.unsent.clear()
             if self.loads.reports:
                 self._send_sum()
-            await asyncio.sleep(PUBLISH_EVERY_S)
+            await asyncio.sleep(EXCHANGE_EVERY_S)
 
     def _send_sum(self) -> None:
         now = self.clock()
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -6,6 +6,7 @@
 from bulrushhold.decisions._crashers import Crashers
 from bulrushhold.decisions._crashers import fingerprint
 from bulrushhold.decisions._fairqueue import FairQueue
+from bulrushhold.decisions._gate import CHECK_S as GATE_CHECK_S
 from bulrushhold.decisions._gate import Outlook
 from bulrushhold.decisions._gate import retry_after_s
 from bulrushhold.decisions._gate import StreamGate
@@ -66,6 +67,7 @@
 from bulrushhold.decisions._transcript import Verdict
 
 __all__ = [
+    'GATE_CHECK_S',
     'Action',
     'BackendState',
     'Choice',
--- a/src/bulrushhold/decisions/_controlservers.py
+++ b/src/bulrushhold/decisions/_controlservers.py
@@ -16,9 +16,9 @@
 class ControlServers:
     """Control processes in order of preference.
 
-    First those of the own data centre that don't keep the log, then its
-    replica, then the leader, then all others: reports stay within the data
-    centre, and replicas have time for the log.
+    First the one of the own data centre with the fastest link, since its
+    news goes to all entries there; of equal ones, one that doesn't keep the
+    log. Then the others there, then the leader, then all.
 
     :param seeds: addresses from the settings; may be out of date.
     """
@@ -67,7 +67,7 @@
         near = [n for n in self.nodes if n.data_centre == self.data_centre]
         known = {node.address for node in self.nodes}
         return [
-            {node.address for node in near if not node.replica},
+            _best_of(near),
             {node.address for node in near},
             {self.leader} - {''},
             known,
@@ -76,3 +76,12 @@
 
     def _is_shunned(self, address: str, now: float) -> bool:
         return now - self.failed_at.get(address, float('-inf')) < SHUN_S
+
+
+def _best_of(nodes: list[messages.ControlNode]) -> set[str]:
+    best = max(map(_order, nodes), default=None)
+    return {node.address for node in nodes if _order(node) == best}
+
+
+def _order(node: messages.ControlNode) -> tuple[float, bool]:
+    return node.link_mbps, not node.replica
--- a/src/bulrushhold/decisions/_gate.py
+++ b/src/bulrushhold/decisions/_gate.py
@@ -34,6 +34,12 @@
 REPORTS_KEPT_S: t.Final = 2.0
 
 
+# How often a stream that waits looks for an engine.
+CHECK_S: t.Final = 0.05
+# Until other entries know where a stream went.
+NEWS_S: t.Final = 0.2
+
+
 class Verdict(enum.Enum):
     """What becomes of a stream now."""
 
@@ -55,6 +61,7 @@
     :param write_s: least time from its first event to its last one.
     :param spare: more than one engine could show an event in time, or most
         have no room, so that those that have waited longest get what is left.
+    :param openings: engines that could take one more prompt in time.
     """
 
     first_s: float
@@ -63,6 +70,7 @@
     per_s: float
     write_s: float = 0.0
     spare: bool = True
+    openings: int = 1
 
 
 class StreamGate:
@@ -133,15 +141,41 @@
             at random, so that as many wait at others where nothing is heard
             of these.
         """
-        own = self.waiting[service]
-        if now - self.last_report_at < REPORTS_KEPT_S:
-            waiting = own + self.others.get(service, 0)
-        else:
-            waiting = own * max(1, entries)
+        waiting = self._waiting_everywhere(service, entries, now)
         if not waiting:
             return 0.0
         return waiting / outlook.per_s if outlook.per_s else float('inf')
 
+    def goes_now(
+        self,
+        service: str,
+        outlook: Outlook,
+        entries: int,
+        now: float,
+        draw: float,
+    ) -> bool:
+        """Whether one of the streams that wait uses an opening now.
+
+        All that wait see an engine come back at the same moment. Each goes
+        by chance, so that no more go than engines can take until all
+        entries have heard of it.
+
+        :param draw: from 0 to 1, evenly.
+        """
+        waiting = self._waiting_everywhere(service, entries, now)
+        openings = max(1, outlook.openings)
+        if waiting <= openings:
+            return True
+        return draw < openings / waiting * CHECK_S / NEWS_S
+
+    def _waiting_everywhere(
+        self, service: str, entries: int, now: float
+    ) -> int:
+        own = self.waiting[service]
+        if now - self.last_report_at < REPORTS_KEPT_S:
+            return own + self.others.get(service, 0)
+        return own * max(1, entries)
+
 
 def retry_after_s(queue_s: float) -> float:
     """Return when a refused caller is to come back, in seconds."""
--- a/src/bulrushhold/decisions/_known.py
+++ b/src/bulrushhold/decisions/_known.py
@@ -53,6 +53,7 @@
         self.pending_replaced: list[str] = []
         self.last_report_at = 0.0
         self.load_age_s = 0.0
+        self.others: dict[str, messages.EngineLoad] = {}
         self.silent_data_centres: list[str] = []
         self.capacity: dict[str, int] = {}
         self.speeds = _speeds.EngineSpeeds()
@@ -78,6 +79,7 @@
                     item.address,
                     item.data_centre,
                     item.slots,
+                    others=self.others.get(item.ident, _placed.NOTHING),
                 )
             known.leaving = item.leaving
             backends[item.ident] = known
@@ -230,6 +232,19 @@
             entry, seen, lost, replaced, traffic, speeds=speeds
         )
 
+    def _apply_engines(self, summary: messages.LoadSummary) -> None:
+        if not summary.since:
+            self.others = dict(summary.engines)
+            for ident, backend in self.backends.items():
+                backend.others = self.others.get(ident, _placed.NOTHING)
+            return
+        self.others.update(summary.engines)
+        for ident, load in summary.engines.items():
+            if load == _placed.NOTHING:
+                del self.others[ident]
+            if ident in self.backends:
+                self.backends[ident].others = load
+
     def report_again(self, report: messages.LoadReport) -> None:
         """Put the events of a report that may not have arrived back."""
         self.pending_losses = report.lost + self.pending_losses
@@ -245,8 +260,7 @@
         self.last_report_at = now - summary.age_s
         self.silent_data_centres = summary.silent
         self.speeds.apply_loads(summary.speeds)
-        for ident, backend in self.backends.items():
-            backend.others = summary.engines.get(ident, _placed.NOTHING)
+        self._apply_engines(summary)
         for ident in summary.lost:
             backend = self.backends.get(ident)
             if backend is not None and backend.suspect_until <= now:
--- a/src/bulrushhold/decisions/_loadreports.py
+++ b/src/bulrushhold/decisions/_loadreports.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import collections.abc as cabc
 import typing as t
 
 import attrs
@@ -23,6 +24,8 @@
 SUM_KEPT_S: t.Final = 2.0
 # After this time its entries report elsewhere.
 NODE_KEPT_S: t.Final = 10.0
+# Changes of engines that are gone, for entries that were out of touch.
+CHANGES_KEPT: t.Final = 2000
 NO_LOAD: t.Final = messages.EngineLoad(0, 0)
 NO_TRAFFIC: t.Final = messages.ServiceTraffic(0, 0)
 
@@ -46,15 +49,33 @@
 class _Node:
     """What another control process has sent.
 
-    :param received: number of its newest event that has arrived.
-    :param acknowledged: number of the newest event from here that has
-        arrived there.
+    :param received: number of its newest sum that has arrived.
+    :param acknowledged: number of the newest sum that it has from here.
     """
 
-    load: messages.NodeLoad
+    data_centre: str
+    incarnation: int
     at: float
     received: int = 0
     acknowledged: int = 0
+    engines: dict[str, messages.EngineLoad] = attrs.field(factory=dict)
+    sum: messages.LoadReport | None = None
+
+    def update(self, load: messages.NodeLoad) -> bool:
+        """Take a newer sum; return whether it could be taken."""
+        if load.since > self.received:
+            # One that was lost lies between; the next ones start earlier.
+            return False
+        engines = {} if not load.since else dict(self.engines)
+        for ident, one in load.sum.engines.items():
+            if one == NO_LOAD:
+                engines.pop(ident, None)
+            else:
+                engines[ident] = one
+        self.engines = engines
+        self.received = load.number
+        self.sum = attrs.evolve(load.sum, engines=engines)
+        return True
 
 
 class LoadAggregator:
@@ -76,6 +97,8 @@
         self.events: collections.deque[_Event] = collections.deque()
         self.local = _Total()
         self.total = _Total()
+        # Entries whose changes cancel each other out see different changes.
+        self.touched: set[str] = set()
         self.added_up: tuple[int, list[str]] = (-1, [])
 
     # What arrives
@@ -83,7 +106,14 @@
     def take(self, report: messages.LoadReport, now: float) -> bool:
         """Take an entry's report; return whether it holds new events."""
         self.number += 1
+        known = self.reports.get(report.entry)
         self.reports[report.entry] = report
+        before = known.engines if known is not None else {}
+        self.touched.update(
+            ident
+            for ident in before.keys() | report.engines.keys()
+            if before.get(ident) != report.engines.get(ident)
+        )
         return self._take_events(report, now, local=True)
 
     def forget(self, entry: str) -> None:
@@ -93,17 +123,17 @@
 
     def take_node(self, load: messages.NodeLoad, now: float) -> bool:
         """Take another process's sum; return whether it holds new events."""
-        known = self.nodes.get(load.node)
-        restarted = known is None or known.load.incarnation != load.incarnation
-        node = _Node(load, now) if known is None or restarted else known
-        self.number += node is not known or node.load.sum != load.sum
-        self.nodes[load.node] = node
-        node.load = load
+        node = self.nodes.get(load.node)
+        if node is None or node.incarnation != load.incarnation:
+            node = _Node(load.data_centre, load.incarnation, now)
+            self.nodes[load.node] = node
         node.at = now
-        node.received = load.number
         incarnation, number = load.acknowledged.get(self.node, (0, 0))
-        if incarnation == self.incarnation:
-            node.acknowledged = max(node.acknowledged, number)
+        node.acknowledged = number if incarnation == self.incarnation else 0
+        before = node.sum
+        if not node.update(load):
+            return False
+        self.number += before != node.sum
         return self._take_events(load.sum, now, local=False)
 
     def expire(self, now: float) -> bool:
@@ -156,28 +186,53 @@
     ) -> messages.LoadSummary:
         """Return what all other entries have running.
 
-        :param since: number of the summary that the entry has.
+        :param since: number of the summary that the entry has; 0 for none.
         """
         self._add_up(now)
         own = self.reports.get(entry)
-        total = self.total.without(own) if own is not None else self.total
+        total = self.total
+        engines = total.changed_since(since)
+        traffic, speeds = total.traffic, total.speeds
+        if own is not None:
+            less = _Total()
+            less.engines = engines
+            less.traffic, less.speeds = dict(traffic), dict(speeds)
+            less.add(
+                attrs.evolve(
+                    own,
+                    engines={
+                        ident: one
+                        for ident, one in own.engines.items()
+                        if ident in engines
+                    },
+                ),
+                -1,
+            )
+            traffic, speeds = less.traffic, less.speeds
+        if not since:
+            engines = {i: one for i, one in engines.items() if one != NO_LOAD}
         events = [event for event in self.events if event.number > since]
         return messages.LoadSummary(
             self.number,
-            total.engines,
+            engines,
             [event.lost for event in events if event.lost],
             [event.replaced for event in events if event.replaced],
-            total.traffic,
+            traffic,
             [event.crash for event in events if event.crash is not None],
-            total.speeds,
+            speeds,
             self.age_s(now),
             self.silent(now),
+            since,
         )
 
     def node_load(self, now: float) -> messages.NodeLoad:
         """Return the sum of this process's entries, for other processes."""
         self._add_up(now)
-        acknowledged = [node.acknowledged for node in self.nodes.values()]
+        acknowledged = [
+            node.acknowledged
+            for node in self.nodes.values()
+            if _is_live(node, now)
+        ]
         since = min(acknowledged, default=0)
         events = [e for e in self.events if e.local and e.number > since]
         return messages.NodeLoad(
@@ -185,9 +240,10 @@
             self.data_centre,
             self.incarnation,
             self.number,
+            since,
             messages.LoadReport(
                 self.node,
-                self.local.engines,
+                self.local.changed_since(since),
                 [event.lost for event in events if event.lost],
                 [event.replaced for event in events if event.replaced],
                 self.local.traffic,
@@ -195,7 +251,7 @@
                 self.local.speeds,
             ),
             {
-                address: (node.load.incarnation, node.received)
+                address: (node.incarnation, node.received)
                 for address, node in self.nodes.items()
             },
         )
@@ -207,11 +263,11 @@
     def silent(self, now: float) -> list[str]:
         """Return the data centres whose sums are missing."""
         live = {
-            node.load.data_centre
+            node.data_centre
             for node in self.nodes.values()
             if _is_live(node, now)
         }
-        known = {node.load.data_centre for node in self.nodes.values()}
+        known = {node.data_centre for node in self.nodes.values()}
         return sorted(known - live - {self.data_centre})
 
     def age_s(self, now: float) -> float:
@@ -233,12 +289,17 @@
         if self.added_up == (self.number, kept):
             return
         self.added_up = (self.number, kept)
-        self.local = _Total()
+        local = _Total()
         for report in self.reports.values():
-            self.local.add(report, 1)
-        self.total = self.local.copy()
+            local.add(report, 1)
+        total = local.copy()
         for address in kept:
-            self.total.add(self.nodes[address].load.sum, 1)
+            report = self.nodes[address].sum
+            if report is not None:
+                total.add(report, 1)
+        self.local.replace(local, self.number)
+        self.total.replace(total, self.number, self.touched)
+        self.touched.clear()
 
 
 def _is_live(node: _Node, now: float) -> bool:
@@ -246,12 +307,16 @@
 
 
 class _Total:
-    """A sum of reports, without their events."""
+    """A sum of reports, without their events.
+
+    :ivar changed: by engine, number of the sum in which its load changed.
+    """
 
     def __init__(self) -> None:
         self.engines: dict[str, messages.EngineLoad] = {}
         self.traffic: dict[str, messages.ServiceTraffic] = {}
         self.speeds: dict[str, messages.EngineSpeed] = {}
+        self.changed: dict[str, int] = {}
 
     def copy(self) -> '_Total':
         """Return a sum of its own."""
@@ -261,11 +326,37 @@
         total.speeds = dict(self.speeds)
         return total
 
-    def without(self, report: messages.LoadReport) -> '_Total':
-        """Return the sum less one report."""
-        total = self.copy()
-        total.add(report, -1)
-        return total
+    def replace(
+        self, new: '_Total', number: int, touched: cabc.Iterable[str] = ()
+    ) -> None:
+        """Take newer figures, and note which engines they change.
+
+        :param touched: engines that count as changed in any case.
+        """
+        self.changed.update(dict.fromkeys(touched, number))
+        for ident in self.engines.keys() | new.engines.keys():
+            if self.engines.get(ident) != new.engines.get(ident):
+                self.changed[ident] = number
+        if len(self.changed) > CHANGES_KEPT:
+            self._forget_gone(new, number)
+        self.engines = new.engines
+        self.traffic = new.traffic
+        self.speeds = new.speeds
+
+    def _forget_gone(self, new: '_Total', number: int) -> None:
+        self.changed = {
+            ident: at
+            for ident, at in self.changed.items()
+            if ident in new.engines or number - at < CHANGES_KEPT
+        }
+
+    def changed_since(self, number: int) -> dict[str, messages.EngineLoad]:
+        """Return engines whose load changed; zero where nothing is left."""
+        return {
+            ident: self.engines.get(ident, NO_LOAD)
+            for ident, at in self.changed.items()
+            if at > number
+        }
 
     def add(self, report: messages.LoadReport, sign: int) -> None:
         """Add a report, or take it off."""
@@ -283,15 +374,11 @@
 ) -> None:
     for ident, one in more.items():
         known = totals.get(ident, NO_LOAD)
-        total = messages.EngineLoad(
+        totals[ident] = messages.EngineLoad(
             known.reading + sign * one.reading,
             known.running + sign * one.running,
             known.memory + sign * one.memory,
         )
-        if total == NO_LOAD:
-            totals.pop(ident, None)
-        else:
-            totals[ident] = total
 
 
 def _add_traffic(
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -38,6 +38,9 @@
 COPIES_FULL: t.Final = 0.85
 # While streams wait for engines, that memory is worth more to them.
 COPIES_FULL_CROWDED: t.Final = 0.7
+# Two drawn at random level load nearly as well as the best of all does
+# (Mitzenmacher, The power of two choices, 2001).
+COPY_CHOICES: t.Final = 2
 # One that is late anyway goes where all prompts, its own included, are read
 # within this share of the aim: the next one is then in time there, too.
 QUIET: t.Final = 0.7
@@ -136,10 +139,13 @@
 
         drawn = {*ranks, cached}
         best = self._best(service, now, tried, wait, drawn=drawn)
-        if best is None or not best.reading + best.others.reading:
+        if best is None:
+            return None
+        idle = not best.reading + best.others.reading
+        if idle and self.has_room(best, now, tokens, _known.FULL):
             return best
-        # All of the few are reading: an idle engine elsewhere is worth more
-        # than what the few are for.
+        # All of the few are reading or full: an idle engine elsewhere is
+        # worth more than what the few are for.
         blind = self._is_blind(service, now)
         spread = BLIND_SPREAD_PROMPTS if blind else SPREAD_PROMPTS
 
@@ -210,7 +216,21 @@
             if not self.has_room(backend, now, tokens, most)
         }
         tried = tried | full | {engine.ident}
-        return self._best(engine.service, now, tried, cost, strict=True)
+        best = self._best(engine.service, now, tried, cost, strict=True)
+        if best is None or best.data_centre == engine.data_centre:
+            return best
+        # Of a few drawn ones: entries that choose at the same moment would
+        # all fill the emptiest engine, and some copies find no room there.
+        others = [
+            backend.ident
+            for backend in self.usable(engine.service)
+            if backend.ident not in tried
+            and backend.data_centre != engine.data_centre
+        ]
+        drawn = self.rng.sample(others, min(COPY_CHOICES, len(others)))
+        return self._best(
+            engine.service, now, tried, cost, strict=True, drawn=drawn
+        )
 
     def outlook(
         self,
@@ -257,6 +277,7 @@
             len(calm) * per_s,
             max(0.0, LEAST_RUN * run_s - tokens * token_s),
             in_time >= min(SPARE, roomy) or 2 * roomy < len(calm),
+            in_time,
         )
 
     def _finished_per_s(
--- a/src/bulrushhold/forwarding/_turns.py
+++ b/src/bulrushhold/forwarding/_turns.py
@@ -3,16 +3,12 @@
 import asyncio
 import collections.abc as cabc
 import random
-import typing as t
 
 import attrs
 
 from bulrushhold import decisions
 from bulrushhold.forwarding import _parts
 
-# Sightings of other entries come as often.
-CHECK_S: t.Final = 0.05
-
 
 @attrs.frozen
 class Turn:
@@ -57,12 +53,18 @@
                 arrives=now == began,
                 begun=begun,
             )
+            if verdict is decisions.GateVerdict.PLACE and not gate.goes_now(
+                service, outlook, parts.budget.entries, now, random.random()
+            ):
+                verdict = decisions.GateVerdict.WAIT
             if verdict is not decisions.GateVerdict.WAIT:
                 break
             if now == began:
                 parts.placement.on_news()
             gate.held(now)
-            await asyncio.sleep(CHECK_S * (0.5 + random.random()))
+            await asyncio.sleep(
+                decisions.GATE_CHECK_S * (0.5 + random.random())
+            )
             now = parts.clock()
     finally:
         gate.waiting[service] -= 1
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -166,16 +166,18 @@
 
     :param node: peer address of the sender.
     :param incarnation: differs between starts of the sender.
-    :param number: of the newest event in the sum.
-    :param sum: its events are those that a receiver hasn't acknowledged.
+    :param number: of the sum; counts up.
+    :param since: number that the receiver must have; the sum holds events
+        and engines that have changed since then. With 0 it holds all.
     :param acknowledged: by peer address, its incarnation and the number of
-        the newest event that has arrived from there.
+        its newest sum that has arrived.
     """
 
     node: str
     data_centre: str
     incarnation: int
     number: int
+    since: int
     sum: LoadReport
     acknowledged: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
@@ -185,6 +187,8 @@
     """What all other entries have running.
 
     :param number: of the summary; counts up while one process makes them.
+    :param since: number of the summary to which this one is a difference:
+        it holds the engines that have changed. With 0 it holds all.
     :param lost: engines lost since the number that was asked with.
     :param replaced: since then.
     :param traffic: by service.
@@ -203,6 +207,7 @@
     speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
     age_s: float = 0.0
     silent: list[str] = attrs.field(factory=list)
+    since: int = 0
 
 
 @attrs.frozen
@@ -212,11 +217,13 @@
     :param address: for messages between processes.
     :param replica: it keeps the log; one that doesn't has more time for
         entries.
+    :param link_mbps: of its instance.
     """
 
     address: str
     data_centre: str
     replica: bool
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_gate.py
@@ -275,3 +275,65 @@
     assert caught.value.status == 503
     assert caught.value.ran is errors.Ran.NO
     assert client.log == []
+
+
+def place_herd(entries, seed, seconds=0.2):
+    """Let one stream wait at each entry as one engine comes back.
+
+    :returns: how many go there before entries hear of each other.
+    """
+    rng = random.Random(seed)
+    outlook = decisions.Outlook(1.0, True, 9, 6.0, openings=1)
+    gates = [decisions.StreamGate() for _ in range(entries)]
+    for gate in gates:
+        gate.waiting['s'] = 1
+        gate.apply_loads({'s': entries - 1}, 0.0)
+    placed = 0
+    for step in range(round(seconds / decisions.GATE_CHECK_S)):
+        now = step * decisions.GATE_CHECK_S
+        for gate in gates:
+            if gate.waiting['s'] and gate.goes_now(
+                's', outlook, entries, now, rng.random()
+            ):
+                gate.waiting['s'] = 0
+                placed += 1
+    return placed
+
+
+@pytest.mark.parametrize('entries', [2, 8, 40, 200])
+def test_one_engine_that_comes_back_is_not_given_all_that_wait(entries):
+    """Guards against ten prompts on one engine that all saw become idle."""
+    placed = [place_herd(entries, seed) for seed in range(40)]
+    assert statistics.mean(placed) <= 1.5
+    assert max(placed) <= 5
+    assert statistics.mean(placed) >= 0.4
+
+
+def test_a_stream_that_waits_alone_goes_at_once():
+    assert place_herd(1, 0, decisions.GATE_CHECK_S) == 1
+
+
+def test_copies_of_one_moment_go_to_several_engines():
+    """Guards against copies that find no room where all entries send them."""
+    chosen = set()
+    for seed in range(8):
+        placement = decisions.Placement(random.Random(seed))
+        placement.update(
+            [
+                messages.ListedBackend(
+                    f'i{n}', 's', f'h{n}:1', f'dc{n % 5}', 8
+                )
+                for n in range(20)
+            ]
+        )
+        placement.capacity = {'s': CAPACITY}
+        busy = {
+            f'i{n}': messages.EngineLoad(0, 4, 40_000 + 1000 * n)
+            for n in range(1, 20)
+        }
+        placement.apply_loads(messages.LoadSummary(1, busy, []), 0.0)
+        source = placement.backends['i4']
+        backup = placement.choose_backup(source, 0.0, set(), MEMORY)
+        assert backup.data_centre != source.data_centre
+        chosen.add(backup.ident)
+    assert len(chosen) >= 3
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -163,6 +163,39 @@
     assert out.data == fakes.text(1, 2, 3)
 
 
+async def test_a_stream_gets_a_copy_once_there_is_room(
+    client, parts, monkeypatch
+):
+    """Guards against prompts read twice for want of a copy at the start."""
+    streams = 'bulrushhold.forwarding._streams'
+    monkeypatch.setattr(f'{streams}.COPY_AFTER_S', 0.0)
+    flow = 'bulrushhold.forwarding._flow'
+    monkeypatch.setattr(f'{flow}.RENEW_S', 0.05)
+    capacity = parts.placement.capacity
+    capacity['engines'] = 9000
+    answer = fakes.FakeAnswer.chunk
+
+    async def slowly(self):
+        await asyncio.sleep(0.02)
+        if self.left == [2]:
+            capacity['engines'] = 90_000
+        if not self.left and self.script.then == 'reset':
+            await asyncio.sleep(0.2)
+        return await answer(self)
+
+    monkeypatch.setattr(fakes.FakeAnswer, 'chunk', slowly)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(3,)),
+    ]
+    out, _ = await fakes.stream(parts)
+    first, second = client.attempts
+    assert not first.backup
+    assert second.copy is not None
+    assert out.data == fakes.text(1, 2, 3)
+    assert all(not b.memory for b in parts.placement.backends.values())
+
+
 @pytest.mark.parametrize('then', ['reset', 'crash'])
 async def test_an_engine_that_loses_an_answer_is_not_taken_for_dead(
     client, parts, then
--- a/tests/test_control_servers.py
+++ b/tests/test_control_servers.py
@@ -52,3 +52,13 @@
     """Guards against a try at a frozen process every few seconds."""
     servers.learn(messages.WatchReply('done', nodes=NODES[1:]))
     assert servers.choose('', 0.0) == 'replica-a'
+
+
+def test_the_fastest_link_of_the_data_centre_is_preferred(servers):
+    """Guards against a small instance's link that is full of news."""
+    fast = messages.ControlNode('replica-a', 'a', True, 100.0)
+    slow = messages.ControlNode('relay-a', 'a', False, 5.0)
+    servers.learn(messages.WatchReply('done', nodes=[slow, fast]))
+    assert servers.choose('', 0.0) == 'replica-a'
+    servers.failed('replica-a', 0.0)
+    assert servers.choose('', 0.1) == 'relay-a'
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -220,3 +220,34 @@
     max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
 )
 test_processes_believe_the_truth_once_reports_settle = Exchange.TestCase
+
+
+def test_two_entries_that_swap_an_engine_see_each_other(network):
+    """Guards against differences that miss what adds up to the same."""
+    node = network.nodes['n0']
+    node.take(report('e1', 'i1'), 0.0)
+    node.take(report('e2'), 0.0)
+    views = {}
+    for entry in ('e1', 'e2'):
+        views[entry] = network.summary('n0', entry)
+    node.take(report('e1'), 0.0)
+    node.take(report('e2', 'i1'), 0.0)
+    first = network.summary('n0', 'e1', views['e1'].number)
+    second = network.summary('n0', 'e2', views['e2'].number)
+    assert first.engines['i1'].running == 1
+    assert second.engines['i1'].running == 0
+
+
+def test_a_small_change_is_a_small_message(network):
+    """Guards against links that are full of loads that haven't changed."""
+    node = network.nodes['n0']
+    node.take(report('e1', *(f'i{n}' for n in range(200))), 0.0)
+    network.exchange(3)
+    known = network.summary('n1').number
+    node.take(report('e2', 'i7'), 0.0)
+    size = len(messages.encode(node.node_load(network.now)))
+    assert size < 400
+    network.exchange(1)
+    summary = network.summary('n1', since=known)
+    assert summary.engines == {'i7': messages.EngineLoad(2000, 2)}
+    assert len(messages.encode(summary)) < 300
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -306,3 +306,16 @@
         second.read(part, engine.ident, 1.0)
         same += place(second, now=1.0, part=part).ident == engine.ident
     assert same == 40
+
+
+def test_an_idle_engine_without_room_is_not_chosen():
+    """Guards against prompts that wait for memory beside empty engines."""
+    made = placement(30)
+    made.capacity = {'engines': 88_000}
+    ranks = made._ranks('engines', 'p', set())
+    full = {i: messages.EngineLoad(0, 5, 85_000) for i in ranks}
+    made.apply_loads(messages.LoadSummary(1, full, []), 0.0)
+    chosen = made.choose_engine(
+        'engines', 0.0, tokens=8000, part='p', tried=set()
+    )
+    assert chosen.ident not in ranks
