--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -216,7 +216,7 @@
     assert largest <= 1 << 20
 
 
-# The hub
+# News and load reports
 
 
 class FakeBackends(ports.BackendList):
@@ -231,7 +231,7 @@
 
 
 class FakeServer:
-    """What the hub uses of a control process."""
+    """What a fleet's control uses of a replica."""
 
     def __init__(self):
         self.clock = node.boot_time
