--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -108,14 +108,16 @@
         )
         numbers = itertools.count()
         looks[count] = cost_us(
-            lambda p=placement: p.outlook('s', 0.0, wanted=WANTED, memory=8500)
+            lambda p=placement: p.estimate_capacity(
+                's', 0.0, wanted=WANTED, memory=8500
+            )
         )
         choices[count] = cost_us(
             lambda p=placement, n=numbers: p.choose_engine(
                 's', 0.0, tokens=8000, part=str(next(n)), tried=set()
             )
         )
-    line('gate, one look, by engines', looks, 'us')
+    line('admission, one look, by engines', looks, 'us')
     line('placing a prompt, by engines', choices, 'us')
 
 
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -79,7 +79,7 @@
             config.repeat_window_s,
         )
         crashers = decisions.Crashers(placement.lost_near)
-        gate = decisions.StreamGate()
+        admission = decisions.AdmissionController()
         self.fleet = forwarding.Fleet(
             messages.ListedEntry(
                 config.name, config.data_centre, str(config.callers), True
@@ -90,7 +90,7 @@
             placement,
             budget,
             crashers,
-            gate,
+            admission,
         )
         self.metrics = node.make_served_metrics('bulrushhold_entry')
         parts = forwarding.Parts(
@@ -99,7 +99,7 @@
             budget,
             self.metrics,
             crashers,
-            gate,
+            admission,
         )
         self.forwarder = forwarding.Forwarder(self.fleet, parts)
         self.ingress = adapters.Ingress(
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -1,16 +1,16 @@
 """Pure decisions: no sockets, no clock, no random source of their own."""
 
+from bulrushhold.decisions._admissioncontrol import ADMISSION_CHECK_S
+from bulrushhold.decisions._admissioncontrol import AdmissionController
+from bulrushhold.decisions._admissioncontrol import AdmissionDecision
+from bulrushhold.decisions._admissioncontrol import CapacityEstimate
+from bulrushhold.decisions._admissioncontrol import retry_after_s
 from bulrushhold.decisions._claims import ClaimState
 from bulrushhold.decisions._controlservers import ControlServers
 from bulrushhold.decisions._copies import CopyStore
 from bulrushhold.decisions._crashers import Crashers
 from bulrushhold.decisions._crashers import fingerprint
 from bulrushhold.decisions._fairqueue import FairQueue
-from bulrushhold.decisions._gate import CHECK_S as GATE_CHECK_S
-from bulrushhold.decisions._gate import Outlook
-from bulrushhold.decisions._gate import retry_after_s
-from bulrushhold.decisions._gate import StreamGate
-from bulrushhold.decisions._gate import Verdict as GateVerdict
 from bulrushhold.decisions._homes import copy_peers
 from bulrushhold.decisions._homes import entries_for
 from bulrushhold.decisions._homes import entries_wanted
@@ -67,9 +67,12 @@
 from bulrushhold.decisions._transcript import Verdict
 
 __all__ = [
-    'GATE_CHECK_S',
+    'ADMISSION_CHECK_S',
     'Action',
+    'AdmissionController',
+    'AdmissionDecision',
     'BackendState',
+    'CapacityEstimate',
     'Choice',
     'ClaimState',
     'ControlServers',
@@ -79,13 +82,11 @@
     'EngineSpeeds',
     'FairQueue',
     'GapEstimate',
-    'GateVerdict',
     'Lifecycle',
     'LoadAggregator',
     'MEMBERSHIP_PERIOD_S',
     'MEMBERSHIP_PROBE_S',
     'Membership',
-    'Outlook',
     'Patience',
     'Pauses',
     'Placed',
@@ -106,7 +107,6 @@
     'Router',
     'SMALL_ACCOUNT_ENTRIES',
     'Standing',
-    'StreamGate',
     'Suspects',
     'TableState',
     'ThriftyPolicy',
--- a/src/bulrushhold/decisions/_gate.py
+++ b/src/bulrushhold/decisions/_admissioncontrol.py
@@ -18,7 +18,7 @@
 
 # Of the time that a caller waits without an event, as a multiple of the aim
 # for the first one: callers leave after four, and what is left is for reading
-# the prompt at a quiet engine.
+# the prompt at an idle engine.
 MOST_WAIT: t.Final = 3.4
 # Half of the prompts take longer than their mean: as many times as long is
 # allowed for.
@@ -35,12 +35,12 @@
 
 
 # How often a stream that waits looks for an engine.
-CHECK_S: t.Final = 0.05
+ADMISSION_CHECK_S: t.Final = 0.05
 # Until other entries know where a stream went.
 NEWS_S: t.Final = 0.2
 
 
-class Verdict(enum.Enum):
+class AdmissionDecision(enum.Enum):
     """What becomes of a stream now."""
 
     PLACE = 'place'
@@ -49,31 +49,31 @@
 
 
 @attrs.frozen
-class Outlook:
+class CapacityEstimate:
     """What engines could do for one more prompt.
 
     :param first_s: until its first event, at the best engine with room;
         infinite where none has room.
-    :param quiet: an engine with room has nothing to read, or so little that
+    :param idle: an engine with room has nothing to read, or so little that
         the next prompt is in time there as well.
     :param engines: how many take part.
     :param per_s: streams that they end together in a second.
     :param write_s: least time from its first event to its last one.
-    :param spare: more than one engine could show an event in time, or most
+    :param headroom: more than one engine could show an event in time, or most
         have no room, so that those that have waited longest get what is left.
     :param openings: engines that could take one more prompt in time.
     """
 
     first_s: float
-    quiet: bool
+    idle: bool
     engines: int
     per_s: float
     write_s: float = 0.0
-    spare: bool = True
+    headroom: bool = True
     openings: int = 1
 
 
-class StreamGate:
+class AdmissionController:
     """Lets streams of this entry to engines, and counts those that wait."""
 
     def __init__(self) -> None:
@@ -91,13 +91,13 @@
         """Learn that a stream has to wait."""
         self.held_at = now
 
-    def crowded(self, now: float) -> bool:
+    def overloaded(self, now: float) -> bool:
         """Whether streams have had to wait lately."""
         return now - self.held_at < CROWD_S
 
-    def judge(
+    def decide(
         self,
-        outlook: Outlook,
+        estimate: CapacityEstimate,
         *,
         waited_s: float,
         left_s: float,
@@ -105,7 +105,7 @@
         queue_s: float,
         arrives: bool = False,
         begun: bool = False,
-    ) -> Verdict:
+    ) -> AdmissionDecision:
         """Return what becomes of a stream that has waited for so long.
 
         :param left_s: until its time is over.
@@ -115,25 +115,29 @@
         :param begun: its caller has a part of it, and so has waited for too
             long already; how much there is to come isn't known.
         """
-        if not outlook.engines or not aim_s:
+        if not estimate.engines or not aim_s:
             # There is nothing to wait for that could be foreseen.
-            return Verdict.PLACE
-        whole_s = outlook.first_s + outlook.write_s
+            return AdmissionDecision.PLACE
+        whole_s = estimate.first_s + estimate.write_s
         if not begun and left_s < whole_s < float('inf'):
-            return Verdict.REFUSE
-        if not begun and waited_s + SURE * outlook.first_s <= aim_s:
-            return Verdict.PLACE
+            return AdmissionDecision.REFUSE
+        if not begun and waited_s + SURE * estimate.first_s <= aim_s:
+            return AdmissionDecision.PLACE
         most = min(MOST_WAIT * aim_s, left_s)
-        if outlook.quiet and (outlook.spare or waited_s >= most / 2):
-            return Verdict.PLACE
+        if estimate.idle and (estimate.headroom or waited_s >= most / 2):
+            return AdmissionDecision.PLACE
         if waited_s >= most:
-            return Verdict.REFUSE
+            return AdmissionDecision.REFUSE
         if arrives and not begun and queue_s > most:
-            return Verdict.REFUSE
-        return Verdict.WAIT
+            return AdmissionDecision.REFUSE
+        return AdmissionDecision.WAIT
 
     def queue_s(
-        self, service: str, outlook: Outlook, entries: int, now: float
+        self,
+        service: str,
+        estimate: CapacityEstimate,
+        entries: int,
+        now: float,
     ) -> float:
         """Return seconds until all that wait at all entries are placed.
 
@@ -144,12 +148,12 @@
         waiting = self._waiting_everywhere(service, entries, now)
         if not waiting:
             return 0.0
-        return waiting / outlook.per_s if outlook.per_s else float('inf')
+        return waiting / estimate.per_s if estimate.per_s else float('inf')
 
     def goes_now(
         self,
         service: str,
-        outlook: Outlook,
+        estimate: CapacityEstimate,
         entries: int,
         now: float,
         draw: float,
@@ -163,10 +167,10 @@
         :param draw: from 0 to 1, evenly.
         """
         waiting = self._waiting_everywhere(service, entries, now)
-        openings = max(1, outlook.openings)
+        openings = max(1, estimate.openings)
         if waiting <= openings:
             return True
-        return draw < openings / waiting * CHECK_S / NEWS_S
+        return draw < openings / waiting * ADMISSION_CHECK_S / NEWS_S
 
     def _waiting_everywhere(
         self, service: str, entries: int, now: float
--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from bulrushhold.decisions import _gate
+from bulrushhold.decisions import _admissioncontrol
 from bulrushhold.decisions import _known
 from bulrushhold.decisions import _placed
 from bulrushhold.decisions import _speeds
@@ -37,15 +37,15 @@
 # engine is lost; above this new prompts would find no room.
 COPIES_FULL: t.Final = 0.85
 # While streams wait for engines, that memory is worth more to them.
-COPIES_FULL_CROWDED: t.Final = 0.7
+COPIES_FULL_OVERLOADED: t.Final = 0.7
 # Two drawn at random level load nearly as well as the best of all does
 # (Mitzenmacher, The power of two choices, 2001).
 COPY_CHOICES: t.Final = 2
 # One that is late anyway goes where all prompts, its own included, are read
 # within this share of the aim: the next one is then in time there, too.
-QUIET: t.Final = 0.7
+IDLE_SHARE: t.Final = 0.7
 # Engines that could show an event in time while one that is late is placed.
-SPARE: t.Final = 2
+HEADROOM_ENGINES: t.Final = 2
 # Of the mean time of runs, what even a short one takes.
 LEAST_RUN: t.Final = 0.5
 LATENCY_FLOOR_S: t.Final = 0.005
@@ -186,14 +186,14 @@
         tried: set[str],
         tokens: int,
         *,
-        crowded: bool = False,
+        overloaded: bool = False,
     ) -> _placed.Placed | None:
         """Return where a copy of a run's memory is safest.
 
         In another data centre, since engines of one are lost together,
         and where few others are: it has to be able to go on at once.
 
-        :param crowded: streams wait for engines.
+        :param overloaded: streams wait for engines.
         """
 
         def cost(backend: _placed.Placed) -> float:
@@ -209,7 +209,7 @@
                 + self.rng.random()
             )
 
-        most = COPIES_FULL_CROWDED if crowded else COPIES_FULL
+        most = COPIES_FULL_OVERLOADED if overloaded else COPIES_FULL
         full = {
             backend.ident
             for backend in self.usable(engine.service)
@@ -232,7 +232,7 @@
             engine.service, now, tried, cost, strict=True, drawn=drawn
         )
 
-    def outlook(
+    def estimate_capacity(
         self,
         service: str,
         now: float,
@@ -240,7 +240,7 @@
         wanted: _speeds.Wanted,
         memory: int,
         but: str = '',
-    ) -> _gate.Outlook:
+    ) -> _admissioncontrol.CapacityEstimate:
         """Return what engines could do for one more prompt.
 
         :param memory: tokens that it will hold in all.
@@ -256,7 +256,7 @@
             and not self.penalty(b, now)
         ]
         first_s = float('inf')
-        quiet = False
+        idle = False
         roomy = in_time = 0
         for backend in calm:
             if not self.has_room(backend, now, memory, 1.0):
@@ -266,17 +266,17 @@
             first_s = min(first_s, reading * token_s)
             roomy += 1
             in_time += reading * token_s <= wanted.aim_s
-            little = reading * token_s <= QUIET * wanted.aim_s
-            quiet = quiet or little or reading == tokens
+            little = reading * token_s <= IDLE_SHARE * wanted.aim_s
+            idle = idle or little or reading == tokens
         per_s = self._finished_per_s(service, now, tokens * token_s, memory)
         run_s = self.speeds.run_s(service, now) or 0.0
-        return _gate.Outlook(
+        return _admissioncontrol.CapacityEstimate(
             first_s,
-            quiet,
+            idle,
             len(calm),
             len(calm) * per_s,
             max(0.0, LEAST_RUN * run_s - tokens * token_s),
-            in_time >= min(SPARE, roomy) or 2 * roomy < len(calm),
+            in_time >= min(HEADROOM_ENGINES, roomy) or 2 * roomy < len(calm),
             in_time,
         )
 
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -118,7 +118,7 @@
         self.name = name
         self.system = system
         self.budget = decisions.RepeatBudget(0.8, 150.0, 10.0)
-        self.gate = decisions.StreamGate()
+        self.admission = decisions.AdmissionController()
         self.placement = decisions.Placement(system.rng)
         self.placement.on_news = self._on_news
         self.telling = False
@@ -129,7 +129,7 @@
             self.budget,
             node.NoMetrics(),
             decisions.Crashers(self.placement.lost_near),
-            self.gate,
+            self.admission,
             loop.time,
         )
 
@@ -142,7 +142,7 @@
         self.telling = False
         now = emulated_now()
         traffic = {
-            service: attrs.evolve(one, waiting=self.gate.waiting[service])
+            service: attrs.evolve(one, waiting=self.admission.waiting[service])
             for service, one in self.budget.traffic(now).items()
         }
         report = self.placement.load_report(self.name, traffic, now)
@@ -157,7 +157,7 @@
         self.placement.apply_loads(news, now)
         self.budget.apply_loads(news.traffic, now)
         waiting = {name: one.waiting for name, one in news.traffic.items()}
-        self.gate.apply_loads(waiting, now)
+        self.admission.apply_loads(waiting, now)
 
 
 class System:
--- /dev/null
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -0,0 +1,85 @@
+"""Holds a stream until admission control places or refuses it."""
+
+import asyncio
+import collections.abc as cabc
+import random
+
+import attrs
+
+from bulrushhold import decisions
+from bulrushhold.forwarding import _parts
+
+
+@attrs.frozen
+class Admission:
+    """What admission control decided in the end.
+
+    :param comes: an engine can take the stream now.
+    :param retry_after_s: when its caller may try again, if none can.
+    """
+
+    comes: bool
+    retry_after_s: float
+
+
+async def wait_for_admission(
+    parts: _parts.Parts,
+    job: _parts.Job,
+    look: cabc.Callable[[], decisions.CapacityEstimate],
+    *,
+    since: float,
+    begun: bool,
+) -> Admission:
+    """Wait until an engine can take a stream without delay to others.
+
+    :param look: estimates what engines could do for it.
+    :param since: when its caller began to wait.
+    :param begun: the caller has a part of it.
+    """
+    admission, service = parts.admission, job.service
+    now = began = parts.clock()
+    outcome = decisions.AdmissionDecision.WAIT
+    admission.waiting[service] += 1
+    try:
+        while True:
+            estimate = look()
+            entries = parts.budget.entries
+            queue_s = admission.queue_s(service, estimate, entries, now)
+            outcome = admission.decide(
+                estimate,
+                waited_s=now - since,
+                left_s=job.end - now,
+                aim_s=job.route.aim_s,
+                queue_s=queue_s,
+                arrives=now == began,
+                begun=begun,
+            )
+            if outcome is decisions.AdmissionDecision.PLACE:
+                draw = random.random()
+                if not admission.goes_now(
+                    service, estimate, entries, now, draw
+                ):
+                    outcome = decisions.AdmissionDecision.WAIT
+            if outcome is not decisions.AdmissionDecision.WAIT:
+                break
+            if now == began:
+                parts.placement.on_news()
+            admission.held(now)
+            await asyncio.sleep(
+                decisions.ADMISSION_CHECK_S * (0.5 + random.random())
+            )
+            now = parts.clock()
+    finally:
+        admission.waiting[service] -= 1
+    if now > began:
+        _parts.log(
+            job,
+            'stream held',
+            seconds=round(now - began, 3),
+            outcome=outcome.value,
+            first_s=round(estimate.first_s, 2),
+            engines=estimate.engines,
+            waiting=admission.waiting[service],
+        )
+    comes = outcome is decisions.AdmissionDecision.PLACE
+    return Admission(comes, decisions.retry_after_s(queue_s))
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -54,7 +54,7 @@
         placement: decisions.Placement,
         budget: decisions.RepeatBudget,
         crashers: decisions.Crashers,
-        gate: decisions.StreamGate,
+        admission: decisions.AdmissionController,
     ) -> None:
         self.me = me
         self.transport = transport
@@ -62,7 +62,7 @@
         self.placement = placement
         self.budget = budget
         self.crashers = crashers
-        self.gate = gate
+        self.admission = admission
         self.servers = decisions.ControlServers(
             me.data_centre, seeds, random.Random()
         )
@@ -204,7 +204,7 @@
         waiting = {
             name: traffic.waiting for name, traffic in summary.traffic.items()
         }
-        self.gate.apply_loads(waiting, now)
+        self.admission.apply_loads(waiting, now)
 
     async def share(self) -> None:
         """Report what this entry has running, as it changes."""
@@ -234,7 +234,7 @@
     def _load_report(self, now: float) -> messages.LoadReport:
         self.crashers.settle(now)
         traffic = {
-            service: attrs.evolve(one, waiting=self.gate.waiting[service])
+            service: attrs.evolve(one, waiting=self.admission.waiting[service])
             for service, one in self.budget.traffic(now).items()
         }
         return attrs.evolve(
--- a/src/bulrushhold/forwarding/_flow.py
+++ b/src/bulrushhold/forwarding/_flow.py
@@ -192,7 +192,7 @@
         waited = silence.seconds
         if self.stream.left() <= 0:
             raise StreamLostError('no event in time', gone=False)
-        elsewhere_s = self.stream.outlook(self.engine.ident).first_s
+        elsewhere_s = self.stream.estimate_capacity(self.engine.ident).first_s
         if waited > decisions.leave_unread_s(self.here_s, elsewhere_s):
             raise StreamLostError(f'no event for {waited:.2f} s', gone=False)
 
@@ -368,7 +368,7 @@
     def _most_silent_s(self) -> float:
         if self._has_copy():
             return self.patience.leave_with_copy_s()
-        elsewhere_s = self.stream.outlook(self.engine.ident).first_s
+        elsewhere_s = self.stream.estimate_capacity(self.engine.ident).first_s
         return self.patience.leave_without_copy_s(elsewhere_s)
 
     def _learn_pauses(self, now: float) -> None:
--- a/src/bulrushhold/forwarding/_parts.py
+++ b/src/bulrushhold/forwarding/_parts.py
@@ -28,7 +28,7 @@
     budget: decisions.RepeatBudget
     metrics: ports.Metrics
     crashers: decisions.Crashers
-    gate: decisions.StreamGate
+    admission: decisions.AdmissionController
     clock: cabc.Callable[[], float] = time.monotonic
 
 
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -6,11 +6,11 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _admission
 from bulrushhold.forwarding import _flow
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _parts
 from bulrushhold.forwarding import _prompts
-from bulrushhold.forwarding import _turns
 
 # An engine sends its run's memory to the backup several times a second.
 COPY_AFTER_S: t.Final = 0.3
@@ -102,12 +102,12 @@
                 self._log_end('stream whole' if reply is None else 'failed')
                 return reply
 
-    async def _wait_for_turn(self) -> _turns.Turn:
+    async def _wait_for_admission(self) -> _admission.Admission:
         begun = self.last is not None
-        return await _turns.wait_for_turn(
+        return await _admission.wait_for_admission(
             self.parts,
             self.job,
-            self.outlook,
+            self.estimate_capacity,
             since=self.parts.clock() if begun else self.begun_at,
             begun=begun,
         )
@@ -127,10 +127,10 @@
         ):
             # Nothing is to be read that others would have to wait for.
             return
-        turn = await self._wait_for_turn()
-        if not turn.comes:
+        admission = await self._wait_for_admission()
+        if not admission.comes:
             self.parts.metrics.count('streams.refused_full')
-            raise self._refuse('engines are full', turn.retry_after_s)
+            raise self._refuse('engines are full', admission.retry_after_s)
 
     def _refuse(
         self, reason: str, retry_after_s: float
@@ -138,12 +138,12 @@
         self._log_end('stream refused', reason=reason)
         return _parts.refuse(self.job, reason, retry_after_s)
 
-    def outlook(self, but: str = '') -> decisions.Outlook:
+    def estimate_capacity(self, but: str = '') -> decisions.CapacityEstimate:
         """Return what engines could do for this stream's prompt.
 
         :param but: engine that the others are to be compared with.
         """
-        return self.parts.placement.outlook(
+        return self.parts.placement.estimate_capacity(
             self.job.service,
             self.parts.clock(),
             wanted=self.wanted,
@@ -169,7 +169,7 @@
             and self.parts.placement.keeps_copy(backup, self.backup_since)
         ):
             return backup, copy or calls.RunCopy(backup.address)
-        if self.runs and not (await self._wait_for_turn()).comes:
+        if self.runs and not (await self._wait_for_admission()).comes:
             return None, None
         now = self.parts.clock()
         engine = self.parts.placement.choose_engine(
@@ -296,7 +296,7 @@
             now,
             self.tried,
             self.memory,
-            crowded=self.parts.gate.crowded(now),
+            overloaded=self.parts.admission.overloaded(now),
         )
 
     async def _look_whether_gone(
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -34,7 +34,7 @@
         decisions.RepeatBudget(1.0, 100, 10.0),
         node.NoMetrics(),
         decisions.Crashers(placement.lost_near),
-        decisions.StreamGate(),
+        decisions.AdmissionController(),
     )
 
 
@@ -56,5 +56,5 @@
         parts.placement,
         parts.budget,
         parts.crashers,
-        parts.gate,
+        parts.admission,
     )
--- a/tests/forwarding/test_gate.py
+++ b/tests/forwarding/test_admission.py
@@ -1,7 +1,6 @@
 """Streams of a crowd: what callers get, played over the pure decisions."""
 
 import asyncio
-
 import random
 import statistics
 
@@ -26,49 +25,52 @@
 STEP_S = 0.05
 
 
-def judge(
-    first_s, *, quiet=False, waited=0.0, left=25.0, waiting=0, engines=9
+def decide(
+    first_s, *, idle=False, waited=0.0, left=25.0, waiting=0, engines=9
 ):
-    gate = decisions.StreamGate()
-    gate.waiting['s'] = waiting
-    outlook = decisions.Outlook(first_s, quiet, engines, 0.7 * engines)
-    return gate.judge(
-        outlook,
+    admission = decisions.AdmissionController()
+    admission.waiting['s'] = waiting
+    per_s = 0.7 * engines
+    estimate = decisions.CapacityEstimate(first_s, idle, engines, per_s)
+    return admission.decide(
+        estimate,
         waited_s=waited,
         left_s=left,
         aim_s=AIM_S,
-        queue_s=gate.queue_s('s', outlook, 9, 0.0),
+        queue_s=admission.queue_s('s', estimate, 9, 0.0),
         arrives=not waited,
     )
 
 
 def test_what_can_be_in_time_goes_at_once():
-    assert judge(3.4) is decisions.GateVerdict.PLACE
-    assert judge(3.4, waited=0.2) is decisions.GateVerdict.WAIT
+    assert decide(3.4) is decisions.AdmissionDecision.PLACE
+    assert decide(3.4, waited=0.2) is decisions.AdmissionDecision.WAIT
 
 
 def test_what_is_late_goes_only_where_it_delays_nobody():
-    assert judge(9.0, waited=6.0) is decisions.GateVerdict.WAIT
-    assert judge(2.0, waited=6.0, quiet=True) is decisions.GateVerdict.PLACE
+    assert decide(9.0, waited=6.0) is decisions.AdmissionDecision.WAIT
+    assert (
+        decide(2.0, waited=6.0, idle=True) is decisions.AdmissionDecision.PLACE
+    )
 
 
 def test_a_queue_longer_than_callers_wait_is_refused_at_once():
     # 9 engines finish six streams a second; twelve wait at each of 9 entries.
-    assert judge(9.0, waiting=12) is decisions.GateVerdict.REFUSE
-    assert judge(9.0, waiting=3) is decisions.GateVerdict.WAIT
+    assert decide(9.0, waiting=12) is decisions.AdmissionDecision.REFUSE
+    assert decide(9.0, waiting=3) is decisions.AdmissionDecision.WAIT
 
 
 def test_a_refused_caller_is_told_when_the_queue_is_gone():
-    gate = decisions.StreamGate()
-    outlook = decisions.Outlook(9.0, False, 9, 6.3)
-    gate.waiting['s'] = 4
-    queue_s = gate.queue_s('s', outlook, 9, 0.0)
+    admission = decisions.AdmissionController()
+    estimate = decisions.CapacityEstimate(9.0, False, 9, 6.3)
+    admission.waiting['s'] = 4
+    queue_s = admission.queue_s('s', estimate, 9, 0.0)
     assert decisions.retry_after_s(queue_s) == pytest.approx(36 / 6.3)
-    gate.waiting['s'] = 100
-    queue_s = gate.queue_s('s', outlook, 9, 0.0)
+    admission.waiting['s'] = 100
+    queue_s = admission.queue_s('s', estimate, 9, 0.0)
     assert decisions.retry_after_s(queue_s) == 8.0
-    gate.waiting['s'] = 0
-    queue_s = gate.queue_s('s', outlook, 9, 0.0)
+    admission.waiting['s'] = 0
+    queue_s = admission.queue_s('s', estimate, 9, 0.0)
     assert decisions.retry_after_s(queue_s) == 1.0
 
 
@@ -76,18 +78,18 @@
     # Engines fail in part, and two of them are left. One stream waits here;
     # others tell that nobody waits there. It is served within seconds, and
     # must not be refused as if as many waited at each of 67 entries.
-    gate = decisions.StreamGate()
-    outlook = decisions.Outlook(9.0, False, 2, 1.4)
-    gate.waiting['s'] = 1
-    assert gate.queue_s('s', outlook, 67, 0.0) > 15.3
-    gate.apply_loads({'s': 0}, 0.0)
-    assert gate.queue_s('s', outlook, 67, 0.1) < 1.0
-    gate.apply_loads({'s': 66}, 0.2)
-    assert gate.queue_s('s', outlook, 67, 0.3) > 15.3
+    admission = decisions.AdmissionController()
+    estimate = decisions.CapacityEstimate(9.0, False, 2, 1.4)
+    admission.waiting['s'] = 1
+    assert admission.queue_s('s', estimate, 67, 0.0) > 15.3
+    admission.apply_loads({'s': 0}, 0.0)
+    assert admission.queue_s('s', estimate, 67, 0.1) < 1.0
+    admission.apply_loads({'s': 66}, 0.2)
+    assert admission.queue_s('s', estimate, 67, 0.3) > 15.3
 
 
 def test_without_engines_or_an_aim_nothing_is_held():
-    assert judge(99.0, engines=0) is decisions.GateVerdict.PLACE
+    assert decide(99.0, engines=0) is decisions.AdmissionDecision.PLACE
 
 
 # A crowd, played: engines read one prompt after the other, and a stream then
@@ -130,7 +132,7 @@
     )
     speeds = placement.speeds
     played = {f'i{n}': PlayedEngine(speeds) for n in range(engines)}
-    gate = decisions.StreamGate()
+    admission = decisions.AdmissionController()
     streams, held = [], []
     now = 0.0
     while now < seconds + LEAVE_S:
@@ -149,21 +151,23 @@
             held.append(stream)
         # The newest first: it can still be in time.
         for stream in reversed(list(held)):
-            outlook = placement.outlook('s', now, wanted=WANTED, memory=MEMORY)
-            gate.waiting['s'] = len(held)
-            queue_s = gate.queue_s('s', outlook, 1, now)
-            verdict = gate.judge(
-                outlook,
+            estimate = placement.estimate_capacity(
+                's', now, wanted=WANTED, memory=MEMORY
+            )
+            admission.waiting['s'] = len(held)
+            queue_s = admission.queue_s('s', estimate, 1, now)
+            decision = admission.decide(
+                estimate,
                 waited_s=now - stream['at'],
                 left_s=25.0,
                 aim_s=AIM_S,
                 queue_s=queue_s,
                 arrives=stream['at'] == now,
             )
-            if gated and verdict is decisions.GateVerdict.WAIT:
+            if gated and decision is decisions.AdmissionDecision.WAIT:
                 continue
             held.remove(stream)
-            if gated and verdict is decisions.GateVerdict.REFUSE:
+            if gated and decision is decisions.AdmissionDecision.REFUSE:
                 continue
             chosen = placement.choose_engine(
                 's', now, tokens=PROMPT, part=str(stream['at']), tried=set()
@@ -218,7 +222,7 @@
     for backend in parts.placement.backends.values():
         backend.memory = 10_000
     parts.placement.last_report_at = parts.clock()
-    parts.gate.waiting['engines'] = 200
+    parts.admission.waiting['engines'] = 200
     begun = parts.clock()
     with pytest.raises(errors.RequestError) as caught:
         await fakes.stream(parts, wait_s=25.0)
@@ -227,7 +231,7 @@
     assert caught.value.retry_after == 8.0
     assert parts.clock() - begun < 0.5
     assert client.log == []
-    assert parts.gate.waiting['engines'] == 200
+    assert parts.admission.waiting['engines'] == 200
 
 
 async def test_a_held_stream_goes_as_soon_as_there_is_room(client, parts):
@@ -240,11 +244,11 @@
     run = asyncio.ensure_future(forwarding.StreamRun(parts, job, out).run())
     await asyncio.sleep(0.15)
     assert client.log == []
-    assert parts.gate.waiting['engines'] == 1
+    assert parts.admission.waiting['engines'] == 1
     parts.placement.backends['i3'].memory = 0
     await run
     assert out.data == fakes.text(1, 2)
-    assert parts.gate.waiting['engines'] == 0
+    assert parts.admission.waiting['engines'] == 0
     # In a crowd memory is worth more than a copy: none is asked for where
     # it would fill an engine.
     assert client.attempts[0].backup == ''
@@ -258,10 +262,14 @@
     placement.update([messages.ListedBackend('i0', 's', 'h0:1', 'dc0', 64)])
     full = {'i0': messages.EngineLoad(40_000, 10, CAPACITY)}
     placement.apply_loads(messages.LoadSummary(1, full, []), 0.0)
-    at_once = placement.outlook('s', 0.1, wanted=WANTED, memory=MEMORY)
+    at_once = placement.estimate_capacity(
+        's', 0.1, wanted=WANTED, memory=MEMORY
+    )
     assert at_once.first_s == float('inf')
-    later = placement.outlook('s', 10.0, wanted=WANTED, memory=MEMORY)
-    assert later.quiet
+    later = placement.estimate_capacity(
+        's', 10.0, wanted=WANTED, memory=MEMORY
+    )
+    assert later.idle
     assert later.first_s < AIM_S
 
 
@@ -283,19 +291,19 @@
     :returns: how many go there before entries hear of each other.
     """
     rng = random.Random(seed)
-    outlook = decisions.Outlook(1.0, True, 9, 6.0, openings=1)
-    gates = [decisions.StreamGate() for _ in range(entries)]
-    for gate in gates:
-        gate.waiting['s'] = 1
-        gate.apply_loads({'s': entries - 1}, 0.0)
+    estimate = decisions.CapacityEstimate(1.0, True, 9, 6.0, openings=1)
+    controllers = [decisions.AdmissionController() for _ in range(entries)]
+    for admission in controllers:
+        admission.waiting['s'] = 1
+        admission.apply_loads({'s': entries - 1}, 0.0)
     placed = 0
-    for step in range(round(seconds / decisions.GATE_CHECK_S)):
-        now = step * decisions.GATE_CHECK_S
-        for gate in gates:
-            if gate.waiting['s'] and gate.goes_now(
-                's', outlook, entries, now, rng.random()
+    for step in range(round(seconds / decisions.ADMISSION_CHECK_S)):
+        now = step * decisions.ADMISSION_CHECK_S
+        for admission in controllers:
+            if admission.waiting['s'] and admission.goes_now(
+                's', estimate, entries, now, rng.random()
             ):
-                gate.waiting['s'] = 0
+                admission.waiting['s'] = 0
                 placed += 1
     return placed
 
@@ -310,7 +318,7 @@
 
 
 def test_a_stream_that_waits_alone_goes_at_once():
-    assert place_herd(1, 0, decisions.GATE_CHECK_S) == 1
+    assert place_herd(1, 0, decisions.ADMISSION_CHECK_S) == 1
 
 
 def test_copies_of_one_moment_go_to_several_engines():
--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -81,7 +81,7 @@
             placement,
             decisions.RepeatBudget(1.0, 100, 10.0),
             decisions.Crashers(placement.lost_near),
-            decisions.StreamGate(),
+            decisions.AdmissionController(),
         )
         self.run(name, entry.follow())
         self.run(name, entry.share())
