A transport that is closed twice takes no other connection's reader

Seen once in a whole run of the tests (test_fault_steps, an entry that is cut off and closed later): the second close removed the reader of whoever had got the descriptor's number. Now a second close does nothing.

--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -47,12 +47,17 @@
 
     def send(self, parts: list[bytes]) -> None:
         """Send a message, or drop it where the peer can't take it."""
+        if self.socket.closed:
+            return
         with contextlib.suppress(zmq.Again, zmq.ZMQError):
             self.socket.send_multipart(parts, zmq.DONTWAIT)
         self._read_soon()
 
     def close(self) -> None:
-        """Stop reading, and drop what is queued."""
+        """Stop reading, and drop what is queued; a second time is nothing."""
+        if self.socket.closed:
+            # Another connection may have got the descriptor's number by now.
+            return
         self.loop.remove_reader(self.descriptor)
         if self.scheduled is not None:
             self.scheduled.cancel()
