Sums of entries that have left are dropped; streams that go on come first

A process whose last entry had left sent no sum any more, and the others counted its old one until other news came: found while reading why windows after a frozen core instance are late at full size (not shown to be its cause). An old sum is now dropped as news, and an empty one is sent once. Streams whose callers have a part use an opening without a draw.

--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -66,6 +66,7 @@
         self.publishing = False
         self.attaching = False
         self.unsent = asyncio.Event()
+        self.has_sent_reports = False
         self.sent_to_all_at = float('-inf')
         transport.handle(messages.Watch, self._on_watch)
         transport.handle(messages.LoadReport, self._on_load_report)
@@ -174,8 +175,12 @@
                 async with asyncio.timeout(REFRESH_S):
                     await self.unsent.wait()
             self.unsent.clear()
-            if self.loads.reports:
+            # Once more without entries, or the others would go on counting
+            # those that have left.
+            has_reports = bool(self.loads.reports)
+            if has_reports or self.has_sent_reports:
                 self._send_sum()
+            self.has_sent_reports = has_reports
             await asyncio.sleep(EXCHANGE_EVERY_S)
 
     def _send_sum(self) -> None:
--- a/src/bulrushhold/decisions/_admissioncontrol.py
+++ b/src/bulrushhold/decisions/_admissioncontrol.py
@@ -157,15 +157,20 @@
         entries: int,
         now: float,
         draw: float,
+        *,
+        begun: bool = False,
     ) -> bool:
         """Whether one of the streams that wait uses an opening now.
 
         All that wait see an engine come back at the same moment. Each goes
         by chance, so that no more go than engines can take until all
-        entries have heard of it.
+        entries have heard of it. One whose caller has a part of it goes
+        first: its pause grows.
 
         :param draw: from 0 to 1, evenly.
         """
+        if begun:
+            return True
         waiting = self._waiting_everywhere(service, entries, now)
         openings = max(1, estimate.openings)
         if waiting <= openings:
--- a/src/bulrushhold/decisions/_loadreports.py
+++ b/src/bulrushhold/decisions/_loadreports.py
@@ -61,6 +61,12 @@
     engines: dict[str, messages.EngineLoad] = attrs.field(factory=dict)
     sum: messages.LoadReport | None = None
 
+    def forget(self) -> None:
+        """Drop a sum that says nothing any more; the next one is whole."""
+        self.sum = None
+        self.engines = {}
+        self.received = 0
+
     def update(self, load: messages.NodeLoad) -> bool:
         """Take a newer sum; return whether it could be taken."""
         if load.since > self.received:
@@ -99,7 +105,7 @@
         self.total = _Total()
         # Entries whose changes cancel each other out see different changes.
         self.touched: set[str] = set()
-        self.added_up: tuple[int, list[str]] = (-1, [])
+        self.added_up = -1
 
     # What arrives
 
@@ -140,15 +146,18 @@
         """Drop old events and sums; return whether any sum was dropped."""
         while self.events and now - self.events[0].at > EVENT_KEPT_S:
             self.events.popleft()
-        gone = [
-            address
-            for address, node in self.nodes.items()
-            if now - node.at > NODE_KEPT_S
+        for address, node in list(self.nodes.items()):
+            if now - node.at > NODE_KEPT_S:
+                del self.nodes[address]
+        old = [
+            node
+            for node in self.nodes.values()
+            if node.sum is not None and now - node.at > SUM_KEPT_S
         ]
-        for address in gone:
-            del self.nodes[address]
-        self.number += bool(gone)
-        return bool(gone)
+        for node in old:
+            node.forget()
+        self.number += bool(old)
+        return bool(old)
 
     def _take_events(
         self, report: messages.LoadReport, now: float, *, local: bool
@@ -188,7 +197,7 @@
 
         :param since: number of the summary that the entry has; 0 for none.
         """
-        self._add_up(now)
+        self._add_up()
         total = self.total
         engines = total.changed_since(since)
         traffic, speeds = total.traffic, total.speeds
@@ -216,7 +225,7 @@
 
     def node_load(self, now: float) -> messages.NodeLoad:
         """Return the sum of this process's entries, for other processes."""
-        self._add_up(now)
+        self._add_up()
         acknowledged = [
             node.acknowledged
             for node in self.nodes.values()
@@ -268,24 +277,18 @@
         ]
         return round(max(ages, default=0.0), 3)
 
-    def _add_up(self, now: float) -> None:
+    def _add_up(self) -> None:
         """Add up all reports and sums, once for all that ask."""
-        kept = [
-            address
-            for address, node in self.nodes.items()
-            if now - node.at <= SUM_KEPT_S
-        ]
-        if self.added_up == (self.number, kept):
+        if self.added_up == self.number:
             return
-        self.added_up = (self.number, kept)
+        self.added_up = self.number
         local = _Total()
         for report in self.reports.values():
             local.add(report, 1)
         total = local.copy()
-        for address in kept:
-            report = self.nodes[address].sum
-            if report is not None:
-                total.add(report, 1)
+        for node in self.nodes.values():
+            if node.sum is not None:
+                total.add(node.sum, 1)
         self.local.replace(local, self.number)
         self.total.replace(total, self.number, self.touched)
         self.touched.clear()
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -57,7 +57,7 @@
             if outcome is decisions.AdmissionDecision.PLACE:
                 draw = random.random()
                 if not admission.goes_now(
-                    service, estimate, entries, now, draw
+                    service, estimate, entries, now, draw, begun=begun
                 ):
                     outcome = decisions.AdmissionDecision.WAIT
             if outcome is not decisions.AdmissionDecision.WAIT:
--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -30,15 +30,18 @@
     has to read until nothing is left, and to look again after each send.
 
     :param take: is called with the parts of each message.
+    :param parts: of a message; others come from strangers.
     """
 
     def __init__(
         self,
         socket: zmq.Socket[bytes],
         take: cabc.Callable[[list[bytes]], None],
+        parts: int,
     ) -> None:
         self.socket = socket
         self.take = take
+        self.parts = parts
         self.loop = asyncio.get_running_loop()
         self.descriptor = socket.getsockopt(zmq.FD)
         self.scheduled: asyncio.Handle | None = None
@@ -76,7 +79,8 @@
                 parts = self.socket.recv_multipart(zmq.DONTWAIT)
             except zmq.Again:
                 return
-            self.take(parts)
+            if len(parts) == self.parts:
+                self.take(parts)
         self._read_soon()
 
 
@@ -94,7 +98,7 @@
         router = self.context.socket(zmq.ROUTER)
         _limit(router)
         router.bind(f'tcp://{listen}')
-        self.router = _Channel(router, self._take)
+        self.router = _Channel(router, self._take, 3)
         self.handlers: dict[type, ports.Handler] = {}
         self.peers: dict[str, _Channel] = {}
         self.pending: dict[bytes, asyncio.Future[t.Any]] = {}
@@ -151,7 +155,7 @@
         dealer = self.context.socket(zmq.DEALER)
         _limit(dealer)
         dealer.connect(f'tcp://{address}')
-        self.peers[address] = _Channel(dealer, self._take_reply)
+        self.peers[address] = _Channel(dealer, self._take_reply, 2)
         return self.peers[address]
 
     def _take_reply(self, parts: list[bytes]) -> None:
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -321,6 +321,16 @@
     assert place_herd(1, 0, decisions.ADMISSION_CHECK_S) == 1
 
 
+def test_a_stream_that_goes_on_comes_before_those_that_begin():
+    """Guards against pauses that grow while new streams are placed."""
+    admission = decisions.AdmissionController()
+    admission.waiting['s'] = 100
+    estimate = decisions.CapacityEstimate(1.0, True, 9, 6.0)
+    options = ('s', estimate, 9, 0.0, 0.99)
+    assert not admission.goes_now(*options)
+    assert admission.goes_now(*options, begun=True)
+
+
 def test_copies_of_one_moment_go_to_several_engines():
     """Guards against copies that find no room where all entries send them."""
     chosen = set()
--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -166,3 +166,12 @@
     fleet.put(5)
     for entry in fleet.entries.values():
         await fleet.core.until(lambda e=entry: e.map_version == 5, 1.0)
+
+
+async def test_entries_that_left_a_process_are_not_counted_there(fleet):
+    """Guards against loads that count twice after entries have moved."""
+    placement = fleet.entries['a'].placement
+    placement.began(placement.backends['i1'], 8000)
+    await fleet.sees_running(1)
+    await fleet.stop('a')
+    await fleet.sees_running(0)
--- a/tests/test_zmqtransport.py
+++ b/tests/test_zmqtransport.py
@@ -4,6 +4,7 @@
 
 import pytest
 import pytest_asyncio
+import zmq
 
 from bulrushhold import errors
 from bulrushhold import messages
@@ -60,6 +61,26 @@
     )
 
 
+async def test_a_stranger_that_sends_other_frames_stops_nothing(pair):
+    """Guards against one malformed message that ends all reading."""
+    (one, other), (_, address) = pair
+    stranger = zmq.Context.instance().socket(zmq.DEALER)
+    stranger.connect(f'tcp://{address}')
+    stranger.send_multipart([b'a', b'b', b'c', b'd'])
+    stranger.send_multipart([b'a'])
+    await asyncio.sleep(0.1)
+    arrived = asyncio.Event()
+
+    async def take(read):
+        arrived.set()
+
+    other.handle(messages.HistoryRead, take)
+    one.send(address, messages.HistoryRead(1))
+    async with asyncio.timeout(2):
+        await arrived.wait()
+    stranger.close(linger=0)
+
+
 async def test_a_transport_can_be_closed_twice():
     """Guards against taking a reader from whoever has the number now."""
     address = f'127.0.0.1:{testing.free_ports(1)[0]}'
