--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -115,7 +115,7 @@
         known = watch.known_loads
         if self.loads.number == known:
             return None
-        if not known or self.loads.number < known:
+        if self.loads.number < known:
             # The number was given before this process started.
             known = 0
         return self.loads.others(watch.entry.name, known, self.clock())
--- a/src/bulrushhold/decisions/_loadreports.py
+++ b/src/bulrushhold/decisions/_loadreports.py
@@ -7,12 +7,11 @@
 """
 
 import collections
-import collections.abc as cabc
 import typing as t
 
 import attrs
 
-from bulrushhold.decisions import _speeds
+from bulrushhold.decisions import _loadtotals
 from bulrushhold import messages
 
 # Events reach processes that were out of touch for a moment; an engine that
@@ -24,10 +23,6 @@
 SUM_KEPT_S: t.Final = 2.0
 # After this time its entries report elsewhere.
 NODE_KEPT_S: t.Final = 10.0
-# Changes of engines that are gone, for entries that were out of touch.
-CHANGES_KEPT: t.Final = 2000
-NO_LOAD: t.Final = messages.EngineLoad(0, 0)
-NO_TRAFFIC: t.Final = messages.ServiceTraffic(0, 0)
 
 
 @attrs.frozen
@@ -74,7 +69,7 @@
             return False
         engines = {} if not load.since else dict(self.engines)
         for ident, one in load.sum.engines.items():
-            if one == NO_LOAD:
+            if one == _loadtotals.NO_LOAD:
                 engines.pop(ident, None)
             else:
                 engines[ident] = one
@@ -101,8 +96,8 @@
         self.reports: dict[str, messages.LoadReport] = {}
         self.nodes: dict[str, _Node] = {}
         self.events: collections.deque[_Event] = collections.deque()
-        self.local = _Total()
-        self.total = _Total()
+        self.local = _loadtotals.LoadTotal()
+        self.total = _loadtotals.LoadTotal()
         # Entries whose changes cancel each other out see different changes.
         self.touched: set[str] = set()
         self.added_up = -1
@@ -203,12 +198,16 @@
         traffic, speeds = total.traffic, total.speeds
         own = self.reports.get(entry)
         if own is not None:
-            engines = _less_engines(engines, own.engines)
+            engines = _loadtotals.less_engines(engines, own.engines)
             traffic, speeds = dict(traffic), dict(speeds)
-            _add_traffic(traffic, own.traffic, -1)
-            _add_speeds(speeds, own.speeds, -1)
+            _loadtotals.add_traffic(traffic, own.traffic, -1)
+            _loadtotals.add_speeds(speeds, own.speeds, -1)
         if not since:
-            engines = {i: one for i, one in engines.items() if one != NO_LOAD}
+            engines = {
+                i: one
+                for i, one in engines.items()
+                if one != _loadtotals.NO_LOAD
+            }
         events = [event for event in self.events if event.number > since]
         return messages.LoadSummary(
             self.number,
@@ -282,7 +281,7 @@
         if self.added_up == self.number:
             return
         self.added_up = self.number
-        local = _Total()
+        local = _loadtotals.LoadTotal()
         for report in self.reports.values():
             local.add(report, 1)
         total = local.copy()
@@ -296,120 +295,3 @@
 
 def _is_live(node: _Node, now: float) -> bool:
     return now - node.at <= SILENT_AFTER_S
-
-
-class _Total:
-    """A sum of reports, without their events.
-
-    :ivar changed: by engine, number of the sum in which its load changed.
-    """
-
-    def __init__(self) -> None:
-        self.engines: dict[str, messages.EngineLoad] = {}
-        self.traffic: dict[str, messages.ServiceTraffic] = {}
-        self.speeds: dict[str, messages.EngineSpeed] = {}
-        self.changed: dict[str, int] = {}
-        self.differences: dict[int, dict[str, messages.EngineLoad]] = {}
-
-    def copy(self) -> '_Total':
-        """Return a sum of its own."""
-        total = _Total()
-        total.engines = dict(self.engines)
-        total.traffic = dict(self.traffic)
-        total.speeds = dict(self.speeds)
-        return total
-
-    def replace(
-        self, new: '_Total', number: int, touched: cabc.Iterable[str] = ()
-    ) -> None:
-        """Take newer figures, and note which engines they change.
-
-        :param touched: engines that count as changed in any case.
-        """
-        self.changed.update(dict.fromkeys(touched, number))
-        for ident in self.engines.keys() | new.engines.keys():
-            if self.engines.get(ident) != new.engines.get(ident):
-                self.changed[ident] = number
-        if len(self.changed) > CHANGES_KEPT:
-            self._forget_gone(new, number)
-        self.differences.clear()
-        self.engines = new.engines
-        self.traffic = new.traffic
-        self.speeds = new.speeds
-
-    def _forget_gone(self, new: '_Total', number: int) -> None:
-        self.changed = {
-            ident: at
-            for ident, at in self.changed.items()
-            if ident in new.engines or number - at < CHANGES_KEPT
-        }
-
-    def changed_since(self, number: int) -> dict[str, messages.EngineLoad]:
-        """Return engines whose load changed; zero where nothing is left.
-
-        Kept until the next change, since most entries have the same one.
-        """
-        if number not in self.differences:
-            self.differences[number] = {
-                ident: self.engines.get(ident, NO_LOAD)
-                for ident, at in self.changed.items()
-                if at > number
-            }
-        return self.differences[number]
-
-    def add(self, report: messages.LoadReport, sign: int) -> None:
-        """Add a report, or take it off."""
-        _add_engines(self.engines, report.engines, sign)
-        _add_traffic(self.traffic, report.traffic, sign)
-        _add_speeds(self.speeds, report.speeds, sign)
-
-
-def _less_engines(
-    engines: dict[str, messages.EngineLoad],
-    own: dict[str, messages.EngineLoad],
-) -> dict[str, messages.EngineLoad]:
-    """Return loads less those of one entry, for the engines that are there."""
-    mine = {ident: one for ident, one in own.items() if ident in engines}
-    if not mine:
-        return engines
-    others = dict(engines)
-    _add_engines(others, mine, -1)
-    return others
-
-
-def _add_engines(
-    totals: dict[str, messages.EngineLoad],
-    more: dict[str, messages.EngineLoad],
-    sign: int,
-) -> None:
-    for ident, one in more.items():
-        known = totals.get(ident, NO_LOAD)
-        totals[ident] = messages.EngineLoad(
-            known.reading + sign * one.reading,
-            known.running + sign * one.running,
-            known.memory + sign * one.memory,
-        )
-
-
-def _add_traffic(
-    totals: dict[str, messages.ServiceTraffic],
-    more: dict[str, messages.ServiceTraffic],
-    sign: int,
-) -> None:
-    for service, one in more.items():
-        known = totals.get(service, NO_TRAFFIC)
-        totals[service] = messages.ServiceTraffic(
-            known.firsts + sign * one.firsts,
-            known.repeats + sign * one.repeats,
-            known.waiting + sign * one.waiting,
-        )
-
-
-def _add_speeds(
-    totals: dict[str, messages.EngineSpeed],
-    more: dict[str, messages.EngineSpeed],
-    sign: int,
-) -> None:
-    for service, speed in more.items():
-        known = totals.get(service, _speeds.NOTHING)
-        totals[service] = _speeds.add(known, speed, sign)
