No copy goes to a data centre that is being lost

Found on reading the diff: of the engines drawn for a copy, both could stand in a data centre that is just being lost, where the best of all never did; the copy is gone as soon as it is needed. Only engines with no more against them than the best one are drawn.

--- a/src/bulrushhold/decisions/_placing.py
+++ b/src/bulrushhold/decisions/_placing.py
@@ -221,11 +221,13 @@
             return best
         # Of a few drawn ones: entries that choose at the same moment would
         # all fill the emptiest engine, and some copies find no room there.
+        penalty = self.penalty(best, now)
         others = [
             backend.ident
             for backend in self.usable(engine.service)
             if backend.ident not in tried
             and backend.data_centre != engine.data_centre
+            and self.penalty(backend, now) <= penalty
         ]
         drawn = self.rng.sample(others, min(COPY_CHOICES, len(others)))
         return self._best(
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -355,3 +355,22 @@
         assert backup.data_centre != source.data_centre
         chosen.add(backup.ident)
     assert len(chosen) >= 3
+
+
+def test_no_copy_goes_to_a_data_centre_that_is_being_lost():
+    """Guards against copies that are gone as soon as they are needed."""
+    for seed in range(20):
+        placement = decisions.Placement(random.Random(seed))
+        placement.update(
+            [
+                messages.ListedBackend(
+                    f'i{n}', 's', f'h{n}:1', f'dc{n % 3}', 8
+                )
+                for n in range(21)
+            ]
+        )
+        for ident in ('i1', 'i4', 'i7'):
+            placement.failed(ident, 1.0, gone=True)
+        source = placement.backends['i0']
+        backup = placement.choose_backup(source, 1.1, set(), MEMORY)
+        assert backup.data_centre == 'dc2'
