A closed transport's address can be bound again at once

Cause: zmq closes a listener in its own thread after close has returned. Ruled out: other processes (the port is the replica's own). Change: closing waits until the address can be bound, a second at most, then says so in the log.

--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -4,8 +4,10 @@
 import collections.abc as cabc
 import contextlib
 import itertools
+import socket
 import typing as t
 
+import loguru
 import zmq
 
 from bulrushhold import errors
@@ -21,6 +23,8 @@
 _ONE_WAY: t.Final = b''
 # Then the loop's other work has its turn.
 MESSAGES_IN_A_ROW: t.Final = 50
+RELEASE_S: t.Final = 1.0
+RELEASE_CHECK_S: t.Final = 0.005
 
 
 class _Channel:
@@ -35,31 +39,39 @@
 
     def __init__(
         self,
-        socket: zmq.Socket[bytes],
+        zmq_socket: zmq.Socket[bytes],
         take: cabc.Callable[[list[bytes]], None],
         parts: int,
     ) -> None:
-        self.socket = socket
+        self.socket = zmq_socket
         self.take = take
         self.parts = parts
         self.loop = asyncio.get_running_loop()
-        self.descriptor = socket.getsockopt(zmq.FD)
+        self.descriptor = zmq_socket.getsockopt(zmq.FD)
         self.scheduled: asyncio.Handle | None = None
         self.loop.add_reader(self.descriptor, self._read)
         self._read_soon()
 
+    @property
+    def closed(self) -> bool:
+        """Whether the socket is closed."""
+        return self.socket.closed
+
     def send(self, parts: list[bytes]) -> None:
         """Send a message, or drop it where the peer can't take it."""
-        if self.socket.closed:
+        if self.closed:
             return
         with contextlib.suppress(zmq.Again, zmq.ZMQError):
             self.socket.send_multipart(parts, zmq.DONTWAIT)
         self._read_soon()
 
     def close(self) -> None:
-        """Stop reading, and drop what is queued; a second time is nothing."""
-        if self.socket.closed:
-            # Another connection may have got the descriptor's number by now.
+        """Stop reading, and drop what is queued.
+
+        The second time does nothing: another connection may have got the
+        descriptor's number by then.
+        """
+        if self.closed:
             return
         self.loop.remove_reader(self.descriptor)
         if self.scheduled is not None:
@@ -94,6 +106,7 @@
     def __init__(
         self, listen: str, context: 'zmq.Context[t.Any] | None' = None
     ) -> None:
+        self.listen = listen
         self.context = context or zmq.Context.instance()
         router = self.context.socket(zmq.ROUTER)
         _limit(router)
@@ -137,7 +150,9 @@
         return reply
 
     async def close(self) -> None:
-        """Stop receiving and drop what is queued."""
+        """Stop receiving and drop what is queued; free the address."""
+        if self.router.closed:
+            return
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -145,6 +160,21 @@
             peer.close()
         self.peers.clear()
         self.router.close()
+        await self._release()
+
+    async def _release(self) -> None:
+        """Wait until the address can be bound again.
+
+        zmq closes a listener in a thread of its own. A process that begins
+        anew at its address at once would find it in use, and end.
+        """
+        host, _, port = self.listen.rpartition(':')
+        try:
+            async with asyncio.timeout(RELEASE_S):
+                while not _can_bind(host, int(port)):
+                    await asyncio.sleep(RELEASE_CHECK_S)
+        except TimeoutError:
+            loguru.logger.bind(address=self.listen).warning('address in use')
 
     def _transmit(self, address: str, number: bytes, data: bytes) -> None:
         peer = self.peers.get(address) or self._connect(address)
@@ -191,17 +221,27 @@
             self.router.send([peer, number, encoded])
 
 
-def _limit(socket: t.Any) -> None:
-    socket.setsockopt(zmq.LINGER, 0)
-    socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
-    socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
-    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-    socket.setsockopt(zmq.RECONNECT_IVL, 50)
-    socket.setsockopt(zmq.RECONNECT_IVL_MAX, 250)
+def _can_bind(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+        return True
+
+
+def _limit(channel: t.Any) -> None:
+    channel.setsockopt(zmq.LINGER, 0)
+    channel.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
+    channel.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+    channel.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    channel.setsockopt(zmq.RECONNECT_IVL, 50)
+    channel.setsockopt(zmq.RECONNECT_IVL_MAX, 250)
     # A connection may fall silent for good without a reset, while new ones
     # work. Without probes of its own zmq would keep it for hours, and a
     # replica would stay out of reach of its leader.
-    socket.setsockopt(zmq.HEARTBEAT_IVL, PROBE_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
-    socket.setsockopt(zmq.CONNECT_TIMEOUT, SILENCE_MS)
-    socket.setsockopt(zmq.HANDSHAKE_IVL, SILENCE_MS)
+    channel.setsockopt(zmq.HEARTBEAT_IVL, PROBE_MS)
+    channel.setsockopt(zmq.HEARTBEAT_TIMEOUT, SILENCE_MS)
+    channel.setsockopt(zmq.CONNECT_TIMEOUT, SILENCE_MS)
+    channel.setsockopt(zmq.HANDSHAKE_IVL, SILENCE_MS)
--- a/tests/test_zmqtransport.py
+++ b/tests/test_zmqtransport.py
@@ -98,3 +98,13 @@
     for _, writer in connections:
         writer.close()
     server.close()
+
+
+async def test_an_address_is_free_once_its_transport_is_closed(pair):
+    """Guards against a process that can't begin anew at its own address."""
+    (one, _), _ = pair
+    address = f'127.0.0.1:{testing.free_ports(1)[0]}'
+    for _ in range(100):
+        transport = node.ZmqTransport(address)
+        one.send(address, messages.StatusRead())
+        await transport.close()
