A copy peer that answers late is late, not lost for five seconds

What callers saw: after the loss of an entry (alone, or with its engine), 410 'the answer is not known up to token N' though both peers of the entry lived.

Cause: a peer that missed one acknowledgement (ack_s, 0.25 s) counted as lost for LOST_PEER_RETRY_S (5 s); with no peer left all tokens were shown without a copy. Each entry sends an empty batch to its peers as it starts, so that an entry that is up 0.3 s before them is without copies for its first 5 s.

Change: decisions.CopyPeers keeps a late peer, adds the next candidate in its place, and awaits synced peers only. The replicator waits on for the late reply (1 s), then probes with empty batches so that transcripts don't pile up at a slow peer. Candidates beyond the second are the next in the same order. Pointers are renewed at their homes when the set of peers changes; before, they named the former peers for up to 20 s.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -40,7 +40,10 @@
             config.copies.keep_s, time.monotonic()
         )
         self.replicator = entry.TranscriptReplicator(
-            config.copies, self.transport, self.metrics
+            config.copies,
+            self.transport,
+            self.metrics,
+            lambda: self.registry.refresh_pointers(),
         )
         self.background: set[asyncio.Task[t.Any]] = set()
 
@@ -70,7 +73,7 @@
             self.transport,
             self.store,
             lambda: self.view.entries,
-            self.view.copy_peers,
+            lambda: list(self.replicator.peers),
         )
         self.admission = entry.Admission(
             config,
@@ -179,12 +182,13 @@
     async def _update_peers(self) -> None:
         previous_names: set[str] = set()
         while True:
-            self.replicator.set_peers(self.view.copy_peers())
+            self.replicator.set_candidates(self.view.copy_candidates())
             self.admission.set_capacity(self.view.engine_slots())
             names = {instance.name for instance in self.view.entries}
             if names != previous_names:
                 previous_names = names
                 self.store.homes_changed(time.monotonic())
+                self.registry.refresh_pointers()
             await self.view.changed.wait()
             self.view.changed.clear()
 
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -13,6 +13,9 @@
 from bulrushhold.decisions._configchanges import with_learner
 from bulrushhold.decisions._controlservers import ControlServers
 from bulrushhold.decisions._copies import CopyStore
+from bulrushhold.decisions._copies import MAX_COPY_ADDRESSES
+from bulrushhold.decisions._copypeers import CopyPeers
+from bulrushhold.decisions._copypeers import CopyPeerStatus
 from bulrushhold.decisions._enginecrashes import content_fingerprint
 from bulrushhold.decisions._enginecrashes import EngineCrashTracker
 from bulrushhold.decisions._enginespeeds import EngineSpeeds
@@ -92,6 +95,8 @@
     'ClaimState',
     'ControlServers',
     'DEFAULT_EXPOSURE',
+    'CopyPeerStatus',
+    'CopyPeers',
     'CopyStore',
     'EngineCrashTracker',
     'EngineSpeeds',
@@ -102,6 +107,7 @@
     'LatencyObjective',
     'Lifecycle',
     'LoadAggregator',
+    'MAX_COPY_ADDRESSES',
     'MEMBERSHIP_PERIOD_S',
     'MEMBERSHIP_PROBE_TIMEOUT_S',
     'Membership',
--- a/src/bulrushhold/entry/_generation.py
+++ b/src/bulrushhold/entry/_generation.py
@@ -47,8 +47,9 @@
     ``start_epoch`` is the epoch in which the text was started. The first
     ``visible`` tokens may be sent to the caller: those of the first
     ``replicated`` ones, once the key is ``registered``. ``acked`` maps each
-    peer to the number of tokens it has stored. ``attempt_changed`` is set
-    when an attempt sends its first event, ends or stalls.
+    peer to the number of tokens it has stored; ``copied`` is false while no
+    peer stores them in time. ``attempt_changed`` is set when an attempt sends
+    its first event, ends or stalls.
 
     :param key: account and idempotency key.
     :param epoch: fences entries that served the same key before.
@@ -72,6 +73,7 @@
         self.attempt_changed = asyncio.Event()
         self.failed_engines: set[str] = set()
         self.acked: dict[str, int] = {}
+        self.copied = True
         self.task: asyncio.Task[None] | None = None
         self.registration: asyncio.Task[None] | None = None
         self.listeners: list[cabc.Callable[[], None]] = []
--- a/src/bulrushhold/entry/_platformview.py
+++ b/src/bulrushhold/entry/_platformview.py
@@ -54,10 +54,10 @@
             if not entry.leaving and self.membership.usable(entry.name)
         ]
 
-    def copy_peers(self) -> list[str]:
-        """Return the addresses of the peers for transcript copies."""
+    def copy_candidates(self) -> list[str]:
+        """Return the addresses of possible peers for transcript copies."""
         peers = decisions.copy_peers(
-            self.own_instance, self.listed(), self.config.copies.count
+            self.own_instance, self.listed(), decisions.MAX_COPY_ADDRESSES
         )
         return [peer.peer for peer in peers]
 
--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -1,6 +1,7 @@
 """Registry of the generations that this entry serves."""
 
 import asyncio
+import contextlib
 import time
 import typing as t
 
@@ -36,6 +37,7 @@
         self.store = store
         self.generations: dict[str, _generation.Generation] = {}
         self.open_locks: dict[str, asyncio.Lock] = {}
+        self.sweep_requested = asyncio.Event()
 
     async def open(
         self,
@@ -103,30 +105,54 @@
                     )
                 )
 
+    def refresh_pointers(self) -> None:
+        """Renew the pointers of all running streams at once.
+
+        The homes don't know the entries that hold the copies now, or have
+        become homes of these keys.
+        """
+        for generation in self.generations.values():
+            generation.refresh_at = 0.0
+        self.sweep_requested.set()
+
     async def sweep(self) -> None:
-        """Cancel abandoned streams and expire old ones."""
+        """Cancel abandoned streams, expire old ones and renew pointers."""
+        interval_s = min(SWEEP_INTERVAL_S, self._refresh_s / 2)
         while True:
-            await asyncio.sleep(min(SWEEP_INTERVAL_S, self._refresh_s / 2))
-            now = time.monotonic()
-            self.store.expire(now)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self.sweep_requested.wait()
+            self.sweep_requested.clear()
+            self.store.expire(time.monotonic())
             for key, generation in list(self.generations.items()):
-                self._sweep_one(key, generation, now)
+                if self.generations.get(key) is not generation:
+                    continue
+                if self._sweep_one(generation):
+                    # Computing the homes of many keys would block the loop.
+                    await asyncio.sleep(0)
 
     @property
     def _refresh_s(self) -> float:
         return self.config.copies.keep_s / 3
 
-    def _sweep_one(
-        self, key: str, generation: _generation.Generation, now: float
-    ) -> None:
-        if not generation.ended and now >= generation.refresh_at:
+    def _sweep_one(self, generation: _generation.Generation) -> bool:
+        """Expire, cancel or refresh; return whether pointers were sent."""
+        now = time.monotonic()
+        self._expire(generation, now)
+        if generation.ended:
+            return False
+        if now >= generation.refresh_at:
             generation.refresh_at = now + self._refresh_s
             self.registrar.refresh(
-                key,
+                generation.key,
                 generation.epoch,
                 generation.start_epoch,
                 generation.spec.fingerprint,
             )
+            return True
+        return False
+
+    def _expire(self, generation: _generation.Generation, now: float) -> None:
         if generation.readers:
             generation.abandoned_at = None
             return
@@ -134,7 +160,7 @@
             generation.abandoned_at = now
         abandoned_s = now - generation.abandoned_at
         if generation.ended and abandoned_s > self.config.copies.keep_s:
-            del self.generations[key]
+            del self.generations[generation.key]
         elif (
             not generation.ended
             and abandoned_s > self.config.recovery.orphan_s
--- a/src/bulrushhold/entry/_replication.py
+++ b/src/bulrushhold/entry/_replication.py
@@ -1,19 +1,24 @@
 """Replicates transcripts to peer entries before callers see them."""
 
 import asyncio
+import collections.abc as cabc
 import time
 import typing as t
 
 import attrs
 import loguru
 
+from bulrushhold import decisions
 from bulrushhold.entry import _generation
 from bulrushhold import errors
 from bulrushhold import messages
+from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import settings
 
-LOST_PEER_RETRY_S: t.Final = 5.0
+# Later replies are lost; the peer is then probed until it answers.
+REPLY_TIMEOUT_S: t.Final = 1.0
+PROBE_TIMEOUT_S: t.Final = 0.5
 MAX_TOKENS_PER_APPEND: t.Final = 20_000
 
 
@@ -22,13 +27,18 @@
     """A peer that holds copies of this entry's transcripts.
 
     :param dirty: generations with tokens that the peer hasn't stored.
-    :param down_until: monotonic seconds until which it counts as down.
+    :param answering: whether the peer has answered the last batch.
     """
 
     address: str
     dirty: dict[str, _generation.Generation] = attrs.field(factory=dict)
     has_work: asyncio.Event = attrs.field(factory=asyncio.Event)
-    down_until: float = 0.0
+    answering: bool = True
+
+    def add(self, generations: dict[str, _generation.Generation]) -> None:
+        """Schedule generations for replication."""
+        self.dirty.update(generations)
+        self.has_work.set()
 
 
 class TranscriptReplicator:
@@ -37,6 +47,8 @@
     Each peer has at most one batch in flight, and batches are at least
     ``batch_s`` apart: an idle entry sends each token immediately, a loaded
     one combines the tokens of many streams in one message.
+
+    :param on_peers_changed: called when the set of peers changes.
     """
 
     def __init__(
@@ -44,46 +56,28 @@
         config: settings.Copies,
         transport: ports.Transport,
         metrics: ports.Metrics,
+        on_peers_changed: cabc.Callable[[], None] = lambda: None,
     ) -> None:
         self.config = config
         self.transport = transport
         self.metrics = metrics
+        self.on_peers_changed = on_peers_changed
+        self.choice = decisions.CopyPeers(config.count)
         self.peers: dict[str, _Peer] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.unfinished: dict[str, _generation.Generation] = {}
 
-    def set_peers(self, addresses: list[str]) -> None:
-        """Replace the set of peers.
-
-        A new peer first receives all unfinished transcripts.
-        """
-        for address in set(self.peers) - set(addresses):
-            del self.peers[address]
-            self.tasks.pop(address).cancel()
-        for address in addresses:
-            if address not in self.peers:
-                peer = _Peer(address, dirty=dict(self.unfinished))
-                peer.has_work.set()
-                self.peers[address] = peer
-                self.tasks[address] = asyncio.get_running_loop().create_task(
-                    self._replicate_to(peer)
-                )
-        for generation in self.unfinished.values():
-            self.update_visible(generation)
+    def set_candidates(self, addresses: list[str]) -> None:
+        """Replace the possible peers, given in order of preference."""
+        self.choice.update_candidates(addresses)
+        self._apply_choice()
 
     def replicate(self, generation: _generation.Generation) -> None:
         """Send a transcript's new tokens or its end to the peers."""
         self.unfinished[generation.key] = generation
-        if not self.peers:
-            self.update_visible(generation)
-            return
-        now = time.monotonic()
-        waiting = False
         for peer in self.peers.values():
-            peer.dirty[generation.key] = generation
-            peer.has_work.set()
-            waiting = waiting or now >= peer.down_until
-        if not waiting:
+            peer.add({generation.key: generation})
+        if not self.choice.awaited:
             self.update_visible(generation)
 
     async def close(self) -> None:
@@ -94,57 +88,143 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def update_visible(self, generation: _generation.Generation) -> None:
-        """Make visible the tokens that every live peer has stored.
+        """Make visible the tokens that every awaited peer has stored.
 
-        With no live peer all tokens become visible, so that losing the
+        With no such peer all tokens become visible, so that losing the
         copies doesn't also stop the answer.
         """
-        now = time.monotonic()
-        acked = [
-            generation.acked.get(peer.address, 0)
-            for peer in self.peers.values()
-            if now >= peer.down_until
-        ]
+        awaited = self.choice.awaited
+        acked = [generation.acked.get(address, 0) for address in awaited]
         length = len(generation.transcript.tokens)
-        if self.peers and not acked:
-            self.metrics.count('copies.none')
+        self._record_copied(generation, copied=bool(awaited))
         generation.advance_visible(min([length, *acked]))
         if generation.fully_visible:
             self.unfinished.pop(generation.key, None)
 
+    def _record_copied(
+        self, generation: _generation.Generation, *, copied: bool
+    ) -> None:
+        if not self.config.count or not self.peers:
+            return
+        if not copied:
+            self.metrics.count('copies.none')
+        if copied != generation.copied:
+            generation.copied = copied
+            node.log_decision(
+                'stream copied again' if copied else 'stream not copied',
+                request=generation.key,
+                offset=len(generation.transcript.tokens),
+                peers=dict(self.choice.members),
+                reason='' if copied else 'no copy peer answers in time',
+            )
+
+    def _update_all_visible(self) -> None:
+        for generation in list(self.unfinished.values()):
+            self.update_visible(generation)
+
+    # Peers
+
+    def _apply_choice(self) -> None:
+        """Start and stop replicating as the choice of peers demands."""
+        members = self.choice.members
+        removed = self.peers.keys() - members.keys()
+        added = members.keys() - self.peers.keys()
+        for address in removed:
+            del self.peers[address]
+            self.tasks.pop(address).cancel()
+            for generation in self.unfinished.values():
+                generation.acked.pop(address, None)
+        for address in added:
+            peer = _Peer(address, dirty=dict(self.unfinished))
+            peer.has_work.set()
+            self.peers[address] = peer
+            self.tasks[address] = asyncio.get_running_loop().create_task(
+                self._replicate_to(peer)
+            )
+        if removed or added:
+            node.log_decision('copy peers', peers=dict(members))
+            self.on_peers_changed()
+        self._update_all_visible()
+
+    def _on_late(self, peer: _Peer) -> None:
+        status = self.choice.members.get(peer.address)
+        if status is not decisions.CopyPeerStatus.LATE:
+            self.metrics.count('copies.peer_late')
+            self.choice.on_late(peer.address)
+            self._apply_choice()
+
+    def _on_answered(self, peer: _Peer) -> None:
+        status = self.choice.members.get(peer.address)
+        if status is not decisions.CopyPeerStatus.SYNCED:
+            self.choice.on_acknowledged(peer.address)
+            self._apply_choice()
+
+    # Batches
+
     async def _replicate_to(self, peer: _Peer) -> None:
         while True:
             await peer.has_work.wait()
             peer.has_work.clear()
-            batch, peer.dirty = peer.dirty, {}
             started = time.monotonic()
-            await self._send(peer, list(batch.values()))
+            if peer.answering:
+                batch, peer.dirty = peer.dirty, {}
+                await self._send(peer, batch)
+            else:
+                await self._probe(peer)
             elapsed = time.monotonic() - started
             await asyncio.sleep(max(0.0, self.config.batch_s - elapsed))
 
     async def _send(
-        self, peer: _Peer, batch: list[_generation.Generation]
+        self, peer: _Peer, batch: dict[str, _generation.Generation]
     ) -> None:
-        appends = [self._append_for(peer, g) for g in batch]
+        generations = list(batch.values())
+        appends = [self._append_for(peer, g) for g in generations]
+        late_timer = asyncio.get_running_loop().call_later(
+            self.config.ack_s, self._on_late, peer
+        )
         try:
             reply = await self.transport.request(
-                peer.address,
-                messages.CopyBatch(appends),
-                self.config.ack_s,
+                peer.address, messages.CopyBatch(appends), REPLY_TIMEOUT_S
             )
         except errors.PeerError as error:
-            await self._on_peer_lost(peer, batch, error)
+            loguru.logger.warning('copy peer lost: {}', error)
+            self.metrics.count('copies.peer_lost')
+            peer.answering = False
+            # Without its answer, it isn't known which appends were stored.
+            peer.add(self.unfinished)
+            self._on_late(peer)
             return
+        finally:
+            late_timer.cancel()
         exceptions = {ack.number: ack for ack in reply.exceptions}
         for number, append in enumerate(appends):
             ack = exceptions.get(number)
             length = append.offset + len(append.tokens)
             self._apply_ack(
                 peer,
-                batch[number],
+                generations[number],
                 length if ack is None else ack.length,
                 fenced=ack is not None and not ack.ok,
             )
+        self._on_answered(peer)
+
+    async def _probe(self, peer: _Peer) -> None:
+        """Ask with an empty batch whether a peer answers again.
+
+        Repeated transcripts would pile up at a peer that is only slow.
+        """
+        started = time.monotonic()
+        try:
+            await self.transport.request(
+                peer.address, messages.CopyBatch([]), PROBE_TIMEOUT_S
+            )
+            peer.answering = True
+        except errors.PeerError:
+            # A peer that is starting replies with an error at once.
+            elapsed = time.monotonic() - started
+            await asyncio.sleep(max(0.0, PROBE_TIMEOUT_S - elapsed))
+        # A restarted peer has lost its copies, so everything is sent again.
+        peer.add(self.unfinished)
 
     def _append_for(
         self, peer: _Peer, generation: _generation.Generation
@@ -176,25 +256,5 @@
             return
         generation.acked[peer.address] = length
         if length < len(generation.transcript.tokens):
-            peer.dirty[generation.key] = generation
-            peer.has_work.set()
+            peer.add({generation.key: generation})
         self.update_visible(generation)
-
-    async def _on_peer_lost(
-        self,
-        peer: _Peer,
-        batch: list[_generation.Generation],
-        error: errors.PeerError,
-    ) -> None:
-        loguru.logger.warning('copy peer lost: {}', error)
-        self.metrics.count('copies.peer_lost')
-        peer.down_until = time.monotonic() + LOST_PEER_RETRY_S
-        for generation in [*batch, *self.unfinished.values()]:
-            self.update_visible(generation)
-        await asyncio.sleep(LOST_PEER_RETRY_S)
-        # A restarted peer has lost its copies, so everything is sent again.
-        for generation in self.unfinished.values():
-            generation.acked.pop(peer.address, None)
-        peer.dirty = dict(self.unfinished)
-        if peer.dirty:
-            peer.has_work.set()
--- /dev/null
+++ b/tests/test_copy_peers.py
@@ -0,0 +1,157 @@
+"""Streams survive the loss of their entry while copy peers fail."""
+
+import asyncio
+import signal
+import time
+
+import pytest
+
+from bulrushhold import client
+from bulrushhold import decisions
+from bulrushhold import testing
+from tests import conftest
+
+TOKEN_COUNT = 100
+
+
+@pytest.fixture
+def make_deployment(tmp_path):
+    deployments = []
+
+    def make(entries):
+        deployed = testing.Deployment(
+            tmp_path, entries=entries, engines=3, gap_s=0.02
+        )
+        deployments.append(deployed)
+        deployed.start()
+        return deployed
+
+    yield make
+    for deployed in deployments:
+        deployed.stop()
+
+
+async def read(deployment, count, act=None, at=10):
+    """Read an answer; start ``act`` in a thread after ``at`` tokens."""
+    tokens = []
+    action = None
+    async with client.Client('vendors', deployment.seeds) as caller:
+        async for token in caller.generate(
+            'small', conftest.PROMPT, max_tokens=count
+        ):
+            tokens.append(token)
+            if act is not None and len(tokens) == at:
+                action = asyncio.ensure_future(asyncio.to_thread(act))
+    if action is not None:
+        await action
+    conftest.assert_complete(tokens, count)
+
+
+def serving_entry(deployment):
+    """Return the name of the entry with the running generation."""
+    return next(
+        name
+        for name in deployment.entry_ports
+        if deployment.status(name)['generations']
+    )
+
+
+def others(deployment, name):
+    return [other for other in deployment.entry_ports if other != name]
+
+
+async def test_an_entry_killed_after_a_pause_of_its_copy_peers(
+    make_deployment,
+):
+    # Peers that answer late must get the tokens that they missed at once.
+    deployment = make_deployment(entries=3)
+
+    def pause_peers_then_kill():
+        serving = serving_entry(deployment)
+        for name in others(deployment, serving):
+            deployment.kill(name, signal.SIGSTOP)
+        time.sleep(0.4)
+        for name in others(deployment, serving):
+            deployment.kill(name, signal.SIGCONT)
+        time.sleep(0.5)
+        deployment.kill(serving)
+
+    await read(deployment, TOKEN_COUNT, pause_peers_then_kill)
+
+
+async def test_an_entry_that_started_before_its_copy_peers_is_killed(
+    make_deployment,
+):
+    # Peers that weren't up at the first batch must get copies soon after.
+    deployment = make_deployment(entries=3)
+    served_by = []
+    await read(
+        deployment,
+        20,
+        lambda: served_by.append(serving_entry(deployment)),
+    )
+    (serving,) = served_by
+    for name in deployment.entry_ports:
+        deployment.kill(name)
+    deployment.start_entry(serving)
+    await asyncio.sleep(1.5)
+    for name in others(deployment, serving):
+        deployment.start_entry(name)
+    deployment.wait_until_ready()
+    await read(
+        deployment, TOKEN_COUNT, lambda: deployment.kill(serving), at=30
+    )
+
+
+def serving_name(system):
+    return next(
+        name
+        for name, entry in system.entries.items()
+        if entry.registry.running
+    )
+
+
+def key_with_live_homes(system, lost):
+    """Return a key of which at most one home is among the lost entries."""
+    entries = system.listing().entries
+    for number in range(1000):
+        homes = decisions.home_entries(f'vendors/{number}', entries, 3)
+        if sum(home.name in lost for home in homes) <= 1:
+            return str(number)
+    raise AssertionError('every key has too many lost homes')
+
+
+async def test_an_entry_killed_after_its_copy_peers_were_killed(make_system):
+    # Other live entries must take the copies of lost ones.
+    system = await make_system(entries=5, gap_s=0.02)
+    caller = system.client()
+    probe = caller.generate('small', conftest.PROMPT, max_tokens=TOKEN_COUNT)
+    await anext(probe)
+    serving = serving_name(system)
+    peers = list(system.entries[serving].replicator.peers)
+    await probe.aclose()
+    copy_holders = [
+        name
+        for name, (_, peer) in system.addresses.items()
+        if str(peer) in peers
+    ]
+    lost = [*copy_holders, serving]
+
+    async def kill_all():
+        for name in copy_holders:
+            await system.kill_entry(name)
+        await asyncio.sleep(1.0)
+        await system.kill_entry(serving)
+
+    tokens = []
+    async for token in caller.generate(
+        'small',
+        conftest.PROMPT,
+        max_tokens=TOKEN_COUNT,
+        key=key_with_live_homes(system, lost),
+    ):
+        tokens.append(token)
+        if len(tokens) == 10:
+            killing = asyncio.ensure_future(kill_all())
+    await killing
+    conftest.assert_complete(tokens, TOKEN_COUNT)
