Test deployments take ports that nothing else takes

Seen: two of 76 runs of test_an_engine_and_its_entry_killed_together on, loops beside each other, failed while the deployment started: the booking service with 'address already in use', and an entry whose port was answered by another run (BadStatusLine).

Cause: ports were drawn from the range of outgoing connections, closed, and bound seconds later; meanwhile any connection or another run could take them. Two tests had fixed ports of that range, which two runs at once share.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -15,6 +15,7 @@
 from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import settings
+from bulrushhold import testing
 
 TIMING = decisions.Timing(heartbeat_s=0.1, election_s=0.5)
 
@@ -119,7 +120,7 @@
         raise errors.SettingsError('stop after construction')
 
     monkeypatch.setattr(control, 'ControlServer', record)
-    port = settings.Address('127.0.0.1', 45871)
+    port = settings.Address('127.0.0.1', testing.free_ports(1)[0])
     config = settings.Control(
         'c1', 'dc', port, str(tmp_path / 'c1'), {'c1': port}
     )
@@ -344,7 +345,7 @@
 async def test_disk_failure_does_not_end_the_process(tmp_path, monkeypatch):
     # Once writes to a full disk succeed again, the replica must restart from
     # its log and keep what it acknowledged.
-    port = settings.Address('127.0.0.1', 45873)
+    port = settings.Address('127.0.0.1', testing.free_ports(1)[0])
     config = settings.Control(
         'c1',
         'dc',
