Entries that start say so, and get back the pointers and copies they held

What callers saw: entries killed and restarted one after the other, each a second after the one before was ready, with eight streams of 12 s throughout: 410 'the answer is not known up to token N' for some of them.

Cause: a stream's pointers were renewed at their homes every 20 s only, and a home or copy peer that restarts has lost what it held. Membership saw the new incarnation and told nobody, nor that a member had died or come back, so that copy peers and homes of quotas followed the platform's list alone.

Change: a starting entry sends its incarnation to all members, as a leaving one does. Membership calls listeners; the replicator sends its unfinished transcripts again, and the registry renews the pointers that lived at the restarted home, one key at a time so that the loop isn't held up. Candidates for copies, and the homes of quotas, are computed anew as members change.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -12,6 +12,7 @@
 
 if t.TYPE_CHECKING:
     from bulrushhold import decisions
+    from bulrushhold import ports
 
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.1
 
@@ -130,7 +131,9 @@
             self.metrics,
             entry.OperatorRoutes(self.control, _operator_key(config)),
         )
+        self.membership.listeners.append(self._on_member_changed)
         await self.view.poll()
+        self.prober.announce_start()
         self.spawn(self.table.run())
         self.spawn(self.view.run())
         self.spawn(self.prober.run())
@@ -179,6 +182,14 @@
         self.background.discard(task)
         _background.log_failure(task)
 
+    def _on_member_changed(
+        self, instance: 'ports.Instance', may_have_restarted: bool
+    ) -> None:
+        self.view.changed.set()
+        if may_have_restarted:
+            self.replicator.resend(instance.peer)
+            self.registry.on_home_restarted(instance.peer)
+
     async def _update_peers(self) -> None:
         previous_names: set[str] = set()
         while True:
--- a/src/bulrushhold/decisions/_swim.py
+++ b/src/bulrushhold/decisions/_swim.py
@@ -43,6 +43,11 @@
 }
 
 
+# Called with a member whose status or incarnation has changed, and whether
+# it may have restarted.
+MemberListener = cabc.Callable[[ports.Instance, bool], None]
+
+
 @attrs.define
 class _Member:
     """Membership state of another entry."""
@@ -76,6 +81,7 @@
         self.status = Status.ALIVE
         self.rng = rng
         self.members: dict[str, _Member] = {}
+        self.listeners: list[MemberListener] = []
         self.probe_order: list[str] = []
         self.update_queue: dict[str, _QueuedUpdate] = {}
 
@@ -179,7 +185,7 @@
 
     def take_updates(self) -> list[messages.MemberNews]:
         """Return the updates for one message, this entry's status first."""
-        outgoing = [self._own_update()]
+        outgoing = [self.own_update()]
         queued = sorted(
             self.update_queue.items(),
             key=lambda pair: pair[1].remaining_sends,
@@ -196,9 +202,10 @@
         """Mark this entry as leaving and return the update to send."""
         self.incarnation += 1
         self.status = Status.LEAVING
-        return self._own_update()
+        return self.own_update()
 
-    def _own_update(self) -> messages.MemberNews:
+    def own_update(self) -> messages.MemberNews:
+        """Return the update about this entry itself."""
         return messages.MemberNews(
             self.name, self.incarnation, self.status.value
         )
@@ -216,9 +223,12 @@
         status: Status,
         now: float,
     ) -> None:
+        may_have_restarted = incarnation > member.incarnation
         member.incarnation = incarnation
         member.status = status
         member.status_since = now
         sends = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self.members) + 2))
         item = messages.MemberNews(name, incarnation, status.value)
         self.update_queue[name] = _QueuedUpdate(item, sends)
+        for listener in self.listeners:
+            listener(member.instance, may_have_restarted)
--- a/src/bulrushhold/entry/_keyregistrar.py
+++ b/src/bulrushhold/entry/_keyregistrar.py
@@ -176,17 +176,26 @@
         raise self._no_majority_error()
 
     def refresh(
-        self, key: str, epoch: int, start_epoch: int, fingerprint: str
+        self,
+        key: str,
+        epoch: int,
+        start_epoch: int,
+        fingerprint: str,
+        only: cabc.Container[str] | None = None,
     ) -> None:
         """Renew this entry's ownership at a key's homes, without waiting.
 
         Otherwise the homes would drop the pointer of a long-running text,
         and an entry that becomes a home later would never get one.
+
+        :param only: addresses of the homes to renew it at; all by default.
         """
         request = messages.PointerTake(
             key, epoch, fingerprint, self.copy_peers(), since=start_epoch
         )
         for home in decisions.home_entries(key, self.entries(), POINTER_HOMES):
+            if only is not None and home.peer not in only:
+                continue
             if home.peer == self.own_address:
                 self.store.take_pointer(request, time.monotonic())
             else:
--- a/src/bulrushhold/entry/_prober.py
+++ b/src/bulrushhold/entry/_prober.py
@@ -42,13 +42,23 @@
             elapsed = self.clock() - started
             await asyncio.sleep(max(0.0, period_s - elapsed))
 
+    def announce_start(self) -> None:
+        """Announce to every entry that this one has started.
+
+        It has lost the pointers and copies that an earlier process at its
+        address held for them.
+        """
+        self._announce(self.membership.own_update())
+
     def announce_leaving(self) -> None:
-        """Announce to every entry that this one accepts no new requests.
+        """Announce to every entry that this one accepts no new requests."""
+        self._announce(self.membership.start_leaving())
+
+    def _announce(self, news: messages.MemberNews) -> None:
+        """Send an update directly.
 
-        Sent directly, since gossip on probes takes several periods to
-        reach all entries.
+        Gossip on probes takes several periods to reach all entries.
         """
-        news = self.membership.start_leaving()
         for member in self.membership.members.values():
             self.transport.send(member.instance.peer, news)
 
--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -37,6 +37,7 @@
         self.store = store
         self.generations: dict[str, _generation.Generation] = {}
         self.open_locks: dict[str, asyncio.Lock] = {}
+        self.restarted_homes: set[str] = set()
         self.sweep_requested = asyncio.Event()
 
     async def open(
@@ -115,6 +116,11 @@
             generation.refresh_at = 0.0
         self.sweep_requested.set()
 
+    def on_home_restarted(self, address: str) -> None:
+        """Renew the pointers that a restarted entry has lost."""
+        self.restarted_homes.add(address)
+        self.sweep_requested.set()
+
     async def sweep(self) -> None:
         """Cancel abandoned streams, expire old ones and renew pointers."""
         interval_s = min(SWEEP_INTERVAL_S, self._refresh_s / 2)
@@ -123,11 +129,12 @@
                 async with asyncio.timeout(interval_s):
                     await self.sweep_requested.wait()
             self.sweep_requested.clear()
+            restarted, self.restarted_homes = self.restarted_homes, set()
             self.store.expire(time.monotonic())
             for key, generation in list(self.generations.items()):
                 if self.generations.get(key) is not generation:
                     continue
-                if self._sweep_one(generation):
+                if self._sweep_one(generation, restarted):
                     # Computing the homes of many keys would block the loop.
                     await asyncio.sleep(0)
 
@@ -135,7 +142,9 @@
     def _refresh_s(self) -> float:
         return self.config.copies.keep_s / 3
 
-    def _sweep_one(self, generation: _generation.Generation) -> bool:
+    def _sweep_one(
+        self, generation: _generation.Generation, restarted: set[str]
+    ) -> bool:
         """Expire, cancel or refresh; return whether pointers were sent."""
         now = time.monotonic()
         self._expire(generation, now)
@@ -143,14 +152,24 @@
             return False
         if now >= generation.refresh_at:
             generation.refresh_at = now + self._refresh_s
-            self.registrar.refresh(
-                generation.key,
-                generation.epoch,
-                generation.start_epoch,
-                generation.spec.fingerprint,
-            )
+            self._refresh(generation)
             return True
-        return False
+        if restarted:
+            self._refresh(generation, restarted)
+        return bool(restarted)
+
+    def _refresh(
+        self,
+        generation: _generation.Generation,
+        only: set[str] | None = None,
+    ) -> None:
+        self.registrar.refresh(
+            generation.key,
+            generation.epoch,
+            generation.start_epoch,
+            generation.spec.fingerprint,
+            only,
+        )
 
     def _expire(self, generation: _generation.Generation, now: float) -> None:
         if generation.readers:
--- a/src/bulrushhold/entry/_replication.py
+++ b/src/bulrushhold/entry/_replication.py
@@ -80,6 +80,16 @@
         if not self.choice.awaited:
             self.update_visible(generation)
 
+    def resend(self, address: str) -> None:
+        """Send all unfinished transcripts to a peer that may lack them.
+
+        Appends after a restart of the peer would do so as well, but a stream
+        that waits for its engine has none.
+        """
+        peer = self.peers.get(address)
+        if peer is not None:
+            peer.add(self.unfinished)
+
     async def close(self) -> None:
         """Stop replicating."""
         tasks = list(self.tasks.values())
--- a/tests/test_copy_peers.py
+++ b/tests/test_copy_peers.py
@@ -155,3 +155,24 @@
             killing = asyncio.ensure_future(kill_all())
     await killing
     conftest.assert_complete(tokens, TOKEN_COUNT)
+
+
+async def test_streams_survive_entries_restarted_one_after_the_other(
+    make_deployment,
+):
+    # Restarted homes and copy peers must learn of running streams at once.
+    deployment = make_deployment(entries=4)
+
+    def restart_all():
+        for name in deployment.entry_ports:
+            deployment.kill(name)
+            deployment.start_entry(name)
+            deployment.wait_until_ready([name])
+            time.sleep(1.0)
+
+    streams = [asyncio.ensure_future(read(deployment, 600)) for _ in range(8)]
+    await asyncio.sleep(1.0)
+    await asyncio.to_thread(restart_all)
+    results = await asyncio.gather(*streams, return_exceptions=True)
+    lost = [error for error in results if error is not None]
+    assert lost == []
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -171,3 +171,27 @@
     await conftest.wait_until(
         lambda: 'e1' not in {e.name for e in other.view.listed()}
     )
+
+
+def test_listeners_learn_of_a_restart_without_a_status_change():
+    # A restarted entry has lost what it stored, though it never seemed dead.
+    group = EntryGroup(3)
+    group.run_period()
+    changes = []
+    group.members['e1'].listeners.append(
+        lambda instance, restarted: changes.append((instance.name, restarted))
+    )
+    group.start('e2', 2, random.Random(5))
+    group.members['e1'].apply_updates(
+        [group.members['e2'].own_update()], group.now
+    )
+    assert changes == [('e2', True)]
+
+
+def test_listeners_learn_of_a_silent_member_that_has_not_restarted():
+    member = EntryGroup(3).members['e1']
+    changes = []
+    member.listeners.append(lambda *change: changes.append(change[1]))
+    member.unanswered('e2', 1.0)
+    member.tick(10.0)
+    assert changes == [False, False]
