A stream that failed is no longer replicated

What happened: a generation that was refused or cancelled stayed among the unfinished ones of its entry, which then sent it to each new or restarted copy peer until the entry ended; memory grew with each failed stream. Found by reading while tracing the copy peers.

Cause: only answers that were shown whole, or fenced, left the replicator.

Before: test_a_failed_stream_is_no_longer_replicated failed (1 of 1). After: passed; test_generations and test_copy_peers passed.

--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -149,6 +149,7 @@
         now = time.monotonic()
         self._expire(generation, now)
         if generation.ended:
+            self.replicator.forget(generation)
             return False
         if now >= generation.refresh_at:
             generation.refresh_at = now + self._refresh_s
--- a/src/bulrushhold/entry/_replication.py
+++ b/src/bulrushhold/entry/_replication.py
@@ -90,6 +90,11 @@
         if peer is not None:
             peer.add(self.unfinished)
 
+    def forget(self, generation: _generation.Generation) -> None:
+        """Stop replicating a generation that has ended."""
+        if self.unfinished.get(generation.key) is generation:
+            del self.unfinished[generation.key]
+
     async def close(self) -> None:
         """Stop replicating."""
         tasks = list(self.tasks.values())
--- a/tests/test_copy_peers.py
+++ b/tests/test_copy_peers.py
@@ -8,6 +8,7 @@
 
 from bulrushhold import client
 from bulrushhold import decisions
+from bulrushhold import errors
 from bulrushhold import testing
 from tests import conftest
 
@@ -157,6 +158,32 @@
     conftest.assert_complete(tokens, TOKEN_COUNT)
 
 
+async def test_a_failed_stream_is_no_longer_replicated(make_system):
+    # It would be sent to each new peer, and kept, until the entry ends.
+    system = await make_system(entries=3, engines=1)
+
+    async def lose_engines():
+        await system.engines['m1'].crash()
+        system.engines.clear()
+        await system.publish_list()
+
+    with pytest.raises(errors.RequestError):
+        async for _ in system.client().generate(
+            'small', conftest.PROMPT, max_tokens=TOKEN_COUNT
+        ):
+            if system.engines:
+                await lose_engines()
+    await conftest.wait_until(
+        lambda: (
+            not any(
+                entry.replicator.unfinished
+                for entry in system.entries.values()
+            )
+        ),
+        seconds=5,
+    )
+
+
 async def test_streams_survive_entries_restarted_one_after_the_other(
     make_deployment,
 ):
