A claim confirmed too late is closed by the entry that gave it up

What callers saw: a booking sent while a majority of control was frozen was refused after 5 s with 'ran: unknown'; sent again with its key at any later time, 409 'the call is in progress, or its entry was lost', 'ran: unknown', though nothing had run and nothing ever would.

Cause: the entry gave up the claim without closing it. A living leader with frozen followers keeps the claim in its log and commits it as they wake.

Ruled out: to answer 'no' at once. The key may have run through another entry.

--- a/src/bulrushhold/entry/_services.py
+++ b/src/bulrushhold/entry/_services.py
@@ -106,7 +106,9 @@
             return await self.control.propose(claim, CLAIM_TIMEOUT_S)
         except errors.PeerError as error:
             # The claim may still be committed, but this holder won't make
-            # the call. A retry gets "unknown" at worst, never a second run.
+            # the call. Left open, it would refuse every retry of the key
+            # with an unknown outcome.
+            self._record_in_background(claim, errors.Ran.NO)
             raise errors.RequestError(
                 'the claim was not confirmed by a majority of control',
                 'claim',
@@ -197,12 +199,24 @@
         If control has no leader, recording is retried in the background;
         until then, a repeated key gets the reply for a call in progress.
         """
+        task = self._record_in_background(
+            claim, errors.Ran.YES, answer.status, answer.body
+        )
+        await asyncio.wait([task], timeout=RECORD_WAIT_S)
+
+    def _record_in_background(
+        self,
+        claim: messages.Claim,
+        ran: errors.Ran,
+        status: int = 0,
+        body: bytes = b'',
+    ) -> asyncio.Task[bool]:
         task = asyncio.get_running_loop().create_task(
-            self._end_claim(claim, errors.Ran.YES, answer.status, answer.body)
+            self._end_claim(claim, ran, status, body)
         )
         self.recording_tasks.add(task)
         task.add_done_callback(self.recording_tasks.discard)
-        await asyncio.wait([task], timeout=RECORD_WAIT_S)
+        return task
 
     async def _end_claim(
         self,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import signal
+import time
 
+import aiohttp
 import pytest
+import uuid_utils
 
 from bulrushhold import client
 from bulrushhold import testing
@@ -187,3 +190,40 @@
     table = deployment.cli('table', 'show')
     for number in range(1, 7):
         assert f'account{number},chat,{number},' in table
+
+
+async def test_a_booking_refused_while_a_majority_was_frozen_is_closed(
+    deployment,
+):
+    # A claim committed after its entry gave up must not leave retries without
+    # an answer, nor may the booking then run twice.
+    leader = deployment.status()['control']['leader'].partition('.')[0]
+    followers = [name for name in deployment.control_ports if name != leader]
+    for name in followers:
+        deployment.kill(name, signal.SIGSTOP)
+    key = str(uuid_utils.uuid7())
+    status, error = await book_once(deployment, 0, key)
+    assert (status, error['ran']) == (503, 'unknown')
+    for name in followers:
+        deployment.kill(name, signal.SIGCONT)
+    ran = 'unknown'
+    deadline = time.monotonic() + 15.0
+    while ran == 'unknown' and time.monotonic() < deadline:
+        await asyncio.sleep(0.5)
+        status, error = await book_once(deployment, 1, key)
+        ran = error['ran']
+    # A claim that the freeze has lost lets the retry book.
+    runs = deployment.booking_counts().get('frozen-majority', 0)
+    assert (status, ran, runs) in ((409, 'no', 0), (200, 'yes', 1))
+
+
+async def book_once(deployment, entry_number, key):
+    """Send one booking, without retries; return its status and error."""
+    url = f'http://{deployment.seeds[entry_number]}/v1/services/booking/slots'
+    headers = {'Bulrushhold-Account': 'vendors', 'Idempotency-Key': key}
+    async with aiohttp.ClientSession() as session:
+        async with session.post(
+            url, json={'slot': 'frozen-majority'}, headers=headers
+        ) as response:
+            answer = await response.json()
+            return response.status, answer.get('error', {'ran': 'yes'})
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -7,6 +7,7 @@
 import uuid_utils
 
 from bulrushhold import errors
+from bulrushhold import messages
 from tests import conftest
 
 
@@ -103,6 +104,31 @@
     assert not system.booking.booking_counts
 
 
+async def test_a_claim_whose_confirmation_was_lost_is_closed(system):
+    # Left open, it would make each retry end with an unknown outcome.
+    control = system.entries['e1'].control
+    propose = control.propose
+
+    async def lose_reply(command, deadline_s):
+        result = await propose(command, deadline_s)
+        if isinstance(command, messages.Claim):
+            control.propose = propose
+            raise errors.PeerError('no reply', 'propose')
+        return result
+
+    control.propose = lose_reply
+    key = make_key()
+    status, _, answer = await start_booking(system, key)
+    assert (status, answer['error']['ran']) == (503, 'unknown')
+    claims = system.control.state.claims.records
+    await conftest.wait_until(
+        lambda: claims[f'vendors/{key}'].state == 'closed', seconds=5
+    )
+    error = await resend(system, key)
+    assert (error.status, error.ran) == (409, errors.Ran.NO)
+    assert not system.booking.booking_counts
+
+
 def start_booking(system, key):
     """Start a booking through e1 without waiting for the answer."""
     return asyncio.ensure_future(
