The client library says 'not run' only if no try may have run

What callers saw: Client.call ends with 'ran: no' though its first try, whose connection broke, may have booked; a caller that trusts it books twice.

Cause: the last refusal, or 'no entry could be reached', was taken for the outcome of the whole call.

Before: test_a_refused_retry_does_not_tell_that_the_first_try_has_not_run failed (1 of 1); the two tests beside it show what stays 'no'. After: test_client, test_services and test_generations passed. Found by reading, not seen in a run of the system.

--- a/src/bulrushhold/client.py
+++ b/src/bulrushhold/client.py
@@ -93,10 +93,11 @@
         }
         headers = {'Bulrushhold-Work': work, 'Idempotency-Key': key}
         received = 0
+        ran = errors.Ran.NO
         deadline = time.monotonic() + self.deadline_s
         failed: set[str] = set()
         while True:
-            entry = await self._pick_entry(failed, deadline)
+            entry = await self._pick_entry(failed, deadline, ran)
             if received:
                 headers['Last-Event-ID'] = str(received - 1)
             try:
@@ -108,15 +109,18 @@
                             f'token {offset} after {received}', entry
                         )
                     received += 1
+                    ran = errors.Ran.YES
                     # The deadline applies to the time without progress.
                     deadline = time.monotonic() + self.deadline_s
                     yield token
                 raise _stream_error('the stream ended early', entry)
             except _CONNECTION_ERRORS as error:
                 failed = {entry}
+                ran = _combine_ran(ran, _ran_after(error))
                 if time.monotonic() > deadline:
                     raise _stream_error(str(error), entry) from error
             except errors.RequestError as error:
+                ran = error.ran = _combine_ran(ran, error.ran)
                 if not _retry_elsewhere(error) or time.monotonic() > deadline:
                     raise
                 failed = {entry}
@@ -140,10 +144,11 @@
             made, as far as is known.
         """
         key = key or str(uuid_utils.uuid7())
+        ran = errors.Ran.NO
         deadline = time.monotonic() + self.deadline_s
         failed: set[str] = set()
         while True:
-            entry = await self._pick_entry(failed, deadline)
+            entry = await self._pick_entry(failed, deadline, ran)
             url = f'http://{entry}/v1/services/{service}/{path}'
             try:
                 async with self.session.request(
@@ -159,12 +164,17 @@
                     error = _decode_error(response.status, content, entry)
                 if error is None:
                     return Answer(response.status, content)
+                # A claim's outcome covers every try with this key.
+                if error.step != 'claim':
+                    error.ran = _combine_ran(ran, error.ran)
+                ran = error.ran
                 if error.status != 503 or time.monotonic() > deadline:
                     raise error
             except _CONNECTION_ERRORS as error:
+                ran = _combine_ran(ran, _ran_after(error))
                 if time.monotonic() > deadline:
                     raise errors.RequestError(
-                        str(error), 'call', entry, ran=errors.Ran.UNKNOWN
+                        str(error), 'call', entry, ran=ran
                     ) from error
             failed = {entry}
             await asyncio.sleep(RETRY_DELAY_S)
@@ -206,7 +216,13 @@
                     if token is not None:
                         yield offset, token
 
-    async def _pick_entry(self, failed: set[str], deadline: float) -> str:
+    async def _pick_entry(
+        self, failed: set[str], deadline: float, ran: errors.Ran
+    ) -> str:
+        """Return the entry to use next.
+
+        :param ran: whether earlier tries of the request have run.
+        """
         while True:
             if time.monotonic() >= self.entries_expire_at:
                 await self._refresh_entries(failed)
@@ -217,7 +233,10 @@
             self.entries_expire_at = 0.0
             if time.monotonic() > deadline:
                 raise errors.RequestError(
-                    'no entry could be reached', 'client', retry_after=1.0
+                    'no entry could be reached',
+                    'client',
+                    ran=ran,
+                    retry_after=1.0,
                 )
             await asyncio.sleep(RETRY_DELAY_S)
 
@@ -245,6 +264,24 @@
             return
 
 
+def _ran_after(error: Exception) -> errors.Ran:
+    """Whether a request has run whose connection failed."""
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return errors.Ran.NO
+    return errors.Ran.UNKNOWN
+
+
+def _combine_ran(earlier: errors.Ran, latest: errors.Ran) -> errors.Ran:
+    """Whether a request has run, from its earlier tries and the latest one.
+
+    A refusal of the latest try says nothing about the earlier ones.
+    """
+    for ran in (errors.Ran.YES, errors.Ran.UNKNOWN):
+        if ran in (earlier, latest):
+            return ran
+    return errors.Ran.NO
+
+
 def _decode_token(data: bytes) -> str | None:
     delta = json.loads(data)['choices'][0]['delta']
     return delta.get('content')
