--- a/src/bulrushhold/control/_registry.py
+++ b/src/bulrushhold/control/_registry.py
@@ -6,7 +6,8 @@
 
 from bulrushhold import messages
 
-# Three missed long polls. Until then callers may be sent to a crashed entry.
+# Three missed long polls of 0.3 s. Until then callers may be sent to a crashed
+# entry.
 ENTRY_TIMEOUT_S: t.Final = 1.0
 # Long enough for entries to move to another control process.
 RELAYED_ENTRY_TIMEOUT_S: t.Final = 2.0
--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -17,7 +17,8 @@
 from bulrushhold import node
 from bulrushhold import ports
 
-# The platform's rate limit is shared by all readers of its list.
+# The platform's rate limit is shared by all readers of its list, which itself
+# lags by up to 0.8 s.
 LIST_INTERVAL_S: t.Final = 0.4
 LIST_TIMEOUT_S: t.Final = 1.0
 LEADERSHIP_CHECK_INTERVAL_S: t.Final = 0.1
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -19,7 +19,7 @@
 # Penalties of engines are measured in prompts; see _placement.
 #
 # Engines of one data centre that fail within this time mark the whole data
-# centre as failing.
+# centre as failing for as long: it has lost power, or is cut off.
 DATA_CENTRE_FAILURE_WINDOW_S: t.Final = 1.3
 MIN_DATA_CENTRE_FAILURES: t.Final = 2
 DATA_CENTRE_PENALTY_PROMPTS: t.Final = 3.0
--- a/src/bulrushhold/decisions/_configchanges.py
+++ b/src/bulrushhold/decisions/_configchanges.py
@@ -9,8 +9,9 @@
 from bulrushhold import messages
 
 
-# A voter that hasn't acknowledged a heartbeat for this long may be replaced;
-# longer than a pause for a disk sync or CPU starvation.
+# A voter that hasn't acknowledged a heartbeat for this long may be replaced:
+# ten heartbeats and an election, longer than a pause for a disk sync or CPU
+# starvation.
 VOTER_TIMEOUT_S: t.Final = 1.5
 # A learner is promoted only if it acknowledged a heartbeat this recently.
 LEARNER_TIMEOUT_S: t.Final = 1.0
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -27,9 +27,9 @@
 # the streams of a lost data centre on the few idle engines.
 STALE_RUNNING_STREAM_COST_PROMPTS: t.Final = 0.08
 # Number of engines preferred for a prompt, chosen by rendezvous hashing of its
-# last segment. Spreads the streams of entries that can't see each other's
-# choices yet, and lets a retry through another entry reach the engine that has
-# the prompt cached.
+# last segment. Spreads the streams of a lost data centre, which all entries
+# place before they see each other's choices, and lets a retry through another
+# entry reach the engine that has the prompt cached.
 AFFINITY_CANDIDATES: t.Final = 5
 # The same for an entry that prefers the engines of its data centre.
 LOCAL_AFFINITY_CANDIDATES: t.Final = 3
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -19,7 +19,8 @@
 # engine with a poison one is retried on another engine, so that this number of
 # coincidences is rare.
 MAX_CRASHES: t.Final = 3
-# This many losses in one data centre within this time have a common cause.
+# This many losses in one data centre within this time have a common cause: its
+# engines fall silent within 0.6 s of each other when it loses power.
 CORRELATED_WINDOW_S: t.Final = 1.3
 MIN_CORRELATED_LOSSES: t.Final = 3
 # Time after which a crash is forgotten: the engine may have been redeployed.
--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -18,7 +18,8 @@
 # Allows for clock differences and for requests counted by a failed entry.
 LOCAL_SHARE_MARGIN: t.Final = 0.8
 # Share of the shared budget up to which an entry may exceed its local one. The
-# rest covers retries that other entries haven't reported yet.
+# rest covers retries that other entries haven't reported yet: the loss of a
+# data centre makes all entries retry its streams at once.
 SHARED_LIMIT: t.Final = 0.7
 # Refusing to retry a started stream loses the events that its caller received;
 # a stream without events is refused as not run, and its caller can retry it.
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -22,13 +22,14 @@
 REPLY_MARGIN_S: t.Final = 0.5
 RETRY_PAUSE_S: t.Final = 0.05
 URGENT_REPORT_TIMEOUT_S: t.Final = 0.3
-# Batches the engines of a lost data centre into one report.
+# Batches the engines of a lost data centre, which are lost within a few
+# milliseconds, into one report.
 REPORT_INTERVAL_S: t.Final = 0.01
 # Unchanged load is reported again: a new leader has no reports yet, and
 # traffic counts expire.
 REPORT_REFRESH_S: t.Final = 1.0
 # An older backend list is read from the platform directly, so that servers
-# that are shutting down get no new requests.
+# that are shutting down get no new requests: the bound is 3 s.
 LIST_MAX_AGE_S: t.Final = 1.2
 LIST_TIMEOUT_S: t.Final = 1.0
 # Covers a leader election after a cold start of the whole system.
