A home that missed a new key's registration is told within a second

What could happen: a key is registered once a majority of its homes has it. A home that didn't answer got its pointer with the renewal 20 s later; until then the loss of two others left the stream without a conclusive home.

Before: test_a_home_that_missed_a_new_key_learns_of_it_soon failed (2 of 2). After: passed, with test_keyregistrar and test_generations.

--- a/src/bulrushhold/entry/_keyregistrar.py
+++ b/src/bulrushhold/entry/_keyregistrar.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc as cabc
+import functools
 import time
 import typing as t
 
@@ -57,6 +58,8 @@
         self.copy_peers = copy_peers
         self.own_address = str(config.peer)
         self.requests: set[asyncio.Task[t.Any]] = set()
+        # Keys of which a home hasn't answered.
+        self.missed_keys: set[str] = set()
         self.epoch_suffix = (
             xxhash.xxh3_64_intdigest(config.name.encode()) & 0xFFFF
         )
@@ -233,6 +236,8 @@
         )
         homes = decisions.pointer_homes(key, self.entries())
         pending = self._start_requests([home.peer for home in homes], request)
+        for task in pending:
+            task.add_done_callback(functools.partial(self._note_missed, key))
         states: list[messages.PointerState] = []
         summary = decisions.summarize_pointers(states, len(homes))
         while pending and not suffices(summary):
@@ -244,6 +249,10 @@
             summary = decisions.summarize_pointers(states, len(homes))
         return summary
 
+    def _note_missed(self, key: str, request: asyncio.Task[t.Any]) -> None:
+        if not request.cancelled() and request.result() is None:
+            self.missed_keys.add(key)
+
     async def _take_copies(
         self, key: str, epoch: int, pointers: decisions.PointerSummary
     ) -> tuple[messages.CopyState | None, bool]:
--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -121,6 +121,15 @@
         self.restarted_homes.add(address)
         self.sweep_requested.set()
 
+    def _refresh_missed(self) -> None:
+        """Renew the pointers of keys that a home hasn't registered."""
+        for key in list(self.registrar.missed_keys):
+            generation = self.generations.get(key)
+            if generation is not None:
+                generation.refresh_at = 0.0
+            if key not in self.open_locks:
+                self.registrar.missed_keys.discard(key)
+
     async def sweep(self) -> None:
         """Cancel abandoned streams, expire old ones and renew pointers."""
         interval_s = min(SWEEP_INTERVAL_S, self._refresh_s / 2)
@@ -130,6 +139,7 @@
                     await self.sweep_requested.wait()
             self.sweep_requested.clear()
             restarted, self.restarted_homes = self.restarted_homes, set()
+            self._refresh_missed()
             self.store.expire(time.monotonic())
             for key, generation in list(self.generations.items()):
                 if self.generations.get(key) is not generation:
--- a/tests/test_copy_peers.py
+++ b/tests/test_copy_peers.py
@@ -1,6 +1,7 @@
 """Streams survive the loss of their entry while copy peers fail."""
 
 import asyncio
+import json
 import signal
 import time
 
@@ -9,6 +10,7 @@
 from bulrushhold import client
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold import messages
 from bulrushhold import testing
 from tests import conftest
 
@@ -192,6 +194,35 @@
     conftest.assert_complete(tokens, TOKEN_COUNT)
 
 
+async def test_a_home_that_missed_a_new_key_learns_of_it_soon(make_system):
+    # Without its pointer, the loss of two other homes would lose the stream.
+    system = await make_system(entries=3, gap_s=0.02)
+    home = system.entries['e3']
+    take_pointer = home.transport.handlers[messages.PointerTake]
+
+    async def miss_once(request):
+        home.transport.handlers[messages.PointerTake] = take_pointer
+        raise errors.PeerError('busy', 'pointer')
+
+    home.transport.handlers[messages.PointerTake] = miss_once
+    started = asyncio.ensure_future(
+        system.post(
+            '/v1/chat/completions',
+            json.dumps(
+                {
+                    'model': 'small',
+                    'messages': conftest.PROMPT,
+                    'max_tokens': TOKEN_COUNT,
+                }
+            ),
+            'e1',
+            Bulrushhold_Account='vendors',
+        )
+    )
+    await conftest.wait_until(lambda: home.store.pointers, seconds=1.5)
+    await started
+
+
 async def test_a_failed_stream_is_no_longer_replicated(make_system):
     # It would be sent to each new peer, and kept, until the entry ends.
     system = await make_system(entries=3, engines=1)
