--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -50,11 +50,11 @@
 
 def serving_entry(deployment):
     """Return the name of the entry with the running generation."""
-    return next(
-        name
-        for name in deployment.entry_ports
-        if deployment.status(name)['generations']
-    )
+    for name in deployment.entry_ports:
+        if deployment.status(name)['generations']:
+            return name
+    # A StopIteration can't leave a thread: the test would never end.
+    raise AssertionError('the stream ended before its entry was found')
 
 
 async def test_a_stream_survives_a_killed_engine(deployment):
