--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -55,14 +55,16 @@
         :raises RequestError: if the answer can't be continued correctly.
         """
         lock = self.open_locks.setdefault(key, asyncio.Lock())
-        async with lock:
-            generation = self.generations.get(key)
-            if generation is None or await self._needs_restart(generation):
-                generation = await self._start(
-                    key, spec, received, new_key=new_key
-                )
-        if not lock.locked():
-            self.open_locks.pop(key, None)
+        try:
+            async with lock:
+                generation = self.generations.get(key)
+                if generation is None or await self._needs_restart(generation):
+                    generation = await self._start(
+                        key, spec, received, new_key=new_key
+                    )
+        finally:
+            if not lock.locked():
+                self.open_locks.pop(key, None)
         if generation.spec.fingerprint != spec.fingerprint:
             raise errors.RequestError(
                 'the idempotency key was used for another request',
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -224,6 +224,19 @@
     assert answer['error']['step'] == 'resume'
 
 
+async def test_a_refused_key_leaves_no_lock_behind(system):
+    # The locks of all keys that were refused stayed in memory.
+    status, _, _ = await system.post(
+        '/v1/chat/completions',
+        json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
+        Bulrushhold_Account='vendors',
+        Idempotency_Key='unknown',
+        Last_Event_ID='9',
+    )
+    assert status == 410
+    assert not system.entries['e1'].registry.open_locks
+
+
 async def test_an_abandoned_stream_is_kept_then_cancelled(
     make_system,
 ):
