An error after the headers keeps its status

What callers saw: a refusal that takes longer than 0.5 s comes as an event of a stream that has begun, and the client library reported status 500 for it; a quarantined request looked like a fault of ours.

Change: error bodies carry the status. What is retried elsewhere is as it was.

Tests of copy peers stream for 5 and 15 s instead of 2 and 12, so that their kills come within the stream on a busy machine; the checks are as they were.

--- a/src/bulrushhold/client.py
+++ b/src/bulrushhold/client.py
@@ -27,6 +27,11 @@
 )
 
 
+@attrs.define(slots=False)
+class _StreamFailedError(errors.RequestError):
+    """An error that an entry reported in a stream that had begun."""
+
+
 @attrs.frozen
 class Answer:
     """A plain service's response."""
@@ -211,7 +216,9 @@
                 elif line.startswith(b'data: '):
                     if is_error:
                         error = _decode_error(500, line[6:], entry)
-                        raise error or _stream_error('bad error event', entry)
+                        if error is None:
+                            raise _stream_error('bad error event', entry)
+                        raise _StreamFailedError(**attrs.asdict(error))
                     token = _decode_token(line[6:])
                     if token is not None:
                         yield offset, token
@@ -300,7 +307,7 @@
             fields['step'],
             fields['peer'] or entry,
             ran=errors.Ran(fields['ran']),
-            status=status,
+            status=fields.get('status', status),
             retry_after=fields.get('retry_after'),
         )
     except (ValueError, KeyError, TypeError):
@@ -313,4 +320,6 @@
 
 def _retry_elsewhere(error: errors.RequestError) -> bool:
     """Whether to retry at another entry with the same key."""
-    return error.status == 503 or error.step in ('fenced', 'entry')
+    if error.step in ('fenced', 'entry'):
+        return True
+    return error.status == 503 and not isinstance(error, _StreamFailedError)
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -99,8 +99,12 @@
     retry_after: float | None = None
 
     def body(self) -> dict[str, t.Any]:
-        """Return the JSON body of the error response."""
+        """Return the JSON body of the error response, or of an error event.
+
+        An event has no other place for the status.
+        """
         error: dict[str, t.Any] = {
+            'status': self.status,
             'ran': self.ran.value,
             'step': self.step,
             'peer': self.peer,
--- a/tests/test_copy_peers.py
+++ b/tests/test_copy_peers.py
@@ -23,7 +23,7 @@
 
     def make(entries):
         deployed = testing.Deployment(
-            tmp_path, entries=entries, engines=3, gap_s=0.02
+            tmp_path, entries=entries, engines=3, gap_s=0.05
         )
         deployments.append(deployed)
         deployed.start()
@@ -262,7 +262,7 @@
             deployment.wait_until_ready([name])
             time.sleep(1.0)
 
-    streams = [asyncio.ensure_future(read(deployment, 600)) for _ in range(8)]
+    streams = [asyncio.ensure_future(read(deployment, 300)) for _ in range(8)]
     await asyncio.sleep(1.0)
     await asyncio.to_thread(restart_all)
     results = await asyncio.gather(*streams, return_exceptions=True)
--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushhold.entry import _requests
+from bulrushhold.entry import _server
 from bulrushhold import errors
 from bulrushhold import messages
 from tests import conftest
@@ -114,6 +115,18 @@
     assert len(alive) == 2
 
 
+async def test_an_error_after_the_headers_keeps_its_status(
+    make_system, monkeypatch
+):
+    # A slow refusal comes as an event, and the client took it for a 500.
+    monkeypatch.setattr(_server, 'MAX_HEADER_DELAY_S', 0.0)
+    system = await make_system(engines=4)
+    prompt = [{'role': 'user', 'content': 'CRASH please'}]
+    with pytest.raises(errors.RequestError) as caught:
+        await read(system.client(), prompt=prompt)
+    assert caught.value.status == 422
+
+
 async def test_a_request_on_the_same_engine_as_a_poison_request_completes(
     make_system,
 ):
