--- a/tests/test_generations.py
+++ b/tests/test_generations.py
@@ -225,7 +225,8 @@
     assert refusal['error']['step'] == 'fenced'
 
 
-async def test_a_resume_past_the_known_answer_is_refused(system):
+async def resume_unknown_answer(system):
+    """Resume an answer that no entry knows; return the status and error."""
     status, _, answer = await system.post(
         '/v1/chat/completions',
         json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
@@ -233,19 +234,18 @@
         Idempotency_Key='unknown',
         Last_Event_ID='9',
     )
+    return status, answer['error']
+
+
+async def test_a_resume_past_the_known_answer_is_refused(system):
+    status, error = await resume_unknown_answer(system)
     assert status == 410
-    assert answer['error']['step'] == 'resume'
+    assert error['step'] == 'resume'
 
 
 async def test_a_refused_key_leaves_no_lock_behind(system):
     # The locks of all keys that were refused stayed in memory.
-    status, _, _ = await system.post(
-        '/v1/chat/completions',
-        json.dumps({'model': 'small', 'messages': conftest.PROMPT}),
-        Bulrushhold_Account='vendors',
-        Idempotency_Key='unknown',
-        Last_Event_ID='9',
-    )
+    status, _ = await resume_unknown_answer(system)
     assert status == 410
     assert not system.entries['e1'].registry.open_locks
 
