Entries log the request limits that backend servers name

The logs couldn't tell whether an entry had received one: the header is now decoded at the edge, and an entry says as a server's limit begins, changes and ends, with the request whose response said so. A malformed limit is logged once a server and counted.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -99,6 +99,16 @@
     slots: int
 
 
+@attrs.frozen
+class RequestLimit:
+    """The rate of requests that a backend server accepts from all entries.
+
+    :param per_s: requests per second; ``None`` if the value is malformed.
+    """
+
+    per_s: float | None
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of a backend server's response.
@@ -109,6 +119,7 @@
         servers.
     :param not_run: the backend server states that it did not run the call.
     :param instance: ident of the responding process, or ``''``.
+    :param limit: the request limit that the response names, if any.
     """
 
     status: int
@@ -118,6 +129,7 @@
     not_run: bool
     instance: str = ''
     load: BackendLoad | None = None
+    limit: RequestLimit | None = None
 
 
 class BackendResponse(abc.ABC):
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -10,6 +10,7 @@
 
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _enginespeeds
+from bulrushhold.decisions import _requestlimits
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
 
@@ -65,6 +66,7 @@
         self.capacity: dict[str, int] = {}
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
+        self.limits = _requestlimits.RequestLimits()
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.replaced_idents: set[str] = set()
@@ -96,6 +98,7 @@
             backends[item.ident] = server
         self.backends = backends
         self.replaced_idents &= backends.keys()
+        self.limits.retain(backends.keys())
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -82,11 +82,49 @@
     )
 
 
-def record_load(
-    context: ForwardingContext, ident: str, head: calls.ResponseHead
+def record_response(
+    context: ForwardingContext,
+    job: Job,
+    ident: str,
+    head: calls.ResponseHead,
+    sent_at: float,
 ) -> None:
-    """Record the server load that a response reports."""
+    """Record what a response says of the server itself.
+
+    :param sent_at: when the request was sent.
+    """
     if head.load is not None:
         context.placement.record_reported_load(
             ident, head.load.running, head.load.waiting, context.clock()
         )
+    if head.matches_request and (head.from_backend or head.limit is not None):
+        _record_limit(context, job, ident, head.limit, sent_at)
+
+
+def _record_limit(
+    context: ForwardingContext,
+    job: Job,
+    ident: str,
+    limit: calls.RequestLimit | None,
+    sent_at: float,
+) -> None:
+    limits = context.placement.limits
+    before = limits.current(ident)
+    if limit is None:
+        # A response without a limit may be older than the newest one with a
+        # limit, unless its request was sent later.
+        changed = limits.record(ident, None, sent_at)
+    elif limit.per_s is None:
+        if limits.mark_malformed(ident):
+            log(job, 'malformed server limit', backend=ident)
+        return
+    else:
+        changed = limits.record(ident, limit.per_s, context.clock())
+    if changed:
+        log(
+            job,
+            'server limit',
+            backend=ident,
+            per_s=limits.current(ident),
+            previous_per_s=before,
+        )
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -100,7 +100,13 @@
     async def run(self) -> calls.Reply | None:
         response = await self._open()
         head = response.head
-        _context.record_load(self.context, self.engine.ident, head)
+        _context.record_response(
+            self.context,
+            self.stream.job,
+            self.engine.ident,
+            head,
+            self.started_at,
+        )
         if head.not_run:
             if head.status == 421:
                 self.context.placement.mark_replaced(self.engine.ident)
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -175,10 +175,13 @@
             new_connection=not self.repeatable,
         )
         response = None
+        sent_at = self.context.clock()
         try:
             response = await self.context.client.send(self.job.call, attempt)
             head = response.head
-            _context.record_load(self.context, backend.ident, head)
+            _context.record_response(
+                self.context, self.job, backend.ident, head, sent_at
+            )
             if head.not_run:
                 if head.status == 421:
                     self.context.placement.mark_replaced(backend.ident)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -20,6 +20,7 @@
         ``silent``, or ``half`` an event and a reset.
     :param error: step at which the request fails, or ``''``.
     :param open_delay_s: delay before the response headers.
+    :param limit: request limit that the response names.
     """
 
     status: int = 200
@@ -31,6 +32,7 @@
     error: str = ''
     body: bytes = b'done'
     open_delay_s: float = 0.0
+    limit: calls.RequestLimit | None = None
 
 
 class FakeResponse(calls.BackendResponse):
@@ -45,6 +47,7 @@
             script.matches_request,
             script.from_backend,
             script.not_run,
+            limit=script.limit,
         )
 
     async def chunk(self):
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -364,3 +364,30 @@
         load_settings(tmp_path, text)
     assert expected in str(exc_info.value)
     assert '\n' not in str(exc_info.value)
+
+
+@pytest.mark.parametrize(
+    ('values', 'per_s'),
+    [
+        (['2.6'], 2.6),
+        (['0'], 0.0),
+        (['1e9'], 1e9),
+        (['5', '2.5'], 2.5),
+        (['-1'], None),
+        (['nan'], None),
+        (['inf'], None),
+        ([''], None),
+        (['many'], None),
+        (['5', 'many'], None),
+    ],
+)
+def test_a_request_limit_is_decoded_or_marked_as_malformed(values, per_s):
+    headers = multidict.CIMultiDict(('Server-Limit', v) for v in values)
+    head = _enginedialect.PlatformEngineDialect().decode_head(
+        decode_call(), 200, headers
+    )
+    assert head.limit == calls.RequestLimit(per_s)
+
+
+def test_a_response_without_a_request_limit_names_none():
+    assert decode_head().limit is None
