--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,9 +35,18 @@
 
 
 def pytest_collection_modifyitems(config, items):
-    """Deselect the known failures, which the summary lists instead."""
+    """Deselect the known failures, which the summary lists instead.
+
+    A test named on the command line runs in any case.
+    """
+    named = {argument.partition('[')[0] for argument in config.args}
     failures = known_failures()
-    deselected = [item for item in items if item.nodeid in failures]
+    deselected = [
+        item
+        for item in items
+        if item.nodeid in failures
+        and item.nodeid.partition('[')[0] not in named
+    ]
     for item in deselected:
         items.remove(item)
     config.hook.pytest_deselected(items=deselected)
