--- a/src/bulrushhold/emulator/__init__.py
+++ b/src/bulrushhold/emulator/__init__.py
@@ -7,6 +7,9 @@
 from bulrushhold.emulator._rollouts import Onset
 from bulrushhold.emulator._rollouts import RolloutScenario
 from bulrushhold.emulator._rollouts import RolloutSimulation
+from bulrushhold.emulator._service import PlainOutcome
+from bulrushhold.emulator._service import PlainServer
+from bulrushhold.emulator._service import ServiceSystem
 from bulrushhold.emulator._system import Outcome
 from bulrushhold.emulator._system import System
 from bulrushhold.emulator._system import Workload
@@ -17,8 +20,11 @@
     'EngineProfile',
     'Onset',
     'Outcome',
+    'PlainOutcome',
+    'PlainServer',
     'RolloutScenario',
     'RolloutSimulation',
+    'ServiceSystem',
     'System',
     'Workload',
     'run',
--- /dev/null
+++ b/src/bulrushhold/emulator/_service.py
@@ -0,0 +1,252 @@
+"""Simulates a plain service whose servers may name a request limit."""
+
+import asyncio
+import random
+import typing as t
+
+import attrs
+
+from bulrushhold import calls
+from bulrushhold.emulator import _system
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import routes
+
+ONE_WAY_DELAY_S: t.Final = 0.002
+# Time that an entry has to act on a limit.
+REACTION_S: t.Final = 0.5
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached a server.
+
+    :param informed_at: when the entry first relayed a response of the server
+        that names a limit; ``None`` if it hadn't yet.
+    """
+
+    at: float
+    entry: str
+    informed_at: float | None
+
+    @property
+    def is_informed(self) -> bool:
+        """Whether the entry had time to act on the limit."""
+        return (
+            self.informed_at is not None
+            and self.at >= self.informed_at + REACTION_S
+        )
+
+
+@attrs.define(eq=False)
+class PlainServer:
+    """A server of a plain service.
+
+    :param latency_s: time that it takes to respond.
+    :param limit: request limit that its responses name.
+    :param arrivals: all requests that it received.
+    :param informed_at: by entry, when it first relayed a limit.
+    """
+
+    ident: str
+    address: str
+    data_centre: str
+    latency_s: float = 0.09
+    limit: float | None = None
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    informed_at: dict[str, float] = attrs.field(factory=dict)
+
+    def highest_count(
+        self, since: float, window_s: float, *, informed_only: bool = False
+    ) -> int:
+        """Return the highest number of arrivals in any window.
+
+        :param since: windows that begin earlier are left out.
+        :param informed_only: count only entries that had relayed a limit
+            half a second before or earlier.
+        """
+        times = [
+            arrival.at
+            for arrival in self.arrivals
+            if arrival.at >= since
+            and (not informed_only or arrival.is_informed)
+        ]
+        return max(
+            (sum(t <= u < t + window_s for u in times) for t in times),
+            default=0,
+        )
+
+
+@attrs.frozen
+class PlainOutcome:
+    """Result of one caller's request.
+
+    :param error: the refusal or failure; ``None`` if it was served.
+    """
+
+    arrived_at: float
+    ended_at: float
+    error: errors.RequestError | None
+
+
+class _Response(calls.BackendResponse):
+    def __init__(self, head: calls.ResponseHead) -> None:
+        self.head = head
+
+    async def chunk(self) -> bytes:
+        return b''
+
+    async def body(self) -> bytes:
+        return b'done'
+
+    def close(self) -> None:
+        pass
+
+
+class _ServiceClient(calls.BackendClient):
+    """The connections of one entry to the servers."""
+
+    def __init__(self, entry: str, servers: dict[str, PlainServer]) -> None:
+        self.entry = entry
+        self.servers = servers
+
+    async def send(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.BackendResponse:
+        """Send a call and return its response."""
+        server = self.servers[attempt.address]
+        await asyncio.sleep(ONE_WAY_DELAY_S)
+        informed_at = server.informed_at.get(self.entry)
+        now = _system.emulated_now()
+        server.arrivals.append(Arrival(now, self.entry, informed_at))
+        await asyncio.sleep(server.latency_s)
+        limit = server.limit
+        await asyncio.sleep(ONE_WAY_DELAY_S)
+        if limit is not None:
+            now = _system.emulated_now()
+            server.informed_at.setdefault(self.entry, now)
+        return _Response(
+            calls.ResponseHead(
+                200,
+                (),
+                True,
+                True,
+                False,
+                limit=None if limit is None else calls.RequestLimit(limit),
+            )
+        )
+
+    async def probe(self, address: str, timeout: float) -> bool:
+        """Return that the server is up."""
+        return True
+
+    async def cached_segments(
+        self, address: str, timeout: float
+    ) -> frozenset[str]:
+        """Return no segments: plain servers have no prompt cache."""
+        return frozenset()
+
+    async def copy_run(
+        self, call: calls.Call, source: str, target: str, timeout: float
+    ) -> calls.RunCopy:
+        """Fail: plain servers hold no copies."""
+        raise errors.BackendError('no copies', 'copy', source)
+
+    async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class ServiceSystem(_system.EntryGroup):
+    """A plain service in three data centres, and its entries."""
+
+    def __init__(self, servers: int, entries: int, seed: int) -> None:
+        super().__init__(seed)
+        self.servers = [
+            PlainServer(f's{n}', f'10.0.0.{n}:80', f'dc{n % 3}')
+            for n in range(servers)
+        ]
+        by_address = {server.address: server for server in self.servers}
+        self.add_entries(entries, lambda n: _ServiceClient(n, by_address))
+        for entry in self.entries:
+            entry.placement.update(
+                [
+                    messages.ListedBackend(
+                        server.ident,
+                        _system.SERVICE,
+                        server.address,
+                        server.data_centre,
+                        64,
+                    )
+                    for server in self.servers
+                ]
+            )
+
+    async def simulate(
+        self,
+        requests_per_s: float,
+        duration_s: float,
+        *,
+        entries: int | None = None,
+        kind: routes.Kind = routes.Kind.ONCE,
+        timeout_s: float = 3.0,
+    ) -> list[PlainOutcome]:
+        """Send requests and return their outcomes, in order of their ends.
+
+        :param entries: number of entries that receive requests; all if
+            ``None``.
+        """
+        targets = self.entries[:entries]
+        ends_at = _system.emulated_now() + duration_s
+        outcomes: list[PlainOutcome] = []
+        callers = []
+        while _system.emulated_now() < ends_at:
+            await asyncio.sleep(self.rng.expovariate(requests_per_s))
+            callers.append(
+                asyncio.ensure_future(
+                    self._send(
+                        self.rng.choice(targets), kind, timeout_s, outcomes
+                    )
+                )
+            )
+        await asyncio.gather(*callers)
+        return outcomes
+
+    async def _send(
+        self,
+        entry: t.Any,
+        kind: routes.Kind,
+        timeout_s: float,
+        outcomes: list[PlainOutcome],
+    ) -> None:
+        now = _system.emulated_now()
+        entry.budget.count_request(_system.SERVICE, now)
+        job = _make_job(self.rng, kind, now, timeout_s)
+        error = None
+        try:
+            await forwarding.PlainForwarder(entry.context, job).run()
+        except errors.RequestError as failure:
+            error = failure
+        outcomes.append(PlainOutcome(now, _system.emulated_now(), error))
+
+
+def _make_job(
+    rng: random.Random, kind: routes.Kind, now: float, timeout_s: float
+) -> forwarding.Job:
+    call = calls.Call(
+        f'{rng.getrandbits(64):x}', 'POST', '/a/', 'h', 'k', (), b'', timeout_s
+    )
+    route = routes.Route(
+        'r',
+        'h',
+        '/a/',
+        kind,
+        [routes.Target(_system.SERVICE, 1.0)],
+        timeout_s,
+        timeout_s / 8,
+        max_attempts=5,
+    )
+    return forwarding.Job(call, route, _system.SERVICE, 'a', now + timeout_s)
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -120,7 +120,7 @@
         self,
         name: str,
         data_centre: str,
-        system: 'System',
+        system: 'EntryGroup',
         client: calls.BackendClient,
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -178,7 +178,36 @@
         self.admission.apply_loads(waiting, now)
 
 
-class System:
+class EntryGroup:
+    """Entries in three data centres that exchange load reports."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        # The forwarding package uses the global random generator.
+        random.seed(seed)
+        self.load_aggregator = decisions.LoadAggregator()
+        self.entries: list[_Entry] = []
+
+    def add_entries(
+        self,
+        count: int,
+        make_client: cabc.Callable[[str], calls.BackendClient],
+    ) -> None:
+        """Create the entries.
+
+        :param make_client: returns the backend client of the entry with the
+            given name.
+        """
+        for number in range(count):
+            name = f'e{number}'
+            self.entries.append(
+                _Entry(name, f'dc{number % 3}', self, make_client(name))
+            )
+        for entry in self.entries:
+            entry.budget.entries = count
+
+
+class System(EntryGroup):
     """Engines in three data centres and the entries that forward to them."""
 
     def __init__(
@@ -187,9 +216,7 @@
         entries: int,
         seed: int,
     ) -> None:
-        self.rng = random.Random(seed)
-        # The forwarding package uses the global random generator.
-        random.seed(seed)
+        super().__init__(seed)
         self.engines = {}
         for number, profile in enumerate(profiles):
             address = f'10.0.{number // 250}.{number % 250}:80'
@@ -198,14 +225,9 @@
                 address, data_centre, profile
             )
         self.lengths: dict[str, int] = {}
-        self.load_aggregator = decisions.LoadAggregator()
         client = _client.EmulatedClient(self.engines, self.lengths)
-        self.entries = [
-            _Entry(f'e{n}', f'dc{n % 3}', self, client) for n in range(entries)
-        ]
+        self.add_entries(entries, lambda name: client)
         self.outcomes: list[Outcome] = []
-        for entry in self.entries:
-            entry.budget.entries = entries
         kv_capacity = min(profile.kv_capacity for profile in profiles)
         for entry in self.entries:
             entry.placement.capacity = {SERVICE: kv_capacity}
