Request limits of backend servers are kept over all entries

Cause: nothing in the code read the limit or took it into account.

Change: an entry needs a permit of the server's home, one control process, for each request to a limited server, and goes elsewhere or refuses at once without one. The home paces four fifths of the limit; entries without contact to it share the rest. Entries tell each other of a limit as of lost engines. The check is repeated where all requests are sent. Rates leased to entries, as for client accounts, were ruled out by arithmetic: over 300 entries a lease of 2.6 a second is either nothing or a burst of 300.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -65,6 +65,7 @@
         KV cache; ``''`` for none.
     :param copy: KV cache copy from which to resume.
     :param new_connection: whether to open a new connection.
+    :param permitted: the server's request limit allows this attempt.
     """
 
     address: str
@@ -75,6 +76,7 @@
     backup: str = ''
     copy: 'RunCopy | None' = None
     new_connection: bool = False
+    permitted: bool = False
 
 
 @attrs.frozen
@@ -165,6 +167,8 @@
 
         :raises BackendError: its ``step`` is ``connect`` only if no byte of
             the call can have been sent.
+        :raises NoPermitError: if the server has a request limit and the
+            attempt no permit; it was not sent.
         """
 
     @abc.abstractmethod
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -74,8 +74,11 @@
         config = self.config
         self.transport = node.ZmqTransport(str(config.peer))
         self.session = adapters.make_session()
-        self.client = adapters.HttpBackendClient(self.adapters.engine_dialect)
         placement = decisions.Placement(random.Random(), config.data_centre)
+        self.client = forwarding.PermitCheckingClient(
+            adapters.HttpBackendClient(self.adapters.engine_dialect),
+            placement.limits,
+        )
         budget = decisions.ServiceRetryBudget(
             config.repeat_ratio,
             config.repeat_allowance,
@@ -105,6 +108,10 @@
             self.metrics,
             poison_requests,
             admission,
+            config.name,
+            forwarding.ControlPermitSource(
+                self.transport, lambda: self.fleet.servers.nodes
+            ),
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         self.ingress = adapters.Ingress(
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -4,6 +4,7 @@
 
 from bulrushhold.control import _clusterview
 from bulrushhold.control import _leaderclient
+from bulrushhold.control import _permits
 from bulrushhold.control import _relay
 from bulrushhold.control import _rollouts
 from bulrushhold.control import _server
@@ -64,6 +65,7 @@
             server.clock,
         )
         self.watch.attach_hooks.append(self._announce)
+        self.permits = _permits.PermitServer(server.transport, server.clock)
 
     @property
     def leader_client(self) -> _leaderclient.LeaderClient:
@@ -111,6 +113,7 @@
             relay.clock,
         )
         self.watch.attach_hooks.append(self.follower.announce)
+        self.permits = _permits.PermitServer(relay.transport, relay.clock)
 
     async def run(self) -> None:
         """Serve until cancelled."""
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -25,6 +25,8 @@
 from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._loadaggregator import LoadAggregator
+from bulrushhold.decisions._permithome import permit_home_address
+from bulrushhold.decisions._permithome import PermitHome
 from bulrushhold.decisions._placement import Placement
 from bulrushhold.decisions._poisonrequests import fingerprint
 from bulrushhold.decisions._poisonrequests import PoisonRequestDetector
@@ -50,6 +52,7 @@
 from bulrushhold.decisions._rendezvous import rendezvous_order
 from bulrushhold.decisions._rendezvous import SMALL_ACCOUNT_ENTRIES
 from bulrushhold.decisions._replica import Replica
+from bulrushhold.decisions._requestlimits import RequestLimits
 from bulrushhold.decisions._rolloutanalysis import RolloutAnalysis
 from bulrushhold.decisions._rolloutanalysis import Verdict as RolloutVerdict
 from bulrushhold.decisions._rolloutdriver import DEFAULT_EXPOSURE
@@ -113,6 +116,7 @@
     'MEMBERSHIP_PROBE_TIMEOUT_S',
     'Membership',
     'PauseSamples',
+    'PermitHome',
     'PersistedState',
     'Placement',
     'PointerSummary',
@@ -126,6 +130,7 @@
     'RecoveryPolicy',
     'Replica',
     'ReplicatedState',
+    'RequestLimits',
     'Role',
     'RolloutAnalysis',
     'RolloutDriver',
@@ -157,6 +162,7 @@
     'latency_bucket',
     'new_identity',
     'next_config',
+    'permit_home_address',
     'pointer_homes',
     'read_csv',
     'rendezvous_order',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -66,7 +66,7 @@
         self.capacity: dict[str, int] = {}
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
-        self.limits = _requestlimits.RequestLimits()
+        self.limits = _requestlimits.RequestLimits(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.replaced_idents: set[str] = set()
@@ -125,6 +125,32 @@
         ]
         return self.versions.usable(service, present, now, canary=canary)
 
+    def available(
+        self, service: str, now: float, tried: set[str]
+    ) -> list[_backendserver.BackendServer]:
+        """Return the healthy untried servers that may get a request now."""
+        return [
+            backend
+            for backend in self.usable(service)
+            if backend.ident not in tried
+            and backend.ejected_until <= now
+            and not self.limits.is_held(backend.ident, now)
+        ]
+
+    def next_permitted(
+        self, service: str, now: float, tried: set[str]
+    ) -> _backendserver.BackendServer | None:
+        """Return the untried server whose used up limit is free first."""
+        held = [
+            backend
+            for backend in self.usable(service)
+            if backend.ident not in tried
+            and self.limits.is_held(backend.ident, now)
+        ]
+        return min(
+            held, key=lambda b: self.limits.free_at(b.ident), default=None
+        )
+
     def copy_holders(self, service: str) -> list[_backendserver.BackendServer]:
         """Return the engines that may get copies of running streams."""
         return [
@@ -294,6 +320,7 @@
             traffic,
             speeds=self.speeds.snapshot(now),
             evidence=self.versions.evidence(),
+            limits=self.limits.take_unreported(now),
         )
 
     def _apply_engines(self, summary: messages.LoadSummary) -> None:
@@ -315,6 +342,7 @@
         """Queue the events of a report that may not have been delivered."""
         self.pending_losses = report.lost + self.pending_losses
         self.pending_replaced = report.replaced + self.pending_replaced
+        self.limits.requeue(report.limits)
 
     def confirm_loads(self, now: float) -> None:
         """Record that the load of other entries hasn't changed."""
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class _Event:
-    """A loss, a replacement or a crash, numbered in order of arrival.
+    """A loss, replacement, crash or limit, numbered in order of arrival.
 
     :param local: reported by an entry of this process.
     """
@@ -38,6 +38,13 @@
     lost: str = ''
     replaced: str = ''
     crash: messages.CrashReport | None = None
+    limit: messages.ServerLimit | None = None
+
+    def limit_now(self, now: float) -> messages.ServerLimit:
+        """Return the limit with its present age."""
+        assert self.limit is not None
+        age_s = self.limit.age_s + max(0.0, now - self.at)
+        return attrs.evolve(self.limit, age_s=round(age_s, 3))
 
 
 @attrs.define
@@ -223,9 +230,22 @@
             for event in events
             if (event.lost, event.replaced, event.crash) not in existing
         ]
+        new_events += [
+            _Event(self.number, now, local, limit=limit)
+            for limit in report.limits
+            if self._is_new_limit(limit)
+        ]
         self.events.extend(new_events)
         return bool(new_events)
 
+    def _is_new_limit(self, limit: messages.ServerLimit) -> bool:
+        known = [
+            event.limit.per_s
+            for event in self.events
+            if event.limit is not None and event.limit.server == limit.server
+        ]
+        return not known or known[-1] != limit.per_s
+
     # Publishing
 
     def summary_for(
@@ -263,6 +283,7 @@
             self.age_s(now),
             self.stale_data_centres(now),
             since,
+            [e.limit_now(now) for e in events if e.limit is not None],
         )
 
     def node_load(self, now: float) -> messages.NodeLoad:
@@ -290,6 +311,7 @@
                 [event.crash for event in events if event.crash is not None],
                 self.local.speeds,
                 self.local_evidence.snapshot(),
+                [e.limit_now(now) for e in events if e.limit is not None],
             ),
             {
                 address: (node.incarnation, node.received)
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -319,6 +319,7 @@
             for b in self.usable(service)
             if b.ejected_until <= now
             and b.ident != excluding
+            and not self.limits.is_held(b.ident, now)
             and not self.health_penalty(b, now)
         ]
         first_event_s = float('inf')
@@ -378,7 +379,11 @@
         preferred: t.Container[str] = (),
         canary: bool = False,
     ) -> _backendserver.BackendServer | None:
-        usable = self.usable(service, now, canary=canary)
+        usable = [
+            b
+            for b in self.usable(service, now, canary=canary)
+            if not self.limits.is_held(b.ident, now)
+        ]
         return self._best_of(usable, now, tried, cost, preferred=preferred)
 
     def _best_of(
@@ -409,7 +414,11 @@
         They are in this entry's data centre while enough engines there are
         healthy.
         """
-        candidates = [b for b in self.usable(service) if b.ident not in tried]
+        candidates = [
+            b
+            for b in self.usable(service)
+            if b.ident not in tried and not self.limits.is_held(b.ident, now)
+        ]
         count = AFFINITY_CANDIDATES
         if self.data_centre:
             local = [
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -15,11 +15,15 @@
 from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import node
+from bulrushhold import ports
 from bulrushhold import routes
 
 SERVICE: t.Final = 'engines'
 # Until the other entries receive a load report.
 LOAD_REPORT_DELAY_S: t.Final = 0.05
+# Between an entry and a control process.
+ROUND_TRIP_S: t.Final = 0.003
+PERMIT_TIMEOUT_S: t.Final = 0.15
 # Until the platform lists a restarted engine.
 LIST_LAG_S: t.Final = 0.8
 # Callers abandon a stream without a first event after this multiple of the
@@ -115,6 +119,29 @@
         pass
 
 
+class PermitHome(ports.PermitSource):
+    """The home of all servers, reached over an emulated network.
+
+    :ivar reachable: whether it answers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.home = decisions.PermitHome(rng)
+        self.reachable = True
+        self.asks = 0
+
+    async def request(self, ask: messages.PermitAsk) -> messages.PermitGrant:
+        """Return the home's grant after a round trip."""
+        self.asks += 1
+        if not self.reachable:
+            await asyncio.sleep(PERMIT_TIMEOUT_S)
+            raise errors.PeerError('no reply', 'PermitAsk')
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        grant = self.home.grant(ask, emulated_now())
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        return grant
+
+
 class _Entry:
     def __init__(
         self,
@@ -130,15 +157,18 @@
         self.admission = decisions.AdmissionController()
         self.placement = decisions.Placement(system.rng, data_centre)
         self.placement.on_load_change = self._schedule_report
+        self.placement.limits.on_change = self._schedule_report
         self.report_scheduled = False
         self.summary_number = 0
         self.context = forwarding.ForwardingContext(
             self.placement,
-            client,
+            forwarding.PermitCheckingClient(client, self.placement.limits),
             self.budget,
             node.NullMetrics(),
             decisions.PoisonRequestDetector(self.placement.count_losses_near),
             self.admission,
+            name,
+            system.permit_home,
             loop.time,
         )
 
@@ -166,10 +196,11 @@
     def apply_load_summary(self, now: float) -> None:
         """Apply the load reports of all other entries."""
         summary = self.system.load_aggregator.summary_for(
-            self.name, self.summary_number
+            self.name, self.summary_number, now
         )
         self.summary_number = summary.number
         self.placement.apply_loads(summary, now)
+        self.placement.limits.apply(summary.limits, now)
         self.budget.apply_loads(summary.traffic, now)
         waiting = {
             name: service_traffic.waiting
@@ -186,6 +217,7 @@
         # The forwarding package uses the global random generator.
         random.seed(seed)
         self.load_aggregator = decisions.LoadAggregator()
+        self.permit_home = PermitHome(self.rng)
         self.entries: list[_Entry] = []
 
     def add_entries(
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -71,6 +71,10 @@
     """A backend server failed or sent an invalid reply."""
 
 
+class NoPermitError(BackendError):
+    """A request was not sent: its server's request limit is used up."""
+
+
 class EngineLostError(BackendError):
     """An engine's stream broke off or stalled before its end."""
 
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -6,16 +6,20 @@
 from bulrushhold.forwarding._events import EventSplitter
 from bulrushhold.forwarding._fleet import FleetView
 from bulrushhold.forwarding._forwarder import Forwarder
+from bulrushhold.forwarding._permits import ControlPermitSource
+from bulrushhold.forwarding._permits import PermitCheckingClient
 from bulrushhold.forwarding._plain import PlainForwarder
 from bulrushhold.forwarding._streams import StreamForwarder
 
 __all__ = [
+    'ControlPermitSource',
     'Event',
     'EventSplitter',
     'FleetView',
     'Forwarder',
     'ForwardingContext',
     'Job',
+    'PermitCheckingClient',
     'PlainForwarder',
     'StreamForwarder',
 ]
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -18,7 +18,11 @@
 
 @attrs.frozen
 class ForwardingContext:
-    """Objects shared by all requests of one entry."""
+    """Objects shared by all requests of one entry.
+
+    :param entry: name of this entry.
+    :param permit_source: grants permits for servers with a request limit.
+    """
 
     placement: decisions.Placement
     client: calls.BackendClient
@@ -26,6 +30,8 @@
     metrics: ports.Metrics
     poison_requests: decisions.PoisonRequestDetector
     admission: decisions.AdmissionController
+    entry: str
+    permit_source: ports.PermitSource
     clock: cabc.Callable[[], float] = time.monotonic
 
 
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -44,6 +44,7 @@
         an error in a live engine.
     :param seconds: time since the stream was sent to the engine.
     :param event_id_before: id of the last event sent to the caller by then.
+    :param permitted: the engine's request limit allowed the attempt.
     """
 
     sent: bool = True
@@ -51,6 +52,7 @@
     reset: bool = False
     seconds: float = 0.0
     event_id_before: int | None = None
+    permitted: bool = True
 
 
 def _close_response(
@@ -75,6 +77,7 @@
         copy: calls.RunCopy | None,
         backup: decisions.BackendServer | None,
         unread_tokens: int,
+        has_permit: bool,
     ) -> None:
         self.stream = stream
         self.context = stream.context
@@ -82,6 +85,7 @@
         self.copy = copy
         self.backup = backup
         self.unread_tokens = unread_tokens
+        self.has_permit = has_permit
         self.response: calls.BackendResponse | None = None
         self.send_task: asyncio.Future[calls.BackendResponse] | None = None
         self.received_event = False
@@ -172,6 +176,7 @@
             # The engine may close an idle connection at any time, which would
             # look like a crash.
             new_connection=True,
+            permitted=self.has_permit,
         )
         self.send_task = asyncio.ensure_future(
             self.context.client.send(self.stream.job.call, attempt)
@@ -189,6 +194,10 @@
                 raise StreamLostError(NO_PROBE_ANSWER)
         try:
             self.response = self.send_task.result()
+        except errors.NoPermitError as error:
+            raise StreamLostError(
+                str(error), sent=False, unreachable=False, permitted=False
+            ) from error
         except errors.BackendError as error:
             sent = error.step != 'connect'
             raise StreamLostError(str(error), sent=sent, reset=sent) from error
--- /dev/null
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -0,0 +1,268 @@
+"""Keeps the request limits of backend servers.
+
+Every request to a limited server needs a permit. Forwarders acquire it as
+they choose a server; :class:`PermitCheckingClient`, through which all requests
+pass, sends none without it.
+"""
+
+import asyncio
+import collections.abc as cabc
+import enum
+import random
+import time
+import typing as t
+
+import attrs
+import loguru
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold.forwarding import _context
+from bulrushhold import messages
+from bulrushhold import ports
+
+PERMIT_TIMEOUT_S: t.Final = 0.15
+# An unreachable home is not asked again for this time; the cluster view names
+# another one by then.
+HOME_BACKOFF_S: t.Final = 1.0
+# Longest wait for a permit, relative to the aim; the rest is for the response.
+MAX_WAIT_AIM_SHARE: t.Final = 0.5
+# The same relative to the remaining time, for requests without an aim and for
+# streams of which the caller has received events.
+MAX_WAIT_SHARE: t.Final = 0.25
+MIN_RETRY_AFTER_S: t.Final = 0.5
+
+
+class Permission(enum.Enum):
+    """Whether a server's request limit allows a request."""
+
+    NOT_LIMITED = 'not limited'
+    PERMIT = 'permit'
+    DENIED = 'denied'
+
+
+@attrs.frozen
+class PermittedChoice:
+    """The server that gets a request.
+
+    :param backend: ``None`` if no server can take it in time.
+    :param has_permit: a permit was granted, as the server is limited.
+    :param reason: why there is no server; ``''`` if none is available.
+    :param retry_after_s: time after which the caller should retry if there
+        is no server.
+    """
+
+    backend: decisions.BackendServer | None = None
+    has_permit: bool = False
+    reason: str = ''
+    retry_after_s: float = _context.RETRY_AFTER_S
+
+
+class ControlPermitSource(ports.PermitSource):
+    """Asks the control process that is the server's home.
+
+    :param nodes: returns the control processes.
+    """
+
+    def __init__(
+        self,
+        transport: ports.Transport,
+        nodes: cabc.Callable[[], list[messages.ControlNode]],
+    ) -> None:
+        self.transport = transport
+        self.nodes = nodes
+        self.failed_at: dict[str, float] = {}
+
+    async def request(self, ask: messages.PermitAsk) -> messages.PermitGrant:
+        """Ask for a permit; see :meth:`ports.PermitSource.request`."""
+        home = decisions.permit_home_address(ask.server, self.nodes())
+        now = time.monotonic()
+        if now - self.failed_at.get(home, float('-inf')) < HOME_BACKOFF_S:
+            raise errors.PeerError('unreachable', 'PermitAsk', home)
+        if not home:
+            raise errors.PeerError('no control process', 'PermitAsk')
+        try:
+            grant = await self.transport.request(home, ask, PERMIT_TIMEOUT_S)
+        except errors.PeerError as error:
+            self.failed_at[home] = time.monotonic()
+            loguru.logger.bind(peer=home, error=str(error)).warning(
+                'permit home unreachable'
+            )
+            raise
+        assert isinstance(grant, messages.PermitGrant)
+        return grant
+
+
+class PermitCheckingClient(calls.BackendClient):
+    """Sends requests to limited servers only with a permit.
+
+    A limit may become known between the choice of a server and the sending.
+    """
+
+    def __init__(
+        self, client: calls.BackendClient, limits: decisions.RequestLimits
+    ) -> None:
+        self.client = client
+        self.limits = limits
+
+    async def send(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.BackendResponse:
+        """Send a call; see :meth:`calls.BackendClient.send`."""
+        limited = self.limits.current(attempt.instance) is not None
+        if limited and not attempt.permitted:
+            raise errors.NoPermitError(
+                'request limit', 'permit', attempt.address
+            )
+        return await self.client.send(call, attempt)
+
+    async def probe(self, address: str, timeout: float) -> bool:
+        """Probe an engine; its limit is one of requests that it runs."""
+        return await self.client.probe(address, timeout)
+
+    async def cached_segments(
+        self, address: str, timeout: float
+    ) -> frozenset[str]:
+        """List cached segments, which takes no slot."""
+        return await self.client.cached_segments(address, timeout)
+
+    async def copy_run(
+        self, call: calls.Call, source: str, target: str, timeout: float
+    ) -> calls.RunCopy:
+        """Copy a run, which is no new request to either engine."""
+        return await self.client.copy_run(call, source, target, timeout)
+
+    async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
+        """Drop a copy."""
+        await self.client.drop_copy(copy, timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.client.close()
+
+
+async def acquire(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    max_wait_s: float = 0.0,
+) -> Permission:
+    """Return whether a request may be sent to a server now.
+
+    Waits for a permit that is due in time. Without one, nothing is sent to
+    the server until its limit allows it.
+    """
+    limits = context.placement.limits
+    deadline = context.clock() + max_wait_s
+    while True:
+        per_s = limits.current(ident)
+        if per_s is None:
+            return Permission.NOT_LIMITED
+        now = context.clock()
+        ask = messages.PermitAsk(
+            ident,
+            context.entry,
+            per_s,
+            limits.age_s(ident, now),
+            max(0.0, deadline - now),
+        )
+        grant = await _request_permit(context, ask)
+        if not grant.granted:
+            _hold(context, job, ident, grant)
+            return Permission.DENIED
+        await asyncio.sleep(grant.wait_s)
+        # A permit of a higher rate than the present one no longer counts.
+        if (limits.current(ident) or per_s) >= per_s:
+            return Permission.PERMIT
+
+
+async def _request_permit(
+    context: _context.ForwardingContext, ask: messages.PermitAsk
+) -> messages.PermitGrant:
+    try:
+        return await context.permit_source.request(ask)
+    except errors.PeerError:
+        context.metrics.count('limits.floor')
+        wait_s = context.placement.limits.take_floor(
+            ask.server, context.budget.entries, context.clock()
+        )
+        # The home may be back before the floor allows a request.
+        hold_s = min(wait_s, HOME_BACKOFF_S)
+        return messages.PermitGrant(not wait_s, wait_s, hold_s)
+
+
+def _hold(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    grant: messages.PermitGrant,
+) -> None:
+    now = context.clock()
+    context.placement.limits.hold(
+        ident, now + max(grant.hold_s, grant.wait_s), now + grant.wait_s
+    )
+    context.metrics.count('limits.held')
+    _context.log(
+        job,
+        'no permit',
+        backend=ident,
+        per_s=context.placement.limits.current(ident),
+        wait_s=round(grant.wait_s, 3),
+        hold_s=round(grant.hold_s, 3),
+    )
+
+
+async def choose_permitted(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    choose: cabc.Callable[[], decisions.BackendServer | None],
+    tried: set[str],
+    *,
+    begun: bool = False,
+) -> PermittedChoice:
+    """Choose a server that a request may be sent to now.
+
+    Waits for a permit only if no other server can take the request.
+
+    :param choose: returns the best server whose limit isn't used up.
+    :param begun: the caller has received some events of the stream.
+    """
+    placement = context.placement
+    while True:
+        now = context.clock()
+        max_wait_s = _max_wait_s(job, now, begun=begun)
+        backend = choose()
+        if backend is not None:
+            others = placement.available(job.service, now, tried)
+            if any(other.ident != backend.ident for other in others):
+                max_wait_s = 0.0
+        else:
+            backend = placement.next_permitted(job.service, now, tried)
+            if backend is None:
+                return PermittedChoice()
+            wait_s = placement.limits.free_at(backend.ident) - now
+            if wait_s > max_wait_s:
+                return PermittedChoice(
+                    reason='request limits of all servers are used up',
+                    retry_after_s=retry_after_s(wait_s),
+                )
+        permission = await acquire(context, job, backend.ident, max_wait_s)
+        if permission is not Permission.DENIED:
+            has_permit = permission is Permission.PERMIT
+            return PermittedChoice(backend, has_permit)
+
+
+def _max_wait_s(job: _context.Job, now: float, *, begun: bool) -> float:
+    remaining_s = max(0.0, job.deadline - now) * MAX_WAIT_SHARE
+    if begun or not job.route.aim_s:
+        return remaining_s
+    return min(remaining_s, job.route.aim_s * MAX_WAIT_AIM_SHARE)
+
+
+def retry_after_s(wait_s: float) -> float:
+    """Return Retry-After for a request that a limit doesn't allow now.
+
+    Random, so that the callers don't all come back at once.
+    """
+    return max(MIN_RETRY_AFTER_S, wait_s) * (1 + random.random())
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -10,6 +10,7 @@
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _permits
 
 # An idempotent request is sent to another server after this multiple of the
 # mean latency; a healthy server responds within it even when slow.
@@ -27,11 +28,13 @@
 
     :param ran: whether the server ran the request, as far as known.
     :param reply: the server's response, if any.
+    :param permitted: the server's request limit allowed the attempt.
     """
 
     ran: errors.Ran
     reason: str = ''
     reply: calls.Reply | None = None
+    permitted: bool = True
 
 
 class PlainForwarder:
@@ -54,12 +57,19 @@
         """
         last: _Result | None = None
         while True:
-            backend = self._choose()
+            choice = await _permits.choose_permitted(
+                self.context, self.job, self._choose, self.tried
+            )
+            backend = choice.backend
             if backend is None:
                 if last is not None and last.reply is not None:
                     return last.reply
-                raise self._failure(last, '')
-            last = await self._attempt(backend)
+                raise self._refusal(last, choice)
+            result = await self._attempt(backend, choice.has_permit)
+            if not result.permitted:
+                self.tried.discard(backend.ident)
+                continue
+            last = result
             if last.reply is not None and last.reply.status < 500:
                 return last.reply
             must_not_repeat = (
@@ -108,13 +118,17 @@
         _context.log(self.job, 'retry budget exhausted')
         return False
 
-    def _failure(
-        self, last: _Result | None, ident: str
+    def _refusal(
+        self, last: _Result | None, choice: _permits.PermittedChoice
     ) -> errors.RequestError:
-        if last is None:
-            return _context.not_run_error(
-                self.job, 'no backend server available'
-            )
+        """Return the error if there is no server for the next attempt."""
+        if last is not None and self.attempts:
+            return self._failure(last, '')
+        reason = last.reason if last else 'no backend server available'
+        reason = choice.reason or reason
+        return _context.not_run_error(self.job, reason, choice.retry_after_s)
+
+    def _failure(self, last: _Result, ident: str) -> errors.RequestError:
         if last.ran is errors.Ran.NO and not self.attempts:
             return _context.not_run_error(self.job, last.reason)
         timed_out = self._remaining_s() < MIN_REMAINING_S
@@ -122,12 +136,14 @@
             self.job, last.reason, ident, timed_out=timed_out
         )
 
-    async def _attempt(self, backend: decisions.BackendServer) -> _Result:
+    async def _attempt(
+        self, backend: decisions.BackendServer, has_permit: bool
+    ) -> _Result:
         self.tried.add(backend.ident)
         self.context.placement.versions.count_exposed(backend)
         started = self.context.clock()
         backend.inflight += 1
-        task = asyncio.ensure_future(self._exchange(backend))
+        task = asyncio.ensure_future(self._exchange(backend, has_permit))
         try:
             result = await self._wait(task, backend)
         finally:
@@ -138,7 +154,9 @@
                 # the request at once.
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
-        self._record_result(backend, result, self.context.clock() - started)
+        if result.permitted:
+            seconds = self.context.clock() - started
+            self._record_result(backend, result, seconds)
         return result
 
     async def _wait(
@@ -161,18 +179,24 @@
 
     def _can_switch(self) -> bool:
         """Return whether another attempt at a healthy server is possible."""
-        others = self.context.placement.usable(self.job.service)
+        now = self.context.clock()
+        others = self.context.placement.available(
+            self.job.service, now, self.tried
+        )
         return self.attempts + 1 < self.job.route.max_attempts and any(
-            b.ident not in self.tried and b.ejected_until == 0 for b in others
+            b.ejected_until == 0 for b in others
         )
 
-    async def _exchange(self, backend: decisions.BackendServer) -> _Result:
+    async def _exchange(
+        self, backend: decisions.BackendServer, has_permit: bool
+    ) -> _Result:
         attempt = calls.Attempt(
             backend.address,
             backend.ident,
             self.job.account,
             self._remaining_s(),
             new_connection=not self.repeatable,
+            permitted=has_permit,
         )
         response = None
         sent_at = self.context.clock()
@@ -196,6 +220,8 @@
                 f'failed with status {head.status}',
                 calls.Reply(head.status, head.headers, body),
             )
+        except errors.NoPermitError as error:
+            return _Result(errors.Ran.NO, str(error), permitted=False)
         except errors.BackendError as error:
             sent = error.step != 'connect'
             ran = errors.Ran.UNKNOWN if sent else errors.Ran.NO
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -10,6 +10,7 @@
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _engine_stream
 from bulrushhold.forwarding import _liveness
+from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
 
 # A run that fails earlier has no copy at the backup yet.
@@ -86,20 +87,28 @@
         reason, peer = 'no engine available', ''
         await self._wait_for_first_engine()
         while True:
-            engine, copy = await self._choose()
+            choice, copy = await self._choose()
+            engine = choice.backend
             if engine is None:
-                return self._end_incomplete(reason, peer)
+                return self._end_incomplete(
+                    choice.reason or reason, peer, choice.retry_after_s
+                )
             started, last = self.context.clock(), self.last_event_id
             try:
-                reply = await self._attempt(engine, copy)
+                reply = await self._attempt(engine, copy, choice.has_permit)
             except _engine_stream.StreamLostError as lost:
+                if not lost.permitted:
+                    self.tried.discard(engine.ident)
+                    continue
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.context.clock() - started
                 lost.event_id_before = last
                 await self._check_reachable(engine, lost)
                 self._record_loss(engine, lost)
                 if not await self._may_retry(lost):
-                    return self._end_incomplete(reason, peer)
+                    return self._end_incomplete(
+                        reason, peer, _context.RETRY_AFTER_S
+                    )
             else:
                 if reply is None:
                     self.context.poison_requests.record_success(
@@ -167,10 +176,10 @@
 
     async def _choose(
         self,
-    ) -> tuple[decisions.BackendServer | None, calls.RunCopy | None]:
+    ) -> tuple[_permits.PermittedChoice, calls.RunCopy | None]:
         """Return the next engine, and the copy from which it resumes."""
         if self.remaining_s() < MIN_REMAINING_S:
-            return None, None
+            return _permits.PermittedChoice(), None
         backup, copy = self.backup, self.copy
         self.backup = self.copy = None
         now = self.context.clock()
@@ -180,16 +189,32 @@
             and self.context.placement.may_hold_copy(backup, self.backup_since)
             and self.context.placement.versions.may_resume_on(backup, now)
         ):
-            return backup, copy or calls.RunCopy(backup.address)
+            permission = await _permits.acquire(
+                self.context, self.job, backup.ident
+            )
+            if permission is not _permits.Permission.DENIED:
+                has_permit = permission is _permits.Permission.PERMIT
+                choice = _permits.PermittedChoice(backup, has_permit)
+                return choice, copy or calls.RunCopy(backup.address)
         if self.lost_runs and not (await self._wait_for_admission()).admitted:
-            return None, None
+            return _permits.PermittedChoice(), None
+        choice = await _permits.choose_permitted(
+            self.context,
+            self.job,
+            self._choose_engine,
+            self.tried,
+            begun=self.caller_stream.headers_sent,
+        )
+        return choice, None
+
+    def _choose_engine(self) -> decisions.BackendServer | None:
         if self.job.canary and not self.tried:
-            engine = self._choose_engine(canary=True)
+            engine = self._choose_engine_of(canary=True)
             if engine is not None:
-                return engine, None
-        return self._choose_engine(canary=False), None
+                return engine
+        return self._choose_engine_of(canary=False)
 
-    def _choose_engine(
+    def _choose_engine_of(
         self, *, canary: bool
     ) -> decisions.BackendServer | None:
         return self.context.placement.choose_engine(
@@ -261,7 +286,9 @@
             **fields,
         )
 
-    def _end_incomplete(self, reason: str, peer: str) -> calls.Reply | None:
+    def _end_incomplete(
+        self, reason: str, peer: str, retry_after_s: float
+    ) -> calls.Reply | None:
         self._log_end('stream ended early', reason=reason, peer=peer)
         self.context.metrics.count('streams.broken')
         if self.caller_stream.headers_sent:
@@ -270,7 +297,7 @@
         if self.failure_reply is not None:
             return self.failure_reply
         if not self.lost_runs:
-            raise _context.not_run_error(self.job, reason)
+            raise _context.not_run_error(self.job, reason, retry_after_s)
         timed_out = self.remaining_s() < MIN_REMAINING_S
         raise _context.unknown_outcome_error(
             self.job, reason, peer, timed_out=timed_out
@@ -279,7 +306,10 @@
     # Attempts at one engine
 
     async def _attempt(
-        self, engine: decisions.BackendServer, copy: calls.RunCopy | None
+        self,
+        engine: decisions.BackendServer,
+        copy: calls.RunCopy | None,
+        has_permit: bool,
     ) -> calls.Reply | None:
         if copy is None:
             self.tried.add(engine.ident)
@@ -293,7 +323,7 @@
         if backup is not None:
             backup.memory += self.memory
         engine_stream = _engine_stream.EngineStream(
-            self, engine, copy, backup, unread_tokens
+            self, engine, copy, backup, unread_tokens, has_permit
         )
         _context.log(
             self.job,
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -32,11 +32,14 @@
 from bulrushhold.messages._fleet import LoadSummary
 from bulrushhold.messages._fleet import NodeLoad
 from bulrushhold.messages._fleet import NodeWatch
+from bulrushhold.messages._fleet import PermitAsk
+from bulrushhold.messages._fleet import PermitGrant
 from bulrushhold.messages._fleet import Received
 from bulrushhold.messages._fleet import RouteMapOutcome
 from bulrushhold.messages._fleet import RouteMapPut
 from bulrushhold.messages._fleet import RouteMapRead
 from bulrushhold.messages._fleet import RouteMapReply
+from bulrushhold.messages._fleet import ServerLimit
 from bulrushhold.messages._fleet import ServiceTraffic
 from bulrushhold.messages._fleet import Watch
 from bulrushhold.messages._fleet import WatchReply
@@ -133,6 +136,8 @@
     'NodeLoad',
     'NodeWatch',
     'OrderStatus',
+    'PermitAsk',
+    'PermitGrant',
     'PointerState',
     'PointerTake',
     'Probe',
@@ -161,6 +166,7 @@
     'RouteMapRead',
     'RouteMapReply',
     'Row',
+    'ServerLimit',
     'ServiceTraffic',
     'StatusRead',
     'StatusReply',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -70,6 +70,8 @@
     _fleet.LoadReport,
     _fleet.NodeLoad,
     _fleet.NodeWatch,
+    _fleet.PermitAsk,
+    _fleet.PermitGrant,
     _fleet.Received,
     _fleet.Watch,
     _fleet.WatchReply,
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -135,6 +135,50 @@
     run_s: float = 0.0
 
 
+@attrs.frozen
+class ServerLimit:
+    """The request limit of a backend server, which holds for all entries.
+
+    :param per_s: requests per second; ``None`` if it has ended.
+    :param age_s: time since the server named it, or was without one.
+    """
+
+    server: str
+    per_s: float | None
+    age_s: float
+
+
+@attrs.frozen
+class PermitAsk:
+    """Asks the home of a limited server for a permit to send one request.
+
+    :param per_s: the server's limit as known by the entry.
+    :param age_s: age of that knowledge.
+    :param max_wait_s: how long the request can wait for the permit.
+    """
+
+    server: str
+    entry: str
+    per_s: float
+    age_s: float
+    max_wait_s: float = 0.0
+
+
+@attrs.frozen
+class PermitGrant:
+    """Reply to :class:`PermitAsk`.
+
+    :param granted: whether a permit was granted.
+    :param wait_s: time until the permit is valid, or until one would be.
+    :param hold_s: without a permit, time until the entry should ask again
+        for a request that can't wait.
+    """
+
+    granted: bool
+    wait_s: float
+    hold_s: float = 0.0
+
+
 @attrs.frozen
 class LoadReport:
     """The load of one entry; replaces its previous report.
@@ -147,6 +191,7 @@
     :param crashes: crash reports since the previous report.
     :param speeds: engine speed by service.
     :param evidence: results of running rollouts by service.
+    :param limits: request limits that have changed since the previous report.
     """
 
     entry: str
@@ -157,11 +202,12 @@
     crashes: list[CrashReport] = attrs.field(factory=list)
     speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
     evidence: dict[str, _rollouts.RolloutEvidence] = attrs.field(factory=dict)
+    limits: list[ServerLimit] = attrs.field(factory=list)
 
     @property
     def urgent(self) -> bool:
         """Whether it holds events that no later report repeats."""
-        return bool(self.lost or self.replaced or self.crashes)
+        return bool(self.lost or self.replaced or self.crashes or self.limits)
 
 
 @attrs.frozen
@@ -207,6 +253,8 @@
     :param since: sequence number of the summary that this one is a
         difference to; it holds the engines that changed. With 0 it holds
         all.
+    :param limits: request limits that changed since the number given in the
+        request.
     """
 
     number: int
@@ -219,6 +267,7 @@
     age_s: float = 0.0
     silent: list[str] = attrs.field(factory=list)
     since: int = 0
+    limits: list[ServerLimit] = attrs.field(factory=list)
 
 
 @attrs.frozen
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -40,6 +40,17 @@
         """Stop receiving and drop queued messages."""
 
 
+class PermitSource(abc.ABC):
+    """Grants permits to send requests to servers with a request limit."""
+
+    @abc.abstractmethod
+    async def request(self, ask: messages.PermitAsk) -> messages.PermitGrant:
+        """Ask the home of a server for a permit.
+
+        :raises PeerError: if the home is unknown or doesn't answer.
+        """
+
+
 @attrs.frozen
 class Event:
     """A token or the end of stream, as sent by an engine.
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -30,11 +30,13 @@
     )
     return forwarding.ForwardingContext(
         placement,
-        client,
+        forwarding.PermitCheckingClient(client, placement.limits),
         decisions.ServiceRetryBudget(1.0, 100, 10.0),
         node.NullMetrics(),
         decisions.PoisonRequestDetector(placement.count_losses_near),
         decisions.AdmissionController(),
+        'e1',
+        fakes.FakePermitSource(),
     )
 
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -8,6 +8,7 @@
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
+from bulrushhold import ports
 from bulrushhold import routes
 
 
@@ -211,6 +212,28 @@
     ).run()
 
 
+class FakePermitSource(ports.PermitSource):
+    """Answers with scripted grants, and then grants all permits.
+
+    An error in ``grants`` is raised.
+    """
+
+    def __init__(self):
+        self.grants = []
+        self.asks = []
+
+    async def request(self, ask):
+        self.asks.append(ask)
+        grant = (
+            self.grants.pop(0)
+            if self.grants
+            else messages.PermitGrant(True, 0.0)
+        )
+        if isinstance(grant, errors.PeerError):
+            raise grant
+        return grant
+
+
 class FakeTransport:
     def __init__(self):
         self.sent = []
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -37,6 +37,8 @@
     :param version: version of its software.
     :ivar error_rate: share of plain requests answered with status 500.
     :ivar plain_requests: number of plain requests received.
+    :ivar limit: request limit that its answers name, if any.
+    :ivar arrivals: when each request reached it, by the event loop's clock.
     """
 
     incarnations = itertools.count(1)
@@ -52,6 +54,8 @@
         self.up = asyncio.Event()
         self.up.set()
         self.error_rate = 0.0
+        self.limit = None
+        self.arrivals = []
         self.proxy = Proxy()
 
     async def start(self):
@@ -96,7 +100,10 @@
             return web.json_response({'handle': payload['id'], 'made': 1})
         if request.path.startswith('/bulrushhold/'):
             return web.Response()
+        self.arrivals.append(asyncio.get_running_loop().time())
         headers = {'Bulrushhold-Request-Id': ident}
+        if self.limit is not None:
+            headers['Server-Limit'] = str(self.limit)
         expected = request.headers.get('Bulrushhold-Expect-Instance')
         if expected != self.ident:
             headers['Bulrushhold-Instance-Id'] = self.ident
@@ -124,6 +131,14 @@
             body=make_body(request.raw_path, body), headers=headers
         )
 
+    def highest_count(self, since, window_s):
+        """Return the most arrivals in any window that begins later."""
+        times = [at for at in self.arrivals if at >= since]
+        return max(
+            (sum(t <= u < t + window_s for u in times) for t in times),
+            default=0,
+        )
+
     def _record_forged_headers(self, request):
         names = ('Bulrushhold-Credential', 'Bulrushhold-Hold')
         for name in names:
