Entries log the time for which a backend server wants no requests

The Retry-After of a server's 503 is decoded at the edge, as seconds or a date, and logged as it begins, with the request; a malformed one once a server.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -111,6 +111,16 @@
     per_s: float | None
 
 
+@attrs.frozen
+class Backoff:
+    """A backend server's demand that this entry sends it nothing for a time.
+
+    :param seconds: from the response on; ``None`` if the value is malformed.
+    """
+
+    seconds: float | None
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of a backend server's response.
@@ -122,6 +132,7 @@
     :param not_run: the backend server states that it did not run the call.
     :param instance: ident of the responding process, or ``''``.
     :param limit: the request limit that the response names, if any.
+    :param backoff: how long the server wants no requests of this entry.
     """
 
     status: int
@@ -132,6 +143,7 @@
     instance: str = ''
     load: BackendLoad | None = None
     limit: RequestLimit | None = None
+    backoff: Backoff | None = None
 
 
 class BackendResponse(abc.ABC):
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _backoffs
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _requestlimits
 from bulrushhold.decisions import _versionsplit
@@ -66,6 +67,7 @@
         self.capacity: dict[str, int] = {}
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
+        self.backoffs = _backoffs.Backoffs()
         self.limits = _requestlimits.RequestLimits(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
@@ -99,6 +101,7 @@
         self.backends = backends
         self.replaced_idents &= backends.keys()
         self.limits.retain(backends.keys())
+        self.backoffs.retain(backends.keys())
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -105,6 +105,22 @@
         )
     if head.matches_request and (head.from_backend or head.limit is not None):
         _record_limit(context, job, ident, head.limit, sent_at)
+    if head.matches_request and head.backoff is not None:
+        _record_backoff(context, job, ident, head.backoff)
+
+
+def _record_backoff(
+    context: ForwardingContext, job: Job, ident: str, backoff: calls.Backoff
+) -> None:
+    backoffs = context.placement.backoffs
+    if backoff.seconds is None:
+        context.metrics.count('backoffs.malformed')
+        if backoffs.mark_malformed(ident):
+            log(job, 'malformed server backoff', backend=ident)
+        return
+    context.metrics.count('backoffs')
+    if backoffs.record(ident, backoff.seconds, context.clock()):
+        log(job, 'server backoff', backend=ident, seconds=backoff.seconds)
 
 
 def _record_limit(
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -22,6 +22,7 @@
     :param error: step at which the request fails, or ``''``.
     :param open_delay_s: delay before the response headers.
     :param limit: request limit that the response names.
+    :param backoff: how long the server wants no requests.
     """
 
     status: int = 200
@@ -34,6 +35,7 @@
     body: bytes = b'done'
     open_delay_s: float = 0.0
     limit: calls.RequestLimit | None = None
+    backoff: calls.Backoff | None = None
 
 
 class FakeResponse(calls.BackendResponse):
@@ -49,6 +51,7 @@
             script.from_backend,
             script.not_run,
             limit=script.limit,
+            backoff=script.backoff,
         )
 
     async def chunk(self):
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -1,6 +1,8 @@
 """Tests of the adapter between the platform's protocols and ours."""
 
+import email.utils
 import json
+import time
 
 import multidict
 import pytest
@@ -391,3 +393,38 @@
 
 def test_a_response_without_a_request_limit_names_none():
     assert decode_head().limit is None
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [
+        ('3', 3.0),
+        ('2.5', 2.5),
+        ('0', 0.0),
+        ('3600', 3600.0),
+        ('1e9', 1e9),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('', None),
+        ('later', None),
+        ('Thu, 01 Jan 1970 00:00:00 GMT', 0.0),
+        ('Thu, 99 Jan 1970 00:00:00 GMT', None),
+    ],
+)
+def test_a_demand_to_back_off_is_decoded_or_marked_as_malformed(
+    value, seconds
+):
+    head = decode_head(503, **{'Retry-After': value})
+    assert head.backoff == calls.Backoff(seconds)
+
+
+def test_a_demand_to_back_off_may_be_a_date():
+    date = email.utils.formatdate(time.time() + 30, usegmt=True)
+    head = decode_head(503, **{'Retry-After': date})
+    assert 28 < head.backoff.seconds <= 30
+
+
+def test_only_a_503_demands_to_back_off():
+    assert decode_head(503).backoff is None
+    assert decode_head(429, **{'Retry-After': '3'}).backoff is None
