--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -45,8 +45,10 @@
 
     :param latency_s: time that it takes to respond.
     :param limit: request limit that its responses name.
+    :param backoff_s: if set, it turns requests away with this demand.
     :param arrivals: all requests that it received.
     :param informed_at: by entry, when it first relayed a limit.
+    :param backoffs: each demand, with entry, begin and end.
     """
 
     ident: str
@@ -54,9 +56,28 @@
     data_centre: str
     latency_s: float = 0.09
     limit: float | None = None
+    backoff_s: float | None = None
+    backoffs: list[tuple[str, float, float]] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     informed_at: dict[str, float] = attrs.field(factory=dict)
 
+    def most_in_a_backoff(self) -> int:
+        """Return the most arrivals from one entry during one demand.
+
+        They count from half a second after the demand.
+        """
+        return max(
+            (
+                sum(
+                    arrival.entry == entry
+                    and begin + REACTION_S <= arrival.at < end
+                    for arrival in self.arrivals
+                )
+                for entry, begin, end in self.backoffs
+            ),
+            default=0,
+        )
+
     def highest_count(
         self, since: float, window_s: float, *, informed_only: bool = False
     ) -> int:
@@ -120,6 +141,8 @@
         informed_at = server.informed_at.get(self.entry)
         now = _system.emulated_now()
         server.arrivals.append(Arrival(now, self.entry, informed_at))
+        if server.backoff_s is not None:
+            return await self._turn_away(server, server.backoff_s)
         await asyncio.sleep(server.latency_s)
         limit = server.limit
         await asyncio.sleep(ONE_WAY_DELAY_S)
@@ -137,6 +160,17 @@
             )
         )
 
+    async def _turn_away(
+        self, server: PlainServer, seconds: float
+    ) -> calls.BackendResponse:
+        now = _system.emulated_now()
+        server.backoffs.append((self.entry, now, now + seconds))
+        await asyncio.sleep(ONE_WAY_DELAY_S)
+        head = calls.ResponseHead(
+            503, (), True, True, True, backoff=calls.Backoff(seconds)
+        )
+        return _Response(head)
+
     async def probe(self, address: str, timeout: float) -> bool:
         """Return that the server is up."""
         return True
