A backend server's Retry-After is kept

Cause: nothing read the time; a 503 that wasn't run counted as a failure like any other, which fades within seconds. Ruled out: requests already on their way (they came 1.8 and 2.6 s later) and retries without another server (one of the two had gone to this server first).

Change: the server is left out by the entry that it told, until the time is over; checked as a server is chosen and again as the request is sent. The same check covers first sends, retries, resumed streams and canaries.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -180,7 +180,7 @@
         :raises BackendError: its ``step`` is ``connect`` only if no byte of
             the call can have been sent.
         :raises NoPermitError: if the server has a request limit and the
-            attempt no permit; it was not sent.
+            attempt no permit, or wants no requests; it was not sent.
         """
 
     @abc.abstractmethod
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -77,7 +77,7 @@
         placement = decisions.Placement(random.Random(), config.data_centre)
         self.client = forwarding.PermitCheckingClient(
             adapters.HttpBackendClient(self.adapters.engine_dialect),
-            placement.limits,
+            placement,
         )
         budget = decisions.ServiceRetryBudget(
             config.repeat_ratio,
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -128,31 +128,40 @@
         ]
         return self.versions.usable(service, present, now, canary=canary)
 
-    def available(
+    def is_held(self, ident: str, now: float) -> bool:
+        """Whether a server itself allows no request now.
+
+        Its request limit is used up, or it wants none of this entry.
+        """
+        return self.limits.is_held(ident, now) or self.backoffs.is_active(
+            ident, now
+        )
+
+    def free_at(self, ident: str) -> float:
+        """Return when a held server allows a request, as far as known."""
+        return max(self.limits.free_at(ident), self.backoffs.until(ident))
+
+    def untried(
         self, service: str, now: float, tried: set[str]
     ) -> list[_backendserver.BackendServer]:
-        """Return the healthy untried servers that may get a request now."""
+        """Return the servers not tried yet that allow a request now."""
         return [
             backend
             for backend in self.usable(service)
             if backend.ident not in tried
-            and backend.ejected_until <= now
-            and not self.limits.is_held(backend.ident, now)
+            and not self.is_held(backend.ident, now)
         ]
 
-    def next_permitted(
+    def next_held(
         self, service: str, now: float, tried: set[str]
     ) -> _backendserver.BackendServer | None:
-        """Return the untried server whose used up limit is free first."""
+        """Return the untried held server that allows a request first."""
         held = [
             backend
             for backend in self.usable(service)
-            if backend.ident not in tried
-            and self.limits.is_held(backend.ident, now)
+            if backend.ident not in tried and self.is_held(backend.ident, now)
         ]
-        return min(
-            held, key=lambda b: self.limits.free_at(b.ident), default=None
-        )
+        return min(held, key=lambda b: self.free_at(b.ident), default=None)
 
     def copy_holders(self, service: str) -> list[_backendserver.BackendServer]:
         """Return the engines that may get copies of running streams."""
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -319,7 +319,7 @@
             for b in self.usable(service)
             if b.ejected_until <= now
             and b.ident != excluding
-            and not self.limits.is_held(b.ident, now)
+            and not self.is_held(b.ident, now)
             and not self.health_penalty(b, now)
         ]
         first_event_s = float('inf')
@@ -382,7 +382,7 @@
         usable = [
             b
             for b in self.usable(service, now, canary=canary)
-            if not self.limits.is_held(b.ident, now)
+            if not self.is_held(b.ident, now)
         ]
         return self._best_of(usable, now, tried, cost, preferred=preferred)
 
@@ -417,7 +417,7 @@
         candidates = [
             b
             for b in self.usable(service)
-            if b.ident not in tried and not self.limits.is_held(b.ident, now)
+            if b.ident not in tried and not self.is_held(b.ident, now)
         ]
         count = AFFINITY_CANDIDATES
         if self.data_centre:
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -162,7 +162,7 @@
         self.summary_number = 0
         self.context = forwarding.ForwardingContext(
             self.placement,
-            forwarding.PermitCheckingClient(client, self.placement.limits),
+            forwarding.PermitCheckingClient(client, self.placement, loop.time),
             self.budget,
             node.NullMetrics(),
             decisions.PoisonRequestDetector(self.placement.count_losses_near),
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -72,7 +72,7 @@
 
 
 class NoPermitError(BackendError):
-    """A request was not sent: its server's request limit is used up."""
+    """A request was not sent, as its server allows none now."""
 
 
 class EngineLostError(BackendError):
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -1,8 +1,8 @@
-"""Keeps the request limits of backend servers.
+"""Keeps the request limits and the backoffs of backend servers.
 
 Every request to a limited server needs a permit. Forwarders acquire it as
 they choose a server; :class:`PermitCheckingClient`, through which all requests
-pass, sends none without it.
+pass, sends none without it, and none to a server that wants no requests.
 """
 
 import asyncio
@@ -32,6 +32,7 @@
 # streams of which the caller has received events.
 MAX_WAIT_SHARE: t.Final = 0.25
 MIN_RETRY_AFTER_S: t.Final = 0.5
+MAX_RELEASE_DELAY_S: t.Final = 0.1
 
 
 class Permission(enum.Enum):
@@ -95,26 +96,34 @@
 
 
 class PermitCheckingClient(calls.BackendClient):
-    """Sends requests to limited servers only with a permit.
+    """Sends a request only if its server allows it.
 
-    A limit may become known between the choice of a server and the sending.
+    A limit or a backoff may become known between the choice of a server and
+    the sending.
     """
 
     def __init__(
-        self, client: calls.BackendClient, limits: decisions.RequestLimits
+        self,
+        client: calls.BackendClient,
+        placement: decisions.Placement,
+        clock: cabc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.client = client
-        self.limits = limits
+        self.placement = placement
+        self.clock = clock
 
     async def send(
         self, call: calls.Call, attempt: calls.Attempt
     ) -> calls.BackendResponse:
         """Send a call; see :meth:`calls.BackendClient.send`."""
-        limited = self.limits.current(attempt.instance) is not None
+        ident = attempt.instance
+        limited = self.placement.limits.current(ident) is not None
         if limited and not attempt.permitted:
             raise errors.NoPermitError(
                 'request limit', 'permit', attempt.address
             )
+        if self.placement.backoffs.is_active(ident, self.clock()):
+            raise errors.NoPermitError('backoff', 'permit', attempt.address)
         return await self.client.send(call, attempt)
 
     async def probe(self, address: str, timeout: float) -> bool:
@@ -154,6 +163,8 @@
     the server until its limit allows it.
     """
     limits = context.placement.limits
+    if context.placement.backoffs.is_active(ident, context.clock()):
+        return Permission.DENIED
     deadline = context.clock() + max_wait_s
     while True:
         per_s = limits.current(ident)
@@ -223,9 +234,9 @@
 ) -> PermittedChoice:
     """Choose a server that a request may be sent to now.
 
-    Waits for a permit only if no other server can take the request.
+    Waits for a server that allows no request now only if no other one does.
 
-    :param choose: returns the best server whose limit isn't used up.
+    :param choose: returns the best server that isn't held.
     :param begun: the caller has received some events of the stream.
     """
     placement = context.placement
@@ -234,25 +245,37 @@
         max_wait_s = _max_wait_s(job, now, begun=begun)
         backend = choose()
         if backend is not None:
-            others = placement.available(job.service, now, tried)
-            if any(other.ident != backend.ident for other in others):
+            others = placement.untried(job.service, now, tried)
+            if any(
+                other.ident != backend.ident and other.ejected_until <= now
+                for other in others
+            ):
                 max_wait_s = 0.0
         else:
-            backend = placement.next_permitted(job.service, now, tried)
+            backend = placement.next_held(job.service, now, tried)
             if backend is None:
                 return PermittedChoice()
-            wait_s = placement.limits.free_at(backend.ident) - now
+            wait_s = placement.free_at(backend.ident) - now
             if wait_s > max_wait_s:
                 return PermittedChoice(
-                    reason='request limits of all servers are used up',
+                    reason='all servers have limits or want no requests',
                     retry_after_s=retry_after_s(wait_s),
                 )
+            backoff_s = placement.backoffs.until(backend.ident) - now
+            if backoff_s > 0:
+                await asyncio.sleep(backoff_s + _release_delay_s())
+                continue
         permission = await acquire(context, job, backend.ident, max_wait_s)
         if permission is not Permission.DENIED:
             has_permit = permission is Permission.PERMIT
             return PermittedChoice(backend, has_permit)
 
 
+def _release_delay_s() -> float:
+    """Return a random delay, so that waiting requests don't go at once."""
+    return random.random() * MAX_RELEASE_DELAY_S
+
+
 def _max_wait_s(job: _context.Job, now: float, *, begun: bool) -> float:
     remaining_s = max(0.0, job.deadline - now) * MAX_WAIT_SHARE
     if begun or not job.route.aim_s:
@@ -261,7 +284,7 @@
 
 
 def retry_after_s(wait_s: float) -> float:
-    """Return Retry-After for a request that a limit doesn't allow now.
+    """Return Retry-After for a request that no server allows now.
 
     Random, so that the callers don't all come back at once.
     """
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -106,8 +106,7 @@
             self.attempts += 1
         if self.attempts >= self.job.route.max_attempts:
             return False
-        usable = self.context.placement.usable(self.job.service)
-        if all(b.ident in self.tried for b in usable):
+        if not self._untried():
             await asyncio.sleep(RETRY_PAUSE_S)
             self.tried.clear()
         if self._remaining_s() < MIN_REMAINING_S:
@@ -179,12 +178,13 @@
 
     def _can_switch(self) -> bool:
         """Return whether another attempt at a healthy server is possible."""
-        now = self.context.clock()
-        others = self.context.placement.available(
-            self.job.service, now, self.tried
-        )
         return self.attempts + 1 < self.job.route.max_attempts and any(
-            b.ejected_until == 0 for b in others
+            b.ejected_until == 0 for b in self._untried()
+        )
+
+    def _untried(self) -> list[decisions.BackendServer]:
+        return self.context.placement.untried(
+            self.job.service, self.context.clock(), self.tried
         )
 
     async def _exchange(
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -242,8 +242,9 @@
                 return False
         if self.lost_runs >= self.job.route.max_attempts:
             return False
-        usable = self.context.placement.usable(self.job.service)
-        if all(b.ident in self.tried for b in usable):
+        if not self.context.placement.untried(
+            self.job.service, self.context.clock(), self.tried
+        ):
             await asyncio.sleep(RETRY_PAUSE_S)
             self.tried.clear()
         if self.remaining_s() < MIN_REMAINING_S:
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -30,7 +30,7 @@
     )
     return forwarding.ForwardingContext(
         placement,
-        forwarding.PermitCheckingClient(client, placement.limits),
+        forwarding.PermitCheckingClient(client, placement),
         decisions.ServiceRetryBudget(1.0, 100, 10.0),
         node.NullMetrics(),
         decisions.PoisonRequestDetector(placement.count_losses_near),
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -38,6 +38,7 @@
     :ivar error_rate: share of plain requests answered with status 500.
     :ivar plain_requests: number of plain requests received.
     :ivar limit: request limit that its answers name, if any.
+    :ivar backoff_s: if set, it turns requests away with this demand.
     :ivar arrivals: when each request reached it, by the event loop's clock.
     """
 
@@ -55,6 +56,7 @@
         self.up.set()
         self.error_rate = 0.0
         self.limit = None
+        self.backoff_s = None
         self.arrivals = []
         self.proxy = Proxy()
 
@@ -109,6 +111,10 @@
             headers['Bulrushhold-Instance-Id'] = self.ident
             return web.Response(status=421, headers=headers)
         self._record_forged_headers(request)
+        if self.backoff_s is not None:
+            headers['Bulrushhold-Not-Run'] = '1'
+            headers['Retry-After'] = str(self.backoff_s)
+            return web.Response(status=503, headers=headers)
         copy = request.headers.get('Kv-From')
         if copy and (self.proxy.address, copy.split('/')[1]) not in (
             self.observations.copies
