--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -133,6 +133,7 @@
     :param instance: ident of the responding process, or ``''``.
     :param limit: the request limit that the response names, if any.
     :param backoff: how long the server wants no requests of this entry.
+    :param leaving: the server is shutting down and wants no new requests.
     """
 
     status: int
@@ -144,6 +145,7 @@
     load: BackendLoad | None = None
     limit: RequestLimit | None = None
     backoff: Backoff | None = None
+    leaving: bool = False
 
 
 class BackendResponse(abc.ABC):
--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -45,10 +45,13 @@
 
     :param latency_s: time that it takes to respond.
     :param limit: request limit that its responses name.
+    :param leaving: whether its responses say that it is shutting down.
     :param backoff_s: if set, it turns requests away with this demand.
     :param arrivals: all requests that it received.
     :param informed_at: by entry, when it first relayed a limit.
     :param backoffs: each demand, with entry, begin and end.
+    :param told_leaving_at: by entry, when it first relayed a response that
+        says the server is shutting down.
     """
 
     ident: str
@@ -56,11 +59,24 @@
     data_centre: str
     latency_s: float = 0.09
     limit: float | None = None
+    leaving: bool = False
+    told_leaving_at: dict[str, float] = attrs.field(factory=dict)
     backoff_s: float | None = None
     backoffs: list[tuple[str, float, float]] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     informed_at: dict[str, float] = attrs.field(factory=dict)
 
+    def count_after_leaving(self, drain_s: float) -> int:
+        """Return the arrivals from entries that knew it was shutting down.
+
+        :param drain_s: requests that arrive within this time are left out.
+        """
+        told_at = self.told_leaving_at
+        return sum(
+            arrival.at > told_at.get(arrival.entry, float('inf')) + drain_s
+            for arrival in self.arrivals
+        )
+
     def most_in_a_backoff(self) -> int:
         """Return the most arrivals from one entry during one demand.
 
@@ -144,11 +160,13 @@
         if server.backoff_s is not None:
             return await self._turn_away(server, server.backoff_s)
         await asyncio.sleep(server.latency_s)
-        limit = server.limit
+        limit, leaving = server.limit, server.leaving
         await asyncio.sleep(ONE_WAY_DELAY_S)
+        now = _system.emulated_now()
         if limit is not None:
-            now = _system.emulated_now()
             server.informed_at.setdefault(self.entry, now)
+        if leaving:
+            server.told_leaving_at.setdefault(self.entry, now)
         return _Response(
             calls.ResponseHead(
                 200,
@@ -157,6 +175,7 @@
                 True,
                 False,
                 limit=None if limit is None else calls.RequestLimit(limit),
+                leaving=leaving,
             )
         )
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -428,3 +428,18 @@
 def test_only_a_503_demands_to_back_off():
     assert decode_head(503).backoff is None
     assert decode_head(429, **{'Retry-After': '3'}).backoff is None
+
+
+@pytest.mark.parametrize(
+    ('value', 'leaving'),
+    [
+        ('1', True),
+        ('true', True),
+        ('0', False),
+        ('', False),
+        ('soon', False),
+    ],
+)
+def test_a_server_that_is_shutting_down_says_so(value, leaving):
+    assert decode_head(**{'Server-Leaving': value}).leaving is leaving
+    assert not decode_head().leaving
