A server that says it is leaving gets no new requests

With two of three servers saying in their responses that they shut down, and the platform's list unchanged, 300 entries sent them 1,251 requests more than 3 s after they had relayed that (emulator). Cause: only the list was obeyed; the header was in no list of those that are read. Now an entry leaves such a server out at once, keeps no copies there, and checks again as a request is sent; running streams go on. The statement counts until the list drops the server or it restarts, and for 300 s if the list never agrees.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -11,6 +11,7 @@
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _backoffs
 from bulrushhold.decisions import _enginespeeds
+from bulrushhold.decisions import _leaving
 from bulrushhold.decisions import _requestlimits
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
@@ -67,6 +68,7 @@
         self.capacity: dict[str, int] = {}
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
+        self.leaving_servers = _leaving.LeavingServers()
         self.backoffs = _backoffs.Backoffs()
         self.limits = _requestlimits.RequestLimits(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
@@ -100,6 +102,7 @@
             backends[item.ident] = server
         self.backends = backends
         self.replaced_idents &= backends.keys()
+        self.leaving_servers.retain(backends.keys())
         self.limits.retain(backends.keys())
         self.backoffs.retain(backends.keys())
         self.services = {}
@@ -123,11 +126,15 @@
         present = [
             backend
             for backend in self.services.get(service, ())
-            if not backend.leaving
+            if not self.is_leaving(backend)
             and backend.ident not in self.replaced_idents
         ]
         return self.versions.usable(service, present, now, canary=canary)
 
+    def is_leaving(self, backend: _backendserver.BackendServer) -> bool:
+        """Whether a server shuts down, by the list or by its own word."""
+        return backend.leaving or backend.ident in self.leaving_servers
+
     def is_held(self, ident: str, now: float) -> bool:
         """Whether a server itself allows no request now.
 
@@ -168,7 +175,7 @@
         return [
             backend
             for backend in self.services.get(service, ())
-            if not backend.leaving
+            if not self.is_leaving(backend)
             and backend.ident not in self.replaced_idents
             and self.versions.may_hold_copies(backend)
         ]
@@ -211,7 +218,7 @@
         return (
             backend.ident in self.backends
             and backend.ident not in self.replaced_idents
-            and not backend.leaving
+            and not self.is_leaving(backend)
             and backend.lost_at < since
             and self.versions.may_hold_copies(backend)
         )
@@ -315,6 +322,7 @@
         now: float,
     ) -> messages.LoadReport:
         """Return this entry's load report; clear the pending events."""
+        self.leaving_servers.expire(now)
         lost, self.pending_losses = self.pending_losses, []
         replaced, self.pending_replaced = self.pending_replaced, []
         loads = {
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -105,6 +105,9 @@
         )
     if head.matches_request and (head.from_backend or head.limit is not None):
         _record_limit(context, job, ident, head.limit, sent_at)
+    if head.matches_request and head.leaving:
+        if context.placement.leaving_servers.record(ident, context.clock()):
+            log(job, 'server leaving', backend=ident)
     if head.matches_request and head.backoff is not None:
         _record_backoff(context, job, ident, head.backoff)
 
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -98,8 +98,8 @@
 class PermitCheckingClient(calls.BackendClient):
     """Sends a request only if its server allows it.
 
-    A limit or a backoff may become known between the choice of a server and
-    the sending.
+    A limit, a backoff or a shutdown may become known between the choice of a
+    server and the sending.
     """
 
     def __init__(
@@ -122,6 +122,9 @@
             raise errors.NoPermitError(
                 'request limit', 'permit', attempt.address
             )
+        backend = self.placement.backends.get(ident)
+        if backend is not None and self.placement.is_leaving(backend):
+            raise errors.NoPermitError('leaving', 'permit', attempt.address)
         if self.placement.backoffs.is_active(ident, self.clock()):
             raise errors.NoPermitError('backoff', 'permit', attempt.address)
         return await self.client.send(call, attempt)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -23,6 +23,7 @@
     :param open_delay_s: delay before the response headers.
     :param limit: request limit that the response names.
     :param backoff: how long the server wants no requests.
+    :param leaving: the response says that the server is shutting down.
     """
 
     status: int = 200
@@ -36,6 +37,7 @@
     open_delay_s: float = 0.0
     limit: calls.RequestLimit | None = None
     backoff: calls.Backoff | None = None
+    leaving: bool = False
 
 
 class FakeResponse(calls.BackendResponse):
@@ -52,6 +54,7 @@
             script.not_run,
             limit=script.limit,
             backoff=script.backoff,
+            leaving=script.leaving,
         )
 
     async def chunk(self):
