An entry asks its permit home again soon after it was unreachable

Found by reading: without its home, an entry held a limited server until its part of the floor allowed a request, 35 s for one of nine entries at 2.6 a second, and told callers to come back then, although another home answers within about a second. A test with 1,000 entries was told 55 s; now 2 at most.

--- a/src/bulrushhold/decisions/_permithome.py
+++ b/src/bulrushhold/decisions/_permithome.py
@@ -67,9 +67,8 @@
         earliest_at = meter.next_at - BURST_REQUESTS * interval_s
         wait_s = max(0.0, earliest_at - now)
         if wait_s > ask.max_wait_s:
-            return messages.PermitGrant(
-                False, wait_s, self._hold_s(meter, now)
-            )
+            hold_s = max(wait_s, self._hold_s(meter, now))
+            return messages.PermitGrant(False, wait_s, hold_s)
         meter.next_at = max(meter.next_at, now) + interval_s
         return messages.PermitGrant(True, wait_s)
 
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -201,9 +201,11 @@
         wait_s = context.placement.limits.take_floor(
             ask.server, context.budget.entries, context.clock()
         )
+        if not wait_s:
+            return messages.PermitGrant(True, 0.0)
         # The home may be back before the floor allows a request.
         hold_s = min(wait_s, HOME_BACKOFF_S)
-        return messages.PermitGrant(not wait_s, wait_s, hold_s)
+        return messages.PermitGrant(False, hold_s, hold_s)
 
 
 def _hold(
@@ -214,7 +216,7 @@
 ) -> None:
     now = context.clock()
     context.placement.limits.hold(
-        ident, now + max(grant.hold_s, grant.wait_s), now + grant.wait_s
+        ident, now + grant.hold_s, now + grant.wait_s
     )
     context.metrics.count('limits.held')
     _context.log(
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -207,3 +207,18 @@
         await task
     assert [ask.per_s for ask in source.asks] == [2.6, 1.0]
     assert client.attempts == []
+
+
+async def test_an_entry_asks_again_soon_after_its_home_was_unreachable(
+    client, context
+):
+    # Guards against a refusal for as long as the floor alone would last.
+    context.budget.entries = 1000
+    name_limits(context, *context.placement.backends)
+    context.permit_source.grants = [errors.PeerError('lost')] * 20
+    with pytest.raises(errors.RequestError) as caught:
+        await send_one(context)
+    assert caught.value.retry_after <= 2.0
+    limits = context.placement.limits
+    later = context.clock() + 1.0
+    assert not any(limits.is_held(i, later) for i in limits.servers)
