Servers without limits cost nothing as one is chosen

A request to a server without a limit no longer lists the alternatives, and servers are only filtered while one of them has a limit or wants no requests. A gauge counts the limited servers.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -144,6 +144,14 @@
             ident, now
         )
 
+    def allowing(
+        self, servers: list[_backendserver.BackendServer], now: float
+    ) -> list[_backendserver.BackendServer]:
+        """Return the servers that aren't held."""
+        if not self.limits.servers and not self.backoffs.ends_at:
+            return servers
+        return [s for s in servers if not self.is_held(s.ident, now)]
+
     def free_at(self, ident: str) -> float:
         """Return when a held server allows a request, as far as known."""
         return max(self.limits.free_at(ident), self.backoffs.until(ident))
@@ -154,9 +162,8 @@
         """Return the servers not tried yet that allow a request now."""
         return [
             backend
-            for backend in self.usable(service)
+            for backend in self.allowing(self.usable(service), now)
             if backend.ident not in tried
-            and not self.is_held(backend.ident, now)
         ]
 
     def next_held(
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -316,10 +316,9 @@
         )
         healthy = [
             b
-            for b in self.usable(service)
+            for b in self.allowing(self.usable(service), now)
             if b.ejected_until <= now
             and b.ident != excluding
-            and not self.is_held(b.ident, now)
             and not self.health_penalty(b, now)
         ]
         first_event_s = float('inf')
@@ -379,11 +378,8 @@
         preferred: t.Container[str] = (),
         canary: bool = False,
     ) -> _backendserver.BackendServer | None:
-        usable = [
-            b
-            for b in self.usable(service, now, canary=canary)
-            if not self.is_held(b.ident, now)
-        ]
+        usable = self.usable(service, now, canary=canary)
+        usable = self.allowing(usable, now)
         return self._best_of(usable, now, tried, cost, preferred=preferred)
 
     def _best_of(
@@ -416,8 +412,8 @@
         """
         candidates = [
             b
-            for b in self.usable(service)
-            if b.ident not in tried and not self.is_held(b.ident, now)
+            for b in self.allowing(self.usable(service), now)
+            if b.ident not in tried
         ]
         count = AFFINITY_CANDIDATES
         if self.data_centre:
--- a/src/bulrushhold/decisions/_requestlimits.py
+++ b/src/bulrushhold/decisions/_requestlimits.py
@@ -59,6 +59,10 @@
         server = self.servers.get(ident)
         return server.per_s if server is not None else None
 
+    def limited_count(self) -> int:
+        """Return the number of servers with a limit."""
+        return sum(s.per_s is not None for s in self.servers.values())
+
     def age_s(self, ident: str, now: float) -> float:
         """Return the age of the newest statement of a known server."""
         return max(0.0, now - self.servers[ident].as_of)
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -146,6 +146,7 @@
     else:
         changed = limits.record(ident, limit.per_s, context.clock())
     if changed:
+        context.metrics.gauge('limits.servers', limits.limited_count())
         log(
             job,
             'server limit',
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -250,11 +250,9 @@
         max_wait_s = _max_wait_s(job, now, begun=begun)
         backend = choose()
         if backend is not None:
-            others = placement.untried(job.service, now, tried)
-            if any(
-                other.ident != backend.ident and other.ejected_until <= now
-                for other in others
-            ):
+            if placement.limits.current(backend.ident) is None:
+                return PermittedChoice(backend)
+            if _has_alternative(context, job, backend, tried):
                 max_wait_s = 0.0
         else:
             backend = placement.next_held(job.service, now, tried)
@@ -276,6 +274,19 @@
             return PermittedChoice(backend, has_permit)
 
 
+def _has_alternative(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    backend: decisions.BackendServer,
+    tried: set[str],
+) -> bool:
+    now = context.clock()
+    return any(
+        other.ident != backend.ident and other.ejected_until <= now
+        for other in context.placement.untried(job.service, now, tried)
+    )
+
+
 def _release_delay_s() -> float:
     """Return a random delay, so that waiting requests don't go at once."""
     return random.random() * MAX_RELEASE_DELAY_S
