--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -4,8 +4,6 @@
 import contextlib
 import typing as t
 
-import attrs
-
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
@@ -13,6 +11,7 @@
 from bulrushhold.forwarding import _events
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _runevidence
+from bulrushhold.forwarding import _streamloss
 
 if t.TYPE_CHECKING:
     from bulrushhold.forwarding import _streams
@@ -33,28 +32,6 @@
 NO_PROBE_ANSWER: t.Final = 'stalled, and no answer to a liveness probe'
 
 
-@attrs.define(slots=False)
-class StreamLostError(errors.EngineLostError):
-    """A stream lost its engine and may resume on another one.
-
-    :param sent: the request may have reached the engine.
-    :param unreachable: the engine crashed or is unreachable; ``False`` if it
-        only returned an error.
-    :param reset: the engine closed the connection, because of a crash or of
-        an error in a live engine.
-    :param seconds: time since the stream was sent to the engine.
-    :param event_id_before: id of the last event sent to the caller by then.
-    :param permitted: the engine's request limit allowed the attempt.
-    """
-
-    sent: bool = True
-    unreachable: bool = True
-    reset: bool = False
-    seconds: float = 0.0
-    event_id_before: int | None = None
-    permitted: bool = True
-
-
 def _close_response(
     send_task: 'asyncio.Future[calls.BackendResponse]',
 ) -> None:
@@ -114,13 +91,15 @@
         if head.not_run:
             if head.status == 421:
                 self.context.placement.mark_replaced(self.engine.ident)
-            raise StreamLostError(
+            raise _streamloss.StreamLostError(
                 f'refused with status {head.status}',
                 sent=False,
                 unreachable=False,
             )
         if not head.matches_request or not head.from_backend:
-            raise StreamLostError('mismatched answer', unreachable=False)
+            raise _streamloss.StreamLostError(
+                'mismatched answer', unreachable=False
+            )
         if head.status >= 300:
             return await self._failure_reply(response)
         await self._relay(response)
@@ -191,16 +170,18 @@
             self._check_first_event(silence)
             alive = await self._is_alive(silence)
             if not alive and not self.send_task.done():
-                raise StreamLostError(NO_PROBE_ANSWER)
+                raise _streamloss.StreamLostError(NO_PROBE_ANSWER)
         try:
             self.response = self.send_task.result()
         except errors.NoPermitError as error:
-            raise StreamLostError(
+            raise _streamloss.StreamLostError(
                 str(error), sent=False, unreachable=False, permitted=False
             ) from error
         except errors.BackendError as error:
             sent = error.step != 'connect'
-            raise StreamLostError(str(error), sent=sent, reset=sent) from error
+            raise _streamloss.StreamLostError(
+                str(error), sent=sent, reset=sent
+            ) from error
         return self.response
 
     def _expect_first_event(self) -> None:
@@ -223,7 +204,7 @@
     def _check_first_event(self, silence: _liveness.SilenceTimer) -> None:
         waited = silence.seconds
         if self.stream.remaining_s() <= 0:
-            raise StreamLostError(
+            raise _streamloss.StreamLostError(
                 'no event before the deadline', unreachable=False
             )
         elsewhere_s = self.stream.estimate_capacity(
@@ -232,7 +213,7 @@
         if waited > decisions.first_event_timeout_s(
             self.expected_first_event_s, elsewhere_s
         ):
-            raise StreamLostError(
+            raise _streamloss.StreamLostError(
                 f'no first event after {waited:.2f} s', unreachable=False
             )
 
@@ -248,14 +229,16 @@
         try:
             body = await response.body()
         except errors.BackendError as error:
-            raise StreamLostError(str(error), unreachable=False) from error
+            raise _streamloss.StreamLostError(
+                str(error), unreachable=False
+            ) from error
         head = response.head
         reply = calls.Reply(head.status, head.headers, body)
         if head.status < 500 or not self.stream.job.route.repeatable:
             return reply
         self.stream.failure_reply = reply
         self.evidence.record_failure()
-        raise StreamLostError(
+        raise _streamloss.StreamLostError(
             f'failed with status {head.status}', unreachable=False
         )
 
@@ -268,11 +251,15 @@
             try:
                 events = splitter.feed(chunk)
             except errors.BackendError as error:
-                raise StreamLostError(str(error), unreachable=False) from error
+                raise _streamloss.StreamLostError(
+                    str(error), unreachable=False
+                ) from error
             await self._forward_new_events(response, events)
             self._ensure_copy()
         if splitter.buffer:
-            raise StreamLostError('incomplete last event', unreachable=False)
+            raise _streamloss.StreamLostError(
+                'incomplete last event', unreachable=False
+            )
         if not self.stream.caller_stream.headers_sent:
             await self.stream.caller_stream.send_headers(
                 response.head.status, response.head.headers
@@ -357,7 +344,7 @@
         if data:
             await self._forward(response, data)
         if gap:
-            raise StreamLostError(gap, unreachable=False)
+            raise _streamloss.StreamLostError(gap, unreachable=False)
 
     async def _forward(
         self, response: calls.BackendResponse, data: bytes
@@ -416,7 +403,7 @@
             stalled_s > self._stall_timeout_s()
             or self.stream.remaining_s() <= 0
         ):
-            raise StreamLostError(
+            raise _streamloss.StreamLostError(
                 f'stalled for {stalled_s:.2f} s', unreachable=False
             )
 
@@ -426,7 +413,7 @@
             async with asyncio.timeout(0):
                 return await self._read(response)
         except TimeoutError:
-            raise StreamLostError(NO_PROBE_ANSWER) from None
+            raise _streamloss.StreamLostError(NO_PROBE_ANSWER) from None
 
     def _stall_timeout_s(self) -> float:
         if self._has_copy():
@@ -461,4 +448,6 @@
         try:
             return await response.chunk()
         except errors.BackendError as error:
-            raise StreamLostError(str(error), reset=True) from error
+            raise _streamloss.StreamLostError(
+                str(error), reset=True
+            ) from error
--- /dev/null
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -0,0 +1,27 @@
+"""The error of a stream that lost its engine."""
+
+import attrs
+
+from bulrushhold import errors
+
+
+@attrs.define(slots=False)
+class StreamLostError(errors.EngineLostError):
+    """A stream lost its engine and may resume on another one.
+
+    :param sent: the request may have reached the engine.
+    :param unreachable: the engine crashed or is unreachable; ``False`` if it
+        only returned an error.
+    :param reset: the engine closed the connection, because of a crash or of
+        an error in a live engine.
+    :param seconds: time since the stream was sent to the engine.
+    :param event_id_before: id of the last event sent to the caller by then.
+    :param permitted: the engine's request limit allowed the attempt.
+    """
+
+    sent: bool = True
+    unreachable: bool = True
+    reset: bool = False
+    seconds: float = 0.0
+    event_id_before: int | None = None
+    permitted: bool = True
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -12,6 +12,7 @@
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
+from bulrushhold.forwarding import _streamloss
 
 # A run that fails earlier has no copy at the backup yet.
 COPY_AFTER_S: t.Final = 0.3
@@ -96,7 +97,7 @@
             started, last = self.context.clock(), self.last_event_id
             try:
                 reply = await self._attempt(engine, copy, choice.has_permit)
-            except _engine_stream.StreamLostError as lost:
+            except _streamloss.StreamLostError as lost:
                 if not lost.permitted:
                     self.tried.discard(engine.ident)
                     continue
@@ -227,7 +228,7 @@
             canary=canary,
         )
 
-    async def _may_retry(self, lost: _engine_stream.StreamLostError) -> bool:
+    async def _may_retry(self, lost: _streamloss.StreamLostError) -> bool:
         run_started = (
             lost.unreachable
             or lost.reset
@@ -368,7 +369,7 @@
     async def _check_reachable(
         self,
         engine: decisions.BackendServer,
-        lost: _engine_stream.StreamLostError,
+        lost: _streamloss.StreamLostError,
     ) -> None:
         """Check whether an engine that broke the connection is alive.
 
@@ -383,7 +384,7 @@
     def _record_loss(
         self,
         engine: decisions.BackendServer,
-        lost: _engine_stream.StreamLostError,
+        lost: _streamloss.StreamLostError,
     ) -> None:
         now = self.context.clock()
         self.context.placement.record_failure(
