The client library keeps an entry's Retry-After

Two tests failed before: an entry that had said 0.7 s was called again after 0.2 s, and a caller told 30 s waited for its own 2 s. Now an entry is left out for as long as it asked, others are called meanwhile, and a call that none takes before its deadline ends at once with that refusal.

--- a/src/bulrushhold/client.py
+++ b/src/bulrushhold/client.py
@@ -32,6 +32,31 @@
     """An error that an entry reported in a stream that had begun."""
 
 
+class _EntryBackoffs:
+    """Entries that one request doesn't use for a time after a failure.
+
+    :param deadline: monotonic seconds until which the request is retried.
+    """
+
+    def __init__(self, deadline: float) -> None:
+        self.deadline = deadline
+        self.ends_at: dict[str, float] = {}
+
+    def record(self, entry: str, retry_after: float | None = None) -> None:
+        """Record a failed try, and the time that the entry asked for."""
+        seconds = max(RETRY_DELAY_S, retry_after or 0.0)
+        self.ends_at[entry] = time.monotonic() + seconds
+
+    def __contains__(self, entry: str) -> bool:
+        return self.ends_at.get(entry, 0.0) > time.monotonic()
+
+    def outlast_deadline(self, entries: cabc.Iterable[str]) -> bool:
+        """Whether none of these entries can be used before the deadline."""
+        return all(
+            self.ends_at.get(entry, 0.0) > self.deadline for entry in entries
+        )
+
+
 @attrs.frozen
 class Answer:
     """A plain service's response."""
@@ -100,9 +125,9 @@
         received = 0
         ran = errors.Ran.NO
         deadline = time.monotonic() + self.deadline_s
-        failed: set[str] = set()
+        failed = _EntryBackoffs(deadline)
         while True:
-            entry = await self._pick_entry(failed, deadline, ran)
+            entry = await self._pick_entry(failed, ran)
             if received:
                 headers['Last-Event-ID'] = str(received - 1)
             try:
@@ -117,18 +142,19 @@
                     ran = errors.Ran.YES
                     # The deadline applies to the time without progress.
                     deadline = time.monotonic() + self.deadline_s
+                    failed.deadline = deadline
                     yield token
                 raise _stream_error('the stream ended early', entry)
             except _CONNECTION_ERRORS as error:
-                failed = {entry}
+                failed.record(entry)
                 ran = _combine_ran(ran, _ran_after(error))
                 if time.monotonic() > deadline:
                     raise _stream_error(str(error), entry) from error
             except errors.RequestError as error:
                 ran = error.ran = _combine_ran(ran, error.ran)
-                if not _retry_elsewhere(error) or time.monotonic() > deadline:
+                failed.record(entry, error.retry_after)
+                if not _retry_elsewhere(error) or self._is_hopeless(failed):
                     raise
-                failed = {entry}
                 await asyncio.sleep(min(RETRY_DELAY_S, error.retry_after or 0))
 
     async def call(
@@ -151,9 +177,9 @@
         key = key or str(uuid_utils.uuid7())
         ran = errors.Ran.NO
         deadline = time.monotonic() + self.deadline_s
-        failed: set[str] = set()
+        failed = _EntryBackoffs(deadline)
         while True:
-            entry = await self._pick_entry(failed, deadline, ran)
+            entry = await self._pick_entry(failed, ran)
             url = f'http://{entry}/v1/services/{service}/{path}'
             try:
                 async with self.session.request(
@@ -173,15 +199,16 @@
                 if error.step != 'claim':
                     error.ran = _combine_ran(ran, error.ran)
                 ran = error.ran
-                if error.status != 503 or time.monotonic() > deadline:
+                failed.record(entry, error.retry_after)
+                if error.status != 503 or self._is_hopeless(failed):
                     raise error
             except _CONNECTION_ERRORS as error:
                 ran = _combine_ran(ran, _ran_after(error))
+                failed.record(entry)
                 if time.monotonic() > deadline:
                     raise errors.RequestError(
                         str(error), 'call', entry, ran=ran
                     ) from error
-            failed = {entry}
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _read(
@@ -223,8 +250,14 @@
                     if token is not None:
                         yield offset, token
 
+    def _is_hopeless(self, failed: _EntryBackoffs) -> bool:
+        """Whether no entry can be used before the deadline."""
+        return time.monotonic() > failed.deadline or failed.outlast_deadline(
+            self.entries or self.seeds
+        )
+
     async def _pick_entry(
-        self, failed: set[str], deadline: float, ran: errors.Ran
+        self, failed: _EntryBackoffs, ran: errors.Ran
     ) -> str:
         """Return the entry to use next.
 
@@ -236,9 +269,8 @@
             for entry in self.entries or self.seeds:
                 if entry not in failed:
                     return entry
-            failed.clear()
             self.entries_expire_at = 0.0
-            if time.monotonic() > deadline:
+            if time.monotonic() > failed.deadline:
                 raise errors.RequestError(
                     'no entry could be reached',
                     'client',
@@ -247,7 +279,7 @@
                 )
             await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _refresh_entries(self, failed: set[str]) -> None:
+    async def _refresh_entries(self, failed: _EntryBackoffs) -> None:
         params = {
             'account': self.account,
             'data_centre': self.data_centre,
