The soak's engines name limits, turn requests away and leave

A server that takes nothing is tried each four seconds instead of ten: no response could end its limit sooner.

--- a/src/bulrushhold/decisions/_requestlimits.py
+++ b/src/bulrushhold/decisions/_requestlimits.py
@@ -16,7 +16,7 @@
 
 # A server that accepts nothing is still tried this often, or no response
 # could ever end its limit.
-MIN_RATE_PER_S: t.Final = 0.1
+MIN_RATE_PER_S: t.Final = 0.25
 # Servers with a limit above this are not in need.
 MAX_RATE_PER_S: t.Final = 1000.0
 # Share of a limit that is divided among all entries without permits.
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -39,6 +39,7 @@
     :ivar plain_requests: number of plain requests received.
     :ivar limit: request limit that its answers name, if any.
     :ivar backoff_s: if set, it turns requests away with this demand.
+    :ivar leaving: its answers say that it is shutting down.
     :ivar arrivals: when each request reached it, by the event loop's clock.
     """
 
@@ -57,6 +58,7 @@
         self.error_rate = 0.0
         self.limit = None
         self.backoff_s = None
+        self.leaving = False
         self.arrivals = []
         self.proxy = Proxy()
 
@@ -106,6 +108,8 @@
         headers = {'Bulrushhold-Request-Id': ident}
         if self.limit is not None:
             headers['Server-Limit'] = str(self.limit)
+        if self.leaving:
+            headers['Server-Leaving'] = '1'
         expected = request.headers.get('Bulrushhold-Expect-Instance')
         if expected != self.ident:
             headers['Bulrushhold-Instance-Id'] = self.ident
