--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -1,4 +1,4 @@
-"""Simulates a plain service whose servers may name a request limit."""
+"""Simulates a plain service whose servers make demands of entries."""
 
 import asyncio
 import random
@@ -14,29 +14,16 @@
 from bulrushhold import routes
 
 ONE_WAY_DELAY_S: t.Final = 0.002
-# Time that an entry has to act on a limit.
+# Time that an entry has to act on a demand.
 REACTION_S: t.Final = 0.5
 
 
 @attrs.frozen
 class Arrival:
-    """A request that reached a server.
-
-    :param informed_at: when the entry first relayed a response of the server
-        that names a limit; ``None`` if it hadn't yet.
-    """
+    """A request that reached a server, from an entry."""
 
     at: float
     entry: str
-    informed_at: float | None
-
-    @property
-    def is_informed(self) -> bool:
-        """Whether the entry had time to act on the limit."""
-        return (
-            self.informed_at is not None
-            and self.at >= self.informed_at + REACTION_S
-        )
 
 
 @attrs.define(eq=False)
@@ -48,9 +35,8 @@
     :param leaving: whether its responses say that it is shutting down.
     :param backoff_s: if set, it turns requests away with this demand.
     :param arrivals: all requests that it received.
-    :param informed_at: by entry, when it first relayed a limit.
     :param backoffs: each demand, with entry, begin and end.
-    :param told_leaving_at: by entry, when it first relayed a response that
+    :param leaving_relayed_at: by entry, when it first relayed a response that
         says the server is shutting down.
     """
 
@@ -60,20 +46,19 @@
     latency_s: float = 0.09
     limit: float | None = None
     leaving: bool = False
-    told_leaving_at: dict[str, float] = attrs.field(factory=dict)
+    leaving_relayed_at: dict[str, float] = attrs.field(factory=dict)
     backoff_s: float | None = None
     backoffs: list[tuple[str, float, float]] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
-    informed_at: dict[str, float] = attrs.field(factory=dict)
 
     def count_after_leaving(self, drain_s: float) -> int:
         """Return the arrivals from entries that knew it was shutting down.
 
         :param drain_s: requests that arrive within this time are left out.
         """
-        told_at = self.told_leaving_at
+        relayed_at = self.leaving_relayed_at
         return sum(
-            arrival.at > told_at.get(arrival.entry, float('inf')) + drain_s
+            arrival.at > relayed_at.get(arrival.entry, float('inf')) + drain_s
             for arrival in self.arrivals
         )
 
@@ -94,21 +79,12 @@
             default=0,
         )
 
-    def highest_count(
-        self, since: float, window_s: float, *, informed_only: bool = False
-    ) -> int:
+    def highest_count(self, since: float, window_s: float) -> int:
         """Return the highest number of arrivals in any window.
 
         :param since: windows that begin earlier are left out.
-        :param informed_only: count only entries that had relayed a limit
-            half a second before or earlier.
         """
-        times = [
-            arrival.at
-            for arrival in self.arrivals
-            if arrival.at >= since
-            and (not informed_only or arrival.is_informed)
-        ]
+        times = [a.at for a in self.arrivals if a.at >= since]
         return max(
             (sum(t <= u < t + window_s for u in times) for t in times),
             default=0,
@@ -154,19 +130,15 @@
         """Send a call and return its response."""
         server = self.servers[attempt.address]
         await asyncio.sleep(ONE_WAY_DELAY_S)
-        informed_at = server.informed_at.get(self.entry)
-        now = _system.emulated_now()
-        server.arrivals.append(Arrival(now, self.entry, informed_at))
+        server.arrivals.append(Arrival(_system.emulated_now(), self.entry))
         if server.backoff_s is not None:
             return await self._turn_away(server, server.backoff_s)
         await asyncio.sleep(server.latency_s)
         limit, leaving = server.limit, server.leaving
         await asyncio.sleep(ONE_WAY_DELAY_S)
-        now = _system.emulated_now()
-        if limit is not None:
-            server.informed_at.setdefault(self.entry, now)
         if leaving:
-            server.told_leaving_at.setdefault(self.entry, now)
+            now = _system.emulated_now()
+            server.leaving_relayed_at.setdefault(self.entry, now)
         return _Response(
             calls.ResponseHead(
                 200,
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -10,6 +10,7 @@
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _events
 from bulrushhold.forwarding import _liveness
+from bulrushhold.forwarding import _responses
 from bulrushhold.forwarding import _runevidence
 from bulrushhold.forwarding import _streamloss
 
@@ -81,7 +82,7 @@
     async def run(self) -> calls.Reply | None:
         response = await self._open()
         head = response.head
-        _context.record_response(
+        _responses.record_head(
             self.context,
             self.stream.job,
             self.engine.ident,
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -11,6 +11,7 @@
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _permits
+from bulrushhold.forwarding import _responses
 
 # An idempotent request is sent to another server after this multiple of the
 # mean latency; a healthy server responds within it even when slow.
@@ -203,7 +204,7 @@
         try:
             response = await self.context.client.send(self.job.call, attempt)
             head = response.head
-            _context.record_response(
+            _responses.record_head(
                 self.context, self.job, backend.ident, head, sent_at
             )
             if head.not_run:
--- /dev/null
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -0,0 +1,86 @@
+"""Records what responses say of the backend servers themselves."""
+
+from bulrushhold import calls
+from bulrushhold.forwarding import _context
+
+
+def record_head(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    head: calls.ResponseHead,
+    sent_at: float,
+) -> None:
+    """Record what a response says of the server itself.
+
+    :param sent_at: when the request was sent.
+    """
+    if head.load is not None:
+        context.placement.record_reported_load(
+            ident, head.load.running, head.load.waiting, context.clock()
+        )
+    if not head.matches_request:
+        return
+    if head.from_backend or head.limit is not None:
+        _record_limit(context, job, ident, head.limit, sent_at)
+    if head.leaving:
+        _record_leaving(context, job, ident)
+    if head.backoff is not None:
+        _record_backoff(context, job, ident, head.backoff)
+
+
+def _record_leaving(
+    context: _context.ForwardingContext, job: _context.Job, ident: str
+) -> None:
+    if context.placement.leaving_servers.record(ident, context.clock()):
+        _context.log(job, 'server leaving', backend=ident)
+
+
+def _record_backoff(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    backoff: calls.Backoff,
+) -> None:
+    backoffs = context.placement.backoffs
+    if backoff.seconds is None:
+        context.metrics.count('backoffs.malformed')
+        if backoffs.mark_malformed(ident):
+            _context.log(job, 'malformed server backoff', backend=ident)
+        return
+    context.metrics.count('backoffs')
+    if backoffs.record(ident, backoff.seconds, context.clock()):
+        _context.log(
+            job, 'server backoff', backend=ident, seconds=backoff.seconds
+        )
+
+
+def _record_limit(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    limit: calls.RequestLimit | None,
+    sent_at: float,
+) -> None:
+    limits = context.placement.limits
+    before = limits.current(ident)
+    if limit is None:
+        # A response without a limit may be older than the newest one with a
+        # limit, unless its request was sent later.
+        changed = limits.record(ident, None, sent_at)
+    elif limit.per_s is None:
+        context.metrics.count('limits.malformed')
+        if limits.mark_malformed(ident):
+            _context.log(job, 'malformed server limit', backend=ident)
+        return
+    else:
+        changed = limits.record(ident, limit.per_s, context.clock())
+    if changed:
+        context.metrics.gauge('limits.servers', limits.limited_count())
+        _context.log(
+            job,
+            'server limit',
+            backend=ident,
+            per_s=limits.current(ident),
+            previous_per_s=before,
+        )
