The test of a queued stream measures the engine's silence as the stream does

Cause: the test's engine was silent for 0.5 s by the clock, while a stream counts each of its waits for no more than its own timeout of 0.02 s, by design, so that a paused entry doesn't take its own pause for the engine's. Shown by a run: with the event loop blocked for 0.06 or 0.1 s at each step, the old test tries one server, and with 0 or 0.03 s two. Ruled out: a fault of the retry; in steps of the stream's own interval two are tried in all four cases.

The engine is silent for 25 such intervals now, as long as before on a free machine (0.5 s), and the check is as it was.

--- a/tests/forwarding/test_stall_timeouts.py
+++ b/tests/forwarding/test_stall_timeouts.py
@@ -58,7 +58,9 @@
         for backend in context.placement.backends.values():
             backend.reading = queued_tokens
         if len(addresses) == 1:
-            await asyncio.sleep(0.5)
+            # In steps, as the stream counts no wait longer than its timeout.
+            for _ in range(25):
+                await asyncio.sleep(_engine_stream.PROBE_INTERVAL_S)
         return fakes.FakeResponse(
             client, attempt.address, fakes.Script(events=(1,))
         )
