What servers demand is one object; permits are three modules

No behaviour changes. BackendPool held limits, backoffs and leaving servers, each with its own upkeep and two with the same notes on malformed values; now it holds ServerDemands. The module of permits is split into the source of permits, the check of each request, and the choice of a server.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -9,10 +9,8 @@
 import typing as t
 
 from bulrushhold.decisions import _backendserver
-from bulrushhold.decisions import _backoffs
 from bulrushhold.decisions import _enginespeeds
-from bulrushhold.decisions import _leaving
-from bulrushhold.decisions import _requestlimits
+from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
 
@@ -68,9 +66,7 @@
         self.capacity: dict[str, int] = {}
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
-        self.leaving_servers = _leaving.LeavingServers()
-        self.backoffs = _backoffs.Backoffs()
-        self.limits = _requestlimits.RequestLimits(random.Random())
+        self.demands = _serverdemands.ServerDemands()
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.replaced_idents: set[str] = set()
@@ -102,9 +98,7 @@
             backends[item.ident] = server
         self.backends = backends
         self.replaced_idents &= backends.keys()
-        self.leaving_servers.retain(backends.keys())
-        self.limits.retain(backends.keys())
-        self.backoffs.retain(backends.keys())
+        self.demands.retain(backends.keys())
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
@@ -133,28 +127,15 @@
 
     def is_leaving(self, backend: _backendserver.BackendServer) -> bool:
         """Whether a server shuts down, by the list or by its own word."""
-        return backend.leaving or backend.ident in self.leaving_servers
-
-    def is_held(self, ident: str, now: float) -> bool:
-        """Whether a server itself allows no request now.
-
-        Its request limit is used up, or it wants none of this entry.
-        """
-        return self.limits.is_held(ident, now) or self.backoffs.is_active(
-            ident, now
-        )
+        return backend.leaving or backend.ident in self.demands.leaving
 
     def allowing(
         self, servers: list[_backendserver.BackendServer], now: float
     ) -> list[_backendserver.BackendServer]:
         """Return the servers that aren't held."""
-        if not self.limits.servers and not self.backoffs.ends_at:
+        if not self.demands.may_hold:
             return servers
-        return [s for s in servers if not self.is_held(s.ident, now)]
-
-    def free_at(self, ident: str) -> float:
-        """Return when a held server allows a request, as far as known."""
-        return max(self.limits.free_at(ident), self.backoffs.until(ident))
+        return [s for s in servers if not self.demands.is_held(s.ident, now)]
 
     def untried(
         self, service: str, now: float, tried: set[str]
@@ -173,9 +154,12 @@
         held = [
             backend
             for backend in self.usable(service)
-            if backend.ident not in tried and self.is_held(backend.ident, now)
+            if backend.ident not in tried
+            and self.demands.is_held(backend.ident, now)
         ]
-        return min(held, key=lambda b: self.free_at(b.ident), default=None)
+        return min(
+            held, key=lambda b: self.demands.free_at(b.ident), default=None
+        )
 
     def copy_holders(self, service: str) -> list[_backendserver.BackendServer]:
         """Return the engines that may get copies of running streams."""
@@ -329,7 +313,7 @@
         now: float,
     ) -> messages.LoadReport:
         """Return this entry's load report; clear the pending events."""
-        self.leaving_servers.expire(now)
+        self.demands.leaving.expire(now)
         lost, self.pending_losses = self.pending_losses, []
         replaced, self.pending_replaced = self.pending_replaced, []
         loads = {
@@ -347,7 +331,7 @@
             traffic,
             speeds=self.speeds.snapshot(now),
             evidence=self.versions.evidence(),
-            limits=self.limits.take_unreported(now),
+            limits=self.demands.limits.take_unreported(now),
         )
 
     def _apply_engines(self, summary: messages.LoadSummary) -> None:
@@ -369,7 +353,7 @@
         """Queue the events of a report that may not have been delivered."""
         self.pending_losses = report.lost + self.pending_losses
         self.pending_replaced = report.replaced + self.pending_replaced
-        self.limits.requeue(report.limits)
+        self.demands.limits.requeue(report.limits)
 
     def confirm_loads(self, now: float) -> None:
         """Record that the load of other entries hasn't changed."""
--- a/src/bulrushhold/decisions/_backoffs.py
+++ b/src/bulrushhold/decisions/_backoffs.py
@@ -12,7 +12,6 @@
 
     def __init__(self) -> None:
         self.ends_at: dict[str, float] = {}
-        self.malformed: set[str] = set()
 
     def record(self, ident: str, seconds: float, now: float) -> bool:
         """Record a demand; return whether the server had none in force.
@@ -32,15 +31,7 @@
         """Whether a server wants no requests now."""
         return self.until(ident) > now
 
-    def mark_malformed(self, ident: str) -> bool:
-        """Return whether a server's malformed demand is its first one."""
-        if ident in self.malformed:
-            return False
-        self.malformed.add(ident)
-        return True
-
     def retain(self, idents: cabc.Set[str]) -> None:
         """Forget all servers but these; a restarted one has a new ident."""
-        self.malformed &= idents
         for ident in [i for i in self.ends_at if i not in idents]:
             del self.ends_at[ident]
--- a/src/bulrushhold/decisions/_requestlimits.py
+++ b/src/bulrushhold/decisions/_requestlimits.py
@@ -51,7 +51,6 @@
         self.rng = rng
         self.on_change: cabc.Callable[[], None] = lambda: None
         self.servers: dict[str, _ServerLimit] = {}
-        self.malformed: set[str] = set()
         self.unreported: set[str] = set()
 
     def current(self, ident: str) -> float | None:
@@ -126,16 +125,8 @@
         """Queue changes again that may not have been delivered."""
         self.unreported.update(change.server for change in changes)
 
-    def mark_malformed(self, ident: str) -> bool:
-        """Return whether a server's malformed limit is its first one."""
-        if ident in self.malformed:
-            return False
-        self.malformed.add(ident)
-        return True
-
     def retain(self, idents: cabc.Set[str]) -> None:
         """Forget all servers but these; a restarted one has a new ident."""
-        self.malformed &= idents
         for ident in [i for i in self.servers if i not in idents]:
             del self.servers[ident]
 
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -157,7 +157,7 @@
         self.admission = decisions.AdmissionController()
         self.placement = decisions.Placement(system.rng, data_centre)
         self.placement.on_load_change = self._schedule_report
-        self.placement.limits.on_change = self._schedule_report
+        self.placement.demands.limits.on_change = self._schedule_report
         self.report_scheduled = False
         self.summary_number = 0
         self.context = forwarding.ForwardingContext(
@@ -200,7 +200,7 @@
         )
         self.summary_number = summary.number
         self.placement.apply_loads(summary, now)
-        self.placement.limits.apply(summary.limits, now)
+        self.placement.demands.limits.apply(summary.limits, now)
         self.budget.apply_loads(summary.traffic, now)
         waiting = {
             name: service_traffic.waiting
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -6,8 +6,8 @@
 from bulrushhold.forwarding._events import EventSplitter
 from bulrushhold.forwarding._fleet import FleetView
 from bulrushhold.forwarding._forwarder import Forwarder
-from bulrushhold.forwarding._permits import ControlPermitSource
-from bulrushhold.forwarding._permits import PermitCheckingClient
+from bulrushhold.forwarding._permitcheck import PermitCheckingClient
+from bulrushhold.forwarding._permitsource import ControlPermitSource
 from bulrushhold.forwarding._plain import PlainForwarder
 from bulrushhold.forwarding._streams import StreamForwarder
 
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -81,7 +81,7 @@
         self.load_changed = asyncio.Event()
         placement.on_load_change = self.load_changed.set
         placement.versions.on_evidence = self.load_changed.set
-        placement.limits.on_change = self.load_changed.set
+        placement.demands.limits.on_change = self.load_changed.set
         self.on_change: list[cabc.Callable[[], None]] = []
 
     @property
@@ -228,7 +228,7 @@
             return
         self.summary_number = summary.number
         self.placement.apply_loads(summary, now)
-        for change in self.placement.limits.apply(summary.limits, now):
+        for change in self.placement.demands.limits.apply(summary.limits, now):
             node.log_decision(
                 'server limit reported',
                 backend=change.server,
--- /dev/null
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -0,0 +1,67 @@
+"""Sends no request that its server doesn't allow."""
+
+import collections.abc as cabc
+import time
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+
+
+class PermitCheckingClient(calls.BackendClient):
+    """Sends a request only if its server allows it.
+
+    A limit, a backoff or a shutdown may become known between the choice of a
+    server and the sending.
+    """
+
+    def __init__(
+        self,
+        client: calls.BackendClient,
+        placement: decisions.Placement,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.client = client
+        self.placement = placement
+        self.clock = clock
+
+    async def send(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.BackendResponse:
+        """Send a call; see :meth:`calls.BackendClient.send`."""
+        ident = attempt.instance
+        limited = self.placement.demands.limits.current(ident) is not None
+        if limited and not attempt.permitted:
+            raise errors.NoPermitError(
+                'request limit', 'permit', attempt.address
+            )
+        backend = self.placement.backends.get(ident)
+        if backend is not None and self.placement.is_leaving(backend):
+            raise errors.NoPermitError('leaving', 'permit', attempt.address)
+        if self.placement.demands.backoffs.is_active(ident, self.clock()):
+            raise errors.NoPermitError('backoff', 'permit', attempt.address)
+        return await self.client.send(call, attempt)
+
+    async def probe(self, address: str, timeout: float) -> bool:
+        """Probe an engine; its limit is one of requests that it runs."""
+        return await self.client.probe(address, timeout)
+
+    async def cached_segments(
+        self, address: str, timeout: float
+    ) -> frozenset[str]:
+        """List cached segments, which takes no slot."""
+        return await self.client.cached_segments(address, timeout)
+
+    async def copy_run(
+        self, call: calls.Call, source: str, target: str, timeout: float
+    ) -> calls.RunCopy:
+        """Copy a run, which is no new request to either engine."""
+        return await self.client.copy_run(call, source, target, timeout)
+
+    async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
+        """Drop a copy."""
+        await self.client.drop_copy(copy, timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.client.close()
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -1,31 +1,23 @@
-"""Keeps the request limits and the backoffs of backend servers.
+"""Chooses servers that allow a request, and acquires the permits for it.
 
-Every request to a limited server needs a permit. Forwarders acquire it as
-they choose a server; :class:`PermitCheckingClient`, through which all requests
-pass, sends none without it, and none to a server that wants no requests.
+:class:`_permitcheck.PermitCheckingClient`, through which all requests pass,
+checks again as they are sent.
 """
 
 import asyncio
 import collections.abc as cabc
 import enum
 import random
-import time
 import typing as t
 
 import attrs
-import loguru
 
-from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _permitsource
 from bulrushhold import messages
-from bulrushhold import ports
 
-PERMIT_TIMEOUT_S: t.Final = 0.15
-# An unreachable home is not asked again for this time; the cluster view names
-# another one by then.
-HOME_BACKOFF_S: t.Final = 1.0
 # Longest wait for a permit, relative to the aim; the rest is for the response.
 MAX_WAIT_AIM_SHARE: t.Final = 0.5
 # The same relative to the remaining time, for requests without an aim and for
@@ -60,100 +52,6 @@
     retry_after_s: float = _context.RETRY_AFTER_S
 
 
-class ControlPermitSource(ports.PermitSource):
-    """Asks the control process that is the server's home.
-
-    :param nodes: returns the control processes.
-    """
-
-    def __init__(
-        self,
-        transport: ports.Transport,
-        nodes: cabc.Callable[[], list[messages.ControlNode]],
-    ) -> None:
-        self.transport = transport
-        self.nodes = nodes
-        self.failed_at: dict[str, float] = {}
-
-    async def request(self, ask: messages.PermitAsk) -> messages.PermitGrant:
-        """Ask for a permit; see :meth:`ports.PermitSource.request`."""
-        home = decisions.permit_home_address(ask.server, self.nodes())
-        now = time.monotonic()
-        if now - self.failed_at.get(home, float('-inf')) < HOME_BACKOFF_S:
-            raise errors.PeerError('unreachable', 'PermitAsk', home)
-        if not home:
-            raise errors.PeerError('no control process', 'PermitAsk')
-        try:
-            grant = await self.transport.request(home, ask, PERMIT_TIMEOUT_S)
-        except errors.PeerError as error:
-            self.failed_at[home] = time.monotonic()
-            loguru.logger.bind(peer=home, error=str(error)).warning(
-                'permit home unreachable'
-            )
-            raise
-        assert isinstance(grant, messages.PermitGrant)
-        return grant
-
-
-class PermitCheckingClient(calls.BackendClient):
-    """Sends a request only if its server allows it.
-
-    A limit, a backoff or a shutdown may become known between the choice of a
-    server and the sending.
-    """
-
-    def __init__(
-        self,
-        client: calls.BackendClient,
-        placement: decisions.Placement,
-        clock: cabc.Callable[[], float] = time.monotonic,
-    ) -> None:
-        self.client = client
-        self.placement = placement
-        self.clock = clock
-
-    async def send(
-        self, call: calls.Call, attempt: calls.Attempt
-    ) -> calls.BackendResponse:
-        """Send a call; see :meth:`calls.BackendClient.send`."""
-        ident = attempt.instance
-        limited = self.placement.limits.current(ident) is not None
-        if limited and not attempt.permitted:
-            raise errors.NoPermitError(
-                'request limit', 'permit', attempt.address
-            )
-        backend = self.placement.backends.get(ident)
-        if backend is not None and self.placement.is_leaving(backend):
-            raise errors.NoPermitError('leaving', 'permit', attempt.address)
-        if self.placement.backoffs.is_active(ident, self.clock()):
-            raise errors.NoPermitError('backoff', 'permit', attempt.address)
-        return await self.client.send(call, attempt)
-
-    async def probe(self, address: str, timeout: float) -> bool:
-        """Probe an engine; its limit is one of requests that it runs."""
-        return await self.client.probe(address, timeout)
-
-    async def cached_segments(
-        self, address: str, timeout: float
-    ) -> frozenset[str]:
-        """List cached segments, which takes no slot."""
-        return await self.client.cached_segments(address, timeout)
-
-    async def copy_run(
-        self, call: calls.Call, source: str, target: str, timeout: float
-    ) -> calls.RunCopy:
-        """Copy a run, which is no new request to either engine."""
-        return await self.client.copy_run(call, source, target, timeout)
-
-    async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
-        """Drop a copy."""
-        await self.client.drop_copy(copy, timeout)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.client.close()
-
-
 async def acquire(
     context: _context.ForwardingContext,
     job: _context.Job,
@@ -165,8 +63,8 @@
     Waits for a permit that is due in time. Without one, nothing is sent to
     the server until its limit allows it.
     """
-    limits = context.placement.limits
-    if context.placement.backoffs.is_active(ident, context.clock()):
+    limits = context.placement.demands.limits
+    if context.placement.demands.backoffs.is_active(ident, context.clock()):
         return Permission.DENIED
     deadline = context.clock() + max_wait_s
     while True:
@@ -198,13 +96,13 @@
         return await context.permit_source.request(ask)
     except errors.PeerError:
         context.metrics.count('limits.floor')
-        wait_s = context.placement.limits.take_floor(
+        wait_s = context.placement.demands.limits.take_floor(
             ask.server, context.budget.entries, context.clock()
         )
         if not wait_s:
             return messages.PermitGrant(True, 0.0)
         # The home may be back before the floor allows a request.
-        hold_s = min(wait_s, HOME_BACKOFF_S)
+        hold_s = min(wait_s, _permitsource.HOME_BACKOFF_S)
         return messages.PermitGrant(False, hold_s, hold_s)
 
 
@@ -215,7 +113,7 @@
     grant: messages.PermitGrant,
 ) -> None:
     now = context.clock()
-    context.placement.limits.hold(
+    context.placement.demands.limits.hold(
         ident, now + grant.hold_s, now + grant.wait_s
     )
     context.metrics.count('limits.held')
@@ -223,7 +121,7 @@
         job,
         'no permit',
         backend=ident,
-        per_s=context.placement.limits.current(ident),
+        per_s=context.placement.demands.limits.current(ident),
         wait_s=round(grant.wait_s, 3),
         hold_s=round(grant.hold_s, 3),
     )
@@ -250,7 +148,7 @@
         max_wait_s = _max_wait_s(job, now, begun=begun)
         backend = choose()
         if backend is not None:
-            if placement.limits.current(backend.ident) is None:
+            if placement.demands.limits.current(backend.ident) is None:
                 return PermittedChoice(backend)
             if _has_alternative(context, job, backend, tried):
                 max_wait_s = 0.0
@@ -258,13 +156,13 @@
             backend = placement.next_held(job.service, now, tried)
             if backend is None:
                 return PermittedChoice()
-            wait_s = placement.free_at(backend.ident) - now
+            wait_s = placement.demands.free_at(backend.ident) - now
             if wait_s > max_wait_s:
                 return PermittedChoice(
                     reason='all servers have limits or want no requests',
                     retry_after_s=retry_after_s(wait_s),
                 )
-            backoff_s = placement.backoffs.until(backend.ident) - now
+            backoff_s = placement.demands.backoffs.until(backend.ident) - now
             if backoff_s > 0:
                 await asyncio.sleep(backoff_s + _release_delay_s())
                 continue
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -32,7 +32,7 @@
 def _record_leaving(
     context: _context.ForwardingContext, job: _context.Job, ident: str
 ) -> None:
-    if context.placement.leaving_servers.record(ident, context.clock()):
+    if context.placement.demands.leaving.record(ident, context.clock()):
         _context.log(job, 'server leaving', backend=ident)
 
 
@@ -42,11 +42,10 @@
     ident: str,
     backoff: calls.Backoff,
 ) -> None:
-    backoffs = context.placement.backoffs
+    backoffs = context.placement.demands.backoffs
     if backoff.seconds is None:
         context.metrics.count('backoffs.malformed')
-        if backoffs.mark_malformed(ident):
-            _context.log(job, 'malformed server backoff', backend=ident)
+        _log_malformed(context, job, ident, 'backoff')
         return
     context.metrics.count('backoffs')
     if backoffs.record(ident, backoff.seconds, context.clock()):
@@ -62,7 +61,7 @@
     limit: calls.RequestLimit | None,
     sent_at: float,
 ) -> None:
-    limits = context.placement.limits
+    limits = context.placement.demands.limits
     before = limits.current(ident)
     if limit is None:
         # A response without a limit may be older than the newest one with a
@@ -70,8 +69,7 @@
         changed = limits.record(ident, None, sent_at)
     elif limit.per_s is None:
         context.metrics.count('limits.malformed')
-        if limits.mark_malformed(ident):
-            _context.log(job, 'malformed server limit', backend=ident)
+        _log_malformed(context, job, ident, 'limit')
         return
     else:
         changed = limits.record(ident, limit.per_s, context.clock())
@@ -84,3 +82,13 @@
             per_s=limits.current(ident),
             previous_per_s=before,
         )
+
+
+def _log_malformed(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    demand: str,
+) -> None:
+    if context.placement.demands.mark_malformed(ident, demand):
+        _context.log(job, f'malformed server {demand}', backend=ident)
--- a/tests/emulator/test_request_limits.py
+++ b/tests/emulator/test_request_limits.py
@@ -147,7 +147,7 @@
 
 def test_an_entry_hears_of_a_limit_from_the_others():
     system, _ = play(9, 1, receiving=1)
-    limits = [entry.placement.limits for entry in system.entries]
+    limits = [entry.placement.demands.limits for entry in system.entries]
     assert {limit.current('s0') for limit in limits} == {LIMIT_PER_S}
 
 
--- a/tests/forwarding/test_backoffs.py
+++ b/tests/forwarding/test_backoffs.py
@@ -44,7 +44,7 @@
     keep_servers(context, 'i0')
     client.scripts = [turned_away(None), turned_away(None), fakes.Script()]
     assert (await send_one(context)).status == 200
-    assert not context.placement.backoffs.ends_at
+    assert not context.placement.demands.backoffs.ends_at
     lines = [line.get('decision') for line in log_records]
     assert lines.count('malformed server backoff') == 1
 
@@ -93,10 +93,10 @@
 
     def rest_meanwhile(*args, **options):
         backend = choose(*args, **options)
-        if not context.placement.backoffs.ends_at:
+        if not context.placement.demands.backoffs.ends_at:
             loop = asyncio.get_running_loop()
             loop.call_soon(
-                context.placement.backoffs.record,
+                context.placement.demands.backoffs.record,
                 backend.ident,
                 3.0,
                 context.clock(),
@@ -106,7 +106,7 @@
     context.placement.choose = rest_meanwhile
     client.scripts = [fakes.Script()]
     assert (await send_one(context)).status == 200
-    (resting,) = context.placement.backoffs.ends_at
+    (resting,) = context.placement.demands.backoffs.ends_at
     assert client.attempts[0].instance != resting
 
 
@@ -114,7 +114,7 @@
     client, context
 ):
     keep_servers(context, 'i0', 'i1')
-    context.placement.backoffs.record('i1', 3.0, context.clock())
+    context.placement.demands.backoffs.record('i1', 3.0, context.clock())
     client.scripts = [fakes.Script(status=500), fakes.Script()]
     assert (await send_one(context)).status == 200
     assert [a.instance for a in client.attempts] == ['i0', 'i0']
@@ -131,7 +131,9 @@
     backup = next(
         b for b in context.placement.backends.values() if b.address == address
     )
-    context.placement.backoffs.record(backup.ident, 3.0, context.clock())
+    context.placement.demands.backoffs.record(
+        backup.ident, 3.0, context.clock()
+    )
     caller, _ = await task
     assert caller.data == fakes.encode_events(1, 2, 3, 4)
     assert client.attempts[1].address != address
@@ -148,7 +150,7 @@
 
 
 def test_the_later_end_of_two_backoffs_is_in_force(context):
-    backoffs = context.placement.backoffs
+    backoffs = context.placement.demands.backoffs
     assert backoffs.record('i0', 3.0, 10.0)
     assert not backoffs.record('i0', 1.0, 11.0)
     assert backoffs.until('i0') == 13.0
@@ -158,7 +160,7 @@
 
 def test_a_backoff_ends_with_its_server_and_after_an_hour(context):
     # Guards against a server that no request could reach any more.
-    backoffs = context.placement.backoffs
+    backoffs = context.placement.demands.backoffs
     backoffs.record('i0', 1e9, 0.0)
     assert not backoffs.is_active('i0', 3600.0)
     backoffs.retain({'i1'})
--- a/tests/forwarding/test_leaving.py
+++ b/tests/forwarding/test_leaving.py
@@ -72,10 +72,10 @@
 
     def leave_meanwhile(*args, **options):
         backend = choose(*args, **options)
-        if not context.placement.leaving_servers.until:
+        if not context.placement.demands.leaving.until:
             loop = asyncio.get_running_loop()
             loop.call_soon(
-                context.placement.leaving_servers.record,
+                context.placement.demands.leaving.record,
                 backend.ident,
                 context.clock(),
             )
@@ -84,7 +84,7 @@
     context.placement.choose = leave_meanwhile
     client.scripts = [fakes.Script()]
     assert (await send_one(context)).status == 200
-    (leaving,) = context.placement.leaving_servers.until
+    (leaving,) = context.placement.demands.leaving.until
     assert client.attempts[0].instance != leaving
 
 
@@ -94,12 +94,12 @@
 ):
     # Guards against a server that is never used again.
     placement = context.placement
-    placement.leaving_servers.record('i0', 0.0)
+    placement.demands.leaving.record('i0', 0.0)
     list_servers(context)
     assert 'i0' not in {b.ident for b in placement.usable('engines')}
     if restarted:
         list_servers(context, ident='i9')
         assert {b.ident for b in placement.usable('engines')} == {'i9'}
     else:
-        placement.leaving_servers.expire(300.0)
+        placement.demands.leaving.expire(300.0)
         assert 'i0' in {b.ident for b in placement.usable('engines')}
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -57,7 +57,7 @@
     client.scripts = [limited_script(None)] * 3
     for _ in range(3):
         await send_one(context)
-    assert context.placement.limits.current('i0') is None
+    assert context.placement.demands.limits.current('i0') is None
     lines = [line.get('decision') for line in log_records]
     assert lines.count('malformed server limit') == 1
 
@@ -105,7 +105,7 @@
 
 async def test_a_limit_learned_before_sending_is_kept(client, context):
     # Guards against requests chosen before the limit and sent after it.
-    limits = context.placement.limits
+    limits = context.placement.demands.limits
     choose = context.placement.choose
 
     def learn_meanwhile(*args, **options):
@@ -189,7 +189,7 @@
 
 def name_limits(context, *idents):
     for ident in idents:
-        context.placement.limits.record(ident, 2.6, context.clock())
+        context.placement.demands.limits.record(ident, 2.6, context.clock())
 
 
 async def test_a_permit_of_a_rate_since_lowered_is_asked_for_again(
@@ -202,7 +202,7 @@
     source.grants = [messages.PermitGrant(True, 0.05), NO_PERMIT]
     task = asyncio.ensure_future(send_one(context))
     await asyncio.sleep(0.02)
-    context.placement.limits.record('i0', 1.0, context.clock())
+    context.placement.demands.limits.record('i0', 1.0, context.clock())
     with pytest.raises(errors.RequestError):
         await task
     assert [ask.per_s for ask in source.asks] == [2.6, 1.0]
@@ -219,6 +219,6 @@
     with pytest.raises(errors.RequestError) as caught:
         await send_one(context)
     assert caught.value.retry_after <= 2.0
-    limits = context.placement.limits
+    limits = context.placement.demands.limits
     later = context.clock() + 1.0
     assert not any(limits.is_held(i, later) for i in limits.servers)
