The test of a rollout's new leader waits until there is one to stop

Cause: all replicas of the test share one event loop, and a pause of 0.3 s ends the leader's lease. Ruled out: an acknowledgement without a majority, as the order is read back from the new leader in the rest of the test.

The test waits for a leader before it stops it; what it checks is as before.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -299,6 +299,8 @@
 
 async def test_a_new_leader_continues_a_rollout(fleet):
     assert await order(fleet, 'a') is ACCEPTED
+    # A pause of the test's own process ends the leader's lease.
+    await fleet.cluster.wait_until(lambda: fleet.cluster.leader() is not None)
     leader = fleet.cluster.leader().config.name
     await fleet.stop(leader)
     await fleet.cluster.stop(leader)
