A limit repeated after its end is not passed on again

Found while reading: control processes repeat events until others acknowledge them, and a limit's event was compared with the last one that had arrived, so that one repeated after the limit's end was passed on again. Entries ignored it by its age; each copy woke all long polls. Control processes log reported limits as such, not as lost engines.

--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -133,17 +133,28 @@
         self, report: messages.LoadReport
     ) -> messages.Received:
         if self.loads.add_report(report, self.clock()):
+            self._log_events(report)
+            self._publish()
+        else:
+            self._publish_soon()
+        self.reports_changed.set()
+        return messages.Received()
+
+    def _log_events(self, report: messages.LoadReport) -> None:
+        if report.lost or report.replaced:
             node.log_decision(
                 'engines lost',
                 engines=report.lost,
                 replaced=report.replaced,
                 by=report.entry,
             )
-            self._publish()
-        else:
-            self._publish_soon()
-        self.reports_changed.set()
-        return messages.Received()
+        for limit in report.limits:
+            node.log_decision(
+                'server limit reported',
+                backend=limit.server,
+                per_s=limit.per_s,
+                by=report.entry,
+            )
 
     async def _on_node_load(self, load: messages.NodeLoad) -> None:
         previous = self.loads.number
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -233,18 +233,31 @@
         new_events += [
             _Event(self.number, now, local, limit=limit)
             for limit in report.limits
-            if self._is_new_limit(limit)
+            if self._is_new_limit(limit, now)
         ]
         self.events.extend(new_events)
         return bool(new_events)
 
-    def _is_new_limit(self, limit: messages.ServerLimit) -> bool:
-        known = [
-            event.limit.per_s
-            for event in self.events
-            if event.limit is not None and event.limit.server == limit.server
-        ]
-        return not known or known[-1] != limit.per_s
+    def _is_new_limit(self, limit: messages.ServerLimit, now: float) -> bool:
+        """Whether a limit is newer than the newest known one, and differs.
+
+        Processes repeat what others haven't acknowledged, so that an old
+        limit may arrive after its end.
+        """
+        newest = max(
+            (
+                event
+                for event in self.events
+                if event.limit is not None
+                and event.limit.server == limit.server
+            ),
+            key=_limit_as_of,
+            default=None,
+        )
+        if newest is None or newest.limit is None:
+            return True
+        is_newer = now - limit.age_s > _limit_as_of(newest)
+        return is_newer and limit.per_s != newest.limit.per_s
 
     # Publishing
 
@@ -384,5 +397,10 @@
         self.changed_engines.clear()
 
 
+def _limit_as_of(event: _Event) -> float:
+    assert event.limit is not None
+    return event.at - event.limit.age_s
+
+
 def _is_live(node: _Node, now: float) -> bool:
     return now - node.at <= SUM_MISSING_AFTER_S
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -319,3 +319,27 @@
     assert node.evidence() == second
     node.add_report(report('e0', evidence=second), 0.0)
     assert node.evidence()['engines'].received == 2
+
+
+def limit_report(entry, per_s, age_s=0.0):
+    limit = messages.ServerLimit('s1', per_s, age_s)
+    return messages.LoadReport(entry, {}, [], limits=[limit])
+
+
+def test_a_limit_reaches_other_entries_once_and_with_its_age():
+    aggregator = decisions.LoadAggregator()
+    assert aggregator.add_report(limit_report('e1', 2.6, 0.1), 10.0)
+    assert not aggregator.add_report(limit_report('e2', 2.6), 10.1)
+    summary = aggregator.summary_for('e3', 0, 10.5)
+    assert summary.limits == [messages.ServerLimit('s1', 2.6, 0.6)]
+    assert aggregator.summary_for('e3', summary.number, 10.6).limits == []
+
+
+def test_a_limit_that_is_repeated_after_its_end_is_not_passed_on():
+    # Guards against an old limit that control processes repeat to each other.
+    aggregator = decisions.LoadAggregator()
+    aggregator.add_report(limit_report('e1', 2.6), 10.0)
+    assert aggregator.add_report(limit_report('e2', None), 10.5)
+    assert not aggregator.add_report(limit_report('e3', 2.6, 0.6), 10.6)
+    summary = aggregator.summary_for('e4', 0, 10.6)
+    assert [limit.per_s for limit in summary.limits] == [2.6, None]
