--- a/src/bulrushhold/decisions/_requestlimits.py
+++ b/src/bulrushhold/decisions/_requestlimits.py
@@ -69,7 +69,7 @@
     # News
 
     def record(self, ident: str, per_s: float | None, as_of: float) -> bool:
-        """Record what a response said; return whether the limit has changed.
+        """Record a response's limit; return whether the limit has changed.
 
         :param per_s: requests per second; ``None`` if it names no limit.
         :param as_of: monotonic seconds; older statements than the newest
