--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -174,15 +174,8 @@
                 raise _streamloss.StreamLostError(NO_PROBE_ANSWER)
         try:
             self.response = self.send_task.result()
-        except errors.NoPermitError as error:
-            raise _streamloss.StreamLostError(
-                str(error), sent=False, unreachable=False, permitted=False
-            ) from error
         except errors.BackendError as error:
-            sent = error.step != 'connect'
-            raise _streamloss.StreamLostError(
-                str(error), sent=sent, reset=sent
-            ) from error
+            raise _streamloss.from_send_error(error) from error
         return self.response
 
     def _expect_first_event(self) -> None:
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -25,3 +25,13 @@
     seconds: float = 0.0
     event_id_before: int | None = None
     permitted: bool = True
+
+
+def from_send_error(error: errors.BackendError) -> StreamLostError:
+    """Return the loss of a stream whose request could not be sent."""
+    if isinstance(error, errors.NoPermitError):
+        return StreamLostError(
+            str(error), sent=False, unreachable=False, permitted=False
+        )
+    sent = error.step != 'connect'
+    return StreamLostError(str(error), sent=sent, reset=sent)
