A limit may end while its unreachable home is asked

Found while reading: an entry that got no answer of a server's home used its part of the floor without looking whether the server still had a limit, or was still listed. The request then ended with an internal error. The test failed before with AssertionError and KeyError.

--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -95,8 +95,12 @@
     try:
         return await context.permit_source.request(ask)
     except errors.PeerError:
+        limits = context.placement.demands.limits
+        if limits.current(ask.server) is None:
+            # The limit has ended meanwhile, or the server isn't listed.
+            return messages.PermitGrant(True, 0.0)
         context.metrics.count('limits.floor')
-        wait_s = context.placement.demands.limits.take_floor(
+        wait_s = limits.take_floor(
             ask.server, context.budget.entries, context.clock()
         )
         if not wait_s:
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -18,8 +18,8 @@
     return fakes.Script(limit=calls.RequestLimit(per_s))
 
 
-async def send_one(context):
-    return await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+async def send_one(context, **options):
+    return await fakes.run_plain(context, routes.Kind.IDEMPOTENT, **options)
 
 
 def limit_lines(log_records):
@@ -222,3 +222,24 @@
     limits = context.placement.demands.limits
     later = context.clock() + 1.0
     assert not any(limits.is_held(i, later) for i in limits.servers)
+
+
+@pytest.mark.parametrize('change', ['ended', 'unlisted'])
+async def test_a_limit_may_end_while_its_home_is_asked(
+    client, context, change
+):
+    # Guards against an error of our own in place of an answer.
+    keep_only_server(context)
+    name_limits(context, 'i0')
+    limits = context.placement.demands.limits
+
+    async def request(ask):
+        if change == 'ended':
+            limits.record('i0', None, context.clock())
+        else:
+            limits.retain(set())
+        raise errors.PeerError('lost')
+
+    context.permit_source.request = request
+    client.scripts = [fakes.Script()]
+    assert (await send_one(context)).status == 200
