An entry without its permit home no longer asks in a busy loop

Found while reading: with all servers of a service limited, their home unreachable and an aim of two seconds or more, a request that could wait was denied by the floor and asked again at once, without ever yielding to the event loop: the whole entry stood still. In the test the 200 prepared failures were used up at once. Now a request that was denied although it can wait sleeps until the server may be tried again; less than 40 questions in the test's five seconds.

--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -146,34 +146,37 @@
     :param choose: returns the best server that isn't held.
     :param begun: the caller has received some events of the stream.
     """
-    placement = context.placement
+    demands = context.placement.demands
+    # Servers that gave no permit although the request can wait.
+    denied: set[str] = set()
     while True:
         now = context.clock()
         max_wait_s = _max_wait_s(job, now, begun=begun)
         backend = choose()
-        if backend is not None:
-            if placement.demands.limits.current(backend.ident) is None:
-                return PermittedChoice(backend)
-            if _has_alternative(context, job, backend, tried):
-                max_wait_s = 0.0
-        else:
-            backend = placement.next_held(job.service, now, tried)
+        if backend is None:
+            backend = context.placement.next_held(job.service, now, tried)
             if backend is None:
                 return PermittedChoice()
-            wait_s = placement.demands.free_at(backend.ident) - now
+            wait_s = demands.free_at(backend.ident) - now
             if wait_s > max_wait_s:
                 return PermittedChoice(
                     reason='all servers have limits or want no requests',
                     retry_after_s=retry_after_s(wait_s),
                 )
-            backoff_s = placement.demands.backoffs.until(backend.ident) - now
-            if backoff_s > 0:
-                await asyncio.sleep(backoff_s + _release_delay_s())
+            is_resting = demands.backoffs.is_active(backend.ident, now)
+            if is_resting or backend.ident in denied:
+                await asyncio.sleep(max(0.0, wait_s) + _release_delay_s())
                 continue
+        elif demands.limits.current(backend.ident) is None:
+            return PermittedChoice(backend)
+        elif _has_alternative(context, job, backend, tried):
+            max_wait_s = 0.0
         permission = await acquire(context, job, backend.ident, max_wait_s)
         if permission is not Permission.DENIED:
             has_permit = permission is Permission.PERMIT
             return PermittedChoice(backend, has_permit)
+        if max_wait_s:
+            denied.add(backend.ident)
 
 
 def _has_alternative(
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -224,6 +224,19 @@
     assert not any(limits.is_held(i, later) for i in limits.servers)
 
 
+async def test_an_entry_without_its_home_does_not_ask_in_a_busy_loop(
+    client, context
+):
+    # Guards against an entry that stops while a request waits for a permit.
+    context.budget.entries = 1000
+    name_limits(context, *context.placement.backends)
+    context.permit_source.grants = [errors.PeerError('lost')] * 200
+    with pytest.raises(errors.RequestError):
+        await send_one(context, aim_s=2.4, timeout_s=5.0)
+    assert len(context.permit_source.asks) < 40
+    assert client.attempts == []
+
+
 @pytest.mark.parametrize('change', ['ended', 'unlisted'])
 async def test_a_limit_may_end_while_its_home_is_asked(
     client, context, change
