The soak no longer waits for the exit of a program already restarted

One task waits until a program has exited while another, after its own kill, may have restarted it, and then waits for the new process for ever. The test of that failed before.

--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -193,8 +193,12 @@
         program.process.send_signal(number)
 
     async def wait_for_exit(self, program):
-        """Wait until a program has exited."""
-        while program.process.poll() is None:
+        """Wait until a program's present process has exited.
+
+        Another fault may restart the program meanwhile.
+        """
+        process = program.process
+        while process.poll() is None:
             await asyncio.sleep(0.05)
 
     def restart_exited(self):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,5 +1,9 @@
 """Short soak runs with fixed seeds; add each seed that fails."""
 
+import asyncio
+import subprocess
+import sys
+
 import pytest
 
 from tests.platform.soak import run
@@ -27,3 +31,27 @@
     """Guards against concurrent runs that bind the same addresses."""
     with system.LoopbackNetwork() as one, system.LoopbackNetwork() as other:
         assert one.number != other.number
+
+
+async def test_waiting_for_an_exit_ends_if_the_program_was_restarted(tmp_path):
+    """Guards against a run that waits for ever for the new process."""
+
+    def start(seconds):
+        command = f'import time; time.sleep({seconds})'
+        return subprocess.Popen([sys.executable, '-c', command])
+
+    with system.LoopbackNetwork() as network:
+        deployed = system.System(tmp_path, '127.0.0.1:1', network.number)
+    program = deployed.programs[0]
+    program.process = first = start(30)
+    wait = asyncio.ensure_future(deployed.wait_for_exit(program))
+    await asyncio.sleep(0.1)
+    first.kill()
+    first.wait()
+    program.process = second = start(30)
+    try:
+        async with asyncio.timeout(2.0):
+            await wait
+    finally:
+        second.kill()
+        second.wait()
