Logs and metrics of crashes under requests

The detector passes each verdict to a listener, which logs and counts it; lines about a stream's dispatch and losses carry the fingerprint. No decision has changed.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -101,6 +101,9 @@
             admission,
         )
         self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
+        poison_requests.on_verdict = forwarding.make_crash_listener(
+            self.metrics
+        )
         context = forwarding.ForwardingContext(
             placement,
             self.client,
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -28,8 +28,10 @@
 from bulrushhold.decisions._permithome import permit_home_address
 from bulrushhold.decisions._permithome import PermitHome
 from bulrushhold.decisions._placement import Placement
+from bulrushhold.decisions._poisonrequests import CrashVerdict
 from bulrushhold.decisions._poisonrequests import fingerprint
 from bulrushhold.decisions._poisonrequests import PoisonRequestDetector
+from bulrushhold.decisions._poisonrequests import Verdict
 from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
 from bulrushhold.decisions._quota import QuotaHome
 from bulrushhold.decisions._quota import QuotaShare
@@ -102,6 +104,7 @@
     'CopyPeerStatus',
     'CopyPeers',
     'CopyStore',
+    'CrashVerdict',
     'EngineCrashTracker',
     'EngineSpeeds',
     'ExposureLimits',
@@ -146,6 +149,7 @@
     'TableState',
     'Timing',
     'Transcript',
+    'Verdict',
     'VersionSplit',
     'WorkBudget',
     'add_evidence',
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc as cabc
+import enum
 import typing as t
 
 import attrs
@@ -45,17 +46,52 @@
     at: float
 
 
+class Verdict(enum.Enum):
+    """What a crash under a request, or its success, was taken for."""
+
+    COUNTED = 'crash counted'
+    SET_ASIDE = 'crash set aside'
+    BLOCKED = 'request blocked'
+    CLEARED = 'request cleared'
+
+
+@attrs.frozen
+class CrashVerdict:
+    """A decision about a request that engines may crash on.
+
+    :param engine: the engine that crashed, if the decision is about one.
+    :param crashes: engines counted so far for this request.
+    :param nearby_losses: engines of the data centre lost at the same time.
+    :param reported: the crash was reported by another entry.
+    :param blocked_s: seconds for which the request stays blocked.
+    """
+
+    verdict: Verdict
+    fingerprint: str
+    engine: str = ''
+    crashes: int = 0
+    nearby_losses: int = 0
+    reported: bool = False
+    blocked_s: float = 0.0
+
+
+def _ignore(verdict: CrashVerdict) -> None:
+    """Ignore a verdict; used until a listener is set."""
+
+
 class PoisonRequestDetector:
     """Counts engine crashes by request, with reports of other entries.
 
     :param count_losses_near: returns the number of engines lost in an
         engine's data centre within some seconds of a time, itself included.
+    :ivar on_verdict: called with each decision.
     """
 
     def __init__(
         self, count_losses_near: cabc.Callable[[str, float, float], int]
     ) -> None:
         self.count_losses_near = count_losses_near
+        self.on_verdict: cabc.Callable[[CrashVerdict], None] = _ignore
         self.unconfirmed: list[_Crash] = []
         self.pending_reports: list[messages.CrashReport] = []
         self.crashes: dict[str, dict[str, float]] = {}
@@ -85,6 +121,15 @@
                 self.pending_reports.append(
                     messages.CrashReport(crash.fingerprint, crash.engine)
                 )
+            else:
+                self.on_verdict(
+                    CrashVerdict(
+                        Verdict.SET_ASIDE,
+                        crash.fingerprint,
+                        crash.engine,
+                        nearby_losses=nearby_losses,
+                    )
+                )
 
     def take_pending(self) -> list[messages.CrashReport]:
         """Return the crash reports for other entries and clear the list."""
@@ -100,11 +145,17 @@
     ) -> None:
         """Count the crashes that other entries report."""
         for report in reports:
-            self._count(report.fingerprint, report.engine, now)
+            self._count(report.fingerprint, report.engine, now, reported=True)
 
     def record_success(self, fingerprint: str) -> None:
         """Clear the crashes of a request that completed."""
-        self.crashes.pop(fingerprint, None)
+        crashes = self.crashes.pop(fingerprint, None)
+        if crashes is not None:
+            self.on_verdict(
+                CrashVerdict(
+                    Verdict.CLEARED, fingerprint, crashes=len(crashes)
+                )
+            )
 
     def remaining_block_s(self, fingerprint: str, now: float) -> float:
         """Return the seconds for which a request stays blocked, or 0."""
@@ -118,7 +169,30 @@
             return 0.0
         return max(recent) + CRASH_TTL_S - now
 
-    def _count(self, fingerprint: str, engine: str, now: float) -> None:
-        self.crashes.setdefault(fingerprint, {})[engine] = now
+    def _count(
+        self,
+        fingerprint: str,
+        engine: str,
+        now: float,
+        *,
+        reported: bool = False,
+    ) -> None:
+        crashes = self.crashes.setdefault(fingerprint, {})
+        is_new = engine not in crashes
+        crashes[engine] = now
         while len(self.crashes) > MAX_FINGERPRINTS:
             del self.crashes[next(iter(self.crashes))]
+        if not is_new:
+            return
+        blocked_s = self.remaining_block_s(fingerprint, now)
+        verdict = CrashVerdict(
+            Verdict.COUNTED,
+            fingerprint,
+            engine,
+            len(crashes),
+            reported=reported,
+            blocked_s=blocked_s,
+        )
+        self.on_verdict(verdict)
+        if blocked_s and len(crashes) == MAX_CRASHES:
+            self.on_verdict(attrs.evolve(verdict, verdict=Verdict.BLOCKED))
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -2,6 +2,7 @@
 
 from bulrushhold.forwarding._context import ForwardingContext
 from bulrushhold.forwarding._context import Job
+from bulrushhold.forwarding._crashlog import make_crash_listener
 from bulrushhold.forwarding._events import Event
 from bulrushhold.forwarding._events import EventSplitter
 from bulrushhold.forwarding._fleet import FleetView
@@ -22,4 +23,5 @@
     'PermitCheckingClient',
     'PlainForwarder',
     'StreamForwarder',
+    'make_crash_listener',
 ]
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -261,4 +261,5 @@
             ran=result.ran.value,
             reason=result.reason,
             seconds=round(seconds, 3),
+            fingerprint=self.job.fingerprint,
         )
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -331,6 +331,7 @@
             self.job,
             'stream dispatched',
             engine=engine.ident,
+            fingerprint=self.job.fingerprint,
             copy=copy.address if copy else '',
             backup=backup.ident if backup else '',
             last=self.last_event_id,
@@ -406,6 +407,7 @@
             reason=str(lost),
             last=self.last_event_id,
             gone=lost.unreachable,
+            fingerprint=self.job.fingerprint,
         )
 
     def record_resumption(self, ident: str) -> None:
--- a/tests/forwarding/test_poison_requests.py
+++ b/tests/forwarding/test_poison_requests.py
@@ -128,3 +128,34 @@
     await fakes.run_stream(context)
     context.poison_requests.confirm_crashes(context.clock() + 2.0)
     assert len(context.poison_requests.take_pending()) == 2
+
+
+async def test_each_verdict_on_a_crash_is_logged(client, context, log_records):
+    client.scripts = [
+        fakes.Script(events=(1,), then='crash'),
+        fakes.Script(events=(2,), then='crash'),
+        fakes.Script(events=(3,)),
+    ]
+    detector = context.poison_requests
+    detector.on_verdict = forwarding.make_crash_listener(context.metrics)
+    losses = iter([1, 5])
+    detector.count_losses_near = lambda engine, at, within: next(losses)
+    await fakes.run_stream(context)
+    detector.confirm_crashes(context.clock() + 2.0)
+    detector.add_reports(
+        [messages.CrashReport('', f'i{n}') for n in range(3)], context.clock()
+    )
+    detector.record_success('')
+    logged = [
+        record['decision']
+        for record in log_records
+        if record.get('decision') in {v.value for v in decisions.Verdict}
+    ]
+    assert logged == [
+        'crash counted',
+        'crash set aside',
+        'crash counted',
+        'crash counted',
+        'request blocked',
+        'request cleared',
+    ]
