Failing tests: a poison request is sent on after its third crash

Engines of the stand-ins and of the emulator crash 0.1 s after they begin a certain text; callers repeat it after 0.2 s, or after Retry-After, 5 s at most. Counted: arrivals at engines more than 3 s after the third crash (3 allowed), and crashes (5 wanted, over all entries).

--- a/src/bulrushhold/emulator/__init__.py
+++ b/src/bulrushhold/emulator/__init__.py
@@ -4,6 +4,8 @@
 from bulrushhold.emulator._clock import run
 from bulrushhold.emulator._engine import Engine
 from bulrushhold.emulator._engine import EngineProfile
+from bulrushhold.emulator._poison import PoisonCallers
+from bulrushhold.emulator._poison import PoisonSystem
 from bulrushhold.emulator._rollouts import Onset
 from bulrushhold.emulator._rollouts import RolloutScenario
 from bulrushhold.emulator._rollouts import RolloutSimulation
@@ -22,6 +24,8 @@
     'Outcome',
     'PlainOutcome',
     'PlainServer',
+    'PoisonCallers',
+    'PoisonSystem',
     'RolloutScenario',
     'RolloutSimulation',
     'ServiceSystem',
--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing as t
 
+import attrs
+
 from bulrushhold import calls
 from bulrushhold.emulator import _engine
 from bulrushhold import errors
@@ -11,6 +13,18 @@
 CONNECT_TIMEOUT_S: t.Final = 0.25
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached an engine.
+
+    :param segment: last segment of its prompt.
+    """
+
+    at: float
+    segment: str
+    engine: str
+
+
 class _Response(calls.BackendResponse):
     def __init__(
         self,
@@ -48,6 +62,7 @@
     """Backend client that looks engines up by address, without a network.
 
     :param lengths: response length in tokens, by prompt segment.
+    :ivar arrivals: all requests that reached an engine.
     """
 
     def __init__(
@@ -55,6 +70,7 @@
     ) -> None:
         self.engines = engines
         self.lengths = lengths
+        self.arrivals: list[Arrival] = []
 
     async def send(
         self, call: calls.Call, attempt: calls.Attempt
@@ -62,6 +78,10 @@
         """Send a call and return its response."""
         engine = self.engines[attempt.address]
         await self._connect(engine, 'connect')
+        assert call.prompt is not None
+        self.arrivals.append(
+            Arrival(engine.now, call.prompt.segments[-1], engine.ident)
+        )
         if engine.ident != attempt.instance:
             return _refusal(engine, 421)
         run = self._run(engine, call, attempt)
--- a/src/bulrushhold/emulator/_engine.py
+++ b/src/bulrushhold/emulator/_engine.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections.abc as cabc
 import typing as t
 
 import attrs
@@ -14,6 +15,8 @@
 
 COPY_INTERVAL_S: t.Final = 0.25
 COPY_LIFETIME_S: t.Final = 4.0
+# From the first token of a poison request to the crash.
+POISON_RUN_S: t.Final = 0.1
 
 
 @attrs.frozen
@@ -62,6 +65,7 @@
     events: 'asyncio.Queue[int | None | errors.BackendError]'
     from_copy: bool = False
     last_copy_at: float = 0.0
+    poison_begun: bool = False
 
     @property
     def kv_tokens(self) -> int:
@@ -76,7 +80,11 @@
 
 
 class Engine:
-    """An engine at a fixed address; each restart is a new incarnation."""
+    """An engine at a fixed address; each restart is a new incarnation.
+
+    :ivar poison_segments: last segments of prompts on which it crashes.
+    :ivar on_poison: called with itself and the segment as it should crash.
+    """
 
     def __init__(
         self, address: str, data_centre: str, profile: EngineProfile
@@ -88,6 +96,8 @@
         self.task: asyncio.Task[None] | None = None
         self.tokens_read = 0
         self.slowdown = 1.0
+        self.poison_segments: t.Container[str] = ()
+        self.on_poison: cabc.Callable[[Engine, str], None] | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -204,6 +214,11 @@
 
     def _generate_token(self, run: Run) -> None:
         run.generated += 1
+        if run.segment in self.poison_segments and not run.poison_begun:
+            run.poison_begun = True
+            asyncio.get_running_loop().call_later(
+                POISON_RUN_S, self._end_under, run.segment, self.incarnation
+            )
         self._update_backup(run)
         done = run.generated >= run.length
         if run.generated % self.profile.tokens_per_event == 0 or done:
@@ -216,6 +231,10 @@
             if run.backup is not None:
                 run.backup.copies.pop(run.ident, None)
 
+    def _end_under(self, segment: str, incarnation: int) -> None:
+        if self.up and self.incarnation == incarnation and self.on_poison:
+            self.on_poison(self, segment)
+
     def _preempt(self, run: Run) -> None:
         self.running.remove(run)
         run.unread_tokens = run.kv_tokens
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -88,7 +88,9 @@
     return asyncio.get_running_loop().time()
 
 
-class _Caller(calls.CallerStream):
+class Caller(calls.CallerStream):
+    """Receives a stream and records its timing."""
+
     def __init__(self, outcome: Outcome) -> None:
         self.outcome = outcome
         self.headers_sent = False
@@ -188,11 +190,25 @@
             )
             for service, service_traffic in self.budget.traffic(now).items()
         }
-        report = self.placement.load_report(self.name, traffic, now)
+        detector = self.context.poison_requests
+        detector.confirm_crashes(now)
+        report = attrs.evolve(
+            self.placement.load_report(self.name, traffic, now),
+            crashes=detector.take_pending(),
+        )
         self.system.load_aggregator.add_report(report, now)
         for entry in self.system.entries:
             entry.apply_load_summary(now)
 
+    async def forward(self, job: forwarding.Job, caller: Caller) -> None:
+        """Forward a stream.
+
+        :raises RequestError: if it is refused, or fails before its first
+            event.
+        """
+        forwarding.refuse_blocked(self.context, job.fingerprint, job.service)
+        await forwarding.StreamForwarder(self.context, job, caller).run()
+
     def apply_load_summary(self, now: float) -> None:
         """Apply the load reports of all other entries."""
         summary = self.system.load_aggregator.summary_for(
@@ -207,6 +223,7 @@
             for name, service_traffic in summary.traffic.items()
         }
         self.admission.apply_loads(waiting, now)
+        self.context.poison_requests.add_reports(summary.crashes, now)
 
 
 class EntryGroup:
@@ -257,8 +274,8 @@
                 address, data_centre, profile
             )
         self.lengths: dict[str, int] = {}
-        client = _client.EmulatedClient(self.engines, self.lengths)
-        self.add_entries(entries, lambda name: client)
+        self.client = _client.EmulatedClient(self.engines, self.lengths)
+        self.add_entries(entries, lambda name: self.client)
         self.outcomes: list[Outcome] = []
         kv_capacity = min(profile.kv_capacity for profile in profiles)
         for entry in self.entries:
@@ -374,12 +391,10 @@
             prompt_tokens, workload.output_tokens, (segment,)
         )
         now = emulated_now()
-        job = _make_job(workload, ident, prompt, now, remaining_s)
+        job = make_job(workload, ident, prompt, now, remaining_s)
         entry.budget.count_request(SERVICE, now)
         stream_task = asyncio.ensure_future(
-            forwarding.StreamForwarder(
-                entry.context, job, _Caller(outcome)
-            ).run()
+            entry.forward(job, Caller(outcome))
         )
         # Callers abandon a stream that has no first event, and any stream
         # at its deadline.
@@ -401,13 +416,14 @@
         stream_task.result()
 
 
-def _make_job(
+def make_job(
     workload: Workload,
     ident: str,
     prompt: calls.Prompt,
     now: float,
     remaining_s: float,
 ) -> forwarding.Job:
+    """Return a stream's job; its last segment identifies its content."""
     call = calls.Call(
         ident,
         'POST',
@@ -432,4 +448,12 @@
         resumable=True,
         gap_s=workload.max_gap_s,
     )
-    return forwarding.Job(call, route, SERVICE, 'a', now + remaining_s)
+    segment = prompt.segments[-1]
+    return forwarding.Job(
+        call,
+        route,
+        SERVICE,
+        'a',
+        now + remaining_s,
+        decisions.fingerprint('/a/', 'k', segment.encode()),
+    )
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwards opaque requests: routing, retries and stream resumption."""
 
+from bulrushhold.forwarding._blocks import refuse_blocked
 from bulrushhold.forwarding._context import ForwardingContext
 from bulrushhold.forwarding._context import Job
 from bulrushhold.forwarding._crashlog import make_crash_listener
@@ -24,4 +25,5 @@
     'PlainForwarder',
     'StreamForwarder',
     'make_crash_listener',
+    'refuse_blocked',
 ]
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -8,6 +8,7 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _blocks
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _fleet
 from bulrushhold.forwarding import _plain
@@ -94,7 +95,7 @@
         if route.kind is routes.Kind.STREAM:
             self._refuse_unfinishable(service, route, now)
         fingerprint = decisions.fingerprint(path, call.key, call.body)
-        self._refuse_poison_request(fingerprint, service, now)
+        _blocks.refuse_blocked(self.context, fingerprint, service)
         self.context.budget.count_request(service, now)
         deadline = now + min(call.timeout_s, route.timeout_s)
         return _context.Job(
@@ -127,21 +128,6 @@
                 retry_after=DRAIN_RETRY_S,
             )
 
-    def _refuse_poison_request(
-        self, fingerprint: str, service: str, now: float
-    ) -> None:
-        seconds = self.context.poison_requests.remaining_block_s(
-            fingerprint, now
-        )
-        if seconds:
-            raise errors.RequestError(
-                'engines crashed repeatedly on this request',
-                'accept',
-                service,
-                status=503,
-                retry_after=seconds,
-            )
-
 
 def _authenticate(
     index: routes.RouteIndex, route: routes.Route, call: calls.Call
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -13,6 +13,9 @@
 STREAM_PATH = '/stream/'
 UNSAFE_PATH = '/once/'
 SAFE_PATH = '/read/'
+# Part of the path of a request that crashes each engine that begins it.
+POISON = 'poison'
+POISON_RUN_S = 0.1
 
 
 @attrs.define
@@ -23,12 +26,28 @@
     :param forged: target and header of each request with a forged header.
     :param copies: existing KV cache copies, as address and request ID.
     :param unsafe_executed: IDs of executed requests that must not be repeated.
+    :param poison_arrivals: when each poison request reached an engine, by
+        path.
+    :param poison_crashes: when each engine crashed under one, by path.
     """
 
     runs: dict = attrs.field(factory=dict)
     forged: list = attrs.field(factory=list)
     copies: set = attrs.field(factory=set)
     unsafe_executed: set = attrs.field(factory=set)
+    poison_arrivals: dict = attrs.field(factory=dict)
+    poison_crashes: dict = attrs.field(factory=dict)
+
+    def count_late_arrivals(self, path, crashes, within_s):
+        """Count arrivals of a poison request after a number of crashes.
+
+        :param within_s: arrivals within this time are left out.
+        """
+        crashed_at = sorted(self.poison_crashes.get(path, ()))
+        if len(crashed_at) < crashes:
+            return 0
+        since = crashed_at[crashes - 1] + within_s
+        return sum(at > since for at in self.poison_arrivals[path])
 
 
 class Engine:
@@ -41,6 +60,8 @@
     :ivar backoff_s: if set, it turns requests away with this demand.
     :ivar leaving: its answers say that it is shutting down.
     :ivar arrivals: when each request reached it, by the event loop's clock.
+    :ivar queue_s: how long a request waits in its queue.
+    :ivar down_s: how long it is down after a crash under a poison request.
     """
 
     incarnations = itertools.count(1)
@@ -60,6 +81,8 @@
         self.backoff_s = None
         self.leaving = False
         self.arrivals = []
+        self.queue_s = 0.0
+        self.down_s = 0.0
         self.proxy = Proxy()
 
     async def start(self):
@@ -126,6 +149,12 @@
             headers['Bulrushhold-Not-Run'] = '1'
             return web.Response(status=503, headers=headers)
         body = await request.read()
+        if POISON in request.path:
+            await self._run_poison(request)
+            return web.Response(status=500)
+        await asyncio.sleep(self.queue_s)
+        if self.ident != expected:
+            return web.Response(status=500)
         runs = self.observations.runs
         runs[ident] = runs.get(ident, 0) + 1
         if request.path.startswith(UNSAFE_PATH):
@@ -141,6 +170,25 @@
             body=make_body(request.raw_path, body), headers=headers
         )
 
+    async def _run_poison(self, request):
+        ident, now = self.ident, asyncio.get_running_loop().time()
+        arrivals = self.observations.poison_arrivals
+        arrivals.setdefault(request.path, []).append(now)
+        await asyncio.sleep(self.queue_s)
+        transport = request.transport
+        dropped = transport is None or transport.is_closing()
+        if dropped or self.ident != ident:
+            return
+        await asyncio.sleep(POISON_RUN_S)
+        if self.ident != ident:
+            return
+        crashes = self.observations.poison_crashes
+        now = asyncio.get_running_loop().time()
+        crashes.setdefault(request.path, []).append(now)
+        self.crash()
+        if self.down_s:
+            await self.proxy.go_down(self.down_s)
+
     def highest_count(self, since, window_s):
         """Return the most arrivals in any window that begins later."""
         times = [at for at in self.arrivals if at >= since]
@@ -164,10 +212,10 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = 'text/event-stream'
         response.enable_chunked_encoding()
-        await response.prepare(request)
         first_number = int(request.headers.get('Last-Event-Id', '0')) + 1
         # The caller may close the connection at any time.
         with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
             for number in range(first_number, EVENT_COUNT + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 await response.write(encode_event(request.raw_path, number))
@@ -235,6 +283,18 @@
         self.server.close()
         self.reset()
 
+    async def go_down(self, seconds):
+        """Refuse connections for a time, as if no process listened."""
+        if not self.server.is_serving():
+            return
+        host, port = self.address.rsplit(':', 1)
+        self.server.close()
+        self.reset()
+        await asyncio.sleep(seconds)
+        self.server = await asyncio.start_server(
+            self._serve, host, int(port), reuse_port=True
+        )
+
     def reset(self):
         for writer in list(self.connections):
             writer.transport.abort()
