A blocked request is sent nowhere, whatever it waits for

Cause: the block was asked for once, as a request arrived. A stream accepted before went on through retries, waits for admission or a permit, and engines' queues.

Change: the client through which all requests pass checks the block as it checks limits, so that no way to an engine goes round it; each round of a forwarder checks first; and a request that waits, or that its engine hasn't begun to answer, is interrupted as its text becomes blocked. Refused as not run with the time to the end of the block if no engine can have begun it, else 502, or a broken stream. What goes on: a stream whose engine sends events, and a request that may run once and is on its way, whose outcome would be lost.

Ruled out: asking again at each retry only.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -66,6 +66,7 @@
     :param copy: KV cache copy from which to resume.
     :param new_connection: whether to open a new connection.
     :param permitted: the server's request limit allows this attempt.
+    :param fingerprint: identifies the content of the call.
     """
 
     address: str
@@ -77,6 +78,7 @@
     copy: 'RunCopy | None' = None
     new_connection: bool = False
     permitted: bool = False
+    fingerprint: str = ''
 
 
 @attrs.frozen
@@ -183,6 +185,8 @@
             the call can have been sent.
         :raises NoPermitError: if the server has a request limit and the
             attempt no permit, or wants no requests; it was not sent.
+        :raises RequestBlockedError: if engines crashed under the call; it was
+            not sent.
         """
 
     @abc.abstractmethod
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -75,18 +75,19 @@
         self.transport = node.ZmqTransport(str(config.peer))
         self.session = adapters.make_session()
         placement = decisions.Placement(random.Random(), config.data_centre)
+        poison_requests = decisions.PoisonRequestDetector(
+            placement.count_losses_near
+        )
         self.client = forwarding.PermitCheckingClient(
             adapters.HttpBackendClient(self.adapters.engine_dialect),
             placement,
+            poison_requests,
         )
         budget = decisions.ServiceRetryBudget(
             config.repeat_ratio,
             config.repeat_allowance,
             config.repeat_window_s,
         )
-        poison_requests = decisions.PoisonRequestDetector(
-            placement.count_losses_near
-        )
         admission = decisions.AdmissionController()
         self.fleet = forwarding.FleetView(
             messages.ListedEntry(
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -75,8 +75,8 @@
     blocked_s: float = 0.0
 
 
-def _ignore(verdict: CrashVerdict) -> None:
-    """Ignore a verdict; used until a listener is set."""
+def _ignore(subject: t.Any) -> None:
+    """Ignore a verdict or a block; used until a listener is set."""
 
 
 class PoisonRequestDetector:
@@ -85,6 +85,7 @@
     :param count_losses_near: returns the number of engines lost in an
         engine's data centre within some seconds of a time, itself included.
     :ivar on_verdict: called with each decision.
+    :ivar on_block: called with the fingerprint of a request that is blocked.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
     ) -> None:
         self.count_losses_near = count_losses_near
         self.on_verdict: cabc.Callable[[CrashVerdict], None] = _ignore
+        self.on_block: cabc.Callable[[str], None] = _ignore
         self.unconfirmed: list[_Crash] = []
         self.pending_reports: list[messages.CrashReport] = []
         self.crashes: dict[str, dict[str, float]] = {}
@@ -196,3 +198,4 @@
         self.on_verdict(verdict)
         if blocked_s and len(crashes) == MAX_CRASHES:
             self.on_verdict(attrs.evolve(verdict, verdict=Verdict.BLOCKED))
+            self.on_block(fingerprint)
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -162,12 +162,17 @@
         self.placement.demands.limits.on_change = self._schedule_report
         self.report_scheduled = False
         self.summary_number = 0
+        poison_requests = decisions.PoisonRequestDetector(
+            self.placement.count_losses_near
+        )
         self.context = forwarding.ForwardingContext(
             self.placement,
-            forwarding.PermitCheckingClient(client, self.placement, loop.time),
+            forwarding.PermitCheckingClient(
+                client, self.placement, poison_requests, loop.time
+            ),
             self.budget,
             node.NullMetrics(),
-            decisions.PoisonRequestDetector(self.placement.count_losses_near),
+            poison_requests,
             self.admission,
             name,
             system.permit_home,
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -75,6 +75,10 @@
     """A request was not sent, as its server allows none now."""
 
 
+class RequestBlockedError(BulrushholdError):
+    """A request was not sent on, as engines crashed under it."""
+
+
 class EngineLostError(BackendError):
     """An engine's stream broke off or stalled before its end."""
 
--- a/src/bulrushhold/forwarding/_blocks.py
+++ b/src/bulrushhold/forwarding/_blocks.py
@@ -2,6 +2,7 @@
 
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _running
 
 
 def refuse_blocked(
@@ -16,7 +17,7 @@
     )
     if seconds:
         raise errors.RequestError(
-            'engines crashed repeatedly on this request',
+            _running.REASON,
             'accept',
             service,
             status=503,
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -9,6 +9,7 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _running
 from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import routes
@@ -22,6 +23,7 @@
 
     :param entry: name of this entry.
     :param permit_source: grants permits for servers with a request limit.
+    :ivar running: the requests that end as they become blocked.
     """
 
     placement: decisions.Placement
@@ -33,6 +35,11 @@
     entry: str
     permit_source: ports.PermitSource
     clock: cabc.Callable[[], float] = time.monotonic
+    running: _running.RunningRequests = attrs.field(init=False)
+
+    @running.default
+    def _make_running(self) -> _running.RunningRequests:
+        return _running.RunningRequests(self.poison_requests)
 
 
 @attrs.frozen
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -157,6 +157,7 @@
             # look like a crash.
             new_connection=True,
             permitted=self.has_permit,
+            fingerprint=self.stream.job.fingerprint,
         )
         self.send_task = asyncio.ensure_future(
             self.context.client.send(self.stream.job.call, attempt)
@@ -352,6 +353,7 @@
         self.evidence.record_event(now)
         if not self.received_event:
             self.received_event = True
+            self.stream.tracked.interruptible = False
             if self.read_sample is not None:
                 self.speeds.record_read(
                     self.read_sample, self.stream.objective, now
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -1,4 +1,4 @@
-"""Sends no request that its server doesn't allow."""
+"""Sends no request that is blocked, or that its server doesn't allow."""
 
 import collections.abc as cabc
 import time
@@ -6,23 +6,26 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _running
 
 
 class PermitCheckingClient(calls.BackendClient):
-    """Sends a request only if its server allows it.
+    """Sends a request only if it isn't blocked and its server allows it.
 
-    A limit, a backoff or a shutdown may become known between the choice of a
-    server and the sending.
+    A block, a limit, a backoff or a shutdown may become known between the
+    choice of a server and the sending.
     """
 
     def __init__(
         self,
         client: calls.BackendClient,
         placement: decisions.Placement,
+        poison_requests: decisions.PoisonRequestDetector,
         clock: cabc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.client = client
         self.placement = placement
+        self.poison_requests = poison_requests
         self.clock = clock
 
     async def send(
@@ -30,6 +33,12 @@
     ) -> calls.BackendResponse:
         """Send a call; see :meth:`calls.BackendClient.send`."""
         ident = attempt.instance
+        if self.poison_requests.remaining_block_s(
+            attempt.fingerprint, self.clock()
+        ):
+            raise errors.RequestBlockedError(
+                _running.REASON, 'permit', attempt.address
+            )
         limited = self.placement.demands.limits.current(ident) is not None
         if limited and not attempt.permitted:
             raise errors.NoPermitError(
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -49,6 +49,7 @@
         self.tried: set[str] = set()
         self.attempts = 0
         self.repeatable = job.route.repeatable
+        self.last: _Result | None = None
 
     async def run(self) -> calls.Reply:
         """Return the response.
@@ -56,8 +57,19 @@
         :raises RequestError: if no server responded; its ``ran`` tells
             whether the request may have run.
         """
-        last: _Result | None = None
+        try:
+            with self.context.running.track(self.job.fingerprint) as tracked:
+                self.tracked = tracked
+                return await self._run()
+        except errors.RequestBlockedError as error:
+            return self._end_blocked(error)
+
+    async def _run(self) -> calls.Reply:
         while True:
+            self.context.running.check(
+                self.job.fingerprint, self.context.clock()
+            )
+            last = self.last
             choice = await _permits.choose_permitted(
                 self.context, self.job, self._choose, self.tried
             )
@@ -70,7 +82,7 @@
             if not result.permitted:
                 self.tried.discard(backend.ident)
                 continue
-            last = result
+            self.last = last = result
             if last.reply is not None and last.reply.status < 500:
                 return last.reply
             must_not_repeat = (
@@ -128,6 +140,20 @@
         reason = choice.reason or reason
         return _context.not_run_error(self.job, reason, choice.retry_after_s)
 
+    def _end_blocked(self, error: errors.RequestBlockedError) -> calls.Reply:
+        """Return the last server's response, or raise the final error."""
+        self.context.metrics.count('requests.ended_by_block')
+        if self.last is not None and self.last.reply is not None:
+            return self.last.reply
+        if self.attempts:
+            raise _context.unknown_outcome_error(
+                self.job, error.reason, error.peer
+            )
+        blocked_s = self.context.poison_requests.remaining_block_s(
+            self.job.fingerprint, self.context.clock()
+        )
+        raise _context.not_run_error(self.job, error.reason, blocked_s)
+
     def _failure(self, last: _Result, ident: str) -> errors.RequestError:
         if last.ran is errors.Ran.NO and not self.attempts:
             return _context.not_run_error(self.job, last.reason)
@@ -144,9 +170,16 @@
         started = self.context.clock()
         backend.inflight += 1
         task = asyncio.ensure_future(self._exchange(backend, has_permit))
+        # The outcome of a request that must not be repeated is worth more than
+        # its server.
+        self.tracked.interruptible = self.repeatable
         try:
             result = await self._wait(task, backend)
+        except asyncio.CancelledError:
+            self.attempts += self.tracked.interrupted
+            raise
         finally:
+            self.tracked.interruptible = True
             backend.inflight -= 1
             if not task.done():
                 task.cancel()
@@ -198,6 +231,7 @@
             self._remaining_s(),
             new_connection=not self.repeatable,
             permitted=has_permit,
+            fingerprint=self.job.fingerprint,
         )
         response = None
         sent_at = self.context.clock()
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -12,6 +12,7 @@
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
+from bulrushhold.forwarding import _running
 from bulrushhold.forwarding import _streamloss
 
 # A run that fails earlier has no copy at the backup yet.
@@ -65,6 +66,7 @@
         )
         segments = job.call.prompt.segments if job.call.prompt else ()
         self.last_segment = segments[-1] if segments else ''
+        self.tracked: _running.RunningRequest | None = None
 
     async def run(self) -> calls.Reply | None:
         """Return a reply, or ``None`` if the response was streamed.
@@ -72,7 +74,11 @@
         :raises RequestError: if the stream fails before its first event.
         """
         try:
-            return await self._run()
+            with self.context.running.track(self.job.fingerprint) as tracked:
+                self.tracked = tracked
+                return await self._run()
+        except errors.RequestBlockedError as error:
+            return self._end_blocked(error)
         except (asyncio.CancelledError, ConnectionError):
             # Logged to tell a cancelled stream from one that was lost.
             disconnected = not self.caller_stream.connected
@@ -88,6 +94,9 @@
         reason, peer = 'no engine available', ''
         await self._wait_for_first_engine()
         while True:
+            self.context.running.check(
+                self.job.fingerprint, self.context.clock()
+            )
             choice, copy = await self._choose()
             engine = choice.backend
             if engine is None:
@@ -305,6 +314,15 @@
             self.job, reason, peer, timed_out=timed_out
         )
 
+    def _end_blocked(
+        self, error: errors.RequestBlockedError
+    ) -> calls.Reply | None:
+        blocked_s = self.context.poison_requests.remaining_block_s(
+            self.job.fingerprint, self.context.clock()
+        )
+        self.context.metrics.count('requests.ended_by_block')
+        return self._end_incomplete(error.reason, error.peer, blocked_s)
+
     # Attempts at one engine
 
     async def _attempt(
@@ -344,7 +362,12 @@
         )
         try:
             return await engine_stream.run()
+        except asyncio.CancelledError:
+            # The engine may have begun to run it.
+            self.lost_runs += self.tracked.interrupted
+            raise
         finally:
+            self.tracked.interruptible = True
             engine_stream.close()
             self.context.placement.stream_ended(
                 engine, engine_stream.unread_tokens
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -28,12 +28,15 @@
             for n in range(6)
         ]
     )
+    poison_requests = decisions.PoisonRequestDetector(
+        placement.count_losses_near
+    )
     return forwarding.ForwardingContext(
         placement,
-        forwarding.PermitCheckingClient(client, placement),
+        forwarding.PermitCheckingClient(client, placement, poison_requests),
         decisions.ServiceRetryBudget(1.0, 100, 10.0),
         node.NullMetrics(),
-        decisions.PoisonRequestDetector(placement.count_losses_near),
+        poison_requests,
         decisions.AdmissionController(),
         'e1',
         fakes.FakePermitSource(),
