A crash under a request counts at once, with those of all entries

What callers saw: engines went on crashing under a text for one to many seconds before it was blocked, and under several texts at once it never was.

Cause: a crash counted 1.3 s after it, and only if fewer than three engines of its data centre were lost meanwhile, whoever crashed them. Entries told each other only then, and with the next change of load. A retry went off at once. A lost engine that was tried again counted as another loss beside it.

Change: each crash is reported at once and judged by each entry from what all report. Losses of one data centre that come together count for nothing if one of the engines ran no request that accounts for two of them (an outage); if all are accounted for they count once (a text of many callers in an outage), and each by itself where the run was sent after the first loss, or other engines of the data centre survive 0.6 s. Streams of a data centre that is lost as a whole are reported only if another entry reports the same text, so that an outage of 50 engines doesn't send thousands of reports to each entry.

Tried and dropped: crashes explained by one text not counted for the others.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -75,9 +75,7 @@
         self.transport = node.ZmqTransport(str(config.peer))
         self.session = adapters.make_session()
         placement = decisions.Placement(random.Random(), config.data_centre)
-        poison_requests = decisions.PoisonRequestDetector(
-            placement.count_losses_near
-        )
+        poison_requests = decisions.PoisonRequestDetector(placement.losses)
         self.client = forwarding.PermitCheckingClient(
             adapters.HttpBackendClient(self.adapters.engine_dialect),
             placement,
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -18,6 +18,7 @@
 from bulrushhold.decisions._copypeers import CopyPeerStatus
 from bulrushhold.decisions._enginecrashes import content_fingerprint
 from bulrushhold.decisions._enginecrashes import EngineCrashTracker
+from bulrushhold.decisions._enginelosses import EngineLosses
 from bulrushhold.decisions._enginespeeds import EngineSpeeds
 from bulrushhold.decisions._enginespeeds import LatencyObjective
 from bulrushhold.decisions._enginespeeds import PauseSamples
@@ -106,6 +107,7 @@
     'CopyStore',
     'CrashVerdict',
     'EngineCrashTracker',
+    'EngineLosses',
     'EngineSpeeds',
     'ExposureLimits',
     'FairQueue',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _enginelosses
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _versionsplit
@@ -67,6 +68,7 @@
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
         self.demands = _serverdemands.ServerDemands()
+        self.losses = _enginelosses.EngineLosses(self._engines_at)
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.replaced_idents: set[str] = set()
@@ -233,20 +235,13 @@
                 self.on_load_change()
             self._eject(backend, now)
 
-    def count_losses_near(self, ident: str, at: float, within: float) -> int:
-        """Count the engines of a data centre lost at about the same time.
-
-        :param ident: an engine of the data centre; it is counted as well.
-        :param within: seconds before and after ``at``.
-        """
-        engine = self.backends.get(ident)
-        if engine is None:
-            return 0
-        return sum(
-            backend.data_centre == engine.data_centre
-            and abs(backend.lost_at - at) <= within
-            for backend in self.services[engine.service]
-        )
+    def _engines_at(self, location: tuple[str, str]) -> list[str]:
+        service, data_centre = location
+        return [
+            backend.ident
+            for backend in self.services.get(service, ())
+            if backend.data_centre == data_centre
+        ]
 
     def _eject(
         self, backend: _backendserver.BackendServer, now: float
@@ -254,6 +249,7 @@
         backend.lost_at = now
         backend.ejected_until = now + EJECTION_S
         location = (backend.service, backend.data_centre)
+        self.losses.record(backend.ident, location, now)
         recent = self.data_centre_failures.setdefault(
             location, collections.deque(maxlen=8)
         )
@@ -268,6 +264,7 @@
         if backend is None:
             return
         self._sample_failure(backend, 0.0, now)
+        self.losses.record_alive(ident)
         backend.ejected_until = 0.0
         if latency is not None:
             old = backend.latency or latency
--- /dev/null
+++ b/src/bulrushhold/decisions/_enginelosses.py
@@ -0,0 +1,91 @@
+"""Remembers when engines were lost, to tell common causes from crashes."""
+
+import collections
+import collections.abc as cabc
+import typing as t
+
+import attrs
+
+# The engines of a data centre that loses power fall silent within this time of
+# each other.
+LOSS_SPREAD_S: t.Final = 0.6
+# Losses of one data centre within this time may have a common cause.
+CORRELATED_WINDOW_S: t.Final = 1.3
+MAX_LOSSES: t.Final = 2_000
+
+
+@attrs.frozen
+class EngineLoss:
+    """The loss of an engine.
+
+    :param location: service and data centre.
+    :param at: when it was noticed.
+    """
+
+    engine: str
+    location: tuple[str, str]
+    at: float
+
+
+class EngineLosses:
+    """The latest losses of engines, each counted once until it is back.
+
+    :param engines_at: returns the listed engines of a location.
+    """
+
+    def __init__(
+        self,
+        engines_at: cabc.Callable[
+            [tuple[str, str]], cabc.Iterable[str]
+        ] = lambda location: (),
+    ) -> None:
+        self.engines_at = engines_at
+        self.losses: collections.deque[EngineLoss] = collections.deque(
+            maxlen=MAX_LOSSES
+        )
+        self.locations: dict[str, tuple[str, str]] = {}
+        self.down: set[str] = set()
+
+    def record(
+        self, engine: str, location: tuple[str, str], now: float
+    ) -> None:
+        """Record a loss; further failures of a lost engine change nothing."""
+        if engine in self.down:
+            return
+        if len(self.losses) == MAX_LOSSES:
+            self._forget(self.losses[0])
+        self.down.add(engine)
+        self.locations[engine] = location
+        self.losses.append(EngineLoss(engine, location, now))
+
+    def record_alive(self, engine: str) -> None:
+        """Record that an engine answers requests."""
+        self.down.discard(engine)
+
+    def near(self, engine: str, at: float) -> list[EngineLoss]:
+        """Return the losses in an engine's data centre at about a time.
+
+        Empty if the engine's own loss isn't known.
+        """
+        location = self.locations.get(engine)
+        return [
+            loss
+            for loss in self.losses
+            if loss.location == location
+            and abs(loss.at - at) <= CORRELATED_WINDOW_S
+        ]
+
+    def has_survivors(self, losses: list[EngineLoss], now: float) -> bool:
+        """Whether other engines have survived the loss of these.
+
+        :param losses: losses of one data centre.
+        """
+        first_at = min(loss.at for loss in losses)
+        if now - first_at <= LOSS_SPREAD_S:
+            return False
+        engines = self.engines_at(losses[0].location)
+        return any(engine not in self.down for engine in engines)
+
+    def _forget(self, oldest: EngineLoss) -> None:
+        self.down.discard(oldest.engine)
+        self.locations.pop(oldest.engine, None)
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -40,6 +40,19 @@
     crash: messages.CrashReport | None = None
     limit: messages.ServerLimit | None = None
 
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Identifies the event, whose age may differ between reports."""
+        crash = self.crash
+        crash_key = (crash.fingerprint, crash.engine) if crash else ('', '')
+        return (self.lost, self.replaced, *crash_key)
+
+    def crash_now(self, now: float) -> messages.CrashReport:
+        """Return the crash with its present age."""
+        assert self.crash is not None
+        age_s = self.crash.age_s + max(0.0, now - self.at)
+        return attrs.evolve(self.crash, age_s=round(age_s, 3))
+
     def limit_now(self, now: float) -> messages.ServerLimit:
         """Return the limit with its present age."""
         assert self.limit is not None
@@ -210,7 +223,7 @@
         if not report.urgent:
             return False
         self.expire(now)
-        existing = {(e.lost, e.replaced, e.crash) for e in self.events}
+        existing = {event.key for event in self.events}
         events = [
             *(
                 _Event(self.number, now, local, lost=ident)
@@ -225,11 +238,7 @@
                 for crash in report.crashes
             ),
         ]
-        new_events = [
-            event
-            for event in events
-            if (event.lost, event.replaced, event.crash) not in existing
-        ]
+        new_events = [event for event in events if event.key not in existing]
         new_events += [
             _Event(self.number, now, local, limit=limit)
             for limit in report.limits
@@ -291,7 +300,7 @@
             [event.lost for event in events if event.lost],
             [event.replaced for event in events if event.replaced],
             traffic,
-            [event.crash for event in events if event.crash is not None],
+            [e.crash_now(now) for e in events if e.crash is not None],
             speeds,
             self.age_s(now),
             self.stale_data_centres(now),
@@ -321,7 +330,7 @@
                 [event.lost for event in events if event.lost],
                 [event.replaced for event in events if event.replaced],
                 self.local.traffic,
-                [event.crash for event in events if event.crash is not None],
+                [e.crash_now(now) for e in events if e.crash is not None],
                 self.local.speeds,
                 self.local_evidence.snapshot(),
                 [e.limit_now(now) for e in events if e.limit is not None],
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -3,8 +3,8 @@
 A poison request is retried, by its caller or by the entry, and each time
 crashes an engine with all its streams. Other requests lose engines as well:
 in correlated failures such as a power loss, and when they share an engine
-with a poison request. So only isolated crashes count, and several of them are
-required to block a request.
+with a poison request. So several crashes are required to block a request, and
+only those that nothing else explains count.
 """
 
 import collections.abc as cabc
@@ -14,18 +14,21 @@
 import attrs
 import xxhash
 
+from bulrushhold.decisions import _enginelosses
 from bulrushhold import messages
 
 # Crashes after which a request is blocked. A harmless request that shared an
 # engine with a poison one is retried on another engine, so that this number of
 # coincidences is rare.
 MAX_CRASHES: t.Final = 3
-# This many losses in one data centre within this time have a common cause: its
-# engines fall silent within 0.6 s of each other when it loses power.
-CORRELATED_WINDOW_S: t.Final = 1.3
+# So many losses of one data centre within the window of correlated losses
+# count only if poison requests account for all of them.
 MIN_CORRELATED_LOSSES: t.Final = 3
+# A request that ran on so many of the engines lost together accounts for them.
+MIN_EXPLAINED_LOSSES: t.Final = 2
 # Time after which a crash is forgotten: the engine may have been redeployed.
 CRASH_TTL_S: t.Final = 60.0
+BLOCK_S: t.Final = 60.0
 MAX_FINGERPRINTS: t.Final = 10_000
 
 
@@ -39,13 +42,6 @@
     return digest.hexdigest()
 
 
-@attrs.frozen
-class _Crash:
-    fingerprint: str
-    engine: str
-    at: float
-
-
 class Verdict(enum.Enum):
     """What a crash under a request, or its success, was taken for."""
 
@@ -63,6 +59,7 @@
     :param crashes: engines counted so far for this request.
     :param nearby_losses: engines of the data centre lost at the same time.
     :param reported: the crash was reported by another entry.
+    :param engines: all engines that crashed under a request that is blocked.
     :param blocked_s: seconds for which the request stays blocked.
     """
 
@@ -72,66 +69,81 @@
     crashes: int = 0
     nearby_losses: int = 0
     reported: bool = False
+    engines: tuple[str, ...] = ()
     blocked_s: float = 0.0
 
 
-def _ignore(subject: t.Any) -> None:
+def _ignore(*subject: t.Any) -> None:
     """Ignore a verdict or a block; used until a listener is set."""
 
 
+@attrs.frozen
+class _Crash:
+    """A crash of an engine under a request.
+
+    :param sent_at: when the request was sent to the engine.
+    """
+
+    engine: str
+    at: float
+    sent_at: float
+
+
 class PoisonRequestDetector:
     """Counts engine crashes by request, with reports of other entries.
 
-    :param count_losses_near: returns the number of engines lost in an
-        engine's data centre within some seconds of a time, itself included.
+    :param losses: the latest losses of all engines.
     :ivar on_verdict: called with each decision.
     :ivar on_block: called with the fingerprint of a request that is blocked.
+    :ivar on_pending: called when there is something to report.
+    :ivar deferred: crashes that are reported only if another entry reports
+        the same request: the losses of a whole data centre would be too many.
     """
 
-    def __init__(
-        self, count_losses_near: cabc.Callable[[str, float, float], int]
-    ) -> None:
-        self.count_losses_near = count_losses_near
+    def __init__(self, losses: _enginelosses.EngineLosses) -> None:
+        self.losses = losses
         self.on_verdict: cabc.Callable[[CrashVerdict], None] = _ignore
         self.on_block: cabc.Callable[[str], None] = _ignore
-        self.unconfirmed: list[_Crash] = []
+        self.on_pending: cabc.Callable[[], None] = _ignore
         self.pending_reports: list[messages.CrashReport] = []
-        self.crashes: dict[str, dict[str, float]] = {}
-
-    def record_crash(self, fingerprint: str, engine: str, now: float) -> None:
-        """Record that an engine crashed while running a request."""
-        self.unconfirmed.append(_Crash(fingerprint, engine, now))
-
-    def confirm_crashes(self, now: float) -> None:
-        """Count the crashes that proved isolated after the window."""
-        due = [
-            crash
-            for crash in self.unconfirmed
-            if now - crash.at >= CORRELATED_WINDOW_S
-        ]
-        self.unconfirmed = [
-            crash
-            for crash in self.unconfirmed
-            if now - crash.at < CORRELATED_WINDOW_S
-        ]
-        for crash in due:
-            nearby_losses = self.count_losses_near(
-                crash.engine, crash.at, CORRELATED_WINDOW_S
-            )
-            if nearby_losses < MIN_CORRELATED_LOSSES:
-                self._count(crash.fingerprint, crash.engine, now)
-                self.pending_reports.append(
-                    messages.CrashReport(crash.fingerprint, crash.engine)
-                )
-            else:
-                self.on_verdict(
-                    CrashVerdict(
-                        Verdict.SET_ASIDE,
-                        crash.fingerprint,
-                        crash.engine,
-                        nearby_losses=nearby_losses,
-                    )
-                )
+        self.deferred: dict[str, list[messages.CrashReport]] = {}
+        self.crashes: dict[str, dict[str, _Crash]] = {}
+        self.blocked_until: dict[str, float] = {}
+
+    # Crashes
+
+    def record_crash(
+        self, fingerprint: str, engine: str, now: float, run_s: float = 0.0
+    ) -> None:
+        """Record that an engine crashed while running a request.
+
+        :param run_s: time since the request was sent to it.
+        """
+        if engine in self.crashes.get(fingerprint, ()):
+            return
+        report = messages.CrashReport(fingerprint, engine, run_s)
+        is_first = fingerprint not in self.crashes
+        nearby = len(self.losses.near(engine, now))
+        self._add(report, now)
+        if is_first and nearby >= MIN_CORRELATED_LOSSES:
+            self.deferred.setdefault(fingerprint, []).append(report)
+        else:
+            self.pending_reports += [
+                *self.deferred.pop(fingerprint, ()),
+                report,
+            ]
+            self.on_pending()
+
+    def add_reports(
+        self, reports: cabc.Iterable[messages.CrashReport], now: float
+    ) -> None:
+        """Count the crashes that other entries report."""
+        for report in reports:
+            self._add(report, now, reported=True)
+            deferred = self.deferred.pop(report.fingerprint, None)
+            if deferred:
+                self.pending_reports += deferred
+                self.on_pending()
 
     def take_pending(self) -> list[messages.CrashReport]:
         """Return the crash reports for other entries and clear the list."""
@@ -142,60 +154,140 @@
         """Queue reports that may not have been delivered."""
         self.pending_reports = reports + self.pending_reports
 
-    def add_reports(
-        self, reports: cabc.Iterable[messages.CrashReport], now: float
-    ) -> None:
-        """Count the crashes that other entries report."""
-        for report in reports:
-            self._count(report.fingerprint, report.engine, now, reported=True)
-
     def record_success(self, fingerprint: str) -> None:
         """Clear the crashes of a request that completed."""
         crashes = self.crashes.pop(fingerprint, None)
-        if crashes is not None:
-            self.on_verdict(
-                CrashVerdict(
-                    Verdict.CLEARED, fingerprint, crashes=len(crashes)
-                )
+        self.deferred.pop(fingerprint, None)
+        blocked = self.blocked_until.pop(fingerprint, None)
+        if crashes is not None or blocked is not None:
+            verdict = CrashVerdict(
+                Verdict.CLEARED, fingerprint, crashes=len(crashes or ())
             )
+            self.on_verdict(verdict)
+
+    # Blocks
 
     def remaining_block_s(self, fingerprint: str, now: float) -> float:
         """Return the seconds for which a request stays blocked, or 0."""
-        crashes = self.crashes.get(fingerprint)
-        if crashes is None:
-            return 0.0
-        recent = [at for at in crashes.values() if now - at < CRASH_TTL_S]
-        if not recent:
-            del self.crashes[fingerprint]
-        if len(recent) < MAX_CRASHES:
-            return 0.0
-        return max(recent) + CRASH_TTL_S - now
-
-    def _count(
+        if self.blocked_until.get(fingerprint, now) <= now:
+            self.blocked_until.pop(fingerprint, None)
+            # With time, crashes may turn out not to be the loss of a data
+            # centre.
+            self._update_block(fingerprint, now)
+        return max(0.0, self.blocked_until.get(fingerprint, now) - now)
+
+    def _add(
         self,
-        fingerprint: str,
-        engine: str,
+        report: messages.CrashReport,
         now: float,
         *,
         reported: bool = False,
     ) -> None:
-        crashes = self.crashes.setdefault(fingerprint, {})
-        is_new = engine not in crashes
-        crashes[engine] = now
-        while len(self.crashes) > MAX_FINGERPRINTS:
-            del self.crashes[next(iter(self.crashes))]
-        if not is_new:
+        self._expire(report.fingerprint, now)
+        crashes = self.crashes.setdefault(report.fingerprint, {})
+        if report.engine in crashes:
             return
-        blocked_s = self.remaining_block_s(fingerprint, now)
+        at = now - report.age_s
+        crashes[report.engine] = _Crash(report.engine, at, at - report.run_s)
+        while len(self.crashes) > MAX_FINGERPRINTS:
+            oldest = next(iter(self.crashes))
+            del self.crashes[oldest]
+            self.deferred.pop(oldest, None)
+        # The entry that saw a crash has logged it.
+        if not reported or len(crashes) > 1:
+            self._log_crash(report, at, now, reported=reported)
+        self._update_blocks(now)
+
+    def _expire(self, fingerprint: str, now: float) -> None:
+        crashes = self.crashes.get(fingerprint, {})
+        for engine, crash in list(crashes.items()):
+            if now - crash.at >= CRASH_TTL_S:
+                del crashes[engine]
+
+    def _log_crash(
+        self,
+        report: messages.CrashReport,
+        at: float,
+        now: float,
+        *,
+        reported: bool,
+    ) -> None:
+        counted = self._count(report.fingerprint, now)
         verdict = CrashVerdict(
-            Verdict.COUNTED,
-            fingerprint,
-            engine,
-            len(crashes),
-            reported=reported,
-            blocked_s=blocked_s,
+            Verdict.COUNTED if report.engine in counted else Verdict.SET_ASIDE,
+            report.fingerprint,
+            report.engine,
+            len(counted),
+            len(self.losses.near(report.engine, at)),
+            reported,
         )
         self.on_verdict(verdict)
-        if blocked_s and len(crashes) == MAX_CRASHES:
-            self.on_verdict(attrs.evolve(verdict, verdict=Verdict.BLOCKED))
-            self.on_block(fingerprint)
+
+    def _update_blocks(self, now: float) -> None:
+        for fingerprint in self.crashes:
+            self._update_block(fingerprint, now)
+
+    def _update_block(self, fingerprint: str, now: float) -> None:
+        crashes = self.crashes.get(fingerprint, ())
+        if len(crashes) < MAX_CRASHES:
+            return
+        self._expire(fingerprint, now)
+        counted = self._count(fingerprint, now)
+        if len(counted) >= MAX_CRASHES:
+            self._block(fingerprint, counted, now)
+
+    def _block(self, fingerprint: str, engines: set[str], now: float) -> None:
+        crashes = self.crashes[fingerprint]
+        until = max(crashes[engine].at for engine in engines) + BLOCK_S
+        if until <= now:
+            return
+        is_new = self.blocked_until.get(fingerprint, now) <= now
+        self.blocked_until[fingerprint] = until
+        if not is_new:
+            return
+        self.on_verdict(
+            CrashVerdict(
+                Verdict.BLOCKED,
+                fingerprint,
+                crashes=len(engines),
+                engines=tuple(sorted(engines)),
+                blocked_s=until - now,
+            )
+        )
+        self.on_block(fingerprint)
+
+    # Correlated losses
+
+    def _count(self, fingerprint: str, now: float) -> set[str]:
+        """Return the engines whose crashes count for a request."""
+        counted = set()
+        counted_together: set[str] = set()
+        crashes = self.crashes[fingerprint]
+        for crash in sorted(crashes.values(), key=lambda c: c.at):
+            nearby = self.losses.near(crash.engine, crash.at)
+            together = {loss.engine for loss in nearby}
+            if len(together) < MIN_CORRELATED_LOSSES:
+                counted.add(crash.engine)
+                continue
+            if not self._are_explained(together):
+                continue
+            # Several runs end at once if their data centre fails. One that
+            # was sent later ends by itself.
+            is_later = crash.sent_at > min(loss.at for loss in nearby)
+            if (
+                is_later
+                or not together & counted_together
+                or self.losses.has_survivors(nearby, now)
+            ):
+                counted.add(crash.engine)
+                counted_together |= together
+        return counted
+
+    def _are_explained(self, engines: set[str]) -> bool:
+        """Whether few requests account for all engines lost together."""
+        unexplained = set(engines)
+        for crashes in self.crashes.values():
+            shared = crashes.keys() & engines
+            if len(shared) >= MIN_EXPLAINED_LOSSES:
+                unexplained -= shared
+        return not unexplained
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -163,8 +163,9 @@
         self.report_scheduled = False
         self.summary_number = 0
         poison_requests = decisions.PoisonRequestDetector(
-            self.placement.count_losses_near
+            self.placement.losses
         )
+        poison_requests.on_pending = self._schedule_report
         self.context = forwarding.ForwardingContext(
             self.placement,
             forwarding.PermitCheckingClient(
@@ -196,7 +197,6 @@
             for service, service_traffic in self.budget.traffic(now).items()
         }
         detector = self.context.poison_requests
-        detector.confirm_crashes(now)
         report = attrs.evolve(
             self.placement.load_report(self.name, traffic, now),
             crashes=detector.take_pending(),
--- a/src/bulrushhold/forwarding/_crashlog.py
+++ b/src/bulrushhold/forwarding/_crashlog.py
@@ -29,6 +29,7 @@
             crashes=verdict.crashes,
             nearby_losses=verdict.nearby_losses,
             reported=verdict.reported,
+            engines=list(verdict.engines),
             blocked_s=round(verdict.blocked_s, 1),
         )
 
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -82,6 +82,7 @@
         placement.on_load_change = self.load_changed.set
         placement.versions.on_evidence = self.load_changed.set
         placement.demands.limits.on_change = self.load_changed.set
+        poison_requests.on_pending = self.load_changed.set
         self.on_change: list[cabc.Callable[[], None]] = []
 
     @property
@@ -270,7 +271,6 @@
             self.load_changed.set()
 
     def _load_report(self, now: float) -> messages.LoadReport:
-        self.poison_requests.confirm_crashes(now)
         traffic = {
             service: attrs.evolve(
                 service_traffic, waiting=self.admission.waiting[service]
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -104,10 +104,14 @@
     """A crash of a single engine that was running a request.
 
     :param fingerprint: identifies the request across retries.
+    :param run_s: time from sending the request to the crash.
+    :param age_s: time since the crash.
     """
 
     fingerprint: str
     engine: str
+    run_s: float = 0.0
+    age_s: float = 0.0
 
 
 @attrs.frozen
--- a/tests/platform/test_poison_processes.py
+++ b/tests/platform/test_poison_processes.py
@@ -79,6 +79,12 @@
         for repeat in repeats:
             repeat.cancel()
 
+    def _make_route_map(self, version):
+        route_map = super()._make_route_map(version)
+        # Streams may wait in the queues of these engines.
+        route_map['routes'][0]['target-latency-ms'] = 4500
+        return route_map
+
     async def _check_recovery(self):
         # The answers and what reached the engines are checked.
         pass
