An engine that is back as another instance has crashed

What callers saw: where engines are back at their addresses at once, a text crashed them without end, as if each had only broken a connection.

Cause: a broken connection counted as a crash only if the address no longer answered; whoever answered there.

Change: the probe after a broken connection names the instance that it expects, and an answer of another one, or status 421, is none. Where the answer doesn't say who gives it, the broken request is remembered for 5 s, and counts as a crash once the engine is found replaced: by 421 to another request, by another entry's report, or as it vanishes from the list without having said that it leaves. Either way the loss is reported like any other.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -190,13 +190,17 @@
         """
 
     @abc.abstractmethod
-    async def probe(self, address: str, timeout: float) -> bool:
+    async def probe(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
         """Return whether an engine responds to a liveness probe in time.
 
         A probe takes no slot, and a busy engine responds as fast as an idle
         one.
 
         :param timeout: seconds.
+        :param instance: ident of the expected process, if it matters; another
+            one that says so doesn't count as a response.
         """
 
     @abc.abstractmethod
@@ -309,6 +313,14 @@
     def probe_path(self) -> str:
         """Return the path of an engine's liveness probe."""
 
+    @abc.abstractmethod
+    def probe_headers(self, instance: str) -> list[tuple[str, str]]:
+        """Return the headers of a probe of a process; ``''`` for any."""
+
+    @abc.abstractmethod
+    def decode_instance(self, headers: t.Any) -> str:
+        """Return the ident of the process that responded, if it says so."""
+
     @abc.abstractmethod
     def segments_path(self) -> str:
         """Return the path of the list of cached prompt segments."""
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -42,14 +42,16 @@
 CACHED_PROMPT_TTL_S: t.Final = 20.0
 
 
-def _do_nothing() -> None:
-    """Ignore a load change; used until a listener is set."""
+def _do_nothing(*change: str) -> None:
+    """Ignore a change; used until a listener is set."""
 
 
 class BackendPool:
     """All known backend servers with their load and failures.
 
     :ivar on_load_change: called when this entry's load changes.
+    :ivar on_replaced: called with the ident of a server that is no longer at
+        its address, although it wasn't leaving.
     :ivar load_age_s: age of the last load summary when it was received.
     :ivar capacity: memory of one engine in tokens, by service.
     :ivar cached_prompts: by last segment of a prompt, the engine that read it
@@ -58,6 +60,7 @@
 
     def __init__(self) -> None:
         self.on_load_change: t.Callable[[], None] = _do_nothing
+        self.on_replaced: t.Callable[[str], None] = _do_nothing
         self.pending_losses: list[str] = []
         self.pending_replaced: list[str] = []
         self.last_report_at = 0.0
@@ -81,6 +84,7 @@
 
     def update(self, listed: list[messages.ListedBackend]) -> None:
         """Replace the list of servers; keep the state of remaining ones."""
+        self._report_missing({item.ident for item in listed})
         backends = {}
         for item in listed:
             server = self.backends.get(item.ident)
@@ -111,6 +115,11 @@
             }
         )
 
+    def _report_missing(self, listed: set[str]) -> None:
+        for ident, backend in self.backends.items():
+            if ident not in listed and not self.is_leaving(backend):
+                self.on_replaced(ident)
+
     def usable(
         self, service: str, now: float = 0.0, *, canary: bool = False
     ) -> list[_backendserver.BackendServer]:
@@ -368,7 +377,9 @@
             if backend is not None and backend.ejected_until <= now:
                 self._eject(backend, now)
         for ident in summary.replaced:
-            self.replaced_idents.add(ident)
+            if ident not in self.replaced_idents:
+                self.replaced_idents.add(ident)
+                self.on_replaced(ident)
 
     def mark_replaced(self, ident: str) -> None:
         """Record that another server now uses this one's address."""
@@ -376,6 +387,7 @@
             self.replaced_idents.add(ident)
             self.pending_replaced.append(ident)
             self.on_load_change()
+            self.on_replaced(ident)
 
     def record_read(self, segment: str, ident: str, now: float) -> None:
         """Record that an engine has read and cached a prompt.
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -30,6 +30,10 @@
 CRASH_TTL_S: t.Final = 60.0
 BLOCK_S: t.Final = 60.0
 MAX_FINGERPRINTS: t.Final = 10_000
+# By then the platform's list has another instance at the address of an engine
+# that has crashed and is back.
+RESET_TTL_S: t.Final = 5.0
+MAX_RESETS: t.Final = 1_000
 
 
 def fingerprint(target: str, key: str, body: bytes) -> str:
@@ -89,6 +93,18 @@
     sent_at: float
 
 
+@attrs.frozen
+class _Reset:
+    """A request that an engine broke off.
+
+    :param run_s: time since it was sent.
+    """
+
+    fingerprint: str
+    at: float
+    run_s: float
+
+
 class PoisonRequestDetector:
     """Counts engine crashes by request, with reports of other entries.
 
@@ -108,6 +124,7 @@
         self.pending_reports: list[messages.CrashReport] = []
         self.deferred: dict[str, list[messages.CrashReport]] = {}
         self.crashes: dict[str, dict[str, _Crash]] = {}
+        self.resets: dict[str, list[_Reset]] = {}
         self.blocked_until: dict[str, float] = {}
 
     # Crashes
@@ -134,6 +151,29 @@
             ]
             self.on_pending()
 
+    def record_reset(
+        self, fingerprint: str, engine: str, now: float, run_s: float = 0.0
+    ) -> None:
+        """Record that an engine broke a request off and may have crashed.
+
+        It counts as a crash if the engine proves to have been replaced.
+        """
+        reset = _Reset(fingerprint, now, run_s)
+        self.resets.setdefault(engine, []).append(reset)
+        while len(self.resets) > MAX_RESETS:
+            del self.resets[next(iter(self.resets))]
+
+    def was_reset(self, engine: str, now: float) -> bool:
+        """Whether an engine broke off a request shortly before."""
+        resets = self.resets.get(engine, ())
+        return any(now - reset.at < RESET_TTL_S for reset in resets)
+
+    def record_replaced(self, engine: str, now: float) -> None:
+        """Count the requests that an engine broke off before it was replaced."""
+        for reset in self.resets.pop(engine, ()):
+            if now - reset.at < RESET_TTL_S:
+                self.record_crash(reset.fingerprint, engine, now, reset.run_s)
+
     def add_reports(
         self, reports: cabc.Iterable[messages.CrashReport], now: float
     ) -> None:
--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -139,13 +139,15 @@
         if not engine.up:
             raise errors.BackendError('refused', step, engine.address)
 
-    async def probe(self, address: str, timeout: float) -> bool:
-        """Return whether an engine is up."""
+    async def probe(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Return whether an engine is up, and is the expected incarnation."""
         engine = self.engines[address]
         if not engine.up and engine.unreachable:
             await asyncio.sleep(timeout)
         await asyncio.sleep(2 * ONE_WAY_DELAY_S)
-        return engine.up
+        return engine.up and instance in ('', engine.ident)
 
     async def cached_segments(
         self, address: str, timeout: float
--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -162,7 +162,9 @@
         )
         return _Response(head)
 
-    async def probe(self, address: str, timeout: float) -> bool:
+    async def probe(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
         """Return that the server is up."""
         return True
 
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -41,6 +41,16 @@
     def _make_running(self) -> _running.RunningRequests:
         return _running.RunningRequests(self.poison_requests)
 
+    def __attrs_post_init__(self) -> None:
+        self.placement.on_replaced = self._confirm_crash
+
+    def _confirm_crash(self, ident: str) -> None:
+        """Record the crash of a replaced server that broke requests off."""
+        now = self.clock()
+        if self.poison_requests.was_reset(ident, now):
+            self.placement.record_failure(ident, now, unreachable=True)
+            self.poison_requests.record_replaced(ident, now)
+
 
 @attrs.frozen
 class Job:
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -51,9 +51,11 @@
             raise errors.NoPermitError('backoff', 'permit', attempt.address)
         return await self.client.send(call, attempt)
 
-    async def probe(self, address: str, timeout: float) -> bool:
+    async def probe(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
         """Probe an engine; its limit is one of requests that it runs."""
-        return await self.client.probe(address, timeout)
+        return await self.client.probe(address, timeout, instance)
 
     async def cached_segments(
         self, address: str, timeout: float
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -401,11 +401,12 @@
     ) -> None:
         """Check whether an engine that broke the connection is alive.
 
-        A crashed engine refuses connections. A live one still serves other
-        streams and holds copies, and must not be marked as lost.
+        A crashed engine refuses connections, or another instance has its
+        address. A live one still serves other streams and holds copies, and
+        must not be marked as lost.
         """
         if lost.reset and await self.context.client.probe(
-            engine.address, _liveness.PROBE_TIMEOUT_S
+            engine.address, _liveness.PROBE_TIMEOUT_S, engine.ident
         ):
             lost.unreachable = False
 
@@ -440,6 +441,10 @@
             self.context.poison_requests.record_crash(
                 self.job.fingerprint, engine.ident, now, lost.seconds
             )
+        elif lost.reset:
+            self.context.poison_requests.record_reset(
+                self.job.fingerprint, engine.ident, now, lost.seconds
+            )
         if self.caller_stream.headers_sent and self.interrupted_at is None:
             self.interrupted_at = now
         _context.log(
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -98,16 +98,22 @@
         )
         return _HttpBackendResponse(head, response, attempt.address)
 
-    async def probe(self, address: str, timeout: float) -> bool:
+    async def probe(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
         """Probe an engine; see :meth:`calls.BackendClient.probe`."""
         url = yarl.URL(f'http://{address}{self.dialect.probe_path()}')
         try:
             async with asyncio.timeout(timeout):
                 async with self.pooled.get(
-                    url, timeout=aiohttp.ClientTimeout(total=None)
+                    url,
+                    headers=self.dialect.probe_headers(instance),
+                    timeout=aiohttp.ClientTimeout(total=None),
                 ) as response:
                     await response.read()
-                    return response.status == 200
+                    found = self.dialect.decode_instance(response.headers)
+                    is_other = bool(instance and found and found != instance)
+                    return response.status == 200 and not is_other
         except (TimeoutError, *_HTTP_ERRORS):
             return False
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -18,6 +18,7 @@
 
     :param events: ids of the events that it sends.
     :param then: what follows the events: ``end``, ``reset``, ``crash``,
+        ``restart`` (as another instance at the same address),
         ``silent``, or ``half`` an event and a reset.
     :param error: step at which the request fails, or ``''``.
     :param open_delay_s: delay before the response headers.
@@ -68,7 +69,9 @@
             return b'id: 99\ndata'
         if self.script.then == 'crash':
             self.client.dead.add(self.address)
-        if self.script.then in ('reset', 'crash'):
+        if self.script.then == 'restart':
+            self.client.replaced.add(self.address)
+        if self.script.then in ('reset', 'crash', 'restart'):
             raise errors.BackendError('reset', 'answer', self.address)
         if self.script.then == 'silent':
             await asyncio.sleep(60)
@@ -89,6 +92,7 @@
     def __init__(self):
         self.scripts = []
         self.dead = set()
+        self.replaced = set()
         self.log = []
         self.attempts = []
         self.copies = []
@@ -108,7 +112,7 @@
         self.opened.append(attempt.address)
         return FakeResponse(self, attempt.address, script)
 
-    async def probe(self, address, timeout):
+    async def probe(self, address, timeout, instance=''):
         try:
             async with asyncio.timeout(timeout):
                 # Several event loop steps, like reads of a real socket.
@@ -116,7 +120,8 @@
                     await asyncio.sleep(self.probe_delay_s / 5)
         except TimeoutError:
             return False
-        return address not in self.dead
+        is_other = bool(instance) and address in self.replaced
+        return address not in self.dead and not is_other
 
     async def cached_segments(self, address, timeout):
         self.segment_lookups.append(address)
--- a/tests/forwarding/test_poison_requests.py
+++ b/tests/forwarding/test_poison_requests.py
@@ -305,3 +305,85 @@
         detector.record_crash('bad', f'i{number}', at, 2.0)
     assert detector.remaining_block_s('bad', 5.4) == 0
     assert detector.remaining_block_s('bad', 5.7) > 0
+
+
+async def test_an_engine_that_is_back_as_another_instance_has_crashed(
+    client, context
+):
+    # Guards against a new instance at the address that hides the crash.
+    client.scripts = [
+        fakes.Script(events=(1,), then='restart'),
+        fakes.Script(events=(2,)),
+    ]
+    await fakes.run_stream(context)
+    assert len(context.poison_requests.take_pending()) == 1
+    assert len(context.placement.pending_losses) == 1
+
+
+async def test_a_stream_broken_off_by_a_live_engine_is_no_crash(
+    client, context
+):
+    client.scripts = [
+        fakes.Script(events=(1,), then='reset'),
+        fakes.Script(events=(2,)),
+    ]
+    await fakes.run_stream(context)
+    assert context.poison_requests.take_pending() == []
+    assert context.placement.pending_losses == []
+
+
+@pytest.mark.parametrize('evidence', ['status 421', 'report', 'list'])
+async def test_an_engine_found_replaced_after_a_reset_has_crashed(
+    client, context, evidence
+):
+    # Guards against probes that can't tell the instances apart.
+    client.scripts = [
+        fakes.Script(events=(1,), then='reset'),
+        fakes.Script(events=(2,)),
+    ]
+    await fakes.run_stream(context)
+    placement = context.placement
+    broken = next(
+        backend
+        for backend in placement.backends.values()
+        if backend.address == client.attempts[0].address
+    )
+    if evidence == 'status 421':
+        placement.mark_replaced(broken.ident)
+    elif evidence == 'report':
+        placement.apply_loads(
+            messages.LoadSummary(1, {}, [], [broken.ident]), context.clock()
+        )
+    else:
+        placement.update(
+            [
+                messages.ListedBackend(
+                    f'new-{backend.ident}'
+                    if backend is broken
+                    else backend.ident,
+                    backend.service,
+                    backend.address,
+                    backend.data_centre,
+                    backend.slots,
+                )
+                for backend in placement.backends.values()
+            ]
+        )
+    reports = context.poison_requests.take_pending()
+    assert [report.engine for report in reports] == [broken.ident]
+    assert placement.pending_losses == [broken.ident]
+
+
+async def test_an_engine_that_left_as_announced_has_not_crashed(
+    client, context
+):
+    client.scripts = [
+        fakes.Script(events=(1,), then='reset'),
+        fakes.Script(events=(2,)),
+    ]
+    await fakes.run_stream(context)
+    placement = context.placement
+    for backend in placement.backends.values():
+        backend.leaving = True
+    placement.update([])
+    assert context.poison_requests.take_pending() == []
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -443,3 +443,14 @@
 def test_a_server_that_is_shutting_down_says_so(value, leaving):
     assert decode_head(**{'Server-Leaving': value}).leaving is leaving
     assert not decode_head().leaving
+
+
+def test_a_probe_names_the_instance_that_it_expects():
+    dialect = _enginedialect.PlatformEngineDialect()
+    assert dialect.probe_headers('i-1') == [
+        ('Bulrushhold-Expect-Instance', 'i-1')
+    ]
+    assert dialect.probe_headers('') == []
+    headers = multidict.CIMultiDict({'Bulrushhold-Instance-Id': 'i-2'})
+    assert dialect.decode_instance(headers) == 'i-2'
+    assert dialect.decode_instance(multidict.CIMultiDict()) == ''
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -36,6 +36,12 @@
     def probe_path(self):
         return '/report'
 
+    def probe_headers(self, instance):
+        return [('Wanted', instance)] if instance else []
+
+    def decode_instance(self, headers):
+        return headers.get('Instance', '')
+
     def segments_path(self):
         return '/segments'
 
@@ -161,3 +167,28 @@
     with pytest.raises(errors.BackendError) as exc_info:
         await send_request(client, unreachable, new_connection=True)
     assert exc_info.value.step == 'connect'
+
+
+REPORT = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+OTHER_REPORT = REPORT.replace(b'\r\n\r\n', b'\r\nInstance: other\r\n\r\n')
+OWN_REPORT = REPORT.replace(b'\r\n\r\n', b'\r\nInstance: i\r\n\r\n')
+REFUSAL = REPORT.replace(b'200 OK', b'421 Misdirected Request')
+
+
+@pytest.mark.parametrize(
+    ('response', 'alive'),
+    [
+        (REPORT, True),
+        (OWN_REPORT, True),
+        (OTHER_REPORT, False),
+        (REFUSAL, False),
+    ],
+)
+async def test_a_probe_of_an_instance_is_not_answered_by_another(
+    client, server, response, alive
+):
+    server.responses = [response, REPORT]
+    assert await client.probe(server.address, 1.0, 'i') is alive
+    assert b'Wanted: i\r\n' in server.requests[0]
+    assert await client.probe(server.address, 1.0)
+    assert b'Wanted' not in server.requests[1]
