--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -169,7 +169,7 @@
         return any(now - reset.at < RESET_TTL_S for reset in resets)
 
     def record_replaced(self, engine: str, now: float) -> None:
-        """Count the requests that an engine broke off before it was replaced."""
+        """Count the requests that a replaced engine broke off."""
         for reset in self.resets.pop(engine, ()):
             if now - reset.at < RESET_TTL_S:
                 self.record_crash(reset.fingerprint, engine, now, reset.run_s)
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -187,8 +187,14 @@
 async def test_a_probe_of_an_instance_is_not_answered_by_another(
     client, server, response, alive
 ):
-    server.responses = [response, REPORT]
+    server.responses = [response]
     assert await client.probe(server.address, 1.0, 'i') is alive
     assert b'Wanted: i\r\n' in server.requests[0]
+
+
+async def test_a_probe_of_an_address_is_answered_by_any_instance(
+    client, server
+):
+    server.responses = [OTHER_REPORT]
     assert await client.probe(server.address, 1.0)
-    assert b'Wanted' not in server.requests[1]
+    assert b'Wanted' not in server.requests[0]
