Crashes under plain requests count like those under streams

What callers saw: a look-up or booking that crashes its server was never blocked; its callers' repeats, and retries of idempotent ones, crashed one after the other.

Cause: only streams recorded crashes.

Change: a plain request that its server broke off checks whether a process still listens there: plain servers needn't answer the probe of engines. If none does, the crash counts at once and the server is reported as lost; else it counts if the server proves to have been replaced. An idempotent one waits for reports before its retry, like a stream, at most a tenth of its aim. A success clears the crashes as that of a stream does.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -203,6 +203,16 @@
             one that says so doesn't count as a response.
         """
 
+    @abc.abstractmethod
+    async def accepts_connections(self, address: str, timeout: float) -> bool:
+        """Return whether a process listens at an address.
+
+        Unlike a probe, it tells nothing of the process, and any backend server
+        can be asked.
+
+        :param timeout: seconds.
+        """
+
     @abc.abstractmethod
     async def cached_segments(
         self, address: str, timeout: float
--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -149,6 +149,10 @@
         await asyncio.sleep(2 * ONE_WAY_DELAY_S)
         return engine.up and instance in ('', engine.ident)
 
+    async def accepts_connections(self, address: str, timeout: float) -> bool:
+        """Return whether an engine is up."""
+        return await self.probe(address, timeout)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -168,6 +168,10 @@
         """Return that the server is up."""
         return True
 
+    async def accepts_connections(self, address: str, timeout: float) -> bool:
+        """Return that the server is up."""
+        return True
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_blocks.py
+++ b/src/bulrushhold/forwarding/_blocks.py
@@ -1,9 +1,16 @@
-"""Refuses requests that are blocked since engines crashed under them."""
+"""Requests under which engines crash: refused, and held before a retry."""
+
+import asyncio
+import typing as t
 
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _running
 
+# Until the crashes that other entries saw are known here.
+CRASH_REPORT_S: t.Final = 0.1
+MAX_REPORT_AIM_SHARE: t.Final = 0.1
+
 
 def refuse_blocked(
     context: _context.ForwardingContext, fingerprint: str, service: str
@@ -23,3 +30,12 @@
             status=503,
             retry_after=seconds,
         )
+
+
+async def wait_for_crash_reports(job: _context.Job) -> None:
+    """Let the reports of others arrive before a retry.
+
+    Otherwise each caller of a poison request would crash an engine more.
+    """
+    aim_s = job.route.aim_s or job.route.timeout_s
+    await asyncio.sleep(min(CRASH_REPORT_S, aim_s * MAX_REPORT_AIM_SHARE))
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -57,6 +57,10 @@
         """Probe an engine; its limit is one of requests that it runs."""
         return await self.client.probe(address, timeout, instance)
 
+    async def accepts_connections(self, address: str, timeout: float) -> bool:
+        """Try to connect, without a request."""
+        return await self.client.accepts_connections(address, timeout)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -9,7 +9,9 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _blocks
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _responses
 
@@ -30,12 +32,15 @@
     :param ran: whether the server ran the request, as far as known.
     :param reply: the server's response, if any.
     :param permitted: the server's request limit allowed the attempt.
+    :param broken_off: the server closed the connection before its response
+        was complete.
     """
 
     ran: errors.Ran
     reason: str = ''
     reply: calls.Reply | None = None
     permitted: bool = True
+    broken_off: bool = False
 
 
 class PlainForwarder:
@@ -189,7 +194,10 @@
                     await task
         if result.permitted:
             seconds = self.context.clock() - started
-            self._record_result(backend, result, seconds)
+            crashed = result.broken_off and await self._has_crashed(backend)
+            self._record_result(backend, result, seconds, crashed=crashed)
+            if crashed and self.repeatable:
+                await _blocks.wait_for_crash_reports(self.job)
         return result
 
     async def _wait(
@@ -260,13 +268,24 @@
         except errors.BackendError as error:
             sent = error.step != 'connect'
             ran = errors.Ran.UNKNOWN if sent else errors.Ran.NO
-            return _Result(ran, str(error))
+            return _Result(ran, str(error), broken_off=sent)
         finally:
             if response is not None:
                 response.close()
 
+    async def _has_crashed(self, backend: decisions.BackendServer) -> bool:
+        """Whether a server that broke a request off no longer listens."""
+        return not await self.context.client.accepts_connections(
+            backend.address, _liveness.PROBE_TIMEOUT_S
+        )
+
     def _record_result(
-        self, backend: decisions.BackendServer, result: _Result, seconds: float
+        self,
+        backend: decisions.BackendServer,
+        result: _Result,
+        seconds: float,
+        *,
+        crashed: bool,
     ) -> None:
         now = self.context.clock()
         if result.reply is not None:
@@ -279,14 +298,16 @@
         succeeded = result.reply is not None and result.reply.status < 500
         if succeeded:
             self.context.placement.record_success(backend.ident, now, seconds)
+            self.context.poison_requests.record_success(self.job.fingerprint)
             return
         unreachable = (
             result.ran is errors.Ran.NO
             and 'connect' in (result.reason.split(' ', 1)[0])
         )
         self.context.placement.record_failure(
-            backend.ident, now, unreachable=unreachable
+            backend.ident, now, unreachable=unreachable or crashed
         )
+        self._record_broken_off(backend, result, seconds, crashed=crashed)
         self.context.metrics.count('attempts.failed')
         _context.log(
             self.job,
@@ -297,3 +318,18 @@
             seconds=round(seconds, 3),
             fingerprint=self.job.fingerprint,
         )
+
+    def _record_broken_off(
+        self,
+        backend: decisions.BackendServer,
+        result: _Result,
+        seconds: float,
+        *,
+        crashed: bool,
+    ) -> None:
+        detector = self.context.poison_requests
+        content, now = self.job.fingerprint, self.context.clock()
+        if crashed:
+            detector.record_crash(content, backend.ident, now, seconds)
+        elif result.broken_off:
+            detector.record_reset(content, backend.ident, now, seconds)
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -7,6 +7,7 @@
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _admission
+from bulrushhold.forwarding import _blocks
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _engine_stream
 from bulrushhold.forwarding import _liveness
@@ -20,9 +21,6 @@
 # Delay before a second round, after all engines have been tried.
 RETRY_PAUSE_S: t.Final = 0.05
 MIN_REMAINING_S: t.Final = 0.05
-# Until the crashes that other entries saw are known here.
-CRASH_REPORT_S: t.Final = 0.1
-MAX_REPORT_AIM_SHARE: t.Final = 0.1
 # If a prompt exceeds the memory of all engines, a retry succeeds only after
 # larger ones were added.
 TOO_LARGE_RETRY_S: t.Final = 60.0
@@ -118,7 +116,10 @@
                 lost.event_id_before = last
                 await self._check_reachable(engine, lost)
                 self._record_loss(engine, lost)
-                await self._wait_for_crash_reports(lost)
+                # A stream that has begun is resumed at once.
+                crashed = lost.unreachable and lost.sent
+                if crashed and not self.caller_stream.headers_sent:
+                    await _blocks.wait_for_crash_reports(self.job)
                 if not await self._may_retry(lost):
                     return self._end_incomplete(
                         reason, peer, _context.RETRY_AFTER_S
@@ -410,21 +411,6 @@
         ):
             lost.unreachable = False
 
-    async def _wait_for_crash_reports(
-        self, lost: _streamloss.StreamLostError
-    ) -> None:
-        """Let the reports of others arrive before a retry.
-
-        Otherwise each caller of a poison request would crash an engine more.
-        A stream of which the caller has received events doesn't wait.
-        """
-        if not (lost.unreachable and lost.sent):
-            return
-        if self.caller_stream.headers_sent:
-            return
-        aim_s = self.job.route.aim_s or self.job.route.timeout_s
-        await asyncio.sleep(min(CRASH_REPORT_S, aim_s * MAX_REPORT_AIM_SHARE))
-
     def _record_loss(
         self,
         engine: decisions.BackendServer,
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -117,6 +117,17 @@
         except (TimeoutError, *_HTTP_ERRORS):
             return False
 
+    async def accepts_connections(self, address: str, timeout: float) -> bool:
+        """Connect; see :meth:`calls.BackendClient.accepts_connections`."""
+        host, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(timeout):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (TimeoutError, OSError):
+            return False
+        writer.close()
+        return True
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -80,7 +80,9 @@
     async def body(self):
         if self.script.then == 'silent':
             await asyncio.sleep(60)
-        if self.script.then == 'reset':
+        if self.script.then == 'crash':
+            self.client.dead.add(self.address)
+        if self.script.then in ('reset', 'crash'):
             raise errors.BackendError('reset', 'answer', self.address)
         return self.script.body
 
@@ -123,6 +125,9 @@
         is_other = bool(instance) and address in self.replaced
         return address not in self.dead and not is_other
 
+    async def accepts_connections(self, address, timeout):
+        return address not in self.dead
+
     async def cached_segments(self, address, timeout):
         self.segment_lookups.append(address)
         if address in self.dead:
--- a/tests/forwarding/test_poison_requests.py
+++ b/tests/forwarding/test_poison_requests.py
@@ -387,3 +387,42 @@
         backend.leaving = True
     placement.update([])
     assert context.poison_requests.take_pending() == []
+
+
+@pytest.mark.parametrize('kind', [routes.Kind.IDEMPOTENT, routes.Kind.ONCE])
+@pytest.mark.parametrize('step', ['send', 'answer'])
+async def test_a_server_that_crashes_under_a_plain_request_is_reported(
+    client, context, kind, step
+):
+    # Guards against crashes that only streams record.
+    client.scripts = [fakes.Script(then='crash'), fakes.Script()]
+    if step == 'send':
+        client.scripts[0].error = 'send'
+        client.dead.update(
+            backend.address for backend in context.placement.backends.values()
+        )
+    if kind is routes.Kind.ONCE:
+        with pytest.raises(errors.RequestError):
+            await fakes.run_plain(context, kind)
+    else:
+        await fakes.run_plain(context, kind)
+    assert len(context.poison_requests.take_pending()) == 1
+    assert len(context.placement.pending_losses) == 1
+
+
+@pytest.mark.parametrize('step', ['connect', 'send'])
+async def test_a_server_that_still_listens_or_got_nothing_has_not_crashed(
+    client, context, step
+):
+    client.scripts = [fakes.Script(error=step), fakes.Script()]
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    assert context.poison_requests.take_pending() == []
+
+
+async def test_a_plain_request_whose_server_was_replaced_is_reported(
+    client, context
+):
+    client.scripts = [fakes.Script(error='send'), fakes.Script()]
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    context.placement.mark_replaced(client.attempts[0].instance)
+    assert len(context.poison_requests.take_pending()) == 1
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -198,3 +198,13 @@
     server.responses = [OTHER_REPORT]
     assert await client.probe(server.address, 1.0)
     assert b'Wanted' not in server.requests[0]
+
+
+async def test_a_process_that_listens_is_told_from_one_that_is_gone(
+    client, server
+):
+    assert await client.accepts_connections(server.address, 1.0)
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        host, port = unused.getsockname()
+        assert not await client.accepts_connections(f'{host}:{port}', 1.0)
