A block reaches entries that join, and grows if its request crashes again

Found by reading, the same class: an entry that restarted, or joined, knew of no block, and could crash three engines more; so could each entry once a minute, as the block ended at all of them and their callers came back together; and one run that ended well cleared a text that had crashed several engines.

Change: entries report blocks beside crashes; control processes keep them until their end and pass them to entries that join, and entries report them again to a control process that they haven't followed before. A request that crashes one more engine after its block is blocked for twice as long, an hour at most; ten times the block later it is forgotten. Entries end a block one after the other in its last sixth, and try one request at a time then. A success clears crashes, and ends the probation after a block, but not the block itself.

--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -17,6 +17,8 @@
 # Events are kept for processes that were briefly disconnected. An older loss
 # no longer matters: the engine has restarted or left the list.
 EVENT_TTL_S: t.Final = 2.0
+# Ends of blocks closer than this are those of one block, reported twice.
+SAME_BLOCK_S: t.Final = 1.0
 # Without a sum for this time, i.e. several in a row, a process isn't live.
 SUM_MISSING_AFTER_S: t.Final = 0.8
 # An older sum no longer reflects the load of the engines.
@@ -102,6 +104,24 @@
         return True
 
 
+@attrs.frozen
+class _Block:
+    """The block of a request, kept until its end.
+
+    :param number: see :class:`_Event`.
+    """
+
+    number: int
+    until: float
+    local: bool
+    block: messages.RequestBlock
+
+    def now(self, now: float) -> messages.RequestBlock:
+        """Return the block with its present remaining time."""
+        remaining_s = round(max(0.0, self.until - now), 3)
+        return attrs.evolve(self.block, remaining_s=remaining_s)
+
+
 class _ServiceEvidence:
     """Sums of the evidence about rollouts, by service."""
 
@@ -146,6 +166,7 @@
         self.reports: dict[str, messages.LoadReport] = {}
         self.nodes: dict[str, _Node] = {}
         self.events: collections.deque[_Event] = collections.deque()
+        self.blocks: dict[str, _Block] = {}
         self.local = _loadtotals.LoadTotal()
         self.total = _loadtotals.LoadTotal()
         self.local_evidence = _ServiceEvidence()
@@ -201,6 +222,11 @@
         """Remove old events and sums; return whether any sum was removed."""
         while self.events and now - self.events[0].at > EVENT_TTL_S:
             self.events.popleft()
+        self.blocks = {
+            fingerprint: block
+            for fingerprint, block in self.blocks.items()
+            if block.until > now
+        }
         for address, node in list(self.nodes.items()):
             if now - node.at > NODE_TTL_S:
                 self._replace_node_evidence(node, {})
@@ -245,7 +271,27 @@
             if self._is_new_limit(limit, now)
         ]
         self.events.extend(new_events)
-        return bool(new_events)
+        new_blocks = self._add_blocks(report.blocks, now, local=local)
+        return bool(new_events) or new_blocks
+
+    def _add_blocks(
+        self,
+        blocks: list[messages.RequestBlock],
+        now: float,
+        *,
+        local: bool,
+    ) -> bool:
+        is_any_new = False
+        for block in blocks:
+            until = now + block.remaining_s
+            known = self.blocks.get(block.fingerprint)
+            if known is not None and until < known.until + SAME_BLOCK_S:
+                continue
+            self.blocks[block.fingerprint] = _Block(
+                self.number, until, local, block
+            )
+            is_any_new = True
+        return is_any_new
 
     def _is_new_limit(self, limit: messages.ServerLimit, now: float) -> bool:
         """Whether a limit is newer than the newest known one, and differs.
@@ -306,6 +352,7 @@
             self.stale_data_centres(now),
             since,
             [e.limit_now(now) for e in events if e.limit is not None],
+            [b.now(now) for b in self.blocks.values() if b.number > since],
         )
 
     def node_load(self, now: float) -> messages.NodeLoad:
@@ -334,6 +381,11 @@
                 self.local.speeds,
                 self.local_evidence.snapshot(),
                 [e.limit_now(now) for e in events if e.limit is not None],
+                [
+                    b.now(now)
+                    for b in self.blocks.values()
+                    if b.local and b.number > since
+                ],
             ),
             {
                 address: (node.incarnation, node.received)
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -9,12 +9,14 @@
 
 import collections.abc as cabc
 import enum
+import random
 import typing as t
 
 import attrs
 import xxhash
 
 from bulrushhold.decisions import _enginelosses
+from bulrushhold.decisions import _requestblocks
 from bulrushhold import messages
 
 # Crashes after which a request is blocked. A harmless request that shared an
@@ -28,7 +30,6 @@
 MIN_EXPLAINED_LOSSES: t.Final = 2
 # Time after which a crash is forgotten: the engine may have been redeployed.
 CRASH_TTL_S: t.Final = 60.0
-BLOCK_S: t.Final = 60.0
 MAX_FINGERPRINTS: t.Final = 10_000
 # By then the platform's list has another instance at the address of an engine
 # that has crashed and is back.
@@ -116,7 +117,11 @@
         the same request: the losses of a whole data centre would be too many.
     """
 
-    def __init__(self, losses: _enginelosses.EngineLosses) -> None:
+    def __init__(
+        self,
+        losses: _enginelosses.EngineLosses,
+        rng: random.Random | None = None,
+    ) -> None:
         self.losses = losses
         self.on_verdict: cabc.Callable[[CrashVerdict], None] = _ignore
         self.on_block: cabc.Callable[[str], None] = _ignore
@@ -125,7 +130,8 @@
         self.deferred: dict[str, list[messages.CrashReport]] = {}
         self.crashes: dict[str, dict[str, _Crash]] = {}
         self.resets: dict[str, list[_Reset]] = {}
-        self.blocked_until: dict[str, float] = {}
+        self.blocks = _requestblocks.RequestBlocks(rng or random.Random())
+        self.pending_blocks: set[str] = set()
 
     # Crashes
 
@@ -136,6 +142,7 @@
 
         :param run_s: time since the request was sent to it.
         """
+        self._expire(fingerprint, now)
         if engine in self.crashes.get(fingerprint, ()):
             return
         report = messages.CrashReport(fingerprint, engine, run_s)
@@ -190,16 +197,23 @@
         pending_reports, self.pending_reports = self.pending_reports, []
         return pending_reports
 
-    def requeue_events(self, reports: list[messages.CrashReport]) -> None:
-        """Queue reports that may not have been delivered."""
-        self.pending_reports = reports + self.pending_reports
+    def requeue_events(self, report: messages.LoadReport) -> None:
+        """Queue the events of a report that may not have been delivered."""
+        self.pending_reports = report.crashes + self.pending_reports
+        self.pending_blocks.update(b.fingerprint for b in report.blocks)
 
-    def record_success(self, fingerprint: str) -> None:
-        """Clear the crashes of a request that completed."""
+    def record_success(self, fingerprint: str, now: float) -> None:
+        """Clear the crashes of a request that completed.
+
+        Not while it is blocked: one engine that bears it doesn't make up for
+        those that crashed.
+        """
+        if self.blocks.remaining_s(fingerprint, now):
+            return
         crashes = self.crashes.pop(fingerprint, None)
         self.deferred.pop(fingerprint, None)
-        blocked = self.blocked_until.pop(fingerprint, None)
-        if crashes is not None or blocked is not None:
+        was_blocked = self.blocks.remove(fingerprint)
+        if crashes or was_blocked:
             verdict = CrashVerdict(
                 Verdict.CLEARED, fingerprint, crashes=len(crashes or ())
             )
@@ -209,12 +223,34 @@
 
     def remaining_block_s(self, fingerprint: str, now: float) -> float:
         """Return the seconds for which a request stays blocked, or 0."""
-        if self.blocked_until.get(fingerprint, now) <= now:
-            self.blocked_until.pop(fingerprint, None)
-            # With time, crashes may turn out not to be the loss of a data
-            # centre.
-            self._update_block(fingerprint, now)
-        return max(0.0, self.blocked_until.get(fingerprint, now) - now)
+        remaining_s = self.blocks.remaining_s(fingerprint, now)
+        if remaining_s or fingerprint not in self.crashes:
+            return remaining_s
+        # With time, crashes may turn out not to be the loss of a data centre.
+        self._update_block(fingerprint, now)
+        return self.blocks.remaining_s(fingerprint, now)
+
+    def is_on_probation(self, fingerprint: str, now: float) -> bool:
+        """Whether a request was blocked and hasn't proved harmless since."""
+        return self.blocks.last(fingerprint, now) is not None
+
+    def add_blocks(
+        self, blocks: cabc.Iterable[messages.RequestBlock], now: float
+    ) -> None:
+        """Apply the blocks that other entries report."""
+        for block in blocks:
+            if self.blocks.apply(block, now):
+                self._announce(block.fingerprint, now, reported=True)
+
+    def take_pending_blocks(self, now: float) -> list[messages.RequestBlock]:
+        """Return the blocks to report to other entries and clear the list."""
+        fingerprints, self.pending_blocks = self.pending_blocks, set()
+        blocks = [self.blocks.describe(f, now) for f in sorted(fingerprints)]
+        return [block for block in blocks if block is not None]
+
+    def report_all_blocks(self) -> None:
+        """Report all blocks again, to a process that may not know them."""
+        self.pending_blocks.update(self.blocks.blocks)
 
     def _add(
         self,
@@ -268,33 +304,44 @@
             self._update_block(fingerprint, now)
 
     def _update_block(self, fingerprint: str, now: float) -> None:
-        crashes = self.crashes.get(fingerprint, ())
-        if len(crashes) < MAX_CRASHES:
+        crashes = self.crashes.get(fingerprint, {})
+        last = self.blocks.last(fingerprint, now)
+        enough = MAX_CRASHES if last is None else 1
+        if len(crashes) < enough:
             return
         self._expire(fingerprint, now)
         counted = self._count(fingerprint, now)
-        if len(counted) >= MAX_CRASHES:
-            self._block(fingerprint, counted, now)
-
-    def _block(self, fingerprint: str, engines: set[str], now: float) -> None:
-        crashes = self.crashes[fingerprint]
-        until = max(crashes[engine].at for engine in engines) + BLOCK_S
-        if until <= now:
-            return
-        is_new = self.blocked_until.get(fingerprint, now) <= now
-        self.blocked_until[fingerprint] = until
-        if not is_new:
+        if last is not None:
+            # Earlier crashes are those that it was for.
+            counted = {e for e in counted if crashes[e].at > last.opens_at}
+        if len(counted) < enough:
             return
+        since = max(crashes[engine].at for engine in counted)
+        if self.blocks.add(fingerprint, since, now):
+            self._announce(fingerprint, now, counted)
+
+    def _announce(
+        self,
+        fingerprint: str,
+        now: float,
+        engines: t.Collection[str] = (),
+        *,
+        reported: bool = False,
+    ) -> None:
         self.on_verdict(
             CrashVerdict(
                 Verdict.BLOCKED,
                 fingerprint,
                 crashes=len(engines),
                 engines=tuple(sorted(engines)),
-                blocked_s=until - now,
+                reported=reported,
+                blocked_s=self.blocks.remaining_s(fingerprint, now),
             )
         )
         self.on_block(fingerprint)
+        if not reported:
+            self.pending_blocks.add(fingerprint)
+            self.on_pending()
 
     # Correlated losses
 
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -163,7 +163,7 @@
         self.report_scheduled = False
         self.summary_number = 0
         poison_requests = decisions.PoisonRequestDetector(
-            self.placement.losses
+            self.placement.losses, system.rng
         )
         poison_requests.on_pending = self._schedule_report
         self.context = forwarding.ForwardingContext(
@@ -200,6 +200,7 @@
         report = attrs.evolve(
             self.placement.load_report(self.name, traffic, now),
             crashes=detector.take_pending(),
+            blocks=detector.take_pending_blocks(now),
         )
         self.system.load_aggregator.add_report(report, now)
         for entry in self.system.entries:
@@ -228,7 +229,9 @@
             for name, service_traffic in summary.traffic.items()
         }
         self.admission.apply_loads(waiting, now)
-        self.context.poison_requests.add_reports(summary.crashes, now)
+        detector = self.context.poison_requests
+        detector.add_reports(summary.crashes, now)
+        detector.add_blocks(summary.blocks, now)
 
 
 class EntryGroup:
--- a/src/bulrushhold/forwarding/_blocks.py
+++ b/src/bulrushhold/forwarding/_blocks.py
@@ -10,6 +10,8 @@
 # Until the crashes that other entries saw are known here.
 CRASH_REPORT_S: t.Final = 0.1
 MAX_REPORT_AIM_SHARE: t.Final = 0.1
+# Time that the request which is tried again may need.
+PROBATION_RETRY_S: t.Final = 2.0
 
 
 def refuse_blocked(
@@ -30,6 +32,18 @@
             status=503,
             retry_after=seconds,
         )
+    if context.running.requests.get(
+        fingerprint
+    ) and context.poison_requests.is_on_probation(
+        fingerprint, context.clock()
+    ):
+        raise errors.RequestError(
+            'engines crashed on this request, and one is tried again',
+            'accept',
+            service,
+            status=503,
+            retry_after=PROBATION_RETRY_S,
+        )
 
 
 async def wait_for_crash_reports(job: _context.Job) -> None:
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -152,6 +152,8 @@
         if self.control_address != address:
             self.control_address = address
             node.log_decision('control found', peer=address)
+            # It may have restarted.
+            self.poison_requests.report_all_blocks()
             self.load_changed.set()
         self._apply_reply(reply)
         return True
@@ -238,6 +240,7 @@
             )
         self.budget.apply_loads(summary.traffic, now)
         self.poison_requests.add_reports(summary.crashes, now)
+        self.poison_requests.add_blocks(summary.blocks, now)
         waiting = {
             name: traffic.waiting for name, traffic in summary.traffic.items()
         }
@@ -267,7 +270,7 @@
                 peer=self.control_address, error=str(error)
             ).warning('load report not acknowledged')
             self.placement.requeue_events(report)
-            self.poison_requests.requeue_events(report.crashes)
+            self.poison_requests.requeue_events(report)
             self.load_changed.set()
 
     def _load_report(self, now: float) -> messages.LoadReport:
@@ -280,6 +283,7 @@
         return attrs.evolve(
             self.placement.load_report(self.own_entry.name, traffic, now),
             crashes=self.poison_requests.take_pending(),
+            blocks=self.poison_requests.take_pending_blocks(now),
         )
 
     def _apply_map(self, route_map: routes.RouteMap) -> None:
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -298,7 +298,9 @@
         succeeded = result.reply is not None and result.reply.status < 500
         if succeeded:
             self.context.placement.record_success(backend.ident, now, seconds)
-            self.context.poison_requests.record_success(self.job.fingerprint)
+            self.context.poison_requests.record_success(
+                self.job.fingerprint, now
+            )
             return
         unreachable = (
             result.ran is errors.Ran.NO
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -127,7 +127,7 @@
             else:
                 if reply is None:
                     self.context.poison_requests.record_success(
-                        self.job.fingerprint
+                        self.job.fingerprint, self.context.clock()
                     )
                 self._log_end(
                     'stream whole' if reply is None else 'stream failed'
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -35,6 +35,7 @@
 from bulrushhold.messages._fleet import PermitAsk
 from bulrushhold.messages._fleet import PermitGrant
 from bulrushhold.messages._fleet import Received
+from bulrushhold.messages._fleet import RequestBlock
 from bulrushhold.messages._fleet import RouteMapOutcome
 from bulrushhold.messages._fleet import RouteMapPut
 from bulrushhold.messages._fleet import RouteMapRead
@@ -150,6 +151,7 @@
     'QuotaGrant',
     'Received',
     'Refusals',
+    'RequestBlock',
     'Rollout',
     'RolloutEnd',
     'RolloutEvidence',
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -114,6 +114,19 @@
     age_s: float = 0.0
 
 
+@attrs.frozen
+class RequestBlock:
+    """A request that is sent to no engine, as several crashed under it.
+
+    :param remaining_s: time until the block ends.
+    :param duration_s: its whole duration.
+    """
+
+    fingerprint: str
+    remaining_s: float
+    duration_s: float
+
+
 @attrs.frozen
 class EngineSpeed:
     """Recent speed of a service's engines.
@@ -196,6 +209,7 @@
     :param speeds: engine speed by service.
     :param evidence: results of running rollouts by service.
     :param limits: request limits that have changed since the previous report.
+    :param blocks: blocks of requests since the previous report.
     """
 
     entry: str
@@ -207,11 +221,18 @@
     speeds: dict[str, EngineSpeed] = attrs.field(factory=dict)
     evidence: dict[str, _rollouts.RolloutEvidence] = attrs.field(factory=dict)
     limits: list[ServerLimit] = attrs.field(factory=list)
+    blocks: list[RequestBlock] = attrs.field(factory=list)
 
     @property
     def urgent(self) -> bool:
         """Whether it holds events that no later report repeats."""
-        return bool(self.lost or self.replaced or self.crashes or self.limits)
+        return bool(
+            self.lost
+            or self.replaced
+            or self.crashes
+            or self.limits
+            or self.blocks
+        )
 
 
 @attrs.frozen
@@ -259,6 +280,7 @@
         all.
     :param limits: request limits that changed since the number given in the
         request.
+    :param blocks: blocks of requests since the number given in the request.
     """
 
     number: int
@@ -272,6 +294,7 @@
     silent: list[str] = attrs.field(factory=list)
     since: int = 0
     limits: list[ServerLimit] = attrs.field(factory=list)
+    blocks: list[RequestBlock] = attrs.field(factory=list)
 
 
 @attrs.frozen
