The soak's callers send poison requests

Beside its other faults, from a generator of its own so that the seeds' faults stay: several callers of a text that crashes each engine, of any kind of request.

--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import random
 import signal
@@ -22,18 +23,24 @@
 MAX_EDIT_INTERVAL_S = 0.4
 MEAN_FAULT_INTERVAL_S = 0.5
 MEAN_DEMAND_INTERVAL_S = 0.7
+MEAN_POISON_INTERVAL_S = 1.5
+MAX_POISON_CALLERS = 4
 _CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
 
 @attrs.define
 class Report:
-    """Requests, injected faults and violated guarantees of a run."""
+    """Requests, injected faults and violated guarantees of a run.
+
+    :param poison_crashes: engines that crashed under each poison request.
+    """
 
     seed: int
     sent: int = 0
     served: int = 0
     faults: list = attrs.field(factory=list)
     violations: list = attrs.field(factory=list)
+    poison_crashes: dict = attrs.field(factory=dict)
 
 
 class SoakRun:
@@ -46,6 +53,8 @@
     def __init__(self, seed, folder, network_number, seconds):
         self.rng = random.Random(seed)
         self.demand_rng = random.Random(-1 - seed)
+        self.poison_rng = random.Random(f'poison {seed}')
+        self.poison_numbers = itertools.count(1)
         self.report = Report(seed)
         self.folder = folder
         self.network_number = network_number
@@ -94,6 +103,10 @@
             for engine in self.engines:
                 await engine.stop()
         self._check_executions()
+        self.report.poison_crashes = {
+            path: len(crashed_at)
+            for path, crashed_at in self.observations.poison_crashes.items()
+        }
         return self.report
 
     async def _run_with_faults(self):
@@ -101,10 +114,11 @@
         operator = asyncio.ensure_future(self._edit_route_map(deadline))
         faults = asyncio.ensure_future(self._inject_faults(deadline))
         demands = asyncio.ensure_future(self._make_demands(deadline))
+        poison = asyncio.ensure_future(self._send_poison_requests(deadline))
         while time.monotonic() < deadline:
             self._start_task(self._send_request())
             await asyncio.sleep(self.rng.expovariate(25))
-        await asyncio.gather(operator, faults, demands)
+        await asyncio.gather(operator, faults, demands, poison)
 
     async def _check_recovery(self):
         """Check that all requests are served after the faults have ended."""
@@ -408,6 +422,39 @@
                 self.demand_rng.expovariate(1 / MEAN_DEMAND_INTERVAL_S)
             )
 
+    async def _send_poison_requests(self, deadline):
+        rng = self.poison_rng
+        while time.monotonic() < deadline:
+            await asyncio.sleep(rng.expovariate(1 / MEAN_POISON_INTERVAL_S))
+            kind = rng.choice(
+                (fakes.STREAM_PATH, fakes.UNSAFE_PATH, fakes.SAFE_PATH)
+            )
+            path = f'{kind}{fakes.POISON}-{rng.randrange(3)}'
+            callers = rng.randint(1, MAX_POISON_CALLERS)
+            self._record_fault(f'{callers} callers of', path)
+            for _ in range(callers):
+                self._start_task(self._send_poison(path))
+
+    async def _send_poison(self, path):
+        entry = self.poison_rng.choice(self.system.programs_with_role('entry'))
+        headers = {
+            'Host': 'soak.example',
+            'Bulrushhold-Request-Id': f'poison-{next(self.poison_numbers)}',
+            'Bulrushhold-Credential': API_KEY,
+            'Bulrushhold-Deadline-Ms': '10000',
+        }
+        if path.startswith(fakes.STREAM_PATH):
+            headers['Bulrushhold-Token-Counts'] = '800,40'
+            headers['Bulrushhold-Prompt-Prefix'] = 'a:100,bad:700'
+        url = self.system.url(entry, 'front', path)
+        with contextlib.suppress(*_CONNECTION_ERRORS):
+            async with self.session.post(
+                url, data=b'bad', headers=headers
+            ) as response:
+                await response.read()
+                if response.status == 200:
+                    self.report.violations.append(f'answered: {path}')
+
     async def _name_limit(self, engine):
         self._record_fault('limit', engine.ident)
         engine.limit = self.demand_rng.choice((0, 1.5, 8, 'many'))
