--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -28,8 +28,9 @@
             report = asyncio.run(soak.execute())
         click.echo(
             f'seed {seed}: {report.served} of {report.sent} served, '
-            f'{len(report.faults)} faults, {len(report.violations)} violations,'
-            f' poison crashes {sorted(report.poison_crashes.values())}'
+            f'{len(report.faults)} faults, '
+            f'{len(report.violations)} violations, '
+            f'poison crashes {sorted(report.poison_crashes.values())}'
         )
         for line in report.violations[:10]:
             click.echo(f'    {line}')
