--- a/tests/platform/test_poison_processes.py
+++ b/tests/platform/test_poison_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 
 import aiohttp
 import pytest
@@ -24,6 +25,9 @@
 ALLOWED = 3
 MAX_CRASHES = 5
 MIN_SERVED_SHARE = 0.99
+# Long enough for a process to serve again before the next one is killed.
+RESTARTS_AFTER_S = 2.0
+RESTART_INTERVAL_S = 1.2
 
 
 class PoisonRun(run.SoakRun):
@@ -33,6 +37,8 @@
     :param texts: number of different poison requests.
     :param callers: number of callers of each of them.
     :param interval_s: time between the first requests of two callers.
+    :param restarts: roles whose processes are killed and started one after
+        the other.
     :param engine_options: attributes of all engines.
     """
 
@@ -44,6 +50,7 @@
         texts=1,
         callers=1,
         interval_s=0.0,
+        restarts=(),
         **engine_options,
     ):
         super().__init__(1, folder, network_number, DURATION_S)
@@ -58,6 +65,7 @@
         self.paths = [f'{kind}{fakes.POISON}-{n}' for n in range(texts)]
         self.callers = callers
         self.interval_s = interval_s
+        self.restarts = restarts
         self.answers = []
 
     async def _run_with_faults(self):
@@ -69,16 +77,26 @@
             for path in self.paths
             for number in range(self.callers)
         ]
+        restart = asyncio.ensure_future(self._restart_in_turn())
         innocents = []
         while loop.time() < started_at + DURATION_S:
             innocents.append(
                 asyncio.ensure_future(self._send_request(fakes.STREAM_PATH))
             )
             await asyncio.sleep(self.rng.expovariate(STREAMS_PER_S))
-        await asyncio.gather(*innocents)
+        await asyncio.gather(*innocents, restart)
         for repeat in repeats:
             repeat.cancel()
 
+    async def _restart_in_turn(self):
+        await asyncio.sleep(RESTARTS_AFTER_S)
+        for role in self.restarts:
+            for program in self.system.programs_with_role(role):
+                self.system.signal(program, signal.SIGKILL)
+                await self.system.wait_for_exit(program)
+                self.system.start(program)
+                await asyncio.sleep(RESTART_INTERVAL_S)
+
     def _make_route_map(self, version):
         route_map = super()._make_route_map(version)
         # Streams may wait in the queues of these engines.
@@ -166,3 +184,12 @@
 async def test_plain_requests_that_crash_servers_are_blocked(run_poison, kind):
     # Guards against crashes that only streams record.
     check_late_arrivals(await run_poison(kind=kind, callers=12, down_s=2.0))
+
+
+@pytest.mark.parametrize('restarts', [['entry'], ['control', 'entry']])
+async def test_a_block_outlives_the_restart_of_all_processes_in_turn(
+    run_poison, restarts
+):
+    # Guards against entries that know of no block after their restart.
+    poison_run = await run_poison(callers=12, down_s=2.0, restarts=restarts)
+    check_late_arrivals(poison_run)
