A crash is a loss of its engine, also if it answered nothing since the last one

Found by reading: an engine counts as lost once until it has answered a request. A data centre that is lost again before its engines have ended a stream was no further loss, so that each of its streams' crashes looked like one of its own, and the third blocked an innocent.

A recorded crash says that the request had reached its engine, which so had been back: it is a loss by itself, unless the engine's last one is within the window.

test_a_data_centre_that_is_lost_again_and_again_blocks_no_request failed before. What remains: an entry that learns of such losses only from others counts the first two engines, whose streams are reported.

--- a/src/bulrushhold/decisions/_enginelosses.py
+++ b/src/bulrushhold/decisions/_enginelosses.py
@@ -62,6 +62,21 @@
         """Record that an engine answers requests."""
         self.down.discard(engine)
 
+    def record_crash(self, engine: str, now: float) -> None:
+        """Record that an engine was lost while it ran a request.
+
+        It was back since an earlier loss, even if it has answered nothing.
+        """
+        location = self.locations.get(engine)
+        if location is not None and not self._is_recent(engine, now):
+            self.losses.append(EngineLoss(engine, location, now))
+
+    def _is_recent(self, engine: str, now: float) -> bool:
+        return any(
+            loss.engine == engine and now - loss.at <= CORRELATED_WINDOW_S
+            for loss in reversed(self.losses)
+        )
+
     def near(self, engine: str, at: float) -> list[EngineLoss]:
         """Return the losses in an engine's data centre at about a time.
 
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -147,8 +147,8 @@
             return
         report = messages.CrashReport(fingerprint, engine, run_s)
         is_first = fingerprint not in self.crashes
-        nearby = len(self.losses.near(engine, now))
         self._add(report, now)
+        nearby = len(self.losses.near(engine, now))
         if is_first and nearby >= MIN_CORRELATED_LOSSES:
             self.deferred.setdefault(fingerprint, []).append(report)
         else:
@@ -264,6 +264,7 @@
         if report.engine in crashes:
             return
         at = now - report.age_s
+        self.losses.record_crash(report.engine, at)
         crashes[report.engine] = _Crash(report.engine, at, at - report.run_s)
         while len(self.crashes) > MAX_FINGERPRINTS:
             oldest = next(iter(self.crashes))
--- a/tests/forwarding/test_poison_requests.py
+++ b/tests/forwarding/test_poison_requests.py
@@ -566,3 +566,19 @@
     first.cancel()
     await asyncio.gather(first, return_exceptions=True)
     forwarding.refuse_blocked(context, 'bad', 'engines')
+
+
+def test_a_data_centre_that_is_lost_again_and_again_blocks_no_request():
+    # Guards against engines that answer nothing between two outages, whose
+    # later losses would pass for crashes one by one.
+    placement = make_placement()
+    detector = decisions.PoisonRequestDetector(placement.losses)
+    for number in range(4):
+        at = 5.0 + 4.0 * number
+        for engine in ('i0', 'i1', 'i2'):
+            placement.record_failure(engine, at, unreachable=True)
+        for stream in range(6):
+            detector.record_crash(
+                f's{stream}', f'i{(stream + number) % 3}', at
+            )
+    assert not any(detector.remaining_block_s(f's{n}', 20.0) for n in range(6))
