An instance that hasn't started yet is no further loss beside a crash

Cause: the list named the next instances at the engines' addresses before they listened. Entries tried them, and each refused connection was recorded as the loss of an engine that had run nothing. With it a data centre had three losses, one of them without the text, so that its crashes passed for an outage: 29 of its crash lines say `set aside`, with 3 or 4 nearby losses, and right before them stand refused connections to the new instances. Load had stretched the second in which that may happen; it isn't the cause.

An address whose engine was lost is down until it answers, whatever instance is listed there. test_an_instance_that_has_not_started_yet_is_no_loss failed before.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -71,7 +71,7 @@
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
         self.demands = _serverdemands.ServerDemands()
-        self.losses = _enginelosses.EngineLosses(self._engines_at)
+        self.losses = _enginelosses.EngineLosses(self._addresses_at)
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.replaced_idents: set[str] = set()
@@ -244,10 +244,10 @@
                 self.on_load_change()
             self._eject(backend, now)
 
-    def _engines_at(self, location: tuple[str, str]) -> list[str]:
+    def _addresses_at(self, location: tuple[str, str]) -> list[str]:
         service, data_centre = location
         return [
-            backend.ident
+            backend.address
             for backend in self.services.get(service, ())
             if backend.data_centre == data_centre
         ]
@@ -258,7 +258,7 @@
         backend.lost_at = now
         backend.ejected_until = now + EJECTION_S
         location = (backend.service, backend.data_centre)
-        self.losses.record(backend.ident, location, now)
+        self.losses.record(backend.ident, location, now, backend.address)
         recent = self.data_centre_failures.setdefault(
             location, collections.deque(maxlen=8)
         )
@@ -273,7 +273,7 @@
         if backend is None:
             return
         self._sample_failure(backend, 0.0, now)
-        self.losses.record_alive(ident)
+        self.losses.record_alive(backend.address)
         backend.ejected_until = 0.0
         if latency is not None:
             old = backend.latency or latency
--- a/src/bulrushhold/decisions/_enginelosses.py
+++ b/src/bulrushhold/decisions/_enginelosses.py
@@ -30,16 +30,20 @@
 class EngineLosses:
     """The latest losses of engines, each counted once until it is back.
 
-    :param engines_at: returns the listed engines of a location.
+    An address whose engine was lost stays down until it answers, whatever
+    instance is listed there meanwhile.
+
+    :param addresses_at: returns the addresses of the listed engines of a
+        location.
     """
 
     def __init__(
         self,
-        engines_at: cabc.Callable[
+        addresses_at: cabc.Callable[
             [tuple[str, str]], cabc.Iterable[str]
         ] = lambda location: (),
     ) -> None:
-        self.engines_at = engines_at
+        self.addresses_at = addresses_at
         self.losses: collections.deque[EngineLoss] = collections.deque(
             maxlen=MAX_LOSSES
         )
@@ -47,20 +51,22 @@
         self.down: set[str] = set()
 
     def record(
-        self, engine: str, location: tuple[str, str], now: float
+        self,
+        engine: str,
+        location: tuple[str, str],
+        now: float,
+        address: str = '',
     ) -> None:
-        """Record a loss; further failures of a lost engine change nothing."""
-        if engine in self.down:
-            return
-        if len(self.losses) == MAX_LOSSES:
-            self._forget(self.losses[0])
-        self.down.add(engine)
-        self.locations[engine] = location
-        self.losses.append(EngineLoss(engine, location, now))
+        """Record a loss; further failures at its address change nothing."""
+        self._locate(engine, location)
+        address = address or engine
+        if address not in self.down:
+            self.down.add(address)
+            self.losses.append(EngineLoss(engine, location, now))
 
-    def record_alive(self, engine: str) -> None:
-        """Record that an engine answers requests."""
-        self.down.discard(engine)
+    def record_alive(self, address: str) -> None:
+        """Record that the engine at an address answers requests."""
+        self.down.discard(address)
 
     def record_crash(self, engine: str, now: float) -> None:
         """Record that an engine was lost while it ran a request.
@@ -71,12 +77,6 @@
         if location is not None and not self._is_recent(engine, now):
             self.losses.append(EngineLoss(engine, location, now))
 
-    def _is_recent(self, engine: str, now: float) -> bool:
-        return any(
-            loss.engine == engine and now - loss.at <= CORRELATED_WINDOW_S
-            for loss in reversed(self.losses)
-        )
-
     def near(self, engine: str, at: float) -> list[EngineLoss]:
         """Return the losses in an engine's data centre at about a time.
 
@@ -98,9 +98,16 @@
         first_at = min(loss.at for loss in losses)
         if now - first_at <= LOSS_SPREAD_S:
             return False
-        engines = self.engines_at(losses[0].location)
-        return any(engine not in self.down for engine in engines)
+        addresses = self.addresses_at(losses[0].location)
+        return any(address not in self.down for address in addresses)
+
+    def _is_recent(self, engine: str, now: float) -> bool:
+        return any(
+            loss.engine == engine and now - loss.at <= CORRELATED_WINDOW_S
+            for loss in reversed(self.losses)
+        )
 
-    def _forget(self, oldest: EngineLoss) -> None:
-        self.down.discard(oldest.engine)
-        self.locations.pop(oldest.engine, None)
+    def _locate(self, engine: str, location: tuple[str, str]) -> None:
+        self.locations[engine] = location
+        while len(self.locations) > 2 * MAX_LOSSES:
+            del self.locations[next(iter(self.locations))]
--- a/tests/forwarding/test_poison_requests.py
+++ b/tests/forwarding/test_poison_requests.py
@@ -582,3 +582,28 @@
                 f's{stream}', f'i{(stream + number) % 3}', at
             )
     assert not any(detector.remaining_block_s(f's{n}', 20.0) for n in range(6))
+
+
+def test_an_instance_that_has_not_started_yet_is_no_loss():
+    # Guards against crashes that pass for an outage as the next instances at
+    # the engines' addresses are tried too soon.
+    placement = make_placement()
+    detector = decisions.PoisonRequestDetector(placement.losses)
+    for number in range(3):
+        at = 5.0 + 0.4 * number
+        placement.record_failure(f'i{number}', at, unreachable=True)
+        detector.record_crash('bad', f'i{number}', at, 0.2)
+        placement.update(
+            [
+                messages.ListedBackend(
+                    f'new{n}' if n <= number else f'i{n}',
+                    's',
+                    f'10.0.0.{n}:1',
+                    'dc0',
+                    8,
+                )
+                for n in range(4)
+            ]
+        )
+        placement.record_failure(f'new{number}', at + 0.1, unreachable=True)
+    assert detector.remaining_block_s('bad', 6.0) > 0
