A request that is blocked after its server broke it off may have run

Found as the diff was read: a request whose server broke it off is checked, and may wait for the crash reports of others, before its loss is counted. A block that came in between refused it with 503 as not run, although it had run.

Whether a request may have run is noted as its attempt ends, before anything is waited for, and decides between 502 and 503. Tests of a block during the check and during the wait, for each kind of request; five failed before.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -55,6 +55,7 @@
         self.attempts = 0
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
+        self.may_have_run = False
 
     async def run(self) -> calls.Reply:
         """Return the response.
@@ -150,7 +151,7 @@
         self.context.metrics.count('requests.ended_by_block')
         if self.last is not None and self.last.reply is not None:
             return self.last.reply
-        if self.attempts:
+        if self.may_have_run:
             raise _context.unknown_outcome_error(
                 self.job, error.reason, error.peer
             )
@@ -180,8 +181,9 @@
         self.tracked.interruptible = self.repeatable
         try:
             result = await self._wait(task, backend)
+            self.may_have_run |= result.ran is not errors.Ran.NO
         except asyncio.CancelledError:
-            self.attempts += self.tracked.interrupted
+            self.may_have_run = True
             raise
         finally:
             self.tracked.interruptible = True
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -44,6 +44,7 @@
         self.last_event_id = job.call.last_event_id
         self.tried: set[str] = set()
         self.lost_runs = 0
+        self.may_have_run = False
         self.backup: decisions.BackendServer | None = None
         self.backup_since = 0.0
         self.copy: calls.RunCopy | None = None
@@ -111,6 +112,7 @@
                 if not lost.permitted:
                     self.tried.discard(engine.ident)
                     continue
+                self.may_have_run |= lost.sent
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.context.clock() - started
                 lost.event_id_before = last
@@ -312,7 +314,7 @@
             return None
         if self.failure_reply is not None:
             return self.failure_reply
-        if not self.lost_runs:
+        if not self.may_have_run:
             raise _context.not_run_error(self.job, reason, retry_after_s)
         timed_out = self.remaining_s() < MIN_REMAINING_S
         raise _context.unknown_outcome_error(
@@ -369,7 +371,7 @@
             return await engine_stream.run()
         except asyncio.CancelledError:
             # The engine may have begun to run it.
-            self.lost_runs += self.tracked.interrupted
+            self.may_have_run = True
             raise
         finally:
             self.tracked.interruptible = True
--- a/tests/forwarding/test_blocks.py
+++ b/tests/forwarding/test_blocks.py
@@ -161,3 +161,37 @@
     with pytest.raises(asyncio.CancelledError):
         await task
     assert not context.running.requests
+
+
+@pytest.mark.parametrize(
+    'kind', [routes.Kind.STREAM, routes.Kind.IDEMPOTENT, routes.Kind.ONCE]
+)
+async def test_a_request_blocked_as_its_server_is_checked_may_have_run(
+    client, context, kind
+):
+    # Guards against "not run" for a request that its server broke off.
+    async def block_and_wait(*arguments):
+        asyncio.get_running_loop().call_soon(block, context)
+        await asyncio.sleep(0.05)
+        return False
+
+    client.probe = client.accepts_connections = block_and_wait
+    client.scripts = [fakes.Script(error='send')]
+    task, _ = start(context, kind)
+    await assert_ended_by_block(task, errors.Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize('kind', [routes.Kind.STREAM, routes.Kind.IDEMPOTENT])
+async def test_a_request_blocked_before_its_retry_may_have_run(
+    client, context, kind
+):
+    # Guards against "not run" for a request that waits for crash reports.
+    client.scripts = [fakes.Script(error='send')]
+    client.dead.update(
+        backend.address for backend in context.placement.backends.values()
+    )
+    task, _ = start(context, kind, aim_s=9.0, timeout_s=20.0)
+    await asyncio.sleep(0.03)
+    assert not task.done()
+    block(context)
+    await assert_ended_by_block(task, errors.Ran.UNKNOWN)
