--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -29,6 +29,7 @@
     :param poison_arrivals: when each poison request reached an engine, by
         path.
     :param poison_crashes: when each engine crashed under one, by path.
+    :param poison_runs: IDs of the poison requests that an engine began.
     """
 
     runs: dict = attrs.field(factory=dict)
@@ -37,6 +38,7 @@
     unsafe_executed: set = attrs.field(factory=set)
     poison_arrivals: dict = attrs.field(factory=dict)
     poison_crashes: dict = attrs.field(factory=dict)
+    poison_runs: set = attrs.field(factory=set)
 
     def count_late_arrivals(self, path, crashes, within_s):
         """Count arrivals of a poison request after a number of crashes.
@@ -179,6 +181,9 @@
         dropped = transport is None or transport.is_closing()
         if dropped or self.ident != ident:
             return
+        self.observations.poison_runs.add(
+            request.headers['Bulrushhold-Request-Id']
+        )
         await asyncio.sleep(POISON_RUN_S)
         if self.ident != ident:
             return
--- a/tests/platform/test_poison_processes.py
+++ b/tests/platform/test_poison_processes.py
@@ -67,6 +67,7 @@
         self.interval_s = interval_s
         self.restarts = restarts
         self.answers = []
+        self.refused_poison = set()
 
     async def _run_with_faults(self):
         loop = asyncio.get_running_loop()
@@ -131,6 +132,9 @@
                 ) as response:
                     await response.read()
                     self.answers.append((path, response.status))
+                    if response.status == 503:
+                        ident = headers['Bulrushhold-Request-Id']
+                        self.refused_poison.add(ident)
                     pause_s = float(
                         response.headers.get('Retry-After', REPEAT_S)
                     )
@@ -144,6 +148,9 @@
             poison_run = PoisonRun(tmp_path, network.number, **options)
             await poison_run.execute()
         assert poison_run.report.violations == []
+        # A refusal promises that the request has not run.
+        runs = poison_run.observations.poison_runs
+        assert not runs & poison_run.refused_poison
         return poison_run
 
     return run_one
