--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -18,8 +18,6 @@
 # Weights of the newest sample in the moving averages of latency and failures.
 LATENCY_SMOOTHING: t.Final = 0.1
 FAILURE_SMOOTHING: t.Final = 0.2
-# Penalties of engines are measured in prompts; see _placement.
-#
 # Engines of one data centre that fail within this time mark the whole data
 # centre as failing for as long: it has lost power, or is cut off.
 DATA_CENTRE_FAILURE_WINDOW_S: t.Final = 1.3
--- a/src/bulrushhold/emulator/_poison.py
+++ b/src/bulrushhold/emulator/_poison.py
@@ -12,8 +12,8 @@
 from bulrushhold.emulator import _system
 from bulrushhold import errors
 
-# Callers repeat a failed request after this time, and a refused one as they
-# are told, but not later than after the second one.
+# Callers retry a failed request after the first delay, and a refused one after
+# Retry-After, capped at the second.
 REPEAT_S: t.Final = 0.2
 MAX_REPEAT_S: t.Final = 5.0
 
