--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from bulrushhold.decisions import _loadevents
 from bulrushhold.decisions import _loadtotals
 from bulrushhold.decisions import _rolloutevidence
 from bulrushhold import messages
@@ -27,41 +28,6 @@
 NODE_TTL_S: t.Final = 10.0
 
 
-@attrs.frozen
-class _Event:
-    """A loss, replacement, crash or limit, numbered in order of arrival.
-
-    :param local: reported by an entry of this process.
-    """
-
-    number: int
-    at: float
-    local: bool
-    lost: str = ''
-    replaced: str = ''
-    crash: messages.CrashReport | None = None
-    limit: messages.ServerLimit | None = None
-
-    @property
-    def key(self) -> tuple[str, ...]:
-        """Identifies the event, whose age may differ between reports."""
-        crash = self.crash
-        crash_key = (crash.fingerprint, crash.engine) if crash else ('', '')
-        return (self.lost, self.replaced, *crash_key)
-
-    def crash_now(self, now: float) -> messages.CrashReport:
-        """Return the crash with its present age."""
-        assert self.crash is not None
-        age_s = self.crash.age_s + max(0.0, now - self.at)
-        return attrs.evolve(self.crash, age_s=round(age_s, 3))
-
-    def limit_now(self, now: float) -> messages.ServerLimit:
-        """Return the limit with its present age."""
-        assert self.limit is not None
-        age_s = self.limit.age_s + max(0.0, now - self.at)
-        return attrs.evolve(self.limit, age_s=round(age_s, 3))
-
-
 @attrs.define
 class _Node:
     """The state of the exchange with another control process.
@@ -104,24 +70,6 @@
         return True
 
 
-@attrs.frozen
-class _Block:
-    """The block of a request, kept until its end.
-
-    :param number: see :class:`_Event`.
-    """
-
-    number: int
-    until: float
-    local: bool
-    block: messages.RequestBlock
-
-    def now(self, now: float) -> messages.RequestBlock:
-        """Return the block with its present remaining time."""
-        remaining_s = round(max(0.0, self.until - now), 3)
-        return attrs.evolve(self.block, remaining_s=remaining_s)
-
-
 class _ServiceEvidence:
     """Sums of the evidence about rollouts, by service."""
 
@@ -165,8 +113,8 @@
         self.number = 0
         self.reports: dict[str, messages.LoadReport] = {}
         self.nodes: dict[str, _Node] = {}
-        self.events: collections.deque[_Event] = collections.deque()
-        self.blocks: dict[str, _Block] = {}
+        self.events: collections.deque[_loadevents.Event] = collections.deque()
+        self.blocks: dict[str, _loadevents.BlockEvent] = {}
         self.local = _loadtotals.LoadTotal()
         self.total = _loadtotals.LoadTotal()
         self.local_evidence = _ServiceEvidence()
@@ -252,21 +200,21 @@
         existing = {event.key for event in self.events}
         events = [
             *(
-                _Event(self.number, now, local, lost=ident)
+                _loadevents.Event(self.number, now, local, lost=ident)
                 for ident in report.lost
             ),
             *(
-                _Event(self.number, now, local, replaced=ident)
+                _loadevents.Event(self.number, now, local, replaced=ident)
                 for ident in report.replaced
             ),
             *(
-                _Event(self.number, now, local, crash=crash)
+                _loadevents.Event(self.number, now, local, crash=crash)
                 for crash in report.crashes
             ),
         ]
         new_events = [event for event in events if event.key not in existing]
         new_events += [
-            _Event(self.number, now, local, limit=limit)
+            _loadevents.Event(self.number, now, local, limit=limit)
             for limit in report.limits
             if self._is_new_limit(limit, now)
         ]
@@ -287,7 +235,7 @@
             known = self.blocks.get(block.fingerprint)
             if known is not None and until < known.until + SAME_BLOCK_S:
                 continue
-            self.blocks[block.fingerprint] = _Block(
+            self.blocks[block.fingerprint] = _loadevents.BlockEvent(
                 self.number, until, local, block
             )
             is_any_new = True
@@ -306,12 +254,12 @@
                 if event.limit is not None
                 and event.limit.server == limit.server
             ),
-            key=_limit_as_of,
+            key=_loadevents.limit_as_of,
             default=None,
         )
         if newest is None or newest.limit is None:
             return True
-        is_newer = now - limit.age_s > _limit_as_of(newest)
+        is_newer = now - limit.age_s > _loadevents.limit_as_of(newest)
         return is_newer and limit.per_s != newest.limit.per_s
 
     # Publishing
@@ -458,10 +406,5 @@
         self.changed_engines.clear()
 
 
-def _limit_as_of(event: _Event) -> float:
-    assert event.limit is not None
-    return event.at - event.limit.age_s
-
-
 def _is_live(node: _Node, now: float) -> bool:
     return now - node.at <= SUM_MISSING_AFTER_S
--- a/src/bulrushhold/emulator/__init__.py
+++ b/src/bulrushhold/emulator/__init__.py
@@ -12,9 +12,9 @@
 from bulrushhold.emulator._service import PlainOutcome
 from bulrushhold.emulator._service import PlainServer
 from bulrushhold.emulator._service import ServiceSystem
-from bulrushhold.emulator._system import Outcome
 from bulrushhold.emulator._system import System
-from bulrushhold.emulator._system import Workload
+from bulrushhold.emulator._workload import Outcome
+from bulrushhold.emulator._workload import Workload
 
 __all__ = [
     'EmulatedLoop',
--- a/src/bulrushhold/emulator/_poison.py
+++ b/src/bulrushhold/emulator/_poison.py
@@ -10,6 +10,7 @@
 from bulrushhold import decisions
 from bulrushhold.emulator import _engine
 from bulrushhold.emulator import _system
+from bulrushhold.emulator import _workload
 from bulrushhold import errors
 
 # Callers retry a failed request after the first delay, and a refused one after
@@ -82,8 +83,8 @@
         )
 
     async def simulate(
-        self, workload: _system.Workload
-    ) -> list[_system.Outcome]:
+        self, workload: _workload.Workload
+    ) -> list[_workload.Outcome]:
         """Run the callers of poison requests beside a workload."""
         repeats = [
             asyncio.ensure_future(self._repeat(poison, number, workload))
@@ -120,7 +121,7 @@
         self,
         poison: PoisonCallers,
         number: int,
-        workload: _system.Workload,
+        workload: _workload.Workload,
     ) -> None:
         await asyncio.sleep(poison.start_s + number * poison.interval_s)
         self.lengths[poison.segment] = workload.output_tokens
@@ -140,18 +141,18 @@
         self,
         poison: PoisonCallers,
         ident: str,
-        workload: _system.Workload,
+        workload: _workload.Workload,
     ) -> errors.RequestError | None:
         entry = self.rng.choice(self.entries)
-        now = _system.emulated_now()
+        now = _workload.emulated_now()
         prompt = calls.Prompt(
             poison.prompt_tokens, workload.output_tokens, (poison.segment,)
         )
-        job = _system.make_job(
+        job = _workload.make_job(
             workload, ident, prompt, now, workload.timeout_s
         )
-        entry.budget.count_request(_system.SERVICE, now)
-        caller = _system.Caller(_system.Outcome(now))
+        entry.budget.count_request(_workload.SERVICE, now)
+        caller = _workload.Caller(_workload.Outcome(now))
         try:
             await entry.forward(job, caller)
         except errors.RequestError as error:
--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -8,6 +8,7 @@
 
 from bulrushhold import calls
 from bulrushhold.emulator import _system
+from bulrushhold.emulator import _workload
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
@@ -130,14 +131,14 @@
         """Send a call and return its response."""
         server = self.servers[attempt.address]
         await asyncio.sleep(ONE_WAY_DELAY_S)
-        server.arrivals.append(Arrival(_system.emulated_now(), self.entry))
+        server.arrivals.append(Arrival(_workload.emulated_now(), self.entry))
         if server.backoff_s is not None:
             return await self._turn_away(server, server.backoff_s)
         await asyncio.sleep(server.latency_s)
         limit, leaving = server.limit, server.leaving
         await asyncio.sleep(ONE_WAY_DELAY_S)
         if leaving:
-            now = _system.emulated_now()
+            now = _workload.emulated_now()
             server.leaving_relayed_at.setdefault(self.entry, now)
         return _Response(
             calls.ResponseHead(
@@ -154,7 +155,7 @@
     async def _turn_away(
         self, server: PlainServer, seconds: float
     ) -> calls.BackendResponse:
-        now = _system.emulated_now()
+        now = _workload.emulated_now()
         server.backoffs.append((self.entry, now, now + seconds))
         await asyncio.sleep(ONE_WAY_DELAY_S)
         head = calls.ResponseHead(
@@ -207,7 +208,7 @@
                 [
                     messages.ListedBackend(
                         server.ident,
-                        _system.SERVICE,
+                        _workload.SERVICE,
                         server.address,
                         server.data_centre,
                         64,
@@ -231,10 +232,10 @@
             ``None``.
         """
         targets = self.entries[:entries]
-        ends_at = _system.emulated_now() + duration_s
+        ends_at = _workload.emulated_now() + duration_s
         outcomes: list[PlainOutcome] = []
         callers = []
-        while _system.emulated_now() < ends_at:
+        while _workload.emulated_now() < ends_at:
             await asyncio.sleep(self.rng.expovariate(requests_per_s))
             callers.append(
                 asyncio.ensure_future(
@@ -253,15 +254,15 @@
         timeout_s: float,
         outcomes: list[PlainOutcome],
     ) -> None:
-        now = _system.emulated_now()
-        entry.budget.count_request(_system.SERVICE, now)
+        now = _workload.emulated_now()
+        entry.budget.count_request(_workload.SERVICE, now)
         job = _make_job(self.rng, kind, now, timeout_s)
         error = None
         try:
             await forwarding.PlainForwarder(entry.context, job).run()
         except errors.RequestError as failure:
             error = failure
-        outcomes.append(PlainOutcome(now, _system.emulated_now(), error))
+        outcomes.append(PlainOutcome(now, _workload.emulated_now(), error))
 
 
 def _make_job(
@@ -275,9 +276,9 @@
         'h',
         '/a/',
         kind,
-        [routes.Target(_system.SERVICE, 1.0)],
+        [routes.Target(_workload.SERVICE, 1.0)],
         timeout_s,
         timeout_s / 8,
         max_attempts=5,
     )
-    return forwarding.Job(call, route, _system.SERVICE, 'a', now + timeout_s)
+    return forwarding.Job(call, route, _workload.SERVICE, 'a', now + timeout_s)
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -11,14 +11,13 @@
 from bulrushhold import decisions
 from bulrushhold.emulator import _client
 from bulrushhold.emulator import _engine
+from bulrushhold.emulator import _workload
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import node
 from bulrushhold import ports
-from bulrushhold import routes
 
-SERVICE: t.Final = 'engines'
 # Until the other entries receive a load report.
 LOAD_REPORT_DELAY_S: t.Final = 0.05
 # Between an entry and a control process.
@@ -31,96 +30,6 @@
 FIRST_EVENT_TIMEOUT_FACTOR: t.Final = 4
 
 
-@attrs.frozen
-class Workload:
-    """Arrival rate, request sizes and latency objective of a workload.
-
-    :param streams_per_s: mean arrival rate.
-    :param duration_s: how long new streams arrive.
-    :param prompt_tokens: mean prompt length.
-    :param output_tokens: mean response length.
-    :param relative_stddev: standard deviation of both lengths, relative to
-        the mean.
-    :param target_latency_s: the route's objective for the first event.
-    :param max_gap_s: the route's limit for pauses between events.
-    :param timeout_s: deadline of a request, retries included.
-    """
-
-    streams_per_s: float
-    duration_s: float
-    prompt_tokens: int = 8000
-    output_tokens: int = 600
-    relative_stddev: float = 0.3
-    target_latency_s: float = 4.5
-    max_gap_s: float = 0.7
-    timeout_s: float = 25.0
-
-
-@attrs.define
-class Outcome:
-    """Result of one caller's request.
-
-    :param arrived_at: time of the first attempt.
-    :param completed_at: time of the end of the response.
-    :param first_event_s: from the first attempt to the first event.
-    :param refused: the last attempt was refused without having run.
-    """
-
-    arrived_at: float
-    completed_at: float = 0.0
-    first_event_s: float | None = None
-    longest_pause_s: float = 0.0
-    completed: bool = False
-    refused: bool = False
-
-    def meets_objective(self, workload: Workload) -> bool:
-        """Return whether the response is complete and within the objective."""
-        return (
-            self.completed
-            and self.first_event_s is not None
-            and self.first_event_s <= workload.target_latency_s
-            and self.longest_pause_s <= workload.max_gap_s
-        )
-
-
-def emulated_now() -> float:
-    """Return the emulated time in seconds."""
-    return asyncio.get_running_loop().time()
-
-
-class Caller(calls.CallerStream):
-    """Receives a stream and records its timing."""
-
-    def __init__(self, outcome: Outcome) -> None:
-        self.outcome = outcome
-        self.headers_sent = False
-        self.last_write_at: float | None = None
-
-    @property
-    def connected(self) -> bool:
-        return True
-
-    async def send_headers(self, status: int, headers: calls.Headers) -> None:
-        self.headers_sent = True
-
-    async def write(self, data: bytes) -> None:
-        now = emulated_now()
-        outcome = self.outcome
-        if outcome.first_event_s is None:
-            outcome.first_event_s = now - outcome.arrived_at
-        if self.last_write_at is not None:
-            pause = now - self.last_write_at
-            outcome.longest_pause_s = max(outcome.longest_pause_s, pause)
-        self.last_write_at = now
-
-    async def end(self) -> None:
-        self.outcome.completed = True
-        self.outcome.completed_at = emulated_now()
-
-    def abort(self) -> None:
-        pass
-
-
 class PermitHome(ports.PermitSource):
     """The home of all servers, reached over an emulated network.
 
@@ -139,7 +48,7 @@
             await asyncio.sleep(PERMIT_TIMEOUT_S)
             raise errors.PeerError('no reply', 'PermitAsk')
         await asyncio.sleep(ROUND_TRIP_S / 2)
-        grant = self.home.grant(ask, emulated_now())
+        grant = self.home.grant(ask, _workload.emulated_now())
         await asyncio.sleep(ROUND_TRIP_S / 2)
         return grant
 
@@ -189,7 +98,7 @@
 
     def _publish_report(self) -> None:
         self.report_scheduled = False
-        now = emulated_now()
+        now = _workload.emulated_now()
         traffic = {
             service: attrs.evolve(
                 service_traffic, waiting=self.admission.waiting[service]
@@ -206,7 +115,9 @@
         for entry in self.system.entries:
             entry.apply_load_summary(now)
 
-    async def forward(self, job: forwarding.Job, caller: Caller) -> None:
+    async def forward(
+        self, job: forwarding.Job, caller: _workload.Caller
+    ) -> None:
         """Forward a stream.
 
         :raises RequestError: if it is refused, or fails before its first
@@ -284,10 +195,10 @@
         self.lengths: dict[str, int] = {}
         self.client = _client.EmulatedClient(self.engines, self.lengths)
         self.add_entries(entries, lambda name: self.client)
-        self.outcomes: list[Outcome] = []
+        self.outcomes: list[_workload.Outcome] = []
         kv_capacity = min(profile.kv_capacity for profile in profiles)
         for entry in self.entries:
-            entry.placement.capacity = {SERVICE: kv_capacity}
+            entry.placement.capacity = {_workload.SERVICE: kv_capacity}
         self.list_engines()
         for engine in self.engines.values():
             engine.start()
@@ -297,7 +208,7 @@
         listed = [
             messages.ListedBackend(
                 engine.ident,
-                SERVICE,
+                _workload.SERVICE,
                 engine.address,
                 engine.data_centre,
                 engine.profile.slots,
@@ -331,10 +242,12 @@
         await asyncio.sleep(LIST_LAG_S)
         self.list_engines()
 
-    async def simulate(self, workload: Workload) -> list[Outcome]:
+    async def simulate(
+        self, workload: _workload.Workload
+    ) -> list[_workload.Outcome]:
         """Generate a workload and return the outcome of each request."""
         callers = []
-        while emulated_now() < workload.duration_s:
+        while _workload.emulated_now() < workload.duration_s:
             await asyncio.sleep(self.rng.expovariate(workload.streams_per_s))
             segment = f'p{len(callers)}'
             prompt_tokens = self._sample(
@@ -343,7 +256,7 @@
             self.lengths[segment] = self._sample(
                 workload.output_tokens, workload.relative_stddev
             )
-            outcome = Outcome(emulated_now())
+            outcome = _workload.Outcome(_workload.emulated_now())
             self.outcomes.append(outcome)
             callers.append(
                 asyncio.ensure_future(
@@ -359,14 +272,16 @@
 
     async def _run_caller(
         self,
-        workload: Workload,
+        workload: _workload.Workload,
         segment: str,
         prompt_tokens: int,
-        outcome: Outcome,
+        outcome: _workload.Outcome,
     ) -> None:
         for attempt in range(2):
             remaining_s = (
-                outcome.arrived_at + workload.timeout_s - emulated_now()
+                outcome.arrived_at
+                + workload.timeout_s
+                - _workload.emulated_now()
             )
             try:
                 await self._send_once(
@@ -387,7 +302,7 @@
 
     async def _send_once(
         self,
-        workload: Workload,
+        workload: _workload.Workload,
         ident: str,
         segment: str,
         prompt_tokens: int,
@@ -398,11 +313,11 @@
         prompt = calls.Prompt(
             prompt_tokens, workload.output_tokens, (segment,)
         )
-        now = emulated_now()
-        job = make_job(workload, ident, prompt, now, remaining_s)
-        entry.budget.count_request(SERVICE, now)
+        now = _workload.emulated_now()
+        job = _workload.make_job(workload, ident, prompt, now, remaining_s)
+        entry.budget.count_request(_workload.SERVICE, now)
         stream_task = asyncio.ensure_future(
-            entry.forward(job, Caller(outcome))
+            entry.forward(job, _workload.Caller(outcome))
         )
         # Callers abandon a stream that has no first event, and any stream
         # at its deadline.
@@ -415,53 +330,11 @@
         )
         if outcome.first_event_s is not None:
             await asyncio.wait(
-                {stream_task}, timeout=now + remaining_s - emulated_now()
+                {stream_task},
+                timeout=now + remaining_s - _workload.emulated_now(),
             )
         if not stream_task.done():
             stream_task.cancel()
             await asyncio.wait({stream_task})
             return
         stream_task.result()
-
-
-def make_job(
-    workload: Workload,
-    ident: str,
-    prompt: calls.Prompt,
-    now: float,
-    remaining_s: float,
-) -> forwarding.Job:
-    """Return a stream's job; its last segment identifies its content."""
-    call = calls.Call(
-        ident,
-        'POST',
-        '/a/',
-        'h',
-        'k',
-        (),
-        b'',
-        remaining_s,
-        None,
-        prompt,
-    )
-    route = routes.Route(
-        'r',
-        'h',
-        '/a/',
-        routes.Kind.STREAM,
-        [routes.Target(SERVICE, 1.0)],
-        workload.timeout_s,
-        workload.target_latency_s,
-        max_attempts=5,
-        resumable=True,
-        gap_s=workload.max_gap_s,
-    )
-    segment = prompt.segments[-1]
-    return forwarding.Job(
-        call,
-        route,
-        SERVICE,
-        'a',
-        now + remaining_s,
-        decisions.fingerprint('/a/', 'k', segment.encode()),
-    )
