--- a/src/bulrushhold/forwarding/_blocks.py
+++ b/src/bulrushhold/forwarding/_blocks.py
@@ -1,4 +1,4 @@
-"""Requests under which engines crash: refused, and held before a retry."""
+"""Records crashes under requests, refuses and delays those requests."""
 
 import asyncio
 import typing as t
@@ -53,3 +53,21 @@
     """
     aim_s = job.route.aim_s or job.route.timeout_s
     await asyncio.sleep(min(CRASH_REPORT_S, aim_s * MAX_REPORT_AIM_SHARE))
+
+
+def record_broken_off(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    run_s: float,
+    *,
+    crashed: bool,
+) -> None:
+    """Record that a server broke a request off.
+
+    :param run_s: seconds since the request was sent to it.
+    :param crashed: the server is known to have crashed.
+    """
+    detector, now = context.poison_requests, context.clock()
+    record = detector.record_crash if crashed else detector.record_reset
+    record(job.fingerprint, ident, now, run_s)
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -369,7 +369,7 @@
             await caller_stream.send_headers(
                 response.head.status, response.head.headers
             )
-        self.stream.record_event_sent()
+        self.stream.timing.record_event_sent()
         await caller_stream.write(data)
 
     async def _next_chunk(self, response: calls.BackendResponse) -> bytes:
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -311,7 +311,10 @@
         self.context.placement.record_failure(
             backend.ident, now, unreachable=unreachable or crashed
         )
-        self._record_broken_off(backend, result, seconds, crashed=crashed)
+        if result.broken_off:
+            _blocks.record_broken_off(
+                self.context, self.job, backend.ident, seconds, crashed=crashed
+            )
         self.context.metrics.count('attempts.failed')
         _context.log(
             self.job,
@@ -322,18 +325,3 @@
             seconds=round(seconds, 3),
             fingerprint=self.job.fingerprint,
         )
-
-    def _record_broken_off(
-        self,
-        backend: decisions.BackendServer,
-        result: _Result,
-        seconds: float,
-        *,
-        crashed: bool,
-    ) -> None:
-        detector = self.context.poison_requests
-        content, now = self.job.fingerprint, self.context.clock()
-        if crashed:
-            detector.record_crash(content, backend.ident, now, seconds)
-        elif result.broken_off:
-            detector.record_reset(content, backend.ident, now, seconds)
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -26,6 +26,11 @@
     event_id_before: int | None = None
     permitted: bool = True
 
+    @property
+    def crashed(self) -> bool:
+        """Whether the engine was lost while it had the request."""
+        return self.sent and self.unreachable
+
 
 def from_send_error(error: errors.BackendError) -> StreamLostError:
     """Return the loss of a stream whose request could not be sent."""
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding import _prompt_cache
 from bulrushhold.forwarding import _running
 from bulrushhold.forwarding import _streamloss
+from bulrushhold.forwarding import _streamtiming
 
 # A run that fails earlier has no copy at the backup yet.
 COPY_AFTER_S: t.Final = 0.3
@@ -55,10 +56,7 @@
         )
         self.lost_data_centre = ''
         self.interrupted_at: float | None = None
-        self.started_at = context.clock()
-        self.first_s: float | None = None
-        self.last_event_at = 0.0
-        self.longest_pause_s = 0.0
+        self.timing = _streamtiming.StreamTiming(context)
         self.failure_reply: calls.Reply | None = None
         self.tokens = job.call.prompt.tokens if job.call.prompt else 0
         self.objective = decisions.LatencyObjective(
@@ -119,8 +117,7 @@
                 await self._check_reachable(engine, lost)
                 self._record_loss(engine, lost)
                 # A stream that has begun is resumed at once.
-                crashed = lost.unreachable and lost.sent
-                if crashed and not self.caller_stream.headers_sent:
+                if lost.crashed and not self.caller_stream.headers_sent:
                     await _blocks.wait_for_crash_reports(self.job)
                 if not await self._may_retry(lost):
                     return self._end_incomplete(
@@ -142,7 +139,9 @@
             self.context,
             self.job,
             self.estimate_capacity,
-            waiting_since=self.context.clock() if begun else self.started_at,
+            waiting_since=self.context.clock()
+            if begun
+            else self.timing.started_at,
             begun=begun,
         )
 
@@ -280,27 +279,13 @@
         )
         return False
 
-    def record_event_sent(self) -> None:
-        """Record that events are sent to the caller."""
-        now = self.context.clock()
-        if self.first_s is None:
-            self.first_s = now - self.started_at
-            self.context.metrics.time('streams.first', self.first_s)
-        else:
-            pause = now - self.last_event_at
-            self.longest_pause_s = max(self.longest_pause_s, pause)
-        self.last_event_at = now
-
     def _log_end(self, outcome: str, **fields: t.Any) -> None:
-        first_s = self.first_s
         _context.log(
             self.job,
             outcome,
             last=self.last_event_id,
             lost_runs=self.lost_runs,
-            first_s=None if first_s is None else round(first_s, 3),
-            longest_pause_s=round(self.longest_pause_s, 3),
-            seconds=round(self.context.clock() - self.started_at, 3),
+            **self.timing.log_fields(),
             **fields,
         )
 
@@ -425,13 +410,13 @@
         self.context.metrics.count('engines.lost')
         if lost.unreachable:
             self.lost_data_centre = engine.data_centre
-        if lost.unreachable and lost.sent:
-            self.context.poison_requests.record_crash(
-                self.job.fingerprint, engine.ident, now, lost.seconds
-            )
-        elif lost.reset:
-            self.context.poison_requests.record_reset(
-                self.job.fingerprint, engine.ident, now, lost.seconds
+        if lost.crashed or lost.reset:
+            _blocks.record_broken_off(
+                self.context,
+                self.job,
+                engine.ident,
+                lost.seconds,
+                crashed=lost.crashed,
             )
         if self.caller_stream.headers_sent and self.interrupted_at is None:
             self.interrupted_at = now
--- /dev/null
+++ b/src/bulrushhold/forwarding/_streamtiming.py
@@ -0,0 +1,40 @@
+"""Times the events of a stream as its caller sees them."""
+
+import typing as t
+
+from bulrushhold.forwarding import _context
+
+
+class StreamTiming:
+    """When a stream's events are sent to its caller.
+
+    :ivar first_s: time to the first event.
+    """
+
+    def __init__(self, context: _context.ForwardingContext) -> None:
+        self.clock = context.clock
+        self.metrics = context.metrics
+        self.started_at = self.clock()
+        self.first_s: float | None = None
+        self.last_event_at = 0.0
+        self.longest_pause_s = 0.0
+
+    def record_event_sent(self) -> None:
+        """Record that events are sent to the caller."""
+        now = self.clock()
+        if self.first_s is None:
+            self.first_s = now - self.started_at
+            self.metrics.time('streams.first', self.first_s)
+        else:
+            pause = now - self.last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause)
+        self.last_event_at = now
+
+    def log_fields(self) -> dict[str, t.Any]:
+        """Return the fields of a stream's last log line."""
+        first_s = self.first_s
+        return {
+            'first_s': None if first_s is None else round(first_s, 3),
+            'longest_pause_s': round(self.longest_pause_s, 3),
+            'seconds': round(self.clock() - self.started_at, 3),
+        }
