--- a/tests/forwarding/test_blocks.py
+++ b/tests/forwarding/test_blocks.py
@@ -33,6 +33,14 @@
     return asyncio.ensure_future(forwarder.run()), caller
 
 
+async def start_queued(client, context):
+    """Start a stream that its engine keeps in its queue."""
+    client.scripts = [fakes.Script(open_delay_s=30.0)]
+    task, _ = start(context, routes.Kind.STREAM)
+    await asyncio.sleep(0.05)
+    return task
+
+
 def attempts(client):
     return [event for event in client.log if event[0] == 'send']
 
@@ -54,9 +62,7 @@
     client, context
 ):
     # Guards against crashing an engine that hasn't begun the request.
-    client.scripts = [fakes.Script(open_delay_s=30.0)]
-    task, _ = start(context, routes.Kind.STREAM)
-    await asyncio.sleep(0.05)
+    task = await start_queued(client, context)
     block(context)
     await assert_ended_by_block(task, errors.Ran.UNKNOWN)
     assert len(attempts(client)) == 1
@@ -153,9 +159,7 @@
 
 
 async def test_a_caller_that_leaves_is_not_taken_for_a_block(client, context):
-    client.scripts = [fakes.Script(open_delay_s=30.0)]
-    task, _ = start(context, routes.Kind.STREAM)
-    await asyncio.sleep(0.05)
+    task = await start_queued(client, context)
     task.cancel()
     block(context)
     with pytest.raises(asyncio.CancelledError):
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -12,7 +12,9 @@
 import attrs
 import yarl
 
+from tests.platform.soak import demands
 from tests.platform.soak import fakes
+from tests.platform.soak import poison
 from tests.platform.soak import system
 
 API_KEY = 'key-1'
@@ -22,7 +24,6 @@
 PLAIN_TIMEOUT_S = 3.0
 MAX_EDIT_INTERVAL_S = 0.4
 MEAN_FAULT_INTERVAL_S = 0.5
-MEAN_DEMAND_INTERVAL_S = 0.7
 MEAN_POISON_INTERVAL_S = 1.5
 MAX_POISON_CALLERS = 4
 _CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
@@ -52,7 +53,6 @@
 
     def __init__(self, seed, folder, network_number, seconds):
         self.rng = random.Random(seed)
-        self.demand_rng = random.Random(-1 - seed)
         self.poison_rng = random.Random(f'poison {seed}')
         self.poison_numbers = itertools.count(1)
         self.report = Report(seed)
@@ -74,6 +74,12 @@
         self.acknowledged = 0
         self.request_count = 0
         self.tasks = set()
+        self.demands = demands.EngineDemands(
+            random.Random(-1 - seed),
+            self.engines,
+            self._record_fault,
+            self._start_task,
+        )
 
     async def execute(self):
         for engine in self.engines:
@@ -113,12 +119,12 @@
         deadline = time.monotonic() + self.seconds
         operator = asyncio.ensure_future(self._edit_route_map(deadline))
         faults = asyncio.ensure_future(self._inject_faults(deadline))
-        demands = asyncio.ensure_future(self._make_demands(deadline))
-        poison = asyncio.ensure_future(self._send_poison_requests(deadline))
+        demanding = asyncio.ensure_future(self.demands.make(deadline))
+        poisoners = asyncio.ensure_future(self._send_poison_requests(deadline))
         while time.monotonic() < deadline:
             self._start_task(self._send_request())
             await asyncio.sleep(self.rng.expovariate(25))
-        await asyncio.gather(operator, faults, demands, poison)
+        await asyncio.gather(operator, faults, demanding, poisoners)
 
     async def _check_recovery(self):
         """Check that all requests are served after the faults have ended."""
@@ -410,17 +416,7 @@
         await asyncio.sleep(1.0)
         engine.error_rate = 0.0
 
-    # Demands of engines
-
-    async def _make_demands(self, deadline):
-        while time.monotonic() < deadline:
-            demand = self.demand_rng.choice(
-                (self._name_limit, self._turn_away, self._leave)
-            )
-            self._start_task(demand(self.demand_rng.choice(self.engines)))
-            await asyncio.sleep(
-                self.demand_rng.expovariate(1 / MEAN_DEMAND_INTERVAL_S)
-            )
+    # Poison requests
 
     async def _send_poison_requests(self, deadline):
         rng = self.poison_rng
@@ -437,39 +433,11 @@
 
     async def _send_poison(self, path):
         entry = self.poison_rng.choice(self.system.programs_with_role('entry'))
-        headers = {
-            'Host': 'soak.example',
-            'Bulrushhold-Request-Id': f'poison-{next(self.poison_numbers)}',
-            'Bulrushhold-Credential': API_KEY,
-            'Bulrushhold-Deadline-Ms': '10000',
-        }
-        if path.startswith(fakes.STREAM_PATH):
-            headers['Bulrushhold-Token-Counts'] = '800,40'
-            headers['Bulrushhold-Prompt-Prefix'] = 'a:100,bad:700'
-        url = self.system.url(entry, 'front', path)
+        ident = f'poison-{next(self.poison_numbers)}'
         with contextlib.suppress(*_CONNECTION_ERRORS):
-            async with self.session.post(
-                url, data=b'bad', headers=headers
+            async with poison.post(
+                self.session, self.system, entry, path, ident, API_KEY
             ) as response:
                 await response.read()
                 if response.status == 200:
                     self.report.violations.append(f'answered: {path}')
-
-    async def _name_limit(self, engine):
-        self._record_fault('limit', engine.ident)
-        engine.limit = self.demand_rng.choice((0, 1.5, 8, 'many'))
-        await asyncio.sleep(2 * self.demand_rng.random())
-        engine.limit = None
-
-    async def _turn_away(self, engine):
-        self._record_fault('backoff', engine.ident)
-        engine.backoff_s = self.demand_rng.choice((0, 0.5, 1.5, 'later'))
-        await asyncio.sleep(self.demand_rng.random())
-        engine.backoff_s = None
-
-    async def _leave(self, engine):
-        self._record_fault('leave', engine.ident)
-        engine.leaving = True
-        await asyncio.sleep(self.demand_rng.random())
-        engine.crash()
-        engine.leaving = False
--- a/tests/platform/test_poison_processes.py
+++ b/tests/platform/test_poison_processes.py
@@ -6,9 +6,9 @@
 
 import aiohttp
 import pytest
-import yarl
 
 from tests.platform.soak import fakes
+from tests.platform.soak import poison
 from tests.platform.soak import run
 from tests.platform.soak import system
 
@@ -115,25 +115,15 @@
         while True:
             attempt += 1
             entry = self.rng.choice(self.system.programs_with_role('entry'))
-            url = self.system.url(entry, 'front', path)
-            headers = {
-                'Host': 'soak.example',
-                'Bulrushhold-Request-Id': f'{name}-{attempt}'.replace('/', ''),
-                'Bulrushhold-Credential': run.API_KEY,
-                'Bulrushhold-Deadline-Ms': '10000',
-            }
-            if path.startswith(fakes.STREAM_PATH):
-                headers['Bulrushhold-Token-Counts'] = '800,40'
-                headers['Bulrushhold-Prompt-Prefix'] = 'a:100,bad:700'
+            ident = f'{name}-{attempt}'.replace('/', '')
             pause_s = REPEAT_S
             with contextlib.suppress(aiohttp.ClientError, OSError):
-                async with self.session.post(
-                    yarl.URL(url, encoded=True), data=b'bad', headers=headers
+                async with poison.post(
+                    self.session, self.system, entry, path, ident, run.API_KEY
                 ) as response:
                     await response.read()
                     self.answers.append((path, response.status))
                     if response.status == 503:
-                        ident = headers['Bulrushhold-Request-Id']
                         self.refused_poison.add(ident)
                     pause_s = float(
                         response.headers.get('Retry-After', REPEAT_S)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -1,39 +1,18 @@
 """Tests of the adapter between the platform's protocols and ours."""
 
-import email.utils
 import json
-import time
 
 import multidict
 import pytest
 
 from adapter import _backendlist
-from adapter import _callerdialect
 from adapter import _enginedialect
 from adapter import _operators
 from adapter import _settings
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import routes
-
-HEADERS = multidict.CIMultiDict(
-    [
-        ('Host', 'forms.example'),
-        ('Bulrushhold-Request-Id', 'req-1'),
-        ('Bulrushhold-Deadline-Ms', '2500'),
-        ('Bulrushhold-Credential', 'secret'),
-        ('Bulrushhold-Token-Counts', '1460,80'),
-        ('Bulrushhold-Prompt-Prefix', '5c1e:800,91bd:410'),
-        ('Last-Event-Id', '12'),
-        ('X-Own', 'kept'),
-    ]
-)
-
-
-def decode_call(headers=HEADERS):
-    return _callerdialect.PlatformCallerDialect().decode_call(
-        'POST', '/a/b?c', headers, b''
-    )
+from tests.platform import decoding
 
 
 def sent_headers(call, **options):
@@ -45,7 +24,7 @@
 
 
 def test_a_request_is_decoded():
-    call = decode_call()
+    call = decoding.decode_call()
     assert call.ident == 'req-1'
     assert call.host == 'forms.example'
     assert call.key == 'secret'
@@ -71,20 +50,20 @@
     ],
 )
 def test_reserved_headers_from_callers_are_dropped(name):
-    headers = multidict.CIMultiDict(HEADERS)
+    headers = multidict.CIMultiDict(decoding.HEADERS)
     headers[name] = 'forged'
-    assert 'forged' not in sent_headers(decode_call(headers)).values()
+    assert 'forged' not in sent_headers(decoding.decode_call(headers)).values()
 
 
 def test_headers_listed_in_connection_are_not_forwarded():
-    headers = multidict.CIMultiDict(HEADERS)
+    headers = multidict.CIMultiDict(decoding.HEADERS)
     headers['Connection'] = 'close, X-Own'
-    assert 'X-Own' not in sent_headers(decode_call(headers))
+    assert 'X-Own' not in sent_headers(decoding.decode_call(headers))
 
 
 def test_attempt_headers_name_deadline_and_instance():
     headers = sent_headers(
-        decode_call(),
+        decoding.decode_call(),
         last_event_id=7,
         backup='10.0.0.2:80',
         copy=calls.RunCopy('10.0.0.3:80'),
@@ -101,51 +80,46 @@
 
 def test_requested_copy_is_addressed_by_its_handle():
     headers = sent_headers(
-        decode_call(), copy=calls.RunCopy('10.0.0.3:80', 'h7')
+        decoding.decode_call(), copy=calls.RunCopy('10.0.0.3:80', 'h7')
     )
     assert headers['Kv-From'] == '10.0.0.3:80/h7'
 
 
-def decode_head(status=200, **headers):
-    pairs = multidict.CIMultiDict(
-        {'Bulrushhold-Request-Id': 'req-1', **headers}
-    )
-    return _enginedialect.PlatformEngineDialect().decode_head(
-        decode_call(), status, pairs
-    )
-
-
 def test_response_is_checked_by_id_stamp_and_encoding():
-    stamped = decode_head(**{'Bulrushhold-Response-Stamp': 's'})
+    stamped = decoding.decode_head(**{'Bulrushhold-Response-Stamp': 's'})
     assert (
         stamped.matches_request
         and stamped.from_backend
         and not stamped.not_run
     )
-    assert not decode_head(
+    assert not decoding.decode_head(
         **{'Bulrushhold-Request-Id': 'req-2'}
     ).matches_request
-    assert not decode_head(**{'Content-Encoding': 'gzip'}).matches_request
-    assert not decode_head().from_backend
-    assert decode_head(503, **{'Bulrushhold-Not-Run': '1'}).not_run
-    assert decode_head(421).not_run
-    assert not decode_head(500).not_run
+    assert not decoding.decode_head(
+        **{'Content-Encoding': 'gzip'}
+    ).matches_request
+    assert not decoding.decode_head().from_backend
+    assert decoding.decode_head(503, **{'Bulrushhold-Not-Run': '1'}).not_run
+    assert decoding.decode_head(421).not_run
+    assert not decoding.decode_head(500).not_run
 
 
 def test_load_header_is_decoded_or_ignored():
-    load = decode_head(**{'Bulrushhold-Instance-Load': '3,1,8'}).load
+    load = decoding.decode_head(**{'Bulrushhold-Instance-Load': '3,1,8'}).load
     assert load == calls.BackendLoad(3, 1, 8)
-    assert decode_head(**{'Bulrushhold-Instance-Load': 'x'}).load is None
+    assert (
+        decoding.decode_head(**{'Bulrushhold-Instance-Load': 'x'}).load is None
+    )
 
 
 @pytest.mark.parametrize(
     'name', ['Bulrushhold-Deadline-Ms', 'Bulrushhold-Token-Counts']
 )
 def test_malformed_header_is_rejected_by_name(name):
-    headers = multidict.CIMultiDict(HEADERS)
+    headers = multidict.CIMultiDict(decoding.HEADERS)
     headers[name] = 'x'
     with pytest.raises(errors.RequestError) as exc_info:
-        decode_call(headers)
+        decoding.decode_call(headers)
     assert exc_info.value.status == 400
     assert name in exc_info.value.reason
 
@@ -366,91 +340,3 @@
         load_settings(tmp_path, text)
     assert expected in str(exc_info.value)
     assert '\n' not in str(exc_info.value)
-
-
-@pytest.mark.parametrize(
-    ('values', 'per_s'),
-    [
-        (['2.6'], 2.6),
-        (['0'], 0.0),
-        (['1e9'], 1e9),
-        (['5', '2.5'], 2.5),
-        (['-1'], None),
-        (['nan'], None),
-        (['inf'], None),
-        ([''], None),
-        (['many'], None),
-        (['5', 'many'], None),
-    ],
-)
-def test_a_request_limit_is_decoded_or_marked_as_malformed(values, per_s):
-    headers = multidict.CIMultiDict(('Server-Limit', v) for v in values)
-    head = _enginedialect.PlatformEngineDialect().decode_head(
-        decode_call(), 200, headers
-    )
-    assert head.limit == calls.RequestLimit(per_s)
-
-
-def test_a_response_without_a_request_limit_names_none():
-    assert decode_head().limit is None
-
-
-@pytest.mark.parametrize(
-    ('value', 'seconds'),
-    [
-        ('3', 3.0),
-        ('2.5', 2.5),
-        ('0', 0.0),
-        ('3600', 3600.0),
-        ('1e9', 1e9),
-        ('-1', None),
-        ('nan', None),
-        ('inf', None),
-        ('', None),
-        ('later', None),
-        ('Thu, 01 Jan 1970 00:00:00 GMT', 0.0),
-        ('Thu, 99 Jan 1970 00:00:00 GMT', None),
-    ],
-)
-def test_a_demand_to_back_off_is_decoded_or_marked_as_malformed(
-    value, seconds
-):
-    head = decode_head(503, **{'Retry-After': value})
-    assert head.backoff == calls.Backoff(seconds)
-
-
-def test_a_demand_to_back_off_may_be_a_date():
-    date = email.utils.formatdate(time.time() + 30, usegmt=True)
-    head = decode_head(503, **{'Retry-After': date})
-    assert 28 < head.backoff.seconds <= 30
-
-
-def test_only_a_503_demands_to_back_off():
-    assert decode_head(503).backoff is None
-    assert decode_head(429, **{'Retry-After': '3'}).backoff is None
-
-
-@pytest.mark.parametrize(
-    ('value', 'leaving'),
-    [
-        ('1', True),
-        ('true', True),
-        ('0', False),
-        ('', False),
-        ('soon', False),
-    ],
-)
-def test_a_server_that_is_shutting_down_says_so(value, leaving):
-    assert decode_head(**{'Server-Leaving': value}).leaving is leaving
-    assert not decode_head().leaving
-
-
-def test_a_probe_names_the_instance_that_it_expects():
-    dialect = _enginedialect.PlatformEngineDialect()
-    assert dialect.probe_headers('i-1') == [
-        ('Bulrushhold-Expect-Instance', 'i-1')
-    ]
-    assert dialect.probe_headers('') == []
-    headers = multidict.CIMultiDict({'Bulrushhold-Instance-Id': 'i-2'})
-    assert dialect.decode_instance(headers) == 'i-2'
-    assert dialect.decode_instance(multidict.CIMultiDict()) == ''
