--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -269,11 +269,13 @@
 
     :ivar fault: ``''``, ``delay``, ``silent`` (no data passes), ``one_way``
         (data passes towards the target only) or ``refuse``.
+    :ivar faults_by_client: the same for the connections of one address.
     """
 
     def __init__(self):
         self.fault = ''
-        self.connections = set()
+        self.faults_by_client = {}
+        self.connections = {}
         self.address = ''
 
     async def start(self, host, port, listen='127.0.0.1', listen_port=0):
@@ -300,9 +302,11 @@
             self._serve, host, int(port), reuse_port=True
         )
 
-    def reset(self):
-        for writer in list(self.connections):
-            writer.transport.abort()
+    def reset(self, client=None):
+        """Reset all connections, or those of a client's address."""
+        for writer, address in list(self.connections.items()):
+            if client in (None, address):
+                writer.transport.abort()
 
     async def _serve(self, reader, writer):
         if self.fault == 'refuse':
@@ -315,25 +319,28 @@
         except OSError:
             writer.transport.abort()
             return
-        self.connections |= {writer, upstream_writer}
+        client = writer.get_extra_info('peername')[0]
+        self.connections[writer] = self.connections[upstream_writer] = client
         try:
             await asyncio.gather(
-                self._pump(reader, upstream_writer, upstream=True),
-                self._pump(upstream_reader, writer, upstream=False),
+                self._pump(reader, upstream_writer, client, upstream=True),
+                self._pump(upstream_reader, writer, client, upstream=False),
             )
         finally:
-            self.connections -= {writer, upstream_writer}
             for connection in (writer, upstream_writer):
+                del self.connections[connection]
                 connection.close()
 
-    async def _pump(self, reader, writer, *, upstream):
+    def _is_held(self, client, *, upstream):
+        faults = {self.fault, self.faults_by_client.get(client)}
+        return 'silent' in faults or ('one_way' in faults and not upstream)
+
+    async def _pump(self, reader, writer, client, *, upstream):
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
                 if self.fault == 'delay':
                     await asyncio.sleep(0.1)
-                while self.fault == 'silent' or (
-                    self.fault == 'one_way' and not upstream
-                ):
+                while self._is_held(client, upstream=upstream):
                     await asyncio.sleep(0.05)
                 writer.write(data)
                 await writer.drain()
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -87,7 +87,7 @@
         platform_list = fakes.PlatformListServer(self.engines)
         await platform_list.start()
         first_port = 21000 + self.network_number * 40
-        self.system = system.System(
+        self.system = self._make_system(
             self.folder, platform_list.address, self.network_number, first_port
         )
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
@@ -115,6 +115,9 @@
         }
         return self.report
 
+    def _make_system(self, *arguments):
+        return system.System(*arguments)
+
     async def _run_with_faults(self):
         deadline = time.monotonic() + self.seconds
         operator = asyncio.ensure_future(self._edit_route_map(deadline))
--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -12,6 +12,8 @@
 import aiohttp
 import attrs
 
+from tests.platform.soak import netfault
+
 ROOT = pathlib.Path(__file__).parents[3]
 CONTROL_COUNT = 3
 FIRST_PORT = 21000
@@ -100,6 +102,7 @@
     :param platform_list_address: address of the platform list.
     :param network_number: number of the run's :class:`LoopbackNetwork`.
     :param first_port: the lowest of the ports that each process uses.
+    :param entry_count: number of entries.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         platform_list_address,
         network_number,
         first_port=FIRST_PORT,
+        entry_count=ENTRY_COUNT,
     ):
         self.folder = pathlib.Path(folder)
         self.platform_list_address = platform_list_address
@@ -121,7 +125,7 @@
             'internal_end': first_port + 25,
         }
         self.programs = []
-        for number in range(1, ENTRY_COUNT + 1):
+        for number in range(1, entry_count + 1):
             if number <= CONTROL_COUNT:
                 self._add('control', number)
             self._add('entry', number)
@@ -161,13 +165,19 @@
 
     def start(self, program):
         program.exit_expected = program.paused = False
+        script = (
+            netfault.__file__ if program.role == 'entry' else 'platform/run.py'
+        )
         with open(program.log, 'ab') as log:
             program.process = subprocess.Popen(
-                [sys.executable, 'platform/run.py', program.role],
+                [sys.executable, script, program.role],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
-                env={'BULRUSHHOLD_NODE_FILE': str(program.settings)},
+                env={
+                    'BULRUSHHOLD_NODE_FILE': str(program.settings),
+                    'SOAK_ENTRY_IP': program.ip,
+                },
             )
         self.write_settings(program, bootstrap=False)
 
@@ -209,6 +219,17 @@
                 program.unexpected_exits += 1
             self.start(program)
 
+    def cut_off(self, program, kind):
+        """Cut an entry off from all backend servers.
+
+        :param kind: ``reset``, ``silent`` (nothing passes), ``one_way``
+            (responses don't pass) or ``refuse_new`` (open connections stay).
+        """
+        netfault.cut_file(program.settings).write_text(kind)
+
+    def reconnect(self, program):
+        netfault.cut_file(program.settings).unlink(missing_ok=True)
+
     def stop_all(self):
         for program in self.programs:
             if program.process and program.process.poll() is None:
