An entry that reaches no server sends through entries that do

Cause: an entry took 'I can't reach it' for 'it is down', and had no other way to a server than its own connections. Ruled out: servers that turn connections away (the other entries reached them all the time) and the retry budget alone (requests failed before it was spent as well).

If it reaches none, it sends each attempt through an entry that does, until it reaches one again; it tries each 0.25 s. A wrong guess costs a hop and breaks nothing. The entry of the caller keeps all decisions: account, admission, retries, permits, blocks, copies and rollouts see a request once. The relay only sends, keeps to what servers demand of it, and never relays further. The losses recorded in the second before are taken back. If no entry reaches the service, requests are refused at once, not run. An entry without any server leaves the directory, but stays ready for callers it has.

New in logs: 'backend servers unreachable' and 'reachable again' with the servers tried, 'attempt relayed', 'relaying' and 'relay refused' with the request's id; the gauge services.cut_off, counters relay.attempts, relay.refused, relay.served.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -358,3 +358,52 @@
     @abc.abstractmethod
     def echo(self, ident: str) -> Headers:
         """Return the headers that correlate a response with its call."""
+
+
+class RelayClient(abc.ABC):
+    """Client of other entries, which relay requests to backend servers."""
+
+    @abc.abstractmethod
+    async def send(
+        self, relay: str, call: Call, attempt: Attempt
+    ) -> BackendResponse:
+        """Send an attempt through another entry.
+
+        :param relay: address at which that entry relays requests.
+        :raises RelayRefusedError: if the attempt was not sent, and another
+            entry may be asked.
+        :raises BackendError: as :meth:`BackendClient.send` does; so are the
+            other errors.
+        """
+
+    @abc.abstractmethod
+    async def ask(self, relay: str, question: t.Any, timeout: float) -> t.Any:
+        """Return the answer to a message other than an attempt.
+
+        :param timeout: seconds.
+        :raises RelayRefusedError: if there is no answer in time.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class RelayHandler(abc.ABC):
+    """Relays requests of other entries to backend servers."""
+
+    @abc.abstractmethod
+    async def send(self, call: Call, attempt: Attempt) -> BackendResponse:
+        """Send an attempt of another entry's request.
+
+        :raises RelayRefusedError: if this entry can't.
+        :raises BackendError: see :meth:`BackendClient.send`.
+        """
+
+    @abc.abstractmethod
+    async def answer(self, question: t.Any) -> t.Any:
+        """Return the answer to a message other than an attempt."""
+
+    @abc.abstractmethod
+    def wait_s(self, instance: str) -> float:
+        """Return for how long a server wants no requests of this entry."""
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -76,8 +76,21 @@
         self.session = adapters.make_session()
         placement = decisions.Placement(random.Random(), config.data_centre)
         poison_requests = decisions.PoisonRequestDetector(placement.losses)
+        self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
+        direct = adapters.HttpBackendClient(self.adapters.engine_dialect)
+        monitor = forwarding.ReachabilityMonitor(
+            direct, placement, self.metrics
+        )
         self.client = forwarding.PermitCheckingClient(
-            adapters.HttpBackendClient(self.adapters.engine_dialect),
+            forwarding.RelayingClient(
+                direct,
+                adapters.HttpRelayClient(),
+                monitor,
+                placement,
+                decisions.RelayPeers(config.name),
+                lambda: self.fleet.entries,
+                self.metrics,
+            ),
             placement,
             poison_requests,
         )
@@ -89,7 +102,11 @@
         admission = decisions.AdmissionController()
         self.fleet = forwarding.FleetView(
             messages.ListedEntry(
-                config.name, config.data_centre, str(config.callers), True
+                config.name,
+                config.data_centre,
+                str(config.callers),
+                True,
+                str(config.relay or ''),
             ),
             [str(seed) for seed in config.seeds],
             self.transport,
@@ -99,7 +116,6 @@
             poison_requests,
             admission,
         )
-        self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
         poison_requests.on_verdict = forwarding.make_crash_listener(
             self.metrics
         )
@@ -119,6 +135,16 @@
         self.ingress = adapters.Ingress(
             self.forwarder.handle, self.adapters.caller_dialect
         )
+        self.relay_server = adapters.RelayServer(
+            forwarding.DirectRelayHandler(
+                forwarding.PermitCheckingClient(
+                    direct, placement, poison_requests
+                ),
+                context,
+                self.fleet,
+                monitor,
+            )
+        )
         self.follow_task = _background.start_background_task(
             self.fleet.follow()
         )
@@ -128,6 +154,11 @@
         self.background.append(
             _background.start_background_task(self.fleet.report_load())
         )
+        self.background.append(
+            _background.start_background_task(monitor.watch())
+        )
+        if config.relay is not None:
+            await self.relay_server.start(config.relay.host, config.relay.port)
         await self.ingress.start(config.callers.host, config.callers.port)
         for address, make_application in self.adapters.listeners:
             await self._start_listener(
@@ -173,7 +204,10 @@
             linger_elapsed = now > started_at + self.config.linger_s
             if now > deadline - REFUSE_BEFORE_EXIT_S:
                 self.forwarder.closing = True
-            if linger_elapsed and not self.ingress.in_progress:
+            in_progress = (
+                self.ingress.in_progress + self.relay_server.in_progress
+            )
+            if linger_elapsed and not in_progress:
                 break
 
     async def close(self) -> None:
@@ -183,6 +217,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.ingress.close()
+        if self.config.relay is not None:
+            await self.relay_server.close()
         for runner in self.runners:
             await runner.cleanup()
         await self.client.close()
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -41,12 +41,14 @@
 from bulrushhold.decisions._raftstate import Ready
 from bulrushhold.decisions._raftstate import Role
 from bulrushhold.decisions._raftstate import Timing
+from bulrushhold.decisions._reachability import Reachability
 from bulrushhold.decisions._recovery import Action
 from bulrushhold.decisions._recovery import GapEstimate
 from bulrushhold.decisions._recovery import HedgingPolicy
 from bulrushhold.decisions._recovery import RecoveryPolicy
 from bulrushhold.decisions._recovery import SequentialPolicy
 from bulrushhold.decisions._recovery import WorkBudget
+from bulrushhold.decisions._relaypeers import RelayPeers
 from bulrushhold.decisions._rendezvous import copy_peers
 from bulrushhold.decisions._rendezvous import entries_for_account
 from bulrushhold.decisions._rendezvous import entries_needed
@@ -131,8 +133,10 @@
     'QUOTA_RENEW_S',
     'QuotaHome',
     'QuotaShare',
+    'Reachability',
     'Ready',
     'RecoveryPolicy',
+    'RelayPeers',
     'Replica',
     'ReplicatedState',
     'RequestLimits',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -11,6 +11,7 @@
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _enginelosses
 from bulrushhold.decisions import _enginespeeds
+from bulrushhold.decisions import _reachability
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
@@ -70,6 +71,7 @@
         self.versions = _versionsplit.VersionSplit(random.Random())
         self.demands = _serverdemands.ServerDemands()
         self.losses = _enginelosses.EngineLosses(self._addresses_at)
+        self.reachability = _reachability.Reachability(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.replaced_idents: set[str] = set()
@@ -106,6 +108,7 @@
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
+        self.reachability.retain(self.services)
         self.versions.update_listed(
             {
                 service: {backend.version for backend in members}
@@ -263,6 +266,22 @@
         if all(ident != backend.ident for _, ident in recent):
             recent.append((now, backend.ident))
 
+    def retract_losses(self, service: str, since: float) -> None:
+        """Forget losses that this entry has taken for crashes.
+
+        It reaches none of the service's servers, whether they are up or not.
+        """
+        for backend in self.services.get(service, ()):
+            if backend.lost_at < since:
+                continue
+            backend.lost_at = float('-inf')
+            backend.ejected_until = 0.0
+            self.losses.record_alive(backend.address)
+            if backend.ident in self.pending_losses:
+                self.pending_losses.remove(backend.ident)
+            location = (backend.service, backend.data_centre)
+            self.data_centre_failures.pop(location, None)
+
     def record_success(
         self, ident: str, now: float, latency: float | None
     ) -> None:
--- /dev/null
+++ b/src/bulrushhold/decisions/_relaypeers.py
@@ -0,0 +1,52 @@
+"""Choose the entries that relay requests to backend servers."""
+
+import typing as t
+
+from bulrushhold.decisions import _rendezvous
+from bulrushhold import messages
+
+# Covers the time until the list of entries tells of a failure.
+AVOID_S: t.Final = 1.0
+
+
+class RelayPeers:
+    """Other entries in the order in which to ask them.
+
+    The order depends on the server, so that probes of a server take the same
+    way as its requests, and the load spreads over the peers.
+    """
+
+    def __init__(self, own_name: str) -> None:
+        self.own_name = own_name
+        self.avoided_until: dict[str, float] = {}
+
+    def avoid(self, relay: str, now: float) -> None:
+        """Ask an entry last, after it failed to relay a request."""
+        self.avoided_until[relay] = now + AVOID_S
+
+    def order(
+        self,
+        entries: list[messages.ListedEntry],
+        service: str,
+        server: str,
+        now: float,
+    ) -> list[str]:
+        """Return the relay addresses of entries that reach a service.
+
+        :param server: address of the server to reach.
+        """
+        usable = [
+            entry
+            for entry in entries
+            if entry.relay
+            and entry.ready
+            and service not in entry.unreachable
+            and entry.name != self.own_name
+        ]
+        ranking = _rendezvous.rendezvous_order(
+            f'{self.own_name}\0{server}', usable, lambda entry: entry.name
+        )
+        relays = [entry.relay for entry in ranking]
+        return sorted(
+            relays, key=lambda relay: self.avoided_until.get(relay, 0.0) > now
+        )
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -71,8 +71,22 @@
     """A backend server failed or sent an invalid reply."""
 
 
+class CutOffError(BackendError):
+    """No backend server of a service can be reached, and no entry that can."""
+
+
+class RelayRefusedError(BackendError):
+    """Another entry did not try to send a request to a backend server."""
+
+
+@attrs.define(slots=False)
 class NoPermitError(BackendError):
-    """A request was not sent, as its server allows none now."""
+    """A request was not sent, as its server allows none now.
+
+    :param wait_s: time until it allows one, if known.
+    """
+
+    wait_s: float = 0.0
 
 
 class RequestBlockedError(BulrushholdError):
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -11,10 +11,14 @@
 from bulrushhold.forwarding._permitcheck import PermitCheckingClient
 from bulrushhold.forwarding._permitsource import ControlPermitSource
 from bulrushhold.forwarding._plain import PlainForwarder
+from bulrushhold.forwarding._reachabilitymonitor import ReachabilityMonitor
+from bulrushhold.forwarding._relayhandler import DirectRelayHandler
+from bulrushhold.forwarding._relayingclient import RelayingClient
 from bulrushhold.forwarding._streams import StreamForwarder
 
 __all__ = [
     'ControlPermitSource',
+    'DirectRelayHandler',
     'Event',
     'EventSplitter',
     'FleetView',
@@ -23,6 +27,8 @@
     'Job',
     'PermitCheckingClient',
     'PlainForwarder',
+    'ReachabilityMonitor',
+    'RelayingClient',
     'StreamForwarder',
     'make_crash_listener',
     'refuse_blocked',
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -95,6 +95,15 @@
         """Whether this entry has a route map and backend servers."""
         return self.index is not None and bool(self.placement.backends)
 
+    def _own_entry_now(self) -> messages.ListedEntry:
+        unreachable = tuple(sorted(self.placement.reachability.cut_off))
+        return attrs.evolve(self.own_entry, unreachable=unreachable)
+
+    def _is_cut_off(self, entry: messages.ListedEntry) -> bool:
+        """Whether an entry reaches none of the listed backend servers."""
+        services = self.placement.services.keys()
+        return bool(services) and services <= set(entry.unreachable)
+
     def start_draining(self) -> None:
         """Advertise this entry as not ready for new callers."""
         self.own_entry = attrs.evolve(self.own_entry, ready=False)
@@ -161,7 +170,7 @@
     def _poll_request(self) -> messages.Watch:
         ready = self.ready and self.own_entry.ready
         return messages.Watch(
-            attrs.evolve(self.own_entry, ready=ready),
+            attrs.evolve(self._own_entry_now(), ready=ready),
             messages.Known(
                 self.map_version,
                 self.backends_version,
@@ -332,17 +341,22 @@
     def addresses(self, limit: int) -> list[str]:
         """Return addresses of ready entries in random order.
 
+        Those that reach no backend server serve callers through others, and
+        are left out unless all are in this state.
+
         :param limit: maximum number of addresses; a random subset balances
             callers across entries.
         """
-        ready = [entry.callers for entry in self.entries if entry.ready]
-        if (
-            self.own_entry.ready
-            and self.ready
-            and self.own_entry.callers not in ready
-        ):
-            ready.append(self.own_entry.callers)
-        elif not self.own_entry.ready and self.own_entry.callers in ready:
-            ready.remove(self.own_entry.callers)
-        random.shuffle(ready)
-        return ready[:limit]
+        ready = [
+            entry
+            for entry in self.entries
+            if entry.ready and entry.name != self.own_entry.name
+        ]
+        own = self._own_entry_now()
+        is_listed = any(e.name == own.name for e in self.entries if e.ready)
+        if own.ready and (self.ready or is_listed):
+            ready.append(own)
+        connected = [e for e in ready if not self._is_cut_off(e)]
+        addresses = [entry.callers for entry in connected or ready]
+        random.shuffle(addresses)
+        return addresses[:limit]
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -34,6 +34,7 @@
     :param permitted: the server's request limit allowed the attempt.
     :param broken_off: the server closed the connection before its response
         was complete.
+    :param cut_off: neither this entry nor any other reaches the servers.
     """
 
     ran: errors.Ran
@@ -41,6 +42,7 @@
     reply: calls.Reply | None = None
     permitted: bool = True
     broken_off: bool = False
+    cut_off: bool = False
 
 
 class PlainForwarder:
@@ -121,6 +123,8 @@
         )
 
     async def _may_retry(self, last: _Result) -> bool:
+        if last.cut_off:
+            return False
         if last.ran is not errors.Ran.NO:
             self.attempts += 1
         if self.attempts >= self.job.route.max_attempts:
@@ -267,6 +271,8 @@
             )
         except errors.NoPermitError as error:
             return _Result(errors.Ran.NO, str(error), permitted=False)
+        except errors.CutOffError as error:
+            return _Result(errors.Ran.NO, str(error), cut_off=True)
         except errors.BackendError as error:
             sent = error.step != 'connect'
             ran = errors.Ran.UNKNOWN if sent else errors.Ran.NO
@@ -308,9 +314,10 @@
             result.ran is errors.Ran.NO
             and 'connect' in (result.reason.split(' ', 1)[0])
         )
-        self.context.placement.record_failure(
-            backend.ident, now, unreachable=unreachable or crashed
-        )
+        if not result.cut_off:
+            self.context.placement.record_failure(
+                backend.ident, now, unreachable=unreachable or crashed
+            )
         if result.broken_off:
             _blocks.record_broken_off(
                 self.context, self.job, backend.ident, seconds, crashed=crashed
--- /dev/null
+++ b/src/bulrushhold/forwarding/_relayhandler.py
@@ -0,0 +1,111 @@
+"""Sends requests of entries that reach no backend server themselves."""
+
+import typing as t
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _fleet
+from bulrushhold.forwarding import _reachabilitymonitor
+from bulrushhold.forwarding import _responses
+from bulrushhold import messages
+
+
+class DirectRelayHandler(calls.RelayHandler):
+    """Relays over this entry's own connections only.
+
+    The other entry remains responsible for the request, its retries and its
+    place in all limits. What servers say of this entry is recorded here.
+
+    :param client: checks what servers demand of this entry; never relays.
+    """
+
+    def __init__(
+        self,
+        client: calls.BackendClient,
+        context: _context.ForwardingContext,
+        fleet: _fleet.FleetView,
+        monitor: _reachabilitymonitor.ReachabilityMonitor,
+    ) -> None:
+        self.client = client
+        self.context = context
+        self.fleet = fleet
+        self.monitor = monitor
+
+    async def send(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.BackendResponse:
+        """Send an attempt; see :meth:`calls.RelayHandler.send`."""
+        job = self._make_job(call, attempt)
+        if self.monitor.is_cut_off(job.service):
+            raise errors.RelayRefusedError('cut off', 'relay', job.service)
+        sent_at = self.context.clock()
+        self.context.metrics.count('relay.served')
+        _context.log(job, 'relaying', backend=attempt.instance)
+        try:
+            response = await self.client.send(call, attempt)
+        except errors.BackendError as error:
+            if error.step == 'connect' and await self.monitor.check(
+                job.service, attempt.address, sent_at
+            ):
+                raise errors.RelayRefusedError(
+                    'cut off', 'relay', job.service
+                ) from error
+            raise
+        _responses.record_head(
+            self.context, job, attempt.instance, response.head, sent_at
+        )
+        return response
+
+    def _make_job(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> _context.Job:
+        index = self.fleet.index
+        path = call.target.partition('?')[0]
+        route = index.find(call.host, path) if index else None
+        backend = self.context.placement.backends.get(attempt.instance)
+        # Anything else would make this entry an open proxy.
+        if (
+            route is None
+            or backend is None
+            or backend.address != attempt.address
+        ):
+            raise errors.RelayRefusedError(
+                'server or route not listed here', 'relay', attempt.address
+            )
+        deadline = self.context.clock() + attempt.remaining_s
+        return _context.Job(
+            call, route, backend.service, attempt.account, deadline
+        )
+
+    async def answer(self, question: t.Any) -> messages.RelayAnswer:
+        """Answer a question; see :meth:`calls.RelayHandler.answer`."""
+        try:
+            return await self._answer(question)
+        except errors.BackendError:
+            return messages.RelayAnswer(False)
+
+    async def _answer(self, question: t.Any) -> messages.RelayAnswer:
+        client = self.client
+        match question:
+            case messages.RelayedProbe(address, timeout, instance):
+                alive = await client.probe(address, timeout, instance)
+                return messages.RelayAnswer(alive)
+            case messages.RelayedConnect(address, timeout):
+                accepts = await client.accepts_connections(address, timeout)
+                return messages.RelayAnswer(accepts)
+            case messages.RelayedSegmentsRead(address, timeout):
+                segments = await client.cached_segments(address, timeout)
+                return messages.RelayAnswer(True, segments)
+            case messages.RelayedCopy(call, source, target, timeout):
+                copy = await client.copy_run(call, source, target, timeout)
+                return messages.RelayAnswer(True, copy=copy)
+            case messages.RelayedCopyDrop(copy, timeout):
+                await client.drop_copy(copy, timeout)
+                return messages.RelayAnswer(True)
+        return messages.RelayAnswer(False)
+
+    def wait_s(self, instance: str) -> float:
+        """Return for how long a server wants no requests of this entry."""
+        demands = self.context.placement.demands
+        return max(0.0, demands.free_at(instance) - self.context.clock())
--- /dev/null
+++ b/src/bulrushhold/forwarding/_relayingclient.py
@@ -0,0 +1,225 @@
+"""Reaches backend servers through other entries if there is no other way."""
+
+import collections.abc as cabc
+import time
+import typing as t
+
+import attrs
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold.forwarding import _reachabilitymonitor
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+
+# Entries asked for one attempt; more may have lost their servers than the
+# list of entries says yet.
+MAX_RELAYS: t.Final = 5
+# Added to the time limit of a relayed operation for the way to the relay.
+RELAY_MARGIN_S: t.Final = 0.05
+# Time for which a server is left out that allows its relay no request.
+MIN_HOLD_S: t.Final = 0.2
+_Result = t.TypeVar('_Result')
+
+
+class RelayingClient(calls.BackendClient):
+    """Sends requests directly, or through an entry that reaches the servers.
+
+    Retries, limits and copies remain decisions of this entry, which sends each
+    attempt one way only: directly unless it can open no connection at all.
+
+    :param direct: client with this entry's own connections.
+    :param list_entries: returns all entries that are known.
+    """
+
+    def __init__(
+        self,
+        direct: calls.BackendClient,
+        relays: calls.RelayClient,
+        monitor: _reachabilitymonitor.ReachabilityMonitor,
+        placement: decisions.Placement,
+        peers: decisions.RelayPeers,
+        list_entries: cabc.Callable[[], list[messages.ListedEntry]],
+        metrics: ports.Metrics,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.direct = direct
+        self.relays = relays
+        self.monitor = monitor
+        self.placement = placement
+        self.peers = peers
+        self.list_entries = list_entries
+        self.metrics = metrics
+        self.clock = clock
+
+    async def send(
+        self, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.BackendResponse:
+        """Send a call; see :meth:`calls.BackendClient.send`."""
+        service = self._service_at(attempt.address)
+        started = self.clock()
+        if not self.monitor.is_cut_off(service):
+            try:
+                response = await self.direct.send(call, attempt)
+            except errors.BackendError as error:
+                if error.step != 'connect' or not await self.monitor.check(
+                    service, attempt.address, started
+                ):
+                    raise
+            else:
+                if attempt.new_connection:
+                    self.monitor.record_reached(service)
+                return response
+        remaining_s = attempt.remaining_s - (self.clock() - started)
+        attempt = attrs.evolve(attempt, remaining_s=remaining_s)
+        return await self._relay(
+            service,
+            attempt.address,
+            lambda relay: self._send_through(relay, call, attempt),
+        )
+
+    async def _send_through(
+        self, relay: str, call: calls.Call, attempt: calls.Attempt
+    ) -> calls.BackendResponse:
+        node.log_decision(
+            'attempt relayed',
+            request=call.ident,
+            backend=attempt.instance,
+            relay=relay,
+        )
+        self.metrics.count('relay.attempts')
+        try:
+            return await self.relays.send(relay, call, attempt)
+        except errors.NoPermitError as error:
+            # The server's demand on the relay holds for what it relays too.
+            self.placement.demands.backoffs.record(
+                attempt.instance,
+                max(error.wait_s, MIN_HOLD_S),
+                self.clock(),
+            )
+            raise
+
+    async def _relay(
+        self,
+        service: str,
+        server: str,
+        send: cabc.Callable[[str], cabc.Awaitable[_Result]],
+    ) -> _Result:
+        """Ask one entry after the other until one doesn't refuse.
+
+        :raises CutOffError: if there is none.
+        """
+        ranking = self.peers.order(
+            self.list_entries(), service, server, self.clock()
+        )
+        reason = 'no other entry reaches backend servers'
+        for relay in ranking[:MAX_RELAYS]:
+            try:
+                return await send(relay)
+            except errors.RelayRefusedError as error:
+                reason = str(error)
+                self.peers.avoid(relay, self.clock())
+                self.metrics.count('relay.refused')
+                node.log_decision(
+                    'relay refused', relay=relay, backend=server, reason=reason
+                )
+        raise errors.CutOffError(reason, 'connect', server)
+
+    def _service_at(self, address: str) -> str:
+        for backend in self.placement.backends.values():
+            if backend.address == address:
+                return backend.service
+        return ''
+
+    async def probe(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Probe an engine; see :meth:`calls.BackendClient.probe`."""
+
+        async def probe_directly() -> bool:
+            return await self.direct.probe(address, timeout, instance)
+
+        question = messages.RelayedProbe(address, timeout, instance)
+        return await self._test(probe_directly, address, question)
+
+    async def accepts_connections(self, address: str, timeout: float) -> bool:
+        """Connect; see :meth:`calls.BackendClient.accepts_connections`."""
+
+        async def connect() -> bool:
+            return await self.direct.accepts_connections(address, timeout)
+
+        question = messages.RelayedConnect(address, timeout)
+        return await self._test(connect, address, question)
+
+    async def _test(
+        self,
+        test_directly: cabc.Callable[[], cabc.Awaitable[bool]],
+        address: str,
+        question: messages.RelayedProbe | messages.RelayedConnect,
+    ) -> bool:
+        service = self._service_at(address)
+        if not self.monitor.is_cut_off(service):
+            started = self.clock()
+            if await test_directly():
+                return True
+            if not await self.monitor.check(service, address, started):
+                return False
+        try:
+            answer = await self._ask(address, question, question.timeout)
+        except errors.BackendError:
+            return False
+        return answer.success
+
+    async def _ask(
+        self, server: str, question: t.Any, timeout: float
+    ) -> messages.RelayAnswer:
+        async def ask(relay: str) -> messages.RelayAnswer:
+            answer: messages.RelayAnswer = await self.relays.ask(
+                relay, question, timeout + RELAY_MARGIN_S
+            )
+            return answer
+
+        return await self._relay(self._service_at(server), server, ask)
+
+    async def cached_segments(
+        self, address: str, timeout: float
+    ) -> frozenset[str]:
+        """List segments; see :meth:`calls.BackendClient.cached_segments`."""
+        if not self.monitor.is_cut_off(self._service_at(address)):
+            return await self.direct.cached_segments(address, timeout)
+        question = messages.RelayedSegmentsRead(address, timeout)
+        answer = await self._ask(address, question, timeout)
+        if not answer.success:
+            raise errors.BackendError('no response', 'segments', address)
+        return answer.segments
+
+    async def copy_run(
+        self, call: calls.Call, source: str, target: str, timeout: float
+    ) -> calls.RunCopy:
+        """Request a copy; see :meth:`calls.BackendClient.copy_run`."""
+        if not self.monitor.is_cut_off(self._service_at(source)):
+            return await self.direct.copy_run(call, source, target, timeout)
+        question = messages.RelayedCopy(call, source, target, timeout)
+        answer = await self._ask(source, question, timeout)
+        if answer.copy is None:
+            raise errors.BackendError('no copy', 'copy', source)
+        return answer.copy
+
+    async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
+        """Delete a copy; see :meth:`calls.BackendClient.drop_copy`."""
+        if not self.monitor.is_cut_off(self._service_at(copy.address)):
+            await self.direct.drop_copy(copy, timeout)
+            return
+        question = messages.RelayedCopyDrop(copy, timeout)
+        try:
+            await self._ask(copy.address, question, timeout)
+        except errors.CutOffError as error:
+            # Not retried: the engine expires the copy by itself.
+            node.log_decision('copy not dropped', reason=str(error))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.direct.close()
+        await self.relays.close()
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -17,6 +17,7 @@
     :param seconds: time since the stream was sent to the engine.
     :param event_id_before: id of the last event sent to the caller by then.
     :param permitted: the engine's request limit allowed the attempt.
+    :param cut_off: neither this entry nor any other reaches the engines.
     """
 
     sent: bool = True
@@ -25,6 +26,7 @@
     seconds: float = 0.0
     event_id_before: int | None = None
     permitted: bool = True
+    cut_off: bool = False
 
     @property
     def crashed(self) -> bool:
@@ -38,5 +40,9 @@
         return StreamLostError(
             str(error), sent=False, unreachable=False, permitted=False
         )
+    if isinstance(error, errors.CutOffError):
+        return StreamLostError(
+            str(error), sent=False, unreachable=False, cut_off=True
+        )
     sent = error.step != 'connect'
     return StreamLostError(str(error), sent=sent, reset=sent)
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -22,6 +22,9 @@
 # Delay before a second round, after all engines have been tried.
 RETRY_PAUSE_S: t.Final = 0.05
 MIN_REMAINING_S: t.Final = 0.05
+# Interval at which a stream that has begun asks again for an engine, while
+# none can be reached.
+CUT_OFF_RETRY_S: t.Final = 0.25
 # If a prompt exceeds the memory of all engines, a retry succeeds only after
 # larger ones were added.
 TOO_LARGE_RETRY_S: t.Final = 60.0
@@ -252,6 +255,8 @@
         if not (lost.sent and run_started) or lost.seconds < COPY_AFTER_S:
             # The backup has no copy yet and would refuse the stream.
             self.backup = self.copy = None
+        if lost.cut_off:
+            return await self._wait_for_connection()
         if lost.sent:
             self.lost_runs += 1
             if not self.job.route.repeatable:
@@ -279,6 +284,17 @@
         )
         return False
 
+    async def _wait_for_connection(self) -> bool:
+        """Return whether to look for an engine again; none can be reached.
+
+        Only a stream that has begun can lose anything by its end.
+        """
+        if not self.caller_stream.headers_sent:
+            return False
+        self.tried.clear()
+        await asyncio.sleep(CUT_OFF_RETRY_S)
+        return self.remaining_s() >= MIN_REMAINING_S
+
     def _log_end(self, outcome: str, **fields: t.Any) -> None:
         _context.log(
             self.job,
@@ -404,9 +420,10 @@
         lost: _streamloss.StreamLostError,
     ) -> None:
         now = self.context.clock()
-        self.context.placement.record_failure(
-            engine.ident, now, unreachable=lost.unreachable
-        )
+        if not lost.cut_off:
+            self.context.placement.record_failure(
+                engine.ident, now, unreachable=lost.unreachable
+            )
         self.context.metrics.count('engines.lost')
         if lost.unreachable:
             self.lost_data_centre = engine.data_centre
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -59,6 +59,16 @@
 from bulrushhold.messages._log import LogEntry
 from bulrushhold.messages._log import VoteReply
 from bulrushhold.messages._log import VoteRequest
+from bulrushhold.messages._relay import RelayAnswer
+from bulrushhold.messages._relay import RelayedAttempt
+from bulrushhold.messages._relay import RelayedConnect
+from bulrushhold.messages._relay import RelayedCopy
+from bulrushhold.messages._relay import RelayedCopyDrop
+from bulrushhold.messages._relay import RelayedHead
+from bulrushhold.messages._relay import RelayedProbe
+from bulrushhold.messages._relay import RelayedSegmentsRead
+from bulrushhold.messages._relay import RelayFailure
+from bulrushhold.messages._relay import RelayFailureKind
 from bulrushhold.messages._rollouts import OrderStatus
 from bulrushhold.messages._rollouts import Rollout
 from bulrushhold.messages._rollouts import RolloutEnd
@@ -151,6 +161,16 @@
     'QuotaGrant',
     'Received',
     'Refusals',
+    'RelayAnswer',
+    'RelayFailure',
+    'RelayFailureKind',
+    'RelayedAttempt',
+    'RelayedConnect',
+    'RelayedCopy',
+    'RelayedCopyDrop',
+    'RelayedHead',
+    'RelayedProbe',
+    'RelayedSegmentsRead',
     'RequestBlock',
     'Rollout',
     'RolloutEnd',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -10,6 +10,7 @@
 from bulrushhold.messages import _entries
 from bulrushhold.messages import _fleet
 from bulrushhold.messages import _log
+from bulrushhold.messages import _relay
 from bulrushhold.messages import _rollouts
 from bulrushhold.messages import _state
 from bulrushhold import routes
@@ -75,6 +76,15 @@
     _fleet.Received,
     _fleet.Watch,
     _fleet.WatchReply,
+    _relay.RelayedAttempt,
+    _relay.RelayedHead,
+    _relay.RelayFailure,
+    _relay.RelayedProbe,
+    _relay.RelayedConnect,
+    _relay.RelayedSegmentsRead,
+    _relay.RelayedCopy,
+    _relay.RelayedCopyDrop,
+    _relay.RelayAnswer,
     _rollouts.RolloutOrder,
     _rollouts.RolloutStart,
     _rollouts.RolloutOutcome,
@@ -86,7 +96,16 @@
 )
 _DECODERS = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in _CLASSES}
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
-_ENCODER = msgspec.msgpack.Encoder()
+
+
+def _encode_other(value: t.Any) -> t.Any:
+    """Encode strings of other types, such as names of HTTP headers."""
+    if isinstance(value, str):
+        return str(value)
+    raise NotImplementedError(f'cannot encode {type(value).__name__}')
+
+
+_ENCODER = msgspec.msgpack.Encoder(enc_hook=_encode_other)
 
 
 def encode(message: Message) -> bytes:
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -63,12 +63,17 @@
 
     :param callers: address that callers connect to.
     :param ready: whether it accepts new callers.
+    :param relay: address at which it relays requests of other entries, or
+        ``''``.
+    :param unreachable: services of which it reaches no server.
     """
 
     name: str
     data_centre: str
     callers: str
     ready: bool
+    relay: str = ''
+    unreachable: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/bulrushhold/messages/_relay.py
@@ -0,0 +1,108 @@
+"""Messages between entries that relay requests to backend servers."""
+
+import enum
+
+import attrs
+
+from bulrushhold import calls
+
+
+class RelayFailureKind(enum.StrEnum):
+    """Why a relayed request has no response.
+
+    ``REFUSED``: the entry can't relay it; another one may. ``BACKEND``: the
+    backend server failed. ``PERMIT``: the server wants no requests of that
+    entry now. ``BLOCKED``: engines crashed under the request.
+    """
+
+    REFUSED = 'refused'
+    BACKEND = 'backend'
+    PERMIT = 'permit'
+    BLOCKED = 'blocked'
+
+
+@attrs.frozen
+class RelayedAttempt:
+    """Asks an entry to send one attempt of a call to a backend server."""
+
+    call: calls.Call
+    attempt: calls.Attempt
+
+
+@attrs.frozen
+class RelayedHead:
+    """Head of the server's response; the body follows."""
+
+    head: calls.ResponseHead
+
+
+@attrs.frozen
+class RelayFailure:
+    """Tells that a relayed request has no response.
+
+    :param step: see :class:`errors.BackendError`.
+    :param wait_s: time for which the server wants no requests.
+    """
+
+    kind: RelayFailureKind
+    reason: str
+    step: str = ''
+    wait_s: float = 0.0
+
+
+@attrs.frozen
+class RelayedProbe:
+    """Asks an entry to probe an engine.
+
+    :param timeout: seconds; also in the messages below.
+    """
+
+    address: str
+    timeout: float
+    instance: str = ''
+
+
+@attrs.frozen
+class RelayedConnect:
+    """Asks an entry whether a server accepts connections."""
+
+    address: str
+    timeout: float
+
+
+@attrs.frozen
+class RelayedSegmentsRead:
+    """Asks an entry for the prompt segments that an engine has cached."""
+
+    address: str
+    timeout: float
+
+
+@attrs.frozen
+class RelayedCopy:
+    """Asks an entry to make an engine copy a run's KV cache."""
+
+    call: calls.Call
+    source: str
+    target: str
+    timeout: float
+
+
+@attrs.frozen
+class RelayedCopyDrop:
+    """Asks an entry to free the memory of a copy."""
+
+    copy: calls.RunCopy
+    timeout: float
+
+
+@attrs.frozen
+class RelayAnswer:
+    """Answer to all requests above but :class:`RelayedAttempt`.
+
+    :param success: whether the server responded as expected.
+    """
+
+    success: bool
+    segments: frozenset[str] = frozenset()
+    copy: calls.RunCopy | None = None
--- /dev/null
+++ b/tests/test_relay_http.py
@@ -0,0 +1,160 @@
+"""Attempts that one entry sends through another over HTTP."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import testing
+from bulrushhold import web as adapters
+
+HEAD = calls.ResponseHead(200, (('X-Server', 'a'),), True, True, False)
+CALL = calls.Call('r1', 'POST', '/a/', 'h', 'k', (('X-A', 'b'),), b'body', 1.0)
+ATTEMPT = calls.Attempt('10.0.0.1:80', 'i1', 'acct', 0.9)
+
+
+class ScriptedResponse(calls.BackendResponse):
+    """Yields chunks; an exception among them is raised.
+
+    :ivar closed: set once the response is closed.
+    """
+
+    def __init__(self, *chunks):
+        self.head = HEAD
+        self.chunks = list(chunks)
+        self.closed = asyncio.Event()
+
+    async def chunk(self):
+        if not self.chunks:
+            return b''
+        chunk = self.chunks.pop(0)
+        if isinstance(chunk, Exception):
+            raise chunk
+        if chunk is None:
+            await asyncio.sleep(60)
+        return chunk
+
+    async def body(self):
+        return b''
+
+    def close(self):
+        self.closed.set()
+
+
+class ScriptedHandler(calls.RelayHandler):
+    def __init__(self):
+        self.response = None
+        self.received = []
+
+    async def send(self, call, attempt):
+        self.received.append((call, attempt))
+        if isinstance(self.response, Exception):
+            raise self.response
+        return self.response
+
+    async def answer(self, question):
+        self.received.append(question)
+        return messages.RelayAnswer(True, frozenset({'p'}))
+
+    def wait_s(self, instance):
+        return 3.0
+
+
+@pytest.fixture
+def handler():
+    return ScriptedHandler()
+
+
+@pytest_asyncio.fixture
+async def relay(handler):
+    server = adapters.RelayServer(handler)
+    (port,) = testing.free_ports(1)
+    await server.start('127.0.0.1', port)
+    yield f'127.0.0.1:{port}'
+    await server.close()
+
+
+@pytest_asyncio.fixture
+async def client():
+    relay_client = adapters.HttpRelayClient()
+    yield relay_client
+    await relay_client.close()
+
+
+async def test_call_attempt_head_and_body_pass_unchanged(
+    client, relay, handler
+):
+    handler.response = ScriptedResponse(b'one', b'two')
+    response = await client.send(relay, CALL, ATTEMPT)
+    assert response.head == HEAD
+    assert await response.body() == b'onetwo'
+    assert handler.received == [(CALL, ATTEMPT)]
+
+
+async def test_an_empty_body_leaves_the_connection_usable(
+    client, relay, handler
+):
+    # Guards against the next response of a connection that is thrown away.
+    for body in (b'', b'x', b'', b'y'):
+        handler.response = ScriptedResponse(*([body] if body else []))
+        response = await client.send(relay, CALL, ATTEMPT)
+        assert await response.body() == body
+
+
+async def test_a_response_that_breaks_off_is_not_whole(client, relay, handler):
+    # Guards against a truncated body that looks complete.
+    lost = errors.BackendError('reset', 'answer', '')
+    handler.response = ScriptedResponse(b'one', lost)
+    response = await client.send(relay, CALL, ATTEMPT)
+    with pytest.raises(errors.BackendError):
+        await response.body()
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        errors.RelayRefusedError('cut off', 'relay', ''),
+        errors.NoPermitError('backoff', 'permit', '', 3.0),
+        errors.RequestBlockedError('blocked', 'permit', ''),
+        errors.BackendError('refused', 'connect', ''),
+        errors.BackendError('reset', 'send', ''),
+    ],
+)
+async def test_errors_keep_their_type_and_step(client, relay, handler, error):
+    handler.response = error
+    with pytest.raises(errors.BulrushholdError) as caught:
+        await client.send(relay, CALL, ATTEMPT)
+    assert type(caught.value) is type(error)
+    assert caught.value.step == error.step
+    assert getattr(caught.value, 'wait_s', 3.0) == 3.0
+
+
+async def test_closing_a_response_ends_the_request_to_the_server(
+    client, relay, handler
+):
+    # Guards against engines that work on for a caller who has left.
+    handler.response = ScriptedResponse(b'one', None)
+    response = await client.send(relay, CALL, ATTEMPT)
+    assert await response.chunk() == b'one'
+    response.close()
+    async with asyncio.timeout(0.4):
+        await handler.response.closed.wait()
+
+
+async def test_a_relay_that_does_not_listen_has_sent_nothing(client):
+    (port,) = testing.free_ports(1)
+    address = f'127.0.0.1:{port}'
+    with pytest.raises(errors.RelayRefusedError):
+        await client.send(address, CALL, ATTEMPT)
+    with pytest.raises(errors.RelayRefusedError):
+        await client.ask(address, messages.RelayedConnect('a', 1.0), 0.5)
+
+
+async def test_questions_are_answered(client, relay, handler):
+    question = messages.RelayedSegmentsRead('10.0.0.1:80', 0.5)
+    answer = await client.ask(relay, question, 0.5)
+    assert answer == messages.RelayAnswer(True, frozenset({'p'}))
+    assert handler.received == [question]
