--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -14,6 +14,7 @@
 
 from tests.platform.soak import demands
 from tests.platform.soak import fakes
+from tests.platform.soak import isolation
 from tests.platform.soak import poison
 from tests.platform.soak import system
 
@@ -54,6 +55,7 @@
     def __init__(self, seed, folder, network_number, seconds):
         self.rng = random.Random(seed)
         self.poison_rng = random.Random(f'poison {seed}')
+        self.cut_rng = random.Random(f'cut {seed}')
         self.poison_numbers = itertools.count(1)
         self.report = Report(seed)
         self.folder = folder
@@ -90,6 +92,7 @@
         self.system = self._make_system(
             self.folder, platform_list.address, self.network_number, first_port
         )
+        self.cuts = isolation.EntryCuts(self.system, self.engines)
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -123,11 +126,16 @@
         operator = asyncio.ensure_future(self._edit_route_map(deadline))
         faults = asyncio.ensure_future(self._inject_faults(deadline))
         demanding = asyncio.ensure_future(self.demands.make(deadline))
+        cuts = asyncio.ensure_future(
+            self.cuts.make(
+                self.cut_rng, deadline, self._record_fault, self._start_task
+            )
+        )
         poisoners = asyncio.ensure_future(self._send_poison_requests(deadline))
         while time.monotonic() < deadline:
             self._start_task(self._send_request())
             await asyncio.sleep(self.rng.expovariate(25))
-        await asyncio.gather(operator, faults, demanding, poisoners)
+        await asyncio.gather(operator, faults, demanding, cuts, poisoners)
 
     async def _check_recovery(self):
         """Check that all requests are served after the faults have ended."""
--- a/tests/platform/test_isolation_processes.py
+++ b/tests/platform/test_isolation_processes.py
@@ -61,23 +61,15 @@
         await asyncio.sleep(AIM_S)
 
     async def _cut(self, entries):
-        proxies = [engine.proxy for engine in self.engines]
         self.cut = entries
         for entry in entries:
-            self.system.cut_off(entry, self.cut_kind)
-            for proxy in proxies:
-                if self.cut_kind == 'reset':
-                    proxy.reset(entry.ip)
-                elif self.cut_kind != 'refuse_new':
-                    proxy.faults_by_client[entry.ip] = self.cut_kind
+            self.cuts.begin(entry, self.cut_kind)
         await asyncio.sleep(DETECTION_S)
         self.counted = True
         await asyncio.sleep(CUT_S - DETECTION_S)
         self.counted = False
         for entry in entries:
-            self.system.reconnect(entry)
-            for proxy in proxies:
-                proxy.faults_by_client.pop(entry.ip, None)
+            self.cuts.end(entry)
         self.cut = []
 
     async def _send_requests(self):
