--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -360,28 +360,28 @@
         """Return the headers that correlate a response with its call."""
 
 
-class RelayClient(abc.ABC):
-    """Client of other entries, which relay requests to backend servers."""
+class PeerProxyClient(abc.ABC):
+    """Client of other entries, which proxy requests to backend servers."""
 
     @abc.abstractmethod
     async def send(
-        self, relay: str, call: Call, attempt: Attempt
+        self, proxy: str, call: Call, attempt: Attempt
     ) -> BackendResponse:
         """Send an attempt through another entry.
 
-        :param relay: address at which that entry relays requests.
-        :raises RelayRefusedError: if the attempt was not sent, and another
+        :param proxy: address at which that entry proxies requests.
+        :raises ProxyRefusedError: if the attempt was not sent, and another
             entry may be asked.
         :raises BackendError: as :meth:`BackendClient.send` does; so are the
             other errors.
         """
 
     @abc.abstractmethod
-    async def ask(self, relay: str, question: t.Any, timeout: float) -> t.Any:
+    async def ask(self, proxy: str, question: t.Any, timeout: float) -> t.Any:
         """Return the answer to a message other than an attempt.
 
         :param timeout: seconds.
-        :raises RelayRefusedError: if there is no answer in time.
+        :raises ProxyRefusedError: if there is no answer in time.
         """
 
     @abc.abstractmethod
@@ -389,14 +389,14 @@
         """Close all connections."""
 
 
-class RelayHandler(abc.ABC):
-    """Relays requests of other entries to backend servers."""
+class PeerProxyHandler(abc.ABC):
+    """Proxies requests of other entries to backend servers."""
 
     @abc.abstractmethod
     async def send(self, call: Call, attempt: Attempt) -> BackendResponse:
         """Send an attempt of another entry's request.
 
-        :raises RelayRefusedError: if this entry can't.
+        :raises ProxyRefusedError: if this entry can't.
         :raises BackendError: see :meth:`BackendClient.send`.
         """
 
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -82,12 +82,12 @@
             direct, placement, self.metrics
         )
         self.client = forwarding.PermitCheckingClient(
-            forwarding.RelayingClient(
+            forwarding.ProxyingClient(
                 direct,
-                adapters.HttpRelayClient(),
+                adapters.HttpPeerProxyClient(),
                 monitor,
                 placement,
-                decisions.RelayPeers(config.name),
+                decisions.ProxyPeers(config.name),
                 lambda: self.fleet.entries,
                 self.metrics,
             ),
@@ -106,7 +106,7 @@
                 config.data_centre,
                 str(config.callers),
                 True,
-                str(config.relay or ''),
+                str(config.proxy or ''),
             ),
             [str(seed) for seed in config.seeds],
             self.transport,
@@ -135,8 +135,8 @@
         self.ingress = adapters.Ingress(
             self.forwarder.handle, self.adapters.caller_dialect
         )
-        self.relay_server = adapters.RelayServer(
-            forwarding.DirectRelayHandler(
+        self.proxy_server = adapters.PeerProxyServer(
+            forwarding.DirectProxyHandler(
                 forwarding.PermitCheckingClient(
                     direct, placement, poison_requests
                 ),
@@ -157,8 +157,8 @@
         self.background.append(
             _background.start_background_task(monitor.watch())
         )
-        if config.relay is not None:
-            await self.relay_server.start(config.relay.host, config.relay.port)
+        if config.proxy is not None:
+            await self.proxy_server.start(config.proxy.host, config.proxy.port)
         await self.ingress.start(config.callers.host, config.callers.port)
         for address, make_application in self.adapters.listeners:
             await self._start_listener(
@@ -205,7 +205,7 @@
             if now > deadline - REFUSE_BEFORE_EXIT_S:
                 self.forwarder.closing = True
             in_progress = (
-                self.ingress.in_progress + self.relay_server.in_progress
+                self.ingress.in_progress + self.proxy_server.in_progress
             )
             if linger_elapsed and not in_progress:
                 break
@@ -217,8 +217,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.ingress.close()
-        if self.config.relay is not None:
-            await self.relay_server.close()
+        if self.config.proxy is not None:
+            await self.proxy_server.close()
         for runner in self.runners:
             await runner.cleanup()
         await self.client.close()
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -33,6 +33,7 @@
 from bulrushhold.decisions._poisonrequests import fingerprint
 from bulrushhold.decisions._poisonrequests import PoisonRequestDetector
 from bulrushhold.decisions._poisonrequests import Verdict
+from bulrushhold.decisions._proxypeers import ProxyPeers
 from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
 from bulrushhold.decisions._quota import QuotaHome
 from bulrushhold.decisions._quota import QuotaShare
@@ -48,7 +49,6 @@
 from bulrushhold.decisions._recovery import RecoveryPolicy
 from bulrushhold.decisions._recovery import SequentialPolicy
 from bulrushhold.decisions._recovery import WorkBudget
-from bulrushhold.decisions._relaypeers import RelayPeers
 from bulrushhold.decisions._rendezvous import copy_peers
 from bulrushhold.decisions._rendezvous import entries_for_account
 from bulrushhold.decisions._rendezvous import entries_needed
@@ -103,11 +103,11 @@
     'Choice',
     'ClaimState',
     'ControlServers',
-    'DEFAULT_EXPOSURE',
     'CopyPeerStatus',
     'CopyPeers',
     'CopyStore',
     'CrashVerdict',
+    'DEFAULT_EXPOSURE',
     'EngineCrashTracker',
     'EngineLosses',
     'EngineSpeeds',
@@ -129,6 +129,7 @@
     'PointerSummary',
     'PoisonRequestDetector',
     'PromptRead',
+    'ProxyPeers',
     'QUOTA_LEASE_S',
     'QUOTA_RENEW_S',
     'QuotaHome',
@@ -136,7 +137,6 @@
     'Reachability',
     'Ready',
     'RecoveryPolicy',
-    'RelayPeers',
     'Replica',
     'ReplicatedState',
     'RequestLimits',
--- a/src/bulrushhold/decisions/_relaypeers.py
+++ b/src/bulrushhold/decisions/_proxypeers.py
@@ -1,4 +1,4 @@
-"""Choose the entries that relay requests to backend servers."""
+"""Choose the entries that proxy requests to backend servers."""
 
 import typing as t
 
@@ -9,7 +9,7 @@
 AVOID_S: t.Final = 1.0
 
 
-class RelayPeers:
+class ProxyPeers:
     """Other entries in the order in which to ask them.
 
     The order depends on the server, so that probes of a server take the same
@@ -20,9 +20,9 @@
         self.own_name = own_name
         self.avoided_until: dict[str, float] = {}
 
-    def avoid(self, relay: str, now: float) -> None:
-        """Ask an entry last, after it failed to relay a request."""
-        self.avoided_until[relay] = now + AVOID_S
+    def avoid(self, proxy: str, now: float) -> None:
+        """Ask an entry last, after it failed to proxy a request."""
+        self.avoided_until[proxy] = now + AVOID_S
 
     def order(
         self,
@@ -31,14 +31,14 @@
         server: str,
         now: float,
     ) -> list[str]:
-        """Return the relay addresses of entries that reach a service.
+        """Return the proxy addresses of entries that reach a service.
 
         :param server: address of the server to reach.
         """
         usable = [
             entry
             for entry in entries
-            if entry.relay
+            if entry.proxy
             and entry.ready
             and service not in entry.unreachable
             and entry.name != self.own_name
@@ -46,7 +46,7 @@
         ranking = _rendezvous.rendezvous_order(
             f'{self.own_name}\0{server}', usable, lambda entry: entry.name
         )
-        relays = [entry.relay for entry in ranking]
+        proxies = [entry.proxy for entry in ranking]
         return sorted(
-            relays, key=lambda relay: self.avoided_until.get(relay, 0.0) > now
+            proxies, key=lambda proxy: self.avoided_until.get(proxy, 0.0) > now
         )
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -75,7 +75,7 @@
     """No backend server of a service can be reached, and no entry that can."""
 
 
-class RelayRefusedError(BackendError):
+class ProxyRefusedError(BackendError):
     """Another entry did not try to send a request to a backend server."""
 
 
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -11,14 +11,14 @@
 from bulrushhold.forwarding._permitcheck import PermitCheckingClient
 from bulrushhold.forwarding._permitsource import ControlPermitSource
 from bulrushhold.forwarding._plain import PlainForwarder
+from bulrushhold.forwarding._proxyhandler import DirectProxyHandler
+from bulrushhold.forwarding._proxyingclient import ProxyingClient
 from bulrushhold.forwarding._reachabilitymonitor import ReachabilityMonitor
-from bulrushhold.forwarding._relayhandler import DirectRelayHandler
-from bulrushhold.forwarding._relayingclient import RelayingClient
 from bulrushhold.forwarding._streams import StreamForwarder
 
 __all__ = [
     'ControlPermitSource',
-    'DirectRelayHandler',
+    'DirectProxyHandler',
     'Event',
     'EventSplitter',
     'FleetView',
@@ -27,8 +27,8 @@
     'Job',
     'PermitCheckingClient',
     'PlainForwarder',
+    'ProxyingClient',
     'ReachabilityMonitor',
-    'RelayingClient',
     'StreamForwarder',
     'make_crash_listener',
     'refuse_blocked',
--- a/src/bulrushhold/forwarding/_relayhandler.py
+++ b/src/bulrushhold/forwarding/_proxyhandler.py
@@ -11,13 +11,13 @@
 from bulrushhold import messages
 
 
-class DirectRelayHandler(calls.RelayHandler):
-    """Relays over this entry's own connections only.
+class DirectProxyHandler(calls.PeerProxyHandler):
+    """Proxies over this entry's own connections only.
 
     The other entry remains responsible for the request, its retries and its
     place in all limits. What servers say of this entry is recorded here.
 
-    :param client: checks what servers demand of this entry; never relays.
+    :param client: checks what servers demand of this entry; never proxies.
     """
 
     def __init__(
@@ -35,21 +35,21 @@
     async def send(
         self, call: calls.Call, attempt: calls.Attempt
     ) -> calls.BackendResponse:
-        """Send an attempt; see :meth:`calls.RelayHandler.send`."""
+        """Send an attempt; see :meth:`calls.PeerProxyHandler.send`."""
         job = self._make_job(call, attempt)
         if self.monitor.is_cut_off(job.service):
-            raise errors.RelayRefusedError('cut off', 'relay', job.service)
+            raise errors.ProxyRefusedError('cut off', 'proxy', job.service)
         sent_at = self.context.clock()
-        self.context.metrics.count('relay.served')
-        _context.log(job, 'relaying', backend=attempt.instance)
+        self.context.metrics.count('proxy.served')
+        _context.log(job, 'proxying', backend=attempt.instance)
         try:
             response = await self.client.send(call, attempt)
         except errors.BackendError as error:
             if error.step == 'connect' and await self.monitor.check(
                 job.service, attempt.address, sent_at
             ):
-                raise errors.RelayRefusedError(
-                    'cut off', 'relay', job.service
+                raise errors.ProxyRefusedError(
+                    'cut off', 'proxy', job.service
                 ) from error
             raise
         _responses.record_head(
@@ -70,40 +70,40 @@
             or backend is None
             or backend.address != attempt.address
         ):
-            raise errors.RelayRefusedError(
-                'server or route not listed here', 'relay', attempt.address
+            raise errors.ProxyRefusedError(
+                'server or route not listed here', 'proxy', attempt.address
             )
         deadline = self.context.clock() + attempt.remaining_s
         return _context.Job(
             call, route, backend.service, attempt.account, deadline
         )
 
-    async def answer(self, question: t.Any) -> messages.RelayAnswer:
-        """Answer a question; see :meth:`calls.RelayHandler.answer`."""
+    async def answer(self, question: t.Any) -> messages.ProxyAnswer:
+        """Answer a question; see :meth:`calls.PeerProxyHandler.answer`."""
         try:
             return await self._answer(question)
         except errors.BackendError:
-            return messages.RelayAnswer(False)
+            return messages.ProxyAnswer(False)
 
-    async def _answer(self, question: t.Any) -> messages.RelayAnswer:
+    async def _answer(self, question: t.Any) -> messages.ProxyAnswer:
         client = self.client
         match question:
-            case messages.RelayedProbe(address, timeout, instance):
+            case messages.ProxiedProbe(address, timeout, instance):
                 alive = await client.probe(address, timeout, instance)
-                return messages.RelayAnswer(alive)
-            case messages.RelayedConnect(address, timeout):
+                return messages.ProxyAnswer(alive)
+            case messages.ProxiedConnect(address, timeout):
                 accepts = await client.accepts_connections(address, timeout)
-                return messages.RelayAnswer(accepts)
-            case messages.RelayedSegmentsRead(address, timeout):
+                return messages.ProxyAnswer(accepts)
+            case messages.ProxiedSegmentsRead(address, timeout):
                 segments = await client.cached_segments(address, timeout)
-                return messages.RelayAnswer(True, segments)
-            case messages.RelayedCopy(call, source, target, timeout):
+                return messages.ProxyAnswer(True, segments)
+            case messages.ProxiedCopy(call, source, target, timeout):
                 copy = await client.copy_run(call, source, target, timeout)
-                return messages.RelayAnswer(True, copy=copy)
-            case messages.RelayedCopyDrop(copy, timeout):
+                return messages.ProxyAnswer(True, copy=copy)
+            case messages.ProxiedCopyDrop(copy, timeout):
                 await client.drop_copy(copy, timeout)
-                return messages.RelayAnswer(True)
-        return messages.RelayAnswer(False)
+                return messages.ProxyAnswer(True)
+        return messages.ProxyAnswer(False)
 
     def wait_s(self, instance: str) -> float:
         """Return for how long a server wants no requests of this entry."""
--- a/src/bulrushhold/forwarding/_relayingclient.py
+++ b/src/bulrushhold/forwarding/_proxyingclient.py
@@ -16,15 +16,15 @@
 
 # Entries asked for one attempt; more may have lost their servers than the
 # list of entries says yet.
-MAX_RELAYS: t.Final = 5
-# Added to the time limit of a relayed operation for the way to the relay.
-RELAY_MARGIN_S: t.Final = 0.05
-# Time for which a server is left out that allows its relay no request.
+MAX_PROXIES: t.Final = 5
+# Added to the time limit of a proxied operation for the way to the proxy.
+PROXY_MARGIN_S: t.Final = 0.05
+# Time for which a server is left out that allows its proxy no request.
 MIN_HOLD_S: t.Final = 0.2
 _Result = t.TypeVar('_Result')
 
 
-class RelayingClient(calls.BackendClient):
+class ProxyingClient(calls.BackendClient):
     """Sends requests directly, or through an entry that reaches the servers.
 
     Retries, limits and copies remain decisions of this entry, which sends each
@@ -37,16 +37,16 @@
     def __init__(
         self,
         direct: calls.BackendClient,
-        relays: calls.RelayClient,
+        proxies: calls.PeerProxyClient,
         monitor: _reachabilitymonitor.ReachabilityMonitor,
         placement: decisions.Placement,
-        peers: decisions.RelayPeers,
+        peers: decisions.ProxyPeers,
         list_entries: cabc.Callable[[], list[messages.ListedEntry]],
         metrics: ports.Metrics,
         clock: cabc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.direct = direct
-        self.relays = relays
+        self.proxies = proxies
         self.monitor = monitor
         self.placement = placement
         self.peers = peers
@@ -74,26 +74,26 @@
                 return response
         remaining_s = attempt.remaining_s - (self.clock() - started)
         attempt = attrs.evolve(attempt, remaining_s=remaining_s)
-        return await self._relay(
+        return await self._proxy(
             service,
             attempt.address,
-            lambda relay: self._send_through(relay, call, attempt),
+            lambda proxy: self._send_through(proxy, call, attempt),
         )
 
     async def _send_through(
-        self, relay: str, call: calls.Call, attempt: calls.Attempt
+        self, proxy: str, call: calls.Call, attempt: calls.Attempt
     ) -> calls.BackendResponse:
         node.log_decision(
-            'attempt relayed',
+            'attempt proxied',
             request=call.ident,
             backend=attempt.instance,
-            relay=relay,
+            proxy=proxy,
         )
-        self.metrics.count('relay.attempts')
+        self.metrics.count('proxy.attempts')
         try:
-            return await self.relays.send(relay, call, attempt)
+            return await self.proxies.send(proxy, call, attempt)
         except errors.NoPermitError as error:
-            # The server's demand on the relay holds for what it relays too.
+            # The server's demand on the proxy holds for what it proxies too.
             self.placement.demands.backoffs.record(
                 attempt.instance,
                 max(error.wait_s, MIN_HOLD_S),
@@ -101,7 +101,7 @@
             )
             raise
 
-    async def _relay(
+    async def _proxy(
         self,
         service: str,
         server: str,
@@ -115,15 +115,15 @@
             self.list_entries(), service, server, self.clock()
         )
         reason = 'no other entry reaches backend servers'
-        for relay in ranking[:MAX_RELAYS]:
+        for proxy in ranking[:MAX_PROXIES]:
             try:
-                return await send(relay)
-            except errors.RelayRefusedError as error:
+                return await send(proxy)
+            except errors.ProxyRefusedError as error:
                 reason = str(error)
-                self.peers.avoid(relay, self.clock())
-                self.metrics.count('relay.refused')
+                self.peers.avoid(proxy, self.clock())
+                self.metrics.count('proxy.refused')
                 node.log_decision(
-                    'relay refused', relay=relay, backend=server, reason=reason
+                    'proxy refused', proxy=proxy, backend=server, reason=reason
                 )
         raise errors.CutOffError(reason, 'connect', server)
 
@@ -141,7 +141,7 @@
         async def probe_directly() -> bool:
             return await self.direct.probe(address, timeout, instance)
 
-        question = messages.RelayedProbe(address, timeout, instance)
+        question = messages.ProxiedProbe(address, timeout, instance)
         return await self._test(probe_directly, address, question)
 
     async def accepts_connections(self, address: str, timeout: float) -> bool:
@@ -150,14 +150,14 @@
         async def connect() -> bool:
             return await self.direct.accepts_connections(address, timeout)
 
-        question = messages.RelayedConnect(address, timeout)
+        question = messages.ProxiedConnect(address, timeout)
         return await self._test(connect, address, question)
 
     async def _test(
         self,
         test_directly: cabc.Callable[[], cabc.Awaitable[bool]],
         address: str,
-        question: messages.RelayedProbe | messages.RelayedConnect,
+        question: messages.ProxiedProbe | messages.ProxiedConnect,
     ) -> bool:
         service = self._service_at(address)
         if not self.monitor.is_cut_off(service):
@@ -174,14 +174,14 @@
 
     async def _ask(
         self, server: str, question: t.Any, timeout: float
-    ) -> messages.RelayAnswer:
-        async def ask(relay: str) -> messages.RelayAnswer:
-            answer: messages.RelayAnswer = await self.relays.ask(
-                relay, question, timeout + RELAY_MARGIN_S
+    ) -> messages.ProxyAnswer:
+        async def ask(proxy: str) -> messages.ProxyAnswer:
+            answer: messages.ProxyAnswer = await self.proxies.ask(
+                proxy, question, timeout + PROXY_MARGIN_S
             )
             return answer
 
-        return await self._relay(self._service_at(server), server, ask)
+        return await self._proxy(self._service_at(server), server, ask)
 
     async def cached_segments(
         self, address: str, timeout: float
@@ -189,7 +189,7 @@
         """List segments; see :meth:`calls.BackendClient.cached_segments`."""
         if not self.monitor.is_cut_off(self._service_at(address)):
             return await self.direct.cached_segments(address, timeout)
-        question = messages.RelayedSegmentsRead(address, timeout)
+        question = messages.ProxiedSegmentsRead(address, timeout)
         answer = await self._ask(address, question, timeout)
         if not answer.success:
             raise errors.BackendError('no response', 'segments', address)
@@ -201,7 +201,7 @@
         """Request a copy; see :meth:`calls.BackendClient.copy_run`."""
         if not self.monitor.is_cut_off(self._service_at(source)):
             return await self.direct.copy_run(call, source, target, timeout)
-        question = messages.RelayedCopy(call, source, target, timeout)
+        question = messages.ProxiedCopy(call, source, target, timeout)
         answer = await self._ask(source, question, timeout)
         if answer.copy is None:
             raise errors.BackendError('no copy', 'copy', source)
@@ -212,7 +212,7 @@
         if not self.monitor.is_cut_off(self._service_at(copy.address)):
             await self.direct.drop_copy(copy, timeout)
             return
-        question = messages.RelayedCopyDrop(copy, timeout)
+        question = messages.ProxiedCopyDrop(copy, timeout)
         try:
             await self._ask(copy.address, question, timeout)
         except errors.CutOffError as error:
@@ -222,4 +222,4 @@
     async def close(self) -> None:
         """Close all connections."""
         await self.direct.close()
-        await self.relays.close()
+        await self.proxies.close()
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -59,16 +59,16 @@
 from bulrushhold.messages._log import LogEntry
 from bulrushhold.messages._log import VoteReply
 from bulrushhold.messages._log import VoteRequest
-from bulrushhold.messages._relay import RelayAnswer
-from bulrushhold.messages._relay import RelayedAttempt
-from bulrushhold.messages._relay import RelayedConnect
-from bulrushhold.messages._relay import RelayedCopy
-from bulrushhold.messages._relay import RelayedCopyDrop
-from bulrushhold.messages._relay import RelayedHead
-from bulrushhold.messages._relay import RelayedProbe
-from bulrushhold.messages._relay import RelayedSegmentsRead
-from bulrushhold.messages._relay import RelayFailure
-from bulrushhold.messages._relay import RelayFailureKind
+from bulrushhold.messages._peerproxy import ProxiedAttempt
+from bulrushhold.messages._peerproxy import ProxiedConnect
+from bulrushhold.messages._peerproxy import ProxiedCopy
+from bulrushhold.messages._peerproxy import ProxiedCopyDrop
+from bulrushhold.messages._peerproxy import ProxiedHead
+from bulrushhold.messages._peerproxy import ProxiedProbe
+from bulrushhold.messages._peerproxy import ProxiedSegmentsRead
+from bulrushhold.messages._peerproxy import ProxyAnswer
+from bulrushhold.messages._peerproxy import ProxyFailure
+from bulrushhold.messages._peerproxy import ProxyFailureKind
 from bulrushhold.messages._rollouts import OrderStatus
 from bulrushhold.messages._rollouts import Rollout
 from bulrushhold.messages._rollouts import RolloutEnd
@@ -156,21 +156,21 @@
     'ProbeReply',
     'Proposal',
     'ProposalReply',
+    'ProxiedAttempt',
+    'ProxiedConnect',
+    'ProxiedCopy',
+    'ProxiedCopyDrop',
+    'ProxiedHead',
+    'ProxiedProbe',
+    'ProxiedSegmentsRead',
+    'ProxyAnswer',
+    'ProxyFailure',
+    'ProxyFailureKind',
     'Quarantine',
     'QuotaAsk',
     'QuotaGrant',
     'Received',
     'Refusals',
-    'RelayAnswer',
-    'RelayFailure',
-    'RelayFailureKind',
-    'RelayedAttempt',
-    'RelayedConnect',
-    'RelayedCopy',
-    'RelayedCopyDrop',
-    'RelayedHead',
-    'RelayedProbe',
-    'RelayedSegmentsRead',
     'RequestBlock',
     'Rollout',
     'RolloutEnd',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -10,7 +10,7 @@
 from bulrushhold.messages import _entries
 from bulrushhold.messages import _fleet
 from bulrushhold.messages import _log
-from bulrushhold.messages import _relay
+from bulrushhold.messages import _peerproxy
 from bulrushhold.messages import _rollouts
 from bulrushhold.messages import _state
 from bulrushhold import routes
@@ -76,15 +76,15 @@
     _fleet.Received,
     _fleet.Watch,
     _fleet.WatchReply,
-    _relay.RelayedAttempt,
-    _relay.RelayedHead,
-    _relay.RelayFailure,
-    _relay.RelayedProbe,
-    _relay.RelayedConnect,
-    _relay.RelayedSegmentsRead,
-    _relay.RelayedCopy,
-    _relay.RelayedCopyDrop,
-    _relay.RelayAnswer,
+    _peerproxy.ProxiedAttempt,
+    _peerproxy.ProxiedHead,
+    _peerproxy.ProxyFailure,
+    _peerproxy.ProxiedProbe,
+    _peerproxy.ProxiedConnect,
+    _peerproxy.ProxiedSegmentsRead,
+    _peerproxy.ProxiedCopy,
+    _peerproxy.ProxiedCopyDrop,
+    _peerproxy.ProxyAnswer,
     _rollouts.RolloutOrder,
     _rollouts.RolloutStart,
     _rollouts.RolloutOutcome,
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -63,7 +63,7 @@
 
     :param callers: address that callers connect to.
     :param ready: whether it accepts new callers.
-    :param relay: address at which it relays requests of other entries, or
+    :param proxy: address at which it proxies requests of other entries, or
         ``''``.
     :param unreachable: services of which it reaches no server.
     """
@@ -72,7 +72,7 @@
     data_centre: str
     callers: str
     ready: bool
-    relay: str = ''
+    proxy: str = ''
     unreachable: tuple[str, ...] = ()
 
 
--- a/src/bulrushhold/messages/_relay.py
+++ b/src/bulrushhold/messages/_peerproxy.py
@@ -1,4 +1,4 @@
-"""Messages between entries that relay requests to backend servers."""
+"""Messages between entries that proxy requests to backend servers."""
 
 import enum
 
@@ -7,10 +7,10 @@
 from bulrushhold import calls
 
 
-class RelayFailureKind(enum.StrEnum):
-    """Why a relayed request has no response.
+class ProxyFailureKind(enum.StrEnum):
+    """Why a proxied request has no response.
 
-    ``REFUSED``: the entry can't relay it; another one may. ``BACKEND``: the
+    ``REFUSED``: the entry can't proxy it; another one may. ``BACKEND``: the
     backend server failed. ``PERMIT``: the server wants no requests of that
     entry now. ``BLOCKED``: engines crashed under the request.
     """
@@ -22,7 +22,7 @@
 
 
 @attrs.frozen
-class RelayedAttempt:
+class ProxiedAttempt:
     """Asks an entry to send one attempt of a call to a backend server."""
 
     call: calls.Call
@@ -30,28 +30,28 @@
 
 
 @attrs.frozen
-class RelayedHead:
+class ProxiedHead:
     """Head of the server's response; the body follows."""
 
     head: calls.ResponseHead
 
 
 @attrs.frozen
-class RelayFailure:
-    """Tells that a relayed request has no response.
+class ProxyFailure:
+    """Tells that a proxied request has no response.
 
     :param step: see :class:`errors.BackendError`.
     :param wait_s: time for which the server wants no requests.
     """
 
-    kind: RelayFailureKind
+    kind: ProxyFailureKind
     reason: str
     step: str = ''
     wait_s: float = 0.0
 
 
 @attrs.frozen
-class RelayedProbe:
+class ProxiedProbe:
     """Asks an entry to probe an engine.
 
     :param timeout: seconds; also in the messages below.
@@ -63,7 +63,7 @@
 
 
 @attrs.frozen
-class RelayedConnect:
+class ProxiedConnect:
     """Asks an entry whether a server accepts connections."""
 
     address: str
@@ -71,7 +71,7 @@
 
 
 @attrs.frozen
-class RelayedSegmentsRead:
+class ProxiedSegmentsRead:
     """Asks an entry for the prompt segments that an engine has cached."""
 
     address: str
@@ -79,7 +79,7 @@
 
 
 @attrs.frozen
-class RelayedCopy:
+class ProxiedCopy:
     """Asks an entry to make an engine copy a run's KV cache."""
 
     call: calls.Call
@@ -89,7 +89,7 @@
 
 
 @attrs.frozen
-class RelayedCopyDrop:
+class ProxiedCopyDrop:
     """Asks an entry to free the memory of a copy."""
 
     copy: calls.RunCopy
@@ -97,8 +97,8 @@
 
 
 @attrs.frozen
-class RelayAnswer:
-    """Answer to all requests above but :class:`RelayedAttempt`.
+class ProxyAnswer:
+    """Answer to all requests above but :class:`ProxiedAttempt`.
 
     :param success: whether the server responded as expected.
     """
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -152,7 +152,7 @@
     :param grace_s: time from the stop signal until the process is killed.
     :param linger_s: time after the stop signal in which new requests are
         still expected.
-    :param relay: listening address for entries that reach no backend server;
+    :param proxy: listening address for entries that reach no backend server;
         without it, none can use this entry's connections.
     """
 
@@ -169,7 +169,7 @@
     grace_s: float = attrs.field(default=8.0, validator=_POSITIVE)
     linger_s: float = attrs.field(default=4.5, validator=_POSITIVE)
     metrics: Address | None = None
-    relay: Address | None = None
+    proxy: Address | None = None
 
 
 _Role = t.TypeVar('_Role', Entry, Control, Forwarding)
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -6,18 +6,18 @@
 from bulrushhold.web._ingress import Ingress
 from bulrushhold.web._instancelist import HttpPlatformList
 from bulrushhold.web._metrics import metrics_application
-from bulrushhold.web._relay import HttpRelayClient
-from bulrushhold.web._relay import RelayServer
+from bulrushhold.web._peerproxy import HttpPeerProxyClient
+from bulrushhold.web._peerproxy import PeerProxyServer
 from bulrushhold.web._service import HttpServiceClient
 
 __all__ = [
     'HttpBackendClient',
     'HttpEngineClient',
+    'HttpPeerProxyClient',
     'HttpPlatformList',
-    'HttpRelayClient',
     'HttpServiceClient',
     'Ingress',
-    'RelayServer',
+    'PeerProxyServer',
     'make_session',
     'metrics_application',
 ]
--- a/src/bulrushhold/web/_relay.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -1,4 +1,4 @@
-"""Relays attempts between entries over HTTP."""
+"""Proxies attempts between entries over HTTP."""
 
 import asyncio
 import struct
@@ -34,22 +34,22 @@
     return _LENGTH.pack(len(data)) + data
 
 
-class _RelayedResponse(calls.BackendResponse):
+class _ProxiedResponse(calls.BackendResponse):
     def __init__(
         self,
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
-        relay: str,
+        proxy: str,
     ) -> None:
         self.head = head
         self.response = response
-        self.relay = relay
+        self.proxy = proxy
 
     async def chunk(self) -> bytes:
         try:
             return await self.response.content.readany()
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'answer', self.relay) from error
+            raise _to_backend_error(error, 'answer', self.proxy) from error
 
     async def body(self) -> bytes:
         chunks = []
@@ -61,7 +61,7 @@
         self.response.close()
 
 
-class HttpRelayClient(calls.RelayClient):
+class HttpPeerProxyClient(calls.PeerProxyClient):
     """Asks other entries over pooled connections.
 
     They send nothing after a complete response, unlike faulty servers.
@@ -81,95 +81,95 @@
         self.session._retry_connection = False
 
     async def send(
-        self, relay: str, call: calls.Call, attempt: calls.Attempt
+        self, proxy: str, call: calls.Call, attempt: calls.Attempt
     ) -> calls.BackendResponse:
-        """Send an attempt; see :meth:`calls.RelayClient.send`."""
-        message = messages.RelayedAttempt(call, attempt)
-        response = await self._post(relay, ATTEMPTS_PATH, message)
+        """Send an attempt; see :meth:`calls.PeerProxyClient.send`."""
+        message = messages.ProxiedAttempt(call, attempt)
+        response = await self._post(proxy, ATTEMPTS_PATH, message)
         try:
-            first = await _read_message(response, relay)
+            first = await _read_message(response, proxy)
         except BaseException:
             response.close()
             raise
-        if isinstance(first, messages.RelayedHead):
-            return _RelayedResponse(first.head, response, relay)
+        if isinstance(first, messages.ProxiedHead):
+            return _ProxiedResponse(first.head, response, proxy)
         response.close()
         raise _to_error(first, attempt.address)
 
-    async def ask(self, relay: str, question: t.Any, timeout: float) -> t.Any:
-        """Ask a question; see :meth:`calls.RelayClient.ask`."""
+    async def ask(self, proxy: str, question: t.Any, timeout: float) -> t.Any:
+        """Ask a question; see :meth:`calls.PeerProxyClient.ask`."""
         try:
             async with asyncio.timeout(timeout):
-                response = await self._post(relay, QUESTIONS_PATH, question)
+                response = await self._post(proxy, QUESTIONS_PATH, question)
                 async with response:
-                    return await _read_message(response, relay)
+                    return await _read_message(response, proxy)
         except (TimeoutError, errors.BackendError) as error:
-            raise errors.RelayRefusedError(
-                f'no answer: {error}', 'relay', relay
+            raise errors.ProxyRefusedError(
+                f'no answer: {error}', 'proxy', proxy
             ) from error
 
     async def _post(
-        self, relay: str, path: str, message: messages.Message
+        self, proxy: str, path: str, message: messages.Message
     ) -> aiohttp.ClientResponse:
         try:
             return await self.session.post(
-                f'http://{relay}{path}', data=messages.encode(message)
+                f'http://{proxy}{path}', data=messages.encode(message)
             )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            raise errors.RelayRefusedError(
-                f'{type(error).__name__}: {error}', 'relay', relay
+            raise errors.ProxyRefusedError(
+                f'{type(error).__name__}: {error}', 'proxy', proxy
             ) from error
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'send', relay) from error
+            raise _to_backend_error(error, 'send', proxy) from error
 
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
 
 
-async def _read_message(response: aiohttp.ClientResponse, relay: str) -> t.Any:
+async def _read_message(response: aiohttp.ClientResponse, proxy: str) -> t.Any:
     try:
         prefix = await response.content.readexactly(_LENGTH.size)
         (length,) = _LENGTH.unpack(prefix)
         return messages.decode(await response.content.readexactly(length))
     except (*_HTTP_ERRORS, errors.PeerError) as error:
-        raise _to_backend_error(error, 'send', relay) from error
+        raise _to_backend_error(error, 'send', proxy) from error
 
 
 def _to_backend_error(
-    error: BaseException, step: str, relay: str
+    error: BaseException, step: str, proxy: str
 ) -> errors.BackendError:
     reason = ' '.join(f'{type(error).__name__}: {error}'.split())
-    return errors.BackendError(f'relay {relay}: {reason}', step, relay)
+    return errors.BackendError(f'proxy {proxy}: {reason}', step, proxy)
 
 
 def _to_error(
-    failure: messages.RelayFailure, address: str
+    failure: messages.ProxyFailure, address: str
 ) -> errors.BulrushholdError:
     match failure.kind:
-        case messages.RelayFailureKind.REFUSED:
-            return errors.RelayRefusedError(failure.reason, 'relay', address)
-        case messages.RelayFailureKind.PERMIT:
+        case messages.ProxyFailureKind.REFUSED:
+            return errors.ProxyRefusedError(failure.reason, 'proxy', address)
+        case messages.ProxyFailureKind.PERMIT:
             return errors.NoPermitError(
                 failure.reason, 'permit', address, failure.wait_s
             )
-        case messages.RelayFailureKind.BLOCKED:
+        case messages.ProxyFailureKind.BLOCKED:
             return errors.RequestBlockedError(
                 failure.reason, failure.step, address
             )
     return errors.BackendError(failure.reason, failure.step, address)
 
 
-class RelayServer:
+class PeerProxyServer:
     """Serves other entries.
 
-    :ivar in_progress: number of requests being relayed.
+    :ivar in_progress: number of requests being proxied.
     """
 
-    def __init__(self, handler: calls.RelayHandler) -> None:
+    def __init__(self, handler: calls.PeerProxyHandler) -> None:
         self.handler = handler
         self.in_progress = 0
         self.server = web.Server(
@@ -198,8 +198,8 @@
         self.in_progress += 1
         try:
             message = messages.decode(await request.read())
-            if isinstance(message, messages.RelayedAttempt):
-                return await self._relay(request, message)
+            if isinstance(message, messages.ProxiedAttempt):
+                return await self._proxy(request, message)
             answer = await self.handler.answer(message)
             return web.Response(body=_frame(answer))
         except errors.PeerError as error:
@@ -207,8 +207,8 @@
         finally:
             self.in_progress -= 1
 
-    async def _relay(
-        self, request: web.BaseRequest, message: messages.RelayedAttempt
+    async def _proxy(
+        self, request: web.BaseRequest, message: messages.ProxiedAttempt
     ) -> web.StreamResponse:
         try:
             backend = await self.handler.send(message.call, message.attempt)
@@ -219,7 +219,7 @@
         response.enable_chunked_encoding()
         try:
             await response.prepare(request)
-            await response.write(_frame(messages.RelayedHead(backend.head)))
+            await response.write(_frame(messages.ProxiedHead(backend.head)))
             while chunk := await backend.chunk():
                 await response.write(chunk)
             await response.write_eof()
@@ -233,10 +233,10 @@
 
     def _to_failure(
         self, error: errors.BulrushholdError, instance: str
-    ) -> messages.RelayFailure:
-        kinds = messages.RelayFailureKind
+    ) -> messages.ProxyFailure:
+        kinds = messages.ProxyFailureKind
         wait_s = 0.0
-        if isinstance(error, errors.RelayRefusedError):
+        if isinstance(error, errors.ProxyRefusedError):
             kind = kinds.REFUSED
         elif isinstance(error, errors.NoPermitError):
             kind = kinds.PERMIT
@@ -245,4 +245,4 @@
             kind = kinds.BLOCKED
         else:
             kind = kinds.BACKEND
-        return messages.RelayFailure(kind, error.reason, error.step, wait_s)
+        return messages.ProxyFailure(kind, error.reason, error.step, wait_s)
--- a/tests/forwarding/test_relaying.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -18,10 +18,10 @@
 CONNECT_ERROR = fakes.Script(error='connect')
 
 
-class FakeRelays(calls.RelayClient):
+class FakeProxies(calls.PeerProxyClient):
     """Sends through other entries' clients.
 
-    :ivar clients: by relay address; an entry without one refuses.
+    :ivar clients: by proxy address; an entry without one refuses.
     """
 
     def __init__(self):
@@ -29,35 +29,35 @@
         self.asked = []
         self.denied = None
 
-    async def send(self, relay, call, attempt):
-        self.asked.append(relay)
+    async def send(self, proxy, call, attempt):
+        self.asked.append(proxy)
         if self.denied is not None:
             raise self.denied
-        if relay not in self.clients:
-            raise errors.RelayRefusedError('cut off', 'relay', relay)
-        return await self.clients[relay].send(call, attempt)
-
-    async def ask(self, relay, question, timeout):
-        self.asked.append(relay)
-        if relay not in self.clients:
-            raise errors.RelayRefusedError('cut off', 'relay', relay)
-        client = self.clients[relay]
+        if proxy not in self.clients:
+            raise errors.ProxyRefusedError('cut off', 'proxy', proxy)
+        return await self.clients[proxy].send(call, attempt)
+
+    async def ask(self, proxy, question, timeout):
+        self.asked.append(proxy)
+        if proxy not in self.clients:
+            raise errors.ProxyRefusedError('cut off', 'proxy', proxy)
+        client = self.clients[proxy]
         alive = await client.accepts_connections(question.address, timeout)
-        return messages.RelayAnswer(alive)
+        return messages.ProxyAnswer(alive)
 
     async def close(self):
         pass
 
 
 @pytest.fixture
-def relays():
-    return FakeRelays()
+def proxies():
+    return FakeProxies()
 
 
 @pytest.fixture
 def entries():
     return [
-        messages.ListedEntry(f'e{n}', 'dc', f'c{n}', True, f'relay{n}')
+        messages.ListedEntry(f'e{n}', 'dc', f'c{n}', True, f'proxy{n}')
         for n in range(1, 4)
     ]
 
@@ -70,13 +70,13 @@
 
 
 @pytest.fixture
-def relaying(client, context, relays, entries, monitor):
-    client_of_entry = forwarding.RelayingClient(
+def proxying(client, context, proxies, entries, monitor):
+    client_of_entry = forwarding.ProxyingClient(
         client,
-        relays,
+        proxies,
         monitor,
         context.placement,
-        decisions.RelayPeers('e1'),
+        decisions.ProxyPeers('e1'),
         lambda: entries,
         node.NullMetrics(),
     )
@@ -89,20 +89,20 @@
     client.scripts = [CONNECT_ERROR] * 20
 
 
-def connect(relays, *scripts):
+def connect(proxies, *scripts):
     """Let the second and third entry reach the servers."""
     peer = fakes.FakeClient()
     peer.scripts = list(scripts) or [fakes.Script()] * 20
-    relays.clients = {'relay2': peer, 'relay3': peer}
+    proxies.clients = {'proxy2': peer, 'proxy3': peer}
     return peer
 
 
 @pytest.mark.parametrize('kind', [routes.Kind.IDEMPOTENT, routes.Kind.ONCE])
 async def test_a_request_is_sent_through_an_entry_that_reaches_servers(
-    client, context, relaying, relays, kind
+    client, context, proxying, proxies, kind
 ):
     cut_off(client)
-    peer = connect(relays)
+    peer = connect(proxies)
     for _ in range(3):
         reply = await fakes.run_plain(context, kind)
         assert reply.status == 200
@@ -113,57 +113,57 @@
 
 
 async def test_a_stream_resumes_through_another_entry(
-    client, context, relaying, relays
+    client, context, proxying, proxies
 ):
     # Guards against an entry that loses all engines in the middle of a stream.
     client.scripts = [fakes.Script(events=(1, 2), then='crash')]
     client.scripts += [CONNECT_ERROR] * 20
     client.dead |= {f'10.0.0.{n}:80' for n in range(SERVERS)}
-    connect(relays, fakes.Script(events=(3,)))
+    connect(proxies, fakes.Script(events=(3,)))
     caller, _ = await fakes.run_stream(context)
     assert caller.data == fakes.encode_events(1, 2, 3)
     assert caller.ended
 
 
 async def test_a_refused_connection_alone_is_a_lost_engine(
-    client, context, relaying, relays
+    client, context, proxying, proxies
 ):
     # Guards against requests that take a detour beside a crashed engine.
     client.scripts = [CONNECT_ERROR, fakes.Script(events=(1,))]
-    connect(relays)
+    connect(proxies)
     caller, _ = await fakes.run_stream(context)
     assert caller.ended
-    assert relays.asked == []
+    assert proxies.asked == []
     assert len(context.placement.pending_losses) == 1
 
 
 async def test_an_entry_that_is_cut_off_too_is_not_asked_again(
-    client, context, relaying, relays
+    client, context, proxying, proxies
 ):
     cut_off(client)
-    connect(relays)
-    del relays.clients['relay2']
+    connect(proxies)
+    del proxies.clients['proxy2']
     for _ in range(6):
         await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
-    assert relays.asked.count('relay2') <= 1
+    assert proxies.asked.count('proxy2') <= 1
 
 
 async def test_a_listed_entry_that_reaches_no_server_is_not_asked(
-    client, context, relaying, relays, entries
+    client, context, proxying, proxies, entries
 ):
     cut_off(client)
-    connect(relays)
+    connect(proxies)
     entries[1] = messages.ListedEntry(
-        'e2', 'dc', 'c2', True, 'relay2', ('engines',)
+        'e2', 'dc', 'c2', True, 'proxy2', ('engines',)
     )
     for _ in range(6):
         await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
-    assert set(relays.asked) == {'relay3'}
+    assert set(proxies.asked) == {'proxy3'}
 
 
 @pytest.mark.parametrize('kind', list(routes.Kind))
 async def test_a_request_that_no_entry_can_send_is_refused_at_once(
-    client, context, relaying, relays, kind
+    client, context, proxying, proxies, kind
 ):
     # Guards against a caller that waits while no engine can be reached.
     cut_off(client)
@@ -182,35 +182,35 @@
     assert context.placement.pending_losses == []
 
 
-async def test_a_request_that_may_run_once_is_not_relayed_twice(
-    client, context, relaying, relays
+async def test_a_request_that_may_run_once_is_not_proxied_twice(
+    client, context, proxying, proxies
 ):
-    # Guards against a second run after a relay failed with the first one.
+    # Guards against a second run after a proxy failed with the first one.
     cut_off(client)
-    peer = connect(relays, fakes.Script(error='send'))
+    peer = connect(proxies, fakes.Script(error='send'))
     with pytest.raises(errors.RequestError) as caught:
         await fakes.run_plain(context, routes.Kind.ONCE)
     assert caught.value.ran is errors.Ran.UNKNOWN
     assert len(peer.attempts) == 1
 
 
-async def test_a_server_that_allows_the_relay_no_request_is_left_out(
-    client, context, relaying, relays
+async def test_a_server_that_allows_the_proxy_no_request_is_left_out(
+    client, context, proxying, proxies
 ):
-    # Guards against requests that go round between a server and its relay.
+    # Guards against requests that go round between a server and its proxy.
     cut_off(client)
-    relays.denied = errors.NoPermitError('backoff', 'permit', '', 30.0)
+    proxies.denied = errors.NoPermitError('backoff', 'permit', '', 30.0)
     with pytest.raises(errors.RequestError) as caught:
         await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
     assert caught.value.ran is errors.Ran.NO
-    assert len(relays.asked) == SERVERS
+    assert len(proxies.asked) == SERVERS
 
 
 async def test_the_entry_uses_its_own_connections_once_they_work_again(
-    client, context, relaying, relays, monitor
+    client, context, proxying, proxies, monitor
 ):
     cut_off(client)
-    connect(relays)
+    connect(proxies)
     watch = asyncio.ensure_future(monitor.watch())
     await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
     client.dead.clear()
@@ -218,9 +218,9 @@
     while monitor.is_cut_off('engines'):
         await asyncio.sleep(0.01)
     watch.cancel()
-    before = len(relays.asked)
+    before = len(proxies.asked)
     await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
-    assert len(relays.asked) == before
+    assert len(proxies.asked) == before
 
 
 def test_the_sample_spreads_over_data_centres(context):
@@ -232,14 +232,14 @@
     assert '10.0.0.1:80' not in sample
 
 
-def test_the_relays_of_many_servers_are_spread(entries):
-    peers = decisions.RelayPeers('e1')
+def test_the_proxies_of_many_servers_are_spread(entries):
+    peers = decisions.ProxyPeers('e1')
     first = [
         peers.order(entries, 'engines', f'10.0.0.{n}:80', 0.0)[0]
         for n in range(100)
     ]
-    assert 30 < first.count('relay2') < 70
-    assert 'relay1' not in first
+    assert 30 < first.count('proxy2') < 70
+    assert 'proxy1' not in first
 
 
 async def test_an_entry_without_servers_leaves_the_directory(fleet, context):
@@ -274,7 +274,7 @@
 def handler(client, context, fleet, monitor):
     reply = fakes.make_reply()
     fleet.index = routes.RouteIndex(messages.unpack_map(reply.route_map))
-    return forwarding.DirectRelayHandler(
+    return forwarding.DirectProxyHandler(
         forwarding.PermitCheckingClient(
             client, context.placement, context.poison_requests
         ),
@@ -291,10 +291,10 @@
     )
 
 
-async def test_a_relay_keeps_to_what_servers_demand_of_it(
+async def test_a_proxy_keeps_to_what_servers_demand_of_it(
     client, context, handler
 ):
-    # Guards against requests of this entry after a demand made to a relay.
+    # Guards against requests of this entry after a demand made to a proxy.
     client.scripts = [fakes.Script(503, backoff=calls.Backoff(30.0))]
     call, attempt = make_attempt(context)
     await handler.send(call, attempt)
@@ -305,21 +305,21 @@
     assert handler.wait_s('i1') > 29.0
 
 
-async def test_a_relay_that_is_cut_off_refuses(client, context, handler):
+async def test_a_proxy_that_is_cut_off_refuses(client, context, handler):
     cut_off(client)
     call, attempt = make_attempt(context)
-    with pytest.raises(errors.RelayRefusedError):
+    with pytest.raises(errors.ProxyRefusedError):
         await handler.send(call, attempt)
 
 
-async def test_a_relay_sends_only_to_listed_servers(context, handler):
+async def test_a_proxy_sends_only_to_listed_servers(context, handler):
     # Guards against an entry that forwards to any address.
     call, _ = make_attempt(context)
     attempt = calls.Attempt('10.9.9.9:80', 'i99', 'acct', 1.0)
-    with pytest.raises(errors.RelayRefusedError):
+    with pytest.raises(errors.ProxyRefusedError):
         await handler.send(call, attempt)
     listed = calls.Attempt('10.9.9.9:80', 'i1', 'acct', 1.0)
-    with pytest.raises(errors.RelayRefusedError):
+    with pytest.raises(errors.ProxyRefusedError):
         await handler.send(call, listed)
 
 
--- a/tests/test_relay_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -44,7 +44,7 @@
         self.closed.set()
 
 
-class ScriptedHandler(calls.RelayHandler):
+class ScriptedHandler(calls.PeerProxyHandler):
     def __init__(self):
         self.response = None
         self.received = []
@@ -57,7 +57,7 @@
 
     async def answer(self, question):
         self.received.append(question)
-        return messages.RelayAnswer(True, frozenset({'p'}))
+        return messages.ProxyAnswer(True, frozenset({'p'}))
 
     def wait_s(self, instance):
         return 3.0
@@ -69,8 +69,8 @@
 
 
 @pytest_asyncio.fixture
-async def relay(handler):
-    server = adapters.RelayServer(handler)
+async def proxy(handler):
+    server = adapters.PeerProxyServer(handler)
     (port,) = testing.free_ports(1)
     await server.start('127.0.0.1', port)
     yield f'127.0.0.1:{port}'
@@ -79,36 +79,36 @@
 
 @pytest_asyncio.fixture
 async def client():
-    relay_client = adapters.HttpRelayClient()
-    yield relay_client
-    await relay_client.close()
+    proxy_client = adapters.HttpPeerProxyClient()
+    yield proxy_client
+    await proxy_client.close()
 
 
 async def test_call_attempt_head_and_body_pass_unchanged(
-    client, relay, handler
+    client, proxy, handler
 ):
     handler.response = ScriptedResponse(b'one', b'two')
-    response = await client.send(relay, CALL, ATTEMPT)
+    response = await client.send(proxy, CALL, ATTEMPT)
     assert response.head == HEAD
     assert await response.body() == b'onetwo'
     assert handler.received == [(CALL, ATTEMPT)]
 
 
 async def test_an_empty_body_leaves_the_connection_usable(
-    client, relay, handler
+    client, proxy, handler
 ):
     # Guards against the next response of a connection that is thrown away.
     for body in (b'', b'x', b'', b'y'):
         handler.response = ScriptedResponse(*([body] if body else []))
-        response = await client.send(relay, CALL, ATTEMPT)
+        response = await client.send(proxy, CALL, ATTEMPT)
         assert await response.body() == body
 
 
-async def test_a_response_that_breaks_off_is_not_whole(client, relay, handler):
+async def test_a_response_that_breaks_off_is_not_whole(client, proxy, handler):
     # Guards against a truncated body that looks complete.
     lost = errors.BackendError('reset', 'answer', '')
     handler.response = ScriptedResponse(b'one', lost)
-    response = await client.send(relay, CALL, ATTEMPT)
+    response = await client.send(proxy, CALL, ATTEMPT)
     with pytest.raises(errors.BackendError):
         await response.body()
 
@@ -116,45 +116,45 @@
 @pytest.mark.parametrize(
     'error',
     [
-        errors.RelayRefusedError('cut off', 'relay', ''),
+        errors.ProxyRefusedError('cut off', 'proxy', ''),
         errors.NoPermitError('backoff', 'permit', '', 3.0),
         errors.RequestBlockedError('blocked', 'permit', ''),
         errors.BackendError('refused', 'connect', ''),
         errors.BackendError('reset', 'send', ''),
     ],
 )
-async def test_errors_keep_their_type_and_step(client, relay, handler, error):
+async def test_errors_keep_their_type_and_step(client, proxy, handler, error):
     handler.response = error
     with pytest.raises(errors.BulrushholdError) as caught:
-        await client.send(relay, CALL, ATTEMPT)
+        await client.send(proxy, CALL, ATTEMPT)
     assert type(caught.value) is type(error)
     assert caught.value.step == error.step
     assert getattr(caught.value, 'wait_s', 3.0) == 3.0
 
 
 async def test_closing_a_response_ends_the_request_to_the_server(
-    client, relay, handler
+    client, proxy, handler
 ):
     # Guards against engines that work on for a caller who has left.
     handler.response = ScriptedResponse(b'one', None)
-    response = await client.send(relay, CALL, ATTEMPT)
+    response = await client.send(proxy, CALL, ATTEMPT)
     assert await response.chunk() == b'one'
     response.close()
     async with asyncio.timeout(0.4):
         await handler.response.closed.wait()
 
 
-async def test_a_relay_that_does_not_listen_has_sent_nothing(client):
+async def test_a_proxy_that_does_not_listen_has_sent_nothing(client):
     (port,) = testing.free_ports(1)
     address = f'127.0.0.1:{port}'
-    with pytest.raises(errors.RelayRefusedError):
+    with pytest.raises(errors.ProxyRefusedError):
         await client.send(address, CALL, ATTEMPT)
-    with pytest.raises(errors.RelayRefusedError):
-        await client.ask(address, messages.RelayedConnect('a', 1.0), 0.5)
+    with pytest.raises(errors.ProxyRefusedError):
+        await client.ask(address, messages.ProxiedConnect('a', 1.0), 0.5)
 
 
-async def test_questions_are_answered(client, relay, handler):
-    question = messages.RelayedSegmentsRead('10.0.0.1:80', 0.5)
-    answer = await client.ask(relay, question, 0.5)
-    assert answer == messages.RelayAnswer(True, frozenset({'p'}))
+async def test_questions_are_answered(client, proxy, handler):
+    question = messages.ProxiedSegmentsRead('10.0.0.1:80', 0.5)
+    answer = await client.ask(proxy, question, 0.5)
+    assert answer == messages.ProxyAnswer(True, frozenset({'p'}))
     assert handler.received == [question]
