--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -63,6 +63,8 @@
     :ivar leaving: its answers say that it is shutting down.
     :ivar arrivals: when each request reached it, by the event loop's clock.
     :ivar queue_s: how long a request waits in its queue.
+    :ivar work_s: how long a plain request runs; random if not set.
+    :ivar statements: headers of all its answers.
     :ivar down_s: how long it is down after a crash under a poison request.
     """
 
@@ -84,6 +86,8 @@
         self.leaving = False
         self.arrivals = []
         self.queue_s = 0.0
+        self.work_s = None
+        self.statements = {}
         self.down_s = 0.0
         self.proxy = Proxy()
 
@@ -130,7 +134,7 @@
         if request.path.startswith('/bulrushhold/'):
             return web.Response()
         self.arrivals.append(asyncio.get_running_loop().time())
-        headers = {'Bulrushhold-Request-Id': ident}
+        headers = {'Bulrushhold-Request-Id': ident, **self.statements}
         if self.limit is not None:
             headers['Server-Limit'] = str(self.limit)
         if self.leaving:
@@ -165,7 +169,7 @@
         if request.path.startswith(STREAM_PATH):
             return await self._stream(request, ident, headers)
         self.plain_requests += 1
-        await asyncio.sleep(self.rng.random() * 0.02)
+        await asyncio.sleep(self.work_s or self.rng.random() * 0.02)
         if self.rng.random() < self.error_rate:
             return web.Response(status=500, headers=headers)
         return web.Response(
