Entries share the room of brittle servers

Servers that say that they are brittle fell over under more requests than they had room for: entries sent by their own loads and what others had reported, rejected requests went on to the next server, and each rejection counted towards the server's fall.

Each request to a brittle server needs a place now. All entries ask the server's home, the control process that also grants its permits; requests wait there in order for up to half of their aim, and are refused as not run after that. What an entry holds is soft state: each message states it anew, grants on their way count, a lost reply starts a new epoch, and a lost entry's places are free after 1.5 s. A new home grants nothing for 0.25 s, until entries have reported. What one server of a service says holds for all of them. The whole wait of a request for permits and places is bounded from its start; it was bound for each try. Logs 'service brittle', 'service no longer brittle', 'no place'; the gauge services.brittle and the counter places.denied.

Six entries, six servers of 4 slots, twice their load, 8 s; idempotent, at most once, each steadily and in spikes.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -123,6 +123,16 @@
     seconds: float | None
 
 
+@attrs.frozen
+class Brittleness:
+    """The server fails if it has to reject many requests for want of room.
+
+    :param rejections_per_s: what it bears; ``None`` if the value is malformed.
+    """
+
+    rejections_per_s: float | None
+
+
 @attrs.frozen
 class ResponseHead:
     """Status and headers of a backend server's response.
@@ -136,6 +146,7 @@
     :param limit: the request limit that the response names, if any.
     :param backoff: how long the server wants no requests of this entry.
     :param leaving: the server is shutting down and wants no new requests.
+    :param brittleness: set while the server is brittle.
     """
 
     status: int
@@ -148,6 +159,7 @@
     limit: RequestLimit | None = None
     backoff: Backoff | None = None
     leaving: bool = False
+    brittleness: Brittleness | None = None
 
 
 class BackendResponse(abc.ABC):
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -119,6 +119,12 @@
         poison_requests.on_verdict = forwarding.make_crash_listener(
             self.metrics
         )
+        places = forwarding.ControlPlaces(
+            self.transport,
+            placement,
+            config.name,
+            lambda: self.fleet.servers.nodes,
+        )
         context = forwarding.ForwardingContext(
             placement,
             self.client,
@@ -130,6 +136,7 @@
             forwarding.ControlPermitSource(
                 self.transport, lambda: self.fleet.servers.nodes
             ),
+            places=places,
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         self.ingress = adapters.Ingress(
@@ -157,6 +164,9 @@
         self.background.append(
             _background.start_background_task(monitor.watch())
         )
+        self.background.append(
+            _background.start_background_task(places.refresh())
+        )
         if config.proxy is not None:
             await self.proxy_server.start(config.proxy.host, config.proxy.port)
         await self.ingress.start(config.callers.host, config.callers.port)
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -5,6 +5,7 @@
 from bulrushhold.control import _clusterview
 from bulrushhold.control import _leaderclient
 from bulrushhold.control import _permits
+from bulrushhold.control import _places
 from bulrushhold.control import _relay
 from bulrushhold.control import _rollouts
 from bulrushhold.control import _server
@@ -66,6 +67,7 @@
         )
         self.watch.attach_hooks.append(self._announce)
         self.permits = _permits.PermitServer(server.transport, server.clock)
+        self.places = _places.PlaceServer(server.transport, server.clock)
 
     @property
     def leader_client(self) -> _leaderclient.LeaderClient:
@@ -114,6 +116,7 @@
         )
         self.watch.attach_hooks.append(self.follower.announce)
         self.permits = _permits.PermitServer(relay.transport, relay.clock)
+        self.places = _places.PlaceServer(relay.transport, relay.clock)
 
     async def run(self) -> None:
         """Serve until cancelled."""
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -7,6 +7,7 @@
 from bulrushhold.decisions._admissioncontrol import CapacityEstimate
 from bulrushhold.decisions._admissioncontrol import retry_after_s
 from bulrushhold.decisions._backendserver import BackendServer
+from bulrushhold.decisions._brittleservices import BrittleServices
 from bulrushhold.decisions._claims import ClaimState
 from bulrushhold.decisions._configchanges import new_identity
 from bulrushhold.decisions._configchanges import next_config
@@ -28,6 +29,7 @@
 from bulrushhold.decisions._loadaggregator import LoadAggregator
 from bulrushhold.decisions._permithome import permit_home_address
 from bulrushhold.decisions._permithome import PermitHome
+from bulrushhold.decisions._placehome import PlaceHome
 from bulrushhold.decisions._placement import Placement
 from bulrushhold.decisions._poisonrequests import CrashVerdict
 from bulrushhold.decisions._poisonrequests import fingerprint
@@ -99,6 +101,7 @@
     'AdmissionDecision',
     'BackendServer',
     'BackendState',
+    'BrittleServices',
     'CapacityEstimate',
     'Choice',
     'ClaimState',
@@ -125,6 +128,7 @@
     'PauseSamples',
     'PermitHome',
     'PersistedState',
+    'PlaceHome',
     'Placement',
     'PointerSummary',
     'PoisonRequestDetector',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -141,6 +141,10 @@
         """Whether a server shuts down, by the list or by its own word."""
         return backend.leaving or backend.ident in self.demands.leaving
 
+    def is_brittle(self, backend: _backendserver.BackendServer) -> bool:
+        """Whether a server fails if it has to reject many requests."""
+        return backend.service in self.demands.brittle
+
     def allowing(
         self, servers: list[_backendserver.BackendServer], now: float
     ) -> list[_backendserver.BackendServer]:
--- a/src/bulrushhold/decisions/_serverdemands.py
+++ b/src/bulrushhold/decisions/_serverdemands.py
@@ -4,6 +4,7 @@
 import random
 
 from bulrushhold.decisions import _backoffs
+from bulrushhold.decisions import _brittleservices
 from bulrushhold.decisions import _leaving
 from bulrushhold.decisions import _requestlimits
 
@@ -15,6 +16,7 @@
         self.limits = _requestlimits.RequestLimits(random.Random())
         self.backoffs = _backoffs.Backoffs()
         self.leaving = _leaving.LeavingServers()
+        self.brittle = _brittleservices.BrittleServices()
         self.malformed: set[tuple[str, str]] = set()
 
     def is_held(self, ident: str, now: float) -> bool:
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -10,6 +10,8 @@
 from bulrushhold.forwarding._forwarder import Forwarder
 from bulrushhold.forwarding._permitcheck import PermitCheckingClient
 from bulrushhold.forwarding._permitsource import ControlPermitSource
+from bulrushhold.forwarding._places import ControlPlaces
+from bulrushhold.forwarding._places import PlaceSource
 from bulrushhold.forwarding._plain import PlainForwarder
 from bulrushhold.forwarding._proxyhandler import DirectProxyHandler
 from bulrushhold.forwarding._proxyingclient import ProxyingClient
@@ -18,6 +20,7 @@
 
 __all__ = [
     'ControlPermitSource',
+    'ControlPlaces',
     'DirectProxyHandler',
     'Event',
     'EventSplitter',
@@ -26,6 +29,7 @@
     'ForwardingContext',
     'Job',
     'PermitCheckingClient',
+    'PlaceSource',
     'PlainForwarder',
     'ProxyingClient',
     'ReachabilityMonitor',
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -9,6 +9,7 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _places
 from bulrushhold.forwarding import _running
 from bulrushhold import node
 from bulrushhold import ports
@@ -23,6 +24,7 @@
 
     :param entry: name of this entry.
     :param permit_source: grants permits for servers with a request limit.
+    :param places: gets places at brittle servers.
     :ivar running: the requests that end as they become blocked.
     """
 
@@ -35,6 +37,7 @@
     entry: str
     permit_source: ports.PermitSource
     clock: cabc.Callable[[], float] = time.monotonic
+    places: _places.PlaceSource = attrs.field(factory=_places.UnlimitedPlaces)
     running: _running.RunningRequests = attrs.field(init=False)
 
     @running.default
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -47,6 +47,12 @@
         backend = self.placement.backends.get(ident)
         if backend is not None and self.placement.is_leaving(backend):
             raise errors.NoPermitError('leaving', 'permit', attempt.address)
+        if (
+            backend is not None
+            and not attempt.permitted
+            and self.placement.is_brittle(backend)
+        ):
+            raise errors.NoPermitError('no place', 'permit', attempt.address)
         if self.placement.demands.backoffs.is_active(ident, self.clock()):
             raise errors.NoPermitError('backoff', 'permit', attempt.address)
         return await self.client.send(call, attempt)
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -24,6 +24,9 @@
 # streams of which the caller has received events.
 MAX_WAIT_SHARE: t.Final = 0.25
 MIN_RETRY_AFTER_S: t.Final = 0.5
+# Time for which an entry leaves a brittle server out that has no place for it;
+# longer if a request has waited for one in vain.
+MIN_PLACE_HOLD_S: t.Final = 0.05
 MAX_RELEASE_DELAY_S: t.Final = 0.1
 
 
@@ -60,9 +63,33 @@
 ) -> Permission:
     """Return whether a request may be sent to a server now.
 
-    Waits for a permit that is due in time. Without one, nothing is sent to
-    the server until its limit allows it.
+    Waits for a permit, or a place, that is due in time. Without one, nothing
+    is sent to the server for a while.
     """
+    permission = await _acquire_permit(context, job, ident, max_wait_s)
+    backend = context.placement.backends.get(ident)
+    if (
+        permission is Permission.DENIED
+        or backend is None
+        or not context.placement.is_brittle(backend)
+    ):
+        return permission
+    if await context.places.take(backend, max_wait_s):
+        return Permission.PERMIT
+    hold_s = max(MIN_PLACE_HOLD_S, max_wait_s) * (1 + random.random())
+    context.placement.demands.backoffs.record(ident, hold_s, context.clock())
+    context.metrics.count('places.denied')
+    _context.log(job, 'no place', backend=ident, hold_s=round(hold_s, 3))
+    return Permission.DENIED
+
+
+async def _acquire_permit(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    max_wait_s: float,
+) -> Permission:
+    """Return whether a server's request limit and backoff allow a request."""
     limits = context.placement.demands.limits
     if context.placement.demands.backoffs.is_active(ident, context.clock()):
         return Permission.DENIED
@@ -149,9 +176,11 @@
     demands = context.placement.demands
     # Servers that gave no permit although the request can wait.
     denied: set[str] = set()
+    started_at = context.clock()
+    wait_until = started_at + _max_wait_s(job, started_at, begun=begun)
     while True:
         now = context.clock()
-        max_wait_s = _max_wait_s(job, now, begun=begun)
+        max_wait_s = max(0.0, wait_until - now)
         backend = choose()
         if backend is None:
             backend = context.placement.next_held(job.service, now, tried)
@@ -167,7 +196,7 @@
             if is_resting or backend.ident in denied:
                 await asyncio.sleep(max(0.0, wait_s) + _release_delay_s())
                 continue
-        elif demands.limits.current(backend.ident) is None:
+        elif not _needs_permit(context, backend):
             return PermittedChoice(backend)
         elif _has_alternative(context, job, backend, tried):
             max_wait_s = 0.0
@@ -179,6 +208,14 @@
             denied.add(backend.ident)
 
 
+def _needs_permit(
+    context: _context.ForwardingContext, backend: decisions.BackendServer
+) -> bool:
+    limits = context.placement.demands.limits
+    is_limited = limits.current(backend.ident) is not None
+    return is_limited or context.placement.is_brittle(backend)
+
+
 def _has_alternative(
     context: _context.ForwardingContext,
     job: _context.Job,
--- a/src/bulrushhold/forwarding/_places.py
+++ b/src/bulrushhold/forwarding/_places.py
@@ -104,7 +104,7 @@
         server = self._server(backend.ident)
         epoch = server.epoch
         ask = messages.PlaceAsk(
-            self._report(backend), backend.slots, max_wait_s
+            self._report(backend), max(1, backend.slots), max_wait_s
         )
         try:
             grant = await self.transport.request(
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -179,6 +179,7 @@
         self.context.placement.versions.count_exposed(backend)
         started = self.context.clock()
         backend.inflight += 1
+        self.context.places.use(backend.ident)
         task = asyncio.ensure_future(self._exchange(backend, has_permit))
         # The outcome of a request that must not be repeated is worth more than
         # its server.
@@ -198,6 +199,7 @@
                 # the request at once.
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
+            self.context.places.release(backend)
         if result.permitted:
             seconds = self.context.clock() - started
             crashed = result.broken_off and await self._has_crashed(backend)
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -23,12 +23,42 @@
         return
     if head.from_backend or head.limit is not None:
         _record_limit(context, job, ident, head.limit, sent_at)
+    if head.from_backend or head.brittleness is not None:
+        _record_brittleness(context, job, ident, head.brittleness, sent_at)
     if head.leaving:
         _record_leaving(context, job, ident)
     if head.backoff is not None:
         _record_backoff(context, job, ident, head.backoff)
 
 
+def _record_brittleness(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    brittleness: calls.Brittleness | None,
+    sent_at: float,
+) -> None:
+    brittle = context.placement.demands.brittle
+    if brittleness is None:
+        changed = brittle.record(job.service, None, sent_at)
+    elif brittleness.rejections_per_s is None:
+        _log_malformed(context, job, ident, 'brittleness')
+        return
+    else:
+        changed = brittle.record(
+            job.service, brittleness.rejections_per_s, context.clock()
+        )
+    if changed:
+        context.metrics.gauge('services.brittle', len(brittle.statements))
+        _context.log(
+            job,
+            'service brittle' if brittleness else 'service no longer brittle',
+            service=job.service,
+            backend=ident,
+            rejections_per_s=brittleness and brittleness.rejections_per_s,
+        )
+
+
 def _record_leaving(
     context: _context.ForwardingContext, job: _context.Job, ident: str
 ) -> None:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -346,6 +346,7 @@
         self.backup_since = self.context.clock()
         unread_tokens = 0 if copy else self.tokens
         self.context.placement.stream_started(engine, unread_tokens)
+        self.context.places.use(engine.ident)
         self.context.placement.versions.count_exposed(engine)
         engine.memory += self.memory
         if backup is not None:
@@ -380,6 +381,7 @@
             self.context.placement.stream_ended(
                 engine, engine_stream.unread_tokens
             )
+            self.context.places.release(engine)
             engine.memory -= self.memory
             if engine_stream.backup is not None:
                 engine_stream.backup.memory -= self.memory
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -69,6 +69,9 @@
 from bulrushhold.messages._peerproxy import ProxyAnswer
 from bulrushhold.messages._peerproxy import ProxyFailure
 from bulrushhold.messages._peerproxy import ProxyFailureKind
+from bulrushhold.messages._places import PlaceAsk
+from bulrushhold.messages._places import PlaceGrant
+from bulrushhold.messages._places import PlaceReport
 from bulrushhold.messages._rollouts import OrderStatus
 from bulrushhold.messages._rollouts import Rollout
 from bulrushhold.messages._rollouts import RolloutEnd
@@ -149,6 +152,9 @@
     'OrderStatus',
     'PermitAsk',
     'PermitGrant',
+    'PlaceAsk',
+    'PlaceGrant',
+    'PlaceReport',
     'PointerState',
     'PointerTake',
     'Probe',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -11,6 +11,7 @@
 from bulrushhold.messages import _fleet
 from bulrushhold.messages import _log
 from bulrushhold.messages import _peerproxy
+from bulrushhold.messages import _places
 from bulrushhold.messages import _rollouts
 from bulrushhold.messages import _state
 from bulrushhold import routes
@@ -85,6 +86,9 @@
     _peerproxy.ProxiedCopy,
     _peerproxy.ProxiedCopyDrop,
     _peerproxy.ProxyAnswer,
+    _places.PlaceAsk,
+    _places.PlaceGrant,
+    _places.PlaceReport,
     _rollouts.RolloutOrder,
     _rollouts.RolloutStart,
     _rollouts.RolloutOutcome,
--- a/tests/platform/test_brittle_processes.py
+++ b/tests/platform/test_brittle_processes.py
@@ -72,6 +72,7 @@
             self._start_task(self._send_request(self.path))
             await asyncio.sleep(self.rng.expovariate(rate))
         self.falls = sum(engine.fallen for engine in self.engines)
+        self.served = self.report.served
 
     async def _check_recovery(self):
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -87,7 +88,8 @@
         brittle_run = BrittleRun(tmp_path, network.number, path, spikes)
         report = await brittle_run.execute()
     possible = CAPACITY_PER_S * DURATION_S
-    print(f'{brittle_run.falls=} {report.served=} {report.sent=} {possible=}')
+    served = brittle_run.served
+    print(f'{brittle_run.falls=} {served=} {report.sent=} {possible=}')
     assert report.violations == []
     assert brittle_run.falls <= ALLOWED_FALLS
-    assert report.served >= MIN_SERVED_SHARE * possible
+    assert served >= MIN_SERVED_SHARE * possible
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -97,3 +97,21 @@
     headers = multidict.CIMultiDict({'Bulrushhold-Instance-Id': 'i-2'})
     assert dialect.decode_instance(headers) == 'i-2'
     assert dialect.decode_instance(multidict.CIMultiDict()) == ''
+
+
+@pytest.mark.parametrize(
+    ('value', 'rejections_per_s'),
+    [('4', 4.0), ('0', 0.0), ('2.5', 2.5), ('-1', None), ('few', None)],
+)
+def test_brittleness_is_decoded_or_marked_as_malformed(
+    value, rejections_per_s
+):
+    headers = multidict.CIMultiDict({'Server-Brittle': value})
+    head = _enginedialect.PlatformEngineDialect().decode_head(
+        decoding.decode_call(), 200, headers
+    )
+    assert head.brittleness == calls.Brittleness(rejections_per_s)
+
+
+def test_a_response_without_brittleness_is_of_a_robust_server():
+    assert decoding.decode_head().brittleness is None
