A pooled connection expects a response for each request

A request after one that a server had turned away (503, empty) was answered and run, and its answer thrown away: the entry logged ServerDisconnectedError, took the outcome for unknown, repeated it or answered 502.

Cause: the check for data after a complete response asked whether the last body was at its end. An empty one always is, so that the next response passed for extra data. With a body it was worse than known: the HTTP library calls data_received(b'') as a body is read, which closed the connection, so that no connection with a body was ever used twice. Now a response is due from the sending of a request until its end; interim responses (1xx) end nothing, and data at any other time aborts the connection as before. Extra responses, early, late and in one packet, after any kind of response still reach nobody.

The four new cases failed before (empty, 204, interim and empty, unread). The test that a GET isn't repeated had only passed because its second request went on a new connection; it now waits until the first is over and checks that there is one connection. Looked at as well: the entry's ingress, which is a server; the relays of attempts between entries and the product's own engine and service clients use the library's handler, which has no such check; probes and the platform's list share the mended class.

--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -7,22 +7,44 @@
 from aiohttp import client_proto
 
 
+FIRST_FINAL_STATUS: t.Final = 200
+
+
 class _StrictResponseHandler(client_proto.ResponseHandler):
-    """Closes a connection that receives data after a complete response.
+    """Closes a connection that receives data while no response is due.
 
     A faulty backend server may send a second response. On a pooled
     connection it would be read as the response to the next request, and
     reach the wrong caller.
+
+    :ivar response_due: a request was sent, and its response isn't complete.
     """
 
+    response_due = False
+    head_received = False
+
+    def set_response_params(self, **params: t.Any) -> None:
+        """Expect a response; called for each request before it is sent."""
+        self.response_due = True
+        self.head_received = False
+        super().set_response_params(**params)
+
+    def feed_data(self, data: t.Any, size: int = 0) -> None:
+        """Pass the head of a response on; interim ones complete nothing."""
+        if data[0].code >= FIRST_FINAL_STATUS:
+            self.head_received = True
+        super().feed_data(data, size)
+
     def data_received(self, data: bytes) -> None:
-        """Process response data; abort if the response is already complete."""
-        payload = self._payload
-        if payload is not None and payload.is_eof() and self.transport:
+        """Process response data; abort if no response is due."""
+        if data and not self.response_due and self.transport:
             self.force_close()
             self.transport.abort()
             return
         super().data_received(data)
+        payload = self._payload
+        if self.head_received and (payload is None or payload.is_eof()):
+            self.response_due = False
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response without a length if the connection was reset.
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -51,14 +51,19 @@
 
 @attrs.define
 class ScriptedServer:
-    """Answers each request with the next of the given byte strings."""
+    """Answers each request with the next of the given byte strings.
+
+    :ivar connections: number of connections that it has accepted.
+    """
 
     responses: list = attrs.field(factory=list)
     requests: list = attrs.field(factory=list)
     after_response: str = ''
     address: str = ''
+    connections: int = 0
 
     async def serve(self, reader, writer):
+        self.connections += 1
         try:
             while head := await reader.readuntil(b'\r\n\r\n'):
                 self.requests.append(head)
@@ -143,11 +148,13 @@
     # effects here.
     server.responses = [RESPONSE, b'', RESPONSE]
     assert await send_request(client, server) == b'mine'
+    await asyncio.sleep(0.05)
     server.after_response = 'close'
     with pytest.raises(errors.BackendError) as exc_info:
         await send_request(client, server)
     assert exc_info.value.step == 'send'
     assert len(server.requests) == 2
+    assert server.connections == 1
 
 
 async def test_request_target_is_sent_unchanged(client, server):
@@ -208,3 +215,56 @@
         unused.bind(('127.0.0.1', 0))
         host, port = unused.getsockname()
         assert not await client.accepts_connections(f'{host}:{port}', 1.0)
+
+
+EMPTY_RESPONSE = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+NO_CONTENT_RESPONSE = b'HTTP/1.1 204 No Content\r\n\r\n'
+INTERIM_RESPONSE = b'HTTP/1.1 102 Processing\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    'first',
+    [
+        RESPONSE,
+        EMPTY_RESPONSE,
+        NO_CONTENT_RESPONSE,
+        INTERIM_RESPONSE + EMPTY_RESPONSE,
+    ],
+)
+async def test_a_response_after_one_without_a_body_is_received(
+    client, server, first
+):
+    # Guards against a response that passes for data after the one before it.
+    server.responses = [first, RESPONSE, first, first, RESPONSE]
+    bodies = [await send_request(client, server) for _ in range(5)]
+    assert bodies[1] == bodies[4] == b'mine'
+    # They were received on one connection, which is used again.
+    assert server.connections == 1
+
+
+async def test_a_response_after_one_that_was_not_read_is_received(
+    client, server
+):
+    # Guards against the same after a response that was closed unread.
+    server.responses = [RESPONSE] * 4
+    call = calls.Call('r', 'GET', '/a', 'h', '', (), b'', 1.0)
+    for _ in range(3):
+        attempt = calls.Attempt(server.address, 'i', '', 1.0)
+        response = await client.send(call, attempt)
+        await asyncio.sleep(0.05)
+        response.close()
+    assert await send_request(client, server) == b'mine'
+
+
+@pytest.mark.parametrize('first', [RESPONSE, EMPTY_RESPONSE])
+@pytest.mark.parametrize('late', [False, True])
+async def test_extra_response_after_any_response_is_not_used(
+    client, server, first, late
+):
+    # Guards against an answer to nobody that reaches the next caller.
+    server.responses = [first if late else first + EXTRA_RESPONSE, RESPONSE]
+    server.after_response = 'late' if late else ''
+    await send_request(client, server)
+    await asyncio.sleep(0.05)
+    server.after_response = ''
+    assert await send_request(client, server) == b'mine'
