A server that left the list says nothing of its service

A failed connection to a server that had left the list before the request was sent marked a service without a name as cut off: the request was offered to five entries, which refuse servers that aren't listed, and then refused although other servers were there. Found by reading; the test failed before.

--- a/src/bulrushhold/forwarding/_proxyingclient.py
+++ b/src/bulrushhold/forwarding/_proxyingclient.py
@@ -58,7 +58,8 @@
         self, call: calls.Call, attempt: calls.Attempt
     ) -> calls.BackendResponse:
         """Send a call; see :meth:`calls.BackendClient.send`."""
-        service = self._service_at(attempt.address)
+        backend = self.placement.backends.get(attempt.instance)
+        service = backend.service if backend is not None else ''
         started = self.clock()
         if not self.monitor.is_cut_off(service):
             try:
--- a/src/bulrushhold/forwarding/_reachabilitymonitor.py
+++ b/src/bulrushhold/forwarding/_reachabilitymonitor.py
@@ -63,7 +63,8 @@
         """
         reachability = self.placement.reachability
         if not reachability.is_cut_off(service):
-            if reachability.was_reached(service, since):
+            is_listed = service in self.placement.services
+            if not is_listed or reachability.was_reached(service, since):
                 return False
             await self._try_servers(service, address)
         return reachability.is_cut_off(service)
--- a/tests/forwarding/test_peer_proxy.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -291,6 +291,22 @@
     )
 
 
+async def test_a_server_that_left_the_list_says_nothing_of_the_others(
+    client, context, proxying, proxies
+):
+    # Guards against a request refused because its first server is gone.
+    client.scripts = [CONNECT_ERROR]
+    connect(proxies)
+    call, _ = make_attempt(context)
+    with pytest.raises(errors.BackendError) as caught:
+        await proxying.send(
+            call, calls.Attempt('10.0.0.9:80', 'i9', 'acct', 1.0)
+        )
+    assert not isinstance(caught.value, errors.CutOffError)
+    assert proxies.asked == []
+    assert context.placement.reachability.cut_off == {}
+
+
 async def test_a_proxy_keeps_to_what_servers_demand_of_it(
     client, context, handler
 ):
