--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _cachedprompts
 from bulrushhold.decisions import _enginelosses
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _reachability
@@ -36,9 +37,6 @@
 EJECTION_S: t.Final = 1.0
 # Load reports older than this are ignored.
 LOAD_REPORT_TTL_S: t.Final = 2.0
-MAX_CACHED_PROMPTS: t.Final = 4000
-# A prompt read longer ago than this has probably been evicted.
-CACHED_PROMPT_TTL_S: t.Final = 20.0
 
 
 def _do_nothing(*change: str) -> None:
@@ -53,8 +51,7 @@
         its address, although it wasn't leaving.
     :ivar load_age_s: age of the last load summary when it was received.
     :ivar capacity: memory of one engine in tokens, by service.
-    :ivar cached_prompts: by last segment of a prompt, the engine that read it
-        and the time.
+    :ivar cached_prompts: the prompts that engines have read.
     """
 
     def __init__(self) -> None:
@@ -78,9 +75,7 @@
         self.data_centre_failures: dict[
             tuple[str, str], collections.deque[tuple[float, str]]
         ] = {}
-        self.cached_prompts: collections.OrderedDict[
-            str, tuple[str, float]
-        ] = collections.OrderedDict()
+        self.cached_prompts = _cachedprompts.CachedPrompts()
 
     def update(self, listed: list[messages.ListedBackend]) -> None:
         """Replace the list of servers; keep the state of remaining ones."""
@@ -410,21 +405,6 @@
             self.on_load_change()
             self.on_replaced(ident)
 
-    def record_read(self, segment: str, ident: str, now: float) -> None:
-        """Record that an engine has read and cached a prompt.
-
-        :param segment: last segment of the prompt, or ``''`` if unknown.
-        """
-        if segment:
-            self.cached_prompts[segment] = (ident, now)
-            self.cached_prompts.move_to_end(segment)
-            while len(self.cached_prompts) > MAX_CACHED_PROMPTS:
-                self.cached_prompts.popitem(last=False)
-
-    def engine_with_prompt(self, segment: str, now: float) -> str:
-        ident, at = self.cached_prompts.get(segment, ('', 0.0))
-        return ident if now - at < CACHED_PROMPT_TTL_S else ''
-
     def _sample_failure(
         self, backend: _backendserver.BackendServer, sample: float, now: float
     ) -> None:
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -146,7 +146,7 @@
         :param avoid_data_centre: data centre that just lost this stream.
         :param canary: choose among engines of a rollout's target version.
         """
-        cached = self.engine_with_prompt(segment, now)
+        cached = self.cached_prompts.engine(segment, now)
         ranks = self._affinity_ranks(service, segment, now, tried)
         prompt_tokens = max(1, tokens)
         stale = self._is_load_stale(service, now)
@@ -203,7 +203,7 @@
 
         Empty if the engine that has it is known, or without a segment.
         """
-        if not segment or self.engine_with_prompt(segment, now):
+        if not segment or self.cached_prompts.engine(segment, now):
             return []
         usable = self.usable(service)
         if not self.data_centre:
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -360,8 +360,8 @@
                 )
             self.context.placement.prompt_read(self.engine, self.unread_tokens)
             self.unread_tokens = 0
-            self.stream.record_resumption(self.engine.ident)
-            self.context.placement.record_read(
+            self.stream.timing.record_resumption(self.engine.ident)
+            self.context.placement.cached_prompts.record_read(
                 self.stream.last_segment, self.engine.ident, now
             )
         caller_stream = self.stream.caller_stream
--- a/src/bulrushhold/forwarding/_prompt_cache.py
+++ b/src/bulrushhold/forwarding/_prompt_cache.py
@@ -51,5 +51,7 @@
     if not holders:
         return False
     best = min(holders, key=lambda h: h.reading + h.remote_load.reading)
-    context.placement.record_read(segment, best.ident, context.clock())
+    context.placement.cached_prompts.record_read(
+        segment, best.ident, context.clock()
+    )
     return True
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -58,8 +58,7 @@
             prompt.tokens + prompt.max_output_tokens // 2 if prompt else 0
         )
         self.lost_data_centre = ''
-        self.interrupted_at: float | None = None
-        self.timing = _streamtiming.StreamTiming(context)
+        self.timing = _streamtiming.StreamTiming(context, job)
         self.failure_reply: calls.Reply | None = None
         self.tokens = job.call.prompt.tokens if job.call.prompt else 0
         self.objective = decisions.LatencyObjective(
@@ -437,8 +436,8 @@
                 lost.seconds,
                 crashed=lost.crashed,
             )
-        if self.caller_stream.headers_sent and self.interrupted_at is None:
-            self.interrupted_at = now
+        if self.caller_stream.headers_sent:
+            self.timing.record_interruption()
         _context.log(
             self.job,
             'engine lost',
@@ -448,18 +447,3 @@
             gone=lost.unreachable,
             fingerprint=self.job.fingerprint,
         )
-
-    def record_resumption(self, ident: str) -> None:
-        """Record that a stream receives events again."""
-        now = self.context.clock()
-        if self.interrupted_at is not None:
-            self.context.metrics.time(
-                'streams.resumed', now - self.interrupted_at
-            )
-            _context.log(
-                self.job,
-                'stream resumed',
-                engine=ident,
-                seconds=round(now - self.interrupted_at, 3),
-            )
-            self.interrupted_at = None
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -16,9 +16,10 @@
 from tests.platform.soak import fakes
 from tests.platform.soak import isolation
 from tests.platform.soak import poison
+from tests.platform.soak import routemap
 from tests.platform.soak import system
 
-API_KEY = 'key-1'
+API_KEY = routemap.API_KEY
 MODEL_ENGINES = 6
 PLAIN_SERVERS = 3
 REQUEST_TIMEOUT_S = 12.0
@@ -246,39 +247,7 @@
     # The operator
 
     def _make_route_map(self, version):
-        def route(number, prefix, kind, service, **fields):
-            return {
-                'name': f'r{number}',
-                'hostname': 'soak.example',
-                'path-prefix': prefix,
-                'kind': kind,
-                'timeout-ms': 10000,
-                'target-latency-ms': 1000,
-                'service': service,
-                'max-attempts': 5,
-                **fields,
-            }
-
-        return {
-            'config-version': version,
-            'routes': [
-                route(
-                    1,
-                    fakes.STREAM_PATH,
-                    'streaming',
-                    's-model',
-                    resumable=True,
-                ),
-                route(2, fakes.UNSAFE_PATH, 'unsafe', 's-desk'),
-                route(3, fakes.SAFE_PATH, 'safe', 's-desk'),
-                route(4, f'/v{version}/', 'safe', 's-desk'),
-            ],
-            'services': [
-                {'name': 's-model', 'engine': {'kv-capacity-tokens': 88000}},
-                {'name': 's-desk'},
-            ],
-            'tenants': [{'name': 'vendors', 'api-keys': [API_KEY]}],
-        }
+        return routemap.make_route_map(version)
 
     async def _put_route_map(self, version):
         program = self.rng.choice(self.system.programs_with_role('control'))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -112,7 +112,7 @@
 
 def test_requests_prefer_the_engine_that_has_cached_their_prompt():
     placement = make_placement()
-    placement.record_read('session-7', 'i4', 0.0)
+    placement.cached_prompts.record_read('session-7', 'i4', 0.0)
     assert choose_engine(placement, now=1.0, segment='session-7').ident == 'i4'
     placement.stream_started(placement.backends['i4'], 30000)
     assert choose_engine(placement, now=1.0, segment='session-7').ident != 'i4'
@@ -302,7 +302,7 @@
         engine = choose_engine(first, segment=segment)
         holders = second.likely_cache_holders('engines', segment, 1.0)
         assert engine.ident in {holder.ident for holder in holders}
-        second.record_read(segment, engine.ident, 1.0)
+        second.cached_prompts.record_read(segment, engine.ident, 1.0)
         reached_cache += (
             choose_engine(second, now=1.0, segment=segment).ident
             == engine.ident
