A proxy that is cut off says nothing of servers

It refuses now, like for attempts, and another entry is asked. Found by reading; the test failed before.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -414,7 +414,10 @@
 
     @abc.abstractmethod
     async def answer(self, question: t.Any) -> t.Any:
-        """Return the answer to a message other than an attempt."""
+        """Return the answer to a message other than an attempt.
+
+        :raises ProxyRefusedError: if this entry can't know it.
+        """
 
     @abc.abstractmethod
     def wait_s(self, instance: str) -> float:
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -132,6 +132,13 @@
         ]
         return self.versions.usable(service, present, now, canary=canary)
 
+    def backend_at(self, address: str) -> _backendserver.BackendServer | None:
+        """Return the listed server at an address."""
+        for backend in self.backends.values():
+            if backend.address == address:
+                return backend
+        return None
+
     def is_leaving(self, backend: _backendserver.BackendServer) -> bool:
         """Whether a server shuts down, by the list or by its own word."""
         return backend.leaving or backend.ident in self.demands.leaving
--- a/src/bulrushhold/forwarding/_proxyhandler.py
+++ b/src/bulrushhold/forwarding/_proxyhandler.py
@@ -80,6 +80,13 @@
 
     async def answer(self, question: t.Any) -> messages.ProxyAnswer:
         """Answer a question; see :meth:`calls.PeerProxyHandler.answer`."""
+        service = self._service_at(question.address)
+        if not service or self.monitor.is_cut_off(service):
+            raise errors.ProxyRefusedError(
+                'cut off, or server not listed here',
+                'proxy',
+                question.address,
+            )
         try:
             return await self._answer(question)
         except errors.BackendError:
@@ -100,11 +107,15 @@
             case messages.ProxiedCopy(call, source, target, timeout):
                 copy = await client.copy_run(call, source, target, timeout)
                 return messages.ProxyAnswer(True, copy=copy)
-            case messages.ProxiedCopyDrop(copy, timeout):
+            case messages.ProxiedCopyDrop(copy, _, timeout):
                 await client.drop_copy(copy, timeout)
                 return messages.ProxyAnswer(True)
         return messages.ProxyAnswer(False)
 
+    def _service_at(self, address: str) -> str:
+        backend = self.context.placement.backend_at(address)
+        return backend.service if backend is not None else ''
+
     def wait_s(self, instance: str) -> float:
         """Return for how long a server wants no requests of this entry."""
         demands = self.context.placement.demands
--- a/src/bulrushhold/forwarding/_proxyingclient.py
+++ b/src/bulrushhold/forwarding/_proxyingclient.py
@@ -129,10 +129,8 @@
         raise errors.CutOffError(reason, 'connect', server)
 
     def _service_at(self, address: str) -> str:
-        for backend in self.placement.backends.values():
-            if backend.address == address:
-                return backend.service
-        return ''
+        backend = self.placement.backend_at(address)
+        return backend.service if backend is not None else ''
 
     async def probe(
         self, address: str, timeout: float, instance: str = ''
@@ -213,7 +211,7 @@
         if not self.monitor.is_cut_off(self._service_at(copy.address)):
             await self.direct.drop_copy(copy, timeout)
             return
-        question = messages.ProxiedCopyDrop(copy, timeout)
+        question = messages.ProxiedCopyDrop(copy, copy.address, timeout)
         try:
             await self._ask(copy.address, question, timeout)
         except errors.CutOffError as error:
--- a/src/bulrushhold/messages/_peerproxy.py
+++ b/src/bulrushhold/messages/_peerproxy.py
@@ -83,7 +83,7 @@
     """Asks an entry to make an engine copy a run's KV cache."""
 
     call: calls.Call
-    source: str
+    address: str
     target: str
     timeout: float
 
@@ -93,6 +93,7 @@
     """Asks an entry to free the memory of a copy."""
 
     copy: calls.RunCopy
+    address: str
     timeout: float
 
 
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -102,7 +102,10 @@
             async with asyncio.timeout(timeout):
                 response = await self._post(proxy, QUESTIONS_PATH, question)
                 async with response:
-                    return await _read_message(response, proxy)
+                    answer = await _read_message(response, proxy)
+                if isinstance(answer, messages.ProxyFailure):
+                    raise _to_error(answer, proxy)
+                return answer
         except (TimeoutError, errors.BackendError) as error:
             raise errors.ProxyRefusedError(
                 f'no answer: {error}', 'proxy', proxy
@@ -200,13 +203,18 @@
             message = messages.decode(await request.read())
             if isinstance(message, messages.ProxiedAttempt):
                 return await self._proxy(request, message)
-            answer = await self.handler.answer(message)
-            return web.Response(body=_frame(answer))
+            return web.Response(body=_frame(await self._answer(message)))
         except errors.PeerError as error:
             return web.Response(status=400, text=str(error))
         finally:
             self.in_progress -= 1
 
+    async def _answer(self, question: t.Any) -> messages.Message:
+        try:
+            return await self.handler.answer(question)
+        except errors.ProxyRefusedError as error:
+            return self._to_failure(error, '')
+
     async def _proxy(
         self, request: web.BaseRequest, message: messages.ProxiedAttempt
     ) -> web.StreamResponse:
--- a/tests/forwarding/test_peer_proxy.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -328,6 +328,17 @@
         await handler.send(call, attempt)
 
 
+async def test_a_proxy_that_is_cut_off_says_nothing_of_servers(
+    context, handler
+):
+    # Guards against servers that pass for dead on the word of such an entry.
+    question = messages.ProxiedConnect('10.0.0.1:80', 0.1)
+    assert (await handler.answer(question)).success
+    context.placement.reachability.record_unreachable('engines', 0.0)
+    with pytest.raises(errors.ProxyRefusedError):
+        await handler.answer(question)
+
+
 async def test_a_proxy_sends_only_to_listed_servers(context, handler):
     # Guards against an entry that forwards to any address.
     call, _ = make_attempt(context)
--- a/tests/test_peer_proxy_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -57,6 +57,8 @@
 
     async def answer(self, question):
         self.received.append(question)
+        if isinstance(self.response, Exception):
+            raise self.response
         return messages.ProxyAnswer(True, frozenset({'p'}))
 
     def wait_s(self, instance):
@@ -158,3 +160,11 @@
     answer = await client.ask(proxy, question, 0.5)
     assert answer == messages.ProxyAnswer(True, frozenset({'p'}))
     assert handler.received == [question]
+
+
+async def test_a_question_that_is_refused_has_no_answer(
+    client, proxy, handler
+):
+    handler.response = errors.ProxyRefusedError('cut off', 'proxy', '')
+    with pytest.raises(errors.ProxyRefusedError):
+        await client.ask(proxy, messages.ProxiedConnect('a', 0.1), 0.5)
