A retry opens a new connection

Since pooled connections are used again, an idempotent request could spend all of its attempts on connections that had gone silent or that servers were closing. The first attempt may use an open one, later ones don't. The test failed before.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -245,7 +245,8 @@
             backend.ident,
             self.job.account,
             self._remaining_s(),
-            new_connection=not self.repeatable,
+            # An open connection may have gone silent, as others may have.
+            new_connection=not self.repeatable or self.attempts > 0,
             permitted=has_permit,
             fingerprint=self.job.fingerprint,
         )
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -71,3 +71,12 @@
     assert caught.value.status == 504
     assert client.attempts[1].remaining_s < 0.6
     assert len(client.attempts) == 2
+
+
+async def test_a_retry_does_not_rely_on_a_connection_used_before(
+    client, context
+):
+    # Guards against attempts that all end on connections gone silent.
+    client.scripts = [fakes.Script(error='send'), fakes.Script()]
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    assert [a.new_connection for a in client.attempts] == [False, True]
