Without a control process there are no places

While no control process is known, a request to a brittle server ended with an internal error. It is refused as not run. Found by reading; the test failed before.

--- a/src/bulrushhold/forwarding/_places.py
+++ b/src/bulrushhold/forwarding/_places.py
@@ -100,7 +100,8 @@
         """Ask for a place; see :meth:`PlaceSource.take`."""
         home = decisions.permit_home_address(backend.ident, self.nodes())
         now = time.monotonic()
-        if now - self.failed_at.get(home, float('-inf')) < HOME_BACKOFF_S:
+        failed_s = now - self.failed_at.get(home, float('-inf'))
+        if not home or failed_s < HOME_BACKOFF_S:
             return False
         server = self._server(backend.ident)
         epoch = server.epoch
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -107,6 +107,9 @@
     assert 's' not in brittle
 
 
+NODES = [messages.ControlNode('c', 'dc', '10.0.0.1:70', False)]
+
+
 class HomeTransport:
     """Passes messages to a home, and can lose its replies.
 
@@ -142,8 +145,7 @@
     return pool
 
 
-def make_places(transport, placement, entry):
-    nodes = [messages.ControlNode('c', 'dc', '10.0.0.1:70', False)]
+def make_places(transport, placement, entry, nodes=NODES):
     return forwarding.ControlPlaces(transport, placement, entry, lambda: nodes)
 
 
@@ -177,3 +179,12 @@
     places.failed_at.clear()
     granted = [await places.take(server, 0.0) for _ in range(ROOM + 1)]
     assert granted == [True] * ROOM + [False]
+
+
+async def test_without_a_control_process_there_are_no_places(
+    transport, placement
+):
+    # Guards against an error while no control process is known.
+    transport.request = None
+    places = make_places(transport, placement, 'e1', nodes=[])
+    assert not await places.take(placement.backends['s1'], 0.0)
