--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -70,6 +70,8 @@
     :param new_connection: whether to open a new connection.
     :param permitted: the server's request limit allows this attempt.
     :param fingerprint: identifies the content of the call.
+    :param priority: order at the engine, 0 being the most urgent; ``None``
+        where all calls are equal.
     """
 
     address: str
@@ -82,6 +84,7 @@
     new_connection: bool = False
     permitted: bool = False
     fingerprint: str = ''
+    priority: int | None = None
 
 
 @attrs.frozen
@@ -99,11 +102,16 @@
 
 @attrs.frozen
 class BackendLoad:
-    """Load that a backend server reports, across all entries."""
+    """Load that a backend server reports, across all entries.
+
+    :param pace: how long work takes there at this moment, 1 being usual;
+        ``None`` if it doesn't say.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @attrs.frozen
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -42,6 +42,7 @@
 from bulrushhold.messages._fleet import RouteMapReply
 from bulrushhold.messages._fleet import ServerLimit
 from bulrushhold.messages._fleet import ServiceTraffic
+from bulrushhold.messages._fleet import SpeedSample
 from bulrushhold.messages._fleet import Watch
 from bulrushhold.messages._fleet import WatchReply
 from bulrushhold.messages._log import AppendReply
@@ -89,6 +90,11 @@
 from bulrushhold.messages._rollouts import RolloutStart
 from bulrushhold.messages._rollouts import RolloutState
 from bulrushhold.messages._rollouts import VersionSample
+from bulrushhold.messages._scheduling import SchedulingStatus
+from bulrushhold.messages._scheduling import StreamAsk
+from bulrushhold.messages._scheduling import StreamCancel
+from bulrushhold.messages._scheduling import StreamDecision
+from bulrushhold.messages._scheduling import StreamPoll
 from bulrushhold.messages._state import Claim
 from bulrushhold.messages._state import ClaimEnd
 from bulrushhold.messages._state import ClaimOutcome
@@ -202,11 +208,17 @@
     'RouteMapRead',
     'RouteMapReply',
     'Row',
+    'SchedulingStatus',
     'ServerLimit',
     'ServiceTraffic',
+    'SpeedSample',
     'StatusRead',
     'StatusReply',
+    'StreamAsk',
+    'StreamCancel',
+    'StreamDecision',
     'StreamOrigin',
+    'StreamPoll',
     'Suspected',
     'TableEdit',
     'TableRead',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -14,6 +14,7 @@
 from bulrushhold.messages import _peerproxy
 from bulrushhold.messages import _places
 from bulrushhold.messages import _rollouts
+from bulrushhold.messages import _scheduling
 from bulrushhold.messages import _state
 from bulrushhold import routes
 
@@ -101,6 +102,10 @@
     _rollouts.RolloutEnd,
     _rollouts.RolloutRead,
     _rollouts.RolloutReply,
+    _scheduling.StreamAsk,
+    _scheduling.StreamPoll,
+    _scheduling.StreamCancel,
+    _scheduling.StreamDecision,
     Failure,
 )
 _DECODERS = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in _CLASSES}
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -66,6 +66,7 @@
     :param proxy: address at which it proxies requests of other entries, or
         ``''``.
     :param unreachable: services of which it reaches no server.
+    :param weight: capacity of its instance for callers, relative to others.
     """
 
     name: str
@@ -74,6 +75,7 @@
     ready: bool
     proxy: str = ''
     unreachable: tuple[str, ...] = ()
+    weight: float = 1.0
 
 
 @attrs.frozen
@@ -157,6 +159,18 @@
     run_s: float = 0.0
 
 
+@attrs.frozen
+class SpeedSample:
+    """How long one engine took to read prompts.
+
+    :param expected_s: at the mean speed of its service.
+    :param observed_s: from sending the prompts to their first events.
+    """
+
+    expected_s: float
+    observed_s: float
+
+
 @attrs.frozen
 class ServerLimit:
     """The request limit of a backend server, which holds for all entries.
@@ -215,6 +229,7 @@
     :param evidence: results of running rollouts by service.
     :param limits: request limits that have changed since the previous report.
     :param blocks: blocks of requests since the previous report.
+    :param samples: speed of single engines since the previous report.
     """
 
     entry: str
@@ -227,6 +242,7 @@
     evidence: dict[str, _rollouts.RolloutEvidence] = attrs.field(factory=dict)
     limits: list[ServerLimit] = attrs.field(factory=list)
     blocks: list[RequestBlock] = attrs.field(factory=list)
+    samples: dict[str, SpeedSample] = attrs.field(factory=dict)
 
     @property
     def urgent(self) -> bool:
@@ -286,6 +302,8 @@
     :param limits: request limits that changed since the number given in the
         request.
     :param blocks: blocks of requests since the number given in the request.
+    :param slowness: by engine, the time that it needs relative to the mean of
+        its service; engines whose value has changed.
     """
 
     number: int
@@ -300,6 +318,7 @@
     since: int = 0
     limits: list[ServerLimit] = attrs.field(factory=list)
     blocks: list[RequestBlock] = attrs.field(factory=list)
+    slowness: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/bulrushhold/messages/_scheduling.py
@@ -0,0 +1,79 @@
+"""Messages between entries and the scheduling home of a service."""
+
+import enum
+
+import attrs
+
+
+class SchedulingStatus(enum.StrEnum):
+    """The state of a stream at its service's scheduling home."""
+
+    GRANTED = 'granted'
+    QUEUED = 'queued'
+    REFUSED = 'refused'
+    # The home doesn't know the ticket: it has restarted or dropped it.
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen
+class StreamAsk:
+    """Asks the scheduling home for an engine for one stream.
+
+    :param ticket: identifies the request at its entry.
+    :param fingerprint: equal for all attempts of a caller's request.
+    :param priority: 0 is the most urgent.
+    :param tokens: length of the prompt.
+    :param memory: tokens of the prompt and of the expected output.
+    :param objective_s: time until the first event is late; may be negative.
+    :param remaining_s: time until the caller gives up.
+    :param version: version that the engine must have, if it matters.
+    :param excluded: idents of engines that the entry doesn't want.
+    """
+
+    service: str
+    entry: str
+    ticket: str
+    fingerprint: str
+    priority: int
+    account: str
+    tokens: int
+    memory: int
+    objective_s: float
+    remaining_s: float
+    version: str | None = None
+    excluded: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class StreamPoll:
+    """A long poll for the decision on a queued stream.
+
+    :param hold_s: maximum time until the reply.
+    """
+
+    service: str
+    entry: str
+    ticket: str
+    hold_s: float
+
+
+@attrs.frozen
+class StreamCancel:
+    """Tells that a stream no longer needs an engine."""
+
+    service: str
+    entry: str
+    ticket: str
+
+
+@attrs.frozen
+class StreamDecision:
+    """Reply to :class:`StreamAsk` and :class:`StreamPoll`.
+
+    :param engine: ident of the granted engine.
+    :param retry_after_s: delay after which a refused caller should retry.
+    """
+
+    status: SchedulingStatus
+    engine: str = ''
+    retry_after_s: float = 0.0
