Entries ask a scheduling home to place streams in order of priority

Entries admit streams independently of each other, so that under contention an urgent stream waits behind others. Where the route map has several priorities for the streams of a service, entries now ask the service's home for an engine unless engines are idle, and decide by themselves, in order of priority and age, while the home is unreachable.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -144,6 +144,14 @@
             ),
             places=places,
             origins=origins,
+            scheduling=forwarding.HomeScheduling(
+                self.transport,
+                placement,
+                admission,
+                self.metrics,
+                config.name,
+                lambda: self.fleet.servers.nodes,
+            ),
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         self.ingress = adapters.Ingress(
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -73,6 +73,7 @@
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
 from bulrushhold.decisions._serviceretries import ServiceRetryBudget
+from bulrushhold.decisions._spareengines import has_spare_engines
 from bulrushhold.decisions._stalltimeouts import first_event_timeout_s
 from bulrushhold.decisions._stalltimeouts import StallTimeouts
 from bulrushhold.decisions._statemachine import ReplicatedState
@@ -96,6 +97,8 @@
 from bulrushhold.decisions._versionhistory import VersionRecorder
 from bulrushhold.decisions._versionsplit import count_by_version
 from bulrushhold.decisions._versionsplit import VersionSplit
+from bulrushhold.decisions._waitingorder import Waiter
+from bulrushhold.decisions._waitingorder import WaitingOrder
 
 __all__ = [
     'ADMISSION_CHECK_S',
@@ -168,6 +171,8 @@
     'Verdict',
     'VersionRecorder',
     'VersionSplit',
+    'Waiter',
+    'WaitingOrder',
     'WorkBudget',
     'add_evidence',
     'best_copy',
@@ -179,6 +184,7 @@
     'entries_needed',
     'fingerprint',
     'first_event_timeout_s',
+    'has_spare_engines',
     'home_entries',
     'latency_bucket',
     'listed_versions',
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -21,6 +21,10 @@
 from bulrushhold.forwarding._proxyingclient import ProxyingClient
 from bulrushhold.forwarding._reachabilitymonitor import ReachabilityMonitor
 from bulrushhold.forwarding._resumption import resolve as resolve_resumption
+from bulrushhold.forwarding._scheduling import HomeScheduling
+from bulrushhold.forwarding._scheduling import LocalScheduling
+from bulrushhold.forwarding._scheduling import Scheduled
+from bulrushhold.forwarding._scheduling import StreamScheduling
 from bulrushhold.forwarding._streams import StreamForwarder
 from bulrushhold.forwarding._versiongauges import VersionGauges
 
@@ -34,8 +38,10 @@
     'FleetView',
     'Forwarder',
     'ForwardingContext',
+    'HomeScheduling',
     'Job',
     'LocalOrigins',
+    'LocalScheduling',
     'OriginFinding',
     'OriginSource',
     'PermitCheckingClient',
@@ -43,7 +49,9 @@
     'PlainForwarder',
     'ProxyingClient',
     'ReachabilityMonitor',
+    'Scheduled',
     'StreamForwarder',
+    'StreamScheduling',
     'VersionGauges',
     'make_crash_listener',
     'refuse_blocked',
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -1,13 +1,21 @@
-"""Queues a stream until admission control admits or rejects it."""
+"""Queues a stream until it is admitted or rejected.
+
+Admission control decides at this entry; where admission is ordered, so does
+the service's scheduling home.
+"""
 
 import asyncio
 import collections.abc as cabc
+import contextlib
 import random
 
 import attrs
 
 from bulrushhold import decisions
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _enginechooser
+from bulrushhold.forwarding import _scheduling
+from bulrushhold import messages
 
 
 @attrs.frozen
@@ -16,10 +24,20 @@
 
     :param admitted: an engine can take the stream now.
     :param retry_after_s: delay after which a rejected caller may retry.
+    :param engine: ident of the engine that the scheduling home has granted.
+    :param ticket: identifies the stream at its scheduling home.
+    :param interrupted: nothing was decided, as the scheduling home should.
     """
 
     admitted: bool
     retry_after_s: float
+    engine: str = ''
+    ticket: str = ''
+    interrupted: bool = False
+
+
+def _never() -> bool:
+    return False
 
 
 async def wait_for_admission(
@@ -29,13 +47,46 @@
     *,
     waiting_since: float,
     begun: bool,
+    interrupted: cabc.Callable[[], bool] = _never,
 ) -> AdmissionResult:
     """Wait until an engine can take a stream without delaying others.
 
+    Where admission is ordered, only the first waiting stream may be placed.
+
     :param estimate_capacity: returns the current estimate for this stream.
     :param waiting_since: when the caller started to wait for an event.
     :param begun: the caller has already received events of the stream.
+    :param interrupted: returns whether to stop waiting without a decision.
     """
+    with contextlib.ExitStack() as stack:
+        waiter = None
+        if job.priority is not None and not begun:
+            waiter = stack.enter_context(
+                context.waiting_order.join(
+                    job.service, job.priority, waiting_since
+                )
+            )
+        return await _wait(
+            context,
+            job,
+            estimate_capacity,
+            waiting_since=waiting_since,
+            begun=begun,
+            interrupted=interrupted,
+            waiter=waiter,
+        )
+
+
+async def _wait(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    estimate_capacity: cabc.Callable[[], decisions.CapacityEstimate],
+    *,
+    waiting_since: float,
+    begun: bool,
+    interrupted: cabc.Callable[[], bool],
+    waiter: decisions.Waiter | None,
+) -> AdmissionResult:
     admission, service = context.admission, job.service
     now = started = context.clock()
     outcome = decisions.AdmissionDecision.WAIT
@@ -56,12 +107,20 @@
             )
             if outcome is decisions.AdmissionDecision.PLACE:
                 draw = random.random()
-                if not admission.should_admit_now(
+                if waiter is not None:
+                    # The first stream draws for all that wait here.
+                    draw /= context.waiting_order.count(service)
+                may_go = waiter is None or context.waiting_order.is_first(
+                    service, waiter
+                )
+                if not may_go or not admission.should_admit_now(
                     service, estimate, entries, now, draw, begun=begun
                 ):
                     outcome = decisions.AdmissionDecision.WAIT
             if outcome is not decisions.AdmissionDecision.WAIT:
                 break
+            if interrupted():
+                return AdmissionResult(False, 0.0, interrupted=True)
             if now == started:
                 context.placement.on_load_change()
             admission.record_wait(now)
@@ -83,3 +142,95 @@
         )
     admitted = outcome is decisions.AdmissionDecision.PLACE
     return AdmissionResult(admitted, decisions.retry_after_s(queue_s))
+
+
+async def wait_in_order(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    engines: _enginechooser.EngineChooser,
+    *,
+    waiting_since: float,
+    refusable: bool,
+) -> AdmissionResult:
+    """Wait for the decision on a stream whose admission is ordered.
+
+    The scheduling home decides, except while engines are idle or the home is
+    unreachable, and if no engine is left that the stream may be sent to.
+
+    :param waiting_since: when the caller started to wait for an event.
+    :param refusable: no attempt may have run, so that the home may refuse the
+        stream.
+    """
+    refused = False
+    retry_pause_s = 0.0
+
+    def decides_locally() -> bool:
+        return (
+            refused
+            or not engines.available()
+            or context.scheduling.decides_locally(job.service, engines.memory)
+        )
+
+    while True:
+        if decides_locally():
+            result = await wait_for_admission(
+                context,
+                job,
+                engines.estimate_capacity,
+                waiting_since=waiting_since,
+                begun=False,
+                interrupted=lambda: not decides_locally(),
+            )
+            if not result.interrupted:
+                return result
+        if job.deadline - context.clock() < _scheduling.MIN_REMAINING_S:
+            return AdmissionResult(False, _context.RETRY_AFTER_S)
+        ask = _make_ask(context, job, engines, waiting_since)
+        scheduled = await context.scheduling.request(ask)
+        decision, ticket = scheduled.decision, scheduled.ticket
+        if scheduled.queued_s:
+            _context.log(
+                job,
+                'stream queued',
+                seconds=round(scheduled.queued_s, 3),
+                outcome=decision.status.value,
+                ticket=ticket,
+                priority=job.priority,
+            )
+        if decision.status is messages.SchedulingStatus.GRANTED:
+            return AdmissionResult(True, 0.0, decision.engine, ticket)
+        if decision.status is messages.SchedulingStatus.REFUSED:
+            if refusable:
+                return AdmissionResult(
+                    False, decision.retry_after_s, ticket=ticket
+                )
+            refused = True
+        else:
+            # The home may have forgotten the stream in a restart, which isn't
+            # expected to happen twice.
+            await asyncio.sleep(retry_pause_s)
+            retry_pause_s = decisions.ADMISSION_CHECK_S
+
+
+def _make_ask(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    engines: _enginechooser.EngineChooser,
+    waiting_since: float,
+) -> messages.StreamAsk:
+    now = context.clock()
+    assert job.priority is not None
+    return messages.StreamAsk(
+        job.service,
+        context.entry,
+        '',
+        job.fingerprint,
+        job.priority,
+        job.account,
+        engines.tokens,
+        engines.memory,
+        round(waiting_since + engines.objective.aim_s - now, 3),
+        round(job.deadline - now, 3),
+        engines.required_version(),
+        engines.excluded(),
+    )
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -12,6 +12,7 @@
 from bulrushhold.forwarding import _origins
 from bulrushhold.forwarding import _places
 from bulrushhold.forwarding import _running
+from bulrushhold.forwarding import _scheduling
 from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import routes
@@ -27,6 +28,7 @@
     :param permit_source: grants permits for servers with a request limit.
     :param places: gets places at brittle servers.
     :param origins: keeps which versions began streams.
+    :param scheduling: decides on streams of services with ordered admission.
     :ivar running: the requests that end as they become blocked.
     """
 
@@ -41,6 +43,12 @@
     clock: cabc.Callable[[], float] = time.monotonic
     places: _places.PlaceSource = attrs.field(factory=_places.UnlimitedPlaces)
     origins: _origins.OriginSource = attrs.field(factory=_origins.LocalOrigins)
+    scheduling: _scheduling.StreamScheduling = attrs.field(
+        factory=_scheduling.LocalScheduling
+    )
+    waiting_order: decisions.WaitingOrder = attrs.field(
+        factory=decisions.WaitingOrder
+    )
     running: _running.RunningRequests = attrs.field(init=False)
 
     @running.default
@@ -68,6 +76,8 @@
         attempt.
     :param version: version that began the stream which the call resumes;
         ``None`` if the call begins one.
+    :param priority: 0 is the most urgent; ``None`` if admission to the
+        service isn't ordered.
     """
 
     call: calls.Call
@@ -78,6 +88,7 @@
     fingerprint: str = ''
     canary: bool = False
     version: str | None = None
+    priority: int | None = None
 
 
 def log(job: Job, decision: str, **fields: t.Any) -> None:
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -1,11 +1,17 @@
 """Chooses the engines of one stream."""
 
+import typing as t
+
 import attrs
 
 from bulrushhold import decisions
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _permits
 
+# Bounds the size of an ask; an engine that is left out is granted and
+# excluded then.
+MAX_EXCLUDED: t.Final = 32
+
 
 class EngineChooser:
     """Chooses an engine for each run of a stream, and for copies of it.
@@ -15,6 +21,7 @@
     :ivar tried: idents of the engines tried in this round.
     :ivar version: version that made the events which the caller has; ``None``
         while it has none. What two versions write doesn't fit together.
+    :ivar unlisted: idents of granted engines that this entry doesn't know.
     :ivar lost_data_centre: data centre of the engine that was lost last.
     """
 
@@ -24,6 +31,7 @@
         self.context = context
         self.job = job
         self.tried: set[str] = set()
+        self.unlisted: set[str] = set()
         self.version = job.version
         self.lost_data_centre = ''
         prompt = job.call.prompt
@@ -140,3 +148,66 @@
             and self.context.placement.may_hold_copy(backup, since)
             and backup in self._usable()
         )
+
+    # Engines granted by the scheduling home
+
+    def _eligible(self) -> list[decisions.BackendServer]:
+        """Return the engines whose version may get the stream."""
+        if self.job.canary and not self.tried and self.version is None:
+            canaries = self.context.placement.usable(
+                self.job.service, self.context.clock(), canary=True
+            )
+            if canaries:
+                return canaries
+        return self._usable()
+
+    def available(self) -> list[decisions.BackendServer]:
+        """Return the engines to which the stream may be sent now."""
+        now = self.context.clock()
+        return [
+            engine
+            for engine in self.context.placement.allowing(
+                self._eligible(), now
+            )
+            if engine.ident not in self.tried and engine.ejected_until <= now
+        ]
+
+    def required_version(self) -> str | None:
+        """Return the version that an engine must have, if it matters."""
+        if self.version is not None:
+            return self.version
+        versions = {engine.version for engine in self._eligible()}
+        listed = {e.version for e in self._listed()}
+        return versions.pop() if len(versions) == 1 < len(listed) else None
+
+    def excluded(self) -> list[str]:
+        """Return the engines that the scheduling home shouldn't grant."""
+        version = self.required_version()
+        available = {engine.ident for engine in self.available()}
+        excluded = [*self.tried, *self.unlisted]
+        excluded += [
+            engine.ident
+            for engine in self._listed()
+            if version in (None, engine.version)
+            and engine.ident not in available
+            and engine.ident not in self.tried
+        ]
+        return excluded[:MAX_EXCLUDED]
+
+    def _listed(self) -> list[decisions.BackendServer]:
+        services = self.context.placement.services
+        return services.get(self.job.service, [])
+
+    async def accept(self, ident: str) -> _permits.PermittedChoice | None:
+        """Return a granted engine if the stream may be sent to it now."""
+        if ident not in self.context.placement.backends:
+            self.unlisted.add(ident)
+        engine = next((e for e in self.available() if e.ident == ident), None)
+        permission = _permits.Permission.DENIED
+        if engine is not None:
+            permission = await _permits.acquire(self.context, self.job, ident)
+        if permission is _permits.Permission.DENIED:
+            _context.log(self.job, 'granted engine not used', engine=ident)
+            return None
+        has_permit = permission is _permits.Permission.PERMIT
+        return _permits.PermittedChoice(engine, has_permit)
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -5,6 +5,8 @@
 import random
 import typing as t
 
+import attrs
+
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
@@ -55,10 +57,12 @@
             job = self._accept(call, started)
             if job.route.kind is routes.Kind.STREAM:
                 job = await _resumption.resolve(self.context, job)
+                job = self._with_priority(job)
                 reply = await _streams.StreamForwarder(
                     self.context, job, caller_stream
                 ).run()
             else:
+                job = self._with_priority(job)
                 reply = await _plain.PlainForwarder(self.context, job).run()
         except errors.RequestError as error:
             self.context.metrics.count(f'requests.refused.{error.status}')
@@ -68,6 +72,14 @@
         self.context.metrics.time('requests', self.context.clock() - started)
         return reply
 
+    def _with_priority(self, job: _context.Job) -> _context.Job:
+        """Return the job with its priority at its service, if it has one."""
+        index = self.fleet.index
+        assert index is not None
+        account = index.accounts.get(job.call.key)
+        priority = index.priority(job.service, job.route, account)
+        return attrs.evolve(job, priority=priority)
+
     async def _wait_for_start(self, call: calls.Call) -> None:
         """Wait a limited time for the first route map.
 
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -31,6 +31,9 @@
 # If a prompt exceeds the memory of all engines, a retry succeeds only after
 # larger ones were added.
 TOO_LARGE_RETRY_S: t.Final = 60.0
+# Engines granted in a row that this entry couldn't use; it then chooses one
+# itself.
+MAX_UNUSED_GRANTS: t.Final = 8
 
 
 class StreamForwarder:
@@ -156,15 +159,24 @@
         ):
             # A cached prompt needs no prefill and delays nobody.
             return
+        if self._is_ordered():
+            return
         admission = await self._wait_for_admission()
         if not admission.admitted:
             self.context.metrics.count('streams.refused_full')
             raise self._refuse('engines at capacity', admission.retry_after_s)
 
+    def _is_ordered(self) -> bool:
+        """Return whether the stream takes its turn among all others.
+
+        The caller sees any wait as a stall once it has events.
+        """
+        return self.job.priority is not None and self.last_event_id is None
+
     def _refuse(
-        self, reason: str, retry_after_s: float
+        self, reason: str, retry_after_s: float, **fields: t.Any
     ) -> errors.RequestError:
-        self._log_end('stream refused', reason=reason)
+        self._log_end('stream refused', reason=reason, **fields)
         return _context.not_run_error(self.job, reason, retry_after_s)
 
     def remaining_s(self) -> float:
@@ -188,6 +200,8 @@
                 has_permit = permission is _permits.Permission.PERMIT
                 choice = _permits.PermittedChoice(backup, has_permit)
                 return choice, copy or calls.RunCopy(backup.address)
+        if self._is_ordered():
+            return await self._choose_in_order(), None
         if self.lost_runs and not (await self._wait_for_admission()).admitted:
             return _permits.PermittedChoice(), None
         choice = await self.engines.choose(
@@ -195,6 +209,36 @@
         )
         return choice, None
 
+    async def _choose_in_order(self) -> _permits.PermittedChoice:
+        """Return the next engine as the stream's turn has come.
+
+        :raises RequestError: if the stream is refused.
+        """
+        for _ in range(MAX_UNUSED_GRANTS):
+            admission = await _admission.wait_in_order(
+                self.context,
+                self.job,
+                self.engines,
+                waiting_since=self.timing.started_at,
+                refusable=not self.may_have_run,
+            )
+            if not admission.admitted:
+                if self.may_have_run:
+                    return _permits.PermittedChoice()
+                self.context.metrics.count('streams.refused_full')
+                raise self._refuse(
+                    'engines at capacity',
+                    admission.retry_after_s,
+                    ticket=admission.ticket,
+                    priority=self.job.priority,
+                )
+            if not admission.engine:
+                break
+            choice = await self.engines.accept(admission.engine)
+            if choice is not None:
+                return choice
+        return await self.engines.choose(begun=False)
+
     async def _may_retry(self, lost: _streamloss.StreamLostError) -> bool:
         run_started = (
             lost.unreachable
@@ -256,6 +300,11 @@
             **fields,
         )
 
+    def _order_fields(self) -> dict[str, t.Any]:
+        if self.job.priority is None:
+            return {}
+        return {'priority': self.job.priority, 'account': self.job.account}
+
     def _end_incomplete(
         self, reason: str, peer: str, retry_after_s: float
     ) -> calls.Reply | None:
@@ -312,6 +361,7 @@
             version=engine.version,
             resumes=self.job.call.resumes,
             fingerprint=self.job.fingerprint,
+            **self._order_fields(),
             copy=copy.address if copy else '',
             backup=backup.ident if backup else '',
             last=self.last_event_id,
--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -151,6 +151,26 @@
         seen.add(value)
 
 
+def _ordered_services(route_map: RouteMap) -> set[str]:
+    """Return the services whose streams differ in priority.
+
+    A route's priority applies only to callers without one of their own.
+    """
+    accounts = {a.priority for a in route_map.accounts}
+    any_default = not accounts or None in accounts
+    priorities: dict[str, set[int | None]] = {}
+    for route in route_map.routes:
+        if route.kind is not Kind.STREAM:
+            continue
+        of_route = accounts - {None}
+        if any_default or route.public:
+            of_route |= {route.priority}
+        for target in route.targets:
+            if target.weight > 0:
+                priorities.setdefault(target.service, set()).update(of_route)
+    return {name for name, of_name in priorities.items() if len(of_name) > 1}
+
+
 class RouteIndex:
     """Looks up routes and accounts in one version of the route map."""
 
@@ -167,6 +187,20 @@
         for route in route_map.routes:
             host = self.hosts.setdefault(route.host.lower(), {})
             host[route.prefix] = route
+        self.ordered_services = frozenset(_ordered_services(route_map))
+
+    def priority(
+        self, service: str, route: Route, account: ClientAccount | None
+    ) -> int | None:
+        """Return the priority of a request, 0 being the most urgent.
+
+        :return: ``None`` if admission to the service isn't ordered.
+        """
+        if service not in self.ordered_services:
+            return None
+        if account is not None and account.priority is not None:
+            return account.priority
+        return route.priority
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix.
