Stream scheduler: orders waiting streams and grants engines

Nothing calls it yet. Streams of different priority and account compete for engines; entries that decide alone can't order them. The scheduler divides the capacity by priority and account, admits only streams that can be on time, and grants engines shortly before they are free.

--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -20,11 +20,13 @@
 from bulrushhold.decisions._enginecrashes import content_fingerprint
 from bulrushhold.decisions._enginecrashes import EngineCrashTracker
 from bulrushhold.decisions._enginelosses import EngineLosses
+from bulrushhold.decisions._engineroom import EngineRoom
 from bulrushhold.decisions._enginespeeds import EngineSpeeds
 from bulrushhold.decisions._enginespeeds import LatencyObjective
 from bulrushhold.decisions._enginespeeds import PauseSamples
 from bulrushhold.decisions._enginespeeds import PromptRead
 from bulrushhold.decisions._fairqueue import FairQueue
+from bulrushhold.decisions._fairshares import allocate
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._loadaggregator import LoadAggregator
 from bulrushhold.decisions._permithome import permit_home_address
@@ -72,6 +74,8 @@
 from bulrushhold.decisions._routing import BackendState
 from bulrushhold.decisions._routing import Choice
 from bulrushhold.decisions._routing import Router
+from bulrushhold.decisions._schedulerstate import FlowState
+from bulrushhold.decisions._schedulerstate import SchedulerState
 from bulrushhold.decisions._serviceretries import ServiceRetryBudget
 from bulrushhold.decisions._stalltimeouts import first_event_timeout_s
 from bulrushhold.decisions._stalltimeouts import StallTimeouts
@@ -79,6 +83,7 @@
 from bulrushhold.decisions._streamorigins import origin_homes
 from bulrushhold.decisions._streamorigins import origin_key
 from bulrushhold.decisions._streamorigins import OriginStore
+from bulrushhold.decisions._streamscheduler import StreamScheduler
 from bulrushhold.decisions._swim import Membership
 from bulrushhold.decisions._swim import PERIOD_S as MEMBERSHIP_PERIOD_S
 from bulrushhold.decisions._swim import PROBE_S as MEMBERSHIP_PROBE_TIMEOUT_S
@@ -118,9 +123,11 @@
     'DEFAULT_EXPOSURE',
     'EngineCrashTracker',
     'EngineLosses',
+    'EngineRoom',
     'EngineSpeeds',
     'ExposureLimits',
     'FairQueue',
+    'FlowState',
     'GapEstimate',
     'HedgingPolicy',
     'KnownVersions',
@@ -160,8 +167,10 @@
     'Router',
     'SMALL_ACCOUNT_ENTRIES',
     'SequentialPolicy',
+    'SchedulerState',
     'ServiceRetryBudget',
     'StallTimeouts',
+    'StreamScheduler',
     'TableState',
     'Timing',
     'Transcript',
@@ -170,6 +179,7 @@
     'VersionSplit',
     'WorkBudget',
     'add_evidence',
+    'allocate',
     'best_copy',
     'content_fingerprint',
     'copy_peers',
--- /dev/null
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -0,0 +1,391 @@
+"""When the engines of one service can take another prompt.
+
+An engine reads one prompt at a time. Reports arrive with a delay and give
+only the sum of the prompts that it hasn't finished, so that the time at which
+it will be done is computed from grants and kept within what reports allow.
+"""
+
+import bisect
+import collections
+import collections.abc as cabc
+import math
+import random
+import typing as t
+
+import attrs
+
+from bulrushhold.decisions import _backendpool
+from bulrushhold import messages
+
+# Time until reports include a grant.
+GRANT_REPORT_S: t.Final = 0.3
+# Age of the load that a report gives.
+REPORT_LAG_S: t.Final = 0.2
+# Part of a prompt assumed unread if it should have been finished already.
+OVERDUE_SHARE: t.Final = 0.25
+# The time to the first event is predicted for all but the slowest tenth of
+# the engines.
+SLOWNESS_QUANTILE: t.Final = 0.9
+# Number of idle engines compared by memory.
+IDLE_CHOICES: t.Final = 4
+# Memory or slots limit the capacity if they are filled to this share.
+FULL_SHARE: t.Final = 0.8
+# Half-life of the granted work that the capacity is computed from if so, and
+# the shortest time to count it for.
+GRANT_RATE_HALF_LIFE_S: t.Final = 10.0
+MIN_GRANT_RATE_S: t.Final = 5.0
+# Gain of the moving average of prompt length.
+PROMPT_GAIN: t.Final = 0.05
+UNKNOWN: t.Final = -1
+
+
+@attrs.frozen
+class EngineRoom:
+    """The load of one engine, as reported.
+
+    :param reading: prompt tokens not read yet; negative if there is no
+        recent report.
+    :param running: number of running streams.
+    :param memory: tokens held.
+    :param slots: maximum number of running streams; 0 for no limit.
+    :param memory_limit: in tokens; 0 for no limit.
+    :param slowness: time for a prompt relative to the mean engine.
+    """
+
+    ident: str
+    reading: int
+    running: int
+    memory: int
+    slots: int
+    memory_limit: int
+    slowness: float = 1.0
+    version: str = ''
+
+
+@attrs.define(eq=False)
+class Engine:
+    """An engine with the grants that reports may not include yet.
+
+    :ivar free_at: when it will have read its prompts.
+    :ivar unreported: granted tokens not seen in a report yet.
+    :ivar place: its place in the order of engines.
+    """
+
+    room: EngineRoom
+    free_at: float
+    unreported: int = 0
+    grants: dict[str, messages.StreamAsk] = attrs.field(factory=dict)
+    place: tuple[float, float, str] | None = None
+
+    @property
+    def granted_memory(self) -> int:
+        """Tokens of memory granted recently."""
+        return sum(ask.memory for ask in self.grants.values())
+
+    @property
+    def granted_tokens(self) -> int:
+        """Prompt tokens granted recently."""
+        return sum(ask.tokens for ask in self.grants.values())
+
+    def has_room(self, ask: messages.StreamAsk) -> bool:
+        """Return whether memory and slots allow another stream."""
+        room = self.room
+        if room.slots and room.running + len(self.grants) >= room.slots:
+            return False
+        held = room.memory + self.granted_memory
+        limit = _backendpool.MAX_MEMORY_SHARE * room.memory_limit
+        if not limit or held + ask.memory <= limit:
+            return True
+        # A stream that exceeds the share on any engine gets an empty one.
+        return not held and ask.memory <= room.memory_limit
+
+    def expected_s(
+        self, ask: messages.StreamAsk, token_s: float, now: float
+    ) -> float:
+        """Return the time to a stream's first event, in seconds."""
+        prompt_s = ask.tokens * token_s * self.room.slowness
+        return max(0.0, self.free_at - now) + prompt_s
+
+
+class _GrantRate:
+    """Granted work per second, as a decayed sum."""
+
+    def __init__(self) -> None:
+        self.started_at = math.inf
+        self.total = 0.0
+        self.at = 0.0
+
+    def add(self, work: float, now: float) -> None:
+        self.started_at = min(self.started_at, now)
+        self.total = self._decayed(now) + work
+        self.at = now
+
+    def per_s(self, now: float) -> float:
+        """Return the rate, or 0 if it isn't known yet."""
+        observed_s = now - self.started_at
+        if observed_s < MIN_GRANT_RATE_S:
+            return 0.0
+        observed = 1 - 2 ** (-observed_s / GRANT_RATE_HALF_LIFE_S)
+        rate = math.log(2) / GRANT_RATE_HALF_LIFE_S / observed
+        return self._decayed(now) * rate
+
+    def _decayed(self, now: float) -> float:
+        return self.total * 2 ** ((self.at - now) / GRANT_RATE_HALF_LIFE_S)
+
+
+class EngineLedger:
+    """The engines of one service, ordered by when they can read a prompt.
+
+    :ivar speed: work of a mean engine that all can read per second.
+    :ivar capacity: the same, if memory and slots allow less.
+    :ivar slowness: slowness that most engines don't exceed.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.engines: dict[str, Engine] = {}
+        self.token_s = 0.0
+        self.speed = 0.0
+        self.capacity = 0.0
+        self.slowness = 1.0
+        self.grant_rate = _GrantRate()
+        self.prompt_tokens = 0.0
+        self.granted: collections.deque[tuple[float, str, str]] = (
+            collections.deque()
+        )
+        # By slowness and version, engines ordered by the time they are free.
+        self.order: dict[
+            tuple[float, str], list[tuple[float, float, str]]
+        ] = {}
+        self.unread_work = 0.0
+        self.unread_at = 0.0
+
+    def update(
+        self, rooms: cabc.Iterable[EngineRoom], token_s: float, now: float
+    ) -> bool:
+        """Replace the engines; return whether any were lost."""
+        self.expire(now)
+        self.token_s = token_s
+        previous = self.engines
+        self.engines = {}
+        for room in rooms:
+            engine = previous.get(room.ident)
+            if engine is None:
+                engine = self._add(room, now)
+            else:
+                self._reconcile(engine, room, now)
+            self.engines[room.ident] = engine
+        self._arrange(now)
+        return any(ident not in self.engines for ident in previous)
+
+    def busy_until(self, now: float) -> float:
+        """Return the mean time at which engines are done with their prompts.
+
+        :return: ``now`` without engines.
+        """
+        if not self.speed:
+            return now
+        done = self.speed * (now - self.unread_at)
+        return now + max(0.0, self.unread_work - done) / self.speed
+
+    def best(
+        self, ask: messages.StreamAsk, within_s: float, now: float
+    ) -> Engine | None:
+        """Return the engine that gives the first event soonest.
+
+        :param within_s: it must be done with its other prompts by then.
+        """
+        best, best_s = None, math.inf
+        for key in self.order:
+            if ask.version is not None and ask.version != key[1]:
+                continue
+            engine = self._best_of(key, ask, now + within_s, now)
+            if engine is None:
+                continue
+            expected_s = engine.expected_s(ask, self.token_s, now)
+            if expected_s < best_s:
+                best, best_s = engine, expected_s
+        return best
+
+    def free_within(self, within_s: float, now: float) -> bool:
+        """Return whether any engine will be done with its prompts by then."""
+        return any(
+            places and places[0][0] <= now + within_s
+            for places in self.order.values()
+        )
+
+    def suits(self, ask: messages.StreamAsk) -> bool:
+        """Return whether any engine has the version and isn't excluded."""
+        if ask.version is None and not ask.excluded:
+            return bool(self.engines)
+        return any(
+            ask.version in (None, engine.room.version)
+            and ident not in ask.excluded
+            for ident, engine in self.engines.items()
+        )
+
+    def grant(
+        self,
+        engine: Engine,
+        ticket: str,
+        ask: messages.StreamAsk,
+        now: float,
+    ) -> None:
+        """Assign a stream to an engine."""
+        work = ask.tokens * self.token_s
+        engine.free_at = max(engine.free_at, now) + work * engine.room.slowness
+        engine.unreported += ask.tokens
+        engine.grants[ticket] = ask
+        self.granted.append((now, engine.room.ident, ticket))
+        self.unread_work = (self.busy_until(now) - now) * self.speed + work
+        self.unread_at = now
+        self.grant_rate.add(work, now)
+        gain = PROMPT_GAIN if self.prompt_tokens else 1.0
+        self.prompt_tokens += gain * (ask.tokens - self.prompt_tokens)
+        self._place(engine)
+
+    def release(self, ident: str, ticket: str, now: float) -> None:
+        """Take back a grant that isn't used."""
+        engine = self.engines.get(ident)
+        ask = engine.grants.pop(ticket, None) if engine else None
+        if engine is None or ask is None:
+            return
+        engine.unreported = max(0, engine.unreported - ask.tokens)
+        unused_s = ask.tokens * self.token_s * engine.room.slowness
+        engine.free_at = max(now, engine.free_at - unused_s)
+        self._place(engine)
+
+    def expire(self, now: float) -> None:
+        """Stop counting the grants that reports include by now."""
+        while self.granted and now - self.granted[0][0] > GRANT_REPORT_S:
+            _, ident, ticket = self.granted.popleft()
+            engine = self.engines.get(ident)
+            ask = engine.grants.pop(ticket, None) if engine else None
+            if engine is not None and ask is not None:
+                engine.unreported = max(0, engine.unreported - ask.tokens)
+
+    def _add(self, room: EngineRoom, now: float) -> Engine:
+        prompt = min(room.reading, self.prompt_tokens or room.reading)
+        # On average, half of the prompt being read is left.
+        unread = max(0.0, room.reading - prompt / 2)
+        return Engine(room, now + unread * self.token_s * room.slowness)
+
+    def _reconcile(self, engine: Engine, room: EngineRoom, now: float) -> None:
+        if room.reading < 0:
+            engine.room = attrs.evolve(
+                room,
+                reading=engine.room.reading,
+                running=engine.room.running,
+                memory=engine.room.memory,
+            )
+            return
+        token_s = self.token_s * room.slowness
+        added = max(0, room.reading - max(0, engine.room.reading))
+        covered = min(added, engine.unreported)
+        engine.unreported -= covered
+        if added > covered:
+            # Prompts that entries placed without asking.
+            engine.free_at = max(engine.free_at, now)
+            engine.free_at += (added - covered) * token_s
+        most_s = (room.reading + engine.granted_tokens) * token_s
+        least_s = 0.0
+        if room.reading:
+            prompt = min(room.reading, self.prompt_tokens or room.reading)
+            unread = room.reading - (1 - OVERDUE_SHARE) * prompt
+            least_s = unread * token_s - REPORT_LAG_S
+        engine.free_at = min(max(engine.free_at, now + least_s), now + most_s)
+        engine.room = room
+
+    def _arrange(self, now: float) -> None:
+        self.order = {}
+        self.speed = self.unread_work = 0.0
+        self.unread_at = now
+        for engine in self.engines.values():
+            speed = 1 / engine.room.slowness
+            self.speed += speed
+            self.unread_work += max(0.0, engine.free_at - now) * speed
+            engine.place = self._new_place(engine)
+            key = (round(engine.room.slowness, 1), engine.room.version)
+            self.order.setdefault(key, []).append(engine.place)
+        for places in self.order.values():
+            places.sort()
+        slownesses = sorted(e.room.slowness for e in self.engines.values())
+        if slownesses:
+            index = int(SLOWNESS_QUANTILE * (len(slownesses) - 1))
+            self.slowness = slownesses[index]
+        self.capacity = min(self.speed, self._memory_capacity(now))
+
+    def _memory_capacity(self, now: float) -> float:
+        """Return the work per second that memory and slots allow.
+
+        By Little's law, streams hold memory for what is held divided by the
+        rate of grants, so that full memory allows that rate divided by the
+        share that is filled.
+        """
+        engines = self.engines.values()
+        limit = _backendpool.MAX_MEMORY_SHARE * sum(
+            engine.room.memory_limit for engine in engines
+        )
+        slots = sum(engine.room.slots for engine in engines)
+        held = sum(e.room.memory + e.granted_memory for e in engines)
+        running = sum(e.room.running + len(e.grants) for e in engines)
+        filled = max(
+            held / limit if limit else 0.0, running / slots if slots else 0.0
+        )
+        rate = self.grant_rate.per_s(now)
+        if filled < FULL_SHARE or not rate:
+            return math.inf
+        return rate / filled
+
+    def _new_place(self, engine: Engine) -> tuple[float, float, str]:
+        return (engine.free_at, self.rng.random(), engine.room.ident)
+
+    def _place(self, engine: Engine) -> None:
+        """Move an engine to its place; engines set aside stay so."""
+        key = (round(engine.room.slowness, 1), engine.room.version)
+        places = self.order[key]
+        if engine.place is None:
+            return
+        index = bisect.bisect_left(places, engine.place)
+        del places[index]
+        engine.place = self._new_place(engine)
+        bisect.insort(places, engine.place)
+
+    def _best_of(
+        self,
+        key: tuple[float, str],
+        ask: messages.StreamAsk,
+        free_by: float,
+        now: float,
+    ) -> Engine | None:
+        """Return the best of the engines of one slowness and version.
+
+        Engines without room for this stream are set aside until the next
+        update, so that they aren't looked at for each of the next streams.
+        """
+        idle: list[Engine] = []
+        full = 0
+        places = self.order[key]
+        index = 0
+        while index < len(places) and places[index][0] <= free_by:
+            engine = self.engines[places[index][2]]
+            if engine.room.ident in ask.excluded:
+                index += 1
+            elif not engine.has_room(ask):
+                engine.place = None
+                del places[index]
+                full += 1
+            elif engine.free_at > now:
+                return min(idle, key=_memory_share) if idle else engine
+            else:
+                idle.append(engine)
+                index += 1
+                if len(idle) == IDLE_CHOICES:
+                    break
+        return min(idle, key=_memory_share, default=None)
+
+
+def _memory_share(engine: Engine) -> float:
+    room = engine.room
+    held = room.memory + engine.granted_memory
+    return held / room.memory_limit if room.memory_limit else 0.0
--- /dev/null
+++ b/tests/streamload.py
@@ -0,0 +1,183 @@
+"""Plays streams against a scheduler in emulated time.
+
+Engines read one prompt after the other. Reports of their load are late, and
+callers that are refused return once.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+
+import attrs
+
+from bulrushhold import decisions
+from bulrushhold import messages
+
+TOKEN_S = 1 / 8000
+REPORT_S = 0.1
+REPORT_AGE_S = 0.15
+RUN_S = 3.0
+GRANTED = messages.SchedulingStatus.GRANTED
+QUEUED = messages.SchedulingStatus.QUEUED
+REFUSED = messages.SchedulingStatus.REFUSED
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One request and its outcome."""
+
+    number: int
+    arrived_at: float
+    priority: int
+    account: str
+    tokens: int
+    objective_s: float
+    patience_s: float
+    asked_at: float = 0.0
+    attempts: int = 0
+    retry_after_s: float = 0.0
+    exact: bool = False
+    refused_after_s: list = attrs.field(factory=list)
+    first_event_at: float = math.inf
+
+    @property
+    def served(self):
+        return self.first_event_at <= self.arrived_at + self.patience_s
+
+    @property
+    def on_time(self):
+        return self.first_event_at <= self.arrived_at + self.objective_s
+
+
+@attrs.define(eq=False)
+class Engine:
+    ident: str
+    slowness: float = 1.0
+    memory_limit: int = 0
+    free_at: float = 0.0
+    busy_s: float = 0.0
+    prompts: list = attrs.field(factory=list)
+    running: list = attrs.field(factory=list)
+    max_memory: int = 0
+
+    def place(self, caller, now):
+        work_s = caller.tokens * TOKEN_S * self.slowness
+        self.free_at = max(self.free_at, now) + work_s
+        self.busy_s += work_s
+        self.prompts.append((self.free_at, caller))
+        self.running.append((self.free_at + RUN_S, caller.tokens))
+        caller.first_event_at = self.free_at
+        self.max_memory = max(self.max_memory, self.room(now).memory)
+
+    def room(self, now):
+        self.prompts = [p for p in self.prompts if p[0] > now]
+        self.running = [r for r in self.running if r[0] > now]
+        return decisions.EngineRoom(
+            self.ident,
+            sum(caller.tokens for _, caller in self.prompts),
+            len(self.running),
+            sum(tokens for _, tokens in self.running),
+            0,
+            self.memory_limit,
+            self.slowness,
+        )
+
+
+class Load:
+    """Runs callers against a scheduler; events are times and functions."""
+
+    def __init__(self, engines, seed):
+        self.engines = engines
+        self.rng = random.Random(seed)
+        self.scheduler = decisions.StreamScheduler(random.Random(seed + 1))
+        self.callers = []
+        self.tickets = {}
+        self.events = []
+        self.numbers = itertools.count()
+        self.reports = collections.deque()
+        self.depths = []
+
+    def at(self, when, function, *arguments):
+        event = (when, next(self.numbers), function, arguments)
+        heapq.heappush(self.events, event)
+
+    def arrivals(self, rate, begin, end, choose):
+        """Add Poisson arrivals; ``choose`` returns a caller's attributes."""
+        now = begin
+        while (now := now + self.rng.expovariate(rate)) < end:
+            tokens = round(self.rng.uniform(6000, 10000))
+            caller = Caller(
+                len(self.callers), now, tokens=tokens, **choose(self.rng)
+            )
+            self.callers.append(caller)
+            self.at(now, self.ask, caller)
+
+    def run(self, until):
+        self.at(0.0, self.report, 0.0)
+        self.at(0.0, self.tick, 0.0)
+        while self.events and self.events[0][0] <= until:
+            now, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments, now=now) if function == self.ask else (
+                function(*arguments)
+            )
+
+    def report(self, now):
+        rooms = [engine.room(now) for engine in self.engines]
+        self.at(now + REPORT_AGE_S, self.update, rooms, now + REPORT_AGE_S)
+        self.at(now + REPORT_S, self.report, now + REPORT_S)
+
+    def update(self, rooms, now):
+        alive = {engine.ident for engine in self.engines}
+        rooms = [room for room in rooms if room.ident in alive]
+        self.scheduler.update(rooms, TOKEN_S, now)
+
+    def tick(self, now):
+        for ticket in self.tickets:
+            self.scheduler.poll(ticket, now)
+        for ticket, decision in self.scheduler.advance(now):
+            self.decide(self.tickets.pop(ticket), decision, now)
+        self.at(now + 0.02, self.tick, now + 0.02)
+
+    def ask(self, caller, now):
+        caller.attempts += 1
+        caller.asked_at = now
+        ticket = f'{caller.number}/{caller.attempts}'
+        elapsed_s = now - caller.arrived_at
+        ask = messages.StreamAsk(
+            's',
+            'e',
+            ticket,
+            str(caller.number),
+            caller.priority,
+            caller.account,
+            caller.tokens,
+            caller.tokens,
+            caller.objective_s - elapsed_s,
+            caller.patience_s - elapsed_s,
+        )
+        decision = self.scheduler.ask(ask, now)
+        if decision.status is QUEUED:
+            self.tickets[ticket] = caller
+        else:
+            self.decide(caller, decision, now)
+
+    def decide(self, caller, decision, now):
+        if decision.status is GRANTED:
+            engines = {e.ident: e for e in self.engines}
+            if decision.engine in engines:
+                engines[decision.engine].place(caller, now)
+            return
+        caller.refused_after_s.append(now - caller.asked_at)
+        caller.retry_after_s = decision.retry_after_s
+        remaining_s = caller.patience_s - (now - caller.arrived_at)
+        if caller.attempts == 1:
+            caller.exact = caller.retry_after_s <= remaining_s / 3
+            wait_s = min(caller.retry_after_s, remaining_s / 3)
+            self.at(now + wait_s, self.ask, caller)
+
+
+def share(values):
+    values = list(values)
+    return sum(values) / max(1, len(values))
