Control processes schedule the streams of services

Each service has a home among the control processes, as limited servers have, which grants engines to the streams of all entries. It uses what control knows already: the backend list, load reports, speeds, losses and the limits of the route map. A stream keeps its ticket when it asks again, so that it isn't counted twice.

--- /dev/null
+++ b/src/bulrushhold/control/_enginerooms.py
@@ -0,0 +1,83 @@
+"""The load of a service's engines, from what control processes know."""
+
+import typing as t
+
+from bulrushhold.control import _clusterview
+from bulrushhold import decisions
+from bulrushhold import messages
+from bulrushhold import routes
+
+# For this time a lost engine is taken to be down, although it is listed.
+LOST_S: t.Final = 1.0
+# Marks an engine whose load isn't known.
+NO_REPORT: t.Final = -1
+_NO_LOAD: t.Final = messages.EngineLoad(0, 0)
+
+
+class EngineRooms:
+    """Combines the backend list, load reports and the route map.
+
+    :param loads: load reports of all entries.
+    """
+
+    def __init__(
+        self,
+        view: _clusterview.ClusterView,
+        loads: decisions.LoadAggregator,
+    ) -> None:
+        self.view = view
+        self.loads = loads
+        self.speeds = decisions.EngineSpeeds()
+        self.map_version = 0
+        self.services: dict[str, routes.Service] = {}
+
+    @property
+    def known(self) -> bool:
+        """Whether this process has the list of backend servers."""
+        return self.view.backends is not None
+
+    def usable(self, service: str, now: float) -> list[decisions.EngineRoom]:
+        """Return the engines of a service that can be used now."""
+        limits = self._limits(service)
+        loads = self.loads.engine_loads()
+        unknown = messages.EngineLoad(NO_REPORT, 0)
+        lost = self.loads.lost_since(now - LOST_S)
+        rooms = []
+        for engine in self.view.backends or ():
+            if (
+                engine.service != service
+                or engine.leaving
+                or engine.ident in lost
+            ):
+                continue
+            load = (
+                unknown if loads is None else loads.get(engine.ident, _NO_LOAD)
+            )
+            rooms.append(
+                decisions.EngineRoom(
+                    engine.ident,
+                    load.reading,
+                    load.running,
+                    load.memory,
+                    engine.slots or limits.slots,
+                    limits.memory_tokens,
+                    version=engine.version,
+                )
+            )
+        return rooms
+
+    def token_s(
+        self, service: str, objective: decisions.LatencyObjective, now: float
+    ) -> float:
+        """Return the seconds that a mean engine needs for a prompt token."""
+        self.speeds.apply_remote_samples(self.loads.speeds())
+        return self.speeds.token_s(service, objective, now)
+
+    def _limits(self, service: str) -> routes.Service:
+        view = self.view
+        if view.route_map is not None and view.map_version != self.map_version:
+            self.map_version = view.map_version
+            self.services = {
+                s.name: s for s in messages.unpack_services(view.route_map)
+            }
+        return self.services.get(service, routes.Service(service))
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -10,6 +10,7 @@
 from bulrushhold.control import _places
 from bulrushhold.control import _relay
 from bulrushhold.control import _rollouts
+from bulrushhold.control import _scheduling
 from bulrushhold.control import _server
 from bulrushhold.control import _viewfollower
 from bulrushhold.control import _viewpublisher
@@ -74,6 +75,9 @@
         self.watch.attach_hooks.append(self._announce)
         self.permits = _permits.PermitServer(server.transport, server.clock)
         self.places = _places.PlaceServer(server.transport, server.clock)
+        self.scheduling = _scheduling.SchedulingServer(
+            server.transport, self.view, self.watch.loads, server.clock
+        )
         self.origins = _origins.OriginServer(
             server.transport, self.view, local_node.address, server.clock
         )
@@ -90,6 +94,7 @@
             self.follower.run(),
             self.watch.run(),
             self.origins.run(),
+            self.scheduling.run(),
         )
 
     def _has_leader_contact(self) -> bool:
@@ -133,6 +138,9 @@
         self.watch.attach_hooks.append(self.follower.announce)
         self.permits = _permits.PermitServer(relay.transport, relay.clock)
         self.places = _places.PlaceServer(relay.transport, relay.clock)
+        self.scheduling = _scheduling.SchedulingServer(
+            relay.transport, self.view, self.watch.loads, relay.clock
+        )
         self.origins = _origins.OriginServer(
             relay.transport, self.view, relay.peer, relay.clock
         )
@@ -140,5 +148,8 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         await asyncio.gather(
-            self.follower.run(), self.watch.run(), self.origins.run()
+            self.follower.run(),
+            self.watch.run(),
+            self.origins.run(),
+            self.scheduling.run(),
         )
--- /dev/null
+++ b/src/bulrushhold/control/_scheduling.py
@@ -0,0 +1,291 @@
+"""Schedules the streams of services that have this process as their home."""
+
+import asyncio
+import collections
+import collections.abc as cabc
+import contextlib
+import random
+import typing as t
+
+import attrs
+
+from bulrushhold.control import _clusterview
+from bulrushhold.control import _enginerooms
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import ports
+
+# Interval at which engines that are about to be free are granted.
+ADVANCE_INTERVAL_S: t.Final = 0.05
+# Load reports don't change the engines' load more often.
+UPDATE_INTERVAL_S: t.Final = 0.1
+# A scheduler is advanced for this long after its last ask.
+ACTIVE_S: t.Final = 3.0
+# Keeps the prior of engines' speed positive.
+MIN_OBJECTIVE_S: t.Final = 0.1
+IDLE_CHECK_S: t.Final = 1.0
+# Longer than callers are told to wait before they return.
+IDLE_TTL_S: t.Final = 60.0
+# A queued stream that isn't polled for this long has been dropped.
+POLL_TTL_S: t.Final = 1.0
+MAX_LONG_POLL_S: t.Final = 1.0
+# Window of the numbers of grants that log lines give.
+SERVED_WINDOW_S: t.Final = 5.0
+
+_UNKNOWN: t.Final = messages.StreamDecision(messages.SchedulingStatus.UNKNOWN)
+
+
+@attrs.define
+class _Queued:
+    """A stream that was told to wait.
+
+    :param decided: wakes its poll.
+    """
+
+    ask: messages.StreamAsk
+    asked_at: float
+    polled_at: float
+    decided: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+@attrs.define
+class _Service:
+    """The scheduling of one service.
+
+    :param objective: of a recent stream, as the prior of engines' speed.
+    :param queued: by ticket.
+    :param served: times and priorities of recent grants.
+    """
+
+    scheduler: decisions.StreamScheduler
+    objective: decisions.LatencyObjective
+    asked_at: float
+    updated_at: float = float('-inf')
+    queued: dict[str, _Queued] = attrs.field(factory=dict)
+    served: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque
+    )
+
+    def is_active(self, now: float) -> bool:
+        """Return whether streams wait, or have recently asked."""
+        return bool(self.queued) or now - self.asked_at < ACTIVE_S
+
+    def record_served(self, priority: int, now: float) -> None:
+        """Record a grant."""
+        self.served.append((now, priority))
+        while now - self.served[0][0] > SERVED_WINDOW_S:
+            self.served.popleft()
+
+    def log_fields(self, now: float) -> dict[str, t.Any]:
+        """Return the numbers of streams served and waiting, by priority."""
+        served = collections.Counter(
+            priority
+            for at, priority in self.served
+            if now - at <= SERVED_WINDOW_S
+        )
+        queued = collections.Counter(
+            stream.ask.priority for stream in self.queued.values()
+        )
+        return {
+            'served': dict(sorted(served.items())),
+            'queued': dict(sorted(queued.items())),
+        }
+
+
+class SchedulingServer:
+    """Answers the entries that have this process as a service's home.
+
+    :param loads: load reports of all entries.
+    :param make_scheduler: returns the scheduler of another service.
+    """
+
+    def __init__(
+        self,
+        transport: ports.Transport,
+        view: _clusterview.ClusterView,
+        loads: decisions.LoadAggregator,
+        clock: cabc.Callable[[], float],
+        make_scheduler: cabc.Callable[
+            [], decisions.StreamScheduler
+        ] = lambda: decisions.StreamScheduler(random.Random()),
+    ) -> None:
+        self.clock = clock
+        self.make_scheduler = make_scheduler
+        self.rooms = _enginerooms.EngineRooms(view, loads)
+        self.services: dict[str, _Service] = {}
+        self.asked = asyncio.Event()
+        transport.handle(messages.StreamAsk, self._on_ask)
+        transport.handle(messages.StreamPoll, self._on_poll)
+        transport.handle(messages.StreamCancel, self._on_cancel)
+
+    async def run(self) -> None:
+        """Grant engines to queued streams until cancelled.
+
+        Does nothing while no service has asks.
+        """
+        while True:
+            now = self.clock()
+            if any(s.is_active(now) for s in self.services.values()):
+                await asyncio.sleep(ADVANCE_INTERVAL_S)
+            else:
+                await self._wait_for_asks()
+            self.advance()
+
+    async def _wait_for_asks(self) -> None:
+        self.asked.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(
+                IDLE_CHECK_S if self.services else None
+            ):
+                await self.asked.wait()
+
+    def advance(self) -> None:
+        """Grant engines that are about to be free, and drop idle services."""
+        now = self.clock()
+        for name, service in list(self.services.items()):
+            if service.is_active(now):
+                self._advance(name, service, now)
+            elif now - service.asked_at > IDLE_TTL_S:
+                del self.services[name]
+
+    def _advance(self, name: str, service: _Service, now: float) -> None:
+        self._update(name, service, now)
+        for ticket, decision in service.scheduler.advance(now):
+            self._record_decision(service, ticket, decision, now)
+        for ticket, stream in list(service.queued.items()):
+            if now - stream.polled_at > POLL_TTL_S:
+                del service.queued[ticket]
+
+    def _update(self, name: str, service: _Service, now: float) -> None:
+        if now - service.updated_at < UPDATE_INTERVAL_S:
+            return
+        service.updated_at = now
+        service.scheduler.update(
+            self.rooms.usable(name, now),
+            self.rooms.token_s(name, service.objective, now),
+            now,
+        )
+
+    # Messages
+
+    async def _on_ask(
+        self, ask: messages.StreamAsk
+    ) -> messages.StreamDecision:
+        now = self.clock()
+        if not self.rooms.known:
+            raise errors.PeerError('no backend list yet', 'StreamAsk')
+        service = self._service(ask, now)
+        self._update(ask.service, service, now)
+        ticket = _ticket(ask)
+        service.queued.pop(ticket, None)
+        decision = service.scheduler.ask(attrs.evolve(ask, ticket=ticket), now)
+        match decision.status:
+            case messages.SchedulingStatus.QUEUED:
+                service.queued[ticket] = _Queued(ask, now, now)
+            case messages.SchedulingStatus.REFUSED:
+                _log_refusal('stream refused', ask, service, decision, now)
+            case messages.SchedulingStatus.GRANTED:
+                service.record_served(ask.priority, now)
+        return decision
+
+    def _service(self, ask: messages.StreamAsk, now: float) -> _Service:
+        service = self.services.get(ask.service)
+        if service is None:
+            service = _Service(self.make_scheduler(), _objective(ask), now)
+            self.services[ask.service] = service
+        elif ask.objective_s > 0:
+            service.objective = _objective(ask)
+        service.asked_at = now
+        self.asked.set()
+        return service
+
+    async def _on_poll(
+        self, poll: messages.StreamPoll
+    ) -> messages.StreamDecision:
+        service = self.services.get(poll.service)
+        if service is None:
+            return _UNKNOWN
+        ticket = _ticket(poll)
+        decision = service.scheduler.poll(ticket, self.clock())
+        stream = service.queued.get(ticket)
+        if (
+            decision.status is messages.SchedulingStatus.QUEUED
+            and stream is not None
+        ):
+            stream.polled_at = self.clock()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(poll.hold_s, MAX_LONG_POLL_S)):
+                    await stream.decided.wait()
+            decision = service.scheduler.poll(ticket, self.clock())
+            stream.polled_at = self.clock()
+        return decision
+
+    async def _on_cancel(self, cancel: messages.StreamCancel) -> None:
+        service = self.services.get(cancel.service)
+        if service is not None:
+            ticket = _ticket(cancel)
+            service.queued.pop(ticket, None)
+            service.scheduler.cancel(ticket, self.clock())
+
+    def _record_decision(
+        self,
+        service: _Service,
+        ticket: str,
+        decision: messages.StreamDecision,
+        now: float,
+    ) -> None:
+        stream = service.queued.pop(ticket, None)
+        if stream is None:
+            return
+        stream.decided.set()
+        if decision.status is messages.SchedulingStatus.GRANTED:
+            service.record_served(stream.ask.priority, now)
+        elif decision.status is messages.SchedulingStatus.REFUSED:
+            _log_refusal(
+                'stream refused after queueing',
+                stream.ask,
+                service,
+                decision,
+                now,
+                waited_s=round(now - stream.asked_at, 3),
+            )
+
+
+def _objective(ask: messages.StreamAsk) -> decisions.LatencyObjective:
+    seconds = ask.objective_s if ask.objective_s > 0 else ask.remaining_s
+    return decisions.LatencyObjective(
+        max(1, ask.tokens), max(MIN_OBJECTIVE_S, seconds), 0.0
+    )
+
+
+def _ticket(
+    message: messages.StreamAsk | messages.StreamPoll | messages.StreamCancel,
+) -> str:
+    """Return a ticket that is unique among all entries."""
+    return f'{message.entry}/{message.ticket}'
+
+
+def _log_refusal(
+    text: str,
+    ask: messages.StreamAsk,
+    service: _Service,
+    decision: messages.StreamDecision,
+    now: float,
+    **fields: t.Any,
+) -> None:
+    node.log_decision(
+        text,
+        service=ask.service,
+        entry=ask.entry,
+        ticket=ask.ticket,
+        fingerprint=ask.fingerprint,
+        priority=ask.priority,
+        account=ask.account,
+        tokens=ask.tokens,
+        objective_s=ask.objective_s,
+        retry_after_s=round(decision.retry_after_s, 3),
+        **service.log_fields(now),
+        **fields,
+    )
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -350,6 +350,30 @@
         """Whether an entry of this process reports on a rollout."""
         return any(report.evidence for report in self.reports.values())
 
+    def engine_loads(self) -> dict[str, messages.EngineLoad] | None:
+        """Return the load of all entries by engine; idle ones are missing.
+
+        :return: ``None`` without a recent report of any entry.
+        """
+        sums = any(node.sum is not None for node in self.nodes.values())
+        if not self.reports and not sums:
+            return None
+        self._update_sums()
+        return self.total.engines
+
+    def speeds(self) -> dict[str, messages.EngineSpeed]:
+        """Return the speed samples of all entries, by service."""
+        self._update_sums()
+        return self.total.speeds
+
+    def lost_since(self, since: float) -> set[str]:
+        """Return engines lost since then, or replaced recently."""
+        return {
+            event.lost or event.replaced
+            for event in self.events
+            if event.replaced or event.at >= since
+        }
+
     def live_nodes(self, now: float) -> list[str]:
         """Return the addresses of processes whose sums arrive."""
         return [a for a, node in self.nodes.items() if _is_live(node, now)]
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -151,6 +151,7 @@
     *,
     waiting_since: float,
     refusable: bool,
+    ticket: str = '',
 ) -> AdmissionResult:
     """Wait for the decision on a stream whose admission is ordered.
 
@@ -160,6 +161,7 @@
     :param waiting_since: when the caller started to wait for an event.
     :param refusable: no attempt may have run, so that the home may refuse the
         stream.
+    :param ticket: of an earlier ask for the stream.
     """
     refused = False
     retry_pause_s = 0.0
@@ -185,7 +187,7 @@
                 return result
         if job.deadline - context.clock() < _scheduling.MIN_REMAINING_S:
             return AdmissionResult(False, _context.RETRY_AFTER_S)
-        ask = _make_ask(context, job, engines, waiting_since)
+        ask = _make_ask(context, job, engines, waiting_since, ticket)
         scheduled = await context.scheduling.request(ask)
         decision, ticket = scheduled.decision, scheduled.ticket
         if scheduled.queued_s:
@@ -217,13 +219,14 @@
     job: _context.Job,
     engines: _enginechooser.EngineChooser,
     waiting_since: float,
+    ticket: str,
 ) -> messages.StreamAsk:
     now = context.clock()
     assert job.priority is not None
     return messages.StreamAsk(
         job.service,
         context.entry,
-        '',
+        ticket,
         job.fingerprint,
         job.priority,
         job.account,
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -59,7 +59,8 @@
     async def request(self, ask: messages.StreamAsk) -> Scheduled:
         """Wait for the decision on a stream.
 
-        :param ask: the ticket is added here.
+        :param ask: a ticket is added if it has none. A stream that asks again
+            does so with its ticket, so that it isn't counted twice.
         """
 
 
@@ -144,7 +145,7 @@
 
     async def request(self, ask: messages.StreamAsk) -> Scheduled:
         """Ask the home; see :meth:`StreamScheduling.request`."""
-        ticket = f'{self.start_id}-{next(self.numbers):x}'
+        ticket = ask.ticket or f'{self.start_id}-{next(self.numbers):x}'
         ask = attrs.evolve(ask, entry=self.entry, ticket=ticket)
         state = self.services.setdefault(ask.service, _Service())
         state.probing = probes = state.fallback_since is not None
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -56,6 +56,7 @@
         self.lost_runs = 0
         self.retry_pause_s = RETRY_PAUSE_S
         self.may_have_run = False
+        self.ticket = ''
         self.backup: decisions.BackendServer | None = None
         self.backup_since = 0.0
         self.copy: calls.RunCopy | None = None
@@ -221,7 +222,9 @@
                 self.engines,
                 waiting_since=self.timing.started_at,
                 refusable=not self.may_have_run,
+                ticket=self.ticket,
             )
+            self.ticket = admission.ticket or self.ticket
             if not admission.admitted:
                 if self.may_have_run:
                     return _permits.PermittedChoice()
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -6,6 +6,7 @@
 from bulrushhold.messages._codec import Message
 from bulrushhold.messages._codec import pack_map
 from bulrushhold.messages._codec import unpack_map
+from bulrushhold.messages._codec import unpack_services
 from bulrushhold.messages._entries import CopyAck
 from bulrushhold.messages._entries import CopyAppend
 from bulrushhold.messages._entries import CopyBatch
@@ -234,4 +235,5 @@
     'is_newer',
     'pack_map',
     'unpack_map',
+    'unpack_services',
 ]
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -141,7 +141,15 @@
         ) from error
 
 
+@attrs.frozen
+class _MapServices:
+    """The part of a route map that describes its services."""
+
+    services: list[routes.Service] = attrs.field(factory=list)
+
+
 _MAP_DECODER = msgspec.msgpack.Decoder(routes.RouteMap)
+_SERVICES_DECODER = msgspec.msgpack.Decoder(_MapServices)
 
 
 def pack_map(route_map: routes.RouteMap) -> bytes:
@@ -154,8 +162,20 @@
 
     :raises PeerError: if it is malformed.
     """
+    return t.cast(routes.RouteMap, _unpack(data, _MAP_DECODER))
+
+
+def unpack_services(data: bytes) -> list[routes.Service]:
+    """Return a packed route map's services, without decoding the rest.
+
+    :raises PeerError: if the map is malformed.
+    """
+    return t.cast(_MapServices, _unpack(data, _SERVICES_DECODER)).services
+
+
+def _unpack(data: bytes, decoder: 'msgspec.msgpack.Decoder[t.Any]') -> t.Any:
     try:
-        return _MAP_DECODER.decode(zlib.decompress(data))
+        return decoder.decode(zlib.decompress(data))
     except (msgspec.DecodeError, zlib.error) as error:
         raise errors.PeerError(
             f'malformed route map: {error}', 'decode'
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import attrs
+import loguru
 import pytest
 import pytest_asyncio
 
@@ -321,6 +322,14 @@
     return await make_system()
 
 
+@pytest.fixture
+def log_records():
+    records = []
+    sink = loguru.logger.add(lambda line: records.append(line.record['extra']))
+    yield records
+    loguru.logger.remove(sink)
+
+
 @pytest.fixture
 def rng():
     return random.Random(7)
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -2,7 +2,6 @@
 
 import random
 
-import loguru
 import pytest
 
 from bulrushhold import decisions
@@ -41,14 +40,6 @@
     )
 
 
-@pytest.fixture
-def log_records():
-    records = []
-    sink = loguru.logger.add(lambda line: records.append(line.record['extra']))
-    yield records
-    loguru.logger.remove(sink)
-
-
 @pytest.fixture
 def fleet(context):
     return forwarding.FleetView(
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -190,6 +190,7 @@
     resumes='',
     ident='req-1',
     segment='p',
+    priority=None,
 ):
     call = calls.Call(
         ident,
@@ -217,7 +218,12 @@
         gap_s=gap_s,
     )
     return forwarding.Job(
-        call, route, 'engines', 'acct', context.clock() + timeout_s
+        call,
+        route,
+        'engines',
+        'acct',
+        context.clock() + timeout_s,
+        priority=priority,
     )
 
 
--- /dev/null
+++ b/tests/test_scheduling_home.py
@@ -0,0 +1,244 @@
+"""The scheduling home of a service, alone and with entries over sockets."""
+
+import asyncio
+import time
+
+import pytest
+
+from bulrushhold.control import _clusterview
+from bulrushhold.control import _scheduling
+from bulrushhold import decisions
+from bulrushhold import forwarding
+from bulrushhold import messages
+from bulrushhold import node
+from bulrushhold import routes
+
+PROMPT = 8000
+BUSY = messages.EngineLoad(20 * PROMPT, 4, 4 * PROMPT)
+# A prompt takes a second.
+SPEED = messages.EngineSpeed(100 * PROMPT, 100.0)
+Status = messages.SchedulingStatus
+
+
+class Transport:
+    def __init__(self):
+        self.handlers = {}
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    async def request(self, message):
+        return await self.handlers[type(message)](message)
+
+
+class Home:
+    """A home with two engines, by a clock that the test sets."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.transport = Transport()
+        self.view = _clusterview.ClusterView(lambda: self.now)
+        self.view.backends = [
+            messages.ListedBackend(f'i{n}', 's', f'h{n}', 'dc', 8)
+            for n in range(2)
+        ]
+        self.view.route_map = messages.pack_map(
+            routes.RouteMap(1, [], [routes.Service('s', memory_tokens=88_000)])
+        )
+        self.view.map_version = 1
+        self.loads = decisions.LoadAggregator('x', 'dc', 1)
+        self.restart()
+        self.report(BUSY, BUSY)
+
+    def restart(self):
+        self.server = _scheduling.SchedulingServer(
+            self.transport, self.view, self.loads, lambda: self.now
+        )
+
+    def report(self, *engine_loads, lost=()):
+        engines = {f'i{n}': load for n, load in enumerate(engine_loads)}
+        report = messages.LoadReport(
+            'e9', engines, list(lost), speeds={'s': SPEED}
+        )
+        self.loads.add_report(report, self.now)
+
+    def rooms(self):
+        return self.server.rooms.usable('s', self.now)
+
+    async def ask(self, ticket='t1', entry='e1', **fields):
+        fields = {'objective_s': 40.0, 'remaining_s': 60.0, **fields}
+        return await self.transport.request(
+            messages.StreamAsk(
+                's',
+                entry,
+                ticket,
+                f'f-{entry}-{ticket}',
+                1,
+                'acct',
+                PROMPT,
+                PROMPT + 200,
+                **fields,
+            )  # fmt: skip
+        )
+
+    async def poll(self, ticket='t1', entry='e1', hold_s=0.0):
+        poll = messages.StreamPoll('s', entry, ticket, hold_s)
+        return await self.transport.request(poll)
+
+    async def cancel(self, ticket='t1', entry='e1'):
+        cancel = messages.StreamCancel('s', entry, ticket)
+        return await self.transport.request(cancel)
+
+    def advance(self, seconds):
+        self.now += seconds
+        self.server.advance()
+
+
+@pytest.fixture
+def home():
+    return Home()
+
+
+async def test_a_poll_returns_as_soon_as_an_engine_is_granted(home):
+    assert (await home.ask()).status is Status.QUEUED
+    poll = asyncio.ensure_future(home.poll(hold_s=1.0))
+    await asyncio.sleep(0.05)
+    home.report(BUSY)
+    home.advance(0.2)
+    started_at = time.monotonic()
+    decision = await poll
+    assert decision == messages.StreamDecision(Status.GRANTED, 'i1')
+    assert time.monotonic() - started_at < 0.2
+
+
+async def test_equal_tickets_of_two_entries_are_two_streams(home):
+    home.report(BUSY, messages.EngineLoad(0, 0))
+    assert (await home.ask(entry='e1')).status is Status.GRANTED
+    assert (await home.ask(entry='e2')).status is Status.QUEUED
+    assert (await home.poll(entry='e1')).engine == 'i1'
+
+
+async def test_a_home_that_has_restarted_knows_no_ticket(home):
+    await home.ask()
+    home.restart()
+    assert (await home.poll()).status is Status.UNKNOWN
+    home.report(BUSY)
+    # Guards against a new home that waits before it grants.
+    assert (await home.ask()).status is Status.GRANTED
+
+
+async def test_the_tickets_of_an_entry_that_died_are_dropped(home):
+    await home.ask('t1', entry='dead')
+    await home.ask('t2', entry='e2')
+    for _ in range(4):
+        home.advance(0.2)
+        await home.poll('t2', entry='e2')
+    home.report(BUSY)
+    home.advance(0.2)
+    assert (await home.poll('t1', entry='dead')).status is Status.UNKNOWN
+    assert (await home.poll('t2', entry='e2')).engine == 'i1'
+
+
+async def test_a_cancelled_stream_frees_its_engine(home):
+    """Guards against grants whose reply was late and isn't used."""
+    home.report(BUSY)
+    assert (await home.ask('t1')).engine == 'i1'
+    assert (await home.ask('t2')).status is Status.QUEUED
+    await home.cancel('t1')
+    home.advance(0.1)
+    assert (await home.poll('t2')).engine == 'i1'
+
+
+async def test_an_engine_that_was_just_lost_is_not_granted(home):
+    home.report(BUSY, lost=['i1'])
+    assert [room.ident for room in home.rooms()] == ['i0']
+    assert (await home.ask()).status is Status.QUEUED
+    home.now += 1.1
+    assert [room.ident for room in home.rooms()] == ['i0', 'i1']
+
+
+async def test_a_commitment_withdrawn_after_a_loss_is_logged(
+    home, log_records
+):
+    assert (await home.ask(objective_s=10.0)).status is Status.QUEUED
+    poll = asyncio.ensure_future(home.poll(hold_s=1.0))
+    await asyncio.sleep(0.05)
+    home.report(BUSY, BUSY, lost=['i0', 'i1'])
+    home.advance(0.2)
+    assert (await poll).status is Status.REFUSED
+    [line] = log_records
+    assert line['decision'] == 'stream refused after queueing'
+    assert line['ticket'] == 't1'
+
+
+async def test_a_refusal_is_logged_with_what_was_served_instead(
+    home, log_records
+):
+    home.report(BUSY)
+    await home.ask('t1')
+    refused = await home.ask('t2', objective_s=0.1, remaining_s=0.1)
+    assert refused.status is Status.REFUSED
+    [line] = log_records
+    assert line['decision'] == 'stream refused'
+    assert (line['served'], line['queued']) == ({1: 1}, {})
+    assert (line['priority'], line['account']) == (1, 'acct')
+
+
+def test_rooms_combine_loads_with_the_limits_of_the_route_map(home):
+    home.report(messages.EngineLoad(500, 2, 900))
+    first, second = home.rooms()
+    expected = decisions.EngineRoom('i0', 500, 2, 900, 8, 88_000)
+    assert first == expected
+    assert (second.reading, second.running) == (0, 0)
+    home.loads.remove_report('e9')
+    # Guards against full engines that look idle without reports.
+    assert all(room.reading < 0 for room in home.rooms())
+
+
+async def test_an_idle_service_is_not_updated_and_dropped_in_the_end(home):
+    await home.ask()
+    await home.cancel()
+    home.advance(4.0)
+    updated_at = home.server.services['s'].updated_at
+    home.advance(4.0)
+    assert home.server.services['s'].updated_at == updated_at
+    home.advance(60.0)
+    assert not home.server.services
+
+
+def make_scheduling(fleet, metrics):
+    entry = fleet.entries['a']
+    return forwarding.HomeScheduling(
+        fleet.transports['a'],
+        entry.placement,
+        entry.admission,
+        metrics,
+        'e-a',
+        lambda: entry.servers.nodes,
+    )
+
+
+async def request(scheduling):
+    ask = messages.StreamAsk(
+        'engines', '', '', 'f', 1, 'acct', PROMPT, PROMPT, 5.0, 5.0
+    )
+    scheduled = await scheduling.request(ask)
+    return scheduled.decision.status
+
+
+async def test_another_home_decides_after_the_first_is_gone(fleet):
+    entry = fleet.entries['a']
+    await fleet.cluster.wait_until(lambda: len(entry.servers.nodes) == 5)
+    scheduling = make_scheduling(fleet, node.NullMetrics())
+    assert await request(scheduling) is Status.GRANTED
+    home = decisions.permit_home_address('engines', entry.servers.nodes)
+    [name] = [n for n, a in fleet.relays.items() if a == home]
+    await fleet.stop(f'relay-{name}')
+    started_at = time.monotonic()
+    assert await request(scheduling) is Status.UNKNOWN
+    assert time.monotonic() - started_at < 0.4
+    assert scheduling.decides_locally('engines', PROMPT)
+    await fleet.cluster.wait_until(
+        lambda: home not in [n.address for n in entry.servers.nodes]
+    )
+    assert await request(scheduling) is Status.GRANTED
