Operators can follow a refused stream to what was served instead

The home logs each refusal with the ticket, the account, the predicted wait and the numbers served and queued by priority, and a summary each 5 s. A home whose list lacks a service no longer refuses its streams.

--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -33,6 +33,8 @@
 MAX_LONG_POLL_S: t.Final = 1.0
 # Window of the numbers of grants that log lines give.
 SERVED_WINDOW_S: t.Final = 5.0
+# Interval of a service's summary in the log.
+SUMMARY_INTERVAL_S: t.Final = 5.0
 
 _UNKNOWN: t.Final = messages.StreamDecision(messages.SchedulingStatus.UNKNOWN)
 
@@ -63,6 +65,7 @@
     objective: decisions.LatencyObjective
     asked_at: float
     updated_at: float = float('-inf')
+    summarized_at: float = float('-inf')
     queued: dict[str, _Queued] = attrs.field(factory=dict)
     served: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque
@@ -157,6 +160,9 @@
         for ticket, stream in list(service.queued.items()):
             if now - stream.polled_at > POLL_TTL_S:
                 del service.queued[ticket]
+        if now - service.summarized_at > SUMMARY_INTERVAL_S:
+            service.summarized_at = now
+            _log_summary(name, service, now)
 
     def _update(self, name: str, service: _Service, now: float) -> None:
         if now - service.updated_at < UPDATE_INTERVAL_S:
@@ -174,8 +180,9 @@
         self, ask: messages.StreamAsk
     ) -> messages.StreamDecision:
         now = self.clock()
-        if not self.rooms.known:
-            raise errors.PeerError('no backend list yet', 'StreamAsk')
+        if not self.rooms.lists(ask.service):
+            # The entry, which has a newer list, decides by itself.
+            raise errors.PeerError('no engine is listed', 'StreamAsk')
         service = self._service(ask, now)
         self._update(ask.service, service, now)
         ticket = _ticket(ask)
@@ -289,3 +296,26 @@
         **service.log_fields(now),
         **fields,
     )
+
+
+def _log_summary(name: str, service: _Service, now: float) -> None:
+    state = service.scheduler.snapshot(now)
+    refused: collections.Counter[int] = collections.Counter()
+    longest_wait_s: dict[int, float] = {}
+    for (priority, _), flow in state.flows.items():
+        refused[priority] += flow.refused
+        longest_wait_s[priority] = round(
+            max(longest_wait_s.get(priority, 0.0), flow.max_wait_s), 3
+        )
+    node.log_decision(
+        'streams scheduled',
+        service=name,
+        **service.log_fields(now),
+        refused=dict(sorted(refused.items())),
+        longest_wait_s=dict(sorted(longest_wait_s.items())),
+        late=state.late,
+        promised=state.promised,
+        grants=sum(state.grants.values()),
+        capacity=round(state.capacity, 2),
+        offered=round(state.offered, 2),
+    )
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -169,8 +169,8 @@
     def decides_locally() -> bool:
         return (
             refused
-            or not engines.available()
             or context.scheduling.decides_locally(job.service, engines.memory)
+            or not engines.available()
         )
 
     while True:
@@ -223,6 +223,7 @@
 ) -> messages.StreamAsk:
     now = context.clock()
     assert job.priority is not None
+    version, excluded = engines.constraints()
     return messages.StreamAsk(
         job.service,
         context.entry,
@@ -234,6 +235,6 @@
         engines.memory,
         round(waiting_since + engines.objective.aim_s - now, 3),
         round(job.deadline - now, 3),
-        engines.required_version(),
-        engines.excluded(),
+        version,
+        excluded,
     )
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -172,31 +172,28 @@
             if engine.ident not in self.tried and engine.ejected_until <= now
         ]
 
-    def required_version(self) -> str | None:
-        """Return the version that an engine must have, if it matters."""
-        if self.version is not None:
-            return self.version
-        versions = {engine.version for engine in self._eligible()}
-        listed = {e.version for e in self._listed()}
-        return versions.pop() if len(versions) == 1 < len(listed) else None
-
-    def excluded(self) -> list[str]:
-        """Return the engines that the scheduling home shouldn't grant."""
-        version = self.required_version()
+    def constraints(self) -> tuple[str | None, list[str]]:
+        """Return the version that an engine must have, if it matters.
+
+        :return: also the engines that the scheduling home shouldn't grant.
+        """
+        services = self.context.placement.services
+        listed = services.get(self.job.service, [])
+        version = self.version
+        if version is None:
+            versions = {engine.version for engine in self._eligible()}
+            if len(versions) == 1 < len({e.version for e in listed}):
+                version = versions.pop()
         available = {engine.ident for engine in self.available()}
         excluded = [*self.tried, *self.unlisted]
         excluded += [
             engine.ident
-            for engine in self._listed()
+            for engine in listed
             if version in (None, engine.version)
             and engine.ident not in available
             and engine.ident not in self.tried
         ]
-        return excluded[:MAX_EXCLUDED]
-
-    def _listed(self) -> list[decisions.BackendServer]:
-        services = self.context.placement.services
-        return services.get(self.job.service, [])
+        return version, excluded[:MAX_EXCLUDED]
 
     async def accept(self, ident: str) -> _permits.PermittedChoice | None:
         """Return a granted engine if the stream may be sent to it now."""
--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -249,6 +249,19 @@
     assert values['scheduling.fallback'] == 1
 
 
+async def test_streams_are_served_while_control_is_gone_for_seconds(
+    ordered, client, home, now
+):
+    home.replies = [SILENT] * 7
+    for _ in range(7):
+        for _ in range(2):
+            caller, _ = await run(ordered, client)
+            assert caller.ended
+        now[0] += 1.05
+    assert len(home.asks) == 7
+    assert ordered.metrics.values['scheduling.fallback'] == 1
+
+
 async def test_one_stream_at_a_time_asks_a_silent_home_again(
     ordered, client, home, now
 ):
@@ -290,6 +303,55 @@
     assert home.sent[0][0] == NODES[0].address
 
 
+@pytest.mark.parametrize('path', ['/urgent/', '/usual/', '/once/'])
+async def test_requests_have_the_priority_of_their_route(
+    ordered, fleet, client, home, path
+):
+    def make_route(name, priority, kind=routes.Kind.STREAM):
+        targets = [routes.Target('engines', 1)]
+        return routes.Route(
+            name, 'h', f'/{name}/', kind, targets, 9.0, 2.0, priority
+        )
+
+    route_map = routes.RouteMap(
+        1,
+        [
+            make_route('urgent', 0),
+            make_route('usual', 4),
+            make_route('once', 7, routes.Kind.ONCE),
+        ],
+        [routes.Service('engines')],
+    )
+    fleet.index = routes.RouteIndex(route_map)
+    home.replies, client.scripts = [granted('i1')], [WHOLE]
+    call = fakes.make_job(ordered, routes.Kind.STREAM).call
+    await forwarding.Forwarder(fleet, ordered).handle(
+        attrs.evolve(call, target=path), fakes.FakeCaller()
+    )
+    priority = {'/urgent/': 0, '/usual/': 4, '/once/': 7}[path]
+    assert [attempt.priority for attempt in client.attempts] == [priority]
+    assert [ask.priority for ask in home.asks] == [priority] * (priority < 7)
+
+
+async def test_only_engines_of_an_allowed_version_are_asked_for(
+    ordered, client, home
+):
+    """Guards against streams on a new version that is being withheld."""
+    listed = [
+        messages.ListedBackend(
+            f'i{n}', 'engines', f'10.0.0.{n}:80', 'dc0', 64, version=version
+        )
+        for n, version in enumerate('aabbbb')
+    ]
+    ordered.placement.update([e for e in listed if e.version == 'a'])
+    ordered.placement.update(listed)
+    set_reading(ordered, 8000)
+    home.replies = [granted('i2'), granted('i1')]
+    await run(ordered, client)
+    assert [ask.version for ask in home.asks] == ['a', 'a']
+    assert engines_used(client) == ['i1']
+
+
 def mark_leaving(placement):
     placement.backends['i1'].leaving = True
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -56,6 +56,14 @@
     assert 'forged' not in sent_headers(decoding.decode_call(headers)).values()
 
 
+@pytest.mark.parametrize(
+    ('priority', 'sent'), [(None, None), (0, '0'), (3, '3'), (12, '9')]
+)
+def test_a_priority_is_sent_only_where_admission_is_ordered(priority, sent):
+    headers = sent_headers(decoding.decode_call(), priority=priority)
+    assert headers.get('Bulrushhold-Request-Priority') == sent
+
+
 def test_headers_listed_in_connection_are_not_forwarded():
     headers = multidict.CIMultiDict(decoding.HEADERS)
     headers['Connection'] = 'close, X-Own'
--- a/tests/test_peer_proxy_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -13,7 +13,7 @@
 
 HEAD = calls.ResponseHead(200, (('X-Server', 'a'),), True, True, False)
 CALL = calls.Call('r1', 'POST', '/a/', 'h', 'k', (('X-A', 'b'),), b'body', 1.0)
-ATTEMPT = calls.Attempt('10.0.0.1:80', 'i1', 'acct', 0.9)
+ATTEMPT = calls.Attempt('10.0.0.1:80', 'i1', 'acct', 0.9, priority=2)
 
 
 class ScriptedResponse(calls.BackendResponse):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -49,6 +49,62 @@
     assert index.find('forms.example', '/a') is None
 
 
+def make_account(name, priority=None):
+    return routes.ClientAccount(name, [f'key-{name}'], priority)
+
+
+def make_stream(name, priority, **changes):
+    changes = {'kind': routes.Kind.STREAM, **changes}
+    return make_route(name, f'/{name}/', priority=priority, **changes)
+
+
+DESK = {'targets': [routes.Target('desk', 1.0)]}
+UNUSED = {'targets': [routes.Target('engines', 0), routes.Target('desk', 1)]}
+
+
+@pytest.mark.parametrize(
+    ('streams', 'accounts', 'ordered'),
+    [
+        ([make_stream('a', 5)], [], False),
+        ([make_stream('a', 0), make_stream('b', 1)], [], True),
+        ([make_stream('a', 0), make_stream('b', 1, **DESK)], [], False),
+        ([make_stream('a', 0), make_stream('b', 1, **UNUSED)], [], False),
+        (
+            [
+                make_stream('a', 0),
+                make_stream('b', 1, kind=routes.Kind.IDEMPOTENT),
+            ],
+            [],
+            False,
+        ),
+        ([make_stream('a', 5)], [None, None], False),
+        ([make_stream('a', 5)], [None, 1], True),
+        ([make_stream('a', 5)], [1, 1], False),
+        ([make_stream('a', 5)], [1, 2], True),
+        ([make_stream('a', 5, public=True)], [1, 1], True),
+        # No caller has the priority of a route.
+        ([make_stream('a', 0), make_stream('b', 1)], [2, 2], False),
+    ],
+)
+def test_admission_is_ordered_where_streams_differ_in_priority(
+    streams, accounts, ordered
+):
+    """Guards against messages and headers where nothing is to be ordered."""
+    accounts = [make_account(f'a{n}', p) for n, p in enumerate(accounts)]
+    index = routes.RouteIndex(make_map(*streams, accounts=accounts))
+    assert ('engines' in index.ordered_services) is ordered
+
+
+def test_the_priority_of_an_account_precedes_that_of_a_route():
+    streams = [make_stream('a', 5), make_stream('b', 7)]
+    index = routes.RouteIndex(make_map(*streams))
+    urgent, usual = make_account('u', 0), make_account('v')
+    assert index.priority('engines', streams[1], urgent) == 0
+    assert index.priority('engines', streams[1], usual) == 7
+    assert index.priority('engines', streams[1], None) == 7
+    assert index.priority('desk', streams[1], urgent) is None
+
+
 def test_target_picks_services_by_weight():
     route = make_route(
         targets=[routes.Target('engines', 90), routes.Target('desk', 10)]
--- a/tests/test_scheduling_home.py
+++ b/tests/test_scheduling_home.py
@@ -8,6 +8,7 @@
 from bulrushhold.control import _clusterview
 from bulrushhold.control import _scheduling
 from bulrushhold import decisions
+from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import node
@@ -109,6 +110,9 @@
     decision = await poll
     assert decision == messages.StreamDecision(Status.GRANTED, 'i1')
     assert time.monotonic() - started_at < 0.2
+    # Guards against a second engine for a stream that polls twice.
+    assert await home.poll() == decision
+    assert (await home.ask('t2')).status is Status.QUEUED
 
 
 async def test_equal_tickets_of_two_entries_are_two_streams(home):
@@ -166,7 +170,7 @@
     home.report(BUSY, BUSY, lost=['i0', 'i1'])
     home.advance(0.2)
     assert (await poll).status is Status.REFUSED
-    [line] = log_records
+    [line] = [r for r in log_records if 'waited_s' in r]
     assert line['decision'] == 'stream refused after queueing'
     assert line['ticket'] == 't1'
 
@@ -195,6 +199,13 @@
     assert all(room.reading < 0 for room in home.rooms())
 
 
+async def test_a_home_whose_list_lacks_a_service_refuses_nothing(home):
+    """Guards against refusals by a home that has just started."""
+    for home.view.backends in (None, []):
+        with pytest.raises(errors.PeerError):
+            await home.ask()
+
+
 async def test_an_idle_service_is_not_updated_and_dropped_in_the_end(home):
     await home.ask()
     await home.cancel()
