--- a/src/bulrushhold/decisions/_engineroom.py
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -67,25 +67,35 @@
     """An engine with the grants that reports may not include yet.
 
     :ivar free_at: when it will have read its prompts.
+    :ivar granted_memory: tokens of memory granted recently.
+    :ivar granted_tokens: prompt tokens granted recently.
     :ivar unreported: granted tokens not seen in a report yet.
     :ivar place: its place in the order of engines.
     """
 
     room: EngineRoom
     free_at: float
+    granted_memory: int = 0
+    granted_tokens: int = 0
     unreported: int = 0
     grants: dict[str, messages.StreamAsk] = attrs.field(factory=dict)
     place: tuple[float, float, str] | None = None
 
-    @property
-    def granted_memory(self) -> int:
-        """Tokens of memory granted recently."""
-        return sum(ask.memory for ask in self.grants.values())
-
-    @property
-    def granted_tokens(self) -> int:
-        """Prompt tokens granted recently."""
-        return sum(ask.tokens for ask in self.grants.values())
+    def add_grant(self, ticket: str, ask: messages.StreamAsk) -> None:
+        """Count a grant until reports include it."""
+        self.grants[ticket] = ask
+        self.granted_memory += ask.memory
+        self.granted_tokens += ask.tokens
+        self.unreported += ask.tokens
+
+    def drop_grant(self, ticket: str) -> messages.StreamAsk | None:
+        """Stop counting a grant; return it if it still counted."""
+        ask = self.grants.pop(ticket, None)
+        if ask is not None:
+            self.granted_memory -= ask.memory
+            self.granted_tokens -= ask.tokens
+            self.unreported = max(0, self.unreported - ask.tokens)
+        return ask
 
     def has_room(self, ask: messages.StreamAsk) -> bool:
         """Return whether memory and slots allow another stream."""
@@ -234,8 +244,7 @@
         """Assign a stream to an engine."""
         work = ask.tokens * self.token_s
         engine.free_at = max(engine.free_at, now) + work * engine.room.slowness
-        engine.unreported += ask.tokens
-        engine.grants[ticket] = ask
+        engine.add_grant(ticket, ask)
         self.granted.append((now, engine.room.ident, ticket))
         self.unread_work = (self.busy_until(now) - now) * self.speed + work
         self.unread_at = now
@@ -247,10 +256,9 @@
     def release(self, ident: str, ticket: str, now: float) -> None:
         """Take back a grant that isn't used."""
         engine = self.engines.get(ident)
-        ask = engine.grants.pop(ticket, None) if engine else None
+        ask = engine.drop_grant(ticket) if engine else None
         if engine is None or ask is None:
             return
-        engine.unreported = max(0, engine.unreported - ask.tokens)
         unused_s = ask.tokens * self.token_s * engine.room.slowness
         engine.free_at = max(now, engine.free_at - unused_s)
         self._place(engine)
@@ -260,9 +268,8 @@
         while self.granted and now - self.granted[0][0] > GRANT_REPORT_S:
             _, ident, ticket = self.granted.popleft()
             engine = self.engines.get(ident)
-            ask = engine.grants.pop(ticket, None) if engine else None
-            if engine is not None and ask is not None:
-                engine.unreported = max(0, engine.unreported - ask.tokens)
+            if engine is not None:
+                engine.drop_grant(ticket)
 
     def _add(self, room: EngineRoom, now: float) -> Engine:
         prompt = min(room.reading, self.prompt_tokens or room.reading)
@@ -274,43 +281,53 @@
         if room.reading < 0:
             engine.room = attrs.evolve(
                 room,
-                reading=engine.room.reading,
+                reading=max(0, engine.room.reading),
                 running=engine.room.running,
                 memory=engine.room.memory,
             )
             return
         token_s = self.token_s * room.slowness
-        added = max(0, room.reading - max(0, engine.room.reading))
-        covered = min(added, engine.unreported)
-        engine.unreported -= covered
-        if added > covered:
-            # Prompts that entries placed without asking.
-            engine.free_at = max(engine.free_at, now)
-            engine.free_at += (added - covered) * token_s
-        most_s = (room.reading + engine.granted_tokens) * token_s
-        least_s = 0.0
-        if room.reading:
-            prompt = min(room.reading, self.prompt_tokens or room.reading)
-            unread = room.reading - (1 - OVERDUE_SHARE) * prompt
-            least_s = unread * token_s - REPORT_LAG_S
-        engine.free_at = min(max(engine.free_at, now + least_s), now + most_s)
+        reading = room.reading
+        added = reading - engine.room.reading
         engine.room = room
+        if added > 0:
+            covered = min(added, engine.unreported)
+            engine.unreported -= covered
+            if added > covered:
+                # Prompts that entries placed without asking.
+                engine.free_at = max(engine.free_at, now)
+                engine.free_at += (added - covered) * token_s
+        if reading:
+            prompt = min(reading, self.prompt_tokens or reading)
+            unread = reading - (1 - OVERDUE_SHARE) * prompt
+            least_at = now + unread * token_s - REPORT_LAG_S
+            engine.free_at = max(engine.free_at, least_at)
+        most_at = now + (reading + engine.granted_tokens) * token_s
+        if engine.free_at > most_at:
+            engine.free_at = most_at
 
     def _arrange(self, now: float) -> None:
         self.order = {}
         self.speed = self.unread_work = 0.0
         self.unread_at = now
+        slownesses = []
         for engine in self.engines.values():
-            speed = 1 / engine.room.slowness
-            self.speed += speed
-            self.unread_work += max(0.0, engine.free_at - now) * speed
-            engine.place = self._new_place(engine)
-            key = (round(engine.room.slowness, 1), engine.room.version)
-            self.order.setdefault(key, []).append(engine.place)
+            slowness = engine.room.slowness
+            slownesses.append(slowness)
+            self.speed += 1 / slowness
+            if engine.free_at > now:
+                self.unread_work += (engine.free_at - now) / slowness
+            if engine.place is None or engine.place[0] != engine.free_at:
+                engine.place = self._new_place(engine)
+            key = (round(slowness, 1), engine.room.version)
+            if key in self.order:
+                self.order[key].append(engine.place)
+            else:
+                self.order[key] = [engine.place]
         for places in self.order.values():
             places.sort()
-        slownesses = sorted(e.room.slowness for e in self.engines.values())
         if slownesses:
+            slownesses.sort()
             index = int(SLOWNESS_QUANTILE * (len(slownesses) - 1))
             self.slowness = slownesses[index]
         self.capacity = min(self.speed, self._memory_capacity(now))
@@ -322,15 +339,17 @@
         rate of grants, so that full memory allows that rate divided by the
         share that is filled.
         """
-        engines = self.engines.values()
-        limit = _backendpool.MAX_MEMORY_SHARE * sum(
-            engine.room.memory_limit for engine in engines
-        )
-        slots = sum(engine.room.slots for engine in engines)
-        held = sum(e.room.memory + e.granted_memory for e in engines)
-        running = sum(e.room.running + len(e.grants) for e in engines)
+        limit = slots = held = running = 0
+        for engine in self.engines.values():
+            room = engine.room
+            limit += room.memory_limit
+            slots += room.slots
+            held += room.memory + engine.granted_memory
+            running += room.running + len(engine.grants)
+        limit_share = _backendpool.MAX_MEMORY_SHARE * limit
         filled = max(
-            held / limit if limit else 0.0, running / slots if slots else 0.0
+            held / limit_share if limit else 0.0,
+            running / slots if slots else 0.0,
         )
         rate = self.grant_rate.per_s(now)
         if filled < FULL_SHARE or not rate:
--- a/src/bulrushhold/decisions/_streamprediction.py
+++ b/src/bulrushhold/decisions/_streamprediction.py
@@ -162,8 +162,8 @@
             )
             return drain_s
         # An earlier return than the limit would be refused again.
-        beyond_s = stream.ask.remaining_s / 3 + BEYOND_LIMIT_S
-        return max(beyond_s, min(drain_s, MAX_RETRY_AFTER_S))
+        limit_s = min(stream.ask.remaining_s / 3, MAX_RETRY_AFTER_S)
+        return max(limit_s + BEYOND_LIMIT_S, min(drain_s, MAX_RETRY_AFTER_S))
 
     def rate(self) -> float:
         """Return the work per second for streams that can be on time."""
--- a/src/bulrushhold/decisions/_streamqueue.py
+++ b/src/bulrushhold/decisions/_streamqueue.py
@@ -23,8 +23,9 @@
 # Flows of one priority that are tried if the engines that are free don't suit
 # the first one, e.g. because of its version.
 TRIED_FLOWS: t.Final = 3
-# Empty flows are dropped if there are more of them than this.
-MAX_EMPTY_FLOWS: t.Final = 100
+# Idle flows are dropped once there are twice as many flows as after the last
+# time, and at least this many.
+MIN_DROP_FLOWS: t.Final = 200
 
 
 @attrs.define(eq=False)
@@ -93,13 +94,14 @@
         self.virtual_time = 0.0
         self.waiting = 0
         self.flows: dict[str, _FlowQueue] = {}
+        self.drop_at_flows = MIN_DROP_FLOWS
         self.heap: list[tuple[float, int, _FlowQueue]] = []
         self.numbers = itertools.count()
 
     def push(self, stream: QueuedStream) -> None:
         flow = self.flows.get(stream.ask.account)
         if flow is None:
-            self._drop_empty_flows()
+            self._drop_idle_flows()
             flow = self.flows[stream.ask.account] = _FlowQueue()
         if stream.promised:
             flow.streams.appendleft(stream)
@@ -155,14 +157,15 @@
             heapq.heappop(self.heap)
         return self.heap[0][2] if self.heap else None
 
-    def _drop_empty_flows(self) -> None:
-        if len(self.flows) < 2 * self.waiting + MAX_EMPTY_FLOWS:
+    def _drop_idle_flows(self) -> None:
+        if len(self.flows) < self.drop_at_flows:
             return
         self.flows = {
             account: flow
             for account, flow in self.flows.items()
             if flow.streams or flow.finish > self.virtual_time
         }
+        self.drop_at_flows = max(MIN_DROP_FLOWS, 2 * len(self.flows))
 
 
 class StreamQueue:
--- a/src/bulrushhold/decisions/_streamscheduler.py
+++ b/src/bulrushhold/decisions/_streamscheduler.py
@@ -32,8 +32,13 @@
 POLL_TTL_S: t.Final = 0.6
 # Time for which a decision can be polled for.
 DECISION_TTL_S: t.Final = 1.0
+# Least work of a stream, also if the engines' speed isn't known.
+MIN_WORK_S: t.Final = 0.001
 # Streams tried for the engines that are free.
 MAX_TRIED: t.Final = 8
+# Grants per ask, so that none takes long after a report that many engines are
+# free; `advance` grants the rest.
+MAX_GRANTS_PER_ASK: t.Final = 8
 
 UNKNOWN: t.Final = messages.StreamDecision(messages.SchedulingStatus.UNKNOWN)
 
@@ -99,7 +104,7 @@
             self._queue_or_refuse(stream, returned, now)
         elif returned:
             self.returns.take(ask.fingerprint)
-        self._dispatch(now)
+        self._dispatch(now, MAX_GRANTS_PER_ASK)
         self.outbox.pop(ask.ticket, None)
         return stream.decision
 
@@ -119,7 +124,8 @@
         Drops streams that weren't polled for 0.6 s.
         """
         self._expire(now)
-        for ticket, polled_at in list(self.polled_at.items()):
+        while self.polled_at:
+            ticket, polled_at = next(iter(self.polled_at.items()))
             if now - polled_at <= POLL_TTL_S:
                 break
             self.cancel(ticket, now)
@@ -162,7 +168,7 @@
     def _stream(
         self, ask: messages.StreamAsk, now: float
     ) -> _streamqueue.QueuedStream:
-        work = ask.tokens * self.ledger.token_s
+        work = max(MIN_WORK_S, ask.tokens * self.ledger.token_s)
         start_at = self.predictor.start_at(
             work, ask.objective_s, ask.remaining_s, now
         )
@@ -231,15 +237,16 @@
         self.counters.flows[stream.flow].refused += 1
         self._decide(stream, decision, now)
 
-    def _dispatch(self, now: float) -> None:
+    def _dispatch(self, now: float, limit: int | None = None) -> None:
         """Grant engines that are about to be free to waiting streams."""
         if not self.queue.waiting:
             return
         self._demote_overdue(now)
-        while self.queue.waiting and self.ledger.free_within(LOOKAHEAD_S, now):
+        for _ in range(self.queue.waiting if limit is None else limit):
+            if not self.ledger.free_within(LOOKAHEAD_S, now):
+                return
             urgent = self.predictor.deficit(URGENT_S, now) > 0
-            candidates = self.queue.candidates(urgent)
-            if not self._grant_first(candidates, now):
+            if not self._grant_first(self.queue.candidates(urgent), now):
                 return
 
     def _grant_first(
--- a/tests/streamload.py
+++ b/tests/streamload.py
@@ -18,6 +18,8 @@
 TOKEN_S = 1 / 8000
 REPORT_S = 0.1
 REPORT_AGE_S = 0.15
+POLL_S = 0.2
+ADVANCE_S = 0.02
 RUN_S = 3.0
 GRANTED = messages.SchedulingStatus.GRANTED
 QUEUED = messages.SchedulingStatus.QUEUED
@@ -26,7 +28,11 @@
 
 @attrs.define(eq=False)
 class Caller:
-    """One request and its outcome."""
+    """One request and its outcome.
+
+    :ivar refusals: times of refusals, and how long after asking.
+    :ivar as_told: it returned after exactly Retry-After.
+    """
 
     number: int
     arrived_at: float
@@ -36,10 +42,9 @@
     objective_s: float
     patience_s: float
     asked_at: float = 0.0
-    attempts: int = 0
-    retry_after_s: float = 0.0
-    exact: bool = False
-    refused_after_s: list = attrs.field(factory=list)
+    asks: int = 0
+    refusals: list = attrs.field(factory=list)
+    as_told: bool = False
     first_event_at: float = math.inf
 
     @property
@@ -61,6 +66,7 @@
     prompts: list = attrs.field(factory=list)
     running: list = attrs.field(factory=list)
     max_memory: int = 0
+    max_prompts: int = 0
 
     def place(self, caller, now):
         work_s = caller.tokens * TOKEN_S * self.slowness
@@ -70,6 +76,7 @@
         self.running.append((self.free_at + RUN_S, caller.tokens))
         caller.first_event_at = self.free_at
         self.max_memory = max(self.max_memory, self.room(now).memory)
+        self.max_prompts = max(self.max_prompts, len(self.prompts))
 
     def room(self, now):
         self.prompts = [p for p in self.prompts if p[0] > now]
@@ -97,7 +104,6 @@
         self.events = []
         self.numbers = itertools.count()
         self.reports = collections.deque()
-        self.depths = []
 
     def at(self, when, function, *arguments):
         event = (when, next(self.numbers), function, arguments)
@@ -115,35 +121,47 @@
             self.at(now, self.ask, caller)
 
     def run(self, until):
-        self.at(0.0, self.report, 0.0)
-        self.at(0.0, self.tick, 0.0)
+        self.at(0.0, self.report)
+        self.at(0.0, self.poll)
+        self.at(0.0, self.advance)
         while self.events and self.events[0][0] <= until:
             now, _, function, arguments = heapq.heappop(self.events)
-            function(*arguments, now=now) if function == self.ask else (
-                function(*arguments)
-            )
+            function(*arguments, now)
 
     def report(self, now):
         rooms = [engine.room(now) for engine in self.engines]
-        self.at(now + REPORT_AGE_S, self.update, rooms, now + REPORT_AGE_S)
-        self.at(now + REPORT_S, self.report, now + REPORT_S)
+        self.at(now + REPORT_AGE_S, self.update, rooms)
+        self.at(now + REPORT_S, self.report)
 
     def update(self, rooms, now):
         alive = {engine.ident for engine in self.engines}
         rooms = [room for room in rooms if room.ident in alive]
         self.scheduler.update(rooms, TOKEN_S, now)
 
-    def tick(self, now):
+    def poll(self, now):
         for ticket in self.tickets:
             self.scheduler.poll(ticket, now)
+        self.at(now + POLL_S, self.poll)
+
+    def advance(self, now):
         for ticket, decision in self.scheduler.advance(now):
             self.decide(self.tickets.pop(ticket), decision, now)
-        self.at(now + 0.02, self.tick, now + 0.02)
-
-    def ask(self, caller, now):
-        caller.attempts += 1
+        self.at(now + ADVANCE_S, self.advance)
+
+    def lose(self, count, now):
+        """Lose engines; the streams that they were reading ask again."""
+        lost = self.engines[-count:]
+        del self.engines[-count:]
+        for engine in lost:
+            engine.room(now)
+            for _, caller in engine.prompts:
+                caller.first_event_at = math.inf
+                self.ask(caller, now)
+
+    def ask(self, caller, now, excluded=()):
+        caller.asks += 1
         caller.asked_at = now
-        ticket = f'{caller.number}/{caller.attempts}'
+        ticket = f'{caller.number}/{caller.asks}'
         elapsed_s = now - caller.arrived_at
         ask = messages.StreamAsk(
             's',
@@ -156,6 +174,7 @@
             caller.tokens,
             caller.objective_s - elapsed_s,
             caller.patience_s - elapsed_s,
+            excluded=list(excluded),
         )
         decision = self.scheduler.ask(ask, now)
         if decision.status is QUEUED:
@@ -168,13 +187,14 @@
             engines = {e.ident: e for e in self.engines}
             if decision.engine in engines:
                 engines[decision.engine].place(caller, now)
+            else:
+                self.ask(caller, now, [decision.engine])
             return
-        caller.refused_after_s.append(now - caller.asked_at)
-        caller.retry_after_s = decision.retry_after_s
+        caller.refusals.append((now, now - caller.asked_at))
         remaining_s = caller.patience_s - (now - caller.arrived_at)
-        if caller.attempts == 1:
-            caller.exact = caller.retry_after_s <= remaining_s / 3
-            wait_s = min(caller.retry_after_s, remaining_s / 3)
+        if len(caller.refusals) == 1:
+            caller.as_told = decision.retry_after_s <= remaining_s / 3
+            wait_s = min(decision.retry_after_s, remaining_s / 3)
             self.at(now + wait_s, self.ask, caller)
 
 
