Order of streams: account first, then route, as ranks

An account's priority takes precedence over its route's, and all accounts of a deployment may have one; then the routes' priorities alone decided nothing. The route now decides between accounts that are equal. Admission is ordered only where routes of streams differ in priority: accounts that differ alone exist in deployments that are to be served as before.

--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -151,24 +151,41 @@
         seen.add(value)
 
 
-def _ordered_services(route_map: RouteMap) -> set[str]:
-    """Return the services whose streams differ in priority.
+def _priority_key(
+    route: Route, account: ClientAccount | None
+) -> tuple[int, int]:
+    """Return by what a request precedes others; smaller ones go first.
 
-    A route's priority applies only to callers without one of their own.
+    An account's priority takes precedence over the route's, which decides
+    between the requests of accounts that are equal.
     """
-    accounts = {a.priority for a in route_map.accounts}
-    any_default = not accounts or None in accounts
-    priorities: dict[str, set[int | None]] = {}
+    if account is None or account.priority is None:
+        return route.priority, route.priority
+    return account.priority, route.priority
+
+
+def _priority_ranks(
+    route_map: RouteMap,
+) -> dict[str, dict[tuple[int, int], int]]:
+    """Return the order of requests for each service that has one.
+
+    A service has an order if its routes of streams differ in priority.
+    Accounts that differ only sort the requests of such services.
+    """
+    by_service: dict[str, list[Route]] = {}
     for route in route_map.routes:
-        if route.kind is not Kind.STREAM:
-            continue
-        of_route = accounts - {None}
-        if any_default or route.public:
-            of_route |= {route.priority}
         for target in route.targets:
             if target.weight > 0:
-                priorities.setdefault(target.service, set()).update(of_route)
-    return {name for name, of_name in priorities.items() if len(of_name) > 1}
+                by_service.setdefault(target.service, []).append(route)
+    accounts = [None, *route_map.accounts]
+    ranks = {}
+    for service, of_service in by_service.items():
+        streams = [r for r in of_service if r.kind is Kind.STREAM]
+        if len({route.priority for route in streams}) < 2:
+            continue
+        keys = {_priority_key(r, a) for r in of_service for a in accounts}
+        ranks[service] = {key: n for n, key in enumerate(sorted(keys))}
+    return ranks
 
 
 class RouteIndex:
@@ -187,20 +204,20 @@
         for route in route_map.routes:
             host = self.hosts.setdefault(route.host.lower(), {})
             host[route.prefix] = route
-        self.ordered_services = frozenset(_ordered_services(route_map))
+        self.priority_ranks = _priority_ranks(route_map)
 
     def priority(
         self, service: str, route: Route, account: ClientAccount | None
     ) -> int | None:
-        """Return the priority of a request, 0 being the most urgent.
+        """Return the rank of a request among those of its service.
 
-        :return: ``None`` if admission to the service isn't ordered.
+        :return: 0 for the most urgent, ``None`` if admission to the service
+            isn't ordered.
         """
-        if service not in self.ordered_services:
+        ranks = self.priority_ranks.get(service)
+        if ranks is None:
             return None
-        if account is not None and account.priority is not None:
-            return account.priority
-        return route.priority
+        return ranks.get(_priority_key(route, account))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix.
