--- a/src/bulrushhold/decisions/_streamprediction.py
+++ b/src/bulrushhold/decisions/_streamprediction.py
@@ -16,6 +16,11 @@
 # Share of its budget that a priority fills with streams of accounts which
 # request more than their fair level; the rest is for bursts of others.
 HEAVY_SHARE: t.Final = 0.9
+# Share of the capacity reserved for more urgent streams that others may queue
+# for, since more urgent ones can mostly be delayed a little. Without it, 0.97
+# instead of 0.99 were on time at 0.9 of the load (eight engines). It decreases
+# to 0 at twice the load.
+BURST_SHARE: t.Final = 0.6
 # An overload is transient while the requested work is below this share of the
 # capacity.
 TRANSIENT_SHARE: t.Final = 0.95
@@ -73,6 +78,7 @@
         if queued > 0 and queued > share.level * spare_s:
             return False
         rate, budget = self.rate(), share.budget
+        budget += self._burst_share(now) * (rate - budget)
         if self.rates.rate(stream.flow, now) > share.level:
             rate *= HEAVY_SHARE
             budget *= HEAVY_SHARE
@@ -228,9 +234,16 @@
             self.ledger.busy_until(now),
         )
 
+    def _burst_share(self, now: float) -> float:
+        excess = self._offered(now) / self.ledger.capacity - 1
+        return BURST_SHARE * min(1.0, max(0.0, 1 - excess))
+
     def _overload_lasts(self, now: float) -> bool:
-        offered = sum(share.demand for share in self._shares(now).values())
-        return offered > TRANSIENT_SHARE * self.ledger.capacity
+        return self._offered(now) > TRANSIENT_SHARE * self.ledger.capacity
+
+    def _offered(self, now: float) -> float:
+        """Return the requested work per second."""
+        return sum(share.demand for share in self._shares(now).values())
 
     def _shares(self, now: float) -> dict[int, _fairshares.PriorityShare]:
         if now - self.shares_at >= SHARES_TTL_S:
--- a/tests/test_streamscheduler.py
+++ b/tests/test_streamscheduler.py
@@ -126,6 +126,12 @@
     assert on_time(play(make_load(seed), 0.7)) == 1.0
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_nine_tenths_of_the_load(seed):
+    # Capacity reserved for more urgent streams would stay unused.
+    assert on_time(play(make_load(seed), 0.9)) >= 0.96
+
+
 @pytest.mark.parametrize('factor', [0.7, 0.9])
 def test_engines_of_two_speeds_serve_as_well_as_equal_ones(factor):
     # Slow engines would make every second caller late.
