--- a/src/bulrushhold/decisions/_streamqueue.py
+++ b/src/bulrushhold/decisions/_streamqueue.py
@@ -5,7 +5,6 @@
 and Cheng, 1996). Streams that can't be on time any more come last.
 """
 
-import collections
 import collections.abc as cabc
 import heapq
 import itertools
@@ -26,6 +25,8 @@
 # Idle flows are dropped once there are twice as many flows as after the last
 # time, and at least this many.
 MIN_DROP_FLOWS: t.Final = 200
+# Entries of streams that have left the queue are dropped beyond this number.
+MIN_STALE_ENTRIES: t.Final = 100
 
 
 @attrs.define(eq=False)
@@ -78,9 +79,8 @@
     finish: float = 0.0
     work: float = 0.0
     entry: int = -1
-    streams: collections.deque[QueuedStream] = attrs.field(
-        factory=collections.deque
-    )
+    # A deque would take 0.7 KB for each of thousands of accounts.
+    streams: list[QueuedStream] = attrs.field(factory=list)
 
 
 class _PriorityQueue:
@@ -104,7 +104,7 @@
             self._drop_idle_flows()
             flow = self.flows[stream.ask.account] = _FlowQueue()
         if stream.promised:
-            flow.streams.appendleft(stream)
+            flow.streams.insert(0, stream)
         else:
             flow.streams.append(stream)
         flow.work += stream.work
@@ -197,6 +197,9 @@
         entry = (stream.start_at, next(self.numbers), stream)
         heapq.heappush(self.by_start, entry)
         self.waiting += 1
+        if len(self.by_start) > 2 * self.waiting + MIN_STALE_ENTRIES:
+            self.by_start = [e for e in self.by_start if e[2].step is not None]
+            heapq.heapify(self.by_start)
 
     def push_late(self, stream: QueuedStream) -> None:
         """Add a stream that can't be on time."""
