A home without usable engines leaves decisions to entries

Soak runs with a second priority in the route map showed refusals with a Retry-After of 60 s in the second after all engines of a service had been lost; entries placed such streams at once before.

--- a/src/bulrushhold/control/_enginerooms.py
+++ b/src/bulrushhold/control/_enginerooms.py
@@ -31,10 +31,6 @@
         self.map_version = 0
         self.services: dict[str, routes.Service] = {}
 
-    def lists(self, service: str) -> bool:
-        """Return whether the backend list has an engine of a service."""
-        return any(b.service == service for b in self.view.backends or ())
-
     def usable(self, service: str, now: float) -> list[decisions.EngineRoom]:
         """Return the engines of a service that can be used now."""
         limits = self._limits(service)
--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -57,6 +57,8 @@
     """The scheduling of one service.
 
     :param objective: of a recent stream, as the prior of engines' speed.
+    :param engines: number of engines that can be used.
+    :param token_s: time that a mean engine needs for a prompt token.
     :param queued: by ticket.
     :param served: times and priorities of recent grants.
     """
@@ -66,6 +68,8 @@
     asked_at: float
     updated_at: float = float('-inf')
     summarized_at: float = float('-inf')
+    engines: int = 0
+    token_s: float = 0.0
     queued: dict[str, _Queued] = attrs.field(factory=dict)
     served: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque
@@ -82,7 +86,7 @@
             self.served.popleft()
 
     def log_fields(self, now: float) -> dict[str, t.Any]:
-        """Return the numbers of streams served and waiting, by priority."""
+        """Return the engines, and streams served and waiting by priority."""
         served = collections.Counter(
             priority
             for at, priority in self.served
@@ -94,6 +98,8 @@
         return {
             'served': dict(sorted(served.items())),
             'queued': dict(sorted(queued.items())),
+            'engines': self.engines,
+            'token_ms': round(1000 * self.token_s, 4),
         }
 
 
@@ -168,11 +174,10 @@
         if now - service.updated_at < UPDATE_INTERVAL_S:
             return
         service.updated_at = now
-        service.scheduler.update(
-            self.rooms.usable(name, now),
-            self.rooms.token_s(name, service.objective, now),
-            now,
-        )
+        rooms = self.rooms.usable(name, now)
+        service.engines = len(rooms)
+        service.token_s = self.rooms.token_s(name, service.objective, now)
+        service.scheduler.update(rooms, service.token_s, now)
 
     # Messages
 
@@ -180,11 +185,12 @@
         self, ask: messages.StreamAsk
     ) -> messages.StreamDecision:
         now = self.clock()
-        if not self.rooms.lists(ask.service):
-            # The entry, which has a newer list, decides by itself.
-            raise errors.PeerError('no engine is listed', 'StreamAsk')
         service = self._service(ask, now)
         self._update(ask.service, service, now)
+        if not service.engines:
+            # The entry decides by itself: its list may be newer, and a lost
+            # engine may be back sooner than a refused caller.
+            raise errors.PeerError('no engine can be used', 'StreamAsk')
         ticket = _ticket(ask)
         service.queued.pop(ticket, None)
         decision = service.scheduler.ask(attrs.evolve(ask, ticket=ticket), now)
@@ -292,6 +298,7 @@
         account=ask.account,
         tokens=ask.tokens,
         objective_s=ask.objective_s,
+        excluded=len(ask.excluded),
         retry_after_s=round(decision.retry_after_s, 3),
         **service.log_fields(now),
         **fields,
--- a/tests/test_scheduling_home.py
+++ b/tests/test_scheduling_home.py
@@ -199,11 +199,23 @@
     assert all(room.reading < 0 for room in home.rooms())
 
 
-async def test_a_home_whose_list_lacks_a_service_refuses_nothing(home):
-    """Guards against refusals by a home that has just started."""
-    for home.view.backends in (None, []):
-        with pytest.raises(errors.PeerError):
-            await home.ask()
+def forget_list(home):
+    home.view.backends = None
+
+
+def lose_all_engines(home):
+    home.report(BUSY, lost=['i0', 'i1'])
+
+
+@pytest.mark.parametrize('change', [forget_list, lose_all_engines])
+async def test_a_home_without_engines_refuses_nothing(home, change):
+    """Guards against refusals by a home that has just started.
+
+    The soak also showed it with few engines that were all lost at once.
+    """
+    change(home)
+    with pytest.raises(errors.PeerError):
+        await home.ask()
 
 
 async def test_an_idle_service_is_not_updated_and_dropped_in_the_end(home):
