--- a/src/bulrushhold/decisions/_streamscheduler.py
+++ b/src/bulrushhold/decisions/_streamscheduler.py
@@ -23,8 +23,10 @@
 from bulrushhold import messages
 
 # An engine gets another prompt when it will be done with the others in this
-# time, which covers the message to the entry and the connection to the engine.
-LOOKAHEAD_S: t.Final = 0.25
+# time, which covers the messages to the entry and the engine, and engines that
+# are done early. With 0.6 s, urgent streams wait too often behind others at
+# engines that become slow.
+LOOKAHEAD_S: t.Final = 0.3
 # Queued streams are served by start time instead of priority once the first
 # of them has less than this to spare.
 URGENT_S: t.Final = 0.5
@@ -130,7 +132,6 @@
                 break
             self.cancel(ticket, now)
         self._dispatch(now)
-        self.counters.prune(self.rates)
         decisions = list(self.outbox.items())
         self.outbox.clear()
         return decisions
@@ -144,7 +145,7 @@
         if stream.queued:
             self.queue.remove(stream)
             del self.polled_at[ticket]
-            self.counters.flows[stream.flow].queued -= 1
+            self.counters.queued(stream.flow, -1)
         elif stream.decision.engine:
             self.ledger.release(stream.decision.engine, ticket, now)
 
@@ -152,7 +153,7 @@
         """Return the queue, counters and grants."""
         demands = self.rates.demands(now)
         return _schedulerstate.SchedulerState(
-            self.counters.copy(),
+            *self.counters.copies(),
             self.queue.waiting,
             sum(s.late for s in self.streams.values()),
             len(self.returns.returns),
@@ -227,14 +228,14 @@
             self._refuse(stream, now)
             return
         self.polled_at[stream.ask.ticket] = now
-        self.counters.flows[stream.flow].queued += 1
+        self.counters.queued(stream.flow, 1)
 
     def _refuse(self, stream: _streamqueue.QueuedStream, now: float) -> None:
         retry_after_s = self.predictor.retry_after_s(stream, now)
         decision = messages.StreamDecision(
             messages.SchedulingStatus.REFUSED, retry_after_s=retry_after_s
         )
-        self.counters.flows[stream.flow].refused += 1
+        self.counters.refused(stream.flow)
         self._decide(stream, decision, now)
 
     def _dispatch(self, now: float, limit: int | None = None) -> None:
@@ -288,15 +289,23 @@
 
     def _leave_queue(self, stream: _streamqueue.QueuedStream) -> None:
         del self.polled_at[stream.ask.ticket]
-        self.counters.flows[stream.flow].queued -= 1
+        self.counters.queued(stream.flow, -1)
 
     def _demote_overdue(self, now: float) -> None:
-        """Move streams that can't be on time any more behind the others."""
+        """Move streams that can't be on time any more behind the others.
+
+        Happens if engines are slower than predicted. Those that couldn't be
+        served before their callers give up are refused.
+        """
         while (stream := self.queue.earliest()) is not None:
             if now + stream.work <= stream.due_at:
                 break
-            self.queue.remove(stream)
-            self.queue.push_late(stream)
+            late_work = self.queue.late_work
+            if self.predictor.has_late_share(stream, late_work, now):
+                self.queue.remove(stream)
+                self.queue.push_late(stream)
+            else:
+                self._drop_from_queue(stream, now)
         while (stream := self.queue.first_late()) is not None:
             if now + stream.work <= stream.give_up_at:
                 break
