Accept a load header with a pace and further fields

A load header with a fourth field was dropped whole, so that such servers' loads were unknown. The fourth field is decoded as the server's pace and further ones are ignored. A header with a field that isn't a number or out of range is counted and logged once a server, as other malformed statements are; the response is passed on.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -158,6 +158,7 @@
     :param backoff: how long the server wants no requests of this entry.
     :param leaving: the server is shutting down and wants no new requests.
     :param brittleness: set while the server is brittle.
+    :param load_malformed: the response names a load that can't be decoded.
     """
 
     status: int
@@ -171,6 +172,7 @@
     backoff: Backoff | None = None
     leaving: bool = False
     brittleness: Brittleness | None = None
+    load_malformed: bool = False
 
 
 class BackendResponse(abc.ABC):
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -21,6 +21,9 @@
         )
     if not head.matches_request:
         return
+    if head.load_malformed:
+        context.metrics.count('loads.malformed')
+        _log_malformed(context, job, ident, 'load')
     if head.from_backend or head.limit is not None:
         _record_limit(context, job, ident, head.limit, sent_at)
     if head.from_backend or head.brittleness is not None:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -25,6 +25,8 @@
     :param limit: request limit that the response names.
     :param backoff: how long the server wants no requests.
     :param leaving: the response says that the server is shutting down.
+    :param load: load that the response names; ``'malformed'`` for one that
+        can't be decoded.
     """
 
     status: int = 200
@@ -39,6 +41,7 @@
     limit: calls.RequestLimit | None = None
     backoff: calls.Backoff | None = None
     leaving: bool = False
+    load: calls.BackendLoad | str | None = None
 
 
 class FakeResponse(calls.BackendResponse):
@@ -56,6 +59,8 @@
             limit=script.limit,
             backoff=script.backoff,
             leaving=script.leaving,
+            load=None if script.load == 'malformed' else script.load,
+            load_malformed=script.load == 'malformed',
         )
 
     async def chunk(self):
--- a/tests/platform/test_server_statements.py
+++ b/tests/platform/test_server_statements.py
@@ -115,3 +115,45 @@
 
 def test_a_response_without_brittleness_is_of_a_robust_server():
     assert decoding.decode_head().brittleness is None
+
+
+@pytest.mark.parametrize(
+    ('value', 'pace'),
+    [
+        ('3,1,8', None),
+        ('3,1,8,100', 1.0),
+        ('3, 1, 8, 250', 2.5),
+        ('3,1,8,87.5,x,9', 0.875),
+    ],
+)
+def test_a_load_is_decoded_whatever_fields_follow_it(value, pace):
+    # Guards against a load that is lost as its header has a pace.
+    head = decoding.decode_head(**{'Bulrushhold-Instance-Load': value})
+    assert head.load == calls.BackendLoad(3, 1, 8, pace)
+    assert not head.load_malformed
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        '',
+        'x',
+        '3,1',
+        '3,1,8,',
+        '3,1,8,fast',
+        '3,1,8,nan',
+        '3,1,8,inf',
+        '3,1,8,-100',
+        '3,1,8,0',
+        '3,1,8,1e9',
+        '-3,1,8,100',
+        '3,1,99999999999',
+        '3,1,' + '9' * 5000,
+    ],
+)
+def test_a_malformed_load_is_marked_as_such(value):
+    # Guards against figures that would keep all requests from a server.
+    head = decoding.decode_head(**{'Bulrushhold-Instance-Load': value})
+    assert head.load is None
+    assert head.load_malformed
+    assert not decoding.decode_head().load_malformed
