Add pace and slowness of servers to placement and load reports

Engines and servers on shared hosts differ in speed, permanently and for parts of a second. For services whose responses state a pace, an entry learns engines' slowness from prompt reads and plain servers' service times from latencies; control sums the samples of all entries. Decisions about other services are unchanged.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -14,6 +14,7 @@
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _reachability
 from bulrushhold.decisions import _serverdemands
+from bulrushhold.decisions import _serverspeeds
 from bulrushhold.decisions import _versionhistory
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
@@ -73,6 +74,7 @@
         self.replaced_idents: set[str] = set()
         self.data_centre_failures = _datacentrefailures.DataCentreFailures()
         self.cached_prompts = _cachedprompts.CachedPrompts()
+        self.server_speeds = _serverspeeds.ServerSpeeds()
 
     def update(self, listed: list[messages.ListedBackend]) -> None:
         """Replace the list of servers; keep the state of remaining ones."""
@@ -100,6 +102,9 @@
         self.backends = backends
         self.replaced_idents &= backends.keys()
         self.demands.retain(backends.keys())
+        self.server_speeds.update(
+            {ident: backend.service for ident, backend in backends.items()}
+        )
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
@@ -360,6 +365,7 @@
             speeds=self.speeds.snapshot(now),
             evidence=self.versions.evidence(),
             limits=self.demands.limits.take_unreported(now),
+            samples=self.server_speeds.slowness.take_unreported(loads),
         )
 
     def _apply_engines(self, summary: messages.LoadSummary) -> None:
@@ -386,6 +392,7 @@
     def confirm_loads(self, now: float) -> None:
         """Record that the load of other entries hasn't changed."""
         self.last_report_at = now - self.load_age_s
+        self.server_speeds.slowness.confirm(self.last_report_at)
 
     def apply_loads(self, summary: messages.LoadSummary, now: float) -> None:
         """Apply a summary of what other entries report."""
@@ -394,6 +401,11 @@
         self.stale_data_centres = summary.silent
         self.speeds.apply_remote_samples(summary.speeds)
         self._apply_engines(summary)
+        self.server_speeds.apply_loads(summary, self.last_report_at)
+        if summary.slowness:
+            self.server_speeds.enable_reported(
+                {ident: b.service for ident, b in self.backends.items()}
+            )
         for ident in summary.lost:
             backend = self.backends.get(ident)
             if backend is not None and backend.ejected_until <= now:
--- a/src/bulrushhold/decisions/_backendserver.py
+++ b/src/bulrushhold/decisions/_backendserver.py
@@ -50,10 +50,13 @@
     lost_at: float = float('-inf')
     version: str = ''
 
-    def remote_requests_now(self, now: float) -> float:
-        """Return the estimated number of other entries' current requests."""
+    def remote_requests_now(self, now: float, mean: float = 0.0) -> float:
+        """Return the estimated number of other entries' current requests.
+
+        :param mean: value to which the server's last statement decays.
+        """
         age = now - self.remote_requests_at
-        return self.remote_requests * 0.5 ** (
+        return mean + (self.remote_requests - mean) * 0.5 ** (
             age / REMOTE_REQUESTS_HALF_LIFE_S
         )
 
--- /dev/null
+++ b/src/bulrushhold/decisions/_engineslowness.py
@@ -0,0 +1,229 @@
+"""The slowness of engines: how long they read relative to their service.
+
+Observed and expected times of prompt reads are summed per engine with
+exponential decay. The expected time is that of an engine of mean speed for all
+prompts queued there, so that only time which the queue doesn't explain counts
+as slow. Times are never divided by anything that the engine states of itself.
+"""
+
+import collections.abc as cabc
+import typing as t
+
+import attrs
+
+from bulrushhold import messages
+
+# A compromise between noise, as paces change within a read, and a quick
+# reaction to an engine that becomes slow or recovers.
+HALF_LIFE_S: t.Final = 20.0
+# Weight of the assumption that an engine is as fast as the mean, in seconds of
+# expected reading; one or two typical prompts.
+PRIOR_S: t.Final = 1.5
+# Weight of the value that control sends, which many samples stand behind.
+REMOTE_WEIGHT_S: t.Final = 10.0
+# Bounds of a slowness, so that single faulty samples have a limited effect.
+MIN_SLOWNESS: t.Final = 0.2
+MAX_SLOWNESS: t.Final = 8.0
+# Sums with less expected time than this are dropped.
+NEGLIGIBLE_S: t.Final = 0.02
+# Values are recomputed at this interval, as they change slowly.
+CACHE_S: t.Final = 0.05
+# Approximate sizes of encoded load reports, in bytes beside idents. Samples
+# may add a tenth to reports.
+REPORT_BYTES: t.Final = 280
+LOAD_BYTES: t.Final = 35
+SAMPLE_BYTES: t.Final = 50
+MAX_SAMPLE_SHARE: t.Final = 0.09
+# Upper bound of the bytes saved up for samples.
+MAX_CREDIT_BYTES: t.Final = 600.0
+
+
+def add_samples(
+    first: messages.SpeedSample, second: messages.SpeedSample
+) -> messages.SpeedSample:
+    """Return the sum of two samples."""
+    return messages.SpeedSample(
+        first.expected_s + second.expected_s,
+        first.observed_s + second.observed_s,
+    )
+
+
+@attrs.define
+class SampleSum:
+    """A sum of samples with exponential decay."""
+
+    sample: messages.SpeedSample
+    updated_at: float
+
+    def now(self, now: float) -> messages.SpeedSample:
+        """Return the decayed sum."""
+        age_s = max(0.0, now - self.updated_at)
+        share = 0.5 ** (age_s / HALF_LIFE_S)
+        return messages.SpeedSample(
+            self.sample.expected_s * share, self.sample.observed_s * share
+        )
+
+    def add(self, sample: messages.SpeedSample, now: float) -> None:
+        """Add a sample."""
+        self.sample = add_samples(self.now(now), sample)
+        self.updated_at = now
+
+
+SampleSums = dict[str, SampleSum]
+
+
+def add_to_sums(
+    sums: SampleSums, ident: str, sample: messages.SpeedSample, now: float
+) -> None:
+    """Add an engine's sample to its decayed sum."""
+    existing = sums.get(ident)
+    if existing is None:
+        sums[ident] = SampleSum(sample, now)
+    else:
+        existing.add(sample, now)
+
+
+def slowness(
+    sample: messages.SpeedSample, prior: float = 1.0, weight_s: float = PRIOR_S
+) -> float:
+    """Return an engine's slowness by its samples; 1.0 is the mean.
+
+    :param prior: assumption without samples, of weight ``weight_s``.
+    """
+    observed_s = sample.observed_s + prior * weight_s
+    value = observed_s / (sample.expected_s + weight_s)
+    return min(MAX_SLOWNESS, max(MIN_SLOWNESS, value))
+
+
+class EngineSlowness:
+    """The slowness of engines as one entry knows it.
+
+    Control's values are those of all entries. They change slowly, so that
+    they stay in use, with decaying weight, while control is unreachable.
+
+    :ivar unreported: samples since the last load report, by engine.
+    """
+
+    def __init__(self) -> None:
+        self.local: SampleSums = {}
+        self.remote: dict[str, float] = {}
+        self.confirmed_at = 0.0
+        self.unreported: dict[str, messages.SpeedSample] = {}
+        self.credit_bytes = MAX_CREDIT_BYTES
+        self.cached: dict[str, float] = {}
+        self.cached_at = float('-inf')
+
+    def record(
+        self, ident: str, sample: messages.SpeedSample, now: float
+    ) -> None:
+        """Record a prompt read by an engine."""
+        add_to_sums(self.local, ident, sample, now)
+        unreported = self.unreported.get(ident)
+        self.unreported[ident] = (
+            sample if unreported is None else add_samples(unreported, sample)
+        )
+        self.cached_at = float('-inf')
+
+    def apply_remote(
+        self, values: dict[str, float], now: float, *, complete: bool
+    ) -> None:
+        """Apply control's values of the engines that have changed.
+
+        :param complete: they are the values of all engines.
+        """
+        if complete:
+            self.remote = dict(values)
+        else:
+            self.remote.update(values)
+        self.confirm(now)
+        if values:
+            self.cached_at = float('-inf')
+
+    def confirm(self, now: float) -> None:
+        """Record that control's values are up to date."""
+        self.confirmed_at = now
+
+    def current(
+        self,
+        now: float,
+        late: cabc.Iterable[tuple[str, messages.SpeedSample]] = (),
+    ) -> dict[str, float]:
+        """Return the slowness of all engines that aren't of mean speed.
+
+        :param late: reads that go on for longer than expected, by engine.
+        """
+        if not 0 <= now - self.cached_at < CACHE_S:
+            self.cached = {
+                ident: self._value(ident, now)
+                for ident in self.local.keys() | self.remote.keys()
+            }
+            self.cached_at = now
+        pending: dict[str, messages.SpeedSample] = {}
+        for ident, sample in late:
+            known = pending.get(ident)
+            pending[ident] = (
+                sample
+                if known is None
+                else max(known, sample, key=lambda s: s.observed_s)
+            )
+        if not pending:
+            return self.cached
+        return self.cached | {
+            ident: max(
+                self._value(ident, now, sample), self.cached.get(ident, 0.0)
+            )
+            for ident, sample in pending.items()
+        }
+
+    def _value(
+        self,
+        ident: str,
+        now: float,
+        pending: messages.SpeedSample | None = None,
+    ) -> float:
+        local = self.local.get(ident)
+        sample = messages.SpeedSample(0.0, 0.0)
+        if local is not None:
+            sample = local.now(now)
+        if pending is not None:
+            sample = add_samples(sample, pending)
+        remote = self.remote.get(ident)
+        if remote is None:
+            return slowness(sample)
+        share = 0.5 ** (max(0.0, now - self.confirmed_at) / HALF_LIFE_S)
+        return slowness(sample, 1 + (remote - 1) * share, REMOTE_WEIGHT_S)
+
+    def take_unreported(
+        self, reported: cabc.Iterable[str]
+    ) -> dict[str, messages.SpeedSample]:
+        """Return the samples for the next load report, and forget them.
+
+        As they may add only a tenth to the reports, some wait for a later
+        report, in which their sum takes no more room.
+
+        :param reported: engines whose load the report holds.
+        """
+        load_bytes = sum(LOAD_BYTES + len(ident) for ident in reported)
+        self.credit_bytes = min(
+            MAX_CREDIT_BYTES,
+            self.credit_bytes + MAX_SAMPLE_SHARE * (REPORT_BYTES + load_bytes),
+        )
+        taken = {}
+        for ident, sample in list(self.unreported.items()):
+            cost = SAMPLE_BYTES + len(ident)
+            if cost > self.credit_bytes:
+                break
+            self.credit_bytes -= cost
+            del self.unreported[ident]
+            taken[ident] = messages.SpeedSample(
+                round(sample.expected_s, 3), round(sample.observed_s, 3)
+            )
+        return taken
+
+    def retain(self, idents: cabc.Set[str]) -> None:
+        """Forget the local samples of all engines but these."""
+        self.local = {i: s for i, s in self.local.items() if i in idents}
+        self.unreported = {
+            i: s for i, s in self.unreported.items() if i in idents
+        }
+        self.cached_at = float('-inf')
--- a/src/bulrushhold/decisions/_enginespeeds.py
+++ b/src/bulrushhold/decisions/_enginespeeds.py
@@ -75,12 +75,32 @@
     """A prompt that an engine is reading.
 
     :param tokens: of this prompt and of those queued before it.
+    :param expected_s: time that an engine of mean speed needs for them, as
+        estimated at the start.
     """
 
     service: str
     engine: str
     tokens: int
     started_at: float
+    expected_s: float = 0.0
+
+    def late_sample(
+        self, now: float, token_s: float | None = None
+    ) -> messages.SpeedSample | None:
+        """Return a sample if the read takes longer than expected.
+
+        :param token_s: seconds per token of an engine of mean speed; ``None``
+            for the estimate at the start.
+        """
+        expected_s = (
+            self.expected_s if token_s is None else token_s * self.tokens
+        )
+        waited_s = now - self.started_at
+        if not 0 < expected_s < waited_s:
+            return None
+        max_s = MAX_SAMPLE_RATIO * expected_s
+        return messages.SpeedSample(expected_s, min(waited_s, max_s))
 
 
 class EngineSpeeds:
@@ -103,8 +123,11 @@
 
     def record_read(
         self, reading: PromptRead, objective: LatencyObjective, now: float
-    ) -> None:
-        """Record that a prompt was read: its first event has arrived."""
+    ) -> messages.SpeedSample:
+        """Record that a prompt was read: its first event has arrived.
+
+        Return how long it took compared to an engine of mean speed.
+        """
         self.cancel_read(reading)
         token_s = self.token_s(reading.service, objective, now)
         max_s = MAX_SAMPLE_RATIO * token_s * reading.tokens
@@ -114,6 +137,21 @@
             messages.EngineSpeed(tokens=reading.tokens, read_s=read_s),
             now,
         )
+        return messages.SpeedSample(token_s * reading.tokens, read_s)
+
+    def late_reads(
+        self, service: str, now: float, token_s: float | None = None
+    ) -> list[tuple[str, messages.SpeedSample]]:
+        """Return the pending reads that take longer than expected, by engine.
+
+        :param token_s: see :meth:`PromptRead.late_sample`.
+        """
+        samples = [
+            (reading.engine, reading.late_sample(now, token_s))
+            for reading in self.pending_reads
+            if reading.service == service
+        ]
+        return [(ident, s) for ident, s in samples if s is not None]
 
     def cancel_read(self, reading: PromptRead) -> None:
         """Discard a pending read whose result is no longer awaited."""
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -13,6 +13,7 @@
 from bulrushhold.decisions import _loadevents
 from bulrushhold.decisions import _loadtotals
 from bulrushhold.decisions import _rolloutevidence
+from bulrushhold.decisions import _slownesstotals
 from bulrushhold import messages
 
 # Events are kept for processes that were briefly disconnected. An older loss
@@ -117,6 +118,7 @@
         self.blocks: dict[str, _loadevents.BlockEvent] = {}
         self.local = _loadtotals.LoadTotal()
         self.total = _loadtotals.LoadTotal()
+        self.slowness = _slownesstotals.SlownessTotals()
         self.local_evidence = _ServiceEvidence()
         self.total_evidence = _ServiceEvidence()
         # Changes of two entries may cancel out in the total, but not in the
@@ -132,6 +134,8 @@
         existing = self.reports.get(report.entry)
         self.reports[report.entry] = report
         self._replace_evidence(existing, report)
+        self.slowness.add(report.samples, now)
+        self.slowness.refresh(self.number, now)
         previous = existing.engines if existing is not None else {}
         self.changed_engines.update(
             ident
@@ -163,7 +167,12 @@
         previous = node.sum
         if not node.update(load):
             return False
-        self.number += previous != node.sum
+        self.slowness.apply_node(
+            load.node, load.sum.samples, now, complete=not load.since
+        )
+        if previous != node.sum:
+            self.number += 1
+            self.slowness.refresh(self.number, now)
         return self._add_events(load.sum, now, local=False)
 
     def expire(self, now: float) -> bool:
@@ -179,6 +188,7 @@
             if now - node.at > NODE_TTL_S:
                 self._replace_node_evidence(node, {})
                 del self.nodes[address]
+                self.slowness.remove_node(address)
         outdated = [
             node
             for node in self.nodes.values()
@@ -301,6 +311,7 @@
             since,
             [e.limit_now(now) for e in events if e.limit is not None],
             [b.now(now) for b in self.blocks.values() if b.number > since],
+            self.slowness.changed_since(since),
         )
 
     def node_load(self, now: float) -> messages.NodeLoad:
@@ -334,6 +345,7 @@
                     for b in self.blocks.values()
                     if b.local and b.number > since
                 ],
+                self.slowness.sums_since(since, now),
             ),
             {
                 address: (node.incarnation, node.received)
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -1,11 +1,9 @@
-"""Choose the backend server for a request and for the copy of its state.
+"""Choose the engine for a stream and for the copy of its state.
 
-Covers plain services, whose servers differ in latency and failure rate,
-and generation engines, on which one long prompt delays all others. Costs of
-engines are measured in prompts of the size of the one to be placed.
+On an engine, one long prompt delays all others. Costs of engines are measured
+in prompts of the size of the one to be placed.
 """
 
-import random
 import typing as t
 
 from bulrushhold.decisions import _admissioncontrol
@@ -13,11 +11,9 @@
 from bulrushhold.decisions import _backendpool
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _enginespeeds
+from bulrushhold.decisions import _pacedplacement
+from bulrushhold.decisions import _plainplacement
 
-# A failed at-most-once request can't be retried, so a server's failure rate
-# weighs more for it than for an idempotent one.
-AT_MOST_ONCE_FAILURE_WEIGHT: t.Final = 20.0
-IDEMPOTENT_FAILURE_WEIGHT: t.Final = 6.0
 # A prompt slows all streams that its engine is running while it is read.
 RUNNING_STREAM_COST_PROMPTS: t.Final = 0.3
 # The same while much of the load is unknown: all entries would otherwise place
@@ -33,8 +29,6 @@
 # Cost of an engine in another data centre. Links between data centres may lose
 # packets, which delays events by retransmissions.
 REMOTE_COST_PROMPTS: t.Final = 0.5
-# The same for plain services, as a factor of the expected wait.
-REMOTE_WAIT_FACTOR: t.Final = 1.25
 # Fewer healthy engines in its data centre than this and an entry has no
 # preference for them.
 MIN_LOCAL_ENGINES: t.Final = 3
@@ -56,61 +50,21 @@
 HEADROOM_ENGINES: t.Final = 2
 # Lower bound of a run's duration, as a share of the mean.
 MIN_RUN_SHARE: t.Final = 0.5
-MIN_LATENCY_S: t.Final = 0.005
 # Mean of the random cost that keeps entries which choose at the same moment
 # from all picking the least loaded engine.
 JITTER_PROMPTS: t.Final = 0.1
 # Used while load reports are outdated, or streams of a lost engine are being
 # placed: most of the current load is then unknown.
 STALE_JITTER_PROMPTS: t.Final = 0.8
+# An idle engine that is slower than this isn't chosen before all others are
+# considered: one that is still reading may be sooner.
+MAX_IDLE_SLOWNESS: t.Final = 1.1
 STALE_AFTER_LOSS_S: t.Final = 0.5
 STALE_AFTER_S: t.Final = 0.5
 
 
-class Placement(_backendpool.BackendPool):
-    """Load balancer over all known backend servers.
-
-    :param data_centre: of this entry; backend servers there are preferred.
-    """
-
-    def __init__(self, rng: random.Random, data_centre: str = '') -> None:
-        super().__init__()
-        self.rng = rng
-        self.data_centre = data_centre
-
-    def choose(
-        self,
-        service: str,
-        now: float,
-        *,
-        at_most_once: bool,
-        tried: set[str],
-        canary: bool = False,
-    ) -> _backendserver.BackendServer | None:
-        """Return the server with the shortest expected wait.
-
-        :param at_most_once: the request can't be retried if it fails.
-        :param tried: idents of the servers already tried.
-        :param canary: choose among servers of a rollout's target version.
-        """
-        weight = (
-            AT_MOST_ONCE_FAILURE_WEIGHT
-            if at_most_once
-            else IDEMPOTENT_FAILURE_WEIGHT
-        )
-
-        def wait(backend: _backendserver.BackendServer) -> float:
-            load = backend.inflight + backend.remote_requests_now(now) + 1
-            # Below half of its slots a server is about as fast as when idle.
-            load = max(1.0, load / max(1.0, backend.slots * 0.5))
-            latency = max(backend.latency, MIN_LATENCY_S)
-            penalty = 1 + weight * backend.failures_now(now)
-            noise = 1 + 0.2 * self.rng.random()
-            distance = REMOTE_WAIT_FACTOR if self._is_remote(backend) else 1.0
-            return load * latency * penalty * noise * distance
-
-        usable = self.allowing(self.usable(service, now, canary=canary), now)
-        return self._best_of(usable, now, tried, wait)
+class Placement(_pacedplacement.PacedPlacement):
+    """Load balancer over all known backend servers."""
 
     def choose_engine(
         self,
@@ -126,8 +80,8 @@
     ) -> _backendserver.BackendServer | None:
         """Return the engine expected to produce the first event soonest.
 
-        All engines of a service are assumed to be equally fast, so that the
-        number of tokens to read stands for time.
+        The number of tokens to read stands for time. On engines that are
+        known to be slower or faster than the mean, they count accordingly.
 
         :param tokens: length of the prompt.
         :param segment: last segment of the prompt; an engine that has it
@@ -139,6 +93,7 @@
         cached = self.cached_prompts.engine(segment, now)
         ranks = self._affinity_ranks(service, segment, now, tried, version)
         prompt_tokens = max(1, tokens)
+        slowness = self.slowness(service, now)
         stale = self._is_load_stale(service, now)
         running_cost = (
             STALE_RUNNING_STREAM_COST_PROMPTS
@@ -150,13 +105,18 @@
             rank = ranks.get(backend.ident, AFFINITY_CANDIDATES)
             uncached_tokens = 0 if backend.ident == cached else tokens
             others = self.current_remote_load(backend, now)
+            slow = slowness.get(backend.ident, 1.0)
             prompts = (
-                backend.reading + others.reading + uncached_tokens
-            ) / prompt_tokens
+                (backend.reading + others.reading + uncached_tokens)
+                / prompt_tokens
+                * slow
+            )
             running = backend.inflight + others.running
-            prompts += running * running_cost + rank * RANK_COST_PROMPTS
-            prompts *= 1 + IDEMPOTENT_FAILURE_WEIGHT * backend.failures_now(
-                now
+            prompts += running * running_cost * slow + rank * RANK_COST_PROMPTS
+            prompts *= (
+                1
+                + _plainplacement.IDEMPOTENT_FAILURE_WEIGHT
+                * backend.failures_now(now)
             )
             if backend.data_centre == avoid_data_centre:
                 prompts += _backendpool.DATA_CENTRE_PENALTY_PROMPTS
@@ -168,12 +128,15 @@
         preferred = {*ranks, cached}
         usable = self.usable(service, now, canary=canary, version=version)
         usable = self.allowing(usable, now)
-        best = self._best_of(usable, now, tried, wait, preferred=preferred)
+        best = self.best_engine(usable, now, tried, wait, preferred)
         if best is None:
             return None
         idle = not best.reading + best.remote_load.reading
-        if idle and self.has_room(
-            best, now, tokens, _backendpool.MAX_MEMORY_SHARE
+        fast = slowness.get(best.ident, 1.0) <= MAX_IDLE_SLOWNESS
+        if (
+            idle
+            and fast
+            and self.has_room(best, now, tokens, _backendpool.MAX_MEMORY_SHARE)
         ):
             return best
         # All preferred engines are reading or full: consider all others too.
@@ -186,7 +149,7 @@
                 segment, backend.ident
             )
 
-        return self._best_of(usable, now, tried, jittered_wait)
+        return self.best_engine(usable, now, tried, jittered_wait)
 
     def likely_cache_holders(
         self,
@@ -249,13 +212,14 @@
 
         :param overloaded: streams wait for engines.
         """
+        slowness = self.slowness(engine.service, now)
 
         def cost(backend: _backendserver.BackendServer) -> float:
             same_data_centre = backend.data_centre == engine.data_centre
             others = backend.remote_load
             load = backend.inflight + others.running
             return (
-                load
+                load * slowness.get(backend.ident, 1.0)
                 + (backend.memory + others.memory) / max(1, tokens)
                 + 100 * same_data_centre
                 + 10 * self.health_penalty(backend, now)
@@ -327,18 +291,23 @@
             and b.ident != excluding
             and not self.health_penalty(b, now)
         ]
+        slowness = self.slowness(service, now, token_s)
         first_event_s = float('inf')
         idle = False
+        speed = 0.0
         with_room = ready_engines = 0
         for backend in healthy:
+            slow = slowness.get(backend.ident, 1.0)
+            speed += 1 / slow
             if not self.has_room(backend, now, memory, 1.0):
                 continue
             others = self.current_remote_load(backend, now).reading
             reading = backend.reading + others + tokens
-            first_event_s = min(first_event_s, reading * token_s)
+            read_s = reading * token_s * slow
+            first_event_s = min(first_event_s, read_s)
             with_room += 1
-            ready_engines += reading * token_s <= objective.aim_s
-            nearly_idle = reading * token_s <= IDLE_AIM_SHARE * objective.aim_s
+            ready_engines += read_s <= objective.aim_s
+            nearly_idle = read_s <= IDLE_AIM_SHARE * objective.aim_s
             idle = idle or nearly_idle or reading == tokens
         engine_rate = self._completions_per_s(
             service, now, tokens * token_s, memory
@@ -348,7 +317,7 @@
             first_event_s,
             idle,
             len(healthy),
-            len(healthy) * engine_rate,
+            speed * engine_rate,
             max(0.0, MIN_RUN_SHARE * run_s - tokens * token_s),
             ready_engines >= min(HEADROOM_ENGINES, with_room)
             or 2 * with_room < len(healthy),
@@ -374,26 +343,6 @@
             / run_s,
         )
 
-    def _best_of(
-        self,
-        usable: list[_backendserver.BackendServer],
-        now: float,
-        tried: set[str],
-        cost: t.Callable[[_backendserver.BackendServer], float],
-        *,
-        healthy_only: bool = False,
-        preferred: t.Container[str] = (),
-    ) -> _backendserver.BackendServer | None:
-        untried = [b for b in usable if b.ident not in tried]
-        healthy = [b for b in untried if b.ejected_until <= now]
-        if healthy:
-            shortlist = [b for b in healthy if b.ident in preferred]
-            return min(shortlist or healthy, key=cost)
-        if healthy_only or not untried:
-            return None
-        # All are ejected: the one ejected first has most likely recovered.
-        return min(untried, key=lambda b: b.ejected_until)
-
     def _affinity_ranks(
         self,
         service: str,
@@ -428,6 +377,3 @@
         segment = segment or str(self.rng.random())
         preferred = _affinity.preferred_engines(candidates, segment, count)
         return {backend.ident: rank for rank, backend in enumerate(preferred)}
-
-    def _is_remote(self, backend: _backendserver.BackendServer) -> bool:
-        return self.data_centre not in ('', backend.data_centre)
--- /dev/null
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -0,0 +1,156 @@
+"""Choose the server for a request to a plain service.
+
+Its servers differ in latency and failure rate.
+"""
+
+import random
+import typing as t
+
+from bulrushhold.decisions import _backendpool
+from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _servicetimes
+
+# A failed at-most-once request can't be retried, so a server's failure rate
+# weighs more for it than for an idempotent one.
+AT_MOST_ONCE_FAILURE_WEIGHT: t.Final = 20.0
+IDEMPOTENT_FAILURE_WEIGHT: t.Final = 6.0
+# Servers in other data centres are reached over slower links; factor of the
+# expected wait.
+REMOTE_WAIT_FACTOR: t.Final = 1.25
+MIN_LATENCY_S: t.Final = 0.005
+# Servers whose expected times differ by less are taken for equal, and one of
+# them is chosen at random. Entries that know the same would otherwise all
+# choose the same server.
+EQUAL_TIME_SHARE: t.Final = 0.05
+
+
+class PlainPlacement(_backendpool.BackendPool):
+    """Load balancer over the servers of plain services.
+
+    :param data_centre: of this entry; backend servers there are preferred.
+    """
+
+    def __init__(self, rng: random.Random, data_centre: str = '') -> None:
+        super().__init__()
+        self.rng = rng
+        self.data_centre = data_centre
+
+    def choose(
+        self,
+        service: str,
+        now: float,
+        *,
+        at_most_once: bool,
+        tried: set[str],
+        canary: bool = False,
+    ) -> _backendserver.BackendServer | None:
+        """Return the server with the shortest expected wait.
+
+        :param at_most_once: the request can't be retried if it fails.
+        :param tried: idents of the servers already tried.
+        :param canary: choose among servers of a rollout's target version.
+        """
+        weight = (
+            AT_MOST_ONCE_FAILURE_WEIGHT
+            if at_most_once
+            else IDEMPOTENT_FAILURE_WEIGHT
+        )
+
+        def wait(backend: _backendserver.BackendServer) -> float:
+            load = backend.inflight + backend.remote_requests_now(now) + 1
+            # Below half of its slots a server is about as fast as when idle.
+            load = max(1.0, load / max(1.0, backend.slots * 0.5))
+            latency = max(backend.latency, MIN_LATENCY_S)
+            penalty = 1 + weight * backend.failures_now(now)
+            noise = 1 + 0.2 * self.rng.random()
+            distance = REMOTE_WAIT_FACTOR if self._is_remote(backend) else 1.0
+            return load * latency * penalty * noise * distance
+
+        usable = self.allowing(self.usable(service, now, canary=canary), now)
+        if service in self.server_speeds.services:
+            return self._choose_by_time(usable, now, tried, weight)
+        return self._best_of(usable, now, tried, wait)
+
+    def _choose_by_time(
+        self,
+        usable: list[_backendserver.BackendServer],
+        now: float,
+        tried: set[str],
+        failure_weight: float,
+    ) -> _backendserver.BackendServer | None:
+        """Return a server with about the shortest expected time."""
+        service_times = self.server_speeds.service_times.estimates(
+            [backend.ident for backend in usable], now
+        )
+        expected = {
+            backend.ident: service_times[backend.ident]
+            * self.explained_factor(backend, now)
+            * (1 + failure_weight * backend.failures_now(now))
+            * (REMOTE_WAIT_FACTOR if self._is_remote(backend) else 1.0)
+            for backend in usable
+        }
+        best = self._best_of(usable, now, tried, lambda b: expected[b.ident])
+        if best is None or best.ejected_until > now:
+            return best
+        limit = expected[best.ident] * (1 + EQUAL_TIME_SHARE)
+        equal = [
+            backend
+            for backend in usable
+            if expected[backend.ident] <= limit
+            and backend.ident not in tried
+            and backend.ejected_until <= now
+        ]
+        return self.rng.choice(equal)
+
+    def explained_factor(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> float:
+        """Return the expected time at a server, in its service times.
+
+        It is what queue and pace explain of the latency.
+        """
+        reported = self.current_remote_load(backend, now).running
+        others = backend.remote_requests_now(now, reported)
+        rounds = _servicetimes.queue_rounds(
+            backend.inflight, others, backend.slots
+        )
+        return rounds * self.server_speeds.paces.pace(backend.ident, now)
+
+    def record_service_time(
+        self, ident: str, latency_s: float, explained: float, now: float
+    ) -> None:
+        """Record the latency of an answered request.
+
+        :param explained: the :meth:`explained_factor` as it was sent.
+        """
+        backend = self.backends.get(ident)
+        if backend is None or backend.service not in (
+            self.server_speeds.services
+        ):
+            return
+        self.server_speeds.service_times.record(
+            ident, latency_s, explained, now
+        )
+
+    def _best_of(
+        self,
+        usable: list[_backendserver.BackendServer],
+        now: float,
+        tried: set[str],
+        cost: t.Callable[[_backendserver.BackendServer], float],
+        *,
+        healthy_only: bool = False,
+        preferred: t.Container[str] = (),
+    ) -> _backendserver.BackendServer | None:
+        untried = [b for b in usable if b.ident not in tried]
+        healthy = [b for b in untried if b.ejected_until <= now]
+        if healthy:
+            shortlist = [b for b in healthy if b.ident in preferred]
+            return min(shortlist or healthy, key=cost)
+        if healthy_only or not untried:
+            return None
+        # All are ejected: the one ejected first has most likely recovered.
+        return min(untried, key=lambda b: b.ejected_until)
+
+    def _is_remote(self, backend: _backendserver.BackendServer) -> bool:
+        return self.data_centre not in ('', backend.data_centre)
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -11,6 +11,7 @@
 from bulrushhold.forwarding import _events
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _pausemonitor
+from bulrushhold.forwarding import _promptread
 from bulrushhold.forwarding import _responses
 from bulrushhold.forwarding import _resumption
 from bulrushhold.forwarding import _runevidence
@@ -67,16 +68,20 @@
         self.renewal: asyncio.Task[None] | None = None
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
-        self.read_sample: decisions.PromptRead | None = None
-        self.expected_first_event_s = 0.0
+        self.read_monitor = _promptread.ReadMonitor(
+            self.context, stream.job.service, engine, self.engines.objective
+        )
         self.evidence = _runevidence.RunEvidence(
             self.context, stream.job, engine, unread_tokens
         )
+        service = stream.job.service
+        slowness = self.context.placement.slowness(service, self.started_at)
         self.pauses = _pausemonitor.PauseMonitor(
             self.speeds,
-            stream.job.service,
+            service,
             self.engines.objective,
             self.started_at,
+            slowness.get(engine.ident, 1.0),
         )
 
     async def run(self) -> calls.Reply | None:
@@ -117,8 +122,7 @@
 
     def close(self) -> None:
         """Close the connection, so that the engine stops generating."""
-        if self.read_sample is not None:
-            self.speeds.cancel_read(self.read_sample)
+        self.read_monitor.cancel()
         if self.send_task is not None:
             self._cancel_send(self.send_task)
         if self.renewal is not None:
@@ -187,14 +191,7 @@
         ):
             # A resumed prompt may be cached, which would distort the speed.
             return
-        now = self.context.clock()
-        tokens = self.engine.reading + self.engine.remote_load.reading
-        service = self.stream.job.service
-        self.read_sample = self.speeds.start_read(
-            service, self.engine.ident, tokens, now
-        )
-        token_s = self.speeds.token_s(service, self.engines.objective, now)
-        self.expected_first_event_s = tokens * token_s
+        self.read_monitor.start()
 
     def _check_first_event(self, silence: _liveness.SilenceTimer) -> None:
         waited = silence.seconds
@@ -206,7 +203,7 @@
             self.engine.ident
         ).first_event_s
         if waited > decisions.first_event_timeout_s(
-            self.expected_first_event_s, elsewhere_s
+            self.read_monitor.expected_first_event_s, elsewhere_s
         ):
             raise _streamloss.StreamLostError(
                 f'no first event after {waited:.2f} s', unreachable=False
@@ -351,10 +348,7 @@
             self.received_event = True
             self._pin_version()
             self.stream.tracked.interruptible = False
-            if self.read_sample is not None:
-                self.speeds.record_read(
-                    self.read_sample, self.engines.objective, now
-                )
+            self.read_monitor.finish()
             self.context.placement.prompt_read(self.engine, self.unread_tokens)
             self.unread_tokens = 0
             self.stream.timing.record_resumption(self.engine.ident)
--- a/src/bulrushhold/forwarding/_pausemonitor.py
+++ b/src/bulrushhold/forwarding/_pausemonitor.py
@@ -18,6 +18,8 @@
 
     :param objective: of the stream.
     :param now: when the run was sent.
+    :param slowness: of the engine. The pauses of a slow one are longer than
+        those of all engines; it must not be left for that.
     :ivar stall_timeouts: as of the last report.
     """
 
@@ -27,7 +29,9 @@
         service: str,
         objective: decisions.LatencyObjective,
         now: float,
+        slowness: float = 1.0,
     ) -> None:
+        self.slowness = max(1.0, slowness)
         self.speeds = speeds
         self.service = service
         self.objective = objective
@@ -54,6 +58,7 @@
         self.samples = decisions.PauseSamples(self.stall_timeouts.long_pause_s)
 
     def _pause_s(self, now: float, deviations: float) -> float:
-        return self.speeds.pause_s(
+        pause_s = self.speeds.pause_s(
             self.service, self.objective, now, deviations
         )
+        return pause_s * self.slowness
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -178,6 +178,7 @@
         self.tried.add(backend.ident)
         self.context.placement.versions.count_exposed(backend)
         started = self.context.clock()
+        explained = self.context.placement.explained_factor(backend, started)
         backend.inflight += 1
         self.context.places.use(backend.ident)
         task = asyncio.ensure_future(self._exchange(backend, has_permit))
@@ -204,6 +205,10 @@
             seconds = self.context.clock() - started
             crashed = result.broken_off and await self._has_crashed(backend)
             self._record_result(backend, result, seconds, crashed=crashed)
+            if result.reply is not None and result.reply.status < 500:
+                self.context.placement.record_service_time(
+                    backend.ident, seconds, explained, self.context.clock()
+                )
             if crashed and self.repeatable:
                 await _blocks.wait_for_crash_reports(self.job)
         return result
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -21,6 +21,8 @@
         )
     if not head.matches_request:
         return
+    if head.load is not None and head.instance in ('', ident):
+        _record_pace(context, job, ident, head.load)
     if head.load_malformed:
         context.metrics.count('loads.malformed')
         _log_malformed(context, job, ident, 'load')
@@ -34,6 +36,19 @@
         _record_backoff(context, job, ident, head.backoff)
 
 
+def _record_pace(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    load: calls.BackendLoad,
+) -> None:
+    if load.pace is not None:
+        context.metrics.count('pace.samples')
+        context.placement.server_speeds.record_pace(
+            job.service, ident, load.pace, context.clock()
+        )
+
+
 def _record_brittleness(
     context: _context.ForwardingContext,
     job: _context.Job,
