Test servers of different speeds; log expected times of engines

The log line of a dispatch names the expected times of the chosen and the next best engine where servers state their pace.

--- a/src/bulrushhold/decisions/_backendserver.py
+++ b/src/bulrushhold/decisions/_backendserver.py
@@ -41,7 +41,7 @@
     reading: int = 0
     memory: int = 0
     remote_requests: float = 0.0
-    remote_requests_at: float = 0.0
+    remote_requests_at: float = float('-inf')
     latency: float = 0.0
     failures: float = 0.0
     failed_at: float = 0.0
--- a/src/bulrushhold/decisions/_pacedplacement.py
+++ b/src/bulrushhold/decisions/_pacedplacement.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _plainplacement
 
 # Engines whose costs differ by less are chosen by their pace, of which a part
@@ -14,6 +15,10 @@
 # Cost of a pace that is higher than usual by 1: of the 0.6 s that it lasts on
 # average, about a quarter of a typical prompt's reading is lost.
 PACE_COST_PROMPTS: t.Final = 0.25
+# Safety margin on the expected time to the first event, which is a mean.
+LATE_MARGIN: t.Final = 1.3
+# Cost of a late first event, relative to the time by which it is late.
+LATE_COST: t.Final = 3.0
 
 
 @attrs.frozen
@@ -49,6 +54,28 @@
         late = self.speeds.late_reads(service, now, token_s)
         return self.server_speeds.slowness.current(now, late)
 
+    def late_cost(
+        self,
+        service: str,
+        objective: _enginespeeds.LatencyObjective | None,
+        now: float,
+    ) -> t.Callable[[float], float]:
+        """Return the cost, in prompts, of a first event that may be late.
+
+        It is a function of the tokens to be read at mean speed. A slow engine
+        may read short prompts in time, but not long ones.
+        """
+        if objective is None or service not in self.server_speeds.services:
+            return lambda tokens: 0.0
+        token_s = self.speeds.token_s(service, objective, now)
+        prompt_s = max(1, objective.tokens) * token_s
+
+        def cost(tokens: float) -> float:
+            late_s = LATE_MARGIN * tokens * token_s - objective.aim_s
+            return LATE_COST * max(0.0, late_s) / prompt_s
+
+        return cost
+
     def best_engine(
         self,
         usable: list[_backendserver.BackendServer],
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -77,6 +77,7 @@
         avoid_data_centre: str = '',
         canary: bool = False,
         version: str | None = None,
+        objective: _enginespeeds.LatencyObjective | None = None,
     ) -> _backendserver.BackendServer | None:
         """Return the engine expected to produce the first event soonest.
 
@@ -89,11 +90,14 @@
         :param avoid_data_centre: data centre that just lost this stream.
         :param canary: choose among engines of a rollout's target version.
         :param version: choose among engines of this version.
+        :param objective: what remains of the stream's; engines of different
+            speeds that meet it are preferred.
         """
         cached = self.cached_prompts.engine(segment, now)
         ranks = self._affinity_ranks(service, segment, now, tried, version)
         prompt_tokens = max(1, tokens)
         slowness = self.slowness(service, now)
+        late_cost = self.late_cost(service, objective, now)
         stale = self._is_load_stale(service, now)
         running_cost = (
             STALE_RUNNING_STREAM_COST_PROMPTS
@@ -106,11 +110,8 @@
             uncached_tokens = 0 if backend.ident == cached else tokens
             others = self.current_remote_load(backend, now)
             slow = slowness.get(backend.ident, 1.0)
-            prompts = (
-                (backend.reading + others.reading + uncached_tokens)
-                / prompt_tokens
-                * slow
-            )
+            unread_tokens = backend.reading + others.reading + uncached_tokens
+            prompts = unread_tokens / prompt_tokens * slow
             running = backend.inflight + others.running
             prompts += running * running_cost * slow + rank * RANK_COST_PROMPTS
             prompts *= (
@@ -123,6 +124,7 @@
             if self._is_remote(backend):
                 prompts += REMOTE_COST_PROMPTS
             prompts += self.health_penalty(backend, now)
+            prompts += late_cost(unread_tokens * slow)
             return prompts + self.memory_penalty(backend, now, tokens)
 
         preferred = {*ranks, cached}
--- a/src/bulrushhold/emulator/__init__.py
+++ b/src/bulrushhold/emulator/__init__.py
@@ -4,6 +4,7 @@
 from bulrushhold.emulator._clock import run
 from bulrushhold.emulator._engine import Engine
 from bulrushhold.emulator._engine import EngineProfile
+from bulrushhold.emulator._pace import PaceProfile
 from bulrushhold.emulator._poison import PoisonCallers
 from bulrushhold.emulator._poison import PoisonSystem
 from bulrushhold.emulator._rollouts import Onset
@@ -24,6 +25,7 @@
     'EngineProfile',
     'Onset',
     'Outcome',
+    'PaceProfile',
     'PlainOutcome',
     'PlainServer',
     'PoisonCallers',
--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -95,7 +95,9 @@
             raise
         if isinstance(first_event, errors.BackendError):
             raise errors.BackendError('reset', 'send', attempt.address)
-        head = calls.ResponseHead(200, (), True, True, False)
+        head = calls.ResponseHead(
+            200, (), True, True, False, load=engine.load()
+        )
         return _Response(engine, run, head, first_event)
 
     def _run(
--- a/src/bulrushhold/emulator/_engine.py
+++ b/src/bulrushhold/emulator/_engine.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from bulrushhold import calls
+from bulrushhold.emulator import _pace
 from bulrushhold import errors
 
 COPY_INTERVAL_S: t.Final = 0.25
@@ -30,6 +32,8 @@
     :param tokens_per_event: tokens in one event.
     :param kv_capacity: tokens that fit in the KV cache, copies included.
     :param slots: maximum number of running streams.
+    :param speed: factor of the engine's speed.
+    :param pace: changes of its pace, which its responses state.
     """
 
     step_s: float = 0.0065
@@ -39,6 +43,8 @@
     tokens_per_event: int = 4
     kv_capacity: int = 88_000
     slots: int = 128
+    speed: float = 1.0
+    pace: _pace.PaceProfile | None = None
 
 
 @attrs.define(eq=False)
@@ -83,12 +89,17 @@
     """An engine at a fixed address; each restart is a new incarnation.
 
     :ivar version: version of its software.
+    :ivar pace: as its responses state it; ``None`` if they don't.
     :ivar poison_segments: last segments of prompts on which it crashes.
     :ivar on_poison: called with itself and the segment as it should crash.
     """
 
     def __init__(
-        self, address: str, data_centre: str, profile: EngineProfile
+        self,
+        address: str,
+        data_centre: str,
+        profile: EngineProfile,
+        seed: int = 0,
     ) -> None:
         self.address = address
         self.data_centre = data_centre
@@ -97,6 +108,9 @@
         self.task: asyncio.Task[None] | None = None
         self.tokens_read = 0
         self.slowdown = 1.0
+        self.pace = (
+            _pace.Pace(profile.pace, address, seed) if profile.pace else None
+        )
         self.version = ''
         self.poison_segments: t.Container[str] = ()
         self.on_poison: cabc.Callable[[Engine, str], None] | None = None
@@ -174,9 +188,22 @@
                 self.wakeup.clear()
                 await self.wakeup.wait()
                 continue
-            await asyncio.sleep(self._step_s() * self.slowdown)
+            pace = self.pace.now(self.now) if self.pace else 1.0
+            factor = self.slowdown * pace / self.profile.speed
+            await asyncio.sleep(self._step_s() * factor)
             self._step()
 
+    def load(self) -> calls.BackendLoad | None:
+        """Return the load that responses state, if they state a pace."""
+        if self.pace is None:
+            return None
+        return calls.BackendLoad(
+            len(self.running),
+            len(self.queue),
+            self.profile.slots,
+            self.pace.now(self.now),
+        )
+
     def _admit(self) -> None:
         while self.queue and len(self.running) < self.profile.slots:
             if self.running and not self.fits(self.queue[0].kv_tokens):
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -191,7 +191,7 @@
             address = f'10.0.{number // 250}.{number % 250}:80'
             data_centre = f'dc{number % 3}'
             self.engines[address] = _engine.Engine(
-                address, data_centre, profile
+                address, data_centre, profile, seed
             )
         self.lengths: dict[str, int] = {}
         self.client = _client.EmulatedClient(self.engines, self.lengths)
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -202,9 +202,7 @@
         elsewhere_s = self.engines.estimate_capacity(
             self.engine.ident
         ).first_event_s
-        if waited > decisions.first_event_timeout_s(
-            self.read_monitor.expected_first_event_s, elsewhere_s
-        ):
+        if waited > self.read_monitor.timeout_s(elsewhere_s):
             raise _streamloss.StreamLostError(
                 f'no first event after {waited:.2f} s', unreachable=False
             )
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -1,5 +1,7 @@
 """Chooses the engines of one stream."""
 
+import typing as t
+
 import attrs
 
 from bulrushhold import decisions
@@ -25,6 +27,7 @@
         self.job = job
         self.tried: set[str] = set()
         self.version = job.version
+        self.created_at = context.clock()
         self.lost_data_centre = ''
         prompt = job.call.prompt
         self.tokens = prompt.tokens if prompt else 0
@@ -101,8 +104,51 @@
             avoid_data_centre=self.lost_data_centre,
             canary=canary,
             version=self.version,
+            objective=self._remaining_objective(),
+        )
+
+    def _remaining_objective(self) -> decisions.LatencyObjective:
+        waited_s = self.context.clock() - self.created_at
+        return attrs.evolve(
+            self.objective, aim_s=max(0.0, self.objective.aim_s - waited_s)
         )
 
+    def expectations(
+        self, engine: decisions.BackendServer
+    ) -> dict[str, t.Any]:
+        """Return log fields of what the choice of an engine was based on.
+
+        Empty if the service's servers don't state their pace. The next best
+        engine is unknown if the engine had to be chosen otherwise.
+        """
+        placement, now = self.context.placement, self.context.clock()
+        service = self.job.service
+        if service not in placement.server_speeds.services:
+            return {}
+        token_s = placement.speeds.token_s(service, self.objective, now)
+        slowness = placement.slowness(service, now, token_s)
+        paces = placement.server_speeds.paces
+
+        def expected_s(server: decisions.BackendServer, new: int) -> float:
+            others = placement.current_remote_load(server, now)
+            tokens = server.reading + others.reading + new
+            seconds = tokens * token_s * slowness.get(server.ident, 1.0)
+            return round(seconds, 3)
+
+        choice = placement.engine_choice
+        next_best = None
+        if choice is not None and choice.engine == engine.ident:
+            next_best = placement.backends.get(choice.next_best)
+        age_s = paces.age_s(engine.ident, now)
+        return {
+            'expected_s': expected_s(engine, 0),
+            'next_best': next_best.ident if next_best else '',
+            'next_best_s': next_best and expected_s(next_best, self.tokens),
+            'slowness': round(slowness.get(engine.ident, 1.0), 2),
+            'pace': round(paces.pace(engine.ident, now), 2),
+            'pace_age_s': None if age_s is None else round(age_s, 2),
+        }
+
     def untried(self) -> list[decisions.BackendServer]:
         """Return the engines that may be tried in this round."""
         return self.context.placement.untried(
--- a/src/bulrushhold/forwarding/_promptread.py
+++ b/src/bulrushhold/forwarding/_promptread.py
@@ -1,9 +1,15 @@
 """Observes how long an engine reads the prompt of a stream."""
 
+import typing as t
+
 from bulrushhold import decisions
 from bulrushhold.forwarding import _context
 from bulrushhold import messages
 
+# What a long period of a slow pace adds to a read. Engines that are alive
+# would otherwise be left for it, and the prompt read twice.
+SLOW_PACE_ALLOWANCE_S: t.Final = 1.2
+
 
 class ReadMonitor:
     """The read of one prompt, from its dispatch to the first event.
@@ -42,6 +48,18 @@
             tokens * token_s * slowness.get(self.engine.ident, 1.0)
         )
 
+    def timeout_s(self, elsewhere_s: float) -> float:
+        """Return the time after which the prompt is sent to another engine.
+
+        :param elsewhere_s: time until another engine would have read it.
+        """
+        timeout_s = decisions.first_event_timeout_s(
+            self.expected_first_event_s, elsewhere_s
+        )
+        if self.service in self.placement.server_speeds.services:
+            timeout_s += SLOW_PACE_ALLOWANCE_S
+        return timeout_s
+
     def finish(self) -> None:
         """Record that the first event has arrived."""
         if self.reading is not None:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -321,6 +321,7 @@
             load_age_s=round(
                 self.context.clock() - self.context.placement.last_report_at, 2
             ),
+            **self.engines.expectations(engine),
         )
         try:
             return await engine_stream.run()
