--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -22,17 +22,9 @@
 # Weights of the newest sample in the moving averages of latency and failures.
 LATENCY_SMOOTHING: t.Final = 0.1
 FAILURE_SMOOTHING: t.Final = 0.2
-# Cost of an engine in a data centre whose engines fail together.
-DATA_CENTRE_PENALTY_PROMPTS: t.Final = 3.0
-# A lost engine looks idle and would attract the next prompts of all entries,
-# although it is probably still down or has restarted under another ident. For
-# this time it is the last choice.
-PROBATION_S: t.Final = 6.0
-PROBATION_PENALTY_PROMPTS: t.Final = 2.5
 # A prompt that finds no free memory waits until another stream ends. The rest
 # is reserved for growing streams and for load that isn't reported yet.
 MAX_MEMORY_SHARE: t.Final = 0.85
-FULL_PENALTY_PROMPTS: t.Final = 4.0
 EJECTION_S: t.Final = 1.0
 # Load reports older than this are ignored.
 LOAD_REPORT_TTL_S: t.Final = 2.0
@@ -131,11 +123,11 @@
             rollout should get.
         :param version: for a stream that this version has begun.
         """
+        gone = self.demands.leaving.until.keys() | self.replaced_idents
         present = [
             backend
             for backend in self.services.get(service, ())
-            if not self.is_leaving(backend)
-            and backend.ident not in self.replaced_idents
+            if not backend.leaving and backend.ident not in gone
         ]
         return self.versions.usable(
             service, present, now, canary=canary, version=version
@@ -211,12 +203,10 @@
         max_share: float,
     ) -> bool:
         capacity = self.capacity.get(backend.service, 0)
-        needed = (
-            backend.memory
-            + self.current_remote_load(backend, now).memory
-            + tokens
-        )
-        return not capacity or needed <= capacity * max_share
+        if not capacity:
+            return True
+        others = self.current_remote_load(backend, now).memory
+        return backend.memory + others + tokens <= capacity * max_share
 
     def current_remote_load(
         self, backend: _backendserver.BackendServer, now: float
@@ -226,8 +216,13 @@
         Otherwise an engine that was full when reports ceased would seem full
         from then on, and streams would wait although engines are idle.
         """
-        is_current = now - self.last_report_at < LOAD_REPORT_TTL_S
-        return backend.remote_load if is_current else _backendserver.NO_LOAD
+        if self.has_current_loads(now):
+            return backend.remote_load
+        return _backendserver.NO_LOAD
+
+    def has_current_loads(self, now: float) -> bool:
+        """Whether the load that other entries report isn't outdated."""
+        return now - self.last_report_at < LOAD_REPORT_TTL_S
 
     def may_hold_copy(
         self, backend: _backendserver.BackendServer, since: float
@@ -429,19 +424,3 @@
         old = backend.failures_now(now)
         backend.failures = old + FAILURE_SMOOTHING * (sample - old)
         backend.failed_at = now
-
-    def memory_penalty(
-        self, backend: _backendserver.BackendServer, now: float, tokens: int
-    ) -> float:
-        fits = self.has_room(backend, now, tokens, MAX_MEMORY_SHARE)
-        return 0.0 if fits else FULL_PENALTY_PROMPTS
-
-    def health_penalty(
-        self, backend: _backendserver.BackendServer, now: float
-    ) -> float:
-        on_probation = now - backend.lost_at < PROBATION_S
-        location = (backend.service, backend.data_centre)
-        prompts = PROBATION_PENALTY_PROMPTS if on_probation else 0.0
-        if self.data_centre_failures.is_failing(location, now):
-            prompts += DATA_CENTRE_PENALTY_PROMPTS
-        return prompts
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -50,12 +50,6 @@
 HEADROOM_ENGINES: t.Final = 2
 # Lower bound of a run's duration, as a share of the mean.
 MIN_RUN_SHARE: t.Final = 0.5
-# Mean of the random cost that keeps entries which choose at the same moment
-# from all picking the least loaded engine.
-JITTER_PROMPTS: t.Final = 0.1
-# Used while load reports are outdated, or streams of a lost engine are being
-# placed: most of the current load is then unknown.
-STALE_JITTER_PROMPTS: t.Final = 0.8
 # An idle engine that is slower than this isn't chosen before all others are
 # considered: one that is still reading may be sooner.
 MAX_IDLE_SLOWNESS: t.Final = 1.1
@@ -105,22 +99,28 @@
             else RUNNING_STREAM_COST_PROMPTS
         )
 
-        def wait(backend: _backendserver.BackendServer) -> float:
-            rank = ranks.get(backend.ident, AFFINITY_CANDIDATES)
-            uncached_tokens = 0 if backend.ident == cached else tokens
-            others = self.current_remote_load(backend, now)
-            slow = slowness.get(backend.ident, 1.0)
+        fresh = self.has_current_loads(now)
+
+        def wait(backend: _backendserver.BackendServer, limit: float) -> float:
+            ident = backend.ident
+            uncached_tokens = 0 if ident == cached else tokens
+            others = backend.remote_load if fresh else _backendserver.NO_LOAD
+            slow = slowness.get(ident, 1.0)
             unread_tokens = backend.reading + others.reading + uncached_tokens
             prompts = unread_tokens / prompt_tokens * slow
             running = backend.inflight + others.running
+            rank = ranks.get(ident, AFFINITY_CANDIDATES)
             prompts += running * running_cost * slow + rank * RANK_COST_PROMPTS
+            if prompts > limit:
+                # What follows can only increase the cost.
+                return prompts
             prompts *= (
                 1
                 + _plainplacement.IDEMPOTENT_FAILURE_WEIGHT
                 * backend.failures_now(now)
             )
             if backend.data_centre == avoid_data_centre:
-                prompts += _backendpool.DATA_CENTRE_PENALTY_PROMPTS
+                prompts += _pacedplacement.DATA_CENTRE_PENALTY_PROMPTS
             if self._is_remote(backend):
                 prompts += REMOTE_COST_PROMPTS
             prompts += self.health_penalty(backend, now)
@@ -142,12 +142,15 @@
         ):
             return best
         # All preferred engines are reading or full: consider all others too.
-        jitter_prompts = STALE_JITTER_PROMPTS if stale else JITTER_PROMPTS
+        jitter_prompts = self.jitter_prompts(service, stale=stale)
 
-        def jittered_wait(backend: _backendserver.BackendServer) -> float:
-            return wait(
-                backend
-            ) + jitter_prompts * _affinity.exponential_jitter(
+        def jittered_wait(
+            backend: _backendserver.BackendServer, limit: float
+        ) -> float:
+            prompts = wait(backend, limit)
+            if prompts > limit:
+                return prompts
+            return prompts + jitter_prompts * _affinity.exponential_jitter(
                 segment, backend.ident
             )
 
@@ -284,16 +287,19 @@
         token_s = self.speeds.token_s(
             service, objective, now, excluding=excluding
         )
+        usable = self.usable(service, now, version=version)
         healthy = [
             b
-            for b in self.allowing(
-                self.usable(service, now, version=version), now
-            )
+            for b in self.allowing(usable, now)
             if b.ejected_until <= now
             and b.ident != excluding
-            and not self.health_penalty(b, now)
+            and now - b.lost_at >= _pacedplacement.PROBATION_S
         ]
+        if self.data_centre_failures.recent:
+            healthy = [b for b in healthy if not self.health_penalty(b, now)]
         slowness = self.slowness(service, now, token_s)
+        fresh = self.has_current_loads(now)
+        capacity = self.capacity.get(service, 0)
         first_event_s = float('inf')
         idle = False
         speed = 0.0
@@ -301,10 +307,11 @@
         for backend in healthy:
             slow = slowness.get(backend.ident, 1.0)
             speed += 1 / slow
-            if not self.has_room(backend, now, memory, 1.0):
+            others = backend.remote_load if fresh else _backendserver.NO_LOAD
+            needed = backend.memory + others.memory + memory
+            if capacity and needed > capacity:
                 continue
-            others = self.current_remote_load(backend, now).reading
-            reading = backend.reading + others + tokens
+            reading = backend.reading + others.reading + tokens
             read_s = reading * token_s * slow
             first_event_s = min(first_event_s, read_s)
             with_room += 1
