--- a/src/bulrushhold/decisions/_plainplacement.py
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -22,6 +22,9 @@
 # them is chosen at random. Entries that know the same would otherwise all
 # choose the same server.
 EQUAL_TIME_SHARE: t.Final = 0.05
+# Interval at which the requests at plain servers are reported to other entries
+# if they change. Reports at each change would exceed the budget of 3 KB/s.
+REPORT_INTERVAL_S: t.Final = 0.25
 
 
 class PlainPlacement(_backendpool.BackendPool):
@@ -34,6 +37,36 @@
         super().__init__()
         self.rng = rng
         self.data_centre = data_centre
+        self.plain_reported_at = float('-inf')
+
+    def request_started(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> None:
+        """Count a plain request sent to a server."""
+        backend.inflight += 1
+        self._report_requests(backend, now)
+
+    def request_ended(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> None:
+        """Remove a plain request from a server."""
+        backend.inflight -= 1
+        self._report_requests(backend, now)
+
+    def _report_requests(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> None:
+        """Report the requests at a service's servers to other entries.
+
+        An entry of many sends too few requests to know the queues of servers
+        from their responses.
+        """
+        if (
+            backend.service in self.server_speeds.services
+            and now - self.plain_reported_at >= REPORT_INTERVAL_S
+        ):
+            self.plain_reported_at = now
+            self.on_load_change()
 
     def choose(
         self,
