Bounded buffers of an entry

A BufferBudget bounds what an entry holds where its memory is known. A response that fits is read at once; others are passed on as their callers read, with a window of 96 KB, and are read ahead in order of arrival as memory gets free. Request bodies count too. Above 0.9 of the budget, new requests are refused.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from bulrushhold import bodies
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -192,6 +194,15 @@
         :raises BackendError: if it is truncated.
         """
 
+    async def receive(self) -> bytes | bodies.Body:
+        """Return the body, which may still be received.
+
+        It closes the response in the end; nothing else may do so.
+
+        :raises BackendError: if it is truncated.
+        """
+        return await self.body()
+
     @abc.abstractmethod
     def close(self) -> None:
         """Close the connection, so that the backend server stops work."""
@@ -275,11 +286,16 @@
 
 @attrs.frozen
 class Reply:
-    """A complete response to a caller."""
+    """A response to a caller; :meth:`close` it if it isn't sent."""
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bodies.Body
+
+    def close(self) -> None:
+        """Free the memory of the body."""
+        if isinstance(self.body, bodies.Body):
+            self.body.close()
 
 
 class CallerStream(abc.ABC):
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -77,14 +77,23 @@
         placement = decisions.Placement(random.Random(), config.data_centre)
         poison_requests = decisions.PoisonRequestDetector(placement.losses)
         self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
-        direct = adapters.HttpBackendClient(self.adapters.engine_dialect)
+        buffers = None
+        if config.memory_bytes:
+            buffers = adapters.BufferBudget(config.memory_bytes, self.metrics)
+            self.memory = adapters.MemoryMonitor(buffers, config.memory_bytes)
+            self.background.append(
+                _background.start_background_task(self.memory.watch())
+            )
+        direct = adapters.HttpBackendClient(
+            self.adapters.engine_dialect, buffers
+        )
         monitor = forwarding.ReachabilityMonitor(
             direct, placement, self.metrics
         )
         self.client = forwarding.PermitCheckingClient(
             forwarding.ProxyingClient(
                 direct,
-                adapters.HttpPeerProxyClient(),
+                adapters.HttpPeerProxyClient(buffers),
                 monitor,
                 placement,
                 decisions.ProxyPeers(config.name),
@@ -147,7 +156,7 @@
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         self.ingress = adapters.Ingress(
-            self.forwarder.handle, self.adapters.caller_dialect
+            self.forwarder.handle, self.adapters.caller_dialect, buffers
         )
         self.proxy_server = adapters.PeerProxyServer(
             forwarding.DirectProxyHandler(
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
@@ -58,6 +59,7 @@
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
         self.may_have_run = False
+        self.replies: list[calls.Reply] = []
 
     async def run(self) -> calls.Reply:
         """Return the response.
@@ -65,12 +67,18 @@
         :raises RequestError: if no server responded; its ``ran`` tells
             whether the request may have run.
         """
+        returned = None
         try:
             with self.context.running.track(self.job.fingerprint) as tracked:
                 self.tracked = tracked
-                return await self._run()
+                returned = await self._run()
         except errors.RequestBlockedError as error:
-            return self._end_blocked(error)
+            returned = self._end_blocked(error)
+        finally:
+            for reply in self.replies:
+                if reply is not returned:
+                    reply.close()
+        return returned
 
     async def _run(self) -> calls.Reply:
         while True:
@@ -266,11 +274,14 @@
                 )
             if not head.matches_request or not head.from_backend:
                 return _Result(errors.Ran.UNKNOWN, 'mismatched answer')
-            body = await response.body()
+            body = await response.receive()
+            reply = calls.Reply(head.status, head.headers, body)
+            self.replies.append(reply)
+            if isinstance(body, bodies.Body):
+                # It closes the response after its last byte.
+                response = None
             return _Result(
-                errors.Ran.YES,
-                f'failed with status {head.status}',
-                calls.Reply(head.status, head.headers, body),
+                errors.Ran.YES, f'failed with status {head.status}', reply
             )
         except errors.NoPermitError as error:
             return _Result(errors.Ran.NO, str(error), permitted=False)
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -154,6 +154,8 @@
         still expected.
     :param proxy: listening address for entries that reach no backend server;
         without it, none can use this entry's connections.
+    :param memory_bytes: memory of the instance; 0 if it isn't bounded.
+    :param max_files: file descriptors of the process; 0 if not bounded.
     """
 
     name: str = attrs.field(validator=_NAME)
@@ -170,6 +172,8 @@
     linger_s: float = attrs.field(default=4.5, validator=_POSITIVE)
     metrics: Address | None = None
     proxy: Address | None = None
+    memory_bytes: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    max_files: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
 
 
 _Role = t.TypeVar('_Role', Entry, Control, Forwarding)
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -1,6 +1,8 @@
 """HTTP adapters for callers, backend servers and the platform's list."""
 
 from bulrushhold.web._backends import HttpBackendClient
+from bulrushhold.web._buffers import BufferBudget
+from bulrushhold.web._buffers import MemoryMonitor
 from bulrushhold.web._connections import make_session
 from bulrushhold.web._engine import HttpEngineClient
 from bulrushhold.web._ingress import Ingress
@@ -11,12 +13,14 @@
 from bulrushhold.web._service import HttpServiceClient
 
 __all__ = [
+    'BufferBudget',
     'HttpBackendClient',
     'HttpEngineClient',
     'HttpPeerProxyClient',
     'HttpPlatformList',
     'HttpServiceClient',
     'Ingress',
+    'MemoryMonitor',
     'PeerProxyServer',
     'make_session',
     'metrics_application',
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -7,8 +7,11 @@
 import loguru
 import yarl
 
+from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import errors
+from bulrushhold.web import _bodies
+from bulrushhold.web import _buffers
 from bulrushhold.web import _connections
 
 # Shorter than TCP's first SYN retransmission after 1 s: trying another server
@@ -32,10 +35,12 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         address: str,
+        budget: _buffers.BufferBudget | None,
     ) -> None:
         self.head = head
         self.response = response
         self.address = address
+        self.budget = budget
 
     async def chunk(self) -> bytes:
         try:
@@ -49,6 +54,21 @@
         except _HTTP_ERRORS as error:
             raise _to_backend_error(error, 'answer', self.address) from error
 
+    async def receive(self) -> bytes | bodies.Body:
+        length = self.response.content_length
+        if self.response.method == 'HEAD':
+            length = 0
+        return await _bodies.receive(self.budget, self, length, self._set_bulk)
+
+    def _set_bulk(self, bulk: bool) -> None:
+        count = _connections.RECEIVE_BYTES
+        if bulk:
+            count = _connections.BULK_RECEIVE_BYTES
+        if self.response.connection is not None:
+            _connections.set_receive_bytes(
+                self.response.connection.transport, count
+            )
+
     def close(self) -> None:
         self.response.close()
 
@@ -57,14 +77,22 @@
     """Forwards calls on pooled connections, or on new ones on demand.
 
     :param dialect: the protocol of the backend servers.
+    :param budget: bounds the bodies in memory; ``None`` for no bound.
     """
 
-    def __init__(self, dialect: calls.EngineDialect) -> None:
+    def __init__(
+        self,
+        dialect: calls.EngineDialect,
+        budget: _buffers.BufferBudget | None = None,
+    ) -> None:
         self.dialect = dialect
+        self.budget = budget
         self.pooled = _connections.make_session(
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            budget is not None, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+        )
+        self.unpooled = _connections.make_session(
+            budget is not None, force_close=True
         )
-        self.unpooled = _connections.make_session(force_close=True)
 
     async def send(
         self, call: calls.Call, attempt: calls.Attempt
@@ -96,7 +124,9 @@
         head = self.dialect.decode_head(
             call, response.status, response.headers
         )
-        return _HttpBackendResponse(head, response, attempt.address)
+        return _HttpBackendResponse(
+            head, response, attempt.address, self.budget
+        )
 
     async def probe(
         self, address: str, timeout: float, instance: str = ''
--- /dev/null
+++ b/src/bulrushhold/web/_buffers.py
@@ -0,0 +1,304 @@
+"""Bounds the memory of all bodies that an entry holds at a time."""
+
+import asyncio
+import collections
+import collections.abc as cabc
+import ctypes
+import os
+import pathlib
+import time
+import typing as t
+
+import loguru
+
+from bulrushhold import ports
+
+# Share of an instance's memory that the process aims for. Its peaks have to
+# stay below 0.8, and were 6% of 128 MB above what the budget counts.
+MEMORY_SHARE: t.Final = 0.75
+# Share of the budget above which new requests are refused.
+REFUSAL_SHARE: t.Final = 0.9
+# Share of the budget that responses may hold beyond their windows. Windows of
+# 200 slow readers fit beside it in an instance of 128 MB.
+READ_AHEAD_SHARE: t.Final = 0.35
+# Share up to which all bodies together leave room for reading ahead, so that
+# responses alone don't lead to refusals.
+READ_AHEAD_LIMIT: t.Final = 0.85
+# Bounds the budget from below if the process itself needs nearly all memory.
+MIN_BUDGET_SHARE: t.Final = 1 / 16
+# Memory of a response that is forwarded piece by piece: aiohttp's read
+# buffer, the piece, the write buffer and the objects of two connections.
+WINDOW_BYTES: t.Final = 96 << 10
+# Largest grant to a waiting body, so that one large body can't block others.
+GRANT_BYTES: t.Final = 1 << 20
+# A caller that has read nothing for this long counts as stalled. Through
+# window updates of 64 KB, a caller is seen to read from 4.4 KB/s on.
+STALLED_S: t.Final = 15.0
+# Bodies that receive a part in one pass of the event loop. With 200 at a time,
+# a pass took 20 ms, and each request needs several.
+TURNS_PER_PASS: t.Final = 4
+CHECK_INTERVAL_S: t.Final = 1.0
+REFUSAL_RETRY_S: t.Final = 0.5
+# Growth of the process since the last time, as a share of its instance's
+# memory, at which freed memory of the heap is returned to the system.
+TRIM_SHARE: t.Final = 1 / 32
+_STATM: t.Final = pathlib.Path('/proc/self/statm')
+
+
+class Holder:
+    """One body's part of the budget.
+
+    :ivar held: bytes.
+    :ivar ahead: those of them that exceed the window of a response.
+    :ivar read_at: when its caller last read some of it; ``None`` before it is
+        sent.
+    """
+
+    def __init__(self, budget: 'BufferBudget') -> None:
+        self.budget = budget
+        self.held = 0
+        self.ahead = 0
+        self.read_at: float | None = None
+
+    def wanted(self) -> int:
+        """Return how many bytes it waits for."""
+        return 0
+
+    def on_granted(self, count: int) -> None:
+        """Use bytes that it has waited for; they are already held."""
+
+    def end_stalled(self) -> None:
+        """End the response, as its caller reads nothing."""
+
+    def try_read_ahead(self, count: int) -> bool:
+        """Hold more bytes if they fit, and no other body waits for them."""
+        if self.budget.waiting or not self.budget.fits_ahead(count):
+            return False
+        self.resize(self.held + count, self.ahead + count)
+        return True
+
+    def resize(self, held: int, ahead: int = 0) -> None:
+        """Set the bytes that it holds, whether or not they fit."""
+        used_more = held - self.held
+        ahead_more = ahead - self.ahead
+        self.held = held
+        self.ahead = ahead
+        self.budget.change(used_more, ahead_more)
+
+    def mark_read(self) -> None:
+        """Record that the caller has read some of it."""
+        self.read_at = self.budget.clock()
+
+    def wait(self) -> None:
+        """Wait for :meth:`wanted` bytes, after all that wait already."""
+        self.budget.waiting[self] = None
+        self.budget.grant()
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        self.budget.waiting.pop(self, None)
+        self.budget.holders.discard(self)
+        self.resize(0)
+
+
+class Turns:
+    """Spreads the parts that bodies receive over passes of the event loop.
+
+    Other requests would otherwise wait for a part of each body in each pass.
+    """
+
+    def __init__(self) -> None:
+        self.taken = 0
+        self.queue: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+
+    async def take(self) -> None:
+        """Wait until one more part may be received."""
+        if self.taken < TURNS_PER_PASS:
+            self._count()
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self.queue.append(turn)
+        await turn
+
+    def _count(self) -> None:
+        if not self.taken:
+            asyncio.get_running_loop().call_soon(self._begin_pass)
+        self.taken += 1
+
+    def _begin_pass(self) -> None:
+        self.taken = 0
+        while self.queue and self.taken < TURNS_PER_PASS:
+            turn = self.queue.popleft()
+            if not turn.done():
+                self._count()
+                turn.set_result(None)
+
+
+class BufferBudget:
+    """A bound on the bytes that bodies hold in memory.
+
+    :param limit: bytes; 0 for no bound.
+    :ivar used: bytes held now.
+    :ivar ahead: those of them that exceed the windows of responses.
+    """
+
+    def __init__(
+        self,
+        limit: int,
+        metrics: ports.Metrics,
+        clock: cabc.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.limit = limit
+        self.metrics = metrics
+        self.clock = clock
+        self.used = 0
+        self.ahead = 0
+        self.refusals = 0
+        self.turns = Turns()
+        self.holders: set[Holder] = set()
+        self.waiting: dict[Holder, None] = {}
+
+    @property
+    def share(self) -> float:
+        """The share of the budget that is used; 0 without a bound."""
+        return self.used / self.limit if self.limit else 0.0
+
+    @property
+    def is_short(self) -> bool:
+        """Whether new requests are refused."""
+        return self.share > REFUSAL_SHARE
+
+    def refuses(self) -> bool:
+        """Return whether to refuse a new request, and count it if so."""
+        if not self.is_short:
+            return False
+        self._count_refusal()
+        return True
+
+    def take_request(self, holder: Holder, count: int) -> bool:
+        """Hold a request's body; return ``False`` if it doesn't fit.
+
+        One that is alone fits always.
+        """
+        fits = self.used + count <= self.limit or self.used == holder.held
+        if self.limit and not fits:
+            self._count_refusal()
+            return False
+        holder.resize(holder.held + count)
+        return True
+
+    def fits_ahead(self, count: int) -> bool:
+        """Return whether a response may hold more bytes than its window."""
+        return (
+            self.ahead + count <= READ_AHEAD_SHARE * self.limit
+            and self.used + count <= READ_AHEAD_LIMIT * self.limit
+        )
+
+    def change(self, used: int, ahead: int) -> None:
+        """Add to the bytes held; those that are freed are granted."""
+        self.used += used
+        self.ahead += ahead
+        if used < 0 or ahead < 0:
+            self.grant()
+
+    def grant(self) -> None:
+        """Grant free bytes to waiting bodies in order of arrival."""
+        for holder in list(self.waiting):
+            wanted = min(GRANT_BYTES, holder.wanted())
+            if not self.fits_ahead(wanted):
+                return
+            del self.waiting[holder]
+            holder.resize(holder.held + wanted, holder.ahead + wanted)
+            holder.on_granted(wanted)
+
+    def check(self) -> None:
+        """End stalled responses while memory is short; update the gauges.
+
+        The one whose caller has read nothing for the longest time goes first.
+        One whose caller reads is never ended.
+        """
+        stalled_before = self.clock() - STALLED_S
+        stalled = [
+            holder
+            for holder in self.holders
+            if holder.read_at is not None and holder.read_at < stalled_before
+        ]
+        for holder in sorted(stalled, key=lambda item: item.read_at or 0.0):
+            if not self.is_short:
+                break
+            loguru.logger.bind(
+                held=holder.held, silent_s=self.clock() - (holder.read_at or 0)
+            ).warning('response ended, as its caller reads nothing')
+            self.metrics.count('buffers.ended')
+            holder.end_stalled()
+            holder.release()
+        if self.refusals and not self.is_short:
+            loguru.logger.bind(refused=self.refusals, used=self.used).info(
+                'buffers have room again'
+            )
+            self.refusals = 0
+        self.metrics.gauge('buffers.bytes', self.used)
+        self.metrics.gauge('buffers.waiting', len(self.waiting))
+
+    def _count_refusal(self) -> None:
+        if not self.refusals:
+            loguru.logger.bind(
+                used=self.used, limit=self.limit, bodies=len(self.holders)
+            ).warning('buffers are full, new requests are refused')
+        self.refusals += 1
+        self.metrics.count('buffers.refused')
+
+
+class MemoryMonitor:
+    """Adapts a budget to what the rest of the process uses.
+
+    :param memory: bytes of memory of the instance; 0 if it isn't bounded.
+    """
+
+    def __init__(self, budget: BufferBudget, memory: int) -> None:
+        self.budget = budget
+        self.memory = memory
+        self.startup = self.trimmed = resident_bytes()
+        self.update()
+
+    def update(self) -> None:
+        """Set the limit of the budget.
+
+        The process grows after its start, by lists of servers and by
+        connections, so that its present use counts besides that at startup.
+        """
+        if not self.memory:
+            return
+        other = resident_bytes() - self.budget.used
+        if other - self.trimmed > TRIM_SHARE * self.memory:
+            _trim_heap()
+            other = self.trimmed = resident_bytes() - self.budget.used
+        other = max(self.startup, other)
+        self.budget.limit = int(
+            max(
+                MEMORY_SHARE * self.memory - other,
+                MIN_BUDGET_SHARE * self.memory,
+            )
+        )
+
+    async def watch(self) -> None:
+        """Check the memory forever."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.update()
+            self.budget.check()
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(_STATM.read_text('ascii').split()[1])
+    return pages * os.sysconf('SC_PAGE_SIZE')
+
+
+def _trim_heap() -> None:
+    """Return freed memory of the heap, if the C library can do so (glibc)."""
+    trim = getattr(ctypes.CDLL(None), 'malloc_trim', None)
+    if trim is not None:
+        trim(0)
--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -1,5 +1,6 @@
 """HTTP client connections hardened against faulty backend servers."""
 
+import asyncio
 import functools
 import typing as t
 
@@ -8,6 +9,15 @@
 
 
 FIRST_FINAL_STATUS: t.Final = 200
+# With bounded buffers, sizes of one read from a socket, of a read buffer's low
+# mark (reading stops at twice that) and of a write buffer. By default, a
+# connection that isn't read holds 256 KB, and a caller that doesn't read as
+# much as is written. Bodies that have budget are read in larger parts, which
+# takes half of the time.
+BULK_RECEIVE_BYTES: t.Final = 64 << 10
+RECEIVE_BYTES: t.Final = 16 << 10
+READ_BUFFER_BYTES: t.Final = 4 << 10
+WRITE_BUFFER_BYTES: t.Final = 8 << 10
 
 
 class _StrictResponseHandler(client_proto.ResponseHandler):
@@ -60,6 +70,33 @@
         super().connection_lost(exc)
 
 
+class _BoundedResponseHandler(_StrictResponseHandler):
+    """Reads little at a time, as an unread connection keeps what it read."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start a connection."""
+        bound_buffers(transport)
+        super().connection_made(transport)
+
+    def set_response_params(self, **params: t.Any) -> None:
+        """Expect a response, and read little of it at first."""
+        set_receive_bytes(self.transport, RECEIVE_BYTES)
+        super().set_response_params(**params)
+
+
+def bound_buffers(transport: t.Any) -> None:
+    """Make a connection keep no more than tens of KB in memory."""
+    set_receive_bytes(transport, RECEIVE_BYTES)
+    transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+
+def set_receive_bytes(transport: t.Any, count: int) -> None:
+    """Set how much is read from a socket at a time."""
+    # asyncio has no public setting for this.
+    if transport is not None:
+        transport.max_size = count
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """Creates strict connections, without limiting their number.
 
@@ -67,17 +104,25 @@
     queueing that looks like slow backend servers.
     """
 
-    def __init__(self, **options: t.Any) -> None:
+    def __init__(self, bounded: bool, **options: t.Any) -> None:
         super().__init__(limit=0, **options)
         self._factory = functools.partial(
-            _StrictResponseHandler, loop=self._loop
+            _BoundedResponseHandler if bounded else _StrictResponseHandler,
+            loop=self._loop,
         )
 
 
-def make_session(**connector_options: t.Any) -> aiohttp.ClientSession:
-    """Return a session that sends each request unchanged and only once."""
+def make_session(
+    bounded: bool = False, **connector_options: t.Any
+) -> aiohttp.ClientSession:
+    """Return a session that sends each request unchanged and only once.
+
+    :param bounded: whether connections keep little unread data.
+    """
+    options = {'read_bufsize': READ_BUFFER_BYTES} if bounded else {}
     session = aiohttp.ClientSession(
-        connector=StrictConnector(**connector_options),
+        connector=StrictConnector(bounded, **connector_options),
+        **options,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -3,21 +3,27 @@
 import asyncio
 import collections.abc as cabc
 import json
+import socket
+import struct
 import typing as t
 
 from aiohttp import web
 import loguru
 
+from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import errors
+from bulrushhold.web import _buffers
+from bulrushhold.web import _connections
+from bulrushhold.web import _requests
 
 # Long, so that callers close idle connections first: a request sent while the
 # server closes the connection would be lost.
 KEEPALIVE_TIMEOUT_S: t.Final = 3600.0
 # Short: requests were drained before the server shuts down.
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
-MAX_BODY_BYTES: t.Final = 64 << 20
 MAX_FIELD_BYTES: t.Final = 65536
+_NO_LINGER: t.Final = struct.pack('ii', 1, 0)
 
 Handler = cabc.Callable[
     [calls.Call, calls.CallerStream], cabc.Awaitable[calls.Reply | None]
@@ -26,9 +32,13 @@
 
 class _HttpCallerStream(calls.CallerStream):
     def __init__(
-        self, request: web.BaseRequest, close_connection: bool
+        self,
+        request: web.BaseRequest,
+        close_connection: bool,
+        bounded: bool,
     ) -> None:
         self.request = request
+        self.bounded = bounded
         self.response = web.StreamResponse()
         self.close_connection = close_connection
         self.headers_sent = False
@@ -49,6 +59,8 @@
 
     async def write(self, data: bytes) -> None:
         await self.response.write(data)
+        if self.bounded:
+            await _drain(self.response)
 
     async def end(self) -> None:
         await self.response.write_eof()
@@ -60,18 +72,39 @@
             self.request.transport.close()
 
 
+class _Server(web.Server):  # type: ignore[type-arg]
+    """Accepts connections that keep little unread data."""
+
+    def connection_made(
+        self, handler: t.Any, transport: asyncio.Transport
+    ) -> None:
+        _connections.bound_buffers(transport)
+        super().connection_made(handler, transport)
+
+
 class Ingress:
     """The HTTP server for callers.
 
     :param handle: returns a reply, or ``None`` if it wrote to the stream.
+    :param budget: bounds the bodies in memory; ``None`` for no bound.
     """
 
-    def __init__(self, handle: Handler, dialect: calls.CallerDialect) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        dialect: calls.CallerDialect,
+        budget: _buffers.BufferBudget | None = None,
+    ) -> None:
         self.handle = handle
         self.dialect = dialect
+        self.budget = budget
         self.draining = False
         self.in_progress = 0
-        self.server = web.Server(
+        options: dict[str, t.Any] = {}
+        if budget is not None:
+            options['read_bufsize'] = _connections.READ_BUFFER_BYTES
+        server_class = web.Server if budget is None else _Server
+        self.server = server_class(
             self._on_request,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
@@ -79,6 +112,7 @@
             auto_decompress=False,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
+            **options,
         )
 
     async def start(self, host: str, port: int) -> None:
@@ -101,17 +135,20 @@
             self.in_progress -= 1
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        request._client_max_size = MAX_BODY_BYTES
-        stream = _HttpCallerStream(request, self.draining)
+        request._client_max_size = _requests.MAX_BODY_BYTES
+        stream = _HttpCallerStream(
+            request, self.draining, self.budget is not None
+        )
         ident = ''
         try:
-            body = await request.read()
-            call = self.dialect.decode_call(
-                request.method, request.raw_path, request.headers, body
-            )
-            ident = call.ident
-            reply = await self.handle(call, stream)
+            with _requests.RequestReader(self.budget, request) as reader:
+                body = await reader.read()
+                call = self._decode(request, body)
+                ident = call.ident
+                reply = await self.handle(call, stream)
         except errors.RequestError as error:
+            if error.step == _requests.REFUSED_STEP:
+                ident = self._read_ident(request)
             reply = _error_reply(error, self.dialect.echo(ident))
         except (asyncio.CancelledError, ConnectionError):
             raise
@@ -124,6 +161,8 @@
         if stream.headers_sent:
             return stream.response
         assert reply is not None
+        if isinstance(reply.body, bodies.Body):
+            return await self._send(request, reply, reply.body)
         response = web.Response(
             status=reply.status, headers=reply.headers, body=reply.body
         )
@@ -131,6 +170,69 @@
             response.force_close()
         return response
 
+    def _decode(self, request: web.BaseRequest, body: bytes) -> calls.Call:
+        return self.dialect.decode_call(
+            request.method, request.raw_path, request.headers, body
+        )
+
+    def _read_ident(self, request: web.BaseRequest) -> str:
+        """Return the id of a request whose body isn't received."""
+        try:
+            return self._decode(request, b'').ident
+        except errors.RequestError:
+            return ''
+
+    async def _send(
+        self, request: web.BaseRequest, reply: calls.Reply, body: bodies.Body
+    ) -> web.StreamResponse:
+        """Send a body in pieces, each once the caller has read enough.
+
+        A truncated body never looks complete: its connection is closed before
+        its declared length, or its last chunk, has been sent.
+        """
+        response = web.StreamResponse(
+            status=reply.status, headers=reply.headers
+        )
+        if self.draining:
+            response.force_close()
+        transport = request.transport
+        try:
+            if transport is None:
+                raise ConnectionResetError('caller disconnected')
+            body.on_stalled = transport.abort
+            if body.length is not None:
+                response.content_length = body.length
+            await response.prepare(request)
+            while piece := await body.piece():
+                await response.write(piece)
+                await _drain(response)
+            await response.write_eof()
+        except errors.BackendError as error:
+            loguru.logger.bind(peer=error.peer, error=str(error)).warning(
+                'response truncated by its server'
+            )
+            _reset(transport)
+        finally:
+            body.close()
+        return response
+
+
+def _reset(transport: asyncio.Transport | None) -> None:
+    """Reset a connection: without a length, its end completes a response."""
+    if transport is not None:
+        connection = transport.get_extra_info('socket')
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        transport.abort()
+
+
+async def _drain(response: web.StreamResponse) -> None:
+    """Wait until the write buffer is nearly empty.
+
+    :meth:`aiohttp.web.StreamResponse.write` waits only every 64 KB.
+    """
+    if response._payload_writer is not None:
+        await response._payload_writer.drain()
+
 
 def _error_reply(
     error: errors.RequestError, headers: calls.Headers
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -7,9 +7,13 @@
 import aiohttp
 from aiohttp import web
 
+from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import messages
+from bulrushhold.web import _bodies
+from bulrushhold.web import _buffers
+from bulrushhold.web import _connections
 
 ATTEMPTS_PATH: t.Final = '/attempts'
 QUESTIONS_PATH: t.Final = '/questions'
@@ -40,10 +44,12 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         proxy: str,
+        budget: _buffers.BufferBudget | None,
     ) -> None:
         self.head = head
         self.response = response
         self.proxy = proxy
+        self.budget = budget
 
     async def chunk(self) -> bytes:
         try:
@@ -57,6 +63,9 @@
             chunks.append(chunk)
         return b''.join(chunks)
 
+    async def receive(self) -> bytes | bodies.Body:
+        return await _bodies.receive(self.budget, self, None)
+
     def close(self) -> None:
         self.response.close()
 
@@ -65,10 +74,17 @@
     """Asks other entries over pooled connections.
 
     They send nothing after a complete response, unlike faulty servers.
+
+    :param budget: bounds the bodies in memory; ``None`` for no bound.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: _buffers.BufferBudget | None = None) -> None:
+        self.budget = budget
+        options = {}
+        if budget is not None:
+            options['read_bufsize'] = _connections.READ_BUFFER_BYTES
         self.session = aiohttp.ClientSession(
+            **options,
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=CLIENT_KEEPALIVE_S
             ),
@@ -92,7 +108,7 @@
             response.close()
             raise
         if isinstance(first, messages.ProxiedHead):
-            return _ProxiedResponse(first.head, response, proxy)
+            return _ProxiedResponse(first.head, response, proxy, self.budget)
         response.close()
         raise _to_error(first, attempt.address)
 
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -1,8 +1,11 @@
 """Tests of plain requests with failing backend servers."""
 
+import attrs
 import pytest
 
+from bulrushhold import bodies
 from bulrushhold import errors
+from bulrushhold import forwarding
 from bulrushhold import routes
 from tests.forwarding import fakes
 
@@ -80,3 +83,33 @@
     client.scripts = [fakes.Script(error='send'), fakes.Script()]
     await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
     assert [a.new_connection for a in client.attempts] == [False, True]
+
+
+class OpenBody(bodies.Body):
+    closed = False
+
+    async def piece(self):
+        return b''
+
+    def close(self):
+        self.closed = True
+
+
+@pytest.mark.parametrize('second', [200, 502])
+async def test_only_the_forwarded_body_stays_open(
+    client, context, monkeypatch, second
+):
+    # Guards against memory and connections of responses that nobody gets.
+    received = []
+
+    async def receive(response):
+        received.append(OpenBody())
+        return received[-1]
+
+    monkeypatch.setattr(fakes.FakeResponse, 'receive', receive)
+    client.scripts = [fakes.Script(status=s) for s in (503, second)]
+    job = fakes.make_job(context, routes.Kind.IDEMPOTENT)
+    job = attrs.evolve(job, route=attrs.evolve(job.route, max_attempts=2))
+    reply = await forwarding.PlainForwarder(context, job).run()
+    assert reply.status == second and reply.body is received[1]
+    assert [body.closed for body in received] == [True, False]
