Entries weighted by the capacity of their instances

Callers were spread evenly over entries, whatever their instances have. Where instances without a disk differ in cores, memory or bandwidth, each caller now gets a stable subset of entries by their weights. An entry that is overloaded asks for half as many callers. Control sends changes of weights alone once a second at most, and less often to many entries. Without a difference, the answer and its random draws are as before.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -116,6 +116,8 @@
                 str(config.callers),
                 True,
                 str(config.proxy or ''),
+                weight=config.weight,
+                has_disk=config.has_disk,
             ),
             [str(seed) for seed in config.seeds],
             self.transport,
@@ -128,6 +130,13 @@
         poison_requests.on_verdict = forwarding.make_crash_listener(
             self.metrics
         )
+        load = forwarding.EntryLoadMonitor(
+            self.fleet,
+            config.cpu_share,
+            config.max_files,
+            lambda: buffers.share if buffers is not None else 0.0,
+            self.metrics,
+        )
         places = forwarding.ControlPlaces(
             self.transport,
             placement,
@@ -180,6 +189,7 @@
         self.background.append(
             _background.start_background_task(monitor.watch())
         )
+        self.background.append(_background.start_background_task(load.watch()))
         self.background.append(
             _background.start_background_task(places.refresh())
         )
--- a/src/bulrushhold/control/_registry.py
+++ b/src/bulrushhold/control/_registry.py
@@ -14,6 +14,11 @@
 # Covers a long poll and a retry of each control process, after which a new
 # leader has all entries. An incomplete list would send all callers to a few.
 SETTLE_TIME_S: t.Final = 1.5
+# Changes of weights alone are sent no more often than this, and than so many
+# seconds for each entry: the list is sent to all entries, and 390 of them are
+# 40 KB.
+MIN_WEIGHT_INTERVAL_S: t.Final = 1.0
+WEIGHT_INTERVAL_PER_ENTRY_S: t.Final = 0.05
 
 
 @attrs.define
@@ -36,6 +41,8 @@
         self.revision = 0
         self.term_started_at = 0.0
         self.term = 0
+        self.weights_changed = False
+        self.weights_published_at = float('-inf')
 
     def begin_term(self, term: int, now: float) -> None:
         """Clear the registry if ``term`` is a new one."""
@@ -50,11 +57,18 @@
     ) -> bool:
         """Record a heartbeat; return whether the entry is new or changed.
 
+        A change of its weight alone counts from the next call of
+        :meth:`version` on that may publish it.
+
         :param source: the control process that reports the entry, or ``''``
             for the entry itself.
         """
         record = self.records.setdefault(entry.name, _EntryRecord(entry))
-        changed = not record.last_seen or record.entry != entry
+        known = attrs.evolve(
+            record.entry, weight=entry.weight, load_factor=entry.load_factor
+        )
+        changed = not record.last_seen or known != entry
+        self.weights_changed |= record.entry != known
         record.entry = entry
         record.last_seen[source] = now
         self.revision += changed
@@ -108,6 +122,17 @@
 
     def version(self, now: float) -> str:
         """Return the version of the list, or ``''`` before it has settled."""
+        interval_s = max(
+            MIN_WEIGHT_INTERVAL_S,
+            len(self.records) * WEIGHT_INTERVAL_PER_ENTRY_S,
+        )
+        if (
+            self.weights_changed
+            and now - self.weights_published_at >= interval_s
+        ):
+            self.weights_changed = False
+            self.weights_published_at = now
+            self.revision += 1
         return f'{self.term}.{self.revision}' if self.settled(now) else ''
 
     def entries(self) -> list[messages.ListedEntry]:
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -24,6 +24,10 @@
 from bulrushhold.decisions._enginespeeds import LatencyObjective
 from bulrushhold.decisions._enginespeeds import PauseSamples
 from bulrushhold.decisions._enginespeeds import PromptRead
+from bulrushhold.decisions._entryweights import choose_entries
+from bulrushhold.decisions._entryweights import entry_capacity
+from bulrushhold.decisions._entryweights import LoadFactor
+from bulrushhold.decisions._entryweights import weights_differ
 from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._loadaggregator import LoadAggregator
@@ -130,6 +134,7 @@
     'MAX_COPY_ADDRESSES',
     'MEMBERSHIP_PERIOD_S',
     'MEMBERSHIP_PROBE_TIMEOUT_S',
+    'LoadFactor',
     'Membership',
     'OriginStore',
     'PauseSamples',
@@ -171,12 +176,14 @@
     'WorkBudget',
     'add_evidence',
     'best_copy',
+    'choose_entries',
     'content_fingerprint',
     'copy_peers',
     'count_by_version',
     'difference',
     'entries_for_account',
     'entries_needed',
+    'entry_capacity',
     'fingerprint',
     'first_event_timeout_s',
     'home_entries',
@@ -192,6 +199,7 @@
     'rendezvous_order',
     'retry_after_s',
     'summarize_pointers',
+    'weights_differ',
     'with_learner',
     'write_csv',
 ]
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -4,6 +4,7 @@
 from bulrushhold.forwarding._context import ForwardingContext
 from bulrushhold.forwarding._context import Job
 from bulrushhold.forwarding._crashlog import make_crash_listener
+from bulrushhold.forwarding._entryload import EntryLoadMonitor
 from bulrushhold.forwarding._events import Event
 from bulrushhold.forwarding._events import EventSplitter
 from bulrushhold.forwarding._fleet import FleetView
@@ -31,6 +32,7 @@
     'DirectProxyHandler',
     'Event',
     'EventSplitter',
+    'EntryLoadMonitor',
     'FleetView',
     'Forwarder',
     'ForwardingContext',
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -109,6 +109,10 @@
         """Advertise this entry as not ready for new callers."""
         self.own_entry = attrs.evolve(self.own_entry, ready=False)
 
+    def set_load_factor(self, factor: float) -> None:
+        """Advertise the share of its usual callers that this entry wants."""
+        self.own_entry = attrs.evolve(self.own_entry, load_factor=factor)
+
     def entry_count(self) -> int:
         """Return the number of entries, including this one."""
         return max(1, len(self.entries))
@@ -345,14 +349,16 @@
 
     # Directory for callers
 
-    def addresses(self, limit: int) -> list[str]:
+    def addresses(self, limit: int, caller: str = '') -> list[str]:
         """Return addresses of ready entries in random order.
 
         Those that reach no backend server serve callers through others, and
-        are left out unless all are in this state.
+        are left out unless all are in this state. Where entries differ in
+        capacity, each caller gets a stable subset by their weights.
 
         :param limit: maximum number of addresses; a random subset balances
             callers across entries.
+        :param caller: address of the caller.
         """
         ready = [
             entry
@@ -364,6 +370,12 @@
         if own.ready and (self.ready or is_listed):
             ready.append(own)
         connected = [e for e in ready if not self._is_cut_off(e)]
-        addresses = [entry.callers for entry in connected or ready]
+        candidates = connected or ready
+        known = [e for e in self.entries if e.name != own.name] + [own]
+        if decisions.weights_differ(known):
+            candidates = decisions.choose_entries(
+                candidates, known, caller, limit
+            )
+        addresses = [entry.callers for entry in candidates]
         random.shuffle(addresses)
         return addresses[:limit]
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -67,6 +67,10 @@
         ``''``.
     :param unreachable: services of which it reaches no server.
     :param weight: capacity of its instance for callers, relative to others.
+    :param has_disk: whether its instance runs control too; its weight is then
+        the mean of the others.
+    :param load_factor: share of its usual callers that it asks for, less than
+        1.0 while it is overloaded.
     """
 
     name: str
@@ -76,6 +80,8 @@
     proxy: str = ''
     unreachable: tuple[str, ...] = ()
     weight: float = 1.0
+    has_disk: bool = False
+    load_factor: float = 1.0
 
 
 @attrs.frozen
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -156,6 +156,9 @@
         without it, none can use this entry's connections.
     :param memory_bytes: memory of the instance; 0 if it isn't bounded.
     :param max_files: file descriptors of the process; 0 if not bounded.
+    :param cpu_share: share of a core that it may use; 0 if not bounded.
+    :param weight: capacity of the instance for callers, relative to others.
+    :param has_disk: whether the instance runs control too.
     """
 
     name: str = attrs.field(validator=_NAME)
@@ -174,6 +177,9 @@
     proxy: Address | None = None
     memory_bytes: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
     max_files: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    cpu_share: float = attrs.field(default=0.0, validator=_NOT_NEGATIVE)
+    weight: float = attrs.field(default=1.0, validator=_POSITIVE)
+    has_disk: bool = False
 
 
 _Role = t.TypeVar('_Role', Entry, Control, Forwarding)
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -1,12 +1,15 @@
 """Tests of the entry's cluster view, and of requests without a route map."""
 
 import asyncio
+import random
 
+import attrs
 import pytest
 
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
+from bulrushhold import node
 from bulrushhold import routes
 from tests.forwarding import fakes
 
@@ -105,3 +108,55 @@
     with pytest.raises(asyncio.CancelledError):
         await fleet.follow()
     assert requested.count('frozen') <= 1
+
+
+def list_entries(fleet, **fields):
+    weights = {'weight': 0.5, **fields}
+    entries = [
+        messages.ListedEntry(f'e{n}', 'dc', f'10.0.1.{n}:80', True)
+        for n in range(2, 40)
+    ]
+    entries += [attrs.evolve(entries[0], name='e40', **weights)]
+    fleet._apply_reply(
+        fakes.make_reply(entries_version='1.1', entries=entries)
+    )
+    return entries
+
+
+async def test_equal_entries_are_drawn_as_before(fleet):
+    # Guards against other random draws where capacities don't differ.
+    entries = list_entries(fleet, has_disk=True, load_factor=0.5)
+    random.seed(7)
+    found = fleet.addresses(64, 'caller')
+    expected = [*(entry.callers for entry in entries), '10.0.1.1:80']
+    random.seed(7)
+    random.shuffle(expected)
+    assert found == expected
+
+
+async def test_a_caller_gets_the_same_entries_each_time(fleet):
+    # Guards against callers who leave open connections again and again.
+    list_entries(fleet)
+    first = set(fleet.addresses(10, 'caller'))
+    assert len(first) == 10
+    assert set(fleet.addresses(10, 'caller')) == first
+    assert set(fleet.addresses(10, 'other')) != first
+
+
+@pytest.mark.parametrize('differs', [True, False])
+async def test_an_overloaded_entry_asks_for_fewer_callers(fleet, differs):
+    list_entries(fleet, **({} if differs else {'weight': 1.0}))
+    now = 0.0
+    monitor = forwarding.EntryLoadMonitor(
+        fleet,
+        0.5,
+        0,
+        lambda: 0.0,
+        node.NullMetrics(),
+        lambda: now,
+        lambda: now * 0.45,
+    )
+    for now in (1.0, 2.0, 3.0):  # noqa: B007
+        monitor.check()
+    factor = fleet._poll_request().entry.load_factor
+    assert factor == (0.5 if differs else 1.0)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -327,6 +327,14 @@
     assert load_settings(tmp_path, text).control().voters == 5
 
 
+def test_limits_of_the_instance_are_decoded(tmp_path):
+    limits = '[limits]\ncpu-share = 0.5\ncores = 1.5\nmemory-mb = 128'
+    found = load_settings(tmp_path, f'{SETTINGS}{limits}')
+    assert (found.cores, found.memory_bytes) == (0.75, 128 << 20)
+    assert found.has_disk and not found.max_files
+    assert not load_settings(tmp_path).memory_bytes
+
+
 @pytest.mark.parametrize(
     ('text', 'expected'),
     [
@@ -334,6 +342,9 @@
         (SETTINGS.replace('[7340, 7355]', '"x"'), 'internal-ports'),
         (SETTINGS.replace('10.2.0.36:8229', 'there'), 'there'),
         ('= broken', 'line 1'),
+        (f'{SETTINGS}[limits]\nmemory-mb = -1', 'limits.memory-mb'),
+        (f'{SETTINGS}[limits]\nmax-fds = 1.5', 'limits.max-fds'),
+        (f'{SETTINGS}[limits]\ncpu-share = "x"', 'limits.cpu-share'),
     ],
 )
 def test_invalid_settings_are_reported_on_one_line(tmp_path, text, expected):
