--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -195,9 +195,7 @@
         """
 
     async def receive(self) -> bytes | bodies.Body:
-        """Return the body, which may still be received.
-
-        It closes the response in the end; nothing else may do so.
+        """Return the body; one that is still received closes the response.
 
         :raises BackendError: if it is truncated.
         """
