Proxied attempts count in an entry's buffers

An entry that is short of memory leaves the attempts of others to the next proxy. The share for reading ahead is 0.3, so that windows of 200 slow readers fit where the process needs half of 128 MB.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -175,7 +175,8 @@
                 context,
                 self.fleet,
                 monitor,
-            )
+            ),
+            buffers,
         )
         self.follow_task = _background.start_background_task(
             self.fleet.follow()
--- a/src/bulrushhold/web/_buffers.py
+++ b/src/bulrushhold/web/_buffers.py
@@ -19,8 +19,9 @@
 # Share of the budget above which new requests are refused.
 REFUSAL_SHARE: t.Final = 0.9
 # Share of the budget that responses may hold beyond their windows. Windows of
-# 200 slow readers fit beside it in an instance of 128 MB.
-READ_AHEAD_SHARE: t.Final = 0.35
+# 200 slow readers fit beside it in an instance of 128 MB whose process needs
+# half of that.
+READ_AHEAD_SHARE: t.Final = 0.3
 # Share up to which all bodies together leave room for reading ahead, so that
 # responses alone don't lead to refusals.
 READ_AHEAD_LIMIT: t.Final = 0.85
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -14,6 +14,7 @@
 from bulrushhold.web import _bodies
 from bulrushhold.web import _buffers
 from bulrushhold.web import _connections
+from bulrushhold.web import _requests
 
 ATTEMPTS_PATH: t.Final = '/attempts'
 QUESTIONS_PATH: t.Final = '/questions'
@@ -185,11 +186,17 @@
 class PeerProxyServer:
     """Serves other entries.
 
+    :param budget: bounds the bodies in memory; ``None`` for no bound.
     :ivar in_progress: number of requests being proxied.
     """
 
-    def __init__(self, handler: calls.PeerProxyHandler) -> None:
+    def __init__(
+        self,
+        handler: calls.PeerProxyHandler,
+        budget: _buffers.BufferBudget | None = None,
+    ) -> None:
         self.handler = handler
+        self.budget = budget
         self.in_progress = 0
         self.server = web.Server(
             self._on_request,
@@ -216,10 +223,14 @@
         request._client_max_size = MAX_MESSAGE_BYTES
         self.in_progress += 1
         try:
-            message = messages.decode(await request.read())
-            if isinstance(message, messages.ProxiedAttempt):
-                return await self._proxy(request, message)
-            return web.Response(body=_frame(await self._answer(message)))
+            with _requests.RequestReader(self.budget, request) as reader:
+                message = messages.decode(await reader.read())
+                if isinstance(message, messages.ProxiedAttempt):
+                    return await self._proxy(request, message)
+                return web.Response(body=_frame(await self._answer(message)))
+        except errors.RequestError as error:
+            refusal = errors.ProxyRefusedError(error.reason, error.step)
+            return web.Response(body=_frame(self._to_failure(refusal, '')))
         except errors.PeerError as error:
             return web.Response(status=400, text=str(error))
         finally:
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -116,7 +116,9 @@
         messages.ListedEntry(f'e{n}', 'dc', f'10.0.1.{n}:80', True)
         for n in range(2, 40)
     ]
-    entries += [attrs.evolve(entries[0], name='e40', **weights)]
+    entries += [
+        attrs.evolve(entries[0], name='e40', callers='e40:80', **weights)
+    ]
     fleet._apply_reply(
         fakes.make_reply(entries_version='1.1', entries=entries)
     )
@@ -160,3 +162,21 @@
         monitor.check()
     factor = fleet._poll_request().entry.load_factor
     assert factor == (0.5 if differs else 1.0)
+
+
+async def test_weights_bring_back_no_entry_that_leaves(fleet):
+    # Guards against callers at entries that drain or reach no server.
+    entries = list_entries(fleet)
+    fleet._apply_reply(fakes.make_reply(2))
+    entries[0] = attrs.evolve(entries[0], ready=False)
+    entries[1] = attrs.evolve(
+        entries[1], unreachable=tuple(fleet.placement.services)
+    )
+    fleet.entries = entries
+    fleet.start_draining()
+    found = {
+        address
+        for number in range(30)
+        for address in fleet.addresses(64, f'caller {number}')
+    }
+    assert found == {e.callers for e in entries if e.ready} - {'10.0.1.3:80'}
--- a/tests/test_peer_proxy_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -8,6 +8,7 @@
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import messages
+from bulrushhold import node
 from bulrushhold import testing
 from bulrushhold import web as adapters
 
@@ -168,3 +169,25 @@
     handler.response = errors.ProxyRefusedError('cut off', 'proxy', '')
     with pytest.raises(errors.ProxyRefusedError):
         await client.ask(proxy, messages.ProxiedConnect('a', 0.1), 0.5)
+
+
+async def test_a_proxy_without_memory_leaves_attempts_to_others(handler):
+    # Guards against an entry that is killed by what it proxies.
+    budget = adapters.BufferBudget(1000, node.NullMetrics())
+    server = adapters.PeerProxyServer(handler, budget)
+    (port,) = testing.free_ports(1)
+    await server.start('127.0.0.1', port)
+    client = adapters.HttpPeerProxyClient(budget)
+    handler.response = ScriptedResponse(b'a' * 50000, b'b' * 50000)
+    response = await client.send(f'127.0.0.1:{port}', CALL, ATTEMPT)
+    body = await response.receive()
+    with pytest.raises(errors.ProxyRefusedError):
+        await client.send(f'127.0.0.1:{port}', CALL, ATTEMPT)
+    received = b''
+    while piece := await body.piece():
+        received += piece
+    body.close()
+    assert received == b'a' * 50000 + b'b' * 50000
+    assert budget.used == 0 and len(handler.received) == 1
+    await client.close()
+    await server.close()
