--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from bulrushhold import bodies
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -194,6 +196,13 @@
         :raises BackendError: if it is truncated.
         """
 
+    async def receive(self) -> bytes | bodies.Body:
+        """Return the body; one that is still received closes the response.
+
+        :raises BackendError: if it is truncated.
+        """
+        return await self.body()
+
     @abc.abstractmethod
     def close(self) -> None:
         """Close the connection, so that the backend server stops work."""
@@ -277,11 +286,16 @@
 
 @attrs.frozen
 class Reply:
-    """A complete response to a caller."""
+    """A response to a caller; :meth:`close` it if it isn't sent."""
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bodies.Body
+
+    def close(self) -> None:
+        """Free the memory of the body."""
+        if isinstance(self.body, bodies.Body):
+            self.body.close()
 
 
 class CallerStream(abc.ABC):
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -77,14 +77,23 @@
         placement = decisions.Placement(random.Random(), config.data_centre)
         poison_requests = decisions.PoisonRequestDetector(placement.losses)
         self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
-        direct = adapters.HttpBackendClient(self.adapters.engine_dialect)
+        buffers = None
+        if config.memory_bytes:
+            buffers = adapters.BufferBudget(config.memory_bytes, self.metrics)
+            self.memory = adapters.MemoryMonitor(buffers, config.memory_bytes)
+            self.background.append(
+                _background.start_background_task(self.memory.watch())
+            )
+        direct = adapters.HttpBackendClient(
+            self.adapters.engine_dialect, buffers
+        )
         monitor = forwarding.ReachabilityMonitor(
             direct, placement, self.metrics
         )
         self.client = forwarding.PermitCheckingClient(
             forwarding.ProxyingClient(
                 direct,
-                adapters.HttpPeerProxyClient(),
+                adapters.HttpPeerProxyClient(buffers),
                 monitor,
                 placement,
                 decisions.ProxyPeers(config.name),
@@ -107,6 +116,8 @@
                 str(config.callers),
                 True,
                 str(config.proxy or ''),
+                weight=config.weight,
+                has_disk=config.has_disk,
             ),
             [str(seed) for seed in config.seeds],
             self.transport,
@@ -119,6 +130,13 @@
         poison_requests.on_verdict = forwarding.make_crash_listener(
             self.metrics
         )
+        load = forwarding.EntryLoadMonitor(
+            self.fleet,
+            config.cpu_share,
+            config.max_files,
+            lambda: buffers.share if buffers is not None else 0.0,
+            self.metrics,
+        )
         places = forwarding.ControlPlaces(
             self.transport,
             placement,
@@ -155,7 +173,7 @@
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         self.ingress = adapters.Ingress(
-            self.forwarder.handle, self.adapters.caller_dialect
+            self.forwarder.handle, self.adapters.caller_dialect, buffers
         )
         self.proxy_server = adapters.PeerProxyServer(
             forwarding.DirectProxyHandler(
@@ -165,7 +183,8 @@
                 context,
                 self.fleet,
                 monitor,
-            )
+            ),
+            buffers,
         )
         self.follow_task = _background.start_background_task(
             self.fleet.follow()
@@ -179,6 +198,7 @@
         self.background.append(
             _background.start_background_task(monitor.watch())
         )
+        self.background.append(_background.start_background_task(load.watch()))
         self.background.append(
             _background.start_background_task(places.refresh())
         )
--- a/src/bulrushhold/control/_enginerooms.py
+++ b/src/bulrushhold/control/_enginerooms.py
@@ -37,6 +37,7 @@
         loads = self.loads.engine_loads()
         unknown = messages.EngineLoad(NO_REPORT, 0)
         lost = self.loads.lost_since(now - LOST_S)
+        slowness = self.loads.slowness.values
         rooms = []
         for engine in self.view.backends or ():
             if (
@@ -56,7 +57,8 @@
                     load.memory,
                     engine.slots or limits.slots,
                     limits.memory_tokens,
-                    version=engine.version,
+                    slowness.get(engine.ident, 1.0),
+                    engine.version,
                 )
             )
         return rooms
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -7,9 +7,14 @@
 import aiohttp
 from aiohttp import web
 
+from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import messages
+from bulrushhold.web import _bodies
+from bulrushhold.web import _buffers
+from bulrushhold.web import _connections
+from bulrushhold.web import _requests
 
 ATTEMPTS_PATH: t.Final = '/attempts'
 QUESTIONS_PATH: t.Final = '/questions'
@@ -40,10 +45,12 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         proxy: str,
+        budget: _buffers.BufferBudget | None,
     ) -> None:
         self.head = head
         self.response = response
         self.proxy = proxy
+        self.budget = budget
 
     async def chunk(self) -> bytes:
         try:
@@ -57,6 +64,9 @@
             chunks.append(chunk)
         return b''.join(chunks)
 
+    async def receive(self) -> bytes | bodies.Body:
+        return await _bodies.receive(self.budget, self, None)
+
     def close(self) -> None:
         self.response.close()
 
@@ -65,10 +75,17 @@
     """Asks other entries over pooled connections.
 
     They send nothing after a complete response, unlike faulty servers.
+
+    :param budget: bounds the bodies in memory; ``None`` for no bound.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: _buffers.BufferBudget | None = None) -> None:
+        self.budget = budget
+        options = {}
+        if budget is not None:
+            options['read_bufsize'] = _connections.READ_BUFFER_BYTES
         self.session = aiohttp.ClientSession(
+            **options,
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=CLIENT_KEEPALIVE_S
             ),
@@ -92,7 +109,7 @@
             response.close()
             raise
         if isinstance(first, messages.ProxiedHead):
-            return _ProxiedResponse(first.head, response, proxy)
+            return _ProxiedResponse(first.head, response, proxy, self.budget)
         response.close()
         raise _to_error(first, attempt.address)
 
@@ -169,11 +186,17 @@
 class PeerProxyServer:
     """Serves other entries.
 
+    :param budget: bounds the bodies in memory; ``None`` for no bound.
     :ivar in_progress: number of requests being proxied.
     """
 
-    def __init__(self, handler: calls.PeerProxyHandler) -> None:
+    def __init__(
+        self,
+        handler: calls.PeerProxyHandler,
+        budget: _buffers.BufferBudget | None = None,
+    ) -> None:
         self.handler = handler
+        self.budget = budget
         self.in_progress = 0
         self.server = web.Server(
             self._on_request,
@@ -200,10 +223,14 @@
         request._client_max_size = MAX_MESSAGE_BYTES
         self.in_progress += 1
         try:
-            message = messages.decode(await request.read())
-            if isinstance(message, messages.ProxiedAttempt):
-                return await self._proxy(request, message)
-            return web.Response(body=_frame(await self._answer(message)))
+            with _requests.RequestReader(self.budget, request) as reader:
+                message = messages.decode(await reader.read())
+                if isinstance(message, messages.ProxiedAttempt):
+                    return await self._proxy(request, message)
+                return web.Response(body=_frame(await self._answer(message)))
+        except errors.RequestError as error:
+            refusal = errors.ProxyRefusedError(error.reason, error.step)
+            return web.Response(body=_frame(self._to_failure(refusal, '')))
         except errors.PeerError as error:
             return web.Response(status=400, text=str(error))
         finally:
