--- a/src/bulrushhold/decisions/_plainplacement.py
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -22,6 +22,11 @@
 # them is chosen at random. Entries that know the same would otherwise all
 # choose the same server.
 EQUAL_TIME_SHARE: t.Final = 0.05
+# Reports of changed requests at plain servers to other entries. A report at
+# each change would exceed the budget of 3 KB/s at busy entries; at others, the
+# begin and the end of a request are both reported.
+REPORTS_PER_S: t.Final = 4.0
+MAX_REPORT_CREDIT: t.Final = 2.0
 
 
 class PlainPlacement(_backendpool.BackendPool):
@@ -34,6 +39,41 @@
         super().__init__()
         self.rng = rng
         self.data_centre = data_centre
+        self.report_credit = MAX_REPORT_CREDIT
+        self.credited_at = 0.0
+
+    def request_started(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> None:
+        """Count a plain request sent to a server."""
+        backend.inflight += 1
+        self._report_requests(backend, now)
+
+    def request_ended(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> None:
+        """Remove a plain request from a server."""
+        backend.inflight -= 1
+        self._report_requests(backend, now)
+
+    def _report_requests(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> None:
+        """Report the requests at a service's servers to other entries.
+
+        An entry of many sends too few requests to know the queues of servers
+        from their responses.
+        """
+        if backend.service not in self.server_speeds.services:
+            return
+        self.report_credit = min(
+            MAX_REPORT_CREDIT,
+            self.report_credit + REPORTS_PER_S * (now - self.credited_at),
+        )
+        self.credited_at = now
+        if self.report_credit >= 1:
+            self.report_credit -= 1
+            self.on_load_change()
 
     def choose(
         self,
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -179,7 +179,7 @@
         self.context.placement.versions.count_exposed(backend)
         started = self.context.clock()
         explained = self.context.placement.explained_factor(backend, started)
-        backend.inflight += 1
+        self.context.placement.request_started(backend, started)
         self.context.places.use(backend.ident)
         task = asyncio.ensure_future(self._exchange(backend, has_permit))
         # The outcome of a request that must not be repeated is worth more than
@@ -193,7 +193,7 @@
             raise
         finally:
             self.tracked.interruptible = True
-            backend.inflight -= 1
+            self.context.placement.request_ended(backend, self.context.clock())
             if not task.done():
                 task.cancel()
                 # Close the connection first, so that two servers never run
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -27,6 +27,7 @@
     :param leaving: the response says that the server is shutting down.
     :param load: load that the response names; ``'malformed'`` for one that
         can't be decoded.
+    :param instance: ident of the responding process.
     """
 
     status: int = 200
@@ -42,6 +43,7 @@
     backoff: calls.Backoff | None = None
     leaving: bool = False
     load: calls.BackendLoad | str | None = None
+    instance: str = ''
 
 
 class FakeResponse(calls.BackendResponse):
@@ -56,6 +58,7 @@
             script.matches_request,
             script.from_backend,
             script.not_run,
+            script.instance,
             limit=script.limit,
             backoff=script.backoff,
             leaving=script.leaving,
--- a/tests/test_server_speeds.py
+++ b/tests/test_server_speeds.py
@@ -265,6 +265,26 @@
     assert choose_plain(placement, 0.0) == 'i1'
 
 
+def test_plain_requests_are_reported_at_a_limited_rate():
+    # Guards against queues that only the entry which fills them knows, and
+    # against a report for each request.
+    placement = make_placement(2)
+    reports = []
+    placement.on_load_change = lambda: reports.append(1)
+    backend = placement.backends['i0']
+    placement.request_started(backend, 0.0)
+    assert not reports
+    state_pace(placement, 0.0, i0=1.0)
+    for step in range(100):
+        placement.request_started(backend, step / 100)
+        placement.request_ended(backend, step / 100)
+        if step == 0:
+            # The end of a single request is reported as well.
+            assert len(reports) == 2
+    assert len(reports) in (5, 6)
+    assert placement.load_report('e1', {}, 1.0).engines['i0'].running == 1
+
+
 def test_other_entries_requests_count_as_queue_of_a_plain_server():
     placement = make_placement(2, slots=4)
     state_pace(placement, 0.0, i0=1.0)
