--- a/src/bulrushhold/decisions/_slownesstotals.py
+++ b/src/bulrushhold/decisions/_slownesstotals.py
@@ -14,9 +14,10 @@
 MIN_CHANGE: t.Final = 0.1
 # A sum is sent again to other processes once its slowness has changed by this
 # much, its weight by this share, or after the time below. It decays there
-# meanwhile.
+# meanwhile. More frequent sums would add more than a tenth to the exchange.
 MIN_SUM_CHANGE: t.Final = 0.3
-RESEND_S: t.Final = 10.0
+MIN_WEIGHT_CHANGE: t.Final = 0.5
+RESEND_S: t.Final = 20.0
 # Upper bound of recorded changes, in steps of the aggregator's number.
 MAX_CHANGES: t.Final = 2000
 
