--- a/src/bulrushhold/decisions/_plainplacement.py
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -22,9 +22,11 @@
 # them is chosen at random. Entries that know the same would otherwise all
 # choose the same server.
 EQUAL_TIME_SHARE: t.Final = 0.05
-# Interval at which the requests at plain servers are reported to other entries
-# if they change. Reports at each change would exceed the budget of 3 KB/s.
-REPORT_INTERVAL_S: t.Final = 0.25
+# Reports of changed requests at plain servers to other entries. A report at
+# each change would exceed the budget of 3 KB/s at busy entries; at others, the
+# begin and the end of a request are both reported.
+REPORTS_PER_S: t.Final = 4.0
+MAX_REPORT_CREDIT: t.Final = 2.0
 
 
 class PlainPlacement(_backendpool.BackendPool):
@@ -37,7 +39,8 @@
         super().__init__()
         self.rng = rng
         self.data_centre = data_centre
-        self.plain_reported_at = float('-inf')
+        self.report_credit = MAX_REPORT_CREDIT
+        self.credited_at = 0.0
 
     def request_started(
         self, backend: _backendserver.BackendServer, now: float
@@ -61,11 +64,15 @@
         An entry of many sends too few requests to know the queues of servers
         from their responses.
         """
-        if (
-            backend.service in self.server_speeds.services
-            and now - self.plain_reported_at >= REPORT_INTERVAL_S
-        ):
-            self.plain_reported_at = now
+        if backend.service not in self.server_speeds.services:
+            return
+        self.report_credit = min(
+            MAX_REPORT_CREDIT,
+            self.report_credit + REPORTS_PER_S * (now - self.credited_at),
+        )
+        self.credited_at = now
+        if self.report_credit >= 1:
+            self.report_credit -= 1
             self.on_load_change()
 
     def choose(
