Add load scenarios with serial engines and real processes

Nothing tested callers of different urgency, accounts of different sizes, uneven servers or slow readers against real processes.

The engines compare the account of each request with that of its caller, by request id, instead of with one name.

--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -18,6 +18,9 @@
 # Part of the path of a request that crashes each engine that begins it.
 POISON = 'poison'
 POISON_RUN_S = 0.1
+DEFAULT_ACCOUNT = 'vendors'
+LOAD_HEADER = 'Bulrushhold-Instance-Load'
+PRIORITY_HEADER = 'Bulrushhold-Request-Priority'
 
 
 @attrs.define
@@ -32,6 +35,10 @@
         path.
     :param poison_crashes: when each engine crashed under one, by path.
     :param poison_runs: IDs of the poison requests that an engine began.
+    :param accounts: account of each request of another account than the
+        default one, by request ID.
+    :param priorities: priority of a request, by request ID.
+    :param begun: IDs of the requests that a serial engine began to run.
     """
 
     runs: dict = attrs.field(factory=dict)
@@ -41,6 +48,9 @@
     poison_arrivals: dict = attrs.field(factory=dict)
     poison_crashes: dict = attrs.field(factory=dict)
     poison_runs: set = attrs.field(factory=set)
+    accounts: dict = attrs.field(factory=dict)
+    priorities: dict = attrs.field(factory=dict)
+    begun: set = attrs.field(factory=set)
 
     def count_late_arrivals(self, path, crashes, within_s):
         """Count arrivals of a poison request after a number of crashes.
@@ -75,6 +85,7 @@
     event_count = EVENT_COUNT
     event_interval_s = EVENT_INTERVAL_S
     draining = False
+    handler_cancellation = False
 
     def __init__(self, service, zone, observations, rng, version='v1'):
         self.service = service
@@ -98,7 +109,11 @@
         self.proxy = Proxy()
 
     async def start(self):
-        server = web.Server(self.handle, access_log=None)
+        server = web.Server(
+            self.handle,
+            access_log=None,
+            handler_cancellation=self.handler_cancellation,
+        )
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         site = web.TCPSite(self.runner, '127.0.0.1', 0)
@@ -181,6 +196,9 @@
         if request.path.startswith(STREAM_PATH):
             return await self._stream(request, ident, headers)
         self.plain_requests += 1
+        return await self._answer(request, body, headers)
+
+    async def _answer(self, request, body, headers):
         await asyncio.sleep(self.work_s or self.rng.random() * 0.02)
         if self.rng.random() < self.error_rate:
             return web.Response(status=500, headers=headers)
@@ -223,8 +241,15 @@
         for name in names:
             if name in request.headers:
                 self.observations.forged.append((request.raw_path, name))
-        if request.headers.get('Bulrushhold-Tenant') != 'vendors':
+        ident = request.headers.get('Bulrushhold-Request-Id', '')
+        account = self.observations.accounts.get(ident, DEFAULT_ACCOUNT)
+        if request.headers.get('Bulrushhold-Tenant') != account:
             self.observations.forged.append((request.raw_path, 'account'))
+        priority = request.headers.get(PRIORITY_HEADER)
+        expected = self.observations.priorities.get(ident)
+        # It is sent only for services with ordered admission.
+        if priority is not None and priority != str(expected):
+            self.observations.forged.append((request.raw_path, 'priority'))
 
     async def _stream(self, request, ident, headers):
         version = self.version
--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -103,6 +103,7 @@
     :param network_number: number of the run's :class:`LoopbackNetwork`.
     :param first_port: the lowest of the ports that each process uses.
     :param entry_count: number of entries.
+    :param limits: returns the ``[limits]`` of a program's settings, if any.
     """
 
     def __init__(
@@ -112,10 +113,12 @@
         network_number,
         first_port=FIRST_PORT,
         entry_count=ENTRY_COUNT,
+        limits=lambda program: {},
     ):
         self.folder = pathlib.Path(folder)
         self.platform_list_address = platform_list_address
         self.network_number = network_number
+        self.limits = limits
         self.ports = {
             'front': first_port,
             'ready': first_port + 1,
@@ -158,6 +161,9 @@
             cloud=self.platform_list_address,
             **self.ports,
         )
+        limits = [f'{k} = {v}\n' for k, v in self.limits(program).items()]
+        if limits:
+            text += '[limits]\n' + ''.join(limits)
         program.settings.write_text(text)
 
     def programs_with_role(self, role):
