Play the soak with priorities, uneven engines and entries of other sizes

The soak had one streaming route, equal engines and no limits in the settings, so ordered admission, pace and weights would have run in no soak.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -7,7 +7,7 @@
 
 import click
 
-from tests.platform.soak import run
+from tests.platform.soak import contended
 from tests.platform.soak import system
 
 
@@ -24,7 +24,9 @@
     for seed in range(int(first), int(last or first) + 1):
         log_folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep or None)
         with system.LoopbackNetwork() as network:
-            soak = run.SoakRun(seed, log_folder, network.number, seconds)
+            soak = contended.ContendedSoakRun(
+                seed, log_folder, network.number, seconds
+            )
             report = asyncio.run(soak.execute())
         click.echo(
             f'seed {seed}: {report.served} of {report.sent} served, '
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -19,6 +19,7 @@
 POISON = 'poison'
 POISON_RUN_S = 0.1
 DEFAULT_ACCOUNT = 'vendors'
+DEFAULT_PRIORITY = 5
 LOAD_HEADER = 'Bulrushhold-Instance-Load'
 PRIORITY_HEADER = 'Bulrushhold-Request-Priority'
 
@@ -37,7 +38,8 @@
     :param poison_runs: IDs of the poison requests that an engine began.
     :param accounts: account of each request of another account than the
         default one, by request ID.
-    :param priorities: priority of a request, by request ID.
+    :param priorities: priority of each request whose route doesn't have the
+        default one, by request ID.
     :param begun: IDs of the requests that a serial engine began to run.
     """
 
@@ -246,9 +248,9 @@
         if request.headers.get('Bulrushhold-Tenant') != account:
             self.observations.forged.append((request.raw_path, 'account'))
         priority = request.headers.get(PRIORITY_HEADER)
-        expected = self.observations.priorities.get(ident)
+        expected = self.observations.priorities.get(ident, DEFAULT_PRIORITY)
         # It is sent only for services with ordered admission.
-        if priority is not None and priority != str(expected):
+        if priority not in (None, str(expected)):
             self.observations.forged.append((request.raw_path, 'priority'))
 
     async def _stream(self, request, ident, headers):
--- a/tests/platform/soak/loadrun.py
+++ b/tests/platform/soak/loadrun.py
@@ -24,6 +24,7 @@
 RESTART_S = 1.5
 FAULT_INTERVAL_S = 3.0
 PAUSE_S = 2.5
+LAG_INTERVAL_S = 0.02
 CONTROL_OUTAGE_S = 6.0
 
 
@@ -66,6 +67,8 @@
     """Sends the streams of a plan, beside a few unsafe plain requests.
 
     :ivar outcomes: of all callers, in the order of their arrival.
+    :ivar lags: how late this process woke up, in seconds; callers and engines
+        run in it, so that its lag adds to all times.
     """
 
     def __init__(self, seed, folder, network_number, plan):
@@ -90,6 +93,7 @@
             for n in range(run.PLAIN_SERVERS)
         ]
         self.outcomes = []
+        self.lags = []
 
     def _make_system(self, *arguments):
         return system.System(*arguments, entry_count=self.plan.entries)
@@ -125,14 +129,23 @@
         plain = asyncio.ensure_future(self._send_unsafe())
         varied = self.serial_engines if plan.varies else []
         pace = asyncio.ensure_future(serial.vary_pace(varied, self.pace_rng))
+        lag = asyncio.ensure_future(self._measure_lag())
         faults = asyncio.ensure_future(self.inject_faults())
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             await self._call_all(session, arrivals)
         plain.cancel()
         pace.cancel()
+        lag.cancel()
         await faults
 
+    async def _measure_lag(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self.lags.append(loop.time() - due_at)
+
     async def _call_all(self, session, arrivals):
         loop = asyncio.get_running_loop()
         started_at = loop.time()
--- a/tests/platform/soak/result.py
+++ b/tests/platform/soak/result.py
@@ -1,5 +1,7 @@
 """The result of a load scenario."""
 
+import json
+
 import attrs
 
 from tests.platform.soak import figures
@@ -47,16 +49,19 @@
     return [
         *figures.describe(load_run.counted),
         f'peak memory {max(e.peak_memory for e in load_run.serial_engines)}, '
-        f'tokens in vain {load_run.tokens_in_vain:.0f}',
+        f'tokens in vain {load_run.tokens_in_vain:.0f}, '
+        f'p95 lag {figures.percentile(load_run.lags):.3f} s',
         *load_run.report.faults,
         *load_run.report.violations[:10],
     ]
 
 
 async def play(seed, folder, plan):
-    """Return the run of a plan, with its logs in a folder."""
+    """Return the run of a plan, with its logs and outcomes in a folder."""
     folder.mkdir(exist_ok=True)
     with system.LoopbackNetwork() as network:
         load_run = loadrun.LoadRun(seed, folder, network.number, plan)
         await load_run.execute()
+    outcomes = [attrs.asdict(outcome) for outcome in load_run.outcomes]
+    (folder / 'outcomes.json').write_text(json.dumps(outcomes))
     return load_run
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -195,7 +195,7 @@
             (fakes.STREAM_PATH, fakes.UNSAFE_PATH, fakes.SAFE_PATH)
         )
         ident = f'{self.report.seed}-{number}'
-        target = f'{kind}{ident}?q=%2F{number}'
+        target = f'{self._pick_prefix(kind, ident)}{ident}?q=%2F{number}'
         entry = self.rng.choice(self.system.programs_with_role('entry'))
         headers = {
             'Host': 'soak.example',
@@ -218,6 +218,11 @@
                 data = await response.read()
                 self._check_response(kind, ident, target, body, response, data)
 
+    def _pick_prefix(self, kind, ident):
+        """Return the prefix of a route of a kind for a request."""
+        del ident
+        return kind
+
     def _check_response(self, kind, ident, target, body, response, data):
         status = response.status
         if status in (503, 429, 408, 421):
--- a/tests/platform/soak/serial.py
+++ b/tests/platform/soak/serial.py
@@ -11,8 +11,7 @@
 TOKENS_PER_S = 8000.0
 EVENT_COUNT = 30
 EVENT_INTERVAL_S = 0.05
-READ_STEP_S = 0.02
-DEFAULT_PRIORITY = 5
+STEP_S = 0.02
 # Restart of an engine that ran out of memory.
 RESTART_S = 3.0
 SLOW_PACE = 2.5
@@ -184,7 +183,9 @@
     def _hold(self, request, ident):
         counts = request.headers['Bulrushhold-Token-Counts'].split(',')
         tokens, output = map(int, counts)
-        priority = request.headers.get(fakes.PRIORITY_HEADER, DEFAULT_PRIORITY)
+        priority = request.headers.get(
+            fakes.PRIORITY_HEADER, fakes.DEFAULT_PRIORITY
+        )
         prompt = _Prompt(
             ident,
             int(priority),
@@ -223,7 +224,7 @@
         while not prompt.read.done():
             rate = TOKENS_PER_S * self.speed / self.pace
             left = prompt.tokens - prompt.tokens_read
-            step_s = min(READ_STEP_S, left / rate)
+            step_s = min(STEP_S, left / rate)
             at += step_s
             await asyncio.sleep(at - loop.time())
             prompt.tokens_read += step_s * rate
@@ -239,7 +240,7 @@
     :param service_s: duration of a request at a pace of 1.
     """
 
-    def __init__(self, *arguments, slots=6, service_s=0.4, speed=1.0):
+    def __init__(self, *arguments, slots=6, service_s=0.2, speed=1.0):
         super().__init__(*arguments)
         self.slots = slots
         self.service_s = service_s / speed
@@ -255,15 +256,20 @@
         self.held += 1
         try:
             async with self.free:
-                self.work_s = self.service_s * self.pace
-                response = await super()._answer(request, body, headers)
+                await self._work()
         finally:
             self.held -= 1
         running = min(self.slots, self.held)
-        response.headers.update(
-            _load_header(running, self.held - running, self)
-        )
-        return response
+        headers.update(_load_header(running, self.held - running, self))
+        body = fakes.make_body(request.raw_path, body)
+        return web.Response(body=body, headers=headers)
+
+    async def _work(self):
+        left_s = self.service_s
+        while left_s > 0:
+            step_s = min(STEP_S, left_s)
+            await asyncio.sleep(step_s * self.pace)
+            left_s -= step_s
 
 
 class PacedEngine(fakes.Engine):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform.soak import run
+from tests.platform.soak import contended
 from tests.platform.soak import system
 
 DURATION_S = 4.0
@@ -20,7 +20,7 @@
     # non-idempotent requests, false refusals, loss of an acknowledged route
     # map, and requests that still fail after the faults have ended.
     with system.LoopbackNetwork() as network:
-        report = await run.SoakRun(
+        report = await contended.ContendedSoakRun(
             seed, tmp_path, network.number, DURATION_S
         ).execute()
     assert report.violations == []
