--- a/tests/platform/soak/loadrun.py
+++ b/tests/platform/soak/loadrun.py
@@ -67,6 +67,7 @@
     """Sends the streams of a plan, beside a few unsafe plain requests.
 
     :ivar outcomes: of all callers, in the order of their arrival.
+    :ivar down: names of the killed programs that aren't ready again.
     :ivar lags: how late this process woke up, in seconds; callers and engines
         run in it, so that its lag adds to all times.
     """
@@ -94,6 +95,7 @@
         ]
         self.outcomes = []
         self.lags = []
+        self.down = set()
 
     def _make_system(self, *arguments):
         return system.System(*arguments, entry_count=self.plan.entries)
@@ -108,11 +110,11 @@
         return document
 
     def pick_entry(self):
-        """Return the address of a random entry that isn't down."""
+        """Return the address of a random entry that isn't known to be down."""
         entries = [
             e
             for e in self.system.programs_with_role('entry')
-            if e.process.poll() is None
+            if e.name not in self.down
         ]
         entry = self.load_rng.choice(entries)
         return f'{entry.ip}:{self.system.ports["front"]}'
@@ -209,10 +211,14 @@
 
     async def _kill(self, program):
         self._record_fault('kill', program.name)
+        self.down.add(program.name)
         self.system.signal(program, signal.SIGKILL)
         await self.system.wait_for_exit(program)
         await asyncio.sleep(RESTART_S)
         self.system.start(program)
+        if program.role == 'entry':
+            await self.system.wait_until_ready(self.session, entries=[program])
+        self.down.discard(program.name)
 
     async def _pause_all(self, programs, seconds):
         for program in programs:
