Report the lag of the scenarios' own process

Callers, engines and readers share it, so that figures of a run on a busy machine can't be judged without it. Proxies end their connections when they stop, since those that the loop cancels log a traceback each.

--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -18,6 +18,7 @@
 # Part of the path of a request that crashes each engine that begins it.
 POISON = 'poison'
 POISON_RUN_S = 0.1
+STOP_TIMEOUT_S = 1.0
 DEFAULT_ACCOUNT = 'vendors'
 DEFAULT_PRIORITY = 5
 LOAD_HEADER = 'Bulrushhold-Instance-Load'
@@ -334,7 +335,14 @@
 
     async def stop(self):
         self.server.close()
+        self.fault = ''
+        self.faults_by_client.clear()
         self.reset()
+        # Tasks that the event loop's end cancels would log their tracebacks.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while self.connections:
+                    await asyncio.sleep(0.01)
 
     async def go_down(self, seconds):
         """Refuse connections for a time, as if no process listened."""
--- a/tests/platform/soak/figures.py
+++ b/tests/platform/soak/figures.py
@@ -1,10 +1,12 @@
 """Figures of what callers got, and their bounds."""
 
+import asyncio
 import math
 
 import attrs
 
 LONG_REFUSAL_S = 0.5
+LAG_INTERVAL_S = 0.02
 
 
 @attrs.frozen
@@ -31,6 +33,18 @@
         return f'{mark} {self.name}: {self.value:.3f} {sign} {self.bound:.3f}'
 
 
+async def measure_lag(lags):
+    """Append how late this process wakes up, in seconds, until cancelled.
+
+    Callers and servers run in it, so that its lag adds to all times.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at = loop.time() + LAG_INTERVAL_S
+        await asyncio.sleep(LAG_INTERVAL_S)
+        lags.append(loop.time() - due_at)
+
+
 def share(flags):
     """Return the share of true values; NaN if there is none."""
     flags = list(flags)
--- a/tests/platform/soak/loadrun.py
+++ b/tests/platform/soak/loadrun.py
@@ -9,6 +9,7 @@
 
 from tests.platform.soak import callers
 from tests.platform.soak import fakes
+from tests.platform.soak import figures
 from tests.platform.soak import routemap
 from tests.platform.soak import run
 from tests.platform.soak import serial
@@ -24,7 +25,6 @@
 RESTART_S = 1.5
 FAULT_INTERVAL_S = 3.0
 PAUSE_S = 2.5
-LAG_INTERVAL_S = 0.02
 CONTROL_OUTAGE_S = 6.0
 
 
@@ -68,8 +68,7 @@
 
     :ivar outcomes: of all callers, in the order of their arrival.
     :ivar down: names of the killed programs that aren't ready again.
-    :ivar lags: how late this process woke up, in seconds; callers and engines
-        run in it, so that its lag adds to all times.
+    :ivar lags: see :func:`figures.measure_lag`.
     """
 
     def __init__(self, seed, folder, network_number, plan):
@@ -131,7 +130,7 @@
         plain = asyncio.ensure_future(self._send_unsafe())
         varied = self.serial_engines if plan.varies else []
         pace = asyncio.ensure_future(serial.vary_pace(varied, self.pace_rng))
-        lag = asyncio.ensure_future(self._measure_lag())
+        lag = asyncio.ensure_future(figures.measure_lag(self.lags))
         faults = asyncio.ensure_future(self.inject_faults())
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
@@ -141,13 +140,6 @@
         lag.cancel()
         await faults
 
-    async def _measure_lag(self):
-        loop = asyncio.get_running_loop()
-        while True:
-            due_at = loop.time() + LAG_INTERVAL_S
-            await asyncio.sleep(LAG_INTERVAL_S)
-            self.lags.append(loop.time() - due_at)
-
     async def _call_all(self, session, arrivals):
         loop = asyncio.get_running_loop()
         started_at = loop.time()
--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -135,7 +135,8 @@
     lines = [
         f'memory at the start {readers_run.start_mb:.0f} MB, '
         f'readers stopped: {readers_run.stopped}, '
-        f'unread and aborted: {unread}',
+        f'unread and aborted: {unread}, '
+        f'p95 lag {figures.percentile(readers_run.lags):.3f} s',
         *violations[:10],
     ]
     return result.Result(checks, lines)
--- a/tests/platform/soak/slowreaders.py
+++ b/tests/platform/soak/slowreaders.py
@@ -135,6 +135,7 @@
 
     :ivar first_s: response times of the plain requests without them.
     :ivar beside_s: response times beside them.
+    :ivar lags: see :func:`figures.measure_lag`; beside the readers.
     :ivar failed: plain requests that weren't served, in either part.
     :ivar peak_mb: highest resident memory of an entry.
     :ivar stopped: the readers were stopped early, see
@@ -157,6 +158,7 @@
             desk.work_s = DESK_WORK_S
         self.engines = desks + self.file_servers
         self.first_s, self.beside_s = [], []
+        self.lags = []
         self.failed = 0
         self.peak_mb = 0.0
         self.start_mb = 0.0
@@ -182,10 +184,11 @@
         await self._call_for(self.seconds, self.first_s)
         self.readers = asyncio.ensure_future(self._read_slowly())
         await self._call_for(RAMP_S, [])
+        lag = asyncio.ensure_future(figures.measure_lag(self.lags))
         await self._call_for(self.seconds, self.beside_s)
-        self.readers.cancel()
-        watch.cancel()
-        await asyncio.gather(self.readers, watch, return_exceptions=True)
+        for task in (self.readers, watch, lag):
+            task.cancel()
+        await asyncio.gather(self.readers, watch, lag, return_exceptions=True)
 
     async def _read_slowly(self):
         entries = self.system.programs_with_role('entry')
