File servers of the slow readers' scenario copy less data

Their proxies copied gigabytes into socket buffers that nobody read: the scenario's process woke up 0.217 s late (p95), and counted that as response time of other callers.

--- a/tests/platform/soak/slowreaders.py
+++ b/tests/platform/soak/slowreaders.py
@@ -19,6 +19,7 @@
 LARGE_PATH = f'{fakes.SAFE_PATH}large/'
 LARGE_BYTES = 4 << 20
 PIECE_BYTES = 64 << 10
+SEND_BUFFER_BYTES = 64 << 10
 # A server aborts a response that nobody reads for this time.
 UNREAD_ABORT_S = 5.0
 READERS = 200
@@ -39,6 +40,10 @@
 class FileServer(fakes.Engine):
     """Sends large responses as fast as they are read.
 
+    It has no proxy and a small send buffer: the scenario's process would
+    otherwise copy gigabytes into buffers that nobody reads, and be late with
+    all that it measures.
+
     :ivar unread: responses that it aborted as nobody read them.
     """
 
@@ -46,7 +51,18 @@
     handler_cancellation = True
     unread = 0
 
+    async def start(self):
+        await super().start()
+        self.address = '{}:{}'.format(*self.proxy.target)
+
+    def to_json(self):
+        return {**super().to_json(), 'address': self.address}
+
     async def _answer(self, request, body, headers):
+        connection = request.transport.get_extra_info('socket')
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         response = web.StreamResponse(headers=headers)
         response.content_length = LARGE_BYTES
         transport = request.transport
