--- a/Makefile
+++ b/Makefile
@@ -26,5 +26,6 @@
 	$(PY) bench/relay.py
 	$(PY) -m bench.resume
 	$(PY) -m bench.routing
+	$(PY) -m bench.placement
 	$(PY) -m bench.scaling
 	$(PY) -m bench.control
