--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,6 @@
 	$(PY) -m bench.resume
 	$(PY) -m bench.routing
 	$(PY) -m bench.scheduling
+	$(PY) -m bench.placement
 	$(PY) -m bench.scaling
 	$(PY) -m bench.control
--- a/src/bulrushhold/control/_enginerooms.py
+++ b/src/bulrushhold/control/_enginerooms.py
@@ -66,10 +66,19 @@
     def token_s(
         self, service: str, objective: decisions.LatencyObjective, now: float
     ) -> float:
-        """Return the seconds that a mean engine needs for a prompt token."""
+        """Return the seconds that a mean engine needs for a prompt token.
+
+        Under contention it is too short: prompts that are being read as
+        another one is sent count in full.
+        """
         self.speeds.apply_remote_samples(self.loads.speeds())
         return self.speeds.token_s(service, objective, now)
 
+    def prompt_tokens(self, service: str) -> float:
+        """Return the decayed sum of prompt tokens that engines have read."""
+        speed = self.loads.speeds().get(service)
+        return speed.prompt_tokens if speed is not None else 0.0
+
     def _limits(self, service: str) -> routes.Service:
         view = self.view
         if view.route_map is not None and view.map_version != self.map_version:
--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -61,6 +61,7 @@
     :param token_s: time that a mean engine needs for a prompt token.
     :param queued: by ticket.
     :param served: times and priorities of recent grants.
+    :param read_rate: of its engines while it is active.
     """
 
     scheduler: decisions.StreamScheduler
@@ -74,6 +75,7 @@
     served: collections.deque[tuple[float, int]] = attrs.field(
         factory=collections.deque
     )
+    read_rate: decisions.ReadRate = attrs.field(factory=decisions.ReadRate)
 
     def is_active(self, now: float) -> bool:
         """Return whether streams wait, or have recently asked."""
@@ -176,7 +178,10 @@
         service.updated_at = now
         rooms = self.rooms.usable(name, now)
         service.engines = len(rooms)
-        service.token_s = self.rooms.token_s(name, service.objective, now)
+        service.read_rate.update(rooms, self.rooms.prompt_tokens(name), now)
+        service.token_s = service.read_rate.token_s(
+            self.rooms.token_s(name, service.objective, now)
+        )
         service.scheduler.update(rooms, service.token_s, now)
 
     # Messages
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -51,6 +51,7 @@
 from bulrushhold.decisions._raftstate import Role
 from bulrushhold.decisions._raftstate import Timing
 from bulrushhold.decisions._reachability import Reachability
+from bulrushhold.decisions._readrate import ReadRate
 from bulrushhold.decisions._recovery import Action
 from bulrushhold.decisions._recovery import GapEstimate
 from bulrushhold.decisions._recovery import HedgingPolicy
@@ -161,6 +162,7 @@
     'QuotaHome',
     'QuotaShare',
     'Reachability',
+    'ReadRate',
     'Ready',
     'RecoveryPolicy',
     'Replica',
--- a/src/bulrushhold/decisions/_enginespeeds.py
+++ b/src/bulrushhold/decisions/_enginespeeds.py
@@ -157,6 +157,10 @@
         """Discard a pending read whose result is no longer awaited."""
         self.pending_reads.discard(reading)
 
+    def record_prompt(self, service: str, tokens: int, now: float) -> None:
+        """Count the tokens of a prompt that was read."""
+        self._add(service, messages.EngineSpeed(prompt_tokens=tokens), now)
+
     def record_pauses(
         self, service: str, pauses: PauseSamples, now: float
     ) -> None:
@@ -283,4 +287,5 @@
         total.pause_sq + weight * added.pause_sq,
         total.runs + weight * added.runs,
         total.run_s + weight * added.run_s,
+        total.prompt_tokens + weight * added.prompt_tokens,
     )
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -69,7 +69,11 @@
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
         self.read_monitor = _promptread.ReadMonitor(
-            self.context, stream.job.service, engine, self.engines.objective
+            self.context,
+            stream.job.service,
+            engine,
+            self.engines.objective,
+            ordered=stream.job.priority is not None,
         )
         self.evidence = _runevidence.RunEvidence(
             self.context, stream.job, engine, unread_tokens
--- a/src/bulrushhold/forwarding/_promptread.py
+++ b/src/bulrushhold/forwarding/_promptread.py
@@ -15,6 +15,8 @@
     """The read of one prompt, from its dispatch to the first event.
 
     :param objective: of the stream.
+    :param ordered: admission to the service is ordered; its scheduling home
+        needs to know how many tokens engines read.
     :ivar expected_first_event_s: time from the dispatch; 0 if unknown.
     """
 
@@ -24,12 +26,15 @@
         service: str,
         engine: decisions.BackendServer,
         objective: decisions.LatencyObjective,
+        *,
+        ordered: bool,
     ) -> None:
         self.placement = context.placement
         self.clock = context.clock
         self.service = service
         self.engine = engine
         self.objective = objective
+        self.ordered = ordered
         self.reading: decisions.PromptRead | None = None
         self.expected_first_event_s = 0.0
 
@@ -69,6 +74,10 @@
             )
             self._record(sample, now)
             self.reading = None
+            if self.ordered:
+                self.placement.speeds.record_prompt(
+                    self.service, self.objective.tokens, now
+                )
 
     def cancel(self) -> None:
         """Stop waiting for the first event.
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -154,6 +154,8 @@
     :param pause_sq: sum of the squared durations of the gaps.
     :param runs: streams completed by a single engine.
     :param run_s: time from sending them to their last events.
+    :param prompt_tokens: tokens of prompts read, each counted once; only of
+        services with ordered admission.
     """
 
     tokens: float = 0.0
@@ -163,6 +165,7 @@
     pause_sq: float = 0.0
     runs: float = 0.0
     run_s: float = 0.0
+    prompt_tokens: float = 0.0
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_readrate.py
@@ -0,0 +1,56 @@
+"""The measured speed of busy engines."""
+
+import pytest
+
+from bulrushhold import decisions
+
+PROMPT = 8000
+TOKEN_S = 0.000125
+PRIOR_S = 0.75 * TOKEN_S
+STEP_S = 0.1
+
+
+def room(number, reading, slowness=1.0):
+    return decisions.EngineRoom(f'i{number}', reading, 1, 0, 8, 0, slowness)
+
+
+def measure(seconds, slowness=1.0, queued=2, engines=4):
+    """Let engines read one prompt after the other, with others queued."""
+    rate, tokens, now = decisions.ReadRate(), 0.0, 0.0
+    read = [number * PROMPT / engines for number in range(engines)]
+    rooms = [room(n, queued * PROMPT, slowness) for n in range(engines)]
+    while now < seconds:
+        now += STEP_S
+        tokens *= 0.5 ** (STEP_S / 5.0)
+        for number in range(engines):
+            read[number] += STEP_S / (TOKEN_S * slowness)
+            if read[number] >= PROMPT:
+                read[number] -= PROMPT
+                tokens += PROMPT
+        rate.update(rooms, tokens, now)
+    return rate, now
+
+
+@pytest.mark.parametrize('slowness', [0.8, 1.0, 2.0])
+@pytest.mark.parametrize('queued', [1, 3])
+def test_prompts_queued_at_an_engine_do_not_change_its_speed(slowness, queued):
+    # Guards against a capacity that is too high once prompts are queued.
+    rate, _ = measure(20.0, slowness, queued)
+    assert rate.token_s(PRIOR_S) == pytest.approx(TOKEN_S, rel=0.15)
+
+
+def test_idle_engines_do_not_look_slow():
+    rate, now = measure(10.0)
+    before = rate.token_s(PRIOR_S)
+    tokens = rate.tokens
+    for _ in range(20):
+        now += STEP_S
+        tokens *= 0.5 ** (STEP_S / 5.0)
+        rate.update([room(0, 0)], tokens, now)
+    assert rate.token_s(PRIOR_S) == pytest.approx(before, rel=0.1)
+
+
+def test_a_pause_of_updates_starts_the_measurement_again():
+    rate, now = measure(10.0)
+    rate.update([room(0, PROMPT)], 0.0, now + 5.0)
+    assert rate.token_s(PRIOR_S) == pytest.approx(PRIOR_S)
