Drop load reports of entries that aren't attached

After a pause of a control process, reports that entries sent meanwhile may arrive when those entries have expired. They were kept for ever, so that two of eight engines seemed full to the scheduling home and got no streams any more.

--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -177,15 +177,24 @@
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            now = self.clock()
-            expired = self.registry.expire(now)
-            for name in expired:
-                self.loads.remove_report(name)
-            if expired:
-                node.log_decision('entries expired', entries=expired)
-                self._run_attach_hooks()
-            if self.loads.expire(now) or expired:
-                self._publish_soon()
+            self.expire()
+
+    def expire(self) -> None:
+        """Drop entries that no longer poll, and the load that they reported.
+
+        After a pause of this process, reports sent meanwhile arrive when their
+        entries have expired already. They would count for ever.
+        """
+        now = self.clock()
+        expired = self.registry.expire(now)
+        detached = self.loads.reports.keys() - self.registry.records.keys()
+        for name in sorted(detached):
+            self.loads.remove_report(name)
+        if expired:
+            node.log_decision('entries expired', entries=expired)
+            self._run_attach_hooks()
+        if self.loads.expire(now) or detached:
+            self._publish_soon()
 
     # Other control processes
 
