--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -106,8 +106,7 @@
 class BackendLoad:
     """Load that a backend server reports, across all entries.
 
-    :param pace: how long work takes there at this moment, 1 being usual;
-        ``None`` if it doesn't say.
+    :param pace: time that work takes there now; 1 is usual, ``None`` unknown.
     """
 
     running: int
--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -26,7 +26,7 @@
 # Keeps the prior of engines' speed positive.
 MIN_OBJECTIVE_S: t.Final = 0.1
 IDLE_CHECK_S: t.Final = 1.0
-# Longer than callers are told to wait before they return.
+# Longer than any Retry-After.
 IDLE_TTL_S: t.Final = 60.0
 # A queued stream that isn't polled for this long has been dropped.
 POLL_TTL_S: t.Final = 1.0
@@ -41,7 +41,7 @@
 
 @attrs.define
 class _Queued:
-    """A stream that was told to wait.
+    """A stream that waits for a decision.
 
     :param decided: wakes its poll.
     """
--- a/src/bulrushhold/decisions/_promisedreturns.py
+++ b/src/bulrushhold/decisions/_promisedreturns.py
@@ -1,4 +1,4 @@
-"""Times at which refused callers were told to return, with work reserved."""
+"""Promised return times of refused callers, with work reserved."""
 
 import heapq
 import typing as t
@@ -61,7 +61,7 @@
         self.flow_work[flow] = self.flow_work.get(flow, 0.0) + work
 
     def due(self, fingerprint: str, now: float) -> bool:
-        """Return whether a caller returns as it was told."""
+        """Return whether a caller returns at the promised time."""
         promised = self.returns.get(fingerprint)
         return (
             promised is not None
--- a/src/bulrushhold/decisions/_streamqueue.py
+++ b/src/bulrushhold/decisions/_streamqueue.py
@@ -37,7 +37,7 @@
     :ivar start_at: latest time to start reading.
     :ivar due_at: when its first event is late.
     :ivar give_up_at: when its caller gives up.
-    :ivar promised: its caller returned as told.
+    :ivar promised: its caller returned at the promised time.
     :ivar step: step of its work among the commitments; ``None`` if it isn't
         queued or can't be on time.
     """
