--- a/src/bulrushhold/decisions/_streamprediction.py
+++ b/src/bulrushhold/decisions/_streamprediction.py
@@ -167,7 +167,8 @@
                 now + drain_s,
             )
             return drain_s
-        # An earlier return than the limit would be refused again.
+        # No return that the caller would still make can be served: with a time
+        # within the limit it would come back and be refused again.
         limit_s = min(stream.ask.remaining_s / 3, MAX_RETRY_AFTER_S)
         return max(limit_s + BEYOND_LIMIT_S, min(drain_s, MAX_RETRY_AFTER_S))
 
