Tests of held engines don't depend on the machine's uptime

The tests began a backoff at time 0 of the monotonic clock. Backoffs count for an hour at most, so that both tests failed from the second hour of uptime on: seen in one run of all tests, then in 3 of 3 runs alone; passes now.

--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import attrs
 import pytest
@@ -364,7 +365,8 @@
 
 
 def hold(placement):
-    placement.demands.backoffs.record('i1', 1e6, 0.0)
+    # A backoff counts for an hour at most, so that it has to begin now.
+    placement.demands.backoffs.record('i1', 1e6, time.monotonic())
 
 
 def remove(placement):
