Engines get the priority of the account or route, not its rank

Cause: the rank in the service's order, which the scheduling home uses, was sent to engines. Engines know 5 as the default, so that ranks would place requests wrongly beside those of other senders. The job now has both.

--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -76,8 +76,9 @@
         attempt.
     :param version: version that began the stream which the call resumes;
         ``None`` if the call begins one.
-    :param priority: 0 is the most urgent; ``None`` if admission to the
-        service isn't ordered.
+    :param priority: rank among the requests of its service, 0 being the most
+        urgent; ``None`` if admission to the service isn't ordered.
+    :param engine_priority: the priority that engines get with it.
     """
 
     call: calls.Call
@@ -89,6 +90,7 @@
     canary: bool = False
     version: str | None = None
     priority: int | None = None
+    engine_priority: int | None = None
 
 
 def log(job: Job, decision: str, **fields: t.Any) -> None:
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -166,7 +166,7 @@
             new_connection=True,
             permitted=self.has_permit,
             fingerprint=self.stream.job.fingerprint,
-            priority=self.stream.job.priority,
+            priority=self.stream.job.engine_priority,
         )
         self.send_task = asyncio.ensure_future(
             self.context.client.send(self.stream.job.call, attempt)
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -77,8 +77,13 @@
         index = self.fleet.index
         assert index is not None
         account = index.accounts.get(job.call.key)
-        priority = index.priority(job.service, job.route, account)
-        return attrs.evolve(job, priority=priority)
+        return attrs.evolve(
+            job,
+            priority=index.priority(job.service, job.route, account),
+            engine_priority=index.engine_priority(
+                job.service, job.route, account
+            ),
+        )
 
     async def _wait_for_start(self, call: calls.Call) -> None:
         """Wait a limited time for the first route map.
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -262,7 +262,7 @@
             new_connection=not self.repeatable or self.attempts > 0,
             permitted=has_permit,
             fingerprint=self.job.fingerprint,
-            priority=self.job.priority,
+            priority=self.job.engine_priority,
         )
         response = None
         sent_at = self.context.clock()
--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -219,6 +219,18 @@
             return None
         return ranks.get(_priority_key(route, account))
 
+    def engine_priority(
+        self, service: str, route: Route, account: ClientAccount | None
+    ) -> int | None:
+        """Return the priority that engines get with a request.
+
+        :return: the account's, or else the route's; ``None`` if admission to
+            the service isn't ordered.
+        """
+        if service not in self.priority_ranks:
+            return None
+        return _priority_key(route, account)[0]
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix.
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -232,6 +232,7 @@
         'acct',
         context.clock() + timeout_s,
         priority=priority,
+        engine_priority=priority,
     )
 
 
--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -307,7 +307,7 @@
 
 
 @pytest.mark.parametrize('path', ['/urgent/', '/usual/', '/once/'])
-async def test_requests_have_the_rank_of_their_route(
+async def test_requests_have_the_priority_of_their_route(
     ordered, fleet, client, home, path
 ):
     def make_route(name, priority, kind=routes.Kind.STREAM):
@@ -331,9 +331,10 @@
     await forwarding.Forwarder(fleet, ordered).handle(
         attrs.evolve(call, target=path), fakes.FakeCaller()
     )
-    priority = {'/urgent/': 0, '/usual/': 1, '/once/': 2}[path]
+    priority = {'/urgent/': 0, '/usual/': 4, '/once/': 7}[path]
+    asked = {'/urgent/': [0], '/usual/': [1], '/once/': []}[path]
     assert [attempt.priority for attempt in client.attempts] == [priority]
-    assert [ask.priority for ask in home.asks] == [priority] * (priority < 2)
+    assert [ask.priority for ask in home.asks] == asked
 
 
 async def test_only_engines_of_an_allowed_version_are_asked_for(
