--- a/src/bulrushhold/decisions/_engineroom.py
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -25,7 +25,7 @@
 # Bounds of the age of the load that a report gives.
 MIN_REPORT_LAG_S: t.Final = 0.1
 REPORT_LAG_S: t.Final = 0.2
-# Part of a prompt assumed unread if it should have been finished already.
+# Part of a prompt assumed pending if it should have been finished already.
 OVERDUE_SHARE: t.Final = 0.25
 # The time to the first event is predicted for all but the slowest tenth of
 # the engines.
@@ -174,8 +174,8 @@
         self.order: dict[
             tuple[float, str], list[tuple[float, float, str]]
         ] = {}
-        self.unread_work = 0.0
-        self.unread_at = 0.0
+        self.pending_work = 0.0
+        self.pending_at = 0.0
 
     def update(
         self, rooms: cabc.Iterable[EngineRoom], token_s: float, now: float
@@ -202,8 +202,8 @@
         """
         if not self.speed:
             return now
-        done = self.speed * (now - self.unread_at)
-        return now + max(0.0, self.unread_work - done) / self.speed
+        done = self.speed * (now - self.pending_at)
+        return now + max(0.0, self.pending_work - done) / self.speed
 
     def best(
         self, ask: messages.StreamAsk, within_s: float, now: float
@@ -254,8 +254,8 @@
         engine.add_grant(ticket, ask)
         self.granted.append((now, engine.room.ident, ticket))
         self.unseen.append((now, engine.room.ident, ask.tokens))
-        self.unread_work = (self.busy_until(now) - now) * self.speed + work
-        self.unread_at = now
+        self.pending_work = (self.busy_until(now) - now) * self.speed + work
+        self.pending_at = now
         self.grant_rate.add(work, now)
         gain = PROMPT_GAIN if self.prompt_tokens else 1.0
         self.prompt_tokens += gain * (ask.tokens - self.prompt_tokens)
@@ -288,8 +288,8 @@
     def _add(self, room: EngineRoom, now: float) -> Engine:
         prompt = min(room.reading, self.prompt_tokens or room.reading)
         # On average, half of the prompt being read is left.
-        unread = max(0.0, room.reading - prompt / 2)
-        return Engine(room, now + unread * self.token_s * room.slowness)
+        pending = max(0.0, room.reading - prompt / 2)
+        return Engine(room, now + pending * self.token_s * room.slowness)
 
     def _reconcile(self, engine: Engine, room: EngineRoom, now: float) -> None:
         if room.reading < 0:
@@ -313,25 +313,25 @@
                 engine.free_at += (added - covered) * token_s
         if reading:
             prompt = min(reading, self.prompt_tokens or reading)
-            unread = reading - (1 - OVERDUE_SHARE) * prompt
-            least_at = now + unread * token_s - REPORT_LAG_S
+            pending = reading - (1 - OVERDUE_SHARE) * prompt
+            least_at = now + pending * token_s - REPORT_LAG_S
             engine.free_at = max(engine.free_at, least_at)
-        unread_s = max(0.0, reading * token_s - MIN_REPORT_LAG_S)
-        most_at = now + unread_s + engine.granted_tokens * token_s
+        pending_s = max(0.0, reading * token_s - MIN_REPORT_LAG_S)
+        most_at = now + pending_s + engine.granted_tokens * token_s
         if engine.free_at > most_at:
             engine.free_at = most_at
 
     def _arrange(self, now: float) -> None:
         self.order = {}
-        self.speed = self.unread_work = 0.0
-        self.unread_at = now
+        self.speed = self.pending_work = 0.0
+        self.pending_at = now
         slownesses = []
         for engine in self.engines.values():
             slowness = engine.room.slowness
             slownesses.append(slowness)
             self.speed += 1 / slowness
             if engine.free_at > now:
-                self.unread_work += (engine.free_at - now) / slowness
+                self.pending_work += (engine.free_at - now) / slowness
             if engine.place is None or engine.place[0] != engine.free_at:
                 engine.place = self._new_place(engine)
             key = (round(slowness, 1), engine.room.version)
