Read rate: a change of the reporters isn't counted as tokens read

Cause: a scheduling home that is new, or has been paused, gets the sums of entries that attach again one by one.

Change: after a change of the reports that are added up, or of the sum by more than was left to read, the estimate is held for 2 s.

--- a/src/bulrushhold/control/_enginerooms.py
+++ b/src/bulrushhold/control/_enginerooms.py
@@ -79,6 +79,10 @@
         speed = self.loads.speeds().get(service)
         return speed.prompt_tokens if speed is not None else 0.0
 
+    def reporters(self) -> frozenset[str]:
+        """Return the entries and processes whose reports are added up."""
+        return self.loads.reporters()
+
     def _limits(self, service: str) -> routes.Service:
         view = self.view
         if view.route_map is not None and view.map_version != self.map_version:
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -378,6 +378,11 @@
         self._update_sums()
         return self.total.speeds
 
+    def reporters(self) -> frozenset[str]:
+        """Return the entries and processes whose reports are added up."""
+        nodes = [a for a, node in self.nodes.items() if node.sum is not None]
+        return frozenset([*self.reports, *nodes])
+
     def lost_since(self, since: float) -> set[str]:
         """Return engines lost since then, or replaced recently."""
         return {
--- a/src/bulrushhold/decisions/_readrate.py
+++ b/src/bulrushhold/decisions/_readrate.py
@@ -1,5 +1,6 @@
 """How fast the busy engines of a service read prompts."""
 
+import collections.abc as cabc
 import math
 import typing as t
 
@@ -10,6 +11,12 @@
 MAX_UPDATE_GAP_S: t.Final = 1.0
 # Weight of the estimate that is used until enough prompts have been read.
 PRIOR_WEIGHT_S: t.Final = 1.0
+# If the sum changes by a larger share between two updates, and by more than
+# was left to read, reporters are new, with all they have counted, or gone.
+MAX_CHANGE_SHARE: t.Final = 0.125
+# After a change of the reporters, the sum isn't used for this time, in which
+# entries of a lost process report to another one.
+HOLD_S: t.Final = 2.0
 
 
 class ReadRate:
@@ -20,7 +27,8 @@
     """
 
     def __init__(self) -> None:
-        self.updated_at = -math.inf
+        self.updated_at = self.held_until = -math.inf
+        self.reporters: cabc.Set[str] = frozenset()
         self._restart(0.0, 0.0)
 
     def _restart(self, tokens: float, now: float) -> None:
@@ -29,31 +37,61 @@
         self.tokens = 0.0
         self.busy_s = 0.0
         self.busy_speed = 0.0
+        self.unread = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether more has been measured than was assumed."""
+        return self.busy_s > PRIOR_WEIGHT_S
 
     def update(
         self,
         engines: t.Iterable[_engineroom.EngineRoom],
         tokens: float,
         now: float,
+        reporters: cabc.Set[str] = frozenset(),
     ) -> None:
         """Apply the present load.
 
         :param tokens: decayed sum of the prompt tokens read by all engines,
             as in :class:`messages.EngineSpeed`.
+        :param reporters: entries and processes whose reports it adds up.
         """
         elapsed_s = now - self.updated_at
         if elapsed_s > MAX_UPDATE_GAP_S:
             self._restart(tokens, now)
-        else:
+        elif self._may_count(tokens, reporters, now):
             self.busy_s *= _decay(elapsed_s)
             self.busy_s += self.busy_speed * elapsed_s
-            before = self.tokens_before * _decay(now - self.started_at)
-            self.tokens = max(0.0, tokens - before)
-        self.busy_speed = sum(
-            1 / engine.slowness for engine in engines if engine.reading > 0
-        )
+            self.tokens = max(0.0, self._read(tokens, now))
+        else:
+            self.started_at = now
+            self.tokens_before = tokens - self.tokens
+        self.reporters = reporters
+        busy = [engine for engine in engines if engine.reading > 0]
+        self.busy_speed = sum(1 / engine.slowness for engine in busy)
+        self.unread = sum(engine.reading for engine in busy)
         self.updated_at = now
 
+    def _read(self, tokens: float, now: float) -> float:
+        """Return the tokens read since the start, given the present sum."""
+        return tokens - self.tokens_before * _decay(now - self.started_at)
+
+    def _may_count(
+        self, tokens: float, reporters: cabc.Set[str], now: float
+    ) -> bool:
+        """Return whether the sum has changed only by what was read."""
+        read = self._read(tokens, now)
+        change = read - self.tokens * _decay(now - self.updated_at)
+        most = MAX_CHANGE_SHARE * tokens
+        if (
+            reporters != self.reporters
+            or change > max(most, self.unread)
+            or -change > most
+        ):
+            self.held_until = now + HOLD_S
+        return now >= self.held_until
+
     def token_s(self, prior_s: float) -> float:
         """Return the seconds that an engine of mean speed needs for a token.
 
--- a/tests/test_readrate.py
+++ b/tests/test_readrate.py
@@ -54,3 +54,19 @@
     rate, now = measure(10.0)
     rate.update([room(0, PROMPT)], 0.0, now + 5.0)
     assert rate.token_s(PRIOR_S) == pytest.approx(PRIOR_S)
+
+
+@pytest.mark.parametrize('share', [0.5, 1.5])
+def test_entries_that_are_lost_from_reports_or_back_are_not_counted(share):
+    # Guards against engines that look fast or slow after a change of the home.
+    rate, now = measure(10.0)
+    before = rate.token_s(PRIOR_S)
+    tokens = rate.tokens + rate.tokens_before * 0.5 ** (now / 5.0)
+    rooms = [room(n, PROMPT) for n in range(4)]
+    tokens *= share
+    for _ in range(20):
+        now += STEP_S
+        tokens *= 0.5 ** (STEP_S / 5.0)
+        tokens += 4 * STEP_S / TOKEN_S
+        rate.update(rooms, tokens, now)
+    assert rate.token_s(PRIOR_S) == pytest.approx(before, rel=0.1)
