Scheduling: entries schedule on their share of the engines without a home

Cause: without a scheduling home, entries decided by their view, each as if alone.

Change: all entries partition the engines of a service, and each has a stream scheduler for its part, which queues or refuses streams on arrival. A queued stream is committed wherever it asks next. Homes tell entries the measured speed of engines, and entries a new home. Promised returns are copied to the next home. A key's home has one function, home_address, for permits, places and scheduling.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -169,6 +169,12 @@
                 self.metrics,
                 config.name,
                 lambda: self.fleet.servers.nodes,
+                forwarding.EngineShareScheduler(
+                    placement,
+                    lambda: self.fleet.own_entry,
+                    lambda: self.fleet.entries,
+                    time.monotonic,
+                ),
             ),
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -76,7 +76,11 @@
         self.permits = _permits.PermitServer(server.transport, server.clock)
         self.places = _places.PlaceServer(server.transport, server.clock)
         self.scheduling = _scheduling.SchedulingServer(
-            server.transport, self.view, self.watch.loads, server.clock
+            server.transport,
+            local_node.address,
+            self.view,
+            self.watch.loads,
+            server.clock,
         )
         self.origins = _origins.OriginServer(
             server.transport, self.view, local_node.address, server.clock
@@ -139,7 +143,11 @@
         self.permits = _permits.PermitServer(relay.transport, relay.clock)
         self.places = _places.PlaceServer(relay.transport, relay.clock)
         self.scheduling = _scheduling.SchedulingServer(
-            relay.transport, self.view, self.watch.loads, relay.clock
+            relay.transport,
+            relay.peer,
+            self.view,
+            self.watch.loads,
+            relay.clock,
         )
         self.origins = _origins.OriginServer(
             relay.transport, self.view, relay.peer, relay.clock
--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -11,6 +11,7 @@
 
 from bulrushhold.control import _clusterview
 from bulrushhold.control import _enginerooms
+from bulrushhold.control import _promises
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import messages
@@ -57,6 +58,8 @@
     """The scheduling of one service.
 
     :param objective: of a recent stream, as the prior of engines' speed.
+    :param reported_s: time per prompt token that an earlier home has measured,
+        the better prior; 0 if it isn't known.
     :param engines: number of engines that can be used.
     :param token_s: time that a mean engine needs for a prompt token.
     :param queued: by ticket.
@@ -67,6 +70,7 @@
     scheduler: decisions.StreamScheduler
     objective: decisions.LatencyObjective
     asked_at: float
+    reported_s: float = 0.0
     updated_at: float = float('-inf')
     summarized_at: float = float('-inf')
     engines: int = 0
@@ -81,6 +85,12 @@
         """Return whether streams wait, or have recently asked."""
         return bool(self.queued) or now - self.asked_at < ACTIVE_S
 
+    @property
+    def known_token_ns(self) -> int:
+        """Time per prompt token as measured here or reported; 0 if unknown."""
+        known = self.read_rate.is_known
+        return round(1e9 * (self.token_s if known else self.reported_s))
+
     def record_served(self, priority: int, now: float) -> None:
         """Record a grant."""
         self.served.append((now, priority))
@@ -108,6 +118,7 @@
 class SchedulingServer:
     """Answers the entries that have this process as a service's home.
 
+    :param local_address: of this process.
     :param loads: load reports of all entries.
     :param make_scheduler: returns the scheduler of another service.
     """
@@ -115,6 +126,7 @@
     def __init__(
         self,
         transport: ports.Transport,
+        local_address: str,
         view: _clusterview.ClusterView,
         loads: decisions.LoadAggregator,
         clock: cabc.Callable[[], float],
@@ -122,6 +134,8 @@
             [], decisions.StreamScheduler
         ] = lambda: decisions.StreamScheduler(random.Random()),
     ) -> None:
+        self.transport = transport
+        self.promises = _promises.PromiseCopies(local_address, view)
         self.clock = clock
         self.make_scheduler = make_scheduler
         self.rooms = _enginerooms.EngineRooms(view, loads)
@@ -130,6 +144,7 @@
         transport.handle(messages.StreamAsk, self._on_ask)
         transport.handle(messages.StreamPoll, self._on_poll)
         transport.handle(messages.StreamCancel, self._on_cancel)
+        transport.handle(messages.PromisedReturn, self._on_promised_return)
 
     async def run(self) -> None:
         """Grant engines to queued streams until cancelled.
@@ -138,7 +153,9 @@
         """
         while True:
             now = self.clock()
-            if any(s.is_active(now) for s in self.services.values()):
+            if self.promises.copies or any(
+                s.is_active(now) for s in self.services.values()
+            ):
                 await asyncio.sleep(ADVANCE_INTERVAL_S)
             else:
                 await self._wait_for_asks()
@@ -155,6 +172,8 @@
     def advance(self) -> None:
         """Grant engines that are about to be free, and drop idle services."""
         now = self.clock()
+        for address, promised in self.promises.take_due(now):
+            self.transport.send(address, promised)
         for name, service in list(self.services.items()):
             if service.is_active(now):
                 self._advance(name, service, now)
@@ -178,9 +197,12 @@
         service.updated_at = now
         rooms = self.rooms.usable(name, now)
         service.engines = len(rooms)
-        service.read_rate.update(rooms, self.rooms.prompt_tokens(name), now)
+        service.read_rate.update(
+            rooms, self.rooms.prompt_tokens(name), now, self.rooms.reporters()
+        )
         service.token_s = service.read_rate.token_s(
-            self.rooms.token_s(name, service.objective, now)
+            service.reported_s
+            or self.rooms.token_s(name, service.objective, now)
         )
         service.scheduler.update(rooms, service.token_s, now)
 
@@ -204,9 +226,48 @@
                 service.queued[ticket] = _Queued(ask, now, now)
             case messages.SchedulingStatus.REFUSED:
                 _log_refusal('stream refused', ask, service, decision, now)
+                self._send_promise(ask, service, now)
             case messages.SchedulingStatus.GRANTED:
                 service.record_served(ask.priority, now)
-        return decision
+        return attrs.evolve(decision, token_ns=service.known_token_ns)
+
+    def _send_promise(
+        self, ask: messages.StreamAsk, service: _Service, now: float
+    ) -> None:
+        """Tell the next home of a caller's return, if one was promised."""
+        promised = service.scheduler.returns.returns.get(ask.fingerprint)
+        if promised is None:
+            return
+        message = messages.PromisedReturn(
+            ask.service,
+            ask.fingerprint,
+            ask.priority,
+            ask.account,
+            promised.work,
+            promised.return_at - now,
+        )
+        self.promises.add(message, now)
+        address = self.promises.next_home(ask.service)
+        if address:
+            self.transport.send(address, message)
+
+    async def _on_promised_return(
+        self, promised: messages.PromisedReturn
+    ) -> None:
+        now = self.clock()
+        self.promises.add(promised, now)
+        self.asked.set()
+        service = self.services.get(promised.service)
+        if service is None:
+            objective = decisions.LatencyObjective(1, MIN_OBJECTIVE_S, 0.0)
+            service = _Service(self.make_scheduler(), objective, now)
+            self.services[promised.service] = service
+        service.scheduler.returns.promise(
+            promised.fingerprint,
+            (promised.priority, promised.account),
+            promised.work_s,
+            now + promised.return_s,
+        )
 
     def _service(self, ask: messages.StreamAsk, now: float) -> _Service:
         service = self.services.get(ask.service)
@@ -215,6 +276,8 @@
             self.services[ask.service] = service
         elif ask.objective_s > 0:
             service.objective = _objective(ask)
+        if ask.token_ns and not service.read_rate.is_known:
+            service.reported_s = ask.token_ns / 1e9
         service.asked_at = now
         self.asked.set()
         return service
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -21,6 +21,8 @@
 from bulrushhold.decisions._enginecrashes import EngineCrashTracker
 from bulrushhold.decisions._enginelosses import EngineLosses
 from bulrushhold.decisions._engineroom import EngineRoom
+from bulrushhold.decisions._engineshares import engine_shares
+from bulrushhold.decisions._engineshares import owned_rooms
 from bulrushhold.decisions._enginespeeds import EngineSpeeds
 from bulrushhold.decisions._enginespeeds import LatencyObjective
 from bulrushhold.decisions._enginespeeds import PauseSamples
@@ -31,9 +33,10 @@
 from bulrushhold.decisions._entryweights import weights_differ
 from bulrushhold.decisions._fairqueue import FairQueue
 from bulrushhold.decisions._fairshares import allocate
+from bulrushhold.decisions._homes import home_address
+from bulrushhold.decisions._homes import next_home_address
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._loadaggregator import LoadAggregator
-from bulrushhold.decisions._permithome import permit_home_address
 from bulrushhold.decisions._permithome import PermitHome
 from bulrushhold.decisions._placehome import PlaceHome
 from bulrushhold.decisions._placement import Placement
@@ -198,20 +201,23 @@
     'copy_peers',
     'count_by_version',
     'difference',
+    'engine_shares',
     'entries_for_account',
     'entries_needed',
     'entry_capacity',
     'fingerprint',
     'first_event_timeout_s',
     'has_spare_engines',
+    'home_address',
     'home_entries',
     'latency_bucket',
     'listed_versions',
     'new_identity',
     'next_config',
+    'next_home_address',
     'origin_homes',
     'origin_key',
-    'permit_home_address',
+    'owned_rooms',
     'pointer_homes',
     'read_csv',
     'rendezvous_order',
--- a/src/bulrushhold/decisions/_engineroom.py
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -54,6 +54,8 @@
     :param slots: maximum number of running streams; 0 for no limit.
     :param memory_limit: in tokens; 0 for no limit.
     :param slowness: time for a prompt relative to the mean engine.
+    :param share: part of the engine's time that may be used; slots and memory
+        are those of this part.
     """
 
     ident: str
@@ -64,6 +66,7 @@
     memory_limit: int
     slowness: float = 1.0
     version: str = ''
+    share: float = 1.0
 
 
 @attrs.define(eq=False)
@@ -74,6 +77,7 @@
     :ivar granted_memory: tokens of memory granted recently.
     :ivar granted_tokens: prompt tokens granted recently.
     :ivar unreported: granted tokens not seen in a report yet.
+    :ivar paced_until: until then, recent grants use up the engine's share.
     :ivar place: its place in the order of engines.
     """
 
@@ -82,6 +86,7 @@
     granted_memory: int = 0
     granted_tokens: int = 0
     unreported: int = 0
+    paced_until: float = -math.inf
     grants: dict[str, messages.StreamAsk] = attrs.field(factory=dict)
     place: tuple[float, float, str] | None = None
 
@@ -249,11 +254,16 @@
         now: float,
     ) -> None:
         """Assign a stream to an engine."""
+        room = engine.room
         work = ask.tokens * self.token_s
-        engine.free_at = max(engine.free_at, now) + work * engine.room.slowness
+        engine.free_at = max(engine.free_at, now) + work * room.slowness
+        if room.share < 1:
+            engine.paced_until = max(engine.paced_until, now)
+            engine.paced_until += work * room.slowness / room.share
+            engine.free_at = max(engine.free_at, engine.paced_until)
         engine.add_grant(ticket, ask)
-        self.granted.append((now, engine.room.ident, ticket))
-        self.unseen.append((now, engine.room.ident, ask.tokens))
+        self.granted.append((now, room.ident, ticket))
+        self.unseen.append((now, room.ident, ask.tokens))
         self.pending_work = (self.busy_until(now) - now) * self.speed + work
         self.pending_at = now
         self.grant_rate.add(work, now)
@@ -318,6 +328,7 @@
             engine.free_at = max(engine.free_at, least_at)
         pending_s = max(0.0, reading * token_s - MIN_REPORT_LAG_S)
         most_at = now + pending_s + engine.granted_tokens * token_s
+        most_at = max(most_at, engine.paced_until)
         if engine.free_at > most_at:
             engine.free_at = most_at
 
@@ -327,11 +338,11 @@
         self.pending_at = now
         slownesses = []
         for engine in self.engines.values():
-            slowness = engine.room.slowness
+            slowness, share = engine.room.slowness, engine.room.share
             slownesses.append(slowness)
-            self.speed += 1 / slowness
+            self.speed += share / slowness
             if engine.free_at > now:
-                self.pending_work += (engine.free_at - now) / slowness
+                self.pending_work += (engine.free_at - now) * share / slowness
             if engine.place is None or engine.place[0] != engine.free_at:
                 engine.place = self._new_place(engine)
             key = (round(slowness, 1), engine.room.version)
--- a/src/bulrushhold/decisions/_permithome.py
+++ b/src/bulrushhold/decisions/_permithome.py
@@ -10,7 +10,6 @@
 
 import attrs
 
-from bulrushhold.decisions import _rendezvous
 from bulrushhold.decisions import _requestlimits
 from bulrushhold import messages
 
@@ -114,17 +113,3 @@
             for server, meter in self.meters.items()
             if now - max(meter.asked_at.values(), default=now) < METER_TTL_S
         }
-
-
-def permit_home_address(server: str, nodes: list[messages.ControlNode]) -> str:
-    """Return the control process that grants a server's permits.
-
-    Relays come first, as replicas also store the log.
-
-    :return: ``''`` without any control process.
-    """
-    relays = [node for node in nodes if not node.replica] or nodes
-    ranking = _rendezvous.rendezvous_order(
-        server, relays, lambda node: node.address
-    )
-    return ranking[0].address if ranking else ''
--- a/src/bulrushhold/decisions/_streamprediction.py
+++ b/src/bulrushhold/decisions/_streamprediction.py
@@ -45,7 +45,10 @@
         ledger: _engineroom.EngineLedger,
         queue: _streamqueue.StreamQueue,
         returns: _promisedreturns.PromisedReturns,
+        *,
+        partial: bool = False,
     ) -> None:
+        self.partial = partial
         self.ledger = ledger
         self.queue = queue
         self.returns = returns
@@ -88,7 +91,9 @@
             free_at = max(now, free_at - work / 2)
         fits = self.commitments.fits
         known = list(self.commitments.work)
-        if not fits(known, stream.start_at, work, rate, free_at):
+        if not self.partial and not fits(
+            known, stream.start_at, work, rate, free_at
+        ):
             return False
         urgent = [other for other in known if other <= priority]
         if fits(urgent, stream.start_at, work, budget, free_at):
@@ -213,7 +218,7 @@
         now: float,
     ) -> bool:
         """Return whether a stream that returns will be served."""
-        if not self.ledger.suits(stream.ask):
+        if self.partial or not self.ledger.suits(stream.ask):
             return False
         start_s = return_s + _promisedreturns.LATE_RETURN_S
         prompt_s = stream.work * self.ledger.slowness
--- a/src/bulrushhold/decisions/_streamscheduler.py
+++ b/src/bulrushhold/decisions/_streamscheduler.py
@@ -38,6 +38,8 @@
 MIN_WORK_S: t.Final = 0.001
 # Streams tried for the engines that are free.
 MAX_TRIED: t.Final = 8
+# Left for the events after the first one when a late stream is granted.
+SERVICE_TIME_S: t.Final = 5.0
 # Grants per ask, so that none takes long after a report that many engines are
 # free; `advance` grants the rest.
 MAX_GRANTS_PER_ASK: t.Final = 8
@@ -51,15 +53,20 @@
     Tickets must be unique among all entries that ask it.
 
     :param rng: decides between equally suitable engines.
+    :param partial: it has a share of the engines only. Refused callers may
+        return to another scheduler, so that no work is reserved for them. More
+        urgent streams may make others late, since too few engines are about to
+        be free for a burst of them to be served otherwise.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, *, partial: bool = False) -> None:
+        self.partial = partial
         self.ledger = _engineroom.EngineLedger(rng)
         commitments = _commitments.Commitments()
         self.returns = _promisedreturns.PromisedReturns(commitments)
         self.queue = _streamqueue.StreamQueue(commitments)
         self.predictor = _streamprediction.StreamPredictor(
-            self.ledger, self.queue, self.returns
+            self.ledger, self.queue, self.returns, partial=partial
         )
         self.rates = self.predictor.rates
         self.counters = _schedulerstate.FlowCounters()
@@ -92,14 +99,15 @@
         """Decide on a stream that has just arrived.
 
         A ticket that is known already is decided on anew, e.g. with an engine
-        excluded; its work isn't counted as requested again.
+        excluded; its work isn't counted as requested again, nor is that of a
+        stream that was queued elsewhere.
         """
         self._expire(now)
         known = ask.ticket in self.streams
         self.cancel(ask.ticket, now)
         returned = self.returns.due(ask.fingerprint, now)
         stream = self._stream(ask, now)
-        if not known and not returned:
+        if not (known or returned or ask.committed):
             self.rates.add(stream.flow, stream.work, now)
         self.streams[ask.ticket] = stream
         if not self._grant_at_once(stream, now):
@@ -222,9 +230,11 @@
         if returned or self.predictor.can_be_on_time(stream, now):
             self.predictor.count_minimum(stream, now)
             self.queue.push(stream)
-        elif stream.ask.committed or self.predictor.can_wait(stream, now):
-            # A stream that was queued isn't refused for a change of the home.
+        elif self.predictor.can_wait(stream, now):
             self.queue.push_late(stream)
+        elif stream.ask.committed:
+            # A stream that was queued isn't refused for a change of the home.
+            self._push_extended(stream, now)
         else:
             self._refuse(stream, now)
             return
@@ -247,7 +257,9 @@
         for _ in range(self.queue.waiting if limit is None else limit):
             if not self.ledger.free_within(LOOKAHEAD_S, now):
                 return
-            urgent = self.predictor.deficit(URGENT_S, now) > 0
+            urgent = (
+                not self.partial and self.predictor.deficit(URGENT_S, now) > 0
+            )
             if not self._grant_first(self.queue.candidates(urgent), now):
                 return
 
@@ -305,6 +317,9 @@
             if self.predictor.has_late_share(stream, late_work, now):
                 self.queue.remove(stream)
                 self.queue.push_late(stream)
+            elif stream.ask.committed:
+                self.queue.remove(stream)
+                self._push_extended(stream, now)
             else:
                 self._drop_from_queue(stream, now)
         while (stream := self.queue.first_late()) is not None:
@@ -312,6 +327,17 @@
                 break
             self._drop_from_queue(stream, now)
 
+    def _push_extended(
+        self, stream: _streamqueue.QueuedStream, now: float
+    ) -> None:
+        """Queue a stream to be served before its caller gives up."""
+        remaining_s = stream.give_up_at - now - SERVICE_TIME_S
+        stream.start_at = self.predictor.start_at(
+            stream.work, remaining_s, remaining_s, now
+        )
+        stream.due_at = math.inf
+        self.queue.push(stream)
+
     def _drop_from_queue(
         self, stream: _streamqueue.QueuedStream, now: float
     ) -> None:
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from bulrushhold.forwarding._events import EventSplitter
 from bulrushhold.forwarding._fleet import FleetView
 from bulrushhold.forwarding._forwarder import Forwarder
+from bulrushhold.forwarding._localscheduling import EngineShareScheduler
 from bulrushhold.forwarding._origins import ControlOrigins
 from bulrushhold.forwarding._origins import LocalOrigins
 from bulrushhold.forwarding._origins import OriginFinding
@@ -36,6 +37,7 @@
     'DirectProxyHandler',
     'Event',
     'EventSplitter',
+    'EngineShareScheduler',
     'EntryLoadMonitor',
     'FleetView',
     'Forwarder',
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -199,7 +199,7 @@
                 job,
                 'stream queued',
                 seconds=round(scheduled.queued_s, 3),
-                outcome=decision.status.value,
+                outcome=decision.status.label,
                 ticket=ticket,
                 priority=job.priority,
             )
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -171,7 +171,13 @@
         if not (self.job.route.resumable and self.tokens):
             return None
         now = self.context.clock()
-        return self.context.placement.choose_backup(
+        placement = self.context.placement
+        if self.job.priority is not None and not (
+            placement.has_current_loads(now)
+        ):
+            # Copies of all entries could fill an engine unseen.
+            return None
+        return placement.choose_backup(
             engine,
             now,
             self.tried,
--- a/src/bulrushhold/forwarding/_permitsource.py
+++ b/src/bulrushhold/forwarding/_permitsource.py
@@ -34,7 +34,7 @@
 
     async def request(self, ask: messages.PermitAsk) -> messages.PermitGrant:
         """Ask for a permit; see :meth:`ports.PermitSource.request`."""
-        home = decisions.permit_home_address(ask.server, self.nodes())
+        home = decisions.home_address(ask.server, self.nodes())
         now = time.monotonic()
         if now - self.failed_at.get(home, float('-inf')) < HOME_BACKOFF_S:
             raise errors.PeerError('unreachable', 'PermitAsk', home)
--- a/src/bulrushhold/forwarding/_places.py
+++ b/src/bulrushhold/forwarding/_places.py
@@ -98,7 +98,7 @@
         self, backend: decisions.BackendServer, max_wait_s: float
     ) -> bool:
         """Ask for a place; see :meth:`PlaceSource.take`."""
-        home = decisions.permit_home_address(backend.ident, self.nodes())
+        home = decisions.home_address(backend.ident, self.nodes())
         now = time.monotonic()
         failed_s = now - self.failed_at.get(home, float('-inf'))
         if not home or failed_s < HOME_BACKOFF_S:
@@ -140,7 +140,7 @@
         """Report what this entry holds; see :meth:`PlaceSource.release`."""
         if not self.placement.is_brittle(backend):
             return
-        home = decisions.permit_home_address(backend.ident, self.nodes())
+        home = decisions.home_address(backend.ident, self.nodes())
         if home:
             self.transport.send(home, self._report(backend))
 
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -1,6 +1,7 @@
 """Asks the scheduling home of a service to place streams."""
 
 import abc
+import asyncio
 import collections.abc as cabc
 import contextlib
 import itertools
@@ -13,6 +14,7 @@
 
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _localscheduling
 from bulrushhold import messages
 from bulrushhold import ports
 
@@ -24,8 +26,12 @@
 # After a stream wasn't granted an engine at once, this entry asks for all
 # streams of the service, so that they don't overtake those that wait.
 KEEP_ASKING_S: t.Final = 1.0
+# Interval at which a stream looks for a decision of this entry.
+LOCAL_POLL_S: t.Final = 0.05
 # A caller that gives up earlier can't be served any more.
 MIN_REMAINING_S: t.Final = 0.05
+# Keeps the prior of engines' speed positive.
+MIN_OBJECTIVE_S: t.Final = 0.1
 
 _UNKNOWN: t.Final = messages.StreamDecision(messages.SchedulingStatus.UNKNOWN)
 
@@ -85,12 +91,21 @@
     :param fallback_since: when its home became unreachable, if it is.
     :param fallback_until: when the home is asked again.
     :param probing: a stream is asking the home whether it is back.
+    :param token_s: time per prompt token at a mean engine, as its home has
+        last told; 0 if it hasn't.
     """
 
     ask_until: float = float('-inf')
     fallback_since: float | None = None
     fallback_until: float = float('-inf')
     probing: bool = False
+    token_s: float = 0.0
+
+    def in_fallback(self, now: float) -> bool:
+        """Return whether this entry decides itself."""
+        return self.fallback_since is not None and (
+            now < self.fallback_until or self.probing
+        )
 
 
 class HomeScheduling(StreamScheduling):
@@ -98,6 +113,7 @@
 
     :param entry: name of this entry.
     :param nodes: returns the control processes.
+    :param local: decides while the home can't be reached.
     """
 
     def __init__(
@@ -108,11 +124,13 @@
         metrics: ports.Metrics,
         entry: str,
         nodes: cabc.Callable[[], list[messages.ControlNode]],
+        local: _localscheduling.EngineShareScheduler,
         clock: cabc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.transport = transport
         self.placement = placement
         self.admission = admission
+        self.local = local
         self.metrics = metrics
         self.entry = entry
         self.nodes = nodes
@@ -126,10 +144,8 @@
         """Decide; see :meth:`StreamScheduling.decides_locally`."""
         now = self.clock()
         state = self.services.get(service, _Service())
-        if state.fallback_since is not None and (
-            now < state.fallback_until or state.probing
-        ):
-            return True
+        if state.in_fallback(now):
+            return not self.local.can_hold(service, memory)
         if now < state.ask_until or self._streams_wait(service):
             return False
         if not decisions.has_spare_engines(
@@ -146,9 +162,21 @@
 
     async def request(self, ask: messages.StreamAsk) -> Scheduled:
         """Ask the home; see :meth:`StreamScheduling.request`."""
-        ticket = ask.ticket or f'{self.start_id}-{next(self.numbers):x}'
-        ask = attrs.evolve(ask, entry=self.entry, ticket=ticket)
         state = self.services.setdefault(ask.service, _Service())
+        in_fallback = state.in_fallback(self.clock())
+        ticket = ask.ticket
+        if not ticket:
+            ticket = f'{self.start_id}-{next(self.numbers):x}'
+            if not in_fallback:
+                self.local.record(ask, state.token_s)
+        ask = attrs.evolve(
+            ask,
+            entry=self.entry,
+            ticket=ticket,
+            token_ns=round(1e9 * state.token_s),
+        )
+        if in_fallback:
+            return await self._decide(ask, state)
         state.probing = probes = state.fallback_since is not None
         home = self._home(ask.service)
         self.metrics.count('scheduling.asked')
@@ -156,6 +184,7 @@
         try:
             decision = await self._exchange(home, ask, REPLY_TIMEOUT_S)
             self._end_fallback(ask.service, state)
+            state.token_s = decision.token_ns / 1e9
             if decision.status is messages.SchedulingStatus.QUEUED:
                 queued_at = self.clock()
                 decision = await self._wait(home, ask, state)
@@ -216,7 +245,7 @@
             self.admission.waiting[service] -= 1
 
     def _home(self, service: str) -> str:
-        return decisions.permit_home_address(service, self.nodes())
+        return decisions.home_address(service, self.nodes())
 
     def _cancel(self, home: str, ask: messages.StreamAsk) -> None:
         if home:
@@ -236,6 +265,46 @@
 
     # Fallback while the home is unreachable
 
+    async def _decide(
+        self, ask: messages.StreamAsk, state: _Service
+    ) -> Scheduled:
+        """Wait for this entry's decision, or until the home is asked again."""
+        token_s = state.token_s or self._token_s(ask)
+        decision = self.local.ask(ask, token_s)
+        queued_at = None
+        try:
+            if decision.status is messages.SchedulingStatus.QUEUED:
+                queued_at = self.clock()
+                decision = await self._wait_locally(ask, state, token_s)
+        except BaseException:
+            self.local.cancel(ask.service, ask.ticket)
+            raise
+        self.metrics.count(f'scheduling.local_{decision.status.label}')
+        queued_s = None if queued_at is None else self.clock() - queued_at
+        return Scheduled(decision, ask.ticket, queued_s)
+
+    async def _wait_locally(
+        self, ask: messages.StreamAsk, state: _Service, token_s: float
+    ) -> messages.StreamDecision:
+        deadline = self.clock() + ask.remaining_s - MIN_REMAINING_S
+        with self._count_waiting(ask.service):
+            while self.clock() < deadline and state.in_fallback(self.clock()):
+                self.admission.record_wait(self.clock())
+                await asyncio.sleep(LOCAL_POLL_S)
+                decision = self.local.poll(ask.service, ask.ticket, token_s)
+                if decision.status is not messages.SchedulingStatus.QUEUED:
+                    return decision
+        self.local.cancel(ask.service, ask.ticket)
+        return _UNKNOWN
+
+    def _token_s(self, ask: messages.StreamAsk) -> float:
+        objective = decisions.LatencyObjective(
+            max(1, ask.tokens), max(MIN_OBJECTIVE_S, ask.objective_s), 0.0
+        )
+        return self.placement.speeds.token_s(
+            ask.service, objective, self.clock()
+        )
+
     def _start_fallback(
         self, service: str, state: _Service, home: str, reason: str
     ) -> None:
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -91,6 +91,7 @@
 from bulrushhold.messages._rollouts import RolloutStart
 from bulrushhold.messages._rollouts import RolloutState
 from bulrushhold.messages._rollouts import VersionSample
+from bulrushhold.messages._scheduling import PromisedReturn
 from bulrushhold.messages._scheduling import SchedulingStatus
 from bulrushhold.messages._scheduling import StreamAsk
 from bulrushhold.messages._scheduling import StreamCancel
@@ -175,6 +176,7 @@
     'Probe',
     'ProbeFor',
     'ProbeReply',
+    'PromisedReturn',
     'Proposal',
     'ProposalReply',
     'ProxiedAttempt',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -102,6 +102,7 @@
     _rollouts.RolloutEnd,
     _rollouts.RolloutRead,
     _rollouts.RolloutReply,
+    _scheduling.PromisedReturn,
     _scheduling.StreamAsk,
     _scheduling.StreamPoll,
     _scheduling.StreamCancel,
--- a/src/bulrushhold/messages/_scheduling.py
+++ b/src/bulrushhold/messages/_scheduling.py
@@ -5,14 +5,19 @@
 import attrs
 
 
-class SchedulingStatus(enum.StrEnum):
+class SchedulingStatus(enum.IntEnum):
     """The state of a stream at its service's scheduling home."""
 
-    GRANTED = 'granted'
-    QUEUED = 'queued'
-    REFUSED = 'refused'
+    GRANTED = 1
+    QUEUED = 2
+    REFUSED = 3
     # The home doesn't know the ticket: it has restarted or dropped it.
-    UNKNOWN = 'unknown'
+    UNKNOWN = 4
+
+    @property
+    def label(self) -> str:
+        """The name in logs and metrics."""
+        return self.name.lower()
 
 
 @attrs.frozen
@@ -30,6 +35,8 @@
     :param excluded: idents of engines that the entry doesn't want.
     :param committed: an earlier home, which is no longer available, has queued
         the stream.
+    :param token_ns: time per prompt token at a mean engine as an earlier home
+        has measured it; 0 if none has. A new home has measured nothing yet.
     """
 
     service: str
@@ -45,6 +52,7 @@
     version: str | None = None
     excluded: list[str] = attrs.field(factory=list)
     committed: bool = False
+    token_ns: int = 0
 
 
 @attrs.frozen
@@ -75,8 +83,27 @@
 
     :param engine: ident of the granted engine.
     :param retry_after_s: delay after which a refused caller should retry.
+    :param token_ns: time per prompt token at a mean engine, for the time when
+        the home can't be reached; 0 if it isn't known.
     """
 
     status: SchedulingStatus
     engine: str = ''
     retry_after_s: float = 0.0
+    token_ns: int = 0
+
+
+@attrs.frozen
+class PromisedReturn:
+    """Tells the next home of a service when a refused caller will return.
+
+    :param work_s: time that a mean engine needs to read the prompt.
+    :param return_s: time until the caller returns.
+    """
+
+    service: str
+    fingerprint: str
+    priority: int
+    account: str
+    work_s: float
+    return_s: float
--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -16,6 +16,7 @@
 from tests.forwarding import fakes
 
 NODES = [messages.ControlNode('10.0.2.1:70', 'dc0', False)]
+OWN = messages.ListedEntry('e1', 'dc0', '10.0.1.1:80', True)
 QUEUED = messages.StreamDecision(messages.SchedulingStatus.QUEUED)
 UNKNOWN = messages.StreamDecision(messages.SchedulingStatus.UNKNOWN)
 REFUSED = messages.StreamDecision(
@@ -81,6 +82,11 @@
 def ordered(context, home, now):
     """A context whose engines are busy, so that the home is asked."""
     metrics = FakeMetrics()
+    started_at = time.monotonic()
+
+    def clock():
+        return now[0] + time.monotonic() - started_at
+
     scheduling = forwarding.HomeScheduling(
         home,
         context.placement,
@@ -88,7 +94,10 @@
         metrics,
         'e1',
         lambda: NODES,
-        lambda: now[0],
+        forwarding.EngineShareScheduler(
+            context.placement, lambda: OWN, list, clock
+        ),
+        clock,
     )
     set_reading(context, 8000)
     return attrs.evolve(context, scheduling=scheduling, metrics=metrics)
--- /dev/null
+++ b/tests/test_engineshares.py
@@ -0,0 +1,201 @@
+"""Entries that schedule streams on their share of the engines."""
+
+import collections
+import random
+
+import pytest
+
+from bulrushhold import decisions
+from bulrushhold import forwarding
+from bulrushhold import messages
+
+MEMORY = 88_000
+PROMPT = 8000
+STREAM_MEMORY = PROMPT + 200
+TOKEN_S = 1 / 8000
+Status = messages.SchedulingStatus
+
+
+def make_entries(count, weights=()):
+    return [
+        messages.ListedEntry(
+            f'e{n:03}',
+            'dc',
+            f'10.0.1.{n}:80',
+            True,
+            weight=weights[n % len(weights)] if weights else 1.0,
+        )
+        for n in range(count)
+    ]
+
+
+def make_engines(count):
+    return [f'i{n:03}' for n in range(count)]
+
+
+def make_placement(engines):
+    placement = decisions.Placement(random.Random(1), 'dc')
+    placement.update(
+        [
+            messages.ListedBackend(ident, 's', f'{ident}:80', 'dc', 16)
+            for ident in engines
+        ]
+    )
+    placement.capacity['s'] = MEMORY
+    return placement
+
+
+@pytest.mark.parametrize(
+    ('entry_count', 'engine_count'),
+    [(6, 8), (9, 1), (84, 90), (390, 600), (300, 7), (1, 5)],
+)
+def test_shares_of_all_entries_add_up_to_each_engine(
+    entry_count, engine_count
+):
+    # Guards against an engine that two entries use in full.
+    entries = make_entries(entry_count)
+    engines = make_engines(engine_count)
+    totals = collections.Counter()
+    for entry in entries:
+        totals.update(decisions.engine_shares(entry, entries, engines))
+    assert set(totals) == set(engines)
+    assert list(totals.values()) == pytest.approx([1.0] * engine_count)
+
+
+def test_entries_of_larger_instances_own_more():
+    # Guards against callers of large entries that find no engine.
+    entries = make_entries(4, [1.0, 3.0])
+    totals = [
+        sum(decisions.engine_shares(e, entries, make_engines(16)).values())
+        for e in entries
+    ]
+    assert totals == pytest.approx([2.0, 6.0, 2.0, 6.0])
+
+
+def test_an_entry_that_isnt_listed_yet_owns_a_share():
+    own, *others = make_entries(3)
+    shares = decisions.engine_shares(own, others, make_engines(3))
+    assert shares == pytest.approx({'i000': 1.0})
+
+
+@pytest.mark.parametrize('entry_count', [3, 6, 9])
+def test_no_engine_gets_more_than_its_memory_without_control(entry_count):
+    # Guards against entries that fill the same engines without knowing it.
+    engines, entries = make_engines(8), make_entries(entry_count)
+    held = collections.Counter()
+    for entry in entries:
+        held.update(memory_granted(entry, entries, engines))
+    assert max(held.values()) <= MEMORY
+    assert sum(held.values()) > 0.6 * MEMORY * len(engines)
+
+
+def memory_granted(own, entries, engines):
+    """Return the memory that an entry uses of each engine if none ends."""
+    now = [100.0]
+    placement = make_placement(engines)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: own, lambda: entries, lambda: now[0]
+    )
+    queued = []
+    for number in range(200):
+        now[0] += 0.2
+        local.ask(make_ask(number), TOKEN_S)
+        queued.append(f't{number}')
+        for ticket in list(queued):
+            decision = local.poll('s', ticket, TOKEN_S)
+            if decision.status is Status.QUEUED:
+                continue
+            queued.remove(ticket)
+            if decision.engine:
+                engine = placement.backends[decision.engine]
+                engine.memory += STREAM_MEMORY
+    return {e.ident: e.memory for e in placement.backends.values()}
+
+
+def make_ask(number, **fields):
+    fields = {'objective_s': 5.0, 'remaining_s': 25.0, **fields}
+    return messages.StreamAsk(
+        's',
+        'e',
+        f't{number}',
+        f'f{number}',
+        1,
+        f'account-{number % 5}',
+        PROMPT,
+        STREAM_MEMORY,
+        **fields,
+    )
+
+
+@pytest.fixture
+def placement():
+    return make_placement(make_engines(8))
+
+
+def rooms(placement, now, entry_count=6):
+    own, *others = make_entries(entry_count)
+    shares = decisions.engine_shares(own, others, placement.backends)
+    return {
+        room.ident: room
+        for room in decisions.owned_rooms(placement, 's', shares, now)
+    }
+
+
+def report(placement, now, **loads):
+    placement.apply_loads(messages.LoadSummary(1, loads, []), now)
+
+
+def test_streams_of_others_count_only_beyond_their_share(placement):
+    # Guards against a memory limit that is met by each entry alone.
+    within = messages.EngineLoad(0, 5, round(0.5 * MEMORY))
+    beyond = messages.EngineLoad(0, 12, round(0.8 * MEMORY))
+    report(placement, 0.0, i000=within, i001=beyond)
+    owned = rooms(placement, 0.1)
+    assert owned['i000'].memory == round(0.5 * MEMORY)
+    shared = owned['i001']
+    assert shared.share == pytest.approx(1 / 3)
+    others = 2 / 3 * 0.85 * MEMORY
+    assert shared.memory == pytest.approx(0.8 * MEMORY - others, abs=1)
+    assert shared.memory_limit == int(MEMORY / 3)
+    assert shared.slots == 5
+
+
+def test_outdated_reports_count_until_the_streams_have_ended(placement):
+    # Guards against an engine that seems full for the whole outage.
+    report(placement, 0.0, i000=messages.EngineLoad(0, 8, 70_000))
+    memory = [rooms(placement, now)['i000'].memory for now in (0.1, 3.0, 9.0)]
+    assert memory[0] == 70_000
+    assert 0 < memory[1] < 70_000
+    assert memory[2] == 0
+
+
+def test_lost_and_leaving_engines_arent_used(placement):
+    placement.record_failure('i000', 1.0, unreachable=True)
+    assert set(rooms(placement, 1.1)) == {'i001'}
+    placement.backends['i001'].leaving = True
+    assert not rooms(placement, 1.1)
+
+
+def test_a_stream_that_a_home_had_queued_isnt_refused(placement):
+    # Guards against a refusal seconds after the arrival.
+    entries = make_entries(6)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: 1.0
+    )
+    statuses = collections.Counter(
+        local.ask(make_ask(n, objective_s=0.5), TOKEN_S).status
+        for n in range(20)
+    )
+    assert statuses[Status.REFUSED] > 0
+    late = make_ask(30, objective_s=-1.0, remaining_s=15.0, committed=True)
+    assert local.ask(late, TOKEN_S).status is Status.QUEUED
+
+
+def test_an_entry_with_a_tiny_share_doesnt_decide_by_it(placement):
+    # Guards against a service with few engines that refuses all streams.
+    entries = make_entries(300)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: 1.0
+    )
+    assert not local.can_hold('s', STREAM_MEMORY)
+    assert local.can_hold('s', 1000)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -139,8 +139,8 @@
     nodes = [
         messages.ControlNode(f'10.0.0.{n}:70', 'dc', n < 3) for n in range(6)
     ]
-    homes = {decisions.permit_home_address(f's{n}', nodes) for n in range(100)}
+    homes = {decisions.home_address(f's{n}', nodes) for n in range(100)}
     assert homes == {node.address for node in nodes[3:]}
-    only_replicas = decisions.permit_home_address('s1', nodes[:3])
+    only_replicas = decisions.home_address('s1', nodes[:3])
     assert only_replicas in {node.address for node in nodes[:3]}
-    assert decisions.permit_home_address('s1', []) == ''
+    assert decisions.home_address('s1', []) == ''
--- a/tests/test_scheduling_home.py
+++ b/tests/test_scheduling_home.py
@@ -14,6 +14,8 @@
 from bulrushhold import node
 from bulrushhold import routes
 
+ADDRESS = '10.0.2.1:70'
+OTHER = '10.0.2.2:70'
 PROMPT = 8000
 BUSY = messages.EngineLoad(20 * PROMPT, 4, 4 * PROMPT)
 # A prompt takes a second.
@@ -24,6 +26,10 @@
 class Transport:
     def __init__(self):
         self.handlers = {}
+        self.sent = []
+
+    def send(self, address, message):
+        self.sent.append((address, message))
 
     def handle(self, kind, handler):
         self.handlers[kind] = handler
@@ -53,7 +59,11 @@
 
     def restart(self):
         self.server = _scheduling.SchedulingServer(
-            self.transport, self.view, self.loads, lambda: self.now
+            self.transport,
+            ADDRESS,
+            self.view,
+            self.loads,
+            lambda: self.now,
         )
 
     def report(self, *engine_loads, lost=()):
@@ -115,6 +125,49 @@
     assert (await home.ask('t2')).status is Status.QUEUED
 
 
+async def test_a_promised_return_is_served_by_the_next_home(home):
+    # Guards against a Retry-After that is forgotten with the home.
+    home.view.nodes = [
+        messages.ControlNode(address, 'dc', False)
+        for address in (ADDRESS, OTHER)
+    ]
+    number = 0
+    while not home.transport.sent:
+        number += 1
+        refused = await home.ask(f't{number}', objective_s=2.0)
+    [(address, promised)] = home.transport.sent
+    assert refused.status is Status.REFUSED
+    assert address == OTHER
+    assert promised.return_s == pytest.approx(refused.retry_after_s, abs=0.01)
+    home.restart()
+    await home.transport.request(promised)
+    home.report(messages.EngineLoad(PROMPT, 1), messages.EngineLoad(PROMPT, 1))
+    home.now += promised.return_s
+    scheduler = home.server.services['s'].scheduler
+    assert scheduler.returns.due(promised.fingerprint, home.now)
+
+
+async def test_a_promise_reaches_a_home_that_is_new_or_restarted(home):
+    # Guards against a promise that only a process keeps which isn't the home.
+    home.view.nodes = [messages.ControlNode(OTHER, 'dc', False)]
+    promised = messages.PromisedReturn('s', 'f', 1, 'acct', 1.0, 5.0)
+    await home.transport.request(promised)
+    for _ in range(3):
+        home.advance(1.0)
+    sent = [(a, m.return_s) for a, m in home.transport.sent]
+    assert sent == [(OTHER, 4.0), (OTHER, 3.0), (OTHER, 2.0)]
+    home.advance(5.0)
+    assert len(home.transport.sent) == 3
+    assert not home.server.promises.copies
+
+
+async def test_a_new_home_takes_over_the_measured_speed(home):
+    # Guards against refusals by a home that assumes slow engines.
+    decision = await home.ask(token_ns=125_000)
+    assert decision.token_ns == 125_000
+    assert home.server.services['s'].token_s == pytest.approx(125e-6)
+
+
 async def test_equal_tickets_of_two_entries_are_two_streams(home):
     home.report(BUSY, messages.EngineLoad(0, 0))
     assert (await home.ask(entry='e1')).status is Status.GRANTED
@@ -238,6 +291,12 @@
         metrics,
         'e-a',
         lambda: entry.servers.nodes,
+        forwarding.EngineShareScheduler(
+            entry.placement,
+            lambda: entry.own_entry,
+            lambda: entry.entries,
+            time.monotonic,
+        ),
     )
 
 
@@ -254,14 +313,20 @@
     await fleet.cluster.wait_until(lambda: len(entry.servers.nodes) == 5)
     scheduling = make_scheduling(fleet, node.NullMetrics())
     assert await request(scheduling) is Status.GRANTED
-    home = decisions.permit_home_address('engines', entry.servers.nodes)
+    home = decisions.home_address('engines', entry.servers.nodes)
     [name] = [n for n, a in fleet.relays.items() if a == home]
     await fleet.stop(f'relay-{name}')
     started_at = time.monotonic()
     assert await request(scheduling) is Status.UNKNOWN
     assert time.monotonic() - started_at < 0.4
-    assert scheduling.decides_locally('engines', PROMPT)
+    state = scheduling.services['engines']
+    assert state.in_fallback(time.monotonic())
+    # This entry's own decision.
+    assert await request(scheduling) is Status.GRANTED
+    assert state.fallback_since is not None
     await fleet.cluster.wait_until(
         lambda: home not in [n.address for n in entry.servers.nodes]
+        and not state.in_fallback(time.monotonic())
     )
     assert await request(scheduling) is Status.GRANTED
+    assert state.fallback_since is None
