Read rate: a pause of updates keeps the measurement

Cause: after a pause a home measured anew, with a prior that counted for an eighth of a second of eight engines.

Change: an estimate outlasts pauses; a new home begins with the speed that entries were told by the last one, with the weight of three busy seconds; only reporters that are gone hold it.

--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -58,8 +58,8 @@
     """The scheduling of one service.
 
     :param objective: of a recent stream, as the prior of engines' speed.
-    :param reported_s: time per prompt token that an earlier home has measured,
-        the better prior; 0 if it isn't known.
+    :param reported_s: time per prompt token that another home has measured;
+        0 if it isn't known.
     :param engines: number of engines that can be used.
     :param token_s: time that a mean engine needs for a prompt token.
     :param queued: by ticket.
@@ -87,9 +87,8 @@
 
     @property
     def known_token_ns(self) -> int:
-        """Time per prompt token as measured here or reported; 0 if unknown."""
-        known = self.read_rate.is_known
-        return round(1e9 * (self.token_s if known else self.reported_s))
+        """Time per prompt token if it has been measured, or else 0."""
+        return round(1e9 * self.token_s) if self.read_rate.is_known else 0
 
     def record_served(self, priority: int, now: float) -> None:
         """Record a grant."""
@@ -200,9 +199,10 @@
         service.read_rate.update(
             rooms, self.rooms.prompt_tokens(name), now, self.rooms.reporters()
         )
+        if service.reported_s and not service.read_rate.is_known:
+            service.read_rate.assume(service.reported_s)
         service.token_s = service.read_rate.token_s(
-            service.reported_s
-            or self.rooms.token_s(name, service.objective, now)
+            self.rooms.token_s(name, service.objective, now)
         )
         service.scheduler.update(rooms, service.token_s, now)
 
@@ -276,8 +276,7 @@
             self.services[ask.service] = service
         elif ask.objective_s > 0:
             service.objective = _objective(ask)
-        if ask.token_ns and not service.read_rate.is_known:
-            service.reported_s = ask.token_ns / 1e9
+        service.reported_s = ask.token_ns / 1e9
         service.asked_at = now
         self.asked.set()
         return service
--- a/src/bulrushhold/decisions/_readrate.py
+++ b/src/bulrushhold/decisions/_readrate.py
@@ -7,15 +7,19 @@
 from bulrushhold.decisions import _engineroom
 from bulrushhold.decisions import _enginespeeds
 
-# Sums from before a pause of updates say nothing of the time after it.
+# Sums from before a longer pause of updates aren't compared with later ones.
 MAX_UPDATE_GAP_S: t.Final = 1.0
 # Weight of the estimate that is used until enough prompts have been read.
 PRIOR_WEIGHT_S: t.Final = 1.0
+# Weight of an estimate that another process has measured, and time for which
+# it has to be measured here to count as known, while all engines are busy.
+REPORTED_WEIGHT_S: t.Final = 3.0
+KNOWN_S: t.Final = 2.0
 # If the sum changes by a larger share between two updates, and by more than
 # was left to read, reporters are new, with all they have counted, or gone.
 MAX_CHANGE_SHARE: t.Final = 0.125
-# After a change of the reporters, the sum isn't used for this time, in which
-# entries of a lost process report to another one.
+# The sum isn't used for this time after reporters are gone, in which entries
+# of a lost process report to another one.
 HOLD_S: t.Final = 2.0
 
 
@@ -27,22 +31,28 @@
     """
 
     def __init__(self) -> None:
-        self.updated_at = self.held_until = -math.inf
+        self.updated_at = self.started_at = -math.inf
+        self.held_until = -math.inf
         self.reporters: cabc.Set[str] = frozenset()
-        self._restart(0.0, 0.0)
-
-    def _restart(self, tokens: float, now: float) -> None:
-        self.started_at = now
-        self.tokens_before = tokens
+        self.tokens_before = 0.0
         self.tokens = 0.0
         self.busy_s = 0.0
         self.busy_speed = 0.0
+        self.speed = 0.0
         self.unread = 0
 
     @property
     def is_known(self) -> bool:
-        """Whether more has been measured than was assumed."""
-        return self.busy_s > PRIOR_WEIGHT_S
+        """Whether it has been measured for long enough to be relied on."""
+        return self.busy_s > KNOWN_S * self.speed > 0
+
+    def assume(self, token_s: float) -> None:
+        """Start with what another process has measured.
+
+        :param token_s: seconds per token.
+        """
+        self.busy_s = REPORTED_WEIGHT_S * self.speed
+        self.tokens = self.busy_s / token_s
 
     def update(
         self,
@@ -58,9 +68,9 @@
         :param reporters: entries and processes whose reports it adds up.
         """
         elapsed_s = now - self.updated_at
-        if elapsed_s > MAX_UPDATE_GAP_S:
-            self._restart(tokens, now)
-        elif self._may_count(tokens, reporters, now):
+        if elapsed_s <= MAX_UPDATE_GAP_S and self._may_count(
+            tokens, reporters, now
+        ):
             self.busy_s *= _decay(elapsed_s)
             self.busy_s += self.busy_speed * elapsed_s
             self.tokens = max(0.0, self._read(tokens, now))
@@ -68,7 +78,9 @@
             self.started_at = now
             self.tokens_before = tokens - self.tokens
         self.reporters = reporters
+        engines = list(engines)
         busy = [engine for engine in engines if engine.reading > 0]
+        self.speed = sum(1 / engine.slowness for engine in engines)
         self.busy_speed = sum(1 / engine.slowness for engine in busy)
         self.unread = sum(engine.reading for engine in busy)
         self.updated_at = now
@@ -85,12 +97,13 @@
         change = read - self.tokens * _decay(now - self.updated_at)
         most = MAX_CHANGE_SHARE * tokens
         if (
-            reporters != self.reporters
+            self.reporters - reporters
             or change > max(most, self.unread)
             or -change > most
         ):
             self.held_until = now + HOLD_S
-        return now >= self.held_until
+        has_new = bool(reporters - self.reporters) and change > most
+        return now >= self.held_until and not has_new
 
     def token_s(self, prior_s: float) -> float:
         """Return the seconds that an engine of mean speed needs for a token.
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -184,7 +184,7 @@
         try:
             decision = await self._exchange(home, ask, REPLY_TIMEOUT_S)
             self._end_fallback(ask.service, state)
-            state.token_s = decision.token_ns / 1e9
+            state.token_s = decision.token_ns / 1e9 or state.token_s
             if decision.status is messages.SchedulingStatus.QUEUED:
                 queued_at = self.clock()
                 decision = await self._wait(home, ask, state)
