Compress the list of backend servers in watch replies

Each reply to an entry or control process encoded the full list anew, about 112 bytes for each server.

The list is now compressed and encoded once per version, as the route map is, and all replies share the result. A reply that can't be decoded counts as no reply of the leader.

--- /dev/null
+++ b/bench/watchreplies.py
@@ -0,0 +1,102 @@
+"""Sizes of watch replies after changes of a large deployment.
+
+    python -m bench.watchreplies
+
+Prints the bytes and the CPU time of the replies to one entry, for a list of
+3,000 backend servers and for one of 386 entries.
+"""
+
+import random
+import time
+import typing as t
+
+import attrs
+
+from bulrushhold.control import _clusterview
+from bulrushhold import messages
+
+SERVERS: t.Final = 3_000
+SERVICES: t.Final = 40
+ENTRIES: t.Final = 386
+REPLICAS: t.Final = 5
+
+
+def make_servers(rng: random.Random) -> list[messages.ListedBackend]:
+    """Return servers sorted by their random identifiers."""
+    servers = [
+        messages.ListedBackend(
+            f'i-{rng.getrandbits(64):016x}',
+            f'service-{number % SERVICES}',
+            f'10.{number % 3}.{number // 250}.{number % 250}:8080',
+            f'dc-{number % 3}',
+            64,
+            version=f'v{number % 2}',
+        )
+        for number in range(SERVERS)
+    ]
+    return sorted(servers, key=lambda server: server.ident)
+
+
+def make_entries() -> list[messages.ListedEntry]:
+    """Return entries as they run on instances of different capacity."""
+    return [
+        messages.ListedEntry(
+            f'entry-{number:03}',
+            f'dc-{number % 3}',
+            f'10.9.{number // 250}.{number % 250}:8080',
+            True,
+            f'10.9.{number // 250}.{number % 250}:7001',
+            weight=round(1.0 + number % 7 / 10, 2),
+        )
+        for number in range(ENTRIES)
+    ]
+
+
+def make_view() -> _clusterview.ClusterView:
+    """Return a view with voters, servers and entries."""
+    view = _clusterview.ClusterView(time.monotonic)
+    view.voter_addresses = [f'10.9.0.{n}:7000' for n in range(REPLICAS)]
+    view.backends_read_at = time.monotonic()
+    view.backends = make_servers(random.Random(1))
+    view.backends_version = '1.1'
+    view.entries = make_entries()
+    view.entries_version = '1.1'
+    return view
+
+
+def measure(
+    name: str, view: _clusterview.ClusterView, known: messages.Known
+) -> None:
+    """Print the size of a reply, and the time to encode the first two."""
+    times = []
+    for _ in range(2):
+        started_at = time.perf_counter()
+        size = len(messages.encode(view.reply(known)))
+        times.append((time.perf_counter() - started_at) * 1000)
+    print(f'{name:32} {size:9,} B {times[0]:7.2f} ms {times[1]:7.2f} ms')
+
+
+def main() -> None:
+    """Print the size of each reply and its time for two entries."""
+    view = make_view()
+    print(f'{"reply":34} {"size":>9} {"1st entry":>10} {"2nd entry":>10}')
+    measure('first, all parts', view, messages.Known())
+    known = view.versions()
+    measure('nothing changed', view, known)
+    assert view.backends is not None
+    servers = list(view.backends)
+    servers[7] = attrs.evolve(servers[7], leaving=True)
+    view.backends = servers
+    view.backends_version = '1.2'
+    measure('one server leaves', view, known)
+    known = view.versions()
+    view.entries = [
+        attrs.evolve(view.entries[0], load_factor=0.9),
+        *view.entries[1:],
+    ]
+    view.entries_version = '1.2'
+    measure('one entry changes', view, known)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/bulrushhold/control/_clusterview.py
+++ b/src/bulrushhold/control/_clusterview.py
@@ -28,6 +28,7 @@
         self.map_version = 0
         self.backends: list[messages.ListedBackend] | None = None
         self.backends_version = ''
+        self.packed_backends: tuple[str, bytes] = ('', b'')
         self.backends_read_at = 0.0
         self.entries: list[messages.ListedEntry] = []
         self.entries_version = ''
@@ -86,7 +87,7 @@
             route_map=self.route_map if newer_map else None,
             map_version=self.map_version,
             backends_version=self.backends_version,
-            backends=self.backends if newer_backends else None,
+            backends=self._pack_backends() if newer_backends else None,
             backends_age_s=round(self.clock() - self.backends_read_at, 3),
             entries_version=self.entries_version,
             entries=self.entries if newer_entries else None,
@@ -98,6 +99,14 @@
             versions=self.service_versions if newer_versions else None,
         )
 
+    def _pack_backends(self) -> bytes:
+        """Return the encoded list, which all replies of a version share."""
+        version, packed = self.packed_backends
+        if version != self.backends_version:
+            packed = messages.pack_backends(self.backends or [])
+            self.packed_backends = self.backends_version, packed
+        return packed
+
     def versions(self) -> messages.Known:
         """Return the version of each part."""
         return messages.Known(
@@ -121,7 +130,8 @@
                 self.map_version = reply.map_version
         version = reply.backends_version
         if messages.is_newer(version, self.backends_version):
-            self.backends = reply.backends
+            assert reply.backends is not None
+            self.backends = messages.unpack_backends(reply.backends)
             self.backends_version = version
         if version and version == self.backends_version:
             self.backends_read_at = self.clock() - reply.backends_age_s
--- a/src/bulrushhold/control/_viewfollower.py
+++ b/src/bulrushhold/control/_viewfollower.py
@@ -80,13 +80,13 @@
                 self._watch_request(LONG_POLL_S),
                 LONG_POLL_S + REPLY_MARGIN_S,
             )
+            if reply.status != 'done':
+                return False
+            self.view.update(reply)
         except errors.PeerError as error:
             loguru.logger.bind(peer=leader, error=str(error)).warning(
                 'leader unreachable'
             )
             return False
-        if reply.status != 'done':
-            return False
         self.last_reply_at = self.clock()
-        self.view.update(reply)
         return True
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -233,8 +233,9 @@
             if self.backends_version
             else read_at > self.backends_read_at
         ):
+            backends = messages.unpack_backends(reply.backends)
             self.backends_version = version
-            self._apply_backends(reply.backends)
+            self._apply_backends(backends)
         if version and version == self.backends_version:
             self.backends_read_at = max(self.backends_read_at, read_at)
             self.placement.known_versions.listed_at = self.backends_read_at
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -4,7 +4,9 @@
 from bulrushhold.messages._codec import encode
 from bulrushhold.messages._codec import Failure
 from bulrushhold.messages._codec import Message
+from bulrushhold.messages._codec import pack_backends
 from bulrushhold.messages._codec import pack_map
+from bulrushhold.messages._codec import unpack_backends
 from bulrushhold.messages._codec import unpack_map
 from bulrushhold.messages._codec import unpack_services
 from bulrushhold.messages._entries import CopyAck
@@ -233,7 +235,9 @@
     'decode',
     'encode',
     'is_newer',
+    'pack_backends',
     'pack_map',
+    'unpack_backends',
     'unpack_map',
     'unpack_services',
 ]
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -150,11 +150,12 @@
 
 _MAP_DECODER = msgspec.msgpack.Decoder(routes.RouteMap)
 _SERVICES_DECODER = msgspec.msgpack.Decoder(_MapServices)
+_BACKENDS_DECODER = msgspec.msgpack.Decoder(list[_fleet.ListedBackend])
 
 
 def pack_map(route_map: routes.RouteMap) -> bytes:
     """Encode and compress a route map, as links to entries may be slow."""
-    return zlib.compress(_ENCODER.encode(route_map), 3)
+    return _pack(route_map)
 
 
 def unpack_map(data: bytes) -> routes.RouteMap:
@@ -162,7 +163,7 @@
 
     :raises PeerError: if it is malformed.
     """
-    return t.cast(routes.RouteMap, _unpack(data, _MAP_DECODER))
+    return t.cast(routes.RouteMap, _unpack(data, _MAP_DECODER, 'route map'))
 
 
 def unpack_services(data: bytes) -> list[routes.Service]:
@@ -170,13 +171,36 @@
 
     :raises PeerError: if the map is malformed.
     """
-    return t.cast(_MapServices, _unpack(data, _SERVICES_DECODER)).services
+    described = _unpack(data, _SERVICES_DECODER, 'route map')
+    return t.cast(_MapServices, described).services
 
 
-def _unpack(data: bytes, decoder: 'msgspec.msgpack.Decoder[t.Any]') -> t.Any:
+def pack_backends(backends: list[_fleet.ListedBackend]) -> bytes:
+    """Encode and compress a list of backend servers, keeping its order."""
+    return _pack(backends)
+
+
+def unpack_backends(data: bytes) -> list[_fleet.ListedBackend]:
+    """Decompress and decode a list of backend servers.
+
+    :raises PeerError: if it is malformed.
+    """
+    return t.cast(
+        list[_fleet.ListedBackend],
+        _unpack(data, _BACKENDS_DECODER, 'backend list'),
+    )
+
+
+def _pack(value: t.Any) -> bytes:
+    return zlib.compress(_ENCODER.encode(value), 3)
+
+
+def _unpack(
+    data: bytes, decoder: 'msgspec.msgpack.Decoder[t.Any]', name: str
+) -> t.Any:
     try:
         return decoder.decode(zlib.decompress(data))
     except (msgspec.DecodeError, zlib.error) as error:
         raise errors.PeerError(
-            f'malformed route map: {error}', 'decode'
+            f'malformed {name}: {error}', 'decode'
         ) from error
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -400,6 +400,7 @@
     :param core: addresses of the voting replicas.
     :param route_map: the map as encoded by :func:`pack_map`.
     :param map_version: version of the sender's route map.
+    :param backends: the list as encoded by :func:`pack_backends`.
     :param backends_age_s: time since the platform's list was read.
     :param versions: versions of engines that may have begun running streams,
         by service.
@@ -411,7 +412,7 @@
     route_map: bytes | None = None
     map_version: int = 0
     backends_version: str = ''
-    backends: list[ListedBackend] | None = None
+    backends: bytes | None = None
     backends_age_s: float = 0.0
     entries_version: str = ''
     entries: list[ListedEntry] | None = None
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -321,7 +321,7 @@
     fleet.leader.source.failing = True
     await fleet.leader._read_list()
     reply = await fleet.watch._on_watch(watch(hold_s=0.0))
-    assert reply.backends == [backend]
+    assert messages.unpack_backends(reply.backends) == [backend]
 
 
 def test_registry_expires_entries_and_a_new_leader_waits():
