Send entries what has changed in the list of backend servers

Each change of one server sent the full list to each entry and each control process.

Polls now name the list that the poller has by a digest of its contents. It sends the full list if it doesn't know the digest or if the splices aren't smaller. An update that belongs to another list, or whose result has another digest than the sender's list, isn't applied; the next poll requests the full list.

Versions didn't identify a list: a leader whose term ended while it read the platform's list gave it a version of the next term, and a new log starts its terms again. The former read is now dropped. A list with the same version but another digest replaces the one that the poller has.

--- a/bench/watchreplies.py
+++ b/bench/watchreplies.py
@@ -13,6 +13,7 @@
 import attrs
 
 from bulrushhold.control import _clusterview
+from bulrushhold import decisions
 from bulrushhold import messages
 
 SERVERS: t.Final = 3_000
@@ -57,8 +58,8 @@
     view = _clusterview.ClusterView(time.monotonic)
     view.voter_addresses = [f'10.9.0.{n}:7000' for n in range(REPLICAS)]
     view.backends_read_at = time.monotonic()
-    view.backends = make_servers(random.Random(1))
-    view.backends_version = '1.1'
+    servers = make_servers(random.Random(1))
+    view.set_backends(decisions.BackendList.of(servers), '1.1')
     view.entries = make_entries()
     view.entries_version = '1.1'
     return view
@@ -86,10 +87,16 @@
     assert view.backends is not None
     servers = list(view.backends)
     servers[7] = attrs.evolve(servers[7], leaving=True)
-    view.backends = servers
-    view.backends_version = '1.2'
+    view.set_backends(decisions.BackendList.of(servers), '1.2')
     measure('one server leaves', view, known)
     known = view.versions()
+    random.Random(2).shuffle(servers)
+    for index in range(10):
+        servers[index] = attrs.evolve(servers[index], leaving=True)
+    servers.sort(key=lambda server: server.ident)
+    view.set_backends(decisions.BackendList.of(servers), '1.3')
+    measure('ten servers leave', view, known)
+    known = view.versions()
     view.entries = [
         attrs.evolve(view.entries[0], load_factor=0.9),
         *view.entries[1:],
--- a/src/bulrushhold/control/_clusterview.py
+++ b/src/bulrushhold/control/_clusterview.py
@@ -7,6 +7,8 @@
 
 import xxhash
 
+from bulrushhold.control import _listhistory
+from bulrushhold import decisions
 from bulrushhold import messages
 
 MAX_LONG_POLL_S: t.Final = 1.0
@@ -28,7 +30,8 @@
         self.map_version = 0
         self.backends: list[messages.ListedBackend] | None = None
         self.backends_version = ''
-        self.packed_backends: tuple[str, bytes] = ('', b'')
+        self.backends_digest = b''
+        self.history = _listhistory.ListHistory()
         self.backends_read_at = 0.0
         self.entries: list[messages.ListedEntry] = []
         self.entries_version = ''
@@ -63,17 +66,27 @@
         """Whether any part is newer than ``versions``."""
         return (
             self.map_version > versions.route_map
-            or self.backends_version not in ('', versions.backends)
+            or self._has_other_backends(versions)
             or self.entries_version not in ('', versions.entries)
             or self.nodes_version not in ('', versions.nodes)
             or self.rollouts_version not in ('', versions.rollouts)
             or self.service_versions_version not in ('', versions.versions)
         )
 
+    def _has_other_backends(self, versions: messages.Known) -> bool:
+        """Whether the list of backend servers differs from a known one.
+
+        A new log may give the same version to another list.
+        """
+        if versions.backends != self.backends_version:
+            return bool(self.backends_version)
+        digests = b'', self.history.current.digest
+        return versions.backends_digest not in digests
+
     def reply(self, versions: messages.Known) -> messages.WatchReply:
         """Return the parts that are newer than ``versions``."""
         newer_map = self.map_version > versions.route_map
-        newer_backends = self.backends_version not in ('', versions.backends)
+        other_backends = self._has_other_backends(versions)
         newer_entries = self.entries_version not in ('', versions.entries)
         newer_nodes = self.nodes_version not in ('', versions.nodes)
         newer_rollouts = self.rollouts_version not in ('', versions.rollouts)
@@ -87,7 +100,11 @@
             route_map=self.route_map if newer_map else None,
             map_version=self.map_version,
             backends_version=self.backends_version,
-            backends=self._pack_backends() if newer_backends else None,
+            backends=(
+                self.history.update_from(versions.backends_digest)
+                if other_backends
+                else None
+            ),
             backends_age_s=round(self.clock() - self.backends_read_at, 3),
             entries_version=self.entries_version,
             entries=self.entries if newer_entries else None,
@@ -99,14 +116,6 @@
             versions=self.service_versions if newer_versions else None,
         )
 
-    def _pack_backends(self) -> bytes:
-        """Return the encoded list, which all replies of a version share."""
-        version, packed = self.packed_backends
-        if version != self.backends_version:
-            packed = messages.pack_backends(self.backends or [])
-            self.packed_backends = self.backends_version, packed
-        return packed
-
     def versions(self) -> messages.Known:
         """Return the version of each part."""
         return messages.Known(
@@ -116,6 +125,7 @@
             self.nodes_version,
             self.rollouts_version,
             self.service_versions_version,
+            self.backends_digest,
         )
 
     def update(self, reply: messages.WatchReply) -> None:
@@ -129,10 +139,10 @@
                 self.route_map = reply.route_map
                 self.map_version = reply.map_version
         version = reply.backends_version
-        if messages.is_newer(version, self.backends_version):
-            assert reply.backends is not None
-            self.backends = messages.unpack_backends(reply.backends)
-            self.backends_version = version
+        if reply.backends is not None and not messages.is_newer(
+            self.backends_version, version
+        ):
+            self._update_backends(reply.backends, version)
         if version and version == self.backends_version:
             self.backends_read_at = self.clock() - reply.backends_age_s
         if messages.is_newer(reply.entries_version, self.entries_version):
@@ -152,6 +162,25 @@
         if self.versions() != versions:
             self.notify()
 
+    def set_backends(
+        self, listed: decisions.BackendList, version: str
+    ) -> None:
+        """Replace the list of backend servers."""
+        self.history.add(listed)
+        self.backends = self.history.current.items
+        self.backends_digest = listed.digest
+        self.backends_version = version
+
+    def _update_backends(
+        self, update: messages.BackendsUpdate, version: str
+    ) -> None:
+        listed = self.history.current.updated(update)
+        if listed is not None:
+            self.set_backends(listed, version)
+            return
+        # Have the leader send the full list.
+        self.backends_digest = b''
+
     def update_rollouts(
         self, plans: list[messages.RolloutPlan], term: int
     ) -> None:
--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -137,6 +137,7 @@
             self.view.notify()
 
     async def _read_list(self) -> None:
+        term = self.server.replica.term
         try:
             async with asyncio.timeout(LIST_TIMEOUT_S):
                 backends = await self.source.fetch()
@@ -145,16 +146,20 @@
                 'backend list not available'
             )
             return
+        if self.server.replica.term != term:
+            # The new term's leader may give its versions to other lists.
+            return
         view = self.view
         view.backends_read_at = self._now()
-        term = f'{self.server.replica.term}.'
         if backends == view.backends and view.backends_version.startswith(
-            term
+            f'{term}.'
         ):
             return
         self.backends_revision += 1
-        view.backends = backends
-        view.backends_version = f'{term}{self.backends_revision}'
+        view.set_backends(
+            decisions.BackendList.of(backends),
+            f'{term}.{self.backends_revision}',
+        )
         node.log_decision(
             'backend list changed',
             version=view.backends_version,
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -6,6 +6,8 @@
 from bulrushhold.decisions._admissioncontrol import AdmissionDecision
 from bulrushhold.decisions._admissioncontrol import CapacityEstimate
 from bulrushhold.decisions._admissioncontrol import retry_after_s
+from bulrushhold.decisions._backendlist import BackendList
+from bulrushhold.decisions._backendlist import list_splices
 from bulrushhold.decisions._backendserver import BackendServer
 from bulrushhold.decisions._brittleservices import BrittleServices
 from bulrushhold.decisions._claims import ClaimState
@@ -117,6 +119,7 @@
     'Action',
     'AdmissionController',
     'AdmissionDecision',
+    'BackendList',
     'BackendServer',
     'BackendState',
     'BrittleServices',
@@ -206,6 +209,7 @@
     'has_spare_engines',
     'home_entries',
     'latency_bucket',
+    'list_splices',
     'listed_versions',
     'new_identity',
     'next_config',
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -70,6 +70,7 @@
         )
         self.control_address = ''
         self.index: routes.RouteIndex | None = None
+        self.listed = decisions.BackendList([], b'')
         self.backends_version = ''
         self.backends_read_at = 0.0
         self.entries: list[messages.ListedEntry] = []
@@ -183,6 +184,7 @@
                 self.nodes_version,
                 self.rollouts_version,
                 self.versions_version,
+                self.listed.digest,
             ),
             LONG_POLL_S,
             self.summary_number,
@@ -229,17 +231,29 @@
         version = reply.backends_version
         read_at = time.monotonic() - reply.backends_age_s
         if reply.backends is not None and (
-            messages.is_newer(version, self.backends_version)
+            not messages.is_newer(self.backends_version, version)
             if self.backends_version
             else read_at > self.backends_read_at
         ):
-            backends = messages.unpack_backends(reply.backends)
-            self.backends_version = version
-            self._apply_backends(backends)
+            self._apply_update(reply.backends, version)
         if version and version == self.backends_version:
             self.backends_read_at = max(self.backends_read_at, read_at)
             self.placement.known_versions.listed_at = self.backends_read_at
 
+    def _apply_update(
+        self, update: messages.BackendsUpdate, version: str
+    ) -> None:
+        listed = self.listed.updated(update)
+        if listed is not None:
+            self.backends_version = version
+            self._apply_backends(listed)
+            return
+        # The next poll requests the full list.
+        self.listed = self.listed.without_digest()
+        loguru.logger.bind(version=version).info(
+            'backend list update not applicable'
+        )
+
     def _apply_loads(
         self, summary: messages.LoadSummary | None, address: str
     ) -> None:
@@ -317,14 +331,15 @@
             self._signal_if_ready()
             node.log_decision('route map updated', version=route_map.version)
 
-    def _apply_backends(self, backends: list[messages.ListedBackend]) -> None:
-        self.placement.update(backends)
+    def _apply_backends(self, listed: decisions.BackendList) -> None:
+        self.listed = listed
+        self.placement.update(listed.items)
         self._signal_if_ready()
         node.log_decision(
             'backend list updated',
             version=self.backends_version,
-            usable=sum(not b.leaving for b in backends),
-            leaving=sum(b.leaving for b in backends),
+            usable=sum(not b.leaving for b in listed.items),
+            leaving=sum(b.leaving for b in listed.items),
         )
 
     def _signal_if_ready(self) -> None:
@@ -345,7 +360,7 @@
                 async with asyncio.timeout(LIST_TIMEOUT_S):
                     backends = await self.backend_list.fetch()
                 self.backends_version = ''
-                self._apply_backends(backends)
+                self._apply_backends(decisions.BackendList.of(backends))
                 self.placement.known_versions.listed_at = time.monotonic()
 
     # Directory for callers
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -1,14 +1,17 @@
 """Typed messages between processes, and their codec."""
 
+from bulrushhold.messages._codec import backends_digest
 from bulrushhold.messages._codec import decode
 from bulrushhold.messages._codec import encode
 from bulrushhold.messages._codec import Failure
 from bulrushhold.messages._codec import Message
 from bulrushhold.messages._codec import pack_backends
 from bulrushhold.messages._codec import pack_map
+from bulrushhold.messages._codec import pack_splices
 from bulrushhold.messages._codec import unpack_backends
 from bulrushhold.messages._codec import unpack_map
 from bulrushhold.messages._codec import unpack_services
+from bulrushhold.messages._codec import unpack_splices
 from bulrushhold.messages._entries import CopyAck
 from bulrushhold.messages._entries import CopyAppend
 from bulrushhold.messages._entries import CopyBatch
@@ -23,6 +26,7 @@
 from bulrushhold.messages._entries import ProbeReply
 from bulrushhold.messages._entries import QuotaAsk
 from bulrushhold.messages._entries import QuotaGrant
+from bulrushhold.messages._fleet import BackendsUpdate
 from bulrushhold.messages._fleet import ControlNode
 from bulrushhold.messages._fleet import CrashReport
 from bulrushhold.messages._fleet import EngineLoad
@@ -31,6 +35,7 @@
 from bulrushhold.messages._fleet import Known
 from bulrushhold.messages._fleet import ListedBackend
 from bulrushhold.messages._fleet import ListedEntry
+from bulrushhold.messages._fleet import ListSplice
 from bulrushhold.messages._fleet import LoadReport
 from bulrushhold.messages._fleet import LoadSummary
 from bulrushhold.messages._fleet import NodeLoad
@@ -123,6 +128,7 @@
 __all__ = [
     'AppendReply',
     'AppendRequest',
+    'BackendsUpdate',
     'Claim',
     'ClaimEnd',
     'ClaimOutcome',
@@ -154,6 +160,7 @@
     'KIND_CONFIG',
     'KIND_NOOP',
     'Known',
+    'ListSplice',
     'ListedBackend',
     'ListedEntry',
     'LoadReport',
@@ -232,12 +239,15 @@
     'VoteRequest',
     'Watch',
     'WatchReply',
+    'backends_digest',
     'decode',
     'encode',
     'is_newer',
     'pack_backends',
     'pack_map',
+    'pack_splices',
     'unpack_backends',
     'unpack_map',
     'unpack_services',
+    'unpack_splices',
 ]
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -5,6 +5,7 @@
 
 import attrs
 import msgspec
+import xxhash
 
 from bulrushhold import errors
 from bulrushhold.messages import _entries
@@ -151,6 +152,7 @@
 _MAP_DECODER = msgspec.msgpack.Decoder(routes.RouteMap)
 _SERVICES_DECODER = msgspec.msgpack.Decoder(_MapServices)
 _BACKENDS_DECODER = msgspec.msgpack.Decoder(list[_fleet.ListedBackend])
+_SPLICES_DECODER = msgspec.msgpack.Decoder(list[_fleet.ListSplice])
 
 
 def pack_map(route_map: routes.RouteMap) -> bytes:
@@ -191,6 +193,30 @@
     )
 
 
+def backends_digest(backends: list[_fleet.ListedBackend]) -> bytes:
+    """Return 16 bytes that identify a list of backend servers.
+
+    Lists with equal servers in the same order have equal digests.
+    """
+    return xxhash.xxh3_128_digest(_ENCODER.encode(backends))
+
+
+def pack_splices(splices: list[_fleet.ListSplice]) -> bytes:
+    """Encode and compress the splices of a list of backend servers."""
+    return _pack(splices)
+
+
+def unpack_splices(data: bytes) -> list[_fleet.ListSplice]:
+    """Decompress and decode the splices of a list of backend servers.
+
+    :raises PeerError: if they are malformed.
+    """
+    return t.cast(
+        list[_fleet.ListSplice],
+        _unpack(data, _SPLICES_DECODER, 'backend list splices'),
+    )
+
+
 def _pack(value: t.Any) -> bytes:
     return zlib.compress(_ENCODER.encode(value), 3)
 
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -57,6 +57,36 @@
     version: str = ''
 
 
+@attrs.frozen
+class ListSplice:
+    """Replaces servers ``start`` to ``end``, exclusive, of a list by others.
+
+    :param start: index in the list before all splices.
+    :param end: likewise.
+    :param items: the servers that take their place.
+    """
+
+    start: int
+    end: int
+    items: list[ListedBackend]
+
+
+@attrs.frozen
+class BackendsUpdate:
+    """A list of backend servers, or its difference to an earlier list.
+
+    :param digest: digest of the list, by :func:`backends_digest`.
+    :param packed: the list as encoded by :func:`pack_backends`, or its
+        splices as encoded by :func:`pack_splices`.
+    :param base: digest of the list to which the splices apply; empty for a
+        full list.
+    """
+
+    digest: bytes
+    packed: bytes
+    base: bytes = b''
+
+
 @attrs.frozen
 class ListedEntry:
     """An entry as last reported to the leader.
@@ -352,6 +382,9 @@
     """Versions of the data that the requesting process already has.
 
     :param route_map: version of the current route map; 0 for none.
+    :param backends_digest: digest of the list of backend servers, to which
+        a difference can be sent; empty to request a full list. A version
+        doesn't identify a list: terms start again in a new log.
     """
 
     route_map: int = 0
@@ -360,6 +393,7 @@
     nodes: str = ''
     rollouts: str = ''
     versions: str = ''
+    backends_digest: bytes = b''
 
 
 @attrs.frozen
@@ -400,7 +434,6 @@
     :param core: addresses of the voting replicas.
     :param route_map: the map as encoded by :func:`pack_map`.
     :param map_version: version of the sender's route map.
-    :param backends: the list as encoded by :func:`pack_backends`.
     :param backends_age_s: time since the platform's list was read.
     :param versions: versions of engines that may have begun running streams,
         by service.
@@ -412,7 +445,7 @@
     route_map: bytes | None = None
     map_version: int = 0
     backends_version: str = ''
-    backends: bytes | None = None
+    backends: BackendsUpdate | None = None
     backends_age_s: float = 0.0
     entries_version: str = ''
     entries: list[ListedEntry] | None = None
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -76,7 +76,9 @@
             entries_version='1.1',
             entries=entries,
             backends_version='1.1',
-            backends=messages.pack_backends([]),
+            backends=messages.BackendsUpdate(
+                messages.backends_digest([]), messages.pack_backends([])
+            ),
         )
     )
     fleet._apply_reply(messages.WatchReply('done'))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -321,7 +321,23 @@
     fleet.leader.source.failing = True
     await fleet.leader._read_list()
     reply = await fleet.watch._on_watch(watch(hold_s=0.0))
-    assert messages.unpack_backends(reply.backends) == [backend]
+    assert messages.unpack_backends(reply.backends.packed) == [backend]
+
+
+async def test_a_list_read_across_an_election_is_dropped(fleet, server):
+    # Guards against two processes that give one version to different lists.
+    class Source(FakeBackends):
+        async def fetch(self):
+            server.term += 1
+            return await super().fetch()
+
+    await fleet.leader._read_list()
+    version = fleet.view.backends_version
+    backend = messages.ListedBackend('i1', 's', '10.0.0.9:1', 'dc', 4)
+    fleet.leader.source = Source()
+    fleet.leader.source.listed = [backend]
+    await fleet.leader._read_list()
+    assert (fleet.view.backends_version, fleet.view.backends) == (version, [])
 
 
 def test_registry_expires_entries_and_a_new_leader_waits():
--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -3,6 +3,11 @@
 import asyncio
 import time
 
+import attrs
+
+from bulrushhold import messages
+from tests import fleet_cluster
+
 
 async def test_entries_use_the_relay_of_their_data_centre(fleet):
     placement = fleet.entries['a'].placement
@@ -59,3 +64,34 @@
     await fleet.wait_for_running(1)
     await fleet.stop('a')
     await fleet.wait_for_running(0)
+
+
+async def test_list_changes_reach_entries_as_differences(fleet, monkeypatch):
+    # Guards against full lists on each change, also after an election.
+    servers = [
+        messages.ListedBackend(f'i{n}', 'engines', f'10.0.0.{n}:80', 'a', 8)
+        for n in range(200)
+    ]
+    entry = fleet.entries['b']
+    updates = []
+    apply_update = entry._apply_update
+    entry._apply_update = lambda update, version: (
+        updates.append(update),
+        apply_update(update, version),
+    )
+
+    async def list_servers():
+        monkeypatch.setattr(fleet_cluster, 'ENGINES', list(servers))
+        await fleet.cluster.wait_until(lambda: entry.listed.items == servers)
+
+    await list_servers()
+    del updates[:]
+    servers[7] = attrs.evolve(servers[7], leaving=True)
+    await list_servers()
+    leader = fleet.cluster.leader().config.name
+    await fleet.stop(leader)
+    await fleet.cluster.stop(leader)
+    del servers[9]
+    await list_servers()
+    assert updates and all(update.base for update in updates)
+    assert entry.placement.backends.keys() == {s.ident for s in servers}
