--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -6,6 +6,8 @@
 from bulrushhold.decisions._admissioncontrol import AdmissionDecision
 from bulrushhold.decisions._admissioncontrol import CapacityEstimate
 from bulrushhold.decisions._admissioncontrol import retry_after_s
+from bulrushhold.decisions._backendlist import BackendList
+from bulrushhold.decisions._backendlist import list_splices
 from bulrushhold.decisions._backendserver import BackendServer
 from bulrushhold.decisions._brittleservices import BrittleServices
 from bulrushhold.decisions._claims import ClaimState
@@ -120,6 +122,7 @@
     'Action',
     'AdmissionController',
     'AdmissionDecision',
+    'BackendList',
     'BackendServer',
     'BackendState',
     'BrittleServices',
@@ -211,6 +214,7 @@
     'home_address',
     'home_entries',
     'latency_bucket',
+    'list_splices',
     'listed_versions',
     'new_identity',
     'next_config',
