Plain servers: entries share what fraction of requests a server fails

Cause: an entry of many sends each plain server less than one request a second, and knew a server's failures only from its own.

Change: entries of services whose servers state a pace send new counts of attempts and failures in load reports (at most 200 bytes a second). Control sums them with decay (half-life 3 s), and sends each entry the sums of all others once a server's share changes by a tenth. An entry adds them to its own attempts that they can't include. The share halves every 3 s without new attempts at any entry, so that an avoided server is tried again. Failures to reach a server aren't counted: its loss is reported already. `attempt failed` names the share; the gauge failure_share.SERVICE is the highest of a service. Messages without such counts are encoded as before.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -149,6 +149,8 @@
         self.fleet.on_change.append(origins.update_nodes)
         gauges = forwarding.VersionGauges(placement, self.metrics)
         self.fleet.on_change.append(gauges.update)
+        failure_gauges = forwarding.FailureGauges(placement, self.metrics)
+        self.fleet.on_change.append(failure_gauges.update)
         context = forwarding.ForwardingContext(
             placement,
             self.client,
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -361,6 +361,7 @@
             evidence=self.versions.evidence(),
             limits=self.demands.limits.take_unreported(now),
             samples=self.server_speeds.slowness.take_unreported(loads),
+            failures=self.server_speeds.failures.take_unreported(now),
         )
 
     def _apply_engines(self, summary: messages.LoadSummary) -> None:
@@ -396,8 +397,8 @@
         self.stale_data_centres = summary.silent
         self.speeds.apply_remote_samples(summary.speeds)
         self._apply_engines(summary)
-        self.server_speeds.apply_loads(summary, self.last_report_at)
-        if summary.slowness:
+        self.server_speeds.apply_loads(summary, self.last_report_at, now)
+        if summary.slowness or summary.failures:
             self.server_speeds.enable_reported(
                 {ident: b.service for ident, b in self.backends.items()}
             )
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from bulrushhold.decisions import _failuretotals
 from bulrushhold.decisions import _loadevents
 from bulrushhold.decisions import _loadtotals
 from bulrushhold.decisions import _rolloutevidence
@@ -119,6 +120,7 @@
         self.local = _loadtotals.LoadTotal()
         self.total = _loadtotals.LoadTotal()
         self.slowness = _slownesstotals.SlownessTotals()
+        self.failures = _failuretotals.FailureTotals()
         self.local_evidence = _ServiceEvidence()
         self.total_evidence = _ServiceEvidence()
         # Changes of two entries may cancel out in the total, but not in the
@@ -136,6 +138,8 @@
         self._replace_evidence(existing, report)
         self.slowness.add(report.samples, now)
         self.slowness.refresh(self.number, now)
+        self.failures.add(report.entry, report.failures or {}, now)
+        self.failures.refresh(self.number, now)
         previous = existing.engines if existing is not None else {}
         self.changed_engines.update(
             ident
@@ -167,12 +171,17 @@
         previous = node.sum
         if not node.update(load):
             return False
+        complete = not load.since
         self.slowness.apply_node(
-            load.node, load.sum.samples, now, complete=not load.since
+            load.node, load.sum.samples, now, complete=complete
+        )
+        self.failures.apply_node(
+            load.node, load.sum.failures or {}, now, complete=complete
         )
         if previous != node.sum:
             self.number += 1
             self.slowness.refresh(self.number, now)
+            self.failures.refresh(self.number, now)
         return self._add_events(load.sum, now, local=False)
 
     def expire(self, now: float) -> bool:
@@ -189,6 +198,7 @@
                 self._replace_node_evidence(node, {})
                 del self.nodes[address]
                 self.slowness.remove_node(address)
+                self.failures.remove_node(address)
         outdated = [
             node
             for node in self.nodes.values()
@@ -312,6 +322,7 @@
             [e.limit_now(now) for e in events if e.limit is not None],
             [b.now(now) for b in self.blocks.values() if b.number > since],
             self.slowness.changed_since(since),
+            self.failures.others_since(entry, since, now),
         )
 
     def node_load(self, now: float) -> messages.NodeLoad:
@@ -346,6 +357,7 @@
                     if b.local and b.number > since
                 ],
                 self.slowness.sums_since(since, now),
+                self.failures.sums_since(since, now),
             ),
             {
                 address: (node.incarnation, node.received)
--- a/src/bulrushhold/decisions/_plainplacement.py
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -125,7 +125,7 @@
         expected = {
             backend.ident: service_times[backend.ident]
             * self.explained_factor(backend, now)
-            * (1 + failure_weight * backend.failures_now(now))
+            * (1 + failure_weight * self.failure_share(backend, now))
             * (REMOTE_WAIT_FACTOR if self._is_remote(backend) else 1.0)
             for backend in usable
         }
@@ -142,6 +142,35 @@
         ]
         return self.rng.choice(equal)
 
+    def failure_share(
+        self, backend: _backendserver.BackendServer, now: float
+    ) -> float:
+        """Return the share of requests that a server is expected to fail.
+
+        It is by the attempts of all entries if load reports are current and
+        the service's servers state their pace, or else by those of this entry.
+        """
+        if (
+            backend.service in self.server_speeds.services
+            and self.has_current_loads(now)
+        ):
+            share = self.server_speeds.failures.share(backend.ident, now)
+            if share is not None:
+                return share
+        return backend.failures_now(now)
+
+    def record_attempt(self, ident: str, now: float, *, failed: bool) -> None:
+        """Record an attempt at a plain server, to be reported to others.
+
+        Failures to reach the server don't belong here: other entries learn of
+        its loss at once, and may be able to reach it.
+        """
+        backend = self.backends.get(ident)
+        if backend is not None:
+            self.server_speeds.record_attempt(
+                backend.service, ident, now, failed=failed
+            )
+
     def explained_factor(
         self, backend: _backendserver.BackendServer, now: float
     ) -> float:
--- a/src/bulrushhold/decisions/_serverspeeds.py
+++ b/src/bulrushhold/decisions/_serverspeeds.py
@@ -1,20 +1,21 @@
 """What servers of different speeds tell an entry, by service.
 
 It is used for services of which a response has stated a pace, here or, as the
-slowness of engines shows, at another entry. The others' decisions are as if
-all servers were alike.
+slowness of engines or the failures of plain servers show, at another entry.
+The others' decisions are as if all servers were alike.
 """
 
 import collections.abc as cabc
 
 from bulrushhold.decisions import _enginepace
 from bulrushhold.decisions import _engineslowness
+from bulrushhold.decisions import _serverfailures
 from bulrushhold.decisions import _servicetimes
 from bulrushhold import messages
 
 
 class ServerSpeeds:
-    """Paces, slowness and service times of all servers.
+    """Paces, slowness, service times and failures of all servers.
 
     :ivar services: those whose servers state their pace.
     """
@@ -24,6 +25,7 @@
         self.paces = _enginepace.EnginePaces()
         self.slowness = _engineslowness.EngineSlowness()
         self.service_times = _servicetimes.ServiceTimes()
+        self.failures = _serverfailures.ServerFailures()
 
     def record_pace(
         self, service: str, ident: str, pace: float, now: float
@@ -43,15 +45,26 @@
         if service in self.services:
             self.slowness.record(ident, sample, now)
 
+    def record_attempt(
+        self, service: str, ident: str, now: float, *, failed: bool
+    ) -> None:
+        """Record an attempt at a plain server."""
+        if service in self.services:
+            self.failures.record(ident, now, failed=failed)
+
     def apply_loads(
-        self, summary: messages.LoadSummary, received_at: float
+        self, summary: messages.LoadSummary, summed_at: float, now: float
     ) -> None:
-        """Apply what control knows of the slowness of engines.
+        """Apply what control knows of slow engines and of failures.
 
-        :param received_at: time of which the summary tells.
+        :param summed_at: time of which the summary tells.
         """
+        complete = not summary.since
         self.slowness.apply_remote(
-            summary.slowness, received_at, complete=not summary.since
+            summary.slowness, summed_at, complete=complete
+        )
+        self.failures.apply_others(
+            summary.failures or {}, now, complete=complete
         )
 
     def update(self, service_by_ident: cabc.Mapping[str, str]) -> None:
@@ -60,13 +73,14 @@
         self.paces.retain(idents)
         self.slowness.retain(idents)
         self.service_times.retain(idents)
+        self.failures.retain(idents)
         self.enable_reported(service_by_ident)
 
     def enable_reported(
         self, service_by_ident: cabc.Mapping[str, str]
     ) -> None:
-        """Note the services of the engines whose slowness control sends."""
-        for ident in self.slowness.remote:
+        """Note the services of the servers of which control sends figures."""
+        for ident in (*self.slowness.remote, *self.failures.others):
             service = service_by_ident.get(ident)
             if service is not None:
                 self.services.add(service)
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from bulrushhold.forwarding._entryload import EntryLoadMonitor
 from bulrushhold.forwarding._events import Event
 from bulrushhold.forwarding._events import EventSplitter
+from bulrushhold.forwarding._failuregauges import FailureGauges
 from bulrushhold.forwarding._fleet import FleetView
 from bulrushhold.forwarding._forwarder import Forwarder
 from bulrushhold.forwarding._origins import ControlOrigins
@@ -37,6 +38,7 @@
     'Event',
     'EventSplitter',
     'EntryLoadMonitor',
+    'FailureGauges',
     'FleetView',
     'Forwarder',
     'ForwardingContext',
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -326,6 +326,9 @@
         succeeded = result.reply is not None and result.reply.status < 500
         if succeeded:
             self.context.placement.record_success(backend.ident, now, seconds)
+            self.context.placement.record_attempt(
+                backend.ident, now, failed=False
+            )
             self.context.poison_requests.record_success(
                 self.job.fingerprint, now
             )
@@ -335,13 +338,30 @@
             and 'connect' in (result.reason.split(' ', 1)[0])
         )
         if not result.cut_off:
-            self.context.placement.record_failure(
-                backend.ident, now, unreachable=unreachable or crashed
-            )
+            self._record_failure(backend, now, unreachable or crashed)
         if result.broken_off:
             _blocks.record_broken_off(
                 self.context, self.job, backend.ident, seconds, crashed=crashed
             )
+        self._log_failure(backend, result, seconds)
+
+    def _record_failure(
+        self,
+        backend: decisions.BackendServer,
+        now: float,
+        unreachable: bool,
+    ) -> None:
+        placement = self.context.placement
+        placement.record_failure(backend.ident, now, unreachable=unreachable)
+        if not unreachable:
+            placement.record_attempt(backend.ident, now, failed=True)
+
+    def _log_failure(
+        self,
+        backend: decisions.BackendServer,
+        result: _Result,
+        seconds: float,
+    ) -> None:
         self.context.metrics.count('attempts.failed')
         _context.log(
             self.job,
@@ -351,4 +371,18 @@
             reason=result.reason,
             seconds=round(seconds, 3),
             fingerprint=self.job.fingerprint,
+            **self._failure_fields(backend),
         )
+
+    def _failure_fields(
+        self, backend: decisions.BackendServer
+    ) -> dict[str, t.Any]:
+        """Return log fields of the server's failures, at all entries.
+
+        Empty if the service's servers don't state their pace.
+        """
+        placement = self.context.placement
+        if backend.service not in placement.server_speeds.services:
+            return {}
+        share = placement.failure_share(backend, self.context.clock())
+        return {'failure_share': round(share, 3)}
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -25,6 +25,7 @@
 from bulrushhold.messages._fleet import CrashReport
 from bulrushhold.messages._fleet import EngineLoad
 from bulrushhold.messages._fleet import EngineSpeed
+from bulrushhold.messages._fleet import FailureSample
 from bulrushhold.messages._fleet import is_newer
 from bulrushhold.messages._fleet import Known
 from bulrushhold.messages._fleet import ListedBackend
@@ -140,6 +141,7 @@
     'EngineLoad',
     'EngineSpeed',
     'Failure',
+    'FailureSample',
     'ForgetClaims',
     'Found',
     'HistoryItem',
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -1,6 +1,9 @@
 """Messages between control processes and forwarding entries."""
 
+import typing as t
+
 import attrs
+import msgspec
 
 from bulrushhold.messages import _rollouts
 
@@ -180,6 +183,35 @@
     observed_s: float
 
 
+@attrs.frozen
+class FailureSample:
+    """How many attempts at one plain server failed.
+
+    :param attempts: with exponential decay, except in an entry's report.
+    :param failures: those of the attempts that failed.
+    :param age_s: time since the newest attempt, at which the counts hold.
+    """
+
+    attempts: float
+    failures: float
+    age_s: float = 0
+
+
+FailureSamples = dict[str, FailureSample] | msgspec.UnsetType
+
+
+def _omit_empty(samples: FailureSamples) -> FailureSamples:
+    return samples or msgspec.UNSET
+
+
+def _failures_field() -> t.Any:
+    """Return a field that isn't encoded if there are no samples.
+
+    Messages of deployments whose servers state no pace don't grow by it.
+    """
+    return attrs.field(default=msgspec.UNSET, converter=_omit_empty)
+
+
 @attrs.frozen
 class ServerLimit:
     """The request limit of a backend server, which holds for all entries.
@@ -239,6 +271,7 @@
     :param limits: request limits that have changed since the previous report.
     :param blocks: blocks of requests since the previous report.
     :param samples: speed of single engines since the previous report.
+    :param failures: attempts at plain servers since the previous report.
     """
 
     entry: str
@@ -252,6 +285,7 @@
     limits: list[ServerLimit] = attrs.field(factory=list)
     blocks: list[RequestBlock] = attrs.field(factory=list)
     samples: dict[str, SpeedSample] = attrs.field(factory=dict)
+    failures: FailureSamples = _failures_field()
 
     @property
     def urgent(self) -> bool:
@@ -313,6 +347,8 @@
     :param blocks: blocks of requests since the number given in the request.
     :param slowness: by engine, the time that it needs relative to the mean of
         its service; engines whose value has changed.
+    :param failures: by plain server, the attempts of all other entries;
+        servers whose share of failures has changed.
     """
 
     number: int
@@ -328,6 +364,7 @@
     limits: list[ServerLimit] = attrs.field(factory=list)
     blocks: list[RequestBlock] = attrs.field(factory=list)
     slowness: dict[str, float] = attrs.field(factory=dict)
+    failures: FailureSamples = _failures_field()
 
 
 @attrs.frozen
--- a/tests/forwarding/test_server_loads.py
+++ b/tests/forwarding/test_server_loads.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bulrushhold import calls
+from bulrushhold import forwarding
 from bulrushhold import node
 from bulrushhold import routes
 from tests.forwarding import fakes
@@ -105,3 +106,78 @@
     )
     (slow,) = speeds.slowness.local
     assert context.placement.slowness('engines', context.clock())[slow] > 1.1
+
+
+def attempts_reported(context):
+    report = context.placement.load_report('e1', {}, context.clock())
+    return report.failures or {}
+
+
+async def test_attempts_at_plain_servers_are_reported_and_logged(
+    client, context, log_records
+):
+    # Guards against failures that only one entry learns of.
+    client.scripts = [paced(), paced(status=500)]
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    await fakes.run_plain(context, routes.Kind.ONCE)
+    samples = attempts_reported(context)
+    assert sum(sample.attempts for sample in samples.values()) == 2
+    assert sum(sample.failures for sample in samples.values()) == 1
+    (line,) = [
+        line
+        for line in log_records
+        if line.get('decision') == 'attempt failed'
+    ]
+    assert line['failure_share'] > 0
+
+
+async def test_failures_are_neither_reported_nor_logged_without_a_pace(
+    client, context, log_records
+):
+    client.scripts = [fakes.Script(status=500)]
+    await fakes.run_plain(context, routes.Kind.ONCE)
+    assert not attempts_reported(context)
+    (line,) = [
+        line
+        for line in log_records
+        if line.get('decision') == 'attempt failed'
+    ]
+    assert 'failure_share' not in line
+
+
+async def test_an_unreachable_server_is_not_reported_as_failing(
+    client, context
+):
+    # Guards against a lost link of one entry that costs others a server.
+    client.scripts = [paced(), fakes.Script(error='connect'), paced()]
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    samples = attempts_reported(context).values()
+    assert len(client.attempts) == 3
+    assert sum(sample.attempts for sample in samples) == 2
+    assert not any(sample.failures for sample in samples)
+
+
+async def test_streams_are_not_reported_as_attempts(client, context):
+    client.scripts = [paced(events=(1, 2)), paced(events=(1, 2))]
+    for _ in range(2):
+        await fakes.run_stream(context)
+    assert not attempts_reported(context)
+
+
+async def test_the_highest_failure_share_is_a_gauge(client, context):
+    gauges = {}
+    metrics = node.NullMetrics()
+    metrics.gauge = gauges.__setitem__
+    now = [context.clock()]
+    monitor = forwarding.FailureGauges(
+        context.placement, metrics, lambda: now[0]
+    )
+    monitor.update()
+    assert gauges == {}
+    client.scripts = [paced(), paced(status=500)]
+    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    await fakes.run_plain(context, routes.Kind.ONCE)
+    now[0] = context.clock() + 2
+    monitor.update()
+    assert 0 < gauges['failure_share.engines'] <= 0.2
