--- a/tests/test_fleet_control.py
+++ b/tests/test_fleet_control.py
@@ -59,3 +59,28 @@
     await fleet.wait_for_running(1)
     await fleet.stop('a')
     await fleet.wait_for_running(0)
+
+
+async def test_failures_of_a_server_reach_other_data_centres(fleet):
+    # Guards against attempts that are lost between entry, relays and entry.
+    reporting = fleet.entries['a'].placement
+    learning = fleet.entries['b'].placement
+    now = time.monotonic()
+    reporting.server_speeds.record_pace('engines', 'i2', 1.0, now)
+    for _ in range(4):
+        backend = reporting.backends['i2']
+        reporting.request_started(backend, now)
+        reporting.record_attempt('i2', now, failed=True)
+        reporting.request_ended(backend, now)
+
+    def share():
+        return learning.failure_share(
+            learning.backends['i2'], time.monotonic()
+        )
+
+    await fleet.cluster.wait_until(lambda: share() > 0.3, 2.0)
+    assert learning.server_speeds.services == {'engines'}
+    assert learning.backends['i2'].failures == 0
+    # Four own attempts of which all failed; not counted twice.
+    own = reporting.failure_share(reporting.backends['i2'], time.monotonic())
+    assert own <= 0.5
