--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from bulrushhold.forwarding._entryload import EntryLoadMonitor
 from bulrushhold.forwarding._events import Event
 from bulrushhold.forwarding._events import EventSplitter
+from bulrushhold.forwarding._failuregauges import FailureGauges
 from bulrushhold.forwarding._fleet import FleetView
 from bulrushhold.forwarding._forwarder import Forwarder
 from bulrushhold.forwarding._localscheduling import EngineShareScheduler
@@ -39,6 +40,7 @@
     'EventSplitter',
     'EngineShareScheduler',
     'EntryLoadMonitor',
+    'FailureGauges',
     'FleetView',
     'Forwarder',
     'ForwardingContext',
