--- a/src/bulrushhold/control/_promises.py
+++ b/src/bulrushhold/control/_promises.py
@@ -8,8 +8,8 @@
 from bulrushhold import decisions
 from bulrushhold import messages
 
-# Interval at which other processes are told, as they may have become the home,
-# restarted or received a message late. Callers mostly return after seconds.
+# Copies are sent again at this interval, as their receiver may have become the
+# home, restarted or been suspended. Callers mostly return after seconds.
 RESEND_S: t.Final = 1.0
 
 
@@ -20,7 +20,7 @@
 
 
 class PromiseCopies:
-    """Promised returns that this process has made or was told of.
+    """Promised returns that this process has made or received.
 
     :param local_address: of this process.
     """
--- a/src/bulrushhold/decisions/_readrate.py
+++ b/src/bulrushhold/decisions/_readrate.py
@@ -11,9 +11,9 @@
 MAX_UPDATE_GAP_S: t.Final = 1.0
 # Weight of the estimate that is used until enough prompts have been read.
 PRIOR_WEIGHT_S: t.Final = 1.0
-# Weight of an estimate that another process has measured, and time for which
-# it has to be measured here to count as known, while all engines are busy.
+# Weight of another process's estimate, as time in which all engines are busy.
 REPORTED_WEIGHT_S: t.Final = 3.0
+# The estimate counts as known after as much time with all engines busy.
 KNOWN_S: t.Final = 2.0
 # If the sum changes by a larger share between two updates, and by more than
 # was left to read, reporters are new, with all they have counted, or gone.
@@ -39,7 +39,7 @@
         self.busy_s = 0.0
         self.busy_speed = 0.0
         self.speed = 0.0
-        self.unread = 0
+        self.pending_tokens = 0
 
     @property
     def is_known(self) -> bool:
@@ -82,7 +82,7 @@
         busy = [engine for engine in engines if engine.reading > 0]
         self.speed = sum(1 / engine.slowness for engine in engines)
         self.busy_speed = sum(1 / engine.slowness for engine in busy)
-        self.unread = sum(engine.reading for engine in busy)
+        self.pending_tokens = sum(engine.reading for engine in busy)
         self.updated_at = now
 
     def _read(self, tokens: float, now: float) -> float:
@@ -98,7 +98,7 @@
         most = MAX_CHANGE_SHARE * tokens
         if (
             self.reporters - reporters
-            or change > max(most, self.unread)
+            or change > max(most, self.pending_tokens)
             or -change > most
         ):
             self.held_until = now + HOLD_S
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -91,8 +91,8 @@
     :param fallback_since: when its home became unreachable, if it is.
     :param fallback_until: when the home is asked again.
     :param probing: a stream is asking the home whether it is back.
-    :param token_s: time per prompt token at a mean engine, as its home has
-        last told; 0 if it hasn't.
+    :param token_s: time per prompt token at a mean engine, by the last
+        decision of a home that knows it; 0 if none has.
     """
 
     ask_until: float = float('-inf')
