Soak: settings are written at once and before a process starts

Cause: the soak rewrote the settings of processes that were still starting.

Change: the file is replaced by a rename, and written before the start.

--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -96,6 +96,13 @@
         self.lock_socket.close()
 
 
+def replace_text(path, text):
+    """Replace a file at once, as a process may read it meanwhile."""
+    temporary = path.with_suffix('.new')
+    temporary.write_text(text)
+    temporary.replace(path)
+
+
 class System:
     """The control processes and entries of one run.
 
@@ -164,12 +171,14 @@
         limits = [f'{k} = {v}\n' for k, v in self.limits(program).items()]
         if limits:
             text += '[limits]\n' + ''.join(limits)
-        program.settings.write_text(text)
+        replace_text(program.settings, text)
 
     def programs_with_role(self, role):
         return [p for p in self.programs if p.role == role]
 
-    def start(self, program):
+    def start(self, program, *, bootstrap=False):
+        # Written before, as a process reads its settings at some later time.
+        self.write_settings(program, bootstrap=bootstrap)
         program.exit_expected = program.paused = False
         script = (
             netfault.__file__ if program.role == 'entry' else 'platform/run.py'
@@ -185,13 +194,10 @@
                     'SOAK_ENTRY_IP': program.ip,
                 },
             )
-        self.write_settings(program, bootstrap=False)
 
     def start_all(self):
         for program in self.programs:
-            self.start(program)
-            # The process may not have read its settings yet.
-            self.write_settings(program, bootstrap=True)
+            self.start(program, bootstrap=True)
 
     def disable_bootstrap(self):
         for program in self.programs:
--- a/tests/platform/test_entry_weight_processes.py
+++ b/tests/platform/test_entry_weight_processes.py
@@ -28,8 +28,9 @@
             lines = text.splitlines(keepends=True)
             text = ''.join(x for x in lines if not x.startswith('data-dir'))
         cores = SMALL if number in (4, 5, 6) else LARGE
-        program.settings.write_text(
-            f'{text}[limits]\n{cores}\nmemory-mb = 256\nmax-fds = 4096\n'
+        system.replace_text(
+            program.settings,
+            f'{text}[limits]\n{cores}\nmemory-mb = 256\nmax-fds = 4096\n',
         )
 
 
