Failures of a data centre no longer depend on earlier choices

The first failure of a server stayed recorded until a choice looked at its data centre, and a later failure of the same server wasn't recorded beside it. Whether a data centre counted as failing depended on which engines choices had looked at since. Old failures are now dropped when one is recorded, so that choices may skip engines.

--- a/src/bulrushhold/decisions/_datacentrefailures.py
+++ b/src/bulrushhold/decisions/_datacentrefailures.py
@@ -24,6 +24,7 @@
         recent = self.recent.setdefault(
             location, collections.deque(maxlen=MAX_FAILURES)
         )
+        _drop_old(recent, now)
         if all(other != ident for _, other in recent):
             recent.append((now, ident))
 
@@ -36,6 +37,12 @@
         recent = self.recent.get(location)
         if not recent:
             return False
-        while recent and now - recent[0][0] > WINDOW_S:
-            recent.popleft()
+        _drop_old(recent, now)
         return len(recent) >= MIN_FAILURES
+
+
+def _drop_old(
+    failures: collections.deque[tuple[float, str]], now: float
+) -> None:
+    while failures and now - failures[0][0] > WINDOW_S:
+        failures.popleft()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -68,6 +68,17 @@
     assert placement.load_report('e1', {}, 0.0).lost == []
 
 
+def test_a_data_centre_fails_again_although_nobody_asked_in_between():
+    # Guards against choices that depend on which engines earlier choices have
+    # looked at: a first failure was kept until then, and hid a second one.
+    placement = make_placement()
+    for now in (0.0, 10.0):
+        placement.record_failure('i0', now, unreachable=True)
+        placement.record_failure('i3', now + 0.1, unreachable=True)
+    location = ('engines', 'dc0')
+    assert placement.data_centre_failures.is_failing(location, 10.2)
+
+
 def test_a_loss_reported_by_another_entry_is_not_reported_again():
     placement = make_placement()
     placement.apply_loads(messages.LoadSummary(1, {}, ['i1']), 0.0)
