Usable servers are kept between decisions

Each decision built the list of usable servers up to four times, and asked for each server whether it is held. The list is now kept by service and version rule until the list of servers or the servers that are gone change; held servers are collected once from those that have made a demand.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -15,6 +15,7 @@
 from bulrushhold.decisions import _reachability
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _serverspeeds
+from bulrushhold.decisions import _usableservers
 from bulrushhold.decisions import _versionhistory
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
@@ -63,6 +64,7 @@
         self.reachability = _reachability.Reachability(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
+        self.usable_cache = _usableservers.UsableCache()
         self.replaced_idents: set[str] = set()
         self.data_centre_failures = _datacentrefailures.DataCentreFailures()
         self.cached_prompts = _cachedprompts.CachedPrompts()
@@ -97,6 +99,7 @@
         self.server_speeds.update(
             {ident: backend.service for ident, backend in backends.items()}
         )
+        self.usable_cache.clear()
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
@@ -119,19 +122,28 @@
     ) -> list[_backendserver.BackendServer]:
         """Return the servers that may receive new requests.
 
+        The list must not be changed.
+
         :param canary: for a request that the target version of a running
             rollout should get.
         :param version: for a stream that this version has begun.
         """
+        return self.usable_servers(
+            service, now, canary=canary, version=version
+        ).servers
+
+    def usable_servers(
+        self,
+        service: str,
+        now: float = 0.0,
+        *,
+        canary: bool = False,
+        version: str | None = None,
+    ) -> _usableservers.UsableServers:
+        """Return the same as :meth:`usable`, with what is derived from it."""
+        rule = self.versions.rule(service, now, canary=canary, version=version)
         gone = self.demands.leaving.until.keys() | self.replaced_idents
-        present = [
-            backend
-            for backend in self.services.get(service, ())
-            if not backend.leaving and backend.ident not in gone
-        ]
-        return self.versions.usable(
-            service, present, now, canary=canary, version=version
-        )
+        return self.usable_cache.usable(service, rule, self.services, gone)
 
     def backend_at(self, address: str) -> _backendserver.BackendServer | None:
         """Return the listed server at an address."""
@@ -152,9 +164,8 @@
         self, servers: list[_backendserver.BackendServer], now: float
     ) -> list[_backendserver.BackendServer]:
         """Return the servers that aren't held."""
-        if not self.demands.may_hold:
-            return servers
-        return [s for s in servers if not self.demands.is_held(s.ident, now)]
+        held = self.demands.held(now)
+        return [s for s in servers if s.ident not in held] if held else servers
 
     def untried(
         self,
--- a/src/bulrushhold/decisions/_backoffs.py
+++ b/src/bulrushhold/decisions/_backoffs.py
@@ -31,6 +31,12 @@
         """Whether a server wants no requests now."""
         return self.until(ident) > now
 
+    def active(self, now: float) -> set[str]:
+        """Return the idents of all servers that want no requests now."""
+        return {
+            ident for ident, ends_at in self.ends_at.items() if ends_at > now
+        }
+
     def retain(self, idents: cabc.Set[str]) -> None:
         """Forget all servers but these; a restarted one has a new ident."""
         for ident in [i for i in self.ends_at if i not in idents]:
--- a/src/bulrushhold/decisions/_requestlimits.py
+++ b/src/bulrushhold/decisions/_requestlimits.py
@@ -153,6 +153,14 @@
         server = self.servers.get(ident)
         return server is not None and server.held_until > now
 
+    def held(self, now: float) -> set[str]:
+        """Return the idents of all servers whose limit is used up."""
+        return {
+            ident
+            for ident, server in self.servers.items()
+            if server.held_until > now
+        }
+
     def take_floor(self, ident: str, entries: int, now: float) -> float:
         """Take a request from this entry's part of the floor.
 
--- a/src/bulrushhold/decisions/_serverdemands.py
+++ b/src/bulrushhold/decisions/_serverdemands.py
@@ -28,15 +28,14 @@
             ident, now
         )
 
+    def held(self, now: float) -> set[str]:
+        """Return the idents of all servers that allow no request now."""
+        return self.limits.held(now) | self.backoffs.active(now)
+
     def free_at(self, ident: str) -> float:
         """Return when a held server allows a request, as far as known."""
         return max(self.limits.free_at(ident), self.backoffs.until(ident))
 
-    @property
-    def may_hold(self) -> bool:
-        """Whether any server has made a demand that could hold requests."""
-        return bool(self.limits.servers or self.backoffs.ends_at)
-
     def mark_malformed(self, ident: str, demand: str) -> bool:
         """Return whether it is the server's first malformed demand.
 
--- a/src/bulrushhold/decisions/_versionsplit.py
+++ b/src/bulrushhold/decisions/_versionsplit.py
@@ -6,13 +6,12 @@
 """
 
 import collections.abc as cabc
-import math
 import random
 import typing as t
 
 from bulrushhold.decisions import _backendserver
-from bulrushhold.decisions import _rendezvous
 from bulrushhold.decisions import _rolloutevidence
+from bulrushhold.decisions import _versionrules
 from bulrushhold import messages
 
 # Without news from control for this time the target version gets nothing.
@@ -20,8 +19,6 @@
 # A version that is listed for this long, with news from control and without
 # a rollout, needs none.
 WITHHOLD_S: t.Final = 5.0
-# More than one, so that a faulty engine can be told from a bad version.
-MIN_CANARY_ENGINES: t.Final = 2
 
 
 class VersionSplit:
@@ -174,42 +171,47 @@
         :param canary: the request was selected by :meth:`takes_canary`.
         :param version: the version that began the request's stream.
         """
+        rule = self.rule(service, now, canary=canary, version=version)
+        return rule.select(backends)
+
+    def rule(
+        self,
+        service: str,
+        now: float,
+        *,
+        canary: bool = False,
+        version: str | None = None,
+    ) -> _versionrules.VersionRule:
+        """Return the rule of :meth:`usable`, which seldom changes."""
         plan = self.plans.get(service)
         if version is not None:
             if plan is not None and not self._may_resume_on(
                 plan, version, now
             ):
-                return []
-            return [b for b in backends if b.version == version]
+                return _versionrules.NO_ENGINE
+            return _versionrules.VersionRule(
+                _versionrules.Rule.ONLY, frozenset((version,))
+            )
         if plan is None:
             withheld = self.withheld_versions.get(service)
-            if not withheld:
-                return backends
-            return [b for b in backends if b.version not in withheld]
-        targets = [b for b in backends if b.version == plan.target]
-        others = [b for b in backends if b.version != plan.target]
+            return (
+                _versionrules.VersionRule(
+                    _versionrules.Rule.WITHOUT, frozenset(withheld)
+                )
+                if withheld
+                else _versionrules.ANY_ENGINE
+            )
+        target = frozenset((plan.target,))
         if plan.state is messages.RolloutState.SUCCEEDED:
-            return targets or others
+            return _versionrules.VersionRule(
+                _versionrules.Rule.PREFERRED, target
+            )
         is_running = plan.state is messages.RolloutState.RUNNING
         if canary and is_running and self._has_lease(now):
-            return self._canary_engines(plan, targets)
-        return others
-
-    def _canary_engines(
-        self,
-        plan: messages.RolloutPlan,
-        targets: list[_backendserver.BackendServer],
-    ) -> list[_backendserver.BackendServer]:
-        """Return the engines that all entries use for the target's share.
-
-        Few engines work under as much load as those of the other version, so
-        that faults under load show while the share is small.
-        """
-        count = max(MIN_CANARY_ENGINES, math.ceil(plan.share * len(targets)))
-        ranking = _rendezvous.rendezvous_order(
-            plan.target, targets, lambda backend: backend.ident
-        )
-        return ranking[:count]
+            return _versionrules.VersionRule(
+                _versionrules.Rule.CANARY, target, plan.share
+            )
+        return _versionrules.VersionRule(_versionrules.Rule.WITHOUT, target)
 
     def _may_resume_on(
         self, plan: messages.RolloutPlan, version: str, now: float
