Preferred engines: hashed from encoded idents, losses kept in a list

Each choice encoded and hashed a new string for each engine, and asked each engine whether it was lost lately. Encoded idents are kept with the engine, and engines that were lost within the probation are kept in a list.

--- a/src/bulrushhold/decisions/_affinity.py
+++ b/src/bulrushhold/decisions/_affinity.py
@@ -22,10 +22,16 @@
     backends: list[_backendserver.BackendServer], segment: str, count: int
 ) -> list[_backendserver.BackendServer]:
     """Return the first engines by rendezvous hashing of a prompt's segment."""
-    return heapq.nlargest(
-        count,
-        backends,
-        key=lambda backend: xxhash.xxh64_intdigest(
-            f'{segment}/{backend.ident}'.encode()
-        ),
-    )
+    prefix = f'{segment}/'.encode()
+    digest = xxhash.xxh64_intdigest
+    digests = [digest(prefix + backend.encoded_ident) for backend in backends]
+    largest = heapq.nlargest(count, digests)
+    if not largest:
+        return []
+    first = [
+        (value, backend)
+        for value, backend in zip(digests, backends, strict=True)
+        if value >= largest[-1]
+    ]
+    first.sort(key=lambda pair: pair[0], reverse=True)
+    return [backend for _, backend in first[:count]]
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -27,6 +27,10 @@
 # is reserved for growing streams and for load that isn't reported yet.
 MAX_MEMORY_SHARE: t.Final = 0.85
 EJECTION_S: t.Final = 1.0
+# A lost engine looks idle and would attract the next prompts of all entries,
+# although it is probably still down or has restarted under another ident. For
+# this time it is the last choice.
+PROBATION_S: t.Final = 6.0
 # Load reports older than this are ignored.
 LOAD_REPORT_TTL_S: t.Final = 2.0
 
@@ -43,6 +47,8 @@
         its address, although it wasn't leaving.
     :ivar load_age_s: age of the last load summary when it was received.
     :ivar capacity: memory of one engine in tokens, by service.
+    :ivar lost: listed servers that were lost within ``PROBATION_S``, and
+        earlier ones until the next look.
     :ivar cached_prompts: the prompts that engines have read.
     """
 
@@ -64,6 +70,7 @@
         self.reachability = _reachability.Reachability(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
+        self.lost: list[_backendserver.BackendServer] = []
         self.usable_cache = _usableservers.UsableCache()
         self.replaced_idents: set[str] = set()
         self.data_centre_failures = _datacentrefailures.DataCentreFailures()
@@ -94,6 +101,7 @@
             server.leaving = item.leaving
             backends[item.ident] = server
         self.backends = backends
+        self.lost = [b for b in self.lost if backends.get(b.ident) is b]
         self.replaced_idents &= backends.keys()
         self.demands.retain(backends.keys())
         self.server_speeds.update(
@@ -276,12 +284,24 @@
     def _eject(
         self, backend: _backendserver.BackendServer, now: float
     ) -> None:
+        if all(lost is not backend for lost in self.lost):
+            self.lost.append(backend)
         backend.lost_at = now
         backend.ejected_until = now + EJECTION_S
         location = (backend.service, backend.data_centre)
         self.losses.record(backend.ident, location, now, backend.address)
         self.data_centre_failures.record(location, backend.ident, now)
 
+    def recently_lost(self, now: float) -> list[_backendserver.BackendServer]:
+        """Return the listed servers that were lost a short time ago.
+
+        All others are healthy, except in a data centre that is failing. The
+        list must not be changed.
+        """
+        if self.lost:
+            self.lost = [b for b in self.lost if now - b.lost_at < PROBATION_S]
+        return self.lost
+
     def retract_losses(self, service: str, since: float) -> None:
         """Forget losses that this entry has taken for crashes.
 
--- a/src/bulrushhold/decisions/_backendserver.py
+++ b/src/bulrushhold/decisions/_backendserver.py
@@ -29,6 +29,7 @@
     :param version: version of its software.
     :param lost_at: when it last crashed or became unreachable; copies made
         there before are lost.
+    :param encoded_ident: the ident as it is hashed.
     """
 
     ident: str
@@ -49,6 +50,11 @@
     remote_load: messages.EngineLoad = NO_LOAD
     lost_at: float = float('-inf')
     version: str = ''
+    encoded_ident: bytes = attrs.field(init=False, eq=False, repr=False)
+
+    @encoded_ident.default
+    def _encode_ident(self) -> bytes:
+        return self.ident.encode()
 
     def remote_requests_now(self, now: float, mean: float = 0.0) -> float:
         """Return the estimated number of other entries' current requests.
--- a/src/bulrushhold/decisions/_pacedplacement.py
+++ b/src/bulrushhold/decisions/_pacedplacement.py
@@ -13,10 +13,7 @@
 
 # Cost of an engine in a data centre whose engines fail together.
 DATA_CENTRE_PENALTY_PROMPTS: t.Final = 3.0
-# A lost engine looks idle and would attract the next prompts of all entries,
-# although it is probably still down or has restarted under another ident. For
-# this time it is the last choice.
-PROBATION_S: t.Final = 6.0
+# Cost of an engine that was lost within ``PROBATION_S``.
 PROBATION_PENALTY_PROMPTS: t.Final = 2.5
 # Cost of an engine without memory for a prompt.
 FULL_PENALTY_PROMPTS: t.Final = 4.0
@@ -71,7 +68,7 @@
     def health_penalty(
         self, backend: _backendserver.BackendServer, now: float
     ) -> float:
-        on_probation = now - backend.lost_at < PROBATION_S
+        on_probation = now - backend.lost_at < _backendpool.PROBATION_S
         prompts = PROBATION_PENALTY_PROMPTS if on_probation else 0.0
         if not self.data_centre_failures.recent:
             return prompts
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -13,6 +13,7 @@
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _pacedplacement
 from bulrushhold.decisions import _plainplacement
+from bulrushhold.decisions import _usableservers
 
 # A prompt slows all streams that its engine is running while it is read.
 RUNNING_STREAM_COST_PROMPTS: t.Final = 0.3
@@ -197,7 +198,8 @@
             return True
         return any(
             now - backend.lost_at < STALE_AFTER_LOSS_S
-            for backend in self.services.get(service, ())
+            for backend in self.recently_lost(now)
+            if backend.service == service
         )
 
     def choose_backup(
@@ -293,7 +295,7 @@
             for b in self.allowing(usable, now)
             if b.ejected_until <= now
             and b.ident != excluding
-            and now - b.lost_at >= _pacedplacement.PROBATION_S
+            and now - b.lost_at >= _backendpool.PROBATION_S
         ]
         if self.data_centre_failures.recent:
             healthy = [b for b in healthy if not self.health_penalty(b, now)]
@@ -365,24 +367,43 @@
         They are in this entry's data centre while enough engines there are
         healthy.
         """
-        candidates = [
-            b
-            for b in self.allowing(
-                self.usable(service, now, version=version), now
-            )
-            if b.ident not in tried
-        ]
-        count = AFFINITY_CANDIDATES
-        if self.data_centre:
-            local = [
-                b
-                for b in candidates
-                if not self._is_remote(b)
-                and b.ejected_until <= now
-                and not self.health_penalty(b, now)
-            ]
-            if len(local) >= MIN_LOCAL_ENGINES:
-                candidates, count = local, LOCAL_AFFINITY_CANDIDATES
+        usable = self.usable_servers(service, now, version=version)
+        excluded = tried | self.demands.held(now)
         segment = segment or str(self.rng.random())
-        preferred = _affinity.preferred_engines(candidates, segment, count)
+        local = self._healthy_local(service, usable, now, excluded)
+        if len(local) >= MIN_LOCAL_ENGINES:
+            preferred = _affinity.preferred_engines(
+                local, segment, LOCAL_AFFINITY_CANDIDATES
+            )
+        else:
+            preferred = _affinity.preferred_engines(
+                _without(usable.servers, excluded),
+                segment,
+                AFFINITY_CANDIDATES,
+            )
         return {backend.ident: rank for rank, backend in enumerate(preferred)}
+
+    def _healthy_local(
+        self,
+        service: str,
+        usable: _usableservers.UsableServers,
+        now: float,
+        excluded: set[str],
+    ) -> list[_backendserver.BackendServer]:
+        """Return the healthy engines of this entry's data centre, if any."""
+        location = (service, self.data_centre)
+        if not self.data_centre or self.data_centre_failures.is_failing(
+            location, now
+        ):
+            return []
+        local, _ = usable.split(self.data_centre)
+        lost = {backend.ident for backend in self.recently_lost(now)}
+        return _without(local, excluded | lost)
+
+
+def _without(
+    servers: list[_backendserver.BackendServer], excluded: set[str]
+) -> list[_backendserver.BackendServer]:
+    if not excluded:
+        return servers
+    return [server for server in servers if server.ident not in excluded]
