Choice of an engine: costs only of engines that can be the best

The second pass computed most of the cost of each engine in a function. Lower bounds of all costs are now computed in one expression, and exact costs, with the same arithmetic as before, only where the bound doesn't exceed the least costs found. Lost engines form a group of their own, as do engines in other data centres, so that bounds include their penalties.

--- a/src/bulrushhold/decisions/_pacedplacement.py
+++ b/src/bulrushhold/decisions/_pacedplacement.py
@@ -1,6 +1,5 @@
 """Choose among engines by their health, slowness and pace."""
 
-import math
 import typing as t
 
 import attrs
@@ -26,12 +25,6 @@
 # Used while load reports are outdated, or streams of a lost engine are being
 # placed: most of the current load is then unknown.
 STALE_JITTER_PROMPTS: t.Final = 0.8
-# Engines whose costs differ by less are chosen by their pace, of which a part
-# is over before the prompt is read.
-EQUAL_COST_PROMPTS: t.Final = 0.3
-# Cost of a pace that is higher than usual by 1: of the 0.6 s that it lasts on
-# average, about a quarter of a typical prompt's reading is lost.
-PACE_COST_PROMPTS: t.Final = 0.25
 # Safety margin on the expected time to the first event, which is a mean.
 LATE_MARGIN: t.Final = 1.3
 # Cost of a late first event, relative to the time by which it is late.
@@ -49,6 +42,35 @@
     next_best: str
 
 
+@attrs.frozen
+class LateCost:
+    """The cost of a late first event.
+
+    :param token_s: seconds in which an engine of mean speed reads a token.
+    :param aim_s: time to the first event.
+    :param prompt_s: seconds in which it reads the prompt.
+    """
+
+    token_s: float
+    aim_s: float
+    prompt_s: float
+
+    def prompts(self, tokens: float) -> float:
+        """Return the cost, in prompts, of tokens to be read at mean speed."""
+        late_s = LATE_MARGIN * tokens * self.token_s - self.aim_s
+        return LATE_COST * max(0.0, late_s) / self.prompt_s
+
+    def line(self) -> tuple[float, float, float]:
+        """Return the cost as a line, except for rounding.
+
+        :return: what is subtracted from the cost by tokens; the tokens that
+            are read in time; and the cost of each token.
+        """
+        per_token = LATE_COST * LATE_MARGIN * self.token_s / self.prompt_s
+        subtracted = LATE_COST * self.aim_s / self.prompt_s
+        return subtracted, subtracted / per_token, per_token
+
+
 class PacedPlacement(_plainplacement.PlainPlacement):
     """Part of the load balancer for engines of different speeds.
 
@@ -113,84 +135,13 @@
         service: str,
         objective: _enginespeeds.LatencyObjective | None,
         now: float,
-    ) -> t.Callable[[float], float]:
-        """Return the cost, in prompts, of a first event that may be late.
+    ) -> LateCost | None:
+        """Return the cost of a first event that may be late, if it matters.
 
-        It is a function of the tokens to be read at mean speed. A slow engine
-        may read short prompts in time, but not long ones.
+        A slow engine may read short prompts in time, but not long ones.
         """
         if objective is None or service not in self.server_speeds.services:
-            return lambda tokens: 0.0
+            return None
         token_s = self.speeds.token_s(service, objective, now)
         prompt_s = max(1, objective.tokens) * token_s
-
-        def cost(tokens: float) -> float:
-            late_s = LATE_MARGIN * tokens * token_s - objective.aim_s
-            return LATE_COST * max(0.0, late_s) / prompt_s
-
-        return cost
-
-    def best_engine(
-        self,
-        usable: list[_backendserver.BackendServer],
-        now: float,
-        tried: set[str],
-        cost: t.Callable[[_backendserver.BackendServer, float], float],
-        preferred: t.Container[str] = (),
-    ) -> _backendserver.BackendServer | None:
-        """Return the engine of least cost, by pace among nearly equal ones.
-
-        :param cost: its value is exact up to the limit given to it; above, it
-            may be lower than the cost, but not below the limit.
-        """
-        self.engine_choice = None
-        untried = [b for b in usable if b.ident not in tried]
-        healthy = [b for b in untried if b.ejected_until <= now]
-        if not healthy:
-            return self._best_of(untried, now, tried, lambda b: 0.0)
-        shortlist = [b for b in healthy if b.ident in preferred] or healthy
-        if healthy[0].service not in self.server_speeds.services:
-            return _cheapest(shortlist, cost)
-        return self._by_pace(shortlist, now, cost)
-
-    def _by_pace(
-        self,
-        engines: list[_backendserver.BackendServer],
-        now: float,
-        cost: t.Callable[[_backendserver.BackendServer, float], float],
-    ) -> _backendserver.BackendServer:
-        least = second = math.inf
-        costs = []
-        for backend in engines:
-            limit = max(least + EQUAL_COST_PROMPTS, second)
-            prompts = cost(backend, limit)
-            if prompts <= limit:
-                costs.append((prompts, backend))
-                second = min(second, max(least, prompts))
-                least = min(least, prompts)
-        paces = self.server_speeds.paces
-        best = min(
-            (c for c in costs if c[0] <= least + EQUAL_COST_PROMPTS),
-            key=lambda c: (
-                c[0] + PACE_COST_PROMPTS * (paces.pace(c[1].ident, now) - 1)
-            ),
-        )
-        others = [c for c in costs if c is not best]
-        next_best = min(others, key=lambda c: c[0], default=None)
-        self.engine_choice = EngineChoice(
-            best[1].ident, next_best[1].ident if next_best else ''
-        )
-        return best[1]
-
-
-def _cheapest(
-    engines: list[_backendserver.BackendServer],
-    cost: t.Callable[[_backendserver.BackendServer, float], float],
-) -> _backendserver.BackendServer:
-    """Return the first engine of least cost."""
-    best, least = engines[0], math.inf
-    for backend in engines:
-        prompts = cost(backend, least)
-        if prompts < least:
-            best, least = backend, prompts
-    return best
+        return LateCost(token_s, objective.aim_s, prompt_s)
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -10,16 +10,12 @@
 from bulrushhold.decisions import _affinity
 from bulrushhold.decisions import _backendpool
 from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _enginesearch
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _pacedplacement
-from bulrushhold.decisions import _plainplacement
+from bulrushhold.decisions import _promptcosts
 from bulrushhold.decisions import _usableservers
 
-# A prompt slows all streams that its engine is running while it is read.
-RUNNING_STREAM_COST_PROMPTS: t.Final = 0.3
-# The same while much of the load is unknown: all entries would otherwise place
-# the streams of a lost data centre on the few idle engines.
-STALE_RUNNING_STREAM_COST_PROMPTS: t.Final = 0.08
 # Number of engines preferred for a prompt, chosen by rendezvous hashing of its
 # last segment. Spreads the streams of a lost data centre, which all entries
 # place before they see each other's choices, and lets a retry through another
@@ -27,14 +23,9 @@
 AFFINITY_CANDIDATES: t.Final = 5
 # The same for an entry that prefers the engines of its data centre.
 LOCAL_AFFINITY_CANDIDATES: t.Final = 3
-# Cost of an engine in another data centre. Links between data centres may lose
-# packets, which delays events by retransmissions.
-REMOTE_COST_PROMPTS: t.Final = 0.5
 # Fewer healthy engines in its data centre than this and an entry has no
 # preference for them.
 MIN_LOCAL_ENGINES: t.Final = 3
-# Added for each rank in the rendezvous order.
-RANK_COST_PROMPTS: t.Final = 0.08
 # A copy occupies as much memory as its stream; above this share of an engine's
 # memory, new prompts would find no room.
 MAX_COPY_MEMORY_SHARE: t.Final = 0.85
@@ -57,6 +48,9 @@
 STALE_AFTER_LOSS_S: t.Final = 0.5
 STALE_AFTER_S: t.Final = 0.5
 
+# Engines, and the part of the cost that they have in common.
+_Group = tuple[list[_backendserver.BackendServer], float]
+
 
 class Placement(_pacedplacement.PacedPlacement):
     """Load balancer over all known backend servers."""
@@ -88,74 +82,120 @@
         :param objective: what remains of the stream's; engines of different
             speeds that meet it are preferred.
         """
-        cached = self.cached_prompts.engine(segment, now)
         ranks = self._affinity_ranks(service, segment, now, tried, version)
-        prompt_tokens = max(1, tokens)
-        slowness = self.slowness(service, now)
-        late_cost = self.late_cost(service, objective, now)
+        cached_at = self.cached_prompts.engine(segment, now)
+        usable = self.usable_servers(
+            service, now, canary=canary, version=version
+        )
+        excluded = tried | self.demands.held(now)
+        self.engine_choice = None
+        groups = self._healthy_groups(usable, now, excluded)
+        if not groups:
+            untried = _without(usable.servers, excluded)
+            # The one ejected first has most likely recovered.
+            return min(untried, key=lambda b: b.ejected_until, default=None)
         stale = self._is_load_stale(service, now)
-        running_cost = (
-            STALE_RUNNING_STREAM_COST_PROMPTS
-            if stale
-            else RUNNING_STREAM_COST_PROMPTS
+        costs = _promptcosts.PromptCosts(
+            self,
+            _promptcosts.Prompt(
+                tokens,
+                segment,
+                cached_at,
+                ranks,
+                AFFINITY_CANDIDATES,
+                avoid_data_centre,
+            ),
+            now,
+            self.slowness_view(service, now),
+            self.late_cost(service, objective, now),
+            stale=stale,
         )
-
-        fresh = self.has_current_loads(now)
-
-        def wait(backend: _backendserver.BackendServer, limit: float) -> float:
-            ident = backend.ident
-            uncached_tokens = 0 if ident == cached else tokens
-            others = backend.remote_load if fresh else _backendserver.NO_LOAD
-            slow = slowness.get(ident, 1.0)
-            unread_tokens = backend.reading + others.reading + uncached_tokens
-            prompts = unread_tokens / prompt_tokens * slow
-            running = backend.inflight + others.running
-            rank = ranks.get(ident, AFFINITY_CANDIDATES)
-            prompts += running * running_cost * slow + rank * RANK_COST_PROMPTS
-            if prompts > limit:
-                # What follows can only increase the cost.
-                return prompts
-            prompts *= (
-                1
-                + _plainplacement.IDEMPOTENT_FAILURE_WEIGHT
-                * backend.failures_now(now)
-            )
-            if backend.data_centre == avoid_data_centre:
-                prompts += _pacedplacement.DATA_CENTRE_PENALTY_PROMPTS
-            if self._is_remote(backend):
-                prompts += REMOTE_COST_PROMPTS
-            prompts += self.health_penalty(backend, now)
-            prompts += late_cost(unread_tokens * slow)
-            return prompts + self.memory_penalty(backend, now, tokens)
-
-        preferred = {*ranks, cached}
-        usable = self.usable(service, now, canary=canary, version=version)
-        usable = self.allowing(usable, now)
-        best = self.best_engine(usable, now, tried, wait, preferred)
-        if best is None:
-            return None
-        idle = not best.reading + best.remote_load.reading
-        fast = slowness.get(best.ident, 1.0) <= MAX_IDLE_SLOWNESS
-        if (
-            idle
-            and fast
-            and self.has_room(best, now, tokens, _backendpool.MAX_MEMORY_SHARE)
-        ):
+        preferred = [
+            self.backends[ident]
+            for ident in {*ranks, cached_at}
+            if ident in usable.positions
+            and ident not in excluded
+            and self.backends[ident].ejected_until <= now
+        ]
+        best = self._cheapest(
+            costs, usable, preferred, [] if preferred else groups
+        )
+        if self._is_idle(best, costs):
             return best
         # All preferred engines are reading or full: consider all others too.
         jitter_prompts = self.jitter_prompts(service, stale=stale)
+        return self._cheapest(costs, usable, preferred, groups, jitter_prompts)
+
+    def _healthy_groups(
+        self,
+        usable: _usableservers.UsableServers,
+        now: float,
+        excluded: set[str],
+    ) -> list[_Group]:
+        """Return the engines that aren't ejected, those nearby first."""
+        lost = self.recently_lost(now)
+        unlike = excluded | {backend.ident for backend in lost}
+        near, far = usable.servers, []
+        if self.data_centre:
+            near, far = usable.split(self.data_centre)
+        on_probation = [
+            backend
+            for backend in lost
+            if backend.ejected_until <= now
+            and backend.ident in usable.positions
+            and backend.ident not in excluded
+        ]
+        groups = [
+            (_without(near, unlike), 0.0),
+            (_without(far, unlike), _promptcosts.REMOTE_COST_PROMPTS),
+            (on_probation, _pacedplacement.PROBATION_PENALTY_PROMPTS),
+        ]
+        return [group for group in groups if group[0]]
 
-        def jittered_wait(
-            backend: _backendserver.BackendServer, limit: float
-        ) -> float:
-            prompts = wait(backend, limit)
-            if prompts > limit:
-                return prompts
-            return prompts + jitter_prompts * _affinity.exponential_jitter(
-                segment, backend.ident
+    def _cheapest(
+        self,
+        costs: _promptcosts.PromptCosts,
+        usable: _usableservers.UsableServers,
+        preferred: list[_backendserver.BackendServer],
+        groups: list[_Group],
+        jitter_prompts: float = 0.0,
+    ) -> _backendserver.BackendServer:
+        """Return the engine of least cost, by pace among nearly equal ones."""
+        service = usable.servers[0].service
+        paced = service in self.server_speeds.services
+        search = _enginesearch.EngineSearch(
+            costs,
+            usable.positions,
+            jitter_prompts,
+            self.server_speeds.paces if paced else None,
+        )
+        for engine in preferred:
+            search.add(engine)
+        for engines, fixed_prompts in groups:
+            search.search(engines, fixed_prompts)
+        best, next_best = search.result()
+        if paced:
+            self.engine_choice = _pacedplacement.EngineChoice(
+                best.ident, next_best
             )
+        return best
 
-        return self.best_engine(usable, now, tried, jittered_wait)
+    def _is_idle(
+        self,
+        engine: _backendserver.BackendServer,
+        costs: _promptcosts.PromptCosts,
+    ) -> bool:
+        """Whether no other engine needs to be considered."""
+        return (
+            not engine.reading + engine.remote_load.reading
+            and costs.slowness.get(engine.ident, 1.0) <= MAX_IDLE_SLOWNESS
+            and self.has_room(
+                engine,
+                costs.now,
+                costs.prompt.tokens,
+                _backendpool.MAX_MEMORY_SHARE,
+            )
+        )
 
     def likely_cache_holders(
         self,
--- a/src/bulrushhold/decisions/_plainplacement.py
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -103,7 +103,7 @@
             latency = max(backend.latency, MIN_LATENCY_S)
             penalty = 1 + weight * backend.failures_now(now)
             noise = 1 + 0.2 * self.rng.random()
-            distance = REMOTE_WAIT_FACTOR if self._is_remote(backend) else 1.0
+            distance = REMOTE_WAIT_FACTOR if self.is_remote(backend) else 1.0
             return load * latency * penalty * noise * distance
 
         usable = self.allowing(self.usable(service, now, canary=canary), now)
@@ -126,7 +126,7 @@
             backend.ident: service_times[backend.ident]
             * self.explained_factor(backend, now)
             * (1 + failure_weight * backend.failures_now(now))
-            * (REMOTE_WAIT_FACTOR if self._is_remote(backend) else 1.0)
+            * (REMOTE_WAIT_FACTOR if self.is_remote(backend) else 1.0)
             for backend in usable
         }
         best = self._best_of(usable, now, tried, lambda b: expected[b.ident])
@@ -192,5 +192,6 @@
         # All are ejected: the one ejected first has most likely recovered.
         return min(untried, key=lambda b: b.ejected_until)
 
-    def _is_remote(self, backend: _backendserver.BackendServer) -> bool:
+    def is_remote(self, backend: _backendserver.BackendServer) -> bool:
+        """Whether a server isn't in the data centre of this entry."""
         return self.data_centre not in ('', backend.data_centre)
--- /dev/null
+++ b/src/bulrushhold/decisions/_promptcosts.py
@@ -0,0 +1,213 @@
+"""Costs of engines for one prompt, measured in prompts of its size."""
+
+import collections.abc as cabc
+import itertools
+import typing as t
+
+import attrs
+
+from bulrushhold.decisions import _affinity
+from bulrushhold.decisions import _backendpool
+from bulrushhold.decisions import _backendserver
+from bulrushhold.decisions import _engineslowness
+from bulrushhold.decisions import _pacedplacement
+from bulrushhold.decisions import _plainplacement
+from bulrushhold import messages
+
+# A prompt slows all streams that its engine is running while it is read.
+RUNNING_STREAM_COST_PROMPTS: t.Final = 0.3
+# The same while much of the load is unknown: all entries would otherwise place
+# the streams of a lost data centre on the few idle engines.
+STALE_RUNNING_STREAM_COST_PROMPTS: t.Final = 0.08
+# Cost of an engine in another data centre. Links between data centres may lose
+# packets, which delays events by retransmissions.
+REMOTE_COST_PROMPTS: t.Final = 0.5
+# Added for each rank in the rendezvous order.
+RANK_COST_PROMPTS: t.Final = 0.08
+# Subtracted from the memory of a full engine in a bound, in tokens: it is
+# computed in another order than the exact value.
+MEMORY_MARGIN_TOKENS: t.Final = 0.01
+
+
+@attrs.frozen
+class Prompt:
+    """A prompt to be placed.
+
+    :param tokens: its length.
+    :param segment: its last segment.
+    :param cached_at: ident of the engine that has it cached, or ``''``.
+    :param ranks: by ident, the ranks of the engines preferred for it.
+    :param other_rank: rank of all other engines.
+    :param avoid_data_centre: data centre that just lost its stream.
+    """
+
+    tokens: int
+    segment: str
+    cached_at: str
+    ranks: dict[str, int]
+    other_rank: int
+    avoid_data_centre: str
+
+
+class PromptCosts:
+    """Costs of a service's engines for a prompt at one time.
+
+    :param stale: much of the other entries' load is unknown.
+    """
+
+    def __init__(
+        self,
+        placement: _pacedplacement.PacedPlacement,
+        prompt: Prompt,
+        now: float,
+        slowness: _engineslowness.SlownessView,
+        late_cost: _pacedplacement.LateCost | None,
+        *,
+        stale: bool,
+    ) -> None:
+        self.placement = placement
+        self.prompt = prompt
+        self.now = now
+        self.slowness = slowness
+        self.late_cost = late_cost
+        self.has_current_loads = placement.has_current_loads(now)
+        self.running_cost = (
+            STALE_RUNNING_STREAM_COST_PROMPTS
+            if stale
+            else RUNNING_STREAM_COST_PROMPTS
+        )
+        self.known: dict[str, float] = {}
+
+    def cost(
+        self,
+        backend: _backendserver.BackendServer,
+        jitter_prompts: float = 0.0,
+    ) -> float:
+        """Return the cost of an engine.
+
+        :param jitter_prompts: mean of its random part.
+        """
+        ident = backend.ident
+        prompts = self.known.get(ident)
+        if prompts is None:
+            prompts = self.known[ident] = self._cost(backend)
+        if not jitter_prompts:
+            return prompts
+        return prompts + jitter_prompts * _affinity.exponential_jitter(
+            self.prompt.segment, ident
+        )
+
+    def _cost(self, backend: _backendserver.BackendServer) -> float:
+        placement, prompt, now = self.placement, self.prompt, self.now
+        ident = backend.ident
+        others = (
+            backend.remote_load
+            if self.has_current_loads
+            else _backendserver.NO_LOAD
+        )
+        slow = self.slowness.get(ident, 1.0)
+        unread_tokens = backend.reading + others.reading
+        if ident != prompt.cached_at:
+            unread_tokens += prompt.tokens
+        prompts = unread_tokens / max(1, prompt.tokens) * slow
+        running = backend.inflight + others.running
+        rank = prompt.ranks.get(ident, prompt.other_rank)
+        prompts += (
+            running * self.running_cost * slow + rank * RANK_COST_PROMPTS
+        )
+        prompts *= (
+            1
+            + _plainplacement.IDEMPOTENT_FAILURE_WEIGHT
+            * backend.failures_now(now)
+        )
+        if backend.data_centre == prompt.avoid_data_centre:
+            prompts += _pacedplacement.DATA_CENTRE_PENALTY_PROMPTS
+        if placement.is_remote(backend):
+            prompts += REMOTE_COST_PROMPTS
+        prompts += placement.health_penalty(backend, now)
+        if self.late_cost is not None:
+            prompts += self.late_cost.prompts(unread_tokens * slow)
+        return prompts + placement.memory_penalty(backend, now, prompt.tokens)
+
+    def lower_bounds(
+        self, engines: list[_backendserver.BackendServer], fixed: float
+    ) -> list[float]:
+        """Return lower bounds of the costs of engines, without jitter.
+
+        They hold for engines that aren't preferred, and exceed the exact
+        values by rounding errors at most.
+
+        :param fixed: part of the cost that is the same for all of them.
+        """
+        if not engines:
+            return []
+        slowness = self.slowness.all()
+        fixed += self.prompt.other_rank * RANK_COST_PROMPTS
+        loads: cabc.Iterable[messages.EngineLoad] = (
+            [engine.remote_load for engine in engines]
+            if self.has_current_loads
+            else itertools.repeat(_backendserver.NO_LOAD)
+        )
+        if not slowness:
+            return self._bounds_of_equal(engines, loads, fixed)
+        get = slowness.get
+        slow = [get(engine.ident, 1.0) for engine in engines]
+        return self._bounds_by_slowness(engines, loads, slow, fixed)
+
+    def _bounds_of_equal(
+        self,
+        engines: list[_backendserver.BackendServer],
+        loads: cabc.Iterable[messages.EngineLoad],
+        fixed: float,
+    ) -> list[float]:
+        """Return :meth:`lower_bounds` of engines of the same speed."""
+        prompt_tokens = max(1, self.prompt.tokens)
+        fixed += self.prompt.tokens / prompt_tokens
+        running_cost = self.running_cost
+        max_memory = self._max_memory(engines[0].service)
+        full = _pacedplacement.FULL_PENALTY_PROMPTS
+        return [
+            fixed
+            + (engine.reading + load.reading) / prompt_tokens
+            + (engine.inflight + load.running) * running_cost
+            + (full if engine.memory + load.memory > max_memory else 0.0)
+            for engine, load in zip(engines, loads, strict=False)
+        ]
+
+    def _bounds_by_slowness(
+        self,
+        engines: list[_backendserver.BackendServer],
+        loads: cabc.Iterable[messages.EngineLoad],
+        slowness: list[float],
+        fixed: float,
+    ) -> list[float]:
+        """Return :meth:`lower_bounds` of engines of different speeds."""
+        tokens = self.prompt.tokens
+        prompt_tokens = max(1, tokens)
+        running_tokens = self.running_cost * prompt_tokens
+        max_memory = self._max_memory(engines[0].service)
+        full = _pacedplacement.FULL_PENALTY_PROMPTS
+        late, in_time, per_token = 0.0, float('inf'), 0.0
+        if self.late_cost is not None:
+            late, in_time, per_token = self.late_cost.line()
+        return [
+            fixed
+            + (
+                (unread := (engine.reading + load.reading + tokens) * slow)
+                + (engine.inflight + load.running) * running_tokens * slow
+            )
+            / prompt_tokens
+            + (full if engine.memory + load.memory > max_memory else 0.0)
+            + (unread * per_token - late if unread > in_time else 0.0)
+            for engine, load, slow in zip(
+                engines, loads, slowness, strict=False
+            )
+        ]
+
+    def _max_memory(self, service: str) -> float:
+        """Return the memory in use above which an engine has no room."""
+        capacity = self.placement.capacity.get(service, 0)
+        if not capacity:
+            return float('inf')
+        max_memory = capacity * _backendpool.MAX_MEMORY_SHARE
+        return max_memory - self.prompt.tokens + MEMORY_MARGIN_TOKENS
