--- a/src/bulrushhold/decisions/_enginespeeds.py
+++ b/src/bulrushhold/decisions/_enginespeeds.py
@@ -109,7 +109,9 @@
     def __init__(self) -> None:
         self.local: dict[str, _LocalSamples] = {}
         self.remote: dict[str, messages.EngineSpeed] = {}
-        self.pending_reads: set[PromptRead] = set()
+        # A dict keeps their order: sums over them are rounded, and would
+        # otherwise differ between runs with equal seeds.
+        self.pending_reads: dict[PromptRead, None] = {}
 
     # Recording samples
 
@@ -118,7 +120,7 @@
     ) -> PromptRead:
         """Record that a prompt was sent, with ``tokens`` to be read."""
         reading = PromptRead(service, engine, max(1, tokens), now)
-        self.pending_reads.add(reading)
+        self.pending_reads[reading] = None
         return reading
 
     def record_read(
@@ -155,7 +157,7 @@
 
     def cancel_read(self, reading: PromptRead) -> None:
         """Discard a pending read whose result is no longer awaited."""
-        self.pending_reads.discard(reading)
+        self.pending_reads.pop(reading, None)
 
     def record_prompt(self, service: str, tokens: int, now: float) -> None:
         """Count the tokens of a prompt that was read."""
