Choice of an engine: bounds from the least slowness of engines

The slowness of all engines changes with time, and its computation took half of a choice among engines of different speeds. Each engine now has a floor of its slowness, which changes only with new samples or values; bounds use it, and the slowness itself is computed for the engines that can be the best. Bounds of memory, lateness and jitter are computed only for engines that the first bound leaves.

--- a/src/bulrushhold/decisions/_backendserver.py
+++ b/src/bulrushhold/decisions/_backendserver.py
@@ -29,6 +29,8 @@
     :param version: version of its software.
     :param lost_at: when it last crashed or became unreachable; copies made
         there before are lost.
+    :param slowness_floor: the least that the slowness of this engine can be
+        until something new is known of it.
     :param encoded_ident: the ident as it is hashed.
     """
 
@@ -50,6 +52,7 @@
     remote_load: messages.EngineLoad = NO_LOAD
     lost_at: float = float('-inf')
     version: str = ''
+    slowness_floor: float = 1.0
     encoded_ident: bytes = attrs.field(init=False, eq=False, repr=False)
 
     @encoded_ident.default
--- a/src/bulrushhold/decisions/_enginesearch.py
+++ b/src/bulrushhold/decisions/_enginesearch.py
@@ -4,8 +4,6 @@
 import math
 import typing as t
 
-import xxhash
-
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _enginepace
 from bulrushhold.decisions import _promptcosts
@@ -71,16 +69,11 @@
 
         :param fixed: see :meth:`PromptCosts.lower_bounds`.
         """
-        max_cost = self._max_cost()
-        bounds = [
-            (bound, index)
-            for index, bound in enumerate(
-                self.costs.lower_bounds(engines, fixed)
-            )
-            if bound <= max_cost
-        ]
-        if self.jitter_prompts:
-            bounds = self._with_jitter(engines, bounds)
+        bounds = self.costs.closer_bounds(
+            engines,
+            self.costs.lower_bounds(engines, fixed, self._max_cost()),
+            self.jitter_prompts,
+        )
         for _, index in heapq.nsmallest(FIRST_ENGINES, bounds):
             self.add(engines[index])
         max_cost = self._max_cost()
@@ -90,26 +83,6 @@
             if self._may_win(engines[index], bound):
                 self.add(engines[index])
 
-    def _with_jitter(
-        self,
-        engines: list[_backendserver.BackendServer],
-        bounds: list[tuple[float, int]],
-    ) -> list[tuple[float, int]]:
-        """Add to bounds what the random part of a cost is at least.
-
-        The exponential jitter of a draw is at least the draw itself.
-        """
-        digest = xxhash.xxh64_intdigest
-        suffix = f'/{self.costs.prompt.segment}'.encode()
-        scale = self.jitter_prompts / 2**64
-        return [
-            (
-                bound + scale * digest(engines[index].encoded_ident + suffix),
-                index,
-            )
-            for bound, index in bounds
-        ]
-
     def _max_cost(self) -> float:
         """Return the cost above which no engine is best or next best."""
         if self.paces is None:
--- a/src/bulrushhold/decisions/_engineslowness.py
+++ b/src/bulrushhold/decisions/_engineslowness.py
@@ -224,6 +224,8 @@
     they stay in use, with decaying weight, while control is unreachable.
 
     :ivar unreported: samples since the last load report, by engine.
+    :ivar changed: engines of which something new is known since their floors
+        were taken.
     """
 
     def __init__(self) -> None:
@@ -234,6 +236,7 @@
         self.credit_bytes = MAX_CREDIT_BYTES
         self.cached: _SlownessAt | None = None
         self.cached_at = float('-inf')
+        self.changed: set[str] = set()
 
     def record(
         self, ident: str, sample: messages.SpeedSample, now: float
@@ -245,6 +248,7 @@
             sample if unreported is None else add_samples(unreported, sample)
         )
         self.cached_at = float('-inf')
+        self.changed.add(ident)
 
     def apply_remote(
         self, values: dict[str, float], now: float, *, complete: bool
@@ -253,7 +257,9 @@
 
         :param complete: they are the values of all engines.
         """
+        self.changed.update(values)
         if complete:
+            self.changed.update(self.remote)
             self.remote = dict(values)
         else:
             self.remote.update(values)
@@ -333,3 +339,27 @@
             i: s for i, s in self.unreported.items() if i in idents
         }
         self.cached_at = float('-inf')
+        self.changed.update(self.local, self.remote)
+
+    def take_changed_floors(self) -> dict[str, float]:
+        """Return the floors of the engines that have changed since.
+
+        An engine's slowness doesn't fall below its floor until there is
+        another sample or value of it.
+        """
+        changed, self.changed = self.changed, set()
+        return {ident: self._floor(ident) for ident in changed}
+
+    def _floor(self, ident: str) -> float:
+        """Return the least slowness of an engine over time.
+
+        With time, the weight of its samples falls, and control's value counts
+        less, so that the slowness tends to 1 by way of values in between.
+        """
+        prior, weight_s = min(1.0, self.remote.get(ident, 1.0)), PRIOR_S
+        if ident in self.remote:
+            weight_s = REMOTE_WEIGHT_S
+        total = self.local.get(ident)
+        if total is None:
+            return _bounded(prior)
+        return min(_bounded(prior), slowness(total.sample, prior, weight_s))
--- a/src/bulrushhold/decisions/_pacedplacement.py
+++ b/src/bulrushhold/decisions/_pacedplacement.py
@@ -130,6 +130,14 @@
         late = self.speeds.late_reads(service, now, token_s)
         return self.server_speeds.slowness.current(now, late)
 
+    def update_slowness_floors(self) -> None:
+        """Set the floors of the engines whose slowness has changed."""
+        floors = self.server_speeds.slowness.take_changed_floors()
+        for ident, floor in floors.items():
+            backend = self.backends.get(ident)
+            if backend is not None:
+                backend.slowness_floor = floor
+
     def late_cost(
         self,
         service: str,
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -88,6 +88,7 @@
             service, now, canary=canary, version=version
         )
         excluded = tried | self.demands.held(now)
+        slowness = self.slowness_view(service, now)
         self.engine_choice = None
         groups = self._healthy_groups(usable, now, excluded)
         if not groups:
@@ -106,7 +107,7 @@
                 avoid_data_centre,
             ),
             now,
-            self.slowness_view(service, now),
+            slowness,
             self.late_cost(service, objective, now),
             stale=stale,
         )
@@ -117,6 +118,7 @@
             and ident not in excluded
             and self.backends[ident].ejected_until <= now
         ]
+        self.update_slowness_floors()
         best = self._cheapest(
             costs, usable, preferred, [] if preferred else groups
         )
--- a/src/bulrushhold/decisions/_promptcosts.py
+++ b/src/bulrushhold/decisions/_promptcosts.py
@@ -5,6 +5,7 @@
 import typing as t
 
 import attrs
+import xxhash
 
 from bulrushhold.decisions import _affinity
 from bulrushhold.decisions import _backendpool
@@ -130,79 +131,83 @@
         return prompts + placement.memory_penalty(backend, now, prompt.tokens)
 
     def lower_bounds(
-        self, engines: list[_backendserver.BackendServer], fixed: float
-    ) -> list[float]:
-        """Return lower bounds of the costs of engines, without jitter.
+        self,
+        engines: list[_backendserver.BackendServer],
+        fixed: float,
+        max_cost: float,
+    ) -> list[tuple[float, int]]:
+        """Return lower bounds of the costs of engines, with their indices.
 
         They hold for engines that aren't preferred, and exceed the exact
         values by rounding errors at most.
 
         :param fixed: part of the cost that is the same for all of them.
+        :param max_cost: engines with a greater bound are left out.
         """
-        if not engines:
-            return []
-        slowness = self.slowness.all()
+        tokens = self.prompt.tokens
+        prompt_tokens = max(1, tokens)
+        running_tokens = self.running_cost * prompt_tokens
         fixed += self.prompt.other_rank * RANK_COST_PROMPTS
         loads: cabc.Iterable[messages.EngineLoad] = (
             [engine.remote_load for engine in engines]
             if self.has_current_loads
             else itertools.repeat(_backendserver.NO_LOAD)
         )
-        if not slowness:
-            return self._bounds_of_equal(engines, loads, fixed)
-        get = slowness.get
-        slow = [get(engine.ident, 1.0) for engine in engines]
-        return self._bounds_by_slowness(engines, loads, slow, fixed)
-
-    def _bounds_of_equal(
-        self,
-        engines: list[_backendserver.BackendServer],
-        loads: cabc.Iterable[messages.EngineLoad],
-        fixed: float,
-    ) -> list[float]:
-        """Return :meth:`lower_bounds` of engines of the same speed."""
-        prompt_tokens = max(1, self.prompt.tokens)
-        fixed += self.prompt.tokens / prompt_tokens
-        running_cost = self.running_cost
-        max_memory = self._max_memory(engines[0].service)
-        full = _pacedplacement.FULL_PENALTY_PROMPTS
         return [
-            fixed
-            + (engine.reading + load.reading) / prompt_tokens
-            + (engine.inflight + load.running) * running_cost
-            + (full if engine.memory + load.memory > max_memory else 0.0)
-            for engine, load in zip(engines, loads, strict=False)
+            (bound, index)
+            for index, (engine, load) in enumerate(
+                zip(engines, loads, strict=False)
+            )
+            if (
+                bound := fixed
+                + (
+                    engine.reading
+                    + load.reading
+                    + tokens
+                    + (engine.inflight + load.running) * running_tokens
+                )
+                * engine.slowness_floor
+                / prompt_tokens
+            )
+            <= max_cost
         ]
 
-    def _bounds_by_slowness(
+    def closer_bounds(
         self,
         engines: list[_backendserver.BackendServer],
-        loads: cabc.Iterable[messages.EngineLoad],
-        slowness: list[float],
-        fixed: float,
-    ) -> list[float]:
-        """Return :meth:`lower_bounds` of engines of different speeds."""
+        bounds: list[tuple[float, int]],
+        jitter_prompts: float,
+    ) -> list[tuple[float, int]]:
+        """Add to bounds what memory, lateness and jitter cost at least."""
+        if not bounds:
+            return []
         tokens = self.prompt.tokens
-        prompt_tokens = max(1, tokens)
-        running_tokens = self.running_cost * prompt_tokens
         max_memory = self._max_memory(engines[0].service)
-        full = _pacedplacement.FULL_PENALTY_PROMPTS
-        late, in_time, per_token = 0.0, float('inf'), 0.0
+        late = (0.0, float('inf'), 0.0)
         if self.late_cost is not None:
-            late, in_time, per_token = self.late_cost.line()
-        return [
-            fixed
-            + (
-                (unread := (engine.reading + load.reading + tokens) * slow)
-                + (engine.inflight + load.running) * running_tokens * slow
+            late = self.late_cost.line()
+        subtracted, in_time, per_token = late
+        digest = xxhash.xxh64_intdigest
+        suffix = f'/{self.prompt.segment}'.encode()
+        # The exponential jitter of a draw is at least the draw itself.
+        scale = jitter_prompts / 2**64
+        closer = []
+        for bound, index in bounds:
+            engine = engines[index]
+            load = (
+                engine.remote_load
+                if self.has_current_loads
+                else _backendserver.NO_LOAD
             )
-            / prompt_tokens
-            + (full if engine.memory + load.memory > max_memory else 0.0)
-            + (unread * per_token - late if unread > in_time else 0.0)
-            for engine, load, slow in zip(
-                engines, loads, slowness, strict=False
-            )
-        ]
+            if engine.memory + load.memory > max_memory:
+                bound += _pacedplacement.FULL_PENALTY_PROMPTS
+            unread = engine.reading + load.reading + tokens
+            unread *= engine.slowness_floor
+            if unread > in_time:
+                bound += unread * per_token - subtracted
+            bound += scale * digest(engine.encoded_ident + suffix)
+            closer.append((bound, index))
+        return closer
 
     def _max_memory(self, service: str) -> float:
         """Return the memory in use above which an engine has no room."""
--- a/tests/test_choice_reference.py
+++ b/tests/test_choice_reference.py
@@ -363,7 +363,7 @@
     def report(self, *, complete=False):
         idents = list(self.pool.backends)
         if not complete:
-            idents = self.rng.sample(idents, len(idents) // 3)
+            idents = self.rng.sample(idents, math.ceil(len(idents) / 3))
         tokens = (0, 3000, 8000, 8000)
         loads = {
             ident: messages.EngineLoad(
@@ -502,8 +502,14 @@
                 SERVICE, now, canary=canary, version=version
             ) == plain_usable(pool, now, canary, version)
             rng, engine, by_pace = plain_choice(pool, now, **choice)
+            cached_at = pool.server_speeds.slowness.cached_at
             assert pool.choose_engine(SERVICE, now, **choice) is engine
             assert pool.rng.getstate() == rng.getstate()
+            if SERVICE in pool.server_speeds.services:
+                is_cached = 0 <= now - cached_at < 0.05
+                assert pool.server_speeds.slowness.cached_at == (
+                    cached_at if is_cached else now
+                )
             noted = pool.engine_choice
             assert by_pace == (noted and (noted.engine, noted.next_best))
             if estimate['objective'].tokens:
