Choice of an engine: fewer passes over all engines

Only digests that can be among the first are kept when the preferred engines are sought; excluded engines are sorted out after the first bound; a few engines of each group are compared first, so that their costs exclude most others; engines that can only win by their pace are sought only among those with a pace that isn't usual; and exact costs skip calls whose result is known for nearly all engines.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -214,6 +214,16 @@
         capacity = self.capacity.get(service, 0)
         return not capacity or tokens <= capacity
 
+    def max_memory(self, service: str, max_share: float) -> float:
+        """Return the tokens that may be held on an engine.
+
+        Infinite if the memory of the service's engines is unknown.
+
+        :param max_share: share of an engine's memory, 0 to 1.
+        """
+        capacity = self.capacity.get(service, 0)
+        return capacity * max_share if capacity else float('inf')
+
     def has_room(
         self,
         backend: _backendserver.BackendServer,
@@ -221,11 +231,9 @@
         tokens: int,
         max_share: float,
     ) -> bool:
-        capacity = self.capacity.get(backend.service, 0)
-        if not capacity:
-            return True
         others = self.current_remote_load(backend, now).memory
-        return backend.memory + others + tokens <= capacity * max_share
+        max_memory = self.max_memory(backend.service, max_share)
+        return backend.memory + others + tokens <= max_memory
 
     def current_remote_load(
         self, backend: _backendserver.BackendServer, now: float
--- a/src/bulrushhold/decisions/_enginesearch.py
+++ b/src/bulrushhold/decisions/_enginesearch.py
@@ -4,6 +4,8 @@
 import math
 import typing as t
 
+import attrs
+
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _enginepace
 from bulrushhold.decisions import _promptcosts
@@ -19,6 +21,25 @@
 ROUNDING: t.Final = 1 + 1e-6
 # Engines with the least bounds; their costs exclude most others.
 FIRST_ENGINES: t.Final = 3
+# Engines of a group that are compared before the others.
+SAMPLED_ENGINES: t.Final = 64
+
+
+@attrs.frozen
+class EngineGroup:
+    """Engines that have a part of the cost in common.
+
+    :param fixed_prompts: that part.
+    :param excluded: idents of engines that aren't considered.
+    """
+
+    engines: list[_backendserver.BackendServer]
+    fixed_prompts: float
+    excluded: set[str]
+
+    def is_empty(self) -> bool:
+        """Whether all engines are excluded."""
+        return all(engine.ident in self.excluded for engine in self.engines)
 
 
 class EngineSearch:
@@ -62,25 +83,52 @@
         if cost < self.least_usual and self._pace(engine) == 1.0:
             self.least_usual = cost
 
-    def search(
-        self, engines: list[_backendserver.BackendServer], fixed: float
-    ) -> None:
-        """Add those engines of a list that can be the best or next best.
+    def search(self, group: EngineGroup) -> None:
+        """Add those engines of a group that can be the best or next best."""
+        # The costs of a few exclude most others at the first bound.
+        for begin, end in ((0, SAMPLED_ENGINES), (SAMPLED_ENGINES, None)):
+            engines = group.engines[begin:end]
+            max_cost = self._max_cost()
+            bounds = self.costs.lower_bounds(
+                engines, group.fixed_prompts, max_cost
+            )
+            if group.excluded:
+                bounds = [
+                    (bound, index)
+                    for bound, index in bounds
+                    if engines[index].ident not in group.excluded
+                ]
+            bounds = self.costs.with_jitter(
+                engines, bounds, self.jitter_prompts, max_cost
+            )
+            bounds = self.costs.with_penalties(engines, bounds)
+            self._add_cheapest(engines, bounds)
+            if self.paces is not None:
+                self._add_paced(engines, bounds)
 
-        :param fixed: see :meth:`PromptCosts.lower_bounds`.
-        """
-        bounds = self.costs.closer_bounds(
-            engines,
-            self.costs.lower_bounds(engines, fixed, self._max_cost()),
-            self.jitter_prompts,
-        )
+    def _add_cheapest(
+        self,
+        engines: list[_backendserver.BackendServer],
+        bounds: list[tuple[float, int]],
+    ) -> None:
+        """Add the engines that may be best or next best at usual pace."""
         for _, index in heapq.nsmallest(FIRST_ENGINES, bounds):
             self.add(engines[index])
-        max_cost = self._max_cost()
+        max_cost = self._max_usual_cost()
         for bound, index in sorted(b for b in bounds if b[0] <= max_cost):
-            if bound > self._max_cost():
+            if bound > self._max_usual_cost():
                 break
-            if self._may_win(engines[index], bound):
+            self.add(engines[index])
+
+    def _add_paced(
+        self,
+        engines: list[_backendserver.BackendServer],
+        bounds: list[tuple[float, int]],
+    ) -> None:
+        """Add the engines that may be best by a pace that isn't usual."""
+        max_cost = self._max_cost()
+        for bound, index in bounds:
+            if bound <= max_cost and self._pace(engines[index]) != 1.0:
                 self.add(engines[index])
 
     def _max_cost(self) -> float:
@@ -89,17 +137,15 @@
             return self.least * ROUNDING
         return max(self.least + EQUAL_COST_PROMPTS, self.second) * ROUNDING
 
-    def _may_win(
-        self, engine: _backendserver.BackendServer, bound: float
-    ) -> bool:
-        """Whether an engine can be best or next best with its pace.
+    def _max_usual_cost(self) -> float:
+        """Return the same for engines of usual pace.
 
-        Of the engines of usual pace, the one of least cost is better than all
-        others.
+        Of these, the one of least cost is better than all others.
         """
-        return (
-            bound <= max(self.second, self.least_usual) * ROUNDING
-            or self._pace(engine) != 1.0
+        if self.paces is None:
+            return self.least * ROUNDING
+        return min(
+            self._max_cost(), max(self.second, self.least_usual) * ROUNDING
         )
 
     def _pace(self, engine: _backendserver.BackendServer) -> float:
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -48,9 +48,6 @@
 STALE_AFTER_LOSS_S: t.Final = 0.5
 STALE_AFTER_S: t.Final = 0.5
 
-# Engines, and the part of the cost that they have in common.
-_Group = tuple[list[_backendserver.BackendServer], float]
-
 
 class Placement(_pacedplacement.PacedPlacement):
     """Load balancer over all known backend servers."""
@@ -98,6 +95,7 @@
         stale = self._is_load_stale(service, now)
         costs = _promptcosts.PromptCosts(
             self,
+            service,
             _promptcosts.Prompt(
                 tokens,
                 segment,
@@ -133,7 +131,7 @@
         usable: _usableservers.UsableServers,
         now: float,
         excluded: set[str],
-    ) -> list[_Group]:
+    ) -> list[_enginesearch.EngineGroup]:
         """Return the engines that aren't ejected, those nearby first."""
         lost = self.recently_lost(now)
         unlike = excluded | {backend.ident for backend in lost}
@@ -148,18 +146,22 @@
             and backend.ident not in excluded
         ]
         groups = [
-            (_without(near, unlike), 0.0),
-            (_without(far, unlike), _promptcosts.REMOTE_COST_PROMPTS),
-            (on_probation, _pacedplacement.PROBATION_PENALTY_PROMPTS),
+            _enginesearch.EngineGroup(near, 0.0, unlike),
+            _enginesearch.EngineGroup(
+                far, _promptcosts.REMOTE_COST_PROMPTS, unlike
+            ),
+            _enginesearch.EngineGroup(
+                on_probation, _pacedplacement.PROBATION_PENALTY_PROMPTS, set()
+            ),
         ]
-        return [group for group in groups if group[0]]
+        return [group for group in groups if not group.is_empty()]
 
     def _cheapest(
         self,
         costs: _promptcosts.PromptCosts,
         usable: _usableservers.UsableServers,
         preferred: list[_backendserver.BackendServer],
-        groups: list[_Group],
+        groups: list[_enginesearch.EngineGroup],
         jitter_prompts: float = 0.0,
     ) -> _backendserver.BackendServer:
         """Return the engine of least cost, by pace among nearly equal ones."""
@@ -173,8 +175,8 @@
         )
         for engine in preferred:
             search.add(engine)
-        for engines, fixed_prompts in groups:
-            search.search(engines, fixed_prompts)
+        for group in groups:
+            search.search(group)
         best, next_best = search.result()
         if paced:
             self.engine_choice = _pacedplacement.EngineChoice(
@@ -419,9 +421,7 @@
             )
         else:
             preferred = _affinity.preferred_engines(
-                _without(usable.servers, excluded),
-                segment,
-                AFFINITY_CANDIDATES,
+                usable.servers, segment, AFFINITY_CANDIDATES, excluded
             )
         return {backend.ident: rank for rank, backend in enumerate(preferred)}
 
--- a/src/bulrushhold/decisions/_promptcosts.py
+++ b/src/bulrushhold/decisions/_promptcosts.py
@@ -59,6 +59,7 @@
     def __init__(
         self,
         placement: _pacedplacement.PacedPlacement,
+        service: str,
         prompt: Prompt,
         now: float,
         slowness: _engineslowness.SlownessView,
@@ -72,6 +73,9 @@
         self.slowness = slowness
         self.late_cost = late_cost
         self.has_current_loads = placement.has_current_loads(now)
+        self.max_memory = placement.max_memory(
+            service, _backendpool.MAX_MEMORY_SHARE
+        )
         self.running_cost = (
             STALE_RUNNING_STREAM_COST_PROMPTS
             if stale
@@ -116,11 +120,12 @@
         prompts += (
             running * self.running_cost * slow + rank * RANK_COST_PROMPTS
         )
-        prompts *= (
-            1
-            + _plainplacement.IDEMPOTENT_FAILURE_WEIGHT
-            * backend.failures_now(now)
-        )
+        if backend.failures:
+            prompts *= (
+                1
+                + _plainplacement.IDEMPOTENT_FAILURE_WEIGHT
+                * backend.failures_now(now)
+            )
         if backend.data_centre == prompt.avoid_data_centre:
             prompts += _pacedplacement.DATA_CENTRE_PENALTY_PROMPTS
         if placement.is_remote(backend):
@@ -128,7 +133,9 @@
         prompts += placement.health_penalty(backend, now)
         if self.late_cost is not None:
             prompts += self.late_cost.prompts(unread_tokens * slow)
-        return prompts + placement.memory_penalty(backend, now, prompt.tokens)
+        if backend.memory + others.memory + prompt.tokens > self.max_memory:
+            prompts += _pacedplacement.FULL_PENALTY_PROMPTS
+        return prompts
 
     def lower_bounds(
         self,
@@ -148,49 +155,72 @@
         prompt_tokens = max(1, tokens)
         running_tokens = self.running_cost * prompt_tokens
         fixed += self.prompt.other_rank * RANK_COST_PROMPTS
+        max_tokens = (max_cost - fixed) * prompt_tokens
         loads: cabc.Iterable[messages.EngineLoad] = (
             [engine.remote_load for engine in engines]
             if self.has_current_loads
             else itertools.repeat(_backendserver.NO_LOAD)
         )
         return [
-            (bound, index)
+            (fixed + bound / prompt_tokens, index)
             for index, (engine, load) in enumerate(
                 zip(engines, loads, strict=False)
             )
             if (
-                bound := fixed
-                + (
+                bound := (
                     engine.reading
                     + load.reading
                     + tokens
                     + (engine.inflight + load.running) * running_tokens
                 )
                 * engine.slowness_floor
-                / prompt_tokens
             )
-            <= max_cost
+            <= max_tokens
         ]
 
-    def closer_bounds(
+    def with_jitter(
         self,
         engines: list[_backendserver.BackendServer],
         bounds: list[tuple[float, int]],
         jitter_prompts: float,
+        max_cost: float,
     ) -> list[tuple[float, int]]:
-        """Add to bounds what memory, lateness and jitter cost at least."""
+        """Add to bounds what the random part of a cost is at least.
+
+        The exponential jitter of a draw is at least the draw itself.
+
+        :param jitter_prompts: mean of the random part.
+        :param max_cost: engines with a greater bound are left out.
+        """
+        if not jitter_prompts:
+            return bounds
+        digest = xxhash.xxh64_intdigest
+        suffix = f'/{self.prompt.segment}'.encode()
+        scale = jitter_prompts / 2**64
+        return [
+            (closer, index)
+            for bound, index in bounds
+            if (
+                closer := bound
+                + scale * digest(engines[index].encoded_ident + suffix)
+            )
+            <= max_cost
+        ]
+
+    def with_penalties(
+        self,
+        engines: list[_backendserver.BackendServer],
+        bounds: list[tuple[float, int]],
+    ) -> list[tuple[float, int]]:
+        """Add to bounds what full memory and a late event cost at least."""
         if not bounds:
             return []
         tokens = self.prompt.tokens
-        max_memory = self._max_memory(engines[0].service)
+        max_other_memory = self.max_memory - tokens + MEMORY_MARGIN_TOKENS
         late = (0.0, float('inf'), 0.0)
         if self.late_cost is not None:
             late = self.late_cost.line()
         subtracted, in_time, per_token = late
-        digest = xxhash.xxh64_intdigest
-        suffix = f'/{self.prompt.segment}'.encode()
-        # The exponential jitter of a draw is at least the draw itself.
-        scale = jitter_prompts / 2**64
         closer = []
         for bound, index in bounds:
             engine = engines[index]
@@ -199,20 +229,11 @@
                 if self.has_current_loads
                 else _backendserver.NO_LOAD
             )
-            if engine.memory + load.memory > max_memory:
+            if engine.memory + load.memory > max_other_memory:
                 bound += _pacedplacement.FULL_PENALTY_PROMPTS
             unread = engine.reading + load.reading + tokens
             unread *= engine.slowness_floor
             if unread > in_time:
                 bound += unread * per_token - subtracted
-            bound += scale * digest(engine.encoded_ident + suffix)
             closer.append((bound, index))
         return closer
-
-    def _max_memory(self, service: str) -> float:
-        """Return the memory in use above which an engine has no room."""
-        capacity = self.placement.capacity.get(service, 0)
-        if not capacity:
-            return float('inf')
-        max_memory = capacity * _backendpool.MAX_MEMORY_SHARE
-        return max_memory - self.prompt.tokens + MEMORY_MARGIN_TOKENS
--- a/src/bulrushhold/decisions/_versionrules.py
+++ b/src/bulrushhold/decisions/_versionrules.py
@@ -36,15 +36,21 @@
         self, backends: list[_backendserver.BackendServer]
     ) -> list[_backendserver.BackendServer]:
         """Return the engines that may get a request."""
-        named = [b for b in backends if b.version in self.versions]
-        if self.rule is Rule.ONLY:
-            return named
-        others = [b for b in backends if b.version not in self.versions]
         if self.rule is Rule.WITHOUT:
-            return others
+            return self._others(backends)
+        named = [b for b in backends if b.version in self.versions]
+        if self.rule is Rule.CANARY:
+            return self._canary_engines(named)
         if self.rule is Rule.PREFERRED:
-            return named or others
-        return self._canary_engines(named)
+            return named or self._others(backends)
+        return named
+
+    def _others(
+        self, backends: list[_backendserver.BackendServer]
+    ) -> list[_backendserver.BackendServer]:
+        if not self.versions:
+            return backends
+        return [b for b in backends if b.version not in self.versions]
 
     def _canary_engines(
         self, targets: list[_backendserver.BackendServer]
