Estimate of capacity and check for idle engines: fewer passes

The estimate checked each engine for probation, holds and failures of its data centre; it now leaves out the few engines that are known to be lost or held, and computes times in one expression. The check for idle engines looks at memory and health only of engines that read nothing.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -247,6 +247,14 @@
             return backend.remote_load
         return _backendserver.NO_LOAD
 
+    def current_loads(
+        self, backends: list[_backendserver.BackendServer], now: float
+    ) -> list[messages.EngineLoad]:
+        """Return :meth:`current_remote_load` of several servers."""
+        if self.has_current_loads(now):
+            return [backend.remote_load for backend in backends]
+        return [_backendserver.NO_LOAD] * len(backends)
+
     def has_current_loads(self, now: float) -> bool:
         """Whether the load that other entries report isn't outdated."""
         return now - self.last_report_at < LOAD_REPORT_TTL_S
--- a/src/bulrushhold/decisions/_datacentrefailures.py
+++ b/src/bulrushhold/decisions/_datacentrefailures.py
@@ -40,6 +40,14 @@
         _drop_old(recent, now)
         return len(recent) >= MIN_FAILURES
 
+    def failing(self, service: str, now: float) -> set[str]:
+        """Return the data centres where several servers failed together."""
+        return {
+            location[1]
+            for location in self.recent
+            if location[0] == service and self.is_failing(location, now)
+        }
+
 
 def _drop_old(
     failures: collections.deque[tuple[float, str]], now: float
--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -334,36 +334,27 @@
             service, objective, now, excluding=excluding
         )
         usable = self.usable(service, now, version=version)
-        healthy = [
-            b
-            for b in self.allowing(usable, now)
-            if b.ejected_until <= now
-            and b.ident != excluding
-            and now - b.lost_at >= _backendpool.PROBATION_S
-        ]
-        if self.data_centre_failures.recent:
-            healthy = [b for b in healthy if not self.health_penalty(b, now)]
+        healthy = self._without_risk(service, usable, now, {excluding})
+        loads = self.current_loads(healthy, now)
         slowness = self.slowness(service, now, token_s)
-        fresh = self.has_current_loads(now)
-        capacity = self.capacity.get(service, 0)
-        first_event_s = float('inf')
-        idle = False
+        slow = [slowness.get(engine.ident, 1.0) for engine in healthy]
         speed = 0.0
-        with_room = ready_engines = 0
-        for backend in healthy:
-            slow = slowness.get(backend.ident, 1.0)
-            speed += 1 / slow
-            others = backend.remote_load if fresh else _backendserver.NO_LOAD
-            needed = backend.memory + others.memory + memory
-            if capacity and needed > capacity:
-                continue
-            reading = backend.reading + others.reading + tokens
-            read_s = reading * token_s * slow
-            first_event_s = min(first_event_s, read_s)
-            with_room += 1
-            ready_engines += read_s <= objective.aim_s
-            nearly_idle = read_s <= IDLE_AIM_SHARE * objective.aim_s
-            idle = idle or nearly_idle or reading == tokens
+        for value in slow:
+            speed += 1 / value
+        max_other_memory = self.max_memory(service, 1.0) - memory
+        reads_s = [
+            (engine.reading + load.reading + tokens) * token_s * value
+            for engine, load, value in zip(healthy, loads, slow, strict=True)
+            if engine.memory + load.memory <= max_other_memory
+        ]
+        first_event_s = min(reads_s, default=float('inf'))
+        idle = first_event_s <= IDLE_AIM_SHARE * objective.aim_s or any(
+            not engine.reading + load.reading
+            and engine.memory + load.memory <= max_other_memory
+            for engine, load in zip(healthy, loads, strict=True)
+        )
+        with_room = len(reads_s)
+        ready_engines = len([s for s in reads_s if s <= objective.aim_s])
         engine_rate = self._completions_per_s(
             service, now, tokens * token_s, memory
         )
@@ -379,6 +370,26 @@
             ready_engines,
         )
 
+    def _without_risk(
+        self,
+        service: str,
+        engines: list[_backendserver.BackendServer],
+        now: float,
+        excluded: set[str],
+    ) -> list[_backendserver.BackendServer]:
+        """Return the engines that aren't held, on probation or failing."""
+        excluded = excluded | self.demands.held(now)
+        excluded.update(lost.ident for lost in self.recently_lost(now))
+        failing = self.data_centre_failures.failing(service, now)
+        if not failing:
+            return _without(engines, excluded)
+        return [
+            engine
+            for engine in engines
+            if engine.data_centre not in failing
+            and engine.ident not in excluded
+        ]
+
     def _completions_per_s(
         self, service: str, now: float, prompt_s: float, memory: int
     ) -> float:
@@ -446,6 +457,6 @@
 def _without(
     servers: list[_backendserver.BackendServer], excluded: set[str]
 ) -> list[_backendserver.BackendServer]:
-    if not excluded:
+    if not any(excluded):
         return servers
     return [server for server in servers if server.ident not in excluded]
--- a/src/bulrushhold/decisions/_promptcosts.py
+++ b/src/bulrushhold/decisions/_promptcosts.py
@@ -1,7 +1,5 @@
 """Costs of engines for one prompt, measured in prompts of its size."""
 
-import collections.abc as cabc
-import itertools
 import typing as t
 
 import attrs
@@ -13,7 +11,6 @@
 from bulrushhold.decisions import _engineslowness
 from bulrushhold.decisions import _pacedplacement
 from bulrushhold.decisions import _plainplacement
-from bulrushhold import messages
 
 # A prompt slows all streams that its engine is running while it is read.
 RUNNING_STREAM_COST_PROMPTS: t.Final = 0.3
@@ -156,15 +153,11 @@
         running_tokens = self.running_cost * prompt_tokens
         fixed += self.prompt.other_rank * RANK_COST_PROMPTS
         max_tokens = (max_cost - fixed) * prompt_tokens
-        loads: cabc.Iterable[messages.EngineLoad] = (
-            [engine.remote_load for engine in engines]
-            if self.has_current_loads
-            else itertools.repeat(_backendserver.NO_LOAD)
-        )
+        loads = self.placement.current_loads(engines, self.now)
         return [
             (fixed + bound / prompt_tokens, index)
             for index, (engine, load) in enumerate(
-                zip(engines, loads, strict=False)
+                zip(engines, loads, strict=True)
             )
             if (
                 bound := (
--- a/src/bulrushhold/decisions/_spareengines.py
+++ b/src/bulrushhold/decisions/_spareengines.py
@@ -26,16 +26,18 @@
     engines = pool.usable(service, now)
     needed = max(MIN_IDLE_ENGINES, math.ceil(IDLE_SHARE * len(engines)))
     missing = min(needed, len(engines))
-    for engine in pool.allowing(engines, now):
+    held = pool.demands.held(now)
+    loads = pool.current_loads(engines, now)
+    for engine, others in zip(engines, loads, strict=True):
         if not missing:
             break
-        others = pool.current_remote_load(engine, now)
+        if engine.reading + others.reading or engine.ident in held:
+            continue
         has_slot = (
             not engine.slots or engine.inflight + others.running < engine.slots
         )
         missing -= (
             has_slot
-            and not engine.reading + others.reading
             and engine.ejected_until <= now
             and not pool.health_penalty(engine, now)
             and pool.has_room(
