Router: rankings are kept while engines stay, means in one pass

Each new list of servers discarded all rankings, also if the same engines were listed, and the means called two functions for each engine.

--- a/src/bulrushhold/decisions/_rendezvous.py
+++ b/src/bulrushhold/decisions/_rendezvous.py
@@ -34,6 +34,20 @@
     )
 
 
+def rendezvous_ranking(
+    key: str, candidates: cabc.Sequence[tuple[bytes, _T]]
+) -> list[_T]:
+    """Return the same order as :func:`rendezvous_order`.
+
+    :param candidates: with their encoded names, for many rankings.
+    """
+    digest = xxhash.xxh3_64_intdigest
+    prefix = f'{key}\0'.encode()
+    digests = [digest(prefix + name) for name, _ in candidates]
+    order = sorted(range(len(digests)), key=digests.__getitem__, reverse=True)
+    return [candidates[index][1] for index in order]
+
+
 def home_entries(
     key: str, entries: cabc.Iterable[ports.Instance], count: int
 ) -> list[ports.Instance]:
--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -127,11 +127,14 @@
     """Chooses backend servers by availability, load and prefix affinity.
 
     :param rng: random source for sampling engines.
+    :ivar engines: encoded names and states of all engines.
+    :ivar rankings: engines by prompt bucket, until engines come or go.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self.rng = rng or random.Random()
         self.states: dict[str, BackendState] = {}
+        self.engines: list[tuple[bytes, BackendState]] = []
         self.rankings: dict[str, list[BackendState]] = {}
         self.bucket_counts: dict[str, float] = {}
         self.count_total = 0.0
@@ -141,7 +144,6 @@
 
     def update(self, servers: list[ports.BackendServer]) -> None:
         """Update the servers from the platform's list."""
-        self.rankings = {}
         listed = {server.name: server for server in servers}
         for name, state in list(self.states.items()):
             if name not in listed:
@@ -155,6 +157,16 @@
                 continue
             state.server = server
             state.listed = True
+        engines = [
+            (state.server.name.encode(), state)
+            for state in self.states.values()
+            if state.server.kind == 'engine'
+        ]
+        if [id(state) for _, state in engines] != [
+            id(state) for _, state in self.engines
+        ]:
+            self.rankings = {}
+        self.engines = engines
 
     def mark_leaving(self, name: str, now: float) -> None:
         """Stop routing to a server before the platform's list shows it.
@@ -254,12 +266,7 @@
         key = f'{model}\0{bucket}'
         ranking = self.rankings.get(key)
         if ranking is None:
-            engines = [
-                s for s in self.states.values() if s.server.kind == 'engine'
-            ]
-            ranking = _rendezvous.rendezvous_order(
-                key, engines, lambda s: s.server.name
-            )
+            ranking = _rendezvous.rendezvous_ranking(key, self.engines)
             self.rankings[key] = ranking
         share = self._update_bucket_share(key)
         return ranking, MIN_CANDIDATES + math.ceil(share * len(ranking))
@@ -335,9 +342,23 @@
         """Recompute the mean loads of available engines when outdated."""
         if now < self.means_valid_until:
             return
-        eligible = self._available_servers('engine', now)
-        others = [max(0, s.running - s.own_at_report) for s in eligible]
-        self.mean_other_load = sum(others) / max(1, len(eligible))
-        loads = [s.load(now, self.mean_other_load) for s in eligible]
+        eligible = [state for _, state in self.engines if state.available(now)]
+        others = [
+            state.running - state.own_at_report
+            if state.running > state.own_at_report
+            else 0
+            for state in eligible
+        ]
+        mean = sum(others) / max(1, len(eligible))
+        # As in `BackendState.load`, without a call for each engine.
+        ages = [now - state.reported_at for state in eligible]
+        loads = [
+            state.own_requests
+            + mean
+            + (other - mean)
+            * 0.5 ** ((age if age > 0 else 0.0) / REPORT_HALF_LIFE_S)
+            for state, other, age in zip(eligible, others, ages, strict=True)
+        ]
+        self.mean_other_load = mean
         self.mean_load = sum(loads) / max(1, len(eligible))
         self.means_valid_until = now + MEAN_LOAD_TTL_S
--- a/tests/test_choice_reference.py
+++ b/tests/test_choice_reference.py
@@ -127,7 +127,7 @@
     return not capacity or backend.memory + others + tokens <= capacity * 0.85
 
 
-def plain_ranks(pool, rng, segment, now, tried, version):
+def plain_ranks(pool, rng, segment, now, tried, version, count=5):
     candidates = [
         b
         for b in plain_allowing(
@@ -135,7 +135,6 @@
         )
         if b.ident not in tried
     ]
-    count = 5
     local = [
         b
         for b in candidates
@@ -310,9 +309,10 @@
         self.now = 10.0
         data_centre = self.rng.choice(('', 'dc0', 'dc1'))
         self.pool = decisions.Placement(random.Random(seed), data_centre)
-        self.size = self.rng.choice((1, 3, 8, 40, 120))
-        self.busy = self.rng.choice((0.0, 0.5, 0.95))
-        self.paced = self.rng.random() < 0.5
+        # Many engines of which few are idle make most use of bounds.
+        self.size = self.rng.choice((1, 3, 8, 40, 120, 120, 120))
+        self.busy = self.rng.choice((0.0, 0.5, 0.95, 1.0))
+        self.paced = self.rng.random() < 0.7
         self.pool.capacity = self.rng.choice(({}, {SERVICE: 88_000}))
         self.versions = self.rng.choice((['v1'], ['v1', 'v2'], ['']))
         # With several locations that fail at once, there are few engines left.
@@ -446,14 +446,17 @@
             self.pool.cached_prompts.record_read('s1', engine.ident, self.now)
             objective = decisions.LatencyObjective(8000, 4.0, 0.7)
             self.pool.speeds.record_read(read, objective, self.now + 0.8)
-            sample = messages.SpeedSample(1.0, self.rng.choice((0.7, 2.0)))
+            sample = messages.SpeedSample(4.0, self.rng.choice((1.0, 8.0)))
             speeds = self.pool.server_speeds
             speeds.record_read(SERVICE, engine.ident, sample, self.now)
-        if self.paced:
-            pace = self.rng.choice((1.0, 1.5, 2.5))
-            self.pool.server_speeds.record_pace(
-                SERVICE, self.one().ident, pace, self.now
-            )
+        backends = list(self.pool.backends)
+        count = int(self.rng.choice((0.1, 0.5, 0.97)) * len(backends))
+        for ident in self.rng.sample(backends, count):
+            if self.paced:
+                pace = self.rng.choice((0.5, 1.0, 1.5, 2.5))
+                self.pool.server_speeds.record_pace(
+                    SERVICE, ident, pace, self.now
+                )
 
     def advance(self):
         """Let some time pass in which something happens."""
@@ -488,6 +491,57 @@
     return choice, estimate
 
 
+@pytest.mark.parametrize('seed', range(50))
+def test_no_slowness_is_below_its_floor(seed):
+    # A floor that is too high would exclude the best engine.
+    rng = random.Random(seed)
+    slowness = decisions.Placement(rng).server_speeds.slowness
+    floors = {}
+    now = 0.0
+    for _ in range(200):
+        now += rng.choice((0.0, 0.01, 1.0, 30.0))
+        event, ident = rng.randrange(8), rng.choice('abc')
+        sample = messages.SpeedSample(
+            rng.choice((0.1, 1.0, 20.0)), rng.choice((0.1, 1.0, 20.0))
+        )
+        if event == 0:
+            slowness.record(ident, sample, now)
+        elif event == 1:
+            values = {ident: rng.choice((0.1, 0.5, 1.0, 2.0, 9.0))}
+            complete = rng.random() < 0.3
+            slowness.apply_remote(values, now, complete=complete)
+        elif event == 2:
+            slowness.confirm(now)
+        elif event == 3 and rng.random() < 0.2:
+            slowness.retain({'a', 'b'})
+        floors.update(slowness.take_changed_floors())
+        late = [(ident, messages.SpeedSample(1.0, 1.5))] * (event == 4)
+        current = slowness.current(now, late)
+        for name in 'abc':
+            floor = floors.get(name, 1.0)
+            assert floor <= current.get(name, 1.0) * (1 + 1e-9)
+
+
+@pytest.mark.parametrize('excluded_count', (0, 1, 20, 110, 119, 120))
+def test_preferred_engines_are_the_first_by_their_digests(excluded_count):
+    # Only digests above a bound are compared at first; here, too few of them
+    # may be left.
+    pool = decisions.Placement(random.Random(1))
+    pool.update(
+        [
+            messages.ListedBackend(f'i{n}', SERVICE, f'10.0.0.{n}:80', 'dc', 1)
+            for n in range(120)
+        ]
+    )
+    for segment in map(str, range(30)):
+        ranked = plain_ranks(
+            pool, pool.rng, segment, 0.0, set(), None, count=120
+        )
+        tried = set(list(ranked)[:excluded_count])
+        expected = plain_ranks(pool, pool.rng, segment, 0.0, tried, None)
+        assert expected == pool._affinity_ranks(SERVICE, segment, 0.0, tried)
+
+
 @pytest.mark.parametrize('block', range(10))
 def test_choices_equal_those_of_the_plain_rules(block):
     for seed in range(25 * block, 25 * (block + 1)):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -76,7 +76,10 @@
         placement.record_failure('i0', now, unreachable=True)
         placement.record_failure('i3', now + 0.1, unreachable=True)
     location = ('engines', 'dc0')
-    assert placement.data_centre_failures.is_failing(location, 10.2)
+    failures = placement.data_centre_failures
+    assert failures.is_failing(location, 10.2)
+    assert failures.failing('engines', 10.2) == {'dc0'}
+    assert failures.failing('desk', 10.2) == set()
 
 
 def test_a_loss_reported_by_another_entry_is_not_reported_again():
