Choice of an engine without samples after the aim is over

Reading times are estimated from what remains of a stream's aim until there are samples. If nothing remained, the cost of a late event was a division by zero, and the choice raised. Lateness is left out then.

--- a/src/bulrushhold/decisions/_pacedplacement.py
+++ b/src/bulrushhold/decisions/_pacedplacement.py
@@ -151,5 +151,8 @@
         if objective is None or service not in self.server_speeds.services:
             return None
         token_s = self.speeds.token_s(service, objective, now)
+        if not token_s:
+            # Estimated from an aim that is over, without any samples.
+            return None
         prompt_s = max(1, objective.tokens) * token_s
         return LateCost(token_s, objective.aim_s, prompt_s)
--- a/tests/test_server_speeds.py
+++ b/tests/test_server_speeds.py
@@ -293,3 +293,19 @@
     assert {choose_plain(placement, 0.1) for _ in range(9)} == {'i1'}
     placement.record_reported_load('i1', 20, 4, 0.1)
     assert {choose_plain(placement, 0.1) for _ in range(9)} == {'i0'}
+
+
+def test_an_engine_is_chosen_if_nothing_is_known_of_reading_times():
+    # Guards against a division by zero: without samples, reading times are
+    # estimated from what remains of the aim, which may be over.
+    placement = make_placement()
+    state_pace(placement, 0.0, i0=1.0)
+    engine = placement.choose_engine(
+        'engines',
+        0.0,
+        tokens=8000,
+        segment='s',
+        tried=set(),
+        objective=decisions.LatencyObjective(8000, 0.0, 0.7),
+    )
+    assert engine is not None
