--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -15,6 +15,7 @@
 from bulrushhold.decisions import _reachability
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _serverspeeds
+from bulrushhold.decisions import _usableservers
 from bulrushhold.decisions import _versionhistory
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
@@ -26,6 +27,10 @@
 # is reserved for growing streams and for load that isn't reported yet.
 MAX_MEMORY_SHARE: t.Final = 0.85
 EJECTION_S: t.Final = 1.0
+# A lost engine looks idle and would attract the next prompts of all entries,
+# although it is probably still down or has restarted under another ident. For
+# this time it is the last choice.
+PROBATION_S: t.Final = 6.0
 # Load reports older than this are ignored.
 LOAD_REPORT_TTL_S: t.Final = 2.0
 
@@ -42,6 +47,8 @@
         its address, although it wasn't leaving.
     :ivar load_age_s: age of the last load summary when it was received.
     :ivar capacity: memory of one engine in tokens, by service.
+    :ivar lost: listed servers that were lost within ``PROBATION_S``, and
+        earlier ones until the next look.
     :ivar cached_prompts: the prompts that engines have read.
     """
 
@@ -63,6 +70,8 @@
         self.reachability = _reachability.Reachability(random.Random())
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
+        self.lost: list[_backendserver.BackendServer] = []
+        self.usable_cache = _usableservers.UsableCache()
         self.replaced_idents: set[str] = set()
         self.data_centre_failures = _datacentrefailures.DataCentreFailures()
         self.cached_prompts = _cachedprompts.CachedPrompts()
@@ -92,11 +101,13 @@
             server.leaving = item.leaving
             backends[item.ident] = server
         self.backends = backends
+        self.lost = [b for b in self.lost if backends.get(b.ident) is b]
         self.replaced_idents &= backends.keys()
         self.demands.retain(backends.keys())
         self.server_speeds.update(
             {ident: backend.service for ident, backend in backends.items()}
         )
+        self.usable_cache.clear()
         self.services = {}
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
@@ -119,19 +130,28 @@
     ) -> list[_backendserver.BackendServer]:
         """Return the servers that may receive new requests.
 
+        The list must not be changed.
+
         :param canary: for a request that the target version of a running
             rollout should get.
         :param version: for a stream that this version has begun.
         """
+        return self.usable_servers(
+            service, now, canary=canary, version=version
+        ).servers
+
+    def usable_servers(
+        self,
+        service: str,
+        now: float = 0.0,
+        *,
+        canary: bool = False,
+        version: str | None = None,
+    ) -> _usableservers.UsableServers:
+        """Return the same as :meth:`usable`, with what is derived from it."""
+        rule = self.versions.rule(service, now, canary=canary, version=version)
         gone = self.demands.leaving.until.keys() | self.replaced_idents
-        present = [
-            backend
-            for backend in self.services.get(service, ())
-            if not backend.leaving and backend.ident not in gone
-        ]
-        return self.versions.usable(
-            service, present, now, canary=canary, version=version
-        )
+        return self.usable_cache.usable(service, rule, self.services, gone)
 
     def backend_at(self, address: str) -> _backendserver.BackendServer | None:
         """Return the listed server at an address."""
@@ -152,9 +172,8 @@
         self, servers: list[_backendserver.BackendServer], now: float
     ) -> list[_backendserver.BackendServer]:
         """Return the servers that aren't held."""
-        if not self.demands.may_hold:
-            return servers
-        return [s for s in servers if not self.demands.is_held(s.ident, now)]
+        held = self.demands.held(now)
+        return [s for s in servers if s.ident not in held] if held else servers
 
     def untried(
         self,
@@ -195,6 +214,16 @@
         capacity = self.capacity.get(service, 0)
         return not capacity or tokens <= capacity
 
+    def max_memory(self, service: str, max_share: float) -> float:
+        """Return the tokens that may be held on an engine.
+
+        Infinite if the memory of the service's engines is unknown.
+
+        :param max_share: share of an engine's memory, 0 to 1.
+        """
+        capacity = self.capacity.get(service, 0)
+        return capacity * max_share if capacity else float('inf')
+
     def has_room(
         self,
         backend: _backendserver.BackendServer,
@@ -202,11 +231,9 @@
         tokens: int,
         max_share: float,
     ) -> bool:
-        capacity = self.capacity.get(backend.service, 0)
-        if not capacity:
-            return True
         others = self.current_remote_load(backend, now).memory
-        return backend.memory + others + tokens <= capacity * max_share
+        max_memory = self.max_memory(backend.service, max_share)
+        return backend.memory + others + tokens <= max_memory
 
     def current_remote_load(
         self, backend: _backendserver.BackendServer, now: float
@@ -220,6 +247,14 @@
             return backend.remote_load
         return _backendserver.NO_LOAD
 
+    def current_loads(
+        self, backends: list[_backendserver.BackendServer], now: float
+    ) -> list[messages.EngineLoad]:
+        """Return :meth:`current_remote_load` of several servers."""
+        if self.has_current_loads(now):
+            return [backend.remote_load for backend in backends]
+        return [_backendserver.NO_LOAD] * len(backends)
+
     def has_current_loads(self, now: float) -> bool:
         """Whether the load that other entries report isn't outdated."""
         return now - self.last_report_at < LOAD_REPORT_TTL_S
@@ -265,12 +300,24 @@
     def _eject(
         self, backend: _backendserver.BackendServer, now: float
     ) -> None:
+        if all(lost is not backend for lost in self.lost):
+            self.lost.append(backend)
         backend.lost_at = now
         backend.ejected_until = now + EJECTION_S
         location = (backend.service, backend.data_centre)
         self.losses.record(backend.ident, location, now, backend.address)
         self.data_centre_failures.record(location, backend.ident, now)
 
+    def recently_lost(self, now: float) -> list[_backendserver.BackendServer]:
+        """Return the listed servers that were lost a short time ago.
+
+        All others are healthy, except in a data centre that is failing. The
+        list must not be changed.
+        """
+        if self.lost:
+            self.lost = [b for b in self.lost if now - b.lost_at < PROBATION_S]
+        return self.lost
+
     def retract_losses(self, service: str, since: float) -> None:
         """Forget losses that this entry has taken for crashes.
 
