--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -33,14 +33,18 @@
     return [f'i{n:03}' for n in range(count)]
 
 
+def list_engines(idents, leaving=()):
+    return [
+        messages.ListedBackend(
+            ident, 's', f'{ident}:80', 'dc', 16, ident in leaving
+        )
+        for ident in idents
+    ]
+
+
 def make_placement(engines):
     placement = decisions.Placement(random.Random(1), 'dc')
-    placement.update(
-        [
-            messages.ListedBackend(ident, 's', f'{ident}:80', 'dc', 16)
-            for ident in engines
-        ]
-    )
+    placement.update(list_engines(engines))
     placement.capacity['s'] = MEMORY
     return placement
 
@@ -172,7 +176,7 @@
 def test_lost_and_leaving_engines_arent_used(placement):
     placement.record_failure('i000', 1.0, unreachable=True)
     assert set(rooms(placement, 1.1)) == {'i001'}
-    placement.backends['i001'].leaving = True
+    placement.update(list_engines(placement.backends, leaving=['i001']))
     assert not rooms(placement, 1.1)
 
 
