--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -8,10 +8,9 @@
 import collections
 import typing as t
 
-import attrs
-
 from bulrushhold.decisions import _failuretotals
 from bulrushhold.decisions import _loadevents
+from bulrushhold.decisions import _loadnodes
 from bulrushhold.decisions import _loadtotals
 from bulrushhold.decisions import _rolloutevidence
 from bulrushhold.decisions import _slownesstotals
@@ -30,48 +29,6 @@
 NODE_TTL_S: t.Final = 10.0
 
 
-@attrs.define
-class _Node:
-    """The state of the exchange with another control process.
-
-    :param at: when its newest message arrived.
-    :param received: number of its newest sum received here.
-    :param acknowledged: number of the newest sum it has received from here.
-    :param evidence: its newest evidence about rollouts.
-    """
-
-    data_centre: str
-    incarnation: int
-    at: float
-    received: int = 0
-    acknowledged: int = 0
-    engines: dict[str, messages.EngineLoad] = attrs.field(factory=dict)
-    sum: messages.LoadReport | None = None
-    evidence: dict[str, messages.RolloutEvidence] = attrs.field(factory=dict)
-
-    def clear_sum(self) -> None:
-        """Drop an outdated sum; the next one to be accepted is complete."""
-        self.sum = None
-        self.engines = {}
-        self.received = 0
-
-    def update(self, load: messages.NodeLoad) -> bool:
-        """Apply a sum; return ``False`` if an earlier one is missing."""
-        if load.since > self.received:
-            # The sender resumes from the last acknowledged sum.
-            return False
-        engines = {} if not load.since else dict(self.engines)
-        for ident, engine_load in load.sum.engines.items():
-            if engine_load == _loadtotals.NO_LOAD:
-                engines.pop(ident, None)
-            else:
-                engines[ident] = engine_load
-        self.engines = engines
-        self.received = load.number
-        self.sum = attrs.evolve(load.sum, engines=engines)
-        return True
-
-
 class _ServiceEvidence:
     """Sums of the evidence about rollouts, by service."""
 
@@ -114,7 +71,7 @@
         self.incarnation = incarnation
         self.number = 0
         self.reports: dict[str, messages.LoadReport] = {}
-        self.nodes: dict[str, _Node] = {}
+        self.nodes: dict[str, _loadnodes.Node] = {}
         self.events: collections.deque[_loadevents.Event] = collections.deque()
         self.blocks: dict[str, _loadevents.BlockEvent] = {}
         self.local = _loadtotals.LoadTotal()
@@ -161,7 +118,7 @@
         if node is None or node.incarnation != load.incarnation:
             if node is not None:
                 self._replace_node_evidence(node, {})
-            node = _Node(load.data_centre, load.incarnation, now)
+            node = _loadnodes.Node(load.data_centre, load.incarnation, now)
             self.nodes[load.node] = node
         node.at = now
         incarnation, number = load.acknowledged.get(self.node, (0, 0))
@@ -437,7 +394,9 @@
         self.total_evidence.replace(before, after)
 
     def _replace_node_evidence(
-        self, node: _Node, evidence: dict[str, messages.RolloutEvidence]
+        self,
+        node: _loadnodes.Node,
+        evidence: dict[str, messages.RolloutEvidence],
     ) -> None:
         self.total_evidence.replace(node.evidence, evidence)
         node.evidence = evidence
@@ -459,5 +418,5 @@
         self.changed_engines.clear()
 
 
-def _is_live(node: _Node, now: float) -> bool:
+def _is_live(node: _loadnodes.Node, now: float) -> bool:
     return now - node.at <= SUM_MISSING_AFTER_S
