Engine ledger: a grant that isn't used gives back the engine's share

Cause: releasing a grant reduced the time at which the engine is free by the prompt, but not the time until which the grant uses up the entry's share. With a quarter of an engine, a caller that left kept the engine for three more prompts.

Change: release takes back both.

Result: the new test failed before and passes now.

--- a/src/bulrushhold/decisions/_engineroom.py
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -279,6 +279,12 @@
             return
         engine.unreported = max(0, engine.unreported - ask.tokens)
         unused_s = ask.tokens * self.token_s * engine.room.slowness
+        if engine.paced_until > now:
+            paced = engine.free_at <= engine.paced_until
+            engine.paced_until -= unused_s / engine.room.share
+            if paced:
+                # The next update adds what the engine has yet to read.
+                unused_s /= engine.room.share
         engine.free_at = max(now, engine.free_at - unused_s)
         self._place(engine)
 
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -199,3 +199,22 @@
     )
     assert not local.can_hold('s', STREAM_MEMORY)
     assert local.can_hold('s', 1000)
+
+
+def test_an_engine_whose_grant_isnt_used_is_granted_again(placement):
+    # Guards against an owned engine that idles for work / share seconds.
+    now = [1.0]
+    entries = make_entries(32)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: now[0]
+    )
+    assert local.ask(make_ask(1), TOKEN_S).status is Status.GRANTED
+    queued = local.ask(make_ask(2, committed=True), TOKEN_S)
+    assert queued.status is Status.QUEUED
+    local.cancel('s', 't1')
+    for _ in range(3):
+        now[0] += 0.1
+        decision = local.poll('s', 't2', TOKEN_S)
+    assert decision.status is Status.GRANTED
+    # A grant that is used isn't followed by another one at once.
+    assert local.ask(make_ask(3), TOKEN_S).status is not Status.GRANTED
