Stream scheduler: committed streams outlast a loss of engines

Cause: after a loss of engines, and after the shares of engines have moved, which looks the same, queued streams were predicted again, and those refused that had been queued by an earlier home.

Change: a committed stream that can't be on time any more is queued until its caller gives up, as on arrival, unless no engine suits it.

Result: the new test failed before (two of eight streams refused) and passes now.

--- a/src/bulrushhold/decisions/_streamscheduler.py
+++ b/src/bulrushhold/decisions/_streamscheduler.py
@@ -358,6 +358,9 @@
         for stream in [s for s in self.streams.values() if s.late]:
             if self.predictor.has_late_share(stream, late_work, now):
                 late_work += stream.work
+            elif stream.ask.committed and self.ledger.suits(stream.ask):
+                self.queue.remove(stream)
+                self._push_extended(stream, now)
             else:
                 self._drop_from_queue(stream, now)
 
@@ -366,6 +369,8 @@
             self.queue.push(stream)
         elif self.predictor.can_wait(stream, now):
             self.queue.push_late(stream)
+        elif stream.ask.committed and self.ledger.suits(stream.ask):
+            self._push_extended(stream, now)
         else:
             self._leave_queue(stream)
             self._refuse(stream, now)
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -218,3 +218,22 @@
     assert decision.status is Status.GRANTED
     # A grant that is used isn't followed by another one at once.
     assert local.ask(make_ask(3), TOKEN_S).status is not Status.GRANTED
+
+
+def test_a_committed_stream_isnt_refused_after_a_loss_of_engines(placement):
+    # Guards against a refusal seconds after the arrival.
+    now = [1.0]
+    entries = make_entries(6)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: now[0]
+    )
+    options = {'objective_s': 2.0, 'remaining_s': 20.0, 'committed': True}
+    tickets = [f't{number}' for number in range(8)]
+    for number in range(8):
+        local.ask(make_ask(number, **options), TOKEN_S)
+    placement.record_failure('i000', now[0], unreachable=True)
+    for _ in range(4):
+        now[0] += 0.1
+        statuses = [local.poll('s', t, TOKEN_S).status for t in tickets]
+    assert Status.REFUSED not in statuses
+    assert Status.QUEUED in statuses
