Engine shares: a tiny part of an engine has a memory limit

Cause: a part of less than one token was rounded to 0, which means no limit. Such parts result from weights that aren't whole numbers.

Change: the limit is at least one token.

Result: the new test failed before and passes now.

--- a/src/bulrushhold/decisions/_engineshares.py
+++ b/src/bulrushhold/decisions/_engineshares.py
@@ -106,7 +106,7 @@
                     _backendpool.MAX_MEMORY_SHARE * limit,
                 ),
                 max(1, int(share * slots)) if slots else 0,
-                int(share * limit),
+                max(1, int(share * limit)) if limit else 0,
                 slowness.get(ident, 1.0),
                 engine.version,
                 share,
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -160,6 +160,12 @@
     assert shared.slots == 5
 
 
+def test_a_tiny_share_of_an_engine_has_a_memory_limit(placement):
+    # Guards against a part of less than a token that counts as unlimited.
+    [room] = decisions.owned_rooms(placement, 's', {'i000': 1e-5}, 1.0)
+    assert room.memory_limit == 1
+
+
 def test_outdated_reports_count_until_the_streams_have_ended(placement):
     # Guards against an engine that seems full for the whole outage.
     report(placement, 0.0, i000=messages.EngineLoad(0, 8, 70_000))
