Scheduling: an entry without a suitable engine of its own uses others

Cause: without a home, an entry whose own engines were lost, held, tried already or of another version refused each stream, or left it queued, although other engines could serve it. With one engine per entry, one lost engine was enough.

Change: such a stream is placed by the entry's view for a second, as by an entry that owns too little of an engine; so is one that is queued when that happens.

--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import math
 import random
 
 import attrs
@@ -164,11 +165,13 @@
     :param ticket: of an earlier ask for the stream.
     """
     refused = committed = False
+    unsuitable_until = -math.inf
     retry_pause_s = 0.0
 
     def decides_locally() -> bool:
         return (
             refused
+            or context.clock() < unsuitable_until
             or context.scheduling.decides_locally(job.service, engines.memory)
             or not engines.available()
         )
@@ -211,6 +214,8 @@
                     False, decision.retry_after_s, ticket=ticket
                 )
             refused = True
+        elif scheduled.unsuitable:
+            unsuitable_until = context.clock() + _scheduling.FALLBACK_S
         else:
             # The home may have forgotten the stream in a restart, which isn't
             # expected to happen twice.
--- a/src/bulrushhold/forwarding/_localscheduling.py
+++ b/src/bulrushhold/forwarding/_localscheduling.py
@@ -1,6 +1,7 @@
 """Schedules streams on an entry's own share of the engines."""
 
 import collections.abc as cabc
+import math
 import random
 import typing as t
 
@@ -55,6 +56,22 @@
         shares = self._shares(service).values()
         return any(share * limit >= memory or not limit for share in shares)
 
+    def suits(self, ask: messages.StreamAsk, token_s: float) -> bool:
+        """Return whether this entry owns enough of an engine for a stream.
+
+        Unlike :meth:`can_hold`, it compares the engines that can be used now
+        with the stream's version and excluded engines.
+
+        :param token_s: see :meth:`ask`.
+        """
+        ledger = self._updated(ask.service, token_s).scheduler.ledger
+        return any(
+            ask.version in (None, engine.room.version)
+            and ident not in ask.excluded
+            and ask.memory <= (engine.room.memory_limit or math.inf)
+            for ident, engine in ledger.engines.items()
+        )
+
     def ask(
         self, ask: messages.StreamAsk, token_s: float
     ) -> messages.StreamDecision:
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -45,11 +45,14 @@
     :param ticket: identifies the stream in the home's log.
     :param queued_s: how long the stream was queued at the home; ``None`` if
         it wasn't.
+    :param unsuitable: the home can't be reached, and this entry owns no engine
+        that suits the stream, but others may.
     """
 
     decision: messages.StreamDecision
     ticket: str = ''
     queued_s: float | None = None
+    unsuitable: bool = False
 
 
 class StreamScheduling(abc.ABC):
@@ -270,8 +273,9 @@
     ) -> Scheduled:
         """Wait for this entry's decision, or until the home is asked again."""
         token_s = state.token_s or self._token_s(ask)
-        decision = self.local.ask(ask, token_s)
-        queued_at = None
+        decision, queued_at = _UNKNOWN, None
+        if self.local.suits(ask, token_s):
+            decision = self.local.ask(ask, token_s)
         try:
             if decision.status is messages.SchedulingStatus.QUEUED:
                 queued_at = self.clock()
@@ -281,7 +285,11 @@
             raise
         self.metrics.count(f'scheduling.local_{decision.status.label}')
         queued_s = None if queued_at is None else self.clock() - queued_at
-        return Scheduled(decision, ask.ticket, queued_s)
+        unsuitable = (
+            decision.status is messages.SchedulingStatus.UNKNOWN
+            and not self.local.suits(ask, token_s)
+        )
+        return Scheduled(decision, ask.ticket, queued_s, unsuitable)
 
     async def _wait_locally(
         self, ask: messages.StreamAsk, state: _Service, token_s: float
@@ -291,6 +299,8 @@
             while self.clock() < deadline and state.in_fallback(self.clock()):
                 self.admission.record_wait(self.clock())
                 await asyncio.sleep(LOCAL_POLL_S)
+                if not self.local.suits(ask, token_s):
+                    break
                 decision = self.local.poll(ask.service, ask.ticket, token_s)
                 if decision.status is not messages.SchedulingStatus.QUEUED:
                     return decision
--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -283,6 +283,57 @@
     assert len(home.asks) == 2
 
 
+def own_first_engine(ordered):
+    """Let the entry own one of six engines, i0."""
+    local = ordered.scheduling.local
+    local.entries = lambda: [
+        attrs.evolve(OWN, name=f'e{n}') for n in range(1, 7)
+    ]
+
+
+@pytest.mark.parametrize('change', ['lost', 'version', 'tried'])
+async def test_an_entry_without_a_suitable_engine_uses_those_of_others(
+    ordered, client, home, change
+):
+    """Guards against refusals by an entry whose only engine is down."""
+    own_first_engine(ordered)
+    home.replies = [SILENT]
+    scripts = [WHOLE]
+    if change == 'lost':
+        ordered.placement.record_failure('i0', 0.0, unreachable=True)
+        ordered.placement.backends['i0'].ejected_until = float('inf')
+    elif change == 'version':
+        update_versions(ordered, 'baaaaa')
+    else:
+        scripts = [fakes.Script(error='connect'), WHOLE]
+    caller, _ = await run(ordered, client, *scripts)
+    assert caller.ended
+    assert engines_used(client)[-1] != 'i0'
+    assert len(home.asks) == 1
+
+
+async def test_a_stream_isnt_refused_once_the_entry_loses_its_engine(
+    ordered, client, home
+):
+    """Guards against a refusal seconds after the arrival."""
+    own_first_engine(ordered)
+    told = attrs.evolve(granted('i1'), token_ns=125_000)
+    home.replies = [told, SILENT]
+    await run(ordered, client)
+    set_reading(ordered, 16_000)
+    task = asyncio.ensure_future(run(ordered, client, aim_s=8.0))
+    await asyncio.sleep(0.3)
+    assert len(client.attempts) == 1
+    assert ordered.admission.waiting['engines'] == 1
+    ordered.placement.record_failure('i0', 0.0, unreachable=True)
+    ordered.placement.backends['i0'].ejected_until = float('inf')
+    set_reading(ordered, 0)
+    caller, _ = await task
+    assert caller.ended
+    assert engines_used(client)[1] != 'i0'
+    assert ordered.admission.waiting['engines'] == 0
+
+
 async def test_streams_are_placed_without_any_control_process(
     ordered, client, home
 ):
@@ -346,19 +397,24 @@
     assert [ask.priority for ask in home.asks] == asked
 
 
-async def test_only_engines_of_an_allowed_version_are_asked_for(
-    ordered, client, home
-):
-    """Guards against streams on a new version that is being withheld."""
+def update_versions(ordered, versions):
+    """List engines of version a, and then those of new versions."""
     listed = [
         messages.ListedBackend(
             f'i{n}', 'engines', f'10.0.0.{n}:80', 'dc0', 64, version=version
         )
-        for n, version in enumerate('aabbbb')
+        for n, version in enumerate(versions)
     ]
     ordered.placement.update([e for e in listed if e.version == 'a'])
     ordered.placement.update(listed)
     set_reading(ordered, 8000)
+
+
+async def test_only_engines_of_an_allowed_version_are_asked_for(
+    ordered, client, home
+):
+    """Guards against streams on a new version that is being withheld."""
+    update_versions(ordered, 'aabbbb')
     home.replies = [granted('i2'), granted('i1')]
     await run(ordered, client)
     assert [ask.version for ask in home.asks] == ['a', 'a']
