Read rate: tokens of a reported speed aren't taken for unread ones

Cause: with a reported speed, the counted tokens were set without the sum that they are compared with. The next update mostly took the difference for lost reporters and began anew after 2 s; if the sum exceeded eight times the reported tokens, as with a quarter of the engines left, it dropped them and kept their time: 1.18 ms a token instead of 0.125 (in the new test).

Change: the comparison starts with the reported tokens, and the hold of 2 s is explicit. A second test covers that measuring corrects a wrong report.

--- a/src/bulrushhold/decisions/_readrate.py
+++ b/src/bulrushhold/decisions/_readrate.py
@@ -18,8 +18,8 @@
 # If the sum changes by a larger share between two updates, and by more than
 # was left to read, reporters are new, with all they have counted, or gone.
 MAX_CHANGE_SHARE: t.Final = 0.125
-# The sum isn't used for this time after reporters are gone, in which entries
-# of a lost process report to another one.
+# The sum isn't used for this time after reporters are gone, or as a new home
+# begins: entries of a lost process then begin to report to another one.
 HOLD_S: t.Final = 2.0
 
 
@@ -34,6 +34,8 @@
         self.updated_at = self.started_at = -math.inf
         self.held_until = -math.inf
         self.reporters: cabc.Set[str] = frozenset()
+        # The sum at the last update, and the part of it before the start.
+        self.total = 0.0
         self.tokens_before = 0.0
         self.tokens = 0.0
         self.busy_s = 0.0
@@ -53,6 +55,8 @@
         """
         self.busy_s = REPORTED_WEIGHT_S * self.speed
         self.tokens = self.busy_s / token_s
+        self._begin(self.updated_at)
+        self.held_until = self.updated_at + HOLD_S
 
     def update(
         self,
@@ -68,6 +72,7 @@
         :param reporters: entries and processes whose reports it adds up.
         """
         elapsed_s = now - self.updated_at
+        self.total = tokens
         if elapsed_s <= MAX_UPDATE_GAP_S and self._may_count(
             tokens, reporters, now
         ):
@@ -75,8 +80,7 @@
             self.busy_s += self.busy_speed * elapsed_s
             self.tokens = max(0.0, self._read(tokens, now))
         else:
-            self.started_at = now
-            self.tokens_before = tokens - self.tokens
+            self._begin(now)
         self.reporters = reporters
         engines = list(engines)
         busy = [engine for engine in engines if engine.reading > 0]
@@ -85,6 +89,11 @@
         self.unread = sum(engine.reading for engine in busy)
         self.updated_at = now
 
+    def _begin(self, now: float) -> None:
+        """Count what is read from now on in addition to `tokens`."""
+        self.started_at = now
+        self.tokens_before = self.total - self.tokens
+
     def _read(self, tokens: float, now: float) -> float:
         """Return the tokens read since the start, given the present sum."""
         return tokens - self.tokens_before * _decay(now - self.started_at)
--- a/tests/test_readrate.py
+++ b/tests/test_readrate.py
@@ -73,3 +73,35 @@
         tokens += 4 * STEP_S / TOKEN_S
         rate.update(rooms, tokens, now)
     assert rate.token_s(PRIOR_S) == pytest.approx(before, rel=0.1)
+
+
+@pytest.mark.parametrize('counted', [0.0, 10.0, 100.0, 1000.0])
+def test_a_reported_speed_is_kept_while_the_engines_have_it(counted):
+    # Guards against a new home that takes the reported tokens for unread ones.
+    rate, now = decisions.ReadRate(), 100.0
+    rooms = [room(n, 2 * PROMPT) for n in range(4)]
+    tokens = counted * PROMPT
+    rate.update(rooms, tokens, now)
+    rate.assume(TOKEN_S)
+    assert rate.is_known
+    for _ in range(40):
+        now += STEP_S
+        tokens *= 0.5 ** (STEP_S / 5.0)
+        tokens += 4 * STEP_S / TOKEN_S
+        rate.update(rooms, tokens, now)
+        assert rate.token_s(TOKEN_S) == pytest.approx(TOKEN_S, rel=0.05)
+    assert rate.busy_s > 8.0
+
+
+def test_a_reported_speed_is_corrected_by_measuring():
+    # Guards against a speed that homes and entries tell each other for ever.
+    rate, now, tokens = decisions.ReadRate(), 100.0, 0.0
+    rooms = [room(n, 2 * PROMPT) for n in range(4)]
+    rate.update(rooms, tokens, now)
+    rate.assume(0.5 * TOKEN_S)
+    for _ in range(150):
+        now += STEP_S
+        tokens *= 0.5 ** (STEP_S / 5.0)
+        tokens += 4 * STEP_S / TOKEN_S
+        rate.update(rooms, tokens, now)
+    assert rate.token_s(TOKEN_S) == pytest.approx(TOKEN_S, rel=0.1)
