Promised returns: copies don't change a promise or make it again

Cause: two processes send each other their copies each second, and each took the last one received, so that the messages' delays added up. A copy sent back after the caller had returned reserved its work again. A service known by a promise only began with 0.1 s a token, also if its first stream was late already.

Change: a copy is used if it is new or earlier; it is kept for a second after the promised return for that. The first stream sets the objective.

--- a/src/bulrushhold/control/_promises.py
+++ b/src/bulrushhold/control/_promises.py
@@ -11,6 +11,11 @@
 # Interval at which other processes are told, as they may have become the home,
 # restarted or received a message late. Callers mostly return after seconds.
 RESEND_S: t.Final = 1.0
+# Time for which a copy is kept after the promised return, so that one that was
+# delayed on its way isn't taken for another promise.
+KEPT_S: t.Final = 1.0
+# Usual differences in the time that messages take.
+JITTER_S: t.Final = 0.05
 
 
 @attrs.frozen
@@ -34,11 +39,29 @@
         self.sent_at = float('-inf')
 
     def add(self, promised: messages.PromisedReturn, now: float) -> None:
-        """Keep a promise until its caller has returned."""
+        """Keep a promise that this process has made."""
         self.copies[promised.fingerprint] = _Copy(
             promised, now + promised.return_s
         )
 
+    def receive(self, promised: messages.PromisedReturn, now: float) -> bool:
+        """Keep a promise that another process has sent.
+
+        Processes send copies back to each other, so that the delays of their
+        messages would add up; the earliest time is the most exact one.
+
+        :return: whether it is new, or earlier than known.
+        """
+        copy = self.copies.get(promised.fingerprint)
+        if (
+            copy is not None
+            and now < copy.return_at + KEPT_S
+            and now + promised.return_s > copy.return_at - JITTER_S
+        ):
+            return False
+        self.add(promised, now)
+        return True
+
     def next_home(self, service: str) -> str:
         """Return the home if this process is lost; ``''`` if there is none."""
         return decisions.next_home_address(
@@ -58,10 +81,12 @@
         self.copies = {
             fingerprint: copy
             for fingerprint, copy in self.copies.items()
-            if copy.return_at > now
+            if copy.return_at + KEPT_S > now
         }
         due = []
         for copy in self.copies.values():
+            if copy.return_at <= now:
+                continue
             service = copy.promised.service
             address = decisions.home_address(service, self.view.nodes)
             if address == self.local_address:
--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -38,6 +38,8 @@
 SUMMARY_INTERVAL_S: t.Final = 5.0
 
 _UNKNOWN: t.Final = messages.StreamDecision(messages.SchedulingStatus.UNKNOWN)
+# Until a stream asks.
+_NO_OBJECTIVE: t.Final = decisions.LatencyObjective(1, MIN_OBJECTIVE_S, 0.0)
 
 
 @attrs.define
@@ -255,13 +257,14 @@
         self, promised: messages.PromisedReturn
     ) -> None:
         now = self.clock()
-        self.promises.add(promised, now)
+        is_new = self.promises.receive(promised, now)
         self.asked.set()
         service = self.services.get(promised.service)
         if service is None:
-            objective = decisions.LatencyObjective(1, MIN_OBJECTIVE_S, 0.0)
-            service = _Service(self.make_scheduler(), objective, now)
+            service = _Service(self.make_scheduler(), _NO_OBJECTIVE, now)
             self.services[promised.service] = service
+        elif not is_new:
+            return
         service.scheduler.returns.promise(
             promised.fingerprint,
             (promised.priority, promised.account),
@@ -274,7 +277,7 @@
         if service is None:
             service = _Service(self.make_scheduler(), _objective(ask), now)
             self.services[ask.service] = service
-        elif ask.objective_s > 0:
+        elif ask.objective_s > 0 or service.objective is _NO_OBJECTIVE:
             service.objective = _objective(ask)
         service.reported_s = ask.token_ns / 1e9
         service.asked_at = now
--- a/tests/test_scheduling_home.py
+++ b/tests/test_scheduling_home.py
@@ -161,6 +161,66 @@
     assert not home.server.promises.copies
 
 
+def promised_return(return_s):
+    return messages.PromisedReturn('s', 'f-e1-t1', 1, 'acct', 1.0, return_s)
+
+
+async def test_a_delayed_copy_of_a_promise_does_not_change_it(home):
+    # Guards against promises that slow processes postpone, so that their
+    # callers aren't recognized and the work stays reserved.
+    await home.transport.request(promised_return(5.0))
+    returns = home.server.services['s'].scheduler.returns.returns
+    for _ in range(20):
+        home.advance(0.5)
+        copy = home.server.promises.copies.get('f-e1-t1')
+        if copy is not None and copy.return_at > home.now:
+            # What the other process sends back, 0.6 s late.
+            return_s = copy.return_at - home.now + 0.6
+            await home.transport.request(promised_return(return_s))
+            assert returns['f-e1-t1'].return_at == 105.0
+    assert not home.server.promises.copies
+
+
+async def test_an_earlier_copy_of_a_promise_is_the_more_exact_one(home):
+    # Guards against the delay of a process that was suspended.
+    for return_s in (5.0, 4.0, 3.0):
+        await home.transport.request(promised_return(return_s))
+    returns = home.server.services['s'].scheduler.returns.returns
+    assert returns['f-e1-t1'].return_at == 103.0
+
+
+async def test_a_promise_that_was_kept_is_not_made_again(home):
+    # Guards against work that is reserved twice for one caller.
+    await home.transport.request(promised_return(2.0))
+    home.now += 1.9
+    assert (await home.ask('t1')).status is not Status.REFUSED
+    returns = home.server.services['s'].scheduler.returns.returns
+    assert not returns
+    for late_s in (0.02, 0.12):
+        home.advance(late_s)
+        await home.transport.request(promised_return(0.1))
+    assert not returns
+
+
+async def test_another_promise_to_a_caller_counts_after_the_first(home):
+    # Guards against a caller whose second Retry-After is forgotten.
+    await home.transport.request(promised_return(2.0))
+    for return_s in (8.0, 6.9, 5.8, 4.7):
+        home.advance(1.1)
+        await home.transport.request(promised_return(return_s))
+    returns = home.server.services['s'].scheduler.returns.returns
+    assert returns['f-e1-t1'].return_at == pytest.approx(home.now + 4.7)
+
+
+async def test_a_promise_says_nothing_of_the_engines_speed(home):
+    # Guards against a first stream that is refused for engines of 0.1 s a
+    # token.
+    await home.transport.request(promised_return(2.0))
+    await home.ask('t2', objective_s=-1.0, remaining_s=20.0)
+    objective = home.server.services['s'].objective
+    assert (objective.tokens, objective.aim_s) == (PROMPT, 20.0)
+
+
 async def test_a_new_home_takes_over_the_measured_speed(home):
     # Guards against refusals by a home that assumes slow engines.
     decision = await home.ask(token_ns=125_000)
