Promised returns: those made after queueing are copied to the next home

Cause: only promises in the reply to an ask were copied.

Change: so are those of streams refused after a loss of engines.

--- a/src/bulrushhold/control/_scheduling.py
+++ b/src/bulrushhold/control/_scheduling.py
@@ -334,6 +334,7 @@
                 now,
                 waited_s=round(now - stream.asked_at, 3),
             )
+            self._send_promise(stream.ask, service, now)
 
 
 def _objective(ask: messages.StreamAsk) -> decisions.LatencyObjective:
--- a/tests/test_scheduling_home.py
+++ b/tests/test_scheduling_home.py
@@ -221,6 +221,26 @@
     assert (objective.tokens, objective.aim_s) == (PROMPT, 20.0)
 
 
+async def test_a_promise_made_after_queueing_is_copied_too(home):
+    # Guards against a Retry-After that is forgotten with the home.
+    home.view.nodes = [
+        messages.ControlNode(address, 'dc', False)
+        for address in (ADDRESS, OTHER)
+    ]
+    load = messages.EngineLoad(PROMPT, 1)
+    home.report(load, load)
+    for number in range(40):
+        await home.ask(f't{number}', objective_s=8.0, remaining_s=150.0)
+    home.report(load, load, lost=('i0',))
+    home.transport.sent.clear()
+    home.advance(0.2)
+    promised = home.server.services['s'].scheduler.returns.returns
+    assert promised
+    assert set(home.server.promises.copies) == set(promised)
+    sent = {m.fingerprint for _, m in home.transport.sent}
+    assert sent == set(promised)
+
+
 async def test_a_new_home_takes_over_the_measured_speed(home):
     # Guards against refusals by a home that assumes slow engines.
     decision = await home.ask(token_ns=125_000)
