Engine ledger: grants before a pause don't limit the capacity

Cause: if memory is filled, the capacity follows from the rate of grants. An entry's ledger isn't updated between two outages of the home, which grants then; in the second one the rate had decayed: a capacity of 0.017 engines instead of 8 after a minute (in the new test), with which all streams are refused that can't be granted at once.

Change: the rate is unknown again after 5 s without updates.

Result: the two new cases failed before and pass now.

--- a/src/bulrushhold/decisions/_engineroom.py
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -38,6 +38,9 @@
 # the shortest time to count it for.
 GRANT_RATE_HALF_LIFE_S: t.Final = 10.0
 MIN_GRANT_RATE_S: t.Final = 5.0
+# After a longer pause of updates the count begins anew: streams have been
+# placed without it.
+GRANT_RATE_GAP_S: t.Final = 5.0
 # Gain of the moving average of prompt length.
 PROMPT_GAIN: t.Final = 0.05
 UNKNOWN: t.Final = -1
@@ -187,6 +190,8 @@
     ) -> bool:
         """Replace the engines; return whether any were lost."""
         self.expire(now)
+        if now - self.pending_at > GRANT_RATE_GAP_S:
+            self.grant_rate = _GrantRate()
         self.token_s = token_s
         previous = self.engines
         self.engines = {}
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -243,3 +243,24 @@
         statuses = [local.poll('s', t, TOKEN_S).status for t in tickets]
     assert Status.REFUSED not in statuses
     assert Status.QUEUED in statuses
+
+
+@pytest.mark.parametrize('pause_s', [12.0, 60.0])
+def test_grants_of_an_earlier_outage_dont_tell_the_capacity(
+    placement, pause_s
+):
+    # Guards against full engines that seem to take no streams: between two
+    # outages the home grants, which the entry's scheduler doesn't count.
+    now = [1.0]
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: make_entries(1)[0], list, lambda: now[0]
+    )
+    for number in range(20):
+        now[0] += 0.5
+        local.ask(make_ask(number), TOKEN_S)
+    now[0] += pause_s
+    for engine in placement.backends.values():
+        engine.memory = round(0.8 * MEMORY)
+    local.ask(make_ask(20), TOKEN_S)
+    ledger = local.services['s'].scheduler.ledger
+    assert ledger.capacity == pytest.approx(ledger.speed)
