Tests: reporters of the read rate, and service of a promised return

Cause: no test gave the read rate its reporters, so that both rules on them could be removed unnoticed; the test of a promised return that is served by the next home asked for no service.

Change: a test of new and lost reporters, which fails if either rule is removed; the caller returns while others are refused.

--- a/tests/test_readrate.py
+++ b/tests/test_readrate.py
@@ -105,3 +105,19 @@
         tokens += 4 * STEP_S / TOKEN_S
         rate.update(rooms, tokens, now)
     assert rate.token_s(TOKEN_S) == pytest.approx(TOKEN_S, rel=0.1)
+
+
+@pytest.mark.parametrize(
+    ('reporters', 'share'), [({'a'}, 0.9), ({'a', 'b', 'c'}, 1.3)]
+)
+def test_what_new_and_lost_reporters_have_counted_is_not_read(
+    reporters, share
+):
+    # Guards against changes that prompts left to read could explain.
+    rate, now = measure(10.0, queued=20)
+    rooms = [room(n, 20 * PROMPT) for n in range(4)]
+    tokens = rate.total
+    rate.update(rooms, tokens, now, {'a', 'b'})
+    before = rate.token_s(PRIOR_S)
+    rate.update(rooms, share * tokens, now, reporters)
+    assert rate.token_s(PRIOR_S) == pytest.approx(before, rel=0.01)
--- a/tests/test_scheduling_home.py
+++ b/tests/test_scheduling_home.py
@@ -145,6 +145,11 @@
     home.now += promised.return_s
     scheduler = home.server.services['s'].scheduler
     assert scheduler.returns.due(promised.fingerprint, home.now)
+    # Other streams that arrive at the same time are refused.
+    others = [await home.ask(f'other-{n}', objective_s=2.0) for n in range(60)]
+    assert others[-1].status is Status.REFUSED
+    served = await home.ask(f't{number}', objective_s=2.0)
+    assert served.status is not Status.REFUSED
 
 
 async def test_a_promise_reaches_a_home_that_is_new_or_restarted(home):
