--- a/src/bulrushhold/decisions/_engineshares.py
+++ b/src/bulrushhold/decisions/_engineshares.py
@@ -16,8 +16,8 @@
 
 # Smaller parts result from rounding.
 MIN_SHARE: t.Final = 1e-6
-# Load reports are complete up to this age.
-REPORT_INTERVAL_S: t.Final = 0.5
+# Load reports up to this age count as current.
+MAX_REPORT_AGE_S: t.Final = 0.5
 # Duration of a stream while none has ended yet.
 DEFAULT_RUN_S: t.Final = 5.0
 
@@ -85,13 +85,13 @@
     slowness = pool.slowness(service, now)
     limit = pool.capacity.get(service, 0)
     remaining = _remaining_share(pool, service, now)
+    fresh = now - pool.last_report_at < MAX_REPORT_AGE_S
     rooms = []
     for ident, share in shares.items():
         engine = usable.get(ident)
         if engine is None:
             continue
         others = engine.remote_load
-        fresh = now - pool.last_report_at < REPORT_INTERVAL_S
         slots = engine.slots
         rooms.append(
             _engineroom.EngineRoom(
@@ -120,7 +120,7 @@
 ) -> float:
     """Return the share of the reported streams that hasn't ended yet."""
     run_s = pool.speeds.run_s(service, now) or DEFAULT_RUN_S
-    outdated_s = max(0.0, now - pool.last_report_at - REPORT_INTERVAL_S)
+    outdated_s = max(0.0, now - pool.last_report_at - MAX_REPORT_AGE_S)
     return max(0.0, 1 - outdated_s / run_s)
 
 
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -156,8 +156,10 @@
 ) -> AdmissionResult:
     """Wait for the decision on a stream whose admission is ordered.
 
-    The scheduling home decides, except while engines are idle or the home is
-    unreachable, and if no engine is left that the stream may be sent to.
+    The scheduling home decides, or this entry's share of the engines while the
+    home is unreachable. The stream is admitted by the entry's view of all
+    engines while some are idle, if the share holds no engine that suits it,
+    and if no engine is left that it may be sent to.
 
     :param waiting_since: when the caller started to wait for an event.
     :param refusable: no attempt may have run, so that the home may refuse the
