Scheduling: an entry that was suspended keeps its queue

Cause: after 0.6 s without polls, e.g. as the entry was suspended, the first stream that looked for its decision dropped all others from the entry's queue. They were queued again, in another order.

Change: a partial scheduler doesn't drop streams, as its entry cancels them itself, also if asking fails.

Result: the new test failed before and passes now.

--- a/src/bulrushhold/decisions/_streamscheduler.py
+++ b/src/bulrushhold/decisions/_streamscheduler.py
@@ -56,7 +56,8 @@
     :param partial: it has a share of the engines only. Refused callers may
         return to another scheduler, so that no work is reserved for them. More
         urgent streams may make others late, since too few engines are about to
-        be free for a burst of them to be served otherwise.
+        be free for a burst of them to be served otherwise. Its entry cancels
+        streams that no longer wait.
     """
 
     def __init__(self, rng: random.Random, *, partial: bool = False) -> None:
@@ -131,10 +132,10 @@
     def advance(self, now: float) -> list[tuple[str, messages.StreamDecision]]:
         """Return the decisions taken since the last call, by ticket.
 
-        Drops streams that weren't polled for 0.6 s.
+        Drops streams that weren't polled for 0.6 s, unless it's partial.
         """
         self._expire(now)
-        while self.polled_at:
+        while self.polled_at and not self.partial:
             ticket, polled_at = next(iter(self.polled_at.items()))
             if now - polled_at <= POLL_TTL_S:
                 break
--- a/src/bulrushhold/forwarding/_localscheduling.py
+++ b/src/bulrushhold/forwarding/_localscheduling.py
@@ -93,8 +93,6 @@
     ) -> messages.StreamDecision:
         """Return the decision on a stream; see :meth:`ask`."""
         scheduler, now = self._updated(name, token_s).scheduler, self.clock()
-        # Counts as a sign of life before streams without one are dropped.
-        scheduler.poll(ticket, now)
         scheduler.advance(now)
         return scheduler.poll(ticket, now)
 
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -280,9 +280,9 @@
         """Wait for this entry's decision, or until the home is asked again."""
         token_s = state.token_s or self._token_s(ask)
         decision, queued_at = _UNKNOWN, None
-        if self.local.suits(ask, token_s):
-            decision = self.local.ask(ask, token_s)
         try:
+            if self.local.suits(ask, token_s):
+                decision = self.local.ask(ask, token_s)
             if decision.status is messages.SchedulingStatus.QUEUED:
                 queued_at = self.clock()
                 decision = await self._wait_locally(ask, state, token_s)
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -264,3 +264,27 @@
     local.ask(make_ask(20), TOKEN_S)
     ledger = local.services['s'].scheduler.ledger
     assert ledger.capacity == pytest.approx(ledger.speed)
+
+
+def test_streams_keep_their_place_while_the_entry_is_suspended(placement):
+    # Guards against a queue that is lost to one late poll: the entry cancels
+    # its streams itself.
+    now = [1.0]
+    entries = make_entries(8)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: now[0]
+    )
+    queued = [
+        f't{number}'
+        for number in range(10)
+        if local.ask(make_ask(number, objective_s=20.0), TOKEN_S).status
+        is Status.QUEUED
+    ]
+    placement.backends['i000'].reading = 4 * PROMPT
+    now[0] += 1.5
+    statuses = {local.poll('s', t, TOKEN_S).status for t in queued}
+    assert len(queued) > 2
+    assert statuses == {Status.QUEUED}
+    for ticket in queued:
+        local.cancel('s', ticket)
+    assert not local.services['s'].scheduler.streams.keys() & set(queued)
