Tests: callers that leave free their place in an entry's queue

The entry's scheduler doesn't drop streams that aren't polled; the test checks that the queue is empty after all callers have left.

--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -363,9 +363,14 @@
         await asyncio.sleep(0.1)
     assert len(home.asks) > 3
     assert len(asked) == len(set(asked))
+    scheduler = ordered.scheduling.local.services['engines'].scheduler
+    assert scheduler.queue.waiting > 0
     for task in waiting:
         task.cancel()
     await asyncio.gather(*waiting, return_exceptions=True)
+    # Nothing else drops the streams of callers that have left.
+    assert scheduler.queue.waiting == 0
+    assert ordered.admission.waiting['engines'] == 0
 
 
 async def test_a_stream_that_waits_alone_asks_a_silent_home_again(
