--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -283,6 +283,109 @@
     assert len(home.asks) == 2
 
 
+def own_first_engine(ordered):
+    """Let the entry own one of six engines, i0."""
+    local = ordered.scheduling.local
+    local.entries = lambda: [
+        attrs.evolve(OWN, name=f'e{n}') for n in range(1, 7)
+    ]
+
+
+@pytest.mark.parametrize('change', ['lost', 'version', 'tried'])
+async def test_an_entry_without_a_suitable_engine_uses_those_of_others(
+    ordered, client, home, change
+):
+    """Guards against refusals by an entry whose only engine is down."""
+    own_first_engine(ordered)
+    home.replies = [SILENT]
+    scripts = [WHOLE]
+    if change == 'lost':
+        ordered.placement.record_failure('i0', 0.0, unreachable=True)
+        ordered.placement.backends['i0'].ejected_until = float('inf')
+    elif change == 'version':
+        update_versions(ordered, 'baaaaa')
+    else:
+        scripts = [fakes.Script(error='connect'), WHOLE]
+    caller, _ = await run(ordered, client, *scripts)
+    assert caller.ended
+    assert engines_used(client)[-1] != 'i0'
+    assert len(home.asks) == 1
+
+
+async def test_a_stream_isnt_refused_once_the_entry_loses_its_engine(
+    ordered, client, home
+):
+    """Guards against a refusal seconds after the arrival."""
+    own_first_engine(ordered)
+    told = attrs.evolve(granted('i1'), token_ns=125_000)
+    home.replies = [told, SILENT]
+    await run(ordered, client)
+    set_reading(ordered, 16_000)
+    task = asyncio.ensure_future(run(ordered, client, aim_s=8.0))
+    await asyncio.sleep(0.3)
+    assert len(client.attempts) == 1
+    assert ordered.admission.waiting['engines'] == 1
+    ordered.placement.record_failure('i0', 0.0, unreachable=True)
+    ordered.placement.backends['i0'].ejected_until = float('inf')
+    set_reading(ordered, 0)
+    caller, _ = await task
+    assert caller.ended
+    assert engines_used(client)[1] != 'i0'
+    assert ordered.admission.waiting['engines'] == 0
+
+
+async def test_streams_keep_their_place_while_the_home_stays_silent(
+    ordered, client, home
+):
+    """Guards against queues that begin anew each second of an outage."""
+    told = attrs.evolve(granted('i1'), token_ns=125_000)
+    home.replies = [told, *[SILENT] * 20]
+    await run(ordered, client)
+    asked = []
+    local_ask = ordered.scheduling.local.ask
+
+    def ask(ask, token_s):
+        asked.append(ask.ticket)
+        return local_ask(ask, token_s)
+
+    ordered.scheduling.local.ask = ask
+    set_reading(ordered, 32_000)
+    client.scripts = [WHOLE] * 20
+    waiting = [
+        asyncio.ensure_future(run(ordered, client, aim_s=8.0))
+        for _ in range(5)
+    ]
+    await asyncio.sleep(0.1)
+    # Others arrive, of which one asks the home each second.
+    for _ in range(25):
+        later = run(ordered, client, aim_s=8.0)
+        waiting.append(asyncio.ensure_future(later))
+        await asyncio.sleep(0.1)
+    assert len(home.asks) > 3
+    assert len(asked) == len(set(asked))
+    scheduler = ordered.scheduling.local.services['engines'].scheduler
+    assert scheduler.queue.waiting > 0
+    for task in waiting:
+        task.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
+    # Nothing else drops the streams of callers that have left.
+    assert scheduler.queue.waiting == 0
+    assert ordered.admission.waiting['engines'] == 0
+
+
+async def test_a_stream_that_waits_alone_asks_a_silent_home_again(
+    ordered, client, home
+):
+    """Guards against an outage that lasts until another stream arrives."""
+    home.replies = [attrs.evolve(granted('i1'), token_ns=125_000), SILENT]
+    await run(ordered, client)
+    set_reading(ordered, 32_000)
+    home.replies += [SILENT, granted('i2')]
+    await run(ordered, client, aim_s=8.0)
+    assert engines_used(client) == ['i1', 'i2']
+    assert len({ask.ticket for ask in home.asks}) == 2
+
+
 async def test_streams_are_placed_without_any_control_process(
     ordered, client, home
 ):
@@ -346,19 +449,24 @@
     assert [ask.priority for ask in home.asks] == asked
 
 
-async def test_only_engines_of_an_allowed_version_are_asked_for(
-    ordered, client, home
-):
-    """Guards against streams on a new version that is being withheld."""
+def update_versions(ordered, versions):
+    """List engines of version a, and then those of new versions."""
     listed = [
         messages.ListedBackend(
             f'i{n}', 'engines', f'10.0.0.{n}:80', 'dc0', 64, version=version
         )
-        for n, version in enumerate('aabbbb')
+        for n, version in enumerate(versions)
     ]
     ordered.placement.update([e for e in listed if e.version == 'a'])
     ordered.placement.update(listed)
     set_reading(ordered, 8000)
+
+
+async def test_only_engines_of_an_allowed_version_are_asked_for(
+    ordered, client, home
+):
+    """Guards against streams on a new version that is being withheld."""
+    update_versions(ordered, 'aabbbb')
     home.replies = [granted('i2'), granted('i1')]
     await run(ordered, client)
     assert [ask.version for ask in home.asks] == ['a', 'a']
--- a/tests/test_engineshares.py
+++ b/tests/test_engineshares.py
@@ -164,6 +164,12 @@
     assert shared.slots == 5
 
 
+def test_a_tiny_share_of_an_engine_has_a_memory_limit(placement):
+    # Guards against a part of less than a token that counts as unlimited.
+    [room] = decisions.owned_rooms(placement, 's', {'i000': 1e-5}, 1.0)
+    assert room.memory_limit == 1
+
+
 def test_outdated_reports_count_until_the_streams_have_ended(placement):
     # Guards against an engine that seems full for the whole outage.
     report(placement, 0.0, i000=messages.EngineLoad(0, 8, 70_000))
@@ -203,3 +209,86 @@
     )
     assert not local.can_hold('s', STREAM_MEMORY)
     assert local.can_hold('s', 1000)
+
+
+def test_an_engine_whose_grant_isnt_used_is_granted_again(placement):
+    # Guards against an owned engine that idles for work / share seconds.
+    now = [1.0]
+    entries = make_entries(32)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: now[0]
+    )
+    assert local.ask(make_ask(1), TOKEN_S).status is Status.GRANTED
+    queued = local.ask(make_ask(2, committed=True), TOKEN_S)
+    assert queued.status is Status.QUEUED
+    local.cancel('s', 't1')
+    for _ in range(3):
+        now[0] += 0.1
+        decision = local.poll('s', 't2', TOKEN_S)
+    assert decision.status is Status.GRANTED
+    # A grant that is used isn't followed by another one at once.
+    assert local.ask(make_ask(3), TOKEN_S).status is not Status.GRANTED
+
+
+def test_a_committed_stream_isnt_refused_after_a_loss_of_engines(placement):
+    # Guards against a refusal seconds after the arrival.
+    now = [1.0]
+    entries = make_entries(6)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: now[0]
+    )
+    options = {'objective_s': 2.0, 'remaining_s': 20.0, 'committed': True}
+    tickets = [f't{number}' for number in range(8)]
+    for number in range(8):
+        local.ask(make_ask(number, **options), TOKEN_S)
+    placement.record_failure('i000', now[0], unreachable=True)
+    for _ in range(4):
+        now[0] += 0.1
+        statuses = [local.poll('s', t, TOKEN_S).status for t in tickets]
+    assert Status.REFUSED not in statuses
+    assert Status.QUEUED in statuses
+
+
+@pytest.mark.parametrize('pause_s', [12.0, 60.0])
+def test_grants_of_an_earlier_outage_dont_tell_the_capacity(
+    placement, pause_s
+):
+    # Guards against full engines that seem to take no streams: between two
+    # outages the home grants, which the entry's scheduler doesn't count.
+    now = [1.0]
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: make_entries(1)[0], list, lambda: now[0]
+    )
+    for number in range(20):
+        now[0] += 0.5
+        local.ask(make_ask(number), TOKEN_S)
+    now[0] += pause_s
+    for engine in placement.backends.values():
+        engine.memory = round(0.8 * MEMORY)
+    local.ask(make_ask(20), TOKEN_S)
+    ledger = local.services['s'].scheduler.ledger
+    assert ledger.capacity == pytest.approx(ledger.speed)
+
+
+def test_streams_keep_their_place_while_the_entry_is_suspended(placement):
+    # Guards against a queue that is lost to one late poll: the entry cancels
+    # its streams itself.
+    now = [1.0]
+    entries = make_entries(8)
+    local = forwarding.EngineShareScheduler(
+        placement, lambda: entries[0], lambda: entries, lambda: now[0]
+    )
+    queued = [
+        f't{number}'
+        for number in range(10)
+        if local.ask(make_ask(number, objective_s=20.0), TOKEN_S).status
+        is Status.QUEUED
+    ]
+    placement.backends['i000'].reading = 4 * PROMPT
+    now[0] += 1.5
+    statuses = {local.poll('s', t, TOKEN_S).status for t in queued}
+    assert len(queued) > 2
+    assert statuses == {Status.QUEUED}
+    for ticket in queued:
+        local.cancel('s', ticket)
+    assert not local.services['s'].scheduler.streams.keys() & set(queued)
