Compress the list of entries in watch replies

Each reply to an entry or control process encoded the full list anew: with 386 entries, a change of one load factor was a reply of 56,222 bytes to each entry.

The list is now compressed and encoded once per version, and all replies share the result. A reply whose list can't be decoded changes neither the list nor its version.

--- a/bench/watchreplies.py
+++ b/bench/watchreplies.py
@@ -60,8 +60,7 @@
     view.backends_read_at = time.monotonic()
     servers = make_servers(random.Random(1))
     view.set_backends(decisions.BackendList.of(servers), '1.1')
-    view.entries = make_entries()
-    view.entries_version = '1.1'
+    view.set_entries(make_entries(), '1.1')
     return view
 
 
@@ -97,11 +96,8 @@
     view.set_backends(decisions.BackendList.of(servers), '1.3')
     measure('ten servers leave', view, known)
     known = view.versions()
-    view.entries = [
-        attrs.evolve(view.entries[0], load_factor=0.9),
-        *view.entries[1:],
-    ]
-    view.entries_version = '1.2'
+    overloaded = attrs.evolve(view.entries[0], load_factor=0.9)
+    view.set_entries([overloaded, *view.entries[1:]], '1.2')
     measure('one entry changes', view, known)
 
 
--- a/src/bulrushhold/control/_clusterview.py
+++ b/src/bulrushhold/control/_clusterview.py
@@ -34,6 +34,7 @@
         self.history = _listhistory.ListHistory()
         self.backends_read_at = 0.0
         self.entries: list[messages.ListedEntry] = []
+        self.packed_entries = b''
         self.entries_version = ''
         self.nodes: list[messages.ControlNode] = []
         self.nodes_version = ''
@@ -107,7 +108,7 @@
             ),
             backends_age_s=round(self.clock() - self.backends_read_at, 3),
             entries_version=self.entries_version,
-            entries=self.entries if newer_entries else None,
+            entries=self.packed_entries if newer_entries else None,
             nodes_version=self.nodes_version,
             nodes=self.nodes if newer_nodes else None,
             rollouts_version=self.rollouts_version,
@@ -147,8 +148,9 @@
             self.backends_read_at = self.clock() - reply.backends_age_s
         if messages.is_newer(reply.entries_version, self.entries_version):
             assert reply.entries is not None
-            self.entries = reply.entries
-            self.entries_version = reply.entries_version
+            self.set_entries(
+                messages.unpack_entries(reply.entries), reply.entries_version
+            )
         if messages.is_newer(reply.rollouts_version, self.rollouts_version):
             self.rollouts = reply.rollouts or []
             self.rollouts_version = reply.rollouts_version
@@ -162,6 +164,14 @@
         if self.versions() != versions:
             self.notify()
 
+    def set_entries(
+        self, entries: list[messages.ListedEntry], version: str
+    ) -> None:
+        """Replace the list of entries."""
+        self.entries = entries
+        self.packed_entries = messages.pack_entries(entries)
+        self.entries_version = version
+
     def set_backends(
         self, listed: decisions.BackendList, version: str
     ) -> None:
--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -115,8 +115,7 @@
         )
         version = self.registry.version(now)
         if version not in ('', view.entries_version):
-            view.entries = self.registry.entries()
-            view.entries_version = version
+            view.set_entries(self.registry.entries(), version)
             view.notify()
         self.nodes = {
             address: (control_node, seen_at)
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -198,15 +198,21 @@
         if reply.route_map is not None:
             self._apply_map(messages.unpack_map(reply.route_map))
         self._apply_list(reply)
-        if messages.is_newer(reply.entries_version, self.entries_version):
-            self.entries_version = reply.entries_version
-            self.entries = reply.entries or []
+        self._apply_entries(reply)
         if reply.nodes is not None:
             self.nodes_version = reply.nodes_version
         self.budget.entries = self.entry_count()
         for hook in self.on_change:
             hook()
 
+    def _apply_entries(self, reply: messages.WatchReply) -> None:
+        version = reply.entries_version
+        if reply.entries is not None and messages.is_newer(
+            version, self.entries_version
+        ):
+            self.entries = messages.unpack_entries(reply.entries)
+            self.entries_version = version
+
     def _apply_rollouts(self, reply: messages.WatchReply) -> None:
         versions = self.placement.versions
         versions.confirm(time.monotonic())
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -6,9 +6,11 @@
 from bulrushhold.messages._codec import Failure
 from bulrushhold.messages._codec import Message
 from bulrushhold.messages._codec import pack_backends
+from bulrushhold.messages._codec import pack_entries
 from bulrushhold.messages._codec import pack_map
 from bulrushhold.messages._codec import pack_splices
 from bulrushhold.messages._codec import unpack_backends
+from bulrushhold.messages._codec import unpack_entries
 from bulrushhold.messages._codec import unpack_map
 from bulrushhold.messages._codec import unpack_services
 from bulrushhold.messages._codec import unpack_splices
@@ -246,9 +248,11 @@
     'encode',
     'is_newer',
     'pack_backends',
+    'pack_entries',
     'pack_map',
     'pack_splices',
     'unpack_backends',
+    'unpack_entries',
     'unpack_map',
     'unpack_services',
     'unpack_splices',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -152,6 +152,7 @@
 
 _MAP_DECODER = msgspec.msgpack.Decoder(routes.RouteMap)
 _SERVICES_DECODER = msgspec.msgpack.Decoder(_MapServices)
+_ENTRIES_DECODER = msgspec.msgpack.Decoder(list[_fleet.ListedEntry])
 _BACKENDS_DECODER = msgspec.msgpack.Decoder(list[_fleet.ListedBackend])
 _SPLICES_DECODER = msgspec.msgpack.Decoder(list[_fleet.ListSplice])
 
@@ -178,6 +179,22 @@
     return t.cast(_MapServices, described).services
 
 
+def pack_entries(entries: list[_fleet.ListedEntry]) -> bytes:
+    """Encode and compress a list of entries, keeping its order."""
+    return _pack(entries)
+
+
+def unpack_entries(data: bytes) -> list[_fleet.ListedEntry]:
+    """Decompress and decode a list of entries.
+
+    :raises PeerError: if it is malformed.
+    """
+    return t.cast(
+        list[_fleet.ListedEntry],
+        _unpack(data, _ENTRIES_DECODER, 'entry list'),
+    )
+
+
 def pack_backends(backends: list[_fleet.ListedBackend]) -> bytes:
     """Encode and compress a list of backend servers, keeping its order."""
     return _pack(backends)
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -435,6 +435,7 @@
     :param route_map: the map as encoded by :func:`pack_map`.
     :param map_version: version of the sender's route map.
     :param backends_age_s: time since the platform's list was read.
+    :param entries: all entries, as encoded by :func:`pack_entries`.
     :param versions: versions of engines that may have begun running streams,
         by service.
     """
@@ -448,7 +449,7 @@
     backends: BackendsUpdate | None = None
     backends_age_s: float = 0.0
     entries_version: str = ''
-    entries: list[ListedEntry] | None = None
+    entries: bytes | None = None
     nodes_version: str = ''
     nodes: list[ControlNode] | None = None
     loads: LoadSummary | None = None
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -74,7 +74,7 @@
     fleet._apply_reply(
         fakes.make_reply(
             entries_version='1.1',
-            entries=entries,
+            entries=messages.pack_entries(entries),
             backends_version='1.1',
             backends=messages.BackendsUpdate(
                 messages.backends_digest([]), messages.pack_backends([])
@@ -122,7 +122,9 @@
         attrs.evolve(entries[0], name='e40', callers='e40:80', **weights)
     ]
     fleet._apply_reply(
-        fakes.make_reply(entries_version='1.1', entries=entries)
+        fakes.make_reply(
+            entries_version='1.1', entries=messages.pack_entries(entries)
+        )
     )
     return entries
 
