Send entries what has changed in the list of entries

Each change of one entry, also of its load factor alone, sent the full list to all entries.

Polls now name the list of entries that the poller has by its digest, and replies hold the difference to it where that is smaller, as for the list of backend servers. ListHistory, ListUpdate and ListSplice serve both lists; ListCodec encodes either, and BackendList and EntryList differ in their codec only. Which versions are newer is decided as before. An update that belongs to another list, or whose result has another digest than the sender's list, isn't applied; the next poll requests the full list.

Tests name the functions and classes by their new names and are otherwise the same; those that replaced an entry's list of entries set `listed_entries`.

--- a/bench/watchreplies.py
+++ b/bench/watchreplies.py
@@ -60,7 +60,7 @@
     view.backends_read_at = time.monotonic()
     servers = make_servers(random.Random(1))
     view.set_backends(decisions.BackendList.of(servers), '1.1')
-    view.set_entries(make_entries(), '1.1')
+    view.set_entries(decisions.EntryList.of(make_entries()), '1.1')
     return view
 
 
@@ -96,9 +96,35 @@
     view.set_backends(decisions.BackendList.of(servers), '1.3')
     measure('ten servers leave', view, known)
     known = view.versions()
-    overloaded = attrs.evolve(view.entries[0], load_factor=0.9)
-    view.set_entries([overloaded, *view.entries[1:]], '1.2')
-    measure('one entry changes', view, known)
+    measure_entries(view)
+
+
+def measure_entries(view: _clusterview.ClusterView) -> None:
+    """Print the sizes of replies after changes of load factors."""
+    rng = random.Random(3)
+    for number, count in enumerate((1, 10, ENTRIES), 2):
+        known = view.versions()
+        changed = set(rng.sample(range(ENTRIES), count))
+        entries = [
+            attrs.evolve(entry, load_factor=round(rng.uniform(0.5, 0.9), 2))
+            if index in changed
+            else entry
+            for index, entry in enumerate(view.entries)
+        ]
+        view.set_entries(decisions.EntryList.of(entries), f'1.{number}')
+        name = f'load factors: {count}'
+        measure(name, view, known)
+        unknown = attrs.evolve(known, entries_digest=b'')
+        measure(f'{name}, full list', view, unknown)
+        print_uncompressed(f'{name}, uncompressed', view, known)
+
+
+def print_uncompressed(
+    name: str, view: _clusterview.ClusterView, known: messages.Known
+) -> None:
+    """Print the size of a reply that holds all entries as they are."""
+    reply = attrs.evolve(view.reply(known), entries=view.entries)
+    print(f'{name:32} {len(messages.encode(reply)):9,} B')
 
 
 if __name__ == '__main__':
--- a/src/bulrushhold/control/_clusterview.py
+++ b/src/bulrushhold/control/_clusterview.py
@@ -31,11 +31,16 @@
         self.backends: list[messages.ListedBackend] | None = None
         self.backends_version = ''
         self.backends_digest = b''
-        self.history = _listhistory.ListHistory()
+        self.backends_history = _listhistory.ListHistory(
+            decisions.BackendList.of([])
+        )
         self.backends_read_at = 0.0
         self.entries: list[messages.ListedEntry] = []
-        self.packed_entries = b''
         self.entries_version = ''
+        self.entries_digest = b''
+        self.entries_history = _listhistory.ListHistory(
+            decisions.EntryList.of([])
+        )
         self.nodes: list[messages.ControlNode] = []
         self.nodes_version = ''
         self.rollouts: list[messages.RolloutPlan] = []
@@ -81,7 +86,7 @@
         """
         if versions.backends != self.backends_version:
             return bool(self.backends_version)
-        digests = b'', self.history.current.digest
+        digests = b'', self.backends_history.current.digest
         return versions.backends_digest not in digests
 
     def reply(self, versions: messages.Known) -> messages.WatchReply:
@@ -102,13 +107,17 @@
             map_version=self.map_version,
             backends_version=self.backends_version,
             backends=(
-                self.history.update_from(versions.backends_digest)
+                self.backends_history.update_from(versions.backends_digest)
                 if other_backends
                 else None
             ),
             backends_age_s=round(self.clock() - self.backends_read_at, 3),
             entries_version=self.entries_version,
-            entries=self.packed_entries if newer_entries else None,
+            entries=(
+                self.entries_history.update_from(versions.entries_digest)
+                if newer_entries
+                else None
+            ),
             nodes_version=self.nodes_version,
             nodes=self.nodes if newer_nodes else None,
             rollouts_version=self.rollouts_version,
@@ -127,6 +136,7 @@
             self.rollouts_version,
             self.service_versions_version,
             self.backends_digest,
+            self.entries_digest,
         )
 
     def update(self, reply: messages.WatchReply) -> None:
@@ -148,9 +158,7 @@
             self.backends_read_at = self.clock() - reply.backends_age_s
         if messages.is_newer(reply.entries_version, self.entries_version):
             assert reply.entries is not None
-            self.set_entries(
-                messages.unpack_entries(reply.entries), reply.entries_version
-            )
+            self._update_entries(reply.entries, reply.entries_version)
         if messages.is_newer(reply.rollouts_version, self.rollouts_version):
             self.rollouts = reply.rollouts or []
             self.rollouts_version = reply.rollouts_version
@@ -164,27 +172,36 @@
         if self.versions() != versions:
             self.notify()
 
-    def set_entries(
-        self, entries: list[messages.ListedEntry], version: str
-    ) -> None:
+    def set_entries(self, listed: decisions.EntryList, version: str) -> None:
         """Replace the list of entries."""
-        self.entries = entries
-        self.packed_entries = messages.pack_entries(entries)
+        self.entries_history.add(listed)
+        self.entries = self.entries_history.current.items
+        self.entries_digest = listed.digest
         self.entries_version = version
 
+    def _update_entries(
+        self, update: messages.ListUpdate, version: str
+    ) -> None:
+        listed = self.entries_history.current.updated(update)
+        if listed is not None:
+            self.set_entries(listed, version)
+            return
+        # Have the leader send the full list.
+        self.entries_digest = b''
+
     def set_backends(
         self, listed: decisions.BackendList, version: str
     ) -> None:
         """Replace the list of backend servers."""
-        self.history.add(listed)
-        self.backends = self.history.current.items
+        self.backends_history.add(listed)
+        self.backends = self.backends_history.current.items
         self.backends_digest = listed.digest
         self.backends_version = version
 
     def _update_backends(
-        self, update: messages.BackendsUpdate, version: str
+        self, update: messages.ListUpdate, version: str
     ) -> None:
-        listed = self.history.current.updated(update)
+        listed = self.backends_history.current.updated(update)
         if listed is not None:
             self.set_backends(listed, version)
             return
--- a/src/bulrushhold/control/_registry.py
+++ b/src/bulrushhold/control/_registry.py
@@ -15,8 +15,8 @@
 # leader has all entries. An incomplete list would send all callers to a few.
 SETTLE_TIME_S: t.Final = 1.5
 # Changes of weights alone are sent no more often than this, and than so many
-# seconds for each entry: the list is sent to all entries, and 390 of them are
-# 40 KB.
+# seconds for each entry: each change is sent to all entries. If most of 390
+# entries have another weight, it is the full list of about 5 KB.
 MIN_WEIGHT_INTERVAL_S: t.Final = 1.0
 WEIGHT_INTERVAL_PER_ENTRY_S: t.Final = 0.05
 
--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -115,7 +115,8 @@
         )
         version = self.registry.version(now)
         if version not in ('', view.entries_version):
-            view.set_entries(self.registry.entries(), version)
+            listed = decisions.EntryList.of(self.registry.entries())
+            view.set_entries(listed, version)
             view.notify()
         self.nodes = {
             address: (control_node, seen_at)
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -6,8 +6,6 @@
 from bulrushhold.decisions._admissioncontrol import AdmissionDecision
 from bulrushhold.decisions._admissioncontrol import CapacityEstimate
 from bulrushhold.decisions._admissioncontrol import retry_after_s
-from bulrushhold.decisions._backendlist import BackendList
-from bulrushhold.decisions._backendlist import list_splices
 from bulrushhold.decisions._backendserver import BackendServer
 from bulrushhold.decisions._brittleservices import BrittleServices
 from bulrushhold.decisions._claims import ClaimState
@@ -38,6 +36,10 @@
 from bulrushhold.decisions._homes import home_address
 from bulrushhold.decisions._homes import next_home_address
 from bulrushhold.decisions._lifecycle import Lifecycle
+from bulrushhold.decisions._listcopy import BackendList
+from bulrushhold.decisions._listcopy import EntryList
+from bulrushhold.decisions._listcopy import list_splices
+from bulrushhold.decisions._listcopy import ListCopy
 from bulrushhold.decisions._loadaggregator import LoadAggregator
 from bulrushhold.decisions._permithome import PermitHome
 from bulrushhold.decisions._placehome import PlaceHome
@@ -139,6 +141,7 @@
     'EngineLosses',
     'EngineRoom',
     'EngineSpeeds',
+    'EntryList',
     'ExposureLimits',
     'FairQueue',
     'FlowState',
@@ -147,6 +150,7 @@
     'KnownVersions',
     'LatencyObjective',
     'Lifecycle',
+    'ListCopy',
     'LoadAggregator',
     'MAX_COPY_ADDRESSES',
     'MEMBERSHIP_PERIOD_S',
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -73,7 +73,7 @@
         self.listed = decisions.BackendList([], b'')
         self.backends_version = ''
         self.backends_read_at = 0.0
-        self.entries: list[messages.ListedEntry] = []
+        self.listed_entries = decisions.EntryList([], b'')
         self.entries_version = ''
         self.nodes_version = ''
         self.rollouts_version = ''
@@ -97,6 +97,11 @@
         """Whether this entry has a route map and backend servers."""
         return self.index is not None and bool(self.placement.backends)
 
+    @property
+    def entries(self) -> list[messages.ListedEntry]:
+        """All entries, as control last listed them."""
+        return self.listed_entries.items
+
     def _own_entry_now(self) -> messages.ListedEntry:
         unreachable = tuple(sorted(self.placement.reachability.cut_off))
         return attrs.evolve(self.own_entry, unreachable=unreachable)
@@ -185,6 +190,7 @@
                 self.rollouts_version,
                 self.versions_version,
                 self.listed.digest,
+                self.listed_entries.digest,
             ),
             LONG_POLL_S,
             self.summary_number,
@@ -210,8 +216,16 @@
         if reply.entries is not None and messages.is_newer(
             version, self.entries_version
         ):
-            self.entries = messages.unpack_entries(reply.entries)
-            self.entries_version = version
+            listed = self.listed_entries.updated(reply.entries)
+            if listed is not None:
+                self.listed_entries = listed
+                self.entries_version = version
+                return
+            # The next poll requests the full list.
+            self.listed_entries = self.listed_entries.without_digest()
+            loguru.logger.bind(version=version).info(
+                'entry list update not applicable'
+            )
 
     def _apply_rollouts(self, reply: messages.WatchReply) -> None:
         versions = self.placement.versions
@@ -246,9 +260,7 @@
             self.backends_read_at = max(self.backends_read_at, read_at)
             self.placement.known_versions.listed_at = self.backends_read_at
 
-    def _apply_update(
-        self, update: messages.BackendsUpdate, version: str
-    ) -> None:
+    def _apply_update(self, update: messages.ListUpdate, version: str) -> None:
         listed = self.listed.updated(update)
         if listed is not None:
             self.backends_version = version
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -1,19 +1,14 @@
 """Typed messages between processes, and their codec."""
 
-from bulrushhold.messages._codec import backends_digest
+from bulrushhold.messages._codec import BACKEND_LIST
 from bulrushhold.messages._codec import decode
 from bulrushhold.messages._codec import encode
+from bulrushhold.messages._codec import ENTRY_LIST
 from bulrushhold.messages._codec import Failure
 from bulrushhold.messages._codec import Message
-from bulrushhold.messages._codec import pack_backends
-from bulrushhold.messages._codec import pack_entries
 from bulrushhold.messages._codec import pack_map
-from bulrushhold.messages._codec import pack_splices
-from bulrushhold.messages._codec import unpack_backends
-from bulrushhold.messages._codec import unpack_entries
 from bulrushhold.messages._codec import unpack_map
 from bulrushhold.messages._codec import unpack_services
-from bulrushhold.messages._codec import unpack_splices
 from bulrushhold.messages._entries import CopyAck
 from bulrushhold.messages._entries import CopyAppend
 from bulrushhold.messages._entries import CopyBatch
@@ -28,7 +23,6 @@
 from bulrushhold.messages._entries import ProbeReply
 from bulrushhold.messages._entries import QuotaAsk
 from bulrushhold.messages._entries import QuotaGrant
-from bulrushhold.messages._fleet import BackendsUpdate
 from bulrushhold.messages._fleet import ControlNode
 from bulrushhold.messages._fleet import CrashReport
 from bulrushhold.messages._fleet import EngineLoad
@@ -37,7 +31,6 @@
 from bulrushhold.messages._fleet import Known
 from bulrushhold.messages._fleet import ListedBackend
 from bulrushhold.messages._fleet import ListedEntry
-from bulrushhold.messages._fleet import ListSplice
 from bulrushhold.messages._fleet import LoadReport
 from bulrushhold.messages._fleet import LoadSummary
 from bulrushhold.messages._fleet import NodeLoad
@@ -55,6 +48,10 @@
 from bulrushhold.messages._fleet import SpeedSample
 from bulrushhold.messages._fleet import Watch
 from bulrushhold.messages._fleet import WatchReply
+from bulrushhold.messages._lists import ListCodec
+from bulrushhold.messages._lists import ListItem
+from bulrushhold.messages._lists import ListSplice
+from bulrushhold.messages._lists import ListUpdate
 from bulrushhold.messages._log import AppendReply
 from bulrushhold.messages._log import AppendRequest
 from bulrushhold.messages._log import Config
@@ -131,7 +128,7 @@
 __all__ = [
     'AppendReply',
     'AppendRequest',
-    'BackendsUpdate',
+    'BACKEND_LIST',
     'Claim',
     'ClaimEnd',
     'ClaimOutcome',
@@ -147,6 +144,7 @@
     'CoreRead',
     'CoreReply',
     'CrashReport',
+    'ENTRY_LIST',
     'EditOutcome',
     'EngineLoad',
     'EngineSpeed',
@@ -163,7 +161,10 @@
     'KIND_CONFIG',
     'KIND_NOOP',
     'Known',
+    'ListCodec',
+    'ListItem',
     'ListSplice',
+    'ListUpdate',
     'ListedBackend',
     'ListedEntry',
     'LoadReport',
@@ -243,17 +244,10 @@
     'VoteRequest',
     'Watch',
     'WatchReply',
-    'backends_digest',
     'decode',
     'encode',
     'is_newer',
-    'pack_backends',
-    'pack_entries',
     'pack_map',
-    'pack_splices',
-    'unpack_backends',
-    'unpack_entries',
     'unpack_map',
     'unpack_services',
-    'unpack_splices',
 ]
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bulrushhold.messages import _lists
 from bulrushhold.messages import _rollouts
 
 
@@ -57,36 +58,6 @@
     version: str = ''
 
 
-@attrs.frozen
-class ListSplice:
-    """Replaces servers ``start`` to ``end``, exclusive, of a list by others.
-
-    :param start: index in the list before all splices.
-    :param end: likewise.
-    :param items: the servers that take their place.
-    """
-
-    start: int
-    end: int
-    items: list[ListedBackend]
-
-
-@attrs.frozen
-class BackendsUpdate:
-    """A list of backend servers, or its difference to an earlier list.
-
-    :param digest: digest of the list, by :func:`backends_digest`.
-    :param packed: the list as encoded by :func:`pack_backends`, or its
-        splices as encoded by :func:`pack_splices`.
-    :param base: digest of the list to which the splices apply; empty for a
-        full list.
-    """
-
-    digest: bytes
-    packed: bytes
-    base: bytes = b''
-
-
 @attrs.frozen
 class ListedEntry:
     """An entry as last reported to the leader.
@@ -113,6 +84,11 @@
     has_disk: bool = False
     load_factor: float = 1.0
 
+    @property
+    def ident(self) -> str:
+        """What identifies it among other entries: its name."""
+        return self.name
+
 
 @attrs.frozen
 class EngineLoad:
@@ -385,6 +361,7 @@
     :param backends_digest: digest of the list of backend servers, to which
         a difference can be sent; empty to request a full list. A version
         doesn't identify a list: terms start again in a new log.
+    :param entries_digest: the same for the list of entries.
     """
 
     route_map: int = 0
@@ -394,6 +371,7 @@
     rollouts: str = ''
     versions: str = ''
     backends_digest: bytes = b''
+    entries_digest: bytes = b''
 
 
 @attrs.frozen
@@ -435,7 +413,6 @@
     :param route_map: the map as encoded by :func:`pack_map`.
     :param map_version: version of the sender's route map.
     :param backends_age_s: time since the platform's list was read.
-    :param entries: all entries, as encoded by :func:`pack_entries`.
     :param versions: versions of engines that may have begun running streams,
         by service.
     """
@@ -446,10 +423,10 @@
     route_map: bytes | None = None
     map_version: int = 0
     backends_version: str = ''
-    backends: BackendsUpdate | None = None
+    backends: _lists.ListUpdate | None = None
     backends_age_s: float = 0.0
     entries_version: str = ''
-    entries: bytes | None = None
+    entries: _lists.ListUpdate | None = None
     nodes_version: str = ''
     nodes: list[ControlNode] | None = None
     loads: LoadSummary | None = None
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
@@ -66,6 +67,11 @@
     assert fleet.map_version == 5
 
 
+def full_list(entries):
+    codec = messages.ENTRY_LIST
+    return messages.ListUpdate(codec.digest(entries), codec.pack(entries))
+
+
 async def test_addresses_stay_available_without_control(fleet):
     entries = [
         messages.ListedEntry(f'e{n}', 'dc', f'10.0.1.{n}:80', n != 3)
@@ -74,10 +80,11 @@
     fleet._apply_reply(
         fakes.make_reply(
             entries_version='1.1',
-            entries=messages.pack_entries(entries),
+            entries=full_list(entries),
             backends_version='1.1',
-            backends=messages.BackendsUpdate(
-                messages.backends_digest([]), messages.pack_backends([])
+            backends=messages.ListUpdate(
+                messages.BACKEND_LIST.digest([]),
+                messages.BACKEND_LIST.pack([]),
             ),
         )
     )
@@ -122,9 +129,7 @@
         attrs.evolve(entries[0], name='e40', callers='e40:80', **weights)
     ]
     fleet._apply_reply(
-        fakes.make_reply(
-            entries_version='1.1', entries=messages.pack_entries(entries)
-        )
+        fakes.make_reply(entries_version='1.1', entries=full_list(entries))
     )
     return entries
 
@@ -176,7 +181,7 @@
     entries[1] = attrs.evolve(
         entries[1], unreachable=tuple(fleet.placement.services)
     )
-    fleet.entries = entries
+    fleet.listed_entries = decisions.EntryList.of(entries)
     fleet.start_draining()
     found = {
         address
--- a/tests/forwarding/test_list_updates.py
+++ b/tests/forwarding/test_list_updates.py
@@ -105,7 +105,7 @@
     # Guards against a list that is taken to be new because of its version.
     fleet._apply_backends(decisions.BackendList.of(SERVERS))
     fleet.backends_version = '1.1'
-    update = messages.BackendsUpdate(b'x' * 16, b'', b'y' * 16)
+    update = messages.ListUpdate(b'x' * 16, b'', b'y' * 16)
     fleet._apply_reply(
         fakes.make_reply(backends_version='1.2', backends=update)
     )
@@ -116,7 +116,7 @@
 async def test_a_malformed_update_changes_nothing(fleet):
     fleet._apply_backends(decisions.BackendList.of(SERVERS))
     fleet.backends_version = '1.1'
-    update = messages.BackendsUpdate(b'x' * 16, b'?', fleet.listed.digest)
+    update = messages.ListUpdate(b'x' * 16, b'?', fleet.listed.digest)
     with pytest.raises(errors.PeerError):
         fleet._apply_reply(
             fakes.make_reply(backends_version='1.2', backends=update)
@@ -146,7 +146,9 @@
     poll(fleet, view)
     base = fleet.listed.digest
     set_servers(view, SERVERS[1:], '1.2')
-    update = attrs.evolve(view.history.update_from(base), digest=b'x' * 16)
+    update = attrs.evolve(
+        view.backends_history.update_from(base), digest=b'x' * 16
+    )
     fleet._apply_reply(
         fakes.make_reply(backends_version='1.2', backends=update)
     )
--- a/tests/forwarding/test_peer_proxy.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -243,13 +243,14 @@
 
 
 async def test_an_entry_without_servers_leaves_the_directory(fleet, context):
-    fleet.entries = [
+    entries = [
         messages.ListedEntry('e1', 'dc', '10.0.1.1:80', True),
         messages.ListedEntry(
             'e2', 'dc', '10.0.1.2:80', True, unreachable=('engines',)
         ),
         messages.ListedEntry('e3', 'dc', '10.0.1.3:80', True),
     ]
+    fleet.listed_entries = decisions.EntryList.of(entries)
     fleet.index = object()
     assert sorted(fleet.addresses(9)) == ['10.0.1.1:80', '10.0.1.3:80']
     context.placement.reachability.record_unreachable('engines', 0.0)
@@ -261,11 +262,12 @@
 ):
     # Guards against callers that find no entry that could refuse them.
     context.placement.reachability.record_unreachable('engines', 0.0)
-    fleet.entries = [
+    entries = [
         messages.ListedEntry(
             'e2', 'dc', '10.0.1.2:80', True, unreachable=('engines',)
         )
     ]
+    fleet.listed_entries = decisions.EntryList.of(entries)
     fleet.index = object()
     assert sorted(fleet.addresses(9)) == ['10.0.1.1:80', '10.0.1.2:80']
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -321,7 +321,7 @@
     fleet.leader.source.failing = True
     await fleet.leader._read_list()
     reply = await fleet.watch._on_watch(watch(hold_s=0.0))
-    assert messages.unpack_backends(reply.backends.packed) == [backend]
+    assert messages.BACKEND_LIST.unpack(reply.backends.packed) == [backend]
 
 
 async def test_a_list_read_across_an_election_is_dropped(fleet, server):
--- a/tests/test_list_replies.py
+++ b/tests/test_list_replies.py
@@ -46,22 +46,24 @@
 def test_a_list_keeps_its_order_and_fields():
     # Guards against equal seeds that give different choices of servers.
     servers = [attrs.evolve(SERVERS[0], leaving=True), *SERVERS[:0:-1]]
-    packed = messages.pack_backends(servers)
-    assert messages.unpack_backends(packed) == servers
+    packed = messages.BACKEND_LIST.pack(servers)
+    assert messages.BACKEND_LIST.unpack(packed) == servers
 
 
-@pytest.mark.parametrize('data', [b'', b'x', messages.pack_backends([])[:-1]])
+@pytest.mark.parametrize(
+    'data', [b'', b'x', messages.BACKEND_LIST.pack([])[:-1]]
+)
 def test_malformed_lists_and_splices_are_rejected(data):
     with pytest.raises(errors.PeerError):
-        messages.unpack_backends(data)
+        messages.BACKEND_LIST.unpack(data)
     with pytest.raises(errors.PeerError):
-        messages.unpack_splices(data)
+        messages.BACKEND_LIST.unpack_splices(data)
 
 
 def test_a_digest_tells_order_and_fields():
     # Guards against a difference that is applied to a similar list.
     digests = {
-        messages.backends_digest(servers)
+        messages.BACKEND_LIST.digest(servers)
         for servers in (
             SERVERS,
             SERVERS[::-1],
@@ -88,9 +90,9 @@
     if seed % 4 == 0:
         rng.shuffle(new)
     former, listed = map(decisions.BackendList.of, (old, new))
-    update = messages.BackendsUpdate(
+    update = messages.ListUpdate(
         listed.digest,
-        messages.pack_splices(decisions.list_splices(old, new)),
+        messages.BACKEND_LIST.pack_splices(decisions.list_splices(old, new)),
         former.digest,
     )
     assert former.updated(update) == listed
@@ -128,7 +130,7 @@
     set_servers(view, leaving(SERVERS, 1), '1.2')
     update = update_for(view, base)
     assert (update.base, update.digest) == (base, view.backends_digest)
-    splices = messages.unpack_splices(update.packed)
+    splices = messages.BACKEND_LIST.unpack_splices(update.packed)
     assert [splice.items[0].ident for splice in splices] == ['i01']
 
 
@@ -151,14 +153,14 @@
     known = messages.Known(backends='1.1', backends_digest=digest)
     update = restarted.reply(known).backends
     assert update.base == b''
-    assert messages.unpack_backends(update.packed) == SERVERS[4:]
+    assert messages.BACKEND_LIST.unpack(update.packed) == SERVERS[4:]
 
 
 def test_one_version_of_two_lists_is_told_apart():
     # Guards against an entry that keeps the list of a former log.
     view = make_view(SERVERS[1:], '1.1')
     known = messages.Known(
-        backends='1.1', backends_digest=messages.backends_digest(SERVERS)
+        backends='1.1', backends_digest=messages.BACKEND_LIST.digest(SERVERS)
     )
     assert view.is_newer_than(known)
     assert view.reply(known).backends.base == b''
@@ -175,7 +177,7 @@
     assert update_for(view, base).base == base
     set_servers(view, SERVERS[1:], '1.99')
     assert update_for(view, base).base == b''
-    assert len(view.history.recent) == _listhistory.MAX_LISTS
+    assert len(view.backends_history.recent) == _listhistory.MAX_LISTS
 
 
 def test_a_difference_that_is_not_smaller_is_not_sent():
@@ -184,14 +186,14 @@
     set_servers(view, SERVERS[::-1], '1.2')
     update = update_for(view, base)
     assert update.base == b''
-    assert messages.unpack_backends(update.packed) == SERVERS[::-1]
+    assert messages.BACKEND_LIST.unpack(update.packed) == SERVERS[::-1]
 
 
 def test_an_equal_list_of_a_new_term_is_sent_without_servers():
     view = make_view(SERVERS)
     set_servers(view, SERVERS, '2.1')
     update = update_for(view, view.backends_digest)
-    assert messages.unpack_splices(update.packed) == []
+    assert messages.BACKEND_LIST.unpack_splices(update.packed) == []
     assert update.base == update.digest
 
 
@@ -199,7 +201,7 @@
     # Guards against 16 times the memory of 3,000 servers.
     view = make_view(SERVERS)
     set_servers(view, leaving(SERVERS, 1), '1.2')
-    former, current = view.history.recent.values()
+    former, current = view.backends_history.recent.values()
     assert sum(a is b for a, b in zip(former, current, strict=True)) == 39
 
 
@@ -219,9 +221,9 @@
     # Guards against a wrong list that later differences would build on.
     listed = decisions.BackendList.of(SERVERS)
     splices = [messages.ListSplice(3, 4, [])]
-    update = messages.BackendsUpdate(
-        messages.backends_digest(SERVERS[1:]),
-        messages.pack_splices(splices),
+    update = messages.ListUpdate(
+        messages.BACKEND_LIST.digest(SERVERS[1:]),
+        messages.BACKEND_LIST.pack_splices(splices),
         listed.digest,
     )
     assert listed.updated(update) is None
@@ -259,4 +261,6 @@
     leader, follower = make_view(SERVERS, '2.1'), make_view(SERVERS[1:], '3.1')
     follower.update(leader.reply(follower.versions()))
     assert follower.backends == SERVERS[1:]
-    assert follower.backends_digest == messages.backends_digest(SERVERS[1:])
+    assert follower.backends_digest == messages.BACKEND_LIST.digest(
+        SERVERS[1:]
+    )
