--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -9,6 +9,7 @@
 from bulrushhold.messages import _entries
 from bulrushhold.messages import _fleet
 from bulrushhold.messages import _lists
+from bulrushhold.messages import _loads
 from bulrushhold.messages import _log
 from bulrushhold.messages import _origins
 from bulrushhold.messages import _packing
@@ -73,14 +74,14 @@
     _fleet.RouteMapOutcome,
     _fleet.RouteMapRead,
     _fleet.RouteMapReply,
-    _fleet.LoadReport,
-    _fleet.NodeLoad,
     _fleet.NodeWatch,
     _fleet.PermitAsk,
     _fleet.PermitGrant,
-    _fleet.Received,
     _fleet.Watch,
     _fleet.WatchReply,
+    _loads.LoadReport,
+    _loads.NodeLoad,
+    _loads.Received,
     _origins.OriginReport,
     _origins.OriginRead,
     _origins.OriginReply,
