--- a/src/bulrushhold/decisions/_engineroom.py
+++ b/src/bulrushhold/decisions/_engineroom.py
@@ -38,6 +38,9 @@
 # the shortest time to count it for.
 GRANT_RATE_HALF_LIFE_S: t.Final = 10.0
 MIN_GRANT_RATE_S: t.Final = 5.0
+# After a longer pause of updates the count begins anew: streams have been
+# placed without it.
+GRANT_RATE_GAP_S: t.Final = 5.0
 # Gain of the moving average of prompt length.
 PROMPT_GAIN: t.Final = 0.05
 UNKNOWN: t.Final = -1
@@ -187,6 +190,8 @@
     ) -> bool:
         """Replace the engines; return whether any were lost."""
         self.expire(now)
+        if now - self.pending_at > GRANT_RATE_GAP_S:
+            self.grant_rate = _GrantRate()
         self.token_s = token_s
         previous = self.engines
         self.engines = {}
@@ -279,6 +284,12 @@
             return
         engine.unreported = max(0, engine.unreported - ask.tokens)
         unused_s = ask.tokens * self.token_s * engine.room.slowness
+        if engine.paced_until > now:
+            paced = engine.free_at <= engine.paced_until
+            engine.paced_until -= unused_s / engine.room.share
+            if paced:
+                # The next update adds what the engine has yet to read.
+                unused_s /= engine.room.share
         engine.free_at = max(now, engine.free_at - unused_s)
         self._place(engine)
 
--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import math
 import random
 
 import attrs
@@ -155,8 +156,10 @@
 ) -> AdmissionResult:
     """Wait for the decision on a stream whose admission is ordered.
 
-    The scheduling home decides, except while engines are idle or the home is
-    unreachable, and if no engine is left that the stream may be sent to.
+    The scheduling home decides, or this entry's share of the engines while the
+    home is unreachable. The stream is admitted by the entry's view of all
+    engines while some are idle, if the share holds no engine that suits it,
+    and if no engine is left that it may be sent to.
 
     :param waiting_since: when the caller started to wait for an event.
     :param refusable: no attempt may have run, so that the home may refuse the
@@ -164,11 +167,13 @@
     :param ticket: of an earlier ask for the stream.
     """
     refused = committed = False
+    unsuitable_until = -math.inf
     retry_pause_s = 0.0
 
     def decides_locally() -> bool:
         return (
             refused
+            or context.clock() < unsuitable_until
             or context.scheduling.decides_locally(job.service, engines.memory)
             or not engines.available()
         )
@@ -211,6 +216,8 @@
                     False, decision.retry_after_s, ticket=ticket
                 )
             refused = True
+        elif scheduled.unsuitable:
+            unsuitable_until = context.clock() + _scheduling.FALLBACK_S
         else:
             # The home may have forgotten the stream in a restart, which isn't
             # expected to happen twice.
--- a/src/bulrushhold/forwarding/_scheduling.py
+++ b/src/bulrushhold/forwarding/_scheduling.py
@@ -23,6 +23,9 @@
 # Time for which an entry decides locally after its home was silent; the
 # cluster view names another home by then.
 FALLBACK_S: t.Final = 1.0
+# Streams that wait locally leave it to one that arrives in this time to ask
+# the home again, since they lose their place.
+ARRIVAL_S: t.Final = 0.2
 # After a stream wasn't granted an engine at once, this entry asks for all
 # streams of the service, so that they don't overtake those that wait.
 KEEP_ASKING_S: t.Final = 1.0
@@ -45,11 +48,14 @@
     :param ticket: identifies the stream in the home's log.
     :param queued_s: how long the stream was queued at the home; ``None`` if
         it wasn't.
+    :param unsuitable: the home can't be reached, and this entry owns no engine
+        that suits the stream, but others may.
     """
 
     decision: messages.StreamDecision
     ticket: str = ''
     queued_s: float | None = None
+    unsuitable: bool = False
 
 
 class StreamScheduling(abc.ABC):
@@ -101,10 +107,13 @@
     probing: bool = False
     token_s: float = 0.0
 
-    def in_fallback(self, now: float) -> bool:
-        """Return whether this entry decides itself."""
+    def in_fallback(self, now: float, extra_s: float = 0.0) -> bool:
+        """Return whether this entry decides itself.
+
+        :param extra_s: time to add to that until the home is asked again.
+        """
         return self.fallback_since is not None and (
-            now < self.fallback_until or self.probing
+            now < self.fallback_until + extra_s or self.probing
         )
 
 
@@ -270,9 +279,10 @@
     ) -> Scheduled:
         """Wait for this entry's decision, or until the home is asked again."""
         token_s = state.token_s or self._token_s(ask)
-        decision = self.local.ask(ask, token_s)
-        queued_at = None
+        decision, queued_at = _UNKNOWN, None
         try:
+            if self.local.suits(ask, token_s):
+                decision = self.local.ask(ask, token_s)
             if decision.status is messages.SchedulingStatus.QUEUED:
                 queued_at = self.clock()
                 decision = await self._wait_locally(ask, state, token_s)
@@ -281,16 +291,24 @@
             raise
         self.metrics.count(f'scheduling.local_{decision.status.label}')
         queued_s = None if queued_at is None else self.clock() - queued_at
-        return Scheduled(decision, ask.ticket, queued_s)
+        unsuitable = (
+            decision.status is messages.SchedulingStatus.UNKNOWN
+            and not self.local.suits(ask, token_s)
+        )
+        return Scheduled(decision, ask.ticket, queued_s, unsuitable)
 
     async def _wait_locally(
         self, ask: messages.StreamAsk, state: _Service, token_s: float
     ) -> messages.StreamDecision:
         deadline = self.clock() + ask.remaining_s - MIN_REMAINING_S
         with self._count_waiting(ask.service):
-            while self.clock() < deadline and state.in_fallback(self.clock()):
-                self.admission.record_wait(self.clock())
+            while (now := self.clock()) < deadline and state.in_fallback(
+                now, ARRIVAL_S
+            ):
+                self.admission.record_wait(now)
                 await asyncio.sleep(LOCAL_POLL_S)
+                if not self.local.suits(ask, token_s):
+                    break
                 decision = self.local.poll(ask.service, ask.ticket, token_s)
                 if decision.status is not messages.SchedulingStatus.QUEUED:
                     return decision
