--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests of the entry's cluster view, and of requests without a route map."""
 
 import asyncio
+import itertools
 import random
+import time
 
 import attrs
 import pytest
@@ -104,9 +106,12 @@
     # route maps.
     fleet.seeds = ['frozen', 'b', 'c']
     requested = []
+    requested_at = []
 
     async def poll(address):
         requested.append(address)
+        if address == 'frozen':
+            requested_at.append(time.monotonic())
         if address == 'frozen' and len(requested) < 40:
             raise errors.PeerError('no answer')
         fleet.leader = ''
@@ -116,7 +121,8 @@
     fleet._poll = poll
     with pytest.raises(asyncio.CancelledError):
         await fleet.follow()
-    assert requested.count('frozen') <= 1
+    intervals = [b - a for a, b in itertools.pairwise(requested_at)]
+    assert all(seconds >= 2.0 for seconds in intervals)
 
 
 def list_entries(fleet, **fields):
