Streams of ordered services keep copies also without current reports

Engines refuse a copy that they have no room for, and without one a stream's prompt is read again after a crash.

--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -171,13 +171,7 @@
         if not (self.job.route.resumable and self.tokens):
             return None
         now = self.context.clock()
-        placement = self.context.placement
-        if self.job.priority is not None and not (
-            placement.has_current_loads(now)
-        ):
-            # Copies of all entries could fill an engine unseen.
-            return None
-        return placement.choose_backup(
+        return self.context.placement.choose_backup(
             engine,
             now,
             self.tried,
