Origins are sent to processes that replace homes that have left

Cause: a control process was sent its origins only when it joined. One that starts while those it replaces are still listed ranks among seven or more then and may be no home; it becomes one once they have left, and was sent nothing. test_relays_that_restart_get_the_origins_of_lost_entries failed where the hash of its ports ranked the new relay last of seven. Homes that left one after the other lost their origins altogether in the same way.

Change: the store compares the homes of each origin before and after a change of the list. Whatever process has become a home gets the origin, from two homes that have kept it and from entries.

--- a/src/bulrushhold/decisions/_streamorigins.py
+++ b/src/bulrushhold/decisions/_streamorigins.py
@@ -110,46 +110,61 @@
         now: float,
         own_address: str = '',
     ) -> cabc.Iterator[Reports]:
-        """Return what to send to control processes that have joined.
+        """Return what to send to processes that have become homes.
 
-        A process that has restarted keeps nothing, like a new one. The work
-        is done in batches, between which a caller can do other things.
+        These have joined, or replace homes that have left. A process that
+        has restarted keeps nothing, like a new one. The work is done in
+        batches, between which a caller can do other things.
 
         :param own_address: of this control process, which sends an origin
             only if it ranks high among its homes; ``''`` for an entry, which
             sends all that it has.
         """
-        known = {(node.address, node.incarnation) for node in self.nodes}
-        self.nodes = nodes
+        former_nodes, self.nodes = self.nodes, nodes
+        known = {(node.address, node.incarnation) for node in former_nodes}
         joined = {
             node.address
             for node in nodes
             if (node.address, node.incarnation) not in known
         } - {own_address}
+        listed = {node.address for node in nodes}
+        left = {node.address for node in former_nodes} - listed
         has_just_started = bool(own_address) and not known
-        if not joined or has_just_started:
+        if not (joined or left) or has_just_started:
             return iter(())
         self._expire(now)
-        return self._reports(joined, nodes, now, own_address)
+        # Processes that join make no other process a home.
+        kept_by = former_nodes if left else nodes
+        return self._reports(joined, kept_by, nodes, now, own_address)
 
     def _reports(
         self,
         joined: set[str],
+        kept_by: list[messages.ControlNode],
         nodes: list[messages.ControlNode],
         now: float,
         own_address: str,
     ) -> cabc.Iterator[Reports]:
+        """Return what new homes lack, in batches.
+
+        :param kept_by: the control processes whose homes have the origins,
+            except for those that have joined.
+        """
         entries = list(self.entries.values())
         for start in range(0, len(entries), REPORT_BATCH):
             reports: Reports = {}
             for entry in entries[start : start + REPORT_BATCH]:
                 homes = origin_homes(entry.origin.key, nodes)
-                others = [home for home in homes if home not in joined]
+                kept_at = {*origin_homes(entry.origin.key, kept_by)} - joined
+                if own_address:
+                    kept_at.add(own_address)
+                others = [home for home in homes if home in kept_at]
                 if own_address and own_address not in others[:ORIGIN_SENDERS]:
                     continue
                 origin = _with_lifetime(entry, now)
-                for home in joined.intersection(homes):
-                    reports.setdefault(home, []).append(origin)
+                for home in homes:
+                    if home not in kept_at:
+                        reports.setdefault(home, []).append(origin)
             if reports:
                 yield reports
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -136,6 +136,47 @@
     assert joined(store, nodes, 2.0) == {}
 
 
+def test_a_process_that_becomes_a_home_gets_the_origins():
+    # Guards against homes that leave one after the other. A process that
+    # joins while those it replaces are still listed may not be a home yet.
+    nodes = [make_node(number) for number in range(12)]
+    stores = {node.address: decisions.OriginStore() for node in nodes}
+    origins = [make_origin(f'r{number}') for number in range(50)]
+    for address, store in stores.items():
+        joined(store, nodes, 0.0, address)
+    for origin in origins:
+        for home in decisions.origin_homes(origin.key, nodes):
+            stores[home].record(origin, 0.0)
+    while len(nodes) > 6:
+        former_nodes, nodes = nodes, nodes[1:]
+        del stores[former_nodes[0].address]
+        sent = 0
+        for address, store in stores.items():
+            for home, reported in joined(store, nodes, 1.0, address).items():
+                sent += len(reported)
+                for origin in reported:
+                    stores[home].record(origin, 1.0)
+        lost = former_nodes[0].address
+        assert sent == 2 * sum(
+            lost in decisions.origin_homes(origin.key, former_nodes)
+            for origin in origins
+        )
+        for origin in origins:
+            for home in decisions.origin_homes(origin.key, nodes):
+                assert origin.key in stores[home].entries
+
+
+def test_an_entry_sends_its_origins_to_a_process_that_becomes_a_home(store):
+    nodes = [make_node(number) for number in range(7)]
+    joined(store, nodes, 0.0)
+    origin = make_origin()
+    store.record(origin, 0.0)
+    homes = decisions.origin_homes(origin.key, nodes)
+    remaining = [node for node in nodes if node.address != homes[0]]
+    [last] = {node.address for node in nodes} - set(homes)
+    assert joined(store, remaining, 1.0).keys() == {last}
+
+
 def test_origins_are_sent_in_batches(store):
     # Guards against a leader that loses its lease while it sends them.
     nodes = [make_node(number) for number in range(2)]
