--- a/src/bulrushhold/decisions/_promptcosts.py
+++ b/src/bulrushhold/decisions/_promptcosts.py
@@ -224,9 +224,9 @@
             )
             if engine.memory + load.memory > max_other_memory:
                 bound += _pacedplacement.FULL_PENALTY_PROMPTS
-            unread = engine.reading + load.reading + tokens
-            unread *= engine.slowness_floor
-            if unread > in_time:
-                bound += unread * per_token - subtracted
+            pending = engine.reading + load.reading + tokens
+            pending *= engine.slowness_floor
+            if pending > in_time:
+                bound += pending * per_token - subtracted
             closer.append((bound, index))
         return closer
