Emulator: demand that is uneven between prompts and data centres

Cause: no test covered a prompt that many streams share, nor a data centre that gets more streams than its engines can read.

Change: DemandSystem sends streams with a hot prompt, or in phases with other shares of the data centres, and records what engines have to hold. Decisions are unchanged.

--- a/src/bulrushhold/emulator/__init__.py
+++ b/src/bulrushhold/emulator/__init__.py
@@ -2,6 +2,9 @@
 
 from bulrushhold.emulator._clock import EmulatedLoop
 from bulrushhold.emulator._clock import run
+from bulrushhold.emulator._demand import Demand
+from bulrushhold.emulator._demand import DemandSystem
+from bulrushhold.emulator._demand import HOT_SEGMENT
 from bulrushhold.emulator._engine import Engine
 from bulrushhold.emulator._engine import EngineProfile
 from bulrushhold.emulator._pace import PaceProfile
@@ -20,6 +23,9 @@
 from bulrushhold.emulator._workload import Workload
 
 __all__ = [
+    'HOT_SEGMENT',
+    'Demand',
+    'DemandSystem',
     'EmulatedLoop',
     'Engine',
     'EngineProfile',
--- a/src/bulrushhold/emulator/_engine.py
+++ b/src/bulrushhold/emulator/_engine.py
@@ -92,6 +92,7 @@
     :ivar pace: as its responses state it; ``None`` if they don't.
     :ivar poison_segments: last segments of prompts on which it crashes.
     :ivar on_poison: called with itself and the segment as it should crash.
+    :ivar on_enqueue: called with itself and a stream that it has queued.
     """
 
     def __init__(
@@ -114,6 +115,7 @@
         self.version = ''
         self.poison_segments: t.Container[str] = ()
         self.on_poison: cabc.Callable[[Engine, str], None] | None = None
+        self.on_enqueue: cabc.Callable[[Engine, Run], None] | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -161,6 +163,8 @@
         """Add a stream to the queue."""
         self.queue.insert(0 if run.from_copy else len(self.queue), run)
         self.wakeup.set()
+        if self.on_enqueue is not None:
+            self.on_enqueue(self, run)
 
     def cancel(self, run: Run) -> None:
         """Drop a stream that its caller has abandoned."""
