--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -21,10 +21,14 @@
 
 @attrs.frozen
 class Arrival:
-    """A request that reached a server, from an entry."""
+    """A request that reached a server, from an entry.
+
+    :param request: id of the caller's request.
+    """
 
     at: float
     entry: str
+    request: str = ''
 
 
 @attrs.define(eq=False)
@@ -35,6 +39,10 @@
     :param limit: request limit that its responses name.
     :param leaving: whether its responses say that it is shutting down.
     :param backoff_s: if set, it turns requests away with this demand.
+    :param slots: requests that it runs at once; ``None`` for any number.
+    :param queue: requests that wait for a slot; others are rejected.
+    :param rejecting: whether it rejects all requests.
+    :param held: requests that run or wait.
     :param arrivals: all requests that it received.
     :param backoffs: each demand, with entry, begin and end.
     :param leaving_relayed_at: by entry, when it first relayed a response that
@@ -49,9 +57,38 @@
     leaving: bool = False
     leaving_relayed_at: dict[str, float] = attrs.field(factory=dict)
     backoff_s: float | None = None
+    slots: int | None = None
+    queue: int = 0
+    rejecting: bool = False
+    held: int = 0
+    free: asyncio.Semaphore = attrs.field(init=False)
     backoffs: list[tuple[str, float, float]] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
 
+    @free.default
+    def _make_free(self) -> asyncio.Semaphore:
+        return asyncio.Semaphore(self.slots or 1)
+
+    @property
+    def rejects(self) -> bool:
+        """Whether it has no room for another request."""
+        is_full = (
+            self.slots is not None and self.held >= self.slots + self.queue
+        )
+        return self.rejecting or is_full
+
+    async def work(self) -> None:
+        """Run one request, in a slot if their number is limited."""
+        self.held += 1
+        try:
+            if self.slots is None:
+                await asyncio.sleep(self.latency_s)
+                return
+            async with self.free:
+                await asyncio.sleep(self.latency_s)
+        finally:
+            self.held -= 1
+
     def count_after_leaving(self, drain_s: float) -> int:
         """Return the arrivals from entries that knew it was shutting down.
 
@@ -131,10 +168,15 @@
         """Send a call and return its response."""
         server = self.servers[attempt.address]
         await asyncio.sleep(ONE_WAY_DELAY_S)
-        server.arrivals.append(Arrival(_workload.emulated_now(), self.entry))
+        server.arrivals.append(
+            Arrival(_workload.emulated_now(), self.entry, call.ident)
+        )
         if server.backoff_s is not None:
             return await self._turn_away(server, server.backoff_s)
-        await asyncio.sleep(server.latency_s)
+        if server.rejects:
+            await asyncio.sleep(ONE_WAY_DELAY_S)
+            return _Response(calls.ResponseHead(503, (), True, True, True))
+        await server.work()
         limit, leaving = server.limit, server.leaving
         await asyncio.sleep(ONE_WAY_DELAY_S)
         if leaving:
@@ -193,12 +235,19 @@
 
 
 class ServiceSystem(_system.EntryGroup):
-    """A plain service in three data centres, and its entries."""
+    """A plain service in three data centres, and its entries.
+
+    :param options: of each :class:`PlainServer`.
+    :ivar sent_at: when callers sent requests, in order.
+    """
 
-    def __init__(self, servers: int, entries: int, seed: int) -> None:
+    def __init__(
+        self, servers: int, entries: int, seed: int, **options: t.Any
+    ) -> None:
         super().__init__(seed)
+        self.sent_at: list[float] = []
         self.servers = [
-            PlainServer(f's{n}', f'10.0.0.{n}:80', f'dc{n % 3}')
+            PlainServer(f's{n}', f'10.0.0.{n}:80', f'dc{n % 3}', **options)
             for n in range(servers)
         ]
         by_address = {server.address: server for server in self.servers}
@@ -232,6 +281,10 @@
             ``None``.
         """
         targets = self.entries[:entries]
+        exchanges = [
+            asyncio.ensure_future(entry.exchange_loads())
+            for entry in self.entries
+        ]
         ends_at = _workload.emulated_now() + duration_s
         outcomes: list[PlainOutcome] = []
         callers = []
@@ -245,8 +298,26 @@
                 )
             )
         await asyncio.gather(*callers)
+        for exchange in exchanges:
+            exchange.cancel()
         return outcomes
 
+    @property
+    def repeats(self) -> list[float]:
+        """When requests reached a server once more, in order."""
+        arrivals = sorted(
+            (arrival.at, arrival.request)
+            for server in self.servers
+            for arrival in server.arrivals
+        )
+        seen: set[str] = set()
+        repeats = []
+        for at, request in arrivals:
+            if request in seen:
+                repeats.append(at)
+            seen.add(request)
+        return repeats
+
     async def _send(
         self,
         entry: t.Any,
@@ -255,6 +326,7 @@
         outcomes: list[PlainOutcome],
     ) -> None:
         now = _workload.emulated_now()
+        self.sent_at.append(now)
         entry.budget.count_request(_workload.SERVICE, now)
         job = _make_job(self.rng, kind, now, timeout_s)
         error = None
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -20,6 +20,10 @@
 
 # Until the other entries receive a load report.
 LOAD_REPORT_DELAY_S: t.Final = 0.05
+# Unchanged load is reported again after this time.
+REPORT_REFRESH_S: t.Final = 1.0
+# Between the polls of an entry for the loads of others.
+POLL_S: t.Final = 0.3
 # Between an entry and a control process.
 ROUND_TRIP_S: t.Final = 0.003
 PERMIT_TIMEOUT_S: t.Final = 0.15
@@ -99,6 +103,11 @@
     def _publish_report(self) -> None:
         self.report_scheduled = False
         now = _workload.emulated_now()
+        self.system.load_aggregator.add_report(self._load_report(now), now)
+        for entry in self.system.entries:
+            entry.apply_load_summary(now)
+
+    def _load_report(self, now: float) -> messages.LoadReport:
         traffic = {
             service: attrs.evolve(
                 service_traffic, waiting=self.admission.waiting[service]
@@ -106,14 +115,26 @@
             for service, service_traffic in self.budget.traffic(now).items()
         }
         detector = self.context.poison_requests
-        report = attrs.evolve(
+        return attrs.evolve(
             self.placement.load_report(self.name, traffic, now),
             crashes=detector.take_pending(),
             blocks=detector.take_pending_blocks(now),
         )
-        self.system.load_aggregator.add_report(report, now)
-        for entry in self.system.entries:
-            entry.apply_load_summary(now)
+
+    async def exchange_loads(self) -> None:
+        """Report this entry's load and poll those of others, forever."""
+        loop = asyncio.get_running_loop()
+        report_at = loop.time() + REPORT_REFRESH_S * self.system.rng.random()
+        await asyncio.sleep(POLL_S * self.system.rng.random())
+        while True:
+            now = loop.time()
+            if now >= report_at:
+                report_at = now + REPORT_REFRESH_S
+                self.system.load_aggregator.add_report(
+                    self._load_report(now), now
+                )
+            self.apply_load_summary(now)
+            await asyncio.sleep(POLL_S)
 
     async def forward(
         self, job: forwarding.Job, caller: _workload.Caller
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -101,9 +101,8 @@
             self.folder, platform_list.address, self.network_number, first_port
         )
         self.cuts = isolation.EntryCuts(self.system, self.engines)
-        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
-            async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with self._make_session() as session:
                 self.session = session
                 self.system.start_all()
                 await self._put_until_acknowledged()
@@ -129,6 +128,10 @@
     def _make_system(self, *arguments):
         return system.System(*arguments)
 
+    def _make_session(self, **options):
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        return aiohttp.ClientSession(timeout=timeout, **options)
+
     async def _run_with_faults(self):
         deadline = time.monotonic() + self.seconds
         operator = asyncio.ensure_future(self._edit_route_map(deadline))
--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -15,6 +15,7 @@
 from tests.platform.soak import figures
 from tests.platform.soak import loadrun
 from tests.platform.soak import result
+from tests.platform.soak import retries
 from tests.platform.soak import slowreaders
 from tests.platform.soak import system
 from tests.platform.soak import uneven
@@ -146,6 +147,10 @@
     return functools.partial(play_fault, fault=fault)
 
 
+def _retry_scenario(variant):
+    return functools.partial(retries.play, variant=variant)
+
+
 SCENARIOS = {
     'overload': play_overload,
     'large-account': play_large_account,
@@ -153,6 +158,10 @@
     'uneven-engines': uneven.play_engines,
     'uneven-servers': uneven.play_servers,
     **{fault.replace('_', '-'): _fault_scenario(fault) for fault in FAULTS},
+    **{
+        f'retries-{name}': _retry_scenario(variant)
+        for name, variant in retries.VARIANTS.items()
+    },
 }
 
 
