Retry budget: log lines and metrics tell what was used, and whose share it was

To tell a retry within an entry's own share from one that was borrowed: counters retries.own.SERVICE and retries.shared.SERVICE, gauges retries_used, retries_allowed, retries_own_used and retries_own_allowed by service, and the same figures with the age of the reports in the line 'retry budget exhausted'. No decision changes.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -151,6 +151,8 @@
         self.fleet.on_change.append(gauges.update)
         failure_gauges = forwarding.FailureGauges(placement, self.metrics)
         self.fleet.on_change.append(failure_gauges.update)
+        retry_gauges = forwarding.RetryGauges(budget, self.metrics)
+        self.fleet.on_change.append(retry_gauges.update)
         context = forwarding.ForwardingContext(
             placement,
             self.client,
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -88,6 +88,7 @@
 from bulrushhold.decisions._routing import Router
 from bulrushhold.decisions._schedulerstate import FlowState
 from bulrushhold.decisions._schedulerstate import SchedulerState
+from bulrushhold.decisions._serviceretries import RetryUsage
 from bulrushhold.decisions._serviceretries import ServiceRetryBudget
 from bulrushhold.decisions._spareengines import has_spare_engines
 from bulrushhold.decisions._stalltimeouts import first_event_timeout_s
@@ -188,6 +189,7 @@
     'SMALL_ACCOUNT_ENTRIES',
     'SequentialPolicy',
     'SchedulerState',
+    'RetryUsage',
     'ServiceRetryBudget',
     'StallTimeouts',
     'StreamScheduler',
--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -13,6 +13,8 @@
 import collections
 import typing as t
 
+import attrs
+
 from bulrushhold import messages
 
 # Allows for clock differences and for requests counted by a failed entry.
@@ -27,6 +29,24 @@
 LOAD_REPORT_TTL_S: t.Final = 2.0
 
 
+@attrs.frozen
+class RetryUsage:
+    """The retry budget of a service within the window.
+
+    :param used: retries of all entries, as far as known.
+    :param allowed: retries that all entries may make.
+    :param own_used: retries of this entry.
+    :param own_allowed: retries that this entry may make in any case.
+    :param load_age_s: age of what is known of other entries.
+    """
+
+    used: int
+    allowed: float
+    own_used: int
+    own_allowed: float
+    load_age_s: float
+
+
 class ServiceRetryBudget:
     """Retries per service in a sliding window.
 
@@ -89,6 +109,24 @@
         )
         return retries < limit * (self.ratio * requests + self.allowance)
 
+    def usage(self, service: str, now: float) -> RetryUsage:
+        """Return what is used and allowed, for logs and metrics."""
+        remote = self.remote_traffic.get(service)
+        requests = len(self._recent(self.request_times, service, now))
+        own_used = len(self._recent(self.retry_times, service, now))
+        own_allowed = self.ratio * requests + self.allowance / max(
+            1, self.entries
+        )
+        if remote is not None:
+            requests += remote.firsts
+        return RetryUsage(
+            own_used + (remote.repeats if remote is not None else 0),
+            round(self.ratio * requests + self.allowance, 1),
+            own_used,
+            round(own_allowed * LOCAL_SHARE_MARGIN, 1),
+            round(now - self.last_report_at, 2),
+        )
+
     def apply_loads(
         self, remote_traffic: dict[str, messages.ServiceTraffic], now: float
     ) -> None:
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -24,6 +24,7 @@
 from bulrushhold.forwarding._proxyingclient import ProxyingClient
 from bulrushhold.forwarding._reachabilitymonitor import ReachabilityMonitor
 from bulrushhold.forwarding._resumption import resolve as resolve_resumption
+from bulrushhold.forwarding._retries import RetryGauges
 from bulrushhold.forwarding._scheduling import HomeScheduling
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
@@ -55,6 +56,7 @@
     'PlainForwarder',
     'ProxyingClient',
     'ReachabilityMonitor',
+    'RetryGauges',
     'Scheduled',
     'StreamForwarder',
     'StreamScheduling',
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _responses
+from bulrushhold.forwarding import _retries
 
 # An idempotent request is sent to another server after this multiple of the
 # mean latency; a healthy server responds within it even when slow.
@@ -142,11 +143,7 @@
             self.tried.clear()
         if self._remaining_s() < MIN_REMAINING_S:
             return False
-        if self.context.budget.take(self.job.service, self.context.clock()):
-            return True
-        self.context.metrics.count('repeats.refused')
-        _context.log(self.job, 'retry budget exhausted')
-        return False
+        return _retries.take(self.context, self.job)
 
     def _refusal(
         self, last: _Result | None, choice: _permits.PermittedChoice
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -14,6 +14,7 @@
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
+from bulrushhold.forwarding import _retries
 from bulrushhold.forwarding import _running
 from bulrushhold.forwarding import _streamloss
 from bulrushhold.forwarding import _streamtiming
@@ -268,19 +269,9 @@
             self.engines.tried.clear()
         if self.remaining_s() < MIN_REMAINING_S:
             return False
-        if self.context.budget.take(
-            self.job.service,
-            self.context.clock(),
-            begun=self.caller_stream.headers_sent,
-        ):
-            return True
-        self.context.metrics.count('repeats.refused')
-        _context.log(
-            self.job,
-            'retry budget exhausted',
-            begun=self.caller_stream.headers_sent,
+        return _retries.take(
+            self.context, self.job, begun=self.caller_stream.headers_sent
         )
-        return False
 
     async def _wait_for_connection(self) -> bool:
         """Return whether to look for an engine again; none can be reached.
