Retry budget: the part that entries share is granted by one home

Callers' requests were retried beyond the budget of all entries: each entry took from the same unused remainder, known from reports up to a second old, and kept its own share although others had borrowed it.

The budget has two parts now that never overlap. Half of it entries have without asking: by their own requests, and an equal part of the allowance, which an entry gets a window after its start and which doesn't grow at once as entries leave the list. Two fifths are granted by the service's home, which counts each grant for a window; the rest covers retries that arrive late. A home that started, was cut off or took over grants nothing until it has the record of the home before, or a window has passed: homes send their record to the next one. Sums of requests count at their lowest of two seconds, as an entry that changes its control process is in two sums for a while.

Why it works: what is granted is counted where it is granted, so that no report's age matters.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -107,6 +107,7 @@
             config.repeat_ratio,
             config.repeat_allowance,
             config.repeat_window_s,
+            time.monotonic(),
         )
         admission = decisions.AdmissionController()
         self.fleet = forwarding.FleetView(
@@ -166,6 +167,12 @@
             ),
             places=places,
             origins=origins,
+            retry_pool=forwarding.ControlRetryPool(
+                budget,
+                self.transport,
+                config.name,
+                lambda: self.fleet.servers.nodes,
+            ),
             scheduling=forwarding.HomeScheduling(
                 self.transport,
                 placement,
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -9,6 +9,7 @@
 from bulrushhold.control import _permits
 from bulrushhold.control import _places
 from bulrushhold.control import _relay
+from bulrushhold.control import _retries
 from bulrushhold.control import _rollouts
 from bulrushhold.control import _scheduling
 from bulrushhold.control import _server
@@ -75,6 +76,13 @@
         self.watch.attach_hooks.append(self._announce)
         self.permits = _permits.PermitServer(server.transport, server.clock)
         self.places = _places.PlaceServer(server.transport, server.clock)
+        self.retries = _retries.RetryServer(
+            server.transport,
+            local_node.address,
+            self.view,
+            self._has_leader_contact,
+            server.clock,
+        )
         self.scheduling = _scheduling.SchedulingServer(
             server.transport,
             local_node.address,
@@ -98,6 +106,7 @@
             self.follower.run(),
             self.watch.run(),
             self.origins.run(),
+            self.retries.run(),
             self.scheduling.run(),
         )
 
@@ -142,6 +151,13 @@
         self.watch.attach_hooks.append(self.follower.announce)
         self.permits = _permits.PermitServer(relay.transport, relay.clock)
         self.places = _places.PlaceServer(relay.transport, relay.clock)
+        self.retries = _retries.RetryServer(
+            relay.transport,
+            relay.peer,
+            self.view,
+            lambda: self.follower.has_leader_contact,
+            relay.clock,
+        )
         self.scheduling = _scheduling.SchedulingServer(
             relay.transport,
             relay.peer,
@@ -159,5 +175,6 @@
             self.follower.run(),
             self.watch.run(),
             self.origins.run(),
+            self.retries.run(),
             self.scheduling.run(),
         )
--- /dev/null
+++ b/src/bulrushhold/control/_retries.py
@@ -0,0 +1,89 @@
+"""Grants retries to entries from the budgets that they share."""
+
+import asyncio
+import collections.abc as cabc
+import random
+import typing as t
+
+from bulrushhold.control import _clusterview
+from bulrushhold import decisions
+from bulrushhold import messages
+from bulrushhold import ports
+
+CHECK_INTERVAL_S: t.Final = 0.1
+# Copies are sent again at this interval, as their receiver may have restarted.
+COPY_INTERVAL_S: t.Final = 1.0
+# Without contact to the leader for this time, another process may have become
+# the home.
+MAX_CONTACT_GAP_S: t.Final = 1.0
+
+
+class RetryServer:
+    """Answers the entries that have this process as a service's home.
+
+    :param local_address: of this process.
+    :param has_leader_contact: returns whether the view is current.
+    """
+
+    def __init__(
+        self,
+        transport: ports.Transport,
+        local_address: str,
+        view: _clusterview.ClusterView,
+        has_leader_contact: cabc.Callable[[], bool],
+        clock: cabc.Callable[[], float],
+    ) -> None:
+        self.transport = transport
+        self.view = view
+        self.has_leader_contact = has_leader_contact
+        self.clock = clock
+        self.home = decisions.RetryHome(
+            local_address, random.Random(), clock()
+        )
+        self.nodes: list[tuple[str, bool]] = []
+        self.contact_at = clock()
+        self.copied_at = float('-inf')
+        self.has_granted = False
+        transport.handle(messages.RetryAsk, self._on_ask)
+        transport.handle(messages.RetryPoolCopy, self._on_copy)
+
+    async def run(self) -> None:
+        """Send copies of what was granted until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now = self.clock()
+            is_due = now - self.copied_at >= COPY_INTERVAL_S
+            if self._update(now) and (self.has_granted or is_due):
+                self._send_copies(now)
+
+    def _update(self, now: float) -> bool:
+        """Follow the view; return whether it is current."""
+        if not self.has_leader_contact():
+            return False
+        nodes = [(n.address, n.replica) for n in self.view.nodes]
+        if nodes != self.nodes:
+            self.nodes = nodes
+            self.home.update_nodes(self.view.nodes, now)
+            self.copied_at = float('-inf')
+        if now - self.contact_at > MAX_CONTACT_GAP_S:
+            self.home.record_isolation(now)
+        self.contact_at = now
+        return True
+
+    def _send_copies(self, now: float) -> None:
+        self.copied_at = now
+        self.has_granted = False
+        services = {b.service for b in self.view.backends or ()}
+        for address, copy in self.home.copies(sorted(services), now):
+            self.transport.send(address, copy)
+
+    async def _on_ask(self, ask: messages.RetryAsk) -> messages.RetryGrant:
+        now = self.clock()
+        if not self._update(now):
+            return messages.RetryGrant(0, 0, CHECK_INTERVAL_S)
+        grant = self.home.grant(ask, now)
+        self.has_granted |= bool(grant.begun or grant.other)
+        return grant
+
+    async def _on_copy(self, copy: messages.RetryPoolCopy) -> None:
+        self.home.receive(copy, self.clock())
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -74,6 +74,8 @@
 from bulrushhold.decisions._rendezvous import SMALL_ACCOUNT_ENTRIES
 from bulrushhold.decisions._replica import Replica
 from bulrushhold.decisions._requestlimits import RequestLimits
+from bulrushhold.decisions._retryhome import GRANT_TTL_S
+from bulrushhold.decisions._retryhome import RetryHome
 from bulrushhold.decisions._rolloutanalysis import RolloutAnalysis
 from bulrushhold.decisions._rolloutanalysis import Verdict as RolloutVerdict
 from bulrushhold.decisions._rolloutdriver import DEFAULT_EXPOSURE
@@ -88,6 +90,7 @@
 from bulrushhold.decisions._routing import Router
 from bulrushhold.decisions._schedulerstate import FlowState
 from bulrushhold.decisions._schedulerstate import SchedulerState
+from bulrushhold.decisions._serviceretries import RetryPriority
 from bulrushhold.decisions._serviceretries import RetryUsage
 from bulrushhold.decisions._serviceretries import ServiceRetryBudget
 from bulrushhold.decisions._spareengines import has_spare_engines
@@ -119,6 +122,7 @@
 from bulrushhold.decisions._waitingorder import WaitingOrder
 
 __all__ = [
+    'GRANT_TTL_S',
     'ADMISSION_CHECK_S',
     'AcceptResult',
     'AccountRetryBudget',
@@ -189,6 +193,8 @@
     'SMALL_ACCOUNT_ENTRIES',
     'SequentialPolicy',
     'SchedulerState',
+    'RetryHome',
+    'RetryPriority',
     'RetryUsage',
     'ServiceRetryBudget',
     'StallTimeouts',
--- /dev/null
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -0,0 +1,222 @@
+"""Grants retries from the part of each retry budget that entries share.
+
+One control process, the home of the service, counts what it grants. Sums of
+reports would allow all entries to spend the same remainder until the next
+report.
+"""
+
+import collections
+import collections.abc as cabc
+import random
+import typing as t
+
+import attrs
+
+from bulrushhold.decisions import _homes
+from bulrushhold import messages
+
+# Share of a budget that the home grants. With the shares that entries have
+# without asking, the rest is for retries that reach servers late.
+POOL_SHARE: t.Final = 0.4
+# Share of the pool for requests without events: they are refused as not run,
+# while a stream that has begun would lose what its caller received.
+OTHER_SHARE: t.Final = 0.8
+# An entry uses a grant within this time after it was made.
+GRANT_TTL_S: t.Final = 0.25
+# Grants are counted by intervals of this length.
+INTERVAL_S: t.Final = 0.25
+# Entries and processes agree on a new home within this time.
+TAKEOVER_S: t.Final = 1.0
+# A copy that is older may lack grants. Homes send one more often.
+COPY_TTL_S: t.Final = 2.5
+MIN_HOLD_S: t.Final = 0.1
+MAX_HOLD_S: t.Final = 2.0
+# Until an entry names the window of a budget.
+DEFAULT_WINDOW_S: t.Final = 10.0
+# Asks that a home answers without retries to grant.
+EMPTY_ASKS_PER_S: t.Final = 150.0
+# Entries that ask within this time share these asks.
+ASKING_TTL_S: t.Final = 2.0
+
+
+@attrs.define
+class _Pool:
+    """What has been granted for one service.
+
+    :param grants: end of each interval and number of grants in it.
+    :param complete_at: when the record was last known to hold all grants.
+    :param asked_at: when each entry last asked, the latest one last.
+    """
+
+    window_s: float = DEFAULT_WINDOW_S
+    grants: collections.deque[tuple[float, int]] = attrs.field(
+        factory=collections.deque
+    )
+    total: int = 0
+    complete_at: float = float('-inf')
+    asked_at: dict[str, float] = attrs.field(factory=dict)
+
+    def expire(self, now: float) -> None:
+        """Drop grants whose retries have left every window."""
+        kept_s = self.window_s + GRANT_TTL_S
+        while self.grants and now - self.grants[0][0] > kept_s:
+            self.total -= self.grants.popleft()[1]
+
+    def add(self, count: int, now: float) -> None:
+        """Count grants as of the end of their interval."""
+        if self.grants and now < self.grants[-1][0]:
+            end, before = self.grants.pop()
+            self.grants.append((end, before + count))
+        else:
+            self.grants.append((now + INTERVAL_S, count))
+        self.total += count
+
+    def replace(self, copy: messages.RetryPoolCopy, now: float) -> None:
+        """Replace the record by another process's one."""
+        self.grants = collections.deque(
+            (now - age_s, count) for age_s, count in copy.grants
+        )
+        self.total = sum(count for _, count in self.grants)
+
+    def record_ask(self, entry: str, now: float) -> None:
+        """Record that an entry asks, and forget those that no longer do."""
+        self.asked_at.pop(entry, None)
+        self.asked_at[entry] = now
+        while now - next(iter(self.asked_at.values())) > ASKING_TTL_S:
+            del self.asked_at[next(iter(self.asked_at))]
+
+
+class RetryHome:
+    """Grants retries for the services that have this process as home.
+
+    A process that hasn't been the home for a whole window grants nothing,
+    unless another process has handed it the record of the home before.
+
+    :param address: of this process.
+    :param now: time of its start.
+    """
+
+    def __init__(self, address: str, rng: random.Random, now: float) -> None:
+        self.address = address
+        self.rng = rng
+        self.pools: dict[str, _Pool] = {}
+        # Lists of control processes, and since when each was known.
+        self.node_lists: collections.deque[
+            tuple[float, list[messages.ControlNode]]
+        ] = collections.deque([(now, [])])
+
+    def update_nodes(
+        self, nodes: list[messages.ControlNode], now: float
+    ) -> None:
+        """Replace the list of control processes."""
+        self.node_lists.append((now, nodes))
+
+    def record_isolation(self, now: float) -> None:
+        """Forget who was the home: this process has missed lists."""
+        nodes = self.node_lists[-1][1]
+        self.node_lists = collections.deque([(now, []), (now, nodes)])
+
+    def home(self, service: str) -> str:
+        """Return the address of a service's home; ``''`` if there is none."""
+        return _homes.home_address(service, self.node_lists[-1][1])
+
+    def _home_since(self, service: str, window_s: float, now: float) -> float:
+        """Return since when this process has been a service's home."""
+        while (
+            len(self.node_lists) > 1
+            and now - self.node_lists[1][0] > window_s + GRANT_TTL_S
+        ):
+            self.node_lists.popleft()
+        since = now
+        for at, nodes in reversed(self.node_lists):
+            if _homes.home_address(service, nodes) != self.address:
+                break
+            since = at
+        return since
+
+    def _is_complete(self, service: str, pool: _Pool, now: float) -> bool:
+        """Whether all grants of the window are in the record."""
+        if self.home(service) != self.address:
+            return now - pool.complete_at <= COPY_TTL_S
+        since = self._home_since(service, pool.window_s, now)
+        was_handed_over = pool.complete_at >= since - COPY_TTL_S
+        if now - since > pool.window_s + GRANT_TTL_S or (
+            was_handed_over and now - since >= TAKEOVER_S
+        ):
+            pool.complete_at = now
+            return True
+        return False
+
+    def grant(self, ask: messages.RetryAsk, now: float) -> messages.RetryGrant:
+        """Grant what is left of the pool, streams that have begun first."""
+        if self.home(ask.service) != self.address:
+            return messages.RetryGrant(0, 0, MIN_HOLD_S)
+        pool = self._pool(ask.service)
+        pool.window_s = ask.window_s
+        pool.record_ask(ask.entry, now)
+        pool.expire(now)
+        if not self._is_complete(ask.service, pool, now):
+            return messages.RetryGrant(0, 0, self._hold_s(pool, now))
+        size = POOL_SHARE * ask.budget
+        begun = _part(ask.begun, size - pool.total)
+        other = _part(ask.other, OTHER_SHARE * size - pool.total - begun)
+        if begun or other:
+            pool.add(begun + other, now)
+        hold_s = 0.0
+        if (begun, other) != (ask.begun, ask.other):
+            hold_s = self._hold_s(pool, now)
+        return messages.RetryGrant(begun, other, hold_s)
+
+    def _pool(self, service: str) -> _Pool:
+        return self.pools.setdefault(service, _Pool())
+
+    def _hold_s(self, pool: _Pool, now: float) -> float:
+        """Return a random time after which an entry should ask again."""
+        turn_s = len(pool.asked_at) / EMPTY_ASKS_PER_S
+        hold_s = min(MAX_HOLD_S, max(MIN_HOLD_S, turn_s))
+        return self.rng.uniform(0.5, 1.0) * hold_s
+
+    # Copies, for the loss of this process or of another home
+
+    def receive(self, copy: messages.RetryPoolCopy, now: float) -> None:
+        """Take over the record of another process if it holds more."""
+        pool = self._pool(copy.service)
+        pool.window_s = copy.window_s
+        pool.expire(now)
+        pool.complete_at = now
+        if sum(count for _, count in copy.grants) > pool.total:
+            pool.replace(copy, now)
+
+    def copies(
+        self, services: cabc.Iterable[str], now: float
+    ) -> list[tuple[str, messages.RetryPoolCopy]]:
+        """Return the records that other processes should have.
+
+        :param services: the services that have a home.
+        :return: pairs of an address and a message: the home of the service,
+            or the next one if this process is the home.
+        """
+        copies = []
+        for service in services:
+            pool = self._pool(service)
+            pool.expire(now)
+            address = self.home(service)
+            if address == self.address:
+                address = _homes.next_home_address(
+                    service, self.node_lists[-1][1], self.address
+                )
+            if address and self._is_complete(service, pool, now):
+                grants = [
+                    (round(now - at, 3), count) for at, count in pool.grants
+                ]
+                copies.append(
+                    (
+                        address,
+                        messages.RetryPoolCopy(service, pool.window_s, grants),
+                    )
+                )
+        return copies
+
+
+def _part(count: int, free: float) -> int:
+    return max(0, min(count, int(free)))
--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -1,42 +1,45 @@
 """Retry budget per service, shared by all entries.
 
 While backend servers fail, retries add to the load of the remaining ones.
-Each entry may always use its local budget: a share of its own requests and an
-equal part of a fixed allowance.
-
-With many entries the local budgets are too small for the loss of a data
-centre, although most of the shared budget is unused. So entries also exchange
-their traffic, and may exceed the local budget while the total is well below
-the limit.
+Each entry may always use its own share: a part of what its own requests and an
+equal part of a fixed allowance permit. The other part is granted by the home
+of the service (:mod:`_retryhome`), so that retries go where they are needed:
+with many entries the own shares are too small for the loss of a data centre.
+The two parts never overlap, so that their sum stays within the budget whatever
+an entry knows of the others.
 """
 
 import collections
+import enum
 import typing as t
 
 import attrs
 
 from bulrushhold import messages
 
-# Allows for clock differences and for requests counted by a failed entry.
-LOCAL_SHARE_MARGIN: t.Final = 0.8
-# Share of the shared budget up to which an entry may exceed its local one. The
-# rest covers retries that other entries haven't reported yet: the loss of a
-# data centre makes all entries retry its streams at once.
-SHARED_LIMIT: t.Final = 0.7
-# Refusing to retry a started stream loses the events that its caller received;
-# a stream without events is refused as not run, and its caller can retry it.
-SHARED_LIMIT_STARTED: t.Final = 0.9
+# Share of the budget that entries have without asking.
+OWN_SHARE: t.Final = 0.5
 LOAD_REPORT_TTL_S: t.Final = 2.0
 
 
+class RetryPriority(enum.IntEnum):
+    """What a retry is worth; lower values are worth more."""
+
+    # The caller has received events, which would be lost.
+    BEGUN = 0
+    # Another server may serve it.
+    OTHER_SERVER = 1
+
+
 @attrs.frozen
 class RetryUsage:
     """The retry budget of a service within the window.
 
     :param used: retries of all entries, as far as known.
     :param allowed: retries that all entries may make.
-    :param own_used: retries of this entry.
-    :param own_allowed: retries that this entry may make in any case.
+    :param own_used: retries of this entry within its own share.
+    :param own_allowed: this entry's own share.
+    :param granted: retries of this entry that the home granted.
     :param load_age_s: age of what is known of other entries.
     """
 
@@ -44,113 +47,143 @@
     allowed: float
     own_used: int
     own_allowed: float
+    granted: int
     load_age_s: float
 
 
+class _Times:
+    """Times of events within a sliding window, by service."""
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.by_service: dict[str, collections.deque[float]] = {}
+
+    def add(self, service: str, now: float) -> None:
+        self.by_service.setdefault(service, collections.deque()).append(now)
+
+    def count(self, service: str, now: float) -> int:
+        times = self.by_service.get(service)
+        if times is None:
+            return 0
+        while times and now - times[0] > self.window_s:
+            times.popleft()
+        return len(times)
+
+
 class ServiceRetryBudget:
     """Retries per service in a sliding window.
 
     :param ratio: retries per request.
     :param allowance: additional retries per window, for all entries together.
     :param window_s: length of the window in seconds.
+    :param started_at: when this entry started. Until a window has passed, it
+        has no part of the allowance, which it may have spent before.
     """
 
     def __init__(
-        self, ratio: float, allowance: float, window_s: float
+        self,
+        ratio: float,
+        allowance: float,
+        window_s: float,
+        started_at: float = float('-inf'),
     ) -> None:
         self.ratio = ratio
         self.allowance = allowance
         self.window_s = window_s
         self.entries = 1
-        self.remote_traffic: dict[str, messages.ServiceTraffic] = {}
-        self.last_report_at = float('-inf')
-        self.request_times: dict[str, collections.deque[float]] = {}
-        self.retry_times: dict[str, collections.deque[float]] = {}
+        self.clear(started_at)
+
+    def clear(self, now: float) -> None:
+        """Forget all that was counted, as an entry that starts at ``now``."""
+        self.started_at = now
+        self.listed: collections.deque[tuple[float, int]] = collections.deque()
+        self.reports: collections.deque[
+            tuple[float, dict[str, messages.ServiceTraffic]]
+        ] = collections.deque()
+        self.requests = _Times(self.window_s)
+        self.own_retries = _Times(self.window_s)
+        self.granted_retries = _Times(self.window_s)
+
+    def update_entries(self, count: int, now: float) -> None:
+        """Replace the number of entries; those that left have had a share."""
+        self.entries = count
+        self.listed.append((now, count))
+        while now - self.listed[0][0] > self.window_s:
+            self.listed.popleft()
+
+    def apply_loads(
+        self, traffic: dict[str, messages.ServiceTraffic], now: float
+    ) -> None:
+        """Replace the traffic of all other entries within the window."""
+        self.reports.append((now, traffic))
+        while now - self.reports[0][0] > LOAD_REPORT_TTL_S:
+            self.reports.popleft()
 
     def count_request(self, service: str, now: float) -> None:
         """Count a request received from a caller."""
-        self._recent(self.request_times, service, now).append(now)
+        self.requests.add(service, now)
 
-    def take(self, service: str, now: float, *, begun: bool = False) -> bool:
-        """Return whether a retry is allowed, and count it if so.
+    def count_granted(self, service: str, now: float) -> None:
+        """Count a retry that the home of the service granted."""
+        self.granted_retries.add(service, now)
 
-        :param begun: the caller has received some events.
-        """
-        requests = len(self._recent(self.request_times, service, now))
-        retries = self._recent(self.retry_times, service, now)
-        local_budget = self.ratio * requests + self.allowance / max(
-            1, self.entries
-        )
-        within_local_budget = (
-            len(retries) + 1 <= local_budget * LOCAL_SHARE_MARGIN
-        )
-        limit = SHARED_LIMIT_STARTED if begun else SHARED_LIMIT
-        if not within_local_budget and not self._has_shared_headroom(
-            service, now, limit
-        ):
+    def take(self, service: str, now: float) -> bool:
+        """Return whether this entry's share allows a retry; count it if so."""
+        share = self._own_share(service, now)
+        if self.own_retries.count(service, now) + 1 > share:
             return False
-        retries.append(now)
+        self.own_retries.add(service, now)
         return True
 
-    def _has_shared_headroom(
-        self, service: str, now: float, limit: float
-    ) -> bool:
-        remote_traffic = self.remote_traffic.get(service)
-        if (
-            remote_traffic is None
-            or now - self.last_report_at > LOAD_REPORT_TTL_S
-        ):
-            return False
-        requests = remote_traffic.firsts + len(
-            self.request_times.get(service, ())
-        )
-        retries = remote_traffic.repeats + len(
-            self.retry_times.get(service, ())
+    def _own_share(self, service: str, now: float) -> float:
+        requests = self.requests.count(service, now)
+        allowance = 0.0
+        if now - self.started_at > self.window_s:
+            counts = (count for _, count in self.listed)
+            allowance = self.allowance / max(1, self.entries, *counts)
+        return OWN_SHARE * (self.ratio * requests + allowance)
+
+    def allowed(self, service: str, now: float) -> float:
+        """Return the retries that all entries may make within the window.
+
+        Entries that change their control process are counted twice for a
+        while, so that the lowest of several sums counts.
+        """
+        others = min(
+            (
+                traffic[service].firsts if service in traffic else 0
+                for at, traffic in self.reports
+                if now - at <= LOAD_REPORT_TTL_S
+            ),
+            default=0,
         )
-        return retries < limit * (self.ratio * requests + self.allowance)
+        requests = others + self.requests.count(service, now)
+        return self.ratio * requests + self.allowance
 
     def usage(self, service: str, now: float) -> RetryUsage:
         """Return what is used and allowed, for logs and metrics."""
-        remote = self.remote_traffic.get(service)
-        requests = len(self._recent(self.request_times, service, now))
-        own_used = len(self._recent(self.retry_times, service, now))
-        own_allowed = self.ratio * requests + self.allowance / max(
-            1, self.entries
+        own_used = self.own_retries.count(service, now)
+        granted = self.granted_retries.count(service, now)
+        reported_at, traffic = (
+            self.reports[-1] if self.reports else (float('-inf'), {})
         )
-        if remote is not None:
-            requests += remote.firsts
+        others = traffic[service].repeats if service in traffic else 0
         return RetryUsage(
-            own_used + (remote.repeats if remote is not None else 0),
-            round(self.ratio * requests + self.allowance, 1),
+            own_used + granted + others,
+            round(self.allowed(service, now), 1),
             own_used,
-            round(own_allowed * LOCAL_SHARE_MARGIN, 1),
-            round(now - self.last_report_at, 2),
+            round(self._own_share(service, now), 1),
+            granted,
+            round(now - reported_at, 2),
         )
 
-    def apply_loads(
-        self, remote_traffic: dict[str, messages.ServiceTraffic], now: float
-    ) -> None:
-        """Replace the traffic of all other entries within the window."""
-        self.remote_traffic = remote_traffic
-        self.last_report_at = now
-
     def traffic(self, now: float) -> dict[str, messages.ServiceTraffic]:
         """Return this entry's traffic within the window, by service."""
         return {
             service: messages.ServiceTraffic(
-                len(self._recent(self.request_times, service, now)),
-                len(self._recent(self.retry_times, service, now)),
+                self.requests.count(service, now),
+                self.own_retries.count(service, now)
+                + self.granted_retries.count(service, now),
             )
-            for service in list(self.request_times)
+            for service in list(self.requests.by_service)
         }
-
-    def _recent(
-        self,
-        times_by_service: dict[str, collections.deque[float]],
-        service: str,
-        now: float,
-    ) -> collections.deque[float]:
-        times = times_by_service.setdefault(service, collections.deque())
-        while times and now - times[0] > self.window_s:
-            times.popleft()
-        return times
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -57,6 +57,47 @@
         return grant
 
 
+class _HomeTransport(ports.Transport):
+    """Reaches the home of all retry budgets over an emulated network.
+
+    :ivar reachable: whether it answers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.nodes = [messages.ControlNode('home', 'dc0', False)]
+        self.home = decisions.RetryHome('home', rng, float('-inf'))
+        self.home.update_nodes(self.nodes, float('-inf'))
+        self.reachable = True
+
+    def restart(self) -> None:
+        """Replace the home by a process that knows nothing."""
+        now = _workload.emulated_now()
+        self.home = decisions.RetryHome('home', self.home.rng, now)
+        self.home.update_nodes(self.nodes, now)
+
+    def handle(self, kind: type, handler: ports.Handler) -> None:
+        """Do nothing: no process asks an entry."""
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Do nothing."""
+
+    async def request(
+        self, address: str, message: messages.Message, timeout: float
+    ) -> t.Any:
+        """Return the home's grant after a round trip."""
+        if not self.reachable:
+            await asyncio.sleep(timeout)
+            raise errors.PeerError('no reply', 'RetryAsk')
+        assert isinstance(message, messages.RetryAsk)
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        grant = self.home.grant(message, _workload.emulated_now())
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        return grant
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
 class _Entry:
     def __init__(
         self,
@@ -91,6 +132,13 @@
             name,
             system.permit_home,
             loop.time,
+            retry_pool=forwarding.ControlRetryPool(
+                self.budget,
+                system.retry_homes,
+                name,
+                lambda: system.retry_homes.nodes,
+                loop.time,
+            ),
         )
 
     def _schedule_report(self) -> None:
@@ -176,6 +224,7 @@
         random.seed(seed)
         self.load_aggregator = decisions.LoadAggregator()
         self.permit_home = PermitHome(self.rng)
+        self.retry_homes = _HomeTransport(self.rng)
         self.entries: list[_Entry] = []
 
     def add_entries(
@@ -194,7 +243,9 @@
                 _Entry(name, f'dc{number % 3}', self, make_client(name))
             )
         for entry in self.entries:
-            entry.budget.entries = count
+            entry.budget.update_entries(
+                count, asyncio.get_running_loop().time()
+            )
 
 
 class System(EntryGroup):
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -25,6 +25,7 @@
 from bulrushhold.forwarding._reachabilitymonitor import ReachabilityMonitor
 from bulrushhold.forwarding._resumption import resolve as resolve_resumption
 from bulrushhold.forwarding._retries import RetryGauges
+from bulrushhold.forwarding._retrypool import ControlRetryPool
 from bulrushhold.forwarding._scheduling import HomeScheduling
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
@@ -36,6 +37,7 @@
     'ControlOrigins',
     'ControlPermitSource',
     'ControlPlaces',
+    'ControlRetryPool',
     'DirectProxyHandler',
     'Event',
     'EventSplitter',
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -11,6 +11,7 @@
 from bulrushhold import errors
 from bulrushhold.forwarding import _origins
 from bulrushhold.forwarding import _places
+from bulrushhold.forwarding import _retrypool
 from bulrushhold.forwarding import _running
 from bulrushhold.forwarding import _scheduling
 from bulrushhold import node
@@ -28,6 +29,7 @@
     :param permit_source: grants permits for servers with a request limit.
     :param places: gets places at brittle servers.
     :param origins: keeps which versions began streams.
+    :param retry_pool: grants retries beyond this entry's share of a budget.
     :param scheduling: decides on streams of services with ordered admission.
     :ivar running: the requests that end as they become blocked.
     """
@@ -46,6 +48,9 @@
     scheduling: _scheduling.StreamScheduling = attrs.field(
         factory=_scheduling.LocalScheduling
     )
+    retry_pool: _retrypool.RetryPool = attrs.field(
+        factory=_retrypool.NoRetryPool
+    )
     waiting_order: decisions.WaitingOrder = attrs.field(
         factory=decisions.WaitingOrder
     )
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -207,7 +207,7 @@
         self._apply_entries(reply)
         if reply.nodes is not None:
             self.nodes_version = reply.nodes_version
-        self.budget.entries = self.entry_count()
+        self.budget.update_entries(self.entry_count(), time.monotonic())
         for hook in self.on_change:
             hook()
 
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -143,7 +143,9 @@
             self.tried.clear()
         if self._remaining_s() < MIN_REMAINING_S:
             return False
-        return _retries.take(self.context, self.job)
+        return await _retries.take(
+            self.context, self.job, decisions.RetryPriority.OTHER_SERVER
+        )
 
     def _refusal(
         self, last: _Result | None, choice: _permits.PermittedChoice
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -1,5 +1,6 @@
 """Takes retries from the budget that all entries share."""
 
+import asyncio
 import collections.abc as cabc
 import time
 import typing as t
@@ -10,37 +11,51 @@
 from bulrushhold.forwarding import _context
 from bulrushhold import ports
 
+# Longest wait of a stream that has begun: a home is replaced within it.
+MAX_BEGUN_WAIT_S: t.Final = 2.5
+BEGUN_PAUSE_S: t.Final = 0.1
 GAUGE_INTERVAL_S: t.Final = 1.0
 
 
-def take(
+async def take(
     context: _context.ForwardingContext,
     job: _context.Job,
-    *,
-    begun: bool = False,
+    priority: decisions.RetryPriority,
 ) -> bool:
-    """Return whether a request may be sent once more, and count it if so.
-
-    :param begun: the caller has received some events.
-    """
-    now = context.clock()
-    usage = context.budget.usage(job.service, now)
-    if context.budget.take(job.service, now, begun=begun):
-        is_own = usage.own_used + 1 <= usage.own_allowed
-        kind = 'own' if is_own else 'shared'
-        context.metrics.count(f'retries.{kind}.{job.service}')
+    """Return whether a request may be sent once more, and count it if so."""
+    if context.budget.take(job.service, context.clock()):
+        context.metrics.count(f'retries.own.{job.service}')
+        return True
+    if await _take_from_pool(context, job, priority):
+        context.budget.count_granted(job.service, context.clock())
+        context.metrics.count(f'retries.granted.{job.service}')
         return True
     context.metrics.count('repeats.refused')
+    usage = context.budget.usage(job.service, context.clock())
     _context.log(
         job,
         'retry budget exhausted',
         service=job.service,
-        begun=begun,
+        priority=priority.name.lower(),
         **attrs.asdict(usage),
     )
     return False
 
 
+async def _take_from_pool(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    priority: decisions.RetryPriority,
+) -> bool:
+    give_up_at = min(job.deadline, context.clock() + MAX_BEGUN_WAIT_S)
+    while not await context.retry_pool.take(job.service, priority):
+        is_begun = priority is decisions.RetryPriority.BEGUN
+        if not is_begun or context.clock() + BEGUN_PAUSE_S > give_up_at:
+            return False
+        await asyncio.sleep(BEGUN_PAUSE_S)
+    return True
+
+
 class RetryGauges:
     """Sets the used share of each service's retry budget."""
 
@@ -61,12 +76,13 @@
         if now - self.updated_at < GAUGE_INTERVAL_S:
             return
         self.updated_at = now
-        for service in list(self.budget.request_times):
+        for service in list(self.budget.requests.by_service):
             usage = self.budget.usage(service, now)
             for name, value in (
                 ('retries_used', usage.used),
                 ('retries_allowed', usage.allowed),
                 ('retries_own_used', usage.own_used),
                 ('retries_own_allowed', usage.own_allowed),
+                ('retries_granted', usage.granted),
             ):
                 self.metrics.gauge(f'{name}.{service}', value)
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -269,9 +269,10 @@
             self.engines.tried.clear()
         if self.remaining_s() < MIN_REMAINING_S:
             return False
-        return _retries.take(
-            self.context, self.job, begun=self.caller_stream.headers_sent
-        )
+        priority = decisions.RetryPriority.OTHER_SERVER
+        if self.caller_stream.headers_sent:
+            priority = decisions.RetryPriority.BEGUN
+        return await _retries.take(self.context, self.job, priority)
 
     async def _wait_for_connection(self) -> bool:
         """Return whether to look for an engine again; none can be reached.
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -85,6 +85,9 @@
 from bulrushhold.messages._places import PlaceAsk
 from bulrushhold.messages._places import PlaceGrant
 from bulrushhold.messages._places import PlaceReport
+from bulrushhold.messages._retries import RetryAsk
+from bulrushhold.messages._retries import RetryGrant
+from bulrushhold.messages._retries import RetryPoolCopy
 from bulrushhold.messages._rollouts import OrderStatus
 from bulrushhold.messages._rollouts import Rollout
 from bulrushhold.messages._rollouts import RolloutEnd
@@ -209,6 +212,9 @@
     'Received',
     'Refusals',
     'RequestBlock',
+    'RetryAsk',
+    'RetryGrant',
+    'RetryPoolCopy',
     'Rollout',
     'RolloutEnd',
     'RolloutEvidence',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -15,6 +15,7 @@
 from bulrushhold.messages import _packing
 from bulrushhold.messages import _peerproxy
 from bulrushhold.messages import _places
+from bulrushhold.messages import _retries
 from bulrushhold.messages import _rollouts
 from bulrushhold.messages import _scheduling
 from bulrushhold.messages import _state
@@ -97,6 +98,9 @@
     _places.PlaceAsk,
     _places.PlaceGrant,
     _places.PlaceReport,
+    _retries.RetryAsk,
+    _retries.RetryGrant,
+    _retries.RetryPoolCopy,
     _rollouts.RolloutOrder,
     _rollouts.RolloutStart,
     _rollouts.RolloutOutcome,
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -1,9 +1,15 @@
 """Tests of the retry budget of a service that all entries share."""
 
+import asyncio
+import random
+
 import pytest
 
 from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import forwarding
 from bulrushhold import messages
+from bulrushhold import ports
 
 SERVICE = 'desk'
 RATIO, ALLOWANCE, WINDOW_S = 0.8, 150, 10.0
@@ -40,3 +46,228 @@
         share_loads(budgets, 1.0)
         taken += sum(budget.take(SERVICE, 1.0) for _ in range(300))
     assert taken <= allowed
+
+
+def make_home(address='n0', started_at=float('-inf'), nodes=('n0', 'n1')):
+    home = decisions.RetryHome(address, random.Random(1), started_at)
+    home.update_nodes(make_nodes(*nodes), started_at)
+    return home
+
+
+def make_nodes(*addresses):
+    return [messages.ControlNode(a, 'dc', False) for a in addresses]
+
+
+def home_first(*addresses):
+    """Return the addresses, the home of the service first."""
+    nodes = make_nodes(*addresses)
+    first = decisions.home_address(SERVICE, nodes)
+    second = decisions.next_home_address(SERVICE, nodes, first)
+    return [first, second]
+
+
+def ask(begun=0, other=0, budget=1000.0, entry='e1'):
+    return messages.RetryAsk(SERVICE, entry, begun, other, budget, WINDOW_S)
+
+
+def total(grant):
+    return grant.begun + grant.other
+
+
+@pytest.mark.parametrize('entries', [9, 30, 300])
+def test_shares_and_grants_stay_within_the_budget(entries):
+    # Guards against grants that overlap with what entries have anyway.
+    home = make_home(home_first('n0', 'n1')[0])
+    budgets = [
+        decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+        for _ in range(entries)
+    ]
+    for budget in budgets:
+        budget.entries = entries
+        for _ in range(2):
+            budget.count_request(SERVICE, 0.0)
+    share_loads(budgets, 1.0)
+    allowed = RATIO * 2 * entries + ALLOWANCE
+    taken = 0
+    for number, budget in enumerate(budgets):
+        known = budget.allowed(SERVICE, 1.0)
+        assert known == pytest.approx(allowed)
+        question = ask(20, 20, known, f'e{number}')
+        taken += total(home.grant(question, 1.0))
+        taken += sum(budget.take(SERVICE, 1.0) for _ in range(300))
+    assert 0.8 * allowed <= taken <= allowed
+
+
+def test_an_entry_may_use_retries_that_others_leave_unused():
+    # Guards against refused retries while most of the budget is unused.
+    home = make_home(home_first('n0', 'n1')[0])
+    assert home.grant(ask(other=8, budget=370.0), 0.0).other == 8
+    grant = home.grant(ask(other=200, budget=370.0, entry='e2'), 0.1)
+    assert total(grant) == 110  # 0.8 of 0.4 of the budget in all.
+    assert grant.hold_s > 0
+    assert home.grant(ask(begun=200, budget=370.0), 0.2).begun == 30
+    assert total(home.grant(ask(1, 1, 370.0), 9.9)) == 0
+    assert total(home.grant(ask(1, 1, 370.0), 10.9)) == 2
+
+
+def test_a_home_that_has_just_started_grants_nothing_for_a_window():
+    # Guards against a second budget after the home has restarted.
+    address = home_first('n0', 'n1')[0]
+    home = make_home(address, started_at=0.0)
+    assert total(home.grant(ask(5, 5), 0.1)) == 0
+    assert total(home.grant(ask(5, 5), 9.9)) == 0
+    assert total(home.grant(ask(5, 5), 10.5)) == 10
+
+
+def copy_all(source, targets, now):
+    for address, copy in source.copies([SERVICE], now):
+        if address in targets:
+            targets[address].receive(copy, now)
+
+
+def test_the_next_home_continues_the_record_of_a_lost_one():
+    # Guards against a second budget, or none, after the home is lost.
+    first, second = home_first('n0', 'n1')
+    homes = {a: make_home(a) for a in (first, second)}
+    assert total(homes[first].grant(ask(300, 0), 1.0)) == 300
+    copy_all(homes[first], homes, 1.2)
+    homes[second].update_nodes(make_nodes(second), 2.0)
+    assert total(homes[second].grant(ask(300, 0), 2.1)) == 0
+    assert total(homes[second].grant(ask(300, 0), 3.1)) == 100
+    assert total(homes[second].grant(ask(300, 0), 11.9)) == 300
+
+
+def test_a_home_without_the_record_of_the_one_before_grants_nothing():
+    # Guards against a second budget if a home is lost with its copy.
+    first, second = home_first('n0', 'n1')
+    home = make_home(second)
+    home.update_nodes(make_nodes(second), 2.0)
+    assert total(home.grant(ask(5, 5), 11.9)) == 0
+    assert total(home.grant(ask(5, 5), 12.5)) == 10
+
+
+def test_a_restarted_home_gets_the_record_back():
+    first, second = home_first('n0', 'n1')
+    homes = {a: make_home(a) for a in (first, second)}
+    homes[first].grant(ask(300, 0), 1.0)
+    copy_all(homes[first], homes, 1.2)
+    homes[first] = make_home(first, started_at=2.0)
+    copy_all(homes[second], homes, 2.5)
+    assert total(homes[first].grant(ask(300, 0), 3.1)) == 100
+
+
+def test_a_process_that_is_not_the_home_grants_nothing():
+    # Guards against two homes while entries know different lists.
+    assert total(make_home(home_first('n0', 'n1')[1]).grant(ask(1, 1), 0)) == 0
+
+
+def test_an_isolated_home_grants_nothing_until_it_has_the_record():
+    # Guards against two homes after a control process was cut off.
+    first, second = home_first('n0', 'n1')
+    homes = {a: make_home(a) for a in (first, second)}
+    homes[first].grant(ask(100, 0), 1.0)
+    copy_all(homes[first], homes, 1.2)
+    homes[second].update_nodes(make_nodes(second), 2.0)
+    assert total(homes[second].grant(ask(200, 0), 3.5)) == 200
+    homes[first].record_isolation(5.0)
+    assert total(homes[first].grant(ask(300, 0), 5.1)) == 0
+    homes[second].update_nodes(make_nodes(first, second), 5.2)
+    copy_all(homes[second], homes, 5.3)
+    assert total(homes[first].grant(ask(300, 0), 6.1)) == 100
+
+
+def test_an_entry_that_has_just_started_has_no_part_of_the_allowance():
+    # Guards against a second allowance for each restart of an entry.
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S, 0.0)
+    assert not budget.take(SERVICE, 5.0)
+    for _ in range(10):
+        budget.count_request(SERVICE, 5.0)
+    assert sum(budget.take(SERVICE, 5.0) for _ in range(20)) == 4
+    assert budget.take(SERVICE, 10.5)
+
+
+def test_shares_do_not_grow_at_once_as_entries_leave_the_list():
+    # Guards against a part of the allowance that a lost entry has spent.
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget.update_entries(75, 0.0)
+    budget.update_entries(5, 1.0)
+    assert sum(budget.take(SERVICE, 2.0) for _ in range(20)) == 1
+    budget.update_entries(5, 11.0)
+    assert sum(budget.take(SERVICE, 11.1) for _ in range(20)) == 14
+
+
+def test_requests_counted_twice_do_not_raise_the_budget():
+    # Guards against entries in the sums of two control processes.
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    for now, firsts in ((0.0, 100), (0.5, 200), (1.0, 200)):
+        budget.apply_loads({SERVICE: messages.ServiceTraffic(firsts, 0)}, now)
+    assert budget.allowed(SERVICE, 1.1) == RATIO * 100 + ALLOWANCE
+
+
+class FakeTransport(ports.Transport):
+    """Answers asks after a delay, or not at all."""
+
+    def __init__(self):
+        self.asks = []
+        self.free = 10
+        self.delay_s = 0.01
+        self.fails = False
+
+    def handle(self, kind, handler):
+        pass
+
+    def send(self, address, message):
+        pass
+
+    async def request(self, address, message, timeout):
+        self.asks.append(message)
+        await asyncio.sleep(self.delay_s)
+        if self.fails:
+            raise errors.PeerError('no reply', 'RetryAsk', address)
+        begun = min(message.begun, self.free)
+        other = min(message.other, self.free - begun)
+        self.free -= begun + other
+        missing = (begun, other) != (message.begun, message.other)
+        return messages.RetryGrant(begun, other, 0.2 if missing else 0.0)
+
+    async def close(self):
+        pass
+
+
+def make_pool(transport):
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    nodes = make_nodes('n0')
+    return forwarding.ControlRetryPool(budget, transport, 'e1', lambda: nodes)
+
+
+async def take_many(pool, count, priority):
+    return sum(
+        await asyncio.gather(
+            *(pool.take(SERVICE, priority) for _ in range(count))
+        )
+    )
+
+
+async def test_retries_of_one_moment_share_an_ask():
+    # Guards against as many messages as retries when an engine is lost.
+    transport = FakeTransport()
+    pool = make_pool(transport)
+    other = decisions.RetryPriority.OTHER_SERVER
+    assert await take_many(pool, 30, other) == 10
+    assert len(transport.asks) == 1
+    assert await take_many(pool, 30, other) == 0
+    assert len(transport.asks) == 1
+
+
+@pytest.mark.parametrize('late', [False, True])
+async def test_without_a_grant_in_time_nothing_is_taken(late):
+    # Guards against grants that the home no longer counts, and long waits.
+    transport = FakeTransport()
+    transport.fails = not late
+    transport.delay_s = 0.3 if late else 0.01
+    pool = make_pool(transport)
+    begun = decisions.RetryPriority.BEGUN
+    assert await take_many(pool, 3, begun) == 0
+    if not late:
+        assert await take_many(pool, 3, begun) == 0
+        assert len(transport.asks) == 1
