Plain requests: refused at once where all servers reject, others retried first

While all servers of a service reject, it is refused after one arrival now, as not run, with a Retry-After that is spread over half a second. A pause between rounds doubles; retries beyond a route's max-attempts get half of the entry's own share and nothing from the shared part, so that one request doesn't spend what others need for their first retry.

--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -65,6 +65,7 @@
 from bulrushhold.decisions._recovery import RecoveryPolicy
 from bulrushhold.decisions._recovery import SequentialPolicy
 from bulrushhold.decisions._recovery import WorkBudget
+from bulrushhold.decisions._rejections import Rejections
 from bulrushhold.decisions._rendezvous import copy_peers
 from bulrushhold.decisions._rendezvous import entries_for_account
 from bulrushhold.decisions._rendezvous import entries_needed
@@ -193,6 +194,7 @@
     'SMALL_ACCOUNT_ENTRIES',
     'SequentialPolicy',
     'SchedulerState',
+    'Rejections',
     'RetryHome',
     'RetryPriority',
     'RetryUsage',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -13,6 +13,7 @@
 from bulrushhold.decisions import _enginelosses
 from bulrushhold.decisions import _enginespeeds
 from bulrushhold.decisions import _reachability
+from bulrushhold.decisions import _rejections
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _serverspeeds
 from bulrushhold.decisions import _usableservers
@@ -76,6 +77,7 @@
         self.data_centre_failures = _datacentrefailures.DataCentreFailures()
         self.cached_prompts = _cachedprompts.CachedPrompts()
         self.server_speeds = _serverspeeds.ServerSpeeds()
+        self.rejections = _rejections.Rejections()
 
     def update(self, listed: list[messages.ListedBackend]) -> None:
         """Replace the list of servers; keep the state of remaining ones."""
@@ -104,6 +106,7 @@
         self.lost = [b for b in self.lost if backends.get(b.ident) is b]
         self.replaced_idents &= backends.keys()
         self.demands.retain(backends.keys())
+        self.rejections.retain(backends.keys())
         self.server_speeds.update(
             {ident: backend.service for ident, backend in backends.items()}
         )
@@ -191,6 +194,10 @@
             if backend.ident not in tried
         ]
 
+    def all_reject(self, service: str, now: float) -> bool:
+        """Whether all servers of a service have just rejected requests."""
+        return self.rejections.all_reject(self.usable(service, now), now)
+
     def next_held(
         self,
         service: str,
--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -19,6 +19,8 @@
 
 # Share of the budget that entries have without asking.
 OWN_SHARE: t.Final = 0.5
+# Share of that for requests that were retried often before.
+FURTHER_SHARE: t.Final = 0.5
 LOAD_REPORT_TTL_S: t.Final = 2.0
 
 
@@ -29,6 +31,8 @@
     BEGUN = 0
     # Another server may serve it.
     OTHER_SERVER = 1
+    # The request was rejected by as many servers as may run it.
+    FURTHER = 2
 
 
 @attrs.frozen
@@ -127,9 +131,16 @@
         """Count a retry that the home of the service granted."""
         self.granted_retries.add(service, now)
 
-    def take(self, service: str, now: float) -> bool:
+    def take(
+        self,
+        service: str,
+        now: float,
+        priority: RetryPriority = RetryPriority.OTHER_SERVER,
+    ) -> bool:
         """Return whether this entry's share allows a retry; count it if so."""
         share = self._own_share(service, now)
+        if priority is RetryPriority.FURTHER:
+            share *= FURTHER_SHARE
         if self.own_retries.count(service, now) + 1 > share:
             return False
         self.own_retries.add(service, now)
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -21,7 +21,8 @@
 # mean latency; a healthy server responds within it even when slow.
 STALL_FACTOR: t.Final = 6.0
 MIN_STALL_TIMEOUT_S: t.Final = 0.12
-# Delay before a second round, after all servers have been tried.
+# Delay before a second round, after all servers have been tried. It doubles
+# with each round.
 RETRY_PAUSE_S: t.Final = 0.04
 # No server can respond within less than this.
 MIN_REMAINING_S: t.Final = 0.01
@@ -37,6 +38,7 @@
     :param broken_off: the server closed the connection before its response
         was complete.
     :param cut_off: neither this entry nor any other reaches the servers.
+    :param rejected: the server refused the request without running it.
     """
 
     ran: errors.Ran
@@ -45,6 +47,7 @@
     permitted: bool = True
     broken_off: bool = False
     cut_off: bool = False
+    rejected: bool = False
 
 
 class PlainForwarder:
@@ -57,6 +60,8 @@
         self.job = job
         self.tried: set[str] = set()
         self.attempts = 0
+        self.retries = 0
+        self.retry_pause_s = RETRY_PAUSE_S
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
         self.may_have_run = False
@@ -138,13 +143,22 @@
             self.attempts += 1
         if self.attempts >= self.job.route.max_attempts:
             return False
+        if last.rejected and self._all_reject():
+            self.context.metrics.count('requests.refused_by_all')
+            return False
         if not self._untried():
-            await asyncio.sleep(RETRY_PAUSE_S)
+            await asyncio.sleep(self.retry_pause_s)
+            self.retry_pause_s *= 2
             self.tried.clear()
         if self._remaining_s() < MIN_REMAINING_S:
             return False
-        return await _retries.take(
-            self.context, self.job, decisions.RetryPriority.OTHER_SERVER
+        priority = _retries.priority(self.job, self.retries)
+        self.retries += 1
+        return await _retries.take(self.context, self.job, priority)
+
+    def _all_reject(self) -> bool:
+        return self.context.placement.all_reject(
+            self.job.service, self.context.clock()
         )
 
     def _refusal(
@@ -173,7 +187,11 @@
 
     def _failure(self, last: _Result, ident: str) -> errors.RequestError:
         if last.ran is errors.Ran.NO and not self.attempts:
-            return _context.not_run_error(self.job, last.reason)
+            return _context.not_run_error(
+                self.job,
+                last.reason,
+                _permits.retry_after_s(_context.RETRY_AFTER_S),
+            )
         timed_out = self._remaining_s() < MIN_REMAINING_S
         return _context.unknown_outcome_error(
             self.job, last.reason, ident, timed_out=timed_out
@@ -275,7 +293,9 @@
                 if head.status == 421:
                     self.context.placement.mark_replaced(backend.ident)
                 return _Result(
-                    errors.Ran.NO, f'refused with status {head.status}'
+                    errors.Ran.NO,
+                    f'refused with status {head.status}',
+                    rejected=head.status != 421 and head.backoff is None,
                 )
             if not head.matches_request or not head.from_backend:
                 return _Result(errors.Ran.UNKNOWN, 'mismatched answer')
@@ -315,6 +335,11 @@
         crashed: bool,
     ) -> None:
         now = self.context.clock()
+        rejections = self.context.placement.rejections
+        if result.rejected:
+            rejections.record(backend.ident, now)
+        elif result.ran is not errors.Ran.NO:
+            rejections.record_accepted(backend.ident)
         if result.reply is not None:
             self.context.placement.versions.record(
                 backend,
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -17,13 +17,31 @@
 GAUGE_INTERVAL_S: t.Final = 1.0
 
 
+def priority(
+    job: _context.Job, retries: int, *, begun: bool = False
+) -> decisions.RetryPriority:
+    """Return what the next retry of a request is worth.
+
+    A request that was often rejected must not spend what many others need for
+    their first retry.
+
+    :param retries: how often it was retried before.
+    :param begun: the caller has received some events.
+    """
+    if begun:
+        return decisions.RetryPriority.BEGUN
+    if retries + 1 < job.route.max_attempts:
+        return decisions.RetryPriority.OTHER_SERVER
+    return decisions.RetryPriority.FURTHER
+
+
 async def take(
     context: _context.ForwardingContext,
     job: _context.Job,
     priority: decisions.RetryPriority,
 ) -> bool:
     """Return whether a request may be sent once more, and count it if so."""
-    if context.budget.take(job.service, context.clock()):
+    if context.budget.take(job.service, context.clock(), priority):
         context.metrics.count(f'retries.own.{job.service}')
         return True
     if await _take_from_pool(context, job, priority):
@@ -47,6 +65,8 @@
     job: _context.Job,
     priority: decisions.RetryPriority,
 ) -> bool:
+    if priority is decisions.RetryPriority.FURTHER:
+        return False
     give_up_at = min(job.deadline, context.clock() + MAX_BEGUN_WAIT_S)
     while not await context.retry_pool.take(job.service, priority):
         is_begun = priority is decisions.RetryPriority.BEGUN
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -204,6 +204,14 @@
     assert budget.allowed(SERVICE, 1.1) == RATIO * 100 + ALLOWANCE
 
 
+def test_further_retries_leave_room_for_first_ones():
+    # Guards against one request that spends what many others need.
+    further = decisions.RetryPriority.FURTHER
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    assert sum(budget.take(SERVICE, 0.0, further) for _ in range(99)) == 37
+    assert sum(budget.take(SERVICE, 0.0) for _ in range(99)) == 38
+
+
 class FakeTransport(ports.Transport):
     """Answers asks after a delay, or not at all."""
 
