Retry metrics: gauges have names of their own

Found by a play with real processes: as a retry was granted by the home, its counter had the name of a gauge of the same figure, and the request failed with DuplicateTimeseries. The test failed before with the same error.

--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -26,6 +26,7 @@
 from bulrushhold.forwarding._resumption import resolve as resolve_resumption
 from bulrushhold.forwarding._retries import RetryGauges
 from bulrushhold.forwarding._retrypool import ControlRetryPool
+from bulrushhold.forwarding._retrypool import RetryPool
 from bulrushhold.forwarding._scheduling import HomeScheduling
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
@@ -59,6 +60,7 @@
     'ProxyingClient',
     'ReachabilityMonitor',
     'RetryGauges',
+    'RetryPool',
     'Scheduled',
     'StreamForwarder',
     'StreamScheduling',
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -99,10 +99,10 @@
         for service in list(self.budget.requests.by_service):
             usage = self.budget.usage(service, now)
             for name, value in (
-                ('retries_used', usage.used),
-                ('retries_allowed', usage.allowed),
-                ('retries_own_used', usage.own_used),
-                ('retries_own_allowed', usage.own_allowed),
-                ('retries_granted', usage.granted),
+                ('used', usage.used),
+                ('allowed', usage.allowed),
+                ('own_used', usage.own_used),
+                ('own_allowed', usage.own_allowed),
+                ('granted', usage.granted),
             ):
-                self.metrics.gauge(f'{name}.{service}', value)
+                self.metrics.gauge(f'retry_budget_{name}.{service}', value)
--- a/tests/forwarding/test_rejections.py
+++ b/tests/forwarding/test_rejections.py
@@ -1,15 +1,25 @@
 """Tests of requests that all servers reject."""
 
+import attrs
 import pytest
 
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import node
 from bulrushhold import routes
 from tests.forwarding import fakes
 
 SERVERS = 6
 
 
+class OpenPool(forwarding.RetryPool):
+    """Grants all retries."""
+
+    async def take(self, service, priority):
+        return True
+
+
 def script_rejections(client, count):
     client.scripts = [
         fakes.Script(status=503, not_run=True) for _ in range(count)
@@ -90,3 +100,20 @@
     await send(context, timeout_s=3.0, attempts=2)
     # Its own share is 2.5 retries, of which later retries get half.
     assert len(client.attempts) == 2
+
+
+async def test_counters_and_gauges_of_retries_have_names_of_their_own(
+    client, context
+):
+    # Guards against requests that fail as a metric has the name of another.
+    metrics = node.make_prometheus_metrics('test_retries')
+    context = attrs.evolve(context, metrics=metrics, retry_pool=OpenPool())
+    gauges = forwarding.RetryGauges(context.budget, metrics)
+    context.budget.count_request('engines', context.clock())
+    gauges.update()
+    context.budget.update_entries(1000, context.clock())
+    script_rejections(client, 1)
+    client.scripts.append(fakes.Script())
+    reply = await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
+    assert reply.status == 200
+    assert context.budget.usage('engines', context.clock()).granted == 1
