Request limits: floors don't grow at once as entries leave the list

The highest number of the last window counts. The new test failed before (a turn within 2 s, where 1,000 entries have one in 1,900 s).

--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -115,6 +115,13 @@
         while now - self.listed[0][0] > self.window_s:
             self.listed.popleft()
 
+    def recent_entries(self, now: float) -> int:
+        """Return the most entries listed within the window, at least 1."""
+        counts = (
+            count for at, count in self.listed if now - at <= self.window_s
+        )
+        return max(1, self.entries, *counts)
+
     def apply_loads(
         self, traffic: dict[str, messages.ServiceTraffic], now: float
     ) -> None:
@@ -150,8 +157,7 @@
         requests = self.requests.count(service, now)
         allowance = 0.0
         if now - self.started_at > self.window_s:
-            counts = (count for _, count in self.listed)
-            allowance = self.allowance / max(1, self.entries, *counts)
+            allowance = self.allowance / self.recent_entries(now)
         return OWN_SHARE * (self.ratio * requests + allowance)
 
     def allowed(self, service: str, now: float) -> float:
--- a/src/bulrushhold/forwarding/_permits.py
+++ b/src/bulrushhold/forwarding/_permits.py
@@ -127,8 +127,9 @@
             # The limit has ended meanwhile, or the server isn't listed.
             return messages.PermitGrant(True, 0.0)
         context.metrics.count('limits.floor')
+        now = context.clock()
         wait_s = limits.take_floor(
-            ask.server, context.budget.entries, context.clock()
+            ask.server, context.budget.recent_entries(now), now
         )
         if not wait_s:
             return messages.PermitGrant(True, 0.0)
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -142,6 +142,23 @@
     assert '10.0.0.0:80' not in {a.address for a in client.attempts}
 
 
+async def test_a_floor_does_not_grow_at_once_as_entries_leave_the_list(
+    client, context
+):
+    # Guards against a part of the floor that a lost entry has used.
+    now = context.clock()
+    context.budget.update_entries(1000, now - 1.0)
+    context.budget.update_entries(1, now)
+    name_limits(context, 'i0')
+    context.permit_source.grants = [errors.PeerError('lost')] * 3
+    client.scripts = [fakes.Script()] * 20
+    for _ in range(20):
+        await send_one(context)
+    limits = context.placement.demands.limits
+    # One entry alone would have its first turn within 2 s.
+    assert limits.servers['i0'].next_floor_at - now > 5.0
+
+
 async def test_a_stream_goes_to_an_engine_whose_limit_allows_it(
     client, context
 ):
