--- a/tests/platform/soak/retries.py
+++ b/tests/platform/soak/retries.py
@@ -25,6 +25,7 @@
 # Servers turn all requests away for the first half of each period.
 PERIOD_S = 6.0
 MAX_REFUSAL_S = 0.1
+MEAN_FAULT_S = 1.5
 
 
 @attrs.frozen
@@ -36,6 +37,7 @@
     :param share: share of the servers that have the fault.
     :param periodic: whether the fault comes and goes.
     :param paths: kinds of the requests.
+    :param restarts: whether processes are killed, paused and restarted.
     """
 
     load: float
@@ -43,6 +45,7 @@
     share: float = 1.0
     periodic: bool = False
     paths: tuple = (fakes.SAFE_PATH, fakes.UNSAFE_PATH)
+    restarts: bool = False
 
 
 VARIANTS = {
@@ -54,6 +57,7 @@
     ),
     'two-thirds-fail': Variant(0.9, 'fail', 2 / 3),
     'two-thirds-break': Variant(0.9, 'break', 2 / 3),
+    'restarts': Variant(0.9, 'shed', 2 / 3, restarts=True),
 }
 
 
@@ -172,9 +176,12 @@
     async def _run_with_faults(self):
         self.started_at = time.monotonic()
         await self._call_for(BUILD_UP_S, BUILD_UP_LOAD)
-        faults = asyncio.ensure_future(self._inject())
+        faults = [asyncio.ensure_future(self._inject())]
+        if self.variant.restarts:
+            faults.append(asyncio.ensure_future(self._disturb()))
         await self._call_for(self.seconds, self.variant.load)
-        faults.cancel()
+        for fault in faults:
+            fault.cancel()
         await asyncio.gather(*self.tasks)
 
     async def _inject(self):
@@ -190,6 +197,15 @@
         for server in self.engines[:count]:
             server.fault = fault
 
+    async def _disturb(self):
+        """Kill, pause and restart processes, also several at once."""
+        while True:
+            disturb = self.rng.choice((self._kill, self._pause, self._kill))
+            count = self.rng.choice((1, 1, len(self.system.programs) // 2))
+            for _ in range(count):
+                self._start_task(disturb())
+            await asyncio.sleep(self.rng.expovariate(1 / MEAN_FAULT_S))
+
     async def _call_for(self, seconds, load):
         loop = asyncio.get_running_loop()
         due_at, ends_at = loop.time(), loop.time() + seconds
