--- a/src/bulrushhold/control/_retries.py
+++ b/src/bulrushhold/control/_retries.py
@@ -5,9 +5,12 @@
 import random
 import typing as t
 
+import attrs
+
 from bulrushhold.control import _clusterview
 from bulrushhold import decisions
 from bulrushhold import messages
+from bulrushhold import node
 from bulrushhold import ports
 
 CHECK_INTERVAL_S: t.Final = 0.1
@@ -44,6 +47,7 @@
         self.contact_at = clock()
         self.copied_at = float('-inf')
         self.has_granted = False
+        self.summarized_at = clock()
         transport.handle(messages.RetryAsk, self._on_ask)
         transport.handle(messages.RetryPoolCopy, self._on_copy)
 
@@ -55,6 +59,10 @@
             is_due = now - self.copied_at >= COPY_INTERVAL_S
             if self._update(now) and (self.has_granted or is_due):
                 self._send_copies(now)
+            if now - self.summarized_at >= decisions.SUMMARY_S:
+                self.summarized_at = now
+                for grants in self.home.take_summaries(now):
+                    node.log_decision('retry home', **attrs.asdict(grants))
 
     def _update(self, now: float) -> bool:
         """Follow the view; return whether it is current."""
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -77,6 +77,7 @@
 from bulrushhold.decisions._requestlimits import RequestLimits
 from bulrushhold.decisions._retryhome import GRANT_TTL_S
 from bulrushhold.decisions._retryhome import RetryHome
+from bulrushhold.decisions._retryhome import SUMMARY_S
 from bulrushhold.decisions._rolloutanalysis import RolloutAnalysis
 from bulrushhold.decisions._rolloutanalysis import Verdict as RolloutVerdict
 from bulrushhold.decisions._rolloutdriver import DEFAULT_EXPOSURE
@@ -124,6 +125,7 @@
 
 __all__ = [
     'GRANT_TTL_S',
+    'SUMMARY_S',
     'ADMISSION_CHECK_S',
     'AcceptResult',
     'AccountRetryBudget',
--- a/src/bulrushhold/decisions/_retryhome.py
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -37,15 +37,41 @@
 EMPTY_ASKS_PER_S: t.Final = 150.0
 # Entries that ask within this time share these asks.
 ASKING_TTL_S: t.Final = 2.0
+# Interval of the summaries in the log.
+SUMMARY_S: t.Final = 5.0
+# Entries that a summary names.
+NAMED_ENTRIES: t.Final = 5
+
+
+@attrs.frozen
+class RetryGrants:
+    """What the home of a service has granted, for logs.
+
+    :param granted: within the window.
+    :param pool: what may be granted within the window.
+    :param complete: whether all grants are known; else it grants nothing.
+    :param entries: number of entries that have asked lately.
+    :param most: entries that were granted most since the last summary.
+    """
+
+    service: str
+    granted: int
+    pool: float
+    complete: bool
+    entries: int
+    most: dict[str, int]
 
 
 @attrs.define
 class _Pool:
     """What has been granted for one service.
 
+    :param size: what may be granted within the window.
+
     :param grants: end of each interval and number of grants in it.
     :param complete_at: when the record was last known to hold all grants.
     :param asked_at: when each entry last asked, the latest one last.
+    :param by_entry: grants since the last summary.
     """
 
     window_s: float = DEFAULT_WINDOW_S
@@ -55,6 +81,10 @@
     total: int = 0
     complete_at: float = float('-inf')
     asked_at: dict[str, float] = attrs.field(factory=dict)
+    size: float = 0.0
+    by_entry: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     def expire(self, now: float) -> None:
         """Drop grants whose retries have left every window."""
@@ -157,11 +187,12 @@
         pool.expire(now)
         if not self._is_complete(ask.service, pool, now):
             return messages.RetryGrant(0, 0, self._hold_s(pool, now))
-        size = POOL_SHARE * ask.budget
+        size = pool.size = POOL_SHARE * ask.budget
         begun = _part(ask.begun, size - pool.total)
         other = _part(ask.other, OTHER_SHARE * size - pool.total - begun)
         if begun or other:
             pool.add(begun + other, now)
+            pool.by_entry[ask.entry] += begun + other
         hold_s = 0.0
         if (begun, other) != (ask.begun, ask.other):
             hold_s = self._hold_s(pool, now)
@@ -176,6 +207,27 @@
         hold_s = min(MAX_HOLD_S, max(MIN_HOLD_S, turn_s))
         return self.rng.uniform(0.5, 1.0) * hold_s
 
+    def take_summaries(self, now: float) -> list[RetryGrants]:
+        """Return what was granted for each service that entries ask for."""
+        summaries = []
+        for service, pool in self.pools.items():
+            recent = [a for a in pool.asked_at.values() if now - a < SUMMARY_S]
+            if not recent or self.home(service) != self.address:
+                continue
+            pool.expire(now)
+            summaries.append(
+                RetryGrants(
+                    service,
+                    pool.total,
+                    round(pool.size, 1),
+                    self._is_complete(service, pool, now),
+                    len(recent),
+                    dict(pool.by_entry.most_common(NAMED_ENTRIES)),
+                )
+            )
+            pool.by_entry.clear()
+        return summaries
+
     # Copies, for the loss of this process or of another home
 
     def receive(self, copy: messages.RetryPoolCopy, now: float) -> None:
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -156,6 +156,17 @@
     assert total(homes[first].grant(ask(300, 0), 3.1)) == 100
 
 
+def test_summaries_name_the_entries_that_were_granted_most():
+    home = make_home(home_first('n0', 'n1')[0])
+    for entry, count in (('e1', 3), ('e2', 7)):
+        home.grant(ask(count, entry=entry), 1.0)
+    (summary,) = home.take_summaries(2.0)
+    assert (summary.granted, summary.pool, summary.entries) == (10, 400.0, 2)
+    assert summary.most == {'e2': 7, 'e1': 3}
+    assert home.take_summaries(2.0)[0].most == {}
+    assert home.take_summaries(60.0) == []
+
+
 def test_a_process_that_is_not_the_home_grants_nothing():
     # Guards against two homes while entries know different lists.
     assert total(make_home(home_first('n0', 'n1')[1]).grant(ask(1, 1), 0)) == 0
