Retries: only rejections count towards a lower priority

A stream whose engines were all lost counted each of them as a retry, so that after as many as its route has attempts it lost access to the shared part of the budget. The new test failed before: refused after three dead engines.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -60,7 +60,7 @@
         self.job = job
         self.tried: set[str] = set()
         self.attempts = 0
-        self.retries = 0
+        self.rejections = 0
         self.retry_pause_s = RETRY_PAUSE_S
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
@@ -143,6 +143,7 @@
             self.attempts += 1
         if self.attempts >= self.job.route.max_attempts:
             return False
+        self.rejections += last.rejected
         if last.rejected and self._all_reject():
             self.context.metrics.count('requests.refused_by_all')
             return False
@@ -152,8 +153,7 @@
             self.tried.clear()
         if self._remaining_s() < MIN_REMAINING_S:
             return False
-        priority = _retries.priority(self.job, self.retries)
-        self.retries += 1
+        priority = _retries.priority(self.job, self.rejections)
         return await _retries.take(self.context, self.job, priority)
 
     def _all_reject(self) -> bool:
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -18,19 +18,19 @@
 
 
 def priority(
-    job: _context.Job, retries: int, *, begun: bool = False
+    job: _context.Job, rejections: int, *, begun: bool = False
 ) -> decisions.RetryPriority:
     """Return what the next retry of a request is worth.
 
     A request that was often rejected must not spend what many others need for
     their first retry.
 
-    :param retries: how often it was retried before.
+    :param rejections: how many servers refused to run it.
     :param begun: the caller has received some events.
     """
     if begun:
         return decisions.RetryPriority.BEGUN
-    if retries + 1 < job.route.max_attempts:
+    if rejections < job.route.max_attempts:
         return decisions.RetryPriority.OTHER_SERVER
     return decisions.RetryPriority.FURTHER
 
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -33,6 +33,11 @@
         """Whether the engine was lost while it had the request."""
         return self.sent and self.unreachable
 
+    @property
+    def rejected(self) -> bool:
+        """Whether the engine refused to run the request."""
+        return not (self.sent or self.unreachable)
+
 
 def from_send_error(error: errors.BackendError) -> StreamLostError:
     """Return the loss of a stream whose request could not be sent."""
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -55,7 +55,7 @@
         self.last_event_id = job.call.last_event_id
         self.engines = _enginechooser.EngineChooser(context, job)
         self.lost_runs = 0
-        self.retries = 0
+        self.rejections = 0
         self.retry_pause_s = RETRY_PAUSE_S
         self.may_have_run = False
         self.ticket = ''
@@ -270,10 +270,10 @@
             self.engines.tried.clear()
         if self.remaining_s() < MIN_REMAINING_S:
             return False
+        self.rejections += lost.rejected
         priority = _retries.priority(
-            self.job, self.retries, begun=self.caller_stream.headers_sent
+            self.job, self.rejections, begun=self.caller_stream.headers_sent
         )
-        self.retries += 1
         return await _retries.take(self.context, self.job, priority)
 
     async def _wait_for_connection(self) -> bool:
--- a/tests/forwarding/test_rejections.py
+++ b/tests/forwarding/test_rejections.py
@@ -117,3 +117,15 @@
     reply = await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
     assert reply.status == 200
     assert context.budget.usage('engines', context.clock()).granted == 1
+
+
+async def test_streams_that_meet_dead_engines_keep_their_priority(
+    client, context
+):
+    # Guards against streams given up while the data centre's engines are lost.
+    context.budget.update_entries(20, context.clock())
+    context = attrs.evolve(context, retry_pool=OpenPool())
+    client.scripts = [fakes.Script(error='connect') for _ in range(3)]
+    client.scripts.append(fakes.Script(events=(1, 2)))
+    caller, _ = await fakes.run_stream(context, attempts=2)
+    assert len(client.attempts) == 4
