Retries: streams that have begun aren't held with other requests

As the home had nothing left for other requests, the entry asked for no retry of the service for up to 2 s, also not for streams whose callers have events, which a part of the pool is kept for. The new test failed before. A stream that waits also looks at its entry's own share again.

--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -41,13 +41,37 @@
     priority: decisions.RetryPriority,
 ) -> bool:
     """Return whether a request may be sent once more, and count it if so."""
-    if context.budget.take(job.service, context.clock(), priority):
-        context.metrics.count(f'retries.own.{job.service}')
-        return True
-    if await _take_from_pool(context, job, priority):
-        context.budget.count_granted(job.service, context.clock())
-        context.metrics.count(f'retries.granted.{job.service}')
+    give_up_at = min(job.deadline, context.clock() + MAX_BEGUN_WAIT_S)
+    while not await _take_now(context, job.service, priority):
+        is_begun = priority is decisions.RetryPriority.BEGUN
+        if not is_begun or context.clock() + BEGUN_PAUSE_S > give_up_at:
+            _log_refusal(context, job, priority)
+            return False
+        await asyncio.sleep(BEGUN_PAUSE_S)
+    return True
+
+
+async def _take_now(
+    context: _context.ForwardingContext,
+    service: str,
+    priority: decisions.RetryPriority,
+) -> bool:
+    if context.budget.take(service, context.clock(), priority):
+        context.metrics.count(f'retries.own.{service}')
         return True
+    is_further = priority is decisions.RetryPriority.FURTHER
+    if is_further or not await context.retry_pool.take(service, priority):
+        return False
+    context.budget.count_granted(service, context.clock())
+    context.metrics.count(f'retries.granted.{service}')
+    return True
+
+
+def _log_refusal(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    priority: decisions.RetryPriority,
+) -> None:
     context.metrics.count('repeats.refused')
     usage = context.budget.usage(job.service, context.clock())
     _context.log(
@@ -57,23 +81,6 @@
         priority=priority.name.lower(),
         **attrs.asdict(usage),
     )
-    return False
-
-
-async def _take_from_pool(
-    context: _context.ForwardingContext,
-    job: _context.Job,
-    priority: decisions.RetryPriority,
-) -> bool:
-    if priority is decisions.RetryPriority.FURTHER:
-        return False
-    give_up_at = min(job.deadline, context.clock() + MAX_BEGUN_WAIT_S)
-    while not await context.retry_pool.take(job.service, priority):
-        is_begun = priority is decisions.RetryPriority.BEGUN
-        if not is_begun or context.clock() + BEGUN_PAUSE_S > give_up_at:
-            return False
-        await asyncio.sleep(BEGUN_PAUSE_S)
-    return True
 
 
 class RetryGauges:
--- a/src/bulrushhold/forwarding/_retrypool.py
+++ b/src/bulrushhold/forwarding/_retrypool.py
@@ -40,16 +40,35 @@
         return False
 
 
+@attrs.define
+class _Counts:
+    """Numbers of retries, of streams that have begun and of others."""
+
+    begun: int = 0
+    other: int = 0
+
+    def change(self, priority: decisions.RetryPriority, by: int) -> None:
+        """Add to the number that a priority counts in."""
+        if priority is decisions.RetryPriority.BEGUN:
+            self.begun += by
+        else:
+            self.other += by
+
+    def of(self, priority: decisions.RetryPriority) -> int:
+        """Return the number that a priority counts in."""
+        is_begun = priority is decisions.RetryPriority.BEGUN
+        return self.begun if is_begun else self.other
+
+
 @attrs.define
 class _Batch:
     """Retries of one service that wait for the next ask.
 
-    :param asked: resolves to the home's grant.
+    :param asked: resolves to what is left of the home's grant.
     """
 
-    begun: int = 0
-    other: int = 0
-    asked: 'asyncio.Task[list[int]] | None' = None
+    wanted: _Counts = attrs.field(factory=_Counts)
+    asked: 'asyncio.Task[_Counts] | None' = None
 
 
 class ControlRetryPool(RetryPool):
@@ -77,49 +96,61 @@
         self.clock = clock
         self.batches: dict[str, _Batch] = {}
         self.locks: dict[str, asyncio.Lock] = {}
-        self.held_until: dict[str, float] = {}
+        self.begun_held_until: dict[str, float] = {}
+        self.other_held_until: dict[str, float] = {}
         self.failed_at: dict[str, float] = {}
 
     async def take(
         self, service: str, priority: decisions.RetryPriority
     ) -> bool:
         """Ask for a retry; see :meth:`RetryPool.take`."""
-        if self.clock() < self.held_until.get(service, float('-inf')):
+        if self._is_held(service, priority):
             return False
         batch = self.batches.setdefault(service, _Batch())
         if batch.asked is None:
             batch.asked = asyncio.ensure_future(self._ask(service, batch))
-        kind = int(priority is not decisions.RetryPriority.BEGUN)
-        if kind:
-            batch.other += 1
-        else:
-            batch.begun += 1
+        batch.wanted.change(priority, 1)
         # Others of the batch wait for the same ask.
         granted = await asyncio.shield(batch.asked)
-        if not granted[kind]:
+        if not granted.of(priority):
             return False
-        granted[kind] -= 1
+        granted.change(priority, -1)
         return True
 
-    async def _ask(self, service: str, batch: _Batch) -> list[int]:
+    def _is_held(
+        self, service: str, priority: decisions.RetryPriority
+    ) -> bool:
+        is_begun = priority is decisions.RetryPriority.BEGUN
+        held = self.begun_held_until if is_begun else self.other_held_until
+        return self.clock() < held.get(service, float('-inf'))
+
+    async def _ask(self, service: str, batch: _Batch) -> _Counts:
         """Return the grants that the requests of a batch may take."""
         async with self.locks.setdefault(service, asyncio.Lock()):
             # Requests that retry in the same moment join the batch.
             await asyncio.sleep(0)
             del self.batches[service]
+            wanted = batch.wanted
+            # The ask before may have met an empty pool.
+            if self._is_held(service, decisions.RetryPriority.OTHER_SERVER):
+                wanted.other = 0
+            if self._is_held(service, decisions.RetryPriority.BEGUN):
+                wanted.begun = 0
+            if not (wanted.begun or wanted.other):
+                return _Counts()
+            asked_at = self.clock()
+            grant = await self._request(service, wanted, asked_at)
             now = self.clock()
-            if now < self.held_until.get(service, float('-inf')):
-                return [0, 0]
-            grant = await self._request(service, batch, now)
-        late = self.clock() - now > decisions.GRANT_TTL_S
-        if grant is None or late:
-            return [0, 0]
-        if grant.hold_s:
-            self.held_until[service] = self.clock() + grant.hold_s
-        return [grant.begun, grant.other]
+            if grant is None or now - asked_at > decisions.GRANT_TTL_S:
+                return _Counts()
+            if grant.begun < wanted.begun:
+                self.begun_held_until[service] = now + grant.hold_s
+            if grant.other < wanted.other:
+                self.other_held_until[service] = now + grant.hold_s
+            return _Counts(grant.begun, grant.other)
 
     async def _request(
-        self, service: str, batch: _Batch, now: float
+        self, service: str, wanted: _Counts, now: float
     ) -> messages.RetryGrant | None:
         home = decisions.home_address(service, self.nodes())
         failed_s = now - self.failed_at.get(home, float('-inf'))
@@ -128,8 +159,8 @@
         ask = messages.RetryAsk(
             service,
             self.entry,
-            batch.begun,
-            batch.other,
+            wanted.begun,
+            wanted.other,
             self.budget.allowed(service, now),
             self.budget.window_s,
         )
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -278,6 +278,16 @@
     assert len(transport.asks) == 1
 
 
+async def test_streams_that_have_begun_are_not_held_with_other_requests():
+    # Guards against streams lost while others have used up their part.
+    transport = FakeTransport()
+    transport.free = 0
+    pool = make_pool(transport)
+    assert await take_many(pool, 1, decisions.RetryPriority.OTHER_SERVER) == 0
+    transport.free = 1
+    assert await take_many(pool, 1, decisions.RetryPriority.BEGUN) == 1
+
+
 @pytest.mark.parametrize('late', [False, True])
 async def test_without_a_grant_in_time_nothing_is_taken(late):
     # Guards against grants that the home no longer counts, and long waits.
