--- a/src/bulrushhold/decisions/_rejections.py
+++ b/src/bulrushhold/decisions/_rejections.py
@@ -9,8 +9,8 @@
 
 # A server may have room again after this time.
 REJECTION_TTL_S: t.Final = 0.5
-# A server that rejects for less than this, or fewer requests in a row, may just
-# be full for a moment.
+# A server that rejects for less than this, or fewer requests in a row, may
+# just be full for a moment.
 MIN_REJECTING_S: t.Final = 0.1
 MIN_REJECTIONS: t.Final = 3
 
