--- a/src/bulrushhold/decisions/_rejections.py
+++ b/src/bulrushhold/decisions/_rejections.py
@@ -9,8 +9,10 @@
 
 # A server may have room again after this time.
 REJECTION_TTL_S: t.Final = 0.5
-# A server that rejects for less than this may just be full for a moment.
+# A server that rejects for less than this, or fewer requests in a row, may just
+# be full for a moment.
 MIN_REJECTING_S: t.Final = 0.1
+MIN_REJECTIONS: t.Final = 3
 
 
 @attrs.define
@@ -19,10 +21,12 @@
 
     :param since: the first rejection since it ran a request.
     :param last_at: the last rejection.
+    :param count: number of rejections in a row.
     """
 
     since: float
     last_at: float
+    count: int = 0
 
 
 class Rejections:
@@ -37,6 +41,7 @@
         if server is None or now - server.last_at > REJECTION_TTL_S:
             server = self.rejecting[ident] = _Rejecting(now, now)
         server.last_at = now
+        server.count += 1
 
     def record_accepted(self, ident: str) -> None:
         """Record that a server ran a request."""
@@ -67,4 +72,5 @@
             server is not None
             and now - server.last_at <= REJECTION_TTL_S
             and now - server.since >= MIN_REJECTING_S
+            and server.count >= MIN_REJECTIONS
         )
