--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -274,16 +274,19 @@
         entries: int | None = None,
         kind: routes.Kind = routes.Kind.ONCE,
         timeout_s: float = 3.0,
+        exchange_loads: bool = False,
     ) -> list[PlainOutcome]:
         """Send requests and return their outcomes, in order of their ends.
 
         :param entries: number of entries that receive requests; all if
             ``None``.
+        :param exchange_loads: whether entries exchange unchanged loads, too.
         """
         targets = self.entries[:entries]
         exchanges = [
             asyncio.ensure_future(entry.exchange_loads())
             for entry in self.entries
+            if exchange_loads
         ]
         ends_at = _workload.emulated_now() + duration_s
         outcomes: list[PlainOutcome] = []
--- a/tests/emulator/test_retry_budget.py
+++ b/tests/emulator/test_retry_budget.py
@@ -44,7 +44,10 @@
                         start_s + 3.0, setattr, server, 'rejecting', False
                     )
         outcomes = await system.simulate(
-            load * CAPACITY_PER_S, DURATION_S, kind=routes.Kind.IDEMPOTENT
+            load * CAPACITY_PER_S,
+            DURATION_S,
+            kind=routes.Kind.IDEMPOTENT,
+            exchange_loads=True,
         )
         return system, outcomes
 
