--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -19,7 +19,8 @@
 MAX_LOAD_FACTOR: t.Final = 1.25
 # Above this share of its slots, an engine counts as full.
 FULL_SLOTS_FRACTION: t.Final = 0.85
-# Above this sum, the request counts of prompt buckets are halved.
+# Request counts of prompt buckets are halved above this sum, so that unused
+# prompts lose their weight.
 MAX_COUNT_TOTAL: t.Final = 2000.0
 MIN_COUNT_TOTAL: t.Final = 50.0
 REPORT_HALF_LIFE_S: t.Final = 1.0
--- a/src/bulrushhold/decisions/_versionrules.py
+++ b/src/bulrushhold/decisions/_versionrules.py
@@ -9,7 +9,7 @@
 from bulrushhold.decisions import _backendserver
 from bulrushhold.decisions import _rendezvous
 
-# More than one, so that a faulty engine can be told from a bad version.
+# More than one, so that a faulty engine is distinguished from a bad version.
 MIN_CANARY_ENGINES: t.Final = 2
 
 
