Retry home: a system that starts for the first time grants at once

As the settings say that the whole system starts for the first time, with empty disks, nothing can have been granted before. The new test failed before: nothing was granted.

--- a/src/bulrushhold/composition/_relay.py
+++ b/src/bulrushhold/composition/_relay.py
@@ -23,6 +23,7 @@
         change the list in place.
     :param bootstraps: whether it selects the replica that bootstraps the
         log.
+    :param first_start: whether the whole system starts for the first time.
     :param link_mbps: network bandwidth of its instance.
     """
 
@@ -33,6 +34,7 @@
         contacts: list[str],
         *,
         bootstraps: bool,
+        first_start: bool = False,
         link_mbps: float = 0.0,
     ) -> None:
         from bulrushhold import control
@@ -44,7 +46,9 @@
         self.relay = control.Relay(
             self.transport, peer, contacts, bootstraps=bootstraps
         )
-        self.fleet = control.FleetRelay(self.relay, data_centre, link_mbps)
+        self.fleet = control.FleetRelay(
+            self.relay, data_centre, link_mbps, first_start=first_start
+        )
         self.leader_client = self.relay.leader_client
 
     async def run(
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -82,6 +82,7 @@
             self.view,
             self._has_leader_contact,
             server.clock,
+            first_start=server.config.founds,
         )
         self.scheduling = _scheduling.SchedulingServer(
             server.transport,
@@ -119,10 +120,18 @@
 
 
 class FleetRelay:
-    """Cluster view and load reports, served by a relay without a replica."""
+    """Cluster view and load reports, served by a relay without a replica.
+
+    :param first_start: whether the whole system starts for the first time.
+    """
 
     def __init__(
-        self, relay: _relay.Relay, data_centre: str, link_mbps: float = 0.0
+        self,
+        relay: _relay.Relay,
+        data_centre: str,
+        link_mbps: float = 0.0,
+        *,
+        first_start: bool = False,
     ) -> None:
         local_node = messages.ControlNode(
             relay.peer,
@@ -157,6 +166,7 @@
             self.view,
             lambda: self.follower.has_leader_contact,
             relay.clock,
+            first_start=first_start,
         )
         self.scheduling = _scheduling.SchedulingServer(
             relay.transport,
--- a/src/bulrushhold/control/_retries.py
+++ b/src/bulrushhold/control/_retries.py
@@ -26,6 +26,7 @@
 
     :param local_address: of this process.
     :param has_leader_contact: returns whether the view is current.
+    :param first_start: whether the whole system starts for the first time.
     """
 
     def __init__(
@@ -35,13 +36,18 @@
         view: _clusterview.ClusterView,
         has_leader_contact: cabc.Callable[[], bool],
         clock: cabc.Callable[[], float],
+        *,
+        first_start: bool,
     ) -> None:
         self.transport = transport
         self.view = view
         self.has_leader_contact = has_leader_contact
         self.clock = clock
         self.home = decisions.RetryHome(
-            local_address, random.Random(), clock()
+            local_address,
+            random.Random(),
+            clock(),
+            first_start=first_start,
         )
         self.nodes: list[tuple[str, bool]] = []
         self.contact_at = clock()
--- a/src/bulrushhold/decisions/_retryhome.py
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -124,12 +124,22 @@
 
     :param address: of this process.
     :param now: time of its start.
+    :param first_start: the whole system starts for the first time, so that
+        nothing can have been granted before.
     """
 
-    def __init__(self, address: str, rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        rng: random.Random,
+        now: float,
+        *,
+        first_start: bool = False,
+    ) -> None:
         self.address = address
         self.rng = rng
         self.pools: dict[str, _Pool] = {}
+        self.initially_complete_at = now if first_start else float('-inf')
         # Lists of control processes, and since when each was known.
         self.node_lists: collections.deque[
             tuple[float, list[messages.ControlNode]]
@@ -199,7 +209,9 @@
         return messages.RetryGrant(begun, other, hold_s)
 
     def _pool(self, service: str) -> _Pool:
-        return self.pools.setdefault(service, _Pool())
+        if service not in self.pools:
+            self.pools[service] = _Pool(complete_at=self.initially_complete_at)
+        return self.pools[service]
 
     def _hold_s(self, pool: _Pool, now: float) -> float:
         """Return a random time after which an entry should ask again."""
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -119,6 +119,17 @@
     assert total(home.grant(ask(5, 5), 10.5)) == 10
 
 
+def test_the_home_of_a_new_system_grants_at_once():
+    # Guards against streams given up in the first window of a system.
+    first, second = home_first('n0', 'n1')
+    for address, nodes in ((first, (first, second)), (second, (second,))):
+        home = decisions.RetryHome(
+            address, random.Random(1), 0.0, first_start=True
+        )
+        home.update_nodes(make_nodes(*nodes), 0.5)
+        assert total(home.grant(ask(5, 5), 1.6)) == 10
+
+
 def copy_all(source, targets, now):
     for address, copy in source.copies([SERVICE], now):
         if address in targets:
