--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -18,11 +18,13 @@
     """A request that reached an engine.
 
     :param segment: last segment of its prompt.
+    :param request: id of the caller's request.
     """
 
     at: float
     segment: str
     engine: str
+    request: str
 
 
 class _Response(calls.BackendResponse):
@@ -80,7 +82,12 @@
         await self._connect(engine, 'connect')
         assert call.prompt is not None
         self.arrivals.append(
-            Arrival(engine.now, call.prompt.segments[-1], engine.ident)
+            Arrival(
+                engine.now,
+                call.prompt.segments[-1],
+                engine.ident,
+                call.ident,
+            )
         )
         if engine.ident != attempt.instance:
             return _refusal(engine, 421)
--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -41,7 +41,9 @@
     :param backoff_s: if set, it turns requests away with this demand.
     :param slots: requests that it runs at once; ``None`` for any number.
     :param queue: requests that wait for a slot; others are rejected.
-    :param rejecting: whether it rejects all requests.
+    :param fault: ``reject`` (all requests), ``fail`` (responds with status
+        500), ``break`` (closes the connection instead of a response) or
+        ``''``.
     :param held: requests that run or wait.
     :param arrivals: all requests that it received.
     :param backoffs: each demand, with entry, begin and end.
@@ -59,7 +61,7 @@
     backoff_s: float | None = None
     slots: int | None = None
     queue: int = 0
-    rejecting: bool = False
+    fault: str = ''
     held: int = 0
     free: asyncio.Semaphore = attrs.field(init=False)
     backoffs: list[tuple[str, float, float]] = attrs.field(factory=list)
@@ -75,7 +77,7 @@
         is_full = (
             self.slots is not None and self.held >= self.slots + self.queue
         )
-        return self.rejecting or is_full
+        return self.fault == 'reject' or is_full
 
     async def work(self) -> None:
         """Run one request, in a slot if their number is limited."""
@@ -173,6 +175,11 @@
         )
         if server.backoff_s is not None:
             return await self._turn_away(server, server.backoff_s)
+        if server.fault == 'break':
+            raise errors.BackendError('reset', 'answer', server.address)
+        if server.fault == 'fail':
+            await asyncio.sleep(ONE_WAY_DELAY_S)
+            return _Response(calls.ResponseHead(500, (), True, True, False))
         if server.rejects:
             await asyncio.sleep(ONE_WAY_DELAY_S)
             return _Response(calls.ResponseHead(503, (), True, True, True))
@@ -305,22 +312,6 @@
             exchange.cancel()
         return outcomes
 
-    @property
-    def repeats(self) -> list[float]:
-        """When requests reached a server once more, in order."""
-        arrivals = sorted(
-            (arrival.at, arrival.request)
-            for server in self.servers
-            for arrival in server.arrivals
-        )
-        seen: set[str] = set()
-        repeats = []
-        for at, request in arrivals:
-            if request in seen:
-                repeats.append(at)
-            seen.add(request)
-        return repeats
-
     async def _send(
         self,
         entry: t.Any,
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -249,7 +249,10 @@
 
 
 class System(EntryGroup):
-    """Engines in three data centres and the entries that forward to them."""
+    """Engines in three data centres and the entries that forward to them.
+
+    :ivar sent_at: when callers sent requests, in order.
+    """
 
     def __init__(
         self,
@@ -266,6 +269,7 @@
                 address, data_centre, profile, seed
             )
         self.lengths: dict[str, int] = {}
+        self.sent_at: list[float] = []
         self.client = _client.EmulatedClient(self.engines, self.lengths)
         self.add_entries(entries, lambda name: self.client)
         self.outcomes: list[_workload.Outcome] = []
@@ -389,6 +393,7 @@
         )
         now = _workload.emulated_now()
         job = _workload.make_job(workload, ident, prompt, now, remaining_s)
+        self.sent_at.append(now)
         entry.budget.count_request(_workload.SERVICE, now)
         stream_task = asyncio.ensure_future(
             entry.forward(job, _workload.Caller(outcome))
