--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -248,7 +248,7 @@
         self.role = decisions.Role.LEADER
         self.term = 1
         self.config = types.SimpleNamespace(
-            voters={'a': '10.0.0.1:1'}, peer='10.0.0.1:1'
+            voters={'a': '10.0.0.1:1'}, peer='10.0.0.1:1', founds=False
         )
         self.lease = True
         self.handlers = {}
