Retry budget: shares of less than one retry aren't lost

Cause: half of the budget is the entries' own, rounded down to whole retries. With many entries each share is less than one, so that none of this half can be used, and the pool of the home is two fifths of the budget.

A share of less than one retry is rounded up at as many entries as all such shares allow together: each adds a random number. Parts of the allowance of less than one retry are in the pool instead, once no entry has had one of its own for a window. Of numbers of entries, the one in force as the window began counts, too: an entry that was cut off for longer took the shortest list for all it knew.

--- a/src/bulrushhold/decisions/_retryhome.py
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -15,9 +15,6 @@
 from bulrushhold.decisions import _homes
 from bulrushhold import messages
 
-# Share of a budget that the home grants. With the shares that entries have
-# without asking, the rest is for retries that reach servers late.
-POOL_SHARE: t.Final = 0.4
 # Share of the pool for requests without events: they are refused as not run,
 # while a stream that has begun would lose what its caller received.
 OTHER_SHARE: t.Final = 0.8
@@ -197,7 +194,7 @@
         pool.expire(now)
         if not self._is_complete(ask.service, pool, now):
             return messages.RetryGrant(0, 0, self._hold_s(pool, now))
-        size = pool.size = POOL_SHARE * ask.budget
+        size = pool.size = ask.pool
         begun = _part(ask.begun, size - pool.total)
         other = _part(ask.other, OTHER_SHARE * size - pool.total - begun)
         if begun or other:
--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -2,23 +2,29 @@
 
 While backend servers fail, retries add to the load of the remaining ones.
 Each entry may always use its own share: a part of what its own requests and an
-equal part of a fixed allowance permit. The other part is granted by the home
-of the service (:mod:`_retryhome`), so that retries go where they are needed:
-with many entries the own shares are too small for the loss of a data centre.
-The two parts never overlap, so that their sum stays within the budget whatever
-an entry knows of the others.
+equal part of a fixed allowance permit. The other part, the pool, is granted by
+the home of the service (:mod:`_retryhome`), so that retries go where they are
+needed: with many entries the own shares are too small for the loss of a data
+centre. The two parts never overlap, so that their sum stays within the budget
+whatever an entry knows of the others.
 """
 
 import collections
 import enum
+import random
 import typing as t
 
 import attrs
 
 from bulrushhold import messages
 
-# Share of the budget that entries have without asking.
+# Shares of the budget that entries have without asking, and that homes grant.
+# The rest is for retries that reach servers late.
 OWN_SHARE: t.Final = 0.5
+POOL_SHARE: t.Final = 0.4
+# If entries' parts of the allowance are smaller, they are in the pool instead:
+# most entries that need a retry couldn't use their part.
+MIN_OWN_ALLOWANCE: t.Final = 1.0
 # Share of that for requests that were retried often before.
 FURTHER_SHARE: t.Final = 0.5
 LOAD_REPORT_TTL_S: t.Final = 2.0
@@ -82,6 +88,9 @@
     :param window_s: length of the window in seconds.
     :param started_at: when this entry started. Until a window has passed, it
         has no part of the allowance, which it may have spent before.
+    :ivar rounding: added to a share of less than one retry. It is random, so
+        that of many entries with such shares as many may retry as all these
+        shares allow together.
     """
 
     def __init__(
@@ -95,6 +104,7 @@
         self.allowance = allowance
         self.window_s = window_s
         self.entries = 1
+        self.rounding = random.random()
         self.clear(started_at)
 
     def clear(self, now: float) -> None:
@@ -112,15 +122,13 @@
         """Replace the number of entries; those that left have had a share."""
         self.entries = count
         self.listed.append((now, count))
-        while now - self.listed[0][0] > self.window_s:
-            self.listed.popleft()
 
-    def recent_entries(self, now: float) -> int:
-        """Return the most entries listed within the window, at least 1."""
-        counts = (
-            count for at, count in self.listed if now - at <= self.window_s
-        )
-        return max(1, self.entries, *counts)
+    def _recent_counts(self, now: float) -> list[int]:
+        """Return the numbers of entries that were listed in the window."""
+        # The first one was listed until the second came.
+        while len(self.listed) > 1 and now - self.listed[1][0] > self.window_s:
+            self.listed.popleft()
+        return [max(1, self.entries), *(count for _, count in self.listed)]
 
     def apply_loads(
         self, traffic: dict[str, messages.ServiceTraffic], now: float
@@ -148,6 +156,8 @@
         share = self._own_share(service, now)
         if priority is RetryPriority.FURTHER:
             share *= FURTHER_SHARE
+        if share < 1.0:
+            share += self.rounding
         if self.own_retries.count(service, now) + 1 > share:
             return False
         self.own_retries.add(service, now)
@@ -155,10 +165,28 @@
 
     def _own_share(self, service: str, now: float) -> float:
         requests = self.requests.count(service, now)
-        allowance = 0.0
-        if now - self.started_at > self.window_s:
-            allowance = self.allowance / self.recent_entries(now)
-        return OWN_SHARE * (self.ratio * requests + allowance)
+        share = OWN_SHARE * self.ratio * requests
+        allowance = OWN_SHARE * self.allowance / max(self._recent_counts(now))
+        if self._is_settled(now) and allowance >= MIN_OWN_ALLOWANCE:
+            share += allowance
+        return share
+
+    def _is_settled(self, now: float) -> bool:
+        """Whether this entry has known the list of entries for a window."""
+        return now - self.started_at > self.window_s
+
+    def pool(self, service: str, now: float) -> float:
+        """Return the retries that the home may grant within the window.
+
+        Parts of the allowance are in it once no entry has had one of its own
+        for a window.
+        """
+        pool = POOL_SHARE * self.allowed(service, now)
+        fewest = min(self._recent_counts(now))
+        part = OWN_SHARE * self.allowance / fewest
+        if self._is_settled(now) and part < MIN_OWN_ALLOWANCE:
+            pool += OWN_SHARE * self.allowance
+        return pool
 
     def allowed(self, service: str, now: float) -> float:
         """Return the retries that all entries may make within the window.
--- a/src/bulrushhold/forwarding/_retrypool.py
+++ b/src/bulrushhold/forwarding/_retrypool.py
@@ -161,7 +161,7 @@
             self.entry,
             wanted.begun,
             wanted.other,
-            self.budget.allowed(service, now),
+            self.budget.pool(service, now),
             self.budget.window_s,
         )
         try:
--- a/src/bulrushhold/messages/_retries.py
+++ b/src/bulrushhold/messages/_retries.py
@@ -9,7 +9,7 @@
 
     :param begun: retries of streams of which callers have received events.
     :param other: retries of other requests.
-    :param budget: retries that all entries may make within the window.
+    :param pool: retries that the home may grant within the window.
     :param window_s: length of the window in seconds.
     """
 
@@ -17,7 +17,7 @@
     entry: str
     begun: int
     other: int
-    budget: float
+    pool: float
     window_s: float
 
 
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -17,29 +17,20 @@
 
 def share_loads(budgets, now):
     """Tell each entry what all others have used, without any delay."""
-    for budget in budgets:
-        others = [
-            other.traffic(now).get(SERVICE, messages.ServiceTraffic(0, 0))
-            for other in budgets
-            if other is not budget
-        ]
-        total = messages.ServiceTraffic(
-            sum(o.firsts for o in others), sum(o.repeats for o in others)
+    traffic = [budget.traffic(now)[SERVICE] for budget in budgets]
+    firsts = sum(own.firsts for own in traffic)
+    repeats = sum(own.repeats for own in traffic)
+    for budget, own in zip(budgets, traffic, strict=True):
+        others = messages.ServiceTraffic(
+            firsts - own.firsts, repeats - own.repeats
         )
-        budget.apply_loads({SERVICE: total}, now)
+        budget.apply_loads({SERVICE: others}, now)
 
 
 @pytest.mark.parametrize('entries', [9, 30, 300])
 def test_what_one_entry_has_borrowed_is_not_spent_again(entries):
     # Guards against entries that use their own share after others did.
-    budgets = [
-        decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
-        for _ in range(entries)
-    ]
-    for budget in budgets:
-        budget.entries = entries
-        for _ in range(2):
-            budget.count_request(SERVICE, 0.0)
+    budgets = make_budgets(entries, requests=2)
     allowed = RATIO * 2 * entries + ALLOWANCE
     taken = 0
     for budget in budgets:
@@ -48,6 +39,20 @@
     assert taken <= allowed
 
 
+def make_budgets(entries, *, requests=0):
+    """Return the budgets of entries that got some requests at second 0."""
+    random.seed(1)
+    budgets = [
+        decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+        for _ in range(entries)
+    ]
+    for budget in budgets:
+        budget.update_entries(entries, 0.0)
+        for _ in range(requests):
+            budget.count_request(SERVICE, 0.0)
+    return budgets
+
+
 def make_home(address='n0', started_at=float('-inf'), nodes=('n0', 'n1')):
     home = decisions.RetryHome(address, random.Random(1), started_at)
     home.update_nodes(make_nodes(*nodes), started_at)
@@ -66,8 +71,8 @@
     return [first, second]
 
 
-def ask(begun=0, other=0, budget=1000.0, entry='e1'):
-    return messages.RetryAsk(SERVICE, entry, begun, other, budget, WINDOW_S)
+def ask(begun=0, other=0, pool=400.0, entry='e1'):
+    return messages.RetryAsk(SERVICE, entry, begun, other, pool, WINDOW_S)
 
 
 def total(grant):
@@ -78,21 +83,14 @@
 def test_shares_and_grants_stay_within_the_budget(entries):
     # Guards against grants that overlap with what entries have anyway.
     home = make_home(home_first('n0', 'n1')[0])
-    budgets = [
-        decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
-        for _ in range(entries)
-    ]
-    for budget in budgets:
-        budget.entries = entries
-        for _ in range(2):
-            budget.count_request(SERVICE, 0.0)
+    budgets = make_budgets(entries, requests=2)
     share_loads(budgets, 1.0)
     allowed = RATIO * 2 * entries + ALLOWANCE
     taken = 0
     for number, budget in enumerate(budgets):
-        known = budget.allowed(SERVICE, 1.0)
-        assert known == pytest.approx(allowed)
-        question = ask(20, 20, known, f'e{number}')
+        assert budget.allowed(SERVICE, 1.0) == pytest.approx(allowed)
+        pool = budget.pool(SERVICE, 1.0)
+        question = ask(20, 20, pool, f'e{number}')
         taken += total(home.grant(question, 1.0))
         taken += sum(budget.take(SERVICE, 1.0) for _ in range(300))
     assert 0.8 * allowed <= taken <= allowed
@@ -101,13 +99,13 @@
 def test_an_entry_may_use_retries_that_others_leave_unused():
     # Guards against refused retries while most of the budget is unused.
     home = make_home(home_first('n0', 'n1')[0])
-    assert home.grant(ask(other=8, budget=370.0), 0.0).other == 8
-    grant = home.grant(ask(other=200, budget=370.0, entry='e2'), 0.1)
-    assert total(grant) == 110  # 0.8 of 0.4 of the budget in all.
+    assert home.grant(ask(other=8, pool=148.0), 0.0).other == 8
+    grant = home.grant(ask(other=200, pool=148.0, entry='e2'), 0.1)
+    assert total(grant) == 110  # 0.8 of the pool in all.
     assert grant.hold_s > 0
-    assert home.grant(ask(begun=200, budget=370.0), 0.2).begun == 30
-    assert total(home.grant(ask(1, 1, 370.0), 9.9)) == 0
-    assert total(home.grant(ask(1, 1, 370.0), 10.9)) == 2
+    assert home.grant(ask(begun=200, pool=148.0), 0.2).begun == 30
+    assert total(home.grant(ask(1, 1, 148.0), 9.9)) == 0
+    assert total(home.grant(ask(1, 1, 148.0), 10.9)) == 2
 
 
 def test_a_home_that_has_just_started_grants_nothing_for_a_window():
@@ -218,6 +216,43 @@
     assert sum(budget.take(SERVICE, 11.1) for _ in range(20)) == 14
 
 
+def test_an_entry_cut_off_for_long_knows_what_was_listed_before():
+    # Guards against shares that grow as an entry is in touch again.
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget.update_entries(75, 0.0)
+    budget.update_entries(5, 30.0)
+    assert sum(budget.take(SERVICE, 31.0) for _ in range(20)) == 1
+
+
+def test_shares_of_less_than_one_retry_are_not_lost():
+    # Guards against streams given up while most of the budget is unused.
+    budgets = make_budgets(300, requests=1)
+    own = sum(budget.take(SERVICE, 1.0) for budget in budgets)
+    assert own == pytest.approx(0.5 * RATIO * 300, rel=0.25)
+    assert not any(budget.take(SERVICE, 1.0) for budget in budgets)
+
+
+@pytest.mark.parametrize('entries', [75, 76])
+def test_small_parts_of_the_allowance_are_granted_by_the_home(entries):
+    # Guards against an allowance that no entry can use, or used twice.
+    (budget, *_) = make_budgets(entries)
+    own = budget.take(SERVICE, 1.0)
+    pool = budget.pool(SERVICE, 1.0)
+    assert entries * own + pool <= ALLOWANCE
+    assert entries * own + pool >= 0.8 * ALLOWANCE
+
+
+def test_a_small_part_of_the_allowance_is_in_one_place_at_a_time():
+    # Guards against parts used twice as the number of entries crosses a bound.
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    for now, count in ((0.0, 70), (20.0, 80), (40.0, 70)):
+        budget.update_entries(count, now)
+        for at in (now, now + 9.0):
+            assert budget.pool(SERVICE, at) == 60.0
+    budget.update_entries(80, 60.0)
+    assert budget.pool(SERVICE, 70.5) > 60.0
+
+
 def test_requests_counted_twice_do_not_raise_the_budget():
     # Guards against entries in the sums of two control processes.
     budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
