Retry home: the next one knows a grant before its entry can use it

The home now sends each grant to the next one before it replies.

Records are merged instead of replaced where they hold more: counted since any time, the merged one has as many grants as either. A record that had more in all could lack the newest grants of the other.

--- a/src/bulrushhold/control/_retries.py
+++ b/src/bulrushhold/control/_retries.py
@@ -56,6 +56,7 @@
         self.summarized_at = clock()
         transport.handle(messages.RetryAsk, self._on_ask)
         transport.handle(messages.RetryPoolCopy, self._on_copy)
+        transport.handle(messages.RetryPoolUpdate, self._on_update)
 
     async def run(self) -> None:
         """Send copies of what was granted until cancelled."""
@@ -96,8 +97,22 @@
         if not self._update(now):
             return messages.RetryGrant(0, 0, CHECK_INTERVAL_S)
         grant = self.home.grant(ask, now)
-        self.has_granted |= bool(grant.begun or grant.other)
+        granted = grant.begun + grant.other
+        if granted:
+            self.has_granted = True
+            self._send_update(ask.service, granted)
         return grant
 
+    def _send_update(self, service: str, count: int) -> None:
+        """Tell the next home before the entry can use the grant."""
+        address = self.home.next_home(service)
+        if address:
+            self.transport.send(
+                address, messages.RetryPoolUpdate(service, count)
+            )
+
+    async def _on_update(self, update: messages.RetryPoolUpdate) -> None:
+        self.home.record_granted(update.service, update.count, self.clock())
+
     async def _on_copy(self, copy: messages.RetryPoolCopy) -> None:
         self.home.receive(copy, self.clock())
--- a/src/bulrushhold/decisions/_retryhome.py
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -98,12 +98,18 @@
             self.grants.append((now + INTERVAL_S, count))
         self.total += count
 
-    def replace(self, copy: messages.RetryPoolCopy, now: float) -> None:
-        """Replace the record by another process's one."""
-        self.grants = collections.deque(
-            (now - age_s, count) for age_s, count in copy.grants
-        )
-        self.total = sum(count for _, count in self.grants)
+    def merge(self, copy: messages.RetryPoolCopy, now: float) -> None:
+        """Count as many grants since any time as either record does."""
+        other = [(now - age_s, count) for age_s, count in copy.grants]
+        ends = sorted({end for end, _ in (*self.grants, *other)})
+        merged: collections.deque[tuple[float, int]] = collections.deque()
+        total = 0
+        for end in reversed(ends):
+            since = max(_count_since(g, end) for g in (self.grants, other))
+            if since > total:
+                merged.appendleft((end, since - total))
+                total = since
+        self.grants, self.total = merged, total
 
     def record_ask(self, entry: str, now: float) -> None:
         """Record that an entry asks, and forget those that no longer do."""
@@ -240,13 +246,22 @@
     # Copies, for the loss of this process or of another home
 
     def receive(self, copy: messages.RetryPoolCopy, now: float) -> None:
-        """Take over the record of another process if it holds more."""
+        """Add what the record of another process holds beyond this one."""
         pool = self._pool(copy.service)
         pool.window_s = copy.window_s
         pool.expire(now)
         pool.complete_at = now
-        if sum(count for _, count in copy.grants) > pool.total:
-            pool.replace(copy, now)
+        pool.merge(copy, now)
+
+    def next_home(self, service: str) -> str:
+        """Return the address of the home after the loss of this process."""
+        return _homes.next_home_address(
+            service, self.node_lists[-1][1], self.address
+        )
+
+    def record_granted(self, service: str, count: int, now: float) -> None:
+        """Count what another process has granted as the home of a service."""
+        self._pool(service).add(count, now)
 
     def copies(
         self, services: cabc.Iterable[str], now: float
@@ -263,9 +278,7 @@
             pool.expire(now)
             address = self.home(service)
             if address == self.address:
-                address = _homes.next_home_address(
-                    service, self.node_lists[-1][1], self.address
-                )
+                address = self.next_home(service)
             if address and self._is_complete(service, pool, now):
                 grants = [
                     (round(now - at, 3), count) for at, count in pool.grants
@@ -279,5 +292,11 @@
         return copies
 
 
+def _count_since(
+    grants: cabc.Iterable[tuple[float, int]], since: float
+) -> int:
+    return sum(count for end, count in grants if end >= since)
+
+
 def _part(count: int, free: float) -> int:
     return max(0, min(count, int(free)))
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -88,6 +88,7 @@
 from bulrushhold.messages._retries import RetryAsk
 from bulrushhold.messages._retries import RetryGrant
 from bulrushhold.messages._retries import RetryPoolCopy
+from bulrushhold.messages._retries import RetryPoolUpdate
 from bulrushhold.messages._rollouts import OrderStatus
 from bulrushhold.messages._rollouts import Rollout
 from bulrushhold.messages._rollouts import RolloutEnd
@@ -215,6 +216,7 @@
     'RetryAsk',
     'RetryGrant',
     'RetryPoolCopy',
+    'RetryPoolUpdate',
     'Rollout',
     'RolloutEnd',
     'RolloutEvidence',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -101,6 +101,7 @@
     _retries.RetryAsk,
     _retries.RetryGrant,
     _retries.RetryPoolCopy,
+    _retries.RetryPoolUpdate,
     _rollouts.RolloutOrder,
     _rollouts.RolloutStart,
     _rollouts.RolloutOutcome,
--- a/src/bulrushhold/messages/_retries.py
+++ b/src/bulrushhold/messages/_retries.py
@@ -35,6 +35,17 @@
     hold_s: float = 0.0
 
 
+@attrs.frozen
+class RetryPoolUpdate:
+    """Tells the next home what the home of a service has just granted.
+
+    :param count: number of retries.
+    """
+
+    service: str
+    count: int
+
+
 @attrs.frozen
 class RetryPoolCopy:
     """What a service's home has granted, for its loss.
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -146,6 +146,32 @@
     assert total(homes[second].grant(ask(300, 0), 11.9)) == 300
 
 
+def test_the_next_home_knows_grants_of_the_last_moment():
+    # Guards against a second budget if a home is lost as it grants.
+    first, second = home_first('n0', 'n1')
+    homes = {a: make_home(a) for a in (first, second)}
+    homes[first].grant(ask(100, 0), 1.0)
+    copy_all(homes[first], homes, 1.2)
+    homes[first].grant(ask(300, 0), 1.9)
+    assert homes[first].next_home(SERVICE) == second
+    homes[second].record_granted(SERVICE, 300, 1.9)
+    homes[second].update_nodes(make_nodes(second), 2.0)
+    assert total(homes[second].grant(ask(300, 0), 3.1)) == 0
+    assert total(homes[second].grant(ask(300, 0), 11.9)) == 100
+
+
+def test_a_grant_is_in_the_record_once_whatever_the_order_of_messages():
+    # Guards against a budget that is used up by grants counted twice.
+    first, second = home_first('n0', 'n1')
+    homes = {a: make_home(a) for a in (first, second)}
+    for now in (1.0, 1.3, 1.6, 2.5):
+        homes[first].grant(ask(50, 0), now)
+        homes[second].record_granted(SERVICE, 50, now)
+        copy_all(homes[first], homes, now)
+        copy_all(homes[second], homes, now)
+    assert total(homes[first].grant(ask(300, 0), 2.6)) == 200
+
+
 def test_a_home_without_the_record_of_the_one_before_grants_nothing():
     # Guards against a second budget if a home is lost with its copy.
     first, second = home_first('n0', 'n1')
