Retry budget: the number of recent entries has its public name again

Floors of request limits read it.

A test of metrics needs an entry whose share allows no retry: it now names the rounding of shares below one, which is random.

--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -123,6 +123,10 @@
         self.entries = count
         self.listed.append((now, count))
 
+    def recent_entries(self, now: float) -> int:
+        """Return the most entries listed within the window, at least 1."""
+        return max(self._recent_counts(now))
+
     def _recent_counts(self, now: float) -> list[int]:
         """Return the numbers of entries that were listed in the window."""
         # The first one was listed until the second came.
@@ -166,7 +170,7 @@
     def _own_share(self, service: str, now: float) -> float:
         requests = self.requests.count(service, now)
         share = OWN_SHARE * self.ratio * requests
-        allowance = OWN_SHARE * self.allowance / max(self._recent_counts(now))
+        allowance = OWN_SHARE * self.allowance / self.recent_entries(now)
         if self._is_settled(now) and allowance >= MIN_OWN_ALLOWANCE:
             share += allowance
         return share
--- a/tests/forwarding/test_rejections.py
+++ b/tests/forwarding/test_rejections.py
@@ -114,6 +114,7 @@
     context.budget.count_request('engines', context.clock())
     gauges.update()
     context.budget.update_entries(1000, context.clock())
+    context.budget.rounding = 0.0
     script_rejections(client, 1)
     client.scripts.append(fakes.Script())
     reply = await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
