Retries: counted as they are sent, also where requests wait for a server

A retry counted as of the moment at which it was decided. A stream that then queues for an engine, or a request that waits for a permit, reaches a server seconds later, together with the retries that are allowed as the first ones leave the window: up to twice the budget within one window, if all of it is used at one moment and waits.

A request that has waited for longer than a grant is valid counts its retry anew as it is sent: in the entry's own share, or at the home, which takes it from the oldest grants and counts it as of now.

--- a/src/bulrushhold/control/_retries.py
+++ b/src/bulrushhold/control/_retries.py
@@ -57,6 +57,7 @@
         transport.handle(messages.RetryAsk, self._on_ask)
         transport.handle(messages.RetryPoolCopy, self._on_copy)
         transport.handle(messages.RetryPoolUpdate, self._on_update)
+        transport.handle(messages.RetryDelay, self._on_delay)
 
     async def run(self) -> None:
         """Send copies of what was granted until cancelled."""
@@ -114,5 +115,9 @@
     async def _on_update(self, update: messages.RetryPoolUpdate) -> None:
         self.home.record_granted(update.service, update.count, self.clock())
 
+    async def _on_delay(self, delay: messages.RetryDelay) -> None:
+        self.home.record_delay(delay.service, delay.count, self.clock())
+        self.has_granted = True
+
     async def _on_copy(self, copy: messages.RetryPoolCopy) -> None:
         self.home.receive(copy, self.clock())
--- a/src/bulrushhold/decisions/_retryhome.py
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -98,6 +98,23 @@
             self.grants.append((now + INTERVAL_S, count))
         self.total += count
 
+    def delay(self, count: int, now: float) -> None:
+        """Count grants as of now instead, the oldest ones.
+
+        Which ones they were isn't known; the others then count for longer
+        than they need to.
+        """
+        missing = count
+        while self.grants and missing:
+            end, before = self.grants.popleft()
+            self.total -= before
+            kept = max(0, before - missing)
+            missing -= before - kept
+            if kept:
+                self.grants.appendleft((end, kept))
+                self.total += kept
+        self.add(count, now)
+
     def merge(self, copy: messages.RetryPoolCopy, now: float) -> None:
         """Count as many grants since any time as either record does."""
         other = [(now - age_s, count) for age_s, count in copy.grants]
@@ -263,6 +280,11 @@
         """Count what another process has granted as the home of a service."""
         self._pool(service).add(count, now)
 
+    def record_delay(self, service: str, count: int, now: float) -> None:
+        """Count retries as of now that were granted before."""
+        if self.home(service) == self.address:
+            self._pool(service).delay(count, now)
+
     def copies(
         self, services: cabc.Iterable[str], now: float
     ) -> list[tuple[str, messages.RetryPoolCopy]]:
--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -71,6 +71,13 @@
     def add(self, service: str, now: float) -> None:
         self.by_service.setdefault(service, collections.deque()).append(now)
 
+    def move(self, service: str, at: float, now: float) -> None:
+        """Move an event to ``now``, also if it has left the window."""
+        times = self.by_service[service]
+        if at in times:
+            times.remove(at)
+        times.append(now)
+
     def count(self, service: str, now: float) -> int:
         times = self.by_service.get(service)
         if times is None:
@@ -167,6 +174,17 @@
         self.own_retries.add(service, now)
         return True
 
+    def record_delay(
+        self, service: str, taken_at: float, now: float, *, granted: bool
+    ) -> None:
+        """Record that a retry is sent only now.
+
+        :param taken_at: when it was counted.
+        :param granted: whether the home of the service granted it.
+        """
+        retries = self.granted_retries if granted else self.own_retries
+        retries.move(service, taken_at, now)
+
     def _own_share(self, service: str, now: float) -> float:
         requests = self.requests.count(service, now)
         share = OWN_SHARE * self.ratio * requests
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -79,7 +79,12 @@
         """Do nothing: no process asks an entry."""
 
     def send(self, address: str, message: messages.Message) -> None:
-        """Do nothing."""
+        """Tell the home of retries that were delayed."""
+        assert isinstance(message, messages.RetryDelay)
+        if self.reachable:
+            self.home.record_delay(
+                message.service, message.count, _workload.emulated_now()
+            )
 
     async def request(
         self, address: str, message: messages.Message, timeout: float
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -61,6 +61,7 @@
         self.tried: set[str] = set()
         self.attempts = 0
         self.rejections = 0
+        self.retry: _retries.Retry | None = None
         self.retry_pause_s = RETRY_PAUSE_S
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
@@ -100,6 +101,9 @@
                 if last is not None and last.reply is not None:
                     return last.reply
                 raise self._refusal(last, choice)
+            self.retry = _retries.record_sent(
+                self.context, self.job.service, self.retry
+            )
             result = await self._attempt(backend, choice.has_permit)
             if not result.permitted:
                 self.tried.discard(backend.ident)
@@ -154,7 +158,8 @@
         if self._remaining_s() < MIN_REMAINING_S:
             return False
         priority = _retries.priority(self.job, self.rejections)
-        return await _retries.take(self.context, self.job, priority)
+        self.retry = await _retries.take(self.context, self.job, priority)
+        return self.retry is not None
 
     def _all_reject(self) -> bool:
         return self.context.placement.all_reject(
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -17,6 +17,18 @@
 GAUGE_INTERVAL_S: t.Final = 1.0
 
 
+@attrs.frozen
+class Retry:
+    """A retry that the budget allows.
+
+    :param taken_at: when it was counted.
+    :param granted: by the home of the service, beyond the entry's own share.
+    """
+
+    taken_at: float
+    granted: bool
+
+
 def priority(
     job: _context.Job, rejections: int, *, begun: bool = False
 ) -> decisions.RetryPriority:
@@ -39,32 +51,55 @@
     context: _context.ForwardingContext,
     job: _context.Job,
     priority: decisions.RetryPriority,
-) -> bool:
-    """Return whether a request may be sent once more, and count it if so."""
+) -> Retry | None:
+    """Return a retry if a request may be sent once more, and count it."""
     give_up_at = min(job.deadline, context.clock() + MAX_BEGUN_WAIT_S)
-    while not await _take_now(context, job.service, priority):
+    while True:
+        retry = await _take_now(context, job.service, priority)
+        if retry is not None:
+            return retry
         is_begun = priority is decisions.RetryPriority.BEGUN
         if not is_begun or context.clock() + BEGUN_PAUSE_S > give_up_at:
             _log_refusal(context, job, priority)
-            return False
+            return None
         await asyncio.sleep(BEGUN_PAUSE_S)
-    return True
 
 
 async def _take_now(
     context: _context.ForwardingContext,
     service: str,
     priority: decisions.RetryPriority,
-) -> bool:
-    if context.budget.take(service, context.clock(), priority):
+) -> Retry | None:
+    now = context.clock()
+    if context.budget.take(service, now, priority):
         context.metrics.count(f'retries.own.{service}')
-        return True
+        return Retry(now, granted=False)
     is_further = priority is decisions.RetryPriority.FURTHER
     if is_further or not await context.retry_pool.take(service, priority):
-        return False
-    context.budget.count_granted(service, context.clock())
+        return None
+    now = context.clock()
+    context.budget.count_granted(service, now)
     context.metrics.count(f'retries.granted.{service}')
-    return True
+    return Retry(now, granted=True)
+
+
+def record_sent(
+    context: _context.ForwardingContext, service: str, retry: Retry | None
+) -> Retry | None:
+    """Return the retry, counted as of now if its request has waited.
+
+    Otherwise requests that wait together reach servers with others that are
+    allowed as the first ones leave the window.
+    """
+    now = context.clock()
+    if retry is None or now - retry.taken_at <= decisions.GRANT_TTL_S:
+        return retry
+    context.budget.record_delay(
+        service, retry.taken_at, now, granted=retry.granted
+    )
+    if retry.granted:
+        context.retry_pool.record_delay(service)
+    return attrs.evolve(retry, taken_at=now)
 
 
 def _log_refusal(
--- a/src/bulrushhold/forwarding/_retrypool.py
+++ b/src/bulrushhold/forwarding/_retrypool.py
@@ -29,6 +29,10 @@
     ) -> bool:
         """Return whether the home of the service grants a retry now."""
 
+    @abc.abstractmethod
+    def record_delay(self, service: str) -> None:
+        """Record that a granted retry is sent only now."""
+
 
 class NoRetryPool(RetryPool):
     """Grants nothing."""
@@ -39,6 +43,9 @@
         """Grant nothing."""
         return False
 
+    def record_delay(self, service: str) -> None:
+        """Do nothing: nothing is granted."""
+
 
 @attrs.define
 class _Counts:
@@ -117,6 +124,12 @@
         granted.change(priority, -1)
         return True
 
+    def record_delay(self, service: str) -> None:
+        """Tell the home; see :meth:`RetryPool.record_delay`."""
+        home = decisions.home_address(service, self.nodes())
+        if home:
+            self.transport.send(home, messages.RetryDelay(service, 1))
+
     def _is_held(
         self, service: str, priority: decisions.RetryPriority
     ) -> bool:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -64,6 +64,7 @@
         self.copy: calls.RunCopy | None = None
         self.timing = _streamtiming.StreamTiming(context, job)
         self.failure_reply: calls.Reply | None = None
+        self.retry: _retries.Retry | None = None
         self.tracked: _running.RunningRequest | None = None
 
     async def run(self) -> calls.Reply | None:
@@ -101,6 +102,9 @@
                 return self._end_incomplete(
                     choice.reason or reason, peer, choice.retry_after_s
                 )
+            self.retry = _retries.record_sent(
+                self.context, self.job.service, self.retry
+            )
             started, last = self.context.clock(), self.last_event_id
             try:
                 reply = await self._attempt(engine, copy, choice.has_permit)
@@ -274,7 +278,8 @@
         priority = _retries.priority(
             self.job, self.rejections, begun=self.caller_stream.headers_sent
         )
-        return await _retries.take(self.context, self.job, priority)
+        self.retry = await _retries.take(self.context, self.job, priority)
+        return self.retry is not None
 
     async def _wait_for_connection(self) -> bool:
         """Return whether to look for an engine again; none can be reached.
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -86,6 +86,7 @@
 from bulrushhold.messages._places import PlaceGrant
 from bulrushhold.messages._places import PlaceReport
 from bulrushhold.messages._retries import RetryAsk
+from bulrushhold.messages._retries import RetryDelay
 from bulrushhold.messages._retries import RetryGrant
 from bulrushhold.messages._retries import RetryPoolCopy
 from bulrushhold.messages._retries import RetryPoolUpdate
@@ -214,6 +215,7 @@
     'Refusals',
     'RequestBlock',
     'RetryAsk',
+    'RetryDelay',
     'RetryGrant',
     'RetryPoolCopy',
     'RetryPoolUpdate',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -102,6 +102,7 @@
     _retries.RetryGrant,
     _retries.RetryPoolCopy,
     _retries.RetryPoolUpdate,
+    _retries.RetryDelay,
     _rollouts.RolloutOrder,
     _rollouts.RolloutStart,
     _rollouts.RolloutOutcome,
--- a/src/bulrushhold/messages/_retries.py
+++ b/src/bulrushhold/messages/_retries.py
@@ -35,6 +35,17 @@
     hold_s: float = 0.0
 
 
+@attrs.frozen
+class RetryDelay:
+    """Tells the home that granted retries are sent only now.
+
+    :param count: number of retries.
+    """
+
+    service: str
+    count: int
+
+
 @attrs.frozen
 class RetryPoolUpdate:
     """Tells the next home what the home of a service has just granted.
--- a/tests/forwarding/test_rejections.py
+++ b/tests/forwarding/test_rejections.py
@@ -19,6 +19,9 @@
     async def take(self, service, priority):
         return True
 
+    def record_delay(self, service):
+        pass
+
 
 def script_rejections(client, count):
     client.scripts = [
--- a/tests/forwarding/test_request_limits.py
+++ b/tests/forwarding/test_request_limits.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 
+import attrs
 import pytest
 
 from bulrushhold import calls
 from bulrushhold import errors
+from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import routes
 from tests.forwarding import fakes
@@ -273,3 +275,43 @@
     context.permit_source.request = request
     client.scripts = [fakes.Script()]
     assert (await send_one(context)).status == 200
+
+
+class RecordingPool(forwarding.RetryPool):
+    """Grants all retries."""
+
+    def __init__(self):
+        self.delays = 0
+
+    async def take(self, service, priority):
+        return True
+
+    def record_delay(self, service):
+        self.delays += 1
+
+
+@pytest.mark.parametrize('granted', [False, True])
+async def test_a_retry_that_waits_for_a_permit_counts_as_it_is_sent(
+    client, context, granted
+):
+    # Guards against retries that arrive with those allowed after them.
+    keep_only_server(context)
+    context = attrs.evolve(context, retry_pool=RecordingPool())
+    budget = context.budget
+    if granted:
+        budget.ratio = budget.allowance = 0
+    wait_s = 0.35
+    context.permit_source.grants = [
+        messages.PermitGrant(False, wait_s, wait_s),
+        messages.PermitGrant(True, wait_s),
+    ]
+    limit = calls.RequestLimit(50.0)
+    client.scripts = [
+        fakes.Script(status=503, not_run=True, limit=limit),
+        limited_script(50.0),
+    ]
+    started = context.clock()
+    assert (await send_one(context, aim_s=2.0)).status == 200
+    retries = budget.granted_retries if granted else budget.own_retries
+    assert retries.by_service['engines'][0] >= started + wait_s
+    assert context.retry_pool.delays == granted
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -172,6 +172,19 @@
     assert total(homes[first].grant(ask(300, 0), 2.6)) == 200
 
 
+def test_delayed_retries_are_delayed_in_the_record_of_the_next_home():
+    # Guards against delays that are forgotten as the home is lost.
+    first, second = home_first('n0', 'n1')
+    homes = {a: make_home(a) for a in (first, second)}
+    homes[first].grant(ask(400, 0), 1.0)
+    copy_all(homes[first], homes, 1.2)
+    homes[first].record_delay(SERVICE, 100, 4.0)
+    copy_all(homes[first], homes, 4.1)
+    copy_all(homes[second], homes, 4.2)
+    homes[second].update_nodes(make_nodes(second), 5.0)
+    assert total(homes[second].grant(ask(400, 0), 11.9)) == 300
+
+
 def test_a_home_without_the_record_of_the_one_before_grants_nothing():
     # Guards against a second budget if a home is lost with its copy.
     first, second = home_first('n0', 'n1')
@@ -287,6 +300,26 @@
     assert budget.allowed(SERVICE, 1.1) == RATIO * 100 + ALLOWANCE
 
 
+def test_retries_that_wait_for_servers_count_as_they_are_sent():
+    # Guards against retries that arrive with those allowed after them.
+    budget = decisions.ServiceRetryBudget(RATIO, 8, WINDOW_S)
+    assert sum(budget.take(SERVICE, 0.0) for _ in range(9)) == 4
+    for _ in range(4):
+        budget.record_delay(SERVICE, 0.0, 3.0, granted=False)
+    assert not budget.take(SERVICE, 10.5)
+    assert sum(budget.take(SERVICE, 13.5) for _ in range(9)) == 4
+
+
+def test_granted_retries_that_wait_for_servers_count_as_they_are_sent():
+    # Guards against granted retries that arrive with those granted later.
+    home = make_home(home_first('n0', 'n1')[0])
+    assert total(home.grant(ask(400), 0.0)) == 400
+    home.record_delay(SERVICE, 100, 3.0)
+    assert total(home.grant(ask(400), 2.9)) == 0
+    assert total(home.grant(ask(400), 10.9)) == 300
+    assert total(home.grant(ask(400), 13.9)) == 100
+
+
 def test_further_retries_leave_room_for_first_ones():
     # Guards against one request that spends what many others need.
     further = decisions.RetryPriority.FURTHER
