Soak: a network whose addresses a killed run still holds isn't taken

A run of the tests that was ended by hand left its control processes and entries. The next run took their network, as its lock was free; its own processes ended ("Address already in use"), callers and engines talked to the old ones, and test_accepted_streams_of_a_poison_request_are_not_sent_on failed 7 of 7 times with a missing path or 52 of 60 served. With the left processes ended, it passed 3 of 3.

A network counts as taken while one of its ports between processes is bound. Ports are computed in one place. The new test failed before: the number was given out again.

--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -96,9 +96,8 @@
             await engine.start()
         platform_list = fakes.PlatformListServer(self.engines)
         await platform_list.start()
-        first_port = 21000 + self.network_number * 40
         self.system = self._make_system(
-            self.folder, platform_list.address, self.network_number, first_port
+            self.folder, platform_list.address, self.network_number
         )
         self.cuts = isolation.EntryCuts(self.system, self.engines)
         try:
--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -17,6 +17,8 @@
 ROOT = pathlib.Path(__file__).parents[3]
 CONTROL_COUNT = 3
 FIRST_PORT = 21000
+PORTS_PER_NETWORK = 40
+INTERNAL_PORT = 10  # offset of the first port between processes
 NETWORK_NUMBERS = range(40, 250)
 LOCK_HOST = 254  # last octet of the address that is bound as a lock
 ENTRY_COUNT = 4
@@ -65,6 +67,32 @@
     unexpected_exits: int = 0
 
 
+def first_port(network_number):
+    """Return the lowest of the ports that processes of a run use."""
+    return FIRST_PORT + network_number * PORTS_PER_NETWORK
+
+
+def has_processes(network_number):
+    """Return whether a run that was killed has left its processes."""
+    port = first_port(network_number) + INTERNAL_PORT
+    return any(
+        is_bound(f'127.0.{network_number}.{host}', port + process)
+        for host in range(1, CONTROL_COUNT + 1)
+        for process in range(2)  # control and entry
+    )
+
+
+def is_bound(ip, port):
+    with socket.socket() as probe:
+        # Connections of earlier runs that have ended don't matter.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return True
+    return False
+
+
 class LoopbackNetwork:
     """Exclusive use of a range of loopback addresses.
 
@@ -76,6 +104,8 @@
 
     def __init__(self):
         for number in NETWORK_NUMBERS:
+            if has_processes(number):
+                continue
             lock_socket = socket.socket()
             try:
                 lock_socket.bind((f'127.0.{number}.{LOCK_HOST}', FIRST_PORT))
@@ -108,7 +138,6 @@
 
     :param platform_list_address: address of the platform list.
     :param network_number: number of the run's :class:`LoopbackNetwork`.
-    :param first_port: the lowest of the ports that each process uses.
     :param entry_count: number of entries.
     :param limits: returns the ``[limits]`` of a program's settings, if any.
     """
@@ -118,7 +147,6 @@
         folder,
         platform_list_address,
         network_number,
-        first_port=FIRST_PORT,
         entry_count=ENTRY_COUNT,
         limits=lambda program: {},
     ):
@@ -126,13 +154,14 @@
         self.platform_list_address = platform_list_address
         self.network_number = network_number
         self.limits = limits
+        port = first_port(network_number)
         self.ports = {
-            'front': first_port,
-            'ready': first_port + 1,
-            'control': first_port + 2,
-            'directory': first_port + 3,
-            'internal': first_port + 10,
-            'internal_end': first_port + 25,
+            'front': port,
+            'ready': port + 1,
+            'control': port + 2,
+            'directory': port + 3,
+            'internal': port + INTERNAL_PORT,
+            'internal_end': port + 25,
         }
         self.programs = []
         for number in range(1, entry_count + 1):
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak runs with fixed seeds; add each seed that fails."""
 
 import asyncio
+import socket
 import subprocess
 import sys
 
@@ -33,6 +34,18 @@
         assert one.number != other.number
 
 
+def test_processes_of_a_killed_run_keep_their_network():
+    """Guards against a run whose callers reach processes of another."""
+    with system.LoopbackNetwork() as network:
+        number = network.number
+    port = system.first_port(number) + system.INTERNAL_PORT
+    with socket.socket() as left_over:
+        left_over.bind((f'127.0.{number}.1', port))
+        left_over.listen()
+        with system.LoopbackNetwork() as network:
+            assert network.number != number
+
+
 async def test_waiting_for_an_exit_ends_if_the_program_was_restarted(tmp_path):
     """Guards against a run that waits for ever for the new process."""
 
