Retry budget: an entry without requests forgets old lists of entries

The numbers of entries in the window were dropped only as a retry was decided or a service's gauges set; an entry that gets no request kept one for each reply of its control process. The new test failed before: 100 kept instead of 12.

--- a/src/bulrushhold/decisions/_serviceretries.py
+++ b/src/bulrushhold/decisions/_serviceretries.py
@@ -73,7 +73,7 @@
 
     def move(self, service: str, at: float, now: float) -> None:
         """Move an event to ``now``, also if it has left the window."""
-        times = self.by_service[service]
+        times = self.by_service.setdefault(service, collections.deque())
         if at in times:
             times.remove(at)
         times.append(now)
@@ -129,16 +129,20 @@
         """Replace the number of entries; those that left have had a share."""
         self.entries = count
         self.listed.append((now, count))
+        self._expire_counts(now)
 
     def recent_entries(self, now: float) -> int:
         """Return the most entries listed within the window, at least 1."""
         return max(self._recent_counts(now))
 
-    def _recent_counts(self, now: float) -> list[int]:
-        """Return the numbers of entries that were listed in the window."""
+    def _expire_counts(self, now: float) -> None:
         # The first one was listed until the second came.
         while len(self.listed) > 1 and now - self.listed[1][0] > self.window_s:
             self.listed.popleft()
+
+    def _recent_counts(self, now: float) -> list[int]:
+        """Return the numbers of entries that were listed in the window."""
+        self._expire_counts(now)
         return [max(1, self.entries), *(count for _, count in self.listed)]
 
     def apply_loads(
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -263,6 +263,14 @@
     assert sum(budget.take(SERVICE, 31.0) for _ in range(20)) == 1
 
 
+def test_an_entry_without_requests_forgets_old_lists():
+    # Guards against memory that grows with each list of entries.
+    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    for number in range(100):
+        budget.update_entries(number, float(number))
+    assert len(budget.listed) <= WINDOW_S + 2
+
+
 def test_shares_of_less_than_one_retry_are_not_lost():
     # Guards against streams given up while most of the budget is unused.
     budgets = make_budgets(300, requests=1)
