--- a/src/bulrushhold/decisions/_retryhome.py
+++ b/src/bulrushhold/decisions/_retryhome.py
@@ -64,7 +64,6 @@
     """What has been granted for one service.
 
     :param size: what may be granted within the window.
-
     :param grants: end of each interval and number of grants in it.
     :param complete_at: when the record was last known to hold all grants.
     :param asked_at: when each entry last asked, the latest one last.
--- a/tests/test_retry_server.py
+++ b/tests/test_retry_server.py
@@ -6,7 +6,7 @@
 
 from bulrushhold.control import _retries
 from bulrushhold import ports
-from tests import test_service_retries as pools
+from tests import retrypools
 
 
 class Network:
@@ -55,14 +55,14 @@
 @pytest.fixture
 def servers(network, clock):
     """Return two processes, the home of the service first."""
-    addresses = pools.home_first('n0', 'n1')
+    addresses = retrypools.home_first('n0', 'n1')
     return [make_server(network, a, addresses, clock) for a in addresses]
 
 
 def make_server(network, address, addresses, clock):
     view = types.SimpleNamespace(
-        nodes=pools.make_nodes(*addresses),
-        backends=(types.SimpleNamespace(service=pools.SERVICE),),
+        nodes=retrypools.make_nodes(*addresses),
+        backends=(types.SimpleNamespace(service=retrypools.SERVICE),),
     )
     return _retries.RetryServer(
         NetworkTransport(network, address),
@@ -82,7 +82,7 @@
 
 
 async def ask(server, count):
-    grant = await server._on_ask(pools.ask(count))
+    grant = await server._on_ask(retrypools.ask(count))
     return grant.begun
 
 
--- a/tests/test_service_retries.py
+++ b/tests/test_service_retries.py
@@ -10,32 +10,30 @@
 from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import ports
-
-SERVICE = 'desk'
-RATIO, ALLOWANCE, WINDOW_S = 0.8, 150, 10.0
+from tests import retrypools
 
 
 def share_loads(budgets, now):
     """Tell each entry what all others have used, without any delay."""
-    traffic = [budget.traffic(now)[SERVICE] for budget in budgets]
+    traffic = [budget.traffic(now)[retrypools.SERVICE] for budget in budgets]
     firsts = sum(own.firsts for own in traffic)
     repeats = sum(own.repeats for own in traffic)
     for budget, own in zip(budgets, traffic, strict=True):
         others = messages.ServiceTraffic(
             firsts - own.firsts, repeats - own.repeats
         )
-        budget.apply_loads({SERVICE: others}, now)
+        budget.apply_loads({retrypools.SERVICE: others}, now)
 
 
 @pytest.mark.parametrize('entries', [9, 30, 300])
 def test_what_one_entry_has_borrowed_is_not_spent_again(entries):
     # Guards against entries that use their own share after others did.
     budgets = make_budgets(entries, requests=2)
-    allowed = RATIO * 2 * entries + ALLOWANCE
+    allowed = retrypools.RATIO * 2 * entries + retrypools.ALLOWANCE
     taken = 0
     for budget in budgets:
         share_loads(budgets, 1.0)
-        taken += sum(budget.take(SERVICE, 1.0) for _ in range(300))
+        taken += sum(budget.take(retrypools.SERVICE, 1.0) for _ in range(300))
     assert taken <= allowed
 
 
@@ -43,171 +41,180 @@
     """Return the budgets of entries that got some requests at second 0."""
     random.seed(1)
     budgets = [
-        decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+        decisions.ServiceRetryBudget(
+            retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+        )
         for _ in range(entries)
     ]
     for budget in budgets:
         budget.update_entries(entries, 0.0)
         for _ in range(requests):
-            budget.count_request(SERVICE, 0.0)
+            budget.count_request(retrypools.SERVICE, 0.0)
     return budgets
 
 
 def make_home(address='n0', started_at=float('-inf'), nodes=('n0', 'n1')):
     home = decisions.RetryHome(address, random.Random(1), started_at)
-    home.update_nodes(make_nodes(*nodes), started_at)
+    home.update_nodes(retrypools.make_nodes(*nodes), started_at)
     return home
 
 
-def make_nodes(*addresses):
-    return [messages.ControlNode(a, 'dc', False) for a in addresses]
-
-
-def home_first(*addresses):
-    """Return the addresses, the home of the service first."""
-    nodes = make_nodes(*addresses)
-    first = decisions.home_address(SERVICE, nodes)
-    second = decisions.next_home_address(SERVICE, nodes, first)
-    return [first, second]
-
-
-def ask(begun=0, other=0, pool=400.0, entry='e1'):
-    return messages.RetryAsk(SERVICE, entry, begun, other, pool, WINDOW_S)
-
-
-def total(grant):
-    return grant.begun + grant.other
-
-
 @pytest.mark.parametrize('entries', [9, 30, 300])
 def test_shares_and_grants_stay_within_the_budget(entries):
     # Guards against grants that overlap with what entries have anyway.
-    home = make_home(home_first('n0', 'n1')[0])
+    home = make_home(retrypools.home_first('n0', 'n1')[0])
     budgets = make_budgets(entries, requests=2)
     share_loads(budgets, 1.0)
-    allowed = RATIO * 2 * entries + ALLOWANCE
+    allowed = retrypools.RATIO * 2 * entries + retrypools.ALLOWANCE
     taken = 0
     for number, budget in enumerate(budgets):
-        assert budget.allowed(SERVICE, 1.0) == pytest.approx(allowed)
-        pool = budget.pool(SERVICE, 1.0)
-        question = ask(20, 20, pool, f'e{number}')
-        taken += total(home.grant(question, 1.0))
-        taken += sum(budget.take(SERVICE, 1.0) for _ in range(300))
+        assert budget.allowed(retrypools.SERVICE, 1.0) == pytest.approx(
+            allowed
+        )
+        pool = budget.pool(retrypools.SERVICE, 1.0)
+        question = retrypools.ask(20, 20, pool, f'e{number}')
+        taken += retrypools.total(home.grant(question, 1.0))
+        taken += sum(budget.take(retrypools.SERVICE, 1.0) for _ in range(300))
     assert 0.8 * allowed <= taken <= allowed
 
 
 def test_an_entry_may_use_retries_that_others_leave_unused():
     # Guards against refused retries while most of the budget is unused.
-    home = make_home(home_first('n0', 'n1')[0])
-    assert home.grant(ask(other=8, pool=148.0), 0.0).other == 8
-    grant = home.grant(ask(other=200, pool=148.0, entry='e2'), 0.1)
-    assert total(grant) == 110  # 0.8 of the pool in all.
+    home = make_home(retrypools.home_first('n0', 'n1')[0])
+    assert home.grant(retrypools.ask(other=8, pool=148.0), 0.0).other == 8
+    grant = home.grant(retrypools.ask(other=200, pool=148.0, entry='e2'), 0.1)
+    assert retrypools.total(grant) == 110  # 0.8 of the pool in all.
     assert grant.hold_s > 0
-    assert home.grant(ask(begun=200, pool=148.0), 0.2).begun == 30
-    assert total(home.grant(ask(1, 1, 148.0), 9.9)) == 0
-    assert total(home.grant(ask(1, 1, 148.0), 10.9)) == 2
+    assert home.grant(retrypools.ask(begun=200, pool=148.0), 0.2).begun == 30
+    assert retrypools.total(home.grant(retrypools.ask(1, 1, 148.0), 9.9)) == 0
+    assert retrypools.total(home.grant(retrypools.ask(1, 1, 148.0), 10.9)) == 2
 
 
 def test_a_home_that_has_just_started_grants_nothing_for_a_window():
     # Guards against a second budget after the home has restarted.
-    address = home_first('n0', 'n1')[0]
+    address = retrypools.home_first('n0', 'n1')[0]
     home = make_home(address, started_at=0.0)
-    assert total(home.grant(ask(5, 5), 0.1)) == 0
-    assert total(home.grant(ask(5, 5), 9.9)) == 0
-    assert total(home.grant(ask(5, 5), 10.5)) == 10
+    assert retrypools.total(home.grant(retrypools.ask(5, 5), 0.1)) == 0
+    assert retrypools.total(home.grant(retrypools.ask(5, 5), 9.9)) == 0
+    assert retrypools.total(home.grant(retrypools.ask(5, 5), 10.5)) == 10
 
 
 def test_the_home_of_a_new_system_grants_at_once():
     # Guards against streams given up in the first window of a system.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     for address, nodes in ((first, (first, second)), (second, (second,))):
         home = decisions.RetryHome(
             address, random.Random(1), 0.0, first_start=True
         )
-        home.update_nodes(make_nodes(*nodes), 0.5)
-        assert total(home.grant(ask(5, 5), 1.6)) == 10
+        home.update_nodes(retrypools.make_nodes(*nodes), 0.5)
+        assert retrypools.total(home.grant(retrypools.ask(5, 5), 1.6)) == 10
 
 
 def copy_all(source, targets, now):
-    for address, copy in source.copies([SERVICE], now):
+    for address, copy in source.copies([retrypools.SERVICE], now):
         if address in targets:
             targets[address].receive(copy, now)
 
 
 def test_the_next_home_continues_the_record_of_a_lost_one():
     # Guards against a second budget, or none, after the home is lost.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     homes = {a: make_home(a) for a in (first, second)}
-    assert total(homes[first].grant(ask(300, 0), 1.0)) == 300
+    assert (
+        retrypools.total(homes[first].grant(retrypools.ask(300, 0), 1.0))
+        == 300
+    )
     copy_all(homes[first], homes, 1.2)
-    homes[second].update_nodes(make_nodes(second), 2.0)
-    assert total(homes[second].grant(ask(300, 0), 2.1)) == 0
-    assert total(homes[second].grant(ask(300, 0), 3.1)) == 100
-    assert total(homes[second].grant(ask(300, 0), 11.9)) == 300
+    homes[second].update_nodes(retrypools.make_nodes(second), 2.0)
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(300, 0), 2.1)) == 0
+    )
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(300, 0), 3.1))
+        == 100
+    )
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(300, 0), 11.9))
+        == 300
+    )
 
 
 def test_the_next_home_knows_grants_of_the_last_moment():
     # Guards against a second budget if a home is lost as it grants.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     homes = {a: make_home(a) for a in (first, second)}
-    homes[first].grant(ask(100, 0), 1.0)
+    homes[first].grant(retrypools.ask(100, 0), 1.0)
     copy_all(homes[first], homes, 1.2)
-    homes[first].grant(ask(300, 0), 1.9)
-    assert homes[first].next_home(SERVICE) == second
-    homes[second].record_granted(SERVICE, 300, 1.9)
-    homes[second].update_nodes(make_nodes(second), 2.0)
-    assert total(homes[second].grant(ask(300, 0), 3.1)) == 0
-    assert total(homes[second].grant(ask(300, 0), 11.9)) == 100
+    homes[first].grant(retrypools.ask(300, 0), 1.9)
+    assert homes[first].next_home(retrypools.SERVICE) == second
+    homes[second].record_granted(retrypools.SERVICE, 300, 1.9)
+    homes[second].update_nodes(retrypools.make_nodes(second), 2.0)
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(300, 0), 3.1)) == 0
+    )
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(300, 0), 11.9))
+        == 100
+    )
 
 
 def test_a_grant_is_in_the_record_once_whatever_the_order_of_messages():
     # Guards against a budget that is used up by grants counted twice.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     homes = {a: make_home(a) for a in (first, second)}
     for now in (1.0, 1.3, 1.6, 2.5):
-        homes[first].grant(ask(50, 0), now)
-        homes[second].record_granted(SERVICE, 50, now)
+        homes[first].grant(retrypools.ask(50, 0), now)
+        homes[second].record_granted(retrypools.SERVICE, 50, now)
         copy_all(homes[first], homes, now)
         copy_all(homes[second], homes, now)
-    assert total(homes[first].grant(ask(300, 0), 2.6)) == 200
+    assert (
+        retrypools.total(homes[first].grant(retrypools.ask(300, 0), 2.6))
+        == 200
+    )
 
 
 def test_delayed_retries_are_delayed_in_the_record_of_the_next_home():
     # Guards against delays that are forgotten as the home is lost.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     homes = {a: make_home(a) for a in (first, second)}
-    homes[first].grant(ask(400, 0), 1.0)
+    homes[first].grant(retrypools.ask(400, 0), 1.0)
     copy_all(homes[first], homes, 1.2)
-    homes[first].record_delay(SERVICE, 100, 4.0)
+    homes[first].record_delay(retrypools.SERVICE, 100, 4.0)
     copy_all(homes[first], homes, 4.1)
     copy_all(homes[second], homes, 4.2)
-    homes[second].update_nodes(make_nodes(second), 5.0)
-    assert total(homes[second].grant(ask(400, 0), 11.9)) == 300
+    homes[second].update_nodes(retrypools.make_nodes(second), 5.0)
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(400, 0), 11.9))
+        == 300
+    )
 
 
 def test_a_home_without_the_record_of_the_one_before_grants_nothing():
     # Guards against a second budget if a home is lost with its copy.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     home = make_home(second)
-    home.update_nodes(make_nodes(second), 2.0)
-    assert total(home.grant(ask(5, 5), 11.9)) == 0
-    assert total(home.grant(ask(5, 5), 12.5)) == 10
+    home.update_nodes(retrypools.make_nodes(second), 2.0)
+    assert retrypools.total(home.grant(retrypools.ask(5, 5), 11.9)) == 0
+    assert retrypools.total(home.grant(retrypools.ask(5, 5), 12.5)) == 10
 
 
 def test_a_restarted_home_gets_the_record_back():
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     homes = {a: make_home(a) for a in (first, second)}
-    homes[first].grant(ask(300, 0), 1.0)
+    homes[first].grant(retrypools.ask(300, 0), 1.0)
     copy_all(homes[first], homes, 1.2)
     homes[first] = make_home(first, started_at=2.0)
     copy_all(homes[second], homes, 2.5)
-    assert total(homes[first].grant(ask(300, 0), 3.1)) == 100
+    assert (
+        retrypools.total(homes[first].grant(retrypools.ask(300, 0), 3.1))
+        == 100
+    )
 
 
 def test_summaries_name_the_entries_that_were_granted_most():
-    home = make_home(home_first('n0', 'n1')[0])
+    home = make_home(retrypools.home_first('n0', 'n1')[0])
     for entry, count in (('e1', 3), ('e2', 7)):
-        home.grant(ask(count, entry=entry), 1.0)
+        home.grant(retrypools.ask(count, entry=entry), 1.0)
     (summary,) = home.take_summaries(2.0)
     assert (summary.granted, summary.pool, summary.entries) == (10, 400.0, 2)
     assert summary.most == {'e2': 7, 'e1': 3}
@@ -217,123 +224,162 @@
 
 def test_a_process_that_is_not_the_home_grants_nothing():
     # Guards against two homes while entries know different lists.
-    assert total(make_home(home_first('n0', 'n1')[1]).grant(ask(1, 1), 0)) == 0
+    assert (
+        retrypools.total(
+            make_home(retrypools.home_first('n0', 'n1')[1]).grant(
+                retrypools.ask(1, 1), 0
+            )
+        )
+        == 0
+    )
 
 
 def test_an_isolated_home_grants_nothing_until_it_has_the_record():
     # Guards against two homes after a control process was cut off.
-    first, second = home_first('n0', 'n1')
+    first, second = retrypools.home_first('n0', 'n1')
     homes = {a: make_home(a) for a in (first, second)}
-    homes[first].grant(ask(100, 0), 1.0)
+    homes[first].grant(retrypools.ask(100, 0), 1.0)
     copy_all(homes[first], homes, 1.2)
-    homes[second].update_nodes(make_nodes(second), 2.0)
-    assert total(homes[second].grant(ask(200, 0), 3.5)) == 200
+    homes[second].update_nodes(retrypools.make_nodes(second), 2.0)
+    assert (
+        retrypools.total(homes[second].grant(retrypools.ask(200, 0), 3.5))
+        == 200
+    )
     homes[first].record_isolation(5.0)
-    assert total(homes[first].grant(ask(300, 0), 5.1)) == 0
-    homes[second].update_nodes(make_nodes(first, second), 5.2)
+    assert (
+        retrypools.total(homes[first].grant(retrypools.ask(300, 0), 5.1)) == 0
+    )
+    homes[second].update_nodes(retrypools.make_nodes(first, second), 5.2)
     copy_all(homes[second], homes, 5.3)
-    assert total(homes[first].grant(ask(300, 0), 6.1)) == 100
+    assert (
+        retrypools.total(homes[first].grant(retrypools.ask(300, 0), 6.1))
+        == 100
+    )
 
 
 def test_an_entry_that_has_just_started_has_no_part_of_the_allowance():
     # Guards against a second allowance for each restart of an entry.
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S, 0.0)
-    assert not budget.take(SERVICE, 5.0)
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S, 0.0
+    )
+    assert not budget.take(retrypools.SERVICE, 5.0)
     for _ in range(10):
-        budget.count_request(SERVICE, 5.0)
-    assert sum(budget.take(SERVICE, 5.0) for _ in range(20)) == 4
-    assert budget.take(SERVICE, 10.5)
+        budget.count_request(retrypools.SERVICE, 5.0)
+    assert sum(budget.take(retrypools.SERVICE, 5.0) for _ in range(20)) == 4
+    assert budget.take(retrypools.SERVICE, 10.5)
 
 
 def test_shares_do_not_grow_at_once_as_entries_leave_the_list():
     # Guards against a part of the allowance that a lost entry has spent.
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
     budget.update_entries(75, 0.0)
     budget.update_entries(5, 1.0)
-    assert sum(budget.take(SERVICE, 2.0) for _ in range(20)) == 1
+    assert sum(budget.take(retrypools.SERVICE, 2.0) for _ in range(20)) == 1
     budget.update_entries(5, 11.0)
-    assert sum(budget.take(SERVICE, 11.1) for _ in range(20)) == 14
+    assert sum(budget.take(retrypools.SERVICE, 11.1) for _ in range(20)) == 14
 
 
 def test_an_entry_cut_off_for_long_knows_what_was_listed_before():
     # Guards against shares that grow as an entry is in touch again.
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
     budget.update_entries(75, 0.0)
     budget.update_entries(5, 30.0)
-    assert sum(budget.take(SERVICE, 31.0) for _ in range(20)) == 1
+    assert sum(budget.take(retrypools.SERVICE, 31.0) for _ in range(20)) == 1
 
 
 def test_an_entry_without_requests_forgets_old_lists():
     # Guards against memory that grows with each list of entries.
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
     for number in range(100):
         budget.update_entries(number, float(number))
-    assert len(budget.listed) <= WINDOW_S + 2
+    assert len(budget.listed) <= retrypools.WINDOW_S + 2
 
 
 def test_shares_of_less_than_one_retry_are_not_lost():
     # Guards against streams given up while most of the budget is unused.
     budgets = make_budgets(300, requests=1)
-    own = sum(budget.take(SERVICE, 1.0) for budget in budgets)
-    assert own == pytest.approx(0.5 * RATIO * 300, rel=0.25)
-    assert not any(budget.take(SERVICE, 1.0) for budget in budgets)
+    own = sum(budget.take(retrypools.SERVICE, 1.0) for budget in budgets)
+    assert own == pytest.approx(0.5 * retrypools.RATIO * 300, rel=0.25)
+    assert not any(budget.take(retrypools.SERVICE, 1.0) for budget in budgets)
 
 
 @pytest.mark.parametrize('entries', [75, 76])
 def test_small_parts_of_the_allowance_are_granted_by_the_home(entries):
     # Guards against an allowance that no entry can use, or used twice.
     (budget, *_) = make_budgets(entries)
-    own = budget.take(SERVICE, 1.0)
-    pool = budget.pool(SERVICE, 1.0)
-    assert entries * own + pool <= ALLOWANCE
-    assert entries * own + pool >= 0.8 * ALLOWANCE
+    own = budget.take(retrypools.SERVICE, 1.0)
+    pool = budget.pool(retrypools.SERVICE, 1.0)
+    assert entries * own + pool <= retrypools.ALLOWANCE
+    assert entries * own + pool >= 0.8 * retrypools.ALLOWANCE
 
 
 def test_a_small_part_of_the_allowance_is_in_one_place_at_a_time():
     # Guards against parts used twice as the number of entries crosses a bound.
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
     for now, count in ((0.0, 70), (20.0, 80), (40.0, 70)):
         budget.update_entries(count, now)
         for at in (now, now + 9.0):
-            assert budget.pool(SERVICE, at) == 60.0
+            assert budget.pool(retrypools.SERVICE, at) == 60.0
     budget.update_entries(80, 60.0)
-    assert budget.pool(SERVICE, 70.5) > 60.0
+    assert budget.pool(retrypools.SERVICE, 70.5) > 60.0
 
 
 def test_requests_counted_twice_do_not_raise_the_budget():
     # Guards against entries in the sums of two control processes.
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
     for now, firsts in ((0.0, 100), (0.5, 200), (1.0, 200)):
-        budget.apply_loads({SERVICE: messages.ServiceTraffic(firsts, 0)}, now)
-    assert budget.allowed(SERVICE, 1.1) == RATIO * 100 + ALLOWANCE
+        budget.apply_loads(
+            {retrypools.SERVICE: messages.ServiceTraffic(firsts, 0)}, now
+        )
+    assert (
+        budget.allowed(retrypools.SERVICE, 1.1)
+        == retrypools.RATIO * 100 + retrypools.ALLOWANCE
+    )
 
 
 def test_retries_that_wait_for_servers_count_as_they_are_sent():
     # Guards against retries that arrive with those allowed after them.
-    budget = decisions.ServiceRetryBudget(RATIO, 8, WINDOW_S)
-    assert sum(budget.take(SERVICE, 0.0) for _ in range(9)) == 4
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, 8, retrypools.WINDOW_S
+    )
+    assert sum(budget.take(retrypools.SERVICE, 0.0) for _ in range(9)) == 4
     for _ in range(4):
-        budget.record_delay(SERVICE, 0.0, 3.0, granted=False)
-    assert not budget.take(SERVICE, 10.5)
-    assert sum(budget.take(SERVICE, 13.5) for _ in range(9)) == 4
+        budget.record_delay(retrypools.SERVICE, 0.0, 3.0, granted=False)
+    assert not budget.take(retrypools.SERVICE, 10.5)
+    assert sum(budget.take(retrypools.SERVICE, 13.5) for _ in range(9)) == 4
 
 
 def test_granted_retries_that_wait_for_servers_count_as_they_are_sent():
     # Guards against granted retries that arrive with those granted later.
-    home = make_home(home_first('n0', 'n1')[0])
-    assert total(home.grant(ask(400), 0.0)) == 400
-    home.record_delay(SERVICE, 100, 3.0)
-    assert total(home.grant(ask(400), 2.9)) == 0
-    assert total(home.grant(ask(400), 10.9)) == 300
-    assert total(home.grant(ask(400), 13.9)) == 100
+    home = make_home(retrypools.home_first('n0', 'n1')[0])
+    assert retrypools.total(home.grant(retrypools.ask(400), 0.0)) == 400
+    home.record_delay(retrypools.SERVICE, 100, 3.0)
+    assert retrypools.total(home.grant(retrypools.ask(400), 2.9)) == 0
+    assert retrypools.total(home.grant(retrypools.ask(400), 10.9)) == 300
+    assert retrypools.total(home.grant(retrypools.ask(400), 13.9)) == 100
 
 
 def test_further_retries_leave_room_for_first_ones():
     # Guards against one request that spends what many others need.
     further = decisions.RetryPriority.FURTHER
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
-    assert sum(budget.take(SERVICE, 0.0, further) for _ in range(99)) == 37
-    assert sum(budget.take(SERVICE, 0.0) for _ in range(99)) == 38
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
+    assert (
+        sum(budget.take(retrypools.SERVICE, 0.0, further) for _ in range(99))
+        == 37
+    )
+    assert sum(budget.take(retrypools.SERVICE, 0.0) for _ in range(99)) == 38
 
 
 class FakeTransport(ports.Transport):
@@ -367,15 +413,17 @@
 
 
 def make_pool(transport):
-    budget = decisions.ServiceRetryBudget(RATIO, ALLOWANCE, WINDOW_S)
-    nodes = make_nodes('n0')
+    budget = decisions.ServiceRetryBudget(
+        retrypools.RATIO, retrypools.ALLOWANCE, retrypools.WINDOW_S
+    )
+    nodes = retrypools.make_nodes('n0')
     return forwarding.ControlRetryPool(budget, transport, 'e1', lambda: nodes)
 
 
 async def take_many(pool, count, priority):
     return sum(
         await asyncio.gather(
-            *(pool.take(SERVICE, priority) for _ in range(count))
+            *(pool.take(retrypools.SERVICE, priority) for _ in range(count))
         )
     )
 
