--- a/tests/retrypools.py
+++ b/tests/retrypools.py
@@ -1,5 +1,7 @@
 """Services, control processes and asks of tests of the retry budget."""
 
+import random
+
 from bulrushhold import decisions
 from bulrushhold import messages
 
@@ -25,3 +27,9 @@
 
 def total(grant):
     return grant.begun + grant.other
+
+
+def make_home(address='n0', started_at=float('-inf'), nodes=('n0', 'n1')):
+    home = decisions.RetryHome(address, random.Random(1), started_at)
+    home.update_nodes(make_nodes(*nodes), started_at)
+    return home
