Logs tell a silent engine from one that is gone, and what ended a stream

An engine lost without an answer to a probe looked like one that had closed its connections, nothing told that it answered again, and a stream that ended early named the last engine's reason but not the limit that ended it.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -46,6 +46,9 @@
     :ivar on_load_change: called when this entry's load changes.
     :ivar on_replaced: called with the ident of a server that is no longer at
         its address, although it wasn't leaving.
+    :ivar on_answering_again: called with the ident of a server that was
+        silent, and for how long, in seconds.
+    :ivar silent_since: when servers were found silent, by ident.
     :ivar load_age_s: age of the last load summary when it was received.
     :ivar capacity: memory of one engine in tokens, by service.
     :ivar lost: listed servers that were lost within ``PROBATION_S``, and
@@ -56,6 +59,10 @@
     def __init__(self) -> None:
         self.on_load_change: t.Callable[[], None] = _do_nothing
         self.on_replaced: t.Callable[[str], None] = _do_nothing
+        self.on_answering_again: t.Callable[[str, float], None] = (
+            lambda ident, seconds: None
+        )
+        self.silent_since: dict[str, float] = {}
         self.pending_losses: list[str] = []
         self.pending_replaced: list[str] = []
         self.last_report_at = 0.0
@@ -105,6 +112,8 @@
         self.backends = backends
         self.lost = [b for b in self.lost if backends.get(b.ident) is b]
         self.replaced_idents &= backends.keys()
+        for ident in self.silent_since.keys() - backends.keys():
+            del self.silent_since[ident]
         self.demands.retain(backends.keys())
         self.rejections.retain(backends.keys())
         self.server_speeds.update(
@@ -296,6 +305,17 @@
                 self.on_load_change()
             self._eject(backend, now)
 
+    def record_silence(self, ident: str, now: float) -> None:
+        """Record that a server doesn't answer, until it does."""
+        if ident in self.backends:
+            self.silent_since.setdefault(ident, now)
+
+    def record_answer(self, ident: str, now: float) -> None:
+        """Record that a server has answered."""
+        since = self.silent_since.pop(ident, None)
+        if since is not None:
+            self.on_answering_again(ident, now - since)
+
     def _addresses_at(self, location: tuple[str, str]) -> list[str]:
         service, data_centre = location
         return [
@@ -349,6 +369,7 @@
         if backend is None:
             return
         self._sample_failure(backend, 0.0, now)
+        self.record_answer(ident, now)
         self.losses.record_alive(backend.address)
         backend.ejected_until = 0.0
         if latency is not None:
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -62,6 +62,13 @@
 
     def __attrs_post_init__(self) -> None:
         self.placement.on_replaced = self._confirm_crash
+        self.placement.on_answering_again = self._log_answering_again
+
+    def _log_answering_again(self, ident: str, seconds: float) -> None:
+        self.metrics.count('engines.answering_again')
+        node.log_decision(
+            'server answers again', backend=ident, seconds=round(seconds, 3)
+        )
 
     def _confirm_crash(self, ident: str) -> None:
         """Record the crash of a replaced server that broke requests off."""
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -181,7 +181,7 @@
             self._check_first_event(silence)
             alive = await self._is_alive(silence)
             if not alive and not self.send_task.done():
-                raise _streamloss.StreamLostError(NO_PROBE_ANSWER)
+                raise _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
         try:
             self.response = self.send_task.result()
         except errors.BackendError as error:
@@ -414,7 +414,9 @@
             async with asyncio.timeout(0):
                 return await self._read(response)
         except TimeoutError:
-            raise _streamloss.StreamLostError(NO_PROBE_ANSWER) from None
+            raise _streamloss.StreamLostError(
+                NO_PROBE_ANSWER, silent=True
+            ) from None
 
     def _stall_timeout_s(self) -> float:
         if self._has_copy():
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -18,6 +18,8 @@
     :param event_id_before: id of the last event sent to the caller by then.
     :param permitted: the engine's request limit allowed the attempt.
     :param cut_off: neither this entry nor any other reaches the engines.
+    :param silent: the engine doesn't answer, but nothing shows that it is
+        gone.
     """
 
     sent: bool = True
@@ -27,6 +29,7 @@
     event_id_before: int | None = None
     permitted: bool = True
     cut_off: bool = False
+    silent: bool = False
 
     @property
     def crashed(self) -> bool:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -41,6 +41,7 @@
     """Forwards one stream, from one engine at a time.
 
     :param caller_stream: the response to the caller.
+    :ivar limit: what kept it from another attempt.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.failure_reply: calls.Reply | None = None
         self.retry: _retries.Retry | None = None
         self.tracked: _running.RunningRequest | None = None
+        self.limit = ''
 
     async def run(self) -> calls.Reply | None:
         """Return a reply, or ``None`` if the response was streamed.
@@ -100,7 +102,10 @@
             engine = choice.backend
             if engine is None:
                 return self._end_incomplete(
-                    choice.reason or reason, peer, choice.retry_after_s
+                    choice.reason or reason,
+                    peer,
+                    choice.retry_after_s,
+                    limit='no engine',
                 )
             self.retry = _retries.record_sent(
                 self.context, self.job.service, self.retry
@@ -123,7 +128,7 @@
                     await _blocks.wait_for_crash_reports(self.job)
                 if not await self._may_retry(lost):
                     return self._end_incomplete(
-                        reason, peer, _context.RETRY_AFTER_S
+                        reason, peer, _context.RETRY_AFTER_S, limit=self.limit
                     )
             else:
                 if reply is None:
@@ -262,8 +267,10 @@
         if lost.sent:
             self.lost_runs += 1
             if not self.job.route.repeatable:
+                self.limit = 'may run once'
                 return False
         if self.lost_runs >= self.job.route.max_attempts:
+            self.limit = 'attempts'
             return False
         if not self.engines.untried():
             await asyncio.sleep(self.retry_pause_s)
@@ -273,7 +280,9 @@
                 )
             self.engines.tried.clear()
         if self.remaining_s() < MIN_REMAINING_S:
+            self.limit = 'deadline'
             return False
+        self.limit = 'retry budget'
         self.rejections += lost.rejected
         priority = _retries.priority(
             self.job, self.rejections, begun=self.caller_stream.headers_sent
@@ -286,6 +295,7 @@
 
         Only a stream that has begun can lose anything by its end.
         """
+        self.limit = 'cut off'
         if not self.caller_stream.headers_sent:
             return False
         self.engines.tried.clear()
@@ -308,10 +318,21 @@
         return {'priority': self.job.priority, 'account': self.job.account}
 
     def _end_incomplete(
-        self, reason: str, peer: str, retry_after_s: float
+        self, reason: str, peer: str, retry_after_s: float, *, limit: str
     ) -> calls.Reply | None:
-        self._log_end('stream ended early', reason=reason, peer=peer)
+        """End a stream for want of an engine.
+
+        :param limit: what it has used up.
+        """
+        self._log_end(
+            'stream ended early',
+            reason=reason,
+            peer=peer,
+            limit=limit,
+            remaining_s=round(self.remaining_s(), 2),
+        )
         self.context.metrics.count('streams.broken')
+        self.context.metrics.count(f'streams.broken.{limit.replace(" ", "_")}')
         if self.caller_stream.headers_sent:
             self.caller_stream.abort()
             return None
@@ -331,7 +352,9 @@
             self.job.fingerprint, self.context.clock()
         )
         self.context.metrics.count('requests.ended_by_block')
-        return self._end_incomplete(error.reason, error.peer, blocked_s)
+        return self._end_incomplete(
+            error.reason, error.peer, blocked_s, limit='blocked'
+        )
 
     # Attempts at one engine
 
@@ -419,6 +442,9 @@
                 engine.ident, now, unreachable=lost.unreachable
             )
         self.context.metrics.count('engines.lost')
+        if lost.silent:
+            self.context.placement.record_silence(engine.ident, now)
+            self.context.metrics.count('engines.silent')
         if lost.unreachable:
             self.engines.lost_data_centre = engine.data_centre
         if lost.crashed or lost.reset:
@@ -438,5 +464,6 @@
             reason=str(lost),
             last=self.last_event_id,
             gone=lost.unreachable,
+            silent=lost.silent,
             fingerprint=self.job.fingerprint,
         )
