--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -317,11 +317,13 @@
     :ivar fault: ``''``, ``delay``, ``silent`` (no data passes), ``one_way``
         (data passes towards the target only) or ``refuse``.
     :ivar faults_by_client: the same for the connections of one address.
+    :ivar silences: number of silences that overlap now; as ``silent``.
     """
 
     def __init__(self):
         self.fault = ''
         self.faults_by_client = {}
+        self.silences = 0
         self.connections = {}
         self.address = ''
 
@@ -336,6 +338,7 @@
     async def stop(self):
         self.server.close()
         self.fault = ''
+        self.silences = 0
         self.faults_by_client.clear()
         self.reset()
         # Tasks that the event loop's end cancels would log their tracebacks.
@@ -386,6 +389,8 @@
                 connection.close()
 
     def _is_held(self, client, *, upstream):
+        if self.silences:
+            return True
         faults = {self.fault, self.faults_by_client.get(client)}
         return 'silent' in faults or ('one_way' in faults and not upstream)
 
--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -16,6 +16,7 @@
 from tests.platform.soak import loadrun
 from tests.platform.soak import result
 from tests.platform.soak import retries
+from tests.platform.soak import silence
 from tests.platform.soak import slowreaders
 from tests.platform.soak import system
 from tests.platform.soak import uneven
@@ -158,6 +159,10 @@
     'uneven-engines': uneven.play_engines,
     'uneven-servers': uneven.play_servers,
     **{fault.replace('_', '-'): _fault_scenario(fault) for fault in FAULTS},
+    **{
+        f'silent-{name}': functools.partial(silence.play_variant, variant=name)
+        for name in silence.VARIANTS
+    },
     **{
         f'retries-{name}': _retry_scenario(variant)
         for name, variant in retries.VARIANTS.items()
--- /dev/null
+++ b/tests/platform/soak/silence.py
@@ -0,0 +1,288 @@
+"""Sound servers that fall silent for a second or two and go on.
+
+Connections stay open and no byte is lost.
+"""
+
+import asyncio
+import collections
+import random
+import signal
+import time
+
+import aiohttp
+import attrs
+import yarl
+
+from tests.platform.soak import fakes
+from tests.platform.soak import figures
+from tests.platform.soak import result
+from tests.platform.soak import run
+from tests.platform.soak import system
+
+SERVERS_PER_SERVICE = {'s-model': 4, 's-desk': 8}
+DEADLINE_S = 10.0
+FIRST_SILENCE_S = 3.0
+LAST_SILENCE_S = 18.0
+SILENCE_INTERVAL_S = 3.0
+TAIL_S = 4.0
+CHANGE_INTERVAL_S = 1.0
+RESTART_INTERVAL_S = 2.5
+REQUESTS_PER_S = 38
+STREAMS = (fakes.STREAM_PATH,)
+ALL_KINDS = (fakes.STREAM_PATH, fakes.UNSAFE_PATH, fakes.SAFE_PATH)
+REFUSED = 'refused'
+WHOLE = 'whole'
+LOST = 'lost'
+NOT_SENT = 'not sent'
+
+
+@attrs.frozen
+class SilencePlan:
+    """Which servers fall silent, and what happens meanwhile.
+
+    :param share: of the servers of each service.
+    :param silent_s: duration of each silence.
+    :param stream_s: duration of a whole stream.
+    :param kinds: paths of the requests, of which each sends one.
+    :param beside: planned work, see :meth:`SilenceRun._plan`.
+    :param overlap: whether a second silence begins within the first one.
+    """
+
+    share: float = 1.0
+    silent_s: float = 1.5
+    stream_s: float = 0.4
+    kinds: tuple = STREAMS
+    beside: tuple = ()
+    entries: int = 4
+    overlap: bool = False
+
+
+class SilenceRun(run.SoakRun):
+    """Sends requests while servers fall silent and go on.
+
+    :ivar outcomes: number of requests by path and outcome.
+    :ivar lost: IDs of the requests that ended without a whole answer or a
+        refusal.
+    :ivar slowest_s: longest time that a request took.
+    """
+
+    def __init__(self, seed, folder, network_number, plan):
+        super().__init__(seed, folder, network_number, LAST_SILENCE_S + TAIL_S)
+        self.plan = plan
+        self.load_rng = random.Random(f'load {seed}')
+        self.silence_rng = random.Random(f'silence {seed}')
+        self.engines = [
+            fakes.Engine(service, f'zone-{n % 3}', self.observations, self.rng)
+            for service, count in SERVERS_PER_SERVICE.items()
+            for n in range(count)
+        ]
+        for engine in self.engines:
+            engine.event_interval_s = plan.stream_s / fakes.EVENT_COUNT
+        self.outcomes = collections.Counter()
+        self.lost = []
+        self.slowest_s = 0.0
+
+    def _make_system(self, *arguments):
+        return system.System(*arguments, entry_count=self.plan.entries)
+
+    async def _run_with_faults(self):
+        started_at = time.monotonic()
+        deadline = started_at + self.seconds
+        beside = [
+            asyncio.ensure_future(self._plan(work, deadline))
+            for work in self.plan.beside
+        ]
+        silences = asyncio.ensure_future(self._fall_silent(started_at))
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            calls = []
+            while time.monotonic() < deadline:
+                kind = self.load_rng.choice(self.plan.kinds)
+                call = self._call(session, kind, f'{len(calls)}')
+                calls.append(asyncio.ensure_future(call))
+                await asyncio.sleep(self.load_rng.expovariate(REQUESTS_PER_S))
+            await asyncio.gather(*calls, silences, *beside)
+
+    # Silences
+
+    async def _fall_silent(self, started_at):
+        at = FIRST_SILENCE_S
+        while at <= LAST_SILENCE_S:
+            await asyncio.sleep(started_at + at - time.monotonic())
+            self._start_task(self._be_silent(self._draw_servers()))
+            if self.plan.overlap:
+                await asyncio.sleep(self.plan.silent_s / 2)
+                self._start_task(self._be_silent(self._draw_servers()))
+            at += SILENCE_INTERVAL_S
+
+    def _draw_servers(self):
+        drawn = []
+        for service in SERVERS_PER_SERVICE:
+            servers = [e for e in self.engines if e.service == service]
+            count = max(1, round(self.plan.share * len(servers)))
+            drawn += self.silence_rng.sample(servers, count)
+        return drawn
+
+    async def _be_silent(self, servers):
+        self._record_fault('silent', ' '.join(e.ident for e in servers))
+        for server in servers:
+            server.proxy.silences += 1
+        await asyncio.sleep(self.plan.silent_s)
+        for server in servers:
+            server.proxy.silences -= 1
+
+    # Planned work
+
+    async def _plan(self, work, deadline):
+        await asyncio.sleep(FIRST_SILENCE_S)
+        await getattr(self, f'_{work}')(deadline)
+
+    async def _route_maps(self, deadline):
+        while time.monotonic() < deadline:
+            self.version += 1
+            await self._put_route_map(self.version)
+            await asyncio.sleep(CHANGE_INTERVAL_S)
+
+    async def _hup(self, deadline):
+        while time.monotonic() < deadline:
+            for entry in self.system.programs_with_role('entry'):
+                self.system.signal(entry, signal.SIGHUP)
+                await asyncio.sleep(CHANGE_INTERVAL_S)
+
+    async def _term(self, deadline):
+        while time.monotonic() < deadline:
+            for entry in self.system.programs_with_role('entry'):
+                if time.monotonic() > deadline:
+                    return
+                self.system.signal(entry, signal.SIGTERM)
+                await self.system.wait_for_exit(entry)
+                self.system.start(entry)
+                await asyncio.sleep(RESTART_INTERVAL_S)
+
+    # Callers
+
+    async def _call(self, session, kind, number):
+        started_at = time.monotonic()
+        outcome = await self._send(session, kind, number)
+        self.slowest_s = max(self.slowest_s, time.monotonic() - started_at)
+        self.outcomes[kind, outcome] += 1
+        if outcome == LOST:
+            self.lost.append(f'{self.report.seed}-{number}')
+
+    async def _send(self, session, kind, number):
+        ident = f'{self.report.seed}-{number}'
+        target = f'{kind}{ident}'
+        entry = self.load_rng.choice(self.system.programs_with_role('entry'))
+        headers = {
+            'Host': 'soak.example',
+            'Bulrushhold-Request-Id': ident,
+            'Bulrushhold-Credential': run.API_KEY,
+            'Bulrushhold-Deadline-Ms': str(round(DEADLINE_S * 1000)),
+        }
+        if kind == fakes.STREAM_PATH:
+            headers['Bulrushhold-Token-Counts'] = '800,40'
+            headers['Bulrushhold-Prompt-Prefix'] = f'a:100,b{number}:700'
+        body = f'body {number}'.encode()
+        url = yarl.URL(self.system.url(entry, 'front', target), encoded=True)
+        timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 2.0)
+        try:
+            async with session.post(
+                url, data=body, headers=headers, timeout=timeout
+            ) as response:
+                data = await response.read()
+        except aiohttp.ClientConnectorError:
+            return NOT_SENT
+        except fakes.CONNECTION_ERRORS:
+            return LOST
+        self._check_response(kind, ident, target, body, response, data)
+        if response.status == 200:
+            return WHOLE
+        if response.status in (503, 429, 408, 421):
+            return REFUSED
+        return str(response.status)
+
+    async def _check_recovery(self):
+        for program in self.system.programs:
+            if program.process.poll() is not None:
+                self.report.violations.append(f'{program.name} has exited')
+
+    # Figures
+
+    def count(self, *outcomes):
+        return sum(n for (_, o), n in self.outcomes.items() if o in outcomes)
+
+    def count_logged(self, message):
+        """Return how many lines the entries logged with a message."""
+        marker = f'"{message}"'
+        return sum(
+            line.count(marker) > 0
+            for entry in self.system.programs_with_role('entry')
+            for line in entry.log.read_text().splitlines()
+        )
+
+    def checks(self):
+        """Return the figures with their bounds."""
+        blocked = self.count_logged('request blocked')
+        return [
+            figures.Check('lost', len(self.lost), 0, at_least=False),
+            figures.Check(
+                'failed', self.count('502', '504'), 0, at_least=False
+            ),
+            figures.Check('blocked', blocked, 0, at_least=False),
+            figures.Check(
+                'violated guarantees',
+                len(self.report.violations),
+                0,
+                at_least=False,
+            ),
+        ]
+
+    def lines(self):
+        """Return what callers got, and the requests that were lost."""
+        outcomes = ', '.join(
+            f'{kind}{outcome} {count}'
+            for (kind, outcome), count in sorted(self.outcomes.items())
+        )
+        repeated = sum(n - 1 for n in self.observations.runs.values())
+        return [
+            f'{outcomes}; slowest {self.slowest_s:.1f} s, '
+            f'runs beyond the first {repeated}, '
+            f'crashes counted {self.count_logged("crash counted")}',
+            f'lost: {self.lost[:8]}',
+            *self.report.violations[:10],
+        ]
+
+
+async def play(seed, folder, plan):
+    """Return the result of a plan, with the logs in a folder."""
+    folder.mkdir(exist_ok=True)
+    with system.LoopbackNetwork() as network:
+        silence_run = SilenceRun(seed, folder, network.number, plan)
+        await silence_run.execute()
+    return result.Result(silence_run.checks(), silence_run.lines())
+
+
+VARIANTS = {
+    'streams': SilencePlan(),
+    'long-streams': SilencePlan(share=0.3, silent_s=1.0, stream_s=4.0),
+    'all-long-streams': SilencePlan(silent_s=1.0, stream_s=4.0),
+    'maps': SilencePlan(silent_s=2.0, beside=('route_maps',)),
+    'all-kinds-maps': SilencePlan(
+        silent_s=2.0, kinds=ALL_KINDS, beside=('route_maps',)
+    ),
+    'all-kinds-hup': SilencePlan(kinds=ALL_KINDS, beside=('hup',)),
+    'all-kinds-planned': SilencePlan(
+        share=0.5,
+        silent_s=1.2,
+        kinds=ALL_KINDS,
+        beside=('route_maps', 'hup', 'term'),
+    ),
+    'overlap': SilencePlan(share=0.5, overlap=True, stream_s=4.0),
+}
+
+
+async def play_variant(seed, folder, variant, entries=4, seconds=None):
+    """Play a variant; its duration is fixed."""
+    del seconds
+    plan = attrs.evolve(VARIANTS[variant], entries=entries)
+    return await play(seed, folder, plan)
