--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -246,6 +246,19 @@
         :param timeout: seconds.
         """
 
+    @abc.abstractmethod
+    async def has_ended(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Return whether the process at an address is known to have ended.
+
+        It has if connections are refused, or if another process responds. One
+        that doesn't respond at all may be silent for a moment.
+
+        :param timeout: seconds.
+        :param instance: ident of the process, for one that takes probes.
+        """
+
     @abc.abstractmethod
     async def cached_segments(
         self, address: str, timeout: float
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -189,6 +189,10 @@
             ),
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
+        silences = forwarding.SilenceMonitor(context)
+        self.background.append(
+            _background.start_background_task(silences.watch())
+        )
         self.ingress = adapters.Ingress(
             self.forwarder.handle, self.adapters.caller_dialect, buffers
         )
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -176,6 +176,12 @@
         """Whether a server shuts down, by the list or by its own word."""
         return backend.leaving or backend.ident in self.demands.leaving
 
+    def is_gone(self, backend: _backendserver.BackendServer) -> bool:
+        """Whether a server is no longer at its address, and wasn't leaving."""
+        if backend.ident in self.replaced_idents:
+            return True
+        return backend.ident not in self.backends and not backend.leaving
+
     def is_brittle(self, backend: _backendserver.BackendServer) -> bool:
         """Whether a server fails if it has to reject many requests."""
         return backend.service in self.demands.brittle
@@ -313,8 +319,13 @@
     def record_answer(self, ident: str, now: float) -> None:
         """Record that a server has answered."""
         since = self.silent_since.pop(ident, None)
-        if since is not None:
-            self.on_answering_again(ident, now - since)
+        backend = self.backends.get(ident)
+        if since is None or backend is None:
+            return
+        backend.lost_at = float('-inf')
+        backend.ejected_until = 0.0
+        self.losses.record_alive(backend.address)
+        self.on_answering_again(ident, now - since)
 
     def _addresses_at(self, location: tuple[str, str]) -> list[str]:
         service, data_centre = location
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -99,11 +99,13 @@
     """A request that an engine broke off.
 
     :param run_s: time since it was sent.
+    :param silent: the engine closed no connection, but stopped answering.
     """
 
     fingerprint: str
     at: float
     run_s: float
+    silent: bool = False
 
 
 class PoisonRequestDetector:
@@ -159,13 +161,21 @@
             self.on_pending()
 
     def record_reset(
-        self, fingerprint: str, engine: str, now: float, run_s: float = 0.0
+        self,
+        fingerprint: str,
+        engine: str,
+        now: float,
+        run_s: float = 0.0,
+        *,
+        silent: bool = False,
     ) -> None:
         """Record that an engine broke a request off and may have crashed.
 
-        It counts as a crash if the engine proves to have been replaced.
+        It counts as a crash if the engine proves to have ended.
+
+        :param silent: it closed no connection, but stopped answering.
         """
-        reset = _Reset(fingerprint, now, run_s)
+        reset = _Reset(fingerprint, now, run_s, silent)
         self.resets.setdefault(engine, []).append(reset)
         while len(self.resets) > MAX_RESETS:
             del self.resets[next(iter(self.resets))]
@@ -175,6 +185,12 @@
         resets = self.resets.get(engine, ())
         return any(now - reset.at < RESET_TTL_S for reset in resets)
 
+    def clear_silences(self, engine: str) -> None:
+        """Forget the silence of an engine that answers again."""
+        resets = [r for r in self.resets.pop(engine, ()) if not r.silent]
+        if resets:
+            self.resets[engine] = resets
+
     def record_replaced(self, engine: str, now: float) -> None:
         """Count the requests that a replaced engine broke off."""
         for reset in self.resets.pop(engine, ()):
--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -162,6 +162,17 @@
         """Return whether an engine is up."""
         return await self.probe(address, timeout)
 
+    async def has_ended(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Return whether an engine refuses connections or has restarted."""
+        engine = self.engines[address]
+        if not engine.up and engine.unreachable:
+            await asyncio.sleep(timeout)
+            return False
+        await asyncio.sleep(2 * ONE_WAY_DELAY_S)
+        return not engine.up or instance not in ('', engine.ident)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -31,6 +31,7 @@
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
 from bulrushhold.forwarding._scheduling import StreamScheduling
+from bulrushhold.forwarding._silencemonitor import SilenceMonitor
 from bulrushhold.forwarding._streams import StreamForwarder
 from bulrushhold.forwarding._versiongauges import VersionGauges
 
@@ -62,6 +63,7 @@
     'RetryGauges',
     'RetryPool',
     'Scheduled',
+    'SilenceMonitor',
     'StreamForwarder',
     'StreamScheduling',
     'VersionGauges',
--- a/src/bulrushhold/forwarding/_blocks.py
+++ b/src/bulrushhold/forwarding/_blocks.py
@@ -62,12 +62,18 @@
     run_s: float,
     *,
     crashed: bool,
+    silent: bool = False,
 ) -> None:
     """Record that a server broke a request off.
 
     :param run_s: seconds since the request was sent to it.
     :param crashed: the server is known to have crashed.
+    :param silent: it closed no connection, but doesn't answer.
     """
     detector, now = context.poison_requests, context.clock()
-    record = detector.record_crash if crashed else detector.record_reset
-    record(job.fingerprint, ident, now, run_s)
+    if crashed:
+        detector.record_crash(job.fingerprint, ident, now, run_s)
+    else:
+        detector.record_reset(
+            job.fingerprint, ident, now, run_s, silent=silent
+        )
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -9,6 +9,7 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _origins
 from bulrushhold.forwarding import _places
 from bulrushhold.forwarding import _retrypool
@@ -32,6 +33,7 @@
     :param retry_pool: grants retries beyond this entry's share of a budget.
     :param scheduling: decides on streams of services with ordered admission.
     :ivar running: the requests that end as they become blocked.
+    :ivar probes: liveness probes of engines.
     """
 
     placement: decisions.Placement
@@ -55,24 +57,34 @@
         factory=decisions.WaitingOrder
     )
     running: _running.RunningRequests = attrs.field(init=False)
+    probes: _liveness.LivenessProbes = attrs.field(init=False)
 
     @running.default
     def _make_running(self) -> _running.RunningRequests:
         return _running.RunningRequests(self.poison_requests)
 
+    @probes.default
+    def _make_probes(self) -> _liveness.LivenessProbes:
+        return _liveness.LivenessProbes(self.client)
+
     def __attrs_post_init__(self) -> None:
-        self.placement.on_replaced = self._confirm_crash
-        self.placement.on_answering_again = self._log_answering_again
+        self.placement.on_replaced = self.confirm_crash
+        self.placement.on_answering_again = self._clear_silence
 
-    def _log_answering_again(self, ident: str, seconds: float) -> None:
+    def _clear_silence(self, ident: str, seconds: float) -> None:
+        self.poison_requests.clear_silences(ident)
         self.metrics.count('engines.answering_again')
         node.log_decision(
             'server answers again', backend=ident, seconds=round(seconds, 3)
         )
 
-    def _confirm_crash(self, ident: str) -> None:
-        """Record the crash of a replaced server that broke requests off."""
+    def confirm_crash(self, ident: str) -> None:
+        """Record the crash of a server that broke requests off.
+
+        It was replaced, has ended, or has been silent for too long.
+        """
         now = self.clock()
+        self.placement.silent_since.pop(ident, None)
         if self.poison_requests.was_reset(ident, now):
             self.placement.record_failure(ident, now, unreachable=True)
             self.poison_requests.record_replaced(ident, now)
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -65,6 +65,8 @@
         self.response: calls.BackendResponse | None = None
         self.send_task: asyncio.Future[calls.BackendResponse] | None = None
         self.received_event = False
+        self.silent_since: float | None = None
+        self.silent_s = 0.0
         self.renewal: asyncio.Task[None] | None = None
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
@@ -116,10 +118,10 @@
         now = self.context.clock()
         self.context.placement.record_success(self.engine.ident, now, None)
         self.evidence.record_end()
-        if self.copy is None and self.stream.job.call.last_event_id is None:
-            self.speeds.record_run(
-                self.stream.job.service, now - self.started_at, now
-            )
+        resumed = self.stream.job.call.last_event_id is not None
+        if self.copy is None and not resumed:
+            run_s = now - self.started_at - self.silent_s
+            self.speeds.record_run(self.stream.job.service, run_s, now)
         self.close()
         await self.drop_copy()
         return None
@@ -178,10 +180,9 @@
                 await asyncio.wait({self.send_task}, timeout=PROBE_INTERVAL_S)
             if self.send_task.done():
                 break
-            self._check_first_event(silence)
-            alive = await self._is_alive(silence)
-            if not alive and not self.send_task.done():
-                raise _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
+            lost = await self._check_engine(silence)
+            if lost is not None and not self.send_task.done():
+                raise lost
         try:
             self.response = self.send_task.result()
         except errors.BackendError as error:
@@ -198,25 +199,89 @@
             return
         self.read_monitor.start()
 
-    def _check_first_event(self, silence: _liveness.SilenceTimer) -> None:
-        waited = silence.seconds
+    async def _check_engine(
+        self, silence: _liveness.SilenceTimer
+    ) -> _streamloss.StreamLostError | None:
+        """Return why the engine should be left, if it should.
+
+        An engine that may still answer is left only if the stream can go on
+        at another one.
+        """
         if self.stream.remaining_s() <= 0:
-            raise _streamloss.StreamLostError(
+            return _streamloss.StreamLostError(
                 'no event before the deadline', unreachable=False
             )
+        if not await self._is_alive(silence):
+            self._begin_silence()
+            return await self._check_silent_engine()
+        if self.silent_since is not None:
+            # It has just gone on: its next event takes its usual time.
+            self._end_silence()
+            silence.reset()
+            return None
+        reason = (
+            self._stall(silence)
+            if self.received_event
+            else self._late_first_event(silence)
+        )
+        if reason and await self.stream.prepare_move():
+            return _streamloss.StreamLostError(reason, unreachable=False)
+        return None
+
+    def _begin_silence(self) -> None:
+        if self.silent_since is None:
+            self.silent_since = self.pauses.last_event_at
+        self.read_monitor.discard()
+        self.pauses.discard()
+        self.evidence.discard_times()
+
+    def _end_silence(self) -> None:
+        if self.silent_since is not None:
+            self.silent_s += self.context.clock() - self.silent_since
+            self.silent_since = None
+
+    async def _check_silent_engine(
+        self,
+    ) -> _streamloss.StreamLostError | None:
+        """Return why an engine that answers no probe should be left.
+
+        While no other engine answers either, a move would only read the
+        prompt once more on an engine that is silent, too.
+        """
+        if self.context.placement.is_gone(self.engine):
+            return _streamloss.StreamLostError('replaced or no longer listed')
+        end_check = asyncio.ensure_future(
+            self.context.client.has_ended(
+                self.engine.address,
+                _liveness.PROBE_TIMEOUT_S,
+                self.engine.ident,
+            )
+        )
+        try:
+            found = await self.stream.find_successor(self.engine)
+            if not found:
+                await end_check
+            if end_check.done() and end_check.result():
+                return _streamloss.StreamLostError('process has ended')
+        finally:
+            end_check.cancel()
+        if found and await self.stream.prepare_move():
+            return _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
+        return None
+
+    def _late_first_event(self, silence: _liveness.SilenceTimer) -> str:
+        """Return why the engine is too slow to read the prompt, or ``''``."""
+        waited = silence.seconds
         elsewhere_s = self.engines.estimate_capacity(
             self.engine.ident
         ).first_event_s
         if waited > self.read_monitor.timeout_s(elsewhere_s):
-            raise _streamloss.StreamLostError(
-                f'no first event after {waited:.2f} s', unreachable=False
-            )
+            return f'no first event after {waited:.2f} s'
+        return ''
 
     async def _is_alive(self, silence: _liveness.SilenceTimer) -> bool:
         with silence.measure(_liveness.PROBE_TIMEOUT_S):
-            return await _liveness.is_alive(
-                self.context.client, self.engine.address
-            )
+            return await self.context.probes.is_alive(self.engine.address)
 
     async def _failure_reply(
         self, response: calls.BackendResponse
@@ -345,6 +410,7 @@
         self, response: calls.BackendResponse, data: bytes
     ) -> None:
         now = self.context.clock()
+        self._end_silence()
         self.pauses.record_event(now, first=not self.received_event)
         self.evidence.record_event(now)
         if not self.received_event:
@@ -391,32 +457,28 @@
             ):
                 async with asyncio.timeout(probe_after_s):
                     return await self._read(response)
-            if self.received_event:
-                self._check_stall(silence)
-            else:
-                self._check_first_event(silence)
-            if not await self._is_alive(silence):
-                return await self._read_buffered(response)
-
-    def _check_stall(self, silence: _liveness.SilenceTimer) -> None:
+            lost = await self._check_engine(silence)
+            if lost is not None:
+                return await self._read_buffered(response, lost)
+
+    def _stall(self, silence: _liveness.SilenceTimer) -> str:
+        """Return why the engine is too slow to go on, or ``''``."""
         stalled_s = silence.seconds
-        if (
-            stalled_s > self._stall_timeout_s()
-            or self.stream.remaining_s() <= 0
-        ):
-            raise _streamloss.StreamLostError(
-                f'stalled for {stalled_s:.2f} s', unreachable=False
-            )
+        if stalled_s > self._stall_timeout_s():
+            return f'stalled for {stalled_s:.2f} s'
+        return ''
 
-    async def _read_buffered(self, response: calls.BackendResponse) -> bytes:
+    async def _read_buffered(
+        self,
+        response: calls.BackendResponse,
+        lost: _streamloss.StreamLostError,
+    ) -> bytes:
         """Return what arrived during a failed probe, without waiting."""
         try:
             async with asyncio.timeout(0):
                 return await self._read(response)
         except TimeoutError:
-            raise _streamloss.StreamLostError(
-                NO_PROBE_ANSWER, silent=True
-            ) from None
+            raise lost from None
 
     def _stall_timeout_s(self) -> float:
         if self._has_copy():
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -7,6 +7,7 @@
 from bulrushhold import decisions
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _permits
+from bulrushhold.forwarding import _runlimit
 
 # Bounds the size of an ask; an engine that is left out is granted and
 # excluded then.
@@ -19,6 +20,7 @@
     :ivar memory: tokens of the prompt and half of the output: streams that
         fail have generated about as much.
     :ivar tried: idents of the engines tried in this round.
+    :ivar run_limit: bounds the engines that run the stream.
     :ivar version: version that made the events which the caller has; ``None``
         while it has none. What two versions write doesn't fit together.
     :ivar unlisted: idents of granted engines that this entry doesn't know.
@@ -31,6 +33,7 @@
         self.context = context
         self.job = job
         self.tried: set[str] = set()
+        self.run_limit = _runlimit.RunLimit(job.route.max_attempts)
         self.unlisted: set[str] = set()
         self.version = job.version
         self.created_at = context.clock()
@@ -73,7 +76,7 @@
             self.context,
             self.job,
             self._choose_engine,
-            self.tried,
+            self.excluded(),
             begun=begun,
             version=self.version,
         )
@@ -91,6 +94,22 @@
             self.job.service, self.context.clock(), version=self.version
         )
 
+    def excluded(self) -> set[str]:
+        """Return the idents of engines that the stream must not be sent to.
+
+        Those tried in this round, and once as many engines as its route allows
+        have run it, all others.
+        """
+        limit = self.run_limit
+        for ident in list(limit.engines):
+            engine = self.context.placement.backends.get(ident)
+            if engine is None or self.context.placement.is_gone(engine):
+                limit.record_ended(ident)
+        listed = self.context.placement.services.get(self.job.service, ())
+        return self.tried | {
+            engine.ident for engine in listed if not limit.allows(engine.ident)
+        }
+
     def _choose_engine(self) -> decisions.BackendServer | None:
         if self.job.canary and not self.tried and self.version is None:
             engine = self._choose_engine_of(canary=True)
@@ -100,13 +119,18 @@
 
     def _choose_engine_of(
         self, *, canary: bool
+    ) -> decisions.BackendServer | None:
+        return self._cheapest(self.excluded(), canary=canary)
+
+    def _cheapest(
+        self, excluded: set[str], *, canary: bool = False
     ) -> decisions.BackendServer | None:
         return self.context.placement.choose_engine(
             self.job.service,
             self.context.clock(),
             tokens=self.tokens,
             segment=self.last_segment,
-            tried=self.tried,
+            tried=excluded,
             avoid_data_centre=self.lost_data_centre,
             canary=canary,
             version=self.version,
@@ -160,7 +184,7 @@
         return self.context.placement.untried(
             self.job.service,
             self.context.clock(),
-            self.tried,
+            self.excluded(),
             self.version,
         )
 
@@ -174,7 +198,7 @@
         return self.context.placement.choose_backup(
             engine,
             now,
-            self.tried,
+            self.excluded(),
             self.memory,
             overloaded=self.context.admission.overloaded(now),
         )
@@ -193,6 +217,25 @@
             and backup in self._usable()
         )
 
+    def alternatives(
+        self, engine: decisions.BackendServer, count: int
+    ) -> list[decisions.BackendServer]:
+        """Return other engines at which the stream might go on, best first.
+
+        Those tried in this round come last: they may be back.
+        """
+        found: dict[str, decisions.BackendServer] = {}
+        excluded = self.excluded()
+        for tried in (excluded, excluded - self.tried):
+            tried = {*tried, *found, engine.ident}
+            while len(found) < count:
+                best = self._cheapest(tried)
+                if best is None:
+                    break
+                found[best.ident] = best
+                tried.add(best.ident)
+        return list(found.values())
+
     # Engines granted by the scheduling home
 
     def _eligible(self) -> list[decisions.BackendServer]:
@@ -207,13 +250,13 @@
 
     def available(self) -> list[decisions.BackendServer]:
         """Return the engines to which the stream may be sent now."""
-        now = self.context.clock()
+        now, excluded = self.context.clock(), self.excluded()
         return [
             engine
             for engine in self.context.placement.allowing(
                 self._eligible(), now
             )
-            if engine.ident not in self.tried and engine.ejected_until <= now
+            if engine.ident not in excluded and engine.ejected_until <= now
         ]
 
     def constraints(self) -> tuple[str | None, list[str]]:
--- a/src/bulrushhold/forwarding/_liveness.py
+++ b/src/bulrushhold/forwarding/_liveness.py
@@ -40,6 +40,49 @@
     return False
 
 
+class LivenessProbes:
+    """Probes each engine once for all streams that ask at the same time."""
+
+    def __init__(self, client: calls.BackendClient) -> None:
+        self.client = client
+        self.pending: dict[str, asyncio.Future[bool]] = {}
+
+    async def is_alive(self, address: str) -> bool:
+        """Return whether an engine responds; see :func:`is_alive`."""
+        probe = self.pending.get(address)
+        if probe is None:
+            probe = asyncio.ensure_future(is_alive(self.client, address))
+            self.pending[address] = probe
+            probe.add_done_callback(lambda _: self.pending.pop(address))
+        return await asyncio.shield(probe)
+
+    async def first_alive(self, addresses: list[str]) -> str:
+        """Return the first address that responds, or ``''``.
+
+        :param addresses: the preferred one first; it is waited for a little
+            longer.
+        """
+        probes = {
+            asyncio.ensure_future(self.is_alive(address)): address
+            for address in addresses
+        }
+        try:
+            for task in asyncio.as_completed(probes):
+                if await task:
+                    break
+            if not probes:
+                return ''
+            preferred = next(iter(probes))
+            await asyncio.wait({preferred}, timeout=POLL_STEP_S)
+            for probe, address in probes.items():
+                if probe.done() and probe.result():
+                    return address
+            return ''
+        finally:
+            for probe in probes:
+                probe.cancel()
+
+
 async def _wait_one_step(
     probes: set['asyncio.Future[bool]'],
 ) -> set['asyncio.Future[bool]']:
@@ -65,6 +108,10 @@
         self.clock = clock
         self.seconds = 0.0
 
+    def reset(self) -> None:
+        """Start anew."""
+        self.seconds = 0.0
+
     @contextlib.contextmanager
     def measure(self, max_s: float) -> cabc.Iterator[None]:
         """Add the duration of a wait, capped at its timeout."""
--- a/src/bulrushhold/forwarding/_pausemonitor.py
+++ b/src/bulrushhold/forwarding/_pausemonitor.py
@@ -36,11 +36,18 @@
         self.service = service
         self.objective = objective
         self.last_event_at = now
+        self.was_silent = False
         self._begin_batch(now)
 
+    def discard(self) -> None:
+        """Leave out the present pause: the engine is silent, not slow."""
+        self.was_silent = True
+
     def record_event(self, now: float, *, first: bool) -> None:
         """Record the arrival of events; before the first ones is no pause."""
-        if not first:
+        if self.was_silent:
+            self.was_silent = False
+        elif not first:
             self.samples.add(now - self.last_event_at)
             if now - self.reported_at > REPORT_INTERVAL_S:
                 self.speeds.record_pauses(self.service, self.samples, now)
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -67,6 +67,12 @@
         """Try to connect, without a request."""
         return await self.client.accepts_connections(address, timeout)
 
+    async def has_ended(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Check whether a process has ended, without a request."""
+        return await self.client.has_ended(address, timeout, instance)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -62,6 +62,7 @@
         self.attempts = 0
         self.rejections = 0
         self.retry: _retries.Retry | None = None
+        self.next_retry: _retries.Retry | None = None
         self.retry_pause_s = RETRY_PAUSE_S
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
@@ -157,6 +158,9 @@
             self.tried.clear()
         if self._remaining_s() < MIN_REMAINING_S:
             return False
+        if self.next_retry is not None:
+            self.retry, self.next_retry = self.next_retry, None
+            return True
         priority = _retries.priority(self.job, self.rejections)
         self.retry = await _retries.take(self.context, self.job, priority)
         return self.retry is not None
@@ -233,7 +237,7 @@
             self.context.places.release(backend)
         if result.permitted:
             seconds = self.context.clock() - started
-            crashed = result.broken_off and await self._has_crashed(backend)
+            crashed = result.broken_off and await self._has_ended(backend)
             self._record_result(backend, result, seconds, crashed=crashed)
             if result.reply is not None and result.reply.status < 500:
                 self.context.placement.record_service_time(
@@ -251,16 +255,30 @@
             stall_timeout_s = max(
                 MIN_STALL_TIMEOUT_S, STALL_FACTOR * expected_s
             )
-            await asyncio.wait(
-                {task}, timeout=min(stall_timeout_s, self._remaining_s() / 2)
-            )
-            if not task.done():
-                return _Result(errors.Ran.UNKNOWN, 'stall timeout')
+            timeout_s = min(stall_timeout_s, self._remaining_s() / 2)
+            while self._remaining_s() > MIN_REMAINING_S:
+                await asyncio.wait({task}, timeout=timeout_s)
+                if task.done() or not self._can_switch():
+                    break
+                if await self._prepare_retry():
+                    return _Result(errors.Ran.UNKNOWN, 'stall timeout')
         await asyncio.wait({task}, timeout=max(0.0, self._remaining_s()))
         if task.done():
             return task.result()
         return _Result(errors.Ran.UNKNOWN, 'no answer before the deadline')
 
+    async def _prepare_retry(self) -> bool:
+        """Return whether the retry budget allows to leave a slow server.
+
+        It may still answer: without a retry its run would be given up for
+        nothing.
+        """
+        priority = _retries.priority(self.job, self.rejections)
+        self.next_retry = await _retries.take_now(
+            self.context, self.job.service, priority
+        )
+        return self.next_retry is not None
+
     def _can_switch(self) -> bool:
         """Return whether another attempt at a healthy server is possible."""
         return self.attempts + 1 < self.job.route.max_attempts and any(
@@ -325,9 +343,9 @@
             if response is not None:
                 response.close()
 
-    async def _has_crashed(self, backend: decisions.BackendServer) -> bool:
+    async def _has_ended(self, backend: decisions.BackendServer) -> bool:
         """Whether a server that broke a request off no longer listens."""
-        return not await self.context.client.accepts_connections(
+        return await self.context.client.has_ended(
             backend.address, _liveness.PROBE_TIMEOUT_S
         )
 
--- a/src/bulrushhold/forwarding/_promptread.py
+++ b/src/bulrushhold/forwarding/_promptread.py
@@ -79,6 +79,12 @@
                     self.service, self.objective.tokens, now
                 )
 
+    def discard(self) -> None:
+        """Stop measuring: the engine was silent, which isn't its speed."""
+        if self.reading is not None:
+            self.placement.speeds.cancel_read(self.reading)
+            self.reading = None
+
     def cancel(self) -> None:
         """Stop waiting for the first event.
 
--- a/src/bulrushhold/forwarding/_proxyhandler.py
+++ b/src/bulrushhold/forwarding/_proxyhandler.py
@@ -101,6 +101,9 @@
             case messages.ProxiedConnect(address, timeout):
                 accepts = await client.accepts_connections(address, timeout)
                 return messages.ProxyAnswer(accepts)
+            case messages.ProxiedEndCheck(address, timeout, instance):
+                ended = await client.has_ended(address, timeout, instance)
+                return messages.ProxyAnswer(ended)
             case messages.ProxiedSegmentsRead(address, timeout):
                 segments = await client.cached_segments(address, timeout)
                 return messages.ProxyAnswer(True, segments)
--- a/src/bulrushhold/forwarding/_proxyingclient.py
+++ b/src/bulrushhold/forwarding/_proxyingclient.py
@@ -152,6 +152,27 @@
         question = messages.ProxiedConnect(address, timeout)
         return await self._test(connect, address, question)
 
+    async def has_ended(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Check a process; see :meth:`calls.BackendClient.has_ended`.
+
+        A network that cuts this entry off may refuse connections, too.
+        """
+        service = self._service_at(address)
+        if not self.monitor.is_cut_off(service):
+            started = self.clock()
+            if not await self.direct.has_ended(address, timeout, instance):
+                return False
+            if not await self.monitor.check(service, address, started):
+                return True
+        question = messages.ProxiedEndCheck(address, timeout, instance)
+        try:
+            answer = await self._ask(address, question, timeout)
+        except errors.BackendError:
+            return False
+        return answer.success
+
     async def _test(
         self,
         test_directly: cabc.Callable[[], cabc.Awaitable[bool]],
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -11,8 +11,6 @@
 from bulrushhold.forwarding import _context
 from bulrushhold import ports
 
-# Longest wait of a stream that has begun: a home is replaced within it.
-MAX_BEGUN_WAIT_S: t.Final = 2.5
 BEGUN_PAUSE_S: t.Final = 0.1
 GAUGE_INTERVAL_S: t.Final = 1.0
 
@@ -52,24 +50,27 @@
     job: _context.Job,
     priority: decisions.RetryPriority,
 ) -> Retry | None:
-    """Return a retry if a request may be sent once more, and count it."""
-    give_up_at = min(job.deadline, context.clock() + MAX_BEGUN_WAIT_S)
+    """Return a retry if a request may be sent once more, and count it.
+
+    A stream that has begun waits for one until its deadline.
+    """
     while True:
-        retry = await _take_now(context, job.service, priority)
+        retry = await take_now(context, job.service, priority)
         if retry is not None:
             return retry
         is_begun = priority is decisions.RetryPriority.BEGUN
-        if not is_begun or context.clock() + BEGUN_PAUSE_S > give_up_at:
+        if not is_begun or context.clock() + BEGUN_PAUSE_S > job.deadline:
             _log_refusal(context, job, priority)
             return None
         await asyncio.sleep(BEGUN_PAUSE_S)
 
 
-async def _take_now(
+async def take_now(
     context: _context.ForwardingContext,
     service: str,
     priority: decisions.RetryPriority,
 ) -> Retry | None:
+    """Return a retry if the budget allows one now, and count it."""
     now = context.clock()
     if context.budget.take(service, now, priority):
         context.metrics.count(f'retries.own.{service}')
--- a/src/bulrushhold/forwarding/_runevidence.py
+++ b/src/bulrushhold/forwarding/_runevidence.py
@@ -28,6 +28,14 @@
         self.started_at = self.clock()
         self.first_event_at = self.last_event_at = self.started_at
         self.event_batches = 0
+        self.was_silent = False
+
+    def discard_times(self) -> None:
+        """Leave out how long the run takes: its engine was silent.
+
+        Any version may be on an engine that falls silent for a moment.
+        """
+        self.was_silent = True
 
     def record_failure(self) -> None:
         """Record a response with which the engine reported a failure."""
@@ -43,14 +51,14 @@
 
     def record_end(self) -> None:
         """Record the mean pause of a complete run."""
-        if self.event_batches > 1:
+        if self.event_batches > 1 and not self.was_silent:
             seconds = self.last_event_at - self.first_event_at
             self.versions.record_pause(
                 self.engine, self.route, seconds / (self.event_batches - 1)
             )
 
     def _record_response(self, now: float, *, failed: bool) -> None:
-        if self.unread_tokens:
+        if self.unread_tokens and (failed or not self.was_silent):
             seconds = now - self.started_at
             self.versions.record(
                 self.engine,
--- /dev/null
+++ b/src/bulrushhold/forwarding/_silencemonitor.py
@@ -0,0 +1,50 @@
+"""Finds out what became of engines that streams left as silent."""
+
+import asyncio
+import typing as t
+
+from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _liveness
+
+CHECK_INTERVAL_S: t.Final = 0.5
+# A sound engine may be silent for a second or two.
+MAX_SILENCE_S: t.Final = 3.0
+
+
+class SilenceMonitor:
+    """Probes silent engines until they answer or have ended.
+
+    Without it, nothing would show that an engine crashed under a request if
+    it closed no connection.
+    """
+
+    def __init__(self, context: _context.ForwardingContext) -> None:
+        self.context = context
+        self.placement = context.placement
+
+    async def watch(self) -> None:
+        """Check all silent engines again and again."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self.check()
+
+    async def check(self) -> None:
+        """Check all silent engines once."""
+        await asyncio.gather(*map(self._check, self.placement.silent_since))
+
+    async def _check(self, ident: str) -> None:
+        client = self.context.client
+        address = self.placement.backends[ident].address
+        timeout_s = _liveness.PROBE_TIMEOUT_S
+        alive, ended = await asyncio.gather(
+            client.probe(address, timeout_s, ident),
+            client.has_ended(address, timeout_s, ident),
+        )
+        now = self.context.clock()
+        since = self.placement.silent_since.get(ident)
+        if since is None:
+            return
+        if alive:
+            self.placement.record_answer(ident, now)
+        elif ended or now - since > MAX_SILENCE_S:
+            self.context.confirm_crash(ident)
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -33,8 +33,8 @@
 
     @property
     def crashed(self) -> bool:
-        """Whether the engine was lost while it had the request."""
-        return self.sent and self.unreachable
+        """Whether the engine is gone, and was lost with the request."""
+        return self.sent and self.unreachable and not self.silent
 
     @property
     def rejected(self) -> bool:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -35,12 +35,16 @@
 # Engines granted in a row that this entry couldn't use; it then chooses one
 # itself.
 MAX_UNUSED_GRANTS: t.Final = 8
+# Engines that are probed at once as the stream's engine doesn't answer.
+MAX_CANDIDATES: t.Final = 3
 
 
 class StreamForwarder:
     """Forwards one stream, from one engine at a time.
 
     :param caller_stream: the response to the caller.
+    :ivar next_retry: taken before an engine is left that may still answer.
+    :ivar successor: engine that answers, as the present one doesn't.
     :ivar limit: what kept it from another attempt.
     """
 
@@ -66,6 +70,8 @@
         self.timing = _streamtiming.StreamTiming(context, job)
         self.failure_reply: calls.Reply | None = None
         self.retry: _retries.Retry | None = None
+        self.next_retry: _retries.Retry | None = None
+        self.successor: decisions.BackendServer | None = None
         self.tracked: _running.RunningRequest | None = None
         self.limit = ''
 
@@ -101,6 +107,8 @@
             choice, copy = await self._choose()
             engine = choice.backend
             if engine is None:
+                if await self._wait_for_engine():
+                    continue
                 return self._end_incomplete(
                     choice.reason or reason,
                     peer,
@@ -126,11 +134,19 @@
                 # A stream that has begun is resumed at once.
                 if lost.crashed and not self.caller_stream.headers_sent:
                     await _blocks.wait_for_crash_reports(self.job)
-                if not await self._may_retry(lost):
+                if not await self._may_retry(engine, lost):
                     return self._end_incomplete(
                         reason, peer, _context.RETRY_AFTER_S, limit=self.limit
                     )
             else:
+                if reply is not None and self.caller_stream.headers_sent:
+                    # No reply can follow another engine's events.
+                    return self._end_incomplete(
+                        f'failed with status {reply.status}',
+                        engine.ident,
+                        _context.RETRY_AFTER_S,
+                        limit='rejected',
+                    )
                 if reply is None:
                     self.context.poison_requests.record_success(
                         self.job.fingerprint, self.context.clock()
@@ -201,7 +217,11 @@
         if self.remaining_s() < MIN_REMAINING_S:
             return _permits.PermittedChoice(), None
         backup, copy = self.backup, self.copy
+        successor, self.successor = self.successor, None
         self.backup = self.copy = None
+        if successor is not None and successor is not backup:
+            # The backup doesn't answer.
+            backup = None
         if backup is not None and self.engines.may_resume_on(
             backup, self.backup_since
         ):
@@ -214,6 +234,13 @@
                 return choice, copy or calls.RunCopy(backup.address)
         if self._is_ordered():
             return await self._choose_in_order(), None
+        if successor is not None:
+            permission = await _permits.acquire(
+                self.context, self.job, successor.ident
+            )
+            if permission is not _permits.Permission.DENIED:
+                has_permit = permission is _permits.Permission.PERMIT
+                return _permits.PermittedChoice(successor, has_permit), None
         if self.lost_runs and not (await self._wait_for_admission()).admitted:
             return _permits.PermittedChoice(), None
         choice = await self.engines.choose(
@@ -253,7 +280,11 @@
                 return choice
         return await self.engines.choose(begun=False)
 
-    async def _may_retry(self, lost: _streamloss.StreamLostError) -> bool:
+    async def _may_retry(
+        self,
+        engine: decisions.BackendServer,
+        lost: _streamloss.StreamLostError,
+    ) -> bool:
         run_started = (
             lost.unreachable
             or lost.reset
@@ -266,10 +297,11 @@
             return await self._wait_for_connection()
         if lost.sent:
             self.lost_runs += 1
+            self._count_run(engine, lost)
             if not self.job.route.repeatable:
                 self.limit = 'may run once'
                 return False
-        if self.lost_runs >= self.job.route.max_attempts:
+        if self.engines.run_limit.exhausted:
             self.limit = 'attempts'
             return False
         if not self.engines.untried():
@@ -283,6 +315,9 @@
             self.limit = 'deadline'
             return False
         self.limit = 'retry budget'
+        if self.next_retry is not None:
+            self.retry, self.next_retry = self.next_retry, None
+            return True
         self.rejections += lost.rejected
         priority = _retries.priority(
             self.job, self.rejections, begun=self.caller_stream.headers_sent
@@ -290,6 +325,78 @@
         self.retry = await _retries.take(self.context, self.job, priority)
         return self.retry is not None
 
+    def _count_run(
+        self,
+        engine: decisions.BackendServer,
+        lost: _streamloss.StreamLostError,
+    ) -> None:
+        limit = self.engines.run_limit
+        if lost.crashed:
+            limit.record_ended(engine.ident)
+        else:
+            limit.record_sent(engine.ident)
+        if not lost.silent:
+            limit.record_failure(
+                progressed=self.last_event_id != lost.event_id_before
+            )
+
+    async def find_successor(self, engine: decisions.BackendServer) -> bool:
+        """Return whether an engine answers at which the stream might go on.
+
+        :param engine: the one that doesn't answer.
+        """
+        if not self.job.route.repeatable:
+            return False
+        candidates = self.engines.alternatives(engine, MAX_CANDIDATES)
+        backup = self.backup
+        if backup is not None and self.engines.may_resume_on(
+            backup, self.backup_since
+        ):
+            candidates = [backup, *(c for c in candidates if c is not backup)]
+        address = await self.context.probes.first_alive(
+            [candidate.address for candidate in candidates]
+        )
+        self.successor = next(
+            (c for c in candidates if c.address == address), None
+        )
+        return self.successor is not None
+
+    async def prepare_move(self) -> bool:
+        """Return whether the stream may leave an engine that may still answer.
+
+        Otherwise its run would be given up for nothing.
+        """
+        if not self.job.route.repeatable:
+            return False
+        if self.engines.run_limit.failures + 1 >= self.job.route.max_attempts:
+            return False
+        if self.next_retry is None:
+            priority = _retries.priority(
+                self.job,
+                self.rejections,
+                begun=self.caller_stream.headers_sent,
+            )
+            self.next_retry = await _retries.take_now(
+                self.context, self.job.service, priority
+            )
+        return self.next_retry is not None
+
+    async def _wait_for_engine(self) -> bool:
+        """Return whether to look for an engine again, as there is none now.
+
+        A stream of which the caller has events doesn't end while there is
+        time.
+        """
+        if (
+            not self.caller_stream.headers_sent
+            or self.remaining_s() < MIN_REMAINING_S
+            or self.engines.version_is_gone()
+        ):
+            return False
+        self.engines.tried.clear()
+        await asyncio.sleep(CUT_OFF_RETRY_S)
+        return True
+
     async def _wait_for_connection(self) -> bool:
         """Return whether to look for an engine again; none can be reached.
 
@@ -426,10 +533,15 @@
         address. A live one still serves other streams and holds copies, and
         must not be marked as lost.
         """
-        if lost.reset and await self.context.client.probe(
-            engine.address, _liveness.PROBE_TIMEOUT_S, engine.ident
-        ):
+        if not lost.reset:
+            return
+        client, timeout_s = self.context.client, _liveness.PROBE_TIMEOUT_S
+        if await client.probe(engine.address, timeout_s, engine.ident):
             lost.unreachable = False
+        elif not await client.has_ended(
+            engine.address, timeout_s, engine.ident
+        ):
+            lost.silent = True
 
     def _record_loss(
         self,
@@ -447,13 +559,14 @@
             self.context.metrics.count('engines.silent')
         if lost.unreachable:
             self.engines.lost_data_centre = engine.data_centre
-        if lost.crashed or lost.reset:
+        if lost.crashed or lost.reset or lost.silent:
             _blocks.record_broken_off(
                 self.context,
                 self.job,
                 engine.ident,
                 lost.seconds,
                 crashed=lost.crashed,
+                silent=lost.silent and not lost.reset,
             )
         if self.caller_stream.headers_sent:
             self.timing.record_interruption()
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -76,6 +76,7 @@
 from bulrushhold.messages._peerproxy import ProxiedConnect
 from bulrushhold.messages._peerproxy import ProxiedCopy
 from bulrushhold.messages._peerproxy import ProxiedCopyDrop
+from bulrushhold.messages._peerproxy import ProxiedEndCheck
 from bulrushhold.messages._peerproxy import ProxiedHead
 from bulrushhold.messages._peerproxy import ProxiedProbe
 from bulrushhold.messages._peerproxy import ProxiedSegmentsRead
@@ -200,6 +201,7 @@
     'ProposalReply',
     'ProxiedAttempt',
     'ProxiedConnect',
+    'ProxiedEndCheck',
     'ProxiedCopy',
     'ProxiedCopyDrop',
     'ProxiedHead',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -91,6 +91,7 @@
     _peerproxy.ProxyFailure,
     _peerproxy.ProxiedProbe,
     _peerproxy.ProxiedConnect,
+    _peerproxy.ProxiedEndCheck,
     _peerproxy.ProxiedSegmentsRead,
     _peerproxy.ProxiedCopy,
     _peerproxy.ProxiedCopyDrop,
--- a/src/bulrushhold/messages/_peerproxy.py
+++ b/src/bulrushhold/messages/_peerproxy.py
@@ -70,6 +70,15 @@
     timeout: float
 
 
+@attrs.frozen
+class ProxiedEndCheck:
+    """Asks an entry whether a server's process is known to have ended."""
+
+    address: str
+    timeout: float
+    instance: str = ''
+
+
 @attrs.frozen
 class ProxiedSegmentsRead:
     """Asks an entry for the prompt segments that an engine has cached."""
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -158,6 +158,25 @@
         writer.close()
         return True
 
+    async def has_ended(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Check a process; see :meth:`calls.BackendClient.has_ended`."""
+        if not instance:
+            return await _refuses_connections(address, timeout)
+        url = yarl.URL(f'http://{address}{self.dialect.probe_path()}')
+        try:
+            async with asyncio.timeout(timeout):
+                async with self.unpooled.get(
+                    url, headers=self.dialect.probe_headers(instance)
+                ) as response:
+                    found = self.dialect.decode_instance(response.headers)
+                    return bool(found) and found != instance
+        except aiohttp.ClientConnectorError as error:
+            return isinstance(error.os_error, ConnectionRefusedError)
+        except (TimeoutError, *_HTTP_ERRORS):
+            return False
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
@@ -215,6 +234,19 @@
         await self.unpooled.close()
 
 
+async def _refuses_connections(address: str, timeout: float) -> bool:
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(timeout):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (TimeoutError, OSError):
+        return False
+    writer.close()
+    return False
+
+
 def _to_backend_error(
     error: BaseException, step: str, address: str
 ) -> errors.BackendError:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -104,6 +104,7 @@
         self.scripts = []
         self.dead = set()
         self.replaced = set()
+        self.silent = set()
         self.log = []
         self.attempts = []
         self.copies = []
@@ -133,11 +134,18 @@
         except TimeoutError:
             return False
         is_other = bool(instance) and address in self.replaced
-        return address not in self.dead and not is_other
+        return self._answers(address) and not is_other
 
     async def accepts_connections(self, address, timeout):
         return address not in self.dead
 
+    def _answers(self, address):
+        return address not in self.dead and address not in self.silent
+
+    async def has_ended(self, address, timeout, instance=''):
+        is_other = bool(instance) and address in self.replaced
+        return address in self.dead or is_other
+
     async def cached_segments(self, address, timeout):
         self.segment_lookups.append(address)
         if address in self.dead:
--- a/tests/platform/soak/silence.py
+++ b/tests/platform/soak/silence.py
@@ -27,7 +27,9 @@
 TAIL_S = 4.0
 CHANGE_INTERVAL_S = 1.0
 RESTART_INTERVAL_S = 2.5
-REQUESTS_PER_S = 38
+# Streams that run at a time: engines have 64 slots.
+MAX_STREAMS = 50
+MAX_REQUESTS_PER_S = 38
 STREAMS = (fakes.STREAM_PATH,)
 ALL_KINDS = (fakes.STREAM_PATH, fakes.UNSAFE_PATH, fakes.SAFE_PATH)
 REFUSED = 'refused'
@@ -56,6 +58,10 @@
     entries: int = 4
     overlap: bool = False
 
+    @property
+    def requests_per_s(self):
+        return min(MAX_REQUESTS_PER_S, MAX_STREAMS / self.stream_s)
+
 
 class SilenceRun(run.SoakRun):
     """Sends requests while servers fall silent and go on.
@@ -64,6 +70,7 @@
     :ivar lost: IDs of the requests that ended without a whole answer or a
         refusal.
     :ivar slowest_s: longest time that a request took.
+    :ivar lags: see :func:`figures.measure_lag`.
     """
 
     def __init__(self, seed, folder, network_number, plan):
@@ -81,6 +88,7 @@
         self.outcomes = collections.Counter()
         self.lost = []
         self.slowest_s = 0.0
+        self.lags = []
 
     def _make_system(self, *arguments):
         return system.System(*arguments, entry_count=self.plan.entries)
@@ -93,6 +101,7 @@
             for work in self.plan.beside
         ]
         silences = asyncio.ensure_future(self._fall_silent(started_at))
+        lag = asyncio.ensure_future(figures.measure_lag(self.lags))
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             calls = []
@@ -100,8 +109,10 @@
                 kind = self.load_rng.choice(self.plan.kinds)
                 call = self._call(session, kind, f'{len(calls)}')
                 calls.append(asyncio.ensure_future(call))
-                await asyncio.sleep(self.load_rng.expovariate(REQUESTS_PER_S))
+                pause_s = self.load_rng.expovariate(self.plan.requests_per_s)
+                await asyncio.sleep(pause_s)
             await asyncio.gather(*calls, silences, *beside)
+        lag.cancel()
 
     # Silences
 
@@ -247,7 +258,8 @@
         return [
             f'{outcomes}; slowest {self.slowest_s:.1f} s, '
             f'runs beyond the first {repeated}, '
-            f'crashes counted {self.count_logged("crash counted")}',
+            f'crashes counted {self.count_logged("crash counted")}, '
+            f'p95 lag {figures.percentile(self.lags):.3f} s',
             f'lost: {self.lost[:8]}',
             *self.report.violations[:10],
         ]
