Silent engines are neither blamed nor left for nothing

Cause: an unanswered probe was taken for a crash under the request. Besides, a stream left a silent engine for others that were silent as well, at the cost of an attempt, a retry and a prompt each, and attempts were counted over its whole life. The class: silence taken for death or blame, and an attempt given up before the next one is secured.

- A crash counts once it is shown: connections are refused, another instance answers, the list drops the engine, or it has answered no probe for 3 s.
An engine that answers again is used again at once, and nothing is held against the requests that it had.
- A stream leaves a silent engine, as soon as before, only for one that answers a probe, and only with a retry taken.
Else it stays; what the engine makes meanwhile isn't lost.
Plain requests leave a slow server only with a retry.
- Failed runs count since the last event.
The engines of one stream stay bounded by the route's attempts; after that it returns to those it had.
- A stream that callers have events of waits for an engine or a retry until its deadline.
- A resumption that an engine rejects (400) ended the answer as if it were complete; it is broken off now.

Ruled out: a change of the route map as such; without silences nothing is lost. The test of a block as a server is checked now replaces has_ended, which plain requests ask; it checks the same.

--- a/src/bulrushhold/emulator/_service.py
+++ b/src/bulrushhold/emulator/_service.py
@@ -222,6 +222,12 @@
         """Return that the server is up."""
         return True
 
+    async def has_ended(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> bool:
+        """Return that the server is up."""
+        return False
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -27,6 +27,7 @@
 from bulrushhold.forwarding._retries import RetryGauges
 from bulrushhold.forwarding._retrypool import ControlRetryPool
 from bulrushhold.forwarding._retrypool import RetryPool
+from bulrushhold.forwarding._runlimit import RunLimit
 from bulrushhold.forwarding._scheduling import HomeScheduling
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
@@ -62,6 +63,7 @@
     'ReachabilityMonitor',
     'RetryGauges',
     'RetryPool',
+    'RunLimit',
     'Scheduled',
     'SilenceMonitor',
     'StreamForwarder',
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -67,6 +67,7 @@
         self.received_event = False
         self.silent_since: float | None = None
         self.silent_s = 0.0
+        self.kept_for = ''
         self.renewal: asyncio.Task[None] | None = None
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
@@ -237,8 +238,11 @@
 
     def _end_silence(self) -> None:
         if self.silent_since is not None:
-            self.silent_s += self.context.clock() - self.silent_since
+            now = self.context.clock()
+            self.silent_s += now - self.silent_since
             self.silent_since = None
+            self.kept_for = ''
+            self.context.placement.record_answer(self.engine.ident, now)
 
     async def _check_silent_engine(
         self,
@@ -267,8 +271,21 @@
             end_check.cancel()
         if found and await self.stream.prepare_move():
             return _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
+        self._log_kept('no retry' if found else 'no other engine answers')
         return None
 
+    def _log_kept(self, reason: str) -> None:
+        """Log why a silent engine isn't left, once for each reason."""
+        if reason != self.kept_for:
+            self.kept_for = reason
+            self.context.metrics.count('engines.kept_silent')
+            _context.log(
+                self.stream.job,
+                'silent engine kept',
+                engine=self.engine.ident,
+                reason=reason,
+            )
+
     def _late_first_event(self, silence: _liveness.SilenceTimer) -> str:
         """Return why the engine is too slow to read the prompt, or ``''``."""
         waited = silence.seconds
@@ -281,7 +298,7 @@
 
     async def _is_alive(self, silence: _liveness.SilenceTimer) -> bool:
         with silence.measure(_liveness.PROBE_TIMEOUT_S):
-            return await self.context.probes.is_alive(self.engine.address)
+            return await self.context.probes.is_alive(self.engine)
 
     async def _failure_reply(
         self, response: calls.BackendResponse
--- a/src/bulrushhold/forwarding/_liveness.py
+++ b/src/bulrushhold/forwarding/_liveness.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from bulrushhold import calls
+from bulrushhold import decisions
 
 # Busy engines respond to probes as fast as idle ones.
 PROBE_TIMEOUT_S: t.Final = 0.18
@@ -16,7 +17,9 @@
 MAX_PROBE_S: t.Final = 2.0
 
 
-async def is_alive(client: calls.BackendClient, address: str) -> bool:
+async def is_alive(
+    client: calls.BackendClient, address: str, instance: str = ''
+) -> bool:
     """Return whether an engine responds to one of two probes.
 
     Counts event loop steps instead of time: a process that is short of CPU
@@ -26,7 +29,7 @@
     try:
         for step in range(POLL_STEPS):
             if step in (0, SECOND_PROBE_STEP):
-                probe = client.probe(address, MAX_PROBE_S)
+                probe = client.probe(address, MAX_PROBE_S, instance)
                 probes.add(asyncio.ensure_future(probe))
             finished = await _wait_one_step(probes)
             if any(task.result() for task in finished):
@@ -47,40 +50,55 @@
         self.client = client
         self.pending: dict[str, asyncio.Future[bool]] = {}
 
-    async def is_alive(self, address: str) -> bool:
-        """Return whether an engine responds; see :func:`is_alive`."""
-        probe = self.pending.get(address)
+    async def is_alive(self, engine: decisions.BackendServer) -> bool:
+        """Return whether an engine responds, and not another at its address.
+
+        See :func:`is_alive`.
+        """
+        probe = self.pending.get(engine.ident)
         if probe is None:
-            probe = asyncio.ensure_future(is_alive(self.client, address))
-            self.pending[address] = probe
-            probe.add_done_callback(lambda _: self.pending.pop(address))
+            probe = asyncio.ensure_future(
+                is_alive(self.client, engine.address, engine.ident)
+            )
+            self.pending[engine.ident] = probe
+            probe.add_done_callback(lambda _: self.pending.pop(engine.ident))
         return await asyncio.shield(probe)
 
-    async def first_alive(self, addresses: list[str]) -> str:
-        """Return the first address that responds, or ``''``.
-
-        :param addresses: the preferred one first; it is waited for a little
+    async def find_alive(
+        self,
+        current: decisions.BackendServer,
+        candidates: list[decisions.BackendServer],
+    ) -> decisions.BackendServer | None:
+        """Return an engine that responds, if any.
+
+        :param current: the engine of the stream. It is returned if it
+            responds by then: a silence may end for all engines just after it
+            was probed.
+        :param candidates: the preferred one first; it is waited for a little
             longer.
         """
-        probes = {
-            asyncio.ensure_future(self.is_alive(address)): address
-            for address in addresses
-        }
+        probes = [
+            asyncio.ensure_future(self.is_alive(engine))
+            for engine in (*candidates, current)
+        ]
         try:
             for task in asyncio.as_completed(probes):
                 if await task:
                     break
-            if not probes:
-                return ''
-            preferred = next(iter(probes))
-            await asyncio.wait({preferred}, timeout=POLL_STEP_S)
-            for probe, address in probes.items():
-                if probe.done() and probe.result():
-                    return address
-            return ''
+            await asyncio.wait({probes[0]}, timeout=POLL_STEP_S)
+            alive = [
+                engine
+                for engine, probe in zip(
+                    (*candidates, current), probes, strict=True
+                )
+                if probe.done() and probe.result()
+            ]
         finally:
             for probe in probes:
                 probe.cancel()
+        if current in alive:
+            return current
+        return alive[0] if alive else None
 
 
 async def _wait_one_step(
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -286,7 +286,7 @@
         lost: _streamloss.StreamLostError,
     ) -> bool:
         run_started = (
-            lost.unreachable
+            lost.crashed
             or lost.reset
             or self.last_event_id != lost.event_id_before
         )
@@ -353,12 +353,8 @@
             backup, self.backup_since
         ):
             candidates = [backup, *(c for c in candidates if c is not backup)]
-        address = await self.context.probes.first_alive(
-            [candidate.address for candidate in candidates]
-        )
-        self.successor = next(
-            (c for c in candidates if c.address == address), None
-        )
+        found = await self.context.probes.find_alive(engine, candidates)
+        self.successor = None if found is engine else found
         return self.successor is not None
 
     async def prepare_move(self) -> bool:
--- a/tests/forwarding/test_blocks.py
+++ b/tests/forwarding/test_blocks.py
@@ -181,7 +181,7 @@
         await asyncio.sleep(0.05)
         return False
 
-    client.probe = client.accepts_connections = block_and_wait
+    client.probe = client.has_ended = block_and_wait
     client.scripts = [fakes.Script(error='send')]
     task, _ = start(context, kind)
     await assert_ended_by_block(task, errors.Ran.UNKNOWN)
