--- a/tests/forwarding/test_silent_engines.py
+++ b/tests/forwarding/test_silent_engines.py
@@ -15,7 +15,14 @@
 
 
 class SilentClient(fakes.FakeClient):
-    """Sends no event of a stream while its engine is silent."""
+    """Sends no event of a stream while its engine is silent.
+
+    :ivar on_chunk: called with a response before each of its events.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.on_chunk = lambda response: None
 
     async def send(self, call, attempt):
         await self.wait_while_silent(attempt.address)
@@ -46,6 +53,7 @@
 
     async def chunk(self):
         await asyncio.sleep(0.02)
+        self.client.on_chunk(self)
         await self.client.wait_while_silent(self.address)
         return await next_chunk(self)
 
@@ -55,17 +63,25 @@
     )
 
 
-async def fall_silent(client, addresses, after_s, silent_s=SILENT_S):
-    await asyncio.sleep(after_s)
-    client.silent |= addresses
-    await asyncio.sleep(silent_s)
+async def end_silence(client, addresses):
+    await asyncio.sleep(SILENT_S)
     client.silent -= addresses
 
 
-def start_silence(client, addresses, after_s=0.05, silent_s=SILENT_S):
-    return asyncio.ensure_future(
-        fall_silent(client, addresses, after_s, silent_s)
-    )
+def start_silence(client, addresses):
+    client.silent = client.silent | addresses
+    return asyncio.ensure_future(end_silence(client, addresses))
+
+
+def silence_all(client, remaining):
+    """Let all engines fall silent as so many events of a stream remain."""
+    silences = []
+
+    def lose(response):
+        if len(response.remaining_events) == remaining and not silences:
+            silences.append(start_silence(client, ALL_ADDRESSES))
+
+    client.on_chunk = lose
 
 
 async def test_a_stream_stays_while_all_engines_are_silent(
@@ -73,9 +89,8 @@
 ):
     """Guards against prompts read anew on engines that are silent, too."""
     client.scripts = [fakes.Script(events=tuple(range(1, 9)))]
-    silence = start_silence(client, ALL_ADDRESSES)
+    silence_all(client, remaining=5)
     caller, _ = await fakes.run_stream(context, gap_s=0.1)
-    await silence
     assert caller.data == fakes.encode_events(*range(1, 9))
     assert len(client.attempts) == 1
 
@@ -85,8 +100,7 @@
 ):
     """Guards against failures of requests that engines would serve."""
     client.scripts = [fakes.Script(events=(1, 2))]
-    client.silent = set(ALL_ADDRESSES)
-    silence = start_silence(client, ALL_ADDRESSES, after_s=0.0)
+    silence = start_silence(client, ALL_ADDRESSES)
     caller, _ = await fakes.run_stream(context, gap_s=0.1)
     await silence
     assert caller.data == fakes.encode_events(1, 2)
@@ -101,18 +115,21 @@
         fakes.Script(events=(1, 2, 3)),
         fakes.Script(events=(2, 3)),
     ]
-    run = asyncio.ensure_future(fakes.run_stream(context, gap_s=0.1))
-    await asyncio.sleep(0.03)
-    first = client.attempts[0]
-    client.silent = ALL_ADDRESSES - {'10.0.0.4:80'} | {first.address}
-    client.silent.discard('10.0.0.5:80')
+    answering = {'10.0.0.4:80', '10.0.0.5:80'}
+
+    def lose(response):
+        if len(response.remaining_events) == 2 and not client.silent:
+            client.silent = ALL_ADDRESSES - answering | {response.address}
+
+    client.on_chunk = lose
+    run = fakes.run_stream(context, gap_s=0.1)
     caller, _ = await asyncio.wait_for(run, 1.0)
     assert caller.data == fakes.encode_events(1, 2, 3)
     assert client.attempts[1].address not in client.silent
 
 
 async def test_a_text_is_not_blocked_as_its_engines_fall_silent(
-    client, context, paced, verdicts, monkeypatch, log_records
+    client, context, paced, verdicts
 ):
     """Guards against blocks of harmless requests."""
     client.scripts = [
@@ -121,16 +138,14 @@
         fakes.Script(events=(3, 4)),
         fakes.Script(events=(4,)),
     ]
-    paced_chunk = fakes.FakeResponse.chunk
 
-    async def chunk(self):
-        if len(self.remaining_events) == 1 and len(client.attempts) < 4:
-            client.silent.add(self.address)
-        return await paced_chunk(self)
+    def lose(response):
+        if len(response.remaining_events) == 1 and len(client.attempts) < 4:
+            client.silent.add(response.address)
 
-    monkeypatch.setattr(fakes.FakeResponse, 'chunk', chunk)
+    client.on_chunk = lose
     caller, _ = await fakes.run_stream(context, gap_s=0.1)
-    assert caller.data == fakes.encode_events(1, 2, 3, 4), log_records
+    assert caller.data == fakes.encode_events(1, 2, 3, 4)
     assert not verdicts
 
 
@@ -139,12 +154,11 @@
 ):
     """Guards against the end of an answer that its engine still makes."""
     client.scripts = [fakes.Script(events=(1, 2, 3))]
-    silence = start_silence(client, ALL_ADDRESSES, after_s=0.03)
+    silence_all(client, remaining=2)
     caller = fakes.FakeCaller()
     job = fakes.make_job(context, routes.Kind.STREAM, gap_s=0.1)
     job = attrs.evolve(job, route=attrs.evolve(job.route, resumable=False))
     await forwarding.StreamForwarder(context, job, caller).run()
-    await silence
     assert caller.data == fakes.encode_events(1, 2, 3)
     assert caller.ended
 
@@ -155,11 +169,15 @@
     """Guards against a stream given up as the retry budget is used up."""
     client.scripts = [fakes.Script(events=(1, 2, 3))]
     context.budget.take = lambda service, now, priority: False
-    run = asyncio.ensure_future(fakes.run_stream(context, gap_s=0.1))
-    await asyncio.sleep(0.03)
-    silence = start_silence(client, {client.attempts[0].address}, after_s=0.0)
-    caller, _ = await run
-    await silence
+    silences = []
+
+    def lose(response):
+        if len(response.remaining_events) == 2 and not silences:
+            silences.append(start_silence(client, {response.address}))
+
+    client.on_chunk = lose
+    caller, _ = await fakes.run_stream(context, gap_s=0.1)
+    await silences[0]
     assert caller.data == fakes.encode_events(1, 2, 3)
     assert len(client.attempts) == 1
 
@@ -249,10 +267,14 @@
         fakes.Script(events=(1, 2)),
         fakes.Script(events=(2,)),
     ]
+
+    def lose(response):
+        if len(client.attempts) == 1 and len(response.remaining_events) == 1:
+            client.silent = set(ALL_ADDRESSES)
+
+    client.on_chunk = lose
     run = asyncio.ensure_future(fakes.run_stream(context, gap_s=0.1))
-    await asyncio.sleep(0.03)
-    client.silent = set(ALL_ADDRESSES)
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(0.5)
     assert len(client.attempts) == 1
     context.placement.mark_replaced(client.attempts[0].instance)
     await asyncio.sleep(0.4)
