Soak: servers fall silent beside all other faults

Random shares of the servers are silent for 0.5 to 2.0 s, overlapping, drawn from a random generator of their own: the draws of other faults keep their seeds.

--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import random
 import signal
@@ -17,6 +16,7 @@
 from tests.platform.soak import isolation
 from tests.platform.soak import poison
 from tests.platform.soak import routemap
+from tests.platform.soak import silences
 from tests.platform.soak import system
 from tests.platform.soak import takeups
 
@@ -28,8 +28,6 @@
 PLAIN_TIMEOUT_S = 3.0
 MAX_EDIT_INTERVAL_S = 0.4
 MEAN_FAULT_INTERVAL_S = 0.5
-MEAN_POISON_INTERVAL_S = 1.5
-MAX_POISON_CALLERS = 4
 _CONNECTION_ERRORS = fakes.CONNECTION_ERRORS
 
 
@@ -57,10 +55,8 @@
 
     def __init__(self, seed, folder, network_number, seconds):
         self.rng = random.Random(seed)
-        self.poison_rng = random.Random(f'poison {seed}')
         self.cut_rng = random.Random(f'cut {seed}')
         self.version_rng = random.Random(f'version {seed}')
-        self.poison_numbers = itertools.count(1)
         self.report = Report(seed)
         self.folder = folder
         self.network_number = network_number
@@ -90,6 +86,12 @@
             self._record_fault,
             self._start_task,
         )
+        self.silences = silences.ServerSilences(
+            random.Random(f'silences {seed}'),
+            self.engines,
+            self._record_fault,
+            self._start_task,
+        )
 
     async def execute(self):
         for engine in self.engines:
@@ -141,7 +143,13 @@
                 self.cut_rng, deadline, self._record_fault, self._start_task
             )
         )
-        poisoners = asyncio.ensure_future(self._send_poison_requests(deadline))
+        silent = asyncio.ensure_future(self.silences.make(deadline))
+        poison_callers = poison.PoisonCallers(
+            random.Random(f'poison {self.report.seed}'), self, API_KEY
+        )
+        poisoners = asyncio.ensure_future(
+            poison_callers.run(deadline, self._record_fault, self._start_task)
+        )
         resuming_callers = takeups.ResumingCallers(
             self.version_rng, self.session, self.system, API_KEY, self.report
         )
@@ -150,7 +158,7 @@
             self._start_task(self._send_request())
             await asyncio.sleep(self.rng.expovariate(25))
         await asyncio.gather(
-            operator, faults, demanding, cuts, poisoners, resumers
+            operator, faults, demanding, cuts, silent, poisoners, resumers
         )
 
     async def _check_recovery(self):
@@ -418,29 +426,3 @@
         engine.error_rate = 0.5
         await asyncio.sleep(1.0)
         engine.error_rate = 0.0
-
-    # Poison requests
-
-    async def _send_poison_requests(self, deadline):
-        rng = self.poison_rng
-        while time.monotonic() < deadline:
-            await asyncio.sleep(rng.expovariate(1 / MEAN_POISON_INTERVAL_S))
-            kind = rng.choice(
-                (fakes.STREAM_PATH, fakes.UNSAFE_PATH, fakes.SAFE_PATH)
-            )
-            path = f'{kind}{fakes.POISON}-{rng.randrange(3)}'
-            callers = rng.randint(1, MAX_POISON_CALLERS)
-            self._record_fault(f'{callers} callers of', path)
-            for _ in range(callers):
-                self._start_task(self._send_poison(path))
-
-    async def _send_poison(self, path):
-        entry = self.poison_rng.choice(self.system.programs_with_role('entry'))
-        ident = f'poison-{next(self.poison_numbers)}'
-        with contextlib.suppress(*_CONNECTION_ERRORS):
-            async with poison.post(
-                self.session, self.system, entry, path, ident, API_KEY
-            ) as response:
-                await response.read()
-                if response.status == 200:
-                    self.report.violations.append(f'answered: {path}')
--- a/tests/platform/soak/silence.py
+++ b/tests/platform/soak/silence.py
@@ -17,6 +17,7 @@
 from tests.platform.soak import figures
 from tests.platform.soak import result
 from tests.platform.soak import run
+from tests.platform.soak import silences
 from tests.platform.soak import system
 
 SERVERS_PER_SERVICE = {'s-model': 4, 's-desk': 8}
@@ -136,11 +137,7 @@
 
     async def _be_silent(self, servers):
         self._record_fault('silent', ' '.join(e.ident for e in servers))
-        for server in servers:
-            server.proxy.silences += 1
-        await asyncio.sleep(self.plan.silent_s)
-        for server in servers:
-            server.proxy.silences -= 1
+        await silences.fall_silent(servers, self.plan.silent_s)
 
     # Planned work
 
