--- a/src/bulrushhold/emulator/_client.py
+++ b/src/bulrushhold/emulator/_client.py
@@ -80,6 +80,9 @@
         """Send a call and return its response."""
         engine = self.engines[attempt.address]
         await self._connect(engine, 'connect')
+        await engine.wait_until_running()
+        if not engine.up:
+            raise errors.BackendError('reset', 'send', attempt.address)
         assert call.prompt is not None
         self.arrivals.append(
             Arrival(
@@ -148,6 +151,13 @@
         if not engine.up:
             raise errors.BackendError('refused', step, engine.address)
 
+    async def _request(
+        self, engine: _engine.Engine, step: str, timeout: float
+    ) -> None:
+        await self._connect(engine, step)
+        if not await self._answers(engine, timeout):
+            raise errors.BackendError('no answer', step, engine.address)
+
     async def probe(
         self, address: str, timeout: float, instance: str = ''
     ) -> bool:
@@ -156,11 +166,24 @@
         if not engine.up and engine.unreachable:
             await asyncio.sleep(timeout)
         await asyncio.sleep(2 * ONE_WAY_DELAY_S)
+        if not await self._answers(engine, timeout):
+            return False
         return engine.up and instance in ('', engine.ident)
 
+    async def _answers(self, engine: _engine.Engine, timeout: float) -> bool:
+        """Return whether a silent engine goes on within some seconds."""
+        silent_s = engine.silent_until - engine.now
+        if silent_s > 0.0:
+            await asyncio.sleep(min(silent_s, timeout))
+        return silent_s < timeout
+
     async def accepts_connections(self, address: str, timeout: float) -> bool:
-        """Return whether an engine is up."""
-        return await self.probe(address, timeout)
+        """Return whether an engine is up; silent ones accept connections."""
+        engine = self.engines[address]
+        if not engine.up and engine.unreachable:
+            await asyncio.sleep(timeout)
+        await asyncio.sleep(2 * ONE_WAY_DELAY_S)
+        return engine.up
 
     async def has_ended(
         self, address: str, timeout: float, instance: str = ''
@@ -171,6 +194,8 @@
             await asyncio.sleep(timeout)
             return False
         await asyncio.sleep(2 * ONE_WAY_DELAY_S)
+        if not await self._answers(engine, timeout):
+            return False
         return not engine.up or instance not in ('', engine.ident)
 
     async def cached_segments(
@@ -178,7 +203,7 @@
     ) -> frozenset[str]:
         """Return the prompt segments in an engine's prefix cache."""
         engine = self.engines[address]
-        await self._connect(engine, 'segments')
+        await self._request(engine, 'segments', timeout)
         return frozenset(engine.cached_segments)
 
     async def copy_run(
@@ -186,7 +211,7 @@
     ) -> calls.RunCopy:
         """Copy a run's KV cache to another engine."""
         engine = self.engines[source]
-        await self._connect(engine, 'copy')
+        await self._request(engine, 'copy', timeout)
         run = next((r for r in engine.running if r.ident == call.ident), None)
         name = f'{call.ident}@{target}'
         if run is None or not self.engines[target].store_copy(
--- a/src/bulrushhold/emulator/_engine.py
+++ b/src/bulrushhold/emulator/_engine.py
@@ -123,6 +123,7 @@
         self.ident = f'{self.address}#{self.incarnation}'
         self.up = True
         self.unreachable = False
+        self.silent_until = 0.0
         self.queue: list[Run] = []
         self.running: list[Run] = []
         self.copies: dict[str, _Copy] = {}
@@ -147,6 +148,7 @@
         assert self.task is not None
         self.task.cancel()
         self.up, self.unreachable = False, unreachable
+        self.silent_until = 0.0
         for run in self.running + self.queue:
             if not unreachable:
                 run.events.put_nowait(
@@ -154,6 +156,15 @@
                 )
         self.running, self.queue = [], []
 
+    def fall_silent(self, seconds: float) -> None:
+        """Stand still for a time; connections stay open."""
+        self.silent_until = max(self.silent_until, self.now + seconds)
+
+    async def wait_until_running(self) -> None:
+        """Return once it is no longer silent."""
+        while self.silent_until > self.now:
+            await asyncio.sleep(self.silent_until - self.now)
+
     def restart(self) -> None:
         """Start a new incarnation with an empty queue and cache."""
         self._reset()
@@ -195,6 +206,7 @@
             pace = self.pace.now(self.now) if self.pace else 1.0
             factor = self.slowdown * pace / self.profile.speed
             await asyncio.sleep(self._step_s() * factor)
+            await self.wait_until_running()
             self._step()
 
     def load(self) -> calls.BackendLoad | None:
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -329,6 +329,12 @@
         self, workload: _workload.Workload
     ) -> list[_workload.Outcome]:
         """Generate a workload and return the outcome of each request."""
+        monitors = [
+            asyncio.ensure_future(
+                forwarding.SilenceMonitor(entry.context).watch()
+            )
+            for entry in self.entries
+        ]
         callers = []
         while _workload.emulated_now() < workload.duration_s:
             await asyncio.sleep(self.rng.expovariate(workload.streams_per_s))
@@ -347,6 +353,8 @@
                 )
             )
         await asyncio.gather(*callers)
+        for monitor in monitors:
+            monitor.cancel()
         return self.outcomes
 
     def _sample(self, mean: int, relative_stddev: float) -> int:
