Soak: more plays of silent servers, and really lost engines among them

What happens beside the silences moves to plannedwork.py: servers replaced without a drain, servers that leave (draining in the list, gone, back as others), SIGTERM in turn alone, SIGHUP and SIGTERM in turn with streams of 4 s, an engine that refuses connections for 5 s every 6 s with another silent for good, and poison requests. For streams on a lost engine the longest pause between events is measured (2 s allowed); at most 5 servers may crash under one text. Texts are counted as blocked once, not once an entry; beside poison requests only those that are blocked for an engine that hadn't crashed.

--- a/tests/platform/soak/silence.py
+++ b/tests/platform/soak/silence.py
@@ -5,8 +5,9 @@
 
 import asyncio
 import collections
+import itertools
+import json
 import random
-import signal
 import time
 
 import aiohttp
@@ -15,6 +16,7 @@
 
 from tests.platform.soak import fakes
 from tests.platform.soak import figures
+from tests.platform.soak import plannedwork
 from tests.platform.soak import result
 from tests.platform.soak import run
 from tests.platform.soak import silences
@@ -26,13 +28,15 @@
 LAST_SILENCE_S = 18.0
 SILENCE_INTERVAL_S = 3.0
 TAIL_S = 4.0
-CHANGE_INTERVAL_S = 1.0
-RESTART_INTERVAL_S = 2.5
 # Streams that run at a time: engines have 64 slots.
 MAX_STREAMS = 50
 MAX_REQUESTS_PER_S = 38
 STREAMS = (fakes.STREAM_PATH,)
 ALL_KINDS = (fakes.STREAM_PATH, fakes.UNSAFE_PATH, fakes.SAFE_PATH)
+# Callers of a stream must have output again within this time of a loss.
+MAX_PAUSE_S = 2.0
+MAX_POISON_CRASHES = 5
+REPEATABLE = (fakes.STREAM_PATH, fakes.SAFE_PATH)
 REFUSED = 'refused'
 WHOLE = 'whole'
 LOST = 'lost'
@@ -47,8 +51,9 @@
     :param silent_s: duration of each silence.
     :param stream_s: duration of a whole stream.
     :param kinds: paths of the requests, of which each sends one.
-    :param beside: planned work, see :meth:`SilenceRun._plan`.
+    :param beside: names in :data:`plannedwork.WORK`.
     :param overlap: whether a second silence begins within the first one.
+    :param max_streams: streams that run at a time.
     """
 
     share: float = 1.0
@@ -58,10 +63,51 @@
     beside: tuple = ()
     entries: int = 4
     overlap: bool = False
+    max_streams: int = MAX_STREAMS
 
     @property
     def requests_per_s(self):
-        return min(MAX_REQUESTS_PER_S, MAX_STREAMS / self.stream_s)
+        return min(MAX_REQUESTS_PER_S, self.max_streams / self.stream_s)
+
+
+class TrackedEngine(fakes.Engine):
+    """An engine that knows the streams it runs.
+
+    :ivar streaming: IDs of their requests.
+    :ivar dead: it has gone, or is silent for good.
+    :ivar crashed: its idents before each crash.
+    """
+
+    dead = False
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.streaming = set()
+        self.crashed = set()
+
+    def crash(self):
+        self.crashed.add(self.ident)
+        super().crash()
+
+    async def _stream(self, request, ident, headers):
+        self.streaming.add(ident)
+        try:
+            return await super()._stream(request, ident, headers)
+        finally:
+            self.streaming.discard(ident)
+
+
+@attrs.frozen
+class Loss:
+    """An engine that was really lost.
+
+    :param kind: ``dead`` (connections are refused) or ``dark`` (silent).
+    :param idents: of the streams that it ran.
+    """
+
+    kind: str
+    at: float
+    idents: frozenset
 
 
 class SilenceRun(run.SoakRun):
@@ -72,6 +118,8 @@
         refusal.
     :ivar slowest_s: longest time that a request took.
     :ivar lags: see :func:`figures.measure_lag`.
+    :ivar losses: engines that were really lost.
+    :ivar received_at: when each stream was sent, and its data received.
     """
 
     def __init__(self, seed, folder, network_number, plan):
@@ -80,7 +128,9 @@
         self.load_rng = random.Random(f'load {seed}')
         self.silence_rng = random.Random(f'silence {seed}')
         self.engines = [
-            fakes.Engine(service, f'zone-{n % 3}', self.observations, self.rng)
+            TrackedEngine(
+                service, f'zone-{n % 3}', self.observations, self.rng
+            )
             for service, count in SERVERS_PER_SERVICE.items()
             for n in range(count)
         ]
@@ -90,6 +140,8 @@
         self.lost = []
         self.slowest_s = 0.0
         self.lags = []
+        self.losses = []
+        self.received_at = {}
 
     def _make_system(self, *arguments):
         return system.System(*arguments, entry_count=self.plan.entries)
@@ -98,7 +150,7 @@
         started_at = time.monotonic()
         deadline = started_at + self.seconds
         beside = [
-            asyncio.ensure_future(self._plan(work, deadline))
+            asyncio.ensure_future(self._work(work, deadline))
             for work in self.plan.beside
         ]
         silences = asyncio.ensure_future(self._fall_silent(started_at))
@@ -115,6 +167,10 @@
             await asyncio.gather(*calls, silences, *beside)
         lag.cancel()
 
+    async def _work(self, work, deadline):
+        await asyncio.sleep(FIRST_SILENCE_S)
+        await plannedwork.WORK[work](self, deadline)
+
     # Silences
 
     async def _fall_silent(self, started_at):
@@ -139,33 +195,10 @@
         self._record_fault('silent', ' '.join(e.ident for e in servers))
         await silences.fall_silent(servers, self.plan.silent_s)
 
-    # Planned work
-
-    async def _plan(self, work, deadline):
-        await asyncio.sleep(FIRST_SILENCE_S)
-        await getattr(self, f'_{work}')(deadline)
-
-    async def _route_maps(self, deadline):
-        while time.monotonic() < deadline:
-            self.version += 1
-            await self._put_route_map(self.version)
-            await asyncio.sleep(CHANGE_INTERVAL_S)
-
-    async def _hup(self, deadline):
-        while time.monotonic() < deadline:
-            for entry in self.system.programs_with_role('entry'):
-                self.system.signal(entry, signal.SIGHUP)
-                await asyncio.sleep(CHANGE_INTERVAL_S)
-
-    async def _term(self, deadline):
-        while time.monotonic() < deadline:
-            for entry in self.system.programs_with_role('entry'):
-                if time.monotonic() > deadline:
-                    return
-                self.system.signal(entry, signal.SIGTERM)
-                await self.system.wait_for_exit(entry)
-                self.system.start(entry)
-                await asyncio.sleep(RESTART_INTERVAL_S)
+    def record_loss(self, kind, engine):
+        self._record_fault(kind, engine.ident)
+        idents = frozenset(engine.streaming)
+        self.losses.append(Loss(kind, time.monotonic(), idents))
 
     # Callers
 
@@ -193,11 +226,12 @@
         body = f'body {number}'.encode()
         url = yarl.URL(self.system.url(entry, 'front', target), encoded=True)
         timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 2.0)
+        self.received_at[ident] = [time.monotonic()]
         try:
             async with session.post(
                 url, data=body, headers=headers, timeout=timeout
             ) as response:
-                data = await response.read()
+                data = await self._read(ident, response)
         except aiohttp.ClientConnectorError:
             return NOT_SENT
         except fakes.CONNECTION_ERRORS:
@@ -209,6 +243,13 @@
             return REFUSED
         return str(response.status)
 
+    async def _read(self, ident, response):
+        data = b''
+        async for chunk in response.content.iter_any():
+            self.received_at[ident].append(time.monotonic())
+            data += chunk
+        return data
+
     async def _check_recovery(self):
         for program in self.system.programs:
             if program.process.poll() is not None:
@@ -228,10 +269,61 @@
             for line in entry.log.read_text().splitlines()
         )
 
+    def pauses_s(self, kind):
+        """Return the longest pause of each stream as its engine was lost."""
+        pauses = []
+        for loss in self.losses:
+            if loss.kind != kind:
+                continue
+            for ident in loss.idents:
+                times = self.received_at[ident]
+                pauses += [
+                    later - earlier
+                    for earlier, later in itertools.pairwise(times)
+                    if earlier <= loss.at < later
+                ]
+        return pauses
+
+    def count_blocked(self):
+        """Count the texts that were blocked for engines that hadn't crashed.
+
+        Without poison requests beside, no text may be blocked at all.
+        """
+        engines = {}
+        for entry in self.system.programs_with_role('entry'):
+            for line in entry.log.read_text().splitlines():
+                if '"request blocked"' in line:
+                    verdict = json.loads(line)
+                    text = verdict['fingerprint']
+                    engines.setdefault(text, set()).update(verdict['engines'])
+        if 'poison' not in self.plan.beside:
+            return len(engines)
+        crashed = set().union(*(e.crashed for e in self.engines))
+        return sum(
+            not found or not found <= crashed for found in engines.values()
+        )
+
     def checks(self):
         """Return the figures with their bounds."""
-        blocked = self.count_logged('request blocked')
-        return [
+        blocked = self.count_blocked()
+        crashes = self.report.poison_crashes.values()
+        more = [
+            figures.Check(
+                f'longest pause of {len(pauses)} streams on {kind} engines, s',
+                max(pauses, default=0.0),
+                MAX_PAUSE_S,
+                at_least=False,
+            )
+            for kind in sorted({loss.kind for loss in self.losses})
+            for pauses in [self.pauses_s(kind)]
+        ]
+        return more + [
+            figures.Check(
+                'crashes under one text',
+                max(crashes, default=0),
+                MAX_POISON_CRASHES,
+                at_least=False,
+            ),
             figures.Check('lost', len(self.lost), 0, at_least=False),
             figures.Check(
                 'failed', self.count('502', '504'), 0, at_least=False
@@ -252,7 +344,13 @@
             for (kind, outcome), count in sorted(self.outcomes.items())
         )
         repeated = sum(n - 1 for n in self.observations.runs.values())
+        summary = (
+            f'sent {self.outcomes.total()}, whole {self.count(WHOLE)}, '
+            f'refused {self.count(REFUSED)}, lost {len(self.lost)}, '
+            f'failed {self.count("502", "504")}'
+        )
         return [
+            summary,
             f'{outcomes}; slowest {self.slowest_s:.1f} s, '
             f'runs beyond the first {repeated}, '
             f'crashes counted {self.count_logged("crash counted")}, '
@@ -287,6 +385,32 @@
         beside=('route_maps', 'hup', 'term'),
     ),
     'overlap': SilencePlan(share=0.5, overlap=True, stream_s=4.0),
+    'long-hup': SilencePlan(
+        share=0.3, silent_s=1.2, stream_s=4.0, beside=('hup',)
+    ),
+    'term': SilencePlan(kinds=ALL_KINDS, beside=('term',)),
+    'long-term': SilencePlan(
+        share=0.3, silent_s=1.2, stream_s=4.0, beside=('term',)
+    ),
+    'replaced': SilencePlan(
+        share=0.5, silent_s=1.2, kinds=REPEATABLE, beside=('replace',)
+    ),
+    'long-replaced': SilencePlan(
+        share=0.3, silent_s=1.2, stream_s=4.0, beside=('replace',)
+    ),
+    'drained': SilencePlan(
+        share=0.5, silent_s=1.2, kinds=REPEATABLE, beside=('drain',)
+    ),
+    'dead': SilencePlan(
+        share=0.3,
+        silent_s=1.0,
+        stream_s=4.0,
+        beside=('lose',),
+        max_streams=20,
+    ),
+    'poison': SilencePlan(
+        share=0.5, silent_s=1.2, kinds=REPEATABLE, beside=('poison',)
+    ),
 }
 
 
--- a/tests/platform/test_silence_processes.py
+++ b/tests/platform/test_silence_processes.py
@@ -27,3 +27,8 @@
 async def test_no_request_is_lost_in_silences_beside_changes(tmp_path):
     """Guards against requests lost as servers are silent and maps change."""
     await check(tmp_path, 'all-kinds-maps')
+
+
+async def test_output_goes_on_if_an_engine_is_lost_among_silent_ones(tmp_path):
+    """Guards against engines that are really gone but waited for."""
+    await check(tmp_path, 'dead')
