--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -1,5 +1,7 @@
 """Streams whose engines have different software versions."""
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -102,6 +104,29 @@
     assert len(client.attempts) == 1
 
 
+async def test_a_stream_waits_for_the_list_if_its_engines_were_replaced(
+    client, context, placement
+):
+    """Guards against streams that end as the list lags behind restarts."""
+    placement.update([*listed('v1', 0), *listed('v2', 3)])
+    placement.record_failure('e3', context.clock(), unreachable=True)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(3,)),
+    ]
+    [engine] = listed('v1', 0)
+    after = [attrs.evolve(engine, ident='e9'), *listed('v2', 3)]
+
+    def restart(address):
+        placement.mark_replaced('e0')
+        asyncio.get_running_loop().call_later(0.3, placement.update, after)
+
+    client.on_reset = restart
+    caller, _ = await fakes.run_stream(context)
+    assert caller.data == fakes.encode_events(1, 2, 3)
+    assert [a.instance for a in client.attempts] == ['e0', 'e9']
+
+
 async def test_a_capacity_estimate_counts_engines_of_the_version_only(
     context, placement
 ):
