A generation leaves a silent engine only for another one

Callers on the product's own interface saw an answer end with "too many attempts have failed" or "the retry budget of the account is exhausted" while time was left and its engine was only silent for 0.3 s. Cause: a stalled attempt was given up before it was known whether another one is allowed and an engine available; a hedged attempt that wasn't allowed ended the generation, too; and each stall used up one of the attempts of the whole generation, so that a long one ended at its sixth silence.

Now a stalled attempt is left only if quarantine, attempts and budget allow the next one and an engine that doesn't run the generation is available, or after first_token_s. Attempts that brought tokens and were left as stalled don't count. Lost connections count as before: a poison request that crashes its engines is bounded by the same number.

--- a/src/bulrushhold/entry/_generation.py
+++ b/src/bulrushhold/entry/_generation.py
@@ -49,7 +49,8 @@
     ``replicated`` ones, once the key is ``registered``. ``acked`` maps each
     peer to the number of tokens it has stored; ``copied`` is false while no
     peer stores them in time. ``attempt_changed`` is set when an attempt sends
-    its first event, ends or stalls.
+    its first event, ends or stalls. ``stalled_attempts`` counts those that
+    were left as stalled after they had brought tokens.
 
     :param key: account and idempotency key.
     :param epoch: fences entries that served the same key before.
@@ -72,6 +73,7 @@
         self.abandoned_at: float | None = None
         self.attempt_changed = asyncio.Event()
         self.failed_engines: set[str] = set()
+        self.stalled_attempts = 0
         self.acked: dict[str, int] = {}
         self.copied = True
         self.task: asyncio.Task[None] | None = None
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -9,8 +9,10 @@
 
 from bulrushhold import decisions
 from bulrushhold.entry import _admission
+from bulrushhold.entry import _attemptlimits
 from bulrushhold.entry import _attempts
 from bulrushhold.entry import _crashprobes
+from bulrushhold.entry import _enginechoice
 from bulrushhold.entry import _generation
 from bulrushhold.entry import _quarantine
 from bulrushhold.entry import _replication
@@ -19,7 +21,6 @@
 from bulrushhold import ports
 from bulrushhold import settings
 
-RETRY_AFTER_S: t.Final = 2.0
 NO_ENGINE_RETRY_S: t.Final = 0.1
 
 
@@ -49,10 +50,16 @@
         self.quarantine = quarantine
         self.metrics = metrics
         self.retries = decisions.AccountRetryBudget()
+        self.limits = _attemptlimits.AttemptLimits(
+            config.max_attempts, quarantine, self.retries
+        )
         self.crash_tracker = decisions.EngineCrashTracker()
         self.running: dict[
             str, list[tuple[_generation.Generation, _attempts.Attempt]]
         ] = {}
+        self.chooser = _enginechoice.EngineChooser(
+            router, engines, self.crash_tracker
+        )
         self.crash_probes = _crashprobes.CrashProbes(
             engines, quarantine, self.crash_tracker
         )
@@ -122,27 +129,10 @@
         spec = generation.spec
         transcript = generation.transcript
         await self.crash_probes.wait_for(generation)
-        if self.quarantine.is_quarantined(spec.fingerprint):
-            raise self._refusal(
-                generation,
-                _crashprobes.QUARANTINE_REASON,
-                status=422,
-                retry=None,
-            )
-        if transcript.last_attempt >= self.config.max_attempts:
-            raise self._refusal(generation, 'too many attempts have failed')
-        if not self.retries.allows(spec.account, transcript.last_attempt):
-            raise self._refusal(
-                generation, 'the retry budget of the account is exhausted'
-            )
-        choice = self.router.choose_engine(
-            spec.model,
-            spec.affinity,
-            time.monotonic(),
-            version=transcript.version if transcript.tokens else '',
-            avoid=generation.failed_engines | avoid,
-            may_be_poison=self.crash_tracker.may_be_poison(spec.fingerprint),
-        )
+        refusal = self.limits.refusal(generation)
+        if refusal is not None:
+            raise refusal
+        choice = self.chooser.choose(generation, avoid)
         node.log_decision(
             'route',
             request=generation.key,
@@ -157,11 +147,11 @@
             waited_s = time.monotonic() - started
             recovering = transcript.last_attempt > 0
             if waited_s > spec.row.deadline_s and not recovering:
-                raise self._refusal(generation, choice.reason)
+                raise _attemptlimits.make_refusal(generation, choice.reason)
             if waited_s > spec.row.deadline_s + 30:
-                raise self._refusal(generation, choice.reason)
-            if not self._engine_listed(generation):
-                raise self._refusal(generation, choice.reason)
+                raise _attemptlimits.make_refusal(generation, choice.reason)
+            if not self.chooser.is_listed(generation):
+                raise _attemptlimits.make_refusal(generation, choice.reason)
             await asyncio.sleep(NO_ENGINE_RETRY_S)
             return
         self._dispatch(generation, live, choice.state)
@@ -199,16 +189,6 @@
             lambda _: self._detach(generation, attempt)
         )
 
-    def _engine_listed(self, generation: _generation.Generation) -> bool:
-        """Whether an engine with the required model version is listed."""
-        spec = generation.spec
-        version = generation.transcript.version
-        return any(
-            spec.model in state.server.models
-            and version in ('', state.server.models[spec.model])
-            for state in self.router.states.values()
-        )
-
     # Reading
 
     async def _read_events(
@@ -241,7 +221,7 @@
             attempt.connected = error.step != 'connect'
             self._on_engine_lost(generation, attempt)
         finally:
-            self._apply_load_report(state)
+            self.chooser.apply_load_report(state)
             generation.transcript.end_attempt(attempt.number)
             generation.attempt_changed.set()
 
@@ -279,7 +259,7 @@
         attempt.started = True
         self.policy.budget.refund(attempt.hedge_tokens)
         attempt.state.record_success()
-        self._apply_load_report(attempt.state)
+        self.chooser.apply_load_report(attempt.state)
         if generation.lifecycle.state in ('dispatched', 'recovering'):
             generation.lifecycle.trigger('stream')
         if generation.last_token_at:
@@ -302,14 +282,6 @@
         ).warning('token dropped: {}', result.value)
         return result is decisions.AcceptResult.DUPLICATE
 
-    def _apply_load_report(self, state: decisions.BackendState) -> None:
-        report = self.engines.reports.pop(state.server.address, None)
-        if report is None:
-            return
-        state.report(report.running, time.monotonic())
-        if report.leaving:
-            self.router.mark_leaving(state.server.name, time.monotonic())
-
     def _detach(
         self, generation: _generation.Generation, attempt: _attempts.Attempt
     ) -> None:
@@ -392,6 +364,11 @@
         )
         if action is decisions.Action.WAIT:
             return
+        if not self._may_leave(generation, live, most_recent):
+            if action is decisions.Action.HEDGE:
+                self.policy.budget.refund(cost)
+            await self._wait_briefly(generation)
+            return
         node.log_decision(
             'silence',
             request=generation.key,
@@ -411,8 +388,34 @@
         for attempt in list(live.values()):
             attempt.state.record_failure(time.monotonic())
             generation.failed_engines.add(attempt.state.server.name)
+            generation.stalled_attempts += attempt.started
             self._stop_attempt(generation, attempt, live)
 
+    async def _wait_briefly(self, generation: _generation.Generation) -> None:
+        generation.attempt_changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(NO_ENGINE_RETRY_S):
+                await generation.attempt_changed.wait()
+
+    def _may_leave(
+        self,
+        generation: _generation.Generation,
+        live: dict[int, _attempts.Attempt],
+        most_recent: _attempts.Attempt,
+    ) -> bool:
+        """Whether to run a stalled generation on another engine.
+
+        Its engine may only be silent for a moment. Unless another one can
+        take over, the generation would end, or read its prompt anew for
+        nothing.
+        """
+        idle_s = time.monotonic() - most_recent.last_event_at
+        if idle_s >= self.config.first_token_s:
+            return True
+        in_use = frozenset(a.state.server.name for a in live.values())
+        allowed = self.limits.refusal(generation) is None
+        return allowed and self.chooser.has_other(generation, in_use)
+
     def _stop_losers(
         self,
         generation: _generation.Generation,
@@ -474,19 +477,3 @@
         loguru.logger.bind(
             request=generation.key, attempt=attempt.number
         ).warning('attempt lost: {}', error)
-
-    def _refusal(
-        self,
-        generation: _generation.Generation,
-        reason: str,
-        status: int = 503,
-        retry: float | None = RETRY_AFTER_S,
-    ) -> errors.RequestError:
-        ran = (
-            errors.Ran.YES
-            if generation.transcript.last_attempt
-            else errors.Ran.NO
-        )
-        return errors.RequestError(
-            reason, 'generation', '', ran=ran, status=status, retry_after=retry
-        )
