Streams that meet one silence don't add up to a long back-off

Callers on the product's own interface were sent past a sound engine for up to 15 s. Cause: each stream that left an engine as it fell silent counted as a failure in a row, and the back-off doubles with each: six streams made it 15 s. Failures during a back-off now don't extend it: those requests had been sent before it began. An engine that fails the next request after its back-off still backs off for longer.

--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -99,7 +99,13 @@
         self.own_at_report = self.own_requests
 
     def record_failure(self, now: float) -> None:
-        """Record a failure and back off exponentially."""
+        """Record a failure and back off exponentially.
+
+        Requests that fail during a back-off had been sent before it, and
+        share the cause of the failure that began it.
+        """
+        if now < self.backoff_until:
+            return
         self.failures += 1
         backoff = INITIAL_BACKOFF_S * 2 ** (self.failures - 1)
         self.backoff_until = now + min(MAX_BACKOFF_S, backoff)
--- a/tests/test_silent_generations.py
+++ b/tests/test_silent_generations.py
@@ -1,6 +1,7 @@
 """Generations go on although their engines fall silent for a moment."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -81,6 +82,28 @@
     assert system.engines['m1'].requests == 1
 
 
+async def test_a_silence_that_many_streams_meet_counts_as_one_failure(
+    make_system,
+):
+    # Guards against an engine that is avoided long after it was silent.
+    system = await make_system(
+        engines=2, recovery={'min_gap_s': 0.1, 'max_gap_s': 0.1}
+    )
+    streams = [
+        asyncio.ensure_future(test_generations.read(system.client(), 80))
+        for _ in range(12)
+    ]
+    await conftest.wait_until(
+        lambda: all(len(e.running) >= 3 for e in system.engines.values())
+    )
+    system.engines['m1'].freeze()
+    for stream in streams:
+        conftest.assert_complete(await stream, 80)
+    state = system.entries['e1'].registry.runner.router.states['m1']
+    assert state.failures == 1
+    assert state.backoff_until - time.monotonic() < 0.5
+
+
 async def test_a_silent_engine_is_not_counted_as_crashed(make_system):
     # Guards against a quarantine of contents that harm no engine.
     system = await make_system(
