Only a refused connection counts as an engine's crash

On the product's own interface, any error of a probe's connection but a timeout counted as a crash under the request, also where the entry has no route to the engine; two of them quarantine a harmless text. The port says that only a refusal does.

Before: the test's probe returned False for "no route to host".

--- a/src/bulrushhold/web/_engine.py
+++ b/src/bulrushhold/web/_engine.py
@@ -98,11 +98,11 @@
                 _, writer = await asyncio.open_connection(
                     *address.rsplit(':', 1)
                 )
-        except TimeoutError:
-            # Slow or unreachable, but not proven to be dead.
-            return True
-        except OSError:
+        except ConnectionRefusedError:
             return False
+        except OSError:
+            # Silent or out of reach, but not proven to have ended.
+            return True
         writer.close()
         return True
 
--- a/tests/test_silent_generations.py
+++ b/tests/test_silent_generations.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bulrushhold.web import _engine
 from tests import conftest
 from tests import test_generations
 
@@ -116,3 +117,14 @@
         conftest.assert_complete(tokens, 40)
     runner = system.entries['e1'].registry.runner
     assert not runner.crash_tracker.crashes
+
+
+async def test_only_a_refused_connection_counts_as_a_crash(monkeypatch):
+    # Guards against crashes counted at an entry that reaches no engine.
+    client = _engine.HttpEngineClient(session=None)
+
+    async def fail(*_):
+        raise OSError(113, 'No route to host')
+
+    monkeypatch.setattr(asyncio, 'open_connection', fail)
+    assert await client.probe('127.0.0.1:9')
