Engines that other entries found silent count again as they answer

Cause: an entry that leaves a silent engine reports it as lost, and only that entry learns that it answers again. All others kept it on probation for 6 s: with five of six engines silent for a moment, admission counted one engine, so that new streams waited or were refused although all were sound. Two engines of a data centre also left it failing for 1.3 s.

An engine that is reported as lost is now probed by the entry that hears of it, too, as those are that it found silent itself, until it answers, refuses connections or 3 s have passed. As it answers, its failure no longer counts for its data centre either.

Before: the first test saw 1 engine of 6, and 2 without the change of the data centre's failures. The second, that engines which have ended stay on probation, passed before, too.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -325,6 +325,8 @@
         backend.lost_at = float('-inf')
         backend.ejected_until = 0.0
         self.losses.record_alive(backend.address)
+        location = (backend.service, backend.data_centre)
+        self.data_centre_failures.remove(location, ident)
         self.on_answering_again(ident, now - since)
 
     def _addresses_at(self, location: tuple[str, str]) -> list[str]:
@@ -492,6 +494,8 @@
             backend = self.backends.get(ident)
             if backend is not None and backend.ejected_until <= now:
                 self._eject(backend, now)
+                # It may only have been silent.
+                self.record_silence(ident, now)
         for ident in summary.replaced:
             if ident not in self.replaced_idents:
                 self.replaced_idents.add(ident)
--- a/src/bulrushhold/decisions/_datacentrefailures.py
+++ b/src/bulrushhold/decisions/_datacentrefailures.py
@@ -28,6 +28,12 @@
         if all(other != ident for _, other in recent):
             recent.append((now, ident))
 
+    def remove(self, location: Location, ident: str) -> None:
+        """Remove the failure of a server that proved to be sound."""
+        recent = self.recent.get(location, ())
+        for failure in [f for f in recent if f[1] == ident]:
+            self.recent[location].remove(failure)
+
     def forget(self, location: Location) -> None:
         """Forget the failures at a location."""
         self.recent.pop(location, None)
--- a/tests/forwarding/test_silence_blame.py
+++ b/tests/forwarding/test_silence_blame.py
@@ -5,9 +5,19 @@
 
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
 from bulrushhold import routes
 from tests.forwarding import fakes
 
+OBJECTIVE = decisions.LatencyObjective(8000, 1.0, 0.0)
+
+
+def healthy_engines(context):
+    return context.placement.estimate_capacity(
+        'engines', context.clock(), objective=OBJECTIVE, memory=8000
+    ).engines
+
 
 @pytest.mark.parametrize('kind', [routes.Kind.IDEMPOTENT, routes.Kind.ONCE])
 async def test_plain_requests_are_served_right_after_all_servers_were_silent(
@@ -37,3 +47,30 @@
     )
     assert reply.status == 200
     assert len(client.attempts) == 1
+
+
+async def test_engines_that_others_found_silent_count_again_as_they_answer(
+    client, context
+):
+    # Guards against seconds of refusals at entries that had no stream there.
+    lost = [f'i{n}' for n in range(5)]
+    context.placement.apply_loads(
+        messages.LoadSummary(1, {}, lost), context.clock()
+    )
+    assert healthy_engines(context) == 1
+    await forwarding.SilenceMonitor(context).check()
+    assert healthy_engines(context) == 6
+
+
+async def test_engines_that_others_found_lost_stay_on_probation(
+    client, context
+):
+    # Guards against crashed engines that pass for silent ones.
+    lost = [f'i{n}' for n in range(5)]
+    client.dead = {context.placement.backends[i].address for i in lost}
+    context.placement.apply_loads(
+        messages.LoadSummary(1, {}, lost), context.clock()
+    )
+    await forwarding.SilenceMonitor(context).check()
+    assert not context.placement.silent_since
+    assert healthy_engines(context) == 1
