Streams wait for the list while their version's engines have been replaced

A version whose engines were replaced, but are still listed, is waited for; one that the list doesn't name any more still ends the stream at once.

Taken back: each entry probing the engines that others report as lost.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -494,8 +494,6 @@
             backend = self.backends.get(ident)
             if backend is not None and backend.ejected_until <= now:
                 self._eject(backend, now)
-                # It may only have been silent.
-                self.record_silence(ident, now)
         for ident in summary.replaced:
             if ident not in self.replaced_idents:
                 self.replaced_idents.add(ident)
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -86,8 +86,20 @@
         return choice
 
     def version_is_gone(self) -> bool:
-        """Return whether no engine has the version that began the stream."""
-        return self.version is not None and not self._usable()
+        """Return whether no engine has the version that began the stream.
+
+        Those that were replaced count: the next list may name their new
+        instances.
+        """
+        if self.version is None or self._usable():
+            return False
+        placement = self.context.placement
+        return not any(
+            engine.version == self.version
+            and engine.ident in placement.replaced_idents
+            and not placement.is_leaving(engine)
+            for engine in placement.services.get(self.job.service, ())
+        )
 
     def _usable(self) -> list[decisions.BackendServer]:
         return self.context.placement.usable(
