--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -180,7 +180,8 @@
         """Whether a server is no longer at its address, and wasn't leaving."""
         if backend.ident in self.replaced_idents:
             return True
-        return backend.ident not in self.backends and not backend.leaving
+        is_listed = backend.ident in self.backends
+        return not (is_listed or self.is_leaving(backend))
 
     def is_brittle(self, backend: _backendserver.BackendServer) -> bool:
         """Whether a server fails if it has to reject many requests."""
@@ -325,6 +326,8 @@
         backend.lost_at = float('-inf')
         backend.ejected_until = 0.0
         self.losses.record_alive(backend.address)
+        if ident in self.pending_losses:
+            self.pending_losses.remove(ident)
         location = (backend.service, backend.data_centre)
         self.data_centre_failures.remove(location, ident)
         self.on_answering_again(ident, now - since)
--- a/src/bulrushhold/decisions/_poisonrequests.py
+++ b/src/bulrushhold/decisions/_poisonrequests.py
@@ -185,6 +185,21 @@
         resets = self.resets.get(engine, ())
         return any(now - reset.at < RESET_TTL_S for reset in resets)
 
+    def silent_under(
+        self, fingerprint: str, silent: cabc.Iterable[str]
+    ) -> int:
+        """Return how many engines fell silent while they had a request.
+
+        :param silent: idents of the engines that are silent now.
+        """
+        return sum(
+            any(
+                reset.silent and reset.fingerprint == fingerprint
+                for reset in self.resets.get(engine, ())
+            )
+            for engine in silent
+        )
+
     def clear_silences(self, engine: str) -> None:
         """Forget the silence of an engine that answers again."""
         resets = [r for r in self.resets.pop(engine, ()) if not r.silent]
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -177,8 +177,9 @@
         self._expect_first_event()
         silence = _liveness.SilenceTimer(self.context.clock)
         while not self.send_task.done():
-            with silence.measure(PROBE_INTERVAL_S):
-                await asyncio.wait({self.send_task}, timeout=PROBE_INTERVAL_S)
+            probe_after_s = self._until_deadline(PROBE_INTERVAL_S)
+            with silence.measure(probe_after_s):
+                await asyncio.wait({self.send_task}, timeout=probe_after_s)
             if self.send_task.done():
                 break
             lost = await self._check_engine(silence)
@@ -190,6 +191,9 @@
             raise _streamloss.from_send_error(error) from error
         return self.response
 
+    def _until_deadline(self, seconds: float) -> float:
+        return max(0.0, min(seconds, self.stream.remaining_s()))
+
     def _expect_first_event(self) -> None:
         """Record when the first event is expected."""
         if (
@@ -208,10 +212,17 @@
         An engine that may still answer is left only if the stream can go on
         at another one.
         """
-        if self.stream.remaining_s() <= 0:
+        try:
+            async with asyncio.timeout(max(0.0, self.stream.remaining_s())):
+                return await self._find_loss(silence)
+        except TimeoutError:
             return _streamloss.StreamLostError(
                 'no event before the deadline', unreachable=False
             )
+
+    async def _find_loss(
+        self, silence: _liveness.SilenceTimer
+    ) -> _streamloss.StreamLostError | None:
         if not await self._is_alive(silence):
             self._begin_silence()
             return await self._check_silent_engine()
@@ -225,18 +236,22 @@
             if self.received_event
             else self._late_first_event(silence)
         )
-        if reason and await self.stream.prepare_move():
+        if reason and await self.stream.prepare_move(silent=False):
             return _streamloss.StreamLostError(reason, unreachable=False)
         return None
 
     def _begin_silence(self) -> None:
         if self.silent_since is None:
             self.silent_since = self.pauses.last_event_at
+            self.context.placement.record_silence(
+                self.engine.ident, self.context.clock()
+            )
         self.read_monitor.discard()
         self.pauses.discard()
         self.evidence.discard_times()
 
     def _end_silence(self) -> None:
+        self.stream.moves.successor = None
         if self.silent_since is not None:
             now = self.context.clock()
             self.silent_s += now - self.silent_since
@@ -269,12 +284,12 @@
                 return _streamloss.StreamLostError('process has ended')
         finally:
             end_check.cancel()
-        if found and await self.stream.prepare_move():
+        if found and await self.stream.prepare_move(silent=True):
             return _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
-        self._log_kept('no retry' if found else 'no other engine answers')
+        self._keep('no retry' if found else 'no other engine answers')
         return None
 
-    def _log_kept(self, reason: str) -> None:
+    def _keep(self, reason: str) -> None:
         """Log why a silent engine isn't left, once for each reason."""
         if reason != self.kept_for:
             self.kept_for = reason
@@ -468,6 +483,7 @@
                 if self.received_event
                 else PROBE_INTERVAL_S
             )
+            probe_after_s = self._until_deadline(probe_after_s)
             with (
                 contextlib.suppress(TimeoutError),
                 silence.measure(probe_after_s),
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -215,6 +215,14 @@
             overloaded=self.context.admission.overloaded(now),
         )
 
+    def may_use(self, engine: decisions.BackendServer) -> bool:
+        """Return whether the stream may be sent to an engine now."""
+        return (
+            self.run_limit.allows(engine.ident)
+            and engine.ejected_until <= self.context.clock()
+            and engine in self._usable()
+        )
+
     def may_resume_on(
         self, backup: decisions.BackendServer, since: float
     ) -> bool:
@@ -222,24 +230,26 @@
 
         :param since: when the copy was begun.
         """
-        now = self.context.clock()
-        return (
-            backup.ejected_until <= now
-            and self.context.placement.may_hold_copy(backup, since)
-            and backup in self._usable()
+        return self.may_use(backup) and self.context.placement.may_hold_copy(
+            backup, since
         )
 
     def alternatives(
-        self, engine: decisions.BackendServer, count: int
+        self,
+        engine: decisions.BackendServer,
+        count: int,
+        unresponsive: set[str],
     ) -> list[decisions.BackendServer]:
         """Return other engines at which the stream might go on, best first.
 
         Those tried in this round come last: they may be back.
+
+        :param unresponsive: idents of engines to leave out.
         """
         found: dict[str, decisions.BackendServer] = {}
         excluded = self.excluded()
         for tried in (excluded, excluded - self.tried):
-            tried = {*tried, *found, engine.ident}
+            tried = {*tried, *found, *unresponsive, engine.ident}
             while len(found) < count:
                 best = self._cheapest(tried)
                 if best is None:
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -260,7 +260,8 @@
                 await asyncio.wait({task}, timeout=timeout_s)
                 if task.done() or not self._can_switch():
                     break
-                if await self._prepare_retry():
+                may_leave = await self._prepare_retry()
+                if may_leave and not task.done():
                     return _Result(errors.Ran.UNKNOWN, 'stall timeout')
         await asyncio.wait({task}, timeout=max(0.0, self._remaining_s()))
         if task.done():
@@ -273,10 +274,11 @@
         It may still answer: without a retry its run would be given up for
         nothing.
         """
-        priority = _retries.priority(self.job, self.rejections)
-        self.next_retry = await _retries.take_now(
-            self.context, self.job.service, priority
-        )
+        if self.next_retry is None:
+            priority = _retries.priority(self.job, self.rejections)
+            self.next_retry = await _retries.take_now(
+                self.context, self.job.service, priority
+            )
         return self.next_retry is not None
 
     def _can_switch(self) -> bool:
--- a/src/bulrushhold/forwarding/_runlimit.py
+++ b/src/bulrushhold/forwarding/_runlimit.py
@@ -41,6 +41,14 @@
         """Whether too many runs in a row have failed."""
         return self.failures >= self.max_attempts
 
+    def allows_failure(self, *, progressed: bool) -> bool:
+        """Return whether the stream may go on if the present run fails.
+
+        :param progressed: it has brought an event.
+        """
+        failures = 1 if progressed else self.failures + 1
+        return failures < self.max_attempts
+
     def allows(self, ident: str) -> bool:
         """Return whether an engine may run the stream."""
         return ident in self.engines or len(self.engines) < self.max_attempts
--- a/src/bulrushhold/forwarding/_silencemonitor.py
+++ b/src/bulrushhold/forwarding/_silencemonitor.py
@@ -30,11 +30,15 @@
 
     async def check(self) -> None:
         """Check all silent engines once."""
-        await asyncio.gather(*map(self._check, self.placement.silent_since))
+        idents = list(self.placement.silent_since)
+        await asyncio.gather(*map(self._check, idents))
 
     async def _check(self, ident: str) -> None:
         client = self.context.client
-        address = self.placement.backends[ident].address
+        backend = self.placement.backends.get(ident)
+        if backend is None:
+            return
+        address = backend.address
         timeout_s = _liveness.PROBE_TIMEOUT_S
         alive, ended = await asyncio.gather(
             client.probe(address, timeout_s, ident),
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -12,6 +12,7 @@
 from bulrushhold.forwarding import _engine_stream
 from bulrushhold.forwarding import _enginechooser
 from bulrushhold.forwarding import _liveness
+from bulrushhold.forwarding import _moves
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
 from bulrushhold.forwarding import _retries
@@ -35,16 +36,14 @@
 # Engines granted in a row that this entry couldn't use; it then chooses one
 # itself.
 MAX_UNUSED_GRANTS: t.Final = 8
-# Engines that are probed at once as the stream's engine doesn't answer.
-MAX_CANDIDATES: t.Final = 3
 
 
 class StreamForwarder:
     """Forwards one stream, from one engine at a time.
 
     :param caller_stream: the response to the caller.
-    :ivar next_retry: taken before an engine is left that may still answer.
-    :ivar successor: engine that answers, as the present one doesn't.
+    :ivar event_id_before: last event before the present run.
+    :ivar moves: prepares the next move.
     :ivar limit: what kept it from another attempt.
     """
 
@@ -70,8 +69,8 @@
         self.timing = _streamtiming.StreamTiming(context, job)
         self.failure_reply: calls.Reply | None = None
         self.retry: _retries.Retry | None = None
-        self.next_retry: _retries.Retry | None = None
-        self.successor: decisions.BackendServer | None = None
+        self.moves = _moves.MovePlanner(context, job, self.engines)
+        self.event_id_before = self.last_event_id
         self.tracked: _running.RunningRequest | None = None
         self.limit = ''
 
@@ -119,6 +118,7 @@
                 self.context, self.job.service, self.retry
             )
             started, last = self.context.clock(), self.last_event_id
+            self.event_id_before = last
             try:
                 reply = await self._attempt(engine, copy, choice.has_permit)
             except _streamloss.StreamLostError as lost:
@@ -217,7 +217,7 @@
         if self.remaining_s() < MIN_REMAINING_S:
             return _permits.PermittedChoice(), None
         backup, copy = self.backup, self.copy
-        successor, self.successor = self.successor, None
+        successor = self.moves.take_successor()
         self.backup = self.copy = None
         if successor is not None and successor is not backup:
             # The backup doesn't answer.
@@ -315,8 +315,8 @@
             self.limit = 'deadline'
             return False
         self.limit = 'retry budget'
-        if self.next_retry is not None:
-            self.retry, self.next_retry = self.next_retry, None
+        self.retry = self.moves.take_retry()
+        if self.retry is not None:
             return True
         self.rejections += lost.rejected
         priority = _retries.priority(
@@ -333,8 +333,6 @@
         limit = self.engines.run_limit
         if lost.crashed:
             limit.record_ended(engine.ident)
-        else:
-            limit.record_sent(engine.ident)
         if not lost.silent:
             limit.record_failure(
                 progressed=self.last_event_id != lost.event_id_before
@@ -345,37 +343,25 @@
 
         :param engine: the one that doesn't answer.
         """
-        if not self.job.route.repeatable:
-            return False
-        candidates = self.engines.alternatives(engine, MAX_CANDIDATES)
         backup = self.backup
-        if backup is not None and self.engines.may_resume_on(
+        if backup is not None and not self.engines.may_resume_on(
             backup, self.backup_since
         ):
-            candidates = [backup, *(c for c in candidates if c is not backup)]
-        found = await self.context.probes.find_alive(engine, candidates)
-        self.successor = None if found is engine else found
-        return self.successor is not None
+            backup = None
+        return await self.moves.find_successor(engine, backup)
 
-    async def prepare_move(self) -> bool:
+    async def prepare_move(self, *, silent: bool) -> bool:
         """Return whether the stream may leave an engine that may still answer.
 
-        Otherwise its run would be given up for nothing.
+        :param silent: the engine answers no probe; it hasn't failed the run.
         """
-        if not self.job.route.repeatable:
-            return False
-        if self.engines.run_limit.failures + 1 >= self.job.route.max_attempts:
+        progressed = self.last_event_id != self.event_id_before
+        limit = self.engines.run_limit
+        if not silent and not limit.allows_failure(progressed=progressed):
             return False
-        if self.next_retry is None:
-            priority = _retries.priority(
-                self.job,
-                self.rejections,
-                begun=self.caller_stream.headers_sent,
-            )
-            self.next_retry = await _retries.take_now(
-                self.context, self.job.service, priority
-            )
-        return self.next_retry is not None
+        return await self.moves.secure_retry(
+            self.rejections, begun=self.caller_stream.headers_sent
+        )
 
     async def _wait_for_engine(self) -> bool:
         """Return whether to look for an engine again, as there is none now.
@@ -469,6 +455,9 @@
     ) -> calls.Reply | None:
         if copy is None:
             self.engines.tried.add(engine.ident)
+        limit = self.engines.run_limit
+        is_new = engine.ident not in limit.engines
+        limit.record_sent(engine.ident)
         backup = self.engines.choose_backup(engine)
         self.backup = backup
         self.backup_since = self.context.clock()
@@ -503,6 +492,10 @@
         )
         try:
             return await engine_stream.run()
+        except _streamloss.StreamLostError as lost:
+            if is_new and not lost.sent:
+                limit.record_ended(engine.ident)
+            raise
         except asyncio.CancelledError:
             # The engine may have begun to run it.
             self.may_have_run = True
@@ -532,12 +525,12 @@
         if not lost.reset:
             return
         client, timeout_s = self.context.client, _liveness.PROBE_TIMEOUT_S
-        if await client.probe(engine.address, timeout_s, engine.ident):
-            lost.unreachable = False
-        elif not await client.has_ended(
-            engine.address, timeout_s, engine.ident
-        ):
-            lost.silent = True
+        alive, ended = await asyncio.gather(
+            client.probe(engine.address, timeout_s, engine.ident),
+            client.has_ended(engine.address, timeout_s, engine.ident),
+        )
+        lost.unreachable = not alive
+        lost.silent = not (alive or ended)
 
     def _record_loss(
         self,
