Bound the head of a backend server's response, and leave such servers alone

Test that failed before: tests/test_endless_responses.py, without the new argument of the client: "TimeoutError" after 1 s (with and without a new connection), and a probe with a limit of 5 s that took all of it ("assert 5.01 < 1.0").

Cause: aiohttp bounds a line, a field and the number of fields, but not how many interim heads it skips. All that was read is parsed in one turn of the loop, and nothing ended it.

Change: a connection processes 64 KB while the final head isn't complete, and is aborted then. The request fails at step 'send' with OversizedResponseError, so that "not run" is never claimed.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -84,8 +84,9 @@
             self.background.append(
                 _background.start_background_task(self.memory.watch())
             )
+        oversized = forwarding.OversizedResponses(placement, self.metrics)
         direct = adapters.HttpBackendClient(
-            self.adapters.engine_dialect, buffers
+            self.adapters.engine_dialect, buffers, oversized.record
         )
         monitor = forwarding.ReachabilityMonitor(
             direct, placement, self.metrics
--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -71,6 +71,13 @@
     """A backend server failed or sent an invalid reply."""
 
 
+class OversizedResponseError(BackendError):
+    """A backend server sent more than a response may hold.
+
+    It may send without end, and was not read any further.
+    """
+
+
 class CutOffError(BackendError):
     """No backend server of a service can be reached, and no entry that can."""
 
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding._origins import LocalOrigins
 from bulrushhold.forwarding._origins import OriginFinding
 from bulrushhold.forwarding._origins import OriginSource
+from bulrushhold.forwarding._oversizedresponses import OversizedResponses
 from bulrushhold.forwarding._permitcheck import PermitCheckingClient
 from bulrushhold.forwarding._permitsource import ControlPermitSource
 from bulrushhold.forwarding._places import ControlPlaces
@@ -55,6 +56,7 @@
     'LocalScheduling',
     'OriginFinding',
     'OriginSource',
+    'OversizedResponses',
     'PermitCheckingClient',
     'PlaceSource',
     'PlainForwarder',
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -338,7 +338,8 @@
         except errors.BackendError as error:
             sent = error.step != 'connect'
             ran = errors.Ran.UNKNOWN if sent else errors.Ran.NO
-            return _Result(ran, str(error), broken_off=sent)
+            oversized = isinstance(error, errors.OversizedResponseError)
+            return _Result(ran, str(error), broken_off=sent and not oversized)
         finally:
             if response is not None:
                 response.close()
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -4,6 +4,7 @@
 from bulrushhold.web._buffers import BufferBudget
 from bulrushhold.web._buffers import MemoryMonitor
 from bulrushhold.web._connections import make_session
+from bulrushhold.web._connections import MAX_HEAD_BYTES
 from bulrushhold.web._engine import HttpEngineClient
 from bulrushhold.web._ingress import Ingress
 from bulrushhold.web._instancelist import HttpPlatformList
@@ -20,6 +21,7 @@
     'HttpPlatformList',
     'HttpServiceClient',
     'Ingress',
+    'MAX_HEAD_BYTES',
     'MemoryMonitor',
     'PeerProxyServer',
     'make_session',
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -1,6 +1,7 @@
 """Forwards opaque requests to backend servers over HTTP."""
 
 import asyncio
+import collections.abc as cabc
 import typing as t
 
 import aiohttp
@@ -27,6 +28,13 @@
     'Content-Type',
 )
 _HTTP_ERRORS: t.Final = (aiohttp.ClientError, OSError, ValueError)
+_ToError = cabc.Callable[[BaseException, str, str], errors.BackendError]
+# Called with the address, the bytes received and what exceeded its limit.
+OversizedListener = cabc.Callable[[str, int, str], None]
+
+
+def _ignore_oversized(address: str, byte_count: int, reason: str) -> None:
+    """Do nothing."""
 
 
 class _HttpBackendResponse(calls.BackendResponse):
@@ -36,23 +44,25 @@
         response: aiohttp.ClientResponse,
         address: str,
         budget: _buffers.BufferBudget | None,
+        to_error: '_ToError',
     ) -> None:
         self.head = head
         self.response = response
         self.address = address
         self.budget = budget
+        self.to_error = to_error
 
     async def chunk(self) -> bytes:
         try:
             return await self.response.content.readany()
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'answer', self.address) from error
+            raise self.to_error(error, 'answer', self.address) from error
 
     async def body(self) -> bytes:
         try:
             return await self.response.read()
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'answer', self.address) from error
+            raise self.to_error(error, 'answer', self.address) from error
 
     async def receive(self) -> bytes | bodies.Body:
         length = self.response.content_length
@@ -78,14 +88,17 @@
 
     :param dialect: the protocol of the backend servers.
     :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :param on_oversized: called when a response exceeds a limit.
     """
 
     def __init__(
         self,
         dialect: calls.EngineDialect,
         budget: _buffers.BufferBudget | None = None,
+        on_oversized: OversizedListener = _ignore_oversized,
     ) -> None:
         self.dialect = dialect
+        self.on_oversized = on_oversized
         self.budget = budget
         self.pooled = _connections.make_session(
             budget is not None, keepalive_timeout=KEEPALIVE_TIMEOUT_S
@@ -116,16 +129,14 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            raise _to_backend_error(
-                error, 'connect', attempt.address
-            ) from error
+            raise self._to_error(error, 'connect', attempt.address) from error
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'send', attempt.address) from error
+            raise self._to_error(error, 'send', attempt.address) from error
         head = self.dialect.decode_head(
             call, response.status, response.headers
         )
         return _HttpBackendResponse(
-            head, response, attempt.address, self.budget
+            head, response, attempt.address, self.budget, self._to_error
         )
 
     async def probe(
@@ -144,7 +155,8 @@
                     found = self.dialect.decode_instance(response.headers)
                     is_other = bool(instance and found and found != instance)
                     return response.status == 200 and not is_other
-        except (TimeoutError, *_HTTP_ERRORS):
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, address)
             return False
 
     async def accepts_connections(self, address: str, timeout: float) -> bool:
@@ -174,7 +186,8 @@
                     return bool(found) and found != instance
         except aiohttp.ClientConnectorError as error:
             return isinstance(error.os_error, ConnectionRefusedError)
-        except (TimeoutError, *_HTTP_ERRORS):
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, address)
             return False
 
     async def cached_segments(
@@ -188,7 +201,7 @@
                     body = await response.read()
                     status = response.status
         except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise _to_backend_error(error, 'segments', address) from error
+            raise self._to_error(error, 'segments', address) from error
         if status != 200:
             raise errors.BackendError(f'status {status}', 'segments', address)
         return self.dialect.decode_segments(body)
@@ -208,7 +221,7 @@
                     response_body = await response.read()
                     status = response.status
         except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise _to_backend_error(error, 'copy', source) from error
+            raise self._to_error(error, 'copy', source) from error
         if status != 200:
             raise errors.BackendError(f'status {status}', 'copy', source)
         return calls.RunCopy(
@@ -223,6 +236,7 @@
                 async with self.unpooled.delete(url) as response:
                     await response.read()
         except (TimeoutError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, copy.address)
             # Not retried: the engine expires the copy by itself.
             loguru.logger.bind(peer=copy.address, error=str(error)).debug(
                 'failed to delete KV cache copy'
@@ -233,6 +247,19 @@
         await self.pooled.close()
         await self.unpooled.close()
 
+    def _report_oversized(self, error: BaseException, address: str) -> None:
+        if isinstance(error, _connections.ResponseLimitError):
+            self.on_oversized(address, error.byte_count, error.reason)
+
+    def _to_error(
+        self, error: BaseException, step: str, address: str
+    ) -> errors.BackendError:
+        self._report_oversized(error, address)
+        reason = ' '.join(f'{type(error).__name__}: {error}'.split())
+        if isinstance(error, _connections.ResponseLimitError):
+            return errors.OversizedResponseError(reason, step, address)
+        return errors.BackendError(reason, step, address)
+
 
 async def _refuses_connections(address: str, timeout: float) -> bool:
     host, _, port = address.rpartition(':')
@@ -245,10 +272,3 @@
         return False
     writer.close()
     return False
-
-
-def _to_backend_error(
-    error: BaseException, step: str, address: str
-) -> errors.BackendError:
-    reason = ' '.join(f'{type(error).__name__}: {error}'.split())
-    return errors.BackendError(reason, step, address)
--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -10,6 +10,9 @@
 
 
 FIRST_FINAL_STATUS: t.Final = 200
+# Bounds what a response may send ahead of its body: all interim heads and the
+# final one. Otherwise a server could keep the event loop parsing forever.
+MAX_HEAD_BYTES: t.Final = 64 << 10
 # With bounded buffers, sizes of one read from a socket, of a read buffer's low
 # mark (reading stops at twice that) and of a write buffer. By default, a
 # connection that isn't read holds 256 KB, and a caller that doesn't read as
@@ -25,6 +28,19 @@
 UNSENT_BYTES: t.Final = 64 << 10
 
 
+class ResponseLimitError(aiohttp.ClientError):
+    """A response exceeded a limit, and its connection was closed.
+
+    :param byte_count: bytes received by then.
+    :param reason: what exceeded its limit.
+    """
+
+    def __init__(self, byte_count: int, reason: str) -> None:
+        super().__init__(f'{reason} of {byte_count} bytes or more')
+        self.byte_count = byte_count
+        self.reason = reason
+
+
 class _StrictResponseHandler(client_proto.ResponseHandler):
     """Closes a connection that receives data while no response is due.
 
@@ -32,16 +48,21 @@
     connection it would be read as the response to the next request, and
     reach the wrong caller.
 
+    It also aborts a connection whose response exceeds ``MAX_HEAD_BYTES``.
+
     :ivar response_due: a request was sent, and its response isn't complete.
+    :ivar head_bytes: bytes received while the final head isn't complete.
     """
 
     response_due = False
     head_received = False
+    head_bytes = 0
 
     def set_response_params(self, **params: t.Any) -> None:
         """Expect a response; called for each request before it is sent."""
         self.response_due = True
         self.head_received = False
+        self.head_bytes = 0
         super().set_response_params(**params)
 
     def feed_data(self, data: t.Any, size: int = 0) -> None:
@@ -56,11 +77,36 @@
             self.force_close()
             self.transport.abort()
             return
-        super().data_received(data)
+        if self.response_due and not self.head_received:
+            self._receive_head(data)
+        else:
+            super().data_received(data)
         payload = self._payload
         if self.head_received and (payload is None or payload.is_eof()):
             self.response_due = False
 
+    def _receive_head(self, data: bytes) -> None:
+        """Process no more than a head may hold, and what follows it."""
+        room = MAX_HEAD_BYTES - self.head_bytes
+        part = data[:room]
+        rest = data[room:]
+        super().data_received(part)
+        if not self.head_received:
+            self.head_bytes += len(part)
+            if self.head_bytes >= MAX_HEAD_BYTES:
+                self._abort_head()
+        elif rest:
+            super().data_received(rest)
+
+    def _abort_head(self) -> None:
+        # Interim heads that wait to be skipped would delay the error.
+        self._buffer.clear()
+        self.set_exception(
+            ResponseLimitError(self.head_bytes, 'response head')
+        )
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response without a length if the connection was reset.
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -21,6 +21,7 @@
         ``restart`` (as another instance at the same address),
         ``silent``, or ``half`` an event and a reset.
     :param error: step at which the request fails, or ``''``.
+    :param oversized: the error is a response that exceeds a limit.
     :param open_delay_s: delay before the response headers.
     :param limit: request limit that the response names.
     :param backoff: how long the server wants no requests.
@@ -37,6 +38,7 @@
     matches_request: bool = True
     from_backend: bool = True
     error: str = ''
+    oversized: bool = False
     body: bytes = b'done'
     open_delay_s: float = 0.0
     limit: calls.RequestLimit | None = None
@@ -113,13 +115,18 @@
         self.opened = []
         self.probe_delay_s = 0.0
         self.on_reset = lambda address: None
+        self.on_oversized = lambda address, byte_count, reason: None
 
     async def send(self, call, attempt):
         self.log.append(('send', attempt.address))
         self.attempts.append(attempt)
         script = self.scripts.pop(0)
         if script.error:
-            raise errors.BackendError('lost', script.error, attempt.address)
+            kind = errors.BackendError
+            if script.oversized:
+                kind = errors.OversizedResponseError
+                self.on_oversized(attempt.address, 65536, 'response head')
+            raise kind('lost', script.error, attempt.address)
         if script.open_delay_s:
             await asyncio.sleep(script.open_delay_s)
         self.opened.append(attempt.address)
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,148 @@
+"""Tests of backend servers that send bytes until the connection is closed."""
+
+import asyncio
+import time
+
+import attrs
+import pytest
+import pytest_asyncio
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold import web
+from tests import test_backend_connections
+
+INTERIM_HEAD = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+PART_BYTES = 64 << 10
+# Bytes that two sockets on the loopback network hold unread, and more.
+IN_FLIGHT_BYTES = 16 << 20
+# A server gives up after this; a client without a bound is still reading.
+MAX_SENT_BYTES = 96 << 20
+CLOSED_S = 1.0
+
+
+@attrs.define
+class EndlessServer:
+    """Answers each request with a start, and a part again and again.
+
+    :ivar sent: bytes written to all connections.
+    :ivar closed: number of connections that were closed by the other side.
+    """
+
+    start: bytes = b''
+    part: bytes = b''
+    address: str = ''
+    sent: int = 0
+    closed: int = 0
+
+    async def serve(self, reader, writer):
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(self.start)
+            part = self.part * (PART_BYTES // len(self.part))
+            while self.sent < MAX_SENT_BYTES:
+                writer.write(part)
+                self.sent += len(part)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        finally:
+            writer.close()
+
+
+@attrs.define
+class Reports:
+    """Collects the responses that exceeded a limit."""
+
+    records: list = attrs.field(factory=list)
+
+    def record(self, address, byte_count, reason):
+        self.records.append((address, byte_count, reason))
+
+
+@pytest_asyncio.fixture
+async def endless():
+    created = EndlessServer()
+    listener = await asyncio.start_server(created.serve, '127.0.0.1', 0)
+    host, port = listener.sockets[0].getsockname()
+    created.address = f'{host}:{port}'
+    yield created
+    listener.close()
+
+
+@pytest.fixture
+def reports():
+    return Reports()
+
+
+@pytest_asyncio.fixture
+async def client(reports):
+    created = web.HttpBackendClient(
+        test_backend_connections.StubDialect(), on_oversized=reports.record
+    )
+    yield created
+    await created.close()
+
+
+async def send(client, address, method='POST', new_connection=False):
+    call = calls.Call('r', method, '/a', 'h', '', (), b'', 1.0)
+    attempt = calls.Attempt(
+        address, 'i', '', 1.0, new_connection=new_connection
+    )
+    return await client.send(call, attempt)
+
+
+async def wait_until_closed(server):
+    async with asyncio.timeout(CLOSED_S):
+        while not server.closed:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('new_connection', [False, True])
+async def test_a_response_with_endless_interim_heads_is_ended(
+    client, reports, endless, new_connection
+):
+    # Guards against an entry that stands still parsing heads without end.
+    endless.part = INTERIM_HEAD
+    started = time.monotonic()
+    with pytest.raises(errors.BackendError) as exc_info:
+        async with asyncio.timeout(CLOSED_S):
+            await send(client, endless.address, new_connection=new_connection)
+    assert exc_info.value.step == 'send'
+    assert isinstance(exc_info.value, errors.OversizedResponseError)
+    await wait_until_closed(endless)
+    assert time.monotonic() - started < CLOSED_S
+    assert endless.sent < IN_FLIGHT_BYTES
+    ((address, byte_count, _),) = reports.records
+    assert address == endless.address
+    assert byte_count == web.MAX_HEAD_BYTES
+
+
+async def test_a_probe_with_endless_interim_heads_fails_at_once(
+    client, reports, endless
+):
+    # Guards against a probe that takes all of the loop until it times out.
+    endless.part = INTERIM_HEAD
+    started = time.monotonic()
+    assert not await client.probe(endless.address, 5 * CLOSED_S)
+    assert time.monotonic() - started < CLOSED_S
+    assert len(reports.records) == 1
+
+
+@pytest.mark.parametrize('size', [1, 60 << 10])
+async def test_interim_heads_within_the_limit_are_skipped(client, size):
+    # Guards against a limit that counts the body as a head.
+    heads = INTERIM_HEAD * max(1, size // len(INTERIM_HEAD))
+    body = bytes(range(256)) * 1024
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    server = test_backend_connections.ScriptedServer(
+        responses=[heads + head + body] * 2
+    )
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    host, port = listener.sockets[0].getsockname()
+    for _ in range(2):
+        response = await send(client, f'{host}:{port}')
+        assert await response.body() == body
+    assert server.connections == 1
+    listener.close()
