Bound each body of a backend server that is collected in memory

What callers saw: nothing at first; the entry's memory grew by what the server sends until the operation's time limit or the caller's deadline.

Cause: the bodies were read with ClientResponse.read(). Without `memory-mb` a plain response was collected whole before it was passed on.

Change: a body that is needed whole has a limit that fits what it holds, and closes its connection at it; the server is reported as for an endless head. Without `memory-mb`, plain responses hold up to 32 MB ahead of their callers in all, and the rest is received as callers read, as it is with `memory-mb`.

--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -3,6 +3,7 @@
 from bulrushhold.web._backends import HttpBackendClient
 from bulrushhold.web._buffers import BufferBudget
 from bulrushhold.web._buffers import MemoryMonitor
+from bulrushhold.web._buffers import READ_AHEAD_BYTES
 from bulrushhold.web._connections import make_session
 from bulrushhold.web._connections import MAX_HEAD_BYTES
 from bulrushhold.web._engine import HttpEngineClient
@@ -24,6 +25,7 @@
     'MAX_HEAD_BYTES',
     'MemoryMonitor',
     'PeerProxyServer',
+    'READ_AHEAD_BYTES',
     'make_session',
     'metrics_application',
 ]
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -21,6 +21,11 @@
 # A request sent while the backend server closes the idle connection may be
 # lost, so idle connections are closed here first.
 KEEPALIVE_TIMEOUT_S: t.Final = 1.0
+# Status reports, and replies to orders to copy and to delete.
+MAX_REPORT_BYTES: t.Final = 64 << 10
+MAX_SEGMENTS_BYTES: t.Final = 4 << 20
+# Bodies of responses that are passed on whole, as those of failed streams.
+MAX_WHOLE_BYTES: t.Final = 1 << 20
 _SKIPPED_AUTO_HEADERS: t.Final = (
     'User-Agent',
     'Accept',
@@ -28,7 +33,6 @@
     'Content-Type',
 )
 _HTTP_ERRORS: t.Final = (aiohttp.ClientError, OSError, ValueError)
-_ToError = cabc.Callable[[BaseException, str, str], errors.BackendError]
 # Called with the address, the bytes received and what exceeded its limit.
 OversizedListener = cabc.Callable[[str, int, str], None]
 
@@ -43,32 +47,37 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         address: str,
-        budget: _buffers.BufferBudget | None,
-        to_error: '_ToError',
+        client: 'HttpBackendClient',
     ) -> None:
         self.head = head
         self.response = response
         self.address = address
-        self.budget = budget
-        self.to_error = to_error
+        self.client = client
 
     async def chunk(self) -> bytes:
         try:
             return await self.response.content.readany()
         except _HTTP_ERRORS as error:
-            raise self.to_error(error, 'answer', self.address) from error
+            raise self.client.to_error(
+                error, 'answer', self.address
+            ) from error
 
     async def body(self) -> bytes:
         try:
-            return await self.response.read()
+            return await _bodies.read_whole(self.response, MAX_WHOLE_BYTES)
         except _HTTP_ERRORS as error:
-            raise self.to_error(error, 'answer', self.address) from error
+            raise self.client.to_error(
+                error, 'answer', self.address
+            ) from error
 
     async def receive(self) -> bytes | bodies.Body:
         length = self.response.content_length
         if self.response.method == 'HEAD':
             length = 0
-        return await _bodies.receive(self.budget, self, length, self._set_bulk)
+        set_bulk = self._set_bulk if self.client.bounded else bool
+        return await _bodies.receive(
+            self.client.body_budget, self, length, set_bulk
+        )
 
     def _set_bulk(self, bulk: bool) -> None:
         count = _connections.RECEIVE_BYTES
@@ -87,7 +96,8 @@
     """Forwards calls on pooled connections, or on new ones on demand.
 
     :param dialect: the protocol of the backend servers.
-    :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :param budget: bounds the bodies in memory; ``None`` to bound only what
+        responses hold that are received ahead of their callers.
     :param on_oversized: called when a response exceeds a limit.
     """
 
@@ -99,12 +109,13 @@
     ) -> None:
         self.dialect = dialect
         self.on_oversized = on_oversized
-        self.budget = budget
+        self.bounded = budget is not None
+        self.body_budget = budget or _buffers.make_read_ahead_budget()
         self.pooled = _connections.make_session(
-            budget is not None, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            self.bounded, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
         self.unpooled = _connections.make_session(
-            budget is not None, force_close=True
+            self.bounded, force_close=True
         )
 
     async def send(
@@ -129,15 +140,13 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            raise self._to_error(error, 'connect', attempt.address) from error
+            raise self.to_error(error, 'connect', attempt.address) from error
         except _HTTP_ERRORS as error:
-            raise self._to_error(error, 'send', attempt.address) from error
+            raise self.to_error(error, 'send', attempt.address) from error
         head = self.dialect.decode_head(
             call, response.status, response.headers
         )
-        return _HttpBackendResponse(
-            head, response, attempt.address, self.budget, self._to_error
-        )
+        return _HttpBackendResponse(head, response, attempt.address, self)
 
     async def probe(
         self, address: str, timeout: float, instance: str = ''
@@ -151,7 +160,7 @@
                     headers=self.dialect.probe_headers(instance),
                     timeout=aiohttp.ClientTimeout(total=None),
                 ) as response:
-                    await response.read()
+                    await _bodies.read_whole(response, MAX_REPORT_BYTES)
                     found = self.dialect.decode_instance(response.headers)
                     is_other = bool(instance and found and found != instance)
                     return response.status == 200 and not is_other
@@ -198,10 +207,12 @@
         try:
             async with asyncio.timeout(timeout):
                 async with self.pooled.get(url) as response:
-                    body = await response.read()
+                    body = await _bodies.read_whole(
+                        response, MAX_SEGMENTS_BYTES
+                    )
                     status = response.status
         except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise self._to_error(error, 'segments', address) from error
+            raise self.to_error(error, 'segments', address) from error
         if status != 200:
             raise errors.BackendError(f'status {status}', 'segments', address)
         return self.dialect.decode_segments(body)
@@ -218,10 +229,12 @@
                     data=body,
                     headers={'Content-Type': 'application/json'},
                 ) as response:
-                    response_body = await response.read()
+                    response_body = await _bodies.read_whole(
+                        response, MAX_REPORT_BYTES
+                    )
                     status = response.status
         except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise self._to_error(error, 'copy', source) from error
+            raise self.to_error(error, 'copy', source) from error
         if status != 200:
             raise errors.BackendError(f'status {status}', 'copy', source)
         return calls.RunCopy(
@@ -234,7 +247,7 @@
         try:
             async with asyncio.timeout(timeout):
                 async with self.unpooled.delete(url) as response:
-                    await response.read()
+                    await _bodies.read_whole(response, MAX_REPORT_BYTES)
         except (TimeoutError, *_HTTP_ERRORS) as error:
             self._report_oversized(error, copy.address)
             # Not retried: the engine expires the copy by itself.
@@ -251,9 +264,10 @@
         if isinstance(error, _connections.ResponseLimitError):
             self.on_oversized(address, error.byte_count, error.reason)
 
-    def _to_error(
+    def to_error(
         self, error: BaseException, step: str, address: str
     ) -> errors.BackendError:
+        """Return the error of an operation, reported if it is oversized."""
         self._report_oversized(error, address)
         reason = ' '.join(f'{type(error).__name__}: {error}'.split())
         if isinstance(error, _connections.ResponseLimitError):
--- a/src/bulrushhold/web/_bodies.py
+++ b/src/bulrushhold/web/_bodies.py
@@ -6,6 +6,7 @@
 import mmap
 import typing as t
 
+import aiohttp
 import loguru
 
 from bulrushhold import bodies
@@ -34,8 +35,27 @@
         self.taken = 0
 
 
+async def read_whole(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    """Return a body that is needed whole.
+
+    :param max_bytes: size at which the connection is closed.
+    :raises ResponseLimitError: if the body is larger.
+    """
+    chunks = []
+    size = 0
+    while chunk := await response.content.readany():
+        size += len(chunk)
+        if size > max_bytes:
+            response.close()
+            raise _connections.ResponseLimitError(size, 'response body')
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
 async def receive(
-    budget: _buffers.BufferBudget | None,
+    budget: _buffers.BufferBudget,
     source: calls.BackendResponse,
     length: int | None,
     set_bulk: cabc.Callable[[bool], None] = bool,
@@ -47,7 +67,7 @@
     :raises BackendError: if the body is truncated.
     """
     is_small = length is not None and length <= SMALL_BODY_BYTES
-    if budget is None or is_small:
+    if is_small:
         return await source.body()
     return await BufferedBody(budget, source, length, set_bulk).start()
 
--- a/src/bulrushhold/web/_buffers.py
+++ b/src/bulrushhold/web/_buffers.py
@@ -11,6 +11,7 @@
 
 import loguru
 
+from bulrushhold import node
 from bulrushhold import ports
 
 # Share of an instance's memory that the process aims for. It has to stay below
@@ -32,6 +33,9 @@
 WINDOW_BYTES: t.Final = 96 << 10
 # Largest grant to a waiting body, so that one large body can't block others.
 GRANT_BYTES: t.Final = 1 << 20
+# Bytes that responses may hold beyond their windows if the instance's memory
+# isn't known. The rest of a response is received as its caller reads.
+READ_AHEAD_BYTES: t.Final = 32 << 20
 # A caller that has read nothing for this long counts as stalled. Through
 # window updates of 64 KB, a caller is seen to read from 4.4 KB/s on.
 STALLED_S: t.Final = 15.0
@@ -253,6 +257,12 @@
         self.metrics.count('buffers.refused')
 
 
+def make_read_ahead_budget() -> BufferBudget:
+    """Return a budget for responses only, if no memory is set."""
+    limit = int(READ_AHEAD_BYTES / READ_AHEAD_SHARE)
+    return BufferBudget(limit, node.NullMetrics())
+
+
 class MemoryMonitor:
     """Adapts a budget to what the rest of the process uses.
 
--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -36,7 +36,7 @@
     """
 
     def __init__(self, byte_count: int, reason: str) -> None:
-        super().__init__(f'{reason} of {byte_count} bytes or more')
+        super().__init__(f'{reason} too large: {byte_count} bytes')
         self.byte_count = byte_count
         self.reason = reason
 
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -45,7 +45,7 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         proxy: str,
-        budget: _buffers.BufferBudget | None,
+        budget: _buffers.BufferBudget,
     ) -> None:
         self.head = head
         self.response = response
@@ -76,11 +76,12 @@
 
     They send nothing after a complete response, unlike faulty servers.
 
-    :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :param budget: bounds the bodies in memory; ``None`` to bound only what
+        responses hold that are received ahead of their callers.
     """
 
     def __init__(self, budget: _buffers.BufferBudget | None = None) -> None:
-        self.budget = budget
+        self.budget = budget or _buffers.make_read_ahead_budget()
         options = {}
         if budget is not None:
             options['read_bufsize'] = _connections.READ_BUFFER_BYTES
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -146,3 +146,113 @@
         assert await response.body() == body
     assert server.connections == 1
     listener.close()
+
+
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
+DECLARED_HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n'
+CHUNK = b'400\r\n%b\r\n' % bytes(1024)
+ENDLESS_BODIES = [
+    (CHUNKED_HEAD, CHUNK),
+    (UNFRAMED_HEAD, bytes(1024)),
+    (DECLARED_HEAD, bytes(1024)),
+]
+TIMEOUT_S = 5 * CLOSED_S
+
+
+async def probe(client, address):
+    assert not await client.probe(address, TIMEOUT_S)
+
+
+async def list_segments(client, address):
+    with pytest.raises(errors.OversizedResponseError) as exc_info:
+        await client.cached_segments(address, TIMEOUT_S)
+    assert exc_info.value.step == 'segments'
+
+
+async def request_copy(client, address):
+    call = calls.Call('r', 'POST', '/a', 'h', '', (), b'', 1.0)
+    with pytest.raises(errors.OversizedResponseError) as exc_info:
+        await client.copy_run(call, address, 'target:1', TIMEOUT_S)
+    assert exc_info.value.step == 'copy'
+
+
+async def delete_copy(client, address):
+    await client.drop_copy(calls.RunCopy(address, 'c'), TIMEOUT_S)
+
+
+async def read_failure(client, address):
+    # A stream's failure is passed on whole.
+    response = await send(client, address)
+    with pytest.raises(errors.OversizedResponseError) as exc_info:
+        await response.body()
+    assert exc_info.value.step == 'answer'
+    response.close()
+
+
+@pytest.mark.parametrize(('start', 'part'), ENDLESS_BODIES)
+@pytest.mark.parametrize(
+    'read', [probe, list_segments, request_copy, delete_copy, read_failure]
+)
+async def test_a_body_without_end_is_not_collected(
+    client, reports, endless, read, start, part
+):
+    # Guards against memory that grows until an operation times out.
+    endless.start, endless.part = start, part
+    started = time.monotonic()
+    await read(client, endless.address)
+    assert time.monotonic() - started < CLOSED_S
+    await wait_until_closed(endless)
+    assert endless.sent < IN_FLIGHT_BYTES
+    ((address, _, reason),) = reports.records
+    assert (address, reason) == (endless.address, 'response body')
+
+
+@pytest.mark.parametrize(('start', 'part'), ENDLESS_BODIES)
+async def test_a_body_is_passed_on_without_a_budget_as_it_is_read(
+    client, endless, start, part
+):
+    # Guards against a plain response that fills the memory of an entry whose
+    # settings name none.
+    endless.start, endless.part = start, part
+    response = await send(client, endless.address)
+    async with asyncio.timeout(TIMEOUT_S):
+        body = await response.receive()
+        size = 0
+        while size < MAX_SENT_BYTES // 4:
+            piece = await body.piece()
+            size += len(piece)
+    assert size - len(piece) < endless.sent
+    await asyncio.sleep(0.2)
+    unread = endless.sent - size
+    assert unread < web.READ_AHEAD_BYTES + IN_FLIGHT_BYTES
+    body.close()
+    await wait_until_closed(endless)
+
+
+async def test_a_large_body_is_received_whole_without_a_budget(client):
+    # Guards against a bound that truncates what is passed on.
+    body = bytes(range(256)) * (12 << 10)
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    server = test_backend_connections.ScriptedServer(responses=[head + body])
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    host, port = listener.sockets[0].getsockname()
+    response = await send(client, f'{host}:{port}')
+    received = await response.receive()
+    pieces = []
+    while piece := await received.piece():
+        pieces.append(bytes(piece))
+    assert b''.join(pieces) == body
+    assert received.complete
+    received.close()
+    listener.close()
+
+
+async def test_a_declared_length_without_a_body_exceeds_no_limit(client):
+    # Guards against a limit on what a HEAD request only tells of.
+    server = test_backend_connections.ScriptedServer(responses=[DECLARED_HEAD])
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    host, port = listener.sockets[0].getsockname()
+    response = await send(client, f'{host}:{port}', method='HEAD')
+    assert await response.receive() == b''
+    listener.close()
