Bound what an entry receives from another one that it asks

What callers saw: a proxied attempt that lasts until its deadline, while the memory of the entry that asked grows.

Cause: the length before a message was taken as it came, a proxied body was joined without a bound, and the connection had no bound on its head.

Change: messages have a limit of 8 MB, which holds the names of all segments of an engine; bodies that are needed whole that of direct responses; and connections to other entries are strict as those to backend servers.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -94,7 +94,7 @@
         self.client = forwarding.PermitCheckingClient(
             forwarding.ProxyingClient(
                 direct,
-                adapters.HttpPeerProxyClient(buffers),
+                adapters.HttpPeerProxyClient(buffers, oversized.record),
                 monitor,
                 placement,
                 decisions.ProxyPeers(config.name),
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -1,7 +1,6 @@
 """Forwards opaque requests to backend servers over HTTP."""
 
 import asyncio
-import collections.abc as cabc
 import typing as t
 
 import aiohttp
@@ -24,8 +23,6 @@
 # Status reports, and replies to orders to copy and to delete.
 MAX_REPORT_BYTES: t.Final = 64 << 10
 MAX_SEGMENTS_BYTES: t.Final = 4 << 20
-# Bodies of responses that are passed on whole, as those of failed streams.
-MAX_WHOLE_BYTES: t.Final = 1 << 20
 _SKIPPED_AUTO_HEADERS: t.Final = (
     'User-Agent',
     'Accept',
@@ -33,12 +30,6 @@
     'Content-Type',
 )
 _HTTP_ERRORS: t.Final = (aiohttp.ClientError, OSError, ValueError)
-# Called with the address, the bytes received and what exceeded its limit.
-OversizedListener = cabc.Callable[[str, int, str], None]
-
-
-def _ignore_oversized(address: str, byte_count: int, reason: str) -> None:
-    """Do nothing."""
 
 
 class _HttpBackendResponse(calls.BackendResponse):
@@ -64,7 +55,9 @@
 
     async def body(self) -> bytes:
         try:
-            return await _bodies.read_whole(self.response, MAX_WHOLE_BYTES)
+            return await _bodies.read_whole(
+                self.response, _bodies.MAX_WHOLE_BYTES
+            )
         except _HTTP_ERRORS as error:
             raise self.client.to_error(
                 error, 'answer', self.address
@@ -105,7 +98,9 @@
         self,
         dialect: calls.EngineDialect,
         budget: _buffers.BufferBudget | None = None,
-        on_oversized: OversizedListener = _ignore_oversized,
+        on_oversized: _connections.OversizedListener = (
+            _connections.ignore_oversized
+        ),
     ) -> None:
         self.dialect = dialect
         self.on_oversized = on_oversized
--- a/src/bulrushhold/web/_bodies.py
+++ b/src/bulrushhold/web/_bodies.py
@@ -18,6 +18,8 @@
 # Up to this size a body is neither counted nor copied: it is no larger than
 # the window that any response may use.
 SMALL_BODY_BYTES: t.Final = 32 << 10
+# Bodies of responses that are passed on whole, as those of failed streams.
+MAX_WHOLE_BYTES: t.Final = 1 << 20
 # Memory maps of this size are returned to the system as soon as they are sent,
 # while blocks of many sizes would fragment the heap.
 SEGMENT_BYTES: t.Final = 64 << 10
--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -1,6 +1,7 @@
 """HTTP client connections hardened against faulty backend servers."""
 
 import asyncio
+import collections.abc as cabc
 import functools
 import socket
 import typing as t
@@ -28,6 +29,14 @@
 UNSENT_BYTES: t.Final = 64 << 10
 
 
+# Called with the address, the bytes received and what exceeded its limit.
+OversizedListener = cabc.Callable[[str, int, str], None]
+
+
+def ignore_oversized(address: str, byte_count: int, reason: str) -> None:
+    """Do nothing; an :data:`OversizedListener`."""
+
+
 class ResponseLimitError(aiohttp.ClientError):
     """A response exceeded a limit, and its connection was closed.
 
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -24,6 +24,8 @@
 SERVER_KEEPALIVE_S: t.Final = 60.0
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
 MAX_MESSAGE_BYTES: t.Final = 65 << 20
+# An answer may hold the names of all segments that an engine has cached.
+MAX_ANSWER_BYTES: t.Final = 8 << 20
 # Precedes the first message of a response: its length, in network order.
 _LENGTH: t.Final = struct.Struct('!I')
 _HTTP_ERRORS: t.Final = (
@@ -45,27 +47,29 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         proxy: str,
-        budget: _buffers.BufferBudget,
+        client: 'HttpPeerProxyClient',
     ) -> None:
         self.head = head
         self.response = response
         self.proxy = proxy
-        self.budget = budget
+        self.client = client
 
     async def chunk(self) -> bytes:
         try:
             return await self.response.content.readany()
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'answer', self.proxy) from error
+            raise self.client.to_error(error, 'answer', self.proxy) from error
 
     async def body(self) -> bytes:
-        chunks = []
-        while chunk := await self.chunk():
-            chunks.append(chunk)
-        return b''.join(chunks)
+        try:
+            return await _bodies.read_whole(
+                self.response, _bodies.MAX_WHOLE_BYTES
+            )
+        except _HTTP_ERRORS as error:
+            raise self.client.to_error(error, 'answer', self.proxy) from error
 
     async def receive(self) -> bytes | bodies.Body:
-        return await _bodies.receive(self.budget, self, None)
+        return await _bodies.receive(self.client.budget, self, None)
 
     def close(self) -> None:
         self.response.close()
@@ -74,21 +78,27 @@
 class HttpPeerProxyClient(calls.PeerProxyClient):
     """Asks other entries over pooled connections.
 
-    They send nothing after a complete response, unlike faulty servers.
-
     :param budget: bounds the bodies in memory; ``None`` to bound only what
         responses hold that are received ahead of their callers.
+    :param on_oversized: called when a response exceeds a limit.
     """
 
-    def __init__(self, budget: _buffers.BufferBudget | None = None) -> None:
+    def __init__(
+        self,
+        budget: _buffers.BufferBudget | None = None,
+        on_oversized: _connections.OversizedListener = (
+            _connections.ignore_oversized
+        ),
+    ) -> None:
+        self.on_oversized = on_oversized
         self.budget = budget or _buffers.make_read_ahead_budget()
         options = {}
         if budget is not None:
             options['read_bufsize'] = _connections.READ_BUFFER_BYTES
         self.session = aiohttp.ClientSession(
             **options,
-            connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=CLIENT_KEEPALIVE_S
+            connector=_connections.StrictConnector(
+                bounded=False, keepalive_timeout=CLIENT_KEEPALIVE_S
             ),
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(
@@ -105,12 +115,12 @@
         message = messages.ProxiedAttempt(call, attempt)
         response = await self._post(proxy, ATTEMPTS_PATH, message)
         try:
-            first = await _read_message(response, proxy)
+            first = await self._read_message(response, proxy)
         except BaseException:
             response.close()
             raise
         if isinstance(first, messages.ProxiedHead):
-            return _ProxiedResponse(first.head, response, proxy, self.budget)
+            return _ProxiedResponse(first.head, response, proxy, self)
         response.close()
         raise _to_error(first, attempt.address)
 
@@ -120,7 +130,7 @@
             async with asyncio.timeout(timeout):
                 response = await self._post(proxy, QUESTIONS_PATH, question)
                 async with response:
-                    answer = await _read_message(response, proxy)
+                    answer = await self._read_message(response, proxy)
                 if isinstance(answer, messages.ProxyFailure):
                     raise _to_error(answer, proxy)
                 return answer
@@ -144,29 +154,37 @@
                 f'{type(error).__name__}: {error}', 'proxy', proxy
             ) from error
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'send', proxy) from error
+            raise self.to_error(error, 'send', proxy) from error
+
+    async def _read_message(
+        self, response: aiohttp.ClientResponse, proxy: str
+    ) -> t.Any:
+        try:
+            prefix = await response.content.readexactly(_LENGTH.size)
+            (length,) = _LENGTH.unpack(prefix)
+            if length > MAX_ANSWER_BYTES:
+                response.close()
+                raise _connections.ResponseLimitError(length, 'message')
+            return messages.decode(await response.content.readexactly(length))
+        except (*_HTTP_ERRORS, errors.PeerError) as error:
+            raise self.to_error(error, 'send', proxy) from error
+
+    def to_error(
+        self, error: BaseException, step: str, proxy: str
+    ) -> errors.BackendError:
+        """Return the error of an operation, reported if it is oversized."""
+        reason = ' '.join(f'{type(error).__name__}: {error}'.split())
+        reason = f'proxy {proxy}: {reason}'
+        if isinstance(error, _connections.ResponseLimitError):
+            self.on_oversized(proxy, error.byte_count, error.reason)
+            return errors.OversizedResponseError(reason, step, proxy)
+        return errors.BackendError(reason, step, proxy)
 
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
 
 
-async def _read_message(response: aiohttp.ClientResponse, proxy: str) -> t.Any:
-    try:
-        prefix = await response.content.readexactly(_LENGTH.size)
-        (length,) = _LENGTH.unpack(prefix)
-        return messages.decode(await response.content.readexactly(length))
-    except (*_HTTP_ERRORS, errors.PeerError) as error:
-        raise _to_backend_error(error, 'send', proxy) from error
-
-
-def _to_backend_error(
-    error: BaseException, step: str, proxy: str
-) -> errors.BackendError:
-    reason = ' '.join(f'{type(error).__name__}: {error}'.split())
-    return errors.BackendError(f'proxy {proxy}: {reason}', step, proxy)
-
-
 def _to_error(
     failure: messages.ProxyFailure, address: str
 ) -> errors.BulrushholdError:
