Bound the platform's list that a process receives

Interim heads without end were ended already, as sessions of make_session() bound a head.

What callers saw: nothing; an entry's or a control process's memory grew.

Cause: the body was read with ClientResponse.read(), and only the number of pages was bounded.

Change: the list may hold 16 MB in all its pages. The fake response of test_fuzzing.py gives its body through `content`, as it is read there now; its checks are unchanged.

--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -1,6 +1,7 @@
 """HTTP adapters for callers, backend servers and the platform's list."""
 
 from bulrushhold.web._backends import HttpBackendClient
+from bulrushhold.web._bodies import read_whole
 from bulrushhold.web._buffers import BufferBudget
 from bulrushhold.web._buffers import MemoryMonitor
 from bulrushhold.web._buffers import READ_AHEAD_BYTES
@@ -28,4 +29,5 @@
     'READ_AHEAD_BYTES',
     'make_session',
     'metrics_application',
+    'read_whole',
 ]
--- a/src/bulrushhold/web/_instancelist.py
+++ b/src/bulrushhold/web/_instancelist.py
@@ -7,8 +7,10 @@
 
 from bulrushhold import errors
 from bulrushhold import ports
+from bulrushhold.web import _bodies
 
 REQUEST_TIMEOUT_S = 2.0
+MAX_LIST_BYTES = 16 << 20
 
 
 class HttpPlatformList(ports.PlatformList):
@@ -38,7 +40,7 @@
                     raise errors.PeerError(
                         f'status {response.status}', 'platform', self.url
                     )
-                body = await response.read()
+                body = await _bodies.read_whole(response, MAX_LIST_BYTES)
                 etag = response.headers.get('ETag', '')
             platform = msgspec.json.decode(body, type=ports.Platform)
         except (
--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -129,7 +129,8 @@
     status = 200
 
     def __init__(self, body):
-        self.body = body
+        self.chunks = [body, b'']
+        self.content = self
 
     async def __aenter__(self):
         return self
@@ -137,8 +138,8 @@
     async def __aexit__(self, *error):
         pass
 
-    async def read(self):
-        return self.body
+    async def readany(self):
+        return self.chunks.pop(0)
 
 
 class _Session:
