Soak: a third of the servers answers with interim heads without end

New scenario `endless-bytes` (tests/platform/soak/endless.py): 4 entries, 60 requests a second of three kinds, deadline 4 s, 4 of 12 servers answer everything with interim heads for 6 s. "Others" are requests that no such response was sent to; "beside" is their p95 in these 6 s.

--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -12,6 +12,7 @@
 
 import click
 
+from tests.platform.soak import endless
 from tests.platform.soak import figures
 from tests.platform.soak import loadrun
 from tests.platform.soak import result
@@ -156,6 +157,7 @@
     'overload': play_overload,
     'large-account': play_large_account,
     'slow-readers': play_slow_readers,
+    'endless-bytes': endless.play,
     'uneven-engines': uneven.play_engines,
     'uneven-servers': uneven.play_servers,
     **{fault.replace('_', '-'): _fault_scenario(fault) for fault in FAULTS},
--- a/tests/platform/soak/silence.py
+++ b/tests/platform/soak/silence.py
@@ -73,6 +73,8 @@
     :ivar lags: see :func:`figures.measure_lag`.
     """
 
+    deadline_s = DEADLINE_S
+
     def __init__(self, seed, folder, network_number, plan):
         super().__init__(seed, folder, network_number, LAST_SILENCE_S + TAIL_S)
         self.plan = plan
@@ -188,14 +190,14 @@
             'Host': 'soak.example',
             'Bulrushhold-Request-Id': ident,
             'Bulrushhold-Credential': run.API_KEY,
-            'Bulrushhold-Deadline-Ms': str(round(DEADLINE_S * 1000)),
+            'Bulrushhold-Deadline-Ms': str(round(self.deadline_s * 1000)),
         }
         if kind == fakes.STREAM_PATH:
             headers['Bulrushhold-Token-Counts'] = '800,40'
             headers['Bulrushhold-Prompt-Prefix'] = f'a:100,b{number}:700'
         body = f'body {number}'.encode()
         url = yarl.URL(self.system.url(entry, 'front', target), encoded=True)
-        timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 2.0)
+        timeout = aiohttp.ClientTimeout(total=self.deadline_s + 2.0)
         try:
             async with session.post(
                 url, data=body, headers=headers, timeout=timeout
