Proxied attempts tell that a server's response was too large

Tests that failed before: tests/test_endless_peers.py "a_server_that_sends_without_end_to_a_proxy_is_reported" and a case added to test_peer_proxy_http.py ("assert BackendError is OversizedResponseError").

What callers saw: an entry that reaches its servers through others goes on sending requests to such a server, and takes each for a broken connection, as evidence of a crash under the request.

Cause: the failure crossed as that of any backend server.

Change: it has a kind of its own. The entry that asked ejects the server, too.

--- a/src/bulrushhold/messages/_peerproxy.py
+++ b/src/bulrushhold/messages/_peerproxy.py
@@ -13,12 +13,14 @@
     ``REFUSED``: the entry can't proxy it; another one may. ``BACKEND``: the
     backend server failed. ``PERMIT``: the server wants no requests of that
     entry now. ``BLOCKED``: engines crashed under the request.
+    ``OVERSIZED``: the backend server's response exceeded a limit.
     """
 
     REFUSED = 'refused'
     BACKEND = 'backend'
     PERMIT = 'permit'
     BLOCKED = 'blocked'
+    OVERSIZED = 'oversized'
 
 
 @attrs.frozen
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -122,6 +122,8 @@
         if isinstance(first, messages.ProxiedHead):
             return _ProxiedResponse(first.head, response, proxy, self)
         response.close()
+        if first.kind is messages.ProxyFailureKind.OVERSIZED:
+            self.on_oversized(attempt.address, 0, first.reason)
         raise _to_error(first, attempt.address)
 
     async def ask(self, proxy: str, question: t.Any, timeout: float) -> t.Any:
@@ -199,6 +201,10 @@
             return errors.RequestBlockedError(
                 failure.reason, failure.step, address
             )
+        case messages.ProxyFailureKind.OVERSIZED:
+            return errors.OversizedResponseError(
+                failure.reason, failure.step, address
+            )
     return errors.BackendError(failure.reason, failure.step, address)
 
 
@@ -297,6 +303,8 @@
             wait_s = self.handler.wait_s(instance)
         elif isinstance(error, errors.RequestBlockedError):
             kind = kinds.BLOCKED
+        elif isinstance(error, errors.OversizedResponseError):
+            kind = kinds.OVERSIZED
         else:
             kind = kinds.BACKEND
         return messages.ProxyFailure(kind, error.reason, error.step, wait_s)
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -23,6 +23,8 @@
 
 endless = test_endless_responses.endless
 reports = test_endless_responses.reports
+handler = test_peer_proxy_http.handler
+proxy = test_peer_proxy_http.proxy
 
 
 @pytest_asyncio.fixture
@@ -81,3 +83,14 @@
     assert exc_info.value.step == 'answer'
     response.close()
     await assert_ended(endless, reports, started)
+
+
+async def test_a_server_that_sends_without_end_to_a_proxy_is_reported(
+    client, reports, proxy, handler
+):
+    # Guards against attempts through other entries at such a server.
+    handler.response = errors.OversizedResponseError('head', 'send', '')
+    with pytest.raises(errors.OversizedResponseError):
+        await client.send(proxy, CALL, ATTEMPT)
+    ((address, _, _),) = reports.records
+    assert address == ATTEMPT.address
--- a/tests/test_peer_proxy_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -124,6 +124,7 @@
         errors.RequestBlockedError('blocked', 'permit', ''),
         errors.BackendError('refused', 'connect', ''),
         errors.BackendError('reset', 'send', ''),
+        errors.OversizedResponseError('response head', 'send', ''),
     ],
 )
 async def test_errors_keep_their_type_and_step(client, proxy, handler, error):
