--- a/src/bulrushhold/web/_bodies.py
+++ b/src/bulrushhold/web/_bodies.py
@@ -6,6 +6,7 @@
 import mmap
 import typing as t
 
+import aiohttp
 import loguru
 
 from bulrushhold import bodies
@@ -17,6 +18,8 @@
 # Up to this size a body is neither counted nor copied: it is no larger than
 # the window that any response may use.
 SMALL_BODY_BYTES: t.Final = 32 << 10
+# Bodies of responses that are passed on whole, as those of failed streams.
+MAX_WHOLE_BYTES: t.Final = 1 << 20
 # Memory maps of this size are returned to the system as soon as they are sent,
 # while blocks of many sizes would fragment the heap.
 SEGMENT_BYTES: t.Final = 64 << 10
@@ -34,8 +37,27 @@
         self.taken = 0
 
 
+async def read_whole(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    """Return a body that is needed whole.
+
+    :param max_bytes: size at which the connection is closed.
+    :raises ResponseLimitError: if the body is larger.
+    """
+    chunks = []
+    size = 0
+    while chunk := await response.content.readany():
+        size += len(chunk)
+        if size > max_bytes:
+            response.close()
+            raise _connections.ResponseLimitError(size, 'response body')
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
 async def receive(
-    budget: _buffers.BufferBudget | None,
+    budget: _buffers.BufferBudget,
     source: calls.BackendResponse,
     length: int | None,
     set_bulk: cabc.Callable[[bool], None] = bool,
@@ -47,7 +69,7 @@
     :raises BackendError: if the body is truncated.
     """
     is_small = length is not None and length <= SMALL_BODY_BYTES
-    if budget is None or is_small:
+    if is_small:
         return await source.body()
     return await BufferedBody(budget, source, length, set_bulk).start()
 
