--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -8,6 +8,7 @@
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _enginesilence
 from bulrushhold.forwarding import _events
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _pausemonitor
@@ -65,9 +66,6 @@
         self.response: calls.BackendResponse | None = None
         self.send_task: asyncio.Future[calls.BackendResponse] | None = None
         self.received_event = False
-        self.silent_since: float | None = None
-        self.silent_s = 0.0
-        self.kept_for = ''
         self.renewal: asyncio.Task[None] | None = None
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
@@ -90,6 +88,14 @@
             self.started_at,
             slowness.get(engine.ident, 1.0),
         )
+        self.silence = _enginesilence.EngineSilence(
+            self.context,
+            stream.job,
+            engine,
+            self.read_monitor,
+            self.pauses,
+            self.evidence,
+        )
 
     async def run(self) -> calls.Reply | None:
         response = await self._open()
@@ -121,7 +127,7 @@
         self.evidence.record_end()
         resumed = self.stream.job.call.last_event_id is not None
         if self.copy is None and not resumed:
-            run_s = now - self.started_at - self.silent_s
+            run_s = now - self.started_at - self.silence.seconds
             self.speeds.record_run(self.stream.job.service, run_s, now)
         self.close()
         await self.drop_copy()
@@ -224,9 +230,9 @@
         self, silence: _liveness.SilenceTimer
     ) -> _streamloss.StreamLostError | None:
         if not await self._is_alive(silence):
-            self._begin_silence()
+            self.silence.begin()
             return await self._check_silent_engine()
-        if self.silent_since is not None:
+        if self.silence.since is not None:
             # It has just gone on: its next event takes its usual time.
             self._end_silence()
             silence.reset()
@@ -240,24 +246,9 @@
             return _streamloss.StreamLostError(reason, unreachable=False)
         return None
 
-    def _begin_silence(self) -> None:
-        if self.silent_since is None:
-            self.silent_since = self.pauses.last_event_at
-            self.context.placement.record_silence(
-                self.engine.ident, self.context.clock()
-            )
-        self.read_monitor.discard()
-        self.pauses.discard()
-        self.evidence.discard_times()
-
     def _end_silence(self) -> None:
         self.stream.moves.successor = None
-        if self.silent_since is not None:
-            now = self.context.clock()
-            self.silent_s += now - self.silent_since
-            self.silent_since = None
-            self.kept_for = ''
-            self.context.placement.record_answer(self.engine.ident, now)
+        self.silence.end()
 
     async def _check_silent_engine(
         self,
@@ -286,21 +277,11 @@
             end_check.cancel()
         if found and await self.stream.prepare_move(silent=True):
             return _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
-        self._keep('no retry' if found else 'no other engine answers')
+        self.silence.log_kept(
+            'no retry' if found else 'no other engine answers'
+        )
         return None
 
-    def _keep(self, reason: str) -> None:
-        """Log why a silent engine isn't left, once for each reason."""
-        if reason != self.kept_for:
-            self.kept_for = reason
-            self.context.metrics.count('engines.kept_silent')
-            _context.log(
-                self.stream.job,
-                'silent engine kept',
-                engine=self.engine.ident,
-                reason=reason,
-            )
-
     def _late_first_event(self, silence: _liveness.SilenceTimer) -> str:
         """Return why the engine is too slow to read the prompt, or ``''``."""
         waited = silence.seconds
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -11,7 +11,7 @@
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _engine_stream
 from bulrushhold.forwarding import _enginechooser
-from bulrushhold.forwarding import _liveness
+from bulrushhold.forwarding import _lossrecord
 from bulrushhold.forwarding import _moves
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
@@ -129,7 +129,7 @@
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.context.clock() - started
                 lost.event_id_before = last
-                await self._check_reachable(engine, lost)
+                await _lossrecord.check_reachable(self.context, engine, lost)
                 self._record_loss(engine, lost)
                 # A stream that has begun is resumed at once.
                 if lost.crashed and not self.caller_stream.headers_sent:
@@ -325,6 +325,19 @@
         self.retry = await _retries.take(self.context, self.job, priority)
         return self.retry is not None
 
+    def _record_loss(
+        self,
+        engine: decisions.BackendServer,
+        lost: _streamloss.StreamLostError,
+    ) -> None:
+        _lossrecord.record_loss(
+            self.context, self.job, engine, lost, self.last_event_id
+        )
+        if lost.unreachable:
+            self.engines.lost_data_centre = engine.data_centre
+        if self.caller_stream.headers_sent:
+            self.timing.record_interruption()
+
     def _count_run(
         self,
         engine: decisions.BackendServer,
@@ -510,62 +523,3 @@
             engine.memory -= self.engines.memory
             if engine_stream.backup is not None:
                 engine_stream.backup.memory -= self.engines.memory
-
-    async def _check_reachable(
-        self,
-        engine: decisions.BackendServer,
-        lost: _streamloss.StreamLostError,
-    ) -> None:
-        """Check whether an engine that broke the connection is alive.
-
-        A crashed engine refuses connections, or another instance has its
-        address. A live one still serves other streams and holds copies, and
-        must not be marked as lost.
-        """
-        if not lost.reset:
-            return
-        client, timeout_s = self.context.client, _liveness.PROBE_TIMEOUT_S
-        alive, ended = await asyncio.gather(
-            client.probe(engine.address, timeout_s, engine.ident),
-            client.has_ended(engine.address, timeout_s, engine.ident),
-        )
-        lost.unreachable = not alive
-        lost.silent = not (alive or ended)
-
-    def _record_loss(
-        self,
-        engine: decisions.BackendServer,
-        lost: _streamloss.StreamLostError,
-    ) -> None:
-        now = self.context.clock()
-        if not lost.cut_off:
-            self.context.placement.record_failure(
-                engine.ident, now, unreachable=lost.unreachable
-            )
-        self.context.metrics.count('engines.lost')
-        if lost.silent:
-            self.context.placement.record_silence(engine.ident, now)
-            self.context.metrics.count('engines.silent')
-        if lost.unreachable:
-            self.engines.lost_data_centre = engine.data_centre
-        if lost.crashed or lost.reset or lost.silent:
-            _blocks.record_broken_off(
-                self.context,
-                self.job,
-                engine.ident,
-                lost.seconds,
-                crashed=lost.crashed,
-                silent=lost.silent and not lost.reset,
-            )
-        if self.caller_stream.headers_sent:
-            self.timing.record_interruption()
-        _context.log(
-            self.job,
-            'engine lost',
-            engine=engine.ident,
-            reason=str(lost),
-            last=self.last_event_id,
-            gone=lost.unreachable,
-            silent=lost.silent,
-            fingerprint=self.job.fingerprint,
-        )
