A failing test: an engine found in a silence is used at another version

While its engine is silent before the first event, a stream finds another one, which may have any version, and can't leave yet; its engine goes on, sends events, and is lost for another reason: the stream goes on at the engine found before.

--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushhold.forwarding import _enginechooser
+from bulrushhold.forwarding import _retries
 from bulrushhold import messages
 from tests.forwarding import fakes
 
@@ -127,6 +128,31 @@
     assert [a.instance for a in client.attempts] == ['e0', 'e9']
 
 
+async def test_an_engine_found_in_a_silence_is_not_used_at_another_version(
+    client, context, placement, monkeypatch
+):
+    """Guards against two versions, as a successor was found before events."""
+    placement.update([*listed('v1', 0, 1), *listed('v2', 3)])
+    for ident in ('e1', 'e3'):
+        placement.record_failure(ident, context.clock(), unreachable=True)
+
+    take_now = _retries.take_now
+
+    async def take_later(*arguments):
+        return None if client.silent else await take_now(*arguments)
+
+    monkeypatch.setattr(_retries, 'take_now', take_later)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset', open_delay_s=1.5),
+        fakes.Script(events=(3,)),
+    ]
+    client.silent |= {'10.0.1.0:80', '10.0.1.1:80'}
+    asyncio.get_running_loop().call_later(1.2, client.silent.clear)
+    caller, _ = await fakes.run_stream(context)
+    assert caller.data == fakes.encode_events(1, 2, 3)
+    assert [a.instance for a in client.attempts] == ['e0', 'e1']
+
+
 async def test_a_capacity_estimate_counts_engines_of_the_version_only(
     context, placement
 ):
