Soak: when output goes on is printed beside the whole pause

The pause of a stream on a lost engine may have begun at another one that was silent; the bound of 2 s stays on the whole pause.

--- a/tests/platform/soak/silence.py
+++ b/tests/platform/soak/silence.py
@@ -270,7 +270,11 @@
         )
 
     def pauses_s(self, kind):
-        """Return the longest pause of each stream as its engine was lost."""
+        """Return how long each stream paused as its engine was lost.
+
+        :returns: for each stream, its pause between two events, and the part
+            of it since the loss; another engine may have been silent before.
+        """
         pauses = []
         for loss in self.losses:
             if loss.kind != kind:
@@ -278,7 +282,7 @@
             for ident in loss.idents:
                 times = self.received_at[ident]
                 pauses += [
-                    later - earlier
+                    (later - earlier, later - loss.at)
                     for earlier, later in itertools.pairwise(times)
                     if earlier <= loss.at < later
                 ]
@@ -310,7 +314,7 @@
         more = [
             figures.Check(
                 f'longest pause of {len(pauses)} streams on {kind} engines, s',
-                max(pauses, default=0.0),
+                max((pause for pause, _ in pauses), default=0.0),
                 MAX_PAUSE_S,
                 at_least=False,
             )
@@ -349,8 +353,13 @@
             f'refused {self.count(REFUSED)}, lost {len(self.lost)}, '
             f'failed {self.count("502", "504")}'
         )
+        losses = {
+            loss.kind: max((s for _, s in self.pauses_s(loss.kind)), default=0)
+            for loss in self.losses
+        }
         return [
             summary,
+            *(f'{k}: output after {s:.3f} s' for k, s in losses.items()),
             f'{outcomes}; slowest {self.slowest_s:.1f} s, '
             f'runs beyond the first {repeated}, '
             f'crashes counted {self.count_logged("crash counted")}, '
