--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -261,11 +261,7 @@
         if self.context.placement.is_gone(self.engine):
             return _streamloss.StreamLostError('replaced or no longer listed')
         end_check = asyncio.ensure_future(
-            self.context.client.has_ended(
-                self.engine.address,
-                _liveness.PROBE_TIMEOUT_S,
-                self.engine.ident,
-            )
+            self.context.probes.has_ended(self.engine)
         )
         try:
             found = await self.stream.find_successor(self.engine)
--- a/src/bulrushhold/forwarding/_liveness.py
+++ b/src/bulrushhold/forwarding/_liveness.py
@@ -49,6 +49,25 @@
     def __init__(self, client: calls.BackendClient) -> None:
         self.client = client
         self.pending: dict[str, asyncio.Future[bool]] = {}
+        self.pending_end_checks: dict[str, asyncio.Future[bool]] = {}
+
+    async def has_ended(self, engine: decisions.BackendServer) -> bool:
+        """Return whether an engine's process is known to have ended.
+
+        See :meth:`calls.BackendClient.has_ended`.
+        """
+        check = self.pending_end_checks.get(engine.ident)
+        if check is None:
+            check = asyncio.ensure_future(
+                self.client.has_ended(
+                    engine.address, PROBE_TIMEOUT_S, engine.ident
+                )
+            )
+            self.pending_end_checks[engine.ident] = check
+            check.add_done_callback(
+                lambda _: self.pending_end_checks.pop(engine.ident)
+            )
+        return await asyncio.shield(check)
 
     async def is_alive(self, engine: decisions.BackendServer) -> bool:
         """Return whether an engine responds, and not another at its address.
