Rollouts: slow versions are found as soon as before

The mend found a version that is really slow within 6 s only, though its requests must go elsewhere 5 s after its 50th bad answer, which is the worse harm.

--- a/src/bulrushhold/decisions/_rolloutanalysis.py
+++ b/src/bulrushhold/decisions/_rolloutanalysis.py
@@ -34,9 +34,6 @@
 MIN_OTHER_SAMPLES: t.Final = 20
 # Latencies are tested over this recent time as well as over the whole rollout.
 RECENT_S: t.Final = 4.0
-# A version must be slow for this long: sound servers may be silent for a
-# second or two, and all requests that wait for one end together.
-MIN_SLOW_S: t.Final = RECENT_S
 
 _Key = tuple[str, str]
 _Histogram = cabc.Mapping[int, int]
@@ -67,7 +64,6 @@
         self.history: collections.deque[
             tuple[float, dict[_Key, messages.VersionSample]]
         ] = collections.deque()
-        self.slow_since: dict[tuple[str, str], float] = {}
 
     def update(
         self, evidence: messages.RolloutEvidence, now: float
@@ -142,27 +138,17 @@
     def _latency_verdict(
         self, samples: dict[_Key, messages.VersionSample]
     ) -> Verdict:
-        now, oldest = self.history[-1][0], self.history[0][1]
-        slow_since, self.slow_since = self.slow_since, {}
+        oldest = self.history[0][1]
         for name, histogram_of in _HISTOGRAMS.items():
             for route in sorted({route for route, _ in samples}):
-                reasons = [
-                    _find_slowness(
+                for since in ({}, oldest):
+                    reason = _find_slowness(
                         *_histograms(samples, since, route, histogram_of)
                     )
-                    for since in ({}, oldest)
-                ]
-                if not any(reasons):
-                    continue
-                began_at = slow_since.get((name, route), now)
-                self.slow_since[name, route] = began_at
-                if now - began_at >= MIN_SLOW_S:
-                    reason = reasons[0] or reasons[1]
-                    return Verdict(
-                        True, f'{name} on route {route}: {reason}', 1
-                    )
-        if self.slow_since:
-            return Verdict(False, '', 1)
+                    if reason:
+                        return Verdict(
+                            True, f'{name} on route {route}: {reason}', 1
+                        )
         levels = [
             level for (_, engine), level in self.levels.items() if not engine
         ]
