Only stalls share a back-off, other failures count as before

Now only an engine left as stalled isn't counted again while it backs off, which is what many streams of one silence do. tests/test_silent_generations.py passes.

--- a/src/bulrushhold/decisions/_routing.py
+++ b/src/bulrushhold/decisions/_routing.py
@@ -99,17 +99,19 @@
         self.own_at_report = self.own_requests
 
     def record_failure(self, now: float) -> None:
-        """Record a failure and back off exponentially.
-
-        Requests that fail during a back-off had been sent before it, and
-        share the cause of the failure that began it.
-        """
-        if now < self.backoff_until:
-            return
+        """Record a failure and back off exponentially."""
         self.failures += 1
         backoff = INITIAL_BACKOFF_S * 2 ** (self.failures - 1)
         self.backoff_until = now + min(MAX_BACKOFF_S, backoff)
 
+    def record_stall(self, now: float) -> None:
+        """Record a stall as a failure, once for all requests that meet it.
+
+        Requests that stall during a back-off had been sent before it.
+        """
+        if now >= self.backoff_until:
+            self.record_failure(now)
+
     def record_success(self) -> None:
         """Record a success and reset the backoff."""
         self.failures = 0
--- a/src/bulrushhold/entry/_runner.py
+++ b/src/bulrushhold/entry/_runner.py
@@ -386,7 +386,7 @@
                     attempt.hedge_tokens = cost
             return
         for attempt in list(live.values()):
-            attempt.state.record_failure(time.monotonic())
+            attempt.state.record_stall(time.monotonic())
             generation.failed_engines.add(attempt.state.server.name)
             generation.stalled_attempts += attempt.started
             self._stop_attempt(generation, attempt, live)
