--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -113,6 +113,8 @@
         have run it, all others.
         """
         limit = self.run_limit
+        if not limit.reached:
+            return self.tried
         for ident in list(limit.engines):
             engine = self.context.placement.backends.get(ident)
             if engine is None or self.context.placement.is_gone(engine):
--- a/src/bulrushhold/forwarding/_runlimit.py
+++ b/src/bulrushhold/forwarding/_runlimit.py
@@ -36,6 +36,11 @@
         """
         self.failures = 1 if progressed else self.failures + 1
 
+    @property
+    def reached(self) -> bool:
+        """Whether no further engine may run the stream."""
+        return len(self.engines) >= self.max_attempts
+
     @property
     def exhausted(self) -> bool:
         """Whether too many runs in a row have failed."""
@@ -51,4 +56,4 @@
 
     def allows(self, ident: str) -> bool:
         """Return whether an engine may run the stream."""
-        return ident in self.engines or len(self.engines) < self.max_attempts
+        return ident in self.engines or not self.reached
