--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -84,8 +84,9 @@
             self.background.append(
                 _background.start_background_task(self.memory.watch())
             )
+        oversized = forwarding.OversizedResponses(placement, self.metrics)
         direct = adapters.HttpBackendClient(
-            self.adapters.engine_dialect, buffers
+            self.adapters.engine_dialect, buffers, oversized.record
         )
         monitor = forwarding.ReachabilityMonitor(
             direct, placement, self.metrics
@@ -93,7 +94,7 @@
         self.client = forwarding.PermitCheckingClient(
             forwarding.ProxyingClient(
                 direct,
-                adapters.HttpPeerProxyClient(buffers),
+                adapters.HttpPeerProxyClient(buffers, oversized.record),
                 monitor,
                 placement,
                 decisions.ProxyPeers(config.name),
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding._origins import LocalOrigins
 from bulrushhold.forwarding._origins import OriginFinding
 from bulrushhold.forwarding._origins import OriginSource
+from bulrushhold.forwarding._oversizedresponses import OversizedResponses
 from bulrushhold.forwarding._permitcheck import PermitCheckingClient
 from bulrushhold.forwarding._permitsource import ControlPermitSource
 from bulrushhold.forwarding._places import ControlPlaces
@@ -27,6 +28,7 @@
 from bulrushhold.forwarding._retries import RetryGauges
 from bulrushhold.forwarding._retrypool import ControlRetryPool
 from bulrushhold.forwarding._retrypool import RetryPool
+from bulrushhold.forwarding._runlimit import RunLimit
 from bulrushhold.forwarding._scheduling import HomeScheduling
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
@@ -55,6 +57,7 @@
     'LocalScheduling',
     'OriginFinding',
     'OriginSource',
+    'OversizedResponses',
     'PermitCheckingClient',
     'PlaceSource',
     'PlainForwarder',
@@ -62,6 +65,7 @@
     'ReachabilityMonitor',
     'RetryGauges',
     'RetryPool',
+    'RunLimit',
     'Scheduled',
     'SilenceMonitor',
     'StreamForwarder',
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -8,6 +8,7 @@
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _enginesilence
 from bulrushhold.forwarding import _events
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _pausemonitor
@@ -65,8 +66,6 @@
         self.response: calls.BackendResponse | None = None
         self.send_task: asyncio.Future[calls.BackendResponse] | None = None
         self.received_event = False
-        self.silent_since: float | None = None
-        self.silent_s = 0.0
         self.renewal: asyncio.Task[None] | None = None
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
@@ -89,6 +88,14 @@
             self.started_at,
             slowness.get(engine.ident, 1.0),
         )
+        self.silence = _enginesilence.EngineSilence(
+            self.context,
+            stream.job,
+            engine,
+            self.read_monitor,
+            self.pauses,
+            self.evidence,
+        )
 
     async def run(self) -> calls.Reply | None:
         response = await self._open()
@@ -120,7 +127,7 @@
         self.evidence.record_end()
         resumed = self.stream.job.call.last_event_id is not None
         if self.copy is None and not resumed:
-            run_s = now - self.started_at - self.silent_s
+            run_s = now - self.started_at - self.silence.seconds
             self.speeds.record_run(self.stream.job.service, run_s, now)
         self.close()
         await self.drop_copy()
@@ -176,8 +183,9 @@
         self._expect_first_event()
         silence = _liveness.SilenceTimer(self.context.clock)
         while not self.send_task.done():
-            with silence.measure(PROBE_INTERVAL_S):
-                await asyncio.wait({self.send_task}, timeout=PROBE_INTERVAL_S)
+            probe_after_s = self._until_deadline(PROBE_INTERVAL_S)
+            with silence.measure(probe_after_s):
+                await asyncio.wait({self.send_task}, timeout=probe_after_s)
             if self.send_task.done():
                 break
             lost = await self._check_engine(silence)
@@ -189,6 +197,9 @@
             raise _streamloss.from_send_error(error) from error
         return self.response
 
+    def _until_deadline(self, seconds: float) -> float:
+        return max(0.0, min(seconds, self.stream.remaining_s()))
+
     def _expect_first_event(self) -> None:
         """Record when the first event is expected."""
         if (
@@ -207,14 +218,21 @@
         An engine that may still answer is left only if the stream can go on
         at another one.
         """
-        if self.stream.remaining_s() <= 0:
+        try:
+            async with asyncio.timeout(max(0.0, self.stream.remaining_s())):
+                return await self._find_loss(silence)
+        except TimeoutError:
             return _streamloss.StreamLostError(
                 'no event before the deadline', unreachable=False
             )
+
+    async def _find_loss(
+        self, silence: _liveness.SilenceTimer
+    ) -> _streamloss.StreamLostError | None:
         if not await self._is_alive(silence):
-            self._begin_silence()
+            self.silence.begin()
             return await self._check_silent_engine()
-        if self.silent_since is not None:
+        if self.silence.since is not None:
             # It has just gone on: its next event takes its usual time.
             self._end_silence()
             silence.reset()
@@ -224,21 +242,13 @@
             if self.received_event
             else self._late_first_event(silence)
         )
-        if reason and await self.stream.prepare_move():
+        if reason and await self.stream.prepare_move(silent=False):
             return _streamloss.StreamLostError(reason, unreachable=False)
         return None
 
-    def _begin_silence(self) -> None:
-        if self.silent_since is None:
-            self.silent_since = self.pauses.last_event_at
-        self.read_monitor.discard()
-        self.pauses.discard()
-        self.evidence.discard_times()
-
     def _end_silence(self) -> None:
-        if self.silent_since is not None:
-            self.silent_s += self.context.clock() - self.silent_since
-            self.silent_since = None
+        self.stream.moves.successor = None
+        self.silence.end()
 
     async def _check_silent_engine(
         self,
@@ -251,11 +261,7 @@
         if self.context.placement.is_gone(self.engine):
             return _streamloss.StreamLostError('replaced or no longer listed')
         end_check = asyncio.ensure_future(
-            self.context.client.has_ended(
-                self.engine.address,
-                _liveness.PROBE_TIMEOUT_S,
-                self.engine.ident,
-            )
+            self.context.probes.has_ended(self.engine)
         )
         try:
             found = await self.stream.find_successor(self.engine)
@@ -265,8 +271,11 @@
                 return _streamloss.StreamLostError('process has ended')
         finally:
             end_check.cancel()
-        if found and await self.stream.prepare_move():
+        if found and await self.stream.prepare_move(silent=True):
             return _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
+        self.silence.log_kept(
+            'no retry' if found else 'no other engine answers'
+        )
         return None
 
     def _late_first_event(self, silence: _liveness.SilenceTimer) -> str:
@@ -281,7 +290,7 @@
 
     async def _is_alive(self, silence: _liveness.SilenceTimer) -> bool:
         with silence.measure(_liveness.PROBE_TIMEOUT_S):
-            return await self.context.probes.is_alive(self.engine.address)
+            return await self.context.probes.is_alive(self.engine)
 
     async def _failure_reply(
         self, response: calls.BackendResponse
@@ -451,6 +460,7 @@
                 if self.received_event
                 else PROBE_INTERVAL_S
             )
+            probe_after_s = self._until_deadline(probe_after_s)
             with (
                 contextlib.suppress(TimeoutError),
                 silence.measure(probe_after_s),
--- a/src/bulrushhold/forwarding/_silencemonitor.py
+++ b/src/bulrushhold/forwarding/_silencemonitor.py
@@ -4,7 +4,6 @@
 import typing as t
 
 from bulrushhold.forwarding import _context
-from bulrushhold.forwarding import _liveness
 
 CHECK_INTERVAL_S: t.Final = 0.5
 # A sound engine may be silent for a second or two.
@@ -30,15 +29,16 @@
 
     async def check(self) -> None:
         """Check all silent engines once."""
-        await asyncio.gather(*map(self._check, self.placement.silent_since))
+        idents = list(self.placement.silent_since)
+        await asyncio.gather(*map(self._check, idents))
 
     async def _check(self, ident: str) -> None:
-        client = self.context.client
-        address = self.placement.backends[ident].address
-        timeout_s = _liveness.PROBE_TIMEOUT_S
+        probes = self.context.probes
+        backend = self.placement.backends.get(ident)
+        if backend is None:
+            return
         alive, ended = await asyncio.gather(
-            client.probe(address, timeout_s, ident),
-            client.has_ended(address, timeout_s, ident),
+            probes.is_alive(backend), probes.has_ended(backend)
         )
         now = self.context.clock()
         since = self.placement.silent_since.get(ident)
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -11,7 +11,8 @@
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _engine_stream
 from bulrushhold.forwarding import _enginechooser
-from bulrushhold.forwarding import _liveness
+from bulrushhold.forwarding import _lossrecord
+from bulrushhold.forwarding import _moves
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
 from bulrushhold.forwarding import _retries
@@ -35,16 +36,14 @@
 # Engines granted in a row that this entry couldn't use; it then chooses one
 # itself.
 MAX_UNUSED_GRANTS: t.Final = 8
-# Engines that are probed at once as the stream's engine doesn't answer.
-MAX_CANDIDATES: t.Final = 3
 
 
 class StreamForwarder:
     """Forwards one stream, from one engine at a time.
 
     :param caller_stream: the response to the caller.
-    :ivar next_retry: taken before an engine is left that may still answer.
-    :ivar successor: engine that answers, as the present one doesn't.
+    :ivar event_id_before: last event before the present run.
+    :ivar moves: prepares the next move.
     :ivar limit: what kept it from another attempt.
     """
 
@@ -70,8 +69,8 @@
         self.timing = _streamtiming.StreamTiming(context, job)
         self.failure_reply: calls.Reply | None = None
         self.retry: _retries.Retry | None = None
-        self.next_retry: _retries.Retry | None = None
-        self.successor: decisions.BackendServer | None = None
+        self.moves = _moves.MovePlanner(context, job, self.engines)
+        self.event_id_before = self.last_event_id
         self.tracked: _running.RunningRequest | None = None
         self.limit = ''
 
@@ -119,6 +118,7 @@
                 self.context, self.job.service, self.retry
             )
             started, last = self.context.clock(), self.last_event_id
+            self.event_id_before = last
             try:
                 reply = await self._attempt(engine, copy, choice.has_permit)
             except _streamloss.StreamLostError as lost:
@@ -129,7 +129,7 @@
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.context.clock() - started
                 lost.event_id_before = last
-                await self._check_reachable(engine, lost)
+                await _lossrecord.check_reachable(self.context, engine, lost)
                 self._record_loss(engine, lost)
                 # A stream that has begun is resumed at once.
                 if lost.crashed and not self.caller_stream.headers_sent:
@@ -217,7 +217,7 @@
         if self.remaining_s() < MIN_REMAINING_S:
             return _permits.PermittedChoice(), None
         backup, copy = self.backup, self.copy
-        successor, self.successor = self.successor, None
+        successor = self.moves.take_successor()
         self.backup = self.copy = None
         if successor is not None and successor is not backup:
             # The backup doesn't answer.
@@ -286,7 +286,7 @@
         lost: _streamloss.StreamLostError,
     ) -> bool:
         run_started = (
-            lost.unreachable
+            lost.crashed
             or lost.reset
             or self.last_event_id != lost.event_id_before
         )
@@ -315,8 +315,8 @@
             self.limit = 'deadline'
             return False
         self.limit = 'retry budget'
-        if self.next_retry is not None:
-            self.retry, self.next_retry = self.next_retry, None
+        self.retry = self.moves.take_retry()
+        if self.retry is not None:
             return True
         self.rejections += lost.rejected
         priority = _retries.priority(
@@ -325,6 +325,19 @@
         self.retry = await _retries.take(self.context, self.job, priority)
         return self.retry is not None
 
+    def _record_loss(
+        self,
+        engine: decisions.BackendServer,
+        lost: _streamloss.StreamLostError,
+    ) -> None:
+        _lossrecord.record_loss(
+            self.context, self.job, engine, lost, self.last_event_id
+        )
+        if lost.unreachable:
+            self.engines.lost_data_centre = engine.data_centre
+        if self.caller_stream.headers_sent:
+            self.timing.record_interruption()
+
     def _count_run(
         self,
         engine: decisions.BackendServer,
@@ -333,8 +346,6 @@
         limit = self.engines.run_limit
         if lost.crashed:
             limit.record_ended(engine.ident)
-        else:
-            limit.record_sent(engine.ident)
         if not lost.silent:
             limit.record_failure(
                 progressed=self.last_event_id != lost.event_id_before
@@ -345,41 +356,25 @@
 
         :param engine: the one that doesn't answer.
         """
-        if not self.job.route.repeatable:
-            return False
-        candidates = self.engines.alternatives(engine, MAX_CANDIDATES)
         backup = self.backup
-        if backup is not None and self.engines.may_resume_on(
+        if backup is not None and not self.engines.may_resume_on(
             backup, self.backup_since
         ):
-            candidates = [backup, *(c for c in candidates if c is not backup)]
-        address = await self.context.probes.first_alive(
-            [candidate.address for candidate in candidates]
-        )
-        self.successor = next(
-            (c for c in candidates if c.address == address), None
-        )
-        return self.successor is not None
+            backup = None
+        return await self.moves.find_successor(engine, backup)
 
-    async def prepare_move(self) -> bool:
+    async def prepare_move(self, *, silent: bool) -> bool:
         """Return whether the stream may leave an engine that may still answer.
 
-        Otherwise its run would be given up for nothing.
+        :param silent: the engine answers no probe; it hasn't failed the run.
         """
-        if not self.job.route.repeatable:
-            return False
-        if self.engines.run_limit.failures + 1 >= self.job.route.max_attempts:
+        progressed = self.last_event_id != self.event_id_before
+        limit = self.engines.run_limit
+        if not silent and not limit.allows_failure(progressed=progressed):
             return False
-        if self.next_retry is None:
-            priority = _retries.priority(
-                self.job,
-                self.rejections,
-                begun=self.caller_stream.headers_sent,
-            )
-            self.next_retry = await _retries.take_now(
-                self.context, self.job.service, priority
-            )
-        return self.next_retry is not None
+        return await self.moves.secure_retry(
+            self.rejections, begun=self.caller_stream.headers_sent
+        )
 
     async def _wait_for_engine(self) -> bool:
         """Return whether to look for an engine again, as there is none now.
@@ -473,6 +468,9 @@
     ) -> calls.Reply | None:
         if copy is None:
             self.engines.tried.add(engine.ident)
+        limit = self.engines.run_limit
+        is_new = engine.ident not in limit.engines
+        limit.record_sent(engine.ident)
         backup = self.engines.choose_backup(engine)
         self.backup = backup
         self.backup_since = self.context.clock()
@@ -507,6 +505,10 @@
         )
         try:
             return await engine_stream.run()
+        except _streamloss.StreamLostError as lost:
+            if is_new and not lost.sent:
+                limit.record_ended(engine.ident)
+            raise
         except asyncio.CancelledError:
             # The engine may have begun to run it.
             self.may_have_run = True
@@ -521,62 +523,3 @@
             engine.memory -= self.engines.memory
             if engine_stream.backup is not None:
                 engine_stream.backup.memory -= self.engines.memory
-
-    async def _check_reachable(
-        self,
-        engine: decisions.BackendServer,
-        lost: _streamloss.StreamLostError,
-    ) -> None:
-        """Check whether an engine that broke the connection is alive.
-
-        A crashed engine refuses connections, or another instance has its
-        address. A live one still serves other streams and holds copies, and
-        must not be marked as lost.
-        """
-        if not lost.reset:
-            return
-        client, timeout_s = self.context.client, _liveness.PROBE_TIMEOUT_S
-        if await client.probe(engine.address, timeout_s, engine.ident):
-            lost.unreachable = False
-        elif not await client.has_ended(
-            engine.address, timeout_s, engine.ident
-        ):
-            lost.silent = True
-
-    def _record_loss(
-        self,
-        engine: decisions.BackendServer,
-        lost: _streamloss.StreamLostError,
-    ) -> None:
-        now = self.context.clock()
-        if not lost.cut_off:
-            self.context.placement.record_failure(
-                engine.ident, now, unreachable=lost.unreachable
-            )
-        self.context.metrics.count('engines.lost')
-        if lost.silent:
-            self.context.placement.record_silence(engine.ident, now)
-            self.context.metrics.count('engines.silent')
-        if lost.unreachable:
-            self.engines.lost_data_centre = engine.data_centre
-        if lost.crashed or lost.reset or lost.silent:
-            _blocks.record_broken_off(
-                self.context,
-                self.job,
-                engine.ident,
-                lost.seconds,
-                crashed=lost.crashed,
-                silent=lost.silent and not lost.reset,
-            )
-        if self.caller_stream.headers_sent:
-            self.timing.record_interruption()
-        _context.log(
-            self.job,
-            'engine lost',
-            engine=engine.ident,
-            reason=str(lost),
-            last=self.last_event_id,
-            gone=lost.unreachable,
-            silent=lost.silent,
-            fingerprint=self.job.fingerprint,
-        )
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -1,9 +1,12 @@
 """HTTP adapters for callers, backend servers and the platform's list."""
 
 from bulrushhold.web._backends import HttpBackendClient
+from bulrushhold.web._bodies import read_whole
 from bulrushhold.web._buffers import BufferBudget
 from bulrushhold.web._buffers import MemoryMonitor
+from bulrushhold.web._buffers import READ_AHEAD_BYTES
 from bulrushhold.web._connections import make_session
+from bulrushhold.web._connections import MAX_HEAD_BYTES
 from bulrushhold.web._engine import HttpEngineClient
 from bulrushhold.web._ingress import Ingress
 from bulrushhold.web._instancelist import HttpPlatformList
@@ -20,8 +23,11 @@
     'HttpPlatformList',
     'HttpServiceClient',
     'Ingress',
+    'MAX_HEAD_BYTES',
     'MemoryMonitor',
     'PeerProxyServer',
+    'READ_AHEAD_BYTES',
     'make_session',
     'metrics_application',
+    'read_whole',
 ]
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -20,6 +20,9 @@
 # A request sent while the backend server closes the idle connection may be
 # lost, so idle connections are closed here first.
 KEEPALIVE_TIMEOUT_S: t.Final = 1.0
+# Status reports, and replies to orders to copy and to delete.
+MAX_REPORT_BYTES: t.Final = 64 << 10
+MAX_SEGMENTS_BYTES: t.Final = 4 << 20
 _SKIPPED_AUTO_HEADERS: t.Final = (
     'User-Agent',
     'Accept',
@@ -35,30 +38,39 @@
         head: calls.ResponseHead,
         response: aiohttp.ClientResponse,
         address: str,
-        budget: _buffers.BufferBudget | None,
+        client: 'HttpBackendClient',
     ) -> None:
         self.head = head
         self.response = response
         self.address = address
-        self.budget = budget
+        self.client = client
 
     async def chunk(self) -> bytes:
         try:
             return await self.response.content.readany()
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'answer', self.address) from error
+            raise self.client.to_error(
+                error, 'answer', self.address
+            ) from error
 
     async def body(self) -> bytes:
         try:
-            return await self.response.read()
+            return await _bodies.read_whole(
+                self.response, _bodies.MAX_WHOLE_BYTES
+            )
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'answer', self.address) from error
+            raise self.client.to_error(
+                error, 'answer', self.address
+            ) from error
 
     async def receive(self) -> bytes | bodies.Body:
         length = self.response.content_length
         if self.response.method == 'HEAD':
             length = 0
-        return await _bodies.receive(self.budget, self, length, self._set_bulk)
+        set_bulk = self._set_bulk if self.client.bounded else bool
+        return await _bodies.receive(
+            self.client.body_budget, self, length, set_bulk
+        )
 
     def _set_bulk(self, bulk: bool) -> None:
         count = _connections.RECEIVE_BYTES
@@ -77,21 +89,28 @@
     """Forwards calls on pooled connections, or on new ones on demand.
 
     :param dialect: the protocol of the backend servers.
-    :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :param budget: bounds the bodies in memory; ``None`` to bound only what
+        responses hold that are received ahead of their callers.
+    :param on_oversized: called when a response exceeds a limit.
     """
 
     def __init__(
         self,
         dialect: calls.EngineDialect,
         budget: _buffers.BufferBudget | None = None,
+        on_oversized: _connections.OversizedListener = (
+            _connections.ignore_oversized
+        ),
     ) -> None:
         self.dialect = dialect
-        self.budget = budget
+        self.on_oversized = on_oversized
+        self.bounded = budget is not None
+        self.body_budget = budget or _buffers.make_read_ahead_budget()
         self.pooled = _connections.make_session(
-            budget is not None, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            self.bounded, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
         self.unpooled = _connections.make_session(
-            budget is not None, force_close=True
+            self.bounded, force_close=True
         )
 
     async def send(
@@ -116,17 +135,13 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as error:
-            raise _to_backend_error(
-                error, 'connect', attempt.address
-            ) from error
+            raise self.to_error(error, 'connect', attempt.address) from error
         except _HTTP_ERRORS as error:
-            raise _to_backend_error(error, 'send', attempt.address) from error
+            raise self.to_error(error, 'send', attempt.address) from error
         head = self.dialect.decode_head(
             call, response.status, response.headers
         )
-        return _HttpBackendResponse(
-            head, response, attempt.address, self.budget
-        )
+        return _HttpBackendResponse(head, response, attempt.address, self)
 
     async def probe(
         self, address: str, timeout: float, instance: str = ''
@@ -140,11 +155,12 @@
                     headers=self.dialect.probe_headers(instance),
                     timeout=aiohttp.ClientTimeout(total=None),
                 ) as response:
-                    await response.read()
+                    await _bodies.read_whole(response, MAX_REPORT_BYTES)
                     found = self.dialect.decode_instance(response.headers)
                     is_other = bool(instance and found and found != instance)
                     return response.status == 200 and not is_other
-        except (TimeoutError, *_HTTP_ERRORS):
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, address)
             return False
 
     async def accepts_connections(self, address: str, timeout: float) -> bool:
@@ -174,7 +190,8 @@
                     return bool(found) and found != instance
         except aiohttp.ClientConnectorError as error:
             return isinstance(error.os_error, ConnectionRefusedError)
-        except (TimeoutError, *_HTTP_ERRORS):
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, address)
             return False
 
     async def cached_segments(
@@ -185,10 +202,12 @@
         try:
             async with asyncio.timeout(timeout):
                 async with self.pooled.get(url) as response:
-                    body = await response.read()
+                    body = await _bodies.read_whole(
+                        response, MAX_SEGMENTS_BYTES
+                    )
                     status = response.status
         except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise _to_backend_error(error, 'segments', address) from error
+            raise self.to_error(error, 'segments', address) from error
         if status != 200:
             raise errors.BackendError(f'status {status}', 'segments', address)
         return self.dialect.decode_segments(body)
@@ -205,10 +224,12 @@
                     data=body,
                     headers={'Content-Type': 'application/json'},
                 ) as response:
-                    response_body = await response.read()
+                    response_body = await _bodies.read_whole(
+                        response, MAX_REPORT_BYTES
+                    )
                     status = response.status
         except (TimeoutError, *_HTTP_ERRORS) as error:
-            raise _to_backend_error(error, 'copy', source) from error
+            raise self.to_error(error, 'copy', source) from error
         if status != 200:
             raise errors.BackendError(f'status {status}', 'copy', source)
         return calls.RunCopy(
@@ -221,8 +242,9 @@
         try:
             async with asyncio.timeout(timeout):
                 async with self.unpooled.delete(url) as response:
-                    await response.read()
+                    await _bodies.read_whole(response, MAX_REPORT_BYTES)
         except (TimeoutError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, copy.address)
             # Not retried: the engine expires the copy by itself.
             loguru.logger.bind(peer=copy.address, error=str(error)).debug(
                 'failed to delete KV cache copy'
@@ -233,6 +255,20 @@
         await self.pooled.close()
         await self.unpooled.close()
 
+    def _report_oversized(self, error: BaseException, address: str) -> None:
+        if isinstance(error, _connections.ResponseLimitError):
+            self.on_oversized(address, error.byte_count, error.reason)
+
+    def to_error(
+        self, error: BaseException, step: str, address: str
+    ) -> errors.BackendError:
+        """Return the error of an operation, reported if it is oversized."""
+        self._report_oversized(error, address)
+        reason = ' '.join(f'{type(error).__name__}: {error}'.split())
+        if isinstance(error, _connections.ResponseLimitError):
+            return errors.OversizedResponseError(reason, step, address)
+        return errors.BackendError(reason, step, address)
+
 
 async def _refuses_connections(address: str, timeout: float) -> bool:
     host, _, port = address.rpartition(':')
@@ -245,10 +281,3 @@
         return False
     writer.close()
     return False
-
-
-def _to_backend_error(
-    error: BaseException, step: str, address: str
-) -> errors.BackendError:
-    reason = ' '.join(f'{type(error).__name__}: {error}'.split())
-    return errors.BackendError(reason, step, address)
