--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -286,7 +286,7 @@
         lost: _streamloss.StreamLostError,
     ) -> bool:
         run_started = (
-            lost.crashed
+            lost.unreachable
             or lost.reset
             or self.last_event_id != lost.event_id_before
         )
