--- a/review/3/play.py
+++ b/review/3/play.py
@@ -35,7 +35,7 @@
 WORK_S = 0.15
 CLIENT_PAUSE_S = 0.1
 ENTRY_FIELDS = (
-    b'"service":"other","address":"10.9.9.9:80","zone":"z1","slots":4,'
+    b'"service":"other","address":"127.9.9.9:80","zone":"z1","slots":4,'
     b'"state":"ready","config-version":"v1","cold-left-ms":0}'
 )
 RAW_ENTRY = b'{"id":"i-\xff\xfe",' + ENTRY_FIELDS
