Metrics: names from outside are label values, never part of a name

What callers saw: once a service had engines of versions v1.0-1 and v1.0.1, no entry got a route map any more.

Cause: a gauge for each service and version was named after both, and the Prometheus adapter replaces what is no letter or digit by "_". Two versions then share one name, the client library refuses the second (ValueError), and the hook that sets the gauges runs in the loop that follows control, which ended.

Change: metrics take labels. Services and versions are label values; names are constants of the code, so that no input can make two of them meet. The same on related paths: retry counters and gauges and the failure gauge were named by service, and two services of one map met in the same way.

Why it works: nothing from outside can raise in an adapter of metrics any more.

--- a/src/bulrushhold/forwarding/_failuregauges.py
+++ b/src/bulrushhold/forwarding/_failuregauges.py
@@ -39,5 +39,7 @@
                 for backend in self.placement.services.get(service, ())
             ]
             self.metrics.gauge(
-                f'failure_share.{service}', round(max(shares, default=0.0), 3)
+                'failure_share',
+                round(max(shares, default=0.0), 3),
+                {'service': service},
             )
--- a/src/bulrushhold/forwarding/_retries.py
+++ b/src/bulrushhold/forwarding/_retries.py
@@ -73,14 +73,14 @@
     """Return a retry if the budget allows one now, and count it."""
     now = context.clock()
     if context.budget.take(service, now, priority):
-        context.metrics.count(f'retries.own.{service}')
+        context.metrics.count('retries.own', labels={'service': service})
         return Retry(now, granted=False)
     is_further = priority is decisions.RetryPriority.FURTHER
     if is_further or not await context.retry_pool.take(service, priority):
         return None
     now = context.clock()
     context.budget.count_granted(service, now)
-    context.metrics.count(f'retries.granted.{service}')
+    context.metrics.count('retries.granted', labels={'service': service})
     return Retry(now, granted=True)
 
 
@@ -148,4 +148,6 @@
                 ('own_allowed', usage.own_allowed),
                 ('granted', usage.granted),
             ):
-                self.metrics.gauge(f'retry_budget_{name}.{service}', value)
+                self.metrics.gauge(
+                    f'retry_budget.{name}', value, {'service': service}
+                )
--- a/src/bulrushhold/forwarding/_versiongauges.py
+++ b/src/bulrushhold/forwarding/_versiongauges.py
@@ -24,20 +24,22 @@
         self.metrics = metrics
         self.clock = clock
         self.updated_at = float('-inf')
-        self.names: set[str] = set()
+        self.known: set[tuple[str, str]] = set()
 
     def update(self) -> None:
         """Set all gauges, at most once in each interval."""
         if self.clock() - self.updated_at < UPDATE_INTERVAL_S:
             return
         self.updated_at = self.clock()
-        engines: collections.Counter[str] = collections.Counter()
-        requests: collections.Counter[str] = collections.Counter()
+        engines: collections.Counter[tuple[str, str]] = collections.Counter()
+        requests: collections.Counter[tuple[str, str]] = collections.Counter()
         for backend in self.placement.backends.values():
-            name = f'{backend.service}.{backend.version or "unnamed"}'
-            engines[name] += not self.placement.is_leaving(backend)
-            requests[name] += backend.inflight
-        self.names.update(engines)
-        for name in self.names:
-            self.metrics.gauge(f'engines.{name}', engines[name])
-            self.metrics.gauge(f'engine_requests.{name}', requests[name])
+            key = backend.service, backend.version
+            engines[key] += not self.placement.is_leaving(backend)
+            requests[key] += backend.inflight
+        self.known.update(engines)
+        for key in self.known:
+            service, version = key
+            labels = {'service': service, 'version': version}
+            self.metrics.gauge('engines', engines[key], labels)
+            self.metrics.gauge('engine_requests', requests[key], labels)
--- a/src/bulrushhold/node/__init__.py
+++ b/src/bulrushhold/node/__init__.py
@@ -9,6 +9,7 @@
 from bulrushhold.node._prometheus import PrometheusMetrics
 from bulrushhold.node._statsd import make as make_metrics
 from bulrushhold.node._statsd import NullMetrics
+from bulrushhold.node._statsd import StatsdMetrics
 from bulrushhold.node._zmqtransport import ZmqTransport
 
 __all__ = [
@@ -16,6 +17,7 @@
     'Identity',
     'NullMetrics',
     'PrometheusMetrics',
+    'StatsdMetrics',
     'ZmqTransport',
     'boot_time',
     'configure_logs',
--- a/src/bulrushhold/node/_prometheus.py
+++ b/src/bulrushhold/node/_prometheus.py
@@ -24,15 +24,20 @@
         self.histograms: dict[str, prometheus_client.Histogram] = {}
         self.gauges: dict[str, prometheus_client.Gauge] = {}
 
-    def count(self, name: str, amount: int = 1) -> None:
+    def count(
+        self,
+        name: str,
+        amount: int = 1,
+        labels: ports.Labels = ports.NO_LABELS,
+    ) -> None:
         """Add to a counter."""
         counter = self.counters.get(name)
         if counter is None:
             counter = prometheus_client.Counter(
-                self._metric_name(name), name, registry=self.registry
+                self._metric_name(name), name, labels, registry=self.registry
             )
             self.counters[name] = counter
-        counter.inc(amount)
+        (counter.labels(**labels) if labels else counter).inc(amount)
 
     def time(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram."""
@@ -47,15 +52,20 @@
             self.histograms[name] = histogram
         histogram.observe(seconds)
 
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(
+        self,
+        name: str,
+        value: float,
+        labels: ports.Labels = ports.NO_LABELS,
+    ) -> None:
         """Set a gauge."""
         gauge = self.gauges.get(name)
         if gauge is None:
             gauge = prometheus_client.Gauge(
-                self._metric_name(name), name, registry=self.registry
+                self._metric_name(name), name, labels, registry=self.registry
             )
             self.gauges[name] = gauge
-        gauge.set(value)
+        (gauge.labels(**labels) if labels else gauge).set(value)
 
     def text(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc as cabc
+import types
 import typing as t
 
 import attrs
@@ -9,6 +10,8 @@
 from bulrushhold import messages
 
 Handler = cabc.Callable[[messages.Message], cabc.Awaitable[t.Any]]
+Labels = cabc.Mapping[str, str]
+NO_LABELS: t.Final[Labels] = types.MappingProxyType({})
 
 
 class Transport(abc.ABC):
@@ -231,10 +234,16 @@
 
 
 class Metrics(abc.ABC):
-    """Records metrics without blocking; values may be lost."""
+    """Records metrics without blocking; values may be lost.
+
+    A name is a constant of the code, always used with the same label names.
+    Text from outside, such as the name of a service, is a label's value.
+    """
 
     @abc.abstractmethod
-    def count(self, name: str, amount: int = 1) -> None:
+    def count(
+        self, name: str, amount: int = 1, labels: Labels = NO_LABELS
+    ) -> None:
         """Add to a counter."""
 
     @abc.abstractmethod
@@ -242,7 +251,9 @@
         """Record a duration in seconds."""
 
     @abc.abstractmethod
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(
+        self, name: str, value: float, labels: Labels = NO_LABELS
+    ) -> None:
         """Set a gauge."""
 
 
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -74,6 +74,44 @@
     return messages.ListUpdate(codec.digest(entries), codec.pack(entries))
 
 
+@pytest.mark.parametrize('versions', [('v1.0-1', 'v1.0.1'), ('a:b', 'a.b')])
+async def test_versions_that_differ_in_punctuation_keep_the_map_current(
+    fleet, versions
+):
+    # Guards against the end of the loop that follows control, for a metric.
+    metrics = node.make_prometheus_metrics('test_versions')
+    gauges = forwarding.VersionGauges(fleet.placement, metrics)
+    fleet.on_change.append(gauges.update)
+    listed = decisions.BackendList.of(
+        [
+            messages.ListedBackend(
+                f'i{n}', 'engines', f'10.0.0.{n}:80', 'dc', 4, False, version
+            )
+            for n, version in enumerate(versions)
+        ]
+    )
+    update = messages.ListUpdate(
+        listed.digest, messages.BACKEND_LIST.pack(listed.items)
+    )
+    fleet._apply_reply(
+        fakes.make_reply(1, backends=update, backends_version='1.1')
+    )
+    fleet._apply_reply(fakes.make_reply(2))
+    assert fleet.map_version == 2
+
+
+async def test_services_that_differ_in_punctuation_keep_the_map_current(fleet):
+    # Guards against the end of the loop that follows control, for a metric.
+    metrics = node.make_prometheus_metrics('test_services')
+    gauges = forwarding.RetryGauges(fleet.budget, metrics)
+    fleet.on_change.append(gauges.update)
+    for service in ('desk-a', 'desk.a'):
+        fleet.budget.count_request(service, time.monotonic())
+    fleet._apply_reply(fakes.make_reply(1))
+    fleet._apply_reply(fakes.make_reply(2))
+    assert fleet.map_version == 2
+
+
 async def test_addresses_stay_available_without_control(fleet):
     entries = [
         messages.ListedEntry(f'e{n}', 'dc', f'10.0.1.{n}:80', n != 3)
--- a/tests/forwarding/test_oversized_responses.py
+++ b/tests/forwarding/test_oversized_responses.py
@@ -14,7 +14,7 @@
     def __init__(self):
         self.counted = []
 
-    def count(self, name, amount=1):
+    def count(self, name, amount=1, labels=None):
         self.counted.append(name)
 
 
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -54,8 +54,8 @@
     def __init__(self):
         self.gauges = {}
 
-    def gauge(self, name, value):
-        self.gauges[name] = value
+    def gauge(self, name, value, labels):
+        self.gauges[name, *labels.values()] = value
 
 
 def make_call(ident, last_event_id=None, resumes='', target='/a/x', key='k'):
@@ -291,12 +291,12 @@
     placement.backends['engines-0'].inflight = 2
     gauges = forwarding.VersionGauges(placement, metrics, lambda: now[0])
     gauges.update()
-    assert metrics.gauges['engines.engines.v1'] == 3
-    assert metrics.gauges['engine_requests.engines.v1'] == 2
+    assert metrics.gauges['engines', 'engines', 'v1'] == 3
+    assert metrics.gauges['engine_requests', 'engines', 'v1'] == 2
     placement.update(listed('v2', 3, 4))
     gauges.update()
-    assert metrics.gauges['engines.engines.v1'] == 3
+    assert metrics.gauges['engines', 'engines', 'v1'] == 3
     now[0] = 1.0
     gauges.update()
-    assert metrics.gauges['engines.engines.v1'] == 0
-    assert metrics.gauges['engines.engines.v2'] == 2
+    assert metrics.gauges['engines', 'engines', 'v1'] == 0
+    assert metrics.gauges['engines', 'engines', 'v2'] == 2
--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -58,10 +58,10 @@
     def __init__(self):
         self.values = {}
 
-    def count(self, name, amount=1):
+    def count(self, name, amount=1, labels=None):
         self.values[name] = self.values.get(name, 0) + amount
 
-    def gauge(self, name, value):
+    def gauge(self, name, value, labels=None):
         self.values[name] = value
 
     def time(self, name, seconds):
--- a/tests/forwarding/test_server_loads.py
+++ b/tests/forwarding/test_server_loads.py
@@ -15,7 +15,7 @@
     def __init__(self):
         self.counts = collections.Counter()
 
-    def count(self, name, amount=1):
+    def count(self, name, amount=1, labels=None):
         self.counts[name] += amount
 
 
@@ -168,7 +168,9 @@
 async def test_the_highest_failure_share_is_a_gauge(client, context):
     gauges = {}
     metrics = node.NullMetrics()
-    metrics.gauge = gauges.__setitem__
+    metrics.gauge = lambda name, value, labels: gauges.update(
+        {(name, labels['service']): value}
+    )
     now = [context.clock()]
     monitor = forwarding.FailureGauges(
         context.placement, metrics, lambda: now[0]
@@ -180,4 +182,4 @@
     await fakes.run_plain(context, routes.Kind.ONCE)
     now[0] = context.clock() + 2
     monitor.update()
-    assert 0 < gauges['failure_share.engines'] <= 0.2
+    assert 0 < gauges['failure_share', 'engines'] <= 0.2
--- a/tests/test_logs_and_metrics.py
+++ b/tests/test_logs_and_metrics.py
@@ -4,6 +4,8 @@
 import os
 import time
 
+import pytest
+
 from bulrushhold import node
 from bulrushhold.node import _logs
 
@@ -55,6 +57,48 @@
     assert 'bulrushhold_entry_map_version 7.0' in text
 
 
+@pytest.mark.parametrize('names', [('v1.0-1', 'v1.0.1'), ('a b', 'a"\nb')])
+def test_label_values_that_differ_in_punctuation_are_kept_apart(names):
+    # Guards against a metric that is refused for having the name of another.
+    metrics = node.make_prometheus_metrics('test')
+    for number, name in enumerate(names):
+        metrics.gauge('engines', number, {'service': 's', 'version': name})
+        metrics.count('retries.own', number + 1, {'service': name})
+    samples = {
+        (sample.name, sample.labels.get('version', sample.labels['service']))
+        for family in metrics.registry.collect()
+        for sample in family.samples
+        if sample.name.endswith(('engines', '_total'))
+    }
+    assert samples == {
+        (metric, name)
+        for metric in ('test_engines', 'test_retries_own_total')
+        for name in names
+    }
+    assert metrics.text().count(b'test_engines{') == 2
+
+
+def test_labels_of_statsd_metrics_are_part_of_one_level_of_the_name():
+    # Guards against datagrams that a name from outside splits or forges.
+    sender = node.StatsdMetrics.__new__(node.StatsdMetrics)
+    sender.client = RecordingStatsdClient()
+    for version in ('v1.0', 'v1-0', 'v1:0|c\n', 'v1%2E0'):
+        sender.gauge('engines', 1.0, {'version': version})
+    names = [name for name, _ in sender.client.gauges]
+    assert len(set(names)) == 4
+    for name in names:
+        assert name.count('.') == 1
+        assert not set(name) & set(':|@\n')
+
+
+class RecordingStatsdClient:
+    def __init__(self):
+        self.gauges = []
+
+    def gauge(self, name, value):
+        self.gauges.append((name, value))
+
+
 def _stepping_clock(step):
     now = [0.0]
 
