Backend list: an unreadable item hides no other, and ends no loop

What callers saw: while one item of the platform's list held bytes that aren't UTF-8, entries went on sending requests to an engine that the list showed as leaving, until it ended; bookings that ran then were answered 502.

Cause: a page was decoded as a whole, so that what couldn't be read of one item discarded all of them. Of what could be decoded, any text passed as an id: the digest of the list then raised UnicodeEncodeError, which ended the leader's loop that reads the list, and each entry's loop that reads it in the leader's stead.

Change: a page that isn't JSON as a whole is decoded item by item; the member that names the next page must be there, so that a page that ends early is no list.

Fuzzing takes one field of a valid item at a time, with lone surrogates and large integers, and requires that what is accepted can be encoded.

--- a/tests/platform/decoding.py
+++ b/tests/platform/decoding.py
@@ -33,3 +33,30 @@
     return _enginedialect.PlatformEngineDialect().decode_head(
         decode_call(), status, pairs
     )
+
+
+class _PageResponse:
+    status = 200
+
+    def __init__(self, body):
+        self.chunks = [body, b'']
+        self.content = self
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        pass
+
+    async def readany(self):
+        return self.chunks.pop(0)
+
+
+class PageSession:
+    """Answers each request with the next of the given pages."""
+
+    def __init__(self, bodies):
+        self.bodies = list(bodies)
+
+    def get(self, url, params=None):
+        return _PageResponse(self.bodies.pop(0) if self.bodies else b'{}')
--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -18,10 +18,12 @@
 from adapter import _callerdialect
 from adapter import _enginedialect
 from adapter import _operators
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
 from bulrushhold import node
+from tests.platform import decoding
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '0'))
 fuzzed = hypothesis.settings(
@@ -119,35 +121,31 @@
 
 
 @fuzzed
-@hypothesis.given(JSON)
-def test_backend_list_item_is_decoded_or_skipped(item):
-    parsed = _backendlist._parse_backend(item)
-    assert parsed is None or parsed.slots >= 1
-
-
-class _Response:
-    status = 200
-
-    def __init__(self, body):
-        self.chunks = [body, b'']
-        self.content = self
-
-    async def __aenter__(self):
-        return self
-
-    async def __aexit__(self, *error):
-        pass
-
-    async def readany(self):
-        return self.chunks.pop(0)
-
-
-class _Session:
-    def __init__(self, bodies):
-        self.bodies = list(bodies)
-
-    def get(self, url, params=None):
-        return _Response(self.bodies.pop(0) if self.bodies else b'{}')
+@hypothesis.given(
+    JSON,
+    st.sampled_from(['id', 'service', 'address', 'zone', 'config-version'])
+    | st.sampled_from(['slots', 'state']),
+    st.text(st.characters(exclude_categories=()), max_size=20)
+    | st.integers()
+    | JSON,
+)
+def test_backend_list_item_is_decoded_or_skipped(item, name, value):
+    valid = {
+        'id': 'i-1',
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'slots': 4,
+        'state': 'ready',
+    }
+    for candidate in (item, {**valid, name: value}):
+        try:
+            parsed = _backendlist._parse_backend(candidate)
+        except _backendlist._InvalidItemError as error:
+            assert str(error)
+        else:
+            assert parsed.slots >= 1
+            assert decisions.BackendList.of([parsed]).digest
 
 
 @fuzzed
@@ -162,7 +160,9 @@
     )
 )
 def test_backend_list_is_decoded_or_rejected(bodies):
-    backends = _backendlist.PlatformBackendList(_Session(bodies), '10.0.0.1:1')
+    backends = _backendlist.PlatformBackendList(
+        decoding.PageSession(bodies), '10.0.0.1:1'
+    )
     try:
         parsed = asyncio.run(backends.fetch())
     except errors.PeerError as error:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -7,9 +7,11 @@
 
 from adapter import _backendlist
 from adapter import _enginedialect
+from adapter import _listpage
 from adapter import _operators
 from adapter import _settings
 from bulrushhold import calls
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import routes
 from tests.platform import decoding
@@ -247,8 +249,6 @@
 def test_version_of_a_backend_is_decoded():
     item = {**ITEM, 'config-version': 'v2'}
     assert _backendlist._parse_backend(item).version == 'v2'
-    item = {**ITEM, 'config-version': 2}
-    assert _backendlist._parse_backend(item).version == ''
 
 
 @pytest.mark.parametrize(
@@ -261,11 +261,74 @@
         {'state': ['ready']},
         {'slots': '8'},
         {'zone': ''},
+        {'config-version': 2},
+        {'id': 'i-\ud800'},
+        {'id': 'i-1\r\nX: y'},
+        {'service': 's\udcff'},
+        {'config-version': 'v\x00'},
+        {'address': '10.0.0.1:99999'},
+        {'address': '10.0.0.1:\u0661'},
+        {'address': 'name.example:80'},
+        {'address': '10.0.0.1/x:80'},
+        {'slots': 1 << 64},
+        {'slots': True},
+        {'slots': float('inf')},
     ],
 )
-def test_invalid_backend_list_item_is_skipped(change):
-    assert _backendlist._parse_backend({**ITEM, **change}) is None
-    assert _backendlist._parse_backend('text') is None
+def test_an_invalid_item_of_the_list_is_rejected_when_decoded(change):
+    # Guards against an item that fails later, in the loops that use the list.
+    with pytest.raises(_backendlist._InvalidItemError):
+        _backendlist._parse_backend({**ITEM, **change})
+    with pytest.raises(_backendlist._InvalidItemError):
+        _backendlist._parse_backend('text')
+
+
+def encode_page(*items, following=b'"p-2"'):
+    valid = json.dumps(ITEM).encode()
+    texts = b',\n'.join([valid.replace(b'i-1', b'i-0'), *items, valid])
+    return b'{"instances":[' + texts + b'],"next":' + following + b'}'
+
+
+UNREADABLE_ITEMS = {
+    'not UTF-8': b'{"id":"i-\xff\xfe","state":"ready"}',
+    'lone surrogate': json.dumps({**ITEM, 'id': 'i-\ud800'}).encode(),
+    'bytes beside values': b'{"id":\xff\xfe,"state":"ready"}',
+    'unclosed text': b'{"id":"i-9,"state":"ready"}',
+    'control character': b'{"id":"i-\x01\x00"}',
+    'unclosed item': b'{"id":"i-9","models":{"name":"m"}',
+    'no JSON': b'<html>',
+    'too large number': b'{"slots":' + b'9' * 5000 + b'}',
+    'deep nesting': b'{"a":' * 20_000 + b'1' + b'}' * 20_000,
+    'brackets': b'{"id":"}]]}{[","x":[}]}',
+}
+
+
+@pytest.mark.parametrize(
+    'unreadable', UNREADABLE_ITEMS.values(), ids=UNREADABLE_ITEMS.keys()
+)
+async def test_an_unreadable_item_hides_no_other_item_of_the_list(unreadable):
+    # Guards against a list that isn't followed for as long as the item stays.
+    pages = [
+        encode_page(unreadable, unreadable),
+        encode_page(unreadable, following=b'null'),
+    ]
+    session = decoding.PageSession(pages)
+    backend_list = _backendlist.PlatformBackendList(session, '10.0.0.1:1')
+    listed = decisions.BackendList.of(await backend_list.fetch())
+    assert [item.ident for item in listed.items] == [
+        'i-0',
+        'i-0',
+        'i-1',
+        'i-1',
+    ]
+
+
+def test_a_page_that_ends_early_is_no_list():
+    # Guards against engines that seem to have left with the rest of a page.
+    whole = encode_page(UNREADABLE_ITEMS['not UTF-8'])
+    for end in range(1, len(whole)):
+        with pytest.raises(ValueError):
+            _listpage.decode_page(whole[:end])
 
 
 # Settings
