Loops of a process that fail show, and start again

An exception that nobody expected ended a loop (the one that follows control, the one that reads the list) while its process ran on and said that it was ready; one log line told.

Cause: loops were tasks that only logged their end. In control processes six of them shared one gather, so that the line didn't even say which had ended.

Change: a supervisor runs each loop under a name. After an error that the loop itself doesn't handle it is logged, at most once in 10 s with a count, counted in `loops_failed`, and the loop starts again after 0.5 s. An entry with a loop that fails again and again answers 503 to checks of its readiness. The replica's own loop stays as it was: its error ends the process, as a replica whose state is in doubt must not go on.

The watch server's two halves were gathered as well, and one would have run on beside its successor; a task group ends both. Entries that couldn't read the list themselves did so in silence; they log it now.

--- a/src/bulrushhold/composition/__init__.py
+++ b/src/bulrushhold/composition/__init__.py
@@ -4,7 +4,7 @@
 doesn't load the HTTP stack and stays within its memory budget.
 """
 
-from bulrushhold.composition._background import start_background_task
+from bulrushhold.composition._background import LoopSupervisor
 from bulrushhold.composition._control import Attachment
 from bulrushhold.composition._control import run_control
 from bulrushhold.composition._entry import EntryProcess
@@ -19,9 +19,9 @@
     'EntryProcess',
     'ForwardingAdapters',
     'ForwardingEntry',
+    'LoopSupervisor',
     'RelayProcess',
     'run_control',
     'run_entry',
     'run_forwarding',
-    'start_background_task',
 ]
--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -47,6 +47,7 @@
             lambda: self.registry.refresh_pointers(),
         )
         self.background: set[asyncio.Task[t.Any]] = set()
+        self.loops = _background.LoopSupervisor(self.metrics)
 
     async def start(self) -> None:
         """Open the sockets and start serving."""
@@ -134,12 +135,12 @@
         self.membership.listeners.append(self._on_member_changed)
         await self.view.poll()
         self.prober.announce_start()
-        self.spawn(self.table.run())
-        self.spawn(self.view.run())
-        self.spawn(self.prober.run())
-        self.spawn(self._update_peers())
-        self.spawn(self.registry.sweep())
-        self.spawn(self.admission.sweep())
+        self.loops.start('table', self.table.run)
+        self.loops.start('platform list', self.view.run)
+        self.loops.start('prober', self.prober.run)
+        self.loops.start('copy peers', self._update_peers)
+        self.loops.start('registry', self.registry.sweep)
+        self.loops.start('admission', self.admission.sweep)
         self.runner = web.AppRunner(
             self.server.application(),
             access_log=None,
@@ -164,6 +165,7 @@
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
+        await self.loops.close()
         for task in list(self.background):
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -56,9 +56,12 @@
     def __init__(
         self, config: settings.Forwarding, adapters: ForwardingAdapters
     ) -> None:
+        from bulrushhold import node
+
         self.config = config
         self.adapters = adapters
-        self.background: list[asyncio.Task[t.Any]] = []
+        self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
+        self.loops = _background.LoopSupervisor(self.metrics)
         self.runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
@@ -76,14 +79,11 @@
         self.session = adapters.make_session()
         placement = decisions.Placement(random.Random(), config.data_centre)
         poison_requests = decisions.PoisonRequestDetector(placement.losses)
-        self.metrics = node.make_prometheus_metrics('bulrushhold_entry')
         buffers = None
         if config.memory_bytes:
             buffers = adapters.BufferBudget(config.memory_bytes, self.metrics)
             self.memory = adapters.MemoryMonitor(buffers, config.memory_bytes)
-            self.background.append(
-                _background.start_background_task(self.memory.watch())
-            )
+            self.loops.start('memory', self.memory.watch)
         oversized = forwarding.OversizedResponses(placement, self.metrics)
         direct = adapters.HttpBackendClient(
             self.adapters.engine_dialect, buffers, oversized.record
@@ -129,6 +129,7 @@
             poison_requests,
             admission,
         )
+        self.fleet.is_healthy = lambda: not self.loops.failing
         poison_requests.on_verdict = forwarding.make_crash_listener(
             self.metrics
         )
@@ -191,9 +192,7 @@
         )
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         silences = forwarding.SilenceMonitor(context)
-        self.background.append(
-            _background.start_background_task(silences.watch())
-        )
+        self.loops.start('silences', silences.watch)
         self.ingress = adapters.Ingress(
             self.forwarder.handle, self.adapters.caller_dialect, buffers
         )
@@ -208,22 +207,12 @@
             ),
             buffers,
         )
-        self.follow_task = _background.start_background_task(
-            self.fleet.follow()
-        )
-        self.background.append(
-            _background.start_background_task(self.fleet.poll_backend_list())
-        )
-        self.background.append(
-            _background.start_background_task(self.fleet.report_load())
-        )
-        self.background.append(
-            _background.start_background_task(monitor.watch())
-        )
-        self.background.append(_background.start_background_task(load.watch()))
-        self.background.append(
-            _background.start_background_task(places.refresh())
-        )
+        self.follow_task = self.loops.start('control', self.fleet.follow)
+        self.loops.start('backend list', self.fleet.poll_backend_list)
+        self.loops.start('load reports', self.fleet.report_load)
+        self.loops.start('reachability', monitor.watch)
+        self.loops.start('entry load', load.watch)
+        self.loops.start('places', places.refresh)
         if config.proxy is not None:
             await self.proxy_server.start(config.proxy.host, config.proxy.port)
         await self.ingress.start(config.callers.host, config.callers.port)
@@ -259,9 +248,7 @@
         self.fleet.start_draining()
         self.ingress.draining = True
         self.follow_task.cancel()
-        self.follow_task = _background.start_background_task(
-            self.fleet.follow()
-        )
+        self.follow_task = self.loops.start('control', self.fleet.follow)
         loguru.logger.info('draining')
         deadline = started_at + self.config.grace_s - EXIT_MARGIN_S
         self.forwarder.drain_deadline = deadline
@@ -279,10 +266,7 @@
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
-        tasks = [self.follow_task, *self.background]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.loops.close()
         await self.ingress.close()
         if self.config.proxy is not None:
             await self.proxy_server.close()
--- a/src/bulrushhold/composition/_relay.py
+++ b/src/bulrushhold/composition/_relay.py
@@ -50,6 +50,7 @@
             self.relay, data_centre, link_mbps, first_start=first_start
         )
         self.leader_client = self.relay.leader_client
+        self.loops = _background.LoopSupervisor(node.NullMetrics())
 
     async def run(
         self, operators: settings.Address | None, app: 'web.Application'
@@ -59,10 +60,9 @@
 
         stop = asyncio.Event()
         _background.handle_stop_signals(stop.set)
-        tasks = [
-            _background.start_background_task(self.relay.run()),
-            _background.start_background_task(self.fleet.run()),
-        ]
+        self.loops.start('relay', self.relay.run)
+        for name, loop in self.fleet.loops().items():
+            self.loops.start(name, loop)
         runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
@@ -72,9 +72,7 @@
             await site.start()
         loguru.logger.bind(peer=self.peer).info('relay started')
         await stop.wait()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.loops.close()
         await runner.cleanup()
         await self.transport.close()
         loguru.logger.bind(peer=self.peer).info('relay stopped')
--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -1,7 +1,8 @@
 """Combines the services that a control process offers to entries."""
 
-import asyncio
+import collections.abc as cabc
 import random
+import typing as t
 
 from bulrushhold.control import _clusterview
 from bulrushhold.control import _leaderclient
@@ -20,6 +21,8 @@
 from bulrushhold import messages
 from bulrushhold import ports
 
+Loops = dict[str, cabc.Callable[[], cabc.Coroutine[t.Any, t.Any, None]]]
+
 
 class FleetControl:
     """Cluster view and load reports, served by a replica.
@@ -100,16 +103,16 @@
         """The client for requests that only the leader answers."""
         return self.leader.leader_client
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        await asyncio.gather(
-            self.leader.run(),
-            self.follower.run(),
-            self.watch.run(),
-            self.origins.run(),
-            self.retries.run(),
-            self.scheduling.run(),
-        )
+    def loops(self) -> Loops:
+        """Return the loops that serve until they are cancelled, by name."""
+        return {
+            'view publisher': self.leader.run,
+            'view follower': self.follower.run,
+            'watch server': self.watch.run,
+            'origins': self.origins.run,
+            'retries': self.retries.run,
+            'scheduling': self.scheduling.run,
+        }
 
     def _has_leader_contact(self) -> bool:
         return self.leader.serve_view() or self.follower.has_leader_contact
@@ -179,12 +182,12 @@
             relay.transport, self.view, relay.peer, relay.clock
         )
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        await asyncio.gather(
-            self.follower.run(),
-            self.watch.run(),
-            self.origins.run(),
-            self.retries.run(),
-            self.scheduling.run(),
-        )
+    def loops(self) -> Loops:
+        """Return the loops that serve until they are cancelled, by name."""
+        return {
+            'view follower': self.follower.run,
+            'watch server': self.watch.run,
+            'origins': self.origins.run,
+            'retries': self.retries.run,
+            'scheduling': self.scheduling.run,
+        }
--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -80,7 +80,9 @@
 
     async def run(self) -> None:
         """Exchange load sums and expire entries until cancelled."""
-        await asyncio.gather(self._expire(), self._send_sums())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._expire())
+            group.create_task(self._send_sums())
 
     # Entries
 
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -86,6 +86,7 @@
         placement.demands.limits.on_change = self.load_changed.set
         poison_requests.on_pending = self.load_changed.set
         self.on_change: list[cabc.Callable[[], None]] = []
+        self.is_healthy: cabc.Callable[[], bool] = lambda: True
 
     @property
     def map_version(self) -> int:
@@ -374,12 +375,17 @@
             pause = max(1.0, self.entry_count() / LIST_CALLS_PER_S)
             if time.monotonic() - self.backends_read_at < LIST_MAX_AGE_S:
                 continue
-            with contextlib.suppress(TimeoutError, errors.PeerError):
+            try:
                 async with asyncio.timeout(LIST_TIMEOUT_S):
                     backends = await self.backend_list.fetch()
-                self.backends_version = ''
-                self._apply_backends(decisions.BackendList.of(backends))
-                self.placement.known_versions.listed_at = time.monotonic()
+            except (TimeoutError, errors.PeerError) as error:
+                loguru.logger.bind(error=str(error)).warning(
+                    'backend list not available'
+                )
+                continue
+            self.backends_version = ''
+            self._apply_backends(decisions.BackendList.of(backends))
+            self.placement.known_versions.listed_at = time.monotonic()
 
     # Directory for callers
 
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -43,7 +43,8 @@
         for name, peer in peers.items():
             server = self.cluster.start(name, peer, peers)
             fleet = control.FleetControl(server, 'x', StaticBackendList())
-            self.start_task(name, fleet.run())
+            for loop in fleet.loops().values():
+                self.start_task(name, loop())
         contacts = list(map(str, peers.values()))
         for name in 'ab':
             self.start_relay(name, contacts)
@@ -75,7 +76,8 @@
         fleet = control.FleetRelay(relay, name)
         self.fleets[f'relay-{name}'] = fleet
         self.start_task(f'relay-{name}', relay.run())
-        self.start_task(f'relay-{name}', fleet.run())
+        for loop in fleet.loops().values():
+            self.start_task(f'relay-{name}', loop())
         self.transports[f'relay-{name}'] = transport
         self.relays[name] = address
 
