Values that no message can hold are rejected where they are decoded

Cause: adapters decoded integers and texts of any size, which messages between processes can't hold (OverflowError, UnicodeEncodeError). Where the encoding happens in a loop, that loop ended; elsewhere a request or an operator's call got 500, again and again.

Loads, limits and waits that servers state were bounded already (loads, pace) or are floats, which messages hold.

--- a/src/bulrushhold/forwarding/_events.py
+++ b/src/bulrushhold/forwarding/_events.py
@@ -12,6 +12,8 @@
 _ID_FIELD = b'id:'
 # Bounds the buffer in case an engine never ends an event.
 MAX_EVENT_BYTES = 1 << 20
+# Larger ones couldn't be encoded in messages between processes.
+MAX_EVENT_ID = (1 << 63) - 1
 
 
 @attrs.frozen
@@ -36,7 +38,7 @@
         """Return the events that ``chunk`` completes.
 
         :raises BackendError: if an event exceeds ``MAX_EVENT_BYTES`` or its
-            id is not an integer.
+            id is not an integer of 64 bits.
         """
         *complete, self.buffer = (self.buffer + chunk).split(_EVENT_END)
         if len(self.buffer) > MAX_EVENT_BYTES:
@@ -48,9 +50,12 @@
     for line in data.split(b'\n'):
         if line.startswith(_ID_FIELD):
             try:
-                return int(line[len(_ID_FIELD) :])
+                event_id = int(line[len(_ID_FIELD) :])
             except ValueError as error:
                 raise errors.BackendError(
                     'event id is not an integer', 'stream'
                 ) from error
+            if abs(event_id) > MAX_EVENT_ID:
+                raise errors.BackendError('event id is out of range', 'stream')
+            return event_id
     return None
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -6,6 +6,7 @@
 import pytest
 
 from adapter import _backendlist
+from adapter import _callerdialect
 from adapter import _enginedialect
 from adapter import _listpage
 from adapter import _operators
@@ -13,6 +14,8 @@
 from bulrushhold import calls
 from bulrushhold import decisions
 from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
 from bulrushhold import routes
 from tests.platform import decoding
 
@@ -228,6 +231,85 @@
         _operators.read_document(data)
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'config-version': 1 << 64},
+        {
+            'services': [
+                *DOCUMENT['services'],
+                {'name': 'more', 'max-conns': 1 << 64},
+            ]
+        },
+        {
+            'services': [
+                *DOCUMENT['services'],
+                {'name': 'more', 'engine': {'slots': -(1 << 64)}},
+            ]
+        },
+        {'limits': {'max-body-bytes': 1 << 70}},
+        {'tenants': [{'name': 'a', 'priority': 1 << 64}]},
+    ],
+)
+def test_a_document_that_cannot_be_stored_is_invalid(change):
+    # Guards against an operator who gets 500 for it at each control process.
+    document = {**DOCUMENT, **change}
+    with pytest.raises(errors.RouteMapError):
+        messages.pack_map(
+            _operators.read_document(json.dumps(document).encode())
+        )
+
+
+# Requests that can't be encoded in messages
+
+UNENCODABLE_HEADERS = [
+    ('Bulrushhold-Token-Counts', f'{1 << 64},80'),
+    ('Bulrushhold-Token-Counts', f'80,{1 << 64}'),
+    ('Bulrushhold-Prompt-Prefix', 'a\udcff:800'),
+    ('Bulrushhold-Request-Id', 'r\udcff'),
+    ('Bulrushhold-Credential', 'k\udcff'),
+    ('Host', 'h\udcff'),
+    ('Resumes', 'r\udcff'),
+    ('Last-Event-Id', str(1 << 64)),
+    ('Last-Event-Id', str(-(1 << 64))),
+]
+
+
+@pytest.mark.parametrize(('name', 'value'), UNENCODABLE_HEADERS)
+def test_a_request_that_no_message_can_hold_is_rejected(name, value):
+    # Guards against one request that ends the loop that reports the load.
+    headers = decoding.HEADERS.copy()
+    headers[name] = value
+    with pytest.raises(errors.RequestError) as caught:
+        decoding.decode_call(headers)
+    assert caught.value.status == 400
+    assert name in str(caught.value)
+
+
+def test_the_largest_prompts_fit_in_a_load_report():
+    # Guards against the same by the sum of all requests on an engine.
+    tokens = _callerdialect.MAX_TOKENS * 100_000
+    load = messages.EngineLoad(tokens, 100_000, 2 * tokens)
+    assert messages.encode(
+        messages.LoadReport('e1', {'i-1': load}, [], [], {})
+    )
+
+
+@pytest.mark.parametrize('handle', ['a\r\nX: y', 'a b', 'a\ud800', 'ä'])
+def test_a_handle_that_is_no_header_is_malformed(handle):
+    # Guards against a stream that fails as it goes on from a copy.
+    engines = _enginedialect.PlatformEngineDialect()
+    with pytest.raises(errors.BackendError):
+        engines.decode_copy_name(json.dumps({'handle': handle}).encode())
+
+
+@pytest.mark.parametrize('event_id', [1 << 63, -(1 << 64)])
+def test_an_event_id_that_no_message_can_hold_ends_its_stream(event_id):
+    # Guards against a stream that fails as it is resumed through an entry.
+    with pytest.raises(errors.BackendError):
+        forwarding.EventSplitter().feed(b'id: %d\n\n' % event_id)
+
+
 # Backend list
 
 ITEM = {
