A malformed command in the log ends no replica

What callers saw: nothing yet; found while looking for input that ends a loop.

Cause: applying a committed command decoded it first, and the error of a command that is malformed, or of a class that this version doesn't know, ended the process of each replica; after a restart the same entry did so again. A leader appended whatever bytes a proposal held.

Change: such a command changes nothing, as the docstring had promised of unknown ones, and answers with a failure; a leader rejects a malformed proposal before it is in the log. Both sides are needed: a log may have been written before, or by a later version.

Tests: test_a_malformed_command_in_the_log_changes_nothing, test_a_malformed_command_is_not_proposed; all six cases failed before.

--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -307,6 +307,8 @@
     async def _on_proposal(
         self, proposal: messages.Proposal
     ) -> messages.ProposalReply:
+        # Rejects what no replica could apply before it is in the log.
+        messages.decode(proposal.command)
         return await self.propose(proposal.command)
 
     async def propose(self, command: bytes) -> messages.ProposalReply:
--- a/src/bulrushhold/decisions/_statemachine.py
+++ b/src/bulrushhold/decisions/_statemachine.py
@@ -8,6 +8,7 @@
 from bulrushhold.decisions import _claims
 from bulrushhold.decisions import _rolloutstate
 from bulrushhold.decisions import _table
+from bulrushhold import errors
 from bulrushhold import messages
 
 MAX_SUSPECTS: t.Final = 500
@@ -40,10 +41,13 @@
     def apply(self, command: bytes) -> bytes:
         """Apply one committed command and return its encoded result.
 
-        An unknown command changes nothing. Raising instead would stop every
-        replica at the same log entry after each restart.
+        An unknown or malformed command changes nothing. Raising instead would
+        stop every replica at the same log entry after each restart.
         """
-        message = messages.decode(command)
+        try:
+            message = messages.decode(command)
+        except errors.PeerError as error:
+            return messages.encode(messages.Failure(str(error)))
         if isinstance(message, messages.TableEdit):
             return messages.encode(self.table.apply(message))
         if isinstance(message, messages.Claim):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -222,6 +222,31 @@
     assert largest <= 1 << 20
 
 
+MALFORMED_COMMANDS = [b'', b'\xff', b'\x92\xa4Read\xc0']
+
+
+@pytest.mark.parametrize('command', MALFORMED_COMMANDS)
+def test_a_malformed_command_in_the_log_changes_nothing(command):
+    # Guards against replicas that end at the same entry after each restart.
+    state = decisions.ReplicatedState()
+    before = state.dump()
+    assert isinstance(messages.decode(state.apply(command)), messages.Failure)
+    assert state.dump() == before
+
+
+@pytest.mark.parametrize('command', MALFORMED_COMMANDS)
+async def test_a_malformed_command_is_not_proposed(cluster, command):
+    # Guards against the same, before the command is in the log.
+    peer = cluster.address()
+    cluster.start('a', peer, {'a': peer})
+    await cluster.wait_until(lambda: cluster.leader() is not None)
+    server = cluster.leader()
+    last_index = server.replica.last_index
+    with pytest.raises(errors.PeerError):
+        await server._on_proposal(messages.Proposal(command))
+    assert server.replica.last_index == last_index
+
+
 # Watch replies and load reports
 
 
