Settings that are nested too deeply are invalid settings

Cause: tomllib raises RecursionError for them, which is no ValueError; it ended the loop that reads the settings again, and a process at its start with a traceback instead of one line.

--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -438,7 +438,7 @@
 
 def load_settings(tmp_path, text=SETTINGS):
     path = tmp_path / 'local.toml'
-    path.write_text(text)
+    path.write_text(text, errors='surrogateescape')
     return _settings.load(str(path))
 
 
@@ -495,6 +495,10 @@
         (SETTINGS.replace('[7340, 7355]', '"x"'), 'internal-ports'),
         (SETTINGS.replace('10.2.0.36:8229', 'there'), 'there'),
         ('= broken', 'line 1'),
+        ('a = ' + '[' * 100_000, 'recursion'),
+        (SETTINGS.replace('10.2.0.36:8229', '10.2.0.36:99999'), 'port'),
+        (SETTINGS.replace('10.2.0.36:8229', 'a b:80'), 'host'),
+        (SETTINGS + '\udcff', 'utf-8'),
         (f'{SETTINGS}[limits]\nmemory-mb = -1', 'limits.memory-mb'),
         (f'{SETTINGS}[limits]\nmax-fds = 1.5', 'limits.max-fds'),
         (f'{SETTINGS}[limits]\ncpu-share = "x"', 'limits.cpu-share'),
