Transport: a malformed address or a failing handler ends no loop

What callers saw: nothing yet; found while looking for input that ends a loop.

Cause: an address that ZeroMQ can't connect to raised its own error out of request() and send(). Addresses of control processes come from other processes as well as from settings (reports of the core, lists of nodes, join requests), and loops such as the one that follows control expect a PeerError only. A handler that failed left no line and no reply, so that its peer waited out a timeout at each attempt; a message nested too deeply raised out of the callback that reads its socket.

Change: a malformed address is a PeerError of request(), and a log line of send(). A handler's unexpected error is logged and answered as a failure. A message that is nested too deeply is a malformed message.

Tests: four cases of test_a_malformed_address_fails_like_an_unreachable_peer and test_a_handler_that_fails_is_answered_at_once failed before. test_malformed_messages_delay_no_others passed before, too: what a socket is sent later wakes its reader again.

--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -135,7 +135,7 @@
     try:
         name, body = _ENVELOPE.decode(data)
         return _DECODERS[name].decode(body)
-    except (msgspec.DecodeError, KeyError) as error:
+    except (msgspec.DecodeError, KeyError, RecursionError) as error:
         raise errors.PeerError(
             f'malformed message: {error}', 'decode'
         ) from error
--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -123,13 +123,22 @@
         self.handlers[kind] = handler
 
     def send(self, address: str, message: messages.Message) -> None:
-        """Send a message, or drop it if the send queue is full."""
-        self._transmit(address, _NO_REPLY, messages.encode(message))
+        """Send a message, or drop it if it can't be queued."""
+        try:
+            self._transmit(address, _NO_REPLY, messages.encode(message))
+        except errors.PeerError as error:
+            loguru.logger.bind(peer=address, error=str(error)).warning(
+                'message not sent'
+            )
 
     async def request(
         self, address: str, message: messages.Message, timeout: float
     ) -> t.Any:
-        """Send a message and wait for its reply."""
+        """Send a message and wait for its reply.
+
+        :raises PeerError: if there is no reply in time, or the address or the
+            reply is malformed.
+        """
         request_id = next(self.request_ids).to_bytes(8)
         future: asyncio.Future[t.Any] = (
             asyncio.get_running_loop().create_future()
@@ -185,7 +194,12 @@
     def _connect(self, address: str) -> _AsyncSocket:
         dealer = self.context.socket(zmq.DEALER)
         _configure(dealer)
-        dealer.connect(f'tcp://{address}')
+        try:
+            dealer.connect(f'tcp://{address}')
+        except (zmq.ZMQError, ValueError) as error:
+            # Addresses come from settings and from other processes.
+            dealer.close(linger=0)
+            raise errors.PeerError(str(error), 'connect', address) from error
         self.peers[address] = _AsyncSocket(dealer, self._on_reply, 2)
         return self.peers[address]
 
@@ -218,6 +232,11 @@
                 reply = await handler(message)
         except errors.BulrushholdError as error:
             reply = messages.Failure(str(error))
+        except Exception:
+            loguru.logger.bind(message_bytes=len(data)).exception(
+                'message handler failed'
+            )
+            reply = messages.Failure('internal error')
         if request_id != _NO_REPLY and reply is not None:
             encoded = messages.encode(reply)
             self.sent_bytes += len(encoded)
--- a/tests/test_zmqtransport.py
+++ b/tests/test_zmqtransport.py
@@ -21,6 +21,54 @@
         await transport.close()
 
 
+@pytest.mark.parametrize('address', ['nowhere', '', 'a b:1', '\ud800:7'])
+async def test_a_malformed_address_fails_like_an_unreachable_peer(
+    connected_pair, address
+):
+    # Guards against one bad seed that ends the loop which follows control.
+    (sender, _), _ = connected_pair
+    with pytest.raises(errors.PeerError) as raised:
+        await sender.request(address, messages.HistoryRead(1), 1.0)
+    assert raised.value.peer == address
+    sender.send(address, messages.HistoryRead(1))
+    assert address not in sender.peers
+
+
+async def test_a_handler_that_fails_is_answered_at_once(connected_pair):
+    # Guards against a peer that waits out its timeout at each attempt.
+    (sender, receiver), (_, address) = connected_pair
+
+    async def fail(read):
+        raise ValueError(read.limit)
+
+    receiver.handle(messages.HistoryRead, fail)
+    with pytest.raises(errors.PeerError) as raised:
+        await sender.request(address, messages.HistoryRead(1), 5.0)
+    assert raised.value.reason == 'internal error'
+
+
+@pytest.mark.parametrize(
+    'data',
+    [b'', b'\xff', b'\x92\xa4Read\xc0', b'\x91' * 100_000],
+    ids=['empty', 'reserved', 'unknown class', 'nested'],
+)
+async def test_malformed_messages_delay_no_others(connected_pair, data):
+    # Guards against a socket that is read no further.
+    (sender, receiver), (_, address) = connected_pair
+    received = []
+
+    async def on_message(read):
+        received.append(read.limit)
+
+    receiver.handle(messages.HistoryRead, on_message)
+    for number in range(20):
+        sender._transmit(address, b'', data)
+        sender.send(address, messages.HistoryRead(number))
+    async with asyncio.timeout(5):
+        while len(received) < 20:
+            await asyncio.sleep(0.01)
+
+
 async def test_every_message_of_a_burst_arrives_in_order(connected_pair):
     """No message may stay unread until the next one arrives."""
     (sender, receiver), (_, address) = connected_pair
