A leader serves no state before it has applied earlier terms

Cause: a leader answered as soon as an entry of its own term was committed. In that pass other tasks answer reads, and publish the versions under the new term.

Change: state is read and published only once an entry of the leader's own term is applied; what was acknowledged in earlier terms lies before it, and what this leader acknowledges it has applied. Votes still look at the lease alone.

--- a/src/bulrushhold/control/_rollouts.py
+++ b/src/bulrushhold/control/_rollouts.py
@@ -186,7 +186,7 @@
     ) -> messages.RolloutReply:
         """Return the newest rollout of a service, if this process leads."""
         replica = self.server.replica
-        if not replica.lease_holds(self.server.clock()):
+        if not replica.may_read(self.server.clock()):
             return messages.RolloutReply(
                 'not_leader', replica.leader_address()
             )
--- a/src/bulrushhold/control/_statereads.py
+++ b/src/bulrushhold/control/_statereads.py
@@ -36,7 +36,7 @@
     async def _on_table_read(
         self, read: messages.TableRead
     ) -> messages.TableReply:
-        if not self.replica.lease_holds(self.clock()):
+        if not self.replica.may_read(self.clock()):
             return messages.TableReply(
                 'not_leader', self.replica.leader_address()
             )
@@ -71,7 +71,7 @@
     async def _on_history_read(
         self, read: messages.HistoryRead
     ) -> messages.HistoryReply:
-        if not self.replica.lease_holds(self.clock()):
+        if not self.replica.may_read(self.clock()):
             return messages.HistoryReply(
                 'not_leader', self.replica.leader_address()
             )
--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -78,8 +78,8 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this process holds the leader lease."""
-        return self.server.replica.lease_holds(self._now())
+        """Whether this process leads and its state is the newest."""
+        return self.server.replica.may_read(self._now())
 
     def serve_view(self) -> bool:
         """Return whether this process leads; its view then has all rollouts.
--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -96,6 +96,16 @@
         lease_end = self._quorum_acked_at() + self.timing.lease_s
         return self.committed_in_term and now < lease_end
 
+    def may_read(self, now: float) -> bool:
+        """Whether the applied state is the newest, and no other leader exists.
+
+        After an election the state may be that of an old snapshot until the
+        entries of earlier terms are applied, up to the first one of this
+        term. Pass a clock reading as for :meth:`lease_holds`.
+        """
+        has_applied_own = self.log.term_of(self.applied) == self.term
+        return has_applied_own and self.lease_holds(now)
+
     def seconds_since_leader(self, now: float) -> float:
         """Return seconds since the last contact with a leader; 0 as leader."""
         return (
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -278,7 +278,7 @@
         self.lease = True
         self.handlers = {}
 
-    def lease_holds(self, now):
+    def may_read(self, now):
         return self.lease
 
     def leader_address(self):
