An entry without control counts each version that it has seen

Cause: a stream whose origin nobody knows goes on if only one version can have begun it. An entry took for that the versions that control had recorded and those of the newest list. Cut off from control, it reads the list itself: a version that entered, began streams at other entries and left again is in neither, and its streams went on here at the other version.

Evidence: with the three lists of the test below (v1, then v1 and v2, then v1) the former code answered "v1".

Change: versions seen in any list since the last reply of control count. Lists replace control only if they follow one another within 3 s, as a version is withheld from requests for longer than that after it enters; after a gap nothing is told until control answers.

Tests: test_a_version_that_came_and_left_without_control_counts, test_a_gap_between_lists_without_control_tells_nothing (both need the new methods, so failed before), test_lists_without_a_gap_replace_control.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -124,7 +124,9 @@
         for backend in backends.values():
             self.services.setdefault(backend.service, []).append(backend)
         self.reachability.retain(self.services)
-        self.known_versions.listed = _versionhistory.listed_versions(listed)
+        self.known_versions.update_listed(
+            _versionhistory.listed_versions(listed)
+        )
         self.versions.update_listed(self.known_versions.listed)
 
     def _report_missing(self, listed: set[str]) -> None:
--- a/src/bulrushhold/decisions/_versionhistory.py
+++ b/src/bulrushhold/decisions/_versionhistory.py
@@ -71,12 +71,41 @@
     :ivar recorded: from the replicated state.
     :ivar listed: from the newest list of engines.
     :ivar listed_at: when that list was read.
+    :ivar seen: versions in any list since the last contact with control.
+    :ivar complete_at: time up to which no version can have begun streams
+        without being recorded or seen here.
     """
 
     def __init__(self) -> None:
         self.recorded: Versions = {}
         self.listed: dict[str, set[str]] = {}
         self.listed_at = float('-inf')
+        self.seen: set[tuple[str, str]] = set()
+        self.complete_at = float('-inf')
+
+    def update_listed(self, listed: dict[str, set[str]]) -> None:
+        """Replace the listed versions of all services."""
+        self.listed = listed
+        self.seen.update(
+            (service, version)
+            for service, versions in listed.items()
+            for version in versions
+        )
+
+    def on_control_reply(self, now: float) -> None:
+        """Note that the recorded versions are current."""
+        self.complete_at = now
+        self.seen.clear()
+
+    def on_own_list(self, now: float) -> None:
+        """Note that the list was read without control.
+
+        Lists tell all versions only if they follow one another closely: one
+        that was listed in between may have begun streams elsewhere.
+        """
+        self.listed_at = now
+        if now - self.complete_at <= MAX_LIST_AGE_S:
+            self.complete_at = now
 
     def only_version(self, service: str, now: float) -> str | None:
         """Return the version that began each stream of a service.
@@ -86,6 +115,9 @@
         if not self.is_current(service, now):
             return None
         versions = {*self.recorded[service], *self.listed.get(service, ())}
+        versions.update(
+            version for name, version in self.seen if name == service
+        )
         return versions.pop() if len(versions) == 1 else None
 
     def is_current(self, service: str, now: float) -> bool:
@@ -94,4 +126,5 @@
         They aren't right after a start, or while control is unreachable.
         """
         is_recorded = bool(self.recorded.get(service))
-        return is_recorded and now - self.listed_at <= MAX_LIST_AGE_S
+        known_at = min(self.listed_at, self.complete_at)
+        return is_recorded and now - known_at <= MAX_LIST_AGE_S
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -205,6 +205,7 @@
         if reply.route_map is not None:
             self._apply_map(messages.unpack_map(reply.route_map))
         self._apply_list(reply)
+        self.placement.known_versions.on_control_reply(time.monotonic())
         self._apply_entries(reply)
         if reply.nodes is not None:
             self.nodes_version = reply.nodes_version
@@ -385,7 +386,7 @@
                 continue
             self.backends_version = ''
             self._apply_backends(decisions.BackendList.of(backends))
-            self.placement.known_versions.listed_at = time.monotonic()
+            self.placement.known_versions.on_own_list(time.monotonic())
 
     # Directory for callers
 
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -39,6 +39,7 @@
     known_versions = context.placement.known_versions
     known_versions.recorded = {'engines': ['v1', 'v2']}
     known_versions.listed_at = float('inf')
+    known_versions.on_control_reply(float('inf'))
     return forwarding.Forwarder(fleet, context)
 
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -21,6 +21,7 @@
     placement.update([listed('i1', 'v1')])
     placement.known_versions.recorded = {'engines': ['v1']}
     placement.known_versions.listed_at = 10.0
+    placement.known_versions.on_control_reply(10.0)
     return placement
 
 
@@ -89,6 +90,29 @@
     assert known.known_versions.only_version('engines', 13.1) is None
 
 
+def test_a_version_that_came_and_left_without_control_counts(known):
+    # Guards against an entry that is cut off and guesses from its last list.
+    for now, versions in ((12.0, ['v1', 'v2']), (14.0, ['v1'])):
+        known.update([listed(version, version) for version in versions])
+        known.known_versions.on_own_list(now)
+    assert known.known_versions.only_version('engines', 14.0) is None
+    known.known_versions.on_control_reply(15.0)
+    assert known.known_versions.only_version('engines', 15.0) == 'v1'
+
+
+def test_lists_without_a_gap_replace_control(known):
+    for now in (12.0, 14.5, 17.0):
+        known.known_versions.on_own_list(now)
+    assert known.known_versions.only_version('engines', 17.0) == 'v1'
+
+
+def test_a_gap_between_lists_without_control_tells_nothing(known):
+    # Guards against a version that came and left while no list was read.
+    for now in (12.0, 20.0, 21.0):
+        known.known_versions.on_own_list(now)
+    assert known.known_versions.only_version('engines', 21.0) is None
+
+
 async def test_entries_learn_the_recorded_versions(fleet):
     for entry in fleet.entries.values():
         known = entry.placement.known_versions
