Streams are resumed after the loss of all processes: origins on disk

What callers saw: once all entries and control processes were killed at once while two versions served, every stream that a caller took up again was refused, "the version that began the stream is unknown".

Cause: where a stream began was known in the memory of six control processes and of its entry only.

Change: two of a stream's six homes are control processes with a disk, where there are as many, so that no message is added. Nobody waits: what is lost is a refusal. After a start the origins are there at once and go to the other homes, which may be empty.

Why it works: a record is written once and never changes, so that any copy of it that is left is right.

The soak's callers may try more often; its default is unchanged.

--- a/src/bulrushhold/control/_fleetcontrol.py
+++ b/src/bulrushhold/control/_fleetcontrol.py
@@ -31,6 +31,7 @@
     :param source: reads the platform's list of backend servers.
     :param link_mbps: network bandwidth of this instance.
     :param exposure: what a bad version may get during a rollout.
+    :param origin_log: keeps where streams began over a loss of all processes.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         source: ports.BackendList,
         link_mbps: float = 0.0,
         exposure: decisions.ExposureLimits = decisions.DEFAULT_EXPOSURE,
+        origin_log: ports.OriginLog | None = None,
     ) -> None:
         local_node = messages.ControlNode(
             str(server.config.peer),
@@ -95,7 +97,11 @@
             server.clock,
         )
         self.origins = _origins.OriginServer(
-            server.transport, self.view, local_node.address, server.clock
+            server.transport,
+            self.view,
+            local_node.address,
+            server.clock,
+            origin_log,
         )
 
     @property
@@ -105,7 +111,7 @@
 
     def loops(self) -> Loops:
         """Return the loops that serve until they are cancelled, by name."""
-        return {
+        loops = {
             'view publisher': self.leader.run,
             'view follower': self.follower.run,
             'watch server': self.watch.run,
@@ -113,6 +119,9 @@
             'retries': self.retries.run,
             'scheduling': self.scheduling.run,
         }
+        if self.origins.log is not None:
+            loops['origin log'] = self.origins.write_log
+        return loops
 
     def _has_leader_contact(self) -> bool:
         return self.leader.serve_view() or self.follower.has_leader_contact
--- a/src/bulrushhold/control/_origins.py
+++ b/src/bulrushhold/control/_origins.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections
 import collections.abc as cabc
+import concurrent.futures
 import typing as t
 
 import attrs
+import loguru
 
 from bulrushhold.control import _clusterview
 from bulrushhold import decisions
+from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import node
 from bulrushhold import ports
@@ -16,12 +19,17 @@
 # Within this time after its start a process is listed, and is sent its origins
 # by others.
 SETTLE_TIME_S: t.Final = 2.0
+# Origins that arrive within this time are synced together.
+WRITE_INTERVAL_S: t.Final = 0.05
+WRITE_RETRY_S: t.Final = 1.0
 
 
 class OriginServer:
     """Answers entries, and sends its origins to processes that have joined.
 
     :param own_address: of this process.
+    :param log: keeps the origins over a loss of all processes; ``None``
+        without a disk.
     """
 
     def __init__(
@@ -30,6 +38,7 @@
         view: _clusterview.ClusterView,
         own_address: str,
         clock: cabc.Callable[[], float],
+        log: ports.OriginLog | None = None,
     ) -> None:
         self.transport = transport
         self.view = view
@@ -37,6 +46,13 @@
         self.clock = clock
         self.started_at = clock()
         self.store = decisions.OriginStore()
+        self.log = log
+        self.unwritten: collections.deque[messages.StreamOrigin] = (
+            collections.deque(maxlen=decisions.MAX_ORIGINS)
+        )
+        self.has_unwritten = asyncio.Event()
+        if log is not None:
+            self.store.load(log.load(), self.started_at)
         transport.handle(messages.OriginReport, self._on_report)
         transport.handle(messages.OriginRead, self._on_read)
 
@@ -63,10 +79,44 @@
         for address, count in sent.items():
             node.log_decision('origins sent', peer=address, origins=count)
 
+    async def write_log(self) -> None:
+        """Write new origins to the log until cancelled.
+
+        A thread writes, as a slow disk must not delay heartbeats. Nobody
+        waits for it: a stream whose origin is lost can't be resumed after a
+        loss of all processes.
+        """
+        assert self.log is not None
+        loop = asyncio.get_running_loop()
+        executor = concurrent.futures.ThreadPoolExecutor(1)
+        try:
+            while True:
+                await self.has_unwritten.wait()
+                self.has_unwritten.clear()
+                batch = list(self.unwritten)
+                self.unwritten.clear()
+                try:
+                    await loop.run_in_executor(
+                        executor, self.log.append, batch
+                    )
+                except errors.StorageError as error:
+                    loguru.logger.bind(error=str(error)).warning(
+                        'origins not written'
+                    )
+                    self.unwritten.extendleft(reversed(batch))
+                    self.has_unwritten.set()
+                    await asyncio.sleep(WRITE_RETRY_S)
+                await asyncio.sleep(WRITE_INTERVAL_S)
+        finally:
+            executor.shutdown(wait=False)
+
     async def _on_report(self, report: messages.OriginReport) -> None:
         now = self.clock()
         for origin in report.origins:
-            self.store.record(origin, now)
+            is_changed = self.store.record(origin, now)
+            if is_changed and self.log is not None:
+                self.unwritten.append(origin)
+                self.has_unwritten.set()
 
     async def _on_read(
         self, read: messages.OriginRead
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -99,6 +99,8 @@
 from bulrushhold.decisions._stalltimeouts import first_event_timeout_s
 from bulrushhold.decisions._stalltimeouts import StallTimeouts
 from bulrushhold.decisions._statemachine import ReplicatedState
+from bulrushhold.decisions._streamorigins import MAX_ORIGINS
+from bulrushhold.decisions._streamorigins import ORIGIN_HOMES
 from bulrushhold.decisions._streamorigins import origin_homes
 from bulrushhold.decisions._streamorigins import origin_key
 from bulrushhold.decisions._streamorigins import OriginStore
@@ -235,6 +237,8 @@
     'new_identity',
     'next_config',
     'next_home_address',
+    'MAX_ORIGINS',
+    'ORIGIN_HOMES',
     'origin_homes',
     'origin_key',
     'owned_rooms',
--- a/src/bulrushhold/decisions/_streamorigins.py
+++ b/src/bulrushhold/decisions/_streamorigins.py
@@ -17,6 +17,9 @@
 # With six in ten processes lost at once, all six homes of 5 in 100 streams
 # are among them.
 ORIGIN_HOMES: t.Final = 6
+# Homes with a disk, where there are as many: after a loss of all processes at
+# once, and of one disk, the other still knows.
+DISK_HOMES: t.Final = 2
 # Homes that each send a stream's origin to one that has joined: one of them
 # may be lost as well.
 ORIGIN_SENDERS: t.Final = 2
@@ -46,11 +49,17 @@
 def origin_homes(
     key: bytes, nodes: cabc.Iterable[messages.ControlNode]
 ) -> list[str]:
-    """Return the addresses of the control processes that keep an origin."""
+    """Return the addresses of the control processes that keep an origin.
+
+    The first ones have a disk, as far as there are any.
+    """
     ranking = _rendezvous.rendezvous_order(
         key.hex(), nodes, lambda node: node.address
     )
-    return [node.address for node in ranking[:ORIGIN_HOMES]]
+    with_disk = [node for node in ranking if node.replica][:DISK_HOMES]
+    others = [node for node in ranking if node not in with_disk]
+    homes = [*with_disk, *others][:ORIGIN_HOMES]
+    return [node.address for node in homes]
 
 
 @attrs.define
@@ -67,9 +76,16 @@
         self.entries: dict[bytes, _Entry] = {}
         self.expiries: list[tuple[float, bytes]] = []
         self.nodes: list[messages.ControlNode] = []
+        self.has_loaded = False
+
+    def load(self, origins: list[messages.StreamOrigin], now: float) -> None:
+        """Keep origins that an earlier process has stored."""
+        for origin in origins:
+            self.record(origin, now)
+        self.has_loaded = bool(self.entries)
 
-    def record(self, origin: messages.StreamOrigin, now: float) -> None:
-        """Keep an origin for its lifetime.
+    def record(self, origin: messages.StreamOrigin, now: float) -> bool:
+        """Keep an origin for its lifetime; return whether anything changed.
 
         A stream has one origin; a second report only prolongs the lifetime.
         """
@@ -80,12 +96,13 @@
             entry = _Entry(origin, now, expires_at)
             self.entries[origin.key] = entry
         elif expires_at <= entry.expires_at:
-            return
+            return False
         entry.recorded_at = now
         entry.expires_at = expires_at
         heapq.heappush(self.expiries, (expires_at, origin.key))
         if len(self.entries) > MAX_ORIGINS:
             del self.entries[next(iter(self.entries))]
+        return True
 
     def find(self, key: bytes, now: float) -> messages.OriginReply:
         """Return the origin of a stream, if it is known."""
@@ -113,8 +130,10 @@
         """Return what to send to processes that have become homes.
 
         These have joined, or replace homes that have left. A process that
-        has restarted keeps nothing, like a new one. The work is done in
-        batches, between which a caller can do other things.
+        has restarted keeps nothing, like a new one, or what it has read from
+        its disk: it sends that to all other homes, which may have restarted
+        as well. The work is done in batches, between which a caller can do
+        other things.
 
         :param own_address: of this control process, which sends an origin
             only if it ranks high among its homes; ``''`` for an entry, which
@@ -130,11 +149,11 @@
         listed = {node.address for node in nodes}
         left = {node.address for node in former_nodes} - listed
         has_just_started = bool(own_address) and not known
-        if not (joined or left) or has_just_started:
-            return iter(())
         self._expire(now)
+        if not (joined or left) or (has_just_started and not self.has_loaded):
+            return iter(())
         # Processes that join make no other process a home.
-        kept_by = former_nodes if left else nodes
+        kept_by = former_nodes if left or has_just_started else nodes
         return self._reports(joined, kept_by, nodes, now, own_address)
 
     def _reports(
--- a/src/bulrushhold/node/__init__.py
+++ b/src/bulrushhold/node/__init__.py
@@ -5,6 +5,7 @@
 from bulrushhold.node._filelog import Identity
 from bulrushhold.node._logs import configure as configure_logs
 from bulrushhold.node._logs import decision as log_decision
+from bulrushhold.node._originlog import FileOriginLog
 from bulrushhold.node._prometheus import make as make_prometheus_metrics
 from bulrushhold.node._prometheus import PrometheusMetrics
 from bulrushhold.node._statsd import make as make_metrics
@@ -14,6 +15,7 @@
 
 __all__ = [
     'FileLog',
+    'FileOriginLog',
     'Identity',
     'NullMetrics',
     'PrometheusMetrics',
--- a/src/bulrushhold/node/_filelog.py
+++ b/src/bulrushhold/node/_filelog.py
@@ -7,9 +7,7 @@
 
 import os
 import pathlib
-import struct
 import typing as t
-import zlib
 
 import attrs
 import msgspec
@@ -17,9 +15,9 @@
 from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import messages
+from bulrushhold.node import _records
 from bulrushhold import ports
 
-_HEADER: t.Final = struct.Struct('<II')
 MAX_RECORD_BYTES: t.Final = 256 << 20
 
 
@@ -86,7 +84,7 @@
         """Store the identity of a new replica."""
         self.folder.mkdir(parents=True, exist_ok=True)
         payload = msgspec.msgpack.encode(identity)
-        self._replace(self.identity_path, _encode_record(payload))
+        self._replace(self.identity_path, _records.encode_record(payload))
 
     def load(self, founding: messages.Config) -> decisions.PersistedState:
         """Read snapshot and log; truncate an incomplete last record.
@@ -119,7 +117,9 @@
         payload = msgspec.msgpack.encode(_Record(term, vote, entries))
         try:
             assert self.file is not None
-            _write_all(self.file.fileno(), _encode_record(payload))
+            _records.write_all(
+                self.file.fileno(), _records.encode_record(payload)
+            )
             os.fdatasync(self.file.fileno())
         except OSError as error:
             # After a failed sync the kernel may have dropped the pages, and
@@ -139,13 +139,14 @@
         """
         self._replace(
             self.snapshot_path,
-            _encode_record(msgspec.msgpack.encode(snapshot)),
+            _records.encode_record(msgspec.msgpack.encode(snapshot)),
         )
         record = _Record(self.term, self.vote, tail)
         if self.file is not None:
             self.file.close()
         self._replace(
-            self.log_path, _encode_record(msgspec.msgpack.encode(record))
+            self.log_path,
+            _records.encode_record(msgspec.msgpack.encode(record)),
         )
         self._open_log(self.log_path.stat().st_size)
 
@@ -194,15 +195,15 @@
         payloads: list[bytes] = []
         offset = 0
         while offset < len(data):
-            payload = _decode_record_at(data, offset)
+            payload = _records.decode_record_at(data, offset)
             if payload is None:
-                if allow_torn_tail and not _has_valid_record_after(
+                if allow_torn_tail and not _records.has_valid_record_after(
                     data, offset
                 ):
                     break
                 raise self._error(f'damaged at offset {offset}', path)
             payloads.append(payload)
-            offset += _HEADER.size + len(payload)
+            offset += _records.record_length(payload)
         return payloads, offset
 
     def _open_log(self, length: int) -> None:
@@ -212,7 +213,7 @@
             self.file = open(self.log_path, 'ab', buffering=0)
             self.file.truncate(length)
             os.fsync(self.file.fileno())
-            self._sync_folder()
+            _records.sync_folder(self.folder)
         except OSError as error:
             raise self._error(str(error), self.log_path) from error
 
@@ -232,44 +233,9 @@
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(temporary, path)
-            self._sync_folder()
+            _records.sync_folder(self.folder)
         except OSError as error:
             raise self._error(str(error), path) from error
 
-    def _sync_folder(self) -> None:
-        descriptor = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-
     def _error(self, reason: str, path: pathlib.Path) -> errors.StorageError:
         return errors.StorageError(reason, 'storage', str(path))
-
-
-def _write_all(descriptor: int, data: bytes) -> None:
-    while data:
-        data = data[os.write(descriptor, data) :]
-
-
-def _encode_record(payload: bytes) -> bytes:
-    return _HEADER.pack(len(payload), zlib.crc32(payload)) + payload
-
-
-def _decode_record_at(data: bytes, offset: int) -> bytes | None:
-    start = offset + _HEADER.size
-    if start > len(data):
-        return None
-    length, checksum = _HEADER.unpack_from(data, offset)
-    payload = data[start : start + length]
-    if length == 0 or len(payload) < length:
-        return None
-    return payload if zlib.crc32(payload) == checksum else None
-
-
-def _has_valid_record_after(data: bytes, offset: int) -> bool:
-    """Whether a valid record starts anywhere after ``offset``."""
-    return any(
-        _decode_record_at(data, start) is not None
-        for start in range(offset + 1, len(data) - _HEADER.size)
-    )
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -284,3 +284,26 @@
         :raises StorageError: on a failed write; the store must not be used
             any further.
         """
+
+
+class OriginLog(abc.ABC):
+    """Durable storage of where streams began.
+
+    Its records are independent of one another: one that is lost makes one
+    stream's origin unknown.
+    """
+
+    @abc.abstractmethod
+    def load(self) -> list[messages.StreamOrigin]:
+        """Return all stored origins, oldest first, also expired ones."""
+
+    @abc.abstractmethod
+    def append(self, origins: list[messages.StreamOrigin]) -> None:
+        """Store origins and sync; may block for as long as the disk does.
+
+        :raises StorageError: on a failed write; a later call may succeed.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the files."""
--- a/tests/platform/soak/takeups.py
+++ b/tests/platform/soak/takeups.py
@@ -73,6 +73,7 @@
         serves=lambda version: True,
         break_after=0,
         event_count=fakes.EVENT_COUNT,
+        max_tries=MAX_TRIES,
     ):
         self.stream = ResumedStream(ident)
         self.post = post
@@ -81,12 +82,13 @@
         self.serves = serves
         self.break_after = break_after
         self.event_count = event_count
+        self.max_tries = max_tries
 
     async def run(self):
         stream, entry = self.stream, None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STREAM_DEADLINE_S):
-                for number in range(MAX_TRIES):
+                for number in range(self.max_tries):
                     entry = self.pick_entry(entry)
                     pause_s = await self._try(entry, number)
                     if len(stream.versions) >= self.event_count:
--- a/tests/platform/test_version_processes.py
+++ b/tests/platform/test_version_processes.py
@@ -18,6 +18,8 @@
 EVENT_COUNT = 80
 EVENT_INTERVAL_S = 0.03
 LOAD_S = 6.0
+# Callers go on trying while no entry runs.
+MAX_TRIES = 60
 # Streams of a version with fewer engines aren't counted.
 MIN_ENGINES = 2
 # The users' rule counts from this number of resumed streams on.
@@ -57,6 +59,7 @@
             engine.event_interval_s = EVENT_INTERVAL_S
         self.streams = []
         self.ready_at = {}
+        self.interrupted = []
 
     def _make_system(self, *arguments):
         return system.System(*arguments, entry_count=ENTRIES)
@@ -91,6 +94,7 @@
             self._serves,
             self.rng.randint(1, EVENT_COUNT - 1) if breaks else 0,
             EVENT_COUNT,
+            MAX_TRIES,
         )
         self.streams.append(caller.stream)
         await caller.run()
@@ -147,6 +151,21 @@
         )
         del deadline
 
+    async def _kill_all(self, deadline, *, leave_before=False):
+        await asyncio.sleep(LOAD_S / 2)
+        if leave_before:
+            for engine in [e for e in self.engines if e.version == 'v1'][2:]:
+                engine.draining = True
+            await asyncio.sleep(0.3)
+        self.interrupted = [
+            s for s in self.streams if 0 < len(s.versions) < EVENT_COUNT
+        ]
+        await self._kill(list(self.system.programs), 1.0)
+        del deadline
+
+    async def _kill_all_as_a_version_leaves(self, deadline):
+        await self._kill_all(deadline, leave_before=True)
+
     async def _kill_instances_in_turn(self, deadline):
         hosts = [e.ip for e in self.system.programs_with_role('entry')]
         while time.monotonic() < deadline:
@@ -200,6 +219,10 @@
         """Return whether each resumed stream went on at once."""
         return [ok for s in self.streams for ok in s.resumed_tries]
 
+    def completed(self):
+        """Return whether each stream that all processes lost is whole now."""
+        return [len(s.versions) == EVENT_COUNT for s in self.interrupted]
+
     def begun(self):
         """Return whether each first try brought an event."""
         return [ok for s in self.streams for ok in s.first_tries]
@@ -215,11 +238,13 @@
         report = await version_run.execute()
     streams = version_run.streams
     resumed, begun = version_run.resumed(), version_run.begun()
+    completed = version_run.completed()
     joined = [s.ident for s in streams if s.joined]
     print(
         f'{len(streams)} streams, {len(joined)} joined, '
         f'{sum(resumed)} of {len(resumed)} resumed at once, '
-        f'{sum(begun)} of {len(begun)} begun'
+        f'{sum(begun)} of {len(begun)} begun, '
+        f'{sum(completed)} of {len(completed)} completed after a loss of all'
     )
     assert report.violations == []
     assert [s.error for s in streams if s.error] == []
@@ -228,6 +253,9 @@
         assert len(resumed) >= MIN_RESUMED
     if len(resumed) >= MIN_RESUMED:
         assert takeups.share(resumed) >= min_share * takeups.share(begun)
+    if fault.startswith('kill_all'):
+        assert len(completed) >= MIN_RESUMED
+        assert takeups.share(completed) >= min_share
 
 
 @pytest.mark.parametrize('new_engines', [6, 2])
@@ -265,6 +293,14 @@
     await check_versions_are_kept(tmp_path, fault, 0.5, min_share=min_share)
 
 
+@pytest.mark.parametrize('fault', ['kill_all', 'kill_all_as_a_version_leaves'])
+async def test_streams_go_on_after_the_loss_of_all_processes(tmp_path, fault):
+    # Guards against versions that no process knows after all were killed.
+    await check_versions_are_kept(
+        tmp_path, fault, 0.0, min_share=MIN_RESUMED_SHARE_AFTER_LOSSES
+    )
+
+
 async def test_versions_are_not_guessed_while_control_is_frozen(tmp_path):
     # Guards against entries that can't ask and go on at any version.
     await check_versions_are_kept(tmp_path, 'freeze_control', 1.0, min_share=0)
