A stream's origin is found after its route was replaced

Cause: the key of an origin held the prefix of the route that serves the request now, which isn't the one that served it then.

Change: the key holds the request's path, which all tries of a stream share. Of a stream of another account or path a caller still learns nothing.

Test: test_a_stream_goes_on_as_its_route_becomes_more_specific; failed before.

--- a/src/bulrushhold/decisions/_streamorigins.py
+++ b/src/bulrushhold/decisions/_streamorigins.py
@@ -32,17 +32,18 @@
 Reports = dict[str, list[messages.StreamOrigin]]
 
 
-def origin_key(account: str, host: str, prefix: str, ident: str) -> bytes:
+def origin_key(account: str, host: str, path: str, ident: str) -> bytes:
     """Return the key of the stream that a request began.
 
     Request ids are no secret. The key therefore depends on the client account
-    and the route, so that no caller learns of streams of others.
+    and the path, so that no caller learns of streams of others. It doesn't
+    depend on the route, which a new map may replace by a more specific one.
 
-    :param host: host of the request's route; with ``prefix``, that of its
-        path, it identifies the route.
+    :param host: host of the request's route.
+    :param path: path of the request, without the query.
     :param ident: id of the request.
     """
-    text = '\0'.join((account, host, prefix, ident))
+    text = '\0'.join((account, host, path, ident))
     return xxhash.xxh3_128_digest(text.encode())
 
 
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -135,8 +135,9 @@
 
 
 def _key(job: _context.Job, ident: str) -> bytes:
-    route = job.route
-    return decisions.origin_key(job.account, route.host, route.prefix, ident)
+    path = job.call.target.partition('?')[0]
+    host = job.route.host.lower()
+    return decisions.origin_key(job.account, host, path, ident)
 
 
 def _refusal(
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -301,3 +301,41 @@
     gauges.update()
     assert metrics.gauges['engines', 'engines', 'v1'] == 0
     assert metrics.gauges['engines', 'engines', 'v2'] == 2
+
+
+def make_map(version, *prefixes, service='engines'):
+    listed = [
+        routes.Route(
+            f'r{number}',
+            'h',
+            prefix,
+            routes.Kind.STREAM,
+            [routes.Target(service, 1)],
+            3.0,
+            0.3,
+            max_attempts=5,
+            resumable=True,
+        )
+        for number, prefix in enumerate(prefixes)
+    ]
+    names = {'engines', service}
+    return messages.WatchReply(
+        'done',
+        route_map=messages.pack_map(
+            routes.RouteMap(
+                version, listed, [routes.Service(name) for name in names]
+            )
+        ),
+    )
+
+
+async def test_a_stream_goes_on_as_its_route_becomes_more_specific(
+    forwarder, client
+):
+    # Guards against streams that all are refused after a change of routes.
+    target = '/a/b/x?q'
+    version = await begin(forwarder, client, target=target)
+    forwarder.fleet._apply_reply(make_map(2, '/a/', '/a/b/'))
+    call = make_call('req-2', 2, 'req-1', target)
+    await send(forwarder, call, client, fakes.Script(events=(3,)))
+    assert version_at(forwarder, client.attempts[0]) == version
