A stream whose route was moved isn't taken for one of the new service

Cause: a stream whose origin is lost goes on if its route leads to one service and that has one version. Both were asked of the newest route map only. Once a map had moved the route, or had taken one of two services off it, the rest of a stream came from an engine of another service; and a map with shorter timeouts made control drop a version while streams that had begun under the longer ones were still running.

Evidence: test_a_lost_origin_is_not_guessed_after_its_route_was_moved went on at the new service before, on an entry that knew both maps.

Change: as the state machine replaces a map, it records for each route of streams that leads elsewhere which services it has led to, beside the versions of services; they are dropped by the same rule, once no stream that began there can be running. Entries get the map's version with the record and wait for it where theirs is newer, as a follower may tell a map before the leader tells the record. A record that was made under an older map is ignored when applied, or it would remove what the map has added. The time for which versions are kept follows shorter timeouts only once it has passed.

Not covered: a route that is removed, and comes back with another service within that time.

--- a/src/bulrushhold/control/_versions.py
+++ b/src/bulrushhold/control/_versions.py
@@ -30,7 +30,8 @@
         self.listed: dict[str, set[str]] = {}
         self.listed_version = ''
         self.window_s = 0.0
-        self.map_version = -1
+        self.window_ends_at = 0.0
+        self.route_map = routes.RouteMap(0, [], [])
         self.proposed_at = float('-inf')
 
     def update(self, now: float) -> None:
@@ -39,34 +40,52 @@
         if term != self.term:
             self.term = term
             self.recorder = decisions.VersionRecorder()
-        self.view.update_versions(state.service_versions, term)
+        self.publish()
+        self._follow_map(now)
         if self.view.backends is None:
             return
         if self.listed_version != self.view.backends_version:
             self.listed_version = self.view.backends_version
             self.listed = decisions.listed_versions(self.view.backends)
+        recorded = state.service_versions
+        listed = {
+            **self.listed,
+            **decisions.recorded_routes(recorded, self.route_map),
+        }
         versions = self.recorder.next_versions(
-            state.service_versions, self.listed, now, self._window_s()
+            recorded, listed, now, self.window_s or DEFAULT_TIMEOUT_S
         )
         if versions == state.service_versions:
             return
         if now - self.proposed_at >= PROPOSAL_RETRY_S:
             self.proposed_at = now
             node.log_decision('versions recorded', versions=versions)
-            command = messages.VersionsRecord(versions)
+            command = messages.VersionsRecord(versions, state.map_version)
             self.server.replica.propose(messages.encode(command))
             self.server.wakeup.set()
 
-    def _window_s(self) -> float:
-        """Return for how long a stream may be resumed."""
+    def publish(self) -> None:
+        """Publish the recorded versions, as they are applied."""
+        state, term = self.server.state, self.server.replica.term
+        versions = decisions.with_map_version(
+            state.service_versions, state.map_version
+        )
+        self.view.update_versions(versions, term)
+
+    def _follow_map(self, now: float) -> None:
+        """Update for how long a stream may be resumed.
+
+        Streams that began under longer timeouts may still be running.
+        """
         put = self.server.state.route_map
-        if put is not None and put.version != self.map_version:
-            self.map_version = put.version
-            timeouts = [
-                route.timeout_s
-                for route in messages.unpack_map(put.packed).routes
-                if route.kind is routes.Kind.STREAM
-            ]
-            longest_s = max(timeouts, default=DEFAULT_TIMEOUT_S)
-            self.window_s = longest_s + LIST_MARGIN_S
-        return self.window_s or DEFAULT_TIMEOUT_S
+        if put is not None and put.version != self.route_map.version:
+            self.route_map = messages.unpack_map(put.packed)
+        timeouts = [
+            route.timeout_s
+            for route in self.route_map.routes
+            if route.kind is routes.Kind.STREAM
+        ]
+        window_s = max(timeouts, default=DEFAULT_TIMEOUT_S) + LIST_MARGIN_S
+        if window_s >= self.window_s or now >= self.window_ends_at:
+            self.window_s = window_s
+            self.window_ends_at = now + window_s
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -119,7 +119,12 @@
 from bulrushhold.decisions._transcript import Transcript
 from bulrushhold.decisions._versionhistory import KnownVersions
 from bulrushhold.decisions._versionhistory import listed_versions
+from bulrushhold.decisions._versionhistory import moved_routes
+from bulrushhold.decisions._versionhistory import recorded_routes
+from bulrushhold.decisions._versionhistory import route_key
+from bulrushhold.decisions._versionhistory import stream_services
 from bulrushhold.decisions._versionhistory import VersionRecorder
+from bulrushhold.decisions._versionhistory import with_map_version
 from bulrushhold.decisions._versionsplit import count_by_version
 from bulrushhold.decisions._versionsplit import VersionSplit
 from bulrushhold.decisions._waitingorder import Waiter
@@ -234,6 +239,11 @@
     'latency_bucket',
     'list_splices',
     'listed_versions',
+    'moved_routes',
+    'recorded_routes',
+    'route_key',
+    'stream_services',
+    'with_map_version',
     'new_identity',
     'next_config',
     'next_home_address',
--- a/src/bulrushhold/decisions/_statemachine.py
+++ b/src/bulrushhold/decisions/_statemachine.py
@@ -8,6 +8,7 @@
 from bulrushhold.decisions import _claims
 from bulrushhold.decisions import _rolloutstate
 from bulrushhold.decisions import _table
+from bulrushhold.decisions import _versionhistory
 from bulrushhold import errors
 from bulrushhold import messages
 
@@ -64,7 +65,9 @@
             self._record_suspects(message)
             return b''
         if isinstance(message, messages.VersionsRecord):
-            self.service_versions = message.versions
+            # Routes that a newer map has moved must stay recorded.
+            if message.map_version in (-1, self.map_version):
+                self.service_versions = message.versions
             return b''
         if isinstance(message, messages.RouteMapPut):
             return messages.encode(self._put_route_map(message))
@@ -90,9 +93,26 @@
         # Ignore an equal version: a resent or concurrent upload must not
         # change the map that entries already use under that version.
         if command.version > self.map_version:
+            self._record_moved_routes(command)
             self.route_map = command
         return messages.RouteMapOutcome(self.map_version)
 
+    def _record_moved_routes(self, command: messages.RouteMapPut) -> None:
+        if self.route_map is None:
+            return
+        try:
+            moved = _versionhistory.moved_routes(
+                messages.unpack_map(self.route_map.packed),
+                messages.unpack_map(command.packed),
+            )
+        except errors.PeerError:
+            # Entries can't use such a map either.
+            return
+        recorded = dict(self.service_versions)
+        for key, services in moved.items():
+            recorded[key] = sorted({*recorded.get(key, ()), *services})
+        self.service_versions = recorded
+
     def _quarantine(self, command: messages.Quarantine) -> None:
         if command.lift:
             self.quarantined.pop(command.fingerprint, None)
--- a/src/bulrushhold/decisions/_versionhistory.py
+++ b/src/bulrushhold/decisions/_versionhistory.py
@@ -1,20 +1,73 @@
 """Versions of a service's engines that may have begun a running stream.
 
 While there is only one, a stream's version is known without any record of
-the stream itself, also after the loss of all processes.
+the stream itself, also after the loss of all processes. A route that has led
+to other services is recorded as well, under a key of its own: its streams may
+have begun there.
 """
 
 import typing as t
 
 from bulrushhold import messages
+from bulrushhold import routes
 
 # An entry with an older list may not know of a version whose streams others
 # already forward.
 MAX_LIST_AGE_S: t.Final = 3.0
 
+# No service has such a name, as it has control characters.
+_ROUTE_KEY_START: t.Final = '\0route\0'
+_MAP_VERSION_KEY: t.Final = '\0map'
+
 Versions = dict[str, list[str]]
 
 
+def route_key(route: routes.Route) -> str:
+    """Return the key of a route among the services of :data:`Versions`."""
+    return f'{_ROUTE_KEY_START}{route.host.lower()}\0{route.prefix}'
+
+
+def stream_services(route: routes.Route) -> set[str]:
+    """Return the services that a route's new streams may begin at."""
+    return {target.service for target in route.targets if target.weight > 0}
+
+
+def moved_routes(former: routes.RouteMap, new: routes.RouteMap) -> Versions:
+    """Return the services of each route of streams that has led elsewhere.
+
+    :return: the former and the new services, by :func:`route_key`.
+    """
+    index = routes.RouteIndex(former)
+    moved = {}
+    for route in new.routes:
+        former_route = index.find(route.host, route.prefix)
+        if route.kind is not routes.Kind.STREAM or former_route is None:
+            continue
+        services = stream_services(route)
+        former_services = stream_services(former_route)
+        if former_services != services:
+            moved[route_key(route)] = sorted(services | former_services)
+    return moved
+
+
+def with_map_version(recorded: Versions, map_version: int) -> Versions:
+    """Return recorded versions with the route map that they belong to."""
+    return {**recorded, _MAP_VERSION_KEY: [str(map_version)]}
+
+
+def recorded_routes(
+    recorded: Versions, route_map: routes.RouteMap
+) -> dict[str, set[str]]:
+    """Return the present services of the routes that are recorded."""
+    if not any(key.startswith(_ROUTE_KEY_START) for key in recorded):
+        return {}
+    by_key = {route_key(route): route for route in route_map.routes}
+    return {
+        key: stream_services(by_key[key])
+        for key in recorded.keys() & by_key.keys()
+    }
+
+
 def listed_versions(
     backends: list[messages.ListedBackend],
 ) -> dict[str, set[str]]:
@@ -44,7 +97,8 @@
         """Return the versions to be recorded of all services.
 
         :param recorded: as the replicated state has them.
-        :param listed: versions of the engines that are listed now.
+        :param listed: versions of the engines that are listed now, and
+            :func:`recorded_routes`.
         :param window_s: time for which the streams of a version may still be
             resumed after its last engine has left the list.
         """
@@ -60,7 +114,9 @@
                 if now - self.missing_since.setdefault((service, version), now)
                 < window_s
             }
-            if present:
+            if service.startswith(_ROUTE_KEY_START) and not kept:
+                del versions[service]
+            elif present:
                 versions[service] = sorted(present | kept)
         return versions
 
@@ -74,6 +130,8 @@
     :ivar seen: versions in any list since the last contact with control.
     :ivar complete_at: time up to which no version can have begun streams
         without being recorded or seen here.
+    :ivar map_version: of this entry's route map, which may be newer than the
+        recorded versions.
     """
 
     def __init__(self) -> None:
@@ -82,6 +140,7 @@
         self.listed_at = float('-inf')
         self.seen: set[tuple[str, str]] = set()
         self.complete_at = float('-inf')
+        self.map_version = 0
 
     def update_listed(self, listed: dict[str, set[str]]) -> None:
         """Replace the listed versions of all services."""
@@ -120,11 +179,18 @@
         )
         return versions.pop() if len(versions) == 1 else None
 
+    def may_begin_elsewhere(self, route: routes.Route) -> bool:
+        """Return whether streams of a route may have begun elsewhere."""
+        return route_key(route) in self.recorded
+
     def is_current(self, service: str, now: float) -> bool:
         """Return whether all versions of a service are known here.
 
         They aren't right after a start, or while control is unreachable.
         """
         is_recorded = bool(self.recorded.get(service))
+        [map_version] = self.recorded.get(_MAP_VERSION_KEY, [self.map_version])
+        if int(map_version) < self.map_version:
+            return False
         known_at = min(self.listed_at, self.complete_at)
         return is_recorded and now - known_at <= MAX_LIST_AGE_S
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -344,6 +344,7 @@
         # A delayed reply must not restore a replaced map.
         if route_map.version > self.map_version:
             self.index = routes.RouteIndex(route_map)
+            self.placement.known_versions.map_version = route_map.version
             self.placement.capacity = {
                 service.name: service.memory_tokens
                 for service in route_map.services
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -103,10 +103,9 @@
         return finding
     [service] = services
     is_current = await _wait_for_versions(context, service)
-    version = context.placement.known_versions.only_version(
-        service, context.clock()
-    )
-    if version is None:
+    known_versions = context.placement.known_versions
+    version = known_versions.only_version(service, context.clock())
+    if version is None or known_versions.may_begin_elsewhere(job.route):
         conclusive = finding.conclusive and is_current
         return attrs.evolve(finding, conclusive=conclusive)
     origin = messages.StreamOrigin(b'', service, version, 0.0)
@@ -130,8 +129,7 @@
 
 
 def _services(job: _context.Job) -> set[str]:
-    targets = job.route.targets
-    return {target.service for target in targets if target.weight > 0}
+    return decisions.stream_services(job.route)
 
 
 def _key(job: _context.Job, ident: str) -> bytes:
--- a/src/bulrushhold/messages/_state.py
+++ b/src/bulrushhold/messages/_state.py
@@ -168,9 +168,12 @@
     """Replaces the versions that may have begun running streams.
 
     :param versions: versions of the engines of each service.
+    :param map_version: version of the route map that they were found under;
+        under another one the record is ignored. -1 for any.
     """
 
     versions: dict[str, list[str]]
+    map_version: int = -1
 
 
 @attrs.frozen
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushhold import calls
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
@@ -339,3 +340,41 @@
     call = make_call('req-2', 2, 'req-1', target)
     await send(forwarder, call, client, fakes.Script(events=(3,)))
     assert version_at(forwarder, client.attempts[0]) == version
+
+
+def moved(former, new):
+    """Return the state after one route map was replaced by another."""
+    state = decisions.ReplicatedState(service_versions={'other': ['v9']})
+    for reply, version in ((former, 1), (new, 2)):
+        put = messages.RouteMapPut(version, reply.route_map, b'')
+        state.apply(messages.encode(put))
+    return state
+
+
+async def test_a_lost_origin_is_not_guessed_after_its_route_was_moved(
+    forwarder, client
+):
+    # Guards against the rest of a stream from engines of another service.
+    new = make_map(2, '/a/', service='other')
+    state = moved(make_map(1, '/a/'), new)
+    context = forwarder.context
+    context.placement.update(listed('v9', 6, 7, service='other'))
+    forwarder.fleet._apply_reply(new)
+    context.placement.known_versions.recorded = state.service_versions
+    await refusal(forwarder, make_call('req-2', 2, 'req-1'))
+    assert client.attempts == []
+
+
+async def test_versions_recorded_under_an_older_map_tell_nothing(
+    forwarder, client, monkeypatch
+):
+    # Guards against a map that arrives before the routes that it has moved.
+    monkeypatch.setattr(forwarding._origins, 'MAX_SEARCH_S', 0.0)
+    context = forwarder.context
+    context.placement.update(listed('v9', 6, 7, service='other'))
+    forwarder.fleet._apply_reply(make_map(2, '/a/', service='other'))
+    context.placement.known_versions.recorded = decisions.with_map_version(
+        {'other': ['v9']}, 1
+    )
+    await refusal(forwarder, make_call('req-2', 2, 'req-1'))
+    assert client.attempts == []
