A stream doesn't go on at an engine that started again with other software

What callers saw: an engine crashed and was back under its id with other software.

Cause: an engine's version was that of the list, which shows a change up to its lag later, and nothing told a new process from the former one: the id is the same, and so `Expect-Instance` accepts it. By the same cause a stream that a restarted engine began was recorded under its former version, and resumed there.

Change: engines state when their processes started, and each entry keeps that value with the time at which it first saw it. A stream goes on only at an engine whose present process the list is known to describe: it was first seen longer ago than the list's lag before the newest list was read, or started over a minute ago, which clocks that are seconds apart can't hide. It is asked just before the stream is sent there. What can't be known is refused. New streams wait for nothing.

Cost: a status report for each stream that begins or goes on, and one for each engine that is listed; reports take no slot.

Tests: test_streams_keep_their_version_after_crashes[upgrade_in_place], which failed before, and tests/forwarding/test_stream_versions.py, of which the new ones need new functions. Stand-ins of engines state their start.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -259,6 +259,21 @@
         :param instance: ident of the process, for one that takes probes.
         """
 
+    async def read_start(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> int | None:
+        """Return when an engine's process started, in Unix milliseconds.
+
+        ``None`` if it doesn't say, as under a protocol that gives each start
+        an ident of its own.
+
+        :param timeout: seconds.
+        :param instance: ident of the expected process, if it matters.
+        :raises BackendError: if there is no valid response in time.
+        """
+        del address, timeout, instance
+        return None
+
     @abc.abstractmethod
     async def cached_segments(
         self, address: str, timeout: float
@@ -382,6 +397,14 @@
     def decode_instance(self, headers: t.Any) -> str:
         """Return the ident of the process that responded, if it says so."""
 
+    @abc.abstractmethod
+    def decode_start(self, body: bytes) -> int | None:
+        """Return when the process started, from the response to a probe.
+
+        :return: Unix milliseconds; ``None`` if it doesn't say.
+        :raises BackendError: if the response is malformed.
+        """
+
     @abc.abstractmethod
     def segments_path(self) -> str:
         """Return the path of the list of cached prompt segments."""
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -78,6 +78,7 @@
         self.transport = node.ZmqTransport(str(config.peer))
         self.session = adapters.make_session()
         placement = decisions.Placement(random.Random(), config.data_centre)
+        placement.incarnations.max_lag_s = config.list_lag_s
         poison_requests = decisions.PoisonRequestDetector(placement.losses)
         buffers = None
         if config.memory_bytes:
@@ -213,6 +214,12 @@
         self.loops.start('reachability', monitor.watch)
         self.loops.start('entry load', load.watch)
         self.loops.start('places', places.refresh)
+        self.loops.start(
+            'version checks',
+            lambda: context.version_checks.watch(
+                self.fleet.resumable_services
+            ),
+        )
         if config.proxy is not None:
             await self.proxy_server.start(config.proxy.host, config.proxy.port)
         await self.ingress.start(config.callers.host, config.callers.port)
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -35,6 +35,7 @@
 from bulrushhold.decisions._fairshares import allocate
 from bulrushhold.decisions._homes import home_address
 from bulrushhold.decisions._homes import next_home_address
+from bulrushhold.decisions._incarnations import Incarnations
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._listcopy import BackendList
 from bulrushhold.decisions._listcopy import EntryList
@@ -162,6 +163,7 @@
     'FlowState',
     'GapEstimate',
     'HedgingPolicy',
+    'Incarnations',
     'KnownVersions',
     'LatencyObjective',
     'Lifecycle',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -12,6 +12,7 @@
 from bulrushhold.decisions import _datacentrefailures
 from bulrushhold.decisions import _enginelosses
 from bulrushhold.decisions import _enginespeeds
+from bulrushhold.decisions import _incarnations
 from bulrushhold.decisions import _reachability
 from bulrushhold.decisions import _rejections
 from bulrushhold.decisions import _serverdemands
@@ -73,6 +74,7 @@
         self.speeds = _enginespeeds.EngineSpeeds()
         self.versions = _versionsplit.VersionSplit(random.Random())
         self.known_versions = _versionhistory.KnownVersions()
+        self.incarnations = _incarnations.Incarnations()
         self.demands = _serverdemands.ServerDemands()
         self.losses = _enginelosses.EngineLosses(self._addresses_at)
         self.reachability = _reachability.Reachability(random.Random())
@@ -116,6 +118,7 @@
             del self.silent_since[ident]
         self.demands.retain(backends.keys())
         self.rejections.retain(backends.keys())
+        self.incarnations.retain(backends.keys())
         self.server_speeds.update(
             {ident: backend.service for ident, backend in backends.items()}
         )
--- a/src/bulrushhold/forwarding/_context.py
+++ b/src/bulrushhold/forwarding/_context.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding import _retrypool
 from bulrushhold.forwarding import _running
 from bulrushhold.forwarding import _scheduling
+from bulrushhold.forwarding import _versionchecks
 from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import routes
@@ -34,6 +35,7 @@
     :param scheduling: decides on streams of services with ordered admission.
     :ivar running: the requests that end as they become blocked.
     :ivar probes: liveness probes of engines.
+    :ivar version_checks: whether engines run the version that is listed.
     """
 
     placement: decisions.Placement
@@ -58,6 +60,7 @@
     )
     running: _running.RunningRequests = attrs.field(init=False)
     probes: _liveness.LivenessProbes = attrs.field(init=False)
+    version_checks: _versionchecks.VersionChecks = attrs.field(init=False)
 
     @running.default
     def _make_running(self) -> _running.RunningRequests:
@@ -67,6 +70,12 @@
     def _make_probes(self) -> _liveness.LivenessProbes:
         return _liveness.LivenessProbes(self.client)
 
+    @version_checks.default
+    def _make_version_checks(self) -> _versionchecks.VersionChecks:
+        return _versionchecks.VersionChecks(
+            self.client, self.placement, self.clock
+        )
+
     def __attrs_post_init__(self) -> None:
         self.placement.on_replaced = self.confirm_crash
         self.placement.on_answering_again = self._clear_silence
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -66,6 +66,7 @@
         self.response: calls.BackendResponse | None = None
         self.send_task: asyncio.Future[calls.BackendResponse] | None = None
         self.received_event = False
+        self.closed = False
         self.renewal: asyncio.Task[None] | None = None
         self.speeds = stream.context.placement.speeds
         self.started_at = stream.context.clock()
@@ -135,6 +136,7 @@
 
     def close(self) -> None:
         """Close the connection, so that the engine stops generating."""
+        self.closed = True
         self.read_monitor.cancel()
         if self.send_task is not None:
             self._cancel_send(self.send_task)
@@ -447,11 +449,30 @@
         job, version = self.stream.job, self.engine.version
         if self.engines.version is None:
             self.engines.version = version
-            if job.route.resumable:
-                _resumption.record_origin(
-                    self.context, job, job.call.ident, version
+            if job.route.repeatable:
+                self.engines.version_check = asyncio.ensure_future(
+                    self._check_version(self.context.clock())
                 )
 
+    async def _check_version(self, began_at: float) -> bool:
+        """Record which version began the stream; return whether it is known.
+
+        The list may still show the version of the engine's former process.
+        """
+        job = self.stream.job
+        version = await self.context.version_checks.version_that_began(
+            self.engine, began_at, lambda: not self.closed
+        )
+        if version is None:
+            _context.log(job, 'version not known', engine=self.engine.ident)
+            return False
+        self.engines.version = version
+        if job.route.resumable:
+            _resumption.record_origin(
+                self.context, job, job.call.ident, version
+            )
+        return True
+
     async def _next_chunk(self, response: calls.BackendResponse) -> bytes:
         silence = _liveness.SilenceTimer(self.context.clock)
         while True:
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -1,5 +1,6 @@
 """Chooses the engines of one stream."""
 
+import asyncio
 import typing as t
 
 import attrs
@@ -23,6 +24,8 @@
     :ivar run_limit: bounds the engines that run the stream.
     :ivar version: version that made the events which the caller has; ``None``
         while it has none. What two versions write doesn't fit together.
+    :ivar version_check: finds out whether ``version`` is right; ``None`` if
+        that is known.
     :ivar unlisted: idents of granted engines that this entry doesn't know.
     :ivar lost_data_centre: data centre of the engine that was lost last.
     """
@@ -36,6 +39,7 @@
         self.run_limit = _runlimit.RunLimit(job.route.max_attempts)
         self.unlisted: set[str] = set()
         self.version = job.version
+        self.version_check: asyncio.Task[bool] | None = None
         self.created_at = context.clock()
         self.lost_data_centre = ''
         prompt = job.call.prompt
@@ -85,6 +89,20 @@
             return attrs.evolve(choice, reason=reason)
         return choice
 
+    async def version_is_known(self) -> bool:
+        """Return whether ``version`` is the one that began the stream."""
+        return self.version_check is None or await self.version_check
+
+    async def may_resume_at(self, engine: decisions.BackendServer) -> bool:
+        """Return whether an engine is known to run the stream's version.
+
+        Any engine may begin a stream.
+        """
+        if self.version is None:
+            return True
+        checks = self.context.version_checks
+        return await checks.runs_listed_version(engine)
+
     def version_is_gone(self) -> bool:
         """Return whether no engine has the version that began the stream.
 
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -120,6 +120,17 @@
         """Advertise the share of its usual callers that this entry wants."""
         self.own_entry = attrs.evolve(self.own_entry, load_factor=factor)
 
+    def resumable_services(self) -> set[str]:
+        """Return the services whose streams may go on at other engines."""
+        if self.index is None:
+            return set()
+        return {
+            target.service
+            for route in self.index.map.routes
+            if route.kind is routes.Kind.STREAM and route.repeatable
+            for target in route.targets
+        }
+
     def entry_count(self) -> int:
         """Return the number of entries, including this one."""
         return max(1, len(self.entries))
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -73,6 +73,12 @@
         """Check whether a process has ended, without a request."""
         return await self.client.has_ended(address, timeout, instance)
 
+    async def read_start(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> int | None:
+        """Read when a process started, which takes no slot."""
+        return await self.client.read_start(address, timeout, instance)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_proxyhandler.py
+++ b/src/bulrushhold/forwarding/_proxyhandler.py
@@ -104,6 +104,9 @@
             case messages.ProxiedEndCheck(address, timeout, instance):
                 ended = await client.has_ended(address, timeout, instance)
                 return messages.ProxyAnswer(ended)
+            case messages.ProxiedStartRead(address, timeout, instance):
+                started = await client.read_start(address, timeout, instance)
+                return messages.ProxyAnswer(True, started_ms=started)
             case messages.ProxiedSegmentsRead(address, timeout):
                 segments = await client.cached_segments(address, timeout)
                 return messages.ProxyAnswer(True, segments)
--- a/src/bulrushhold/forwarding/_proxyingclient.py
+++ b/src/bulrushhold/forwarding/_proxyingclient.py
@@ -203,6 +203,18 @@
 
         return await self._proxy(self._service_at(server), server, ask)
 
+    async def read_start(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> int | None:
+        """Read a start; see :meth:`calls.BackendClient.read_start`."""
+        if not self.monitor.is_cut_off(self._service_at(address)):
+            return await self.direct.read_start(address, timeout, instance)
+        question = messages.ProxiedStartRead(address, timeout, instance)
+        answer = await self._ask(address, question, timeout)
+        if not answer.success:
+            raise errors.BackendError('no response', 'probe', address)
+        return answer.started_ms
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -30,6 +30,8 @@
 # Interval at which a stream that has begun asks again for an engine, while
 # none can be reached.
 CUT_OFF_RETRY_S: t.Final = 0.25
+# Time in which a list shows what an engine runs, or another engine is found.
+MAX_VERSION_UNKNOWN_S: t.Final = 1.5
 # If a prompt exceeds the memory of all engines, a retry succeeds only after
 # larger ones were added.
 TOO_LARGE_RETRY_S: t.Final = 60.0
@@ -73,6 +75,7 @@
         self.event_id_before = self.last_event_id
         self.tracked: _running.RunningRequest | None = None
         self.limit = ''
+        self.version_unknown_since = float('inf')
 
     async def run(self) -> calls.Reply | None:
         """Return a reply, or ``None`` if the response was streamed.
@@ -114,6 +117,15 @@
                     choice.retry_after_s,
                     limit='no engine',
                 )
+            if not await self.engines.may_resume_at(engine):
+                if await self._leave_out(engine):
+                    continue
+                return self._end_incomplete(
+                    'no engine is known to run its version',
+                    engine.ident,
+                    _context.RETRY_AFTER_S,
+                    limit='version',
+                )
             self.retry = _retries.record_sent(
                 self.context, self.job.service, self.retry
             )
@@ -131,6 +143,13 @@
                 lost.event_id_before = last
                 await _lossrecord.check_reachable(self.context, engine, lost)
                 self._record_loss(engine, lost)
+                if not await self.engines.version_is_known():
+                    return self._end_incomplete(
+                        'the version that began the stream is unknown',
+                        peer,
+                        None,
+                        limit='version',
+                    )
                 # A stream that has begun is resumed at once.
                 if lost.crashed and not self.caller_stream.headers_sent:
                     await _blocks.wait_for_crash_reports(self.job)
@@ -376,6 +395,32 @@
             self.rejections, begun=self.caller_stream.headers_sent
         )
 
+    async def _leave_out(self, engine: decisions.BackendServer) -> bool:
+        """Try all others before an engine whose version isn't known.
+
+        Returns whether to go on: a caller that has no event from here may
+        better come back.
+        """
+        _context.log(
+            self.job,
+            'engine not used',
+            engine=engine.ident,
+            reason='its version is not known',
+            version=self.engines.version,
+        )
+        now = self.context.clock()
+        self.version_unknown_since = min(self.version_unknown_since, now)
+        unknown_s = now - self.version_unknown_since
+        if not self.caller_stream.headers_sent and (
+            unknown_s > MAX_VERSION_UNKNOWN_S
+        ):
+            return False
+        self.engines.tried.add(engine.ident)
+        if not self.engines.untried():
+            await asyncio.sleep(CUT_OFF_RETRY_S)
+            self.engines.tried.clear()
+        return True
+
     async def _wait_for_engine(self) -> bool:
         """Return whether to look for an engine again, as there is none now.
 
--- /dev/null
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -0,0 +1,144 @@
+"""Checks that an engine runs the software version that is listed for it.
+
+Only a stream that goes on depends on it: two versions in one text can't be
+told from a whole answer.
+"""
+
+import asyncio
+import collections.abc as cabc
+import time
+import typing as t
+
+from bulrushhold import calls
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold.forwarding import _liveness
+from bulrushhold import node
+
+WATCH_INTERVAL_S: t.Final = 0.2
+# Engines asked at a time as they are listed.
+WATCH_BATCH: t.Final = 8
+RETRY_INTERVAL_S: t.Final = 0.2
+# Time after the list must show a stream's engine to find out its version.
+MAX_DELAY_S: t.Final = 2.0
+
+
+class VersionChecks:
+    """Asks engines when their processes started, and compares with the list.
+
+    :param clock: monotonic time in seconds.
+    :param unix_clock: the time of day.
+    """
+
+    def __init__(
+        self,
+        client: calls.BackendClient,
+        placement: decisions.Placement,
+        clock: cabc.Callable[[], float],
+        unix_clock: cabc.Callable[[], float] = time.time,
+    ) -> None:
+        self.client = client
+        self.placement = placement
+        self.clock = clock
+        self.unix_clock = unix_clock
+        self.pending: dict[str, asyncio.Future[bool]] = {}
+
+    async def watch(
+        self, list_services: cabc.Callable[[], cabc.Iterable[str]]
+    ) -> None:
+        """Get to know engines as they are listed, forever.
+
+        :param list_services: returns the services whose streams may go on.
+        """
+        while True:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            starts = self.placement.incarnations.starts
+            unknown = [
+                engine
+                for service in list_services()
+                for engine in self.placement.services.get(service, ())
+                if engine.ident not in starts
+            ]
+            await asyncio.gather(
+                *map(self.runs_listed_version, unknown[:WATCH_BATCH])
+            )
+
+    async def runs_listed_version(
+        self, engine: decisions.BackendServer
+    ) -> bool:
+        """Return whether an engine is known to run its listed version.
+
+        It is if it states no start, as under a protocol without restarts.
+        """
+        check = self.pending.get(engine.ident)
+        if check is None:
+            check = asyncio.ensure_future(self._check(engine))
+            self.pending[engine.ident] = check
+            check.add_done_callback(lambda _: self.pending.pop(engine.ident))
+        return await asyncio.shield(check)
+
+    async def _check(self, engine: decisions.BackendServer) -> bool:
+        try:
+            started_ms = await self.client.read_start(
+                engine.address, _liveness.PROBE_TIMEOUT_S, engine.ident
+            )
+        except errors.BackendError:
+            return False
+        if started_ms is None:
+            return True
+        incarnations = self.placement.incarnations
+        if incarnations.record(engine.ident, started_ms, self.clock()):
+            node.log_decision(
+                'engine started again',
+                engine=engine.ident,
+                version=engine.version,
+                started_ms=started_ms,
+            )
+        return self._is_current(engine) and incarnations.is_listed(
+            engine.ident, self._listed_at(), self.unix_clock()
+        )
+
+    def _known_since(self, engine: decisions.BackendServer) -> float:
+        """Return since when an engine's process is known to be the same."""
+        start = self.placement.incarnations.starts.get(engine.ident)
+        return start.seen_at if start is not None else float('-inf')
+
+    def _is_current(self, engine: decisions.BackendServer) -> bool:
+        listed = self.placement.backends.get(engine.ident)
+        return listed is not None and listed.version == engine.version
+
+    def _listed_at(self) -> float:
+        return self.placement.known_versions.listed_at
+
+    async def version_that_began(
+        self,
+        engine: decisions.BackendServer,
+        began_at: float,
+        is_running: cabc.Callable[[], bool],
+    ) -> str | None:
+        """Return the version that began a stream; ``None`` if it is unknown.
+
+        The engine tells at once if its process is known. Otherwise a list
+        tells that is new enough to show the engine as it was.
+
+        :param began_at: when the first event arrived.
+        :param is_running: whether the engine has sent events since then
+            without interruption.
+        """
+        incarnations = self.placement.incarnations
+        latest = began_at + incarnations.max_lag_s + MAX_DELAY_S
+        while True:
+            if await self.runs_listed_version(engine) and (
+                is_running() or self._known_since(engine) <= began_at
+            ):
+                return engine.version
+            if incarnations.shows(self._listed_at(), began_at):
+                listed = self.placement.backends.get(engine.ident)
+                if listed is None:
+                    return None
+                # It may have started again since the stream was lost.
+                is_same = listed.version == engine.version
+                return listed.version if is_same or is_running() else None
+            if self.clock() >= latest:
+                return None
+            await asyncio.sleep(RETRY_INTERVAL_S)
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -80,6 +80,7 @@
 from bulrushhold.messages._peerproxy import ProxiedHead
 from bulrushhold.messages._peerproxy import ProxiedProbe
 from bulrushhold.messages._peerproxy import ProxiedSegmentsRead
+from bulrushhold.messages._peerproxy import ProxiedStartRead
 from bulrushhold.messages._peerproxy import ProxyAnswer
 from bulrushhold.messages._peerproxy import ProxyFailure
 from bulrushhold.messages._peerproxy import ProxyFailureKind
@@ -207,6 +208,7 @@
     'ProxiedHead',
     'ProxiedProbe',
     'ProxiedSegmentsRead',
+    'ProxiedStartRead',
     'ProxyAnswer',
     'ProxyFailure',
     'ProxyFailureKind',
--- a/src/bulrushhold/messages/_codec.py
+++ b/src/bulrushhold/messages/_codec.py
@@ -92,6 +92,7 @@
     _peerproxy.ProxiedProbe,
     _peerproxy.ProxiedConnect,
     _peerproxy.ProxiedEndCheck,
+    _peerproxy.ProxiedStartRead,
     _peerproxy.ProxiedSegmentsRead,
     _peerproxy.ProxiedCopy,
     _peerproxy.ProxiedCopyDrop,
--- a/src/bulrushhold/messages/_peerproxy.py
+++ b/src/bulrushhold/messages/_peerproxy.py
@@ -81,6 +81,15 @@
     instance: str = ''
 
 
+@attrs.frozen
+class ProxiedStartRead:
+    """Asks an entry when an engine's process started."""
+
+    address: str
+    timeout: float
+    instance: str = ''
+
+
 @attrs.frozen
 class ProxiedSegmentsRead:
     """Asks an entry for the prompt segments that an engine has cached."""
@@ -113,8 +122,10 @@
     """Answer to all requests above but :class:`ProxiedAttempt`.
 
     :param success: whether the server responded as expected.
+    :param started_ms: see :meth:`calls.BackendClient.read_start`.
     """
 
     success: bool
     segments: frozenset[str] = frozenset()
     copy: calls.RunCopy | None = None
+    started_ms: int | None = None
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -159,6 +159,7 @@
     :param cpu_share: share of a core that it may use; 0 if not bounded.
     :param weight: capacity of the instance for callers, relative to others.
     :param has_disk: whether the instance runs control too.
+    :param list_lag_s: time after which the platform's list shows a change.
     """
 
     name: str = attrs.field(validator=_NAME)
@@ -180,6 +181,7 @@
     cpu_share: float = attrs.field(default=0.0, validator=_NOT_NEGATIVE)
     weight: float = attrs.field(default=1.0, validator=_POSITIVE)
     has_disk: bool = False
+    list_lag_s: float = attrs.field(default=1.0, validator=_NOT_NEGATIVE)
 
 
 _Role = t.TypeVar('_Role', Entry, Control, Forwarding)
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -194,6 +194,25 @@
             self._report_oversized(error, address)
             return False
 
+    async def read_start(
+        self, address: str, timeout: float, instance: str = ''
+    ) -> int | None:
+        """Read a start; see :meth:`calls.BackendClient.read_start`."""
+        url = yarl.URL(f'http://{address}{self.dialect.probe_path()}')
+        try:
+            async with asyncio.timeout(timeout):
+                async with self.pooled.get(
+                    url, headers=self.dialect.probe_headers(instance)
+                ) as response:
+                    body = await _bodies.read_whole(response, MAX_REPORT_BYTES)
+                    found = self.dialect.decode_instance(response.headers)
+                    status = response.status
+        except (TimeoutError, *_HTTP_ERRORS) as error:
+            raise self.to_error(error, 'probe', address) from error
+        if status != 200 or (instance and found and found != instance):
+            raise errors.BackendError(f'status {status}', 'probe', address)
+        return self.dialect.decode_start(body)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -114,6 +114,7 @@
         self.segment_lookups = []
         self.opened = []
         self.probe_delay_s = 0.0
+        self.starts = {}
         self.on_reset = lambda address: None
         self.on_oversized = lambda address, byte_count, reason: None
 
@@ -143,6 +144,15 @@
         is_other = bool(instance) and address in self.replaced
         return self._answers(address) and not is_other
 
+    async def read_start(self, address, timeout, instance=''):
+        if not self.starts:
+            return None
+        if not self._answers(address) or not await self.probe(
+            address, timeout, instance
+        ):
+            raise errors.BackendError('no answer', 'probe', address)
+        return self.starts.get(address)
+
     async def accepts_connections(self, address, timeout):
         return address not in self.dead
 
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from bulrushhold import decisions
 from bulrushhold.forwarding import _enginechooser
 from bulrushhold.forwarding import _retries
 from bulrushhold import messages
@@ -177,3 +178,147 @@
     assert placement.backends['e0'].version == 'v2'
     placement.update([attrs.evolve(engine, leaving=True)])
     assert placement.backends['e0'].version == 'v2'
+
+
+# Engines that start again under their idents
+
+
+START_MS = 1_700_000_000_000
+
+
+@pytest.fixture
+def restarting(client, context, placement):
+    """Engines that have stated their starts, as a list that is new shows."""
+    for backend in placement.backends.values():
+        client.starts[backend.address] = START_MS
+        placement.incarnations.record(backend.ident, START_MS, 0.0)
+    placement.known_versions.listed_at = context.clock()
+    context.version_checks.unix_clock = lambda: START_MS / 1000
+    return placement
+
+
+def restart_as(client, placement, listed_version):
+    """Start each engine of a version again, with software unknown so far."""
+    for backend in placement.backends.values():
+        if backend.version == listed_version:
+            client.starts[backend.address] += 1000
+
+
+async def run_stream(context):
+    return await fakes.run_stream(context, segment='p', timeout_s=2.0)
+
+
+@pytest.mark.parametrize('restarts', [False, True])
+async def test_a_stream_does_not_go_on_at_an_engine_that_started_again(
+    client, context, restarting, version_of, restarts
+):
+    # Guards against one answer with events of two versions of one engine.
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(3,)),
+    ]
+
+    def on_reset(address):
+        if restarts:
+            for version in ('v1', 'v2'):
+                restart_as(client, restarting, version)
+
+    client.on_reset = on_reset
+    caller, _ = await run_stream(context)
+    events = (1, 2) if restarts else (1, 2, 3)
+    assert caller.data == fakes.encode_events(*events)
+    assert len({version_of(attempt) for attempt in client.attempts}) == 1
+
+
+async def test_a_stream_goes_on_once_the_list_shows_the_new_start(
+    client, context, restarting
+):
+    # Guards against engines that get no streams after a restart.
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(3,)),
+    ]
+
+    def on_reset(address):
+        for version in ('v1', 'v2'):
+            restart_as(client, restarting, version)
+        asyncio.get_running_loop().call_later(
+            0.5, setattr, restarting.known_versions, 'listed_at', float('inf')
+        )
+
+    client.on_reset = on_reset
+    caller, _ = await run_stream(context)
+    assert caller.data == fakes.encode_events(1, 2, 3)
+
+
+async def test_an_unnoticed_restart_gives_a_stream_no_wrong_origin(
+    client, context, restarting
+):
+    # Guards against a stream that is resumed at the version listed before.
+    for version in ('v1', 'v2'):
+        restart_as(client, restarting, version)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset'),
+        fakes.Script(events=(3,)),
+    ]
+    context.placement.incarnations.max_lag_s = 0.2
+    caller, _ = await fakes.run_stream(context, segment='p', timeout_s=3.0)
+    assert caller.data == fakes.encode_events(1, 2)
+    assert context.origins.store.entries == {}
+
+
+async def test_a_list_tells_the_version_of_a_stream_whose_engine_is_lost(
+    client, context, restarting, version_of
+):
+    # Guards against streams that end as their engine is lost at once.
+    restarting.incarnations.starts.clear()
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='crash'),
+        fakes.Script(events=(3,)),
+    ]
+    loop = asyncio.get_running_loop()
+    loop.call_later(
+        0.3, setattr, restarting.known_versions, 'listed_at', float('inf')
+    )
+    caller, _ = await run_stream(context)
+    assert caller.data == fakes.encode_events(1, 2, 3)
+    assert len({version_of(attempt) for attempt in client.attempts}) == 1
+
+
+async def test_engines_that_answer_no_probe_delay_no_new_stream(
+    client, context, restarting
+):
+    # Guards against new streams that wait for what only others need.
+    restarting.incarnations.starts.clear()
+    client.silent.update(b.address for b in restarting.backends.values())
+    client.scripts = [fakes.Script(events=(1, 2))]
+    caller, _ = await run_stream(context)
+    assert caller.data == fakes.encode_events(1, 2)
+
+
+def test_a_start_is_listed_once_a_list_is_new_enough():
+    starts = decisions.Incarnations()
+    starts.max_lag_s = 0.8
+    unix_now = START_MS / 1000 + 10
+    assert not starts.record('e1', START_MS, 5.0)
+    assert not starts.record('e1', START_MS, 9.0)
+    assert not starts.is_listed('e1', 6.0, unix_now)
+    assert starts.is_listed('e1', 6.2, unix_now)
+    assert starts.record('e1', START_MS + 1, 10.0)
+    assert not starts.is_listed('e1', 6.2, unix_now)
+    assert starts.is_listed('e1', 6.2, unix_now + 60)
+    assert not starts.is_listed('other', 6.2, unix_now)
+
+
+async def test_engines_are_asked_as_they_are_listed(
+    client, context, placement
+):
+    for backend in placement.backends.values():
+        client.starts[backend.address] = START_MS
+    watch = asyncio.ensure_future(
+        context.version_checks.watch(lambda: ['engines'])
+    )
+    async with asyncio.timeout(5):
+        while len(placement.incarnations.starts) < len(placement.backends):
+            await asyncio.sleep(0.01)
+    watch.cancel()
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import time
 
 import aiohttp
 from aiohttp import web
@@ -12,6 +13,8 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 EVENT_COUNT = 40
 EVENT_INTERVAL_S = 0.01
+# The platform's list shows what an engine runs now this much later.
+LIST_LAG_S = 0.7
 STREAM_PATH = '/stream/'
 UNSAFE_PATH = '/once/'
 SAFE_PATH = '/read/'
@@ -109,6 +112,8 @@
         self.work_s = None
         self.statements = {}
         self.down_s = 0.0
+        self.born_ms = round(time.time() * 1000)
+        self.listed_version = None
         self.proxy = Proxy()
 
     async def start(self):
@@ -127,14 +132,24 @@
         await self.proxy.stop()
         await self.runner.cleanup()
 
-    def crash(self):
+    def crash(self, *, keeps_ident=False):
         """Drop all requests and copies and start a new incarnation."""
         self.proxy.reset()
         address = self.proxy.address
         self.observations.copies = {
             c for c in self.observations.copies if c[0] != address
         }
-        self.ident = f'i-{next(self.incarnations)}'
+        self.born_ms = round(time.time() * 1000)
+        if not keeps_ident:
+            self.ident = f'i-{next(self.incarnations)}'
+
+    def upgrade_in_place(self, version):
+        """Crash, and be back under the same ident; the list tells it late."""
+        self.crash(keeps_ident=True)
+        self.listed_version = self.listed_version or self.version
+        self.version = version
+        loop = asyncio.get_running_loop()
+        loop.call_later(LIST_LAG_S, setattr, self, 'listed_version', None)
 
     def restart(self, version):
         """Crash, and be back with a version at the same address."""
@@ -148,7 +163,7 @@
             'service': self.service,
             'address': self.proxy.address,
             'zone': self.zone,
-            'config-version': self.version,
+            'config-version': self.listed_version or self.version,
             'slots': 16,
             'state': 'draining' if self.draining else 'ready',
         }
@@ -156,7 +171,7 @@
     async def handle(self, request):
         ident = request.headers.get('Bulrushhold-Request-Id', '')
         if request.path == '/bulrushhold/report':
-            return web.json_response({'running': 0})
+            return web.json_response({'running': 0, 'born': self.born_ms})
         if request.path == '/bulrushhold/kv-move':
             payload = await request.json()
             self.observations.copies.add((payload['target'], payload['id']))
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -310,6 +310,25 @@
         forwarding.EventSplitter().feed(b'id: %d\n\n' % event_id)
 
 
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [(b'{"born":1700000000000}', 1_700_000_000_000), (b'{"running":0}', None)],
+)
+def test_the_start_of_a_process_is_decoded(body, expected):
+    engines = _enginedialect.PlatformEngineDialect()
+    assert engines.decode_start(body) == expected
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{"born":"x"}', b'{"born":1.5}', b'{"born":true}']
+)
+def test_a_malformed_start_is_rejected(body):
+    # Guards against an engine that passes for one without restarts.
+    engines = _enginedialect.PlatformEngineDialect()
+    with pytest.raises(errors.BackendError):
+        engines.decode_start(body)
+
+
 # Backend list
 
 ITEM = {
--- a/tests/platform/test_version_processes.py
+++ b/tests/platform/test_version_processes.py
@@ -210,6 +210,15 @@
             await engine.proxy.go_down(0.2 * self.rng.random())
             await asyncio.sleep(0.5)
 
+    async def _upgrade_in_place(self, deadline):
+        while time.monotonic() < deadline:
+            engine = self.rng.choice(self.engines)
+            engine.upgrade_in_place(
+                'v1' if engine.version == 'v1.1' else 'v1.1'
+            )
+            await engine.proxy.go_down(0.2 * self.rng.random())
+            await asyncio.sleep(0.5)
+
     async def _crash_into_other_version(self, deadline):
         await self._crash(deadline, other_version=True)
 
@@ -271,7 +280,9 @@
     await check_versions_are_kept(tmp_path, 'drain', 0.7)
 
 
-@pytest.mark.parametrize('fault', ['crash', 'crash_into_other_version'])
+@pytest.mark.parametrize(
+    'fault', ['crash', 'crash_into_other_version', 'upgrade_in_place']
+)
 async def test_streams_keep_their_version_after_crashes(tmp_path, fault):
     # Guards against one answer with events of two versions.
     await check_versions_are_kept(tmp_path, fault, 0.0)
