A list that arrives slowly is as old as its request

Cause: the time at which a list was read was that of its arrival. The list may be as the provider had it when it was requested, up to a second earlier; an engine's start was then taken as listed by a list that is older.

Change: a list counts as read at most 0.3 s after its request, the time that the comparison with an engine's start allows for; responses within that time count as before.

Test: test_a_slow_list_is_as_old_as_its_request; one of its cases failed before.

--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -137,7 +137,7 @@
             self.view.notify()
 
     async def _read_list(self) -> None:
-        term = self.server.replica.term
+        term, started_at = self.server.replica.term, self._now()
         try:
             async with asyncio.timeout(LIST_TIMEOUT_S):
                 backends = await self.source.fetch()
@@ -150,7 +150,10 @@
             # The new term's leader may give its versions to other lists.
             return
         view = self.view
-        view.backends_read_at = self._now()
+        # A slow response may hold the list as it was when it was requested.
+        view.backends_read_at = min(
+            self._now(), started_at + decisions.LIST_MARGIN_S
+        )
         if backends == view.backends and view.backends_version.startswith(
             f'{term}.'
         ):
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -36,6 +36,7 @@
 from bulrushhold.decisions._homes import home_address
 from bulrushhold.decisions._homes import next_home_address
 from bulrushhold.decisions._incarnations import Incarnations
+from bulrushhold.decisions._incarnations import LIST_MARGIN_S
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._listcopy import BackendList
 from bulrushhold.decisions._listcopy import EntryList
@@ -164,6 +165,7 @@
     'GapEstimate',
     'HedgingPolicy',
     'Incarnations',
+    'LIST_MARGIN_S',
     'KnownVersions',
     'LatencyObjective',
     'Lifecycle',
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -388,6 +388,7 @@
             pause = max(1.0, self.entry_count() / LIST_CALLS_PER_S)
             if time.monotonic() - self.backends_read_at < LIST_MAX_AGE_S:
                 continue
+            started_at = time.monotonic()
             try:
                 async with asyncio.timeout(LIST_TIMEOUT_S):
                     backends = await self.backend_list.fetch()
@@ -398,7 +399,9 @@
                 continue
             self.backends_version = ''
             self._apply_backends(decisions.BackendList.of(backends))
-            self.placement.known_versions.on_own_list(time.monotonic())
+            self.placement.known_versions.on_own_list(
+                min(time.monotonic(), started_at + decisions.LIST_MARGIN_S)
+            )
 
     # Directory for callers
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -201,6 +201,24 @@
     assert versions.window_s == 10.0
 
 
+@pytest.mark.parametrize(('delay_s', 'age_s'), [(0.1, 0.0), (0.8, 0.5)])
+async def test_a_slow_list_is_as_old_as_its_request(delay_s, age_s):
+    # Guards against versions that a slow response shows as they were.
+    server = test_core.FakeServer()
+    now = [100.0]
+    server.clock = lambda: now[0]
+
+    class SlowBackends(test_core.FakeBackends):
+        async def fetch(self):
+            now[0] += delay_s
+            return await super().fetch()
+
+    fleet = control.FleetControl(server, 'dc', SlowBackends())
+    await fleet.leader._read_list()
+    read_at = fleet.view.backends_read_at
+    assert now[0] - read_at == pytest.approx(age_s)
+
+
 async def test_entries_learn_the_recorded_versions(fleet):
     for entry in fleet.entries.values():
         known = entry.placement.known_versions
