--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -3,13 +3,15 @@
 import asyncio
 import contextlib
 import itertools
-import json
+import random
 import time
 
 import aiohttp
 from aiohttp import web
 import attrs
 
+from tests.platform.soak import badinput
+
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 EVENT_COUNT = 40
 EVENT_INTERVAL_S = 0.01
@@ -299,10 +301,14 @@
 
 
 class PlatformListServer:
-    """Serves the platform list, with a delay and an invalid item."""
+    """Serves the platform list, with a delay and unreadable items.
+
+    :param rng: draws the unreadable items of each response.
+    """
 
-    def __init__(self, engines):
+    def __init__(self, engines, rng=None):
         self.engines = engines
+        self.rng = rng or random.Random(1)
         self.delay_s = 0.3
 
     async def start(self):
@@ -321,9 +327,8 @@
     async def _list(self, request):
         items = [engine.to_json() for engine in self.engines]
         await asyncio.sleep(self.delay_s)
-        items.append({'id': 7, 'state': 'odd'})
-        body = json.dumps({'instances': items, 'next': None})
-        return web.Response(text=body, content_type='application/json')
+        body = badinput.encode_list(items, self.rng)
+        return web.Response(body=body, content_type='application/json')
 
 
 class Proxy:
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -11,9 +11,11 @@
 import attrs
 import yarl
 
+from tests.platform.soak import badinput
 from tests.platform.soak import demands
 from tests.platform.soak import fakes
 from tests.platform.soak import isolation
+from tests.platform.soak import losses
 from tests.platform.soak import poison
 from tests.platform.soak import routemap
 from tests.platform.soak import silences
@@ -22,7 +24,8 @@
 
 API_KEY = routemap.API_KEY
 MODEL_ENGINES = 6
-VERSIONS = ('v1', 'v1.1')
+# They differ in punctuation only.
+VERSIONS = ('v1-1', 'v1.1')
 PLAIN_SERVERS = 3
 REQUEST_TIMEOUT_S = 12.0
 PLAIN_TIMEOUT_S = 3.0
@@ -96,7 +99,9 @@
     async def execute(self):
         for engine in self.engines:
             await engine.start()
-        platform_list = fakes.PlatformListServer(self.engines)
+        platform_list = fakes.PlatformListServer(
+            self.engines, random.Random(f'list {self.report.seed}')
+        )
         await platform_list.start()
         self.system = self._make_system(
             self.folder, platform_list.address, self.network_number
@@ -154,11 +159,23 @@
             self.version_rng, self.session, self.system, API_KEY, self.report
         )
         resumers = asyncio.ensure_future(resuming_callers.run(deadline))
+        loss = asyncio.ensure_future(
+            losses.lose_all(random.Random(f'loss {self.report.seed}'), self)
+        )
+        bad_callers = asyncio.ensure_future(self._send_bad_requests(deadline))
         while time.monotonic() < deadline:
             self._start_task(self._send_request())
             await asyncio.sleep(self.rng.expovariate(25))
         await asyncio.gather(
-            operator, faults, demanding, cuts, silent, poisoners, resumers
+            operator,
+            faults,
+            demanding,
+            cuts,
+            silent,
+            poisoners,
+            resumers,
+            loss,
+            bad_callers,
         )
 
     async def _check_recovery(self):
@@ -228,6 +245,18 @@
                 data = await response.read()
                 self._check_response(kind, ident, target, body, response, data)
 
+    async def _send_bad_requests(self, deadline):
+        rng = random.Random(f'bad {self.report.seed}')
+        while time.monotonic() < deadline:
+            await asyncio.sleep(rng.expovariate(5))
+            entry = rng.choice(self.system.programs_with_role('entry'))
+            url = self.system.url(entry, 'front', f'{fakes.STREAM_PATH}bad')
+            status = await badinput.send_bad_request(
+                self.session, yarl.URL(url, encoded=True), API_KEY, rng
+            )
+            if status not in (None, 400, 503):
+                self.report.violations.append(f'bad request: {status}')
+
     def _pick_prefix(self, kind, ident):
         """Return the prefix of a route of a kind for a request."""
         del ident
@@ -403,7 +432,11 @@
             if e.zone == zone and e.service == 's-model'
         ]
         for engine in crashed:
-            engine.restart(self.version_rng.choice(VERSIONS))
+            version = self.version_rng.choice(VERSIONS)
+            if self.version_rng.random() < 0.5:
+                engine.upgrade_in_place(version)
+            else:
+                engine.restart(version)
             engine.proxy.fault = 'refuse'
         await asyncio.sleep(self.rng.random())
         for engine in crashed:
