Version window: timeouts are read once for each route map

The leader looked at all routes ten times a second since the window follows shorter timeouts late. It keeps the longest timeout of the map now; the window is the same, test_streams_under_longer_timeouts_keep_their_version.

--- a/src/bulrushhold/control/_versions.py
+++ b/src/bulrushhold/control/_versions.py
@@ -29,6 +29,7 @@
         self.recorder = decisions.VersionRecorder()
         self.listed: dict[str, set[str]] = {}
         self.listed_version = ''
+        self.longest_s = DEFAULT_TIMEOUT_S
         self.window_s = 0.0
         self.window_ends_at = 0.0
         self.route_map = routes.RouteMap(0, [], [])
@@ -53,7 +54,7 @@
             **decisions.recorded_routes(recorded, self.route_map),
         }
         versions = self.recorder.next_versions(
-            recorded, listed, now, self.window_s or DEFAULT_TIMEOUT_S
+            recorded, listed, now, self.window_s
         )
         if versions == state.service_versions:
             return
@@ -80,12 +81,13 @@
         put = self.server.state.route_map
         if put is not None and put.version != self.route_map.version:
             self.route_map = messages.unpack_map(put.packed)
-        timeouts = [
-            route.timeout_s
-            for route in self.route_map.routes
-            if route.kind is routes.Kind.STREAM
-        ]
-        window_s = max(timeouts, default=DEFAULT_TIMEOUT_S) + LIST_MARGIN_S
+            timeouts = [
+                route.timeout_s
+                for route in self.route_map.routes
+                if route.kind is routes.Kind.STREAM
+            ]
+            self.longest_s = max(timeouts, default=DEFAULT_TIMEOUT_S)
+        window_s = self.longest_s + LIST_MARGIN_S
         if window_s >= self.window_s or now >= self.window_ends_at:
             self.window_s = window_s
             self.window_ends_at = now + window_s
