--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -15,6 +15,7 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 EVENT_COUNT = 40
 EVENT_INTERVAL_S = 0.01
+DEFAULT_VERSION = 'v1-1'
 # The platform's list shows what an engine runs now this much later.
 LIST_LAG_S = 0.7
 STREAM_PATH = '/stream/'
@@ -95,7 +96,9 @@
     draining = False
     handler_cancellation = False
 
-    def __init__(self, service, zone, observations, rng, version='v1'):
+    def __init__(
+        self, service, zone, observations, rng, version=DEFAULT_VERSION
+    ):
         self.service = service
         self.version = version
         self.plain_requests = 0
@@ -296,7 +299,7 @@
     return b'answer to ' + target.encode() + b' ' + body
 
 
-def encode_event(target, number, version='v1'):
+def encode_event(target, number, version=DEFAULT_VERSION):
     return f'id: {number}\ndata: {target} {number} {version}\n\n'.encode()
 
 
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -25,7 +25,7 @@
 API_KEY = routemap.API_KEY
 MODEL_ENGINES = 6
 # They differ in punctuation only.
-VERSIONS = ('v1-1', 'v1.1')
+VERSIONS = (fakes.DEFAULT_VERSION, 'v1.1')
 PLAIN_SERVERS = 3
 REQUEST_TIMEOUT_S = 12.0
 PLAIN_TIMEOUT_S = 3.0
--- a/tests/platform/test_rollout_processes.py
+++ b/tests/platform/test_rollout_processes.py
@@ -139,7 +139,7 @@
     assert rollout.state == 'rolled_back'
     assert rollout.states == {'rolled_back'}
     exposed = rollout.count_requests('v2')
-    received = exposed + rollout.count_requests('v1')
+    received = exposed + rollout.count_requests(fakes.DEFAULT_VERSION)
     assert exposed <= EXPOSURE_SHARE * received + EXPOSURE_SLACK
 
 
