--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -1,7 +1,7 @@
 """Checks that an engine runs the software version that is listed for it.
 
-Only a stream that goes on depends on it: two versions in one text can't be
-told from a whole answer.
+Only a stream that goes on depends on it: a text of two versions looks like a
+whole answer.
 """
 
 import asyncio
--- a/tests/platform/decoding.py
+++ b/tests/platform/decoding.py
@@ -20,6 +20,17 @@
 )
 
 
+# An item of the platform's list.
+ITEM = {
+    'id': 'i-1',
+    'service': 's-1',
+    'address': '10.0.0.1:80',
+    'zone': 'north',
+    'slots': 8,
+    'state': 'draining',
+}
+
+
 def decode_call(headers=HEADERS):
     return _callerdialect.PlatformCallerDialect().decode_call(
         'POST', '/a/b?c', headers, b''
--- a/tests/platform/soak/badinput.py
+++ b/tests/platform/soak/badinput.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import json
+import random
+import time
+
+import yarl
 
 UNREADABLE_ITEMS = (
     b'{"id":7,"state":"odd"}',
@@ -23,6 +27,7 @@
     b'Last-Event-Id: 18446744073709551616\r\nResumes: r',
     b'Resumes: \xff\xfe',
 )
+STREAM_TARGET = '/stream/bad'
 TIMEOUT_S = 3.0
 
 
@@ -56,3 +61,17 @@
                 writer.close()
     except (OSError, TimeoutError, IndexError):
         return None
+
+
+async def send_bad_requests(soak, key, deadline):
+    """Send requests to random entries, which must reject them at once."""
+    rng = random.Random(f'bad {soak.report.seed}')
+    while time.monotonic() < deadline:
+        await asyncio.sleep(rng.expovariate(5))
+        entry = rng.choice(soak.system.programs_with_role('entry'))
+        url = yarl.URL(soak.system.url(entry, 'front', '/'))
+        status = await send_bad_request(
+            f'{url.host}:{url.port}', STREAM_TARGET, key, rng
+        )
+        if status not in (None, 400, 503):
+            soak.report.violations.append(f'bad request: {status}')
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -162,7 +162,9 @@
         loss = asyncio.ensure_future(
             losses.lose_all(random.Random(f'loss {self.report.seed}'), self)
         )
-        bad_callers = asyncio.ensure_future(self._send_bad_requests(deadline))
+        bad_callers = asyncio.ensure_future(
+            badinput.send_bad_requests(self, API_KEY, deadline)
+        )
         while time.monotonic() < deadline:
             self._start_task(self._send_request())
             await asyncio.sleep(self.rng.expovariate(25))
@@ -245,21 +247,6 @@
                 data = await response.read()
                 self._check_response(kind, ident, target, body, response, data)
 
-    async def _send_bad_requests(self, deadline):
-        rng = random.Random(f'bad {self.report.seed}')
-        while time.monotonic() < deadline:
-            await asyncio.sleep(rng.expovariate(5))
-            entry = rng.choice(self.system.programs_with_role('entry'))
-            url = yarl.URL(self.system.url(entry, 'front', '/'))
-            status = await badinput.send_bad_request(
-                f'{url.host}:{url.port}',
-                f'{fakes.STREAM_PATH}bad',
-                API_KEY,
-                rng,
-            )
-            if status not in (None, 400, 503):
-                self.report.violations.append(f'bad request: {status}')
-
     def _pick_prefix(self, kind, ident):
         """Return the prefix of a route of a kind for a request."""
         del ident
--- /dev/null
+++ b/tests/platform/test_unreadable_input.py
@@ -0,0 +1,171 @@
+"""Input from outside that can't be used: rejected where it is decoded."""
+
+import json
+
+import pytest
+
+from adapter import _backendlist
+from adapter import _callerdialect
+from adapter import _enginedialect
+from adapter import _listpage
+from adapter import _operators
+from bulrushhold import decisions
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold import messages
+from tests.platform import decoding
+from tests.platform import test_translation
+
+ITEM = decoding.ITEM
+DOCUMENT = test_translation.DOCUMENT
+
+# Documents
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'config-version': 1 << 64},
+        {
+            'services': [
+                *DOCUMENT['services'],
+                {'name': 'more', 'max-conns': 1 << 64},
+            ]
+        },
+        {
+            'services': [
+                *DOCUMENT['services'],
+                {'name': 'more', 'engine': {'slots': -(1 << 64)}},
+            ]
+        },
+        {'limits': {'max-body-bytes': 1 << 70}},
+        {'tenants': [{'name': 'a', 'priority': 1 << 64}]},
+    ],
+)
+def test_a_document_that_cannot_be_stored_is_invalid(change):
+    # Guards against an operator who gets 500 for it at each control process.
+    document = {**DOCUMENT, **change}
+    with pytest.raises(errors.RouteMapError):
+        messages.pack_map(
+            _operators.read_document(json.dumps(document).encode())
+        )
+
+
+# Requests that can't be encoded in messages
+
+UNENCODABLE_HEADERS = [
+    ('Bulrushhold-Token-Counts', f'{1 << 64},80'),
+    ('Bulrushhold-Token-Counts', f'80,{1 << 64}'),
+    ('Bulrushhold-Prompt-Prefix', 'a\udcff:800'),
+    ('Bulrushhold-Request-Id', 'r\udcff'),
+    ('Bulrushhold-Credential', 'k\udcff'),
+    ('Host', 'h\udcff'),
+    ('Resumes', 'r\udcff'),
+    ('Last-Event-Id', str(1 << 64)),
+    ('Last-Event-Id', str(-(1 << 64))),
+]
+
+
+@pytest.mark.parametrize(('name', 'value'), UNENCODABLE_HEADERS)
+def test_a_request_that_no_message_can_hold_is_rejected(name, value):
+    # Guards against one request that ends the loop that reports the load.
+    headers = decoding.HEADERS.copy()
+    headers[name] = value
+    with pytest.raises(errors.RequestError) as caught:
+        decoding.decode_call(headers)
+    assert caught.value.status == 400
+    assert name in str(caught.value)
+
+
+def test_the_largest_prompts_fit_in_a_load_report():
+    # Guards against the same by the sum of all requests on an engine.
+    tokens = _callerdialect.MAX_TOKENS * 100_000
+    load = messages.EngineLoad(tokens, 100_000, 2 * tokens)
+    assert messages.encode(
+        messages.LoadReport('e1', {'i-1': load}, [], [], {})
+    )
+
+
+@pytest.mark.parametrize('handle', ['a\r\nX: y', 'a b', 'a\ud800', 'ä'])
+def test_a_handle_that_is_no_header_is_malformed(handle):
+    # Guards against a stream that fails as it goes on from a copy.
+    engines = _enginedialect.PlatformEngineDialect()
+    with pytest.raises(errors.BackendError):
+        engines.decode_copy_name(json.dumps({'handle': handle}).encode())
+
+
+@pytest.mark.parametrize('event_id', [1 << 63, -(1 << 64)])
+def test_an_event_id_that_no_message_can_hold_ends_its_stream(event_id):
+    # Guards against a stream that fails as it is resumed through an entry.
+    with pytest.raises(errors.BackendError):
+        forwarding.EventSplitter().feed(b'id: %d\n\n' % event_id)
+
+
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [(b'{"born":1700000000000}', 1_700_000_000_000), (b'{"running":0}', None)],
+)
+def test_the_start_of_a_process_is_decoded(body, expected):
+    engines = _enginedialect.PlatformEngineDialect()
+    assert engines.decode_start(body) == expected
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{"born":"x"}', b'{"born":1.5}', b'{"born":true}']
+)
+def test_a_malformed_start_is_rejected(body):
+    # Guards against an engine that passes for one without restarts.
+    engines = _enginedialect.PlatformEngineDialect()
+    with pytest.raises(errors.BackendError):
+        engines.decode_start(body)
+
+
+# The platform's list
+
+
+def encode_page(*items, following=b'"p-2"'):
+    valid = json.dumps(ITEM).encode()
+    texts = b',\n'.join([valid.replace(b'i-1', b'i-0'), *items, valid])
+    return b'{"instances":[' + texts + b'],"next":' + following + b'}'
+
+
+UNREADABLE_ITEMS = {
+    'not UTF-8': b'{"id":"i-\xff\xfe","state":"ready"}',
+    'lone surrogate': json.dumps({**ITEM, 'id': 'i-\ud800'}).encode(),
+    'bytes beside values': b'{"id":\xff\xfe,"state":"ready"}',
+    'unclosed text': b'{"id":"i-9,"state":"ready"}',
+    'control character': b'{"id":"i-\x01\x00"}',
+    'unclosed item': b'{"id":"i-9","models":{"name":"m"}',
+    'no JSON': b'<html>',
+    'too large number': b'{"slots":' + b'9' * 5000 + b'}',
+    'deep nesting': b'{"a":' * 20_000 + b'1' + b'}' * 20_000,
+    'brackets': b'{"id":"}]]}{[","x":[}]}',
+}
+
+
+@pytest.mark.parametrize(
+    'unreadable', UNREADABLE_ITEMS.values(), ids=UNREADABLE_ITEMS.keys()
+)
+async def test_an_unreadable_item_hides_no_other_item_of_the_list(unreadable):
+    # Guards against a list that isn't followed for as long as the item stays.
+    pages = [
+        encode_page(unreadable, unreadable),
+        encode_page(unreadable, following=b'null'),
+    ]
+    session = decoding.PageSession(pages)
+    backend_list = _backendlist.PlatformBackendList(session, '10.0.0.1:1')
+    listed = decisions.BackendList.of(await backend_list.fetch())
+    assert [item.ident for item in listed.items] == [
+        'i-0',
+        'i-0',
+        'i-1',
+        'i-1',
+    ]
+
+
+def test_a_page_that_ends_early_is_no_list():
+    # Guards against engines that seem to have left with the rest of a page.
+    whole = encode_page(UNREADABLE_ITEMS['not UTF-8'])
+    for end in range(1, len(whole)):
+        with pytest.raises(ValueError):
+            _listpage.decode_page(whole[:end])
