Origins are written after a segment that can't be read

Cause: the number of the next segment was that after the last readable one. If the last one can't be read, each write failed as its name was in use, and origins were kept in memory only.

Test: test_an_unreadable_last_segment_stops_no_later_write; failed before.

--- a/src/bulrushhold/node/_originlog.py
+++ b/src/bulrushhold/node/_originlog.py
@@ -59,12 +59,12 @@
         """Return all stored origins; see :meth:`ports.OriginLog.load`."""
         origins: list[messages.StreamOrigin] = []
         for path in sorted(self.folder.glob(f'{PREFIX}*'), key=_number):
+            self.next_number = _number(path) + 1
             try:
                 data = path.read_bytes()
             except OSError as error:
                 self._log(path, str(error))
                 continue
-            self.next_number = _number(path) + 1
             self.segments.append(_Segment(path, len(data), self.clock()))
             origins += self._decode(path, data)
         return origins
--- a/tests/test_origin_log.py
+++ b/tests/test_origin_log.py
@@ -139,6 +139,15 @@
     assert open_log().load() == origins(1, 2)
 
 
+def test_an_unreadable_last_segment_stops_no_later_write(open_log, tmp_path):
+    # Guards against a name that is in use, and origins that are never written.
+    (tmp_path / 'origins-0').mkdir()
+    log = open_log()
+    assert log.load() == []
+    log.append(origins(1))
+    assert open_log().load() == origins(1)
+
+
 @pytest.mark.parametrize(('replicas', 'wanted'), [(0, 0), (1, 1), (3, 2)])
 def test_homes_with_a_disk_come_first(replicas, wanted):
     # Guards against origins that a loss of all processes makes unknown.
