Engines that state no start are asked once as they are listed

Cause: an entry asked listed engines for the start of their process five times a second, eight at a time, until it knew each; those that state none, or don't answer, were asked without end.

Change: an engine that answers without one isn't asked again while it is listed, one that doesn't answer after 5 s. Before a stream goes on both are asked as before.

Test: test_engines_that_state_no_start_are_asked_once, two cases; both failed before.

--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -18,6 +18,7 @@
 WATCH_INTERVAL_S: t.Final = 0.2
 # Engines asked at a time as they are listed.
 WATCH_BATCH: t.Final = 8
+WATCH_RETRY_S: t.Final = 5.0
 RETRY_INTERVAL_S: t.Final = 0.2
 # Time after the list must show a stream's engine to find out its version.
 MAX_DELAY_S: t.Final = 2.0
@@ -42,6 +43,7 @@
         self.clock = clock
         self.unix_clock = unix_clock
         self.pending: dict[str, asyncio.Future[bool]] = {}
+        self.ask_again_at: dict[str, float] = {}
 
     async def watch(
         self, list_services: cabc.Callable[[], cabc.Iterable[str]]
@@ -52,16 +54,34 @@
         """
         while True:
             await asyncio.sleep(WATCH_INTERVAL_S)
-            starts = self.placement.incarnations.starts
-            unknown = [
-                engine
-                for service in list_services()
-                for engine in self.placement.services.get(service, ())
-                if engine.ident not in starts
-            ]
-            await asyncio.gather(
-                *map(self.runs_listed_version, unknown[:WATCH_BATCH])
+            await self._ask(self._unknown(list_services())[:WATCH_BATCH])
+
+    def _unknown(
+        self, services: cabc.Iterable[str]
+    ) -> list[decisions.BackendServer]:
+        now, starts = self.clock(), self.placement.incarnations.starts
+        return [
+            engine
+            for service in services
+            for engine in self.placement.services.get(service, ())
+            if engine.ident not in starts
+            and self.ask_again_at.get(engine.ident, now) <= now
+        ]
+
+    async def _ask(self, engines: list[decisions.BackendServer]) -> None:
+        answers = await asyncio.gather(*map(self.runs_listed_version, engines))
+        again_at = self.clock() + WATCH_RETRY_S
+        for engine, answered in zip(engines, answers, strict=True):
+            # One that answers, and is still unknown, states no start.
+            self.ask_again_at[engine.ident] = (
+                float('inf') if answered else again_at
             )
+        listed = self.placement.backends
+        self.ask_again_at = {
+            ident: at
+            for ident, at in self.ask_again_at.items()
+            if ident in listed
+        }
 
     async def runs_listed_version(
         self, engine: decisions.BackendServer
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushhold import decisions
+from bulrushhold import errors
 from bulrushhold.forwarding import _enginechooser
 from bulrushhold.forwarding import _retries
 from bulrushhold import messages
@@ -322,3 +323,28 @@
         while len(placement.incarnations.starts) < len(placement.backends):
             await asyncio.sleep(0.01)
     watch.cancel()
+
+
+@pytest.mark.parametrize('silent', [False, True])
+async def test_engines_that_state_no_start_are_asked_once(
+    client, context, placement, silent
+):
+    # Guards against probes without end of engines that tell nothing.
+    asked = []
+    read_start = client.read_start
+
+    async def count(address, timeout, instance=''):
+        asked.append(address)
+        if silent:
+            raise errors.BackendError('no answer', 'probe', address)
+        return await read_start(address, timeout, instance)
+
+    client.read_start = count
+    watch = asyncio.ensure_future(
+        context.version_checks.watch(lambda: ['engines'])
+    )
+    await asyncio.sleep(1.0)
+    watch.cancel()
+    assert sorted(asked) == sorted(
+        backend.address for backend in placement.backends.values()
+    )
