--- a/src/bulrushhold/decisions/_incarnations.py
+++ b/src/bulrushhold/decisions/_incarnations.py
@@ -10,8 +10,8 @@
 
 # Added to the list's lag, for the way of a list to this entry.
 LIST_MARGIN_S: t.Final = 0.3
-# A process that started earlier is listed, even if clocks differ.
-MIN_AGE_S: t.Final = 60.0
+# A process that started earlier is listed, even if clocks differ by seconds.
+MIN_AGE_S: t.Final = 5.0
 
 
 @attrs.frozen
@@ -20,10 +20,12 @@
 
     :param started_ms: as the engine states it, in Unix milliseconds.
     :param seen_at: when this entry first got to know it.
+    :param is_first: this entry knows of no earlier start.
     """
 
     started_ms: int
     seen_at: float
+    is_first: bool
 
 
 class Incarnations:
@@ -52,7 +54,7 @@
         start = self.starts.get(ident)
         if start is not None and start.started_ms == started_ms:
             return False
-        self.starts[ident] = _Start(started_ms, now)
+        self.starts[ident] = _Start(started_ms, now, start is None)
         return start is not None
 
     def is_listed(self, ident: str, listed_at: float, unix_now: float) -> bool:
@@ -66,7 +68,8 @@
             return False
         if self.shows(listed_at, start.seen_at):
             return True
-        return unix_now - start.started_ms / 1000 >= MIN_AGE_S
+        age_s = unix_now - start.started_ms / 1000
+        return start.is_first and age_s >= MIN_AGE_S
 
     def shows(self, listed_at: float, since: float) -> bool:
         """Return whether a list shows what was true at a time.
