--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -42,6 +42,9 @@
     def decode_instance(self, headers):
         return headers.get('Instance', '')
 
+    def decode_start(self, body):
+        return None
+
     def segments_path(self):
         return '/segments'
 
