--- a/tests/platform/soak/plannedwork.py
+++ b/tests/platform/soak/plannedwork.py
@@ -13,6 +13,7 @@
 
 CHANGE_INTERVAL_S = 1.0
 RESTART_INTERVAL_S = 2.5
+SERIES_INTERVAL_S = 0.7
 REPLACE_INTERVAL_S = 1.5
 DRAIN_S = 2.5
 GONE_S = 2.0
@@ -129,6 +130,40 @@
     )
 
 
+async def restart_in_series(silence_run, deadline):
+    """Restart entries in overlapping series, with more signals meanwhile.
+
+    Entries are back at once, and may be signalled as they start.
+    """
+    rng = _rng('restart', silence_run)
+    system = silence_run.system
+    restarts = set()
+    while time.monotonic() < deadline:
+        entry = rng.choice(system.programs_with_role('entry'))
+        if entry.name not in restarts:
+            restarts.add(entry.name)
+            silence_run._start_task(
+                _restart(silence_run, entry, rng, restarts)
+            )
+        await asyncio.sleep(rng.expovariate(1 / SERIES_INTERVAL_S))
+
+
+async def _restart(silence_run, entry, rng, restarts):
+    system = silence_run.system
+    silence_run._record_fault('restart', entry.name)
+    for number in rng.sample((signal.SIGHUP, signal.SIGTERM), 2):
+        system.signal(entry, number)
+        await asyncio.sleep(rng.choice((0.0, 0.3)))
+    system.signal(entry, rng.choice((signal.SIGHUP, signal.SIGTERM)))
+    await system.wait_for_exit(entry)
+    system.start(entry)
+    if rng.random() < 0.5:
+        await asyncio.sleep(rng.random())
+        system.signal(entry, signal.SIGHUP)
+    await asyncio.sleep(RESTART_INTERVAL_S)
+    restarts.discard(entry.name)
+
+
 def _rng(name, silence_run):
     return random.Random(f'{name} {silence_run.report.seed}')
 
@@ -137,6 +172,7 @@
     'route_maps': put_route_maps,
     'hup': hup_in_turn,
     'term': terminate_in_turn,
+    'restarts': restart_in_series,
     'replace': replace_servers,
     'drain': drain_servers,
     'lose': lose_engines,
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -99,9 +99,7 @@
     async def execute(self):
         for engine in self.engines:
             await engine.start()
-        platform_list = fakes.PlatformListServer(
-            self.engines, random.Random(f'list {self.report.seed}')
-        )
+        platform_list = self._make_list()
         await platform_list.start()
         self.system = self._make_system(
             self.folder, platform_list.address, self.network_number
@@ -131,6 +129,10 @@
         }
         return self.report
 
+    def _make_list(self):
+        rng = random.Random(f'list {self.report.seed}')
+        return fakes.PlatformListServer(self.engines, rng)
+
     def _make_system(self, *arguments):
         return system.System(*arguments)
 
--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -15,6 +15,7 @@
 from tests.platform.soak import endless
 from tests.platform.soak import figures
 from tests.platform.soak import loadrun
+from tests.platform.soak import oddlists
 from tests.platform.soak import result
 from tests.platform.soak import retries
 from tests.platform.soak import silence
@@ -165,6 +166,12 @@
         f'silent-{name}': functools.partial(silence.play_variant, variant=name)
         for name in silence.VARIANTS
     },
+    **{
+        f'odd-list-{name}': functools.partial(
+            oddlists.play_variant, variant=name
+        )
+        for name in oddlists.VARIANTS
+    },
     **{
         f'retries-{name}': _retry_scenario(variant)
         for name, variant in retries.VARIANTS.items()
--- a/tests/platform/soak/silence.py
+++ b/tests/platform/soak/silence.py
@@ -127,6 +127,7 @@
     def __init__(self, seed, folder, network_number, plan):
         super().__init__(seed, folder, network_number, LAST_SILENCE_S + TAIL_S)
         self.plan = plan
+        self.requests_per_s = plan.requests_per_s
         self.load_rng = random.Random(f'load {seed}')
         self.silence_rng = random.Random(f'silence {seed}')
         self.engines = [
@@ -164,7 +165,7 @@
                 kind = self.load_rng.choice(self.plan.kinds)
                 call = self._call(session, kind, f'{len(calls)}')
                 calls.append(asyncio.ensure_future(call))
-                pause_s = self.load_rng.expovariate(self.plan.requests_per_s)
+                pause_s = self.load_rng.expovariate(self.requests_per_s)
                 await asyncio.sleep(pause_s)
             await asyncio.gather(*calls, silences, *beside)
         lag.cancel()
