--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -40,7 +40,7 @@
     caller_dialect: 'calls.CallerDialect'
     engine_dialect: 'calls.EngineDialect'
     make_backend_list: t.Callable[
-        ['aiohttp.ClientSession'], 'ports.BackendList'
+        ['aiohttp.ClientSession', 'ports.Metrics'], 'ports.BackendList'
     ]
     listeners: list[
         tuple[
@@ -124,7 +124,7 @@
             ),
             [str(seed) for seed in config.seeds],
             self.transport,
-            self.adapters.make_backend_list(self.session),
+            self.adapters.make_backend_list(self.session, self.metrics),
             placement,
             budget,
             poison_requests,
--- a/tests/platform/test_endless_list.py
+++ b/tests/platform/test_endless_list.py
@@ -9,6 +9,7 @@
 
 from adapter import _backendlist
 from bulrushhold import errors
+from bulrushhold import node
 from bulrushhold import web
 from tests import test_backend_connections
 from tests import test_endless_responses
@@ -26,7 +27,9 @@
 async def fetch(request, endless):
     session = web.make_session()
     if request.param == 'instances':
-        listed = _backendlist.PlatformBackendList(session, endless.address)
+        listed = _backendlist.PlatformBackendList(
+            session, endless.address, node.NullMetrics()
+        )
     else:
         url = f'http://{endless.address}/list'
         listed = web.HttpPlatformList(session, url)
@@ -63,7 +66,9 @@
     listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
     host, port = listener.sockets[0].getsockname()
     session = web.make_session()
-    listed = _backendlist.PlatformBackendList(session, f'{host}:{port}')
+    listed = _backendlist.PlatformBackendList(
+        session, f'{host}:{port}', node.NullMetrics()
+    )
     with pytest.raises(errors.PeerError) as exc_info:
         await listed.fetch()
     assert 'too large' in exc_info.value.reason
--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -161,7 +161,7 @@
 )
 def test_backend_list_is_decoded_or_rejected(bodies):
     backends = _backendlist.PlatformBackendList(
-        decoding.PageSession(bodies), '10.0.0.1:1'
+        decoding.PageSession(bodies), '10.0.0.1:1', node.NullMetrics()
     )
     try:
         parsed = asyncio.run(backends.fetch())
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -13,6 +13,7 @@
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold import messages
+from bulrushhold import node
 from tests.platform import decoding
 from tests.platform import test_translation
 
@@ -153,7 +154,9 @@
         encode_page(unreadable, following=b'null'),
     ]
     session = decoding.PageSession(pages)
-    backend_list = _backendlist.PlatformBackendList(session, '10.0.0.1:1')
+    backend_list = _backendlist.PlatformBackendList(
+        session, '10.0.0.1:1', node.NullMetrics()
+    )
     listed = decisions.BackendList.of(await backend_list.fetch())
     assert [item.ident for item in listed.items] == [
         'i-0',
@@ -169,3 +172,26 @@
     for end in range(1, len(whole)):
         with pytest.raises(ValueError):
             _listpage.decode_page(whole[:end])
+
+
+class GaugeMetrics(node.NullMetrics):
+    def __init__(self):
+        self.gauges = {}
+
+    def gauge(self, name, value, labels=None):
+        self.gauges[name] = value
+
+
+async def test_unreadable_parts_of_the_list_show(log_records):
+    # Guards against items that a broken one hides without a trace.
+    metrics = GaugeMetrics()
+    unreadable = UNREADABLE_ITEMS['unclosed text']
+    page = encode_page(unreadable, following=b'null')
+    session = decoding.PageSession([page])
+    backend_list = _backendlist.PlatformBackendList(
+        session, '10.0.0.1:1', metrics
+    )
+    await backend_list.fetch()
+    count = metrics.gauges['list.unreadable_characters']
+    assert count >= len(unreadable)
+    assert log_records[0]['unreadable'] == count
