--- a/tests/platform/soak/oddlists.py
+++ b/tests/platform/soak/oddlists.py
@@ -5,8 +5,8 @@
 import json
 import random
 
-import attrs
 from aiohttp import web
+import attrs
 
 from tests.platform.soak import fakes
 from tests.platform.soak import figures
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -1,7 +1,11 @@
 """Input from outside that can't be used: rejected where it is decoded."""
 
 import json
+import random
+import time
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from adapter import _backendlist
@@ -15,9 +19,11 @@
 from bulrushhold import messages
 from bulrushhold import node
 from tests.platform import decoding
+from tests.platform.soak import odditems
 from tests.platform import test_translation
 
 ITEM = decoding.ITEM
+MAX_DECODE_S_PER_BYTE = 30e-6
 DOCUMENT = test_translation.DOCUMENT
 
 # Documents
@@ -195,3 +201,52 @@
     count = metrics.gauges['list.unreadable_characters']
     assert count >= len(unreadable)
     assert log_records[0]['unreadable'] == count
+
+
+def draw_page(rng):
+    """Return a page with odd items, and its sound items."""
+    sound = [
+        {**ITEM, 'id': f'i-{n}', 'models': [{'name': 'm', 'adapters': []}]}
+        for n in range(rng.randint(1, 5))
+    ]
+    separators = rng.choice([(',', ':'), (', ', ': ')])
+    texts = [json.dumps(i, separators=separators).encode() for i in sound]
+    for _ in range(rng.randint(1, 3)):
+        odd = odditems.draw_item(rng, rng.choice(sound))
+        texts.insert(rng.randint(0, len(texts)), odd)
+    between = rng.choice([b',', b', ', b',\n'])
+    page = b'{"instances":[' + between.join(texts) + b'],"next":"p-2"}'
+    return page, sound
+
+
+@pytest.mark.parametrize('seed', range(300))
+def test_an_odd_item_hides_no_item_beside_it(seed):
+    # Guards against engines that seem gone, whatever the odd bytes are.
+    page, sound = draw_page(random.Random(seed))
+    decoded = _listpage.decode_page(page)
+    assert [item for item in decoded.items if item in sound] == sound
+    assert decoded.next_token == 'p-2'
+
+
+@hypothesis.given(st.binary() | st.text().map(str.encode))
+def test_arbitrary_bytes_hide_no_item_beside_them(data):
+    # Guards against the same for bytes that no generator of ours draws.
+    sound = [{**ITEM, 'id': f'i-{n}'} for n in range(2)]
+    before, after = (json.dumps(item).encode() for item in sound)
+    page = b'{"instances":[%b,%b,%b],"next":null}' % (before, data, after)
+    decoded = _listpage.decode_page(page)
+    assert [item for item in decoded.items if item in sound] == sound
+
+
+@pytest.mark.parametrize('count', [10_000, 100_000])
+@pytest.mark.parametrize(
+    'fragment',
+    [*odditems.FRAGMENTS, b'{"a{":', b'{"a":1,"b":', b'{"":{},"":', b'"{":"'],
+)
+def test_many_odd_bytes_are_read_in_linear_time(fragment, count):
+    # Guards against a list that holds up all else in its process.
+    page = encode_page(fragment * count)
+    started = time.process_time()
+    decoded = _listpage.decode_page(page)
+    assert time.process_time() - started < MAX_DECODE_S_PER_BYTE * len(page)
+    assert [item for item in decoded.items if item == ITEM] == [ITEM]
