Listed addresses have one form, that of an IP address and a port

The log had 'request failed' with ValueError or UnicodeError each time the server was chosen, and nothing learned from it.

Cause: a listed address was checked by one reading of it and used by another. It is parsed now, and written anew in the one form that URLs have; scopes, multicast and unspecified addresses, which are no single server, are invalid. The client of backend servers splits addresses in one place, and one that can't be part of a URL fails its attempt as a refused connection does.

--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -1,6 +1,8 @@
 """Forwards opaque requests to backend servers over HTTP."""
 
 import asyncio
+import functools
+import ipaddress
 import typing as t
 
 import aiohttp
@@ -118,7 +120,7 @@
     ) -> calls.BackendResponse:
         """Send a call; see :meth:`calls.BackendClient.send`."""
         session = self.unpooled if attempt.new_connection else self.pooled
-        url = yarl.URL(f'http://{attempt.address}{call.target}', encoded=True)
+        url = self._url(attempt.address, call.target, 'connect')
         try:
             response = await session.request(
                 call.method,
@@ -147,8 +149,8 @@
         self, address: str, timeout: float, instance: str = ''
     ) -> bool:
         """Probe an engine; see :meth:`calls.BackendClient.probe`."""
-        url = yarl.URL(f'http://{address}{self.dialect.probe_path()}')
         try:
+            url = self._url(address, self.dialect.probe_path(), 'probe')
             async with asyncio.timeout(timeout):
                 async with self.pooled.get(
                     url,
@@ -159,17 +161,16 @@
                     found = self.dialect.decode_instance(response.headers)
                     is_other = bool(instance and found and found != instance)
                     return response.status == 200 and not is_other
-        except (TimeoutError, *_HTTP_ERRORS) as error:
+        except (TimeoutError, errors.BackendError, *_HTTP_ERRORS) as error:
             self._report_oversized(error, address)
             return False
 
     async def accepts_connections(self, address: str, timeout: float) -> bool:
         """Connect; see :meth:`calls.BackendClient.accepts_connections`."""
-        host, _, port = address.rpartition(':')
         try:
             async with asyncio.timeout(timeout):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (TimeoutError, OSError):
+                _, writer = await _connect(address)
+        except (TimeoutError, OSError, ValueError):
             return False
         writer.close()
         return True
@@ -180,8 +181,8 @@
         """Check a process; see :meth:`calls.BackendClient.has_ended`."""
         if not instance:
             return await _refuses_connections(address, timeout)
-        url = yarl.URL(f'http://{address}{self.dialect.probe_path()}')
         try:
+            url = self._url(address, self.dialect.probe_path(), 'probe')
             async with asyncio.timeout(timeout):
                 async with self.unpooled.get(
                     url, headers=self.dialect.probe_headers(instance)
@@ -190,7 +191,7 @@
                     return bool(found) and found != instance
         except aiohttp.ClientConnectorError as error:
             return isinstance(error.os_error, ConnectionRefusedError)
-        except (TimeoutError, *_HTTP_ERRORS) as error:
+        except (TimeoutError, errors.BackendError, *_HTTP_ERRORS) as error:
             self._report_oversized(error, address)
             return False
 
@@ -198,7 +199,7 @@
         self, address: str, timeout: float, instance: str = ''
     ) -> int | None:
         """Read a start; see :meth:`calls.BackendClient.read_start`."""
-        url = yarl.URL(f'http://{address}{self.dialect.probe_path()}')
+        url = self._url(address, self.dialect.probe_path(), 'probe')
         try:
             async with asyncio.timeout(timeout):
                 async with self.pooled.get(
@@ -217,7 +218,7 @@
         self, address: str, timeout: float
     ) -> frozenset[str]:
         """List segments; see :meth:`calls.BackendClient.cached_segments`."""
-        url = yarl.URL(f'http://{address}{self.dialect.segments_path()}')
+        url = self._url(address, self.dialect.segments_path(), 'segments')
         try:
             async with asyncio.timeout(timeout):
                 async with self.pooled.get(url) as response:
@@ -239,7 +240,7 @@
         try:
             async with asyncio.timeout(timeout):
                 async with self.unpooled.post(
-                    yarl.URL(f'http://{source}{path}', encoded=True),
+                    self._url(source, path, 'copy'),
                     data=body,
                     headers={'Content-Type': 'application/json'},
                 ) as response:
@@ -257,12 +258,13 @@
 
     async def drop_copy(self, copy: calls.RunCopy, timeout: float) -> None:
         """Delete a copy; see :meth:`calls.BackendClient.drop_copy`."""
-        url = f'http://{copy.address}{self.dialect.drop_path(copy)}'
+        path = self.dialect.drop_path(copy)
         try:
+            url = self._url(copy.address, path, 'drop')
             async with asyncio.timeout(timeout):
                 async with self.unpooled.delete(url) as response:
                     await _bodies.read_whole(response, MAX_REPORT_BYTES)
-        except (TimeoutError, *_HTTP_ERRORS) as error:
+        except (TimeoutError, errors.BackendError, *_HTTP_ERRORS) as error:
             self._report_oversized(error, copy.address)
             # Not retried: the engine expires the copy by itself.
             loguru.logger.bind(peer=copy.address, error=str(error)).debug(
@@ -274,6 +276,17 @@
         await self.pooled.close()
         await self.unpooled.close()
 
+    def _url(self, address: str, path: str, step: str) -> yarl.URL:
+        """Return a URL.
+
+        :raises BackendError: if the address can't be part of one.
+        """
+        try:
+            _split_address(address)
+            return yarl.URL(f'http://{address}{path}', encoded=True)
+        except ValueError as error:
+            raise self.to_error(error, step, address) from error
+
     def _report_oversized(self, error: BaseException, address: str) -> None:
         if isinstance(error, _connections.ResponseLimitError):
             self.on_oversized(address, error.byte_count, error.reason)
@@ -289,14 +302,34 @@
         return errors.BackendError(reason, step, address)
 
 
-async def _refuses_connections(address: str, timeout: float) -> bool:
+@functools.lru_cache(maxsize=4096)
+def _split_address(address: str) -> tuple[str, int]:
+    """Return the host, an IP address, and the port.
+
+    :raises ValueError: if the address has another form.
+    """
     host, _, port = address.rpartition(':')
+    if host.startswith('[') and host.endswith(']'):
+        host = host[1:-1]
+        ipaddress.IPv6Address(host)
+    else:
+        ipaddress.IPv4Address(host)
+    return host, int(port)
+
+
+async def _connect(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(*_split_address(address))
+
+
+async def _refuses_connections(address: str, timeout: float) -> bool:
     try:
         async with asyncio.timeout(timeout):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await _connect(address)
     except ConnectionRefusedError:
         return True
-    except (TimeoutError, OSError):
+    except (TimeoutError, OSError, ValueError):
         return False
     writer.close()
     return False
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -1,5 +1,6 @@
 """Input from outside that can't be used: rejected where it is decoded."""
 
+import ipaddress
 import json
 import random
 import time
@@ -7,6 +8,7 @@
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+import yarl
 
 from adapter import _backendlist
 from adapter import _callerdialect
@@ -24,6 +26,7 @@
 
 ITEM = decoding.ITEM
 MAX_DECODE_S_PER_BYTE = 30e-6
+LOOPBACK = [ipaddress.ip_address(h) for h in odditems.LOOPBACK_HOSTS]
 DOCUMENT = test_translation.DOCUMENT
 
 # Documents
@@ -250,3 +253,56 @@
     decoded = _listpage.decode_page(page)
     assert time.process_time() - started < MAX_DECODE_S_PER_BYTE * len(page)
     assert [item for item in decoded.items if item == ITEM] == [ITEM]
+
+
+# Addresses
+
+
+async def fetch(*items):
+    page = json.dumps({'instances': items, 'next': None}).encode()
+    session = decoding.PageSession([page])
+    return await _backendlist.PlatformBackendList(
+        session, '10.0.0.1:1', node.NullMetrics()
+    ).fetch()
+
+
+@pytest.mark.parametrize('seed', range(300))
+async def test_a_listed_address_can_be_part_of_a_url(seed):
+    # Guards against 500 for all requests whose server has an odd address.
+    text = odditems.draw_address(random.Random(seed))
+    for backend in await fetch({**ITEM, 'address': text}):
+        url = yarl.URL(f'http://{backend.address}/a', encoded=True)
+        assert ipaddress.ip_address(url.host) in LOOPBACK
+        assert str(url.port) == text.rpartition(':')[2].lstrip('0')
+
+
+@pytest.mark.parametrize(
+    ('text', 'address'),
+    [
+        ('127.0.0.1:080', '127.0.0.1:80'),
+        ('[::1]:80', '[::1]:80'),
+        ('::1:80', '[::1]:80'),
+    ],
+)
+async def test_a_listed_address_has_one_form(text, address):
+    listed = await fetch({**ITEM, 'address': text})
+    assert [item.address for item in listed] == [address]
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '[127.0.0.1:80',
+        '127.0.0.1]:80',
+        '[[::1]]:80',
+        '[::1%lo]:80',
+        '0.0.0.0:80',
+        '[::]:80',
+        '[::ffff:0.0.0.0]:80',
+        '224.0.0.1:80',
+        '[ff02::1]:80',
+    ],
+)
+async def test_an_address_of_no_single_server_is_rejected(text):
+    # Guards against requests that reach this process itself, or nobody.
+    assert await fetch({**ITEM, 'address': text}) == []
--- a/tests/test_backend_connections.py
+++ b/tests/test_backend_connections.py
@@ -271,3 +271,17 @@
     await asyncio.sleep(0.05)
     server.after_response = ''
     assert await send_request(client, server) == b'mine'
+
+
+@pytest.mark.parametrize('address', ['[127.0.0.1:80', '::1:x', '\ud800:80'])
+async def test_an_address_that_is_no_url_fails_its_attempt_only(
+    client, address
+):
+    # Guards against 500 for each request that is sent to such a server.
+    call = calls.Call('r', 'GET', '/a', 'h', '', (), b'', 1.0)
+    with pytest.raises(errors.BackendError) as caught:
+        await client.send(call, calls.Attempt(address, '', '', 1.0))
+    assert caught.value.step == 'connect'
+    assert not await client.probe(address, 0.1)
+    assert not await client.has_ended(address, 0.1)
+    assert not await client.accepts_connections(address, 0.1)
