A listed server that never answered rightly isn't taken for a fast one

Callers got 502 or 504 for 269 to 286 of some 390 once-only requests (six entries, 64 slots, servers that take 0.15 s) as long as the list named something that isn't a server: it closes at once, answers 404, 200 or 500 without an id, sends other bytes, or is silent. It got some 500 requests in twelve seconds; texts counted crashes at it.

Cause: a server without an answer counted as taking 5 ms, and failures multiplied that by 21 at most, so that it was chosen for as long as sound servers take over 0.105 s. The number of slots that it names doesn't matter.

Now servers that have answered as their protocol says are told from those that haven't. One that hasn't counts as fast as the others; after a failure it is left alone for a time that doubles from 1 to 60 s, by all kinds of requests, and has no room for streams meanwhile; its resets are no evidence against a text, and it doesn't hide that all others reject. Services with once-only routes have their servers checked once as they are listed (the status report, which takes no slot), and such requests go to servers that are verified, or that checks couldn't tell for 2 s. While no server of a service is verified, all are used as before. A sound server that errs once has answered before and keeps its place.

Tests changed: the engines of tests/forwarding's fixture are verified, as an entry's checks find, so that what they test is unchanged; the plain rules of test_choice_reference have the one for servers left alone.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -274,6 +274,20 @@
         del address, timeout, instance
         return None
 
+    async def identify(
+        self, address: str, timeout: float, instance: str
+    ) -> bool | None:
+        """Return whether a process shows that it is a certain backend server.
+
+        ``None`` if it doesn't answer in time; ``True`` under a protocol that
+        has no sign for it.
+
+        :param timeout: seconds.
+        :param instance: ident of the expected process.
+        """
+        del address, timeout, instance
+        return True
+
     @abc.abstractmethod
     async def cached_segments(
         self, address: str, timeout: float
@@ -405,6 +419,19 @@
         :raises BackendError: if the response is malformed.
         """
 
+    def identifies(
+        self, status: int, headers: t.Any, body: bytes, instance: str
+    ) -> bool:
+        """Return whether the response to a probe is a certain server's.
+
+        It is if it has a sign that only the protocol's servers give, and
+        isn't another process's.
+
+        :param instance: ident of the expected process.
+        """
+        del status, headers, body, instance
+        return True
+
     @abc.abstractmethod
     def segments_path(self) -> str:
         """Return the path of the list of cached prompt segments."""
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -194,6 +194,11 @@
         self.forwarder = forwarding.Forwarder(self.fleet, context)
         silences = forwarding.SilenceMonitor(context)
         self.loops.start('silences', silences.watch)
+        server_checks = forwarding.ServerChecks(self.client, placement)
+        self.loops.start(
+            'server checks',
+            lambda: server_checks.watch(self.fleet.single_run_services),
+        )
         self.ingress = adapters.Ingress(
             self.forwarder.handle, self.adapters.caller_dialect, buffers
         )
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -18,6 +18,7 @@
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _serverspeeds
 from bulrushhold.decisions import _usableservers
+from bulrushhold.decisions import _verification
 from bulrushhold.decisions import _versionhistory
 from bulrushhold.decisions import _versionsplit
 from bulrushhold import messages
@@ -55,6 +56,7 @@
     :ivar lost: listed servers that were lost within ``PROBATION_S``, and
         earlier ones until the next look.
     :ivar cached_prompts: the prompts that engines have read.
+    :ivar verification: which servers have shown that they are ones.
     """
 
     def __init__(self) -> None:
@@ -87,6 +89,7 @@
         self.cached_prompts = _cachedprompts.CachedPrompts()
         self.server_speeds = _serverspeeds.ServerSpeeds()
         self.rejections = _rejections.Rejections()
+        self.verification = _verification.Verification()
 
     def update(self, listed: list[messages.ListedBackend]) -> None:
         """Replace the list of servers; keep the state of remaining ones."""
@@ -98,6 +101,7 @@
                 item.address,
                 item.version,
             ):
+                self.verification.forget(item.ident)
                 server = _backendserver.BackendServer(
                     item.ident,
                     item.service,
@@ -118,6 +122,7 @@
             del self.silent_since[ident]
         self.demands.retain(backends.keys())
         self.rejections.retain(backends.keys())
+        self.verification.retain(backends.keys())
         self.incarnations.retain(backends.keys())
         self.server_speeds.update(
             {ident: backend.service for ident, backend in backends.items()}
@@ -168,6 +173,7 @@
         """Return the same as :meth:`usable`, with what is derived from it."""
         rule = self.versions.rule(service, now, canary=canary, version=version)
         gone = self.demands.leaving.until.keys() | self.replaced_idents
+        gone |= self.verification.left_alone(self.services, now)
         return self.usable_cache.usable(service, rule, self.services, gone)
 
     def backend_at(self, address: str) -> _backendserver.BackendServer | None:
@@ -217,7 +223,9 @@
 
     def all_reject(self, service: str, now: float) -> bool:
         """Whether all servers of a service have just rejected requests."""
-        return self.rejections.all_reject(self.usable(service, now), now)
+        usable = self.usable(service, now)
+        servers = self.verification.among(usable) or usable
+        return self.rejections.all_reject(servers, now)
 
     def next_held(
         self,
@@ -310,6 +318,7 @@
         backend = self.backends.get(ident)
         if backend is None:
             return
+        self.verification.record_failure(ident, now)
         self._sample_failure(backend, 1.0, now)
         if unreachable:
             if backend.ejected_until <= now:
@@ -390,6 +399,7 @@
         if backend is None:
             return
         self._sample_failure(backend, 0.0, now)
+        self.verification.record_answer(ident)
         self.record_answer(ident, now)
         self.losses.record_alive(backend.address)
         backend.ejected_until = 0.0
@@ -500,8 +510,10 @@
             )
         for ident in summary.lost:
             backend = self.backends.get(ident)
-            if backend is not None and backend.ejected_until <= now:
-                self._eject(backend, now)
+            if backend is None or backend.ejected_until > now:
+                continue
+            self.verification.record_failure(ident, now)
+            self._eject(backend, now)
         for ident in summary.replaced:
             if ident not in self.replaced_idents:
                 self.replaced_idents.add(ident)
--- a/src/bulrushhold/decisions/_plainplacement.py
+++ b/src/bulrushhold/decisions/_plainplacement.py
@@ -96,21 +96,53 @@
             else IDEMPOTENT_FAILURE_WEIGHT
         )
 
+        usable = self._allowing(
+            service, now, tried, at_most_once=at_most_once, canary=canary
+        )
+        # One that hasn't answered yet is no faster than others.
+        usual_s = _mean_latency(usable)
+
         def wait(backend: _backendserver.BackendServer) -> float:
             load = backend.inflight + backend.remote_requests_now(now) + 1
             # Below half of its slots a server is about as fast as when idle.
             load = max(1.0, load / max(1.0, backend.slots * 0.5))
-            latency = max(backend.latency, MIN_LATENCY_S)
+            latency = max(backend.latency or usual_s, MIN_LATENCY_S)
             penalty = 1 + weight * backend.failures_now(now)
             noise = 1 + 0.2 * self.rng.random()
             distance = REMOTE_WAIT_FACTOR if self.is_remote(backend) else 1.0
             return load * latency * penalty * noise * distance
 
-        usable = self.allowing(self.usable(service, now, canary=canary), now)
         if service in self.server_speeds.services:
             return self._choose_by_time(usable, now, tried, weight)
         return self._best_of(usable, now, tried, wait)
 
+    def _allowing(
+        self,
+        service: str,
+        now: float,
+        tried: set[str],
+        *,
+        at_most_once: bool,
+        canary: bool = False,
+    ) -> list[_backendserver.BackendServer]:
+        """Return the servers that may receive a request now."""
+        allowing = self.allowing(self.usable(service, now, canary=canary), now)
+        if at_most_once:
+            return self.verification.for_single_run(allowing, now, tried)
+        return allowing
+
+    def untried_plain(
+        self, service: str, now: float, tried: set[str], *, at_most_once: bool
+    ) -> list[_backendserver.BackendServer]:
+        """Return the servers that :meth:`choose` would choose among."""
+        return [
+            backend
+            for backend in self._allowing(
+                service, now, tried, at_most_once=at_most_once
+            )
+            if backend.ident not in tried
+        ]
+
     def _choose_by_time(
         self,
         usable: list[_backendserver.BackendServer],
@@ -224,3 +256,9 @@
     def is_remote(self, backend: _backendserver.BackendServer) -> bool:
         """Whether a server isn't in the data centre of this entry."""
         return self.data_centre not in ('', backend.data_centre)
+
+
+def _mean_latency(servers: list[_backendserver.BackendServer]) -> float:
+    """Return the mean of the latencies that were measured; 0 if none was."""
+    measured = [server.latency for server in servers if server.latency]
+    return sum(measured) / len(measured) if measured else 0.0
--- a/src/bulrushhold/forwarding/__init__.py
+++ b/src/bulrushhold/forwarding/__init__.py
@@ -33,6 +33,7 @@
 from bulrushhold.forwarding._scheduling import LocalScheduling
 from bulrushhold.forwarding._scheduling import Scheduled
 from bulrushhold.forwarding._scheduling import StreamScheduling
+from bulrushhold.forwarding._serverchecks import ServerChecks
 from bulrushhold.forwarding._silencemonitor import SilenceMonitor
 from bulrushhold.forwarding._streams import StreamForwarder
 from bulrushhold.forwarding._versiongauges import VersionGauges
@@ -67,6 +68,7 @@
     'RetryPool',
     'RunLimit',
     'Scheduled',
+    'ServerChecks',
     'SilenceMonitor',
     'StreamForwarder',
     'StreamScheduling',
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -131,6 +131,17 @@
             for target in route.targets
         }
 
+    def single_run_services(self) -> set[str]:
+        """Return the services of requests that may run only once."""
+        if self.index is None:
+            return set()
+        return {
+            target.service
+            for route in self.index.map.routes
+            if not route.repeatable
+            for target in route.targets
+        }
+
     def entry_count(self) -> int:
         """Return the number of entries, including this one."""
         return max(1, len(self.entries))
--- a/src/bulrushhold/forwarding/_lossrecord.py
+++ b/src/bulrushhold/forwarding/_lossrecord.py
@@ -48,7 +48,10 @@
     if lost.silent:
         context.placement.record_silence(engine.ident, now)
         context.metrics.count('engines.silent')
-    if lost.crashed or lost.reset or lost.silent:
+    verified = context.placement.verification.verified
+    if lost.crashed or (
+        (lost.reset or lost.silent) and engine.ident in verified
+    ):
         _blocks.record_broken_off(
             context,
             job,
--- a/src/bulrushhold/forwarding/_permitcheck.py
+++ b/src/bulrushhold/forwarding/_permitcheck.py
@@ -79,6 +79,12 @@
         """Read when a process started, which takes no slot."""
         return await self.client.read_start(address, timeout, instance)
 
+    async def identify(
+        self, address: str, timeout: float, instance: str
+    ) -> bool | None:
+        """Check what a server is, which takes no slot."""
+        return await self.client.identify(address, timeout, instance)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -288,8 +288,11 @@
         )
 
     def _untried(self) -> list[decisions.BackendServer]:
-        return self.context.placement.untried(
-            self.job.service, self.context.clock(), self.tried
+        return self.context.placement.untried_plain(
+            self.job.service,
+            self.context.clock(),
+            self.tried,
+            at_most_once=not self.repeatable,
         )
 
     async def _exchange(
@@ -389,7 +392,8 @@
         )
         if not result.cut_off:
             self._record_failure(backend, now, unreachable or crashed)
-        if result.broken_off:
+        verified = self.context.placement.verification.verified
+        if result.broken_off and (crashed or backend.ident in verified):
             _blocks.record_broken_off(
                 self.context, self.job, backend.ident, seconds, crashed=crashed
             )
--- a/src/bulrushhold/forwarding/_proxyingclient.py
+++ b/src/bulrushhold/forwarding/_proxyingclient.py
@@ -215,6 +215,17 @@
             raise errors.BackendError('no response', 'probe', address)
         return answer.started_ms
 
+    async def identify(
+        self, address: str, timeout: float, instance: str
+    ) -> bool | None:
+        """Check a server; see :meth:`calls.BackendClient.identify`.
+
+        A service that is cut off is checked once it can be reached.
+        """
+        if self.monitor.is_cut_off(self._service_at(address)):
+            return None
+        return await self.direct.identify(address, timeout, instance)
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -21,6 +21,8 @@
         )
     if not head.matches_request:
         return
+    if head.from_backend or head.not_run:
+        context.placement.verification.record_answer(ident)
     if head.load is not None and head.instance in ('', ident):
         _record_pace(context, job, ident, head.load)
     if head.load_malformed:
--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -106,6 +106,7 @@
             return False
         if started_ms is None:
             return True
+        self.placement.verification.record_answer(engine.ident)
         incarnations = self.placement.incarnations
         if incarnations.record(engine.ident, started_ms, self.clock()):
             node.log_decision(
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -214,6 +214,26 @@
             raise errors.BackendError(f'status {status}', 'probe', address)
         return self.dialect.decode_start(body)
 
+    async def identify(
+        self, address: str, timeout: float, instance: str
+    ) -> bool | None:
+        """Check a server; see :meth:`calls.BackendClient.identify`."""
+        try:
+            url = self._url(address, self.dialect.probe_path(), 'probe')
+            async with asyncio.timeout(timeout):
+                async with self.pooled.get(
+                    url, headers=self.dialect.probe_headers(instance)
+                ) as response:
+                    body = await _bodies.read_whole(response, MAX_REPORT_BYTES)
+                    return self.dialect.identifies(
+                        response.status, response.headers, body, instance
+                    )
+        except TimeoutError:
+            return None
+        except (errors.BackendError, *_HTTP_ERRORS) as error:
+            self._report_oversized(error, address)
+            return False
+
     async def cached_segments(
         self, address: str, timeout: float
     ) -> frozenset[str]:
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -27,6 +27,9 @@
             for n in range(6)
         ]
     )
+    # As an entry's checks find once they are listed.
+    for ident in placement.backends:
+        placement.verification.record_answer(ident)
     poison_requests = decisions.PoisonRequestDetector(placement.losses)
     return forwarding.ForwardingContext(
         placement,
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -368,3 +368,27 @@
         load_settings(tmp_path, text)
     assert expected in str(exc_info.value)
     assert '\n' not in str(exc_info.value)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'body', 'expected'),
+    [
+        (200, {'Bulrushhold-Instance-Id': 'i-1'}, b'', True),
+        (200, {'Bulrushhold-Instance-Id': 'i-2'}, b'', False),
+        (421, {'Bulrushhold-Not-Run': '1'}, b'', False),
+        (400, {'Bulrushhold-Not-Run': '1'}, b'', True),
+        (404, {'Bulrushhold-Instance-Load': '0,0,6'}, b'', True),
+        (200, {}, b'{"born":1700000000000}', True),
+        (200, {}, b'{"running":0}', False),
+        (200, {}, b'hello', False),
+        (404, {}, b'{"born":1700000000000}', False),
+        (500, {}, b'', False),
+    ],
+)
+def test_a_server_is_identified_by_what_only_servers_say(
+    status, headers, body, expected
+):
+    # Guards against bookings that are sent to any process that listens.
+    engines = _enginedialect.PlatformEngineDialect()
+    pairs = multidict.CIMultiDict(headers)
+    assert engines.identifies(status, pairs, body, 'i-1') is expected
--- a/tests/test_choice_reference.py
+++ b/tests/test_choice_reference.py
@@ -23,6 +23,20 @@
 # Plain versions of the rules
 
 
+def plain_left_alone(pool, backend, now):
+    """Whether it failed and never answered, as others of its service did."""
+    verification = pool.verification
+    trial = verification.failed.get(backend.ident)
+    return (
+        trial is not None
+        and trial.until > now
+        and any(
+            b.ident in verification.verified
+            for b in pool.services[backend.service]
+        )
+    )
+
+
 def plain_usable(pool, now, canary=False, version=None):
     versions = pool.versions
     plan = versions.plans.get(SERVICE)
@@ -32,6 +46,7 @@
         if not b.leaving
         and b.ident not in pool.demands.leaving.until
         and b.ident not in pool.replaced_idents
+        and not plain_left_alone(pool, b, now)
     ]
     lease = now - versions.confirmed_at <= 1.0
     running, succeeded = (
--- /dev/null
+++ b/tests/test_verification.py
@@ -0,0 +1,140 @@
+"""Tests of listed servers that aren't backend servers."""
+
+import random
+
+import pytest
+
+from bulrushhold import decisions
+from bulrushhold import messages
+
+SERVICE = 'desk'
+
+
+@pytest.fixture
+def pool():
+    pool = decisions.Placement(random.Random(1))
+    pool.update(
+        [
+            messages.ListedBackend(f'i{n}', SERVICE, f'10.0.0.{n}:80', 'a', 8)
+            for n in range(4)
+        ]
+    )
+    for n in range(3):
+        pool.record_success(f'i{n}', 0.0, 0.15)
+    return pool
+
+
+def choose(pool, now, *, at_most_once=False, tried=()):
+    chosen = pool.choose(
+        SERVICE, now, at_most_once=at_most_once, tried=set(tried)
+    )
+    return chosen.ident
+
+
+def count_choices(pool, now, count=100, **options):
+    return [choose(pool, now, **options) for _ in range(count)].count('i3')
+
+
+def test_a_server_without_an_answer_counts_as_fast_as_others(pool):
+    # Guards against requests that all go to a listed server that fails.
+    assert 10 < count_choices(pool, 1.0) < 50
+
+
+def test_a_server_that_fails_at_first_is_left_alone(pool):
+    # Guards against one that fails each request, and gets the next one.
+    pool.record_failure('i3', 1.0, unreachable=False)
+    assert not count_choices(pool, 1.9)
+    assert pool.untried_plain(SERVICE, 1.9, set(), at_most_once=False) == [
+        pool.backends[f'i{n}'] for n in range(3)
+    ]
+
+
+def test_trials_of_a_server_that_never_answers_become_rare(pool):
+    # Guards against a request lost at it each second.
+    now, trials = 1.0, 0
+    while now < 600.0:
+        if choose(pool, now) == 'i3':
+            pool.record_failure('i3', now, unreachable=False)
+            trials += 1
+        now += 0.05
+    assert trials <= 16
+
+
+def test_a_server_that_errs_once_stays_in_use(pool):
+    # Guards against capacity that is lost for a single wrong answer.
+    pool.record_failure('i0', 1.0, unreachable=False)
+    chosen = [choose(pool, 20.0) for _ in range(100)]
+    assert chosen.count('i0') > 10
+
+
+def test_a_server_that_failed_at_first_is_let_in_by_its_first_answer(pool):
+    # Guards against a new server that never gets requests again.
+    pool.record_failure('i3', 1.0, unreachable=False)
+    pool.verification.record_answer('i3')
+    assert count_choices(pool, 20.0)
+
+
+def test_a_request_that_runs_once_avoids_servers_not_verified(pool):
+    # Guards against a booking that is lost at what isn't a server.
+    assert not count_choices(pool, 1.0, at_most_once=True)
+    assert not count_choices(pool, 2.9, at_most_once=True)
+
+
+def test_a_server_that_checks_cannot_identify_gets_such_requests_later(pool):
+    # Guards against a sound server that is never used for them.
+    choose(pool, 1.0, at_most_once=True)
+    assert count_choices(pool, 3.1, at_most_once=True)
+
+
+def test_a_stranger_gets_no_request_that_runs_once(pool):
+    # Guards against the same, once a check has shown what it is.
+    pool.verification.record_stranger('i3')
+    choose(pool, 1.0, at_most_once=True)
+    assert not count_choices(pool, 9.0, at_most_once=True)
+    tried = {'i0', 'i1', 'i2'}
+    assert not pool.untried_plain(SERVICE, 9.0, tried, at_most_once=True)
+
+
+def test_a_new_server_is_tried_if_all_verified_ones_have_been(pool):
+    # Guards against a refusal while a new server has room.
+    tried = {'i0', 'i1', 'i2'}
+    assert choose(pool, 1.0, at_most_once=True, tried=tried) == 'i3'
+
+
+def test_servers_are_used_as_long_as_none_is_verified(pool):
+    # Guards against an entry that has just started and refuses all.
+    pool.update(
+        [
+            messages.ListedBackend(f'n{n}', SERVICE, f'10.0.1.{n}:80', 'a', 8)
+            for n in range(2)
+        ]
+    )
+    for n in range(2):
+        pool.record_failure(f'n{n}', 1.0, unreachable=False)
+    assert choose(pool, 1.1) in ('n0', 'n1')
+    assert choose(pool, 1.1, at_most_once=True) in ('n0', 'n1')
+
+
+def test_a_server_at_another_address_is_a_new_one(pool):
+    # Guards against another process that has the ident of a verified one.
+    pool.update(
+        [
+            messages.ListedBackend('i0', SERVICE, '10.0.9.9:80', 'a', 8),
+            messages.ListedBackend('i1', SERVICE, '10.0.0.1:80', 'a', 8),
+        ]
+    )
+    assert pool.verification.verified == {'i1'}
+
+
+def test_a_stranger_does_not_hide_that_all_servers_reject(pool):
+    # Guards against requests that go round full servers beside a stranger.
+    for step in range(20):
+        for n in range(3):
+            pool.rejections.record(f'i{n}', 1.0 + 0.05 * step)
+    assert pool.all_reject(SERVICE, 2.0)
+
+
+def test_a_stranger_has_no_room_for_streams(pool):
+    # Guards against streams admitted for engines that don't exist.
+    pool.record_failure('i3', 1.0, unreachable=False)
+    assert 'i3' not in [s.ident for s in pool.usable(SERVICE, 1.5)]
