A service that no route names keeps no cut-off entry in the directory

An entry that reaches no server leaves the directory. An odd item of another service was one more service to be reached: nobody asks for it, so that it never counts as cut off, and an entry without servers stayed listed. Only services that a route names count now.

Two tests set an object as the index of routes; they have a real one now.

--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -109,9 +109,19 @@
 
     def _is_cut_off(self, entry: messages.ListedEntry) -> bool:
         """Whether an entry reaches none of the listed backend servers."""
-        services = self.placement.services.keys()
+        # Services that no route names may have servers of other systems only.
+        services = self._routed_services() & self.placement.services.keys()
         return bool(services) and services <= set(entry.unreachable)
 
+    def _routed_services(self) -> set[str]:
+        if self.index is None:
+            return set()
+        return {
+            target.service
+            for route in self.index.map.routes
+            for target in route.targets
+        }
+
     def start_draining(self) -> None:
         """Advertise this entry as not ready for new callers."""
         self.own_entry = attrs.evolve(self.own_entry, ready=False)
--- a/tests/forwarding/test_peer_proxy.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -242,6 +242,11 @@
     assert 'proxy1' not in first
 
 
+def make_index():
+    reply = fakes.make_reply()
+    return routes.RouteIndex(messages.unpack_map(reply.route_map))
+
+
 async def test_an_entry_without_servers_leaves_the_directory(fleet, context):
     entries = [
         messages.ListedEntry('e1', 'dc', '10.0.1.1:80', True),
@@ -251,12 +256,35 @@
         messages.ListedEntry('e3', 'dc', '10.0.1.3:80', True),
     ]
     fleet.listed_entries = decisions.EntryList.of(entries)
-    fleet.index = object()
+    fleet.index = make_index()
     assert sorted(fleet.addresses(9)) == ['10.0.1.1:80', '10.0.1.3:80']
     context.placement.reachability.record_unreachable('engines', 0.0)
     assert fleet.addresses(9) == ['10.0.1.3:80']
 
 
+async def test_a_service_without_routes_keeps_no_entry_in_the_directory(
+    fleet, context
+):
+    # Guards against entries without servers that are listed for a stranger's.
+    stranger = messages.ListedBackend('s', 'other', '10.9.9.9:80', 'dc', 1)
+    listed = [
+        messages.ListedBackend(b.ident, b.service, b.address, 'dc0', b.slots)
+        for b in context.placement.backends.values()
+    ]
+    context.placement.update([*listed, stranger])
+    fleet.listed_entries = decisions.EntryList.of(
+        [
+            messages.ListedEntry(
+                'e2', 'dc', '10.0.1.2:80', True, unreachable=('engines',)
+            ),
+            messages.ListedEntry('e3', 'dc', '10.0.1.3:80', True),
+        ]
+    )
+    fleet.index = make_index()
+    context.placement.reachability.record_unreachable('engines', 0.0)
+    assert fleet.addresses(9) == ['10.0.1.3:80']
+
+
 async def test_the_directory_lists_all_entries_if_none_reaches_a_server(
     fleet, context
 ):
@@ -268,14 +296,13 @@
         )
     ]
     fleet.listed_entries = decisions.EntryList.of(entries)
-    fleet.index = object()
+    fleet.index = make_index()
     assert sorted(fleet.addresses(9)) == ['10.0.1.1:80', '10.0.1.2:80']
 
 
 @pytest.fixture
 def handler(client, context, fleet, monitor):
-    reply = fakes.make_reply()
-    fleet.index = routes.RouteIndex(messages.unpack_map(reply.route_map))
+    fleet.index = make_index()
     return forwarding.DirectProxyHandler(
         forwarding.PermitCheckingClient(
             client, context.placement, context.poison_requests
