SIGHUP ends no process that starts or ends

Cause: the handler of SIGHUP was set once the program's modules were loaded and the event loop ran, and was removed with the loop. Before and after, the signal's default action ends the process. It is ignored from the program's first line now, and handled by a handler that outlives the loop.

--- a/src/bulrushhold/cli.py
+++ b/src/bulrushhold/cli.py
@@ -59,6 +59,7 @@
 @_log_level_option
 def run_entry(path: str, log_level: str) -> None:
     """Run an entry process."""
+    composition.ignore_hangup()
     from bulrushhold import node
 
     config = settings.load(path, settings.Entry)
@@ -72,6 +73,7 @@
 @_log_level_option
 def run_control(path: str, log_level: str) -> None:
     """Run a control process."""
+    composition.ignore_hangup()
     from bulrushhold import node
 
     config = settings.load(path, settings.Control)
--- a/src/bulrushhold/composition/__init__.py
+++ b/src/bulrushhold/composition/__init__.py
@@ -4,6 +4,7 @@
 doesn't load the HTTP stack and stays within its memory budget.
 """
 
+from bulrushhold.composition._background import ignore_hangup
 from bulrushhold.composition._background import LoopSupervisor
 from bulrushhold.composition._control import Attachment
 from bulrushhold.composition._control import run_control
@@ -21,6 +22,7 @@
     'ForwardingEntry',
     'LoopSupervisor',
     'RelayProcess',
+    'ignore_hangup',
     'run_control',
     'run_entry',
     'run_forwarding',
--- a/src/bulrushhold/composition/_background.py
+++ b/src/bulrushhold/composition/_background.py
@@ -112,13 +112,22 @@
         )
 
 
+def ignore_hangup() -> None:
+    """Ignore SIGHUP until :func:`handle_stop_signals` handles it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def handle_stop_signals(callback: t.Callable[[], None]) -> None:
     """Call ``callback`` on SIGTERM and SIGINT; ignore SIGHUP."""
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, callback)
-    # Without a handler SIGHUP would end the process. Settings are reloaded
-    # by polling their file.
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: loguru.logger.info('SIGHUP received')
-    )
+
+    def on_hangup(*_: t.Any) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(loguru.logger.info, 'SIGHUP received')
+
+    # Without a handler SIGHUP would end the process, also once the loop is
+    # closed, which would remove one of its own. Settings are reloaded by
+    # polling their file.
+    signal.signal(signal.SIGHUP, on_hangup)
--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -14,6 +14,7 @@
 
 from tests.platform.soak import endless
 from tests.platform.soak import figures
+from tests.platform.soak import keptconnections
 from tests.platform.soak import loadrun
 from tests.platform.soak import oddlists
 from tests.platform.soak import result
@@ -159,6 +160,7 @@
     'large-account': play_large_account,
     'slow-readers': play_slow_readers,
     'endless-bytes': endless.play,
+    'kept-connections': keptconnections.play,
     'uneven-engines': uneven.play_engines,
     'uneven-servers': uneven.play_servers,
     **{fault.replace('_', '-'): _fault_scenario(fault) for fault in FAULTS},
--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -22,6 +22,7 @@
 NETWORK_NUMBERS = range(40, 250)
 LOCK_HOST = 254  # last octet of the address that is bound as a lock
 ENTRY_COUNT = 4
+GRACE_S = 4
 SETTINGS = """
 node-name = "{name}"
 ip = "{ip}"
@@ -38,7 +39,7 @@
 [fault-tolerance]
 machines = 1
 [bounds]
-grace-s = 4
+grace-s = {grace_s}
 retry-budget-ratio = 0.8
 retry-budget-slack = 150
 budget-window-s = 10
@@ -140,6 +141,7 @@
     :param network_number: number of the run's :class:`LoopbackNetwork`.
     :param entry_count: number of entries.
     :param limits: returns the ``[limits]`` of a program's settings, if any.
+    :param grace_s: time between SIGTERM and SIGKILL.
     """
 
     def __init__(
@@ -149,11 +151,13 @@
         network_number,
         entry_count=ENTRY_COUNT,
         limits=lambda program: {},
+        grace_s=GRACE_S,
     ):
         self.folder = pathlib.Path(folder)
         self.platform_list_address = platform_list_address
         self.network_number = network_number
         self.limits = limits
+        self.grace_s = grace_s
         port = first_port(network_number)
         self.ports = {
             'front': port,
@@ -195,6 +199,7 @@
             bootstrap=str(bootstrap).lower(),
             data=self.folder / 'data' / program.name,
             cloud=self.platform_list_address,
+            grace_s=self.grace_s,
             **self.ports,
         )
         limits = [f'{k} = {v}\n' for k, v in self.limits(program).items()]
