An entry that has drained accepts nothing more

An entry that has nothing in progress after its linger time ends at once. New requests are refused as not run from that look on.

That requests were lost by this in the field is suspected only. Both tests failed before.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -210,6 +210,7 @@
                 context,
                 self.fleet,
                 monitor,
+                lambda: self.forwarder.closing,
             ),
             buffers,
         )
@@ -275,6 +276,8 @@
             )
             if linger_elapsed and not in_progress:
                 break
+        # Nothing that is accepted from now on could be completed.
+        self.forwarder.closing = True
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
--- a/src/bulrushhold/forwarding/_proxyhandler.py
+++ b/src/bulrushhold/forwarding/_proxyhandler.py
@@ -1,5 +1,6 @@
 """Sends requests of entries that reach no backend server themselves."""
 
+import collections.abc as cabc
 import typing as t
 
 from bulrushhold import calls
@@ -18,6 +19,7 @@
     place in all limits. What servers say of this entry is recorded here.
 
     :param client: checks what servers demand of this entry; never proxies.
+    :param is_closing: returns whether this entry is about to end.
     """
 
     def __init__(
@@ -26,7 +28,9 @@
         context: _context.ForwardingContext,
         fleet: _fleet.FleetView,
         monitor: _reachabilitymonitor.ReachabilityMonitor,
+        is_closing: cabc.Callable[[], bool] = lambda: False,
     ) -> None:
+        self.is_closing = is_closing
         self.client = client
         self.context = context
         self.fleet = fleet
@@ -36,6 +40,10 @@
         self, call: calls.Call, attempt: calls.Attempt
     ) -> calls.BackendResponse:
         """Send an attempt; see :meth:`calls.PeerProxyHandler.send`."""
+        if self.is_closing():
+            raise errors.ProxyRefusedError(
+                'shutting down', 'proxy', attempt.address
+            )
         job = self._make_job(call, attempt)
         if self.monitor.is_cut_off(job.service):
             raise errors.ProxyRefusedError('cut off', 'proxy', job.service)
--- a/tests/forwarding/test_peer_proxy.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -320,6 +320,16 @@
     )
 
 
+async def test_an_entry_that_has_drained_proxies_nothing_more(
+    handler, context, client
+):
+    # Guards against another entry's request that ends with this process.
+    handler.is_closing = lambda: True
+    with pytest.raises(errors.ProxyRefusedError):
+        await handler.send(*make_attempt(context))
+    assert client.attempts == []
+
+
 async def test_a_server_that_left_the_list_says_nothing_of_the_others(
     client, context, proxying, proxies
 ):
--- /dev/null
+++ b/tests/test_entry_drain.py
@@ -0,0 +1,34 @@
+"""Tests of the end of an entry that drains."""
+
+import asyncio
+import types
+
+import pytest
+
+from bulrushhold import composition
+from bulrushhold import settings
+
+
+@pytest.fixture
+def entry():
+    address = settings.Address('127.0.0.1', 1)
+    config = settings.Forwarding(
+        'e1', 'dc', address, address, [address], grace_s=8.0, linger_s=0.1
+    )
+    created = composition.ForwardingEntry(config, None)
+    created.fleet = types.SimpleNamespace(
+        start_draining=lambda: None, follow=None
+    )
+    created.ingress = types.SimpleNamespace(in_progress=0, draining=False)
+    created.proxy_server = types.SimpleNamespace(in_progress=0)
+    created.forwarder = types.SimpleNamespace(closing=False)
+    created.loops = types.SimpleNamespace(start=lambda name, loop: None)
+    created.follow_task = types.SimpleNamespace(cancel=lambda: None)
+    return created
+
+
+async def test_an_entry_that_has_drained_accepts_nothing_more(entry):
+    # Guards against a request that is sent on while connections are closed.
+    async with asyncio.timeout(5.0):
+        await entry.drain()
+    assert entry.forwarder.closing
