Of two listed addresses under one ident, the known one counts

Another system's item may have the ident of a server. Of the two, the later one counted, so that requests for a sound server went to another address, and in another order of the page the other way round.

--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -306,3 +306,41 @@
 async def test_an_address_of_no_single_server_is_rejected(text):
     # Guards against requests that reach this process itself, or nobody.
     assert await fetch({**ITEM, 'address': text}) == []
+
+
+# Two items with one ident
+
+
+OTHER_ADDRESS = '127.9.9.9:9'
+
+
+@pytest.mark.parametrize('is_first', [False, True])
+async def test_an_item_with_the_ident_of_a_listed_server_is_ignored(is_first):
+    # Guards against a sound server that is replaced by another one's item.
+    other = {**ITEM, 'address': OTHER_ADDRESS}
+    both = [other, ITEM] if is_first else [ITEM, other]
+    pages = [
+        json.dumps({'instances': items, 'next': None}).encode()
+        for items in ([ITEM], both, both)
+    ]
+    backend_list = _backendlist.PlatformBackendList(
+        decoding.PageSession(pages), '10.0.0.1:1', node.NullMetrics()
+    )
+    for _ in pages:
+        listed = await backend_list.fetch()
+        assert [item.address for item in listed] == [ITEM['address']]
+
+
+async def test_a_server_that_moves_is_found_at_its_new_address():
+    # Guards against an ident that stays at its first address for ever.
+    moved = {**ITEM, 'address': OTHER_ADDRESS}
+    pages = [
+        json.dumps({'instances': items, 'next': None}).encode()
+        for items in ([ITEM], [moved])
+    ]
+    backend_list = _backendlist.PlatformBackendList(
+        decoding.PageSession(pages), '10.0.0.1:1', node.NullMetrics()
+    )
+    await backend_list.fetch()
+    listed = await backend_list.fetch()
+    assert [item.address for item in listed] == [OTHER_ADDRESS]
