What odd items of the list name is forgotten in time

An odd item that names another service, version, zone or address each time left something for each in memory until the end of the process, and in the replicated state for ever: recorded versions of services, when they were missed, gauges by version, locations of failures, addresses that are down.

The tests of recorded versions and of gauges failed before.

--- a/src/bulrushhold/control/_versions.py
+++ b/src/bulrushhold/control/_versions.py
@@ -54,7 +54,7 @@
             **decisions.recorded_routes(recorded, self.route_map),
         }
         versions = self.recorder.next_versions(
-            recorded, listed, now, self.window_s
+            recorded, listed, now, self.window_s, self._routed_services()
         )
         if versions == state.service_versions:
             return
@@ -65,6 +65,15 @@
             self.server.replica.propose(messages.encode(command))
             self.server.wakeup.set()
 
+    def _routed_services(self) -> set[str] | None:
+        if self.server.state.route_map is None:
+            return None
+        return {
+            target.service
+            for route in self.route_map.routes
+            for target in route.targets
+        }
+
     def publish(self) -> None:
         """Publish the recorded versions, as they are applied."""
         state, term = self.server.state, self.server.replica.term
--- a/src/bulrushhold/decisions/_datacentrefailures.py
+++ b/src/bulrushhold/decisions/_datacentrefailures.py
@@ -21,13 +21,22 @@
 
     def record(self, location: Location, ident: str, now: float) -> None:
         """Record that a server failed."""
-        recent = self.recent.setdefault(
-            location, collections.deque(maxlen=MAX_FAILURES)
-        )
+        recent = self.recent.get(location)
+        if recent is None:
+            self._drop_calm(now)
+            recent = collections.deque(maxlen=MAX_FAILURES)
+            self.recent[location] = recent
         _drop_old(recent, now)
         if all(other != ident for _, other in recent):
             recent.append((now, ident))
 
+    def _drop_calm(self, now: float) -> None:
+        """Forget locations without failures: listed items name any zone."""
+        for location, recent in list(self.recent.items()):
+            _drop_old(recent, now)
+            if not recent:
+                del self.recent[location]
+
     def remove(self, location: Location, ident: str) -> None:
         """Remove the failure of a server that proved to be sound."""
         recent = self.recent.get(location, ())
--- a/src/bulrushhold/decisions/_enginelosses.py
+++ b/src/bulrushhold/decisions/_enginelosses.py
@@ -48,7 +48,8 @@
             maxlen=MAX_LOSSES
         )
         self.locations: dict[str, tuple[str, str]] = {}
-        self.down: set[str] = set()
+        # In the order of their losses.
+        self.down: dict[str, None] = {}
 
     def record(
         self,
@@ -61,12 +62,14 @@
         self._locate(engine, location)
         address = address or engine
         if address not in self.down:
-            self.down.add(address)
+            self.down[address] = None
+            while len(self.down) > 2 * MAX_LOSSES:
+                del self.down[next(iter(self.down))]
             self.losses.append(EngineLoss(engine, location, now))
 
     def record_alive(self, address: str) -> None:
         """Record that the engine at an address answers requests."""
-        self.down.discard(address)
+        self.down.pop(address, None)
 
     def record_crash(self, engine: str, now: float) -> None:
         """Record that an engine was lost while it ran a request.
--- a/src/bulrushhold/decisions/_versionhistory.py
+++ b/src/bulrushhold/decisions/_versionhistory.py
@@ -6,6 +6,7 @@
 have begun there.
 """
 
+import collections.abc as cabc
 import typing as t
 
 from bulrushhold import messages
@@ -93,6 +94,7 @@
         listed: dict[str, set[str]],
         now: float,
         window_s: float,
+        routed: cabc.Set[str] | None = None,
     ) -> Versions:
         """Return the versions to be recorded of all services.
 
@@ -101,6 +103,9 @@
             :func:`recorded_routes`.
         :param window_s: time for which the streams of a version may still be
             resumed after its last engine has left the list.
+        :param routed: services that the route map names, if it is known.
+            Others are dropped after that time: other systems may list any
+            number of them.
         """
         versions = dict(recorded)
         for service in {*recorded, *listed}:
@@ -114,10 +119,23 @@
                 if now - self.missing_since.setdefault((service, version), now)
                 < window_s
             }
-            if service.startswith(_ROUTE_KEY_START) and not kept:
+            if service.startswith(_ROUTE_KEY_START):
+                is_unused = True
+            else:
+                is_unused = (
+                    not present
+                    and routed is not None
+                    and service not in routed
+                )
+            if is_unused and not kept:
                 del versions[service]
             elif present:
                 versions[service] = sorted(present | kept)
+        self.missing_since = {
+            (service, version): since
+            for (service, version), since in self.missing_since.items()
+            if version in versions.get(service, ())
+        }
         return versions
 
 
--- a/src/bulrushhold/node/_prometheus.py
+++ b/src/bulrushhold/node/_prometheus.py
@@ -67,6 +67,12 @@
             self.gauges[name] = gauge
         (gauge.labels(**labels) if labels else gauge).set(value)
 
+    def remove_gauge(self, name: str, labels: ports.Labels) -> None:
+        """Forget a gauge's value for labels that aren't used any more."""
+        gauge = self.gauges.get(name)
+        if gauge is not None:
+            gauge.remove(*labels.values())
+
     def text(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bulrushhold/node/_statsd.py
+++ b/src/bulrushhold/node/_statsd.py
@@ -41,6 +41,9 @@
         """Set a gauge."""
         self.client.gauge(_labelled(name, labels), value)
 
+    def remove_gauge(self, name: str, labels: ports.Labels) -> None:
+        """Do nothing: no value is kept here."""
+
 
 class NullMetrics(ports.Metrics):
     """Discards all metrics; used if no statsd is configured."""
@@ -64,6 +67,9 @@
     ) -> None:
         """Discard the value."""
 
+    def remove_gauge(self, name: str, labels: ports.Labels) -> None:
+        """Do nothing."""
+
 
 def _labelled(name: str, labels: ports.Labels) -> str:
     """Return a name that ends in the labels' values.
--- a/src/bulrushhold/ports.py
+++ b/src/bulrushhold/ports.py
@@ -256,6 +256,10 @@
     ) -> None:
         """Set a gauge."""
 
+    @abc.abstractmethod
+    def remove_gauge(self, name: str, labels: Labels) -> None:
+        """Forget a gauge's value for labels that aren't used any more."""
+
 
 class LogStore(abc.ABC):
     """Durable storage of a replica's log and snapshots."""
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -304,6 +304,23 @@
     assert metrics.gauges['engines', 'engines', 'v2'] == 2
 
 
+async def test_gauges_of_versions_that_are_gone_are_removed(context):
+    # Guards against memory that grows with each odd item of the list.
+    metrics = node.make_prometheus_metrics('test')
+    now = [0.0]
+    placement = context.placement
+    gauges = forwarding.VersionGauges(placement, metrics, lambda: now[0])
+    for number in range(400):
+        now[0] += 1.0
+        placement.update([*ENGINES, *listed(f'odd-{number}', 9)])
+        gauges.update()
+    text = metrics.text().decode()
+    assert 'version="v1"' in text
+    assert 'version="odd-399"' in text
+    assert 'version="odd-0"' not in text
+    assert len(gauges.listed_at) < 200
+
+
 def make_map(version, *prefixes, service='engines'):
     listed = [
         routes.Route(
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -49,6 +49,19 @@
     }
 
 
+def test_services_without_routes_are_recorded_for_a_while_only(recorder):
+    # Guards against a state that grows with each odd item of the list.
+    recorded = {'engines': ['v1']}
+    for number in range(200):
+        listed = {'engines': {'v1'}, f'odd-{number}': {f'v{number}'}}
+        recorded = recorder.next_versions(
+            recorded, listed, float(number), WINDOW_S, {'engines'}
+        )
+        assert len(recorded) <= WINDOW_S + 2
+    assert recorded['engines'] == ['v1']
+    assert len(recorder.missing_since) <= WINDOW_S + 2
+
+
 def test_a_version_that_is_listed_again_starts_anew(recorder):
     both = {'engines': ['v1', 'v2']}
     recorder.next_versions(both, {'engines': {'v2'}}, 0.0, WINDOW_S)
