A server whose last answers were all wrong is left alone

Wrong answers lowered the rank of plain servers only; nothing that places streams looked at them.

After three wrong answers in a row, a server counts as unverified: it is left alone for a time that doubles until it gives a whole answer. Failures at one moment count once, as connections may break together; a server that can't be reached is handled as before, and one that answers rightly in between keeps its place. The tests failed before, but the three for servers that must stay in use.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -318,7 +318,7 @@
         backend = self.backends.get(ident)
         if backend is None:
             return
-        self.verification.record_failure(ident, now)
+        self.verification.record_failure(ident, now, unreachable=unreachable)
         self._sample_failure(backend, 1.0, now)
         if unreachable:
             if backend.ejected_until <= now:
@@ -399,7 +399,7 @@
         if backend is None:
             return
         self._sample_failure(backend, 0.0, now)
-        self.verification.record_answer(ident)
+        self.verification.record_success(ident)
         self.record_answer(ident, now)
         self.losses.record_alive(backend.address)
         backend.ejected_until = 0.0
@@ -512,7 +512,7 @@
             backend = self.backends.get(ident)
             if backend is None or backend.ejected_until > now:
                 continue
-            self.verification.record_failure(ident, now)
+            self.verification.record_failure(ident, now, unreachable=True)
             self._eject(backend, now)
         for ident in summary.replaced:
             if ident not in self.replaced_idents:
--- a/src/bulrushhold/decisions/_verification.py
+++ b/src/bulrushhold/decisions/_verification.py
@@ -3,8 +3,8 @@
 The platform's list also has items of other systems. What listens at their
 addresses may answer every request wrongly, or close its connection, and
 looks fast and idle meanwhile. A server that has answered a request as its
-protocol says is verified, and its errors are those of a backend server. One
-that hasn't, and fails, is left alone for a time that doubles.
+protocol says is verified, until it answers several wrongly in a row. One that
+isn't, and fails, is left alone for a time that doubles.
 """
 
 import collections.abc as cabc
@@ -19,6 +19,9 @@
 # Time in which checks find out what a newly listed server is. After it, one
 # that has failed nothing gets requests that may run only once, too.
 CHECK_TIME_S: t.Final = 2.0
+MAX_WRONG_ANSWERS: t.Final = 3
+# Failures within this time count once: connections may break together.
+FAILURE_SPREAD_S: t.Final = 0.05
 
 
 @attrs.frozen
@@ -32,11 +35,23 @@
     until: float
 
 
+@attrs.frozen
+class _WrongAnswers:
+    """Wrong answers of a verified server since its last right one.
+
+    :param last_at: when the last one was counted.
+    """
+
+    count: int
+    last_at: float
+
+
 class Verification:
     """The verified servers, and the trials of those that aren't.
 
     :ivar verified: idents.
     :ivar failed: servers whose latest trial failed, by ident.
+    :ivar wrong: verified servers whose last answers were wrong, by ident.
     :ivar strangers: listed servers that have answered a check as no backend
         server does, or were not there.
     :ivar seen_at: when each unverified server was first considered.
@@ -46,6 +61,7 @@
         self.verified: set[str] = set()
         self.failed: dict[str, _Trial] = {}
         self.strangers: set[str] = set()
+        self.wrong: dict[str, _WrongAnswers] = {}
         self.seen_at: dict[str, float] = {}
 
     def record_answer(self, ident: str) -> None:
@@ -54,15 +70,33 @@
             self.forget(ident)
             self.verified.add(ident)
 
+    def record_head(self, ident: str) -> None:
+        """Record the head of such an answer, which may still break off."""
+        if ident not in self.failed:
+            self.record_answer(ident)
+
+    def record_success(self, ident: str) -> None:
+        """Record a whole answer."""
+        self.wrong.pop(ident, None)
+        self.record_answer(ident)
+
     def record_stranger(self, ident: str) -> None:
         """Record a check by which a listed server isn't one."""
         if ident not in self.verified:
             self.strangers.add(ident)
 
-    def record_failure(self, ident: str, now: float) -> None:
-        """Record a failed request; at an unverified server, it was a trial."""
-        if ident in self.verified:
+    def record_failure(
+        self, ident: str, now: float, *, unreachable: bool
+    ) -> None:
+        """Record a failed request; at an unverified server, it was a trial.
+
+        :param unreachable: it got no answer at all, rather than a wrong one.
+        """
+        if ident in self.verified and (
+            unreachable or not self._is_wrong_again(ident, now)
+        ):
             return
+        self.verified.discard(ident)
         before = self.failed.get(ident)
         if before is None:
             self.failed[ident] = _Trial(FIRST_PAUSE_S, now + FIRST_PAUSE_S)
@@ -70,18 +104,27 @@
             pause_s = min(MAX_PAUSE_S, 2 * before.pause_s)
             self.failed[ident] = _Trial(pause_s, now + pause_s)
 
+    def _is_wrong_again(self, ident: str, now: float) -> bool:
+        """Count a wrong answer; return whether it is one too many."""
+        before = self.wrong.get(ident, _WrongAnswers(0, float('-inf')))
+        if now - before.last_at < FAILURE_SPREAD_S:
+            return False
+        count = before.count + 1
+        self.wrong[ident] = _WrongAnswers(count, now)
+        return count >= MAX_WRONG_ANSWERS
+
     def forget(self, ident: str) -> None:
         """Forget a server: another one has its ident."""
         self.verified.discard(ident)
         self.strangers.discard(ident)
-        self.failed.pop(ident, None)
-        self.seen_at.pop(ident, None)
+        for known in (self.failed, self.wrong, self.seen_at):
+            known.pop(ident, None)
 
     def retain(self, idents: cabc.Set[str]) -> None:
         """Forget all servers but these."""
         self.verified &= idents
         self.strangers &= idents
-        for known in (self.failed, self.seen_at):
+        for known in (self.failed, self.wrong, self.seen_at):
             for ident in known.keys() - idents:
                 del known[ident]
 
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -21,8 +21,10 @@
         )
     if not head.matches_request:
         return
-    if head.from_backend or head.not_run:
+    if head.not_run:
         context.placement.verification.record_answer(ident)
+    elif head.from_backend:
+        context.placement.verification.record_head(ident)
     if head.load is not None and head.instance in ('', ident):
         _record_pace(context, job, ident, head.load)
     if head.load_malformed:
--- a/tests/test_verification.py
+++ b/tests/test_verification.py
@@ -138,3 +138,44 @@
     # Guards against streams admitted for engines that don't exist.
     pool.record_failure('i3', 1.0, unreachable=False)
     assert 'i3' not in [s.ident for s in pool.usable(SERVICE, 1.5)]
+
+
+def fail(pool, ident, times, unreachable=False):
+    for at in times:
+        pool.record_failure(ident, at, unreachable=unreachable)
+
+
+def test_a_verified_server_that_only_answers_wrongly_is_left_alone(pool):
+    # Guards against streams that are sent to it for as long as it is listed.
+    fail(pool, 'i0', [1.0, 1.2, 1.4])
+    assert 'i0' not in [s.ident for s in pool.usable(SERVICE, 2.0)]
+    assert 'i0' in [s.ident for s in pool.usable(SERVICE, 2.5)]
+
+
+def test_a_server_that_answers_rightly_in_between_stays_in_use(pool):
+    # Guards against capacity that is lost for a share of wrong answers.
+    for at in range(9):
+        fail(pool, 'i0', [at + 0.1, at + 0.2])
+        pool.record_success('i0', at + 0.3, 0.15)
+    assert 'i0' in pool.verification.verified
+
+
+def test_connections_that_break_together_count_once(pool):
+    # Guards against sound servers that are left as channels are reset.
+    fail(pool, 'i0', [1.0, 1.01, 1.01, 1.02])
+    assert 'i0' in pool.verification.verified
+
+
+def test_a_server_that_is_back_after_a_crash_is_used_at_once(pool):
+    # Guards against a pause on top of the one for lost servers.
+    fail(pool, 'i0', [1.0, 1.2, 1.4, 1.6], unreachable=True)
+    assert 'i0' in pool.verification.verified
+
+
+def test_a_head_alone_ends_no_pause(pool):
+    # Guards against a server whose answers always break off.
+    fail(pool, 'i0', [1.0, 1.2, 1.4])
+    pool.verification.record_head('i0')
+    assert 'i0' not in pool.verification.verified
+    pool.record_success('i0', 3.0, 0.15)
+    assert 'i0' in pool.verification.verified
