--- a/src/bulrushhold/control/_versions.py
+++ b/src/bulrushhold/control/_versions.py
@@ -68,11 +68,7 @@
     def _routed_services(self) -> set[str] | None:
         if self.server.state.route_map is None:
             return None
-        return {
-            target.service
-            for route in self.route_map.routes
-            for target in route.targets
-        }
+        return routes.target_services(self.route_map.routes)
 
     def publish(self) -> None:
         """Publish the recorded versions, as they are applied."""
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -110,17 +110,17 @@
     def _is_cut_off(self, entry: messages.ListedEntry) -> bool:
         """Whether an entry reaches none of the listed backend servers."""
         # Services that no route names may have servers of other systems only.
-        services = self._routed_services() & self.placement.services.keys()
+        routed = self._services_of(lambda route: True)
+        services = routed & self.placement.services.keys()
         return bool(services) and services <= set(entry.unreachable)
 
-    def _routed_services(self) -> set[str]:
+    def _services_of(
+        self, is_meant: cabc.Callable[[routes.Route], bool]
+    ) -> set[str]:
+        """Return the services of some routes; none before the first map."""
         if self.index is None:
             return set()
-        return {
-            target.service
-            for route in self.index.map.routes
-            for target in route.targets
-        }
+        return routes.target_services(filter(is_meant, self.index.map.routes))
 
     def start_draining(self) -> None:
         """Advertise this entry as not ready for new callers."""
@@ -132,25 +132,15 @@
 
     def resumable_services(self) -> set[str]:
         """Return the services whose streams may go on at other engines."""
-        if self.index is None:
-            return set()
-        return {
-            target.service
-            for route in self.index.map.routes
-            if route.kind is routes.Kind.STREAM and route.repeatable
-            for target in route.targets
-        }
+        return self._services_of(
+            lambda route: (
+                route.kind is routes.Kind.STREAM and route.repeatable
+            )
+        )
 
     def single_run_services(self) -> set[str]:
         """Return the services of requests that may run only once."""
-        if self.index is None:
-            return set()
-        return {
-            target.service
-            for route in self.index.map.routes
-            if not route.repeatable
-            for target in route.targets
-        }
+        return self._services_of(lambda route: not route.repeatable)
 
     def entry_count(self) -> int:
         """Return the number of entries, including this one."""
--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -121,6 +121,11 @@
         _check_unique('key', (key for a in self.accounts for key in a.keys))
 
 
+def target_services(routes: cabc.Iterable[Route]) -> set[str]:
+    """Return the services that any of some routes names."""
+    return {target.service for route in routes for target in route.targets}
+
+
 def _check_route(route: Route, services: set[str]) -> None:
     if not route.prefix.startswith('/') or not route.prefix.endswith('/'):
         raise _invalid(
