--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+import tracemalloc
 
 import hypothesis
 from hypothesis import strategies as st
@@ -231,6 +232,38 @@
     assert decoded.next_token == 'p-2'
 
 
+def test_two_odd_items_that_are_json_together_hide_none_between_them():
+    # Guards against items that are taken into a value of an odd one.
+    before, between, after = ({**ITEM, 'id': f'i-{n}'} for n in range(3))
+    opened, closed = json.dumps({**ITEM, 'models': [1, 2]}).split(', 2')
+    texts = [json.dumps(before), opened, json.dumps(between), '2' + closed]
+    text = ','.join([*texts, json.dumps(after)])
+    page = f'{{"instances":[{text}],"next":null}}'
+    items = _listpage.decode_page(page.encode()).items
+    for sound in (before, between, after):
+        assert sound in items
+
+
+def test_many_items_beside_an_odd_byte_are_read_in_time():
+    # Guards against a list whose reading takes longer than its timeout.
+    page = encode_page(*[json.dumps(ITEM).encode()] * 5000, b'x')
+    started = time.process_time()
+    assert len(_listpage.decode_page(page).items) == 5002
+    assert time.process_time() - started < 1.0
+
+
+def test_odd_bytes_take_little_memory():
+    # Guards against processes that exceed their memory while they decode.
+    page = encode_page(b'[' * 2_000_000)
+    tracemalloc.start()
+    try:
+        _listpage.decode_page(page)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 8 * len(page)
+
+
 @hypothesis.given(st.binary() | st.text().map(str.encode))
 def test_arbitrary_bytes_hide_no_item_beside_them(data):
     # Guards against the same for bytes that no generator of ours draws.
