Odd items of the list: idents, lengths, thousands, and entries that are new

- An item with a server's ident, at its address and of another service, took its place.
- A name of 2 MB was written to the log with each decision (10 to 12 MB an entry in 15 s).
Names have up to 255 characters.
- Each choice of a server looked at all listed ones for those left alone: 2.2 ms with 30,000 items.
Only verified and waiting ones are looked at.
- Checks began with the first of the list each time, so that many silent items would delay those of new servers.
They come in any order, 16 at a time.
- An entry that has just started sent once-only requests to the first servers that answered, and ended retries if these rejected.
While it knows fewer servers than it doesn't, it uses all.
- A head of another process, or a 421, identified a listed server.

The tests of idents, lengths and new entries failed before.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -176,7 +176,7 @@
         """Return the same as :meth:`usable`, with what is derived from it."""
         rule = self.versions.rule(service, now, canary=canary, version=version)
         gone = self.demands.leaving.until.keys() | self.replaced_idents
-        gone |= self.verification.left_alone(self.services, gone, now)
+        gone |= self.verification.left_alone(self.backends, gone, now)
         return self.usable_cache.usable(service, rule, self.services, gone)
 
     def backend_at(self, address: str) -> _backendserver.BackendServer | None:
@@ -227,7 +227,7 @@
     def all_reject(self, service: str, now: float) -> bool:
         """Whether all servers of a service have just rejected requests."""
         usable = self.usable(service, now)
-        servers = self.verification.among(usable) or usable
+        servers = self.verification.without_strangers(usable) or usable
         return self.rejections.all_reject(servers, now)
 
     def next_held(
--- a/src/bulrushhold/decisions/_verification.py
+++ b/src/bulrushhold/decisions/_verification.py
@@ -130,7 +130,7 @@
 
     def left_alone(
         self,
-        services: cabc.Mapping[str, list[_backendserver.BackendServer]],
+        servers: cabc.Mapping[str, _backendserver.BackendServer],
         gone: cabc.Container[str],
         now: float,
     ) -> set[str]:
@@ -138,23 +138,23 @@
 
         While no verified server of a service can be used, all are tried.
 
+        :param servers: all listed ones, by ident.
         :param gone: servers that the list doesn't show as leaving.
         """
         waiting = {i for i, trial in self.failed.items() if trial.until > now}
         if not waiting:
             return waiting
+        services = {
+            servers[ident].service
+            for ident in self.verified & servers.keys()
+            if ident not in gone
+            and not servers[ident].leaving
+            and servers[ident].ejected_until <= now
+        }
         return {
-            server.ident
-            for servers in services.values()
-            if any(
-                server.ident in self.verified
-                and not server.leaving
-                and server.ident not in gone
-                and server.ejected_until <= now
-                for server in servers
-            )
-            for server in servers
-            if server.ident in waiting
+            ident
+            for ident in waiting & servers.keys()
+            if servers[ident].service in services
         }
 
     def for_single_run(
@@ -172,9 +172,14 @@
         verified = self.among(servers)
         if not verified or len(verified) == len(servers):
             return servers
-        excluded = self.verified | self.strangers | self.failed.keys()
-        unknown = [s for s in servers if s.ident not in excluded]
-        if all(server.ident in tried for server in verified):
+        unknown = [
+            server
+            for server in self.without_strangers(servers)
+            if server.ident not in self.verified
+        ]
+        # An entry that has just started knows few of them.
+        is_new_here = len(unknown) > len(verified)
+        if is_new_here or all(s.ident in tried for s in verified):
             return verified + unknown
         return verified + [s for s in unknown if self._may_try(s, now)]
 
@@ -184,6 +189,15 @@
         """Return the verified ones of some servers."""
         return [s for s in servers if s.ident in self.verified]
 
+    def without_strangers(
+        self, servers: list[_backendserver.BackendServer]
+    ) -> list[_backendserver.BackendServer]:
+        """Return the servers of which nothing shows that they are none."""
+        excluded = self.strangers | self.failed.keys()
+        if not excluded:
+            return servers
+        return [s for s in servers if s.ident not in excluded]
+
     def usable_versions(
         self, servers: cabc.Iterable[_backendserver.BackendServer]
     ) -> dict[str, set[str]]:
@@ -191,10 +205,9 @@
 
         Those of servers that have failed all trials don't count.
         """
-        excluded = self.failed.keys() | self.strangers
         versions: dict[str, set[str]] = {}
-        for server in servers:
-            if server.ident not in excluded and not server.leaving:
+        for server in self.without_strangers(list(servers)):
+            if not server.leaving:
                 versions.setdefault(server.service, set()).add(server.version)
         return versions
 
--- a/src/bulrushhold/forwarding/_responses.py
+++ b/src/bulrushhold/forwarding/_responses.py
@@ -21,10 +21,7 @@
         )
     if not head.matches_request:
         return
-    if head.not_run:
-        context.placement.verification.record_answer(ident)
-    elif head.from_backend:
-        context.placement.verification.record_head(ident)
+    _record_identity(context, ident, head)
     if head.load is not None and head.instance in ('', ident):
         _record_pace(context, job, ident, head.load)
     if head.load_malformed:
@@ -40,6 +37,20 @@
         _record_backoff(context, job, ident, head.backoff)
 
 
+def _record_identity(
+    context: _context.ForwardingContext,
+    ident: str,
+    head: calls.ResponseHead,
+) -> None:
+    # Another process has the server's address.
+    if head.status == 421 or head.instance not in ('', ident):
+        return
+    if head.not_run:
+        context.placement.verification.record_answer(ident)
+    elif head.from_backend:
+        context.placement.verification.record_head(ident)
+
+
 def _record_pace(
     context: _context.ForwardingContext,
     job: _context.Job,
--- a/src/bulrushhold/forwarding/_serverchecks.py
+++ b/src/bulrushhold/forwarding/_serverchecks.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc as cabc
+import random
 import time
 import typing as t
 
@@ -16,7 +17,7 @@
 
 INTERVAL_S: t.Final = 0.2
 # Servers checked at a time.
-BATCH: t.Final = 8
+BATCH: t.Final = 16
 FIRST_RETRY_S: t.Final = 0.5
 MAX_RETRY_S: t.Final = 10.0
 
@@ -37,6 +38,7 @@
         self.client = client
         self.placement = placement
         self.clock = clock
+        self.rng = random.Random()
         self.pauses: dict[str, float] = {}
         self.check_at: dict[str, float] = {}
 
@@ -50,8 +52,10 @@
         """
         while True:
             await asyncio.sleep(INTERVAL_S)
-            due = self._due(list_services())[:BATCH]
-            await asyncio.gather(*map(self._check, due))
+            due = self._due(list_services())
+            # In any order: those that are never identified come again.
+            batch = self.rng.sample(due, min(BATCH, len(due)))
+            await asyncio.gather(*map(self._check, batch))
             listed = self.placement.backends.keys()
             for known in (self.pauses, self.check_at):
                 for ident in known.keys() - listed:
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -348,9 +348,14 @@
 
 
 @pytest.mark.parametrize('is_first', [False, True])
-async def test_an_item_with_the_ident_of_a_listed_server_is_ignored(is_first):
+@pytest.mark.parametrize(
+    'change', [{'address': OTHER_ADDRESS}, {'service': 'other'}]
+)
+async def test_an_item_with_the_ident_of_a_listed_server_is_ignored(
+    is_first, change
+):
     # Guards against a sound server that is replaced by another one's item.
-    other = {**ITEM, 'address': OTHER_ADDRESS}
+    other = {**ITEM, **change}
     both = [other, ITEM] if is_first else [ITEM, other]
     pages = [
         json.dumps({'instances': items, 'next': None}).encode()
@@ -361,7 +366,9 @@
     )
     for _ in pages:
         listed = await backend_list.fetch()
-        assert [item.address for item in listed] == [ITEM['address']]
+        assert [(i.address, i.service) for i in listed] == [
+            (ITEM['address'], ITEM['service'])
+        ]
 
 
 async def test_a_server_that_moves_is_found_at_its_new_address():
@@ -377,3 +384,10 @@
     await backend_list.fetch()
     listed = await backend_list.fetch()
     assert [item.address for item in listed] == [OTHER_ADDRESS]
+
+
+@pytest.mark.parametrize('name', ['id', 'service', 'zone', 'config-version'])
+async def test_a_text_of_any_length_is_no_name(name):
+    # Guards against log lines and messages as long as an odd item.
+    assert await fetch({**ITEM, name: 'x' * 256}) == []
+    assert await fetch({**ITEM, name: 'x' * 255})
--- a/tests/test_verification.py
+++ b/tests/test_verification.py
@@ -128,6 +128,7 @@
 
 def test_a_stranger_does_not_hide_that_all_servers_reject(pool):
     # Guards against requests that go round full servers beside a stranger.
+    pool.verification.record_stranger('i3')
     for step in range(20):
         for n in range(3):
             pool.rejections.record(f'i{n}', 1.0 + 0.05 * step)
@@ -226,3 +227,26 @@
         pool.versions.confirm(1.0)
     usable = {server.ident for server in pool.usable(SERVICE, 1.1)}
     assert usable >= {f'v2-{n}' for n in range(4)}
+
+
+def test_an_entry_that_knows_few_servers_uses_all(pool):
+    # Guards against all requests of a new entry at the first that answered.
+    for n in range(1, 3):
+        pool.verification.forget(f'i{n}')
+    chosen = {choose(pool, 1.0, at_most_once=True) for _ in range(200)}
+    assert chosen == {'i0', 'i1', 'i2', 'i3'}
+
+
+def test_servers_that_are_not_known_yet_do_not_count_as_rejecting(pool):
+    # Guards against a refusal by an entry that has asked one server only.
+    for step in range(20):
+        pool.rejections.record('i0', 1.0 + 0.05 * step)
+    assert not pool.all_reject(SERVICE, 2.0)
+
+
+def test_an_answer_of_a_server_that_has_left_the_list_harms_nothing(pool):
+    # Guards against an error for all requests that follow.
+    pool.verification.record_answer('gone')
+    pool.verification.record_failure('gone-too', 1.0, unreachable=False)
+    pool.record_failure('i3', 1.0, unreachable=False)
+    assert len(pool.usable(SERVICE, 1.5)) == 3
