A body that ends with its connection is passed on as one

Cause: the entry made a frame of its own for each body. By HTTP such a body ends where its connection does (RFC 9112, 6.3), so its end tells nothing, and the frame claimed what the entry couldn't know.

Change: a response head says whether its body is framed, also to another entry that had it proxied. If not, the caller gets neither a length nor chunks, and its connection is closed after the last byte. Until the system has taken the last byte, SO_LINGER is 0: whatever closes the connection before (a reset of the engine, a shutdown or the death of this process, a stalled caller) resets it, so the caller sees a body that breaks off. A stream that began with a frame and went on at an engine that gives none has no known end: its last chunk is left out, with a log line and a count. HEAD, 204 and 304 have no body and keep connections.

--- a/src/bulrushhold/calls.py
+++ b/src/bulrushhold/calls.py
@@ -160,6 +160,8 @@
     :param leaving: the server is shutting down and wants no new requests.
     :param brittleness: set while the server is brittle.
     :param load_malformed: the response names a load that can't be decoded.
+    :param framed: the end of the body is marked; otherwise the body ends with
+        the connection, and nothing tells whether it is whole.
     """
 
     status: int
@@ -174,6 +176,7 @@
     leaving: bool = False
     brittleness: Brittleness | None = None
     load_malformed: bool = False
+    framed: bool = True
 
 
 class BackendResponse(abc.ABC):
@@ -327,11 +330,15 @@
 
 @attrs.frozen
 class Reply:
-    """A response to a caller; :meth:`close` it if it isn't sent."""
+    """A response to a caller; :meth:`close` it if it isn't sent.
+
+    :param framed: see :class:`ResponseHead`.
+    """
 
     status: int
     headers: Headers
     body: bytes | bodies.Body
+    framed: bool = True
 
     def close(self) -> None:
         """Free the memory of the body."""
@@ -340,9 +347,13 @@
 
 
 class CallerStream(abc.ABC):
-    """A streamed response to a caller."""
+    """A streamed response to a caller.
+
+    :ivar framed: :meth:`end` marks the end of the body.
+    """
 
     headers_sent: bool
+    framed: bool = True
 
     @property
     @abc.abstractmethod
@@ -350,8 +361,13 @@
         """Whether the caller's connection is open, as far as is known."""
 
     @abc.abstractmethod
-    async def send_headers(self, status: int, headers: Headers) -> None:
-        """Send status and headers of the response."""
+    async def send_headers(
+        self, status: int, headers: Headers, framed: bool = True
+    ) -> None:
+        """Send status and headers of the response.
+
+        :param framed: see :class:`ResponseHead`.
+        """
 
     @abc.abstractmethod
     async def write(self, data: bytes) -> None:
--- a/src/bulrushhold/emulator/_workload.py
+++ b/src/bulrushhold/emulator/_workload.py
@@ -82,7 +82,9 @@
     def connected(self) -> bool:
         return True
 
-    async def send_headers(self, status: int, headers: calls.Headers) -> None:
+    async def send_headers(
+        self, status: int, headers: calls.Headers, framed: bool = True
+    ) -> None:
         self.headers_sent = True
 
     async def write(self, data: bytes) -> None:
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -304,7 +304,7 @@
                 str(error), unreachable=False
             ) from error
         head = response.head
-        reply = calls.Reply(head.status, head.headers, body)
+        reply = calls.Reply(head.status, head.headers, body, head.framed)
         if head.status < 500 or not self.stream.job.route.repeatable:
             return reply
         self.stream.failure_reply = reply
@@ -331,11 +331,25 @@
             raise _streamloss.StreamLostError(
                 'incomplete last event', unreachable=False
             )
-        if not self.stream.caller_stream.headers_sent:
-            await self.stream.caller_stream.send_headers(
-                response.head.status, response.head.headers
+        await self._end(response.head)
+
+    async def _end(self, head: calls.ResponseHead) -> None:
+        caller_stream = self.stream.caller_stream
+        if not caller_stream.headers_sent:
+            await caller_stream.send_headers(
+                head.status, head.headers, head.framed
+            )
+        if caller_stream.framed and not head.framed:
+            # An engine before this one had a frame, which can't be completed.
+            self.context.metrics.count('streams.end_unknown')
+            _context.log(
+                self.stream.job,
+                'end of stream unknown',
+                engine=self.engine.ident,
             )
-        await self.stream.caller_stream.end()
+            caller_stream.abort()
+            return
+        await caller_stream.end()
 
     def _ensure_copy(self) -> None:
         """Request a copy of the run's memory if no backup holds one.
@@ -440,7 +454,9 @@
             if self.stream.job.version is not None:
                 self.context.metrics.count('streams.continued')
             await caller_stream.send_headers(
-                response.head.status, response.head.headers
+                response.head.status,
+                response.head.headers,
+                response.head.framed,
             )
         self.stream.timing.record_event_sent()
         await caller_stream.write(data)
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -328,7 +328,7 @@
             if not head.matches_request or not head.from_backend:
                 return _Result(errors.Ran.UNKNOWN, 'mismatched answer')
             body = await response.receive()
-            reply = calls.Reply(head.status, head.headers, body)
+            reply = calls.Reply(head.status, head.headers, body, head.framed)
             self.replies.append(reply)
             if isinstance(body, bodies.Body):
                 # It closes the response after its last byte.
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -6,6 +6,7 @@
 import typing as t
 
 import aiohttp
+import attrs
 import loguru
 import yarl
 
@@ -143,6 +144,7 @@
         head = self.dialect.decode_head(
             call, response.status, response.headers
         )
+        head = attrs.evolve(head, framed=_bodies.is_framed(response))
         return _HttpBackendResponse(head, response, attempt.address, self)
 
     async def probe(
--- a/src/bulrushhold/web/_bodies.py
+++ b/src/bulrushhold/web/_bodies.py
@@ -23,6 +23,7 @@
 # Memory maps of this size are returned to the system as soon as they are sent,
 # while blocks of many sizes would fragment the heap.
 SEGMENT_BYTES: t.Final = 64 << 10
+BODILESS_STATUSES: t.Final = frozenset({204, 304})
 
 
 class _Segment:
@@ -37,6 +38,16 @@
         self.taken = 0
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether a body's end is marked: RFC 9112, section 6.3."""
+    if response.method == 'HEAD' or response.status in BODILESS_STATUSES:
+        return True
+    codings = response.headers.getall('Transfer-Encoding', ())
+    if codings:
+        return codings[-1].rpartition(',')[2].strip().lower() == 'chunked'
+    return 'Content-Length' in response.headers
+
+
 async def read_whole(
     response: aiohttp.ClientResponse, max_bytes: int
 ) -> bytes:
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -24,12 +24,44 @@
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
 MAX_FIELD_BYTES: t.Final = 65536
 _NO_LINGER: t.Final = struct.pack('ii', 1, 0)
+_LINGER: t.Final = struct.pack('ii', 0, 0)
 
 Handler = cabc.Callable[
     [calls.Call, calls.CallerStream], cabc.Awaitable[calls.Reply | None]
 ]
 
 
+class _UnframedResponse(web.StreamResponse):
+    """A response whose end is that of its connection.
+
+    However the connection is closed before :meth:`write_eof`, also by the end
+    of the process, it is reset: a body that ends early doesn't look whole.
+    """
+
+    # Else aiohttp would use chunks.
+    _length_check = False
+
+    async def prepare(self, request: web.BaseRequest) -> t.Any:
+        """Send the head."""
+        if not self.prepared:
+            self.force_close()
+            _set_linger(request.transport, _NO_LINGER)
+        return await super().prepare(request)
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """End the body once the system has all of it."""
+        if self._eof_sent or self._req is None:
+            return
+        transport = self._req.transport
+        if data:
+            await self.write(data)
+        if transport is not None:
+            transport.set_write_buffer_limits(high=0)
+        await _drain(self)
+        _set_linger(transport, _LINGER)
+        await super().write_eof()
+
+
 class _HttpCallerStream(calls.CallerStream):
     def __init__(
         self,
@@ -39,7 +71,7 @@
     ) -> None:
         self.request = request
         self.bounded = bounded
-        self.response = web.StreamResponse()
+        self.response: web.StreamResponse = web.StreamResponse()
         self.close_connection = close_connection
         self.headers_sent = False
 
@@ -48,10 +80,16 @@
         transport = self.request.transport
         return transport is not None and not transport.is_closing()
 
-    async def send_headers(self, status: int, headers: calls.Headers) -> None:
+    async def send_headers(
+        self, status: int, headers: calls.Headers, framed: bool = True
+    ) -> None:
+        self.framed = framed
+        if self.framed:
+            self.response.enable_chunked_encoding()
+        else:
+            self.response = _UnframedResponse()
         self.response.set_status(status)
         self.response.headers.extend(headers)
-        self.response.enable_chunked_encoding()
         if self.close_connection:
             self.response.force_close()
         self.headers_sent = True
@@ -67,7 +105,7 @@
 
     def abort(self) -> None:
         # Flushes written data but omits the final chunk, so that the caller
-        # detects the truncated body.
+        # detects the truncated body. Without chunks, it is a reset.
         if self.request.transport is not None:
             self.request.transport.close()
 
@@ -163,6 +201,8 @@
         assert reply is not None
         if isinstance(reply.body, bodies.Body):
             return await self._send(request, reply, reply.body)
+        if not reply.framed:
+            return await self._send_unframed(request, reply, reply.body)
         response = web.Response(
             status=reply.status, headers=reply.headers, body=reply.body
         )
@@ -182,6 +222,17 @@
         except errors.RequestError:
             return ''
 
+    async def _send_unframed(
+        self, request: web.BaseRequest, reply: calls.Reply, body: bytes
+    ) -> web.StreamResponse:
+        response = _UnframedResponse(
+            status=reply.status, headers=reply.headers
+        )
+        await response.prepare(request)
+        await response.write(body)
+        await response.write_eof()
+        return response
+
     async def _send(
         self, request: web.BaseRequest, reply: calls.Reply, body: bodies.Body
     ) -> web.StreamResponse:
@@ -190,9 +241,9 @@
         A truncated body never looks complete: its connection is closed before
         its declared length, or its last chunk, has been sent.
         """
-        response = web.StreamResponse(
-            status=reply.status, headers=reply.headers
-        )
+        framed = reply.framed
+        response_class = web.StreamResponse if framed else _UnframedResponse
+        response = response_class(status=reply.status, headers=reply.headers)
         if self.draining:
             response.force_close()
         transport = request.transport
@@ -200,7 +251,7 @@
             if transport is None:
                 raise ConnectionResetError('caller disconnected')
             body.on_stalled = transport.abort
-            if body.length is not None:
+            if framed and body.length is not None:
                 response.content_length = body.length
             # A body that is complete frees its memory as the system takes it.
             unsent = 0 if body.complete else _connections.UNSENT_BYTES
@@ -223,11 +274,16 @@
 def _reset(transport: asyncio.Transport | None) -> None:
     """Reset a connection: without a length, its end completes a response."""
     if transport is not None:
-        connection = transport.get_extra_info('socket')
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        _set_linger(transport, _NO_LINGER)
         transport.abort()
 
 
+def _set_linger(transport: asyncio.Transport | None, linger: bytes) -> None:
+    if transport is not None and not transport.is_closing():
+        connection = transport.get_extra_info('socket')
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 async def _drain(response: web.StreamResponse) -> None:
     """Wait until the write buffer is nearly empty.
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -29,6 +29,7 @@
     :param load: load that the response names; ``'malformed'`` for one that
         can't be decoded.
     :param instance: ident of the responding process.
+    :param framed: the end of the response's body is marked.
     """
 
     status: int = 200
@@ -46,6 +47,7 @@
     leaving: bool = False
     load: calls.BackendLoad | str | None = None
     instance: str = ''
+    framed: bool = True
 
 
 class FakeResponse(calls.BackendResponse):
@@ -66,6 +68,7 @@
             leaving=script.leaving,
             load=None if script.load == 'malformed' else script.load,
             load_malformed=script.load == 'malformed',
+            framed=script.framed,
         )
 
     async def chunk(self):
@@ -190,9 +193,10 @@
         self.connected = True
         self.headers = ()
 
-    async def send_headers(self, status, headers):
+    async def send_headers(self, status, headers, framed=True):
         self.headers_sent = True
         self.headers = headers
+        self.framed = framed
 
     async def write(self, data):
         self.data += data
