Streams reach callers that take no chunks

What callers saw: a caller of HTTP/1.0 got no byte of a stream; its connection was closed while the engine's run had been accepted.

Cause: aiohttp raises RuntimeError for chunks in HTTP/1.0, after the stream had noted that its headers were sent, so no failure was sent either.

Change: such a caller gets a body that ends with its connection, as does a large body of unknown length. It is reset if it breaks off.

--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -7,6 +7,7 @@
 import struct
 import typing as t
 
+import aiohttp
 from aiohttp import web
 import loguru
 
@@ -83,7 +84,7 @@
     async def send_headers(
         self, status: int, headers: calls.Headers, framed: bool = True
     ) -> None:
-        self.framed = framed
+        self.framed = framed and _takes_chunks(self.request)
         if self.framed:
             self.response.enable_chunked_encoding()
         else:
@@ -241,7 +242,9 @@
         A truncated body never looks complete: its connection is closed before
         its declared length, or its last chunk, has been sent.
         """
-        framed = reply.framed
+        framed = reply.framed and (
+            body.length is not None or _takes_chunks(request)
+        )
         response_class = web.StreamResponse if framed else _UnframedResponse
         response = response_class(status=reply.status, headers=reply.headers)
         if self.draining:
@@ -271,6 +274,10 @@
         return response
 
 
+def _takes_chunks(request: web.BaseRequest) -> bool:
+    return request.version >= aiohttp.HttpVersion11
+
+
 def _reset(transport: asyncio.Transport | None) -> None:
     """Reset a connection: without a length, its end completes a response."""
     if transport is not None:
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -375,7 +375,7 @@
 
 
 @pytest.mark.parametrize('target', ['/plain', '/stream'])
-@pytest.mark.parametrize('version', ['1.1'])
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
 @pytest.mark.parametrize('size', [0, 1000, LARGE_BYTES])
 async def test_a_body_that_ends_with_its_connection_gets_no_frame(
     server, port, size, version, target
@@ -515,3 +515,20 @@
             assert server.arrivals.get(name, 0) <= 1
         except AssertionError as error:
             raise AssertionError(f'seed {seed}: {drawn}') from error
+
+
+async def stream_whole(call, stream):
+    await stream.send_headers(200, ())
+    await stream.write(b'whole')
+    await stream.end()
+
+
+async def test_a_stream_is_sent_to_a_caller_that_takes_no_chunks():
+    # Guards against a caller without any answer.
+    ingress = web.Ingress(stream_whole, ingress_process.CallerDialect())
+    await ingress.start('127.0.0.1', 0)
+    port = ingress.runner.addresses[0][1]
+    received = await fetch(port, '/', version='1.0')
+    assert (received.status, received.framing) == (200, 'connection')
+    assert received.body == b'whole' and not received.broken
+    await ingress.close()
