A stream that fails inside its entry isn't completed

What callers saw: a stream whose handler failed after its headers, by an error that nobody expects or a refusal, ended with its last chunk, as a whole one.

Cause: the entry can send no failure any more and returned the response as it was; aiohttp completes each response that its handler returns. Found by reading for ends that aren't known and are claimed; no play has shown which error would come there.

Change: such a stream is aborted, as one is that runs out of engines.

Measured: the four cases of the new test failed on (200, whole) and pass now.

--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -198,6 +198,9 @@
             )
             reply = _error_reply(error, self.dialect.echo(ident))
         if stream.headers_sent:
+            if reply is not None:
+                # It failed after its headers, and aiohttp would complete it.
+                stream.abort()
             return stream.response
         assert reply is not None
         if isinstance(reply.body, bodies.Body):
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -532,3 +532,33 @@
     assert (received.status, received.framing) == (200, 'connection')
     assert received.body == b'whole' and not received.broken
     await ingress.close()
+
+
+def make_failing_handler(error, framed):
+    async def fail(call, stream):
+        await stream.send_headers(200, (), framed)
+        await stream.write(b'half')
+        raise error
+
+    return fail
+
+
+@pytest.mark.parametrize('framed', [False, True])
+@pytest.mark.parametrize(
+    'error',
+    [
+        ValueError('internal'),
+        errors.RequestError('x', 'entry', ran=errors.Ran.UNKNOWN, status=502),
+    ],
+)
+async def test_a_stream_that_fails_after_its_headers_is_not_whole(
+    error, framed
+):
+    # Guards against half of a stream that looks whole.
+    ingress = web.Ingress(
+        make_failing_handler(error, framed), ingress_process.CallerDialect()
+    )
+    await ingress.start('127.0.0.1', 0)
+    received = await fetch(ingress.runner.addresses[0][1], '/')
+    assert (received.status, received.broken) == (200, True)
+    await ingress.close()
