A page of the list that breaks off is no page

What callers could see: 503 for services whose servers are on the cut part of a page, as they seem to be gone from the list.

Cause: where a page isn't JSON, the decoder looks for items one by one, and takes a page whose first member is `next` for a page whatever its end. Pages in chunks or with a length aren't concerned: their ends are checked by HTTP.

Odd items hide no others, as before.

Still open: a cut just behind an `]}` within an item of a page without a length, with `next` first, can't be told from an end.

--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -391,3 +391,33 @@
     # Guards against log lines and messages as long as an odd item.
     assert await fetch({**ITEM, name: 'x' * 256}) == []
     assert await fetch({**ITEM, name: 'x' * 255})
+
+
+# Lists that break off
+
+CUT_PAGES = [
+    b'{"instances":[%b],"next":null}',
+    b'{"next":null,"instances":[%b]}',
+    b'{"next":"p-2","instances":[%b]}',
+    b' {"next":"p-2" , "instances" : [%b] }\n',
+]
+
+
+@pytest.mark.parametrize('form', CUT_PAGES)
+def test_a_page_that_breaks_off_is_no_page(form):
+    # Guards against servers that seem to be gone from the list.
+    items = [{**ITEM, 'id': f'i{n}'} for n in range(4)]
+    page = form % json.dumps(items)[1:-1].encode()
+    assert len(_listpage.decode_page(page).items) == 4
+    for cut in range(len(page.rstrip())):
+        with pytest.raises(ValueError):
+            _listpage.decode_page(page[:cut])
+
+
+@pytest.mark.parametrize('form', CUT_PAGES)
+def test_an_odd_item_of_any_page_hides_no_others(form):
+    # Guards against a page that is taken for one that broke off.
+    items = [json.dumps({**ITEM, 'id': f'i{n}'}) for n in range(4)]
+    items.insert(2, '{"id": [')
+    page = form % ','.join(items).encode()
+    assert len(_listpage.decode_page(page).items) == 4
