--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -62,24 +62,29 @@
         return self.cut == len(self.data)
 
 
-def draw(seed, target='/plain'):
-    """Return a response that is cut at a place drawn by the seed."""
+def draw(seed, target='/plain', body=None):
+    """Return a response that is cut at a place drawn by the seed.
+
+    :param body: its body; drawn if ``None``.
+    """
     chance = random.Random(seed)
     framing = chance.choice(FRAMINGS)
-    size = chance.choice((0, 1, 5, 100, 40 << 10, 200 << 10))
-    body = chance.randbytes(size)
+    if body is None:
+        size = chance.choice((0, 1, 5, 100, 40 << 10, 200 << 10))
+        body = chance.randbytes(size)
     not_run = chance.random() < 0.1
     is_old = framing != 'chunked' and chance.random() < 0.2
-    lines = ['HTTP/1.0 200 OK' if is_old else 'HTTP/1.1 200 OK', 'X-Stamp: 1']
+    lines = ['X-Stamp: 1']
     payload = body
     if framing == 'length':
-        lines.append(f'Content-Length: {size}')
+        lines.append(f'Content-Length: {len(body)}')
     elif framing == 'chunked':
         lines.append('Transfer-Encoding: chunked')
         payload = encode_chunks(body, chance)
     if not_run:
         lines.append('X-Not-Run: 1')
-    chance.shuffle(lines[1:])
+    chance.shuffle(lines)
+    lines.insert(0, 'HTTP/1.0 200 OK' if is_old else 'HTTP/1.1 200 OK')
     interim = 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
     head = interim * chance.choice((0, 0, 0, 1, 2))
     head += '\r\n'.join(lines) + '\r\n\r\n'
