Tests: half of a body without a frame, and its entry is killed

The caller sees a reset, for plain and streamed bodies: the connection's SO_LINGER is 0 until the system has the whole body. The entry of the tests passes on whether a body is framed, as the real one does.

--- a/tests/ingress_process.py
+++ b/tests/ingress_process.py
@@ -38,13 +38,14 @@
         attempt = calls.Attempt(backend, 'i', '', 60.0)
         response = await client.send(call, attempt)
         if call.target.startswith('/stream'):
-            await stream.send_headers(200, ())
+            await stream.send_headers(200, (), response.head.framed)
             while chunk := await response.chunk():
                 await stream.write(chunk)
             await stream.end()
             return None
         body = await response.receive()
-        return calls.Reply(response.head.status, (), body)
+        head = response.head
+        return calls.Reply(head.status, (), body, head.framed)
 
     ingress = web.Ingress(handle, CallerDialect(), budget)
     await ingress.start('127.0.0.1', 0)
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+import sys
 
 import attrs
 import pytest
@@ -567,3 +568,37 @@
     received = await fetch(ingress.runner.addresses[0][1], '/')
     assert (received.status, received.broken) == (200, True)
     await ingress.close()
+
+
+@pytest.mark.parametrize('target', ['/plain', '/stream'])
+async def test_a_body_without_a_frame_does_not_end_with_a_killed_entry(target):
+    # Guards against half of a body that looks whole as its entry is killed.
+    async def send_part(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(UNFRAMED_HEAD + bytes(LARGE_BYTES))
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(send_part, '127.0.0.1', 0)
+    host, port = listener.sockets[0].getsockname()
+    entry = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'tests.ingress_process',
+        f'{host}:{port}',
+        '0',
+        '1',
+        stdout=asyncio.subprocess.PIPE,
+    )
+    entry_port = int(await entry.stdout.readline())
+    reader, writer = await asyncio.open_connection('127.0.0.1', entry_port)
+    writer.write(f'GET {target} HTTP/1.1\r\nHost: h\r\n\r\n'.encode())
+    head = await reader.readuntil(b'\r\n\r\n')
+    assert b'Connection: close' in head
+    entry.kill()
+    await entry.wait()
+    with pytest.raises(ConnectionResetError):
+        while await reader.read(1 << 20):
+            pass
+    writer.close()
+    listener.close()
