--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -342,11 +342,7 @@
         if caller_stream.framed and not head.framed:
             # An engine before this one had a frame, which can't be completed.
             self.context.metrics.count('streams.end_unknown')
-            _context.log(
-                self.stream.job,
-                'end of stream unknown',
-                engine=self.engine.ident,
-            )
+            self.stream.end_known = False
             caller_stream.abort()
             return
         await caller_stream.end()
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -47,6 +47,7 @@
     :ivar event_id_before: last event before the present run.
     :ivar moves: prepares the next move.
     :ivar limit: what kept it from another attempt.
+    :ivar end_known: whether the caller's response could be completed.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.event_id_before = self.last_event_id
         self.tracked: _running.RunningRequest | None = None
         self.limit = ''
+        self.end_known = True
         self.version_unknown_since = float('inf')
 
     async def run(self) -> calls.Reply | None:
@@ -170,11 +172,14 @@
                     self.context.poison_requests.record_success(
                         self.job.fingerprint, self.context.clock()
                     )
-                self._log_end(
-                    'stream whole' if reply is None else 'stream failed'
-                )
+                self._log_end(self._outcome(reply))
                 return reply
 
+    def _outcome(self, reply: calls.Reply | None) -> str:
+        if reply is not None:
+            return 'stream failed'
+        return 'stream whole' if self.end_known else 'stream end unknown'
+
     async def _wait_for_admission(self) -> _admission.AdmissionResult:
         begun = self.last_event_id is not None
         return await _admission.wait_for_admission(
--- a/tests/forwarding/test_unframed_responses.py
+++ b/tests/forwarding/test_unframed_responses.py
@@ -27,7 +27,7 @@
 
 @pytest.mark.parametrize('first_framed', [False, True])
 async def test_a_resumed_stream_is_completed_only_if_its_end_is_known(
-    client, context, first_framed
+    client, context, first_framed, log_records
 ):
     # Guards against a last chunk that marks an end which nobody knows.
     client.scripts = [
@@ -39,6 +39,8 @@
     assert caller.framed == first_framed
     assert caller.aborted == first_framed
     assert caller.ended == (not first_framed)
+    outcome = 'stream end unknown' if first_framed else 'stream whole'
+    assert log_records[-1]['decision'] == outcome
 
 
 @pytest.mark.parametrize('status', [404, 500])
