Tests: answers of entries and reports that break off at any byte

A proxied answer in a frame, and reports of engines: the whole body or an error that its caller expects, never "not sent".

--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -13,6 +13,7 @@
 from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import errors
+from bulrushhold import messages
 from bulrushhold import node
 from bulrushhold import web
 from tests import ingress_process
@@ -602,3 +603,58 @@
             pass
     writer.close()
     listener.close()
+
+
+def draw_proxied(seed, body):
+    """Return the response of another entry, cut at any place."""
+    head = calls.ResponseHead(200, (), True, True, False)
+    message = messages.encode(messages.ProxiedHead(head))
+    content = struct.pack('!I', len(message)) + message + body
+    while True:
+        drawn = draw(seed, '', content)
+        if drawn.framing != 'connection':
+            return drawn
+        # Entries frame what they send to each other.
+        seed += 1 << 32
+
+
+async def test_a_response_of_another_entry_that_breaks_off_is_not_whole(
+    server,
+):
+    # Guards against a body that another entry couldn't pass on whole.
+    client = web.HttpPeerProxyClient()
+    call = calls.Call('r', 'POST', '/proxied', 'h', '', (), b'', 1.0)
+    attempt = calls.Attempt('10.0.0.1:80', 'i', '', 1.0)
+    for seed in range(SEEDS_PER_TEST):
+        body = random.Random(seed).randbytes(1000)
+        server.drawn = drawn = draw_proxied(seed, body)
+        server.arrivals.clear()
+        received = None
+        async with asyncio.timeout(TIMEOUT_S):
+            try:
+                response = await client.send(server.address, call, attempt)
+                received = await response.body()
+            except errors.BackendError as error:
+                refused = isinstance(error, errors.ProxyRefusedError)
+                assert not refused, seed
+        assert received in (None, body), f'seed {seed}: {drawn}'
+        assert sum(server.arrivals.values()) <= 1
+    await client.close()
+
+
+async def test_a_report_that_breaks_off_fails_only_itself(server):
+    # Guards against an error that nobody expects, and a server that is read
+    # as another one.
+    client = web.HttpBackendClient(StatementDialect())
+    for seed in range(SEEDS_PER_TEST):
+        server.drawn = drawn = draw(seed, '', b'p1 p2 p3')
+        try:
+            found = await client.cached_segments(server.address, TIMEOUT_S)
+        except errors.BackendError:
+            found = None
+        if drawn.framing != 'connection':
+            assert found in (None, frozenset(('p1', 'p2', 'p3'))), seed
+        await client.probe(server.address, TIMEOUT_S)
+        await client.has_ended(server.address, TIMEOUT_S, 'i')
+        await client.identify(server.address, TIMEOUT_S, 'i')
+    await client.close()
