A resumed stream waits while its version is being found out

What callers saw: callers that took up a stream within about 1.1 s of its engine's first listing were refused, again and again until then, with "the version that began the stream is unknown" and no Retry-After; nothing was joined from two versions.

Cause: an entry records a stream's origin once the list is known to describe the engine's process, which takes the list's lag and a margin after an entry first sees it. Until then no home of the stream knew of it, and what six homes don't know was final.

Ruled out: knowing the engine at once because its ident is new, or because its start lies before the list was made. Either would be a guess.

Change: an entry that doesn't know at once which version began a stream tells the stream's homes, with the time within which it will know; a caller that resumes the stream waits for that long at most, or for its deadline. The origin ends the wait, and so does the news that there will be none. What is known, and when, is unchanged: no version is taken that wasn't taken before. No message is sent for engines that are known at once.

Evidence: in the old code's logs of the test each refusal looked at was of a stream whose engine had been listed for less than 1.1 s (stream dispatched to i-22 at 46.956, caller left at 47.208, refused from 47.218 on).

Not mended: if the entry is killed before it knows, the caller waits in vain, 2.8 s at most, where it was refused at once.

--- a/src/bulrushhold/control/_origins.py
+++ b/src/bulrushhold/control/_origins.py
@@ -117,6 +117,8 @@
             if is_changed and self.log is not None:
                 self.unwritten.append(origin)
                 self.has_unwritten.set()
+        for pending in report.pending:
+            self.store.record_pending(pending, now)
 
     async def _on_read(
         self, read: messages.OriginRead
--- a/src/bulrushhold/decisions/_streamorigins.py
+++ b/src/bulrushhold/decisions/_streamorigins.py
@@ -71,10 +71,14 @@
 
 
 class OriginStore:
-    """The origins known to one process."""
+    """The origins known to one process.
+
+    :ivar pending: when to stop waiting for each origin that is to follow.
+    """
 
     def __init__(self) -> None:
         self.entries: dict[bytes, _Entry] = {}
+        self.pending: dict[bytes, float] = {}
         self.expiries: list[tuple[float, bytes]] = []
         self.nodes: list[messages.ControlNode] = []
         self.has_loaded = False
@@ -91,6 +95,7 @@
         A stream has one origin; a second report only prolongs the lifetime.
         """
         self._expire(now)
+        self.pending.pop(origin.key, None)
         expires_at = now + origin.lifetime_s
         entry = self.entries.get(origin.key)
         if entry is None:
@@ -105,12 +110,24 @@
             del self.entries[next(iter(self.entries))]
         return True
 
+    def record_pending(
+        self, origin: messages.PendingOrigin, now: float
+    ) -> None:
+        """Note that an origin may follow, or that none will."""
+        self._expire(now)
+        self.pending.pop(origin.key, None)
+        if origin.pending_s > 0:
+            self.pending[origin.key] = now + origin.pending_s
+        if len(self.pending) > MAX_ORIGINS:
+            del self.pending[next(iter(self.pending))]
+
     def find(self, key: bytes, now: float) -> messages.OriginReply:
         """Return the origin of a stream, if it is known."""
         self._expire(now)
         entry = self.entries.get(key)
         if entry is None:
-            return messages.OriginReply()
+            pending_s = self.pending.get(key, now) - now
+            return messages.OriginReply(pending_s=max(0.0, pending_s))
         return messages.OriginReply(
             _with_lifetime(entry, now), now - entry.recorded_at
         )
@@ -121,6 +138,11 @@
             entry = self.entries.get(key)
             if entry is not None and entry.expires_at <= now:
                 del self.entries[key]
+        while self.pending:
+            oldest = next(iter(self.pending))
+            if self.pending[oldest] > now:
+                break
+            del self.pending[oldest]
 
     def update_nodes(
         self,
--- a/src/bulrushhold/emulator/_versions.py
+++ b/src/bulrushhold/emulator/_versions.py
@@ -46,9 +46,11 @@
 
     def _record(self, address: str, report: messages.OriginReport) -> None:
         if address not in self.lost:
+            store, now = self.stores[address], _workload.emulated_now()
             for origin in report.origins:
-                store = self.stores[address]
-                store.record(origin, _workload.emulated_now())
+                store.record(origin, now)
+            for pending in report.pending:
+                store.record_pending(pending, now)
 
     async def request(
         self, address: str, message: messages.Message, timeout: float
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -473,9 +473,13 @@
         """
         job = self.stream.job
         version = await self.context.version_checks.version_that_began(
-            self.engine, began_at, lambda: not self.closed
+            self.engine,
+            began_at,
+            lambda: not self.closed,
+            self._record_pending_origin,
         )
         if version is None:
+            self._record_pending_origin(0.0)
             _context.log(job, 'version not known', engine=self.engine.ident)
             return False
         self.engines.version = version
@@ -485,6 +489,13 @@
             )
         return True
 
+    def _record_pending_origin(self, pending_s: float) -> None:
+        job = self.stream.job
+        if job.route.resumable:
+            _resumption.record_pending_origin(
+                self.context, job, job.call.ident, pending_s
+            )
+
     async def _next_chunk(self, response: calls.BackendResponse) -> bytes:
         silence = _liveness.SilenceTimer(self.context.clock)
         while True:
--- a/src/bulrushhold/forwarding/_origins.py
+++ b/src/bulrushhold/forwarding/_origins.py
@@ -31,6 +31,7 @@
     :param asked: number of homes that were asked.
     :param answered: number of homes that didn't know it.
     :param conclusive: a later search can't find more.
+    :param pending_s: time within which an unknown origin may follow.
     """
 
     origin: messages.StreamOrigin | None = None
@@ -39,6 +40,7 @@
     asked: int = 0
     answered: int = 0
     conclusive: bool = True
+    pending_s: float = 0.0
 
 
 class OriginSource(abc.ABC):
@@ -48,6 +50,10 @@
     def record(self, origin: messages.StreamOrigin) -> None:
         """Keep an origin; nothing is waited for."""
 
+    @abc.abstractmethod
+    def record_pending(self, origin: messages.PendingOrigin) -> None:
+        """Note that an origin may follow; nothing is waited for."""
+
     @abc.abstractmethod
     async def find(self, key: bytes) -> OriginFinding:
         """Find the origin of a stream; see :func:`decisions.origin_key`."""
@@ -66,11 +72,17 @@
         """Keep an origin; see :meth:`OriginSource.record`."""
         self.store.record(origin, self.clock())
 
+    def record_pending(self, origin: messages.PendingOrigin) -> None:
+        """Note a pending one; see :meth:`OriginSource.record_pending`."""
+        self.store.record_pending(origin, self.clock())
+
     async def find(self, key: bytes) -> OriginFinding:
         """Find an origin; see :meth:`OriginSource.find`."""
         reply = self.store.find(key, self.clock())
         source = 'entry' if reply.origin is not None else ''
-        return OriginFinding(reply.origin, source, reply.age_s)
+        return OriginFinding(
+            reply.origin, source, reply.age_s, pending_s=reply.pending_s
+        )
 
 
 class ControlOrigins(LocalOrigins):
@@ -92,8 +104,15 @@
     def record(self, origin: messages.StreamOrigin) -> None:
         """Keep an origin; see :meth:`OriginSource.record`."""
         super().record(origin)
-        report = messages.OriginReport([origin])
-        for home in decisions.origin_homes(origin.key, self.nodes()):
+        self._report(origin.key, messages.OriginReport([origin]))
+
+    def record_pending(self, origin: messages.PendingOrigin) -> None:
+        """Note a pending one; see :meth:`OriginSource.record_pending`."""
+        super().record_pending(origin)
+        self._report(origin.key, messages.OriginReport(pending=[origin]))
+
+    def _report(self, key: bytes, report: messages.OriginReport) -> None:
+        for home in decisions.origin_homes(key, self.nodes()):
             self.transport.send(home, report)
 
     async def find(self, key: bytes) -> OriginFinding:
@@ -103,9 +122,11 @@
         """
         deadline = self.clock() + MAX_SEARCH_S
         while True:
-            finding = await super().find(key)
+            finding = own = await super().find(key)
             if finding.origin is None:
                 finding = await self._ask_homes(key)
+                pending_s = max(own.pending_s, finding.pending_s)
+                finding = attrs.evolve(finding, pending_s=pending_s)
             found = finding.origin is not None
             if found or finding.conclusive or self.clock() >= deadline:
                 return finding
@@ -115,6 +136,7 @@
         homes = decisions.origin_homes(key, self.nodes())
         lookups = [asyncio.ensure_future(self._ask(h, key)) for h in homes]
         answered = settled = 0
+        pending_s = 0.0
         try:
             for lookup in asyncio.as_completed(lookups):
                 home, reply = await lookup
@@ -127,6 +149,7 @@
                     )
                 answered += 1
                 settled += reply.settled
+                pending_s = max(pending_s, reply.pending_s)
         finally:
             for task in lookups:
                 task.cancel()
@@ -134,6 +157,7 @@
             asked=len(homes),
             answered=answered,
             conclusive=bool(homes) and settled == len(homes),
+            pending_s=pending_s,
         )
 
     async def _ask(
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -35,6 +35,22 @@
     )
 
 
+def record_pending_origin(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    ident: str,
+    pending_s: float,
+) -> None:
+    """Record that the version that began a stream may be known soon.
+
+    :param ident: id of the call that brought its first event.
+    :param pending_s: time within which it may be; 0 if it never will.
+    """
+    context.origins.record_pending(
+        messages.PendingOrigin(_key(job, ident), pending_s)
+    )
+
+
 async def resolve(
     context: _context.ForwardingContext, job: _context.Job
 ) -> _context.Job:
@@ -48,7 +64,7 @@
     if job.call.last_event_id is None:
         return job
     context.metrics.count('streams.taken_up')
-    finding = await _find(context, job)
+    finding = await _find_with_pending(context, job)
     origin = finding.origin
     _context.log(
         job,
@@ -92,6 +108,21 @@
     return job
 
 
+async def _find_with_pending(
+    context: _context.ForwardingContext, job: _context.Job
+) -> _origins.OriginFinding:
+    """Find an origin, and wait for one that may follow.
+
+    A caller that is refused instead may have no retry left.
+    """
+    while True:
+        finding = await _find(context, job)
+        until = min(job.deadline, context.clock() + finding.pending_s)
+        if finding.origin is not None or context.clock() >= until:
+            return finding
+        await asyncio.sleep(_origins.SEARCH_INTERVAL_S)
+
+
 async def _find(
     context: _context.ForwardingContext, job: _context.Job
 ) -> _origins.OriginFinding:
--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -136,6 +136,7 @@
         engine: decisions.BackendServer,
         began_at: float,
         is_running: cabc.Callable[[], bool],
+        on_pending: cabc.Callable[[float], None],
     ) -> str | None:
         """Return the version that began a stream; ``None`` if it is unknown.
 
@@ -145,9 +146,12 @@
         :param began_at: when the first event arrived.
         :param is_running: whether the engine has sent events since then
             without interruption.
+        :param on_pending: is called once if the version isn't known at once,
+            with the time in seconds within which it will be or never.
         """
         incarnations = self.placement.incarnations
         latest = began_at + incarnations.max_lag_s + MAX_DELAY_S
+        is_pending = False
         while True:
             if await self.runs_listed_version(engine) and (
                 is_running() or self._known_since(engine) <= began_at
@@ -162,4 +166,7 @@
                 return listed.version if is_same or is_running() else None
             if self.clock() >= latest:
                 return None
+            if not is_pending:
+                is_pending = True
+                on_pending(latest - self.clock())
             await asyncio.sleep(RETRY_INTERVAL_S)
--- a/src/bulrushhold/messages/__init__.py
+++ b/src/bulrushhold/messages/__init__.py
@@ -71,6 +71,7 @@
 from bulrushhold.messages._origins import OriginRead
 from bulrushhold.messages._origins import OriginReply
 from bulrushhold.messages._origins import OriginReport
+from bulrushhold.messages._origins import PendingOrigin
 from bulrushhold.messages._origins import StreamOrigin
 from bulrushhold.messages._peerproxy import ProxiedAttempt
 from bulrushhold.messages._peerproxy import ProxiedConnect
@@ -187,6 +188,7 @@
     'OriginRead',
     'OriginReply',
     'OriginReport',
+    'PendingOrigin',
     'PermitAsk',
     'PermitGrant',
     'PlaceAsk',
--- a/src/bulrushhold/messages/_origins.py
+++ b/src/bulrushhold/messages/_origins.py
@@ -17,11 +17,23 @@
     lifetime_s: float
 
 
+@attrs.frozen
+class PendingOrigin:
+    """A stream that has begun at an engine whose version isn't known yet.
+
+    :param pending_s: time within which its origin may follow; 0 if none will.
+    """
+
+    key: bytes
+    pending_s: float
+
+
 @attrs.frozen
 class OriginReport:
     """Sent to the control processes that keep these origins."""
 
-    origins: list[StreamOrigin]
+    origins: list[StreamOrigin] = attrs.field(factory=list)
+    pending: list[PendingOrigin] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -39,8 +51,10 @@
     :param age_s: time since the stream began, or was last resumed.
     :param settled: whether the process has run for long enough to have been
         sent what others know.
+    :param pending_s: time within which an unknown origin may follow.
     """
 
     origin: StreamOrigin | None = None
     age_s: float = 0.0
     settled: bool = True
+    pending_s: float = 0.0
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -29,6 +29,7 @@
     ]
 
 
+START_MS = 1_700_000_000_000
 ENGINES = [*listed('v1', 0, 1, 2), *listed('v2', 3, 4, 5)]
 
 
@@ -154,6 +155,56 @@
     assert error.retry_after is None
 
 
+@pytest.fixture
+async def pending(forwarder, client, context):
+    """A call for a stream whose engine may have started again unlisted."""
+    engines = context.placement.backends.values()
+    client.starts = {engine.address: START_MS for engine in engines}
+    context.version_checks.unix_clock = lambda: START_MS / 1000
+    context.placement.known_versions.listed_at = context.clock()
+    context.placement.known_versions.recorded = {'engines': ['v1', 'v2']}
+    client.scripts = [fakes.Script(events=(1, 2), then='silent')]
+    caller = fakes.FakeCaller()
+    begun = asyncio.ensure_future(forwarder.handle(make_call('req-1'), caller))
+    async with asyncio.timeout(2.0):
+        while not caller.data:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        begun.cancel()
+    client.silent.clear()
+    return make_call('req-2', 2, 'req-1')
+
+
+async def test_a_resumed_stream_waits_until_its_engine_is_known(
+    forwarder, client, context, pending
+):
+    # Guards against refusals of streams that have begun at a new engine.
+    version = version_at(forwarder, client.attempts.pop())
+    resumed = asyncio.ensure_future(
+        send(forwarder, pending, client, fakes.Script(events=(3,)))
+    )
+    await asyncio.sleep(0.3)
+    assert not resumed.done()
+    context.placement.known_versions.listed_at = float('inf')
+    assert (await resumed).data == fakes.encode_events(3)
+    assert version_at(forwarder, client.attempts[0]) == version
+
+
+async def test_a_version_that_stays_unknown_is_not_guessed(
+    forwarder, client, context, pending
+):
+    # Guards against a wait that goes on once no version can be found.
+    client.attempts.clear()
+    refused = asyncio.ensure_future(refusal(forwarder, pending))
+    await asyncio.sleep(0.3)
+    assert not refused.done()
+    context.placement.update([])
+    context.placement.known_versions.listed_at = float('inf')
+    async with asyncio.timeout(0.6):
+        assert 'unknown' in (await refused).reason
+    assert not client.attempts
+
+
 async def test_an_unknown_version_is_asked_for_again_if_a_home_was_silent(
     forwarder, context
 ):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -55,6 +55,22 @@
     assert store.find(make_origin().key, 50.0).origin is None
 
 
+def test_a_pending_origin_is_waited_for_until_it_is_known(store):
+    # Guards against waits for what is known, or never will be.
+    key = make_origin().key
+    store.record_pending(messages.PendingOrigin(key, 2.0), 0.0)
+    assert store.find(key, 0.5).pending_s == 1.5
+    assert store.find(key, 2.0).pending_s == 0.0
+    assert not store.pending
+    for origin in (make_origin(), None):
+        store.record_pending(messages.PendingOrigin(key, 2.0), 3.0)
+        if origin is not None:
+            store.record(origin, 3.0)
+        else:
+            store.record_pending(messages.PendingOrigin(key, 0.0), 3.0)
+        assert store.find(key, 3.0).pending_s == 0.0
+
+
 def test_an_origin_never_changes(store):
     # Guards against a late report that changes a stream's version.
     store.record(make_origin(version='v1'), 0.0)
@@ -215,6 +231,17 @@
     assert unknown.asked == unknown.answered == 5
 
 
+async def test_another_entry_learns_that_an_origin_is_pending(fleet):
+    # Guards against a refusal where another entry began the stream.
+    key = make_origin().key
+    beginning, other = origins_of(fleet, 'a'), origins_of(fleet, 'b')
+    beginning.record_pending(messages.PendingOrigin(key, 9.0))
+    finding = await other.find(key)
+    assert finding.origin is None and 0.0 < finding.pending_s <= 9.0
+    beginning.record_pending(messages.PendingOrigin(key, 0.0))
+    assert (await other.find(key)).pending_s == 0.0
+
+
 async def test_an_origin_is_asked_for_again_while_homes_have_just_started(
     fleet, monkeypatch
 ):
