Soak: odd items that processes follow name loopback addresses only

Such items are drawn again now where a list is served to processes. Tests of the decoder alone draw as before, so that their seeds keep their meaning.

--- a/tests/platform/soak/odditems.py
+++ b/tests/platform/soak/odditems.py
@@ -7,10 +7,13 @@
 """
 
 import json
+import re
 
 LOOPBACK_HOSTS = ('127.0.0.1', '::1', '::ffff:127.0.0.1', '127.9.9.9')
 # Something at which no process listens.
 UNUSED_ADDRESS = '127.9.9.9:9'
+_IPV4_ADDRESS = re.compile(rb'[0-9]+(?:\.[0-9]+){3}:[0-9]+')
+MAX_UNUSED_PORT = 9
 BRACKETS = (b'{', b'[', b'}', b']', b'{"a":', b'[{', b'"', b'\\', b',')
 FRAGMENTS = (
     *BRACKETS,
@@ -42,7 +45,7 @@
 def draw_address(rng, port=None):
     """Return a text near an address; loopback if it is one."""
     host = rng.choice(LOOPBACK_HOSTS)
-    port = port or rng.randint(1, 9)
+    port = port or rng.randint(1, MAX_UNUSED_PORT)
     changed = rng.choice(
         (
             host,
@@ -197,3 +200,23 @@
     :param sound: a sound item of the service that it is most like.
     """
     return KINDS[rng.choice(kinds)](rng, sound)
+
+
+def draw_listed(rng, sound, kinds=tuple(KINDS)):
+    """Return an odd item of a list that processes follow.
+
+    It names no address of another machine or program, as broken ones may.
+    """
+    while True:
+        item = draw_item(rng, sound, kinds)
+        found = _IPV4_ADDRESS.findall(item)
+        if all(_is_known(a, sound) for a in found):
+            return item
+
+
+def _is_known(address, sound):
+    host, _, port = address.decode().partition(':')
+    usable = MAX_UNUSED_PORT < int(port) < 65536
+    if host in LOOPBACK_HOSTS and not usable:
+        return True
+    return address == sound['address'].encode()
--- a/tests/platform/soak/oddlists.py
+++ b/tests/platform/soak/oddlists.py
@@ -117,7 +117,7 @@
             count = self.odd_rng.randint(1, MAX_ITEMS)
             if self.odd_plan.kinds:
                 self.list_server.odd = [
-                    odditems.draw_item(
+                    odditems.draw_listed(
                         self.odd_rng, sound, self.odd_plan.kinds
                     )
                     for _ in range(count)
