Soak: odd lists, listed strangers and answers that break off

The soak's list had a few of eight fixed unreadable items, all listed servers were engines, and no answer of a sound server broke off: it couldn't find what callers lost beside odd items.

New, each drawn from a generator of its own, so that the other draws of a seed stay: items of tests/platform/soak/odditems.py besides the eight, anew for each answer or for up to 3 s, at any place, with the two fields of a page in either order; one to a few listed servers that are no engines, for 0.5 to 4 s; and for 1 to 2 s a share of one server's plain answers is cut at any byte, by close or reset. Checks are unchanged; odd items stay during the last check of recovery, as the eight do.

--- a/tests/platform/soak/badinput.py
+++ b/tests/platform/soak/badinput.py
@@ -31,12 +31,23 @@
 TIMEOUT_S = 3.0
 
 
-def encode_list(items, rng):
-    """Return the platform's list with a few unreadable items among others."""
+def encode_list(items, rng, odd_items=None):
+    """Return the platform's list with a few unreadable items among others.
+
+    :param odd_items: an :class:`odditems.OddItems` that draws more of them.
+    """
     texts = [json.dumps(item).encode() for item in items]
     for item in rng.sample(UNREADABLE_ITEMS, rng.randrange(4)):
         texts.insert(rng.randint(0, len(texts)), item)
-    return b'{"instances":[' + b','.join(texts) + b'],"next":null}'
+    is_next_first = False
+    if odd_items is not None:
+        for item in odd_items.draw(items):
+            texts.insert(odd_items.rng.randint(0, len(texts)), item)
+        is_next_first = odd_items.rng.random() < 0.5
+    instances = b'"instances":[' + b','.join(texts) + b']'
+    if is_next_first:
+        return b'{"next":null,' + instances + b'}'
+    return b'{' + instances + b',"next":null}'
 
 
 async def send_bad_request(address, target, key, rng):
--- a/tests/platform/soak/contended.py
+++ b/tests/platform/soak/contended.py
@@ -1,12 +1,16 @@
-"""The soak with priorities, uneven servers and entries of other sizes."""
+"""The soak with priorities, uneven servers, odd lists and broken answers."""
 
 import asyncio
 import random
+import time
 
+from tests.platform.soak import brokenanswers
 from tests.platform.soak import fakes
+from tests.platform.soak import odditems
 from tests.platform.soak import routemap
 from tests.platform.soak import run
 from tests.platform.soak import serial
+from tests.platform.soak import strangers
 from tests.platform.soak import system
 
 SPEEDS = (0.55, 1.0, 1.2)
@@ -40,6 +44,17 @@
         for engine in self.engines:
             engine.announces_pace = rng.random() < 0.8
 
+    def _rng(self, name):
+        return random.Random(f'{name} {self.report.seed}')
+
+    def _make_list(self):
+        self.list_server = fakes.PlatformListServer(
+            self.engines,
+            self._rng('list'),
+            odditems.OddItems(self._rng('odd')),
+        )
+        return self.list_server
+
     def _make_system(self, *arguments):
         def draw_limits(program):
             seed = f'limits {self.report.seed} {program.name}'
@@ -63,7 +78,20 @@
         pace = asyncio.ensure_future(
             serial.vary_pace(self.engines, self.contention_rng)
         )
+        deadline = time.monotonic() + self.seconds
+        reporting = (self._record_fault, self._start_task)
+        listed = strangers.ListedStrangers(
+            self._rng('strangers'), self.list_server, *reporting
+        )
+        plain_servers = [e for e in self.engines if e.service == 's-desk']
+        broken = brokenanswers.BrokenAnswers(
+            self._rng('broken'), plain_servers, *reporting
+        )
         try:
-            await super()._run_with_faults()
+            await asyncio.gather(
+                super()._run_with_faults(),
+                listed.make(deadline),
+                broken.make(deadline),
+            )
         finally:
             pace.cancel()
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -4,6 +4,8 @@
 import contextlib
 import itertools
 import random
+import socket
+import struct
 import time
 
 import aiohttp
@@ -25,6 +27,8 @@
 POISON = 'poison'
 POISON_RUN_S = 0.1
 STOP_TIMEOUT_S = 1.0
+# Resets a connection as it is closed.
+NO_LINGER = struct.pack('ii', 1, 0)
 DEFAULT_ACCOUNT = 'vendors'
 DEFAULT_PRIORITY = 5
 LOAD_HEADER = 'Bulrushhold-Instance-Load'
@@ -307,11 +311,15 @@
     """Serves the platform list, with a delay and unreadable items.
 
     :param rng: draws the unreadable items of each response.
+    :param odd_items: draws more of them, if set.
+    :ivar strangers: listed servers that are no engines.
     """
 
-    def __init__(self, engines, rng=None):
+    def __init__(self, engines, rng=None, odd_items=None):
         self.engines = engines
         self.rng = rng or random.Random(1)
+        self.odd_items = odd_items
+        self.strangers = []
         self.delay_s = 0.3
 
     async def start(self):
@@ -328,9 +336,10 @@
         await self.runner.cleanup()
 
     async def _list(self, request):
-        items = [engine.to_json() for engine in self.engines]
+        servers = (*self.engines, *self.strangers)
+        items = [server.to_json() for server in servers]
         await asyncio.sleep(self.delay_s)
-        body = badinput.encode_list(items, self.rng)
+        body = badinput.encode_list(items, self.rng, self.odd_items)
         return web.Response(body=body, content_type='application/json')
 
 
@@ -341,12 +350,16 @@
         (data passes towards the target only) or ``refuse``.
     :ivar faults_by_client: the same for the connections of one address.
     :ivar silences: number of silences that overlap now; as ``silent``.
+    :ivar broken_rng: draws where an answer breaks off.
+    :ivar broken_share: share of the answers that break off.
     """
 
     def __init__(self):
         self.fault = ''
         self.faults_by_client = {}
         self.silences = 0
+        self.broken_rng = random.Random(1)
+        self.broken_share = 0.0
         self.connections = {}
         self.address = ''
 
@@ -424,7 +437,24 @@
                     await asyncio.sleep(0.1)
                 while self._is_held(client, upstream=upstream):
                     await asyncio.sleep(0.05)
+                if not upstream and self._is_broken_off():
+                    await self._break_off(writer, data)
+                    break
                 writer.write(data)
                 await writer.drain()
         with contextlib.suppress(OSError):
             writer.close()
+
+    def _is_broken_off(self):
+        share = self.broken_share
+        return share > 0 and self.broken_rng.random() < share
+
+    async def _break_off(self, writer, data):
+        """Send a part of an answer, or all of it, and close or reset."""
+        writer.write(data[: self.broken_rng.randint(0, len(data))])
+        await writer.drain()
+        if self.broken_rng.random() < 0.5:
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
+            writer.transport.abort()
--- a/tests/platform/soak/odditems.py
+++ b/tests/platform/soak/odditems.py
@@ -8,12 +8,16 @@
 
 import json
 import re
+import time
 
 LOOPBACK_HOSTS = ('127.0.0.1', '::1', '::ffff:127.0.0.1', '127.9.9.9')
 # Something at which no process listens.
 UNUSED_ADDRESS = '127.9.9.9:9'
 _IPV4_ADDRESS = re.compile(rb'[0-9]+(?:\.[0-9]+){3}:[0-9]+')
 MAX_UNUSED_PORT = 9
+MAX_STAY_S = 3.0
+MAX_STAYING = 2
+MAX_NEW = 2
 BRACKETS = (b'{', b'[', b'}', b']', b'{"a":', b'[{', b'"', b'\\', b',')
 FRAGMENTS = (
     *BRACKETS,
@@ -220,3 +224,35 @@
     if host in LOOPBACK_HOSTS and not usable:
         return True
     return address == sound['address'].encode()
+
+
+class OddItems:
+    """Odd items of a list; some stay for a while, others are always new.
+
+    :param rng: also draws their places, and the order of a page's fields.
+    """
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.staying = []
+        self.stay_until = 0.0
+
+    def draw(self, sound):
+        """Return the odd items of an answer that shows sound ones."""
+        now = time.monotonic()
+        if now >= self.stay_until:
+            self.staying = self._draw_some(sound, MAX_STAYING)
+            self.stay_until = now + MAX_STAY_S * self.rng.random()
+        # Two servers with one ident are another matter.
+        idents = [json.dumps(item['id']).encode() for item in sound]
+        return [
+            item
+            for item in self.staying + self._draw_some(sound, MAX_NEW)
+            if not any(ident in item for ident in idents)
+        ]
+
+    def _draw_some(self, sound, most):
+        return [
+            draw_listed(self.rng, self.rng.choice(sound))
+            for _ in range(self.rng.randint(0, most))
+        ]
--- a/tests/platform/soak/strangers.py
+++ b/tests/platform/soak/strangers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import time
 
 BODY = b'hello'
 HEADS = {
@@ -13,6 +15,11 @@
 }
 # Any of these may be at an address that another writer has left in the list.
 KINDS = ('closes', 'silent', 'refuses', *HEADS)
+SERVICES = ('s-model', 's-desk')
+MEAN_INTERVAL_S = 0.8
+MIN_LISTED_S = 0.5
+MAX_LISTED_S = 4.0
+MAX_SLOTS_EXPONENT = 4
 
 
 class Stranger:
@@ -74,3 +81,43 @@
         finally:
             self.writers.discard(writer)
             writer.close()
+
+
+class ListedStrangers:
+    """Strangers that a list shows for a while; they overlap.
+
+    :param record_fault: called with the kind of stranger and its item.
+    :param start_task: runs a stranger beside the others.
+    """
+
+    def __init__(self, rng, list_server, record_fault, start_task):
+        self.rng = rng
+        self.list_server = list_server
+        self.record_fault = record_fault
+        self.start_task = start_task
+        self.numbers = itertools.count(1)
+
+    async def make(self, deadline):
+        while time.monotonic() < deadline:
+            stranger = Stranger(
+                self.rng.choice(KINDS),
+                self.rng.choice(SERVICES),
+                round(10 ** self.rng.uniform(0, MAX_SLOTS_EXPONENT)),
+                next(self.numbers),
+            )
+            listed_s = self.rng.uniform(MIN_LISTED_S, MAX_LISTED_S)
+            self.record_fault(
+                f'stranger {listed_s:.1f} s',
+                f'{stranger.kind} {stranger.service} {stranger.slots}',
+            )
+            self.start_task(self._list(stranger, listed_s))
+            await asyncio.sleep(self.rng.expovariate(1 / MEAN_INTERVAL_S))
+
+    async def _list(self, stranger, seconds):
+        await stranger.start()
+        self.list_server.strangers.append(stranger)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.list_server.strangers.remove(stranger)
+            await stranger.stop()
