Soak: SIGHUP is drawn, and every exit without a signal is a violation

SIGHUP ended processes that started or shut down, and the soak sent none. An exit was also found at the end of a run only: where another fault had restarted the process before, nobody noticed. Exits are counted wherever a process is started again now, with their codes.

No program can handle a signal before its first line.

--- a/tests/platform/soak/contended.py
+++ b/tests/platform/soak/contended.py
@@ -6,6 +6,7 @@
 
 from tests.platform.soak import brokenanswers
 from tests.platform.soak import fakes
+from tests.platform.soak import hangups
 from tests.platform.soak import odditems
 from tests.platform.soak import routemap
 from tests.platform.soak import run
@@ -92,6 +93,7 @@
                 super()._run_with_faults(),
                 listed.make(deadline),
                 broken.make(deadline),
+                hangups.hang_up(self._rng('hangup'), self, deadline),
             )
         finally:
             pace.cancel()
--- a/tests/platform/soak/netfault.py
+++ b/tests/platform/soak/netfault.py
@@ -1,4 +1,4 @@
-"""Runs an entry whose connections to backend servers can be cut.
+"""Runs a program; an entry's connections to backend servers can be cut.
 
 Started in place of ``platform/run.py``. Connections to servers come from the
 entry's own address, by which the servers' proxies know it.
@@ -22,6 +22,11 @@
     return pathlib.Path(settings_file).with_suffix('.cut')
 
 
+def started_file(settings_file):
+    """Return the file that is written just before the program begins."""
+    return pathlib.Path(settings_file).with_suffix('.started')
+
+
 def install(own_ip, cut_path):
     """Make new connections to backend servers fail while there is a cut."""
     connect = asyncio.SelectorEventLoop.sock_connect
@@ -41,8 +46,10 @@
 
 if __name__ == '__main__':
     settings_file = os.environ['BULRUSHHOLD_NODE_FILE']
-    install(os.environ['SOAK_ENTRY_IP'], cut_file(settings_file))
+    if sys.argv[1] == 'entry':
+        install(os.environ['SOAK_ENTRY_IP'], cut_file(settings_file))
     script = str(ROOT / 'platform' / 'run.py')
     sys.argv[0] = script
     sys.path[0] = str(ROOT / 'platform')
+    started_file(settings_file).touch()
     runpy.run_path(script, run_name='__main__')
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -209,7 +209,8 @@
         for program in self.system.programs:
             if program.unexpected_exits:
                 self.report.violations.append(
-                    f'{program.name} exited unexpectedly'
+                    f'{program.name} exited unexpectedly: '
+                    f'{program.unexpected_exits}'
                 )
 
     def _start_task(self, coroutine):
--- a/tests/platform/soak/system.py
+++ b/tests/platform/soak/system.py
@@ -54,7 +54,7 @@
 
     :param paused: stopped by ``SIGSTOP``.
     :param exit_expected: received ``SIGKILL`` or ``SIGTERM``.
-    :param unexpected_exits: how often it ended without such a signal.
+    :param unexpected_exits: its exit codes where it had no such signal.
     """
 
     role: str
@@ -65,7 +65,7 @@
     process: subprocess.Popen | None = None
     paused: bool = False
     exit_expected: bool = False
-    unexpected_exits: int = 0
+    unexpected_exits: list = attrs.field(factory=list)
 
 
 def first_port(network_number):
@@ -211,15 +211,16 @@
         return [p for p in self.programs if p.role == role]
 
     def start(self, program, *, bootstrap=False):
+        # Any fault may restart a program that has ended by itself.
+        if program.process is not None and not program.exit_expected:
+            program.unexpected_exits.append(program.process.poll())
         # Written before, as a process reads its settings at some later time.
         self.write_settings(program, bootstrap=bootstrap)
         program.exit_expected = program.paused = False
-        script = (
-            netfault.__file__ if program.role == 'entry' else 'platform/run.py'
-        )
+        netfault.started_file(program.settings).unlink(missing_ok=True)
         with open(program.log, 'ab') as log:
             program.process = subprocess.Popen(
-                [sys.executable, script, program.role],
+                [sys.executable, netfault.__file__, program.role],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
@@ -259,11 +260,8 @@
 
     def restart_exited(self):
         for program in self.programs:
-            if program.process.poll() is None:
-                continue
-            if not program.exit_expected:
-                program.unexpected_exits += 1
-            self.start(program)
+            if program.process.poll() is not None:
+                self.start(program)
 
     def cut_off(self, program, kind):
         """Cut an entry off from all backend servers.
