What stays silent gets no request that may run only once

A check that isn't answered in time showed nothing. The second one in a row does now, after 0.9 s, until a check or a request is answered.

--- a/src/bulrushhold/forwarding/_serverchecks.py
+++ b/src/bulrushhold/forwarding/_serverchecks.py
@@ -81,13 +81,14 @@
         if is_server:
             verification.record_answer(server.ident)
             return
-        if is_server is not None:
+        pause_s = self.pauses.get(server.ident, FIRST_RETRY_S)
+        was_silent_before = pause_s > FIRST_RETRY_S
+        if is_server is not None or was_silent_before:
             verification.record_stranger(server.ident)
             node.log_decision(
                 'listed server not identified',
                 backend=server.ident,
                 peer=server.address,
             )
-        pause_s = self.pauses.get(server.ident, FIRST_RETRY_S)
         self.pauses[server.ident] = min(MAX_RETRY_S, 2 * pause_s)
         self.check_at[server.ident] = self.clock() + pause_s
