--- a/src/bulrushhold/decisions/_verification.py
+++ b/src/bulrushhold/decisions/_verification.py
@@ -203,7 +203,8 @@
     ) -> dict[str, set[str]]:
         """Return the versions of servers that stay, by service.
 
-        Those of servers that have failed all trials don't count.
+        Those of servers that have failed a trial, or weren't identified, don't
+        count.
         """
         versions: dict[str, set[str]] = {}
         for server in self.without_strangers(list(servers)):
--- a/src/bulrushhold/forwarding/_serverchecks.py
+++ b/src/bulrushhold/forwarding/_serverchecks.py
@@ -81,9 +81,10 @@
         if is_server:
             verification.record_answer(server.ident)
             return
+        is_again = server.ident in self.pauses
         pause_s = self.pauses.get(server.ident, FIRST_RETRY_S)
-        was_silent_before = pause_s > FIRST_RETRY_S
-        if is_server is not None or was_silent_before:
+        # It may have been silent for a moment.
+        if is_server is not None or is_again:
             verification.record_stranger(server.ident)
             node.log_decision(
                 'listed server not identified',
