A server that can't be reached is left alone only as any lost one

Engines that had crashed came back as new ones, and those that weren't reached again were left alone for seconds, on top of the time for lost servers, so that poison requests and others met on the few that were left.

Only wrong answers lead to trials now. Evidence of resets is ignored only for a server that has failed before and never answered, or wasn't identified: the first failure of a new server counts.

--- a/src/bulrushhold/decisions/_verification.py
+++ b/src/bulrushhold/decisions/_verification.py
@@ -4,7 +4,7 @@
 addresses may answer every request wrongly, or close its connection, and
 looks fast and idle meanwhile. A server that has answered a request as its
 protocol says is verified, until it answers several wrongly in a row. One that
-isn't, and fails, is left alone for a time that doubles.
+isn't, and answers wrongly, is left alone for a time that doubles.
 """
 
 import collections.abc as cabc
@@ -50,7 +50,8 @@
     """The verified servers, and the trials of those that aren't.
 
     :ivar verified: idents.
-    :ivar failed: servers whose latest trial failed, by ident.
+    :ivar failed: unverified servers whose latest answer was wrong, by ident.
+    :ivar unreached: unverified servers that couldn't be reached.
     :ivar wrong: verified servers whose last answers were wrong, by ident.
     :ivar strangers: listed servers that have answered a check as no backend
         server does, or were not there.
@@ -61,6 +62,7 @@
         self.verified: set[str] = set()
         self.failed: dict[str, _Trial] = {}
         self.strangers: set[str] = set()
+        self.unreached: set[str] = set()
         self.wrong: dict[str, _WrongAnswers] = {}
         self.seen_at: dict[str, float] = {}
 
@@ -97,6 +99,10 @@
         ):
             return
         self.verified.discard(ident)
+        if unreachable:
+            # It is left alone for a time as any server that was lost.
+            self.unreached.add(ident)
+            return
         before = self.failed.get(ident)
         if before is None:
             self.failed[ident] = _Trial(FIRST_PAUSE_S, now + FIRST_PAUSE_S)
@@ -115,8 +121,8 @@
 
     def forget(self, ident: str) -> None:
         """Forget a server: another one has its ident."""
-        self.verified.discard(ident)
-        self.strangers.discard(ident)
+        for idents in (self.verified, self.strangers, self.unreached):
+            idents.discard(ident)
         for known in (self.failed, self.wrong, self.seen_at):
             known.pop(ident, None)
 
@@ -124,6 +130,7 @@
         """Forget all servers but these."""
         self.verified &= idents
         self.strangers &= idents
+        self.unreached &= idents
         for known in (self.failed, self.wrong, self.seen_at):
             for ident in known.keys() - idents:
                 del known[ident]
@@ -193,11 +200,20 @@
         self, servers: list[_backendserver.BackendServer]
     ) -> list[_backendserver.BackendServer]:
         """Return the servers of which nothing shows that they are none."""
-        excluded = self.strangers | self.failed.keys()
+        excluded = self.strangers | self.unreached | self.failed.keys()
         if not excluded:
             return servers
         return [s for s in servers if s.ident not in excluded]
 
+    def is_suspect(self, ident: str) -> bool:
+        """Whether a server has failed before, and never answered since.
+
+        What it does to a request shows nothing of the request.
+        """
+        trial = self.failed.get(ident)
+        failed_again = trial is not None and trial.pause_s > FIRST_PAUSE_S
+        return failed_again or ident in self.strangers
+
     def usable_versions(
         self, servers: cabc.Iterable[_backendserver.BackendServer]
     ) -> dict[str, set[str]]:
--- a/src/bulrushhold/forwarding/_lossrecord.py
+++ b/src/bulrushhold/forwarding/_lossrecord.py
@@ -48,10 +48,8 @@
     if lost.silent:
         context.placement.record_silence(engine.ident, now)
         context.metrics.count('engines.silent')
-    verified = context.placement.verification.verified
-    if lost.crashed or (
-        (lost.reset or lost.silent) and engine.ident in verified
-    ):
+    is_suspect = context.placement.verification.is_suspect(engine.ident)
+    if lost.crashed or ((lost.reset or lost.silent) and not is_suspect):
         _blocks.record_broken_off(
             context,
             job,
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -392,8 +392,9 @@
         )
         if not result.cut_off:
             self._record_failure(backend, now, unreachable or crashed)
-        verified = self.context.placement.verification.verified
-        if result.broken_off and (crashed or backend.ident in verified):
+        verification = self.context.placement.verification
+        is_suspect = verification.is_suspect(backend.ident)
+        if result.broken_off and (crashed or not is_suspect):
             _blocks.record_broken_off(
                 self.context, self.job, backend.ident, seconds, crashed=crashed
             )
--- a/tests/test_verification.py
+++ b/tests/test_verification.py
@@ -250,3 +250,13 @@
     pool.verification.record_failure('gone-too', 1.0, unreachable=False)
     pool.record_failure('i3', 1.0, unreachable=False)
     assert len(pool.usable(SERVICE, 1.5)) == 3
+
+
+def test_only_a_server_that_fails_again_is_no_evidence(pool):
+    # Guards against texts blocked for a stranger, or not for a new server.
+    pool.record_failure('i3', 1.0, unreachable=False)
+    assert not pool.verification.is_suspect('i3')
+    pool.record_failure('i3', 3.0, unreachable=False)
+    assert pool.verification.is_suspect('i3')
+    pool.record_success('i3', 9.0, 0.15)
+    assert not pool.verification.is_suspect('i3')
