Log what a draining entry accepts, and what its end cuts off

Now 'accepted while draining' names the expected duration, the caller's limit and the time left, and 'cut off by the shutdown' whether a request had been sent to a server, for how long, and whether its caller has a part of the answer. No decision changes.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -281,6 +281,7 @@
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
+        self.forwarder.drain.log_unfinished()
         await self.loops.close()
         await self.ingress.close()
         if self.config.proxy is not None:
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -12,6 +12,7 @@
 from bulrushhold import errors
 from bulrushhold.forwarding import _blocks
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _draining
 from bulrushhold.forwarding import _fleet
 from bulrushhold.forwarding import _plain
 from bulrushhold.forwarding import _resumption
@@ -40,7 +41,16 @@
         self.fleet = fleet
         self.context = context
         self.closing = False
-        self.drain_deadline = float('inf')
+        self.drain = _draining.Drain(context.metrics, context.clock)
+
+    @property
+    def drain_deadline(self) -> float:
+        """When this entry stops to wait for its requests."""
+        return self.drain.deadline
+
+    @drain_deadline.setter
+    def drain_deadline(self, deadline: float) -> None:
+        self.drain.start(deadline)
 
     async def handle(
         self, call: calls.Call, caller_stream: calls.CallerStream
@@ -52,18 +62,8 @@
         """
         started = self.context.clock()
         try:
-            if self.fleet.index is None:
-                await self._wait_for_start(call)
-            job = self._accept(call, started)
-            if job.route.kind is routes.Kind.STREAM:
-                job = await _resumption.resolve(self.context, job)
-                job = self._with_priority(job)
-                reply = await _streams.StreamForwarder(
-                    self.context, job, caller_stream
-                ).run()
-            else:
-                job = self._with_priority(job)
-                reply = await _plain.PlainForwarder(self.context, job).run()
+            with self.drain.track(call, caller_stream) as request:
+                reply = await self._serve(request)
         except errors.RequestError as error:
             self.context.metrics.count(f'requests.refused.{error.status}')
             _log_refusal(call, error, self.fleet.map_version)
@@ -72,6 +72,29 @@
         self.context.metrics.time('requests', self.context.clock() - started)
         return reply
 
+    async def _serve(
+        self, request: _draining.RequestInProgress
+    ) -> calls.Reply | None:
+        if self.fleet.index is None:
+            await self._wait_for_start(request.call)
+        job = self._accept(request)
+        if job.route.kind is routes.Kind.STREAM:
+            job = await _resumption.resolve(self.context, job)
+            job = self._with_priority(job)
+            return await _streams.StreamForwarder(
+                self.context,
+                job,
+                request.caller_stream,
+                lambda: self._record_dispatch(request),
+            ).run()
+        job = self._with_priority(job)
+        return await _plain.PlainForwarder(
+            self.context, job, lambda: self._record_dispatch(request)
+        ).run()
+
+    def _record_dispatch(self, request: _draining.RequestInProgress) -> None:
+        request.dispatched_at = self.context.clock()
+
     def _with_priority(self, job: _context.Job) -> _context.Job:
         """Return the job with its priority at its service, if it has one."""
         index = self.fleet.index
@@ -96,7 +119,8 @@
             async with asyncio.timeout(wait):
                 await self.fleet.became_ready.wait()
 
-    def _accept(self, call: calls.Call, now: float) -> _context.Job:
+    def _accept(self, request: _draining.RequestInProgress) -> _context.Job:
+        call, now = request.call, request.received_at
         index = self.fleet.index
         if index is None or self.closing:
             raise errors.RequestError(
@@ -116,13 +140,17 @@
         fingerprint = decisions.fingerprint(path, call.key, call.body)
         _blocks.refuse_blocked(self.context, fingerprint, service)
         self.context.budget.count_request(service, now)
-        deadline = now + min(call.timeout_s, route.timeout_s)
+        timeout_s = min(call.timeout_s, route.timeout_s)
+        if self.drain.active:
+            self.drain.log_accepted(
+                request, self._expected_s(service, route, now), timeout_s
+            )
         return _context.Job(
             call,
             route,
             service,
             account,
-            deadline,
+            now + timeout_s,
             fingerprint,
             self.context.placement.versions.takes_canary(service, now),
         )
@@ -135,11 +163,8 @@
         Callers notice the shutdown late. An immediate refusal lets them retry
         at another entry instead of losing the stream midway.
         """
-        run_s = self.context.placement.speeds.run_s(service, now)
-        if (
-            now + LONG_RUN_FACTOR * (run_s or route.aim_s)
-            > self.drain_deadline
-        ):
+        expected_s = self._expected_s(service, route, now)
+        if now + LONG_RUN_FACTOR * expected_s > self.drain_deadline:
             raise errors.RequestError(
                 'shutting down before the stream could complete',
                 'accept',
@@ -147,6 +172,13 @@
                 retry_after=DRAIN_RETRY_S,
             )
 
+    def _expected_s(
+        self, service: str, route: routes.Route, now: float
+    ) -> float:
+        """Return the mean duration of earlier requests, if it is known."""
+        run_s = self.context.placement.speeds.run_s(service, now)
+        return run_s or route.aim_s
+
 
 def _authenticate(
     index: routes.RouteIndex, route: routes.Route, call: calls.Call
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -1,6 +1,7 @@
 """Forwards a plain request, whose response is not streamed."""
 
 import asyncio
+import collections.abc as cabc
 import contextlib
 import typing as t
 
@@ -51,11 +52,18 @@
 
 
 class PlainForwarder:
-    """Forwards one plain request, with retries at other backend servers."""
+    """Forwards one plain request, with retries at other backend servers.
+
+    :param on_dispatch: called before each attempt.
+    """
 
     def __init__(
-        self, context: _context.ForwardingContext, job: _context.Job
+        self,
+        context: _context.ForwardingContext,
+        job: _context.Job,
+        on_dispatch: cabc.Callable[[], None] = lambda: None,
     ) -> None:
+        self.on_dispatch = on_dispatch
         self.context = context
         self.job = job
         self.tried: set[str] = set()
@@ -102,6 +110,7 @@
                 if last is not None and last.reply is not None:
                     return last.reply
                 raise self._refusal(last, choice)
+            self.on_dispatch()
             self.retry = _retries.record_sent(
                 self.context, self.job.service, self.retry
             )
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -1,6 +1,7 @@
 """Forwards a stream of events and resumes it after engine failures."""
 
 import asyncio
+import collections.abc as cabc
 import typing as t
 
 from bulrushhold import calls
@@ -44,6 +45,7 @@
     """Forwards one stream, from one engine at a time.
 
     :param caller_stream: the response to the caller.
+    :param on_dispatch: called before each attempt.
     :ivar event_id_before: last event before the present run.
     :ivar moves: prepares the next move.
     :ivar limit: what kept it from another attempt.
@@ -55,7 +57,9 @@
         context: _context.ForwardingContext,
         job: _context.Job,
         caller_stream: calls.CallerStream,
+        on_dispatch: cabc.Callable[[], None] = lambda: None,
     ) -> None:
+        self.on_dispatch = on_dispatch
         self.context = context
         self.job = job
         self.caller_stream = caller_stream
@@ -128,6 +132,7 @@
                     _context.RETRY_AFTER_S,
                     limit='version',
                 )
+            self.on_dispatch()
             self.retry = _retries.record_sent(
                 self.context, self.job.service, self.retry
             )
