A draining entry promises only what it can keep

Cause: what a draining entry accepted was decided once, by one figure for each service: 1.4 times the mean duration of the streams that had ended. Streams differ in length, queue and engine, and short ones end first. What had been accepted was never looked at again, and at a fixed moment all that was left was cancelled, whatever it had sent. The class: a promise made from a statistic of other requests, and nobody who answers when it fails.

Now the mean, and the longest tenth of this entry's latest streams, only serve to refuse. A stream that is sent to an engine after the signal is withheld: its caller gets it once it is whole, or once its own declared limit and its own pace say, with a factor of two, that it ends in time; a service whose streams exceed their limits gets no such promise. Until then the caller can still be given an honest error. A stream that may not be offered again is refused at once unless its own time limit ends before the exit; so is one whose caller would give up before it is whole. What waits is refused as not run as soon as it can't be finished; what a server still runs at the end is answered 502 with `ran` unknown. Streams sent before the signal are passed on as before: their callers can take up elsewhere what they have.

Ruled out: refusing all streams from the signal on (fewer are served where other entries drain, too); keeping only a safer learned bound (no promise).

Why it works: no response to what came after the signal begins before its end is certain or there, and each request has an end by the clock that answers.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -24,8 +24,8 @@
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
 # Reserved for closing before the process is killed.
 EXIT_MARGIN_S: t.Final = 0.7
-# New requests are refused this long before the exit, which would abort them.
-REFUSE_BEFORE_EXIT_S: t.Final = 2.0
+# Reserved for errors that answer what hasn't been answered by then.
+ANSWER_S: t.Final = 0.2
 
 
 @attrs.frozen
@@ -254,8 +254,8 @@
 
         Callers learn with a delay that this entry is leaving, and a request
         may be in flight while a connection is closed. Connections therefore
-        stay open as long as possible; new requests are refused only shortly
-        before the exit.
+        stay open as long as possible; what can't be finished any more is
+        refused.
         """
         started_at = time.monotonic()
         self.fleet.start_draining()
@@ -264,13 +264,11 @@
         self.follow_task = self.loops.start('control', self.fleet.follow)
         loguru.logger.info('draining')
         deadline = started_at + self.config.grace_s - EXIT_MARGIN_S
-        self.forwarder.drain_deadline = deadline
+        self.forwarder.drain_deadline = deadline - ANSWER_S
         while time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
             now = time.monotonic()
             linger_elapsed = now > started_at + self.config.linger_s
-            if now > deadline - REFUSE_BEFORE_EXIT_S:
-                self.forwarder.closing = True
             in_progress = (
                 self.ingress.in_progress + self.proxy_server.in_progress
             )
--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -1,103 +1,169 @@
-"""The requests of an entry that shuts down."""
+"""Ends the requests of an entry that shuts down.
 
+What was sent to a server before the shutdown may use all the time that is
+left. What comes later is accepted only if it can be answered in any case: with
+the whole answer, or with an error that says whether it ran. A response whose
+end isn't certain is withheld for it.
+"""
+
+import asyncio
 import collections.abc as cabc
 import contextlib
 import time
 import typing as t
 
-import attrs
-
 from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _requestprogress
+from bulrushhold.forwarding import _streamdurations
+from bulrushhold.forwarding import _withheld
 from bulrushhold import node
 from bulrushhold import ports
+from bulrushhold import routes
 
-
-@attrs.define(eq=False)
-class RequestInProgress:
-    """A request that this entry has received and not yet answered.
-
-    :param received_at: seconds, by the entry's clock.
-    :ivar dispatched_at: when it was last sent to a backend server.
-    """
-
-    call: calls.Call
-    caller_stream: calls.CallerStream
-    received_at: float
-    dispatched_at: float | None = None
-
-    def log_fields(self, now: float) -> dict[str, t.Any]:
-        """Return what tells an unfinished request from others."""
-        dispatched_at = self.dispatched_at
-        return {
-            'request': self.call.ident,
-            'seconds': round(now - self.received_at, 3),
-            'dispatched_s': None
-            if dispatched_at is None
-            else round(now - dispatched_at, 3),
-            'begun': self.caller_stream.headers_sent,
-        }
+# Other entries accept immediately what a draining entry refuses.
+ELSEWHERE_RETRY_S: t.Final = 0.05
+# Time in which another entry may have started.
+NOWHERE_RETRY_S: t.Final = 0.5
+# Less isn't enough for a short pause and another attempt.
+MIN_LEFT_S: t.Final = 1.8
+# Covers nearly all streams, as a multiple of the mean duration.
+LONG_RUN_FACTOR: t.Final = 1.4
+# Share of recent streams that a new one shouldn't outlast.
+SHORTER_SHARE: t.Final = 0.9
+# Callers leave a stream without any event after this time, or this multiple of
+# its objectives for the first event and for pauses.
+PATIENCE_S: t.Final = 2.0
+PATIENCE_AIMS: t.Final = 4.0
+PATIENCE_GAPS: t.Final = 8.0
 
 
 class Drain:
     """The shutdown of an entry, and the requests that it has to end.
 
+    :param mean_run_s: returns the mean duration of a service's streams, if it
+        is known. It serves to refuse streams, never as a promise.
+    :param has_peers: returns whether another entry accepts requests.
     :ivar started_at: when the entry was told to stop; infinite before.
-    :ivar deadline: when it stops to wait for its requests.
+    :ivar deadline: when all requests must be answered.
+    :ivar unlimited: services whose streams have exceeded their limits.
     """
 
     def __init__(
         self,
         metrics: ports.Metrics,
+        mean_run_s: cabc.Callable[[str, float], float | None],
+        has_peers: cabc.Callable[[], bool] = lambda: True,
         clock: cabc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.metrics = metrics
+        self.mean_run_s = mean_run_s
+        self.has_peers = has_peers
         self.clock = clock
         self.started_at = float('inf')
         self.deadline = float('inf')
-        self.requests: set[RequestInProgress] = set()
+        self.requests: set[_requestprogress.RequestProgress] = set()
+        self.unlimited: set[str] = set()
+        self.durations = _streamdurations.StreamDurations()
 
     @property
     def active(self) -> bool:
         """Whether the entry is shutting down."""
         return self.started_at <= self.clock()
 
-    def start(self, deadline: float) -> None:
-        """Begin the shutdown.
+    def finish_by(self, deadline: float) -> None:
+        """Begin the shutdown, or move its end.
+
+        What waits, but can't be finished, is refused.
 
         :param deadline: see :attr:`deadline`.
         """
-        self.started_at = self.clock()
         self.deadline = deadline
-        self.metrics.count('drain.in_progress', len(self.requests))
+        if not self.active:
+            self.started_at = self.clock()
+            self.metrics.count('drain.in_progress', len(self.requests))
+        for request in self.requests:
+            self._schedule_end(request)
 
-    @contextlib.contextmanager
-    def track(
+    @contextlib.asynccontextmanager
+    async def track(
         self, call: calls.Call, caller_stream: calls.CallerStream
-    ) -> cabc.Iterator[RequestInProgress]:
-        """Track a request until it is answered."""
-        request = RequestInProgress(call, caller_stream, self.clock())
+    ) -> cabc.AsyncIterator[_requestprogress.RequestProgress]:
+        """Track a request until it is answered.
+
+        :raises RequestError: if the shutdown ends it before.
+        """
+        cutoff = asyncio.timeout(None)
+        request = _requestprogress.RequestProgress(
+            call, caller_stream, self.clock(), cutoff
+        )
         self.requests.add(request)
         try:
-            yield request
+            async with cutoff:
+                self._schedule_end(request)
+                yield request
+                self._record_duration(request)
+        except TimeoutError:
+            if not cutoff.expired():
+                raise
+            raise self._unfinished(request) from None
         finally:
             self.requests.discard(request)
+            if request.exceeds_limit and request.job is not None:
+                self.unlimited.add(request.job.service)
 
-    def log_accepted(
-        self, request: RequestInProgress, expected_s: float, limit_s: float
+    def accept(
+        self, request: _requestprogress.RequestProgress, job: _context.Job
     ) -> None:
-        """Log that a request was accepted during the shutdown.
+        """Accept a request.
 
-        :param expected_s: how long such requests usually take.
-        :param limit_s: time until its caller gives up.
+        :raises RequestError: if it can't be finished before the shutdown.
         """
-        left_s = self.deadline - self.clock()
+        request.job = job
+        if not self.active:
+            return
+        reason = self._refusal_reason(job)
+        if reason:
+            raise self._refusal(reason)
+        self._schedule_end(request)
         self.metrics.count('drain.accepted')
         node.log_decision(
             'accepted while draining',
             request=request.call.ident,
-            expected_s=round(expected_s, 3),
-            limit_s=round(limit_s, 3),
-            left_s=round(left_s, 3),
+            expected_s=round(self._needed_s(job), 3),
+            limit_s=round(job.deadline - self.clock(), 3),
+            left_s=round(self.deadline - self.clock(), 3),
+        )
+
+    def before_dispatch(
+        self, request: _requestprogress.RequestProgress
+    ) -> None:
+        """Prepare for an attempt at a server.
+
+        :raises RequestError: if it can't be finished and hasn't run.
+        """
+        if self.active and not request.may_have_run:
+            assert request.job is not None
+            reason = self._refusal_reason(request.job)
+            if reason:
+                raise self._refusal(reason)
+        request.dispatched_at = self.clock()
+        self._schedule_end(request)
+
+    def guard(
+        self, request: _requestprogress.RequestProgress
+    ) -> calls.CallerStream:
+        """Return the streamed response for a request's attempts."""
+
+        async def begin() -> None:
+            if request.cutoff.expired():
+                # Its cancellation must not fall between two parts.
+                await asyncio.sleep(0)
+            request.cutoff.reschedule(None)
+
+        return _withheld.WithheldStream(
+            request.caller_stream, lambda: self._may_begin(request), begin
         )
 
     def log_unfinished(self) -> None:
@@ -110,3 +176,128 @@
                 **request.log_fields(now),
                 draining_s=round(now - self.started_at, 3),
             )
+
+    # Decisions
+
+    def _refusal_reason(self, job: _context.Job) -> str:
+        """Return why a request that no server has can't be accepted."""
+        is_stream = job.route.kind is routes.Kind.STREAM
+        needed_s = self._needed_s(job)
+        if self.clock() + needed_s > self.deadline:
+            return 'shutting down before the request could complete'
+        if self._is_bounded(job):
+            return ''
+        if is_stream and not job.route.repeatable:
+            return 'shutting down, and the stream can\'t be offered again'
+        if is_stream and not self._has_limit(job):
+            patience_s = max(
+                PATIENCE_S,
+                PATIENCE_AIMS * job.route.aim_s,
+                PATIENCE_GAPS * job.route.gap_s,
+            )
+            if needed_s > LONG_RUN_FACTOR * patience_s:
+                return 'shutting down, and the stream\'s end is unknown'
+        return ''
+
+    def _is_bounded(self, job: _context.Job) -> bool:
+        """Return whether its own time limit ends a request early enough."""
+        return job.deadline <= self.deadline
+
+    def _needed_s(self, job: _context.Job) -> float:
+        """Return the time below which a request is not accepted."""
+        if job.route.kind is routes.Kind.STREAM:
+            now = self.clock()
+            run_s = self.mean_run_s(job.service, now) or job.route.aim_s
+            long_s = self.durations.quantile_s(
+                job.service,
+                SHORTER_SHARE,
+                [now - r.received_at for r in self._streams(job.service)],
+            )
+            return max(long_s, LONG_RUN_FACTOR * run_s)
+        return 0.0 if self._is_bounded(job) else MIN_LEFT_S
+
+    def _has_limit(self, job: _context.Job) -> bool:
+        """Return whether a stream says how long it can become."""
+        if not job.call.prompt or not job.call.prompt.max_output_tokens:
+            return False
+        return job.service not in self.unlimited and not any(
+            request.exceeds_limit for request in self._streams(job.service)
+        )
+
+    def _streams(self, service: str) -> list[_requestprogress.RequestProgress]:
+        return [
+            request
+            for request in self.requests
+            if request.job is not None
+            and request.job.service == service
+            and request.job.route.kind is routes.Kind.STREAM
+        ]
+
+    def _may_begin(self, request: _requestprogress.RequestProgress) -> bool:
+        """Return whether a stream's caller may get its events as they come."""
+        job, now = request.job, self.clock()
+        assert job is not None
+        request.record_events(now)
+        sent_before = (request.dispatched_at or 0.0) < self.started_at
+        if not self.active or sent_before or self._is_bounded(job):
+            return True
+        limit = request.event_limit
+        if limit is None or not self._has_limit(job):
+            return False
+        return now + request.pace.longest_s(limit) <= self.deadline
+
+    def _record_duration(
+        self, request: _requestprogress.RequestProgress
+    ) -> None:
+        if request.job is not None and request.caller_stream.headers_sent:
+            seconds = self.clock() - request.received_at
+            self.durations.record(request.job.service, seconds)
+
+    # Ends
+
+    def _schedule_end(self, request: _requestprogress.RequestProgress) -> None:
+        if (
+            not self.active
+            or request.caller_stream.headers_sent
+            or request.cutoff.expired()
+        ):
+            return
+        end_in_s = self._end_at(request) - self.clock()
+        loop = asyncio.get_running_loop()
+        request.cutoff.reschedule(loop.time() + end_in_s)
+
+    def _end_at(self, request: _requestprogress.RequestProgress) -> float:
+        job = request.job
+        if job is None or request.dispatched_at is not None:
+            return self.deadline
+        if self._refusal_reason(job):
+            return self.clock()
+        if self._is_bounded(job):
+            return self.deadline
+        return self.deadline - self._needed_s(job)
+
+    def _unfinished(
+        self, request: _requestprogress.RequestProgress
+    ) -> errors.RequestError:
+        self.metrics.count('drain.unfinished')
+        node.log_decision(
+            'ended by the shutdown',
+            **request.log_fields(self.clock()),
+            may_have_run=request.may_have_run,
+        )
+        if request.job is not None and request.may_have_run:
+            return _context.unknown_outcome_error(
+                request.job, 'shutting down before the answer was complete', ''
+            )
+        return self._refusal('shutting down before the request was sent')
+
+    def _refusal(self, reason: str) -> errors.RequestError:
+        self.metrics.count('drain.refused')
+        return errors.RequestError(
+            reason,
+            'accept',
+            status=503,
+            retry_after=ELSEWHERE_RETRY_S
+            if self.has_peers()
+            else NOWHERE_RETRY_S,
+        )
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -345,7 +345,10 @@
             self.stream.end_known = False
             caller_stream.abort()
             return
+        is_withheld = not caller_stream.headers_sent
         await caller_stream.end()
+        if is_withheld:
+            self.stream.timing.record_event_sent()
 
     def _ensure_copy(self) -> None:
         """Request a copy of the run's memory if no backup holds one.
@@ -454,7 +457,8 @@
                 response.head.headers,
                 response.head.framed,
             )
-        self.stream.timing.record_event_sent()
+        if caller_stream.headers_sent:
+            self.stream.timing.record_event_sent()
         await caller_stream.write(data)
 
     def _pin_version(self) -> None:
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -126,6 +126,13 @@
         """Advertise this entry as not ready for new callers."""
         self.own_entry = attrs.evolve(self.own_entry, ready=False)
 
+    def has_ready_peers(self) -> bool:
+        """Return whether another entry may accept requests."""
+        return not self.entries or any(
+            entry.ready and entry.name != self.own_entry.name
+            for entry in self.entries
+        )
+
     def set_load_factor(self, factor: float) -> None:
         """Advertise the share of its usual callers that this entry wants."""
         self.own_entry = attrs.evolve(self.own_entry, load_factor=factor)
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding import _draining
 from bulrushhold.forwarding import _fleet
 from bulrushhold.forwarding import _plain
+from bulrushhold.forwarding import _requestprogress
 from bulrushhold.forwarding import _resumption
 from bulrushhold.forwarding import _streams
 from bulrushhold import node
@@ -26,10 +27,6 @@
 # its own timeout.
 START_WAIT_S: t.Final = 1.5
 START_WAIT_SHARE: t.Final = 0.4
-# Other entries accept immediately what a draining entry refuses.
-DRAIN_RETRY_S: t.Final = 0.05
-# Covers nearly all streams, as a multiple of the mean duration.
-LONG_RUN_FACTOR: t.Final = 1.4
 
 
 class Forwarder:
@@ -41,16 +38,21 @@
         self.fleet = fleet
         self.context = context
         self.closing = False
-        self.drain = _draining.Drain(context.metrics, context.clock)
+        self.drain = _draining.Drain(
+            context.metrics,
+            context.placement.speeds.run_s,
+            fleet.has_ready_peers,
+            context.clock,
+        )
 
     @property
     def drain_deadline(self) -> float:
-        """When this entry stops to wait for its requests."""
+        """When all requests must be answered."""
         return self.drain.deadline
 
     @drain_deadline.setter
     def drain_deadline(self, deadline: float) -> None:
-        self.drain.start(deadline)
+        self.drain.finish_by(deadline)
 
     async def handle(
         self, call: calls.Call, caller_stream: calls.CallerStream
@@ -62,7 +64,7 @@
         """
         started = self.context.clock()
         try:
-            with self.drain.track(call, caller_stream) as request:
+            async with self.drain.track(call, caller_stream) as request:
                 reply = await self._serve(request)
         except errors.RequestError as error:
             self.context.metrics.count(f'requests.refused.{error.status}')
@@ -73,27 +75,40 @@
         return reply
 
     async def _serve(
-        self, request: _draining.RequestInProgress
+        self, request: _requestprogress.RequestProgress
     ) -> calls.Reply | None:
         if self.fleet.index is None:
             await self._wait_for_start(request.call)
         job = self._accept(request)
         if job.route.kind is routes.Kind.STREAM:
             job = await _resumption.resolve(self.context, job)
-            job = self._with_priority(job)
-            return await _streams.StreamForwarder(
-                self.context,
-                job,
-                request.caller_stream,
-                lambda: self._record_dispatch(request),
-            ).run()
-        job = self._with_priority(job)
-        return await _plain.PlainForwarder(
-            self.context, job, lambda: self._record_dispatch(request)
-        ).run()
-
-    def _record_dispatch(self, request: _draining.RequestInProgress) -> None:
-        request.dispatched_at = self.context.clock()
+            return await self._serve_stream(request, self._with_priority(job))
+        plain = _plain.PlainForwarder(
+            self.context,
+            self._with_priority(job),
+            lambda: self.drain.before_dispatch(request),
+        )
+        request.attempts = plain
+        return await plain.run()
+
+    async def _serve_stream(
+        self, request: _requestprogress.RequestProgress, job: _context.Job
+    ) -> calls.Reply | None:
+        request.job = job
+        caller_stream = self.drain.guard(request)
+        stream = _streams.StreamForwarder(
+            self.context,
+            job,
+            caller_stream,
+            lambda: self.drain.before_dispatch(request),
+        )
+        request.attempts = stream
+        reply = await stream.run()
+        if reply is None and not caller_stream.headers_sent:
+            raise _context.unknown_outcome_error(
+                job, 'the end of the stream is unknown', ''
+            )
+        return reply
 
     def _with_priority(self, job: _context.Job) -> _context.Job:
         """Return the job with its priority at its service, if it has one."""
@@ -119,7 +134,9 @@
             async with asyncio.timeout(wait):
                 await self.fleet.became_ready.wait()
 
-    def _accept(self, request: _draining.RequestInProgress) -> _context.Job:
+    def _accept(
+        self, request: _requestprogress.RequestProgress
+    ) -> _context.Job:
         call, now = request.call, request.received_at
         index = self.fleet.index
         if index is None or self.closing:
@@ -135,49 +152,22 @@
             raise errors.RequestError('no such route', 'accept', status=404)
         account = _authenticate(index, route, call)
         service = index.target(route, random.random())
-        if route.kind is routes.Kind.STREAM:
-            self._refuse_unfinishable(service, route, now)
         fingerprint = decisions.fingerprint(path, call.key, call.body)
         _blocks.refuse_blocked(self.context, fingerprint, service)
-        self.context.budget.count_request(service, now)
-        timeout_s = min(call.timeout_s, route.timeout_s)
-        if self.drain.active:
-            self.drain.log_accepted(
-                request, self._expected_s(service, route, now), timeout_s
-            )
-        return _context.Job(
+        job = _context.Job(
             call,
             route,
             service,
             account,
-            now + timeout_s,
+            now + min(call.timeout_s, route.timeout_s),
             fingerprint,
-            self.context.placement.versions.takes_canary(service, now),
         )
-
-    def _refuse_unfinishable(
-        self, service: str, route: routes.Route, now: float
-    ) -> None:
-        """Refuse a stream that would outlast this draining entry.
-
-        Callers notice the shutdown late. An immediate refusal lets them retry
-        at another entry instead of losing the stream midway.
-        """
-        expected_s = self._expected_s(service, route, now)
-        if now + LONG_RUN_FACTOR * expected_s > self.drain_deadline:
-            raise errors.RequestError(
-                'shutting down before the stream could complete',
-                'accept',
-                status=503,
-                retry_after=DRAIN_RETRY_S,
-            )
-
-    def _expected_s(
-        self, service: str, route: routes.Route, now: float
-    ) -> float:
-        """Return the mean duration of earlier requests, if it is known."""
-        run_s = self.context.placement.speeds.run_s(service, now)
-        return run_s or route.aim_s
+        self.drain.accept(request, job)
+        self.context.budget.count_request(service, now)
+        return attrs.evolve(
+            job,
+            canary=self.context.placement.versions.takes_canary(service, now),
+        )
 
 
 def _authenticate(
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -15,6 +15,7 @@
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _liveness
 from bulrushhold.forwarding import _permits
+from bulrushhold.forwarding import _requestprogress
 from bulrushhold.forwarding import _responses
 from bulrushhold.forwarding import _retries
 
@@ -51,7 +52,7 @@
     rejected: bool = False
 
 
-class PlainForwarder:
+class PlainForwarder(_requestprogress.Attempts):
     """Forwards one plain request, with retries at other backend servers.
 
     :param on_dispatch: called before each attempt.
@@ -75,6 +76,7 @@
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
         self.may_have_run = False
+        self.last_event_id = None
         self.replies: list[calls.Reply] = []
 
     async def run(self) -> calls.Reply:
--- /dev/null
+++ b/src/bulrushhold/forwarding/_streamdurations.py
@@ -0,0 +1,40 @@
+"""How long recent streams of this entry took, from request to end."""
+
+import collections
+import collections.abc as cabc
+import math
+import typing as t
+
+MAX_SAMPLES: t.Final = 100
+MIN_SAMPLES: t.Final = 10
+
+
+class StreamDurations:
+    """The latest durations, by service."""
+
+    def __init__(self) -> None:
+        self.seconds: dict[str, collections.deque[float]] = {}
+
+    def record(self, service: str, seconds: float) -> None:
+        """Record the duration of a whole stream."""
+        samples = self.seconds.setdefault(
+            service, collections.deque(maxlen=MAX_SAMPLES)
+        )
+        samples.append(seconds)
+
+    def quantile_s(
+        self, service: str, share: float, running_s: cabc.Iterable[float]
+    ) -> float:
+        """Return the duration that a share of the streams doesn't exceed.
+
+        :param running_s: how long streams have been running so far; those
+            that have become longer show in it before they end.
+        :return: seconds; 0 if there are too few of them.
+        """
+        ended = sorted(self.seconds.get(service, ()))
+        # A stream that has run for less than the usual tells nothing.
+        usual_s = ended[len(ended) // 2] if ended else 0.0
+        samples = sorted([*ended, *(s for s in running_s if s > usual_s)])
+        if len(samples) < MIN_SAMPLES:
+            return 0.0
+        return samples[math.ceil(share * len(samples)) - 1]
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -16,6 +16,7 @@
 from bulrushhold.forwarding import _moves
 from bulrushhold.forwarding import _permits
 from bulrushhold.forwarding import _prompt_cache
+from bulrushhold.forwarding import _requestprogress
 from bulrushhold.forwarding import _retries
 from bulrushhold.forwarding import _running
 from bulrushhold.forwarding import _streamloss
@@ -41,7 +42,7 @@
 MAX_UNUSED_GRANTS: t.Final = 8
 
 
-class StreamForwarder:
+class StreamForwarder(_requestprogress.Attempts):
     """Forwards one stream, from one engine at a time.
 
     :param caller_stream: the response to the caller.
--- /dev/null
+++ b/tests/forwarding/test_draining.py
@@ -0,0 +1,184 @@
+"""Tests of requests at an entry that shuts down."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from bulrushhold import calls
+from bulrushhold import errors
+from bulrushhold import forwarding
+from bulrushhold.forwarding import _permits
+from bulrushhold import routes
+from tests.forwarding import fakes
+
+DRAIN_S = 3.0
+SHORT_DRAIN_S = 0.4
+RUN_S = 0.1
+
+
+@pytest.fixture
+def make_forwarder(context, fleet):
+    """Return a forwarder for one kind of route.
+
+    :param kind: of the route.
+    :param resumable: whether its streams may go on elsewhere.
+    """
+
+    def make(kind=routes.Kind.STREAM, resumable=True):
+        fleet._apply_reply(fakes.make_reply(kind=kind, resumable=resumable))
+        for _ in range(20):
+            context.placement.speeds.record_run(
+                'engines', RUN_S, context.clock()
+            )
+        return forwarding.Forwarder(fleet, context)
+
+    return make
+
+
+@pytest.fixture
+def make_call(context):
+    def make(kind=routes.Kind.STREAM, timeout_s=5.0, limit=100, **more):
+        call = fakes.make_job(context, kind, timeout_s=timeout_s, **more).call
+        prompt = calls.Prompt(8000, limit, ('p',)) if limit else None
+        return attrs.evolve(call, prompt=prompt)
+
+    return make
+
+
+def start_drain(forwarder, seconds):
+    forwarder.drain_deadline = forwarder.context.clock() + seconds
+
+
+def silent_scripts(**first):
+    """Return scripts of a server that falls silent, and of silent ones."""
+    others = [fakes.Script(then='silent') for _ in range(20)]
+    return [fakes.Script(then='silent', **first), *others]
+
+
+async def get_error(handling):
+    with pytest.raises(errors.RequestError) as caught:
+        async with asyncio.timeout(2.0):
+            await handling
+    return caught.value
+
+
+@pytest.mark.parametrize('limit', [0, 100])
+async def test_a_stream_that_does_not_end_in_time_is_not_cut_midway(
+    client, make_forwarder, make_call, limit
+):
+    # Guards against a 200 that breaks off as the entry exits.
+    forwarder, caller = make_forwarder(), fakes.FakeCaller()
+    start_drain(forwarder, SHORT_DRAIN_S)
+    client.scripts = silent_scripts(events=(1, 2))
+    error = await get_error(forwarder.handle(make_call(limit=limit), caller))
+    assert (error.status, error.ran) == (502, errors.Ran.UNKNOWN)
+    assert not caller.headers_sent
+
+
+async def test_a_withheld_stream_that_ends_in_time_is_whole(
+    client, make_forwarder, make_call
+):
+    # Guards against a gap or the wrong head where engines change meanwhile.
+    forwarder, caller = make_forwarder(), fakes.FakeCaller()
+    start_drain(forwarder, DRAIN_S)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='crash'),
+        fakes.Script(events=(3, 4)),
+    ]
+    await forwarder.handle(make_call(), caller)
+    assert caller.ended
+    assert caller.data == fakes.encode_events(1, 2, 3, 4)
+    assert caller.headers == (('X-Engine', client.opened[0]),)
+
+
+async def test_a_stream_that_is_sure_to_end_is_passed_on_as_it_arrives(
+    client, make_forwarder, make_call
+):
+    forwarder, caller = make_forwarder(), fakes.FakeCaller()
+    start_drain(forwarder, DRAIN_S)
+    client.scripts = silent_scripts(events=range(1, 91))
+    handling = asyncio.ensure_future(forwarder.handle(make_call(), caller))
+    async with asyncio.timeout(1.0):
+        while caller.data != fakes.encode_events(*range(1, 91)):
+            await asyncio.sleep(0.01)
+    handling.cancel()
+
+
+async def test_streams_beyond_their_limits_make_no_promise_for_others(
+    client, make_forwarder, make_call
+):
+    # Guards against a 200 that breaks off where declared lengths are wrong.
+    forwarder, caller = make_forwarder(), fakes.FakeCaller()
+    client.scripts = [fakes.Script(events=range(1, 12))]
+    await forwarder.handle(make_call(limit=10), fakes.FakeCaller())
+    start_drain(forwarder, SHORT_DRAIN_S)
+    client.scripts = silent_scripts(events=range(1, 10))
+    await get_error(forwarder.handle(make_call(limit=10), caller))
+    assert not caller.headers_sent
+
+
+async def test_a_stream_sent_before_the_shutdown_is_passed_on(
+    client, make_forwarder, make_call
+):
+    # Its caller can take up elsewhere what it has got.
+    forwarder, caller = make_forwarder(), fakes.FakeCaller()
+    client.scripts = silent_scripts(events=(1, 2), open_delay_s=0.1)
+    handling = asyncio.ensure_future(forwarder.handle(make_call(), caller))
+    await asyncio.sleep(0.05)
+    start_drain(forwarder, SHORT_DRAIN_S)
+    async with asyncio.timeout(1.0):
+        while caller.data != fakes.encode_events(1, 2):
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(SHORT_DRAIN_S)
+    assert not handling.done()
+    handling.cancel()
+
+
+async def test_a_stream_that_must_not_repeat_is_refused_at_once(
+    client, make_forwarder, make_call
+):
+    # Guards against a stream that ran in vain and can't be offered again.
+    forwarder = make_forwarder(resumable=False)
+    start_drain(forwarder, 2.0)
+    error = await get_error(forwarder.handle(make_call(), fakes.FakeCaller()))
+    assert (error.status, error.ran) == (503, errors.Ran.NO)
+    assert not client.attempts
+
+
+@pytest.mark.parametrize(
+    'kind', [routes.Kind.STREAM, routes.Kind.ONCE, routes.Kind.IDEMPOTENT]
+)
+async def test_what_waits_for_a_server_is_refused_before_the_exit(
+    client, make_forwarder, make_call, monkeypatch, kind
+):
+    # Guards against a connection that is closed without any answer.
+    async def wait(*arguments, **more):
+        await asyncio.sleep(10)
+
+    monkeypatch.setattr(_permits, 'choose_permitted', wait)
+    forwarder = make_forwarder(kind)
+    handling = asyncio.ensure_future(
+        forwarder.handle(make_call(kind), fakes.FakeCaller())
+    )
+    await asyncio.sleep(0)
+    start_drain(forwarder, SHORT_DRAIN_S)
+    error = await get_error(handling)
+    assert (error.status, error.ran) == (503, errors.Ran.NO)
+    assert not client.attempts
+
+
+@pytest.mark.parametrize('kind', [routes.Kind.ONCE, routes.Kind.IDEMPOTENT])
+async def test_what_a_server_still_runs_at_the_exit_is_answered(
+    client, make_forwarder, make_call, kind
+):
+    # Guards against a caller that can't tell a lost request from a refusal.
+    forwarder = make_forwarder(kind)
+    client.scripts = silent_scripts()
+    handling = asyncio.ensure_future(
+        forwarder.handle(make_call(kind), fakes.FakeCaller())
+    )
+    await asyncio.sleep(0.05)
+    start_drain(forwarder, SHORT_DRAIN_S)
+    error = await get_error(handling)
+    assert (error.status, error.ran) == (502, errors.Ran.UNKNOWN)
