A request that arrives in parts is answered as the entry exits

Now requests that haven't been received completely are refused as not run just before the exit, while the connections are still served. A stream that begins after the signal also says in its head that its connection closes: before, whether it did was decided as its request arrived.

tests/test_ingress_shutdown.py; the first and the third test fail on the code before (no stop_reading; no `Connection: close`).

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -254,8 +254,8 @@
 
         Callers learn with a delay that this entry is leaving, and a request
         may be in flight while a connection is closed. Connections therefore
-        stay open as long as possible; what can't be finished any more is
-        refused.
+        stay open as long as possible; new requests are refused only shortly
+        before the exit.
         """
         started_at = time.monotonic()
         self.fleet.start_draining()
@@ -268,6 +268,8 @@
         while time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
             now = time.monotonic()
+            if now > deadline - ANSWER_S:
+                self.ingress.stop_reading()
             linger_elapsed = now > started_at + self.config.linger_s
             in_progress = (
                 self.ingress.in_progress + self.proxy_server.in_progress
@@ -276,6 +278,7 @@
                 break
         # Nothing that is accepted from now on could be completed.
         self.forwarder.closing = True
+        self.ingress.stop_reading()
 
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -23,6 +23,8 @@
 KEEPALIVE_TIMEOUT_S: t.Final = 3600.0
 # Short: requests were drained before the server shuts down.
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
+# Other entries accept at once what one that exits refuses.
+CLOSING_RETRY_S: t.Final = 0.05
 MAX_FIELD_BYTES: t.Final = 65536
 _NO_LINGER: t.Final = struct.pack('ii', 1, 0)
 _LINGER: t.Final = struct.pack('ii', 0, 0)
@@ -67,13 +69,13 @@
     def __init__(
         self,
         request: web.BaseRequest,
-        close_connection: bool,
+        closes_connection: cabc.Callable[[], bool],
         bounded: bool,
     ) -> None:
         self.request = request
         self.bounded = bounded
         self.response: web.StreamResponse = web.StreamResponse()
-        self.close_connection = close_connection
+        self.closes_connection = closes_connection
         self.headers_sent = False
 
     @property
@@ -91,7 +93,7 @@
             self.response = _UnframedResponse()
         self.response.set_status(status)
         self.response.headers.extend(headers)
-        if self.close_connection:
+        if self.closes_connection():
             self.response.force_close()
         self.headers_sent = True
         await self.response.prepare(self.request)
@@ -126,6 +128,8 @@
 
     :param handle: returns a reply, or ``None`` if it wrote to the stream.
     :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :ivar draining: responses ask callers to disconnect.
+    :ivar closing: only requests that have been received are served.
     """
 
     def __init__(
@@ -139,6 +143,8 @@
         self.budget = budget
         self.draining = False
         self.in_progress = 0
+        self.closing = False
+        self.reading: set[asyncio.Timeout] = set()
         options: dict[str, t.Any] = {}
         if budget is not None:
             options['read_bufsize'] = _connections.READ_BUFFER_BYTES
@@ -162,6 +168,14 @@
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port, backlog=1024).start()
 
+    def stop_reading(self) -> None:
+        """Refuse all requests that haven't been received completely."""
+        self.closing = True
+        now = asyncio.get_running_loop().time()
+        for cutoff in self.reading:
+            if not cutoff.expired():
+                cutoff.reschedule(now)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         await self.runner.cleanup()
@@ -176,12 +190,12 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request._client_max_size = _requests.MAX_BODY_BYTES
         stream = _HttpCallerStream(
-            request, self.draining, self.budget is not None
+            request, lambda: self.draining, self.budget is not None
         )
         ident = ''
         try:
             with _requests.RequestReader(self.budget, request) as reader:
-                body = await reader.read()
+                body = await self._read(reader)
                 call = self._decode(request, body)
                 ident = call.ident
                 reply = await self.handle(call, stream)
@@ -214,6 +228,24 @@
             response.force_close()
         return response
 
+    async def _read(self, reader: _requests.RequestReader) -> bytes:
+        cutoff = asyncio.timeout(0 if self.closing else None)
+        self.reading.add(cutoff)
+        try:
+            async with cutoff:
+                return await reader.read()
+        except TimeoutError:
+            if not cutoff.expired():
+                raise
+            raise errors.RequestError(
+                'shutting down before the request was received',
+                _requests.REFUSED_STEP,
+                status=503,
+                retry_after=CLOSING_RETRY_S,
+            ) from None
+        finally:
+            self.reading.discard(cutoff)
+
     def _decode(self, request: web.BaseRequest, body: bytes) -> calls.Call:
         return self.dialect.decode_call(
             request.method, request.raw_path, request.headers, body
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -19,7 +19,9 @@
     created.fleet = types.SimpleNamespace(
         start_draining=lambda: None, follow=None
     )
-    created.ingress = types.SimpleNamespace(in_progress=0, draining=False)
+    created.ingress = types.SimpleNamespace(
+        in_progress=0, draining=False, stop_reading=lambda: None
+    )
     created.proxy_server = types.SimpleNamespace(in_progress=0)
     created.forwarder = types.SimpleNamespace(closing=False)
     created.loops = types.SimpleNamespace(start=lambda name, loop: None)
--- /dev/null
+++ b/tests/test_ingress_shutdown.py
@@ -0,0 +1,81 @@
+"""Tests of callers' connections as an entry shuts down."""
+
+import asyncio
+import json
+
+import pytest
+
+from bulrushhold import calls
+from bulrushhold import web
+from tests import ingress_process
+
+HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.fixture
+async def ingress():
+    async def handle(call, stream):
+        if call.target != '/stream':
+            return calls.Reply(200, (), call.body)
+        await asyncio.sleep(0.1)
+        await stream.send_headers(200, ())
+        await stream.end()
+        return None
+
+    server = web.Ingress(handle, ingress_process.CallerDialect())
+    await server.start('127.0.0.1', 0)
+    yield server
+    await server.close()
+
+
+async def connect(ingress):
+    host, port = ingress.runner.addresses[0][:2]
+    return await asyncio.open_connection(host, port)
+
+
+async def read_answer(reader):
+    """Return the head and the body of an answer with a length."""
+    async with asyncio.timeout(2.0):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        length = int(head.partition('content-length: ')[2].split('\r')[0])
+        return head, await reader.readexactly(length)
+
+
+async def test_a_request_that_arrives_in_parts_is_answered_at_the_exit(
+    ingress,
+):
+    # Guards against a connection that is closed after its last part was sent.
+    reader, writer = await connect(ingress)
+    writer.write(HEAD + b'3\r\nabc\r\n')
+    await asyncio.sleep(0.1)
+    ingress.draining = True
+    ingress.stop_reading()
+    head, body = await read_answer(reader)
+    writer.close()
+    assert head.startswith('http/1.1 503')
+    assert 'connection: close' in head
+    assert json.loads(body)['error']['ran'] == 'no'
+
+
+async def test_a_request_that_has_arrived_is_served_at_the_exit(ingress):
+    ingress.stop_reading()
+    reader, writer = await connect(ingress)
+    writer.write(HEAD + b'3\r\nabc\r\n0\r\n\r\n')
+    head, body = await read_answer(reader)
+    writer.close()
+    assert head.startswith('http/1.1 200')
+    assert body == b'abc'
+
+
+async def test_a_stream_that_begins_after_the_signal_closes_its_connection(
+    ingress,
+):
+    # Guards against callers that go on using an entry that is leaving.
+    reader, writer = await connect(ingress)
+    writer.write(b'GET /stream HTTP/1.1\r\nHost: h\r\n\r\n')
+    await asyncio.sleep(0.05)
+    ingress.draining = True
+    async with asyncio.timeout(2.0):
+        head = await reader.readuntil(b'\r\n\r\n')
+    writer.close()
+    assert b'connection: close' in head.lower()
