A busy entry leaves more time for its answers

Now the time reserved grows with the longest pause of the process during the drain, threefold, up to a second; callers' connections are closed before the loops, whose end delayed them. A process without pauses exits as late as before.

tests/test_entry_drain.py::test_a_busy_entry_leaves_more_time_for_its_answers failed before.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -24,6 +24,9 @@
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
 # Reserved for closing before the process is killed.
 EXIT_MARGIN_S: t.Final = 0.7
+# Reserved in addition, as a multiple of the longest pause of this process.
+LAG_FACTOR: t.Final = 3.0
+MAX_LAG_MARGIN_S: t.Final = 1.0
 # Reserved for errors that answer what hasn't been answered by then.
 ANSWER_S: t.Final = 0.2
 
@@ -254,8 +257,8 @@
 
         Callers learn with a delay that this entry is leaving, and a request
         may be in flight while a connection is closed. Connections therefore
-        stay open as long as possible; new requests are refused only shortly
-        before the exit.
+        stay open as long as possible; what can't be finished any more is
+        refused.
         """
         started_at = time.monotonic()
         self.fleet.start_draining()
@@ -263,11 +266,22 @@
         self.follow_task.cancel()
         self.follow_task = self.loops.start('control', self.fleet.follow)
         loguru.logger.info('draining')
-        deadline = started_at + self.config.grace_s - EXIT_MARGIN_S
+        last_deadline = started_at + self.config.grace_s - EXIT_MARGIN_S
+        deadline = last_deadline
         self.forwarder.drain_deadline = deadline - ANSWER_S
-        while time.monotonic() < deadline:
+        now = started_at
+        while now < deadline:
+            checked_at = now
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
             now = time.monotonic()
+            lag_s = now - checked_at - DRAIN_CHECK_INTERVAL_S
+            # A busy process needs longer to answer and to close.
+            busy_deadline = last_deadline - min(
+                LAG_FACTOR * lag_s, MAX_LAG_MARGIN_S
+            )
+            if busy_deadline < deadline - DRAIN_CHECK_INTERVAL_S:
+                deadline = busy_deadline
+                self.forwarder.drain_deadline = deadline - ANSWER_S
             if now > deadline - ANSWER_S:
                 self.ingress.stop_reading()
             linger_elapsed = now > started_at + self.config.linger_s
@@ -283,8 +297,9 @@
     async def close(self) -> None:
         """Stop all tasks and close all sockets."""
         self.forwarder.drain.log_unfinished()
-        await self.loops.close()
+        # Callers first: nothing else may delay their answers.
         await self.ingress.close()
+        await self.loops.close()
         if self.config.proxy is not None:
             await self.proxy_server.close()
         for runner in self.runners:
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -1,8 +1,10 @@
 """Tests of the end of an entry that drains."""
 
 import asyncio
+import time
 import types
 
+import attrs
 import pytest
 
 from bulrushhold import composition
@@ -34,3 +36,15 @@
     async with asyncio.timeout(5.0):
         await entry.drain()
     assert entry.forwarder.closing
+
+
+async def test_a_busy_entry_leaves_more_time_for_its_answers(entry):
+    # Guards against a process that is killed before it has answered.
+    entry.config = attrs.evolve(entry.config, grace_s=2.0)
+    entry.ingress.in_progress = 1
+    asyncio.get_running_loop().call_later(0.25, time.sleep, 0.3)
+    started_at = time.monotonic()
+    async with asyncio.timeout(5.0):
+        await entry.drain()
+    assert time.monotonic() - started_at < 0.8
+    assert entry.forwarder.drain_deadline < started_at + 0.6
