--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -12,6 +12,7 @@
 
 import click
 
+from tests.platform.soak import drains
 from tests.platform.soak import endless
 from tests.platform.soak import figures
 from tests.platform.soak import keptconnections
@@ -168,6 +169,10 @@
         f'silent-{name}': functools.partial(silence.play_variant, variant=name)
         for name in silence.VARIANTS
     },
+    **{
+        f'drains-{name}': functools.partial(drains.play_variant, variant=name)
+        for name in (*drains.VARIANTS, 'random')
+    },
     **{
         f'odd-list-{name}': functools.partial(
             oddlists.play_variant, variant=name
@@ -187,6 +192,7 @@
 @click.option('--entries', default=6)
 @click.option('--seconds', default=18.0, help='Duration of the load.')
 @click.option('--load', default=0.0, help='0 for that of the scenario.')
+@click.option('--grace', default=0.0, help='Seconds from SIGTERM to SIGKILL.')
 @click.option('--keep', default='', help='Parent folder of the logs.')
 def main(
     name: str,
@@ -194,6 +200,7 @@
     entries: int,
     seconds: float,
     load: float,
+    grace: float,
     keep: str,
 ) -> None:
     """Play a load scenario for each seed and print its figures."""
@@ -201,6 +208,8 @@
     options = {'entries': entries, 'seconds': seconds}
     if load:
         options['load'] = load
+    if grace:
+        options['grace_s'] = grace
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         folder = pathlib.Path(
