--- a/tests/platform/soak/drains.py
+++ b/tests/platform/soak/drains.py
@@ -56,10 +56,10 @@
 UNSENT, CROSSED, TIMED_OUT, LATE = 'unsent', 'crossed', 'timed out', 'late'
 
 LENGTHS_S = {
-    'drawn': lambda rng, elapsed_s: rng.uniform(0.5, 6.0),
-    'skewed': lambda rng, elapsed_s: 0.5 * 16.0 ** rng.random(),
-    'equal': lambda rng, elapsed_s: 3.5,
-    'growing': lambda rng, elapsed_s: 1.0 if elapsed_s < 8.0 else 5.0,
+    'drawn': lambda rng, grown: rng.uniform(0.5, 6.0),
+    'skewed': lambda rng, grown: 0.5 * 16.0 ** rng.random(),
+    'equal': lambda rng, grown: 3.5,
+    'growing': lambda rng, grown: 5.0 if grown else 1.0,
 }
 
 
@@ -68,6 +68,7 @@
     """How long requests run, and how entries are signalled.
 
     :param lengths: of streams, a name in :data:`LENGTHS_S`.
+    :param grow_after_s: when streams of ``growing`` lengths get longer.
     :param slow_share: share of the engines that take twice as long.
     :param gaps_s: shortest and longest time between two events; one stream
         has one.
@@ -80,6 +81,7 @@
     """
 
     lengths: str = 'drawn'
+    grow_after_s: float = 8.0
     slow_share: float = 0.0
     gaps_s: tuple = (0.05, 0.15)
     max_head_s: float = 0.0
@@ -183,7 +185,8 @@
     async def _stream(self, request, ident, headers):
         elapsed_s = time.monotonic() - self.started_at
         if ident not in self.streams:
-            length_s = LENGTHS_S[self.plan.lengths](self.rng, elapsed_s)
+            grown = elapsed_s >= self.plan.grow_after_s
+            length_s = LENGTHS_S[self.plan.lengths](self.rng, grown)
             gap_s = self.rng.uniform(*self.plan.gaps_s)
             self.streams[ident] = max(1, round(length_s / gap_s)), gap_s
         events, gap_s = self.streams[ident]
