A booking that may outlast its entry is refused while that helps

Now the longest of this entry's latest requests of the same service and kind counts, and the nine tenths of those that may be repeated. It only refuses; no promise follows from it.

tests/forwarding/test_draining.py::test_a_booking_that_may_outlast_the_entry_is_refused failed before.

--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -15,8 +15,8 @@
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
+from bulrushhold.forwarding import _durations
 from bulrushhold.forwarding import _requestprogress
-from bulrushhold.forwarding import _streamdurations
 from bulrushhold.forwarding import _withheld
 from bulrushhold import node
 from bulrushhold import ports
@@ -30,7 +30,7 @@
 MIN_LEFT_S: t.Final = 1.8
 # Covers nearly all streams, as a multiple of the mean duration.
 LONG_RUN_FACTOR: t.Final = 1.4
-# Share of recent streams that a new one shouldn't outlast.
+# Share of recent requests that a repeatable one shouldn't outlast.
 SHORTER_SHARE: t.Final = 0.9
 # Callers leave a stream without any event after this time, or this multiple of
 # its objectives for the first event and for pauses.
@@ -65,7 +65,7 @@
         self.deadline = float('inf')
         self.requests: set[_requestprogress.RequestProgress] = set()
         self.unlimited: set[str] = set()
-        self.durations = _streamdurations.StreamDurations()
+        self.durations = _durations.Durations()
 
     @property
     def active(self) -> bool:
@@ -205,32 +205,39 @@
 
     def _needed_s(self, job: _context.Job) -> float:
         """Return the time below which a request is not accepted."""
-        if job.route.kind is routes.Kind.STREAM:
-            now = self.clock()
-            run_s = self.mean_run_s(job.service, now) or job.route.aim_s
-            long_s = self.durations.quantile_s(
-                job.service,
-                SHORTER_SHARE,
-                [now - r.received_at for r in self._streams(job.service)],
-            )
-            return max(long_s, LONG_RUN_FACTOR * run_s)
-        return 0.0 if self._is_bounded(job) else MIN_LEFT_S
+        is_stream = job.route.kind is routes.Kind.STREAM
+        if not is_stream and self._is_bounded(job):
+            return 0.0
+        now = self.clock()
+        usual_s = self.durations.quantile_s(
+            job.service,
+            job.route.kind,
+            SHORTER_SHARE if job.route.repeatable else 1.0,
+            [now - other.received_at for other in self._alike(job)],
+        )
+        if not is_stream:
+            return max(usual_s, MIN_LEFT_S)
+        run_s = self.mean_run_s(job.service, now) or job.route.aim_s
+        return max(usual_s, LONG_RUN_FACTOR * run_s)
 
     def _has_limit(self, job: _context.Job) -> bool:
         """Return whether a stream says how long it can become."""
         if not job.call.prompt or not job.call.prompt.max_output_tokens:
             return False
         return job.service not in self.unlimited and not any(
-            request.exceeds_limit for request in self._streams(job.service)
+            other.exceeds_limit for other in self._alike(job)
         )
 
-    def _streams(self, service: str) -> list[_requestprogress.RequestProgress]:
+    def _alike(
+        self, job: _context.Job
+    ) -> list[_requestprogress.RequestProgress]:
+        """Return the requests of a service that are of the same kind."""
         return [
-            request
-            for request in self.requests
-            if request.job is not None
-            and request.job.service == service
-            and request.job.route.kind is routes.Kind.STREAM
+            other
+            for other in self.requests
+            if other.job is not None
+            and other.job.service == job.service
+            and other.job.route.kind is job.route.kind
         ]
 
     def _may_begin(self, request: _requestprogress.RequestProgress) -> bool:
@@ -249,9 +256,10 @@
     def _record_duration(
         self, request: _requestprogress.RequestProgress
     ) -> None:
-        if request.job is not None and request.caller_stream.headers_sent:
+        job = request.job
+        if job is not None:
             seconds = self.clock() - request.received_at
-            self.durations.record(request.job.service, seconds)
+            self.durations.record(job.service, job.route.kind, seconds)
 
     # Ends
 
--- a/tests/forwarding/test_draining.py
+++ b/tests/forwarding/test_draining.py
@@ -182,3 +182,19 @@
     start_drain(forwarder, SHORT_DRAIN_S)
     error = await get_error(handling)
     assert (error.status, error.ran) == (502, errors.Ran.UNKNOWN)
+
+
+async def test_a_booking_that_may_outlast_the_entry_is_refused(
+    client, make_forwarder, make_call
+):
+    # Guards against an outcome that stays unknown as the entry exits.
+    forwarder = make_forwarder(routes.Kind.ONCE)
+    call = make_call(routes.Kind.ONCE)
+    client.scripts = [fakes.Script() for _ in range(10)]
+    for _ in range(10):
+        await forwarder.handle(call, fakes.FakeCaller())
+    forwarder.drain.durations.record('engines', routes.Kind.ONCE, 2.9)
+    start_drain(forwarder, 2.8)
+    error = await get_error(forwarder.handle(call, fakes.FakeCaller()))
+    assert (error.status, error.ran) == (503, errors.Ran.NO)
+    assert len(client.attempts) == 10
--- a/tests/forwarding/test_stream_durations.py
+++ b/tests/forwarding/test_durations.py
@@ -1,31 +1,34 @@
-"""Tests of what is known of the durations of streams."""
+"""Tests of what is known of the durations of requests."""
 
 import pytest
 
+from bulrushhold.forwarding import _durations
 from bulrushhold.forwarding import _runpace
-from bulrushhold.forwarding import _streamdurations
+from bulrushhold import routes
+
+STREAM = routes.Kind.STREAM
 
 
 @pytest.fixture
 def durations():
-    recorded = _streamdurations.StreamDurations()
+    recorded = _durations.Durations()
     for seconds in range(1, 11):
-        recorded.record('s', float(seconds))
+        recorded.record('s', STREAM, float(seconds))
     return recorded
 
 
 def test_a_share_of_the_streams_is_not_longer(durations):
-    assert durations.quantile_s('s', 0.9, []) == 9.0
+    assert durations.quantile_s('s', STREAM, 0.9, []) == 9.0
 
 
 def test_streams_that_have_become_longer_show_before_they_end(durations):
     # Guards against accepting long streams by the short ones before them.
-    assert durations.quantile_s('s', 0.9, [0.1] * 90) == 9.0
-    assert durations.quantile_s('s', 0.9, [30.0] * 10) == 30.0
+    assert durations.quantile_s('s', STREAM, 0.9, [0.1] * 90) == 9.0
+    assert durations.quantile_s('s', STREAM, 0.9, [30.0] * 10) == 30.0
 
 
 def test_few_streams_tell_nothing(durations):
-    assert durations.quantile_s('other', 0.9, [5.0] * 9) == 0.0
+    assert durations.quantile_s('other', STREAM, 0.9, [5.0] * 9) == 0.0
 
 
 @pytest.fixture
