No promise from what a stream declares of its length

All streams sent to engines after the signal are withheld until they are whole now, and refused if their callers would leave first.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -76,7 +76,6 @@
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
         self.may_have_run = False
-        self.last_event_id = None
         self.replies: list[calls.Reply] = []
 
     async def run(self) -> calls.Reply:
--- a/src/bulrushhold/forwarding/_requestprogress.py
+++ b/src/bulrushhold/forwarding/_requestprogress.py
@@ -7,18 +7,15 @@
 
 from bulrushhold import calls
 from bulrushhold.forwarding import _context
-from bulrushhold.forwarding import _runpace
 
 
 class Attempts:
     """The attempts of one request at backend servers.
 
     :ivar may_have_run: one of them may have run the request.
-    :ivar last_event_id: of a stream, id of the last event that arrived.
     """
 
     may_have_run: bool
-    last_event_id: int | None
 
 
 @attrs.define(eq=False)
@@ -29,7 +26,6 @@
     :param received_at: seconds, by the entry's clock.
     :param cutoff: ends the request while its caller has no part of an answer.
     :ivar dispatched_at: when it was last sent to a backend server.
-    :ivar pace: of the stream's events at its engine.
     """
 
     call: calls.Call
@@ -39,31 +35,12 @@
     job: _context.Job | None = None
     attempts: Attempts | None = None
     dispatched_at: float | None = None
-    pace: _runpace.RunPace = attrs.field(factory=_runpace.RunPace)
 
     @property
     def may_have_run(self) -> bool:
         """Whether a server may have run the request."""
         return self.attempts is not None and self.attempts.may_have_run
 
-    @property
-    def event_limit(self) -> int | None:
-        """Highest id that the last event may have, if the request says so."""
-        prompt = self.call.prompt
-        return prompt.max_output_tokens if prompt is not None else None
-
-    @property
-    def exceeds_limit(self) -> bool:
-        """Whether it has more events than it should."""
-        if self.attempts is None or self.event_limit is None:
-            return False
-        return (self.attempts.last_event_id or 0) > self.event_limit
-
-    def record_events(self, now: float) -> None:
-        """Record that events have arrived."""
-        if self.attempts is not None:
-            self.pace.record(self.attempts.last_event_id, now)
-
     def log_fields(self, now: float) -> dict[str, t.Any]:
         """Return what tells an unfinished request from others."""
         dispatched_s = None
