--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -213,7 +213,7 @@
                 context,
                 self.fleet,
                 monitor,
-                lambda: self.forwarder.closing,
+                lambda: self.forwarder.drain.ending,
             ),
             buffers,
         )
--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -70,6 +70,11 @@
         """Whether the entry is shutting down."""
         return self.started_at <= self.clock()
 
+    @property
+    def ending(self) -> bool:
+        """Whether there is no time left for another request."""
+        return self.deadline - self.clock() < MIN_LEFT_S
+
     def finish_by(self, deadline: float) -> None:
         """Begin the shutdown, or move its end.
 
