A request whose server is left isn't cancelled in vain

Found by review: a plain request that leaves a stalled server waits for the end of its attempt, and took any cancellation in that moment for the attempt's own. A request that the shutdown ends, or whose caller had left, then went on without an end. The wait no longer takes cancellations of the request; by reading only, no run showed it.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc as cabc
-import contextlib
 import typing as t
 
 import attrs
@@ -242,8 +241,7 @@
                 task.cancel()
                 # Close the connection first, so that two servers never run
                 # the request at once.
-                with contextlib.suppress(asyncio.CancelledError):
-                    await task
+                await asyncio.wait({task})
             self.context.places.release(backend)
         if result.permitted:
             seconds = self.context.clock() - started
