A stream whose events are withheld counts as begun

Found by review, shown by a test: an engine sent events 1 and 2 and crashed, another was asked to go on after 2 and answered 404, and the caller, who had sent no such id, got that 404. Whether a stream has begun was asked of its response, which says no while events are withheld; so were its priority for retries and whether it waits for an engine. It is asked of its events now.

--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -159,14 +159,14 @@
                         limit='version',
                     )
                 # A stream that has begun is resumed at once.
-                if lost.crashed and not self.caller_stream.headers_sent:
+                if lost.crashed and not self.begun:
                     await _blocks.wait_for_crash_reports(self.job)
                 if not await self._may_retry(engine, lost):
                     return self._end_incomplete(
                         reason, peer, _context.RETRY_AFTER_S, limit=self.limit
                     )
             else:
-                if reply is not None and self.caller_stream.headers_sent:
+                if reply is not None and self.begun:
                     # No reply can follow another engine's events.
                     return self._end_incomplete(
                         f'failed with status {reply.status}',
@@ -237,6 +237,14 @@
         self._log_end('stream refused', reason=reason, **fields)
         return _context.not_run_error(self.job, reason, retry_after_s)
 
+    @property
+    def begun(self) -> bool:
+        """Whether events have arrived; they may be withheld."""
+        return (
+            self.caller_stream.headers_sent
+            or self.last_event_id != self.job.call.last_event_id
+        )
+
     def remaining_s(self) -> float:
         return self.job.deadline - self.context.clock()
 
@@ -273,9 +281,7 @@
                 return _permits.PermittedChoice(successor, has_permit), None
         if self.lost_runs and not (await self._wait_for_admission()).admitted:
             return _permits.PermittedChoice(), None
-        choice = await self.engines.choose(
-            begun=self.caller_stream.headers_sent
-        )
+        choice = await self.engines.choose(begun=self.begun)
         return choice, None
 
     async def _choose_in_order(self) -> _permits.PermittedChoice:
@@ -350,7 +356,7 @@
             return True
         self.rejections += lost.rejected
         priority = _retries.priority(
-            self.job, self.rejections, begun=self.caller_stream.headers_sent
+            self.job, self.rejections, begun=self.begun
         )
         self.retry = await _retries.take(self.context, self.job, priority)
         return self.retry is not None
@@ -365,7 +371,7 @@
         )
         if lost.unreachable:
             self.engines.lost_data_centre = engine.data_centre
-        if self.caller_stream.headers_sent:
+        if self.begun:
             self.timing.record_interruption()
 
     def _count_run(
@@ -402,9 +408,7 @@
         limit = self.engines.run_limit
         if not silent and not limit.allows_failure(progressed=progressed):
             return False
-        return await self.moves.secure_retry(
-            self.rejections, begun=self.caller_stream.headers_sent
-        )
+        return await self.moves.secure_retry(self.rejections, begun=self.begun)
 
     async def _leave_out(self, engine: decisions.BackendServer) -> bool:
         """Try all others before an engine whose version isn't known.
@@ -422,9 +426,7 @@
         now = self.context.clock()
         self.version_unknown_since = min(self.version_unknown_since, now)
         unknown_s = now - self.version_unknown_since
-        if not self.caller_stream.headers_sent and (
-            unknown_s > MAX_VERSION_UNKNOWN_S
-        ):
+        if not self.begun and (unknown_s > MAX_VERSION_UNKNOWN_S):
             return False
         self.engines.tried.add(engine.ident)
         if not self.engines.untried():
@@ -439,7 +441,7 @@
         time.
         """
         if (
-            not self.caller_stream.headers_sent
+            not self.begun
             or self.remaining_s() < MIN_REMAINING_S
             or self.engines.version_is_gone()
         ):
@@ -454,7 +456,7 @@
         Only a stream that has begun can lose anything by its end.
         """
         self.limit = 'cut off'
-        if not self.caller_stream.headers_sent:
+        if not self.begun:
             return False
         self.engines.tried.clear()
         await asyncio.sleep(CUT_OFF_RETRY_S)
