A drain is shortened only by a process that is busy at its end

Found by review: one pause of 0.34 s at any time of a drain took a second off its grace for good, and the drain's own start (1,000 waiting requests: 1.9 s) counted as such a pause. Now only pauses in the last second count, up to half a second.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -1,6 +1,7 @@
 """Builds and runs an entry that forwards opaque requests."""
 
 import asyncio
+import collections
 import random
 import time
 import typing as t
@@ -23,10 +24,11 @@
 # Short, as the auxiliary ports have no long requests.
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
 # Reserved for closing before the process is killed.
-EXIT_MARGIN_S: t.Final = 0.7
-# Reserved in addition, as a multiple of the longest pause of this process.
+EXIT_MARGIN_S: t.Final = 0.5
+# Reserved in addition, as a multiple of the longest pause in the last second.
 LAG_FACTOR: t.Final = 3.0
-MAX_LAG_MARGIN_S: t.Final = 1.0
+LAG_CHECKS: t.Final = 10
+MAX_LAG_MARGIN_S: t.Final = 0.5
 # Reserved for errors that answer what hasn't been answered by then.
 ANSWER_S: t.Final = 0.2
 
@@ -269,17 +271,17 @@
         last_deadline = started_at + self.config.grace_s - EXIT_MARGIN_S
         deadline = last_deadline
         self.forwarder.drain_deadline = deadline - ANSWER_S
-        now = started_at
+        lags_s: collections.deque[float] = collections.deque(maxlen=LAG_CHECKS)
+        now = time.monotonic()
         while now < deadline:
             checked_at = now
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
             now = time.monotonic()
-            lag_s = now - checked_at - DRAIN_CHECK_INTERVAL_S
-            # A busy process needs longer to answer and to close.
-            busy_deadline = last_deadline - min(
-                LAG_FACTOR * lag_s, MAX_LAG_MARGIN_S
-            )
-            if busy_deadline < deadline - DRAIN_CHECK_INTERVAL_S:
+            lags_s.append(now - checked_at - DRAIN_CHECK_INTERVAL_S)
+            # A process that is busy now needs longer to answer and to close.
+            margin_s = min(LAG_FACTOR * max(lags_s), MAX_LAG_MARGIN_S)
+            busy_deadline = last_deadline - margin_s
+            if abs(busy_deadline - deadline) > DRAIN_CHECK_INTERVAL_S:
                 deadline = busy_deadline
                 self.forwarder.drain_deadline = deadline - ANSWER_S
             if now > deadline - ANSWER_S:
