A draining entry refuses what has a better chance elsewhere

All streams were refused that a tenth of the latest ones would outlast, or 1.4 times their mean.

Now a repeatable request is refused if its chance to end in time, by the latest ones of this entry, is lower than the share of the other entries that accept requests, between one half and 0.95. The response is withheld as before: the chance is no promise.

tests/forwarding/test_draining.py::test_a_stream_is_refused_where_its_chance_elsewhere_is_better failed before (its second case).

--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -30,8 +30,10 @@
 MIN_LEFT_S: t.Final = 1.8
 # Covers nearly all streams, as a multiple of the mean duration.
 LONG_RUN_FACTOR: t.Final = 1.4
-# Share of recent requests that a repeatable one shouldn't outlast.
-SHORTER_SHARE: t.Final = 0.9
+# Bounds of the chance to end in time that a repeatable request must have: it
+# must be better than that of finding another entry.
+MIN_CHANCE: t.Final = 0.5
+MAX_CHANCE: t.Final = 0.95
 # Callers leave a stream without any event after this time, or this multiple of
 # its objectives for the first event and for pauses.
 PATIENCE_S: t.Final = 2.0
@@ -44,7 +46,8 @@
 
     :param mean_run_s: returns the mean duration of a service's streams, if it
         is known. It serves to refuse streams, never as a promise.
-    :param has_peers: returns whether another entry accepts requests.
+    :param peer_share: returns the share of the other entries that accept
+        requests.
     :ivar started_at: when the entry was told to stop; infinite before.
     :ivar deadline: when all requests must be answered.
     """
@@ -53,12 +56,12 @@
         self,
         metrics: ports.Metrics,
         mean_run_s: cabc.Callable[[str, float], float | None],
-        has_peers: cabc.Callable[[], bool] = lambda: True,
+        peer_share: cabc.Callable[[], float] = lambda: 1.0,
         clock: cabc.Callable[[], float] = time.monotonic,
     ) -> None:
         self.metrics = metrics
         self.mean_run_s = mean_run_s
-        self.has_peers = has_peers
+        self.peer_share = peer_share
         self.clock = clock
         self.started_at = float('inf')
         self.deadline = float('inf')
@@ -192,7 +195,7 @@
             return 'shutting down before the request could complete'
         if not is_stream or self._is_bounded(job):
             return ''
-        if not job.route.repeatable and self.has_peers():
+        if not job.route.repeatable and self.peer_share() > 0:
             return 'shutting down, and the stream can\'t be offered again'
         # A withheld stream is all that its caller sees for this time.
         if needed_s > LONG_RUN_FACTOR * _patience_s(job.route):
@@ -210,7 +213,7 @@
         """
         if job.route.kind is routes.Kind.STREAM:
             run_s = self.mean_run_s(job.service, self.clock())
-            return max(usual_s, LONG_RUN_FACTOR * (run_s or job.route.aim_s))
+            return usual_s or LONG_RUN_FACTOR * (run_s or job.route.aim_s)
         if self._is_bounded(job):
             return 0.0
         if job.route.repeatable:
@@ -218,12 +221,14 @@
         return usual_s + MIN_LEFT_S
 
     def _usual_s(self, job: _context.Job) -> float:
-        """Return how long requests like this one take."""
+        """Return how long requests like this one take; 0 if unknown."""
         now = self.clock()
         return self.durations.quantile_s(
             job.service,
             job.route.kind,
-            SHORTER_SHARE if job.route.repeatable else 1.0,
+            min(MAX_CHANCE, max(MIN_CHANCE, self.peer_share()))
+            if job.route.repeatable
+            else 1.0,
             [now - other.received_at for other in self._alike(job)],
         )
 
@@ -314,7 +319,7 @@
             'accept',
             status=503,
             retry_after=ELSEWHERE_RETRY_S
-            if self.has_peers()
+            if self.peer_share() > 0
             else NOWHERE_RETRY_S,
         )
 
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -126,12 +126,12 @@
         """Advertise this entry as not ready for new callers."""
         self.own_entry = attrs.evolve(self.own_entry, ready=False)
 
-    def has_ready_peers(self) -> bool:
-        """Return whether another entry may accept requests."""
-        return not self.entries or any(
-            entry.ready and entry.name != self.own_entry.name
-            for entry in self.entries
-        )
+    def ready_peer_share(self) -> float:
+        """Return the share of the other entries that accept requests."""
+        peers = [e for e in self.entries if e.name != self.own_entry.name]
+        if not self.entries:
+            return 1.0
+        return sum(e.ready for e in peers) / max(1, len(peers))
 
     def set_load_factor(self, factor: float) -> None:
         """Advertise the share of its usual callers that this entry wants."""
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -41,7 +41,7 @@
         self.drain = _draining.Drain(
             context.metrics,
             context.placement.speeds.run_s,
-            fleet.has_ready_peers,
+            fleet.ready_peer_share,
             context.clock,
         )
 
--- a/tests/forwarding/test_draining.py
+++ b/tests/forwarding/test_draining.py
@@ -7,9 +7,11 @@
 import pytest
 
 from bulrushhold import calls
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold.forwarding import _permits
+from bulrushhold import messages
 from bulrushhold import routes
 from tests.forwarding import fakes
 
@@ -241,3 +243,29 @@
     error = await get_error(forwarder.handle(call, fakes.FakeCaller()))
     assert (error.status, error.ran) == (503, errors.Ran.NO)
     assert len(client.attempts) == 10
+
+
+@pytest.mark.parametrize(('ready', 'accepted'), [(4, False), (2, True)])
+async def test_a_stream_is_refused_where_its_chance_elsewhere_is_better(
+    client, fleet, make_forwarder, make_call, ready, accepted
+):
+    # Guards against callers that are sent from one leaving entry to another.
+    forwarder = make_forwarder()
+    entries = [
+        messages.ListedEntry(f'e{n}', 'dc0', f'10.0.1.{n}:80', n <= ready)
+        for n in range(1, 5)
+    ]
+    fleet.listed_entries = decisions.EntryList(entries, b'')
+    for seconds in (0.1,) * 7 + (5.0,) * 3:
+        forwarder.drain.durations.record(
+            'engines', routes.Kind.STREAM, seconds
+        )
+    start_drain(forwarder, DRAIN_S)
+    client.scripts = [fakes.Script(events=(1, 2))]
+    caller = fakes.FakeCaller()
+    if accepted:
+        await forwarder.handle(make_call(), caller)
+        assert caller.ended
+        return
+    error = await get_error(forwarder.handle(make_call(), caller))
+    assert (error.status, error.ran) == (503, errors.Ran.NO)
