A connection that is being closed isn't left open unread

While the HTTP server shuts down, it ignores what arrives on connections whose handler still runs, and waits 0.2 s for those handlers: a request that is complete by then waits on a connection that nobody reads, longer than callers count as crossing the close.

The server waits 0.1 s now: all that could be answered was answered before. The margin before the exit is 0.1 s shorter instead, so that streams sent before the signal have the same time.

tests/test_ingress_shutdown.py::test_a_connection_does_not_stay_open_unread failed with 0.2 s.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -24,7 +24,7 @@
 # Short, as the auxiliary ports have no long requests.
 SHUTDOWN_TIMEOUT_S: t.Final = 0.2
 # Reserved for closing before the process is killed.
-EXIT_MARGIN_S: t.Final = 0.5
+EXIT_MARGIN_S: t.Final = 0.4
 # Reserved in addition, as a multiple of the longest pause in the last second.
 LAG_FACTOR: t.Final = 3.0
 LAG_CHECKS: t.Final = 10
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -21,8 +21,9 @@
 # Long, so that callers close idle connections first: a request sent while the
 # server closes the connection would be lost.
 KEEPALIVE_TIMEOUT_S: t.Final = 3600.0
-# Short: requests were drained before the server shuts down.
-SHUTDOWN_TIMEOUT_S: t.Final = 0.2
+# Short: requests were drained before the server shuts down, and what arrives
+# meanwhile on an open connection isn't read any more.
+SHUTDOWN_TIMEOUT_S: t.Final = 0.1
 # Other entries accept at once what one that exits refuses.
 CLOSING_RETRY_S: t.Final = 0.05
 MAX_FIELD_BYTES: t.Final = 65536
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -79,3 +79,21 @@
         head = await reader.readuntil(b'\r\n\r\n')
     writer.close()
     assert b'connection: close' in head.lower()
+
+
+async def test_a_connection_does_not_stay_open_unread(ingress):
+    # Guards against a whole request that waits on a connection being closed.
+    reader, writer = await connect(ingress)
+    writer.write(
+        b'GET /stream HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n'
+    )
+    await asyncio.sleep(0.05)
+    closing = asyncio.ensure_future(ingress.close())
+    await asyncio.sleep(0)
+    writer.write(b'body body')
+    sent_at = asyncio.get_running_loop().time()
+    async with asyncio.timeout(2.0):
+        await reader.read()
+    writer.close()
+    assert asyncio.get_running_loop().time() - sent_at < 0.18
+    await closing
