A drain of the own interface waits for every request that was accepted

Callers saw: a closed connection without an answer, for a call whose body was still arriving or that waited for its slot, and a stream without its end for a caller who read slowly, although the entry had up to drain_deadline_s (600 s) left.

Cause: only running generations and calls that had their slot were counted as in progress. All others were left to the five seconds that aiohttp waits as it closes its connections.

Change: the middleware counts each request until its handler has ended. A chat is accepted or refused before its body is read, as a call is, so that an accepted one is served whole and a refused one doesn't wait for the body.

Why it works: what the exit would cut is what has a handler, or is a generation that runs on without one.

Evidence (tests/test_entry_exit.py, one run each): before, the drain had ended within 0.3 s in the four tests of waiting, and the refusal of a chat came only with its body (TimeoutError after 2 s); the same refusal of a call passed before, too. After: all six pass.

--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -58,6 +58,7 @@
         self.metrics = metrics
         self.operators = operators
         self.draining = False
+        self.requests_in_progress = 0
         self.calls_in_progress = 0
 
     def application(self) -> web.Application:
@@ -80,9 +81,12 @@
         return app
 
     @property
-    def in_progress(self) -> int:
-        """The number of requests in progress."""
-        return self.registry.running + self.calls_in_progress
+    def in_progress(self) -> bool:
+        """Whether an exit would cut a request.
+
+        Generations go on without the requests that started them.
+        """
+        return bool(self.requests_in_progress or self.registry.running)
 
     # Errors and admission
 
@@ -90,6 +94,7 @@
     async def _as_json_errors(
         self, request: web.Request, handler: t.Any
     ) -> web.StreamResponse:
+        self.requests_in_progress += 1
         try:
             return await handler(request)
         except errors.RequestError as error:
@@ -115,6 +120,8 @@
                     status=500,
                 )
             )
+        finally:
+            self.requests_in_progress -= 1
 
     def _error_response(self, error: errors.RequestError) -> web.Response:
         self.metrics.count(f'refused.{error.status}')
@@ -164,11 +171,11 @@
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         key = _requests.read_key(request.headers)
         received = _requests.read_resume(request.headers)
-        chat = _requests.read_chat(await request.read())
         account = request.headers.get(_requests.ACCOUNT_HEADER, '')
         if f'{account}/{key}' not in self.registry.generations:
             # Existing streams can still be read while the entry drains.
             self._check_accepting()
+        chat = _requests.read_chat(await request.read())
         work = request.headers.get(
             _requests.WORK_HEADER, _requests.DEFAULT_WORK
         )
