A drain waits until the outcomes of calls are recorded

Callers saw: after a call that runs at most once, each repeat of its key got 409 with an unknown outcome, for good, if the entry had been stopped while the call went on without its caller, or while its outcome was being recorded.

Cause: a call goes on if its caller disconnects, and an outcome that control doesn't take within a second is recorded in the background, for up to 30 s. The drain counted neither, so the exit cut both, and the claim stayed open.

Change: ServiceRunner keeps the calls that it has begun, and a drain lasts until none is unfinished. The shield moves there from the server.

Why it works: both end by themselves, a call at its deadline and a record after 30 s, and each ends with a closed claim if control can be reached.

--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -82,11 +82,15 @@
 
     @property
     def in_progress(self) -> bool:
-        """Whether an exit would cut a request.
+        """Whether an exit would cut a request or lose an outcome.
 
-        Generations go on without the requests that started them.
+        Generations and calls go on without the requests that started them.
         """
-        return bool(self.requests_in_progress or self.registry.running)
+        return bool(
+            self.requests_in_progress
+            or self.registry.running
+            or self.services.unfinished
+        )
 
     # Errors and admission
 
@@ -312,13 +316,7 @@
                 f'header {_requests.KEY_HEADER} is needed: this call is '
                 'not idempotent'
             )
-        # Shielded, so that a caller's disconnect can't stop the call before
-        # its outcome is recorded.
-        return await asyncio.shield(
-            asyncio.ensure_future(
-                self.services.call_once(service, row, call, key)
-            )
-        )
+        return await self.services.call_once(service, row, call, key)
 
     # Entries and health
 
--- a/src/bulrushhold/entry/_services.py
+++ b/src/bulrushhold/entry/_services.py
@@ -38,8 +38,14 @@
         self.services = services
         self.control = control
         self.metrics = metrics
+        self.calls: set[asyncio.Task[ports.ServiceResponse]] = set()
         self.recording_tasks: set[asyncio.Task[bool]] = set()
 
+    @property
+    def unfinished(self) -> int:
+        """The number of calls whose outcome isn't recorded yet."""
+        return len(self.calls) + len(self.recording_tasks)
+
     async def call_idempotent(
         self, service: str, row: messages.Row, call: ports.ServiceRequest
     ) -> ports.ServiceResponse:
@@ -82,9 +88,25 @@
         A claim on the key, committed by control, gives one entry the right
         to make the call. The outcome is recorded with the claim.
 
+        It goes on if its caller disconnects, until its outcome is recorded.
+
         :raises RequestError: with ``ran`` saying whether the call was
             made, as far as is known.
         """
+        task = asyncio.get_running_loop().create_task(
+            self._call_once(service, row, call, key)
+        )
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+        return await asyncio.shield(task)
+
+    async def _call_once(
+        self,
+        service: str,
+        row: messages.Row,
+        call: ports.ServiceRequest,
+        key: str,
+    ) -> ports.ServiceResponse:
         name = f'{row.account}/{key}'
         holder = str(uuid_utils.uuid4())
         content = b'\0'.join(
--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -157,3 +157,32 @@
     async with draining(system):
         sent.set()
         conftest.assert_complete(await reading, 40)
+
+
+async def test_a_drain_waits_for_a_call_whose_caller_has_left(system):
+    # Guards against a claim that stays open, so that its key can't be used.
+    system.booking.delay_s = 1.0
+    key = services.make_key()
+    call = services.start_booking(system, key)
+    await conftest.wait_until(lambda: system.booking.booking_counts)
+    call.cancel()
+    await asyncio.gather(call, return_exceptions=True)
+    async with draining(system):
+        pass
+    claim = system.control.state.claims.records[f'vendors/{key}']
+    assert claim.state == 'done'
+
+
+async def test_a_drain_waits_for_outcomes_that_are_being_recorded(system):
+    # Guards against a call whose outcome its caller can't learn again.
+    system.booking.delay_s = 0.5
+    key = services.make_key()
+    call = services.start_booking(system, key)
+    await conftest.wait_until(lambda: system.booking.booking_counts)
+    await system.stop_control()
+    status, _, _ = await call
+    assert status == 200
+    async with draining(system):
+        await system.restart_control()
+    claim = system.control.state.claims.records[f'vendors/{key}']
+    assert claim.state == 'done'
