An entry of the own interface answers what is left as it exits

Callers saw: a closed connection without an answer, or a stream that just stopped, for each request that was left at drain_deadline_s or at a second signal: bodies still arriving, calls without a slot, generations waiting for room, calls at their service, running generations. Those that had reached no backend server looked like those that had.

Cause: close() left them to aiohttp, which cancels the handlers and closes the connections.

Change: after the five seconds that aiohttp used to wait, the entry ends each step that a request waits in, fails its generations, and only then closes. The answer is 503, or an error event, of the step `entry`; `ran` is "no" if nothing was sent, "yes" once an engine has sent a token, else "unknown". From then on nothing is started, also not for a known key.

Ruled out: 502 or 504 for "unknown". The client library ends a call at these, whereas it repeats a 503 at another entry with the same key, which is safe as the call is idempotent or has a claim; before, it repeated calls whose connection was closed. It goes on after an error event of the step `entry`, too, so clients that are in use today lose nothing.

Why it works: asyncio.Timeout ends a step at its next wait, so that a step either sends its answer or the refusal, and `ran` is set before the first byte goes to a server.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -15,6 +15,10 @@
     from bulrushhold import ports
 
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.1
+# Requests that end within this time after the drain are still served.
+EXIT_GRACE_S: t.Final = 5.0
+# Enough to write the answers to the requests that are left.
+SHUTDOWN_TIMEOUT_S: t.Final = 2.0
 
 
 class EntryProcess:
@@ -144,7 +148,7 @@
         self.runner = web.AppRunner(
             self.server.application(),
             access_log=None,
-            shutdown_timeout=5.0,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             # Cancels the stream of a caller that disconnects before the
             # first token.
             handler_cancellation=True,
@@ -164,7 +168,11 @@
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     async def close(self) -> None:
-        """Stop all tasks and close all sockets."""
+        """Answer what is left, stop all tasks and close all sockets."""
+        deadline = time.monotonic() + EXIT_GRACE_S
+        while self.server.requests_in_progress and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        self.server.shut_down()
         await self.loops.close()
         for task in list(self.background):
             task.cancel()
--- a/src/bulrushhold/entry/_generation.py
+++ b/src/bulrushhold/entry/_generation.py
@@ -92,6 +92,14 @@
         """Whether nothing more will become visible."""
         return self.error is not None or self.fully_visible
 
+    @property
+    def ran(self) -> errors.Ran:
+        """Whether an engine has executed any of it, as far as is known."""
+        if self.transcript.tokens:
+            return errors.Ran.YES
+        attempted = self.transcript.last_attempt > 0
+        return errors.Ran.UNKNOWN if attempted else errors.Ran.NO
+
     def advance_visible(self, length: int) -> None:
         """Make the first ``length`` tokens visible, once registered."""
         self.replicated = max(self.replicated, length)
--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -11,6 +11,7 @@
 from bulrushhold.entry import _keyregistrar
 from bulrushhold.entry import _replication
 from bulrushhold.entry import _runner
+from bulrushhold.entry import _shutdown
 from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import node
@@ -39,6 +40,7 @@
         self.open_locks: dict[str, asyncio.Lock] = {}
         self.restarted_homes: set[str] = set()
         self.sweep_requested = asyncio.Event()
+        self.is_shut_down = False
 
     async def open(
         self,
@@ -93,6 +95,17 @@
         if generation.task is not None:
             generation.task.cancel()
 
+    def shut_down(self) -> None:
+        """Fail all running generations, and start none any more."""
+        self.is_shut_down = True
+        for generation in self.generations.values():
+            if not generation.ended:
+                if not generation.lifecycle.ended:
+                    generation.lifecycle.trigger('refuse')
+                generation.fail(_shutdown.make_refusal(generation.ran))
+                if generation.task is not None:
+                    generation.task.cancel()
+
     def refuse_quarantined(self, quarantined: frozenset[str]) -> None:
         """Fail the generations whose content is quarantined."""
         for generation in self.generations.values():
@@ -233,6 +246,8 @@
             ownership = await self.registrar.acquire(
                 key, spec.fingerprint, received
             )
+        if self.is_shut_down:
+            raise _shutdown.make_refusal(errors.Ran.NO)
         generation = _generation.Generation(key, spec, ownership.epoch)
         generation.start_epoch = ownership.start_epoch
         generation.refresh_at = time.monotonic() + self._refresh_s
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -21,6 +21,7 @@
 from bulrushhold.entry import _registry
 from bulrushhold.entry import _requests
 from bulrushhold.entry import _services
+from bulrushhold.entry import _shutdown
 from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import ports
@@ -58,6 +59,7 @@
         self.metrics = metrics
         self.operators = operators
         self.draining = False
+        self.shutdown = _shutdown.Shutdown()
         self.requests_in_progress = 0
         self.calls_in_progress = 0
 
@@ -92,6 +94,15 @@
             or self.services.unfinished
         )
 
+    def shut_down(self) -> None:
+        """Answer at once the requests that are still in progress.
+
+        Handlers write their error responses and events afterwards.
+        """
+        self.draining = True
+        self.shutdown.start()
+        self.registry.shut_down()
+
     # Errors and admission
 
     @web.middleware
@@ -175,8 +186,30 @@
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         key = _requests.read_key(request.headers)
         received = _requests.read_resume(request.headers)
+        async with self.shutdown.step() as step:
+            chat, key, generation = await self._open_generation(
+                request, key, received, step
+            )
+        self.metrics.count('generations')
+        generation.readers += 1
+        try:
+            if chat.stream:
+                return await self._stream(request, generation, key, received)
+            return await self._complete_answer(generation, key)
+        finally:
+            generation.readers -= 1
+
+    async def _open_generation(
+        self,
+        request: web.Request,
+        key: str,
+        received: int,
+        step: _shutdown.Step,
+    ) -> tuple[_requests.ChatBody, str, _generation.Generation]:
         account = request.headers.get(_requests.ACCOUNT_HEADER, '')
-        if f'{account}/{key}' not in self.registry.generations:
+        if f'{account}/{key}' in self.registry.generations:
+            step.ran = errors.Ran.UNKNOWN
+        else:
             # Existing streams can still be read while the entry drains.
             self._check_accepting()
         chat = _requests.read_chat(await request.read())
@@ -198,14 +231,7 @@
         generation = await self.registry.open(
             f'{row.account}/{key}', spec, received, new_key=new_key
         )
-        self.metrics.count('generations')
-        generation.readers += 1
-        try:
-            if chat.stream:
-                return await self._stream(request, generation, key, received)
-            return await self._complete_answer(generation, key)
-        finally:
-            generation.readers -= 1
+        return chat, key, generation
 
     async def _complete_answer(
         self, generation: _generation.Generation, key: str
@@ -272,6 +298,17 @@
     # Plain services
 
     async def _call(self, request: web.Request) -> web.Response:
+        async with self.shutdown.step() as step:
+            answer = await self._run_call(request, step)
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={'Content-Type': answer.content_type},
+        )
+
+    async def _run_call(
+        self, request: web.Request, step: _shutdown.Step
+    ) -> ports.ServiceResponse:
         service = request.match_info['service']
         path = request.match_info['path']
         self._check_accepting()
@@ -288,21 +325,14 @@
         )
         slot = await self.admission.acquire_call(row)
         self.calls_in_progress += 1
+        step.ran = errors.Ran.UNKNOWN
         try:
             if row.idempotent:
-                answer = await self.services.call_idempotent(
-                    service, row, call
-                )
-            else:
-                answer = await self._call_once(service, row, call, key)
+                return await self.services.call_idempotent(service, row, call)
+            return await self._call_once(service, row, call, key)
         finally:
             self.calls_in_progress -= 1
             self.admission.release(slot, 1)
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            headers={'Content-Type': answer.content_type},
-        )
 
     async def _call_once(
         self,
--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from bulrushhold.composition import _entry
 from bulrushhold.entry import _eventstream
+from bulrushhold import errors
 from tests import conftest
 from tests import test_generations as generations
 from tests import test_services as services
@@ -186,3 +188,142 @@
         await system.restart_control()
     claim = system.control.state.claims.records[f'vendors/{key}']
     assert claim.state == 'done'
+
+
+# What is left at the deadline of a drain, or at a second signal
+
+
+@pytest.fixture
+async def leaving_system(make_system, monkeypatch):
+    """A system of one engine slot, whose entries drain for a moment."""
+    monkeypatch.setattr(_entry, 'EXIT_GRACE_S', 0.2)
+    return await make_system(
+        engines=1, slots=1, gap_s=0.1, options={'drain_deadline_s': 0.3}
+    )
+
+
+def refusal(response):
+    status, _, answer = response
+    return status, answer['error']['ran']
+
+
+@pytest.mark.parametrize('path', BODIES)
+async def test_an_unfinished_body_is_answered_before_the_exit(
+    leaving_system, path
+):
+    # Guards against a connection closed without an answer.
+    caller = SlowCaller(leaving_system, path)
+    await caller.start()
+    await exit_after_drain(leaving_system)
+    status, answer = await caller.response()
+    assert (status, answer['error']['ran']) == (503, 'no')
+
+
+async def test_a_call_without_its_slot_is_answered_before_the_exit(
+    leaving_system, monkeypatch
+):
+    # Guards against a connection closed without an answer.
+    entry = leaving_system.entries['e1']
+    block(monkeypatch, entry.admission, 'acquire_call')
+    call = post(leaving_system, BOOKING)
+    await asyncio.sleep(0.1)
+    await exit_after_drain(leaving_system)
+    assert refusal(await call) == (503, 'no')
+
+
+@pytest.mark.parametrize('idempotent', [False, True])
+async def test_a_call_at_its_service_is_answered_before_the_exit(
+    leaving_system, idempotent
+):
+    # Guards against a connection closed without an answer.
+    await leaving_system.edit(
+        [conftest.row(work='booking/slots', idempotent=idempotent)], 1
+    )
+    leaving_system.booking.delay_s = 30.0
+    call = post(leaving_system, BOOKING)
+    await conftest.wait_until(lambda: leaving_system.booking.booking_counts)
+    await exit_after_drain(leaving_system)
+    assert refusal(await call) == (503, 'unknown')
+
+
+async def test_generations_are_answered_before_the_exit(leaving_system):
+    # Guards against a connection closed without an answer.
+    engine = leaving_system.engines['m1']
+    running = post(leaving_system, CHAT)
+    await conftest.wait_until(lambda: engine.running)
+    waiting = post(leaving_system, CHAT)
+    admission = leaving_system.entries['e1'].admission
+    await conftest.wait_until(lambda: admission.queue.waiting)
+    await exit_after_drain(leaving_system)
+    assert refusal(await running) in ((503, 'yes'), (503, 'unknown'))
+    assert refusal(await waiting) == (503, 'no')
+    assert engine.requests == 1
+
+
+async def test_a_stream_ends_with_an_error_event_before_the_exit(
+    leaving_system,
+):
+    # Guards against a stream that just stops.
+    caller = leaving_system.client(deadline_s=0.0)
+    tokens = []
+    with pytest.raises(errors.RequestError) as caught:
+        async for token in caller.generate('small', conftest.PROMPT):
+            tokens.append(token)
+            if len(tokens) == 1:
+                leaving = asyncio.ensure_future(
+                    exit_after_drain(leaving_system)
+                )
+    await leaving
+    assert (caught.value.step, caught.value.ran) == ('entry', errors.Ran.YES)
+
+
+async def test_an_exit_starts_no_generation_for_a_known_key(leaving_system):
+    # Guards against a request that is accepted and cut at once.
+    entry = leaving_system.entries['e1']
+    key = services.make_key()
+    headers = {'Bulrushhold_Account': 'vendors', 'Idempotency_Key': key}
+    first = asyncio.ensure_future(
+        leaving_system.post(CHAT, BODIES[CHAT], **headers)
+    )
+    await conftest.wait_until(lambda: entry.registry.running)
+    entry.server.shut_down()
+    assert refusal(await first)[0] == 503
+    again = await leaving_system.post(CHAT, BODIES[CHAT], **headers)
+    assert refusal(again) == (503, 'no')
+
+
+async def test_a_stream_cut_by_an_exit_goes_on_at_another_entry(
+    make_system, monkeypatch
+):
+    # Guards against a client that gives up where another entry serves it.
+    monkeypatch.setattr(_entry, 'EXIT_GRACE_S', 0.2)
+    system = await make_system(
+        entries=2, gap_s=0.05, options={'drain_deadline_s': 0.2}
+    )
+    leaving = []
+
+    async def leave(tokens):
+        entry = system.entries.pop(generations.serving_entry(system))
+
+        async def drain_and_close():
+            await entry.drain()
+            await entry.close()
+
+        leaving.append(asyncio.ensure_future(drain_and_close()))
+
+    tokens = await generations.read(system.client(), on={5: leave})
+    conftest.assert_complete(tokens, 40)
+    await leaving[0]
+
+
+async def test_a_call_that_ends_soon_after_the_deadline_is_served(
+    make_system,
+):
+    # Guards against an exit that is sooner than the answer it could give.
+    system = await make_system(options={'drain_deadline_s': 0.1})
+    system.booking.delay_s = 1.5
+    call = post(system, BOOKING)
+    await conftest.wait_until(lambda: system.booking.booking_counts)
+    await exit_after_drain(system)
+    status, _, _ = await call
+    assert status == 200
