A draining entry leaves proxied attempts to its peers

Callers saw: a request of an entry that is cut off from its servers was lost with the process of the peer that proxied it, though other peers could have sent it; and 503 for all requests of such an entry while each peer that reaches servers was draining, though these serve for grace_s.

Cause: a peer proxied all that came until two seconds before its exit. An entry that asks, on the other hand, left out every peer that is listed as draining, also the only one.

Change: a draining peer refuses at once, as not sent, if its list shows another one that reaches the service and isn't draining; the entry that asks then takes the next one. If there is none it proxies until it closes, as before. Draining peers are asked last instead of never.

Ruled out: refusing in any case. The entry that asks would have nobody left.

Why it works: both sides apply the same rule to the list of entries, and a refusal is known not to have been sent, so it costs a request no attempt.

Evidence (tests/forwarding/test_peer_proxy.py, one run each): before, a draining peer sent the attempt ("DID NOT RAISE"), and the only, draining peer wasn't asked ("no other entry reaches backend servers"); four guards against going too far passed, and pass now. After: all pass, and tests/forwarding.

Not covered: for some 0.3 s after an entry was cut off, its only, draining peer may take the entry that asks for another way, and refuse.

--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -51,6 +51,7 @@
 from bulrushhold.decisions._poisonrequests import PoisonRequestDetector
 from bulrushhold.decisions._poisonrequests import Verdict
 from bulrushhold.decisions._proxypeers import ProxyPeers
+from bulrushhold.decisions._proxypeers import usable_proxies
 from bulrushhold.decisions._quota import LEASE_S as QUOTA_LEASE_S
 from bulrushhold.decisions._quota import QuotaHome
 from bulrushhold.decisions._quota import QuotaShare
@@ -264,4 +265,5 @@
     'weights_differ',
     'with_learner',
     'write_csv',
+    'usable_proxies',
 ]
--- a/src/bulrushhold/decisions/_proxypeers.py
+++ b/src/bulrushhold/decisions/_proxypeers.py
@@ -33,20 +33,30 @@
     ) -> list[str]:
         """Return the proxy addresses of entries that reach a service.
 
+        Those that accept no new callers come last.
+
         :param server: address of the server to reach.
         """
-        usable = [
-            entry
-            for entry in entries
-            if entry.proxy
-            and entry.ready
-            and service not in entry.unreachable
-            and entry.name != self.own_name
-        ]
+        usable = usable_proxies(entries, service, self.own_name)
         ranking = _rendezvous.rendezvous_order(
             f'{self.own_name}\0{server}', usable, lambda entry: entry.name
         )
+        # A draining entry still proxies what no other can.
+        ranking.sort(key=lambda entry: not entry.ready)
         proxies = [entry.proxy for entry in ranking]
         return sorted(
             proxies, key=lambda proxy: self.avoided_until.get(proxy, 0.0) > now
         )
+
+
+def usable_proxies(
+    entries: list[messages.ListedEntry], service: str, own_name: str
+) -> list[messages.ListedEntry]:
+    """Return the other entries that reach a service, also draining ones."""
+    return [
+        entry
+        for entry in entries
+        if entry.proxy
+        and service not in entry.unreachable
+        and entry.name != own_name
+    ]
--- a/src/bulrushhold/forwarding/_proxyhandler.py
+++ b/src/bulrushhold/forwarding/_proxyhandler.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from bulrushhold import calls
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold.forwarding import _context
 from bulrushhold.forwarding import _fleet
@@ -47,6 +48,8 @@
         job = self._make_job(call, attempt)
         if self.monitor.is_cut_off(job.service):
             raise errors.ProxyRefusedError('cut off', 'proxy', job.service)
+        if self._leaves_to_peers(job.service):
+            raise errors.ProxyRefusedError('draining', 'proxy', job.service)
         sent_at = self.context.clock()
         self.context.metrics.count('proxy.served')
         _context.log(job, 'proxying', backend=attempt.instance)
@@ -65,6 +68,16 @@
         )
         return response
 
+    def _leaves_to_peers(self, service: str) -> bool:
+        """Whether this entry drains, and another one could proxy instead."""
+        own_entry = self.fleet.own_entry
+        if own_entry.ready:
+            return False
+        peers = decisions.usable_proxies(
+            self.fleet.entries, service, own_entry.name
+        )
+        return any(peer.ready for peer in peers)
+
     def _make_job(
         self, call: calls.Call, attempt: calls.Attempt
     ) -> _context.Job:
--- a/tests/forwarding/test_peer_proxy.py
+++ b/tests/forwarding/test_peer_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from bulrushhold import calls
@@ -330,6 +331,73 @@
     assert client.attempts == []
 
 
+def list_peers(fleet, **second):
+    """List a draining entry e1, which the handler runs in, and e2."""
+    fleet.start_draining()
+    fleet.listed_entries = decisions.EntryList.of(
+        [
+            fleet.own_entry,
+            messages.ListedEntry(
+                'e2', 'dc', 'c2', **{'ready': True, 'proxy': 'p2', **second}
+            ),
+        ]
+    )
+
+
+async def test_a_draining_entry_leaves_attempts_to_its_peers(
+    handler, context, client, fleet
+):
+    # Guards against another entry's request that ends with this process.
+    client.scripts = [fakes.Script()]
+    list_peers(fleet)
+    with pytest.raises(errors.ProxyRefusedError):
+        await handler.send(*make_attempt(context))
+    assert client.attempts == []
+
+
+@pytest.mark.parametrize(
+    'second',
+    [{'unreachable': ('engines',)}, {'ready': False}, {'proxy': ''}],
+)
+async def test_a_draining_entry_proxies_what_no_peer_can(
+    handler, context, client, fleet, second
+):
+    # Guards against requests refused where they could be served.
+    client.scripts = [fakes.Script()]
+    list_peers(fleet, **second)
+    response = await handler.send(*make_attempt(context))
+    assert response.head.status == 200
+
+
+async def test_draining_entries_are_asked_last(
+    client, context, proxying, proxies, entries
+):
+    # Guards against an attempt that ends with the process of its proxy.
+    cut_off(client)
+    connect(proxies)
+    for ready in ('proxy2', 'proxy3'):
+        for index, entry in enumerate(entries):
+            is_ready = entry.proxy == ready
+            entries[index] = attrs.evolve(entry, ready=is_ready)
+        proxies.asked.clear()
+        for _ in range(4):
+            reply = await fakes.run_plain(context, routes.Kind.ONCE)
+            assert reply.status == 200
+        assert set(proxies.asked) == {ready}
+
+
+async def test_a_draining_entry_is_asked_if_no_other_reaches_servers(
+    client, context, proxying, proxies, entries
+):
+    # Guards against requests refused where they could be served.
+    cut_off(client)
+    connect(proxies)
+    for index, entry in enumerate(entries):
+        entries[index] = attrs.evolve(entry, ready=False)
+    reply = await fakes.run_plain(context, routes.Kind.ONCE)
+    assert reply.status == 200
+
+
 async def test_a_server_that_left_the_list_says_nothing_of_the_others(
     client, context, proxying, proxies
 ):
