A stopping control process answers the requests that it holds

Callers saw: requests for a server that allows few at once waited until their own deadline for a place at a control process that had been stopped; entries and other control processes waited out 0.7 to 3.5 s for long polls, stream asks and proposals.

Cause: the transport cancels the handlers and closes its sockets, and ZeroMQ doesn't tell the other side.

Change: before it closes anything, a control process, with a disk or without one, answers all requests that it holds, and those that still arrive, with an error, which all who ask handle as a lost process. An entry's control client pauses after such an answer, as after others, since one can now come at once.

Ruled out: doing this in close(). Tests use it for a crash, which mustn't become gentler.

Why it works: an error promises nothing, so nothing that was acknowledged is taken back; proposals have ids and may be sent again.

--- a/src/bulrushhold/composition/_control.py
+++ b/src/bulrushhold/composition/_control.py
@@ -105,6 +105,7 @@
             # bootstrapped the log, and the caller restarts it with that log.
             server_task.result()
     finally:
+        await transport.refuse_requests()
         server_task.cancel()
         stop_task.cancel()
         await asyncio.gather(server_task, stop_task, return_exceptions=True)
--- a/src/bulrushhold/composition/_relay.py
+++ b/src/bulrushhold/composition/_relay.py
@@ -72,6 +72,7 @@
             await site.start()
         loguru.logger.bind(peer=self.peer).info('relay started')
         await stop.wait()
+        await self.transport.refuse_requests()
         await self.loops.close()
         await runner.cleanup()
         await self.transport.close()
--- a/src/bulrushhold/entry/_control.py
+++ b/src/bulrushhold/entry/_control.py
@@ -100,6 +100,7 @@
             except errors.PeerError as error:
                 last_error = error
                 self._next_leader('')
+                await asyncio.sleep(min(RETRY_DELAY_S, remaining))
                 continue
             if reply.status == 'done':
                 return reply
--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -24,6 +24,8 @@
 MAX_MESSAGES_PER_READ: t.Final = 50
 UNBIND_TIMEOUT_S: t.Final = 1.0
 UNBIND_CHECK_INTERVAL_S: t.Final = 0.005
+# Time for ZeroMQ's thread to send the last replies.
+FLUSH_S: t.Final = 0.05
 
 
 class _AsyncSocket:
@@ -116,6 +118,7 @@
         self.pending: dict[bytes, asyncio.Future[t.Any]] = {}
         self.request_ids = itertools.count(1)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.refusing = False
         self.sent_bytes = 0
 
     def handle(self, kind: type, handler: ports.Handler) -> None:
@@ -157,6 +160,20 @@
             raise errors.PeerError(reply.reason, operation, address)
         return reply
 
+    async def refuse_requests(self) -> None:
+        """Answer the requests that are held, and all later ones, with errors.
+
+        Without it peers would wait for their timeouts once this process has
+        stopped, as ZeroMQ doesn't tell them of a closed connection.
+        """
+        self.refusing = True
+        # A task that is cancelled before it runs would send no answer.
+        await asyncio.sleep(0)
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.sleep(FLUSH_S)
+
     async def close(self) -> None:
         """Close all sockets, drop queued messages and release the address."""
         if self.router.closed:
@@ -224,12 +241,11 @@
         self, peer: bytes, request_id: bytes, data: bytes
     ) -> None:
         try:
-            message = messages.decode(data)
-            handler = self.handlers.get(type(message))
-            if handler is None:
-                reply: t.Any = messages.Failure('not handled here')
-            else:
-                reply = await handler(message)
+            reply = await self._handle(data)
+        except asyncio.CancelledError:
+            if not self.refusing:
+                raise
+            reply = messages.Failure('stopping')
         except errors.BulrushholdError as error:
             reply = messages.Failure(str(error))
         except Exception:
@@ -242,6 +258,15 @@
             self.sent_bytes += len(encoded)
             self.router.send([peer, request_id, encoded])
 
+    async def _handle(self, data: bytes) -> t.Any:
+        message = messages.decode(data)
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            return messages.Failure('not handled here')
+        if self.refusing:
+            return messages.Failure('stopping')
+        return await handler(message)
+
 
 def _can_bind(host: str, port: int) -> bool:
     with socket.socket() as probe:
--- a/tests/test_zmqtransport.py
+++ b/tests/test_zmqtransport.py
@@ -162,3 +162,27 @@
         transport = node.ZmqTransport(address)
         sender.send(address, messages.StatusRead())
         await transport.close()
+
+
+async def test_a_request_that_is_held_is_answered_before_the_close(
+    connected_pair,
+):
+    # Guards against a peer that waits out its timeout as a process stops.
+    (sender, receiver), (_, address) = connected_pair
+    held = asyncio.Event()
+
+    async def hold(read):
+        held.set()
+        await asyncio.sleep(60)
+
+    receiver.handle(messages.HistoryRead, hold)
+    read = messages.HistoryRead(1)
+    waiting = asyncio.ensure_future(sender.request(address, read, 30.0))
+    await held.wait()
+    await receiver.refuse_requests()
+    late = asyncio.ensure_future(sender.request(address, read, 30.0))
+    for request in (waiting, late):
+        async with asyncio.timeout(1.0):
+            with pytest.raises(errors.PeerError, match='stopping'):
+                await request
+    await receiver.close()
