A stop signal that comes as a process ends isn't taken for a crash

Operators saw: a process that had drained and closed ended with the status of a signal, as a crash does, if SIGTERM or SIGINT came once more while the interpreter shut down.

Cause: closing an event loop removes its signal handlers, and the default one ends the process. SIGHUP was handled apart for this reason.

Change: SIGTERM and SIGINT are handled as SIGHUP is.

Why it works: the handlers belong to the process and do nothing once the loop is closed; until then they wake the loop over its own pipe.

--- a/src/bulrushhold/composition/_background.py
+++ b/src/bulrushhold/composition/_background.py
@@ -118,16 +118,23 @@
 
 
 def handle_stop_signals(callback: t.Callable[[], None]) -> None:
-    """Call ``callback`` on SIGTERM and SIGINT; ignore SIGHUP."""
+    """Call ``callback`` on SIGTERM and SIGINT; ignore SIGHUP.
+
+    All three stay handled once the loop is closed, which would remove
+    handlers of its own: a signal that comes late must not end the process as
+    if it had crashed.
+    """
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, callback)
+
+    def on_stop(*_: t.Any) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(callback)
 
     def on_hangup(*_: t.Any) -> None:
         if not loop.is_closed():
             loop.call_soon_threadsafe(loguru.logger.info, 'SIGHUP received')
 
-    # Without a handler SIGHUP would end the process, also once the loop is
-    # closed, which would remove one of its own. Settings are reloaded by
-    # polling their file.
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, on_stop)
+    # Settings are reloaded by polling their file.
     signal.signal(signal.SIGHUP, on_hangup)
--- a/tests/test_control_exit.py
+++ b/tests/test_control_exit.py
@@ -21,6 +21,15 @@
 WAIT_S = 5.0
 
 
+@pytest.fixture(autouse=True)
+def restored_signals():
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = [signal.getsignal(number) for number in numbers]
+    yield
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
+
+
 class NoAttachment(composition.Attachment):
     async def start(self):
         pass
