Signals that come together end no drain

Callers saw: all streams of an entry cut at once, although it had up to drain_deadline_s left, if its order to stop came twice: from a supervisor and from a process group, as SIGTERM and SIGINT, or twice while it started.

Cause: any second signal ended the drain.

Why it works: copies of one order come within milliseconds, and an operator who has waited for a second still ends the drain with the next signal.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -15,6 +15,8 @@
     from bulrushhold import ports
 
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.1
+# A supervisor, a shell and a process group may each pass on the same order.
+SIGNAL_BURST_S: t.Final = 1.0
 # Requests that end within this time after the drain are still served.
 EXIT_GRACE_S: t.Final = 5.0
 # Enough to write the answers to the requests that are left.
@@ -217,7 +219,7 @@
 async def run_entry(config: settings.Entry) -> None:
     """Run an entry until a signal stops it, then drain it.
 
-    A second signal ends the drain at once.
+    A later signal ends the drain; those that come with the first one don't.
     """
     process = EntryProcess(config)
     signals = asyncio.Queue[None]()
@@ -225,7 +227,7 @@
     await process.start()
     await signals.get()
     drain_task = asyncio.ensure_future(process.drain())
-    second_signal = asyncio.ensure_future(signals.get())
+    second_signal = asyncio.ensure_future(_later_signal(signals))
     await asyncio.wait(
         (drain_task, second_signal), return_when=asyncio.FIRST_COMPLETED
     )
@@ -234,6 +236,14 @@
     await process.close()
 
 
+async def _later_signal(signals: asyncio.Queue[None]) -> None:
+    """Wait for a signal after those that come with the first one."""
+    await asyncio.sleep(SIGNAL_BURST_S)
+    while not signals.empty():
+        signals.get_nowait()
+    await signals.get()
+
+
 def _make_policy(config: settings.Recovery) -> 'decisions.RecoveryPolicy':
     from bulrushhold import decisions
 
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -83,3 +83,24 @@
     await run
     assert FakeProcess.last.calls == ['start', 'drain', 'close']
     assert FakeProcess.last.drained
+
+
+@pytest.mark.parametrize('delay_s', [0.0, 0.3])
+async def test_signals_that_come_together_end_no_drain(run, delay_s):
+    # Guards against streams that are cut as a supervisor and its process
+    # group both pass a signal on.
+    await asyncio.sleep(delay_s)
+    send(*STOP_SIGNALS, signal.SIGTERM)
+    await run
+    assert FakeProcess.last.drained
+
+
+async def test_a_later_signal_ends_the_drain(run, monkeypatch):
+    monkeypatch.setattr(_entry, 'SIGNAL_BURST_S', 0.1)
+    await asyncio.sleep(0.3)
+    send(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    send(signal.SIGTERM)
+    await run
+    assert FakeProcess.last.calls == ['start', 'drain', 'close']
+    assert not FakeProcess.last.drained
