Origins of streams are on disk when their control process has stopped

Callers saw: after all control processes had been stopped in an orderly way, a stream that an entry had reported shortly before couldn't be resumed.

Cause: the loop that writes origins was cancelled with up to 0.05 s of them unwritten, or while its thread was writing a batch; the log was then closed under the thread.

Change: as it is cancelled, the loop waits for the write that has begun and writes what came since, for at most 0.5 s.

Ruled out: waiting without a limit. A disk that hangs would delay the stop until the process is killed.

Why it works: one thread writes one batch after the other, and nothing is reported any more by then, as the transport refuses it.

Evidence (tests/test_origin_log.py): before, origins that waited were lost, and of a batch being written nothing was found ([]); a stop with a full disk took less than 1 s before, too.

--- a/src/bulrushhold/control/_origins.py
+++ b/src/bulrushhold/control/_origins.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc as cabc
 import concurrent.futures
+import contextlib
 import typing as t
 
 import attrs
@@ -22,6 +23,8 @@
 # Origins that arrive within this time are synced together.
 WRITE_INTERVAL_S: t.Final = 0.05
 WRITE_RETRY_S: t.Final = 1.0
+# A process that stops waits no longer for its disk.
+STOP_TIMEOUT_S: t.Final = 0.5
 
 
 class OriginServer:
@@ -51,6 +54,7 @@
             collections.deque(maxlen=decisions.MAX_ORIGINS)
         )
         self.has_unwritten = asyncio.Event()
+        self.write: asyncio.Future[None] | None = None
         if log is not None:
             self.store.load(log.load(), self.started_at)
         transport.handle(messages.OriginReport, self._on_report)
@@ -80,36 +84,60 @@
             node.log_decision('origins sent', peer=address, origins=count)
 
     async def write_log(self) -> None:
-        """Write new origins to the log until cancelled.
+        """Write new origins to the log until cancelled, then the last ones.
 
         A thread writes, as a slow disk must not delay heartbeats. Nobody
         waits for it: a stream whose origin is lost can't be resumed after a
         loss of all processes.
         """
         assert self.log is not None
-        loop = asyncio.get_running_loop()
         executor = concurrent.futures.ThreadPoolExecutor(1)
         try:
             while True:
                 await self.has_unwritten.wait()
                 self.has_unwritten.clear()
-                batch = list(self.unwritten)
-                self.unwritten.clear()
                 try:
-                    await loop.run_in_executor(
-                        executor, self.log.append, batch
-                    )
+                    await self._write(executor, self.log)
                 except errors.StorageError as error:
                     loguru.logger.bind(error=str(error)).warning(
                         'origins not written'
                     )
-                    self.unwritten.extendleft(reversed(batch))
                     self.has_unwritten.set()
                     await asyncio.sleep(WRITE_RETRY_S)
                 await asyncio.sleep(WRITE_INTERVAL_S)
         finally:
+            await self._write_rest(executor, self.log)
             executor.shutdown(wait=False)
 
+    async def _write(
+        self, executor: concurrent.futures.Executor, log: ports.OriginLog
+    ) -> None:
+        """Write all origins that are unwritten; they stay so on an error.
+
+        :raises StorageError: if they can't be written.
+        """
+        batch = list(self.unwritten)
+        self.unwritten.clear()
+        self.write = asyncio.get_running_loop().run_in_executor(
+            executor, log.append, batch
+        )
+        try:
+            await asyncio.shield(self.write)
+        except errors.StorageError:
+            self.unwritten.extendleft(reversed(batch))
+            raise
+
+    async def _write_rest(
+        self, executor: concurrent.futures.Executor, log: ports.OriginLog
+    ) -> None:
+        """Wait for a write that has begun, and write what came since."""
+        with contextlib.suppress(TimeoutError, errors.StorageError):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                if self.write is not None and not self.write.done():
+                    await self.write
+                if self.unwritten:
+                    await self._write(executor, log)
+
     async def _on_report(self, report: messages.OriginReport) -> None:
         now = self.clock()
         for origin in report.origins:
--- a/tests/test_origin_log.py
+++ b/tests/test_origin_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import threading
 
 import pytest
 
@@ -251,3 +252,82 @@
     log.full = False
     await wait_until(lambda: open_log().load() == origins(1, 2))
     writing.cancel()
+
+
+class SlowLog(node.FileOriginLog):
+    """Takes a while to write, as a busy disk does.
+
+    :ivar writing: set once a write has begun.
+    :ivar released: the write ends once it is set.
+    """
+
+    def __init__(self, folder, clock):
+        super().__init__(folder, clock)
+        self.writing = threading.Event()
+        self.released = threading.Event()
+
+    def append(self, origins):
+        self.writing.set()
+        self.released.wait(5)
+        super().append(origins)
+
+
+async def stop_writing(writing):
+    writing.cancel()
+    await asyncio.gather(writing, return_exceptions=True)
+
+
+async def test_origins_are_written_as_their_process_stops(
+    open_log, clock, monkeypatch
+):
+    # Guards against streams that nobody can resume once all were stopped.
+    monkeypatch.setattr(_origins, 'WRITE_INTERVAL_S', 30.0)
+    server = start_server(open_log(), clock, Transport())
+    writing = asyncio.ensure_future(server.write_log())
+    await server._on_report(messages.OriginReport(origins(1)))
+    await wait_until(lambda: open_log().load() == origins(1))
+    await server._on_report(messages.OriginReport(origins(2)))
+    await stop_writing(writing)
+    assert open_log().load() == origins(1, 2)
+
+
+async def test_a_write_that_has_begun_ends_before_its_log_is_closed(
+    tmp_path, clock, open_log
+):
+    # Guards against a record torn by a process that stops.
+    log = SlowLog(tmp_path, clock)
+    server = start_server(log, clock, Transport())
+    writing = asyncio.ensure_future(server.write_log())
+    await server._on_report(messages.OriginReport(origins(1)))
+    await wait_until(log.writing.is_set)
+    await server._on_report(messages.OriginReport(origins(2)))
+    asyncio.get_running_loop().call_later(0.2, log.released.set)
+    await stop_writing(writing)
+    log.close()
+    log.released.set()
+    assert open_log().load() == origins(1, 2)
+
+
+async def test_a_full_disk_does_not_delay_a_stop(tmp_path, clock):
+    # Guards against a process that is killed before it has closed its files.
+    log = StalledLog(tmp_path, clock)
+    server = start_server(log, clock, Transport())
+    writing = asyncio.ensure_future(server.write_log())
+    await server._on_report(messages.OriginReport(origins(1)))
+    await asyncio.sleep(0.1)
+    async with asyncio.timeout(1.0):
+        await stop_writing(writing)
+
+
+async def test_a_stop_writes_what_a_full_disk_has_refused_before(
+    tmp_path, clock, open_log
+):
+    # Guards against streams that nobody can resume once all were stopped.
+    log = StalledLog(tmp_path, clock)
+    server = start_server(log, clock, Transport())
+    writing = asyncio.ensure_future(server.write_log())
+    await server._on_report(messages.OriginReport(origins(1)))
+    await asyncio.sleep(0.1)
+    log.full = False
+    await stop_writing(writing)
+    assert open_log().load() == origins(1)
