A draining entry of the own interface closes connections with an answer

Callers saw: "Server disconnected" for a request sent over an open connection, as the entry closed it within 0.1 s of SIGTERM, if nothing was in progress. Nothing had been sent to a server, but the caller can't know.

Cause: a drain without work ended at once, and refusals kept the connection open until the exit closed it.

Change: a draining entry stays for linger_s, 1 s by default, and all of its responses close their connection.

Ruled out: closing idle connections as the drain begins. It moves the race between a request and the close, and doesn't end it.

Why it works: a caller who sends within linger_s gets its refusal together with the end of the connection. What remains is a caller who pauses for longer and whose request crosses the close.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -161,12 +161,21 @@
         loguru.logger.bind(http=str(config.http)).info('entry started')
 
     async def drain(self) -> None:
-        """Refuse new requests and wait for running ones to finish."""
+        """Refuse new requests and wait for running ones to finish.
+
+        Callers with open connections don't know yet that this entry leaves,
+        and a request that meets a connection being closed gets no answer.
+        They are refused for a while, which closes their connections.
+        """
         self.server.draining = True
         self.prober.announce_leaving()
         loguru.logger.info('draining')
-        deadline = time.monotonic() + self.config.drain_deadline_s
-        while self.server.in_progress and time.monotonic() < deadline:
+        now = time.monotonic()
+        deadline = now + self.config.drain_deadline_s
+        lingers_until = min(now + self.config.linger_s, deadline)
+        while time.monotonic() < lingers_until or (
+            self.server.in_progress and time.monotonic() < deadline
+        ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     async def close(self) -> None:
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -67,7 +67,7 @@
         """Return the aiohttp application with all routes."""
         app = web.Application(
             client_max_size=self.config.max_body_bytes,
-            middlewares=[self._as_json_errors],
+            middlewares=[self._finish_request],
         )
         app.add_routes(
             [
@@ -106,10 +106,21 @@
     # Errors and admission
 
     @web.middleware
-    async def _as_json_errors(
+    async def _finish_request(
         self, request: web.Request, handler: t.Any
     ) -> web.StreamResponse:
         self.requests_in_progress += 1
+        try:
+            response = await self._answer_or_error(request, handler)
+        finally:
+            self.requests_in_progress -= 1
+        if self.draining and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _answer_or_error(
+        self, request: web.Request, handler: t.Any
+    ) -> web.StreamResponse:
         try:
             return await handler(request)
         except errors.RequestError as error:
@@ -135,8 +146,6 @@
                     status=500,
                 )
             )
-        finally:
-            self.requests_in_progress -= 1
 
     def _error_response(self, error: errors.RequestError) -> web.Response:
         self.metrics.count(f'refused.{error.status}')
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -79,7 +79,13 @@
 
 @attrs.frozen
 class Entry:
-    """Settings of one entry process."""
+    """Settings of one entry process.
+
+    :param drain_deadline_s: time after the stop signal in which accepted
+        requests may finish.
+    :param linger_s: time after the stop signal in which new requests are
+        refused at least, before the connections are closed.
+    """
 
     name: str = attrs.field(validator=_NAME)
     data_centre: str = attrs.field(validator=_NAME)
@@ -97,6 +103,7 @@
     when_table_stale: t.Literal['refuse', 'serve'] = 'refuse'
     answer_ttl_s: float = attrs.field(default=30.0, validator=_POSITIVE)
     drain_deadline_s: float = attrs.field(default=600.0, validator=_POSITIVE)
+    linger_s: float = attrs.field(default=1.0, validator=_POSITIVE)
     queue_limit: int = attrs.field(default=512, validator=_POSITIVE)
 
 
--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import json
+import random
 
+import aiohttp
 import pytest
 
 from bulrushhold.composition import _entry
@@ -32,6 +34,12 @@
 BODIES = {CHAT: chat_body(), BOOKING: b'{"slot": "oven-1"}'}
 
 
+@pytest.fixture
+async def system(make_system):
+    """A system whose entries don't linger: what they wait for shows."""
+    return await make_system(options={'linger_s': 0.01})
+
+
 class SlowCaller:
     """Sends the end of a request's body only when it is told to."""
 
@@ -327,3 +335,43 @@
     await exit_after_drain(system)
     status, _, _ = await call
     assert status == 200
+
+
+async def send_until_refused(system, unanswered):
+    """Send calls over one connection until the entry is known to leave.
+
+    :param unanswered: gets the errors of calls that were sent in vain.
+    """
+    address, _ = system.addresses['e1']
+    url = f'http://{address}/v1/services/booking/availability'
+    headers = {'Bulrushhold-Account': 'vendors'}
+    async with aiohttp.ClientSession() as session:
+        session._retry_connection = False
+        while True:
+            try:
+                async with session.post(url, headers=headers) as response:
+                    await response.read()
+                    if response.status == 503:
+                        return
+            except aiohttp.ClientConnectorError:
+                return
+            except aiohttp.ClientError as error:
+                unanswered.append(error)
+                return
+            await asyncio.sleep(0.4 * random.random())
+
+
+async def test_callers_on_open_connections_are_refused_as_an_entry_leaves(
+    make_system,
+):
+    # Guards against requests that meet a connection which is being closed.
+    system = await make_system()
+    unanswered = []
+    callers = [
+        asyncio.ensure_future(send_until_refused(system, unanswered))
+        for _ in range(100)
+    ]
+    await asyncio.sleep(0.5)
+    await exit_after_drain(system)
+    await asyncio.gather(*callers)
+    assert unanswered == []
