A stopping leader commits what it has accepted

Callers saw: a claim, an order or an edit that the leader had taken just before SIGTERM got no answer: its sender had to find the next leader and ask again, and an operator's connection was closed without an answer.

Cause: the replica's loop was cancelled at once, with proposals in its log that the others were about to confirm.

Change: at its stop a replica accepts no more commands and goes on until those that it has accepted are committed, for at most 0.5 s.

Ruled out: handing the leadership over. That shortens the election that follows, which is another matter.

Why it works: a commit takes a round trip and two syncs; without a majority the answer stays unknown, as before, and the stop isn't delayed further.

--- a/src/bulrushhold/composition/_control.py
+++ b/src/bulrushhold/composition/_control.py
@@ -104,6 +104,8 @@
             # Raises the server's error. If there is none, the replica has
             # bootstrapped the log, and the caller restarts it with that log.
             server_task.result()
+        else:
+            await server.finish_proposals()
     finally:
         await transport.refuse_requests()
         server_task.cancel()
--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -18,6 +18,8 @@
 from bulrushhold import settings
 
 PROPOSAL_TIMEOUT_S: t.Final = 3.0
+# Commits take a round trip and two syncs; without a majority they never end.
+FINISH_TIMEOUT_S: t.Final = 0.5
 JOIN_INTERVAL_S: t.Final = 0.5
 # Used while there are too few voters, as a new log accepts no commands then.
 BOOTSTRAP_JOIN_INTERVAL_S: t.Final = 0.1
@@ -75,6 +77,7 @@
         self.applied_hooks: list[cabc.Callable[[], None]] = []
         self.bytes_since_snapshot = 0
         self.bootstrapped = False
+        self.stopping = False
         self.pending_proposals: dict[int, _PendingProposal] = {}
         self.entries_since_snapshot = 0
         self.wakeup = asyncio.Event()
@@ -315,6 +318,8 @@
         """Commit a command, if this replica leads, and return its result."""
         if self._is_bootstrapping():
             return messages.ProposalReply('unknown')
+        if self.stopping:
+            return messages.ProposalReply('not_leader')
         proposed = self.replica.propose(command)
         if proposed is None:
             return messages.ProposalReply(
@@ -338,6 +343,21 @@
             )
         return messages.ProposalReply('done', result=result)
 
+    async def finish_proposals(self) -> None:
+        """Accept no more commands, and commit those that were accepted.
+
+        Their senders would have to wait for the next leader to learn whether
+        they are committed. :meth:`run` must go on meanwhile.
+        """
+        self.stopping = True
+        pending = [
+            proposal.future
+            for proposal in self.pending_proposals.values()
+            if not proposal.future.done()
+        ]
+        if pending:
+            await asyncio.wait(pending, timeout=FINISH_TIMEOUT_S)
+
     def _is_bootstrapping(self) -> bool:
         """Whether a new log has too few voters to accept commands.
 
--- a/tests/test_control_exit.py
+++ b/tests/test_control_exit.py
@@ -10,7 +10,9 @@
 import pytest_asyncio
 
 from bulrushhold import composition
+from bulrushhold.composition import _background
 from bulrushhold import control
+from bulrushhold import decisions
 from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import node
@@ -100,3 +102,85 @@
         await waiting
     assert time.monotonic() - stopped_at < 1.0
     await process
+
+
+@pytest.fixture
+def stop_callbacks(monkeypatch):
+    """What a stop signal calls, by the order in which processes started."""
+    callbacks = []
+    monkeypatch.setattr(_background, 'handle_stop_signals', callbacks.append)
+    return callbacks
+
+
+@pytest_asyncio.fixture
+async def group(tmp_path, monkeypatch, stop_callbacks):
+    """Three replicas with a leader: processes, servers, the leader's index."""
+    # All run in one event loop, which a sync of each of them stops.
+    monkeypatch.setattr('os.fdatasync', lambda descriptor: None)
+    monkeypatch.setattr('os.fsync', lambda descriptor: None)
+    voters = {
+        f'c{number}': settings.Address('127.0.0.1', port)
+        for number, port in enumerate(testing.free_ports(3), 1)
+    }
+    servers = []
+
+    def attach(server):
+        servers.append(server)
+        return NoAttachment()
+
+    processes = []
+    for name, own in voters.items():
+        folder = tmp_path / name
+        folder.mkdir()
+        config = settings.Control(name, 'dc', own, str(folder), voters)
+        control.bootstrap(config, node.FileLog(folder))
+        processes.append(
+            asyncio.ensure_future(composition.run_control(config, attach))
+        )
+        await conftest.wait_until(lambda: len(servers) == len(processes))
+    await conftest.wait_until(lambda: any(map(is_leader, servers)))
+    yield (
+        processes,
+        servers,
+        servers.index(next(filter(is_leader, servers))),
+    )
+    for stop in stop_callbacks:
+        stop()
+    await asyncio.gather(*processes)
+
+
+def is_leader(server):
+    return server.replica.role is decisions.Role.LEADER
+
+
+async def propose(server):
+    """Start a proposal; return a task once the leader has accepted it."""
+    command = messages.encode(messages.RouteMapPut(1, b'', b''))
+    proposal = asyncio.ensure_future(server.propose(command))
+    await asyncio.sleep(0)
+    assert server.pending_proposals
+    return proposal
+
+
+async def test_a_stopping_leader_commits_what_it_has_accepted(
+    group, stop_callbacks
+):
+    # Guards against an order whose sender learns nothing for seconds.
+    _, servers, leader = group
+    proposal = await propose(servers[leader])
+    stop_callbacks[leader]()
+    assert (await proposal).status == 'done'
+
+
+async def test_a_leader_without_a_majority_stops_soon(group, stop_callbacks):
+    # Guards against a process that is killed before it has closed its files.
+    processes, servers, leader = group
+    for index, process in enumerate(processes):
+        if index != leader:
+            stop_callbacks[index]()
+            await process
+    proposal = await propose(servers[leader])
+    stop_callbacks[leader]()
+    async with asyncio.timeout(2.0):
+        await processes[leader]
+    assert (await proposal).status != 'done'
