--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -375,3 +375,27 @@
     await exit_after_drain(system)
     await asyncio.gather(*callers)
     assert unanswered == []
+
+
+async def test_a_call_cut_by_an_exit_is_repeated_at_another_entry(
+    make_system, monkeypatch
+):
+    # Guards against a client that gives up where another entry serves it.
+    monkeypatch.setattr(_entry, 'EXIT_GRACE_S', 0.2)
+    system = await make_system(
+        entries=2, options={'drain_deadline_s': 0.2, 'linger_s': 0.01}
+    )
+    await system.edit([conftest.row(work='booking/slots')], 1)
+    system.booking.delay_s = 10.0
+    call = asyncio.ensure_future(services.book(system))
+    await conftest.wait_until(lambda: system.booking.booking_counts)
+    system.booking.delay_s = 0.0
+    serving = next(
+        name
+        for name, entry in system.entries.items()
+        if entry.server.calls_in_progress
+    )
+    entry = system.entries.pop(serving)
+    await entry.drain()
+    await entry.close()
+    assert (await call).status == 200
