--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -15,6 +15,12 @@
     from bulrushhold import ports
 
 DRAIN_CHECK_INTERVAL_S: t.Final = 0.1
+# A supervisor, a shell and a process group may each pass on the same order.
+SIGNAL_BURST_S: t.Final = 1.0
+# Requests that end within this time after the drain are still served.
+EXIT_GRACE_S: t.Final = 5.0
+# Enough to write the answers to the requests that are left.
+SHUTDOWN_TIMEOUT_S: t.Final = 2.0
 
 
 class EntryProcess:
@@ -144,7 +150,7 @@
         self.runner = web.AppRunner(
             self.server.application(),
             access_log=None,
-            shutdown_timeout=5.0,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             # Cancels the stream of a caller that disconnects before the
             # first token.
             handler_cancellation=True,
@@ -155,16 +161,29 @@
         loguru.logger.bind(http=str(config.http)).info('entry started')
 
     async def drain(self) -> None:
-        """Refuse new requests and wait for running ones to finish."""
+        """Refuse new requests and wait for running ones to finish.
+
+        Callers with open connections don't know yet that this entry leaves,
+        and a request that meets a connection being closed gets no answer.
+        They are refused for a while, which closes their connections.
+        """
         self.server.draining = True
         self.prober.announce_leaving()
         loguru.logger.info('draining')
-        deadline = time.monotonic() + self.config.drain_deadline_s
-        while self.server.in_progress and time.monotonic() < deadline:
+        now = time.monotonic()
+        deadline = now + self.config.drain_deadline_s
+        lingers_until = min(now + self.config.linger_s, deadline)
+        while time.monotonic() < lingers_until or (
+            self.server.in_progress and time.monotonic() < deadline
+        ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     async def close(self) -> None:
-        """Stop all tasks and close all sockets."""
+        """Answer what is left, stop all tasks and close all sockets."""
+        deadline = time.monotonic() + EXIT_GRACE_S
+        while self.server.requests_in_progress and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        self.server.shut_down()
         await self.loops.close()
         for task in list(self.background):
             task.cancel()
@@ -209,7 +228,7 @@
 async def run_entry(config: settings.Entry) -> None:
     """Run an entry until a signal stops it, then drain it.
 
-    A second signal ends the drain at once.
+    A later signal ends the drain; those that come with the first one don't.
     """
     process = EntryProcess(config)
     signals = asyncio.Queue[None]()
@@ -217,7 +236,7 @@
     await process.start()
     await signals.get()
     drain_task = asyncio.ensure_future(process.drain())
-    second_signal = asyncio.ensure_future(signals.get())
+    second_signal = asyncio.ensure_future(_later_signal(signals))
     await asyncio.wait(
         (drain_task, second_signal), return_when=asyncio.FIRST_COMPLETED
     )
@@ -226,6 +245,14 @@
     await process.close()
 
 
+async def _later_signal(signals: asyncio.Queue[None]) -> None:
+    """Wait for a signal after those that come with the first one."""
+    await asyncio.sleep(SIGNAL_BURST_S)
+    while not signals.empty():
+        signals.get_nowait()
+    await signals.get()
+
+
 def _make_policy(config: settings.Recovery) -> 'decisions.RecoveryPolicy':
     from bulrushhold import decisions
 
