Logs tell where and when the origin of a stream was recorded

Lines 'origin recorded' and 'origin pending' name the homes; 'stream taken up' has pending_s, list_age_s and control_age_s.

--- a/src/bulrushhold/forwarding/_origins.py
+++ b/src/bulrushhold/forwarding/_origins.py
@@ -47,12 +47,15 @@
     """Keeps the origins of streams beyond the entry that forwards them."""
 
     @abc.abstractmethod
-    def record(self, origin: messages.StreamOrigin) -> None:
-        """Keep an origin; nothing is waited for."""
+    def record(self, origin: messages.StreamOrigin) -> int:
+        """Keep an origin; nothing is waited for.
+
+        :return: number of homes that it was sent to.
+        """
 
     @abc.abstractmethod
-    def record_pending(self, origin: messages.PendingOrigin) -> None:
-        """Note that an origin may follow; nothing is waited for."""
+    def record_pending(self, origin: messages.PendingOrigin) -> int:
+        """Note that an origin may follow; see :meth:`record`."""
 
     @abc.abstractmethod
     async def find(self, key: bytes) -> OriginFinding:
@@ -68,13 +71,15 @@
         self.clock = clock
         self.store = decisions.OriginStore()
 
-    def record(self, origin: messages.StreamOrigin) -> None:
+    def record(self, origin: messages.StreamOrigin) -> int:
         """Keep an origin; see :meth:`OriginSource.record`."""
         self.store.record(origin, self.clock())
+        return 0
 
-    def record_pending(self, origin: messages.PendingOrigin) -> None:
+    def record_pending(self, origin: messages.PendingOrigin) -> int:
         """Note a pending one; see :meth:`OriginSource.record_pending`."""
         self.store.record_pending(origin, self.clock())
+        return 0
 
     async def find(self, key: bytes) -> OriginFinding:
         """Find an origin; see :meth:`OriginSource.find`."""
@@ -101,19 +106,22 @@
         self.transport = transport
         self.nodes = nodes
 
-    def record(self, origin: messages.StreamOrigin) -> None:
+    def record(self, origin: messages.StreamOrigin) -> int:
         """Keep an origin; see :meth:`OriginSource.record`."""
         super().record(origin)
-        self._report(origin.key, messages.OriginReport([origin]))
+        return self._report(origin.key, messages.OriginReport([origin]))
 
-    def record_pending(self, origin: messages.PendingOrigin) -> None:
+    def record_pending(self, origin: messages.PendingOrigin) -> int:
         """Note a pending one; see :meth:`OriginSource.record_pending`."""
         super().record_pending(origin)
-        self._report(origin.key, messages.OriginReport(pending=[origin]))
+        report = messages.OriginReport(pending=[origin])
+        return self._report(origin.key, report)
 
-    def _report(self, key: bytes, report: messages.OriginReport) -> None:
-        for home in decisions.origin_homes(key, self.nodes()):
+    def _report(self, key: bytes, report: messages.OriginReport) -> int:
+        homes = decisions.origin_homes(key, self.nodes())
+        for home in homes:
             self.transport.send(home, report)
+        return len(homes)
 
     async def find(self, key: bytes) -> OriginFinding:
         """Find an origin; the first home that knows it is enough.
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -1,6 +1,7 @@
 """Finds the service and the version for streams that callers resume."""
 
 import asyncio
+import math
 import typing as t
 
 import attrs
@@ -28,11 +29,14 @@
     :param ident: id of the call that brought its first event.
     """
     lifetime_s = min(job.call.timeout_s, MAX_LIFETIME_S) + LIFETIME_MARGIN_S
-    context.origins.record(
+    homes = context.origins.record(
         messages.StreamOrigin(
             _key(job, ident), job.service, version, lifetime_s
         )
     )
+    _context.log(
+        job, 'origin recorded', began=ident, version=version, homes=homes
+    )
 
 
 def record_pending_origin(
@@ -46,9 +50,16 @@
     :param ident: id of the call that brought its first event.
     :param pending_s: time within which it may be; 0 if it never will.
     """
-    context.origins.record_pending(
+    homes = context.origins.record_pending(
         messages.PendingOrigin(_key(job, ident), pending_s)
     )
+    _context.log(
+        job,
+        'origin pending',
+        began=ident,
+        pending_s=round(pending_s, 3),
+        homes=homes,
+    )
 
 
 async def resolve(
@@ -66,6 +77,7 @@
     context.metrics.count('streams.taken_up')
     finding = await _find_with_pending(context, job)
     origin = finding.origin
+    now, known_versions = context.clock(), context.placement.known_versions
     _context.log(
         job,
         'stream taken up',
@@ -77,6 +89,9 @@
         age_s=round(finding.age_s, 3),
         asked=finding.asked,
         answered=finding.answered,
+        pending_s=round(finding.pending_s, 3),
+        list_age_s=_age_s(known_versions.listed_at, now),
+        control_age_s=_age_s(known_versions.complete_at, now),
     )
     if origin is None:
         raise _refusal(
@@ -159,6 +174,11 @@
     return True
 
 
+def _age_s(since: float, now: float) -> float | None:
+    """Return an age in seconds; ``None``, as JSON has no infinity."""
+    return round(now - since, 3) if math.isfinite(since) else None
+
+
 def _services(job: _context.Job) -> set[str]:
     return decisions.stream_services(job.route)
 
