Fix a resumed stream that passed over its pending origin

Cause: an engine younger than 5 s is recorded as the origin's version once a list shows its process, 1.3 s later; until then the homes answer that the origin is pending. The entry that took the stream up asked for the only version it knew whatever the homes had said of that, and 'pending' counts as answered (asked 3, answered 3).

Change: while an origin is pending nothing is concluded from the versions; the entry asks again until it is known or is known not to follow.

--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -141,11 +141,11 @@
 async def _find(
     context: _context.ForwardingContext, job: _context.Job
 ) -> _origins.OriginFinding:
-    finding = _origins.OriginFinding()
-    if job.call.resumes:
-        finding = await context.origins.find(_key(job, job.call.resumes))
+    finding = await _find_record(context, job)
     services = _services(job)
-    if finding.origin is not None or len(services) != 1:
+    # One that is pending may name a version that isn't known here.
+    is_settled = finding.origin is not None or finding.pending_s > 0
+    if is_settled or len(services) != 1:
         return finding
     [service] = services
     is_current = await _wait_for_versions(context, service)
@@ -158,6 +158,14 @@
     return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
 
 
+async def _find_record(
+    context: _context.ForwardingContext, job: _context.Job
+) -> _origins.OriginFinding:
+    if not job.call.resumes:
+        return _origins.OriginFinding()
+    return await context.origins.find(_key(job, job.call.resumes))
+
+
 async def _wait_for_versions(
     context: _context.ForwardingContext, service: str
 ) -> bool:
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -236,6 +236,27 @@
     assert caller.data == fakes.encode_events(3)
 
 
+async def test_a_pending_origin_is_waited_for_beside_one_known_version(
+    forwarder, client, context
+):
+    # Guards against an entry that has missed the version of another's stream.
+    context.placement.update(listed('v1', 0, 1, 2))
+    context.placement.known_versions.recorded = {'engines': ['v1']}
+    key = decisions.origin_key('', 'h', '/a/x', 'req-1')
+    context.origins.record_pending(messages.PendingOrigin(key, 2.0))
+    call = make_call('req-2', 2, 'req-1')
+    resumed = asyncio.ensure_future(
+        send(forwarder, call, client, fakes.Script(events=(3,)))
+    )
+    await asyncio.sleep(0.3)
+    assert not resumed.done()
+    context.placement.update(ENGINES)
+    origin = messages.StreamOrigin(key, 'engines', 'v2', 30.0)
+    context.origins.record(origin)
+    assert (await resumed).data == fakes.encode_events(3)
+    assert version_at(forwarder, client.attempts[0]) == 'v2'
+
+
 async def test_a_resumed_stream_waits_until_the_versions_are_known(
     forwarder, client, context
 ):
