A list and the versions from control are as old as their request

An entry or a control process that was paused took a reply which had waited in its socket for new: the age of the platform's list in it, and the news that the recorded versions are current, counted from when the reply was read. A process without fresh contact to the leader also passed on the recorded versions without saying how old its copy is.

A shorter pause makes a list look newer by as much.

Change: both count from when the reply was requested, plus the time for which the sender says that it held it back; replies say how old the recorded versions are at the sender. Why it works: a reply can't have been written before it was requested, whatever clocks or pauses there were.

Four calls in tests/test_list_replies.py name the time of the request now; what they check is unchanged.

--- a/src/bulrushhold/control/_clusterview.py
+++ b/src/bulrushhold/control/_clusterview.py
@@ -47,6 +47,7 @@
         self.rollouts_version = ''
         self.service_versions: dict[str, list[str]] = {}
         self.service_versions_version = ''
+        self.service_versions_at = 0.0
         self.changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -124,6 +125,7 @@
             rollouts=self.rollouts if newer_rollouts else None,
             versions_version=self.service_versions_version,
             versions=self.service_versions if newer_versions else None,
+            versions_age_s=round(self.clock() - self.service_versions_at, 3),
         )
 
     def versions(self) -> messages.Known:
@@ -139,9 +141,14 @@
             self.entries_digest,
         )
 
-    def update(self, reply: messages.WatchReply) -> None:
-        """Apply a reply of the leader; wake long polls on a change."""
+    def update(self, reply: messages.WatchReply, requested_at: float) -> None:
+        """Apply a reply of the leader; wake long polls on a change.
+
+        :param requested_at: when it was requested. This process may have been
+            paused since it was sent.
+        """
         versions = self.versions()
+        sent_at = requested_at + reply.held_s
         if reply.core:
             self.voter_addresses = reply.core
         # Ignore older versions: a deposed leader may answer late.
@@ -155,7 +162,7 @@
         ):
             self._update_backends(reply.backends, version)
         if version and version == self.backends_version:
-            self.backends_read_at = self.clock() - reply.backends_age_s
+            self.backends_read_at = sent_at - reply.backends_age_s
         if messages.is_newer(reply.entries_version, self.entries_version):
             assert reply.entries is not None
             self._update_entries(reply.entries, reply.entries_version)
@@ -166,6 +173,8 @@
         if messages.is_newer(version, self.service_versions_version):
             self.service_versions = reply.versions or {}
             self.service_versions_version = version
+        if version == self.service_versions_version:
+            self.service_versions_at = sent_at - reply.versions_age_s
         if reply.nodes is not None:
             self.nodes = reply.nodes
             self.nodes_version = reply.nodes_version
@@ -223,6 +232,7 @@
         self, versions: dict[str, list[str]], term: int
     ) -> None:
         """Replace the versions of all services, in the leader's term."""
+        self.service_versions_at = self.clock()
         version = _next_version(self.service_versions_version, term)
         if versions == self.service_versions and version != f'{term}.1':
             return
--- a/src/bulrushhold/control/_viewfollower.py
+++ b/src/bulrushhold/control/_viewfollower.py
@@ -74,6 +74,7 @@
         )
 
     async def _poll(self, leader: str) -> bool:
+        requested_at = self.clock()
         try:
             reply = await self.transport.request(
                 leader,
@@ -82,7 +83,7 @@
             )
             if reply.status != 'done':
                 return False
-            self.view.update(reply)
+            self.view.update(reply, requested_at)
         except errors.PeerError as error:
             loguru.logger.bind(peer=leader, error=str(error)).warning(
                 'leader unreachable'
--- a/src/bulrushhold/control/_viewpublisher.py
+++ b/src/bulrushhold/control/_viewpublisher.py
@@ -4,6 +4,7 @@
 import collections.abc as cabc
 import typing as t
 
+import attrs
 import loguru
 
 from bulrushhold.control import _clusterview
@@ -191,6 +192,7 @@
         if not self.serve_view():
             return self._not_leader()
         self._update_node(watch)
+        received_at = self._now()
         await self.view.wait(
             lambda: self.view.is_newer_than(watch.known), watch.hold_s
         )
@@ -198,7 +200,8 @@
         # the long poll and another one elected.
         if not self.serve_view():
             return self._not_leader()
-        return self.view.reply(watch.known)
+        held_s = round(self._now() - received_at, 3)
+        return attrs.evolve(self.view.reply(watch.known), held_s=held_s)
 
     def _not_leader(self) -> messages.WatchReply:
         replica = self.server.replica
--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -87,7 +87,8 @@
     # Entries
 
     async def _on_watch(self, watch: messages.Watch) -> messages.WatchReply:
-        if self.registry.refresh(watch.entry, self.clock()):
+        received_at = self.clock()
+        if self.registry.refresh(watch.entry, received_at):
             self._schedule_attach_hooks()
         if self.has_leader_contact():
             await self.view.wait(
@@ -101,7 +102,11 @@
             reply = messages.WatchReply(
                 'not_leader', self.leader_address(), core
             )
-        return attrs.evolve(reply, loads=self._summary(watch))
+        return attrs.evolve(
+            reply,
+            loads=self._summary(watch),
+            held_s=round(self.clock() - received_at, 3),
+        )
 
     def _schedule_attach_hooks(self) -> None:
         if not self.hooks_scheduled:
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -182,6 +182,7 @@
         if address != self.control_address:
             # Summary numbers are local to each control process.
             self.summary_number = 0
+        requested_at = time.monotonic()
         reply = await self.transport.request(
             address, self._poll_request(), LONG_POLL_S + REPLY_MARGIN_S
         )
@@ -198,7 +199,7 @@
             # It may have restarted.
             self.poison_requests.report_all_blocks()
             self.load_changed.set()
-        self._apply_reply(reply)
+        self._apply_reply(reply, requested_at)
         return True
 
     def _poll_request(self) -> messages.Watch:
@@ -219,15 +220,27 @@
             self.summary_number,
         )
 
-    def _apply_reply(self, reply: messages.WatchReply) -> None:
+    def _apply_reply(
+        self, reply: messages.WatchReply, requested_at: float | None = None
+    ) -> None:
+        """Apply a reply of control.
+
+        :param requested_at: when it was requested, now if not given. A reply
+            that has waited while this process was paused must not count as
+            new.
+        """
+        now = time.monotonic()
+        sent_at = now if requested_at is None else requested_at + reply.held_s
         self._apply_rollouts(reply)
         if messages.is_newer(reply.versions_version, self.versions_version):
             self.versions_version = reply.versions_version
             self.placement.known_versions.recorded = reply.versions or {}
         if reply.route_map is not None:
             self._apply_map(messages.unpack_map(reply.route_map))
-        self._apply_list(reply)
-        self.placement.known_versions.on_control_reply(time.monotonic())
+        self._apply_list(reply, sent_at)
+        self.placement.known_versions.on_control_reply(
+            sent_at - reply.versions_age_s
+        )
         self._apply_entries(reply)
         if reply.nodes is not None:
             self.nodes_version = reply.nodes_version
@@ -266,14 +279,14 @@
                 ],
             )
 
-    def _apply_list(self, reply: messages.WatchReply) -> None:
+    def _apply_list(self, reply: messages.WatchReply, sent_at: float) -> None:
         """Apply the backend list unless it is older than the current one.
 
         A control process without contact to the leader could otherwise bring
         back removed engines.
         """
         version = reply.backends_version
-        read_at = time.monotonic() - reply.backends_age_s
+        read_at = sent_at - reply.backends_age_s
         if reply.backends is not None and (
             not messages.is_newer(self.backends_version, version)
             if self.backends_version
--- a/src/bulrushhold/messages/_fleet.py
+++ b/src/bulrushhold/messages/_fleet.py
@@ -201,6 +201,10 @@
     :param backends_age_s: time since the platform's list was read.
     :param versions: versions of engines that may have begun running streams,
         by service.
+    :param versions_age_s: time since they were the leader's.
+    :param held_s: time for which the reply was held back. A receiver that
+        was paused can't tell how old a reply is, but knows since when it has
+        asked.
     """
 
     status: str
@@ -220,6 +224,8 @@
     rollouts: list[_rollouts.RolloutPlan] | None = None
     versions_version: str = ''
     versions: dict[str, list[str]] | None = None
+    versions_age_s: float = 0.0
+    held_s: float = 0.0
 
 
 def is_newer(version: str, other: str) -> bool:
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -233,3 +233,24 @@
         for address in fleet.addresses(64, f'caller {number}')
     }
     assert found == {e.callers for e in entries if e.ready} - {'10.0.1.3:80'}
+
+
+async def test_a_reply_that_waited_during_a_pause_is_not_new(fleet):
+    # Guards against an entry that takes what it missed for complete.
+    class PausedTransport(fakes.FakeTransport):
+        def request(self, address, message, timeout):
+            del address, message, timeout
+            reply = fakes.make_reply(
+                backends_version='1.1',
+                backends_age_s=0.5,
+            )
+            time.sleep(0.4)
+            return asyncio.sleep(0, reply)
+
+    fleet.backends_version = '1.1'
+    fleet.transport = PausedTransport()
+    requested_at = time.monotonic()
+    await fleet._poll('10.0.2.1:70')
+    known_versions = fleet.placement.known_versions
+    assert known_versions.listed_at <= requested_at - 0.5 + 0.1
+    assert known_versions.complete_at <= requested_at + 0.1
--- a/tests/test_list_replies.py
+++ b/tests/test_list_replies.py
@@ -164,7 +164,7 @@
     )
     assert view.is_newer_than(known)
     assert view.reply(known).backends.base == b''
-    view.update(make_view(SERVERS, '1.1').reply(view.versions()))
+    view.update(make_view(SERVERS, '1.1').reply(view.versions()), 0.0)
     assert view.backends == SERVERS
     assert not view.is_newer_than(attrs.evolve(known, entries='1.1'))
 
@@ -231,11 +231,11 @@
 
 def test_a_control_process_copies_the_leaders_list():
     leader, follower = make_view(SERVERS), make_view(version='')
-    follower.update(leader.reply(follower.versions()))
+    follower.update(leader.reply(follower.versions()), 0.0)
     set_servers(leader, leaving(SERVERS, 2), '1.2')
     reply = leader.reply(follower.versions())
     assert reply.backends.base
-    follower.update(reply)
+    follower.update(reply, 0.0)
     assert follower.backends == leaving(SERVERS, 2)
     assert follower.versions() == leader.versions()
     assert leader.reply(follower.versions()).backends is None
@@ -246,12 +246,12 @@
     base = leader.backends_digest
     set_servers(leader, leaving(SERVERS, 2), '1.2')
     known = messages.Known(backends='1.1', backends_digest=base)
-    follower.update(leader.reply(known))
+    follower.update(leader.reply(known), 0.0)
     assert (follower.backends, follower.backends_version) == (
         SERVERS[1:],
         '1.1',
     )
-    follower.update(leader.reply(follower.versions()))
+    follower.update(leader.reply(follower.versions()), 0.0)
     assert follower.backends == leaving(SERVERS, 2)
     assert follower.versions() == leader.versions()
 
@@ -259,7 +259,7 @@
 def test_an_older_list_is_ignored_by_a_control_process():
     # Guards against a deposed leader that brings back removed servers.
     leader, follower = make_view(SERVERS, '2.1'), make_view(SERVERS[1:], '3.1')
-    follower.update(leader.reply(follower.versions()))
+    follower.update(leader.reply(follower.versions()), 0.0)
     assert follower.backends == SERVERS[1:]
     assert follower.backends_digest == messages.BACKEND_LIST.digest(
         SERVERS[1:]
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushhold import control
+from bulrushhold.control import _clusterview
 from bulrushhold import decisions
 from bulrushhold import messages
 from bulrushhold import routes
@@ -232,6 +233,23 @@
     assert now[0] - read_at == pytest.approx(age_s)
 
 
+def test_a_view_is_as_old_as_its_request():
+    # Guards against a reply that has waited while its receiver was paused.
+    now = [100.0]
+    leader = _clusterview.ClusterView(lambda: now[0])
+    leader.set_backends(decisions.BackendList.of([listed('i1', 'v1')]), '1.1')
+    leader.backends_read_at = 99.0
+    leader.update_versions({'engines': ['v1']}, 1)
+    view = _clusterview.ClusterView(lambda: now[0])
+    reply = leader.reply(view.versions())
+    requested_at = now[0]
+    now[0] += 5.0
+    view.update(reply, requested_at)
+    reply = view.reply(messages.Known())
+    assert reply.backends_age_s == 6.0
+    assert reply.versions_age_s == 5.0
+
+
 async def test_entries_learn_the_recorded_versions(fleet):
     for entry in fleet.entries.values():
         known = entry.placement.known_versions
