Fix entries that take the versions they know for all there are

Callers saw events of two versions in one text: a stream had begun at a new version through another entry and was taken up at one that had been paused, or was cut off from control. It concluded 'only version' from a list less than 3 s old, which is older than the stream.

Ruled out: a list of any fixed age is no proof. Running entries withhold a new version for 5 s, but one that has just started doesn't, nor does one whose known versions are all gone, nor a roll-out.

Change: 'only version' needs a list read later than the take-up arrived, by the list's lag, and recorded versions that control has confirmed as late; the entry waits for that for up to 3.5 s, and asks for the record once more if another version has come. With several versions known it refuses at once, as before. Why it works: whatever version began the stream was listed before the take-up arrived, so that such a list, or the recorded versions, name it; no assumption on other entries, clocks or pauses is left.

Tests that fail on: four cases in tests/forwarding/test_resumption.py (what_was_known_before_a_pause..., a_list_must_be_newer..., the_record_is_ looked_for_again...) and three in tests/test_version_history.py. only_version and is_current take the time since which the list must have been read instead of the present one; test_a_version_that_came_and_left_without_control_counts therefore also gets a list of that time, and is as strict.

--- a/src/bulrushhold/decisions/_incarnations.py
+++ b/src/bulrushhold/decisions/_incarnations.py
@@ -76,4 +76,8 @@
 
         :param listed_at: when the list was read.
         """
-        return listed_at >= since + self.max_lag_s + LIST_MARGIN_S
+        return listed_at >= self.shown_from(since)
+
+    def shown_from(self, since: float) -> float:
+        """Return from when on lists show what was true at a time."""
+        return since + self.max_lag_s + LIST_MARGIN_S
--- a/src/bulrushhold/decisions/_versionhistory.py
+++ b/src/bulrushhold/decisions/_versionhistory.py
@@ -12,9 +12,9 @@
 from bulrushhold import messages
 from bulrushhold import routes
 
-# An entry with an older list may not know of a version whose streams others
-# already forward.
-MAX_LIST_AGE_S: t.Final = 3.0
+# Lists that follow one another more slowly may lack a version that has come
+# and gone between them.
+MAX_LIST_GAP_S: t.Final = 3.0
 
 # No service has such a name, as it has control characters.
 _ROUTE_KEY_START: t.Final = '\0route\0'
@@ -144,7 +144,8 @@
 
     :ivar recorded: from the replicated state.
     :ivar listed: from the newest list of engines.
-    :ivar listed_at: when that list was read.
+    :ivar listed_at: when that list was read, or earlier.
+    :ivar own_list_at: when a list was last read without control.
     :ivar seen: versions in any list since the last contact with control.
     :ivar complete_at: time up to which no version can have begun streams
         without being recorded or seen here.
@@ -157,6 +158,7 @@
         self.listed: dict[str, set[str]] = {}
         self.listed_at = float('-inf')
         self.seen: set[tuple[str, str]] = set()
+        self.own_list_at = float('-inf')
         self.complete_at = float('-inf')
         self.map_version = 0
 
@@ -169,46 +171,67 @@
             for version in versions
         )
 
-    def on_control_reply(self, now: float) -> None:
-        """Note that the recorded versions are current."""
-        self.complete_at = now
-        self.seen.clear()
+    def on_control_reply(self, recorded_at: float) -> None:
+        """Note that control has confirmed the recorded versions.
 
-    def on_own_list(self, now: float) -> None:
+        :param recorded_at: when they were those of the replicated state, or
+            earlier.
+        """
+        self.complete_at = max(self.complete_at, recorded_at)
+        if recorded_at >= self.own_list_at:
+            self.seen.clear()
+
+    def on_own_list(self, read_at: float) -> None:
         """Note that the list was read without control.
 
         Lists tell all versions only if they follow one another closely: one
         that was listed in between may have begun streams elsewhere.
         """
-        self.listed_at = now
-        if now - self.complete_at <= MAX_LIST_AGE_S:
-            self.complete_at = now
+        self.listed_at = self.own_list_at = read_at
+        if read_at - self.complete_at <= MAX_LIST_GAP_S:
+            self.complete_at = read_at
+
+    @property
+    def known_at(self) -> float:
+        """Time up to which all versions that were listed are known here."""
+        return min(self.listed_at, self.complete_at)
+
+    def all_versions(self, service: str) -> set[str]:
+        """Return the versions that may have begun streams of a service."""
+        versions = {*self.recorded.get(service, ())}
+        versions.update(self.listed.get(service, ()))
+        versions.update(v for name, v in self.seen if name == service)
+        return versions
 
-    def only_version(self, service: str, now: float) -> str | None:
+    def only_version(self, service: str, since: float) -> str | None:
         """Return the version that began each stream of a service.
 
         ``None`` if there may be several.
+
+        :param since: see :meth:`is_current`.
         """
-        if not self.is_current(service, now):
+        if not self.is_current(service, since):
             return None
-        versions = {*self.recorded[service], *self.listed.get(service, ())}
-        versions.update(
-            version for name, version in self.seen if name == service
-        )
+        versions = self.all_versions(service)
         return versions.pop() if len(versions) == 1 else None
 
     def may_begin_elsewhere(self, route: routes.Route) -> bool:
         """Return whether streams of a route may have begun elsewhere."""
         return route_key(route) in self.recorded
 
-    def is_current(self, service: str, now: float) -> bool:
+    def is_current(self, service: str, since: float) -> bool:
         """Return whether all versions of a service are known here.
 
-        They aren't right after a start, or while control is unreachable.
+        They aren't right after a start, after a pause of this process, or
+        while control is unreachable. However new a list is, another entry may
+        have read one that is newer: only what was read later than a stream
+        began tells which versions may have begun it.
+
+        :param since: time from which the list must have been read and the
+            recorded versions confirmed.
         """
         is_recorded = bool(self.recorded.get(service))
         [map_version] = self.recorded.get(_MAP_VERSION_KEY, [self.map_version])
         if int(map_version) < self.map_version:
             return False
-        known_at = min(self.listed_at, self.complete_at)
-        return is_recorded and now - known_at <= MAX_LIST_AGE_S
+        return is_recorded and self.known_at >= since
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -15,6 +15,10 @@
 # Kept for longer than a caller waits for its stream.
 LIFETIME_MARGIN_S: t.Final = 5.0
 MAX_LIFETIME_S: t.Final = 120.0
+# Covers the lag of the platform's list, a slow answer and an election.
+MAX_VERSIONS_WAIT_S: t.Final = 3.5
+# Several versions that were known then are refused without a wait.
+MAX_VERSIONS_AGE_S: t.Final = 3.0
 ONLY_VERSION: t.Final = 'only version'
 
 
@@ -130,8 +134,9 @@
 
     A caller that is refused instead may have no retry left.
     """
+    arrived_at = context.clock()
     while True:
-        finding = await _find(context, job)
+        finding = await _find(context, job, arrived_at)
         until = min(job.deadline, context.clock() + finding.pending_s)
         if finding.origin is not None or context.clock() >= until:
             return finding
@@ -139,7 +144,7 @@
 
 
 async def _find(
-    context: _context.ForwardingContext, job: _context.Job
+    context: _context.ForwardingContext, job: _context.Job, arrived_at: float
 ) -> _origins.OriginFinding:
     finding = await _find_record(context, job)
     services = _services(job)
@@ -148,14 +153,19 @@
     if is_settled or len(services) != 1:
         return finding
     [service] = services
-    is_current = await _wait_for_versions(context, service)
     known_versions = context.placement.known_versions
-    version = known_versions.only_version(service, context.clock())
-    if version is None or known_versions.may_begin_elsewhere(job.route):
-        conclusive = finding.conclusive and is_current
-        return attrs.evolve(finding, conclusive=conclusive)
-    origin = messages.StreamOrigin(b'', service, version, 0.0)
-    return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
+    if not _may_be_several(context, service):
+        since = context.placement.incarnations.shown_from(arrived_at)
+        is_current = await _wait_for_versions(context, job, service, since)
+        version = known_versions.only_version(service, since)
+        if version and not known_versions.may_begin_elsewhere(job.route):
+            origin = messages.StreamOrigin(b'', service, version, 0.0)
+            return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
+        if not is_current:
+            return attrs.evolve(finding, conclusive=False)
+        # Another version has come meanwhile, and the record may have, too.
+        finding = await _find_record(context, job)
+    return finding
 
 
 async def _find_record(
@@ -166,16 +176,29 @@
     return await context.origins.find(_key(job, job.call.resumes))
 
 
+def _may_be_several(context: _context.ForwardingContext, service: str) -> bool:
+    """Return whether a service is known to have several versions now."""
+    known_versions = context.placement.known_versions
+    since = context.clock() - MAX_VERSIONS_AGE_S
+    is_current = known_versions.is_current(service, since)
+    return is_current and len(known_versions.all_versions(service)) > 1
+
+
 async def _wait_for_versions(
-    context: _context.ForwardingContext, service: str
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    service: str,
+    since: float,
 ) -> bool:
     """Wait until the versions of a service are known; return whether.
 
     A caller that is refused instead may have no retry left.
+
+    :param since: see :meth:`decisions.KnownVersions.is_current`.
     """
     versions = context.placement.known_versions
-    deadline = context.clock() + _origins.MAX_SEARCH_S
-    while not versions.is_current(service, context.clock()):
+    deadline = min(job.deadline, context.clock() + MAX_VERSIONS_WAIT_S)
+    while not versions.is_current(service, since):
         if context.clock() >= deadline:
             return False
         await asyncio.sleep(_origins.SEARCH_INTERVAL_S)
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -257,6 +257,66 @@
     assert version_at(forwarder, client.attempts[0]) == 'v2'
 
 
+@pytest.mark.parametrize('older', ['listed_at', 'complete_at'])
+async def test_what_was_known_before_a_pause_is_not_the_only_version(
+    forwarder, client, context, older
+):
+    # Guards against an entry that was paused and misses a new version.
+    known_versions = context.placement.known_versions
+    context.placement.update(listed('v1', 0, 1, 2))
+    known_versions.recorded = {'engines': ['v1']}
+    setattr(known_versions, older, context.clock() - 1.0)
+    call = make_call('req-2', 2, 'never-seen')
+    refused = asyncio.ensure_future(refusal(forwarder, call))
+    await asyncio.sleep(0.3)
+    assert not refused.done()
+    known_versions.recorded = {'engines': ['v1', 'v2']}
+    setattr(known_versions, older, float('inf'))
+    assert 'unknown' in (await refused).reason
+    assert client.attempts == []
+
+
+async def test_a_list_must_be_newer_than_the_call_by_its_lag(
+    forwarder, client, context
+):
+    # Guards against a version that others see in the list a bit earlier.
+    known_versions = context.placement.known_versions
+    context.placement.update(listed('v1', 0, 1, 2))
+    known_versions.recorded = {'engines': ['v1']}
+    call = make_call('req-2', 2, 'never-seen')
+    known_versions.listed_at = context.clock() + 0.2
+    resumed = asyncio.ensure_future(
+        send(forwarder, call, client, fakes.Script(events=(3,)))
+    )
+    await asyncio.sleep(0.3)
+    assert not resumed.done()
+    known_versions.listed_at = context.placement.incarnations.shown_from(
+        context.clock()
+    )
+    assert (await resumed).data == fakes.encode_events(3)
+
+
+async def test_the_record_is_looked_for_again_once_versions_are_known(
+    forwarder, client, context
+):
+    # Guards against a refusal though the record has come meanwhile.
+    known_versions = context.placement.known_versions
+    context.placement.update(listed('v1', 0, 1, 2))
+    known_versions.recorded = {'engines': ['v1']}
+    known_versions.listed_at = context.clock()
+    call = make_call('req-2', 2, 'req-1')
+    resumed = asyncio.ensure_future(
+        send(forwarder, call, client, fakes.Script(events=(3,)))
+    )
+    await asyncio.sleep(0.1)
+    key = decisions.origin_key('', 'h', '/a/x', 'req-1')
+    context.origins.record(messages.StreamOrigin(key, 'engines', 'v2', 30.0))
+    context.placement.update(ENGINES)
+    known_versions.listed_at = float('inf')
+    assert (await resumed).data == fakes.encode_events(3)
+    assert version_at(forwarder, client.attempts[0]) == 'v2'
+
+
 async def test_a_resumed_stream_waits_until_the_versions_are_known(
     forwarder, client, context
 ):
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -108,6 +108,22 @@
     assert known.known_versions.only_version('engines', 13.1) is None
 
 
+@pytest.mark.parametrize('newer', ['listed_at', 'complete_at'])
+def test_versions_known_before_a_stream_could_begin_tell_nothing(known, newer):
+    # Guards against an entry that was paused and trusts what it knew before.
+    setattr(known.known_versions, newer, 12.0)
+    assert known.known_versions.only_version('engines', 10.0) == 'v1'
+    assert known.known_versions.only_version('engines', 10.1) is None
+
+
+def test_control_that_is_behind_confirms_no_versions(known):
+    # Guards against a process without the leader whose history is old.
+    known.known_versions.listed_at = 12.0
+    known.known_versions.on_control_reply(9.0)
+    assert known.known_versions.only_version('engines', 10.0) == 'v1'
+    assert known.known_versions.only_version('engines', 11.0) is None
+
+
 def test_a_version_that_came_and_left_without_control_counts(known):
     # Guards against an entry that is cut off and guesses from its last list.
     for now, versions in ((12.0, ['v1', 'v2']), (14.0, ['v1'])):
@@ -115,6 +131,7 @@
         known.known_versions.on_own_list(now)
     assert known.known_versions.only_version('engines', 14.0) is None
     known.known_versions.on_control_reply(15.0)
+    known.known_versions.listed_at = 15.0
     assert known.known_versions.only_version('engines', 15.0) == 'v1'
 
 
