Pending origins reach homes that an entry learns of later

Origins themselves were sent once control processes were known; pending ones weren't, so that an entry which took such a stream up was told 'unknown' by all homes, as if that were conclusive.

Found by reading while looking for records that never arrive.

Change: they are sent with the origins as control processes become known.

--- a/src/bulrushhold/decisions/_streamorigins.py
+++ b/src/bulrushhold/decisions/_streamorigins.py
@@ -121,6 +121,15 @@
         if len(self.pending) > MAX_ORIGINS:
             del self.pending[next(iter(self.pending))]
 
+    def pending_origins(self, now: float) -> list[messages.PendingOrigin]:
+        """Return the origins that may follow."""
+        self._expire(now)
+        return [
+            messages.PendingOrigin(key, round(until - now, 2))
+            for key, until in self.pending.items()
+            if until > now
+        ]
+
     def find(self, key: bytes, now: float) -> messages.OriginReply:
         """Return the origin of a stream, if it is known."""
         self._expire(now)
--- a/src/bulrushhold/forwarding/_origins.py
+++ b/src/bulrushhold/forwarding/_origins.py
@@ -180,10 +180,16 @@
         return home, reply
 
     def update_nodes(self) -> None:
-        """Send this entry's origins to control processes that have joined."""
+        """Send this entry's origins to control processes that have joined.
+
+        Those that were recorded while it knew of none are sent as well.
+        """
         nodes = self.nodes()
         if nodes is self.store.nodes:
             return
         for reports in self.store.update_nodes(nodes, self.clock()):
             for address, origins in reports.items():
                 self.transport.send(address, messages.OriginReport(origins))
+        for pending in self.store.pending_origins(self.clock()):
+            report = messages.OriginReport(pending=[pending])
+            self._report(pending.key, report)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -202,6 +202,31 @@
     assert [len(b[nodes[0].address]) for b in batches] == [100, 100, 50]
 
 
+class RecordingTransport:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, address, message):
+        self.sent.append((address, message))
+
+
+def test_origins_recorded_without_nodes_are_sent_once_there_are_some():
+    # Guards against records of an entry that has just started and are lost.
+    transport, nodes = RecordingTransport(), []
+    origins = forwarding.ControlOrigins(transport, lambda: nodes, lambda: 0.0)
+    pending = messages.PendingOrigin(make_origin('req-2').key, 2.0)
+    assert origins.record(make_origin()) == 0
+    assert origins.record_pending(pending) == 0
+    origins.update_nodes()
+    assert transport.sent == []
+    nodes = [make_node(number) for number in range(3)]
+    origins.update_nodes()
+    for node in nodes:
+        reports = [m for a, m in transport.sent if a == node.address]
+        assert [o for m in reports for o in m.origins] == [make_origin()]
+        assert [p for m in reports for p in m.pending] == [pending]
+
+
 # With control processes
 
 
