An origin is pending before its engine is asked

Homes were told that an origin is pending only after the engine had answered when it started.

Engines that state no start, and those that a list is known to describe, cost no message more.

--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -119,6 +119,15 @@
             engine.ident, self._listed_at(), self.unix_clock()
         )
 
+    def _is_known(self, engine: decisions.BackendServer) -> bool:
+        """Return whether the list described the engine when last asked."""
+        if self.ask_again_at.get(engine.ident) == float('inf'):
+            # It states no start.
+            return True
+        return self.placement.incarnations.is_listed(
+            engine.ident, self._listed_at(), self.unix_clock()
+        )
+
     def _known_since(self, engine: decisions.BackendServer) -> float:
         """Return since when an engine's process is known to be the same."""
         start = self.placement.incarnations.starts.get(engine.ident)
@@ -147,11 +156,15 @@
         :param is_running: whether the engine has sent events since then
             without interruption.
         :param on_pending: is called once if the version isn't known at once,
-            with the time in seconds within which it will be or never.
+            with the time in seconds within which it will be or never. It is
+            called before the engine is asked if only a list can tell, as the
+            stream may be resumed elsewhere meanwhile.
         """
         incarnations = self.placement.incarnations
         latest = began_at + incarnations.max_lag_s + MAX_DELAY_S
-        is_pending = False
+        is_pending = not self._is_known(engine)
+        if is_pending:
+            on_pending(latest - self.clock())
         while True:
             if await self.runs_listed_version(engine) and (
                 is_running() or self._known_since(engine) <= began_at
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -297,6 +297,23 @@
     assert caller.data == fakes.encode_events(1, 2)
 
 
+@pytest.mark.parametrize('is_known', [False, True])
+async def test_an_origin_is_pending_while_its_engine_is_asked(
+    client, context, restarting, is_known
+):
+    # Guards against a stream resumed elsewhere before its engine has answered.
+    if not is_known:
+        restarting.incarnations.starts.clear()
+    else:
+        restarting.known_versions.listed_at = float('inf')
+    client.probe_delay_s = 0.15
+    client.scripts = [fakes.Script(events=(1, 2))]
+    await run_stream(context)
+    # Less than the engine has for its answer.
+    await asyncio.sleep(0.05)
+    assert bool(context.origins.store.pending) is not is_known
+
+
 def test_a_start_is_listed_once_a_list_is_new_enough():
     starts = decisions.Incarnations()
     starts.max_lag_s = 0.8
