An entry that starts withholds versions that aren't recorded

All streams that became two versions had begun there.

Change: in the first list a version is known if control has recorded it; others are withheld as at running entries. If none is recorded, as without control, all are used, as before.

--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -138,6 +138,7 @@
         self.versions.update_listed(
             self.known_versions.listed,
             self.verification.usable_versions(backends.values()),
+            self.known_versions.recorded,
         )
 
     def _report_missing(self, listed: set[str]) -> None:
--- a/src/bulrushhold/decisions/_versionsplit.py
+++ b/src/bulrushhold/decisions/_versionsplit.py
@@ -61,17 +61,26 @@
         self,
         listed: dict[str, set[str]],
         usable: dict[str, set[str]] | None = None,
+        recorded: cabc.Mapping[str, cabc.Iterable[str]] | None = None,
     ) -> None:
         """Withhold versions that were added to the list of engines.
 
         The list may arrive before the news of the rollout that they are for.
+        At an entry that has just started a version is new if control hasn't
+        recorded it yet.
 
         :param listed: versions of the engines of each service.
         :param usable: those of engines that can be used instead; all that
             are listed if it isn't given.
+        :param recorded: the versions that control has recorded.
         """
         for service, versions in listed.items():
-            known = self.known_versions.setdefault(service, versions)
+            known = self.known_versions.get(service)
+            if known is None:
+                known = versions.intersection(
+                    (recorded or {}).get(service, ())
+                )
+                self.known_versions[service] = known = known or versions
             present = versions
             if usable is not None:
                 present = usable.get(service, set())
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -103,6 +103,24 @@
     assert known.known_versions.only_version('engines', 10.0) is None
 
 
+@pytest.mark.parametrize(
+    ('recorded', 'used'),
+    [
+        (['v1'], {'v1'}),
+        (['v1', 'v2'], {'v1', 'v2'}),
+        (['v0'], {'v1', 'v2'}),
+        ([], {'v1', 'v2'}),
+    ],
+)
+def test_an_entry_that_starts_withholds_what_is_not_recorded(recorded, used):
+    # Guards against a version that one entry uses before others know of it.
+    placement = decisions.Placement(random.Random(1))
+    placement.known_versions.recorded = {'engines': recorded}
+    placement.update([listed('i1', 'v1'), listed('i2', 'v2')])
+    usable = placement.usable('engines')
+    assert {backend.version for backend in usable} == used
+
+
 def test_an_outdated_list_tells_nothing(known):
     # Guards against an entry that is cut off and guesses.
     assert known.known_versions.only_version('engines', 13.1) is None
