Play entries that are out of step while a version joins

Callers break off after 2 to 10 events and take their streams up at the entry that is out of step.

Three of the plays are tests; the others are played by hand.

--- a/tests/platform/soak/netfault.py
+++ b/tests/platform/soak/netfault.py
@@ -1,4 +1,4 @@
-"""Runs a program; an entry's connections to backend servers can be cut.
+"""Runs a program; an entry's connections can be cut.
 
 Started in place of ``platform/run.py``. Connections to servers come from the
 entry's own address, by which the servers' proxies know it.
@@ -22,6 +22,35 @@
     return pathlib.Path(settings_file).with_suffix('.cut')
 
 
+def control_cut_file(settings_file):
+    """Return the file that exists while an entry is cut off from control."""
+    return pathlib.Path(settings_file).with_suffix('.controlcut')
+
+
+def cut_from_control(settings_file):
+    """Cut an entry off from all control processes."""
+    control_cut_file(settings_file).touch()
+
+
+def reconnect_to_control(settings_file):
+    """End a cut."""
+    control_cut_file(settings_file).unlink(missing_ok=True)
+
+
+def install_control_cuts(cut_path):
+    """Drop what this process sends to control while there is a cut."""
+    # Only entries' transports are cut, which send to control alone.
+    from bulrushhold import node
+
+    transmit = node.ZmqTransport._transmit
+
+    def transmit_unless_cut(*arguments):
+        if not cut_path.exists():
+            transmit(*arguments)
+
+    node.ZmqTransport._transmit = transmit_unless_cut
+
+
 def started_file(settings_file):
     """Return the file that is written just before the program begins."""
     return pathlib.Path(settings_file).with_suffix('.started')
@@ -48,6 +77,7 @@
     settings_file = os.environ['BULRUSHHOLD_NODE_FILE']
     if sys.argv[1] == 'entry':
         install(os.environ['SOAK_ENTRY_IP'], cut_file(settings_file))
+        install_control_cuts(control_cut_file(settings_file))
     script = str(ROOT / 'platform' / 'run.py')
     sys.argv[0] = script
     sys.path[0] = str(ROOT / 'platform')
--- a/tests/platform/soak/takeups.py
+++ b/tests/platform/soak/takeups.py
@@ -62,6 +62,7 @@
     :param serves: whether enough engines of a version are ready.
     :param break_after: number of events after which the caller breaks off its
         first try; 0 for never.
+    :param pause_s: before the next try where the last one named none.
     """
 
     def __init__(
@@ -74,8 +75,10 @@
         break_after=0,
         event_count=fakes.EVENT_COUNT,
         max_tries=MAX_TRIES,
+        pause_s=DEFAULT_PAUSE_S,
     ):
         self.stream = ResumedStream(ident)
+        self.pause_s = pause_s
         self.post = post
         self.pick_entry = pick_entry
         self.in_touch = in_touch
@@ -100,7 +103,7 @@
         ident = f'{stream.ident}.{number}'
         received = len(stream.versions)
         counts = self.in_touch(entry)
-        pause_s = DEFAULT_PAUSE_S
+        pause_s = self.pause_s
         with contextlib.suppress(*fakes.CONNECTION_ERRORS):
             async with self.post(
                 entry, stream.ident, ident, received, stream.first_ident
--- a/tests/platform/test_version_processes.py
+++ b/tests/platform/test_version_processes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.platform.soak import fakes
+from tests.platform.soak import outofstep
 from tests.platform.soak import run
 from tests.platform.soak import system
 from tests.platform.soak import takeups
@@ -315,3 +316,17 @@
 async def test_versions_are_not_guessed_while_control_is_frozen(tmp_path):
     # Guards against entries that can't ask and go on at any version.
     await check_versions_are_kept(tmp_path, 'freeze_control', 1.0, min_share=0)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'seed'),
+    [('stopped', 8), ('cut_from_control', 7), ('election', 1)],
+)
+async def test_entries_out_of_step_guess_no_version(tmp_path, kind, seed):
+    # Guards against an entry that misses a version which another one uses.
+    played = await outofstep.play(seed, tmp_path, kind)
+    assert played.report.violations == []
+    assert [s.error for s in played.streams if s.error] == []
+    assert played.joined() == []
+    # Otherwise the play shows nothing.
+    assert played.taken_up('v1') and played.taken_up('v1.1')
