Versions that leave before their record are recorded

The leader proposes a change of the recorded versions at most once a second.

Change: the leader keeps what it has published until it is recorded. A leader that is lost before leaves the gap of 0.1 s that lost-origins.md names.

--- a/src/bulrushhold/control/_versions.py
+++ b/src/bulrushhold/control/_versions.py
@@ -1,5 +1,6 @@
 """Records which versions of engines may have begun running streams."""
 
+import collections.abc as cabc
 import typing as t
 
 from bulrushhold.control import _clusterview
@@ -28,6 +29,8 @@
         self.term = 0
         self.recorder = decisions.VersionRecorder()
         self.listed: dict[str, set[str]] = {}
+        # Entries got them with a list, and may use them before the record.
+        self.unrecorded: set[tuple[str, str]] = set()
         self.listed_version = ''
         self.longest_s = DEFAULT_TIMEOUT_S
         self.window_s = 0.0
@@ -48,9 +51,11 @@
         if self.listed_version != self.view.backends_version:
             self.listed_version = self.view.backends_version
             self.listed = decisions.listed_versions(self.view.backends)
+            self.unrecorded.update(_pairs(self.listed))
         recorded = state.service_versions
+        self.unrecorded -= _pairs(recorded)
         listed = {
-            **self.listed,
+            **self._listed_with_unrecorded(),
             **decisions.recorded_routes(recorded, self.route_map),
         }
         versions = self.recorder.next_versions(
@@ -65,6 +70,16 @@
             self.server.replica.propose(messages.encode(command))
             self.server.wakeup.set()
 
+    def _listed_with_unrecorded(self) -> dict[str, set[str]]:
+        """Return the listed versions, and those that left before the record.
+
+        A proposal may take longer than an engine is listed.
+        """
+        listed = {name: set(found) for name, found in self.listed.items()}
+        for service, version in self.unrecorded:
+            listed.setdefault(service, set()).add(version)
+        return listed
+
     def _routed_services(self) -> set[str] | None:
         if self.server.state.route_map is None:
             return None
@@ -96,3 +111,10 @@
         if window_s >= self.window_s or now >= self.window_ends_at:
             self.window_s = window_s
             self.window_ends_at = now + window_s
+
+
+def _pairs(
+    versions: cabc.Mapping[str, cabc.Iterable[str]],
+) -> set[tuple[str, str]]:
+    """Return each service with each of its versions."""
+    return {(name, version) for name in versions for version in versions[name]}
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -250,6 +250,28 @@
     assert versions.window_s == 10.0
 
 
+async def test_a_version_that_left_before_its_record_is_recorded(known):
+    # Guards against streams of a version that no record and no list names.
+    server = test_core.FakeServer()
+    server.wakeup = asyncio.Event()
+    proposals = []
+    server.replica.propose = proposals.append
+    fleet = control.FleetControl(server, 'dc', test_core.FakeBackends())
+    publisher = fleet.leader.versions
+    for number, versions in enumerate((['v1'], ['v1', 'v2'], ['v1'])):
+        backends = [listed(version, version) for version in versions]
+        fleet.view.set_backends(
+            decisions.BackendList.of(backends), f'1.{number + 1}'
+        )
+        publisher.update(number * 0.4)
+    publisher.update(1.2)
+    for command in proposals:
+        server.state.apply(command)
+    assert server.state.service_versions['engines'] == ['v1', 'v2']
+    publisher.update(3.0)
+    assert publisher.unrecorded == set()
+
+
 @pytest.mark.parametrize(('delay_s', 'age_s'), [(0.1, 0.0), (0.8, 0.5)])
 async def test_a_slow_list_is_as_old_as_its_request(delay_s, age_s):
     # Guards against versions that a slow response shows as they were.
