Lists before and after a suspension don't follow one another

Without control an entry counts on lists that follow one another within 3 s to show all versions.

Found by reading, shown with a clock of the test. Change: before each list that an entry reads itself it compares the time since boot with the monotonic time, and counts from anew, with control, after a suspension.

--- a/src/bulrushhold/decisions/_versionhistory.py
+++ b/src/bulrushhold/decisions/_versionhistory.py
@@ -191,6 +191,10 @@
         if read_at - self.complete_at <= MAX_LIST_GAP_S:
             self.complete_at = read_at
 
+    def on_suspended(self) -> None:
+        """Note that lists and news may have been missed for any time."""
+        self.complete_at = float('-inf')
+
     @property
     def known_at(self) -> float:
         """Time up to which all versions that were listed are known here."""
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -34,6 +34,8 @@
 LIST_TIMEOUT_S: t.Final = 1.0
 # Covers a leader election after a cold start of the whole system.
 FIRST_LIST_DELAY_S: t.Final = 0.9
+# Clocks differ by less where the machine was not suspended.
+MIN_SUSPENSION_S: t.Final = 0.1
 # Limit for all entries together while they read the list directly.
 LIST_CALLS_PER_S: t.Final = 12.0
 
@@ -87,6 +89,7 @@
         poison_requests.on_pending = self.load_changed.set
         self.on_change: list[cabc.Callable[[], None]] = []
         self.is_healthy: cabc.Callable[[], bool] = lambda: True
+        self.suspended_s = _suspended_s()
 
     @property
     def map_version(self) -> int:
@@ -422,11 +425,22 @@
                 )
                 continue
             self.backends_version = ''
+            self._check_suspension()
             self._apply_backends(decisions.BackendList.of(backends))
             self.placement.known_versions.on_own_list(
                 min(time.monotonic(), started_at + decisions.LIST_MARGIN_S)
             )
 
+    def _check_suspension(self) -> None:
+        """Note a suspension of the machine, which no monotonic time shows.
+
+        Versions may have come and gone between the lists before and after it.
+        """
+        suspended_s = _suspended_s()
+        if suspended_s - self.suspended_s > MIN_SUSPENSION_S:
+            self.placement.known_versions.on_suspended()
+        self.suspended_s = suspended_s
+
     # Directory for callers
 
     def addresses(self, limit: int, caller: str = '') -> list[str]:
@@ -459,3 +473,8 @@
         addresses = [entry.callers for entry in candidates]
         random.shuffle(addresses)
         return addresses[:limit]
+
+
+def _suspended_s() -> float:
+    """Return for how long the machine was suspended since it started."""
+    return node.boot_time() - time.monotonic()
--- a/tests/forwarding/test_fleet.py
+++ b/tests/forwarding/test_fleet.py
@@ -254,3 +254,30 @@
     known_versions = fleet.placement.known_versions
     assert known_versions.listed_at <= requested_at - 0.5 + 0.1
     assert known_versions.complete_at <= requested_at + 0.1
+
+
+@pytest.mark.parametrize('suspended_s', [0.0, 60.0])
+async def test_lists_before_and_after_a_suspension_do_not_follow_one_another(
+    fleet, monkeypatch, suspended_s
+):
+    # Guards against versions that came and left while clocks stood still.
+    module = 'bulrushhold.forwarding._fleet'
+    monkeypatch.setattr(f'{module}.FIRST_LIST_DELAY_S', 0.01)
+    known_versions = fleet.placement.known_versions
+    known_versions.on_control_reply(time.monotonic() - 1.0)
+    fetched = asyncio.Event()
+
+    class Listed:
+        async def fetch(self):
+            fetched.set()
+            return []
+
+    fleet.backend_list = Listed()
+    boot_time = node.boot_time
+    monkeypatch.setattr(node, 'boot_time', lambda: boot_time() + suspended_s)
+    polling = asyncio.ensure_future(fleet.poll_backend_list())
+    await fetched.wait()
+    await asyncio.sleep(0.01)
+    polling.cancel()
+    is_complete = known_versions.complete_at > time.monotonic() - 0.9
+    assert is_complete is not bool(suspended_s)
