--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -1,8 +1,8 @@
 """Message transport between processes over ZeroMQ and TCP."""
 
 import asyncio
+import collections
 import collections.abc as cabc
-import contextlib
 import itertools
 import socket
 import typing as t
@@ -22,6 +22,7 @@
 _NO_REPLY: t.Final = b''
 # After this many messages the event loop runs other callbacks.
 MAX_MESSAGES_PER_READ: t.Final = 50
+DROP_LOG_INTERVAL_S: t.Final = 10.0
 UNBIND_TIMEOUT_S: t.Final = 1.0
 UNBIND_CHECK_INTERVAL_S: t.Final = 0.005
 
@@ -56,13 +57,20 @@
         """Whether the socket is closed."""
         return self.socket.closed
 
-    def send(self, frames: list[bytes]) -> None:
-        """Send a message, or drop it if the send queue is full."""
+    def send(self, frames: list[bytes]) -> bool:
+        """Send a message; return ``False`` if it is dropped.
+
+        It is if the send queue is full, or the socket is closed.
+        """
         if self.closed:
-            return
-        with contextlib.suppress(zmq.Again, zmq.ZMQError):
+            return False
+        try:
             self.socket.send_multipart(frames, zmq.DONTWAIT)
-        self._schedule_read()
+        except zmq.ZMQError:
+            return False
+        finally:
+            self._schedule_read()
+        return True
 
     def close(self) -> None:
         """Stop reading and drop queued messages.
@@ -117,6 +125,8 @@
         self.request_ids = itertools.count(1)
         self.tasks: set[asyncio.Task[None]] = set()
         self.sent_bytes = 0
+        self.dropped: collections.Counter[str] = collections.Counter()
+        self.drops_logged_at = float('-inf')
 
     def handle(self, kind: type, handler: ports.Handler) -> None:
         """Call ``handler`` for each message of ``kind``."""
@@ -189,7 +199,20 @@
     def _transmit(self, address: str, request_id: bytes, data: bytes) -> None:
         peer = self.peers.get(address) or self._connect(address)
         self.sent_bytes += len(data) + len(request_id)
-        peer.send([request_id, data])
+        if not peer.send([request_id, data]):
+            self._record_dropped(address)
+
+    def _record_dropped(self, address: str) -> None:
+        self.dropped[address] += 1
+        now = asyncio.get_running_loop().time()
+        if now < self.drops_logged_at + DROP_LOG_INTERVAL_S:
+            return
+        self.drops_logged_at = now
+        for peer, count in self.dropped.items():
+            loguru.logger.bind(peer=peer, messages=count).warning(
+                'messages dropped'
+            )
+        self.dropped.clear()
 
     def _connect(self, address: str) -> _AsyncSocket:
         dealer = self.context.socket(zmq.DEALER)
--- a/tests/test_zmqtransport.py
+++ b/tests/test_zmqtransport.py
@@ -47,6 +47,23 @@
     assert raised.value.reason == 'internal error'
 
 
+async def test_messages_that_are_dropped_show_in_the_log(
+    connected_pair, log_records, monkeypatch
+):
+    # Guards against records that are believed to be sent.
+    module = 'bulrushhold.node._zmqtransport'
+    monkeypatch.setattr(f'{module}.MAX_QUEUED_MESSAGES', 10)
+    (sender, _), _ = connected_pair
+    [port] = testing.free_ports(1)
+    for _ in range(13):
+        sender.send(f'127.0.0.1:{port}', messages.HistoryRead(1))
+    lines = [r for r in log_records if 'messages' in r]
+    assert [(r['peer'], r['messages']) for r in lines] == [
+        (f'127.0.0.1:{port}', 1)
+    ]
+    assert sender.dropped.total() == 2
+
+
 @pytest.mark.parametrize(
     'data',
     [b'', b'\xff', b'\x92\xa4Read\xc0', b'\x91' * 100_000],
