--- a/tests/test_entry_list.py
+++ b/tests/test_entry_list.py
@@ -166,11 +166,11 @@
 
 def test_a_control_process_copies_the_leaders_list():
     leader, follower = make_view(ENTRIES), make_view(version='')
-    follower.update(leader.reply(follower.versions()))
+    follower.update(leader.reply(follower.versions()), 0.0)
     set_entries(leader, overloaded(ENTRIES, 2), '1.2')
     reply = leader.reply(follower.versions())
     assert reply.entries.base
-    follower.update(reply)
+    follower.update(reply, 0.0)
     assert follower.entries == overloaded(ENTRIES, 2)
     assert follower.versions() == leader.versions()
     assert leader.reply(follower.versions()).entries is None
@@ -181,12 +181,12 @@
     base = leader.entries_digest
     set_entries(leader, overloaded(ENTRIES, 2), '1.2')
     known = messages.Known(entries='1.1', entries_digest=base)
-    follower.update(leader.reply(known))
+    follower.update(leader.reply(known), 0.0)
     assert (follower.entries, follower.entries_version) == (
         ENTRIES[1:],
         '1.1',
     )
-    follower.update(leader.reply(follower.versions()))
+    follower.update(leader.reply(follower.versions()), 0.0)
     assert follower.entries == overloaded(ENTRIES, 2)
     assert follower.versions() == leader.versions()
 
@@ -195,6 +195,6 @@
     # Guards against a deposed leader that brings back former entries.
     leader, follower = make_view(ENTRIES, '2.1'), make_view(ENTRIES[1:], '3.1')
     before = follower.versions()
-    follower.update(leader.reply(follower.versions()))
+    follower.update(leader.reply(follower.versions()), 0.0)
     assert follower.entries == ENTRIES[1:]
     assert follower.versions() == before
