--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -20,6 +20,8 @@
 WATCH_BATCH: t.Final = 8
 WATCH_RETRY_S: t.Final = 5.0
 RETRY_INTERVAL_S: t.Final = 0.2
+# Most engines answer sooner, and their streams need no note.
+PENDING_AFTER_S: t.Final = 0.05
 # Time after the list must show a stream's engine to find out its version.
 MAX_DELAY_S: t.Final = 2.0
 
@@ -119,15 +121,6 @@
             engine.ident, self._listed_at(), self.unix_clock()
         )
 
-    def _is_known(self, engine: decisions.BackendServer) -> bool:
-        """Return whether the list described the engine when last asked."""
-        if self.ask_again_at.get(engine.ident) == float('inf'):
-            # It states no start.
-            return True
-        return self.placement.incarnations.is_listed(
-            engine.ident, self._listed_at(), self.unix_clock()
-        )
-
     def _known_since(self, engine: decisions.BackendServer) -> float:
         """Return since when an engine's process is known to be the same."""
         start = self.placement.incarnations.starts.get(engine.ident)
@@ -157,14 +150,37 @@
             without interruption.
         :param on_pending: is called once if the version isn't known at once,
             with the time in seconds within which it will be or never. It is
-            called before the engine is asked if only a list can tell, as the
-            stream may be resumed elsewhere meanwhile.
+            called while a slow engine is being asked, as the stream may be
+            resumed elsewhere meanwhile.
         """
         incarnations = self.placement.incarnations
         latest = began_at + incarnations.max_lag_s + MAX_DELAY_S
-        is_pending = not self._is_known(engine)
-        if is_pending:
-            on_pending(latest - self.clock())
+        is_pending = False
+
+        def note_pending() -> None:
+            nonlocal is_pending
+            if not is_pending:
+                is_pending = True
+                on_pending(latest - self.clock())
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(PENDING_AFTER_S, note_pending)
+        try:
+            return await self._find_version(
+                engine, began_at, latest, is_running, note_pending
+            )
+        finally:
+            timer.cancel()
+
+    async def _find_version(
+        self,
+        engine: decisions.BackendServer,
+        began_at: float,
+        latest: float,
+        is_running: cabc.Callable[[], bool],
+        note_pending: cabc.Callable[[], None],
+    ) -> str | None:
+        incarnations = self.placement.incarnations
         while True:
             if await self.runs_listed_version(engine) and (
                 is_running() or self._known_since(engine) <= began_at
@@ -179,7 +195,5 @@
                 return listed.version if is_same or is_running() else None
             if self.clock() >= latest:
                 return None
-            if not is_pending:
-                is_pending = True
-                on_pending(latest - self.clock())
+            note_pending()
             await asyncio.sleep(RETRY_INTERVAL_S)
