A caller without time for a pending origin is told to come back

The homes had answered, but the record may still follow. It is refused with Retry-After now. test_a_caller_without_time_for_a_pending_origin_may_come_back fails on.

--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -148,24 +148,27 @@
 ) -> _origins.OriginFinding:
     finding = await _find_record(context, job)
     services = _services(job)
-    # One that is pending may name a version that isn't known here.
-    is_settled = finding.origin is not None or finding.pending_s > 0
-    if is_settled or len(services) != 1:
+    if finding.origin is not None:
+        return finding
+    if finding.pending_s > 0:
+        # It may name a version that isn't known here.
+        return attrs.evolve(finding, conclusive=False)
+    if len(services) != 1 or _has_several_versions(context, *services):
         return finding
     [service] = services
+    since = context.placement.incarnations.shown_from(arrived_at)
+    is_current = await _wait_for_versions(context, job, service, since)
     known_versions = context.placement.known_versions
-    if not _may_be_several(context, service):
-        since = context.placement.incarnations.shown_from(arrived_at)
-        is_current = await _wait_for_versions(context, job, service, since)
-        version = known_versions.only_version(service, since)
-        if version and not known_versions.may_begin_elsewhere(job.route):
-            origin = messages.StreamOrigin(b'', service, version, 0.0)
-            return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
-        if not is_current:
-            return attrs.evolve(finding, conclusive=False)
-        # Another version has come meanwhile, and the record may have, too.
-        finding = await _find_record(context, job)
-    return finding
+    version = known_versions.only_version(service, since)
+    if version is not None and not known_versions.may_begin_elsewhere(
+        job.route
+    ):
+        origin = messages.StreamOrigin(b'', service, version, 0.0)
+        return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
+    if not is_current:
+        return attrs.evolve(finding, conclusive=False)
+    # Another version has come meanwhile, and the record may have, too.
+    return await _find_record(context, job)
 
 
 async def _find_record(
@@ -176,7 +179,9 @@
     return await context.origins.find(_key(job, job.call.resumes))
 
 
-def _may_be_several(context: _context.ForwardingContext, service: str) -> bool:
+def _has_several_versions(
+    context: _context.ForwardingContext, service: str
+) -> bool:
     """Return whether a service is known to have several versions now."""
     known_versions = context.placement.known_versions
     since = context.clock() - MAX_VERSIONS_AGE_S
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -205,6 +205,17 @@
     assert not client.attempts
 
 
+async def test_a_caller_without_time_for_a_pending_origin_may_come_back(
+    forwarder, context
+):
+    # Guards against a refusal that tells callers not to come back.
+    key = decisions.origin_key('', 'h', '/a/x', 'req-1')
+    context.origins.record_pending(messages.PendingOrigin(key, 9.0))
+    call = attrs.evolve(make_call('req-2', 2, 'req-1'), timeout_s=0.3)
+    error = await refusal(forwarder, call)
+    assert error.retry_after
+
+
 async def test_an_unknown_version_is_asked_for_again_if_a_home_was_silent(
     forwarder, context
 ):
