--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -34,6 +34,8 @@
 LIST_TIMEOUT_S: t.Final = 1.0
 # Covers a leader election after a cold start of the whole system.
 FIRST_LIST_DELAY_S: t.Final = 0.9
+# Clocks differ by less where the machine was not suspended.
+MIN_SUSPENSION_S: t.Final = 0.1
 # Limit for all entries together while they read the list directly.
 LIST_CALLS_PER_S: t.Final = 12.0
 
@@ -87,6 +89,7 @@
         poison_requests.on_pending = self.load_changed.set
         self.on_change: list[cabc.Callable[[], None]] = []
         self.is_healthy: cabc.Callable[[], bool] = lambda: True
+        self.suspended_s = _suspended_s()
 
     @property
     def map_version(self) -> int:
@@ -189,6 +192,7 @@
         if address != self.control_address:
             # Summary numbers are local to each control process.
             self.summary_number = 0
+        requested_at = time.monotonic()
         reply = await self.transport.request(
             address, self._poll_request(), LONG_POLL_S + REPLY_MARGIN_S
         )
@@ -205,7 +209,7 @@
             # It may have restarted.
             self.poison_requests.report_all_blocks()
             self.load_changed.set()
-        self._apply_reply(reply)
+        self._apply_reply(reply, requested_at)
         return True
 
     def _poll_request(self) -> messages.Watch:
@@ -226,15 +230,27 @@
             self.summary_number,
         )
 
-    def _apply_reply(self, reply: messages.WatchReply) -> None:
+    def _apply_reply(
+        self, reply: messages.WatchReply, requested_at: float | None = None
+    ) -> None:
+        """Apply a reply of control.
+
+        :param requested_at: when it was requested, now if not given. A reply
+            that has waited while this process was paused must not count as
+            new.
+        """
+        now = time.monotonic()
+        sent_at = now if requested_at is None else requested_at + reply.held_s
         self._apply_rollouts(reply)
         if messages.is_newer(reply.versions_version, self.versions_version):
             self.versions_version = reply.versions_version
             self.placement.known_versions.recorded = reply.versions or {}
         if reply.route_map is not None:
             self._apply_map(messages.unpack_map(reply.route_map))
-        self._apply_list(reply)
-        self.placement.known_versions.on_control_reply(time.monotonic())
+        self._apply_list(reply, sent_at)
+        self.placement.known_versions.on_control_reply(
+            sent_at - reply.versions_age_s
+        )
         self._apply_entries(reply)
         if reply.nodes is not None:
             self.nodes_version = reply.nodes_version
@@ -273,14 +289,14 @@
                 ],
             )
 
-    def _apply_list(self, reply: messages.WatchReply) -> None:
+    def _apply_list(self, reply: messages.WatchReply, sent_at: float) -> None:
         """Apply the backend list unless it is older than the current one.
 
         A control process without contact to the leader could otherwise bring
         back removed engines.
         """
         version = reply.backends_version
-        read_at = time.monotonic() - reply.backends_age_s
+        read_at = sent_at - reply.backends_age_s
         if reply.backends is not None and (
             not messages.is_newer(self.backends_version, version)
             if self.backends_version
@@ -416,11 +432,22 @@
                 )
                 continue
             self.backends_version = ''
+            self._check_suspension()
             self._apply_backends(decisions.BackendList.of(backends))
             self.placement.known_versions.on_own_list(
                 min(time.monotonic(), started_at + decisions.LIST_MARGIN_S)
             )
 
+    def _check_suspension(self) -> None:
+        """Note a suspension of the machine, which no monotonic time shows.
+
+        Versions may have come and gone between the lists before and after it.
+        """
+        suspended_s = _suspended_s()
+        if suspended_s - self.suspended_s > MIN_SUSPENSION_S:
+            self.placement.known_versions.on_suspended()
+        self.suspended_s = suspended_s
+
     # Directory for callers
 
     def addresses(self, limit: int, caller: str = '') -> list[str]:
@@ -453,3 +480,8 @@
         addresses = [entry.callers for entry in candidates]
         random.shuffle(addresses)
         return addresses[:limit]
+
+
+def _suspended_s() -> float:
+    """Return for how long the machine was suspended since it started."""
+    return node.boot_time() - time.monotonic()
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -1,6 +1,7 @@
 """Finds the service and the version for streams that callers resume."""
 
 import asyncio
+import math
 import typing as t
 
 import attrs
@@ -14,6 +15,10 @@
 # Kept for longer than a caller waits for its stream.
 LIFETIME_MARGIN_S: t.Final = 5.0
 MAX_LIFETIME_S: t.Final = 120.0
+# Covers the lag of the platform's list, a slow answer and an election.
+MAX_VERSIONS_WAIT_S: t.Final = 3.5
+# Several versions that were known then are refused without a wait.
+MAX_VERSIONS_AGE_S: t.Final = 3.0
 ONLY_VERSION: t.Final = 'only version'
 
 
@@ -28,11 +33,14 @@
     :param ident: id of the call that brought its first event.
     """
     lifetime_s = min(job.call.timeout_s, MAX_LIFETIME_S) + LIFETIME_MARGIN_S
-    context.origins.record(
+    homes = context.origins.record(
         messages.StreamOrigin(
             _key(job, ident), job.service, version, lifetime_s
         )
     )
+    _context.log(
+        job, 'origin recorded', began=ident, version=version, homes=homes
+    )
 
 
 def record_pending_origin(
@@ -46,9 +54,16 @@
     :param ident: id of the call that brought its first event.
     :param pending_s: time within which it may be; 0 if it never will.
     """
-    context.origins.record_pending(
+    homes = context.origins.record_pending(
         messages.PendingOrigin(_key(job, ident), pending_s)
     )
+    _context.log(
+        job,
+        'origin pending',
+        began=ident,
+        pending_s=round(pending_s, 3),
+        homes=homes,
+    )
 
 
 async def resolve(
@@ -66,6 +81,7 @@
     context.metrics.count('streams.taken_up')
     finding = await _find_with_pending(context, job)
     origin = finding.origin
+    now, known_versions = context.clock(), context.placement.known_versions
     _context.log(
         job,
         'stream taken up',
@@ -77,6 +93,9 @@
         age_s=round(finding.age_s, 3),
         asked=finding.asked,
         answered=finding.answered,
+        pending_s=round(finding.pending_s, 3),
+        list_age_s=_age_s(known_versions.listed_at, now),
+        control_age_s=_age_s(known_versions.complete_at, now),
     )
     if origin is None:
         raise _refusal(
@@ -115,8 +134,9 @@
 
     A caller that is refused instead may have no retry left.
     """
+    arrived_at = context.clock()
     while True:
-        finding = await _find(context, job)
+        finding = await _find(context, job, arrived_at)
         until = min(job.deadline, context.clock() + finding.pending_s)
         if finding.origin is not None or context.clock() >= until:
             return finding
@@ -124,41 +144,77 @@
 
 
 async def _find(
-    context: _context.ForwardingContext, job: _context.Job
+    context: _context.ForwardingContext, job: _context.Job, arrived_at: float
 ) -> _origins.OriginFinding:
-    finding = _origins.OriginFinding()
-    if job.call.resumes:
-        finding = await context.origins.find(_key(job, job.call.resumes))
+    finding = await _find_record(context, job)
     services = _services(job)
-    if finding.origin is not None or len(services) != 1:
+    if finding.origin is not None:
+        return finding
+    if finding.pending_s > 0:
+        # It may name a version that isn't known here.
+        return attrs.evolve(finding, conclusive=False)
+    if len(services) != 1 or _has_several_versions(context, *services):
         return finding
     [service] = services
-    is_current = await _wait_for_versions(context, service)
+    since = context.placement.incarnations.shown_from(arrived_at)
+    is_current = await _wait_for_versions(context, job, service, since)
     known_versions = context.placement.known_versions
-    version = known_versions.only_version(service, context.clock())
-    if version is None or known_versions.may_begin_elsewhere(job.route):
-        conclusive = finding.conclusive and is_current
-        return attrs.evolve(finding, conclusive=conclusive)
-    origin = messages.StreamOrigin(b'', service, version, 0.0)
-    return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
+    version = known_versions.only_version(service, since)
+    if version is not None and not known_versions.may_begin_elsewhere(
+        job.route
+    ):
+        origin = messages.StreamOrigin(b'', service, version, 0.0)
+        return attrs.evolve(finding, origin=origin, source=ONLY_VERSION)
+    if not is_current:
+        return attrs.evolve(finding, conclusive=False)
+    # Another version has come meanwhile, and the record may have, too.
+    return await _find_record(context, job)
 
 
-async def _wait_for_versions(
+async def _find_record(
+    context: _context.ForwardingContext, job: _context.Job
+) -> _origins.OriginFinding:
+    if not job.call.resumes:
+        return _origins.OriginFinding()
+    return await context.origins.find(_key(job, job.call.resumes))
+
+
+def _has_several_versions(
     context: _context.ForwardingContext, service: str
+) -> bool:
+    """Return whether a service is known to have several versions now."""
+    known_versions = context.placement.known_versions
+    since = context.clock() - MAX_VERSIONS_AGE_S
+    is_current = known_versions.is_current(service, since)
+    return is_current and len(known_versions.all_versions(service)) > 1
+
+
+async def _wait_for_versions(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    service: str,
+    since: float,
 ) -> bool:
     """Wait until the versions of a service are known; return whether.
 
     A caller that is refused instead may have no retry left.
+
+    :param since: see :meth:`decisions.KnownVersions.is_current`.
     """
     versions = context.placement.known_versions
-    deadline = context.clock() + _origins.MAX_SEARCH_S
-    while not versions.is_current(service, context.clock()):
+    deadline = min(job.deadline, context.clock() + MAX_VERSIONS_WAIT_S)
+    while not versions.is_current(service, since):
         if context.clock() >= deadline:
             return False
         await asyncio.sleep(_origins.SEARCH_INTERVAL_S)
     return True
 
 
+def _age_s(since: float, now: float) -> float | None:
+    """Return an age in seconds; ``None``, as JSON has no infinity."""
+    return round(now - since, 3) if math.isfinite(since) else None
+
+
 def _services(job: _context.Job) -> set[str]:
     return decisions.stream_services(job.route)
 
--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -20,6 +20,8 @@
 WATCH_BATCH: t.Final = 8
 WATCH_RETRY_S: t.Final = 5.0
 RETRY_INTERVAL_S: t.Final = 0.2
+# Most engines answer sooner, and their streams need no note.
+PENDING_AFTER_S: t.Final = 0.05
 # Time after the list must show a stream's engine to find out its version.
 MAX_DELAY_S: t.Final = 2.0
 
@@ -147,11 +149,38 @@
         :param is_running: whether the engine has sent events since then
             without interruption.
         :param on_pending: is called once if the version isn't known at once,
-            with the time in seconds within which it will be or never.
+            with the time in seconds within which it will be or never. It is
+            called while a slow engine is being asked, as the stream may be
+            resumed elsewhere meanwhile.
         """
         incarnations = self.placement.incarnations
         latest = began_at + incarnations.max_lag_s + MAX_DELAY_S
         is_pending = False
+
+        def note_pending() -> None:
+            nonlocal is_pending
+            if not is_pending:
+                is_pending = True
+                on_pending(latest - self.clock())
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(PENDING_AFTER_S, note_pending)
+        try:
+            return await self._find_version(
+                engine, began_at, latest, is_running, note_pending
+            )
+        finally:
+            timer.cancel()
+
+    async def _find_version(
+        self,
+        engine: decisions.BackendServer,
+        began_at: float,
+        latest: float,
+        is_running: cabc.Callable[[], bool],
+        note_pending: cabc.Callable[[], None],
+    ) -> str | None:
+        incarnations = self.placement.incarnations
         while True:
             if await self.runs_listed_version(engine) and (
                 is_running() or self._known_since(engine) <= began_at
@@ -166,7 +195,5 @@
                 return listed.version if is_same or is_running() else None
             if self.clock() >= latest:
                 return None
-            if not is_pending:
-                is_pending = True
-                on_pending(latest - self.clock())
+            note_pending()
             await asyncio.sleep(RETRY_INTERVAL_S)
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bulrushhold import control
+from bulrushhold.control import _clusterview
 from bulrushhold import decisions
 from bulrushhold import messages
 from bulrushhold import routes
@@ -102,11 +103,45 @@
     assert known.known_versions.only_version('engines', 10.0) is None
 
 
+@pytest.mark.parametrize(
+    ('recorded', 'used'),
+    [
+        (['v1'], {'v1'}),
+        (['v1', 'v2'], {'v1', 'v2'}),
+        (['v0'], {'v1', 'v2'}),
+        ([], {'v1', 'v2'}),
+    ],
+)
+def test_an_entry_that_starts_withholds_what_is_not_recorded(recorded, used):
+    # Guards against a version that one entry uses before others know of it.
+    placement = decisions.Placement(random.Random(1))
+    placement.known_versions.recorded = {'engines': recorded}
+    placement.update([listed('i1', 'v1'), listed('i2', 'v2')])
+    usable = placement.usable('engines')
+    assert {backend.version for backend in usable} == used
+
+
 def test_an_outdated_list_tells_nothing(known):
     # Guards against an entry that is cut off and guesses.
     assert known.known_versions.only_version('engines', 13.1) is None
 
 
+@pytest.mark.parametrize('newer', ['listed_at', 'complete_at'])
+def test_versions_known_before_a_stream_could_begin_tell_nothing(known, newer):
+    # Guards against an entry that was paused and trusts what it knew before.
+    setattr(known.known_versions, newer, 12.0)
+    assert known.known_versions.only_version('engines', 10.0) == 'v1'
+    assert known.known_versions.only_version('engines', 10.1) is None
+
+
+def test_control_that_is_behind_confirms_no_versions(known):
+    # Guards against a process without the leader whose history is old.
+    known.known_versions.listed_at = 12.0
+    known.known_versions.on_control_reply(9.0)
+    assert known.known_versions.only_version('engines', 10.0) == 'v1'
+    assert known.known_versions.only_version('engines', 11.0) is None
+
+
 def test_a_version_that_came_and_left_without_control_counts(known):
     # Guards against an entry that is cut off and guesses from its last list.
     for now, versions in ((12.0, ['v1', 'v2']), (14.0, ['v1'])):
@@ -114,6 +149,7 @@
         known.known_versions.on_own_list(now)
     assert known.known_versions.only_version('engines', 14.0) is None
     known.known_versions.on_control_reply(15.0)
+    known.known_versions.listed_at = 15.0
     assert known.known_versions.only_version('engines', 15.0) == 'v1'
 
 
@@ -214,6 +250,28 @@
     assert versions.window_s == 10.0
 
 
+async def test_a_version_that_left_before_its_record_is_recorded(known):
+    # Guards against streams of a version that no record and no list names.
+    server = test_core.FakeServer()
+    server.wakeup = asyncio.Event()
+    proposals = []
+    server.replica.propose = proposals.append
+    fleet = control.FleetControl(server, 'dc', test_core.FakeBackends())
+    publisher = fleet.leader.versions
+    for number, versions in enumerate((['v1'], ['v1', 'v2'], ['v1'])):
+        backends = [listed(version, version) for version in versions]
+        fleet.view.set_backends(
+            decisions.BackendList.of(backends), f'1.{number + 1}'
+        )
+        publisher.update(number * 0.4)
+    publisher.update(1.2)
+    for command in proposals:
+        server.state.apply(command)
+    assert server.state.service_versions['engines'] == ['v1', 'v2']
+    publisher.update(3.0)
+    assert publisher.unrecorded == set()
+
+
 @pytest.mark.parametrize(('delay_s', 'age_s'), [(0.1, 0.0), (0.8, 0.5)])
 async def test_a_slow_list_is_as_old_as_its_request(delay_s, age_s):
     # Guards against versions that a slow response shows as they were.
@@ -232,6 +290,23 @@
     assert now[0] - read_at == pytest.approx(age_s)
 
 
+def test_a_view_is_as_old_as_its_request():
+    # Guards against a reply that has waited while its receiver was paused.
+    now = [100.0]
+    leader = _clusterview.ClusterView(lambda: now[0])
+    leader.set_backends(decisions.BackendList.of([listed('i1', 'v1')]), '1.1')
+    leader.backends_read_at = 99.0
+    leader.update_versions({'engines': ['v1']}, 1)
+    view = _clusterview.ClusterView(lambda: now[0])
+    reply = leader.reply(view.versions())
+    requested_at = now[0]
+    now[0] += 5.0
+    view.update(reply, requested_at)
+    reply = view.reply(messages.Known())
+    assert reply.backends_age_s == 6.0
+    assert reply.versions_age_s == 5.0
+
+
 async def test_entries_learn_the_recorded_versions(fleet):
     for entry in fleet.entries.values():
         known = entry.placement.known_versions
