Engines that answer again count at all entries, not only where they were lost

Cause: an entry reports a loss to all others, but the end of a silence was known only to the entry that had a stream at the engine.

Of the entries that are ready and reach all services, three probe each engine that others report as lost (spread over data centres, the same three at all entries), and whoever finds that one answers reports this through control, as does the entry that left it as silent. The others end its probation then. An entry that has lost an engine itself keeps it: it may be cut off. A loss and an answer that control passes on are ordered by arrival, and a loss that a process sends again until it is acknowledged doesn't undo an answer. The field isn't encoded where there is nothing to report.

Not covered: a second loss within 1 s of the first one, with an answer between, reaches nobody else; they meet it themselves. What it costs control in bytes at 390 entries isn't measured.

--- a/src/bulrushhold/control/_watch.py
+++ b/src/bulrushhold/control/_watch.py
@@ -150,6 +150,12 @@
                 replaced=report.replaced,
                 by=report.entry,
             )
+        if report.answering:
+            node.log_decision(
+                'lost engines answer',
+                engines=report.answering,
+                by=report.entry,
+            )
         for limit in report.limits:
             node.log_decision(
                 'server limit reported',
--- a/src/bulrushhold/decisions/_backendpool.py
+++ b/src/bulrushhold/decisions/_backendpool.py
@@ -15,6 +15,7 @@
 from bulrushhold.decisions import _incarnations
 from bulrushhold.decisions import _reachability
 from bulrushhold.decisions import _rejections
+from bulrushhold.decisions import _reportedlosses
 from bulrushhold.decisions import _serverdemands
 from bulrushhold.decisions import _serverspeeds
 from bulrushhold.decisions import _usableservers
@@ -55,6 +56,7 @@
     :ivar capacity: memory of one engine in tokens, by service.
     :ivar lost: listed servers that were lost within ``PROBATION_S``, and
         earlier ones until the next look.
+    :ivar reported_losses: those of them that only other entries have met.
     :ivar cached_prompts: the prompts that engines have read.
     :ivar verification: which servers have shown that they are ones.
     """
@@ -83,6 +85,7 @@
         self.backends: dict[str, _backendserver.BackendServer] = {}
         self.services: dict[str, list[_backendserver.BackendServer]] = {}
         self.lost: list[_backendserver.BackendServer] = []
+        self.reported_losses = _reportedlosses.ReportedLosses()
         self.usable_cache = _usableservers.UsableCache()
         self.replaced_idents: set[str] = set()
         self.data_centre_failures = _datacentrefailures.DataCentreFailures()
@@ -120,6 +123,7 @@
         self.replaced_idents &= backends.keys()
         for ident in self.silent_since.keys() - backends.keys():
             del self.silent_since[ident]
+        self.reported_losses.retain(backends.keys())
         self.demands.retain(backends.keys())
         self.rejections.retain(backends.keys())
         self.verification.retain(backends.keys())
@@ -324,6 +328,7 @@
         self.verification.record_failure(ident, now, unreachable=unreachable)
         self._sample_failure(backend, 1.0, now)
         if unreachable:
+            self.reported_losses.record_own(ident)
             if backend.ejected_until <= now:
                 self.pending_losses.append(ident)
                 self.on_load_change()
@@ -340,14 +345,46 @@
         backend = self.backends.get(ident)
         if since is None or backend is None:
             return
+        is_published = ident not in self.pending_losses
+        if is_published and now - backend.lost_at < PROBATION_S:
+            self._publish_answer(ident)
+        self._clear_loss(backend)
+        self.on_answering_again(ident, now - since)
+
+    def reported_to_probe(self, entry: str, now: float) -> list[str]:
+        """Return the servers lost at others that an entry has to probe."""
+        reported = self.reported_losses.to_probe(entry, now - PROBATION_S)
+        return [i for i in reported if i not in self.silent_since]
+
+    def record_reported_answer(self, ident: str) -> None:
+        """Record that a server that others reported as lost has answered."""
+        if self._clear_reported_loss(ident):
+            self._publish_answer(ident)
+
+    def _publish_answer(self, ident: str) -> None:
+        self.reported_losses.publish_answer(ident)
+        self.on_load_change()
+
+    def _clear_reported_loss(self, ident: str) -> bool:
+        """Forget a loss that others have reported.
+
+        :return: whether there was one that this entry hasn't met itself.
+        """
+        backend = self.backends.get(ident)
+        if backend is None or ident not in self.reported_losses.lost_at:
+            return False
+        self._clear_loss(backend)
+        return True
+
+    def _clear_loss(self, backend: _backendserver.BackendServer) -> None:
         backend.lost_at = float('-inf')
         backend.ejected_until = 0.0
         self.losses.record_alive(backend.address)
-        if ident in self.pending_losses:
-            self.pending_losses.remove(ident)
+        if backend.ident in self.pending_losses:
+            self.pending_losses.remove(backend.ident)
         location = (backend.service, backend.data_centre)
-        self.data_centre_failures.remove(location, ident)
-        self.on_answering_again(ident, now - since)
+        self.data_centre_failures.remove(location, backend.ident)
+        self.reported_losses.discard(backend.ident)
 
     def _addresses_at(self, location: tuple[str, str]) -> list[str]:
         service, data_centre = location
@@ -386,11 +423,7 @@
         for backend in self.services.get(service, ()):
             if backend.lost_at < since:
                 continue
-            backend.lost_at = float('-inf')
-            backend.ejected_until = 0.0
-            self.losses.record_alive(backend.address)
-            if backend.ident in self.pending_losses:
-                self.pending_losses.remove(backend.ident)
+            self._clear_loss(backend)
             location = (backend.service, backend.data_centre)
             self.data_centre_failures.forget(location)
 
@@ -471,6 +504,7 @@
             limits=self.demands.limits.take_unreported(now),
             samples=self.server_speeds.slowness.take_unreported(loads),
             failures=self.server_speeds.failures.take_unreported(now),
+            answering=self.reported_losses.take_answers(),
         )
 
     def _apply_engines(self, summary: messages.LoadSummary) -> None:
@@ -493,6 +527,9 @@
         self.pending_losses = report.lost + self.pending_losses
         self.pending_replaced = report.replaced + self.pending_replaced
         self.demands.limits.requeue(report.limits)
+        for ident in report.answering or ():
+            if ident not in self.pending_losses:
+                self.reported_losses.publish_answer(ident)
 
     def confirm_loads(self, now: float) -> None:
         """Record that the load of other entries hasn't changed."""
@@ -516,7 +553,12 @@
             if backend is None or backend.ejected_until > now:
                 continue
             self.verification.record_failure(ident, now, unreachable=True)
+            was_lost = now - backend.lost_at < PROBATION_S
+            if not was_lost or ident in self.reported_losses.lost_at:
+                self.reported_losses.record(ident, now)
             self._eject(backend, now)
+        for ident in summary.answering or ():
+            self._clear_reported_loss(ident)
         for ident in summary.replaced:
             if ident not in self.replaced_idents:
                 self.replaced_idents.add(ident)
--- a/src/bulrushhold/decisions/_loadaggregator.py
+++ b/src/bulrushhold/decisions/_loadaggregator.py
@@ -174,7 +174,6 @@
         if not report.urgent:
             return False
         self.expire(now)
-        existing = {event.key for event in self.events}
         events = [
             *(
                 _loadevents.Event(self.number, now, local, lost=ident)
@@ -188,8 +187,16 @@
                 _loadevents.Event(self.number, now, local, crash=crash)
                 for crash in report.crashes
             ),
+            *(
+                _loadevents.Event(self.number, now, local, answering=ident)
+                for ident in report.answering or ()
+            ),
+        ]
+        new_events = [
+            event
+            for event in events
+            if not _loadevents.is_repeated(event, self.events)
         ]
-        new_events = [event for event in events if event.key not in existing]
         new_events += [
             _loadevents.Event(self.number, now, local, limit=limit)
             for limit in report.limits
@@ -265,10 +272,11 @@
                 if engine_load != _loadtotals.NO_LOAD
             }
         events = [event for event in self.events if event.number > since]
+        lost, answering = _loadevents.losses_and_answers(events)
         return messages.LoadSummary(
             self.number,
             engines,
-            [event.lost for event in events if event.lost],
+            lost,
             [event.replaced for event in events if event.replaced],
             traffic,
             [e.crash_now(now) for e in events if e.crash is not None],
@@ -280,6 +288,7 @@
             [b.now(now) for b in self.blocks.values() if b.number > since],
             self.slowness.changed_since(since),
             self.failures.others_since(entry, since, now),
+            answering,
         )
 
     def node_load(self, now: float) -> messages.NodeLoad:
@@ -292,6 +301,7 @@
         ]
         since = min(acknowledged, default=0)
         events = [e for e in self.events if e.local and e.number > since]
+        lost, answering = _loadevents.losses_and_answers(events)
         return messages.NodeLoad(
             self.node,
             self.data_centre,
@@ -301,7 +311,7 @@
             messages.LoadReport(
                 self.node,
                 self.local.changed_since(since),
-                [event.lost for event in events if event.lost],
+                lost,
                 [event.replaced for event in events if event.replaced],
                 self.local.traffic,
                 [e.crash_now(now) for e in events if e.crash is not None],
@@ -315,6 +325,7 @@
                 ],
                 self.slowness.sums_since(since, now),
                 self.failures.sums_since(since, now),
+                answering,
             ),
             {
                 address: (node.incarnation, node.received)
--- a/src/bulrushhold/emulator/_system.py
+++ b/src/bulrushhold/emulator/_system.py
@@ -248,6 +248,9 @@
                 _Entry(name, f'dc{number % 3}', self, make_client(name))
             )
         for entry in self.entries:
+            entry.placement.reported_losses.entries = [
+                other.name for other in self.entries
+            ]
             entry.budget.update_entries(
                 count, asyncio.get_running_loop().time()
             )
--- a/src/bulrushhold/forwarding/_fleet.py
+++ b/src/bulrushhold/forwarding/_fleet.py
@@ -244,6 +244,7 @@
             if listed is not None:
                 self.listed_entries = listed
                 self.entries_version = version
+                self.placement.reported_losses.entries = _probers(self.entries)
                 return
             # The next poll requests the full list.
             self.listed_entries = self.listed_entries.without_digest()
@@ -446,3 +447,11 @@
         addresses = [entry.callers for entry in candidates]
         random.shuffle(addresses)
         return addresses[:limit]
+
+
+def _probers(entries: list[messages.ListedEntry]) -> list[str]:
+    """Return the entries that probe engines which others have lost."""
+    able = [e for e in entries if e.ready and not e.unreachable]
+    probers = able or entries
+    ordered = sorted(probers, key=lambda e: (e.data_centre, e.name))
+    return [entry.name for entry in ordered]
--- a/src/bulrushhold/messages/_loads.py
+++ b/src/bulrushhold/messages/_loads.py
@@ -119,10 +119,12 @@
 
 
 FailureSamples = dict[str, FailureSample] | msgspec.UnsetType
+Idents = list[str] | msgspec.UnsetType
+_Collection = t.TypeVar('_Collection')
 
 
-def _omit_empty(samples: FailureSamples) -> FailureSamples:
-    return samples or msgspec.UNSET
+def _omit_empty(items: _Collection) -> _Collection | msgspec.UnsetType:
+    return items or msgspec.UNSET
 
 
 def _failures_field() -> t.Any:
@@ -133,6 +135,11 @@
     return attrs.field(default=msgspec.UNSET, converter=_omit_empty)
 
 
+def _answering_field() -> t.Any:
+    """Return a field that isn't encoded where no engine answers again."""
+    return attrs.field(default=msgspec.UNSET, converter=_omit_empty)
+
+
 @attrs.frozen
 class ServerLimit:
     """The request limit of a backend server, which holds for all entries.
@@ -162,6 +169,8 @@
     :param blocks: blocks of requests since the previous report.
     :param samples: speed of single engines since the previous report.
     :param failures: attempts at plain servers since the previous report.
+    :param answering: engines that were reported as lost, and have answered
+        since the previous report.
     """
 
     entry: str
@@ -176,6 +185,7 @@
     blocks: list[RequestBlock] = attrs.field(factory=list)
     samples: dict[str, SpeedSample] = attrs.field(factory=dict)
     failures: FailureSamples = _failures_field()
+    answering: Idents = _answering_field()
 
     @property
     def urgent(self) -> bool:
@@ -186,6 +196,7 @@
             or self.crashes
             or self.limits
             or self.blocks
+            or self.answering
         )
 
 
@@ -239,6 +250,8 @@
         its service; engines whose value has changed.
     :param failures: by plain server, the attempts of all other entries;
         servers whose share of failures has changed.
+    :param answering: engines that were lost, and have answered since the
+        number given in the request; none of those in ``lost``.
     """
 
     number: int
@@ -255,3 +268,4 @@
     blocks: list[RequestBlock] = attrs.field(factory=list)
     slowness: dict[str, float] = attrs.field(factory=dict)
     failures: FailureSamples = _failures_field()
+    answering: Idents = _answering_field()
--- a/tests/emulator/test_silences.py
+++ b/tests/emulator/test_silences.py
@@ -34,3 +34,33 @@
 def test_streams_wait_where_all_engines_are_silent(seed):
     """Guards against streams that are lost, or read anew, for a silence."""
     assert emulator.run(simulate(seed)) == (0, 0)
+
+
+async def lost_after_silence(seed):
+    """Return the engines that count as lost at all entries, by second."""
+    profiles = [emulator.EngineProfile()] * ENGINES
+    system = emulator.System(profiles, ENTRIES, seed)
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    for engine in list(system.engines.values())[::2]:
+        loop.call_later(4.0, engine.fall_silent, SILENT_S)
+    lost = {}
+
+    def count(second):
+        lost[second] = sum(
+            len(entry.placement.recently_lost(loop.time()))
+            for entry in system.entries
+        )
+
+    for second in (5.4, 6.5):
+        loop.call_at(started_at + second, count, second)
+    await system.simulate(WORKLOAD)
+    return lost
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_engines_count_again_everywhere_within_a_second(seed):
+    # Guards against engines that stay on probation where nobody tried them.
+    lost = emulator.run(lost_after_silence(seed))
+    assert lost[5.4] > ENTRIES
+    assert lost[6.5] == 0
--- a/tests/forwarding/test_entry_list_updates.py
+++ b/tests/forwarding/test_entry_list_updates.py
@@ -122,3 +122,17 @@
     poll(fleet, make_view(ENTRIES, '2.1'))
     poll(fleet, make_view(ENTRIES[1:], '1.9'))
     assert (fleet.entries, fleet.entries_version) == (ENTRIES, '2.1')
+
+
+async def test_lost_engines_are_probed_by_entries_that_reach_them(fleet):
+    entries = [
+        attrs.evolve(ENTRIES[0], ready=False),
+        attrs.evolve(ENTRIES[1], data_centre='dc2'),
+        attrs.evolve(ENTRIES[2], unreachable=('s',)),
+        attrs.evolve(ENTRIES[3], data_centre='dc1'),
+    ]
+    losses = fleet.placement.reported_losses
+    poll(fleet, make_view(entries, '1.1'))
+    assert losses.entries == ['e03', 'e01']
+    poll(fleet, make_view(entries[:1], '1.2'))
+    assert losses.entries == ['e00']
