An exit that cuts generations leaves their successors time to ask it

The exiting entry had closed its connections to peers right after the error event; its successor asks it as a home of the key and of copies.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -21,6 +21,8 @@
 EXIT_GRACE_S: t.Final = 5.0
 # Enough to write the answers to the requests that are left.
 SHUTDOWN_TIMEOUT_S: t.Final = 2.0
+# Time in which other entries take over the generations that the exit has cut.
+TAKE_OVER_S: t.Final = 3.0
 
 
 class EntryProcess:
@@ -183,12 +185,15 @@
         deadline = time.monotonic() + EXIT_GRACE_S
         while self.server.requests_in_progress and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
-        self.server.shut_down()
+        has_successors = self.server.shut_down()
         await self.loops.close()
         for task in list(self.background):
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
         await self.runner.cleanup()
+        if has_successors:
+            # They ask this entry, as a home of keys and copies.
+            await asyncio.sleep(TAKE_OVER_S)
         await self.replicator.close()
         await self.session.close()
         await self.transport.close()
--- a/src/bulrushhold/entry/_registry.py
+++ b/src/bulrushhold/entry/_registry.py
@@ -95,16 +95,22 @@
         if generation.task is not None:
             generation.task.cancel()
 
-    def shut_down(self) -> None:
-        """Fail all running generations, and start none any more."""
+    def shut_down(self) -> bool:
+        """Fail all running generations, and start none any more.
+
+        :return: whether there were any, whose callers go on elsewhere.
+        """
         self.is_shut_down = True
+        was_running = False
         for generation in self.generations.values():
             if not generation.ended:
+                was_running = True
                 if not generation.lifecycle.ended:
                     generation.lifecycle.trigger('refuse')
                 generation.fail(_shutdown.make_refusal(generation.ran))
                 if generation.task is not None:
                     generation.task.cancel()
+        return was_running
 
     def refuse_quarantined(self, quarantined: frozenset[str]) -> None:
         """Fail the generations whose content is quarantined."""
--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -94,14 +94,16 @@
             or self.services.unfinished
         )
 
-    def shut_down(self) -> None:
+    def shut_down(self) -> bool:
         """Answer at once the requests that are still in progress.
 
         Handlers write their error responses and events afterwards.
+
+        :return: whether callers go on elsewhere with generations from here.
         """
         self.draining = True
         self.shutdown.start()
-        self.registry.shut_down()
+        return self.registry.shut_down()
 
     # Errors and admission
 
