--- a/src/bulrushhold/decisions/_rolloutanalysis.py
+++ b/src/bulrushhold/decisions/_rolloutanalysis.py
@@ -9,7 +9,6 @@
 
 import collections
 import collections.abc as cabc
-import itertools
 import math
 import typing as t
 
@@ -35,21 +34,9 @@
 MIN_OTHER_SAMPLES: t.Final = 20
 # Latencies are tested over this recent time as well as over the whole rollout.
 RECENT_S: t.Final = 4.0
-# An engine that ends nothing for this time may be silent.
-MIN_SILENCE_S: t.Final = 0.5
-# Requests that waited for a silent engine end, and are reported, within this
-# time of each other.
-BURST_S: t.Final = 0.7
-# A sound engine may be silent for so long before the results that are tested.
-MAX_SILENCE_S: t.Final = 3.0
-# Part of a silence that the longest of them waited. Where all are shorter, the
-# engine had nothing to do.
-MIN_WAIT_SHARE: t.Final = 0.5
 
 _Key = tuple[str, str]
 _Histogram = cabc.Mapping[int, int]
-_Samples = cabc.Mapping[_Key, messages.VersionSample]
-_HistogramOf = cabc.Callable[[messages.VersionSample], _Histogram]
 
 
 @attrs.frozen
@@ -77,8 +64,6 @@
         self.history: collections.deque[
             tuple[float, dict[_Key, messages.VersionSample]]
         ] = collections.deque()
-        # By histogram, route and engine.
-        self.bursts: dict[tuple[str, str, str], _Burst] = {}
 
     def update(
         self, evidence: messages.RolloutEvidence, now: float
@@ -87,7 +72,7 @@
         samples = {(s.route, s.engine): s for s in evidence.samples}
         self._update_alarms(samples)
         self.history.append((now, samples))
-        while now - self.history[0][0] > RECENT_S + MAX_SILENCE_S:
+        while now - self.history[0][0] > RECENT_S:
             self.history.popleft()
         return self._failure_verdict() or self._latency_verdict(samples)
 
@@ -153,22 +138,14 @@
     def _latency_verdict(
         self, samples: dict[_Key, messages.VersionSample]
     ) -> Verdict:
-        newest_at = self.history[-1][0]
-        recent_at, recent = next(
-            item for item in self.history if newest_at - item[0] <= RECENT_S
-        )
-        periods: list[tuple[float, _Samples]] = [
-            (float('-inf'), {}),
-            (recent_at, recent),
-        ]
+        oldest = self.history[0][1]
         for name, histogram_of in _HISTOGRAMS.items():
             for route in sorted({route for route, _ in samples}):
-                for since_at, since in periods:
-                    comparison = _compare(samples, since, route, histogram_of)
-                    reason = comparison.find_slowness()
-                    if reason and self._is_slow_without_bursts(
-                        name, route, comparison, since_at
-                    ):
+                for since in ({}, oldest):
+                    reason = _find_slowness(
+                        *_histograms(samples, since, route, histogram_of)
+                    )
+                    if reason:
                         return Verdict(
                             True, f'{name} on route {route}: {reason}', 1
                         )
@@ -178,61 +155,6 @@
         level = max(levels, default=0.0)
         return Verdict(False, '', level / ALARM_THRESHOLD)
 
-    def _is_slow_without_bursts(
-        self,
-        name: str,
-        route: str,
-        comparison: '_Comparison',
-        since_at: float,
-    ) -> bool:
-        """Whether the target is slow without those that waited for silences.
-
-        One silence of each engine is left out: a version that pauses again
-        and again is bad.
-
-        :param since_at: when the period of the comparison began. Silences of
-            the whole rollout may be older than the history.
-        """
-        whole = math.isinf(since_at)
-        left_out: dict[str, _Histogram] = {}
-        for engine in comparison.engines:
-            key = (name, route, engine)
-            burst = self._largest_burst(key, comparison.slow_bucket, since_at)
-            if whole:
-                known = self.bursts.get(key, burst)
-                if burst.slow_results < known.slow_results:
-                    burst = known
-                self.bursts[key] = burst
-            left_out[engine] = burst.results
-        return bool(comparison.without(left_out).find_slowness())
-
-    def _largest_burst(
-        self, key: tuple[str, str, str], slow_bucket: float, since_at: float
-    ) -> '_Burst':
-        """Return the results after a silence of an engine.
-
-        :param key: histogram, route and engine.
-        :param since_at: earlier results are not part of it.
-        :return: those of the silence after which most results were slow.
-        """
-        name, route, engine = key
-        counts = [
-            (
-                at,
-                _HISTOGRAMS[name](samples[route, engine])
-                if (route, engine) in samples
-                else {},
-            )
-            for at, samples in self.history
-        ]
-        bursts = (
-            _Burst(results, _count_slow(results, slow_bucket))
-            for results in _bursts_after_silences(counts, since_at)
-        )
-        return max(
-            bursts, key=lambda burst: burst.slow_results, default=_NO_BURST
-        )
-
 
 def _expected_failure_share(others: messages.VersionSample) -> float:
     """Return the usual share of failures, plus half its standard error."""
@@ -252,157 +174,62 @@
     )
 
 
-_HISTOGRAMS: t.Final[dict[str, _HistogramOf]] = {
+_HISTOGRAMS: t.Final[
+    dict[str, cabc.Callable[[messages.VersionSample], _Histogram]]
+] = {
     'latency': lambda sample: sample.latencies,
     'pauses': lambda sample: sample.pauses,
 }
 
 
-@attrs.frozen
-class _Burst:
-    """Results of an engine that came together.
+def _histograms(
+    samples: dict[_Key, messages.VersionSample],
+    since: dict[_Key, messages.VersionSample],
+    route: str,
+    histogram_of: cabc.Callable[[messages.VersionSample], _Histogram],
+) -> tuple[dict[int, int], dict[int, int], bool]:
+    """Return the histograms of target and others, since earlier samples.
 
-    :param slow_results: how many of them were slow.
+    The third value tells whether more than one engine of the target is slow
+    compared to the others, or it has only one.
     """
-
-    results: _Histogram
-    slow_results: int
-
-
-_NO_BURST: t.Final = _Burst({}, 0)
-
-
-@attrs.frozen
-class _Comparison:
-    """Histograms of the target's engines and of the other versions."""
-
-    engines: dict[str, dict[int, int]]
-    others: dict[int, int]
-
-    @property
-    def slow_bucket(self) -> float:
-        """The bucket from which on a result is slow."""
-        return _median(self.others) + math.log(
-            BAD_LATENCY_RATIO, _rolloutevidence.BUCKET_FACTOR
-        )
-
-    def without(self, results: cabc.Mapping[str, _Histogram]) -> '_Comparison':
-        """Return the comparison without some of the target's results."""
-        return _Comparison(_subtract(self.engines, results), self.others)
-
-    def find_slowness(self) -> str:
-        """Return why the target is slow, or ``''``."""
-        target: dict[int, int] = {}
-        for counts in self.engines.values():
-            target = _rolloutevidence.add_counts(target, counts)
-        target_count = sum(target.values())
-        other_count = sum(self.others.values())
-        enough = (
-            target_count >= MIN_TARGET_SAMPLES
-            and other_count >= MIN_OTHER_SAMPLES
-        )
-        if not enough or not self._are_several_slow():
-            return ''
-        ratio = _rolloutevidence.BUCKET_FACTOR ** (
-            _median(target) - _median(self.others)
-        )
-        deviations = _rank_deviations(target, self.others)
-        if ratio < BAD_LATENCY_RATIO or deviations < RANK_THRESHOLD:
-            return ''
-        return f'{ratio:.1f} times as long, {deviations:.1f} deviations'
-
-    def _are_several_slow(self) -> bool:
-        """Whether several engines of the target are slow, or its only one."""
-        typical = _median(self.others)
-        slow = [c for c in self.engines.values() if _median(c) > typical]
-        return len(slow) > 1 or len(self.engines) == 1
-
-
-def _compare(
-    samples: _Samples, since: _Samples, route: str, histogram_of: _HistogramOf
-) -> _Comparison:
-    """Return the histograms of a route, since earlier samples."""
+    target: dict[int, int] = {}
     others: dict[int, int] = {}
-    if (route, '') in samples:
-        before = since.get((route, ''))
-        others = _difference(
-            histogram_of(samples[route, '']),
-            histogram_of(before) if before is not None else {},
-        )
-    return _Comparison(
-        _subtract(
-            _target_counts(samples, route, histogram_of),
-            _target_counts(since, route, histogram_of),
-        ),
-        others,
+    by_engine = []
+    for key, sample in samples.items():
+        if key[0] != route:
+            continue
+        counts = dict(histogram_of(sample))
+        if key in since:
+            for bucket, count in histogram_of(since[key]).items():
+                counts[bucket] = max(0, counts.get(bucket, 0) - count)
+        if key[1]:
+            target = _rolloutevidence.add_counts(target, counts)
+            by_engine.append(counts)
+        else:
+            others = counts
+    typical = _median(others)
+    slow = [c for c in by_engine if _median(c) > typical]
+    return target, others, len(slow) > 1 or len(by_engine) == 1
+
+
+def _find_slowness(
+    target: _Histogram, others: _Histogram, several_slow: bool
+) -> str:
+    """Return why the target is slow, or ``''``."""
+    target_count, other_count = sum(target.values()), sum(others.values())
+    enough = (
+        target_count >= MIN_TARGET_SAMPLES and other_count >= MIN_OTHER_SAMPLES
     )
-
-
-def _target_counts(
-    samples: _Samples, route: str, histogram_of: _HistogramOf
-) -> dict[str, _Histogram]:
-    """Return the histograms of the target's engines on a route."""
-    return {
-        engine: histogram_of(sample)
-        for (of_route, engine), sample in samples.items()
-        if of_route == route and engine
-    }
-
-
-def _subtract(
-    engines: cabc.Mapping[str, _Histogram],
-    earlier: cabc.Mapping[str, _Histogram],
-) -> dict[str, dict[int, int]]:
-    """Return histograms of engines minus earlier ones."""
-    return {
-        engine: _difference(counts, earlier.get(engine, {}))
-        for engine, counts in engines.items()
-    }
-
-
-def _count_slow(results: _Histogram, slow_bucket: float) -> int:
-    """Return how many results are in slow buckets."""
-    return sum(
-        count for bucket, count in results.items() if bucket >= slow_bucket
+    if not enough or not several_slow:
+        return ''
+    ratio = _rolloutevidence.BUCKET_FACTOR ** (
+        _median(target) - _median(others)
     )
-
-
-def _bursts_after_silences(
-    counts: list[tuple[float, _Histogram]], since_at: float
-) -> cabc.Iterator[_Histogram]:
-    """Return the results that came after silences of an engine.
-
-    Its requests waited meanwhile. If they didn't, it was only idle.
-
-    :param counts: times, and the engine's results until then.
-    :param since_at: only results after this time are returned.
-    """
-    silent_since = counts[0][0]
-    for (ended_at, before), (at, after) in itertools.pairwise(counts):
-        if after == before:
-            continue
-        silent_s = ended_at - silent_since
-        silent_since = at
-        if silent_s < MIN_SILENCE_S:
-            continue
-        window = [c for c in counts if 0.0 <= c[0] - ended_at <= BURST_S]
-        waits = _difference(window[-1][1], before)
-        longest = max((b for b, count in waits.items() if count), default=0)
-        wanted_s = MIN_WAIT_SHARE * silent_s
-        if longest >= _rolloutevidence.latency_bucket(wanted_s):
-            within = [c for c in window if c[0] >= since_at] or window[-1:]
-            yield _difference(window[-1][1], within[0][1])
-
-
-def _difference(counts: _Histogram, earlier: _Histogram) -> dict[int, int]:
-    """Return a histogram minus an earlier one; no count becomes negative.
-
-    Counts fall as an entry ends whose report was part of them.
-    """
-    return {
-        bucket: max(0, count - earlier.get(bucket, 0))
-        for bucket, count in counts.items()
-    }
+    deviations = _rank_deviations(target, others)
+    if ratio < BAD_LATENCY_RATIO or deviations < RANK_THRESHOLD:
+        return ''
+    return f'{ratio:.1f} times as long, {deviations:.1f} deviations'
 
 
 def _median(histogram: _Histogram) -> float:
