Answers of an entry that exits have half a second before the close

The errors that answer what is left had 0.2 s before the connections close.

They have 0.5 s now, and what arrives is refused as long before the close; streams sent before the signal keep their time.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -30,7 +30,7 @@
 LAG_CHECKS: t.Final = 10
 MAX_LAG_MARGIN_S: t.Final = 0.5
 # Reserved for errors that answer what hasn't been answered by then.
-ANSWER_S: t.Final = 0.2
+ANSWER_S: t.Final = 0.5
 
 
 @attrs.frozen
