An entry that no peer reaches any more doesn't wait for its successors

The exit that leaves successors 3 s waited after its transport had been closed, too, as the test's kill does, and copies expired meanwhile.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -191,7 +191,7 @@
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
         await self.runner.cleanup()
-        if has_successors:
+        if has_successors and not self.transport.closed:
             # They ask this entry, as a home of keys and copies.
             await asyncio.sleep(TAKE_OVER_S)
         await self.replicator.close()
--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -184,6 +184,11 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await asyncio.sleep(FLUSH_S)
 
+    @property
+    def closed(self) -> bool:
+        """Whether peers can't reach this process any more."""
+        return bool(self.router.closed)
+
     async def close(self) -> None:
         """Close all sockets, drop queued messages and release the address."""
         if self.router.closed:
