Waiting streams are judged by their own kind as a drain begins

What streams of a service take was worked out once for all of them, so that one that may run only once could be judged by the durations that suffice for repeatable ones, or the other way round, by which of them came first.

--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -48,7 +48,7 @@
         is known. It serves to refuse streams, never as a promise.
     :param peer_share: returns the share of the other entries that accept
         requests.
-    :ivar started_at: when the entry was told to stop; infinite before.
+    :ivar started_at: when the shutdown began; infinite before.
     :ivar deadline: when all requests must be answered.
     """
 
@@ -89,7 +89,7 @@
         if not self.active:
             self.started_at = self.clock()
             self.metrics.count('drain.in_progress', len(self.requests))
-        usual_s: dict[tuple[str, routes.Kind], float] = {}
+        usual_s: dict[tuple[str, routes.Kind, bool], float] = {}
         for request in self.requests:
             self._schedule_end(request, usual_s)
 
@@ -263,11 +263,12 @@
     def _schedule_end(
         self,
         request: _requestprogress.RequestProgress,
-        usual_s: dict[tuple[str, routes.Kind], float] | None = None,
+        usual_s: dict[tuple[str, routes.Kind, bool], float] | None = None,
     ) -> None:
         """Set when a request is answered at the latest.
 
-        :param usual_s: what is known by service and kind, to be added to.
+        :param usual_s: see :meth:`_usual_s`; by service, kind and whether it
+            may be repeated. What is missing is added.
         """
         if (
             not self.active
@@ -282,12 +283,12 @@
     def _end_at(
         self,
         request: _requestprogress.RequestProgress,
-        usual_s: dict[tuple[str, routes.Kind], float],
+        usual_s: dict[tuple[str, routes.Kind, bool], float],
     ) -> float:
         job = request.job
         if job is None or request.dispatched_at is not None:
             return self.deadline
-        key = job.service, job.route.kind
+        key = job.service, job.route.kind, job.route.repeatable
         if key not in usual_s:
             usual_s[key] = self._usual_s(job)
         needed_s = self._needed_s(job, usual_s[key])
