--- a/src/bulrushhold/decisions/_reportedlosses.py
+++ b/src/bulrushhold/decisions/_reportedlosses.py
@@ -21,8 +21,7 @@
         which those of one data centre are neighbours; the same at all
         entries. While it is empty, each entry probes all.
     :ivar lost_at: when each loss was reported, by ident.
-    :ivar pending_answers: engines that answer again, as others aren't told
-        yet.
+    :ivar pending_answers: engines that answer again, until this is reported.
     """
 
     def __init__(self) -> None:
@@ -51,7 +50,7 @@
         }
 
     def publish_answer(self, ident: str) -> None:
-        """Have others told that an engine answers."""
+        """Report that an engine answers with the next load report."""
         if ident not in self.pending_answers:
             self.pending_answers.append(ident)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import signal
 import time
 
 import aiohttp
@@ -359,3 +360,12 @@
     await running_fleet.start()
     yield running_fleet
     await running_fleet.close()
+
+
+@pytest.fixture
+def restored_signals():
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    handlers = [signal.getsignal(number) for number in numbers]
+    yield
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
--- a/tests/test_control_exit.py
+++ b/tests/test_control_exit.py
@@ -21,15 +21,7 @@
 from tests import conftest
 
 WAIT_S = 5.0
-
-
-@pytest.fixture(autouse=True)
-def restored_signals():
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    handlers = [signal.getsignal(number) for number in numbers]
-    yield
-    for number, handler in zip(numbers, handlers, strict=True):
-        signal.signal(number, handler)
+pytestmark = pytest.mark.usefixtures('restored_signals')
 
 
 class NoAttachment(composition.Attachment):
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -21,6 +21,7 @@
 os.kill(os.getpid(), int(sys.argv[1]))
 """
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+pytestmark = pytest.mark.usefixtures('restored_signals')
 
 
 @pytest.mark.parametrize('signal_number', STOP_SIGNALS)
@@ -34,15 +35,6 @@
     assert done.returncode == 0
 
 
-@pytest.fixture(autouse=True)
-def restored_signals():
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    handlers = [signal.getsignal(number) for number in numbers]
-    yield
-    for number, handler in zip(numbers, handlers, strict=True):
-        signal.signal(number, handler)
-
-
 class FakeProcess:
     """Records the calls of an entry's life; starts and drains slowly."""
 
