A late stream stays at an engine that answers while no other has a place

Callers saw: streams answered 502, ran unknown, 'no first event after 1.0 to 2.0 s', with 15 of 20 s left, at engines that answered and whose queue they had only to wait in. Most were far from any SIGTERM.

Cause: the move was secured with a retry, not with a place. A stream whose first event was late left its engine, and admission control then refused it, as it had waited longer than new streams may. Ruled out: the retry budget (the limit would name it), crashes (engines answered probes).

Change: such a stream leaves its engine only if admission control would place it elsewhere now, and then isn't asked again.

--- a/src/bulrushhold/forwarding/_admission.py
+++ b/src/bulrushhold/forwarding/_admission.py
@@ -41,6 +41,39 @@
     return False
 
 
+def is_admitted_now(
+    context: _context.ForwardingContext,
+    job: _context.Job,
+    estimate: decisions.CapacityEstimate,
+    *,
+    waiting_since: float,
+) -> bool:
+    """Return whether a stream without events would be placed without a wait.
+
+    :param estimate: of the engines that it may be sent to.
+    :param waiting_since: when the caller started to wait for an event.
+    """
+    if not estimate.engines:
+        return False
+    admission, now = context.admission, context.clock()
+    decision = admission.decide(
+        estimate,
+        waited_s=now - waiting_since,
+        remaining_s=job.deadline - now,
+        aim_s=job.route.aim_s,
+        queue_s=0.0,
+    )
+    return decision is decisions.AdmissionDecision.PLACE and (
+        admission.should_admit_now(
+            job.service,
+            estimate,
+            context.budget.entries,
+            now,
+            random.random(),
+        )
+    )
+
+
 async def wait_for_admission(
     context: _context.ForwardingContext,
     job: _context.Job,
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -244,7 +244,9 @@
             if self.received_event
             else self._late_first_event(silence)
         )
-        if reason and await self.stream.prepare_move(silent=False):
+        if reason and await self.stream.prepare_move(
+            self.engine, silent=False
+        ):
             return _streamloss.StreamLostError(reason, unreachable=False)
         return None
 
@@ -273,7 +275,7 @@
                 return _streamloss.StreamLostError('process has ended')
         finally:
             end_check.cancel()
-        if found and await self.stream.prepare_move(silent=True):
+        if found and await self.stream.prepare_move(self.engine, silent=True):
             return _streamloss.StreamLostError(NO_PROBE_ANSWER, silent=True)
         self.silence.log_kept(
             'no retry' if found else 'no other engine answers'
--- a/src/bulrushhold/forwarding/_moves.py
+++ b/src/bulrushhold/forwarding/_moves.py
@@ -21,6 +21,7 @@
 
     :ivar successor: engine that answers, as the present one doesn't.
     :ivar retry: taken for the next move.
+    :ivar has_place: another engine would take the stream at once.
     :ivar unresponsive: idents of engines that answered no probe as a
         successor was looked for.
     """
@@ -36,6 +37,7 @@
         self.engines = engines
         self.successor: decisions.BackendServer | None = None
         self.retry: _retries.Retry | None = None
+        self.has_place = False
         self.unresponsive: set[str] = set()
 
     async def find_successor(
@@ -83,6 +85,11 @@
             return successor
         return None
 
+    def take_place(self) -> bool:
+        """Return once whether a place was found for the move."""
+        has_place, self.has_place = self.has_place, False
+        return has_place
+
     async def secure_retry(self, rejections: int, *, begun: bool) -> bool:
         """Return whether a retry could be taken for the move.
 
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -256,6 +256,7 @@
             return _permits.PermittedChoice(), None
         backup, copy = self.backup, self.copy
         successor = self.moves.take_successor()
+        has_place = self.moves.take_place() and not self.begun
         self.backup = self.copy = None
         if successor is not None and successor is not backup:
             # The backup doesn't answer.
@@ -279,7 +280,8 @@
             if permission is not _permits.Permission.DENIED:
                 has_permit = permission is _permits.Permission.PERMIT
                 return _permits.PermittedChoice(successor, has_permit), None
-        if self.lost_runs and not (await self._wait_for_admission()).admitted:
+        needs_admission = bool(self.lost_runs) and not has_place
+        if needs_admission and not (await self._wait_for_admission()).admitted:
             return _permits.PermittedChoice(), None
         choice = await self.engines.choose(begun=self.begun)
         return choice, None
@@ -399,17 +401,38 @@
             backup = None
         return await self.moves.find_successor(engine, backup)
 
-    async def prepare_move(self, *, silent: bool) -> bool:
+    async def prepare_move(
+        self, engine: decisions.BackendServer, *, silent: bool
+    ) -> bool:
         """Return whether the stream may leave an engine that may still answer.
 
+        :param engine: the one to leave.
         :param silent: the engine answers no probe; it hasn't failed the run.
         """
         progressed = self.last_event_id != self.event_id_before
         limit = self.engines.run_limit
         if not silent and not limit.allows_failure(progressed=progressed):
             return False
+        if not silent and not self._has_place_elsewhere(engine):
+            return False
         return await self.moves.secure_retry(self.rejections, begun=self.begun)
 
+    def _has_place_elsewhere(self, engine: decisions.BackendServer) -> bool:
+        """Return whether another engine would take the stream at once.
+
+        Without events it is refused if none does in time, though the engine
+        that it has left might have answered. With events it isn't refused.
+        """
+        if self.begun:
+            return True
+        self.moves.has_place = _admission.is_admitted_now(
+            self.context,
+            self.job,
+            self.engines.estimate_capacity(engine.ident),
+            waiting_since=self.timing.started_at,
+        )
+        return self.moves.has_place
+
     async def _leave_out(self, engine: decisions.BackendServer) -> bool:
         """Try all others before an engine whose version isn't known.
 
--- a/tests/forwarding/test_stall_timeouts.py
+++ b/tests/forwarding/test_stall_timeouts.py
@@ -70,6 +70,30 @@
     assert (len(addresses) > 1) is retried
 
 
+async def test_a_late_stream_stays_where_no_other_engine_has_a_place(
+    client, context, short_timeouts, monkeypatch
+):
+    # Guards against a 502 of a stream that has left a sound engine.
+    monkeypatch.setattr(
+        context.placement.speeds, 'token_s', lambda *_, **__: 0.00001
+    )
+    original_send = client.send
+
+    async def send(call, attempt):
+        for backend in context.placement.backends.values():
+            backend.reading = 20_000
+        return await original_send(call, attempt)
+
+    monkeypatch.setattr(client, 'send', send)
+    client.scripts = [
+        fakes.Script(events=(1,), open_delay_s=1.5),
+        fakes.Script(events=(1,), then='silent'),
+    ]
+    caller, _ = await fakes.run_stream(context, aim_s=0.2)
+    assert caller.data == fakes.encode_events(1)
+    assert len(client.attempts) == 1
+
+
 async def test_a_paused_entry_reads_buffered_events_before_it_times_out(
     client, context, monkeypatch
 ):
