A booking of unknown duration is left to other entries as its entry exits

Callers saw: requests that may run only once answered 502, ran unknown, as their entry exited, though they were sent 1.8 to 2.5 s before its end.

Cause: an entry that knows fewer than ten durations of a kind of request took 1.8 s for enough; entries that have just started know none. What may run only once can't be sent again after an unknown outcome.

Change: while another entry is ready, it is refused as not run. Where none is, 1.8 s count as before.

The test failed before: the request was sent to a server and waited for.

--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import math
 import time
 import typing as t
 
@@ -218,6 +219,9 @@
             return 0.0
         if job.route.repeatable:
             return max(usual_s, MIN_LEFT_S)
+        if not usual_s and self.peer_share() > 0:
+            # Its outcome would stay unknown if it took too long.
+            return math.inf
         return usual_s + MIN_LEFT_S
 
     def _usual_s(self, job: _context.Job) -> float:
--- a/tests/forwarding/test_draining.py
+++ b/tests/forwarding/test_draining.py
@@ -245,6 +245,19 @@
     assert len(client.attempts) == 10
 
 
+async def test_a_booking_of_unknown_duration_is_left_to_other_entries(
+    client, make_forwarder, make_call
+):
+    # Guards against an outcome that stays unknown as a young entry exits.
+    forwarder = make_forwarder(routes.Kind.ONCE)
+    client.scripts = silent_scripts()
+    start_drain(forwarder, DRAIN_S)
+    call = make_call(routes.Kind.ONCE)
+    error = await get_error(forwarder.handle(call, fakes.FakeCaller()))
+    assert (error.status, error.ran) == (503, errors.Ran.NO)
+    assert not client.attempts
+
+
 @pytest.mark.parametrize(('ready', 'accepted'), [(4, False), (2, True)])
 async def test_a_stream_is_refused_where_its_chance_elsewhere_is_better(
     client, fleet, make_forwarder, make_call, ready, accepted
