A plain request stays at a server that answers until it has stalled

Cause: a server was left after half of the remaining time even if that was shorter than its stall timeout. That guards against silent servers, but nobody asked whether it answers.

Change: a server that answers probes keeps the request until its stall timeout.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -260,15 +260,18 @@
     ) -> _Result:
         if self.repeatable and self._can_switch():
             expected_s = backend.latency or self.job.route.aim_s / 2
-            stall_timeout_s = max(
+            stalls_at = self.context.clock() + max(
                 MIN_STALL_TIMEOUT_S, STALL_FACTOR * expected_s
             )
-            timeout_s = min(stall_timeout_s, self._remaining_s() / 2)
             while self._remaining_s() > MIN_REMAINING_S:
-                await asyncio.wait({task}, timeout=timeout_s)
+                left_s = stalls_at - self.context.clock()
+                timeout_s = max(MIN_STALL_TIMEOUT_S, left_s)
+                await asyncio.wait(
+                    {task}, timeout=min(timeout_s, self._remaining_s() / 2)
+                )
                 if task.done() or not self._can_switch():
                     break
-                may_leave = await self._prepare_retry()
+                may_leave = await self._may_leave(backend, stalls_at)
                 if may_leave and not task.done():
                     return _Result(errors.Ran.UNKNOWN, 'stall timeout')
         await asyncio.wait({task}, timeout=max(0.0, self._remaining_s()))
@@ -276,6 +279,20 @@
             return task.result()
         return _Result(errors.Ran.UNKNOWN, 'no answer before the deadline')
 
+    async def _may_leave(
+        self, backend: decisions.BackendServer, stalls_at: float
+    ) -> bool:
+        """Return whether a server that hasn't answered yet may be left.
+
+        :param stalls_at: when it has had enough time for any request; one
+            that answers probes keeps the request until then.
+        """
+        if self.context.clock() < stalls_at and (
+            await self.context.probes.is_alive(backend)
+        ):
+            return False
+        return await self._prepare_retry()
+
     async def _prepare_retry(self) -> bool:
         """Return whether the retry budget allows to leave a slow server.
 
