Streams that still run count as longer than they are old

Cause: the estimate of how long streams take mixed the durations of those that had ended with the ages of those that still ran, as if they ended then. Short ones end first; an entry that has started a while ago knows few others.

Change: the product-limit estimate, in which a request that still runs is one that lasts longer. It serves to refuse, as before, never as a promise.

--- a/src/bulrushhold/forwarding/_durations.py
+++ b/src/bulrushhold/forwarding/_durations.py
@@ -2,13 +2,13 @@
 
 import collections
 import collections.abc as cabc
-import math
 import typing as t
 
 from bulrushhold import routes
 
 MAX_SAMPLES: t.Final = 100
 MIN_SAMPLES: t.Final = 10
+ROUNDING: t.Final = 1e-9
 
 
 class Durations:
@@ -35,14 +35,24 @@
     ) -> float:
         """Return the duration that a share of the requests doesn't exceed.
 
-        :param running_s: how long others have been running so far; if they
-            have become longer, it shows in it before they end.
-        :return: seconds; 0 if there are too few of them.
+        Short requests end first. So those that still run count as longer than
+        they have run so far (Kaplan and Meier, Nonparametric estimation from
+        incomplete observations, 1958).
+
+        :param running_s: how long others have been running so far.
+        :return: seconds, at least the longest known if that many haven't
+            ended; 0 if there are too few of them.
         """
         ended = sorted(self.seconds.get((service, kind), ()))
-        # One that has run for less than the usual tells nothing.
+        running = list(running_s)
+        # One that has run for less than the usual tells nothing by itself.
         usual_s = ended[len(ended) // 2] if ended else 0.0
-        samples = sorted([*ended, *(s for s in running_s if s > usual_s)])
-        if len(samples) < MIN_SAMPLES:
+        if len(ended) + sum(s > usual_s for s in running) < MIN_SAMPLES:
             return 0.0
-        return samples[math.ceil(share * len(samples)) - 1]
+        longer = 1.0
+        for number, seconds in enumerate(ended):
+            at_risk = len(ended) - number + sum(s >= seconds for s in running)
+            longer *= 1 - 1 / at_risk
+            if longer <= 1 - share + ROUNDING:
+                return seconds
+        return max([*ended, *running])
--- a/tests/forwarding/test_durations.py
+++ b/tests/forwarding/test_durations.py
@@ -26,5 +26,10 @@
     assert durations.quantile_s('s', STREAM, 0.9, [30.0] * 10) == 30.0
 
 
+def test_streams_that_still_run_are_longer_than_they_are_old(durations):
+    # Guards against accepting by the short streams, which end first.
+    assert durations.quantile_s('s', STREAM, 0.5, [5.5] * 10) == 7.0
+
+
 def test_few_streams_tell_nothing(durations):
     assert durations.quantile_s('other', STREAM, 0.9, [5.0] * 9) == 0.0
