--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -12,6 +12,7 @@
 
 import click
 
+from tests.platform.soak import drainplan
 from tests.platform.soak import drains
 from tests.platform.soak import endless
 from tests.platform.soak import figures
@@ -171,7 +172,7 @@
     },
     **{
         f'drains-{name}': functools.partial(drains.play_variant, variant=name)
-        for name in (*drains.VARIANTS, 'random')
+        for name in (*drainplan.VARIANTS, 'random')
     },
     **{
         f'odd-list-{name}': functools.partial(
--- a/tests/platform/test_drain_processes.py
+++ b/tests/platform/test_drain_processes.py
@@ -1,12 +1,13 @@
 """Entries that shut down under load, with real processes."""
 
+from tests.platform.soak import drainplan
 from tests.platform.soak import drains
 
 SEED = 74
 
 
 async def play(folder, **options):
-    result = await drains.play(SEED, folder, drains.DrainPlan(**options))
+    result = await drains.play(SEED, folder, drainplan.DrainPlan(**options))
     print(result)
     return result
 
