What has arrived as an entry exits is answered before connections close

Cause: a process that is short of CPU wakes with the end of its drain and unread requests in the same step of its loop, and closed the connections before the handlers ran.

Change: the loop takes 20 steps before the connections are closed, in which what has arrived is read and refused. They take no time where nothing has.

The test failed before: the connection was closed without an answer.

--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -26,6 +26,8 @@
 SHUTDOWN_TIMEOUT_S: t.Final = 0.1
 # Other entries accept at once what one that exits refuses.
 CLOSING_RETRY_S: t.Final = 0.05
+# Steps of the event loop in which a request is read and refused.
+CLOSING_STEPS: t.Final = 20
 MAX_FIELD_BYTES: t.Final = 65536
 _NO_LINGER: t.Final = struct.pack('ii', 1, 0)
 _LINGER: t.Final = struct.pack('ii', 0, 0)
@@ -178,7 +180,13 @@
                 cutoff.reschedule(now)
 
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and close all connections.
+
+        What has arrived by then is answered first: a process that was short
+        of CPU may not have read it yet.
+        """
+        for _ in range(CLOSING_STEPS):
+            await asyncio.sleep(0)
         await self.runner.cleanup()
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -81,6 +81,18 @@
     assert b'connection: close' in head.lower()
 
 
+async def test_a_request_that_arrived_during_a_pause_is_answered(ingress):
+    # Guards against a busy process that closes connections it hasn't read.
+    reader, writer = await connect(ingress)
+    await asyncio.sleep(0.05)
+    writer.write(HEAD + b'3\r\nabc\r\n0\r\n\r\n')
+    ingress.stop_reading()
+    await ingress.close()
+    head, _ = await read_answer(reader)
+    writer.close()
+    assert head.startswith('http/1.1 200')
+
+
 async def test_a_connection_does_not_stay_open_unread(ingress):
     # Guards against a whole request that waits on a connection being closed.
     reader, writer = await connect(ingress)
