A plain request at a silent server looks for others until it ends

Callers saw: nothing reported; found by review. A safe request at a server that hangs waits for its deadline, though others answer again long before.

Cause: if all others were ejected at one of the checks, the request looked for no further server.

Change: it looks again as long as it has an attempt left.

The test failed before with 'no answer before the deadline' after 4 s.

--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -266,7 +266,7 @@
     async def _wait(
         self, task: 'asyncio.Future[_Result]', backend: decisions.BackendServer
     ) -> _Result:
-        if self.repeatable and self._can_switch():
+        if self.repeatable and self._has_attempt_left():
             expected_s = backend.latency or self.job.route.aim_s / 2
             stalls_at = self.context.clock() + max(
                 MIN_STALL_TIMEOUT_S, STALL_FACTOR * expected_s
@@ -277,8 +277,11 @@
                 await asyncio.wait(
                     {task}, timeout=min(timeout_s, self._remaining_s() / 2)
                 )
-                if task.done() or not self._can_switch():
+                if task.done():
                     break
+                if not self._can_switch():
+                    # A server that was lost for a moment may be back later.
+                    continue
                 may_leave = await self._may_leave(backend, stalls_at)
                 if may_leave and not task.done():
                     return _Result(errors.Ran.UNKNOWN, 'stall timeout')
@@ -333,10 +336,13 @@
 
     def _can_switch(self) -> bool:
         """Return whether another attempt at a healthy server is possible."""
-        return self.attempts + 1 < self.job.route.max_attempts and any(
+        return self._has_attempt_left() and any(
             b.ejected_until == 0 for b in self._untried()
         )
 
+    def _has_attempt_left(self) -> bool:
+        return self.attempts + 1 < self.job.route.max_attempts
+
     def _untried(self) -> list[decisions.BackendServer]:
         return self.context.placement.untried_plain(
             self.job.service,
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -1,5 +1,7 @@
 """Tests of plain requests with failing backend servers."""
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -164,3 +166,28 @@
     reply = await forwarding.PlainForwarder(context, job).run()
     assert reply.status == second and reply.body is received[1]
     assert [body.closed for body in received] == [True, False]
+
+
+async def test_a_hung_server_is_left_once_another_one_is_back(client, context):
+    # Guards against a wait to the deadline as others were ejected for once.
+    backends = context.placement.backends
+    for backend in backends.values():
+        backend.latency = 0.02
+    client.silent = {backend.address for backend in backends.values()}
+    client.scripts = [fakes.Script(then='silent'), fakes.Script()]
+    task = asyncio.ensure_future(
+        fakes.run_plain(context, routes.Kind.IDEMPOTENT, timeout_s=4.0)
+    )
+    await asyncio.sleep(0.05)
+    [hung] = client.attempts
+    others = [b for b in backends.values() if b.address != hung.address]
+    for other in others:
+        context.placement.record_failure(
+            other.ident, context.clock(), unreachable=True
+        )
+    await asyncio.sleep(0.5)
+    client.silent = {hung.address}
+    for other in others:
+        context.placement.record_success(other.ident, context.clock(), 0.02)
+    reply = await task
+    assert reply.body == b'done'
