A place found for a late stream counts for that move only

Callers saw: nothing reported; found by review. A stream is sent to engines that are full by then, beside admission control.

Cause: the place that finds stays noted when no retry can be taken. The engine's own loss, at any time before the first event, then took the note for a place.

Change: it counts only for a loss that is the move itself.

The test failed before: the stream was sent to a second engine where it is refused.

--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -247,7 +247,9 @@
         if reason and await self.stream.prepare_move(
             self.engine, silent=False
         ):
-            return _streamloss.StreamLostError(reason, unreachable=False)
+            return _streamloss.StreamLostError(
+                reason, unreachable=False, placed=True
+            )
         return None
 
     def _end_silence(self) -> None:
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -20,6 +20,7 @@
     :param cut_off: neither this entry nor any other reaches the engines.
     :param silent: the engine doesn't answer, but nothing shows that it is
         gone.
+    :param placed: another engine would take the stream at once.
     """
 
     sent: bool = True
@@ -30,6 +31,7 @@
     permitted: bool = True
     cut_off: bool = False
     silent: bool = False
+    placed: bool = False
 
     @property
     def crashed(self) -> bool:
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -146,6 +146,7 @@
                     self.engines.tried.discard(engine.ident)
                     continue
                 self.may_have_run |= lost.sent
+                self.moves.has_place &= lost.placed
                 reason, peer = str(lost), engine.ident
                 lost.seconds = self.context.clock() - started
                 lost.event_id_before = last
--- a/tests/forwarding/test_stall_timeouts.py
+++ b/tests/forwarding/test_stall_timeouts.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from bulrushhold import errors
 from bulrushhold.forwarding import _engine_stream
+from bulrushhold.forwarding import _retries
 from tests.forwarding import fakes
 
 
@@ -117,3 +119,38 @@
     caller, _ = await fakes.run_stream(context, gap_s=0.35)
     assert caller.data == fakes.encode_events(1, 2, 3)
     assert len(client.attempts) == 1
+
+
+async def test_a_place_that_was_not_used_admits_no_later_move(
+    client, context, short_timeouts, monkeypatch
+):
+    # Guards against a stream that is sent to a full engine unasked.
+    monkeypatch.setattr(
+        context.placement.speeds, 'token_s', lambda *_, **__: 0.00001
+    )
+    monkeypatch.setattr('bulrushhold.forwarding._streams.COPY_AFTER_S', 9.0)
+    refused = []
+
+    async def no_retry(*_):
+        refused.append(True)
+        for backend in context.placement.backends.values():
+            backend.reading = 2_000_000
+
+    original_take_now = _retries.take_now
+    monkeypatch.setattr(_retries, 'take_now', no_retry)
+    original_send = client.send
+
+    async def send(call, attempt):
+        if client.attempts:
+            return await original_send(call, attempt)
+        client.attempts.append(attempt)
+        while not refused:
+            await asyncio.sleep(0.01)
+        monkeypatch.setattr(_retries, 'take_now', original_take_now)
+        raise errors.BackendError('lost', 'answer', attempt.address)
+
+    monkeypatch.setattr(client, 'send', send)
+    client.scripts = [fakes.Script(events=(1,))]
+    with pytest.raises(errors.RequestError):
+        await fakes.run_stream(context, aim_s=0.2)
+    assert len(client.attempts) == 1
