A late stream stays where no further engine may run it

Callers saw: nothing reported; found by review: a stream answered 502 or 504 though its second engine would have answered in time.

Cause: the place that asks for was looked for at all engines. Once as many as the route allows have run the stream (one that was left as silent counts), it may only go back to those; so it left a sound engine for one that it has lost.

Change: engines that may not run the stream have no place for it.

The test failed before: 'no event before the deadline' after a third attempt.

--- a/src/bulrushhold/decisions/_placement.py
+++ b/src/bulrushhold/decisions/_placement.py
@@ -4,6 +4,7 @@
 in prompts of the size of the one to be placed.
 """
 
+import collections.abc as cabc
 import typing as t
 
 from bulrushhold.decisions import _admissioncontrol
@@ -321,12 +322,14 @@
         objective: _enginespeeds.LatencyObjective,
         memory: int,
         excluding: str = '',
+        barred: cabc.Set[str] = frozenset(),
         version: str | None = None,
     ) -> _admissioncontrol.CapacityEstimate:
         """Estimate how soon and how often engines can take one more prompt.
 
         :param memory: tokens of the prompt and its output.
         :param excluding: engine to leave out, to compare it with the others.
+        :param barred: further engines to leave out.
         :param version: version that the engines must have, if it matters.
         """
         tokens = objective.tokens
@@ -334,7 +337,8 @@
             service, objective, now, excluding=excluding
         )
         usable = self.usable(service, now, version=version)
-        healthy = self._without_risk(service, usable, now, {excluding})
+        excluded = {excluding, *barred}
+        healthy = self._without_risk(service, usable, now, excluded)
         loads = self.current_loads(healthy, now)
         slowness = self.slowness(service, now, token_s)
         slow = [slowness.get(engine.ident, 1.0) for engine in healthy]
--- a/src/bulrushhold/forwarding/_enginechooser.py
+++ b/src/bulrushhold/forwarding/_enginechooser.py
@@ -56,11 +56,12 @@
         self.last_segment = segments[-1] if segments else ''
 
     def estimate_capacity(
-        self, excluding: str = ''
+        self, excluding: str = '', *, allowed_only: bool = False
     ) -> decisions.CapacityEstimate:
         """Estimate how soon engines could serve this stream's prompt.
 
         :param excluding: ident of an engine to leave out of the estimate.
+        :param allowed_only: leave out engines that may not run the stream.
         """
         return self.context.placement.estimate_capacity(
             self.job.service,
@@ -68,6 +69,7 @@
             objective=self.objective,
             memory=self.memory,
             excluding=excluding,
+            barred=self._barred() if allowed_only else frozenset(),
             version=self.version,
         )
 
@@ -130,15 +132,20 @@
         Those tried in this round, and once as many engines as its route allows
         have run it, all others.
         """
+        barred = self._barred()
+        return self.tried | barred if barred else self.tried
+
+    def _barred(self) -> set[str]:
+        """Return the idents of engines that may not run the stream."""
         limit = self.run_limit
         if not limit.reached:
-            return self.tried
+            return set()
         for ident in list(limit.engines):
             engine = self.context.placement.backends.get(ident)
             if engine is None or self.context.placement.is_gone(engine):
                 limit.record_ended(ident)
         listed = self.context.placement.services.get(self.job.service, ())
-        return self.tried | {
+        return {
             engine.ident for engine in listed if not limit.allows(engine.ident)
         }
 
--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -429,7 +429,7 @@
         self.moves.has_place = _admission.is_admitted_now(
             self.context,
             self.job,
-            self.engines.estimate_capacity(engine.ident),
+            self.engines.estimate_capacity(engine.ident, allowed_only=True),
             waiting_since=self.timing.started_at,
         )
         return self.moves.has_place
--- a/tests/forwarding/test_stall_timeouts.py
+++ b/tests/forwarding/test_stall_timeouts.py
@@ -154,3 +154,26 @@
     with pytest.raises(errors.RequestError):
         await fakes.run_stream(context, aim_s=0.2)
     assert len(client.attempts) == 1
+
+
+async def test_a_late_stream_stays_if_no_further_engine_may_run_it(
+    client, context, short_timeouts, monkeypatch
+):
+    # Guards against leaving a sound engine for a place that can't be used.
+    monkeypatch.setattr('bulrushhold.forwarding._streams.COPY_AFTER_S', 9.0)
+    original_send = client.send
+
+    async def send(call, attempt):
+        if not client.attempts:
+            client.silent.add(attempt.address)
+        return await original_send(call, attempt)
+
+    monkeypatch.setattr(client, 'send', send)
+    client.scripts = [
+        fakes.Script(open_delay_s=60.0),
+        fakes.Script(events=(1,), open_delay_s=1.5),
+        *[fakes.Script(open_delay_s=60.0) for _ in range(4)],
+    ]
+    caller, _ = await fakes.run_stream(context, attempts=2)
+    assert caller.data == fakes.encode_events(1)
+    assert len(client.attempts) == 2
