--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -25,8 +25,6 @@
 # Delay before a second round, after all servers have been tried. It doubles
 # with each round.
 RETRY_PAUSE_S: t.Final = 0.04
-# Servers that are probed at once as the present one doesn't answer.
-MAX_CANDIDATES: t.Final = 3
 # No server can respond within less than this.
 MIN_REMAINING_S: t.Final = 0.01
 
@@ -73,7 +71,6 @@
         self.rejections = 0
         self.retry: _retries.Retry | None = None
         self.next_retry: _retries.Retry | None = None
-        self.successor: decisions.BackendServer | None = None
         self.retry_pause_s = RETRY_PAUSE_S
         self.repeatable = job.route.repeatable
         self.last: _Result | None = None
@@ -138,23 +135,18 @@
     def _choose(self) -> decisions.BackendServer | None:
         if self._remaining_s() < MIN_REMAINING_S:
             return None
-        successor, self.successor = self.successor, None
-        if successor is not None and successor in self._untried():
-            return successor
         if self.job.canary and not self.tried:
-            backend = self._choose_among(self.tried, canary=True)
+            backend = self._choose_among(canary=True)
             if backend is not None:
                 return backend
-        return self._choose_among(self.tried, canary=False)
+        return self._choose_among(canary=False)
 
-    def _choose_among(
-        self, tried: set[str], *, canary: bool
-    ) -> decisions.BackendServer | None:
+    def _choose_among(self, *, canary: bool) -> decisions.BackendServer | None:
         return self.context.placement.choose(
             self.job.service,
             self.context.clock(),
             at_most_once=not self.repeatable,
-            tried=tried,
+            tried=self.tried,
             canary=canary,
         )
 
@@ -295,32 +287,15 @@
     ) -> bool:
         """Return whether a server that hasn't answered yet may be left.
 
-        One that answers probes keeps the request until it has had enough time
-        for any. One that doesn't is left for one that does: all may be silent
-        for a moment, and each attempt would be used up.
-
-        :param stalls_at: when it has had enough time.
+        :param stalls_at: when it has had enough time for any request; one
+            that answers probes keeps the request until then.
         """
-        if await self.context.probes.is_alive(backend):
-            if self.context.clock() < stalls_at:
-                return False
-        elif not await self._find_successor(backend):
+        if self.context.clock() < stalls_at and (
+            await self.context.probes.is_alive(backend)
+        ):
             return False
         return await self._prepare_retry()
 
-    async def _find_successor(self, backend: decisions.BackendServer) -> bool:
-        """Return whether another server answers, which is tried next."""
-        candidates: list[decisions.BackendServer] = []
-        while len(candidates) < MAX_CANDIDATES:
-            tried = {*self.tried, *(c.ident for c in candidates)}
-            candidate = self._choose_among(tried, canary=False)
-            if candidate is None:
-                break
-            candidates.append(candidate)
-        found = await self.context.probes.find_alive(backend, candidates)
-        self.successor = None if found is backend else found
-        return self.successor is not None
-
     async def _prepare_retry(self) -> bool:
         """Return whether the retry budget allows to leave a slow server.
 
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -92,43 +92,6 @@
     assert len(client.attempts) == 1
 
 
-async def test_attempts_are_not_used_up_while_all_servers_are_silent(
-    client, context
-):
-    # Guards against a 502 long before the deadline.
-    backends = context.placement.backends.values()
-    client.silent = {backend.address for backend in backends}
-    for backend in backends:
-        backend.latency = 0.02
-    silent = [fakes.Script(then='silent') for _ in range(4)]
-    client.scripts = [fakes.Script(open_delay_s=1.0), *silent]
-    reply = await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
-    assert reply.body == b'done'
-    assert len(client.attempts) == 1
-
-
-@pytest.mark.parametrize('sound', range(6))
-async def test_a_silent_server_is_left_for_one_that_answers(
-    client, context, monkeypatch, sound
-):
-    # Guards against attempts at servers that are silent as well.
-    backends = list(context.placement.backends.values())
-    for backend in backends:
-        backend.latency = 0.02
-    client.silent = {b.address for b in backends} - {backends[sound].address}
-    original_send = client.send
-
-    async def send(call, attempt):
-        if attempt.address not in client.silent:
-            client.scripts = [fakes.Script()]
-        return await original_send(call, attempt)
-
-    monkeypatch.setattr(client, 'send', send)
-    client.scripts = [fakes.Script(then='silent') for _ in range(5)]
-    await fakes.run_plain(context, routes.Kind.IDEMPOTENT)
-    assert len(client.attempts) <= 2
-
-
 async def test_a_retry_does_not_rely_on_a_connection_used_before(
     client, context
 ):
