--- a/tests/forwarding/test_scheduling.py
+++ b/tests/forwarding/test_scheduling.py
@@ -10,6 +10,7 @@
 from bulrushhold import errors
 from bulrushhold import forwarding
 from bulrushhold.forwarding import _admission
+from bulrushhold.forwarding import _engine_stream
 from bulrushhold.forwarding import _enginechooser
 from bulrushhold import messages
 from bulrushhold import routes
@@ -551,3 +552,20 @@
     poll = messages.StreamPoll(ask.service, ask.entry, ask.ticket, 0.2)
     assert len(messages.encode(poll)) < 100
     assert len(messages.encode(granted('i-0123456789'))) < 80
+
+
+async def test_a_late_stream_does_not_leave_its_engine_to_queue(
+    ordered, client, home, monkeypatch
+):
+    # Guards against a run that is given up for a turn that may never come.
+    monkeypatch.setattr(_engine_stream, 'PROBE_INTERVAL_S', 0.02)
+    monkeypatch.setattr(
+        ordered.placement.speeds, 'token_s', lambda *_, **__: 0.00001
+    )
+    home.replies = [granted('i1'), QUEUED]
+    home.on_poll = lambda: home.replies.append(QUEUED)
+    set_reading(ordered, 0, ['i0'])
+    late = fakes.Script(events=(1,), open_delay_s=1.5)
+    caller, _ = await run(ordered, client, late, WHOLE, aim_s=0.2)
+    assert caller.data == fakes.encode_events(1)
+    assert len(home.asks) == 1
