An ordered stream that leaves a late engine doesn't wait for another turn

Callers saw: nothing reported; found by review. A stream with a priority left a sound engine whose first event was late for another one that was idle, queued at the scheduling home instead, and ended at its deadline with 'no first event after 0.32 s'.

Cause: the place that was found for the move counted only where admission isn't ordered.

Change: the stream has had its turn, and goes to the place at once.

--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -272,7 +272,7 @@
                 has_permit = permission is _permits.Permission.PERMIT
                 choice = _permits.PermittedChoice(backup, has_permit)
                 return choice, copy or calls.RunCopy(backup.address)
-        if self._is_ordered():
+        if self._is_ordered() and not has_place:
             return await self._choose_in_order(), None
         if successor is not None:
             permission = await _permits.acquire(
@@ -421,7 +421,7 @@
     def _has_place_elsewhere(self, engine: decisions.BackendServer) -> bool:
         """Return whether another engine would take the stream at once.
 
-        Without events it is refused if none does in time, though the engine
+        A stream that has had its turn doesn't wait for another. Without events it is refused if none does in time, though the engine
         that it has left might have answered. With events it isn't refused.
         """
         if self.begun:
