--- a/src/bulrushhold/forwarding/_streams.py
+++ b/src/bulrushhold/forwarding/_streams.py
@@ -421,8 +421,9 @@
     def _has_place_elsewhere(self, engine: decisions.BackendServer) -> bool:
         """Return whether another engine would take the stream at once.
 
-        A stream that has had its turn doesn't wait for another. Without events it is refused if none does in time, though the engine
-        that it has left might have answered. With events it isn't refused.
+        Without events it is refused if none does in time, though the engine
+        that it has left might have answered; it isn't refused with events. It
+        has had its turn and needs no other one.
         """
         if self.begun:
             return True
