Soak: entries run the code of their own tree

Since the process imports bulrushhold, for cuts from control, before platform/run.py puts its tree's src on the path. With the environment of another tree (an editable install) entries ran that tree's code, and control its own. The test failed before.

--- a/tests/platform/soak/netfault.py
+++ b/tests/platform/soak/netfault.py
@@ -74,6 +74,8 @@
 
 
 if __name__ == '__main__':
+    # The environment may hold another tree's code.
+    sys.path.insert(1, str(ROOT / 'src'))
     settings_file = os.environ['BULRUSHHOLD_NODE_FILE']
     if sys.argv[1] == 'entry':
         install(os.environ['SOAK_ENTRY_IP'], cut_file(settings_file))
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.platform.soak import contended
+from tests.platform.soak import netfault
 from tests.platform.soak import system
 
 DURATION_S = 4.0
@@ -68,3 +69,26 @@
     finally:
         second.kill()
         second.wait()
+
+
+def test_entries_run_the_code_of_their_own_tree(tmp_path):
+    """Guards against entries that run an environment's copy of the code."""
+    other = tmp_path / 'other' / 'bulrushhold'
+    other.mkdir(parents=True)
+    (other / '__init__.py').write_text("raise SystemExit('other tree')")
+    settings = tmp_path / 'entry.toml'
+    ended = subprocess.run(
+        [sys.executable, netfault.__file__, 'entry'],
+        env={
+            'BULRUSHHOLD_NODE_FILE': str(settings),
+            'SOAK_ENTRY_IP': '127.0.0.1',
+            'PYTHONPATH': str(other.parent),
+        },
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert 'other tree' not in ended.stderr
+    # It ends as it has no settings, not before.
+    assert netfault.started_file(settings).exists()
+    assert str(settings) in ended.stderr
