--- a/tests/platform/soak/outofstep.py
+++ b/tests/platform/soak/outofstep.py
@@ -41,7 +41,16 @@
     'slow_list',
     'election',
     'control_silent',
+    'three_versions',
+    'third_version',
+    'cut_then_stopped',
+    'control_restarted',
 )
+VERSIONS = ('v1', 'v1.1', 'v1.2')
+# Engines of the third version.
+THIRD = 2
+# Running entries use a new version after 5 s.
+KNOWN_S = 6.5
 
 
 class OutOfStepRun(run.SoakRun):
@@ -51,7 +60,17 @@
     :param kills: whether the other one is killed.
     """
 
-    def __init__(self, seed, folder, network_number, kind, *, kills=True):
+    def __init__(
+        self,
+        seed,
+        folder,
+        network_number,
+        kind,
+        *,
+        kills=True,
+        entries=ENTRIES,
+    ):
+        self.entries = entries
         super().__init__(seed, folder, network_number, 0.0)
         self.kind = kind
         self.kills = kills
@@ -72,7 +91,7 @@
         self.streams = []
 
     def _make_system(self, *arguments):
-        return system.System(*arguments, entry_count=ENTRIES)
+        return system.System(*arguments, entry_count=self.entries)
 
     def _make_list(self):
         self.platform_list = super()._make_list()
@@ -86,7 +105,10 @@
         *others, self.late = self.system.programs_with_role('entry')
         self.starting = others[-1]
         await asyncio.sleep(SETTLE_S)
-        deadline = time.monotonic() + PLAY_S
+        play_s = PLAY_S
+        if self.kind == 'third_version':
+            play_s += KNOWN_S
+        deadline = time.monotonic() + play_s
         faults = [
             asyncio.ensure_future(coroutine)
             for coroutine in (self._put_out_of_step(), self._release())
@@ -105,6 +127,12 @@
         await asyncio.sleep(0.2 * self.moments.random())
         for engine in self.engines[ENGINES // 2 :]:
             engine.restart('v1.1')
+        if self.kind == 'third_version':
+            await asyncio.sleep(KNOWN_S)
+        if self.kind in ('three_versions', 'third_version'):
+            await asyncio.sleep(0.5 * self.moments.random())
+            for engine in self.engines[:THIRD]:
+                engine.restart('v1.2')
         if not self.kills:
             return
         await asyncio.sleep(0.5 * self.moments.random())
@@ -124,6 +152,17 @@
                 await asyncio.sleep(draw(0.02, 0.3))
         elif self.kind == 'cut_from_control':
             await self._cut_from_control(draw(1.0, 4.5))
+        elif self.kind == 'third_version':
+            await asyncio.sleep(KNOWN_S)
+            await self._stop([self.late], draw(1.0, 2.8))
+        elif self.kind == 'cut_then_stopped':
+            await self._cut_from_control(draw(0.5, 2.5))
+            await asyncio.sleep(draw(0.0, 0.3))
+            await self._stop([self.late], draw(0.3, 2.0))
+        elif self.kind == 'control_restarted':
+            stopped_s = draw(1.5, 2.8)
+            restarts = self._restart_control(stopped_s - draw(0.2, 1.5))
+            await asyncio.gather(self._stop([self.late], stopped_s), restarts)
         elif self.kind == 'control_silent':
             control = self.system.programs_with_role('control')
             await asyncio.gather(
@@ -158,6 +197,19 @@
         await asyncio.sleep(1.0)
         self.system.start(killed)
 
+    async def _restart_control(self, after_s):
+        """Kill one to all control processes, and start them at once."""
+        await asyncio.sleep(after_s)
+        control = self.system.programs_with_role('control')
+        killed = self.moments.sample(
+            control, self.moments.randint(1, len(control))
+        )
+        for program in killed:
+            self.system.signal(program, signal.SIGKILL)
+        for program in killed:
+            await self.system.wait_for_exit(program)
+            self.system.start(program)
+
     # Callers
 
     async def _call(self, first_entry):
@@ -198,21 +250,28 @@
         ]
 
 
-async def play(seed, folder, kind, *, kills=True):
+async def play(seed, folder, kind, *, kills=True, entries=ENTRIES):
     """Return a run after its end, and print what became of its streams."""
     with system.LoopbackNetwork() as network:
         out_of_step = OutOfStepRun(
-            seed, folder, network.number, kind, kills=kills
+            seed,
+            folder,
+            network.number,
+            kind,
+            kills=kills,
+            entries=entries,
         )
         report = await out_of_step.execute()
     counts = [
         f'{sum(oks)} of {len(oks)} {version}'
-        for version in ('v1', 'v1.1')
+        for version in VERSIONS
         for oks in [out_of_step.taken_up(version)]
+        if oks or version in VERSIONS[:2]
     ]
     print(
-        f'{kind} seed {seed}: {len(out_of_step.joined())} joined, taken up '
-        f'at once {", ".join(counts)}, {report.violations}',
+        f'{kind} seed {seed}, {entries} entries: '
+        f'{len(out_of_step.joined())} joined, taken up at once '
+        f'{", ".join(counts)}, {report.violations}',
         flush=True,
     )
     return out_of_step
@@ -222,14 +281,19 @@
 @click.option('--kinds', default=','.join(KINDS))
 @click.option('--seeds', default='1')
 @click.option('--folder', required=True)
-def main(kinds, seeds, folder):
+@click.option('--entries', default=ENTRIES)
+def main(kinds, seeds, folder, entries):
     """Play each kind with each seed; keep the logs in a folder."""
     joined = 0
     for kind in kinds.split(','):
         for seed in map(int, seeds.split(',')):
             path = pathlib.Path(folder) / f'{kind}-{seed}'
             path.mkdir(parents=True)
-            joined += len(asyncio.run(play(seed, path, kind)).joined())
+            played = asyncio.run(play(seed, path, kind, entries=entries))
+            joined += len(played.joined())
+            for stream in played.streams:
+                if stream.joined or stream.error:
+                    print(stream, flush=True)
     raise SystemExit(1 if joined else 0)
 
 
