No version is concluded for a process that no list need have shown

Seen in test_streams_keep_their_version_after_crashes[upgrade_in_place],, load 21 to 28: stream-51 held events of two versions. Its engine started again three times in 1.1 s, as v1.1, v1 and v1.1. The first of these began the stream, was seen by the entry while it ran, and was gone after 0.6 s. The list named v1 before and after, so that v1 was recorded for the stream, and it went on there.

Once a stream has been lost, a list tells its version only if the engine is still the process that was seen while the stream ran, where no list described that process then.

Left: an engine that is lost before it has told the entry of its start, and whose former process was listed.

--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -37,6 +37,7 @@
 from bulrushhold.decisions._homes import next_home_address
 from bulrushhold.decisions._incarnations import Incarnations
 from bulrushhold.decisions._incarnations import LIST_MARGIN_S
+from bulrushhold.decisions._incarnations import Start
 from bulrushhold.decisions._lifecycle import Lifecycle
 from bulrushhold.decisions._listcopy import BackendList
 from bulrushhold.decisions._listcopy import EntryList
@@ -214,6 +215,7 @@
     'RetryUsage',
     'ServiceRetryBudget',
     'StallTimeouts',
+    'Start',
     'StreamScheduler',
     'TableState',
     'Timing',
--- a/src/bulrushhold/decisions/_incarnations.py
+++ b/src/bulrushhold/decisions/_incarnations.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen
-class _Start:
+class Start:
     """A start of an engine's process.
 
     :param started_ms: as the engine states it, in Unix milliseconds.
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self.max_lag_s = 1.0
-        self.starts: dict[str, _Start] = {}
+        self.starts: dict[str, Start] = {}
 
     def retain(self, idents: t.Container[str]) -> None:
         """Forget the engines that are no longer listed."""
@@ -54,7 +54,7 @@
         start = self.starts.get(ident)
         if start is not None and start.started_ms == started_ms:
             return False
-        self.starts[ident] = _Start(started_ms, now, start is None)
+        self.starts[ident] = Start(started_ms, now, start is None)
         return start is not None
 
     def is_listed(self, ident: str, listed_at: float, unix_now: float) -> bool:
--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -126,6 +126,16 @@
         start = self.placement.incarnations.starts.get(engine.ident)
         return start.seen_at if start is not None else float('-inf')
 
+    def _unlisted_start(
+        self, engine: decisions.BackendServer
+    ) -> decisions.Start | None:
+        """Return the start of an engine if no list describes it so far."""
+        incarnations = self.placement.incarnations
+        is_listed = incarnations.is_listed(
+            engine.ident, self._listed_at(), self.unix_clock()
+        )
+        return None if is_listed else incarnations.starts.get(engine.ident)
+
     def _is_current(self, engine: decisions.BackendServer) -> bool:
         listed = self.placement.backends.get(engine.ident)
         return listed is not None and listed.version == engine.version
@@ -181,8 +191,12 @@
         note_pending: cabc.Callable[[], None],
     ) -> str | None:
         incarnations = self.placement.incarnations
+        unlisted = self._unlisted_start(engine)
         while True:
-            if await self.runs_listed_version(engine) and (
+            runs_listed = await self.runs_listed_version(engine)
+            if unlisted is None and is_running():
+                unlisted = self._unlisted_start(engine)
+            if runs_listed and (
                 is_running() or self._known_since(engine) <= began_at
             ):
                 return engine.version
@@ -190,9 +204,15 @@
                 listed = self.placement.backends.get(engine.ident)
                 if listed is None:
                     return None
+                if is_running():
+                    return listed.version
                 # It may have started again since the stream was lost.
+                present = incarnations.starts.get(engine.ident)
+                if unlisted is not None and present != unlisted:
+                    # No list need have shown the process between.
+                    return None
                 is_same = listed.version == engine.version
-                return listed.version if is_same or is_running() else None
+                return listed.version if is_same else None
             if self.clock() >= latest:
                 return None
             note_pending()
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -30,6 +30,7 @@
         can't be decoded.
     :param instance: ident of the responding process.
     :param framed: the end of the response's body is marked.
+    :param pause_s: time between the last event and what follows.
     """
 
     status: int = 200
@@ -42,6 +43,7 @@
     oversized: bool = False
     body: bytes = b'done'
     open_delay_s: float = 0.0
+    pause_s: float = 0.0
     limit: calls.RequestLimit | None = None
     backoff: calls.Backoff | None = None
     leaving: bool = False
@@ -77,6 +79,8 @@
     async def next_chunk(self):
         if self.remaining_events:
             return encode_event(self.remaining_events.pop(0))
+        if self.script.pause_s:
+            await asyncio.sleep(self.script.pause_s)
         if self.script.then == 'half':
             self.script.then = 'reset'
             return b'id: 99\ndata'
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -268,6 +268,39 @@
     assert context.origins.store.entries == {}
 
 
+@pytest.mark.parametrize('restarts', [False, True])
+@pytest.mark.parametrize('known_before', [False, True])
+async def test_a_list_tells_nothing_of_a_process_that_came_and_went(
+    client, context, restarting, known_before, restarts
+):
+    # Guards against software that was replaced before a list showed it.
+    def restart_all():
+        for version in ('v1', 'v2'):
+            restart_as(client, restarting, version)
+
+    restart_all()
+    if known_before:
+        for engine in restarting.backends.values():
+            await context.version_checks.runs_listed_version(engine)
+    client.scripts = [
+        fakes.Script(events=(1, 2), then='reset', pause_s=0.02),
+        fakes.Script(events=(3,)),
+    ]
+
+    def on_reset(address):
+        if restarts:
+            restart_all()
+        asyncio.get_running_loop().call_later(
+            0.5, setattr, restarting.known_versions, 'listed_at', float('inf')
+        )
+
+    client.on_reset = on_reset
+    caller, _ = await run_stream(context)
+    events = (1, 2) if restarts else (1, 2, 3)
+    assert caller.data == fakes.encode_events(*events)
+    assert bool(context.origins.store.entries) is not restarts
+
+
 async def test_a_list_tells_the_version_of_a_stream_whose_engine_is_lost(
     client, context, restarting, version_of
 ):
--- a/tests/platform/test_version_processes.py
+++ b/tests/platform/test_version_processes.py
@@ -23,6 +23,7 @@
 MAX_TRIES = 60
 # Streams of a version with fewer engines aren't counted.
 MIN_ENGINES = 2
+UPGRADED_AT_ONCE = 3
 # The users' rule counts from this number of resumed streams on.
 MIN_RESUMED = 12
 # Of the share of new streams that begin, so many resumed ones go on.
@@ -220,6 +221,18 @@
             await engine.proxy.go_down(0.2 * self.rng.random())
             await asyncio.sleep(0.5)
 
+    async def _upgrade_and_back(self, deadline):
+        while time.monotonic() < deadline:
+            engines = self.rng.sample(self.engines, UPGRADED_AT_ONCE)
+            former = [engine.version for engine in engines]
+            for engine in engines:
+                engine.upgrade_in_place('v1.2')
+            # The list never shows it.
+            await asyncio.sleep(0.8 * fakes.LIST_LAG_S)
+            for engine, version in zip(engines, former, strict=True):
+                engine.upgrade_in_place(version)
+            await asyncio.sleep(0.4)
+
     async def _crash_into_other_version(self, deadline):
         await self._crash(deadline, other_version=True)
 
@@ -289,6 +302,13 @@
     await check_versions_are_kept(tmp_path, fault, 0.0)
 
 
+async def test_versions_that_no_list_showed_are_not_guessed(tmp_path):
+    # Guards against software that was replaced before a list showed it.
+    await check_versions_are_kept(
+        tmp_path, 'upgrade_and_back', 0.0, min_share=0
+    )
+
+
 @pytest.mark.parametrize(
     ('fault', 'min_share'),
     [
