--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -1,7 +1,9 @@
 """Tests of callers' connections as an entry shuts down."""
 
 import asyncio
+import contextlib
 import json
+import socket
 
 import pytest
 
@@ -9,6 +11,7 @@
 from bulrushhold import web
 from tests import ingress_process
 
+REQUEST = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc'
 HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -93,6 +96,36 @@
     assert head.startswith('http/1.1 200')
 
 
+async def test_a_caller_who_connected_during_a_pause_is_answered(ingress):
+    # Guards against a busy process that resets connections it hasn't accepted.
+    caller = socket.create_connection(ingress.runner.addresses[0][:2])
+    caller.sendall(REQUEST)
+    ingress.stop_reading()
+    await ingress.close()
+    with caller:
+        caller.settimeout(2.0)
+        assert caller.recv(99).startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize('steps', range(12, 24))
+async def test_a_connection_accepted_as_listening_ends_is_not_kept(
+    ingress, steps
+):
+    # Guards against a caller whose connection nobody reads until the exit.
+    address = ingress.runner.addresses[0][:2]
+    ingress.stop_reading()
+    closing = asyncio.ensure_future(ingress.close())
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    with contextlib.suppress(ConnectionError):
+        with socket.create_connection(address) as caller:
+            caller.sendall(REQUEST)
+            await closing
+            caller.settimeout(1.0)
+            caller.recv(99)
+    await closing
+
+
 async def test_a_connection_does_not_stay_open_unread(ingress):
     # Guards against a whole request that waits on a connection being closed.
     reader, writer = await connect(ingress)
