Requests sent together on one connection are all answered by a draining entry

What callers saw: of requests that were sent one after another on one connection without waiting (pipelined), a draining entry answered the first, and closed the connection; the others, which it had read whole, got nothing, however long before.

Cause: after the signal each response had "Connection: close", after which the HTTP server drops what else it has read from the connection.

Change: a response closes its connection only if nothing else was read from it; the last one does.

The test failed before, with a plain request and with a stream: 1 of 3 answered.

--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -209,7 +209,9 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request._client_max_size = _requests.MAX_BODY_BYTES
         stream = _HttpCallerStream(
-            request, lambda: self.draining, self.budget is not None
+            request,
+            lambda: self._is_last(request),
+            self.budget is not None,
         )
         ident = ''
         try:
@@ -243,7 +245,7 @@
         response = web.Response(
             status=reply.status, headers=reply.headers, body=reply.body
         )
-        if self.draining:
+        if self._is_last(request):
             response.force_close()
         return response
 
@@ -277,6 +279,13 @@
         except errors.RequestError:
             return ''
 
+    def _is_last(self, request: web.BaseRequest) -> bool:
+        """Return whether a response asks its caller to disconnect.
+
+        It ends the connection: what else was read from it is answered first.
+        """
+        return self.draining and not request.protocol._messages
+
     async def _send_unframed(
         self, request: web.BaseRequest, reply: calls.Reply, body: bytes
     ) -> web.StreamResponse:
@@ -301,7 +310,7 @@
         )
         response_class = web.StreamResponse if framed else _UnframedResponse
         response = response_class(status=reply.status, headers=reply.headers)
-        if self.draining:
+        if self._is_last(request):
             response.force_close()
         transport = request.transport
         try:
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -12,6 +12,7 @@
 from tests import ingress_process
 
 REQUEST = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc'
+STREAM_REQUEST = REQUEST.replace(b'/x', b'/stream')
 HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -84,6 +85,23 @@
     assert b'connection: close' in head.lower()
 
 
+@pytest.mark.parametrize('first', [REQUEST, STREAM_REQUEST])
+async def test_requests_sent_together_are_all_answered_after_the_signal(
+    ingress, first
+):
+    # Guards against a connection that is closed before what was read from it.
+    reader, writer = await connect(ingress)
+    ingress.draining = True
+    writer.write(first + REQUEST + REQUEST)
+    async with asyncio.timeout(2.0):
+        answers = (await reader.read()).lower()
+    writer.close()
+    assert answers.count(b'http/1.1 200') == 3
+    *_, last = answers.split(b'http/1.1 200')
+    assert answers.count(b'connection: close') == 1
+    assert b'connection: close' in last
+
+
 async def test_a_request_that_arrived_during_a_pause_is_answered(ingress):
     # Guards against a busy process that closes connections it hasn't read.
     reader, writer = await connect(ingress)
