Callers who wait for "100 Continue" are asked for their body

What callers saw: a request with "Expect: 100-continue" was answered only once its body came. A caller who waits to be asked before it sends one waited until its own time limit, or until the entry was leaving and answered 503.

Cause: aiohttp asks in its applications, and the entry uses its lower-level server.

Change: the reader of a body asks, once there is room for it; not where it would be refused as the entry exits.

No real client (curl) was run.

Two tests; the first failed before (nothing within 2 s). The second passed.

--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -215,7 +215,9 @@
         )
         ident = ''
         try:
-            with _requests.RequestReader(self.budget, request) as reader:
+            with _requests.RequestReader(
+                self.budget, request, invites=not self.closing
+            ) as reader:
                 body = await self._read(reader)
                 call = self._decode(request, body)
                 ident = call.ident
--- a/src/bulrushhold/web/_requests.py
+++ b/src/bulrushhold/web/_requests.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import aiohttp
 from aiohttp import web
 
 from bulrushhold import errors
@@ -19,13 +20,18 @@
     """Receives one request's body, and counts it until the request ends.
 
     :param budget: ``None`` for no bound.
+    :param invites: whether callers who wait for it are asked for the body.
     """
 
     def __init__(
-        self, budget: _buffers.BufferBudget | None, request: web.BaseRequest
+        self,
+        budget: _buffers.BufferBudget | None,
+        request: web.BaseRequest,
+        invites: bool = True,
     ) -> None:
         self.budget = budget
         self.request = request
+        self.invites = invites
         self.holder = _buffers.Holder(budget) if budget is not None else None
 
     def __enter__(self) -> t.Self:
@@ -42,6 +48,7 @@
             not run.
         """
         if self.budget is None or self.holder is None:
+            await self._invite()
             return await self.request.read()
         if self.budget.refuses():
             raise _full_error()
@@ -50,11 +57,24 @@
             raise _too_large_error()
         if length > UNCOUNTED_BYTES:
             self._take(length * JOIN_FACTOR)
+        await self._invite()
         body = await self._read_parts(length)
         if len(body) > UNCOUNTED_BYTES:
             self.holder.resize(len(body))
         return body
 
+    async def _invite(self) -> None:
+        request = self.request
+        if (
+            self.invites
+            and request.version >= aiohttp.HttpVersion11
+            and request.headers.get('Expect', '').lower() == '100-continue'
+            and not request.content.is_eof()
+        ):
+            await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            # It is no part of the response.
+            request.writer.output_size = 0
+
     async def _read_parts(self, length: int) -> bytes:
         parts = []
         received = 0
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -13,6 +13,10 @@
 
 REQUEST = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc'
 STREAM_REQUEST = REQUEST.replace(b'/x', b'/stream')
+EXPECTING = (
+    b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+    b'Expect: 100-continue\r\n\r\n'
+)
 HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -102,6 +106,34 @@
     assert b'connection: close' in last
 
 
+async def test_a_caller_who_waits_to_send_its_body_is_asked_for_it(ingress):
+    # Guards against a caller and an entry that wait for each other.
+    reader, writer = await connect(ingress)
+    writer.write(EXPECTING)
+    async with asyncio.timeout(2.0):
+        interim = await reader.readuntil(b'\r\n\r\n')
+    writer.write(b'abc')
+    head, body = await read_answer(reader)
+    writer.close()
+    assert interim == b'HTTP/1.1 100 Continue\r\n\r\n'
+    assert head.startswith('http/1.1 200')
+    assert body == b'abc'
+
+
+async def test_a_caller_who_waits_to_send_its_body_is_refused_at_the_exit(
+    ingress,
+):
+    # Guards against a body that is sent in vain.
+    ingress.draining = True
+    ingress.stop_reading()
+    reader, writer = await connect(ingress)
+    writer.write(EXPECTING)
+    head, body = await read_answer(reader)
+    writer.close()
+    assert head.startswith('http/1.1 503')
+    assert json.loads(body)['error']['ran'] == 'no'
+
+
 async def test_a_request_that_arrived_during_a_pause_is_answered(ingress):
     # Guards against a busy process that closes connections it hasn't read.
     reader, writer = await connect(ingress)
