--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -28,6 +28,7 @@
 CLOSING_RETRY_S: t.Final = 0.05
 # Steps of the event loop in which a request is read and refused.
 CLOSING_STEPS: t.Final = 20
+STOP_LISTENING_S: t.Final = 0.001
 MAX_FIELD_BYTES: t.Final = 65536
 _NO_LINGER: t.Final = struct.pack('ii', 1, 0)
 _LINGER: t.Final = struct.pack('ii', 0, 0)
@@ -185,9 +186,18 @@
         What has arrived by then is answered first: a process that was short
         of CPU may not have read it yet.
         """
+        await self._answer_arrived()
+        # Its timer comes after the connections that the same step accepts:
+        # asyncio forgets those that don't have a transport yet.
+        await asyncio.sleep(STOP_LISTENING_S)
+        for site in list(self.runner.sites):
+            await site.stop()
+        await self._answer_arrived()
+        await self.runner.cleanup()
+
+    async def _answer_arrived(self) -> None:
         for _ in range(CLOSING_STEPS):
             await asyncio.sleep(0)
-        await self.runner.cleanup()
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
         self.in_progress += 1
@@ -199,11 +209,15 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request._client_max_size = _requests.MAX_BODY_BYTES
         stream = _HttpCallerStream(
-            request, lambda: self.draining, self.budget is not None
+            request,
+            lambda: self._is_last(request),
+            self.budget is not None,
         )
         ident = ''
         try:
-            with _requests.RequestReader(self.budget, request) as reader:
+            with _requests.RequestReader(
+                self.budget, request, invites=not self.closing
+            ) as reader:
                 body = await self._read(reader)
                 call = self._decode(request, body)
                 ident = call.ident
@@ -233,7 +247,7 @@
         response = web.Response(
             status=reply.status, headers=reply.headers, body=reply.body
         )
-        if self.draining:
+        if self._is_last(request):
             response.force_close()
         return response
 
@@ -267,6 +281,13 @@
         except errors.RequestError:
             return ''
 
+    def _is_last(self, request: web.BaseRequest) -> bool:
+        """Return whether a response asks its caller to disconnect.
+
+        It ends the connection: what else was read from it is answered first.
+        """
+        return self.draining and not request.protocol._messages
+
     async def _send_unframed(
         self, request: web.BaseRequest, reply: calls.Reply, body: bytes
     ) -> web.StreamResponse:
@@ -291,7 +312,7 @@
         )
         response_class = web.StreamResponse if framed else _UnframedResponse
         response = response_class(status=reply.status, headers=reply.headers)
-        if self.draining:
+        if self._is_last(request):
             response.force_close()
         transport = request.transport
         try:
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -1,7 +1,9 @@
 """Tests of callers' connections as an entry shuts down."""
 
 import asyncio
+import contextlib
 import json
+import socket
 
 import pytest
 
@@ -9,6 +11,12 @@
 from bulrushhold import web
 from tests import ingress_process
 
+REQUEST = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc'
+STREAM_REQUEST = REQUEST.replace(b'/x', b'/stream')
+EXPECTING = (
+    b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+    b'Expect: 100-continue\r\n\r\n'
+)
 HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -81,6 +89,51 @@
     assert b'connection: close' in head.lower()
 
 
+@pytest.mark.parametrize('first', [REQUEST, STREAM_REQUEST])
+async def test_requests_sent_together_are_all_answered_after_the_signal(
+    ingress, first
+):
+    # Guards against a connection that is closed before what was read from it.
+    reader, writer = await connect(ingress)
+    ingress.draining = True
+    writer.write(first + REQUEST + REQUEST)
+    async with asyncio.timeout(2.0):
+        answers = (await reader.read()).lower()
+    writer.close()
+    assert answers.count(b'http/1.1 200') == 3
+    *_, last = answers.split(b'http/1.1 200')
+    assert answers.count(b'connection: close') == 1
+    assert b'connection: close' in last
+
+
+async def test_a_caller_who_waits_to_send_its_body_is_asked_for_it(ingress):
+    # Guards against a caller and an entry that wait for each other.
+    reader, writer = await connect(ingress)
+    writer.write(EXPECTING)
+    async with asyncio.timeout(2.0):
+        interim = await reader.readuntil(b'\r\n\r\n')
+    writer.write(b'abc')
+    head, body = await read_answer(reader)
+    writer.close()
+    assert interim == b'HTTP/1.1 100 Continue\r\n\r\n'
+    assert head.startswith('http/1.1 200')
+    assert body == b'abc'
+
+
+async def test_a_caller_who_waits_to_send_its_body_is_refused_at_the_exit(
+    ingress,
+):
+    # Guards against a body that is sent in vain.
+    ingress.draining = True
+    ingress.stop_reading()
+    reader, writer = await connect(ingress)
+    writer.write(EXPECTING)
+    head, body = await read_answer(reader)
+    writer.close()
+    assert head.startswith('http/1.1 503')
+    assert json.loads(body)['error']['ran'] == 'no'
+
+
 async def test_a_request_that_arrived_during_a_pause_is_answered(ingress):
     # Guards against a busy process that closes connections it hasn't read.
     reader, writer = await connect(ingress)
@@ -93,6 +146,36 @@
     assert head.startswith('http/1.1 200')
 
 
+async def test_a_caller_who_connected_during_a_pause_is_answered(ingress):
+    # Guards against a busy process that resets connections it hasn't accepted.
+    caller = socket.create_connection(ingress.runner.addresses[0][:2])
+    caller.sendall(REQUEST)
+    ingress.stop_reading()
+    await ingress.close()
+    with caller:
+        caller.settimeout(2.0)
+        assert caller.recv(99).startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize('steps', range(12, 24))
+async def test_a_connection_accepted_as_listening_ends_is_not_kept(
+    ingress, steps
+):
+    # Guards against a caller whose connection nobody reads until the exit.
+    address = ingress.runner.addresses[0][:2]
+    ingress.stop_reading()
+    closing = asyncio.ensure_future(ingress.close())
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    with contextlib.suppress(ConnectionError):
+        with socket.create_connection(address) as caller:
+            caller.sendall(REQUEST)
+            await closing
+            caller.settimeout(1.0)
+            caller.recv(99)
+    await closing
+
+
 async def test_a_connection_does_not_stay_open_unread(ingress):
     # Guards against a whole request that waits on a connection being closed.
     reader, writer = await connect(ingress)
