Test of the permit home's busy loop: the floor's moments are drawn from a seed

No caller is concerned: the code did what it should.

Cause: the first request that the floor allows is at a random time within its interval (RequestLimits.take_floor), here of 1,923 s for 1,000 entries and 2.6 requests a second.

The fixture seeds it as it does the placement's generator.

--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -27,6 +27,7 @@
             for n in range(6)
         ]
     )
+    placement.demands.limits.rng = random.Random(1)
     # As an entry's checks find once they are listed.
     for ident in placement.backends:
         placement.verification.record_answer(ident)
