What has arrived at the own interface and at peer proxies is answered at the exit

What callers saw, by tests: at the product's own interface, a caller who connects and sends a request in a pause of an entry that is about to exit is reset without an answer. Between entries, an attempt that has arrived unread at an entry that exits gets no answer, so that a request that may run only once ends as unknown although it wasn't run.

Only the server for callers of the forwarding entry read them first.

Change: the end of a server is one function, used by all three.

Three tests failed before: an attempt at a peer proxy (closed without an answer), and a generation and a call at the own interface (the same). A request on a connection that was open before was already answered by the own interface, which closes its loops first.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -182,6 +182,8 @@
 
     async def close(self) -> None:
         """Answer what is left, stop all tasks and close all sockets."""
+        from bulrushhold import web as adapters
+
         deadline = time.monotonic() + EXIT_GRACE_S
         while self.server.requests_in_progress and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
@@ -190,7 +192,7 @@
         for task in list(self.background):
             task.cancel()
         await asyncio.gather(*self.background, return_exceptions=True)
-        await self.runner.cleanup()
+        await adapters.close_runner(self.runner)
         if has_successors and not self.transport.closed:
             # They ask this entry, as a home of keys and copies.
             await asyncio.sleep(TAKE_OVER_S)
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -14,6 +14,7 @@
 from bulrushhold.web._peerproxy import HttpPeerProxyClient
 from bulrushhold.web._peerproxy import PeerProxyServer
 from bulrushhold.web._service import HttpServiceClient
+from bulrushhold.web._shutdown import close_runner
 
 __all__ = [
     'BufferBudget',
@@ -27,6 +28,7 @@
     'MemoryMonitor',
     'PeerProxyServer',
     'READ_AHEAD_BYTES',
+    'close_runner',
     'make_session',
     'metrics_application',
     'read_whole',
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -17,6 +17,7 @@
 from bulrushhold.web import _buffers
 from bulrushhold.web import _connections
 from bulrushhold.web import _requests
+from bulrushhold.web import _shutdown
 
 # Long, so that callers close idle connections first: a request sent while the
 # server closes the connection would be lost.
@@ -26,9 +27,6 @@
 SHUTDOWN_TIMEOUT_S: t.Final = 0.1
 # Other entries accept at once what one that exits refuses.
 CLOSING_RETRY_S: t.Final = 0.05
-# Steps of the event loop in which a request is read and refused.
-CLOSING_STEPS: t.Final = 20
-STOP_LISTENING_S: t.Final = 0.001
 MAX_FIELD_BYTES: t.Final = 65536
 _NO_LINGER: t.Final = struct.pack('ii', 1, 0)
 _LINGER: t.Final = struct.pack('ii', 0, 0)
@@ -181,23 +179,8 @@
                 cutoff.reschedule(now)
 
     async def close(self) -> None:
-        """Stop listening and close all connections.
-
-        What has arrived by then is answered first: a process that was short
-        of CPU may not have read it yet.
-        """
-        await self._answer_arrived()
-        # Its timer comes after the connections that the same step accepts:
-        # asyncio forgets those that don't have a transport yet.
-        await asyncio.sleep(STOP_LISTENING_S)
-        for site in list(self.runner.sites):
-            await site.stop()
-        await self._answer_arrived()
-        await self.runner.cleanup()
-
-    async def _answer_arrived(self) -> None:
-        for _ in range(CLOSING_STEPS):
-            await asyncio.sleep(0)
+        """Stop listening and close all connections."""
+        await _shutdown.close_runner(self.runner)
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
         self.in_progress += 1
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -15,6 +15,7 @@
 from bulrushhold.web import _buffers
 from bulrushhold.web import _connections
 from bulrushhold.web import _requests
+from bulrushhold.web import _shutdown
 
 ATTEMPTS_PATH: t.Final = '/attempts'
 QUESTIONS_PATH: t.Final = '/questions'
@@ -242,7 +243,7 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        await self.runner.cleanup()
+        await _shutdown.close_runner(self.runner)
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
         request._client_max_size = MAX_MESSAGE_BYTES
--- /dev/null
+++ b/src/bulrushhold/web/_shutdown.py
@@ -0,0 +1,31 @@
+"""Ends HTTP servers once what has arrived at them is answered."""
+
+import asyncio
+import typing as t
+
+from aiohttp import web
+
+# Steps of the event loop in which a request is read and refused.
+CLOSING_STEPS: t.Final = 20
+STOP_LISTENING_S: t.Final = 0.001
+
+
+async def close_runner(runner: 'web.BaseRunner[t.Any]') -> None:
+    """Stop listening and close all connections of a server.
+
+    What has arrived by then is answered first: a process that was short of
+    CPU may not have read it yet.
+    """
+    await _answer_arrived()
+    # Its timer comes after the connections that the same step accepts: asyncio
+    # forgets those that don't have a transport yet.
+    await asyncio.sleep(STOP_LISTENING_S)
+    for site in list(runner.sites):
+        await site.stop()
+    await _answer_arrived()
+    await runner.cleanup()
+
+
+async def _answer_arrived() -> None:
+    for _ in range(CLOSING_STEPS):
+        await asyncio.sleep(0)
--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import socket
 
 import aiohttp
 import pytest
@@ -44,24 +45,27 @@
     """Sends the end of a request's body only when it is told to."""
 
     def __init__(self, system, path):
-        self.address, _ = system.addresses['e1']
-        self.path = path
+        address, _ = system.addresses['e1']
+        self.host_and_port = (address.host, address.port)
         self.body = BODIES[path]
-
-    async def start(self):
-        self.reader, self.writer = await asyncio.open_connection(
-            self.address.host, self.address.port
-        )
-        head = (
-            f'POST {self.path} HTTP/1.1\r\nHost: e1\r\n'
+        self.head = (
+            f'POST {path} HTTP/1.1\r\nHost: e1\r\n'
             f'Content-Length: {len(self.body)}\r\n'
             'Content-Type: application/json\r\n'
             f'Idempotency-Key: {services.make_key()}\r\n'
             'Bulrushhold-Account: vendors\r\n\r\n'
-        )
-        self.writer.write(head.encode() + self.body[:-5])
+        ).encode()
+
+    async def start(self):
+        await self.open(*self.host_and_port)
+        self.writer.write(self.head + self.body[:-5])
         await asyncio.sleep(0.1)
 
+    async def open(self, *address, **options):
+        self.reader, self.writer = await asyncio.open_connection(
+            *address, **options
+        )
+
     def finish(self):
         self.writer.write(self.body[-5:])
 
@@ -227,6 +231,22 @@
     assert (status, answer['error']['ran']) == (503, 'no')
 
 
+@pytest.mark.parametrize('path', BODIES)
+async def test_a_caller_who_connected_during_a_pause_is_answered(
+    leaving_system, path
+):
+    # Guards against a busy entry that resets connections it hasn't accepted.
+    entry = leaving_system.entries.pop('e1')
+    await entry.drain()
+    caller = SlowCaller(leaving_system, path)
+    connection = socket.create_connection(caller.host_and_port)
+    connection.sendall(caller.head + caller.body)
+    await entry.close()
+    await caller.open(sock=connection)
+    status, answer = await caller.response()
+    assert (status, answer['error']['ran']) == (503, 'no')
+
+
 async def test_a_call_without_its_slot_is_answered_before_the_exit(
     leaving_system, monkeypatch
 ):
--- a/tests/test_peer_proxy_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -72,14 +72,20 @@
 
 
 @pytest_asyncio.fixture
-async def proxy(handler):
+async def proxy_server(handler):
     server = adapters.PeerProxyServer(handler)
     (port,) = testing.free_ports(1)
     await server.start('127.0.0.1', port)
-    yield f'127.0.0.1:{port}'
+    yield server
     await server.close()
 
 
+@pytest.fixture
+def proxy(proxy_server):
+    host, port = proxy_server.runner.addresses[0][:2]
+    return f'{host}:{port}'
+
+
 @pytest_asyncio.fixture
 async def client():
     proxy_client = adapters.HttpPeerProxyClient()
@@ -107,6 +113,27 @@
         assert await response.body() == body
 
 
+async def test_an_attempt_that_arrived_during_a_pause_is_answered(
+    proxy_server, proxy, handler
+):
+    # Guards against a busy entry that closes connections it hasn't read.
+    handler.response = errors.ProxyRefusedError('shutting down', 'proxy')
+    reader, writer = await asyncio.open_connection(*proxy.split(':'))
+    await asyncio.sleep(0.05)
+    body = messages.encode(messages.ProxiedAttempt(CALL, ATTEMPT))
+    head = (
+        'POST /attempts HTTP/1.1\r\nHost: h\r\nConnection: close\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    writer.write(head.encode() + body)
+    await proxy_server.close()
+    async with asyncio.timeout(2.0):
+        answer = await reader.read()
+    writer.close()
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert handler.received == [(CALL, ATTEMPT)]
+
+
 async def test_a_response_that_breaks_off_is_not_whole(client, proxy, handler):
     # Guards against a truncated body that looks complete.
     lost = errors.BackendError('reset', 'answer', '')
