A drain that wakes from a pause near its end still answers

Found by the review. A process that stood still for 0.17 s or more until the last half second of its drain took the margin for busy processes at once: its deadline was past, the loop ended, and requests were cancelled with hardly a step of the loop for their answers, though up to 0.9 s were left.

The margin leaves a quarter of a second for answers now, and doesn't move the end later. The test failed before: the drain ended 0.0 s after a pause of 0.45 s, with a request in progress and 0.15 s of its time left.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -31,6 +31,8 @@
 MAX_LAG_MARGIN_S: t.Final = 0.5
 # Reserved for errors that answer what hasn't been answered by then.
 ANSWER_S: t.Final = 0.5
+# The same for a process that finds only now that it is busy.
+MIN_ANSWER_S: t.Final = 0.25
 
 
 @attrs.frozen
@@ -280,7 +282,9 @@
             lags_s.append(now - checked_at - DRAIN_CHECK_INTERVAL_S)
             # A process that is busy now needs longer to answer and to close.
             margin_s = min(LAG_FACTOR * max(lags_s), MAX_LAG_MARGIN_S)
-            busy_deadline = last_deadline - margin_s
+            busy_deadline = max(
+                last_deadline - margin_s, min(deadline, now + MIN_ANSWER_S)
+            )
             if abs(busy_deadline - deadline) > DRAIN_CHECK_INTERVAL_S:
                 deadline = busy_deadline
                 self.forwarder.drain_deadline = deadline - ANSWER_S
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -54,3 +54,14 @@
         await entry.drain()
     earliest_s, latest_s = ends_within_s
     assert earliest_s < time.monotonic() - started_at < latest_s
+
+
+async def test_an_entry_that_was_paused_near_its_end_still_answers(entry):
+    # Guards against a drain that ends as it wakes, with answers outstanding.
+    entry.config = attrs.evolve(entry.config, grace_s=2.0)
+    entry.ingress.in_progress = 1
+    asyncio.get_running_loop().call_later(1.0, time.sleep, 0.45)
+    started_at = time.monotonic()
+    async with asyncio.timeout(5.0):
+        await entry.drain()
+    assert time.monotonic() - started_at > 1.55
