An entry that exits before its deadline takes nothing more

An entry that drains ends early if nothing is in progress. What arrived then, as its connections were closed, was taken as before a deadline far away: a request at an entry without a route map waited for the map and was cancelled without an answer, and an attempt of another entry was sent on and cut, which left a request that may run only once with an unknown outcome.

Both are refused once the drain has ended. The test of the first failed before (it waited); the second is by reading, without a test of its own.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -217,7 +217,7 @@
                 context,
                 self.fleet,
                 monitor,
-                lambda: self.forwarder.drain.ending,
+                lambda: self.forwarder.closing or self.forwarder.drain.ending,
             ),
             buffers,
         )
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -77,7 +77,7 @@
     async def _serve(
         self, request: _requestprogress.RequestProgress
     ) -> calls.Reply | None:
-        if self.fleet.index is None:
+        if self.fleet.index is None and not self.closing:
             await self._wait_for_start(request.call)
         job = self._accept(request)
         if job.route.kind is routes.Kind.STREAM:
--- a/tests/forwarding/test_draining.py
+++ b/tests/forwarding/test_draining.py
@@ -55,6 +55,18 @@
     forwarder.drain_deadline = forwarder.context.clock() + seconds
 
 
+async def test_a_request_without_a_map_is_refused_at_once_at_the_exit(
+    context, fleet, make_call
+):
+    # Guards against a request that waits for a map as its entry exits.
+    forwarder = forwarding.Forwarder(fleet, context)
+    forwarder.closing = True
+    async with asyncio.timeout(0.5):
+        with pytest.raises(errors.RequestError) as caught:
+            await forwarder.handle(make_call(), fakes.FakeCaller())
+    assert (caught.value.status, caught.value.ran) == (503, errors.Ran.NO)
+
+
 def silent_scripts(**first):
     """Return scripts of a server that falls silent, and of silent ones."""
     others = [fakes.Script(then='silent') for _ in range(20)]
