An answer is in progress until the system has all of it

What callers would see: a whole head with status 200, and a body that ends early, from an entry that leaves with seconds of its grace left.

Cause: a drain ends once no handler runs. A handler ends once its answer is written to the connection, of which a process holds what the system doesn't take yet: the last 8 or 64 KB of a body sent in pieces, and all of one that is sent at once. That is lost as the process ends.

Change: a connection with unsent data counts as a request in progress, at both servers of the entry and at the own interface.

--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -169,6 +169,8 @@
         and a request that meets a connection being closed gets no answer.
         They are refused for a while, which closes their connections.
         """
+        from bulrushhold import web as adapters
+
         self.server.draining = True
         self.prober.announce_leaving()
         loguru.logger.info('draining')
@@ -176,7 +178,11 @@
         deadline = now + self.config.drain_deadline_s
         lingers_until = min(now + self.config.linger_s, deadline)
         while time.monotonic() < lingers_until or (
-            self.server.in_progress and time.monotonic() < deadline
+            (
+                self.server.in_progress
+                or adapters.count_unsent(self.runner.server)
+            )
+            and time.monotonic() < deadline
         ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -15,6 +15,7 @@
 from bulrushhold.web._peerproxy import PeerProxyServer
 from bulrushhold.web._service import HttpServiceClient
 from bulrushhold.web._shutdown import close_runner
+from bulrushhold.web._shutdown import count_unsent
 
 __all__ = [
     'BufferBudget',
@@ -29,6 +30,7 @@
     'PeerProxyServer',
     'READ_AHEAD_BYTES',
     'close_runner',
+    'count_unsent',
     'make_session',
     'metrics_application',
     'read_whole',
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -144,7 +144,7 @@
         self.dialect = dialect
         self.budget = budget
         self.draining = False
-        self.in_progress = 0
+        self.handling = 0
         self.closing = False
         self.reading: set[asyncio.Timeout] = set()
         options: dict[str, t.Any] = {}
@@ -162,6 +162,11 @@
             **options,
         )
 
+    @property
+    def in_progress(self) -> int:
+        """The number of requests whose answers an exit would cut off."""
+        return self.handling + _shutdown.count_unsent(self.server)
+
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
         self.runner = web.ServerRunner(
@@ -183,11 +188,11 @@
         await _shutdown.close_runner(self.runner)
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
-        self.in_progress += 1
+        self.handling += 1
         try:
             return await self._serve(request)
         finally:
-            self.in_progress -= 1
+            self.handling -= 1
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         request._client_max_size = _requests.MAX_BODY_BYTES
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -213,7 +213,7 @@
     """Serves other entries.
 
     :param budget: bounds the bodies in memory; ``None`` for no bound.
-    :ivar in_progress: number of requests being proxied.
+    :ivar handling: number of requests being proxied.
     """
 
     def __init__(
@@ -223,7 +223,7 @@
     ) -> None:
         self.handler = handler
         self.budget = budget
-        self.in_progress = 0
+        self.handling = 0
         self.server = web.Server(
             self._on_request,
             # Ends the request to the server once the other entry is gone.
@@ -233,6 +233,11 @@
             auto_decompress=False,
         )
 
+    @property
+    def in_progress(self) -> int:
+        """The number of requests whose answers an exit would cut off."""
+        return self.handling + _shutdown.count_unsent(self.server)
+
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
         self.runner = web.ServerRunner(
@@ -247,7 +252,7 @@
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
         request._client_max_size = MAX_MESSAGE_BYTES
-        self.in_progress += 1
+        self.handling += 1
         try:
             with _requests.RequestReader(self.budget, request) as reader:
                 message = messages.decode(await reader.read())
@@ -260,7 +265,7 @@
         except errors.PeerError as error:
             return web.Response(status=400, text=str(error))
         finally:
-            self.in_progress -= 1
+            self.handling -= 1
 
     async def _answer(self, question: t.Any) -> messages.Message:
         try:
--- a/src/bulrushhold/web/_shutdown.py
+++ b/src/bulrushhold/web/_shutdown.py
@@ -29,3 +29,21 @@
 async def _answer_arrived() -> None:
     for _ in range(CLOSING_STEPS):
         await asyncio.sleep(0)
+
+
+def count_unsent(server: 'web.Server[t.Any] | None') -> int:
+    """Return the number of connections with data that isn't sent yet.
+
+    The system sends what it has also after the end of the process.
+    """
+    transports = [c.transport for c in _connections(server)]
+    return sum(
+        transport is not None and transport.get_write_buffer_size() > 0
+        for transport in transports
+    )
+
+
+def _connections(
+    server: 'web.Server[t.Any] | None',
+) -> 'list[web.RequestHandler[t.Any]]':
+    return server.connections if server is not None else []
--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -12,6 +12,7 @@
 from bulrushhold.composition import _entry
 from bulrushhold.entry import _eventstream
 from bulrushhold import errors
+from bulrushhold import web as adapters
 from tests import conftest
 from tests import test_generations as generations
 from tests import test_services as services
@@ -202,6 +203,16 @@
     assert claim.state == 'done'
 
 
+async def test_a_drain_waits_until_the_system_has_all_of_an_answer(
+    system, monkeypatch
+):
+    # Guards against an exit that cuts the end of an answer to a slow reader.
+    unsent = [1]
+    monkeypatch.setattr(adapters, 'count_unsent', lambda server: unsent[0])
+    async with draining(system):
+        unsent[0] = 0
+
+
 # What is left at the deadline of a drain, or at a second signal
 
 
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -17,12 +17,15 @@
     b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
     b'Expect: 100-continue\r\n\r\n'
 )
+LARGE_BYTES = 4 << 20
 HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
 @pytest.fixture
 async def ingress():
     async def handle(call, stream):
+        if call.target == '/large':
+            return calls.Reply(200, (), bytes(LARGE_BYTES))
         if call.target != '/stream':
             return calls.Reply(200, (), call.body)
         await asyncio.sleep(0.1)
@@ -146,6 +149,24 @@
     assert head.startswith('http/1.1 200')
 
 
+async def test_an_answer_is_in_progress_until_the_system_has_all_of_it(
+    ingress,
+):
+    # Guards against an exit that cuts the end of an answer to a slow reader.
+    loop = asyncio.get_running_loop()
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.connect(ingress.runner.addresses[0][:2])
+        caller.setblocking(False)
+        caller.sendall(b'GET /large HTTP/1.1\r\nHost: h\r\n\r\n')
+        await asyncio.sleep(0.05)
+        async with asyncio.timeout(5.0):
+            while ingress.in_progress:
+                await loop.sock_recv(caller, 4096)
+        [connection] = ingress.server.connections
+        assert not connection.transport.get_write_buffer_size()
+
+
 async def test_a_caller_who_connected_during_a_pause_is_answered(ingress):
     # Guards against a busy process that resets connections it hasn't accepted.
     caller = socket.create_connection(ingress.runner.addresses[0][:2])
