--- a/src/bulrushhold/entry/_server.py
+++ b/src/bulrushhold/entry/_server.py
@@ -116,7 +116,8 @@
             response = await self._answer_or_error(request, handler)
         finally:
             self.requests_in_progress -= 1
-        if self.draining and not response.prepared:
+        is_last = self.draining and _shutdown.is_last(request)
+        if is_last and not response.prepared:
             response.force_close()
         return response
 
--- a/src/bulrushhold/entry/_shutdown.py
+++ b/src/bulrushhold/entry/_shutdown.py
@@ -5,6 +5,7 @@
 import contextlib
 import typing as t
 
+from aiohttp import web
 import attrs
 
 from bulrushhold import errors
@@ -58,6 +59,11 @@
             self.timeouts.discard(timeout)
 
 
+def is_last(request: web.Request) -> bool:
+    """Return whether nothing else was read from a request's connection."""
+    return not request.protocol._messages
+
+
 def make_refusal(ran: errors.Ran) -> errors.RequestError:
     """Return the error of a request that the exit ends.
 
--- a/tests/test_entry_exit.py
+++ b/tests/test_entry_exit.py
@@ -147,6 +147,22 @@
     assert (status, answer['error']['ran']) == (503, 'no')
 
 
+@pytest.mark.parametrize('path', BODIES)
+async def test_requests_sent_together_are_all_answered_after_the_signal(
+    system, path
+):
+    # Guards against a connection that is closed before what was read from it.
+    system.entries['e1'].server.draining = True
+    caller = SlowCaller(system, path)
+    await caller.open(*caller.host_and_port)
+    caller.writer.write(2 * (caller.head + caller.body))
+    async with asyncio.timeout(2.0):
+        answers = (await caller.reader.read()).lower()
+    caller.writer.close()
+    assert answers.count(b'http/1.1 503') == 2
+    assert answers.count(b'connection: close') == 1
+
+
 async def test_a_drain_waits_for_a_call_without_its_slot(system, monkeypatch):
     # Guards against an exit that cuts a call before it is sent.
     granted = block(
--- a/tests/test_ingress_shutdown.py
+++ b/tests/test_ingress_shutdown.py
@@ -167,6 +167,19 @@
         assert not connection.transport.get_write_buffer_size()
 
 
+async def test_a_full_pipeline_is_answered_before_the_close(ingress):
+    # Guards against a connection that is closed before what was read from it.
+    reader, writer = await connect(ingress)
+    await asyncio.sleep(0.05)
+    writer.write(REQUEST * 30)
+    ingress.draining = True
+    ingress.stop_reading()
+    await ingress.close()
+    answers = await reader.read()
+    writer.close()
+    assert answers.lower().count(b'http/1.1 ') == 30
+
+
 async def test_a_caller_who_connected_during_a_pause_is_answered(ingress):
     # Guards against a busy process that resets connections it hasn't accepted.
     caller = socket.create_connection(ingress.runner.addresses[0][:2])
