Refusals of an entry that exits: their own Retry-After and step

A request refused once the drain had ended got the Retry-After of a new process that has no route map yet (0.5 s), though other entries accept it at once; one refused before its body had arrived named the step "buffers". Both are refused as other requests of a draining entry are.

--- a/src/bulrushhold/forwarding/_draining.py
+++ b/src/bulrushhold/forwarding/_draining.py
@@ -132,7 +132,7 @@
         needed_s = self._needed_s(job, self._usual_s(job))
         reason = self._refusal_reason(job, needed_s)
         if reason:
-            raise self._refusal(reason)
+            raise self.refusal(reason)
         self._schedule_end(request)
         self.metrics.count('drain.accepted')
         node.log_decision(
@@ -156,7 +156,7 @@
             needed_s = self._needed_s(job, self._usual_s(job))
             reason = self._refusal_reason(job, needed_s)
             if reason:
-                raise self._refusal(reason)
+                raise self.refusal(reason)
         request.dispatched_at = self.clock()
         self._schedule_end(request)
 
@@ -319,9 +319,10 @@
             return _context.unknown_outcome_error(
                 request.job, 'shutting down before the answer was complete', ''
             )
-        return self._refusal('shutting down before the request was sent')
+        return self.refusal('shutting down before the request was sent')
 
-    def _refusal(self, reason: str) -> errors.RequestError:
+    def refusal(self, reason: str) -> errors.RequestError:
+        """Return the error of a request that another entry may serve."""
         self.metrics.count('drain.refused')
         return errors.RequestError(
             reason,
--- a/src/bulrushhold/forwarding/_durations.py
+++ b/src/bulrushhold/forwarding/_durations.py
@@ -31,7 +31,7 @@
         seconds: float,
         route: str = '',
     ) -> None:
-        """Record the duration of a request that was served.
+        """Record how long it took to answer a request, with any status.
 
         :param route: its name if the request may run only once.
         """
--- a/src/bulrushhold/forwarding/_forwarder.py
+++ b/src/bulrushhold/forwarding/_forwarder.py
@@ -139,9 +139,11 @@
     ) -> _context.Job:
         call, now = request.call, request.received_at
         index = self.fleet.index
-        if index is None or self.closing:
+        if self.closing:
+            raise self.drain.refusal('shutting down')
+        if index is None:
             raise errors.RequestError(
-                'shutting down' if self.closing else 'no route map yet',
+                'no route map yet',
                 'accept',
                 status=503,
                 retry_after=START_RETRY_S,
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -23,7 +23,7 @@
 # server closes the connection would be lost.
 KEEPALIVE_TIMEOUT_S: t.Final = 3600.0
 # Short: requests were drained before the server shuts down, and what arrives
-# meanwhile on an open connection isn't read any more.
+# meanwhile on an open connection isn't read any more. It passes twice.
 SHUTDOWN_TIMEOUT_S: t.Final = 0.1
 # Other entries accept at once what one that exits refuses.
 CLOSING_RETRY_S: t.Final = 0.05
@@ -211,8 +211,7 @@
                 ident = call.ident
                 reply = await self.handle(call, stream)
         except errors.RequestError as error:
-            if error.step == _requests.REFUSED_STEP:
-                ident = self._read_ident(request)
+            ident = ident or self._read_ident(request)
             reply = _error_reply(error, self.dialect.echo(ident))
         except (asyncio.CancelledError, ConnectionError):
             raise
@@ -250,7 +249,7 @@
                 raise
             raise errors.RequestError(
                 'shutting down before the request was received',
-                _requests.REFUSED_STEP,
+                'accept',
                 status=503,
                 retry_after=CLOSING_RETRY_S,
             ) from None
@@ -263,7 +262,7 @@
         )
 
     def _read_ident(self, request: web.BaseRequest) -> str:
-        """Return the id of a request whose body isn't received."""
+        """Return the id of a request whose body isn't needed for it."""
         try:
             return self._decode(request, b'').ident
         except errors.RequestError:
