A version that will never be known is recorded as unknown, not guessed

The entry that began such a stream found that its version can't be known and ended it; its caller took it up, and it went on at the one known version.

Cause: that the version will never be known was sent as a pending origin of 0 s, which only removes the note of the pending one. A later take-up found neither a record nor a note, and concluded the only version.

Change: such a stream gets a record whose `version_known` is false, through the same messages, homes, replication and log as other origins and for the same lifetime. A take-up that finds it is refused at once as "version unknown", without Retry-After. In a store a known version replaces it and is never replaced by it; an entry that asks homes prefers one that knows the version. Records on disk without it are loaded as before.

--- a/src/bulrushhold/decisions/_streamorigins.py
+++ b/src/bulrushhold/decisions/_streamorigins.py
@@ -93,11 +93,17 @@
         """Keep an origin for its lifetime; return whether anything changed.
 
         A stream has one origin; a second report only prolongs the lifetime.
+        A known version replaces an unknown one, and is never replaced.
         """
         self._expire(now)
         self.pending.pop(origin.key, None)
         expires_at = now + origin.lifetime_s
         entry = self.entries.get(origin.key)
+        is_known = origin.version_known
+        if entry is not None and entry.origin.version_known != is_known:
+            if not is_known:
+                return False
+            entry = None
         if entry is None:
             entry = _Entry(origin, now, expires_at)
             self.entries[origin.key] = entry
--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -487,15 +487,14 @@
             self._record_pending_origin,
         )
         if version is None:
-            self._record_pending_origin(0.0)
             _context.log(job, 'version not known', engine=self.engine.ident)
-            return False
-        self.engines.version = version
+        else:
+            self.engines.version = version
         if job.route.resumable:
             _resumption.record_origin(
                 self.context, job, job.call.ident, version
             )
-        return True
+        return version is not None
 
     def _record_pending_origin(self, pending_s: float) -> None:
         job = self.stream.job
--- a/src/bulrushhold/forwarding/_origins.py
+++ b/src/bulrushhold/forwarding/_origins.py
@@ -42,6 +42,13 @@
     conclusive: bool = True
     pending_s: float = 0.0
 
+    @property
+    def version(self) -> str | None:
+        """The version that began the stream; ``None`` if it is unknown."""
+        if self.origin is None or not self.origin.version_known:
+            return None
+        return self.origin.version
+
 
 class OriginSource(abc.ABC):
     """Keeps the origins of streams beyond the entry that forwards them."""
@@ -124,7 +131,7 @@
         return len(homes)
 
     async def find(self, key: bytes) -> OriginFinding:
-        """Find an origin; the first home that knows it is enough.
+        """Find an origin; the first home that knows the version is enough.
 
         Asks again for a while if a home was silent or has just started.
         """
@@ -145,6 +152,7 @@
         lookups = [asyncio.ensure_future(self._ask(h, key)) for h in homes]
         answered = settled = 0
         pending_s = 0.0
+        unknown_version: OriginFinding | None = None
         try:
             for lookup in asyncio.as_completed(lookups):
                 home, reply = await lookup
@@ -152,15 +160,21 @@
                     continue
                 if reply.origin is not None:
                     super().record(reply.origin)
-                    return OriginFinding(
+                    finding = OriginFinding(
                         reply.origin, home, reply.age_s, len(homes), answered
                     )
+                    if finding.version is not None:
+                        return finding
+                    unknown_version = finding
+                    continue
                 answered += 1
                 settled += reply.settled
                 pending_s = max(pending_s, reply.pending_s)
         finally:
             for task in lookups:
                 task.cancel()
+        if unknown_version is not None:
+            return attrs.evolve(unknown_version, answered=answered)
         return OriginFinding(
             asked=len(homes),
             answered=answered,
--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -26,16 +26,21 @@
     context: _context.ForwardingContext,
     job: _context.Job,
     ident: str,
-    version: str,
+    version: str | None,
 ) -> None:
     """Record which version began a stream.
 
     :param ident: id of the call that brought its first event.
+    :param version: ``None`` if it will never be known.
     """
     lifetime_s = min(job.call.timeout_s, MAX_LIFETIME_S) + LIFETIME_MARGIN_S
     homes = context.origins.record(
         messages.StreamOrigin(
-            _key(job, ident), job.service, version, lifetime_s
+            _key(job, ident),
+            job.service,
+            version or '',
+            lifetime_s,
+            version_known=version is not None,
         )
     )
     _context.log(
@@ -52,7 +57,7 @@
     """Record that the version that began a stream may be known soon.
 
     :param ident: id of the call that brought its first event.
-    :param pending_s: time within which it may be; 0 if it never will.
+    :param pending_s: time within which it may be.
     """
     homes = context.origins.record_pending(
         messages.PendingOrigin(_key(job, ident), pending_s)
@@ -80,7 +85,7 @@
         return job
     context.metrics.count('streams.taken_up')
     finding = await _find_with_pending(context, job)
-    origin = finding.origin
+    origin, version = finding.origin, finding.version
     now, known_versions = context.clock(), context.placement.known_versions
     _context.log(
         job,
@@ -88,7 +93,7 @@
         resumes=job.call.resumes,
         last=job.call.last_event_id,
         service=origin.service if origin else '',
-        version=origin.version if origin else None,
+        version=version,
         source=finding.source,
         age_s=round(finding.age_s, 3),
         asked=finding.asked,
@@ -97,7 +102,7 @@
         list_age_s=_age_s(known_versions.listed_at, now),
         control_age_s=_age_s(known_versions.complete_at, now),
     )
-    if origin is None:
+    if origin is None or version is None:
         raise _refusal(
             context,
             job,
@@ -112,7 +117,7 @@
             'service_changed',
             f'the stream began at {origin.service}, another service',
         )
-    job = attrs.evolve(job, service=origin.service, version=origin.version)
+    job = attrs.evolve(job, service=origin.service, version=version)
     if not context.placement.usable(
         job.service, context.clock(), version=job.version
     ):
@@ -120,10 +125,10 @@
             context,
             job,
             'version_gone',
-            f'no engine of version {origin.version}',
+            f'no engine of version {version}',
         )
     if job.call.resumes:
-        record_origin(context, job, job.call.resumes, origin.version)
+        record_origin(context, job, job.call.resumes, version)
     return job
 
 
--- a/src/bulrushhold/messages/_origins.py
+++ b/src/bulrushhold/messages/_origins.py
@@ -8,13 +8,16 @@
     """The service and the software version that began a stream.
 
     :param key: see :func:`decisions.origin_key`.
+    :param version: empty if it isn't known.
     :param lifetime_s: time for which the stream may be resumed.
+    :param version_known: ``False`` if the version will never be known.
     """
 
     key: bytes
     service: str
     version: str
     lifetime_s: float
+    version_known: bool = True
 
 
 @attrs.frozen
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -205,6 +205,41 @@
     assert not client.attempts
 
 
+async def test_a_version_that_stays_unknown_is_not_the_only_one(
+    forwarder, client, context, pending
+):
+    # Guards against a guess, as it was forgotten that no version is known.
+    began_at = client.attempts.pop().instance
+    client.attempts.clear()
+    others = [e for e in listed('v1', *range(6)) if e.ident != began_at]
+    context.placement.update(others)
+    context.placement.known_versions.recorded = {'engines': ['v1']}
+    context.placement.known_versions.listed_at = float('inf')
+    error = await refusal(forwarder, pending)
+    assert 'unknown' in error.reason
+    assert error.retry_after is None
+    assert not client.attempts
+
+
+async def test_a_stream_whose_version_is_recorded_as_unknown_is_refused(
+    forwarder, client, context, log_records
+):
+    # Guards against a guess, and against a wait that can't succeed.
+    context.placement.update(listed('v1', 0, 1, 2))
+    context.placement.known_versions.recorded = {'engines': ['v1']}
+    key = decisions.origin_key('', 'h', '/a/x', 'req-1')
+    context.origins.record(
+        messages.StreamOrigin(key, 'engines', '', 30.0, version_known=False)
+    )
+    async with asyncio.timeout(0.3):
+        error = await refusal(forwarder, make_call('req-2', 2, 'req-1'))
+    assert 'version that began the stream is unknown' in error.reason
+    assert error.retry_after is None
+    assert not client.attempts
+    [line] = [r for r in log_records if r.get('decision') == 'stream taken up']
+    assert (line['source'], line['version']) == ('entry', None)
+
+
 async def test_a_caller_without_time_for_a_pending_origin_may_come_back(
     forwarder, context
 ):
--- a/tests/test_origin_log.py
+++ b/tests/test_origin_log.py
@@ -4,6 +4,7 @@
 import os
 import threading
 
+import msgspec
 import pytest
 
 from bulrushhold.control import _clusterview
@@ -57,6 +58,27 @@
     assert open_log().load() == origins(1, 2, 3, 4)
 
 
+def test_an_unknown_version_is_loaded_after_a_restart(open_log):
+    # Guards against a guess after a loss of all processes.
+    unknown = test_stream_origins.make_unknown()
+    open_log().append([unknown, *origins(1)])
+    assert open_log().load() == [unknown, *origins(1)]
+
+
+def test_what_a_former_release_has_stored_is_loaded(open_log, tmp_path):
+    # Guards against records without a field that was added since.
+    [origin] = origins(1)
+    fields = {
+        'key': origin.key,
+        'service': origin.service,
+        'version': origin.version,
+        'lifetime_s': origin.lifetime_s,
+    }
+    payload = msgspec.msgpack.encode(('OriginReport', {'origins': [fields]}))
+    (tmp_path / 'origins-0').write_bytes(_records.encode_record(payload))
+    assert open_log().load() == [origin]
+
+
 def test_a_torn_record_loses_no_earlier_and_no_later_one(open_log, tmp_path):
     # Guards against a loss of power in the middle of a write.
     log = open_log()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -24,6 +24,14 @@
     return messages.StreamOrigin(key, 'engines', version, lifetime_s)
 
 
+def make_unknown(ident='req-1', lifetime_s=30.0):
+    """Return the record of a stream whose version will never be known."""
+    key = make_origin(ident).key
+    return messages.StreamOrigin(
+        key, 'engines', '', lifetime_s, version_known=False
+    )
+
+
 @pytest.fixture
 def store():
     return decisions.OriginStore()
@@ -78,6 +86,39 @@
     assert store.find(make_origin().key, 2.0).origin.version == 'v1'
 
 
+def test_an_unknown_version_is_kept_for_its_lifetime(store):
+    # Guards against a guess once it is forgotten that no version is known.
+    unknown = make_unknown()
+    store.record_pending(messages.PendingOrigin(unknown.key, 9.0), 0.0)
+    store.record(unknown, 1.0)
+    reply = store.find(unknown.key, 2.0)
+    assert not reply.origin.version_known
+    assert reply.pending_s == 0.0
+    assert store.find(unknown.key, 31.0).origin is None
+
+
+def test_a_known_version_wins_over_an_unknown_one():
+    # Guards against streams that are refused though their version is known.
+    for first, second in (
+        (make_origin(), make_unknown(lifetime_s=60.0)),
+        (make_unknown(), make_origin()),
+        (make_unknown(lifetime_s=60.0), make_origin()),
+    ):
+        store = decisions.OriginStore()
+        store.record(first, 0.0)
+        assert store.record(second, 1.0) is second.version_known
+        origin = store.find(first.key, 2.0).origin
+        assert origin.version_known and origin.version == 'v1'
+
+
+def test_homes_that_join_get_unknown_versions(store):
+    # Guards against homes that restart and forget that no version is known.
+    store.record(make_unknown(), 0.0)
+    nodes = [make_node(number) for number in range(2)]
+    sent = joined(store, nodes, 0.0)
+    assert sent == {node.address: [make_unknown()] for node in nodes}
+
+
 def test_the_number_of_origins_is_bounded(store, monkeypatch):
     module = 'bulrushhold.decisions._streamorigins.MAX_ORIGINS'
     monkeypatch.setattr(module, 10)
@@ -267,6 +308,48 @@
     assert (await other.find(key)).pending_s == 0.0
 
 
+async def test_another_entry_finds_that_a_version_is_unknown(fleet):
+    # Guards against a guess or a wait at another entry.
+    unknown = make_unknown()
+    origins_of(fleet, 'a').record(unknown)
+    finding = await origins_of(fleet, 'b').find(unknown.key)
+    assert not finding.origin.version_known
+    assert finding.conclusive and finding.pending_s == 0.0
+
+
+class Homes(RecordingTransport):
+    """Homes that reply in the order of their addresses."""
+
+    def __init__(self, replies):
+        super().__init__()
+        self.replies = replies
+
+    async def request(self, address, message, timeout):
+        await asyncio.sleep(0.02 * sorted(self.replies).index(address))
+        return self.replies[address]
+
+
+@pytest.mark.parametrize('first', [0, 1])
+async def test_a_home_that_knows_the_version_wins_over_one_that_does_not(
+    first,
+):
+    # Guards against a refusal as a home without the record answers sooner.
+    nodes = [make_node(number) for number in range(2)]
+    replies = [
+        messages.OriginReply(make_unknown()),
+        messages.OriginReply(make_origin()),
+    ]
+    homes = Homes(
+        {
+            nodes[first].address: replies[0],
+            nodes[1 - first].address: replies[1],
+        }
+    )
+    origins = forwarding.ControlOrigins(homes, lambda: nodes)
+    finding = await origins.find(make_origin().key)
+    assert finding.origin == make_origin()
+
+
 async def test_an_origin_is_asked_for_again_while_homes_have_just_started(
     fleet, monkeypatch
 ):
