A take-up looks for the record again before it takes the only version

A stream that is taken up within 0.05 s of its first event has no record yet, not even a pending one.

The homes are asked once more after the wait, if all of them had answered before: a home that doesn't answer has had its second. Both cases of the test, a record of another version and a pending one, failed before: the stream was sent on.

--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -153,16 +153,18 @@
 ) -> _origins.OriginFinding:
     finding = await _find_record(context, job)
     services = _services(job)
-    if finding.origin is not None:
+    if _settles(finding):
         return finding
-    if finding.pending_s > 0:
-        # It may name a version that isn't known here.
-        return attrs.evolve(finding, conclusive=False)
     if len(services) != 1 or _has_several_versions(context, *services):
         return finding
     [service] = services
     since = context.placement.incarnations.shown_from(arrived_at)
     is_current = await _wait_for_versions(context, job, service, since)
+    if finding.conclusive:
+        # The stream may have been younger than its record.
+        finding = await _find_record(context, job)
+        if _settles(finding):
+            return finding
     known_versions = context.placement.known_versions
     version = known_versions.only_version(service, since)
     if version is not None and not known_versions.may_begin_elsewhere(
@@ -181,7 +183,16 @@
 ) -> _origins.OriginFinding:
     if not job.call.resumes:
         return _origins.OriginFinding()
-    return await context.origins.find(_key(job, job.call.resumes))
+    finding = await context.origins.find(_key(job, job.call.resumes))
+    if finding.pending_s > 0:
+        # It may name a version that isn't known here.
+        finding = attrs.evolve(finding, conclusive=False)
+    return finding
+
+
+def _settles(finding: _origins.OriginFinding) -> bool:
+    """Return whether the only version must not be taken instead."""
+    return finding.origin is not None or finding.pending_s > 0
 
 
 def _has_several_versions(
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -240,6 +240,30 @@
     assert (line['source'], line['version']) == ('entry', None)
 
 
+@pytest.mark.parametrize('pending_s', [0.0, 30.0])
+async def test_a_record_that_comes_during_the_wait_for_a_list_is_found(
+    forwarder, client, context, pending_s
+):
+    # Guards against a guess for a stream that is younger than its record.
+    context.placement.update(listed('v1', 0, 1, 2))
+    known_versions = context.placement.known_versions
+    known_versions.recorded = {'engines': ['v1']}
+    known_versions.listed_at = context.clock()
+    call = attrs.evolve(make_call('req-2', 2, 'req-1'), timeout_s=1.0)
+    task = asyncio.ensure_future(refusal(forwarder, call))
+    await asyncio.sleep(0.05)
+    key = decisions.origin_key('', 'h', '/a/x', 'req-1')
+    if pending_s:
+        context.origins.record_pending(messages.PendingOrigin(key, pending_s))
+    else:
+        context.origins.record(
+            messages.StreamOrigin(key, 'engines', 'v2', 30.0)
+        )
+    known_versions.listed_at = float('inf')
+    await task
+    assert not client.attempts
+
+
 async def test_a_caller_without_time_for_a_pending_origin_may_come_back(
     forwarder, context
 ):
