--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -169,8 +169,6 @@
         and a request that meets a connection being closed gets no answer.
         They are refused for a while, which closes their connections.
         """
-        from bulrushhold import web as adapters
-
         self.server.draining = True
         self.prober.announce_leaving()
         loguru.logger.info('draining')
@@ -178,14 +176,17 @@
         deadline = now + self.config.drain_deadline_s
         lingers_until = min(now + self.config.linger_s, deadline)
         while time.monotonic() < lingers_until or (
-            (
-                self.server.in_progress
-                or adapters.count_unsent(self.runner.server)
-            )
-            and time.monotonic() < deadline
+            self._is_answering() and time.monotonic() < deadline
         ):
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
+    def _is_answering(self) -> bool:
+        """Return whether an exit would cut an answer or lose an outcome."""
+        from bulrushhold import web as adapters
+
+        unsent = adapters.count_unsent(self.runner.server)
+        return self.server.in_progress or unsent > 0
+
     async def close(self) -> None:
         """Answer what is left, stop all tasks and close all sockets."""
         from bulrushhold import web as adapters
