--- a/src/bulrushhold/forwarding/_resumption.py
+++ b/src/bulrushhold/forwarding/_resumption.py
@@ -40,7 +40,7 @@
             job.service,
             version or '',
             lifetime_s,
-            version_known=version is not None,
+            version_unknown=version is None,
         )
     )
     _context.log(
--- a/src/bulrushhold/messages/_origins.py
+++ b/src/bulrushhold/messages/_origins.py
@@ -1,6 +1,7 @@
 """Messages about where streams began."""
 
 import attrs
+import msgspec
 
 
 @attrs.frozen
@@ -10,14 +11,23 @@
     :param key: see :func:`decisions.origin_key`.
     :param version: empty if it isn't known.
     :param lifetime_s: time for which the stream may be resumed.
-    :param version_known: ``False`` if the version will never be known.
+    :param version_unknown: ``True`` if the version will never be known; not
+        encoded otherwise.
     """
 
     key: bytes
     service: str
     version: str
     lifetime_s: float
-    version_known: bool = True
+    version_unknown: bool | msgspec.UnsetType = attrs.field(
+        default=msgspec.UNSET,
+        converter=lambda unknown: unknown or msgspec.UNSET,
+    )
+
+    @property
+    def version_known(self) -> bool:
+        """Whether the version is known."""
+        return not self.version_unknown
 
 
 @attrs.frozen
--- a/tests/forwarding/test_resumption.py
+++ b/tests/forwarding/test_resumption.py
@@ -229,7 +229,7 @@
     context.placement.known_versions.recorded = {'engines': ['v1']}
     key = decisions.origin_key('', 'h', '/a/x', 'req-1')
     context.origins.record(
-        messages.StreamOrigin(key, 'engines', '', 30.0, version_known=False)
+        messages.StreamOrigin(key, 'engines', '', 30.0, version_unknown=True)
     )
     async with asyncio.timeout(0.3):
         error = await refusal(forwarder, make_call('req-2', 2, 'req-1'))
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -28,7 +28,7 @@
     """Return the record of a stream whose version will never be known."""
     key = make_origin(ident).key
     return messages.StreamOrigin(
-        key, 'engines', '', lifetime_s, version_known=False
+        key, 'engines', '', lifetime_s, version_unknown=True
     )
 
 
