--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -24,6 +24,7 @@
 endless = test_endless_responses.endless
 reports = test_endless_responses.reports
 handler = test_peer_proxy_http.handler
+proxy_server = test_peer_proxy_http.proxy_server
 proxy = test_peer_proxy_http.proxy
 
 
