All HTTP listeners count what their clients send, and bound it

Cause: what a client sends became memory, a descriptor or a wait before anything had counted it. aiohttp bounds one line and one field, not their sum, and takes empty lines, trailers and the extensions of chunks without end; bodies below 32 KB, requests read ahead and half heads weren't counted by anybody; only two of the listeners counted bodies at all; whoever came next was refused, not whoever held memory without sending; max-fds was read and used for the entry's weight only. Ruled out: a bound on each field (legal heads add up), closing what is slow by a timer alone (a crowd that comes again keeps the budget full).

Change: one protocol class for all listeners of all processes (web/_clientconnection.py), over aiohttp's. All bytes pass it; those that don't advance the request they belong to are bounded by max_head_bytes whatever they are. Heads, bodies and requests behind one another count in the process's buffer budget until the request ends. One guard a process (web/_clients.py) counts its connections and lets connections give way while places or memory are short, in an order that decisions/_clienteviction.py decides: first what has stalled, by memory and time; connections being answered never. Large bodies take three quarters of the budget at most, so ordinary requests fit beside a crowd of them. Refusals are JSON with `ran`, the id where it was read, and Retry-After; the rest of a refused request is read on for a while, so that its client gets the answer and not a reset. Control processes have a budget too. The listening sockets accept four connections a pass, as each has a descriptor before it is counted.

The entry point of relays takes an operator port instead of an address and an application; one test calls it and is adapted.

--- a/src/bulrushhold/composition/__init__.py
+++ b/src/bulrushhold/composition/__init__.py
@@ -13,6 +13,7 @@
 from bulrushhold.composition._forwarding import ForwardingAdapters
 from bulrushhold.composition._forwarding import ForwardingEntry
 from bulrushhold.composition._forwarding import run_forwarding
+from bulrushhold.composition._operatorport import OperatorPort
 from bulrushhold.composition._relay import RelayProcess
 
 __all__ = [
@@ -21,6 +22,7 @@
     'ForwardingAdapters',
     'ForwardingEntry',
     'LoopSupervisor',
+    'OperatorPort',
     'RelayProcess',
     'ignore_hangup',
     'run_control',
--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -60,7 +60,6 @@
     async def start(self) -> None:
         """Open the sockets and start serving."""
         import aiohttp
-        from aiohttp import web
 
         from bulrushhold import entry
         from bulrushhold import web as adapters
@@ -149,17 +148,19 @@
         self.loops.start('copy peers', self._update_peers)
         self.loops.start('registry', self.registry.sweep)
         self.loops.start('admission', self.admission.sweep)
-        self.runner = web.AppRunner(
+        guard = adapters.make_guard(None, config.clients, self.metrics)
+        self.loops.start('clients', guard.watch)
+        self.runner = await adapters.start_application(
             self.server.application(),
-            access_log=None,
+            guard,
+            config.http.host,
+            config.http.port,
+            max_body_bytes=config.max_body_bytes,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             # Cancels the stream of a caller that disconnects before the
             # first token.
             handler_cancellation=True,
         )
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, config.http.host, config.http.port)
-        await site.start()
         loguru.logger.bind(http=str(config.http)).info('entry started')
 
     async def drain(self) -> None:
--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -73,8 +73,6 @@
 
     async def start(self) -> None:
         """Open the sockets and start serving."""
-        from aiohttp import web
-
         from bulrushhold import decisions
         from bulrushhold import forwarding
         from bulrushhold import messages
@@ -92,6 +90,14 @@
             buffers = adapters.BufferBudget(config.memory_bytes, self.metrics)
             self.memory = adapters.MemoryMonitor(buffers, config.memory_bytes)
             self.loops.start('memory', self.memory.watch)
+        self.guard = adapters.make_guard(
+            buffers,
+            config.clients,
+            self.metrics,
+            config.max_files,
+            config.memory_bytes,
+        )
+        self.loops.start('clients', self.guard.watch)
         oversized = forwarding.OversizedResponses(placement, self.metrics)
         direct = adapters.HttpBackendClient(
             self.adapters.engine_dialect, buffers, oversized.record
@@ -207,7 +213,10 @@
             lambda: server_checks.watch(self.fleet.single_run_services),
         )
         self.ingress = adapters.Ingress(
-            self.forwarder.handle, self.adapters.caller_dialect, buffers
+            self.forwarder.handle,
+            self.adapters.caller_dialect,
+            buffers,
+            self.guard,
         )
         self.proxy_server = adapters.PeerProxyServer(
             forwarding.DirectProxyHandler(
@@ -220,6 +229,7 @@
                 lambda: self.forwarder.closing or self.forwarder.drain.ending,
             ),
             buffers,
+            self.guard,
         )
         self.follow_task = self.loops.start('control', self.fleet.follow)
         self.loops.start('backend list', self.fleet.poll_backend_list)
@@ -237,23 +247,25 @@
             await self.proxy_server.start(config.proxy.host, config.proxy.port)
         await self.ingress.start(config.callers.host, config.callers.port)
         for address, make_application in self.adapters.listeners:
-            await self._start_listener(
-                web, address, make_application(self.fleet)
-            )
+            await self._start_listener(address, make_application(self.fleet))
         if config.metrics is not None:
             await self._start_listener(
-                web, config.metrics, adapters.metrics_application(self.metrics)
+                config.metrics, adapters.metrics_application(self.metrics)
             )
         loguru.logger.bind(callers=str(config.callers)).info('entry started')
 
     async def _start_listener(
-        self, web: t.Any, address: settings.Address, app: 'web.Application'
+        self, address: settings.Address, app: 'web.Application'
     ) -> None:
-        runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        from bulrushhold import web as adapters
+
+        runner = await adapters.start_application(
+            app,
+            self.guard,
+            address.host,
+            address.port,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
-        await runner.setup()
-        await web.TCPSite(runner, address.host, address.port).start()
         self.runners.append(runner)
 
     async def drain(self) -> None:
--- a/src/bulrushhold/composition/_relay.py
+++ b/src/bulrushhold/composition/_relay.py
@@ -1,17 +1,11 @@
 """Builds and runs a relay: a control process without a disk."""
 
 import asyncio
-import typing as t
 
 import loguru
 
 from bulrushhold.composition import _background
-from bulrushhold import settings
-
-if t.TYPE_CHECKING:
-    from aiohttp import web
-
-SHUTDOWN_TIMEOUT_S: t.Final = 0.2
+from bulrushhold.composition import _operatorport
 
 
 class RelayProcess:
@@ -40,6 +34,7 @@
         from bulrushhold import control
         from bulrushhold import node
 
+        self.metrics = node.NullMetrics()
         self.peer = peer
         self.contacts = contacts
         self.transport = node.ZmqTransport(peer)
@@ -50,30 +45,22 @@
             self.relay, data_centre, link_mbps, first_start=first_start
         )
         self.leader_client = self.relay.leader_client
-        self.loops = _background.LoopSupervisor(node.NullMetrics())
-
-    async def run(
-        self, operators: settings.Address | None, app: 'web.Application'
-    ) -> None:
-        """Serve entries, and operators with ``app``, until a signal."""
-        from aiohttp import web
+        self.loops = _background.LoopSupervisor(self.metrics)
 
+    async def run(self, operators: _operatorport.OperatorPort | None) -> None:
+        """Serve entries, and operators if there is a port, until a signal."""
         stop = asyncio.Event()
         _background.handle_stop_signals(stop.set)
         self.loops.start('relay', self.relay.run)
         for name, loop in self.fleet.loops().items():
             self.loops.start(name, loop)
-        runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-        )
-        await runner.setup()
         if operators is not None:
-            site = web.TCPSite(runner, operators.host, operators.port)
-            await site.start()
+            await operators.start(self.loops, self.metrics)
         loguru.logger.bind(peer=self.peer).info('relay started')
         await stop.wait()
         await self.transport.refuse_requests()
         await self.loops.close()
-        await runner.cleanup()
+        if operators is not None:
+            await operators.close()
         await self.transport.close()
         loguru.logger.bind(peer=self.peer).info('relay stopped')
--- a/src/bulrushhold/decisions/__init__.py
+++ b/src/bulrushhold/decisions/__init__.py
@@ -9,6 +9,11 @@
 from bulrushhold.decisions._backendserver import BackendServer
 from bulrushhold.decisions._brittleservices import BrittleServices
 from bulrushhold.decisions._claims import ClaimState
+from bulrushhold.decisions._clienteviction import ClientStage
+from bulrushhold.decisions._clienteviction import ClientState
+from bulrushhold.decisions._clienteviction import free_memory_order
+from bulrushhold.decisions._clienteviction import free_place_order
+from bulrushhold.decisions._clienteviction import large_requests
 from bulrushhold.decisions._configchanges import new_identity
 from bulrushhold.decisions._configchanges import next_config
 from bulrushhold.decisions._configchanges import with_learner
@@ -150,6 +155,8 @@
     'CapacityEstimate',
     'Choice',
     'ClaimState',
+    'ClientStage',
+    'ClientState',
     'ControlServers',
     'CopyPeerStatus',
     'CopyPeers',
@@ -240,9 +247,12 @@
     'entry_capacity',
     'fingerprint',
     'first_event_timeout_s',
+    'free_memory_order',
+    'free_place_order',
     'has_spare_engines',
     'home_address',
     'home_entries',
+    'large_requests',
     'latency_bucket',
     'list_splices',
     'listed_versions',
--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -77,6 +77,34 @@
     keep_s: float = attrs.field(default=60.0, validator=_POSITIVE)
 
 
+@attrs.frozen
+class Clients:
+    """Bounds on what clients of a process's HTTP listeners send and hold.
+
+    :param max_head_bytes: bytes of a request's head, and of its trailers.
+    :param head_timeout_s: from the first byte of a head to its last.
+    :param body_timeout_s: time without a further byte of a body.
+    :param unread_timeout_s: time in which a client reads none of an answer.
+    :param idle_timeout_s: time without a request.
+    :param max_connections: at all listeners together; 0 for a share of the
+        process's descriptors.
+    :param max_request_memory: bytes of all requests together, if the memory
+        of the instance isn't set.
+    """
+
+    max_head_bytes: int = attrs.field(
+        default=64 << 10, validator=_V.ge(1 << 10)
+    )
+    head_timeout_s: float = attrs.field(default=15.0, validator=_POSITIVE)
+    body_timeout_s: float = attrs.field(default=30.0, validator=_POSITIVE)
+    unread_timeout_s: float = attrs.field(default=120.0, validator=_POSITIVE)
+    idle_timeout_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
+    max_connections: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    max_request_memory: int = attrs.field(
+        default=32 << 20, validator=_V.ge(1 << 20)
+    )
+
+
 @attrs.frozen
 class Entry:
     """Settings of one entry process.
@@ -105,6 +133,7 @@
     drain_deadline_s: float = attrs.field(default=600.0, validator=_POSITIVE)
     linger_s: float = attrs.field(default=1.0, validator=_POSITIVE)
     queue_limit: int = attrs.field(default=512, validator=_POSITIVE)
+    clients: Clients = attrs.field(factory=Clients)
 
 
 @attrs.frozen
@@ -189,6 +218,7 @@
     weight: float = attrs.field(default=1.0, validator=_POSITIVE)
     has_disk: bool = False
     list_lag_s: float = attrs.field(default=1.0, validator=_NOT_NEGATIVE)
+    clients: Clients = attrs.field(factory=Clients)
 
 
 _Role = t.TypeVar('_Role', Entry, Control, Forwarding)
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -5,11 +5,15 @@
 from bulrushhold.web._buffers import BufferBudget
 from bulrushhold.web._buffers import MemoryMonitor
 from bulrushhold.web._buffers import READ_AHEAD_BYTES
+from bulrushhold.web._clients import ClientGuard
+from bulrushhold.web._clients import make_guard
 from bulrushhold.web._connections import make_session
 from bulrushhold.web._connections import MAX_HEAD_BYTES
 from bulrushhold.web._engine import HttpEngineClient
 from bulrushhold.web._ingress import Ingress
 from bulrushhold.web._instancelist import HttpPlatformList
+from bulrushhold.web._listeners import ApplicationRunner
+from bulrushhold.web._listeners import start_application
 from bulrushhold.web._metrics import metrics_application
 from bulrushhold.web._peerproxy import HttpPeerProxyClient
 from bulrushhold.web._peerproxy import PeerProxyServer
@@ -18,7 +22,9 @@
 from bulrushhold.web._shutdown import count_unsent
 
 __all__ = [
+    'ApplicationRunner',
     'BufferBudget',
+    'ClientGuard',
     'HttpBackendClient',
     'HttpEngineClient',
     'HttpPeerProxyClient',
@@ -31,7 +37,9 @@
     'READ_AHEAD_BYTES',
     'close_runner',
     'count_unsent',
+    'make_guard',
     'make_session',
     'metrics_application',
     'read_whole',
+    'start_application',
 ]
--- a/src/bulrushhold/web/_buffers.py
+++ b/src/bulrushhold/web/_buffers.py
@@ -19,6 +19,13 @@
 MEMORY_SHARE: t.Final = 0.75
 # Share of the budget above which new requests are refused.
 REFUSAL_SHARE: t.Final = 0.9
+# Share up to which large request bodies are accepted, so that a crowd of them
+# leaves room for ordinary requests.
+LARGE_REQUEST_SHARE: t.Final = 0.75
+# Share of the budget that others hold at most beside a request that counts as
+# alone, and what such a request may hold in any case.
+ALONE_SHARE: t.Final = 0.1
+ALONE_BYTES: t.Final = 16 << 20
 # Share of the budget that responses may hold beyond their windows. Windows of
 # 200 slow readers fit beside it in an instance of 128 MB whose process needs
 # half of that.
@@ -47,6 +54,11 @@
 # Growth of the process since the last time, as a share of its instance's
 # memory, at which freed memory of the heap is returned to the system.
 TRIM_SHARE: t.Final = 1 / 32
+# Larger blocks of the heap are returned to the system as they are freed. By
+# default glibc raises this bound to the largest block freed so far, and bodies
+# that grow beside each other leave gaps that nothing fills.
+MAPPED_BLOCK_BYTES: t.Final = 512 << 10
+_M_MMAP_THRESHOLD: t.Final = -3
 _STATM: t.Final = pathlib.Path('/proc/self/statm')
 
 
@@ -147,6 +159,7 @@
     :param limit: bytes; 0 for no bound.
     :ivar used: bytes held now.
     :ivar ahead: those of them that exceed the windows of responses.
+    :ivar reclaim: called with the bytes that may be held, if less is wanted.
     """
 
     def __init__(
@@ -164,6 +177,12 @@
         self.turns = Turns()
         self.holders: set[Holder] = set()
         self.waiting: dict[Holder, None] = {}
+        self.reclaim: cabc.Callable[[int], None] | None = None
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more is held than the bound."""
+        return bool(self.limit) and self.used > self.limit
 
     @property
     def share(self) -> float:
@@ -175,25 +194,49 @@
         """Whether new requests are refused."""
         return self.share > REFUSAL_SHARE
 
-    def refuses(self) -> bool:
-        """Return whether to refuse a new request, and count it if so."""
-        if not self.is_short:
+    def refuses(self, holder: Holder | None = None) -> bool:
+        """Return whether to refuse a new request, and count it if so.
+
+        :param holder: what it holds itself doesn't count.
+        """
+        if self._is_full_beside(holder) and self.reclaim is not None:
+            self.reclaim(int(REFUSAL_SHARE * self.limit))
+        if not self._is_full_beside(holder):
             return False
         self._count_refusal()
         return True
 
+    def _is_full_beside(self, holder: Holder | None) -> bool:
+        used = self.used - (holder.held if holder is not None else 0)
+        return bool(self.limit) and used > REFUSAL_SHARE * self.limit
+
+    def is_alone(self, holder: Holder, held: int) -> bool:
+        """Return whether a request may hold so much, as it is alone."""
+        others = self.used - holder.held
+        return others <= ALONE_SHARE * self.limit and held <= max(
+            self.limit, ALONE_BYTES
+        )
+
     def take_request(self, holder: Holder, count: int) -> bool:
-        """Hold a request's body; return ``False`` if it doesn't fit.
+        """Hold a large request's body; return ``False`` if it doesn't fit.
 
-        One that is alone fits always.
+        One that is alone fits, unless it is larger than the budget.
         """
-        fits = self.used + count <= self.limit or self.used == holder.held
-        if self.limit and not fits:
-            self._count_refusal()
-            return False
+        if self.limit and not self._fits_request(holder, count):
+            bound = int(LARGE_REQUEST_SHARE * self.limit)
+            if self.reclaim is not None:
+                self.reclaim(max(holder.held, bound - count))
+            if not self._fits_request(holder, count):
+                self._count_refusal()
+                return False
         holder.resize(holder.held + count)
         return True
 
+    def _fits_request(self, holder: Holder, count: int) -> bool:
+        if self.used + count <= LARGE_REQUEST_SHARE * self.limit:
+            return True
+        return self.is_alone(holder, holder.held + count)
+
     def fits_ahead(self, count: int) -> bool:
         """Return whether a response may hold more bytes than its window."""
         return (
@@ -309,6 +352,13 @@
     return pages * os.sysconf('SC_PAGE_SIZE')
 
 
+def map_large_blocks() -> None:
+    """Keep large blocks out of the heap, if the C library can (glibc)."""
+    set_option = getattr(ctypes.CDLL(None), 'mallopt', None)
+    if set_option is not None:
+        set_option(_M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES)
+
+
 def _trim_heap() -> None:
     """Return freed memory of the heap, if the C library can do so (glibc)."""
     trim = getattr(ctypes.CDLL(None), 'malloc_trim', None)
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -15,7 +15,9 @@
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold.web import _buffers
+from bulrushhold.web import _clients
 from bulrushhold.web import _connections
+from bulrushhold.web import _listeners
 from bulrushhold.web import _requests
 from bulrushhold.web import _shutdown
 
@@ -115,21 +117,13 @@
             self.request.transport.close()
 
 
-class _Server(web.Server):  # type: ignore[type-arg]
-    """Accepts connections that keep little unread data."""
-
-    def connection_made(
-        self, handler: t.Any, transport: asyncio.Transport
-    ) -> None:
-        _connections.bound_buffers(transport)
-        super().connection_made(handler, transport)
-
-
 class Ingress:
     """The HTTP server for callers.
 
     :param handle: returns a reply, or ``None`` if it wrote to the stream.
-    :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :param budget: bounds the bodies in memory; ``None`` to bound those of
+        requests only.
+    :param guard: bounds the connections; by default one for this listener.
     :ivar draining: responses ask callers to disconnect.
     :ivar closing: only requests that have been received are served.
     """
@@ -139,27 +133,26 @@
         handle: Handler,
         dialect: calls.CallerDialect,
         budget: _buffers.BufferBudget | None = None,
+        guard: _clients.ClientGuard | None = None,
     ) -> None:
         self.handle = handle
         self.dialect = dialect
-        self.budget = budget
+        self.bounded = budget is not None
+        self.guard = guard or _clients.make_guard(budget)
         self.draining = False
         self.handling = 0
         self.closing = False
         self.reading: set[asyncio.Timeout] = set()
-        options: dict[str, t.Any] = {}
-        if budget is not None:
-            options['read_bufsize'] = _connections.READ_BUFFER_BYTES
-        server_class = web.Server if budget is None else _Server
-        self.server = server_class(
+        self.server = _listeners.ClientServer(
             self._on_request,
+            self.guard,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            access_log=None,
             auto_decompress=False,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
-            **options,
+            max_body_bytes=_requests.MAX_BODY_BYTES,
+            bounded=self.bounded,
         )
 
     @property
@@ -173,7 +166,7 @@
             self.server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port, backlog=1024).start()
+        await _listeners.listen(self.runner, host, port)
 
     def stop_reading(self) -> None:
         """Refuse all requests that haven't been received completely."""
@@ -195,16 +188,15 @@
             self.handling -= 1
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        request._client_max_size = _requests.MAX_BODY_BYTES
         stream = _HttpCallerStream(
             request,
             lambda: self._is_last(request),
-            self.budget is not None,
+            self.bounded,
         )
         ident = ''
         try:
             with _requests.RequestReader(
-                self.budget, request, invites=not self.closing
+                self.guard, request, invites=not self.closing
             ) as reader:
                 body = await self._read(reader)
                 call = self._decode(request, body)
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -13,7 +13,9 @@
 from bulrushhold import messages
 from bulrushhold.web import _bodies
 from bulrushhold.web import _buffers
+from bulrushhold.web import _clients
 from bulrushhold.web import _connections
+from bulrushhold.web import _listeners
 from bulrushhold.web import _requests
 from bulrushhold.web import _shutdown
 
@@ -212,7 +214,8 @@
 class PeerProxyServer:
     """Serves other entries.
 
-    :param budget: bounds the bodies in memory; ``None`` for no bound.
+    :param budget: bounds the requests in memory; ``None`` for a fixed bound.
+    :param guard: bounds the connections; by default one for this listener.
     :ivar handling: number of requests being proxied.
     """
 
@@ -220,17 +223,19 @@
         self,
         handler: calls.PeerProxyHandler,
         budget: _buffers.BufferBudget | None = None,
+        guard: _clients.ClientGuard | None = None,
     ) -> None:
         self.handler = handler
-        self.budget = budget
+        self.guard = guard or _clients.make_guard(budget)
         self.handling = 0
-        self.server = web.Server(
+        self.server = _listeners.ClientServer(
             self._on_request,
+            self.guard,
             # Ends the request to the server once the other entry is gone.
             handler_cancellation=True,
             keepalive_timeout=SERVER_KEEPALIVE_S,
-            access_log=None,
             auto_decompress=False,
+            max_body_bytes=MAX_MESSAGE_BYTES,
         )
 
     @property
@@ -244,17 +249,16 @@
             self.server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port).start()
+        await _listeners.listen(self.runner, host, port)
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
         await _shutdown.close_runner(self.runner)
 
     async def _on_request(self, request: web.BaseRequest) -> t.Any:
-        request._client_max_size = MAX_MESSAGE_BYTES
         self.handling += 1
         try:
-            with _requests.RequestReader(self.budget, request) as reader:
+            with _requests.RequestReader(self.guard, request) as reader:
                 message = messages.decode(await reader.read())
                 if isinstance(message, messages.ProxiedAttempt):
                     return await self._proxy(request, message)
--- a/tests/test_control_exit.py
+++ b/tests/test_control_exit.py
@@ -5,7 +5,6 @@
 import signal
 import time
 
-from aiohttp import web
 import pytest
 import pytest_asyncio
 
@@ -59,7 +58,7 @@
 async def start_relay(address, tmp_path):
     relay = composition.RelayProcess(address, 'dc', [], bootstraps=False)
     held = hold_requests(relay.transport)
-    return asyncio.ensure_future(relay.run(None, web.Application())), held
+    return asyncio.ensure_future(relay.run(None)), held
 
 
 async def start_replica(address, tmp_path):
