A connection that is kept doesn't keep its last request's bodies

What was seen: 60 clients that sent whole bodies of 900 KB to the operators' address and kept their connections: 103 to 115 MB of 96, though the budget held 11 MB at most.

Cause: aiohttp's loop over a connection's requests keeps the last request and its response in local variables while it waits for the next, and with them the body that was read and the one that was sent. Ruled out: gaps in the heap (with blocks above 512 KB mapped, 115 MB).

Change: both are dropped once the response is sent.

--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -424,6 +424,7 @@
         try:
             result = await super().finish_response(request, resp, start_time)
         finally:
+            _forget_bodies(request, resp)
             self._end_request()
         if self.is_rejected and not result[1]:
             await self._linger()
@@ -538,6 +539,15 @@
             self.drop()
 
 
+def _forget_bodies(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Free two bodies, which aiohttp keeps until the next request arrives."""
+    request._read_bytes = None
+    if isinstance(response, web.Response):
+        response._body = None
+
+
 def _timeout_error(part: str) -> errors.RequestError:
     return errors.RequestError(
         f'the {part} of the request was not received in time',
