Requests handled at a time are bounded by the descriptors

What was seen: 60 clients with 32 requests of 100 KB each behind one another: 97 to 108 MB of 96, and 146 to 172 descriptors of 120: each request that is being handled takes one more towards a backend server, and a copy of its body.

Change: an entry refuses further requests as not run while a share of its descriptors (setting max_requests; 15 in 100 of max-fds) is being handled. Bodies that haven't arrived don't count: a crowd could hold all places with them. An instance of 4,100 descriptors takes 615 at a time; its memory allows no more.

--- a/src/bulrushhold/settings.py
+++ b/src/bulrushhold/settings.py
@@ -88,6 +88,8 @@
     :param idle_timeout_s: time without a request.
     :param max_connections: at all listeners together; 0 for a share of the
         process's descriptors.
+    :param max_requests: handled at a time, of those that need a connection to
+        a backend server; 0 for a share of the process's descriptors.
     :param max_request_memory: bytes of all requests together, if the memory
         of the instance isn't set.
     """
@@ -100,6 +102,7 @@
     unread_timeout_s: float = attrs.field(default=120.0, validator=_POSITIVE)
     idle_timeout_s: float = attrs.field(default=3600.0, validator=_POSITIVE)
     max_connections: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
+    max_requests: int = attrs.field(default=0, validator=_NOT_NEGATIVE)
     max_request_memory: int = attrs.field(
         default=32 << 20, validator=_V.ge(1 << 20)
     )
--- a/src/bulrushhold/web/_clients.py
+++ b/src/bulrushhold/web/_clients.py
@@ -20,15 +20,18 @@
 
 CHECK_INTERVAL_S: t.Final = 1.0
 LOG_INTERVAL_S: t.Final = 10.0
-# Share of the descriptors that clients may take: an answer may need another
-# one towards a backend server.
+# Share of the descriptors that clients may take, and of requests handled at a
+# time, each of which needs one towards a backend server. As many connections
+# to servers are kept for later requests.
 CONNECTION_SHARE: t.Final = 0.6
+REQUEST_SHARE: t.Final = 0.15
 # Share of an instance's memory for connections, and what one needs.
 CONNECTION_MEMORY_SHARE: t.Final = 0.25
 CONNECTION_BYTES: t.Final = 16 << 10
 # If the system doesn't bound the descriptors of a process.
 DEFAULT_FILES: t.Final = 65536
 MEMORY_STEP: t.Final = 'buffers'
+REQUESTS_STEP: t.Final = 'descriptors'
 
 _Connection: t.TypeAlias = '_clientconnection.ClientConnection'
 _State: t.TypeAlias = decisions.ClientState
@@ -63,6 +66,10 @@
         self.max_connections = limits.max_connections or _max_connections(
             files, memory
         )
+        self.max_requests = limits.max_requests or max(
+            1, int(REQUEST_SHARE * files)
+        )
+        self.requests = 0
         self.connections: dict[_Connection, None] = {}
         # In the order of the last survey, the first to go at the end.
         self.replaceable: list[tuple[_Connection, _State]] = []
@@ -99,6 +106,25 @@
         """Forget a connection that has closed."""
         self.connections.pop(connection, None)
 
+    def begin_request(self) -> None:
+        """Count a request that will need a connection to a server.
+
+        :raises RequestError: if there are too many; it did not run.
+        """
+        if self.requests >= self.max_requests:
+            self.record('requests')
+            raise errors.RequestError(
+                'too many requests at a time',
+                REQUESTS_STEP,
+                status=503,
+                retry_after=_buffers.REFUSAL_RETRY_S,
+            )
+        self.requests += 1
+
+    def end_request(self) -> None:
+        """Note the end of a request that was counted."""
+        self.requests -= 1
+
     def check_memory(self, connection: _Connection) -> None:
         """Keep the memory of requests within its bound.
 
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -199,6 +199,7 @@
                 self.guard, request, invites=not self.closing
             ) as reader:
                 body = await self._read(reader)
+                reader.begin()
                 call = self._decode(request, body)
                 ident = call.ident
                 reply = await self.handle(call, stream)
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -261,6 +261,7 @@
             with _requests.RequestReader(self.guard, request) as reader:
                 message = messages.decode(await reader.read())
                 if isinstance(message, messages.ProxiedAttempt):
+                    reader.begin()
                     return await self._proxy(request, message)
                 return web.Response(body=_frame(await self._answer(message)))
         except errors.RequestError as error:
--- a/src/bulrushhold/web/_requests.py
+++ b/src/bulrushhold/web/_requests.py
@@ -14,7 +14,7 @@
 class RequestReader:
     """Receives one request's body, which counts until the reader is left.
 
-    :param guard: refuses requests while memory is short.
+    :param guard: refuses requests while memory or descriptors are short.
     :param request: of a :class:`_clientconnection.ClientConnection`.
     :param invites: whether callers who wait for it are asked for the body.
     """
@@ -28,12 +28,15 @@
         self.guard = guard
         self.request = request
         self.invites = invites
+        self.is_counted = False
 
     def __enter__(self) -> t.Self:
         return self
 
     def __exit__(self, *error: object) -> None:
         self._connection().release()
+        if self.is_counted:
+            self.guard.end_request()
 
     def _connection(self) -> _clientconnection.ClientConnection:
         connection = self.request.protocol
@@ -57,6 +60,16 @@
             body += part
         return bytes(body)
 
+    def begin(self) -> None:
+        """Count the request until the reader is left.
+
+        Only once its body is there, as unfinished ones could take all places.
+
+        :raises RequestError: if there are too many; it did not run.
+        """
+        self.guard.begin_request()
+        self.is_counted = True
+
     async def _invite(self) -> None:
         request = self.request
         if (
