--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import itertools
 import os
 import pathlib
@@ -24,6 +25,7 @@
 LARGE_BODY_BYTES = 900 << 10
 SMALL_BODY_BYTES = 100 << 10
 REQUESTS_BEHIND = 32
+COMPRESSED_BYTES = 8 << 20
 
 
 @attrs.frozen
@@ -107,6 +109,63 @@
         await _send(writer, request)
 
 
+async def send_empty_lines(writer, target):
+    del target
+    while True:
+        await _send(writer, b'\r\n' * (PART_BYTES // 2))
+
+
+async def send_slow_body(writer, target):
+    """Declare a large body, and send a byte of it at a time."""
+    length = f'Content-Length: {target.body_bytes}'
+    await _send(writer, target.head(length, ''))
+    while True:
+        await _send(writer, b'x')
+        await asyncio.sleep(PAUSE_S)
+
+
+async def send_chunk_extension(writer, target):
+    """Send the extension of a chunk without end."""
+    await _send(writer, target.head('Transfer-Encoding: chunked', ''))
+    await _send(writer, b'1;x=')
+    await _send(writer, b'x' * ENDLESS_BYTES)
+
+
+async def send_small_chunks(writer, target):
+    """Send a body in chunks of two bytes, without the last one."""
+    await _send(writer, target.head('Transfer-Encoding: chunked', ''))
+    for _ in range(target.body_bytes // 2):
+        await _send(writer, b'2\r\nxx\r\n' * 2048)
+
+
+async def send_compressed_body(writer, target):
+    """Send a small body that is large once it is decompressed."""
+    body = gzip.compress(bytes(COMPRESSED_BYTES))
+    fields = ('Content-Encoding: gzip', f'Content-Length: {len(body)}', '')
+    await _send(writer, target.head(*fields) + body)
+
+
+async def send_upgrade(writer, target):
+    """Ask for another protocol, and send without end."""
+    fields = ('Connection: upgrade', 'Upgrade: websocket', '')
+    await _send(writer, target.head(*fields))
+    await _send(writer, b'x' * ENDLESS_BYTES)
+
+
+async def send_connect(writer, target):
+    """Ask for a tunnel, and send without end."""
+    head = target.head('', method='CONNECT').split(b' ', 2)
+    await _send(writer, b'CONNECT a.example:1 ' + head[2])
+    await _send(writer, b'x' * ENDLESS_BYTES)
+
+
+async def read_no_answer(writer, target):
+    """Ask for answers, behind one another, and read none of them."""
+    writer.transport.pause_reading()
+    await _send(writer, target.head('', method='GET') * REQUESTS_BEHIND)
+    await asyncio.Event().wait()
+
+
 async def send_nothing(writer, target):
     """Leave the connection without a request."""
     del writer, target
--- a/tests/platform/test_client_processes.py
+++ b/tests/platform/test_client_processes.py
@@ -13,7 +13,10 @@
 MAX_FILES = 120
 CONNECTIONS = 150
 METRICS_PORT = 9464
+CONTROL_PEER_OFFSET = 1
 PROXY_OFFSET = 2
+# Their document has about 1 MB.
+LARGE_MAP_ROUTES = 5000
 # Port by name, role of its process, path of a request.
 CALLERS = ('front', 'entry', fakes.SAFE_PATH)
 READINESS = ('ready', 'entry', '/bulrushhold/ready')
@@ -22,6 +25,8 @@
 METRICS = ('metrics', 'entry', '/metrics')
 OPERATORS = ('control', 'control', '/bulrushhold/Config.Get')
 ORDERS = ('control', 'control', '/bulrushhold/Config.Put')
+PEERS = ('internal', 'entry', '/')
+CONTROL_PEERS = ('control_peer', 'control', '/')
 RELAY = ('control', 'relay', '/bulrushhold/Config.Get')
 
 
@@ -49,11 +54,13 @@
 class CrowdRun(run.SoakRun):
     """Plays a crowd at one port of the first process of a role.
 
+    :param more_routes: number of further routes of the route map.
     :ivar watch: what the process held at most.
     """
 
-    def __init__(self, folder, network_number, place, send, size):
+    def __init__(self, folder, network_number, place, send, size, more_routes):
         super().__init__(77, folder, network_number, seconds=0)
+        self.more_routes = more_routes
         self.port_name, self.role, self.path = place
         self.send = send
         self.size = size
@@ -68,11 +75,19 @@
             },
         )
 
+    def _make_route_map(self, version):
+        document = super()._make_route_map(version)
+        document['routes'] += [
+            {**document['routes'][-1], 'path-prefix': f'/more-{number}/'}
+            for number in range(self.more_routes)
+        ]
+        return document
+
     async def _run_with_faults(self):
-        self.system.ports['metrics'] = METRICS_PORT
-        self.system.ports['proxy'] = (
-            self.system.ports['internal'] + PROXY_OFFSET
-        )
+        ports = self.system.ports
+        ports['metrics'] = METRICS_PORT
+        ports['proxy'] = ports['internal'] + PROXY_OFFSET
+        ports['control_peer'] = ports['internal'] + CONTROL_PEER_OFFSET
         role = 'entry' if self.role == 'entry' else 'control'
         programs = self.system.programs_with_role(role)
         self.program = programs[-1 if self.role == 'relay' else 0]
@@ -100,9 +115,9 @@
 
     async def _ask(self):
         """Send an ordinary request to the process; return if it is served."""
-        if self.port_name == 'control':
+        if self.port_name in ('control', 'control_peer'):
             return await self._get('control', OPERATORS[2])
-        if self.port_name in ('front', 'proxy'):
+        if self.port_name in ('front', 'proxy', 'internal'):
             return await self._call()
         return await self._get(self.port_name, self.path)
 
@@ -137,9 +152,11 @@
             return False
 
 
-async def check(folder, place, send, size=crowds.SIZE):
+async def check(folder, place, send, size=crowds.SIZE, more_routes=0):
     with system.LoopbackNetwork() as network:
-        played = CrowdRun(folder, network.number, place, send, size)
+        played = CrowdRun(
+            folder, network.number, place, send, size, more_routes
+        )
         await played.execute()
     watch = played.watch
     print(f'{watch.peak_mb:.0f} MB, {watch.peak_files} descriptors')
@@ -165,6 +182,12 @@
         crowds.send_endless_fields,
         crowds.send_endless_trailers,
         crowds.send_requests_behind,
+        crowds.send_empty_lines,
+        crowds.send_chunk_extension,
+        crowds.send_small_chunks,
+        crowds.send_slow_body,
+        crowds.send_upgrade,
+        crowds.send_connect,
     ],
 )
 async def test_what_callers_send_does_not_fill_the_memory(tmp_path, send):
@@ -188,8 +211,35 @@
     await check(tmp_path, ORDERS, crowds.send_whole_body)
 
 
+async def test_compressed_orders_do_not_fill_the_memory(tmp_path):
+    """Guards against bodies that are larger once they are decompressed."""
+    await check(tmp_path, ORDERS, crowds.send_compressed_body)
+
+
 @pytest.mark.parametrize(
-    'place', [CALLERS, READINESS, OPERATORS], ids=lambda place: place[0]
+    'place', [OPERATORS, RELAY], ids=lambda place: place[1]
+)
+async def test_unread_answers_do_not_fill_the_memory(tmp_path, place):
+    """Guards against answers that are kept for clients that don't read."""
+    await check(
+        tmp_path, place, crowds.read_no_answer, more_routes=LARGE_MAP_ROUTES
+    )
+
+
+@pytest.mark.parametrize(
+    'place', [PEERS, CONTROL_PEERS], ids=lambda place: place[1]
+)
+async def test_bytes_that_are_no_message_do_not_fill_the_memory(
+    tmp_path, place
+):
+    """Guards against queues of messages that nobody can read."""
+    await check(tmp_path, place, crowds.send_long_head)
+
+
+@pytest.mark.parametrize(
+    'place',
+    [CALLERS, READINESS, OPERATORS, PEERS, CONTROL_PEERS],
+    ids=lambda place: place[0],
 )
 async def test_silent_connections_shut_nobody_out(tmp_path, place):
     """Guards against connections that take all descriptors."""
