No request body is decompressed

What was seen: 60 small bodies that say they are gzip, of 8 MB each once they are decompressed, to the operators' address: 562 MB of 96 on.

Cause: the HTTP library decompresses bodies as it parses them, so that a KB becomes a MB before the reader that counts sees it.

Change: no listener decompresses; one whose handlers read bodies refuses compressed ones with 415 and a reason. Callers' bodies pass as they are, as before.

--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -72,6 +72,8 @@
         if self.is_admitted:
             return
         self.is_admitted = True
+        if self.error is not None:
+            raise self.error
         self._check_size(self.length)
         self.connection.reserve(self, self.length)
 
@@ -134,6 +136,8 @@
 
     :param max_body_bytes: of a request; 0 for no bound.
     :param bounded: whether little unsent data is kept.
+    :param passes_encoded: whether handlers take compressed bodies as they are.
+        None is decompressed.
     :ivar unread: bytes received that no handler has yet.
     :ivar body_bytes: bytes of memory reserved for the body.
     :ivar answer_bytes: bytes of an answer that is being sent.
@@ -152,12 +156,14 @@
         guard: '_clients.ClientGuard',
         max_body_bytes: int = 0,
         bounded: bool = False,
+        passes_encoded: bool = False,
         **options: t.Any,
     ) -> None:
-        super().__init__(manager, **options)
+        super().__init__(manager, auto_decompress=False, **options)
         self.guard = guard
         self.max_body_bytes = max_body_bytes
         self.bounded = bounded
+        self.passes_encoded = passes_encoded
         self.holder = _buffers.Holder(guard.budget)
         self.make_request = self._request_factory
         self._request_factory = self._begin_request
@@ -395,6 +401,9 @@
         if payload is not streams.EMPTY_PAYLOAD:
             length = int(message.headers.get('Content-Length') or 0)
             self.content = content = RequestContent(payload, self, length)
+            encoding = message.headers.get('Content-Encoding', 'identity')
+            if not self.passes_encoded and encoding.lower() != 'identity':
+                self.content.error = _encoding_error()
         assert self.make_request is not None
         return self.make_request(message, content, protocol, writer, task)
 
@@ -548,6 +557,12 @@
         response._body = None
 
 
+def _encoding_error() -> errors.RequestError:
+    return errors.RequestError(
+        'compressed bodies are not supported', RECEIVE_STEP, status=415
+    )
+
+
 def _timeout_error(part: str) -> errors.RequestError:
     return errors.RequestError(
         f'the {part} of the request was not received in time',
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -148,11 +148,11 @@
             self.guard,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            auto_decompress=False,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
             max_body_bytes=_requests.MAX_BODY_BYTES,
             bounded=self.bounded,
+            passes_encoded=True,
         )
 
     @property
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -234,7 +234,6 @@
             # Ends the request to the server once the other entry is gone.
             handler_cancellation=True,
             keepalive_timeout=SERVER_KEEPALIVE_S,
-            auto_decompress=False,
             max_body_bytes=MAX_MESSAGE_BYTES,
         )
 
