Answers that nobody reads count, and operators' reads are refused without memory

What was seen: 60 clients that ask for a route map of 1 MB and read nothing: 195 MB of 96 at a control process, 193 at a relay, on.

Cause: an answer is written as a whole, and what the system doesn't take stays in the process, counted by nobody. (Callers' large answers are sent in parts as they read, within the budget.)

Change: an answer counts from its sending to its end. Elsewhere a request that was handled is never refused for its answer, as 503 says that it did not run.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -264,6 +264,7 @@
             self.guard,
             address.host,
             address.port,
+            repeatable_reads=True,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         self.runners.append(runner)
--- a/src/bulrushhold/composition/_operatorport.py
+++ b/src/bulrushhold/composition/_operatorport.py
@@ -60,6 +60,7 @@
             self.address.host,
             self.address.port,
             max_body_bytes=self.max_body_bytes,
+            repeatable_reads=True,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
 
--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -30,6 +30,9 @@
 PROGRESS_BYTES: t.Final = 1 << 10
 # Memory for a larger body is reserved before it arrives.
 SMALL_BODY_BYTES: t.Final = 32 << 10
+# Memory for a larger answer is reserved before it is sent.
+LARGE_ANSWER_BYTES: t.Final = 64 << 10
+SAFE_METHODS: t.Final = ('GET', 'HEAD')
 TIMEOUT_RETRY_S: t.Final = 0.5
 RECEIVE_STEP: t.Final = 'receive'
 
@@ -138,6 +141,8 @@
     :param bounded: whether little unsent data is kept.
     :param passes_encoded: whether handlers take compressed bodies as they are.
         None is decompressed.
+    :param repeatable_reads: whether requests that only read may be refused
+        after they were handled, as there is no memory for their answers.
     :ivar unread: bytes received that no handler has yet.
     :ivar body_bytes: bytes of memory reserved for the body.
     :ivar answer_bytes: bytes of an answer that is being sent.
@@ -157,6 +162,7 @@
         max_body_bytes: int = 0,
         bounded: bool = False,
         passes_encoded: bool = False,
+        repeatable_reads: bool = False,
         **options: t.Any,
     ) -> None:
         super().__init__(manager, auto_decompress=False, **options)
@@ -164,6 +170,7 @@
         self.max_body_bytes = max_body_bytes
         self.bounded = bounded
         self.passes_encoded = passes_encoded
+        self.repeatable_reads = repeatable_reads
         self.holder = _buffers.Holder(guard.budget)
         self.make_request = self._request_factory
         self._request_factory = self._begin_request
@@ -427,9 +434,7 @@
             self._lingering_time = 0
             if not resp.prepared:
                 resp.force_close()
-        if isinstance(resp, web.Response) and isinstance(resp.body, bytes):
-            self.answer_bytes = len(resp.body)
-            self._account()
+        resp = self._count_answer(request, resp)
         try:
             result = await super().finish_response(request, resp, start_time)
         finally:
@@ -439,6 +444,30 @@
             await self._linger()
         return result
 
+    def _count_answer(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        """Return the response, or a refusal if there is no memory for it.
+
+        It stays in memory until its client has read it.
+        """
+        if not isinstance(response, web.Response) or not isinstance(
+            response.body, bytes
+        ):
+            return response
+        size = len(response.body)
+        if (
+            self.repeatable_reads
+            and size > LARGE_ANSWER_BYTES
+            and request.method in SAFE_METHODS
+            and not response.prepared
+            and not self.guard.budget.take_request(self.holder, size)
+        ):
+            return self.handle_error(request, exc=_clients.memory_error())
+        self.answer_bytes = size
+        self._account()
+        return response
+
     def _end_request(self) -> None:
         self.content = None
         self.body_bytes = self.answer_bytes = 0
