A connection to the port between processes queues fewer messages

What was seen: 60 connections that send bytes which are no message to the port between processes: 113 MB of 96 at an entry, 115 at a control process, on.

Cause: ZeroMQ takes such bytes for short messages of its first protocol version and queues 4,096 of each connection until the loop has looked at them.

Change: the listening socket queues 256 of each connection; the rest waits at the sender, whose own queue is as it was. Silent connections at these ports stay there: ZeroMQ bounds neither their number nor, below 0.9 s, their time.

--- a/src/bulrushhold/node/_zmqtransport.py
+++ b/src/bulrushhold/node/_zmqtransport.py
@@ -15,6 +15,9 @@
 from bulrushhold import ports
 
 MAX_QUEUED_MESSAGES: t.Final = 4096
+# Of each connection to the listening socket, which anybody may open. Further
+# ones stay with the sender.
+MAX_RECEIVED_MESSAGES: t.Final = 256
 MAX_MESSAGE_BYTES: t.Final = 256 << 20
 # Shorter than an election, so that a reconnect doesn't cause one.
 HEARTBEAT_INTERVAL_MS: t.Final = 300
@@ -119,6 +122,7 @@
         self.context = context or zmq.Context.instance()
         router = self.context.socket(zmq.ROUTER)
         _configure(router)
+        router.setsockopt(zmq.RCVHWM, MAX_RECEIVED_MESSAGES)
         router.bind(f'tcp://{listen}')
         self.router = _AsyncSocket(router, self._on_request, 3)
         self.handlers: dict[type, ports.Handler] = {}
