The route map's limits on callers are in force

What was seen: the map's max-header-bytes, max-body-bytes, header-timeout-ms and idle-timeout-ms were read at most and bounded nothing; a body could have 64 MB, a head and an idle connection take as long as they liked.

Change: the callers' listener of each entry takes them as maps come: bodies above the limit get 413, heads 431 or 408, and connections idle for longer are closed. The line of the request, and two seconds of delay on the way, are left beside what operators set. What a map doesn't set is bounded by the settings, as before. The map's type has the limits as one value, with a default that older maps decode to.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -218,6 +218,7 @@
             buffers,
             self.guard,
         )
+        self.fleet.on_change.append(self._update_client_limits)
         self.proxy_server = adapters.PeerProxyServer(
             forwarding.DirectProxyHandler(
                 forwarding.PermitCheckingClient(
@@ -254,6 +255,10 @@
             )
         loguru.logger.bind(callers=str(config.callers)).info('entry started')
 
+    def _update_client_limits(self) -> None:
+        if self.fleet.index is not None:
+            self.ingress.set_limits(self.fleet.index.map.client_limits)
+
     async def _start_listener(
         self, address: settings.Address, app: 'web.Application'
     ) -> None:
--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -94,19 +94,34 @@
     priority: int | None = None
 
 
+@attrs.frozen
+class ClientLimits:
+    """Limits that operators set for callers; 0 for what isn't set.
+
+    :param head_bytes: of all fields of a request.
+    :param body_bytes: of its body.
+    :param head_s: time in which a head has to arrive.
+    :param idle_s: time for which a connection may be idle.
+    """
+
+    head_bytes: int = 0
+    body_bytes: int = 0
+    head_s: float = 0.0
+    idle_s: float = 0.0
+
+
 @attrs.frozen
 class RouteMap:
     """One version of all routes, services and client accounts.
 
-    :param idle_s: timeout of callers' idle connections.
+    :param client_limits: what one caller may send, and how long it may take.
     """
 
     version: int
     routes: list[Route] = attrs.field(factory=list)
     services: list[Service] = attrs.field(factory=list)
     accounts: list[ClientAccount] = attrs.field(factory=list)
-    idle_s: float = 60.0
-    max_body_bytes: int = 4 << 20
+    client_limits: ClientLimits = attrs.field(factory=ClientLimits)
 
     def check(self) -> None:
         """Validate the map.
--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -115,7 +115,7 @@
         return part
 
     def _check_size(self, size: int) -> None:
-        limit = self.connection.max_body_bytes
+        limit = self.connection.server.max_body_bytes
         if limit and size > limit:
             raise errors.RequestError(
                 f'the body exceeds {limit} bytes', RECEIVE_STEP, status=413
@@ -137,7 +137,6 @@
     the request that it belongs to is bounded there: heads, empty lines before
     them, trailers, and the extensions of chunks.
 
-    :param max_body_bytes: of a request; 0 for no bound.
     :param bounded: whether little unsent data is kept.
     :param passes_encoded: whether handlers take compressed bodies as they are.
         None is decompressed.
@@ -159,15 +158,14 @@
         manager: t.Any,
         *,
         guard: '_clients.ClientGuard',
-        max_body_bytes: int = 0,
         bounded: bool = False,
         passes_encoded: bool = False,
         repeatable_reads: bool = False,
         **options: t.Any,
     ) -> None:
         super().__init__(manager, auto_decompress=False, **options)
+        self.server = manager
         self.guard = guard
-        self.max_body_bytes = max_body_bytes
         self.bounded = bounded
         self.passes_encoded = passes_encoded
         self.repeatable_reads = repeatable_reads
@@ -220,7 +218,7 @@
 
         :param now: the time in seconds.
         """
-        limits = self.guard.limits
+        limits = self.server.limits
         self._check_unsent(now)
         idle_s = now - max(self.received_at, self.progress_at)
         match self._stage():
@@ -335,7 +333,7 @@
     def _check_bounds(self) -> None:
         if self.is_rejected:
             return
-        if self.idle_bytes > self.guard.limits.max_head_bytes:
+        if self.idle_bytes > self.server.limits.max_head_bytes:
             self.guard.record('head_bytes')
             self._reject_oversized()
         elif self.ahead > AHEAD_BYTES:
@@ -477,7 +475,7 @@
         elif not self._messages and not self.in_head:
             self.unread = 0
         else:
-            bound = AHEAD_BYTES + self.guard.limits.max_head_bytes
+            bound = AHEAD_BYTES + self.server.limits.max_head_bytes
             self.unread = min(self.unread, bound)
         self.progress_at = self.guard.clock()
         self._account()
@@ -504,7 +502,7 @@
         self._account()
 
     def _reject_oversized(self) -> None:
-        limit = self.guard.limits.max_head_bytes
+        limit = self.server.limits.max_head_bytes
         error = errors.RequestError(
             f'the head or trailers exceed {limit} bytes',
             RECEIVE_STEP,
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -9,11 +9,13 @@
 
 import aiohttp
 from aiohttp import web
+import attrs
 import loguru
 
 from bulrushhold import bodies
 from bulrushhold import calls
 from bulrushhold import errors
+from bulrushhold import routes
 from bulrushhold.web import _buffers
 from bulrushhold.web import _clients
 from bulrushhold.web import _connections
@@ -30,6 +32,10 @@
 # Other entries accept at once what one that exits refuses.
 CLOSING_RETRY_S: t.Final = 0.05
 MAX_FIELD_BYTES: t.Final = 65536
+# Operators bound the fields of a head and the time of their sender, which
+# don't include the request line and delays on the way.
+REQUEST_LINE_BYTES: t.Final = 8 << 10
+HEAD_DELAY_S: t.Final = 2.0
 _NO_LINGER: t.Final = struct.pack('ii', 1, 0)
 _LINGER: t.Final = struct.pack('ii', 0, 0)
 
@@ -168,6 +174,23 @@
         await self.runner.setup()
         await _listeners.listen(self.runner, host, port)
 
+    def set_limits(self, limits: routes.ClientLimits) -> None:
+        """Bound what callers send by what operators have set."""
+        own = self.guard.limits
+        self.server.max_body_bytes = (
+            limits.body_bytes or _requests.MAX_BODY_BYTES
+        )
+        self.server.limits = attrs.evolve(
+            own,
+            max_head_bytes=limits.head_bytes + REQUEST_LINE_BYTES
+            if limits.head_bytes
+            else own.max_head_bytes,
+            head_timeout_s=limits.head_s + HEAD_DELAY_S
+            if limits.head_s
+            else own.head_timeout_s,
+            idle_timeout_s=limits.idle_s or own.idle_timeout_s,
+        )
+
     def stop_reading(self) -> None:
         """Refuse all requests that haven't been received completely."""
         self.closing = True
--- a/src/bulrushhold/web/_listeners.py
+++ b/src/bulrushhold/web/_listeners.py
@@ -22,12 +22,20 @@
 class ClientServer(web.Server):  # type: ignore[type-arg]
     """Makes connections that are counted, and bounded in memory and time.
 
+    :param max_body_bytes: of a request; 0 for no bound.
     :param options: of :class:`_clientconnection.ClientConnection`.
+    :ivar limits: of each connection; by default those of the process.
     """
 
     def __init__(
-        self, handler: _Handler, guard: _clients.ClientGuard, **options: t.Any
+        self,
+        handler: _Handler,
+        guard: _clients.ClientGuard,
+        max_body_bytes: int = 0,
+        **options: t.Any,
     ) -> None:
+        self.limits = guard.limits
+        self.max_body_bytes = max_body_bytes
         super().__init__(
             handler,
             guard=guard,
