A client that disconnects is noticed on connections that aren't read

What was seen: a caller sends three requests of 20 KB behind one another and leaves while the first is handled: it is handled to its end, an engine works on it, and its memory counts until then.

Cause: reading is paused while enough is received ahead, and the event loop sees a closed connection only where it reads. (The HTTP library pauses as well, for a body behind the request that is being handled, so that this is older than the bound.)

Change: the check of all connections, once a second, asks the system for the state of those that aren't read.

--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 import typing as t
 
 from aiohttp import http_exceptions
@@ -36,6 +37,9 @@
 TIMEOUT_RETRY_S: t.Final = 0.5
 RECEIVE_STEP: t.Final = 'receive'
 
+# From the system's ``tcp_states.h``.
+_TCP_ESTABLISHED: t.Final = 1
+
 _Stage = decisions.ClientStage
 
 
@@ -218,6 +222,9 @@
 
         :param now: the time in seconds.
         """
+        if _has_disconnected(self.transport):
+            self.drop()
+            return
         limits = self.server.limits
         self._check_unsent(now)
         idle_s = now - max(self.received_at, self.progress_at)
@@ -575,6 +582,21 @@
             self.drop()
 
 
+def _has_disconnected(transport: asyncio.Transport | None) -> bool:
+    """Return whether the client of a connection that isn't read is gone.
+
+    Of those that are read, the event loop notices it.
+    """
+    if transport is None or transport.is_reading():
+        return False
+    connection = transport.get_extra_info('socket')
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return bool(state[0] != _TCP_ESTABLISHED)
+
+
 def _forget_bodies(
     request: web.BaseRequest, response: web.StreamResponse
 ) -> None:
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -381,6 +381,7 @@
     for data in (
         b'POST / HTTP/1.1\r\nX-A: ' + b'x' * 2000,
         request(b'x' * MB, length=BODY_BYTES),
+        request(b'x' * 20000, path=WAITING) * 3,
     ):
         client = await server.connect()
         await client.send(data)
