A connection that is being answered isn't taken for an idle one

Found in review, shown by two tests in one process that fail before: a connection counted as idle while its response was being sent, and as unfinished once a part of the next head had come, so that it could be closed for a new one, or ended for the time of that head, under a request that was being handled. An answer that is read slowly counted as unread if as much was written as was read.

Cause: aiohttp forgets the request before it sends the response, and the size of the write buffer alone doesn't show what has been read.

--- a/src/bulrushhold/web/_buffers.py
+++ b/src/bulrushhold/web/_buffers.py
@@ -50,7 +50,6 @@
 # a small request took 130 ms instead of 2 ms.
 TURNS_PER_PASS: t.Final = 4
 CHECK_INTERVAL_S: t.Final = 1.0
-REFUSAL_RETRY_S: t.Final = 0.5
 # Growth of the process since the last time, as a share of its instance's
 # memory, at which freed memory of the heap is returned to the system.
 TRIM_SHARE: t.Final = 1 / 32
--- a/src/bulrushhold/web/_clients.py
+++ b/src/bulrushhold/web/_clients.py
@@ -9,11 +9,11 @@
 import loguru
 
 from bulrushhold import decisions
-from bulrushhold import errors
 from bulrushhold import node
 from bulrushhold import ports
 from bulrushhold import settings
 from bulrushhold.web import _buffers
+from bulrushhold.web import _refusals
 
 if t.TYPE_CHECKING:
     from bulrushhold.web import _clientconnection
@@ -30,8 +30,6 @@
 CONNECTION_BYTES: t.Final = 16 << 10
 # If the system doesn't bound the descriptors of a process.
 DEFAULT_FILES: t.Final = 65536
-MEMORY_STEP: t.Final = 'buffers'
-REQUESTS_STEP: t.Final = 'descriptors'
 
 _Connection: t.TypeAlias = '_clientconnection.ClientConnection'
 _State: t.TypeAlias = decisions.ClientState
@@ -113,12 +111,7 @@
         """
         if self.requests >= self.max_requests:
             self.record('requests')
-            raise errors.RequestError(
-                'too many requests at a time',
-                REQUESTS_STEP,
-                status=503,
-                retry_after=_buffers.REFUSAL_RETRY_S,
-            )
+            raise _refusals.requests_error()
         self.requests += 1
 
     def end_request(self) -> None:
@@ -157,7 +150,7 @@
 
     def _free(self, connection: _Connection) -> None:
         self.record('memory')
-        connection.give_way(memory_error())
+        connection.give_way(_refusals.memory_error())
 
     async def watch(self) -> None:
         """End what takes too long, forever."""
@@ -168,6 +161,7 @@
     def check(self) -> None:
         """End requests and connections that take longer than the limits."""
         now = self.clock()
+        self.replaceable.clear()
         for connection in list(self.connections):
             connection.check(now)
         self.metrics.gauge('clients.connections', len(self.connections))
@@ -217,16 +211,6 @@
     return ClientGuard(limits, budget, metrics, max_files, memory)
 
 
-def memory_error() -> errors.RequestError:
-    """Return the error of a request that there is no memory for."""
-    return errors.RequestError(
-        'no memory for another request',
-        MEMORY_STEP,
-        status=503,
-        retry_after=_buffers.REFUSAL_RETRY_S,
-    )
-
-
 def _max_files(max_files: int) -> int:
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft_limit == resource.RLIM_INFINITY:
--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -27,6 +27,8 @@
 # Without this bound it takes 0.3 to 2.8 MB for a caller on the loopback
 # network who doesn't read, and a part of 16 KB costs about 0.2 ms.
 UNSENT_BYTES: t.Final = 64 << 10
+# From the system's ``tcp_states.h``.
+_TCP_ESTABLISHED: t.Final = 1
 
 
 # Called with the address, the bytes received and what exceeded its limit.
@@ -169,6 +171,21 @@
         )
 
 
+def has_disconnected(transport: asyncio.Transport | None) -> bool:
+    """Return whether the client of a connection that isn't read is gone.
+
+    Of those that are read, the event loop notices it.
+    """
+    if transport is None or transport.is_reading():
+        return False
+    connection = transport.get_extra_info('socket')
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return bool(state[0] != _TCP_ESTABLISHED)
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """Creates strict connections, without limiting their number.
 
--- a/src/bulrushhold/web/_requests.py
+++ b/src/bulrushhold/web/_requests.py
@@ -7,6 +7,8 @@
 
 from bulrushhold.web import _clientconnection
 from bulrushhold.web import _clients
+from bulrushhold.web import _refusals
+from bulrushhold.web import _requestcontent
 
 MAX_BODY_BYTES: t.Final = 64 << 20
 
@@ -50,9 +52,9 @@
             or it isn't received in time; the request did not run.
         """
         if self.guard.budget.refuses(self._connection().holder):
-            raise _clients.memory_error()
+            raise _refusals.memory_error()
         content = self.request.content
-        if isinstance(content, _clientconnection.RequestContent):
+        if isinstance(content, _requestcontent.RequestContent):
             content.admit()
         await self._invite()
         body = bytearray()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -20,6 +20,8 @@
 BODY_BYTES = 2 * MB
 IDENT = 'X-Ident'
 WAITING = '/waiting'
+LARGE = '/large'
+ANSWER_BYTES = 16 * MB
 LIMITS = settings.Clients(
     max_head_bytes=4096,
     head_timeout_s=3.0,
@@ -123,6 +125,8 @@
         self.handled += 1
         if call.target == WAITING:
             await self.may_answer.wait()
+        if call.target == LARGE:
+            return calls.Reply(200, (), bytes(ANSWER_BYTES))
         return calls.Reply(200, (), str(len(call.body)).encode())
 
     async def connect(self):
@@ -356,6 +360,36 @@
     assert server.metrics.reasons == ['connections'] * 3
 
 
+async def test_a_request_in_progress_is_not_closed_for_the_one_behind_it(
+    server,
+):
+    """Guards against taking a started next head for all that goes on."""
+    client = await server.connect()
+    await client.send(request(path=WAITING) + b'POST / HTTP/1.1\r\n')
+    server.pass_time(2 * LIMITS.head_timeout_s)
+    for _ in range(LIMITS.max_connections + 2):
+        await server.connect()
+    server.may_answer.set()
+    assert (await client.answer())[0] == 200
+    await client.send(b'Host: h\r\n\r\n')
+    assert (await client.answer())[0] == 200
+
+
+async def test_an_answer_that_is_read_slowly_is_not_ended(server):
+    """Guards against ending what is read, and keeping what isn't."""
+    client = await server.connect()
+    await client.send(request(path=LARGE))
+    for _ in range(4):
+        await client.reader.readexactly(2 * MB)
+        server.pass_time(0.8 * LIMITS.unread_timeout_s)
+    assert server.metrics.reasons == []
+    client.writer.transport.pause_reading()
+    for _ in range(3):
+        await settle()
+        server.pass_time(0.8 * LIMITS.unread_timeout_s)
+    assert server.metrics.reasons == ['unread_answer']
+
+
 async def test_requests_beyond_the_descriptors_are_refused(server):
     clients = [await server.connect() for _ in range(4)]
     for client in clients:
