The soak draws crowds of clients that don't behave

At random ports of random processes, beside kills, pauses and restarts; several overlap. A process that exceeds the memory of its settings (128 MB where none is set) violates a guarantee, as does one that ends by itself or serves no request once the crowds have gone.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -224,6 +224,14 @@
             pass
 
 
+def resident_mb(pid):
+    """Return the resident memory of a process; 0 if it has ended."""
+    with contextlib.suppress(OSError, IndexError):
+        pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
+        return pages * resource.getpagesize() / (1 << 20)
+    return 0.0
+
+
 class Watch:
     """Samples what a process holds until it is stopped.
 
@@ -245,12 +253,9 @@
         await asyncio.gather(self.task, return_exceptions=True)
 
     async def _sample(self):
-        statm = pathlib.Path(f'/proc/{self.pid}/statm')
         while True:
-            with contextlib.suppress(OSError, IndexError):
-                pages = int(statm.read_text().split()[1])
-                now_mb = pages * resource.getpagesize() / (1 << 20)
-                self.peak_mb = max(self.peak_mb, now_mb)
+            self.peak_mb = max(self.peak_mb, resident_mb(self.pid))
+            with contextlib.suppress(OSError):
                 files = len(os.listdir(f'/proc/{self.pid}/fd'))
                 self.peak_files = max(self.peak_files, files)
             await asyncio.sleep(SAMPLE_INTERVAL_S)
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -19,6 +19,7 @@
 from tests.platform.soak import poison
 from tests.platform.soak import routemap
 from tests.platform.soak import silences
+from tests.platform.soak import strangecrowds
 from tests.platform.soak import system
 from tests.platform.soak import takeups
 
@@ -164,8 +165,9 @@
         loss = asyncio.ensure_future(
             losses.lose_all(random.Random(f'loss {self.report.seed}'), self)
         )
-        bad_callers = asyncio.ensure_future(
-            badinput.send_bad_requests(self, API_KEY, deadline)
+        bad_callers = asyncio.gather(
+            badinput.send_bad_requests(self, API_KEY, deadline),
+            strangecrowds.play(self, API_KEY, deadline),
         )
         while time.monotonic() < deadline:
             self._start_task(self._send_request())
