--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -48,7 +48,7 @@
         None is decompressed.
     :param repeatable_reads: whether requests that only read may be refused
         after they were handled, as there is no memory for their answers.
-    :ivar unread: bytes received that no handler has yet.
+    :ivar pending_bytes: received that no handler has yet.
     :ivar body_bytes: bytes of memory reserved for the body.
     :ivar answer_bytes: bytes of an answer that is being sent.
     :ivar ahead: received since the request being handled was complete.
@@ -80,7 +80,7 @@
         self._request_factory = self._begin_request
         self.progress = _receiveprogress.ReceiveProgress(guard.clock)
         self.content: _requestcontent.RequestContent | None = None
-        self.unread = self.body_bytes = self.answer_bytes = 0
+        self.pending_bytes = self.body_bytes = self.answer_bytes = 0
         self.ahead = self.discarded = 0
         self.is_used = self.is_handling = False
         self.is_answered = self.is_rejected = False
@@ -104,7 +104,7 @@
         """End what is being received with an error response."""
         if self.content is not None and self.content.is_awaited:
             self.content.fail(error)
-            self.body_bytes = self.unread = 0
+            self.body_bytes = self.pending_bytes = 0
             self._account()
         elif self._stage() is _Stage.RECEIVING:
             self.reject(error)
@@ -182,7 +182,7 @@
         """Forget all of the connection."""
         self.guard.remove(self)
         self.lost.set()
-        self.unread = self.body_bytes = self.answer_bytes = 0
+        self.pending_bytes = self.body_bytes = self.answer_bytes = 0
         self.holder.release()
         super().connection_lost(exc)
 
@@ -204,7 +204,7 @@
         if self.is_answered:
             self.is_answered = not self.progress.is_complete
         else:
-            self.unread += len(data)
+            self.pending_bytes += len(data)
             self._account()
         self._check_bounds()
 
@@ -231,7 +231,9 @@
         self._pause_transport_reading()
 
     def _account(self) -> None:
-        held = COPIES * self.unread + self.body_bytes + self.answer_bytes
+        held = (
+            COPIES * self.pending_bytes + self.body_bytes + self.answer_bytes
+        )
         if self.lost.is_set():
             held = 0
         if held != self.holder.held:
@@ -253,7 +255,7 @@
 
     def on_part(self, size: int, received: int) -> None:
         """Count a body; see :meth:`_requestcontent.ContentHolder.on_part`."""
-        self.unread = max(0, self.unread - size)
+        self.pending_bytes = max(0, self.pending_bytes - size)
         self.body_bytes = max(self.body_bytes, received) if size else received
         self._account()
 
@@ -353,10 +355,10 @@
         is_last = not self._messages
         self.is_answered = is_last and not self.progress.is_complete
         if is_last and not self.progress.in_head:
-            self.unread = 0
+            self.pending_bytes = 0
         else:
             bound = AHEAD_BYTES + self.server.limits.max_head_bytes
-            self.unread = min(self.unread, bound)
+            self.pending_bytes = min(self.pending_bytes, bound)
         self.progress.restart()
         self._account()
 
@@ -377,7 +379,7 @@
         """Drop the parser with what it holds, and discard what still comes."""
         self.is_rejected = True
         self._parser = None
-        self.unread = 0
+        self.pending_bytes = 0
         self._account()
 
     def _reject_oversized(self) -> None:
