A client that resets its refused request leaves no error in the log

What was seen: 18 lines "Unhandled exception", "Transport endpoint is not connected" of the HTTP library in 14 plays of random pieces of requests; clients could have them without end, and beside the bound of the process's own log.

Cause: a connection that is refused is closed for sending, so that its client gets the answer; the system reports an error if the client has reset it by then. The plays stay as a test, with three seeds: nothing is left of them, neither memory nor places nor errors.

--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -227,8 +227,9 @@
             self.guard.check_memory(self)
 
     def _hold_reading(self) -> None:
-        self.holds_reading = True
-        self._pause_transport_reading()
+        if self.transport is not None:
+            self.holds_reading = True
+            self.transport.pause_reading()
 
     def _account(self) -> None:
         held = (
@@ -299,8 +300,8 @@
         if not self.holds_reading:
             return
         self.holds_reading = False
-        if not self._reading_paused:
-            self._resume_transport_reading()
+        if self.transport is not None and not self._reading_paused:
+            self.transport.resume_reading()
 
     async def finish_response(
         self,
@@ -416,8 +417,9 @@
         transport = self.transport
         if transport is None or not transport.can_write_eof():
             return
-        transport.write_eof()
-        with contextlib.suppress(TimeoutError):
+        # The client may have reset the connection already.
+        with contextlib.suppress(TimeoutError, OSError):
+            transport.write_eof()
             async with asyncio.timeout(LINGER_S):
                 await self.lost.wait()
 
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -1,7 +1,9 @@
 """Tests of the limits on what clients send, hold and take, in one process."""
 
 import asyncio
+import errno
 import json
+import random
 
 import attrs
 import pytest
@@ -424,6 +426,81 @@
         assert server.budget.used == 0 and server.guard.requests == 0
 
 
+async def test_a_client_that_resets_its_refused_request_leaves_no_error(
+    server, caplog
+):
+    """Guards against a log line for each reset, of which there is no end."""
+
+    def fail():
+        raise OSError(errno.ENOTCONN, 'reset')
+
+    client = await server.connect()
+    (connection,) = server.guard.connections
+    connection.transport.write_eof = fail
+    await client.send(b'bad line\r\n\r\n')
+    check_refusal(await client.answer(), 400)
+    assert await client.is_closed()
+    assert [r for r in caplog.records if r.name.startswith('aiohttp')] == []
+
+
+PIECES = (
+    request(),
+    request(b'body'),
+    request(b'x' * 40000),
+    request(b'', length=10),
+    request(b'', 'Expect: 100-continue', length=10),
+    request(path=WAITING),
+    request(path=LARGE),
+    b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
+    b'5\r\nabcde\r\n',
+    b'0\r\n\r\n',
+    b'0\r\nX: y\r\n',
+    b'GET / HTTP/1.0\r\n\r\n',
+    b'CONNECT a:1 HTTP/1.1\r\nHost: h\r\n\r\n',
+    b'GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n',
+    b'0123456789',
+    b'\r\n',
+    b'x' * 3000,
+    b'X-A: ' + b'y' * 1500 + b'\r\n',
+)
+
+
+async def send_pieces(server, rng):
+    """Send pieces of requests, some cut, and leave at some point."""
+    try:
+        client = await server.connect()
+        for _ in range(rng.randint(1, 12)):
+            data = rng.choice(PIECES)
+            if rng.random() < 0.2:
+                data = data[: rng.randrange(len(data))]
+            client.writer.write(data)
+            await asyncio.sleep(0.01 * rng.random())
+        if rng.random() < 0.5:
+            async with asyncio.timeout(0.02):
+                await client.reader.read()
+    except (OSError, TimeoutError):
+        pass
+    client.writer.transport.abort()
+
+
+@pytest.mark.parametrize('seed', range(3))
+async def test_nothing_is_left_of_any_sequence_of_bytes(server, seed, caplog):
+    """Guards against memory, places and errors that strange clients leave."""
+    errors = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: errors.append(context)
+    )
+    rng = random.Random(seed)
+    server.may_answer.set()
+    for _ in range(20):
+        await asyncio.gather(*(send_pieces(server, rng) for _ in range(8)))
+        server.pass_time(4 * rng.random())
+    await conftest.wait_until(server.has_no_connection)
+    assert server.budget.used == 0 and server.guard.requests == 0
+    assert errors == []
+    assert [r for r in caplog.records if r.name.startswith('aiohttp')] == []
+
+
 @pytest.mark.parametrize('field', ['max_head_bytes', 'head_timeout_s'])
 def test_limits_of_clients_are_checked(field):
     with pytest.raises(ValueError):
