Lines of libraries go through the process's bounded log

What was seen: errors that the HTTP library and asyncio log for clients that reset their connections went to standard error as plain text, without a bound, beside the process's log. A client can cause as many as it likes, and a reader of standard error that stops would block the event loop.

Cause: only loguru was set up; standard logging fell back to its last resort. Change: its records become lines of the process's log, with the name of the library. The test fails before.

--- a/src/bulrushhold/node/_logs.py
+++ b/src/bulrushhold/node/_logs.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import logging
 import os
 import queue
 import sys
@@ -84,6 +85,21 @@
                 self.dropped += 1
 
 
+class _LibraryHandler(logging.Handler):
+    """Passes on what libraries log.
+
+    By default it goes to standard error, unbounded, and a reader that stops
+    would block the event loop.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record as a line of this process."""
+        logger = loguru.logger.bind(library=record.name)
+        if record.exc_info is not None:
+            logger = logger.opt(exception=record.exc_info[1])
+        logger.log(record.levelname, record.getMessage())
+
+
 def configure(level: str, process: str) -> LineWriter:
     """Set up logging to standard output, one JSON object per line.
 
@@ -98,6 +114,9 @@
         level=level,
         format='{message}',
     )
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
+    )
     return writer
 
 
--- a/tests/test_logs_and_metrics.py
+++ b/tests/test_logs_and_metrics.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import subprocess
+import sys
 import time
 
 import pytest
@@ -46,6 +48,33 @@
     }
 
 
+def test_lines_of_libraries_are_lines_of_the_process():
+    """Guards against a process that blocks as nobody reads what they write."""
+    script = """
+import logging
+from bulrushhold import node
+writer = node.configure_logs('INFO', 'entry e1')
+try:
+    raise OSError('reset')
+except OSError:
+    logging.getLogger('aiohttp.server').exception('unhandled')
+for number in range(1000):
+    logging.getLogger('asyncio').warning('line %d', number)
+writer.close()
+"""
+    completed = subprocess.run(
+        [sys.executable, '-c', script],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert completed.stderr == ''
+    lines = [json.loads(line) for line in completed.stdout.splitlines()]
+    assert lines[0]['library'] == 'aiohttp.server'
+    assert lines[0]['error'] == 'OSError: reset'
+    assert len(lines) <= 2 * _logs.MAX_LINES_PER_S
+
+
 def test_metrics_are_served_in_the_prometheus_text_format():
     metrics = node.make_prometheus_metrics('bulrushhold_entry')
     metrics.count('requests.refused.503', 2)
