The limits on clients can be set on the platform

The settings file of the platform's processes may have a table `clients`, with the names and checks of the product's settings; entries, control processes and relays had the defaults only.

--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -12,6 +12,7 @@
 from bulrushhold import calls
 from bulrushhold import errors
 from bulrushhold import routes
+from bulrushhold import settings
 from tests.platform import decoding
 
 
@@ -301,6 +302,12 @@
     return _settings.load(str(path))
 
 
+def test_limits_of_clients_may_be_set(tmp_path):
+    assert load_settings(tmp_path).clients == settings.Clients()
+    text = f'{SETTINGS}[clients]\nmax_connections = 50'
+    assert load_settings(tmp_path, text).clients.max_connections == 50
+
+
 def test_only_the_first_seed_bootstraps_the_log(tmp_path):
     node = load_settings(tmp_path)
     assert node.bootstraps
@@ -361,6 +368,8 @@
         (f'{SETTINGS}[limits]\nmemory-mb = -1', 'limits.memory-mb'),
         (f'{SETTINGS}[limits]\nmax-fds = 1.5', 'limits.max-fds'),
         (f'{SETTINGS}[limits]\ncpu-share = "x"', 'limits.cpu-share'),
+        (f'{SETTINGS}[clients]\nmax_head_bytes = 0', 'max_head_bytes'),
+        (f'{SETTINGS}[clients]\nidle_timeout_s = "x"', 'idle_timeout_s'),
     ],
 )
 def test_invalid_settings_are_reported_on_one_line(tmp_path, text, expected):
