The descriptors that a process needs itself aren't given to clients

What was seen: 60 clients of ten kinds at once, some of them with legal requests, at an entry of 120 descriptors: 123 of them. Shares of all descriptors leave too little for the process's own where there are few.

Change: clients' connections and requests take shares of what is beyond 40. A crowd of several kinds is a test now, of which answers no ordinary request in 40 s.

--- a/src/bulrushhold/web/_clients.py
+++ b/src/bulrushhold/web/_clients.py
@@ -28,6 +28,8 @@
 # Share of an instance's memory for connections, and what one needs.
 CONNECTION_MEMORY_SHARE: t.Final = 0.25
 CONNECTION_BYTES: t.Final = 16 << 10
+# Those that a process has without clients.
+OWN_FILES: t.Final = 40
 # If the system doesn't bound the descriptors of a process.
 DEFAULT_FILES: t.Final = 65536
 
@@ -212,10 +214,11 @@
 
 
 def _max_files(max_files: int) -> int:
+    """Return the descriptors that clients and their requests may take."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft_limit == resource.RLIM_INFINITY:
         soft_limit = DEFAULT_FILES
-    return min(max_files or soft_limit, soft_limit)
+    return max(1, min(max_files or soft_limit, soft_limit) - OWN_FILES)
 
 
 def _max_connections(files: int, memory: int) -> int:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -166,11 +166,29 @@
     await asyncio.Event().wait()
 
 
+async def send_any(writer, target):
+    """Do one of the other things, another on each connection."""
+    await next(_ANY)(writer, target)
+
+
 async def send_nothing(writer, target):
     """Leave the connection without a request."""
     del writer, target
 
 
+_ANY = itertools.cycle(
+    (
+        send_long_head,
+        send_short_body,
+        send_requests_behind,
+        read_no_answer,
+        send_slow_body,
+        send_nothing,
+        send_endless_trailers,
+    )
+)
+
+
 class Crowd:
     """Clients that send, hold their connection, and come again if closed.
 
--- a/tests/platform/test_client_processes.py
+++ b/tests/platform/test_client_processes.py
@@ -188,6 +188,7 @@
         crowds.send_slow_body,
         crowds.send_upgrade,
         crowds.send_connect,
+        crowds.send_any,
     ],
 )
 async def test_what_callers_send_does_not_fill_the_memory(tmp_path, send):
