A check of an engine's version answers for that version only

Cause, suspected from lines of the same millisecond: checks that run at a time were shared by the engine's ident alone. One of the version that is listed now succeeds, and the stream, whose check asks for the version listed before, took its answer. Ruled out: the crowds of clients (the play's entries ended none of its connections).

Change: checks are shared by ident and version. The test of two checks at a time fails before ([True, True] instead of [True, False]).

--- a/src/bulrushhold/forwarding/_versionchecks.py
+++ b/src/bulrushhold/forwarding/_versionchecks.py
@@ -44,7 +44,9 @@
         self.placement = placement
         self.clock = clock
         self.unix_clock = unix_clock
-        self.pending: dict[str, asyncio.Future[bool]] = {}
+        # By ident and version: a check of one that is listed now says nothing
+        # about the one that was listed as a stream began.
+        self.pending: dict[tuple[str, str], asyncio.Future[bool]] = {}
         self.ask_again_at: dict[str, float] = {}
 
     async def watch(
@@ -92,11 +94,12 @@
 
         It is if it states no start, as under a protocol without restarts.
         """
-        check = self.pending.get(engine.ident)
+        key = engine.ident, engine.version
+        check = self.pending.get(key)
         if check is None:
             check = asyncio.ensure_future(self._check(engine))
-            self.pending[engine.ident] = check
-            check.add_done_callback(lambda _: self.pending.pop(engine.ident))
+            self.pending[key] = check
+            check.add_done_callback(lambda _: self.pending.pop(key))
         return await asyncio.shield(check)
 
     async def _check(self, engine: decisions.BackendServer) -> bool:
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -217,6 +217,19 @@
     return await fakes.run_stream(context, segment='p', timeout_s=2.0)
 
 
+async def test_a_check_of_one_version_does_not_answer_for_another(
+    context, restarting
+):
+    """Guards against a stream recorded under its engine's former version."""
+    checks = context.version_checks
+    now = restarting.backends['e0']
+    before = attrs.evolve(now, version='v0')
+    answers = await asyncio.gather(
+        checks.runs_listed_version(now), checks.runs_listed_version(before)
+    )
+    assert answers == [True, False]
+
+
 @pytest.mark.parametrize('restarts', [False, True])
 async def test_a_stream_does_not_go_on_at_an_engine_that_started_again(
     client, context, restarting, version_of, restarts
