What is no valid response isn't read as one

Callers got answers that are no HTTP: a status 000 as "HTTP/1.1 0 ", a line "Content-Length : 2" passed on, the sizes of chunks as a body, a length of 64 bits without its body; or no answer at all.

Cause: the HTTP library parses responses leniently unless Python runs in its development mode, and each reader believes what its parser lets through.

Change: every byte of a response passes ResponseScanner, at the connection, before the library's parser gets it: the status line (RFC 9110, 15; 9112, 4), names and values (9112, 5), what says where the body ends (9112, 6.3), chunks and trailers (9112, 7.1). The parser gets no byte after the response. What isn't valid raises InvalidResponseError at once, for the head and for the body; a body is complete only once it was, or the peer has closed its side. All readers with such a connection have it: requests, streams, reports, the list, other entries.

A response followed by other bytes in one segment is served now, as it was when they came later; it was lost before. Heads that end with LF, unknown statuses, odd names and values, extensions, trailers and folds arrive as they did.

--- a/src/bulrushhold/errors.py
+++ b/src/bulrushhold/errors.py
@@ -71,7 +71,14 @@
     """A backend server failed or sent an invalid reply."""
 
 
-class OversizedResponseError(BackendError):
+class InvalidResponseError(BackendError):
+    """A backend server sent something that is no valid response.
+
+    Nothing shows whether it ran the request, nor that it crashed.
+    """
+
+
+class OversizedResponseError(InvalidResponseError):
     """A backend server sent more than a response may hold.
 
     It may send without end, and was not read any further.
--- a/src/bulrushhold/messages/_peerproxy.py
+++ b/src/bulrushhold/messages/_peerproxy.py
@@ -13,7 +13,8 @@
     ``REFUSED``: the entry can't proxy it; another one may. ``BACKEND``: the
     backend server failed. ``PERMIT``: the server wants no requests of that
     entry now. ``BLOCKED``: engines crashed under the request.
-    ``OVERSIZED``: the backend server's response exceeded a limit.
+    ``OVERSIZED``: the backend server's response exceeded a limit. ``INVALID``:
+    what it sent was no valid response.
     """
 
     REFUSED = 'refused'
@@ -21,6 +22,7 @@
     PERMIT = 'permit'
     BLOCKED = 'blocked'
     OVERSIZED = 'oversized'
+    INVALID = 'invalid'
 
 
 @attrs.frozen
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -8,7 +8,6 @@
 from bulrushhold.web._clients import ClientGuard
 from bulrushhold.web._clients import make_guard
 from bulrushhold.web._connections import make_session
-from bulrushhold.web._connections import MAX_HEAD_BYTES
 from bulrushhold.web._engine import HttpEngineClient
 from bulrushhold.web._ingress import Ingress
 from bulrushhold.web._instancelist import HttpPlatformList
@@ -17,6 +16,7 @@
 from bulrushhold.web._metrics import metrics_application
 from bulrushhold.web._peerproxy import HttpPeerProxyClient
 from bulrushhold.web._peerproxy import PeerProxyServer
+from bulrushhold.web._responsesyntax import MAX_HEAD_BYTES
 from bulrushhold.web._service import HttpServiceClient
 from bulrushhold.web._shutdown import close_runner
 from bulrushhold.web._shutdown import count_unsent
--- a/src/bulrushhold/web/_backends.py
+++ b/src/bulrushhold/web/_backends.py
@@ -16,6 +16,7 @@
 from bulrushhold.web import _bodies
 from bulrushhold.web import _buffers
 from bulrushhold.web import _connections
+from bulrushhold.web import _responsesyntax
 
 # Shorter than TCP's first SYN retransmission after 1 s: trying another server
 # is faster than waiting for it.
@@ -95,6 +96,7 @@
     :param budget: bounds the bodies in memory; ``None`` to bound only what
         responses hold that are received ahead of their callers.
     :param on_oversized: called when a response exceeds a limit.
+    :param on_invalid: called when a response is invalid.
     """
 
     def __init__(
@@ -104,16 +106,17 @@
         on_oversized: _connections.OversizedListener = (
             _connections.ignore_oversized
         ),
+        on_invalid: _connections.InvalidListener = _connections.ignore_invalid,
     ) -> None:
         self.dialect = dialect
         self.on_oversized = on_oversized
         self.bounded = budget is not None
         self.body_budget = budget or _buffers.make_read_ahead_budget()
         self.pooled = _connections.make_session(
-            self.bounded, keepalive_timeout=KEEPALIVE_TIMEOUT_S
+            self.bounded, on_invalid, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
         self.unpooled = _connections.make_session(
-            self.bounded, force_close=True
+            self.bounded, on_invalid, force_close=True
         )
 
     async def send(
@@ -310,7 +313,7 @@
             raise self.to_error(error, step, address) from error
 
     def _report_oversized(self, error: BaseException, address: str) -> None:
-        if isinstance(error, _connections.ResponseLimitError):
+        if isinstance(error, _responsesyntax.ResponseLimitError):
             self.on_oversized(address, error.byte_count, error.reason)
 
     def to_error(
@@ -319,8 +322,10 @@
         """Return the error of an operation, reported if it is oversized."""
         self._report_oversized(error, address)
         reason = ' '.join(f'{type(error).__name__}: {error}'.split())
-        if isinstance(error, _connections.ResponseLimitError):
+        if isinstance(error, _responsesyntax.ResponseLimitError):
             return errors.OversizedResponseError(reason, step, address)
+        if isinstance(error, _responsesyntax.InvalidResponseError):
+            return errors.InvalidResponseError(reason, step, address)
         return errors.BackendError(reason, step, address)
 
 
--- a/src/bulrushhold/web/_bodies.py
+++ b/src/bulrushhold/web/_bodies.py
@@ -14,6 +14,7 @@
 from bulrushhold import errors
 from bulrushhold.web import _buffers
 from bulrushhold.web import _connections
+from bulrushhold.web import _responsesyntax
 
 # Up to this size a body is neither counted nor copied: it is no larger than
 # the window that any response may use.
@@ -23,7 +24,6 @@
 # Memory maps of this size are returned to the system as soon as they are sent,
 # while blocks of many sizes would fragment the heap.
 SEGMENT_BYTES: t.Final = 64 << 10
-BODILESS_STATUSES: t.Final = frozenset({204, 304})
 
 
 class _Segment:
@@ -40,7 +40,10 @@
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
     """Whether a body's end is marked: RFC 9112, section 6.3."""
-    if response.method == 'HEAD' or response.status in BODILESS_STATUSES:
+    if (
+        response.method == 'HEAD'
+        or response.status in _responsesyntax.BODILESS_STATUSES
+    ):
         return True
     codings = response.headers.getall('Transfer-Encoding', ())
     if codings:
@@ -62,7 +65,7 @@
         size += len(chunk)
         if size > max_bytes:
             response.close()
-            raise _connections.ResponseLimitError(size, 'response body')
+            raise _responsesyntax.ResponseLimitError(size, 'response body')
         chunks.append(chunk)
     return b''.join(chunks)
 
--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -8,12 +8,13 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import helpers
+from aiohttp import http_exceptions
+from aiohttp import streams
+
+from bulrushhold.web import _responsesyntax
 
 
-FIRST_FINAL_STATUS: t.Final = 200
-# Bounds what a response may send ahead of its body: all interim heads and the
-# final one. Otherwise a server could keep the event loop parsing forever.
-MAX_HEAD_BYTES: t.Final = 64 << 10
 # With bounded buffers, sizes of one read from a socket, of a read buffer's low
 # mark (reading stops at twice that) and of a write buffer. By default, a
 # connection that isn't read holds 256 KB, and a caller that doesn't read as
@@ -33,105 +34,135 @@
 
 # Called with the address, the bytes received and what exceeded its limit.
 OversizedListener = cabc.Callable[[str, int, str], None]
+# Called with the address and what was invalid.
+InvalidListener = cabc.Callable[[str, str], None]
 
 
 def ignore_oversized(address: str, byte_count: int, reason: str) -> None:
     """Do nothing; an :data:`OversizedListener`."""
 
 
-class ResponseLimitError(aiohttp.ClientError):
-    """A response exceeded a limit, and its connection was closed.
-
-    :param byte_count: bytes received by then.
-    :param reason: what exceeded its limit.
-    """
-
-    def __init__(self, byte_count: int, reason: str) -> None:
-        super().__init__(f'{reason} too large: {byte_count} bytes')
-        self.byte_count = byte_count
-        self.reason = reason
+def ignore_invalid(address: str, reason: str) -> None:
+    """Do nothing; an :data:`InvalidListener`."""
 
 
 class _StrictResponseHandler(client_proto.ResponseHandler):
-    """Closes a connection that receives data while no response is due.
-
-    A faulty backend server may send a second response. On a pooled
-    connection it would be read as the response to the next request, and
-    reach the wrong caller.
+    """Lets no bytes pass that aren't part of one valid response.
 
-    It also aborts a connection whose response exceeds ``MAX_HEAD_BYTES``.
+    The library's parser gets them only once they were checked, and no more
+    than the response. If a faulty backend server sends a second one, it would
+    be read as the response to the next request on a pooled connection.
 
-    :ivar response_due: a request was sent, and its response isn't complete.
-    :ivar head_bytes: bytes received while the final head isn't complete.
+    :param on_invalid: called for each response that is invalid.
+    :ivar scanner: of the response that is due; ``None`` before a request.
+    :ivar payload: the body that is being received.
+    :ivar peer_closed: the peer has sent all that it will send.
     """
 
-    response_due = False
-    head_received = False
-    head_bytes = 0
-
-    def set_response_params(self, **params: t.Any) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, on_invalid: InvalidListener
+    ) -> None:
+        super().__init__(loop=loop)
+        self.on_invalid = on_invalid
+        self.scanner: _responsesyntax.ResponseScanner | None = None
+        self.payload: streams.StreamReader | None = None
+        self.peer_closed = False
+
+    def set_response_params(
+        self, *, skip_payload: bool = False, **params: t.Any
+    ) -> None:
         """Expect a response; called for each request before it is sent."""
-        self.response_due = True
-        self.head_received = False
-        self.head_bytes = 0
-        super().set_response_params(**params)
+        self.scanner = _responsesyntax.ResponseScanner(not skip_payload)
+        self.payload = None
+        super().set_response_params(skip_payload=skip_payload, **params)
 
     def feed_data(self, data: t.Any, size: int = 0) -> None:
-        """Pass the head of a response on; interim ones complete nothing."""
-        if data[0].code >= FIRST_FINAL_STATUS:
-            self.head_received = True
+        """Pass a head on, with the body that follows it."""
+        message, payload = data
+        if message.code >= _responsesyntax.FIRST_FINAL_STATUS:
+            self.payload = payload
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Process response data; abort if no response is due."""
-        if data and not self.response_due and self.transport:
+        """Check and parse response data; abort if no response is due."""
+        if not data:
+            super().data_received(data)
+            return
+        try:
+            rest = self._receive(data)
+        except _responsesyntax.InvalidResponseError as error:
+            # Interim heads that wait to be skipped would delay the error.
+            self._buffer.clear()
+            self.set_exception(error)
+            return
+        if rest and self.transport is not None:
             self.force_close()
             self.transport.abort()
+
+    def _receive(self, data: bytes) -> bytes:
+        """Parse data up to the end of the response; return what follows."""
+        scanner = self.scanner
+        while data and scanner is not None and not scanner.complete:
+            part, data = scanner.take(data)
+            if part:
+                super().data_received(part)
+        return data
+
+    def set_exception(
+        self,
+        exc: BaseException,
+        exc_cause: BaseException = helpers._EXC_SENTINEL,
+    ) -> None:
+        """Fail the response that is due, and its body.
+
+        The library leaves those who read a body waiting.
+        """
+        if isinstance(exc, http_exceptions.HttpProcessingError):
+            reason = ' '.join(exc.message.split()) or 'malformed'
+            exc = _responsesyntax.InvalidResponseError(reason)
+        super().set_exception(exc, exc_cause)
+        if isinstance(exc, _responsesyntax.InvalidResponseError):
+            self._end_invalid(exc)
+
+    def _end_invalid(
+        self, error: _responsesyntax.InvalidResponseError
+    ) -> None:
+        self._fail_payload(error)
+        if self.transport is None:
             return
-        if self.response_due and not self.head_received:
-            self._receive_head(data)
-        else:
-            super().data_received(data)
-        payload = self._payload
-        if self.head_received and (payload is None or payload.is_eof()):
-            self.response_due = False
-
-    def _receive_head(self, data: bytes) -> None:
-        """Process no more than a head may hold, and what follows it."""
-        room = MAX_HEAD_BYTES - self.head_bytes
-        part = data[:room]
-        rest = data[room:]
-        super().data_received(part)
-        if not self.head_received:
-            self.head_bytes += len(part)
-            if self.head_bytes >= MAX_HEAD_BYTES:
-                self._abort_head()
-        elif rest:
-            super().data_received(rest)
-
-    def _abort_head(self) -> None:
-        # Interim heads that wait to be skipped would delay the error.
-        self._buffer.clear()
-        self.set_exception(
-            ResponseLimitError(self.head_bytes, 'response head')
-        )
-        if self.transport is not None:
-            self.transport.abort()
+        if not isinstance(error, _responsesyntax.ResponseLimitError):
+            self.on_invalid(_peer_address(self.transport), error.reason)
+        self.transport.abort()
+
+    def _fail_payload(self, error: Exception) -> None:
+        if self.payload is not None and not self.payload.is_eof():
+            self.payload.set_exception(error)
+
+    def eof_received(self) -> bool | None:
+        """Note that the peer sends no more."""
+        super().eof_received()
+        self.peer_closed = True
+        return None
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a response without a length if the connection was reset.
+        """Fail a response that isn't complete.
 
-        Such a response ends when the connection closes. Without this
-        check, a reset would make a truncated response look complete.
+        One without a length ends when the peer closes the connection. Without
+        this check, the library would take each other end for that one.
         """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError(f'connection lost: {exc}')
+        if exc is not None or not self.peer_closed:
+            reason = str(exc) if exc is not None else 'closed'
+            self._fail_payload(
+                aiohttp.ClientPayloadError(f'connection lost: {reason}')
             )
         super().connection_lost(exc)
 
 
+def _peer_address(transport: asyncio.BaseTransport) -> str:
+    host, port = transport.get_extra_info('peername', ('', 0))[:2]
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
 class _BoundedResponseHandler(_StrictResponseHandler):
     """Reads little at a time, as an unread connection keeps what it read."""
 
@@ -193,24 +224,33 @@
     queueing that looks like slow backend servers.
     """
 
-    def __init__(self, bounded: bool, **options: t.Any) -> None:
+    def __init__(
+        self,
+        bounded: bool = False,
+        on_invalid: InvalidListener = ignore_invalid,
+        **options: t.Any,
+    ) -> None:
         super().__init__(limit=0, **options)
         self._factory = functools.partial(
             _BoundedResponseHandler if bounded else _StrictResponseHandler,
             loop=self._loop,
+            on_invalid=on_invalid,
         )
 
 
 def make_session(
-    bounded: bool = False, **connector_options: t.Any
+    bounded: bool = False,
+    on_invalid: InvalidListener = ignore_invalid,
+    **connector_options: t.Any,
 ) -> aiohttp.ClientSession:
     """Return a session that sends each request unchanged and only once.
 
     :param bounded: whether connections keep little unread data.
+    :param on_invalid: called for each response that is invalid.
     """
     options = {'read_bufsize': READ_BUFFER_BYTES} if bounded else {}
     session = aiohttp.ClientSession(
-        connector=StrictConnector(bounded, **connector_options),
+        connector=StrictConnector(bounded, on_invalid, **connector_options),
         **options,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -17,6 +17,7 @@
 from bulrushhold.web import _connections
 from bulrushhold.web import _listeners
 from bulrushhold.web import _requests
+from bulrushhold.web import _responsesyntax
 from bulrushhold.web import _shutdown
 
 ATTEMPTS_PATH: t.Final = '/attempts'
@@ -84,6 +85,7 @@
     :param budget: bounds the bodies in memory; ``None`` to bound only what
         responses hold that are received ahead of their callers.
     :param on_oversized: called when a response exceeds a limit.
+    :param on_invalid: called when another entry's response is invalid.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         on_oversized: _connections.OversizedListener = (
             _connections.ignore_oversized
         ),
+        on_invalid: _connections.InvalidListener = _connections.ignore_invalid,
     ) -> None:
         self.on_oversized = on_oversized
         self.budget = budget or _buffers.make_read_ahead_budget()
@@ -101,7 +104,7 @@
         self.session = aiohttp.ClientSession(
             **options,
             connector=_connections.StrictConnector(
-                bounded=False, keepalive_timeout=CLIENT_KEEPALIVE_S
+                on_invalid=on_invalid, keepalive_timeout=CLIENT_KEEPALIVE_S
             ),
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(
@@ -169,7 +172,7 @@
             (length,) = _LENGTH.unpack(prefix)
             if length > MAX_ANSWER_BYTES:
                 response.close()
-                raise _connections.ResponseLimitError(length, 'message')
+                raise _responsesyntax.ResponseLimitError(length, 'message')
             return messages.decode(await response.content.readexactly(length))
         except (*_HTTP_ERRORS, errors.PeerError) as error:
             raise self.to_error(error, 'send', proxy) from error
@@ -180,9 +183,11 @@
         """Return the error of an operation, reported if it is oversized."""
         reason = ' '.join(f'{type(error).__name__}: {error}'.split())
         reason = f'proxy {proxy}: {reason}'
-        if isinstance(error, _connections.ResponseLimitError):
+        if isinstance(error, _responsesyntax.ResponseLimitError):
             self.on_oversized(proxy, error.byte_count, error.reason)
             return errors.OversizedResponseError(reason, step, proxy)
+        if isinstance(error, _responsesyntax.InvalidResponseError):
+            return errors.InvalidResponseError(reason, step, proxy)
         return errors.BackendError(reason, step, proxy)
 
     async def close(self) -> None:
@@ -208,6 +213,10 @@
             return errors.OversizedResponseError(
                 failure.reason, failure.step, address
             )
+        case messages.ProxyFailureKind.INVALID:
+            return errors.InvalidResponseError(
+                failure.reason, failure.step, address
+            )
     return errors.BackendError(failure.reason, failure.step, address)
 
 
@@ -315,6 +324,8 @@
             kind = kinds.BLOCKED
         elif isinstance(error, errors.OversizedResponseError):
             kind = kinds.OVERSIZED
+        elif isinstance(error, errors.InvalidResponseError):
+            kind = kinds.INVALID
         else:
             kind = kinds.BACKEND
         return messages.ProxyFailure(kind, error.reason, error.step, wait_s)
--- a/tests/test_peer_proxy_http.py
+++ b/tests/test_peer_proxy_http.py
@@ -152,6 +152,7 @@
         errors.BackendError('refused', 'connect', ''),
         errors.BackendError('reset', 'send', ''),
         errors.OversizedResponseError('response head', 'send', ''),
+        errors.InvalidResponseError('status line', 'send', ''),
     ],
 )
 async def test_errors_keep_their_type_and_step(client, proxy, handler, error):
