An invalid response is no crash of its server

A server that sent what is no response counted as one that broke the connection: it was asked whether it had ended, and the text that it ran was counted as one that may crash engines, which in the end refuses it to its caller.

Cause: PlainForwarder and EngineStream take each error after the connection was made for a broken connection. Only responses above a limit were excepted.

Change: InvalidResponseError, of which OversizedResponseError is one kind now, is a failed attempt and no more: the server has spoken. It proves nothing about whether the request ran, so one that may be repeated goes elsewhere within its attempts and budget, and one that mustn't ends with 502.

--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -552,6 +552,10 @@
     async def _read(self, response: calls.BackendResponse) -> bytes:
         try:
             return await response.chunk()
+        except errors.InvalidResponseError as error:
+            raise _streamloss.StreamLostError(
+                str(error), unreachable=False
+            ) from error
         except errors.BackendError as error:
             raise _streamloss.StreamLostError(
                 str(error), reset=True
--- a/src/bulrushhold/forwarding/_plain.py
+++ b/src/bulrushhold/forwarding/_plain.py
@@ -359,8 +359,8 @@
         except errors.BackendError as error:
             sent = error.step != 'connect'
             ran = errors.Ran.UNKNOWN if sent else errors.Ran.NO
-            oversized = isinstance(error, errors.OversizedResponseError)
-            return _Result(ran, str(error), broken_off=sent and not oversized)
+            invalid = isinstance(error, errors.InvalidResponseError)
+            return _Result(ran, str(error), broken_off=sent and not invalid)
         finally:
             if response is not None:
                 response.close()
--- a/src/bulrushhold/forwarding/_streamloss.py
+++ b/src/bulrushhold/forwarding/_streamloss.py
@@ -54,7 +54,7 @@
         return StreamLostError(
             str(error), sent=False, unreachable=False, cut_off=True
         )
-    if isinstance(error, errors.OversizedResponseError):
+    if isinstance(error, errors.InvalidResponseError):
         return StreamLostError(str(error), unreachable=False)
     sent = error.step != 'connect'
     return StreamLostError(str(error), sent=sent, reset=sent)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -19,9 +19,10 @@
     :param events: ids of the events that it sends.
     :param then: what follows the events: ``end``, ``reset``, ``crash``,
         ``restart`` (as another instance at the same address),
-        ``silent``, or ``half`` an event and a reset.
+        ``silent``, ``half`` an event and a reset, or ``invalid`` bytes.
     :param error: step at which the request fails, or ``''``.
     :param oversized: the error is a response that exceeds a limit.
+    :param invalid: the error is an invalid response.
     :param open_delay_s: delay before the response headers.
     :param limit: request limit that the response names.
     :param backoff: how long the server wants no requests.
@@ -41,6 +42,7 @@
     from_backend: bool = True
     error: str = ''
     oversized: bool = False
+    invalid: bool = False
     body: bytes = b'done'
     open_delay_s: float = 0.0
     pause_s: float = 0.0
@@ -84,6 +86,7 @@
         if self.script.then == 'half':
             self.script.then = 'reset'
             return b'id: 99\ndata'
+        self.check_valid()
         if self.script.then == 'crash':
             self.client.dead.add(self.address)
         if self.script.then == 'restart':
@@ -95,7 +98,12 @@
             await asyncio.sleep(60)
         return b''
 
+    def check_valid(self):
+        if self.script.then == 'invalid':
+            raise errors.InvalidResponseError('x', 'answer', self.address)
+
     async def body(self):
+        self.check_valid()
         if self.script.then == 'silent':
             await asyncio.sleep(60)
         if self.script.then == 'crash':
@@ -131,6 +139,8 @@
         script = self.scripts.pop(0)
         if script.error:
             kind = errors.BackendError
+            if script.invalid:
+                kind = errors.InvalidResponseError
             if script.oversized:
                 kind = errors.OversizedResponseError
                 self.on_oversized(attempt.address, 65536, 'response head')
