A reset beside an unfinished upload completes no response

A caller of a long upload got half of a body as a whole answer: its server answered 200 without a length at once, sent a part and reset the connection while the upload was still being written.

Cause: a body without a length ends with its connection, and reading tells of the end before writing tells of the reset. A server that closes a connection before it has read all of the request ends its own side first, and the reset follows as soon as more of the request arrives at it. By then the end was read, and if the socket had taken what was left of the upload (900 KB), nothing failed in writing.

Ruled out: a reset alone, or a close with unread bytes, at once or later, beside 0.9 or 8 MB: they failed the response before, too.

Change: once the peer has ended an unframed response, the connection stays open until the peer has all of the request: only then is the body complete. If the connection was reset meanwhile, it failed. A server that reads the rest after its answer is served as before; a body with a length or in chunks needs none of this.

Why it is enough: a peer that resets before it has the request leaves bytes of it unacknowledged, or a connection that the system has closed.

--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -1,9 +1,12 @@
 """HTTP client connections hardened against faulty backend servers."""
 
+import array
 import asyncio
 import collections.abc as cabc
+import fcntl
 import functools
 import socket
+import termios
 import typing as t
 
 import aiohttp
@@ -30,6 +33,10 @@
 UNSENT_BYTES: t.Final = 64 << 10
 # From the system's ``tcp_states.h``.
 _TCP_ESTABLISHED: t.Final = 1
+_TCP_CLOSE: t.Final = 7
+# Interval at which a connection is checked whose peer has ended its response
+# before it had all of the request.
+SENT_CHECK_S: t.Final = 0.01
 
 
 # Called with the address, the bytes received and what exceeded its limit.
@@ -56,7 +63,8 @@
     :param on_invalid: called for each response that is invalid.
     :ivar scanner: of the response that is due; ``None`` before a request.
     :ivar payload: the body that is being received.
-    :ivar peer_closed: the peer has sent all that it will send.
+    :ivar peer_closed: the peer has received all of the request, and has
+        closed the connection.
     """
 
     def __init__(
@@ -138,11 +146,34 @@
         if self.payload is not None and not self.payload.is_eof():
             self.payload.set_exception(error)
 
-    def eof_received(self) -> bool | None:
-        """Note that the peer sends no more."""
+    def eof_received(self) -> bool:
+        """Note that the peer sends no more.
+
+        The end of the connection completes a response without a length, but
+        a peer that then resets it, as it doesn't want the rest of the
+        request, has broken off. Which of the two it is shows once the peer
+        has all of the request: until then the connection stays open.
+        """
         super().eof_received()
+        body = self.scanner.body if self.scanner is not None else None
+        if not isinstance(body, _responsesyntax.UnframedBody):
+            return False
+        return not self._end_response()
+
+    def _end_response(self) -> bool:
+        """Complete the response, or fail it; return whether it was decided."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return True
+        if _tcp_state(transport) == _TCP_CLOSE:
+            transport.abort()
+            return True
+        if _has_unacknowledged(transport):
+            self._loop.call_later(SENT_CHECK_S, self._end_response)
+            return False
         self.peer_closed = True
-        return None
+        transport.close()
+        return True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that isn't complete.
@@ -209,12 +240,29 @@
     """
     if transport is None or transport.is_reading():
         return False
+    return _tcp_state(transport) not in (_TCP_ESTABLISHED, None)
+
+
+def _tcp_state(transport: asyncio.BaseTransport) -> int | None:
+    connection = transport.get_extra_info('socket')
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return None
+    return int(info[0])
+
+
+def _has_unacknowledged(transport: asyncio.Transport) -> bool:
+    """Return whether the peer doesn't have all that was written yet."""
+    if transport.get_write_buffer_size():
+        return True
     connection = transport.get_extra_info('socket')
+    count = array.array('i', [0])
     try:
-        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, count)
     except OSError:
         return False
-    return bool(state[0] != _TCP_ESTABLISHED)
+    return count[0] > 0
 
 
 class StrictConnector(aiohttp.TCPConnector):
