A response that can't be written ends in a whole error

A caller's connection was closed without an answer where its response held what the library refuses to write, such as a control byte in a value.

Cause: the library serializes a head after the handler has returned, and ends the connection if that fails. A stream counted as begun before its head was written, so its failure was an abort.

Change: as long as nothing was sent, ClientConnection sends the error that a failing handler would get, on all listeners; what the writer was told of the first response (its length, chunks) and the reset on close of an unframed one are taken back. A stream has begun once its head is written.

--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -17,6 +17,7 @@
 from bulrushhold.web import _receiveprogress
 from bulrushhold.web import _refusals
 from bulrushhold.web import _requestcontent
+from bulrushhold.web import _responsewriter
 
 # A head exists as received bytes and as decoded fields; a body that isn't
 # handed over yet as parts and as one piece.
@@ -276,6 +277,7 @@
         task: t.Any,
     ) -> web.BaseRequest:
         """Return the next request, with its body bounded."""
+        del writer
         self.is_handling = True
         self.is_answered = False
         self.content = None
@@ -293,7 +295,10 @@
             if not self.passes_encoded and encoding.lower() != 'identity':
                 content.fail(_refusals.encoding_error())
         assert self.make_request is not None
-        return self.make_request(message, content, protocol, writer, task)
+        response_writer = _responsewriter.ResponseWriter(self, self._loop)
+        return self.make_request(
+            message, content, protocol, response_writer, task
+        )
 
     def _resume_held(self) -> None:
         self.ahead = 0
@@ -317,7 +322,7 @@
                 resp.force_close()
         resp = self._count_answer(request, resp)
         try:
-            result = await super().finish_response(request, resp, start_time)
+            result = await self._send(request, resp, start_time)
         finally:
             _forget_bodies(request, resp)
             self._end_request()
@@ -325,6 +330,21 @@
             await self._linger()
         return result
 
+    async def _send(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response, or an error if that one can't be written."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        except ConnectionError:
+            raise
+        except Exception as exc:
+            error = self.handle_error(request, exc=exc)
+            return await super().finish_response(request, error, start_time)
+
     def _count_answer(
         self, request: web.BaseRequest, response: web.StreamResponse
     ) -> web.StreamResponse:
@@ -403,6 +423,7 @@
         """Return the response to a request that can't be served."""
         if request.writer.output_size > 0:
             raise ConnectionError('a part of the response has been sent')
+        request.writer.restart()
         if isinstance(exc, http_exceptions.HttpProcessingError):
             self.guard.record('malformed')
         error = _refusals.to_error(status, exc, message)
--- a/src/bulrushhold/web/_ingress.py
+++ b/src/bulrushhold/web/_ingress.py
@@ -59,7 +59,12 @@
         if not self.prepared:
             self.force_close()
             _set_linger(request.transport, _NO_LINGER)
-        return await super().prepare(request)
+        try:
+            return await super().prepare(request)
+        except ValueError:
+            # Nothing was sent, and an error is to arrive whole.
+            _set_linger(request.transport, _LINGER)
+            raise
 
     async def write_eof(self, data: bytes = b'') -> None:
         """End the body once the system has all of it."""
@@ -105,8 +110,8 @@
         self.response.headers.extend(headers)
         if self.closes_connection():
             self.response.force_close()
-        self.headers_sent = True
         await self.response.prepare(self.request)
+        self.headers_sent = True
 
     async def write(self, data: bytes) -> None:
         await self.response.write(data)
@@ -247,6 +252,7 @@
             return await self._send(request, reply, reply.body)
         if not reply.framed:
             return await self._send_unframed(request, reply, reply.body)
+        request.writer.restart()
         response = web.Response(
             status=reply.status, headers=reply.headers, body=reply.body
         )
