Bytes of a value that aren't UTF-8 arrive as they were sent

A valid answer with high bytes in a value arrived without them, and by way of another entry not at all: its connection ended.

Cause: the library decodes such bytes to lone surrogates, and its writer leaves surrogates out; messages between entries can't hold them.

A head of which another part holds such bytes is an invalid response to the entry that asked.

--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 from aiohttp import web
+import attrs
 
 from bulrushhold import bodies
 from bulrushhold import calls
@@ -45,6 +46,33 @@
     return _LENGTH.pack(len(data)) + data
 
 
+def _frame_head(head: calls.ResponseHead) -> bytes:
+    """Return the message of a head.
+
+    Values may hold bytes that aren't UTF-8, which messages can't: they are
+    sent as one character a byte.
+
+    :raises UnicodeEncodeError: if another part of the head holds such bytes.
+    """
+    headers = tuple(
+        (name, value.encode('utf-8', 'surrogateescape').decode('latin-1'))
+        for name, value in head.headers
+    )
+    return _frame(messages.ProxiedHead(attrs.evolve(head, headers=headers)))
+
+
+def _restore_head(head: calls.ResponseHead) -> calls.ResponseHead:
+    """Return the head that :func:`_frame_head` was given.
+
+    :raises UnicodeEncodeError: if no such message holds it.
+    """
+    headers = tuple(
+        (name, value.encode('latin-1').decode('utf-8', 'surrogateescape'))
+        for name, value in head.headers
+    )
+    return attrs.evolve(head, headers=headers)
+
+
 class _ProxiedResponse(calls.BackendResponse):
     def __init__(
         self,
@@ -126,7 +154,12 @@
             response.close()
             raise
         if isinstance(first, messages.ProxiedHead):
-            return _ProxiedResponse(first.head, response, proxy, self)
+            try:
+                head = _restore_head(first.head)
+            except UnicodeEncodeError as error:
+                response.close()
+                raise self.to_error(error, 'send', proxy) from error
+            return _ProxiedResponse(head, response, proxy, self)
         response.close()
         if first.kind is messages.ProxyFailureKind.OVERSIZED:
             self.on_oversized(attempt.address, 0, first.reason)
@@ -151,7 +184,7 @@
         self, proxy: str, path: str, message: messages.Message
     ) -> aiohttp.ClientResponse:
         try:
-            return await self.session.post(
+            response = await self.session.post(
                 f'http://{proxy}{path}', data=messages.encode(message)
             )
         except (
@@ -163,6 +196,7 @@
             ) from error
         except _HTTP_ERRORS as error:
             raise self.to_error(error, 'send', proxy) from error
+        return response
 
     async def _read_message(
         self, response: aiohttp.ClientResponse, proxy: str
@@ -294,11 +328,17 @@
         except errors.BulrushholdError as error:
             failure = self._to_failure(error, message.attempt.instance)
             return web.Response(body=_frame(failure))
+        try:
+            head = _frame_head(backend.head)
+        except UnicodeEncodeError as error:
+            backend.close()
+            invalid = errors.InvalidResponseError(str(error), 'send')
+            return web.Response(body=_frame(self._to_failure(invalid, '')))
         response = web.StreamResponse()
         response.enable_chunked_encoding()
         try:
             await response.prepare(request)
-            await response.write(_frame(messages.ProxiedHead(backend.head)))
+            await response.write(head)
             while chunk := await backend.chunk():
                 await response.write(chunk)
             await response.write_eof()
--- a/tests/http_responses.py
+++ b/tests/http_responses.py
@@ -115,6 +115,10 @@
         with_field(b'X-Blank: \t a b \t '),
         (b'X-Blank: a b',),
     ),
+    'high bytes in a value': (
+        with_field(b'X-High: caf\xe9 \xc3\xa9 \xff'),
+        (b'X-High: caf\xe9 \xc3\xa9 \xff',),
+    ),
     'an empty value': (with_field(b'X-Empty:'), (b'X-Empty: ',)),
     'any token as a name': (
         with_field(b"!#$%&'*+-.^_`|~09aZ: 1"),
--- a/tests/test_invalid_responses.py
+++ b/tests/test_invalid_responses.py
@@ -235,6 +235,18 @@
     assert not reports.records
 
 
+@pytest.mark.parametrize('name', http_responses.VALID)
+async def test_a_valid_response_to_another_entry_arrives_unchanged(
+    server, proxied_port, name
+):
+    # Guards against a message between entries that can't hold what is odd.
+    server.response, fields = http_responses.VALID[name]
+    received = await fetch(proxied_port)
+    assert (received.status, received.body) == (200, b'ok')
+    assert not received.broken
+    assert passed_fields(received.headers) == [b'X-Stamp: 1', *fields]
+
+
 @pytest.mark.parametrize('status', [200, 299, 399, 404, 418, 499, 500, 599])
 async def test_any_final_status_arrives_unchanged(server, port, status):
     # Guards against a check that knows registered statuses only.
