A response between entries ends with its mark only

Half of a body that another entry passed on would be whole if that entry's connection closed, and an error of its HTTP server was read as a message. Found by reading, not seen: entries send each other chunks or a length.

Cause: HttpPeerProxyClient took each end and each status for good.

Change: a body whose end isn't marked is invalid at its end; a status other than 200 holds no message.

--- a/src/bulrushhold/web/_peerproxy.py
+++ b/src/bulrushhold/web/_peerproxy.py
@@ -88,17 +88,30 @@
 
     async def chunk(self) -> bytes:
         try:
-            return await self.response.content.readany()
+            chunk = await self.response.content.readany()
+            if not chunk:
+                self._check_end()
         except _HTTP_ERRORS as error:
             raise self.client.to_error(error, 'answer', self.proxy) from error
+        return chunk
 
     async def body(self) -> bytes:
         try:
-            return await _bodies.read_whole(
+            body = await _bodies.read_whole(
                 self.response, _bodies.MAX_WHOLE_BYTES
             )
+            self._check_end()
         except _HTTP_ERRORS as error:
             raise self.client.to_error(error, 'answer', self.proxy) from error
+        return body
+
+    def _check_end(self) -> None:
+        """Check that the end is marked, as entries do for each other.
+
+        Else a body that is cut would look whole.
+        """
+        if not _bodies.is_framed(self.response):
+            raise _responsesyntax.InvalidResponseError('end not marked')
 
     async def receive(self) -> bytes | bodies.Body:
         return await _bodies.receive(self.client.budget, self, None)
@@ -196,6 +209,11 @@
             ) from error
         except _HTTP_ERRORS as error:
             raise self.to_error(error, 'send', proxy) from error
+        if response.status != 200:
+            response.close()
+            raise errors.BackendError(
+                f'proxy {proxy}: status {response.status}', 'send', proxy
+            )
         return response
 
     async def _read_message(
--- a/tests/test_peer_responses.py
+++ b/tests/test_peer_responses.py
@@ -36,6 +36,42 @@
     await created.close()
 
 
+@pytest.mark.parametrize('name', http_responses.INVALID)
+async def test_an_invalid_response_of_another_entry_is_no_message(
+    server, client, reports, name
+):
+    # Guards against an attempt or a question that is believed answered.
+    server.response = http_responses.INVALID[name]
+    async with asyncio.timeout(TIMEOUT_S):
+        with pytest.raises(errors.BackendError):
+            await client.send(server.address, CALL, ATTEMPT)
+        with pytest.raises(errors.ProxyRefusedError):
+            await client.ask(server.address, QUESTION, TIMEOUT_S)
+
+
+@pytest.mark.parametrize('read', ['body', 'chunk'])
+async def test_a_body_of_another_entry_whose_end_is_not_marked_is_not_whole(
+    server, client, read
+):
+    # Guards against half of a body that is completed by a closed connection.
+    server.response = b'HTTP/1.1 200 OK\r\n\r\n' + MESSAGE + b'half'
+    server.keeps = False
+    response = await client.send(server.address, CALL, ATTEMPT)
+    with pytest.raises(errors.BackendError):
+        while await getattr(response, read)() == b'half':
+            pass
+
+
+async def test_a_failure_of_another_entry_holds_no_message(server, client):
+    # Guards against an error that is read as a response.
+    server.response = b'HTTP/1.1 500 X\r\nContent-Length: %d\r\n\r\n%b' % (
+        len(MESSAGE),
+        MESSAGE,
+    )
+    with pytest.raises(errors.BackendError):
+        await client.send(server.address, CALL, ATTEMPT)
+
+
 async def test_a_head_that_no_message_can_hold_is_invalid(
     client, proxy, handler
 ):
