Invalid responses are counted and logged

Nothing showed that a server, the list or another entry sent what is no response: a health answer of that kind looked like none.

Change: the connection reports each one with its address: counter `responses_invalid`, and a line `invalid response` with the address, the reason and the count since the last line, at most one an address and second.

--- a/src/bulrushhold/composition/_forwarding.py
+++ b/src/bulrushhold/composition/_forwarding.py
@@ -81,7 +81,8 @@
 
         config = self.config
         self.transport = node.ZmqTransport(str(config.peer))
-        self.session = adapters.make_session()
+        invalid = adapters.InvalidResponses(self.metrics)
+        self.session = adapters.make_session(on_invalid=invalid.record)
         placement = decisions.Placement(random.Random(), config.data_centre)
         placement.incarnations.max_lag_s = config.list_lag_s
         poison_requests = decisions.PoisonRequestDetector(placement.losses)
@@ -100,7 +101,10 @@
         self.loops.start('clients', self.guard.watch)
         oversized = forwarding.OversizedResponses(placement, self.metrics)
         direct = adapters.HttpBackendClient(
-            self.adapters.engine_dialect, buffers, oversized.record
+            self.adapters.engine_dialect,
+            buffers,
+            oversized.record,
+            invalid.record,
         )
         monitor = forwarding.ReachabilityMonitor(
             direct, placement, self.metrics
@@ -108,7 +112,9 @@
         self.client = forwarding.PermitCheckingClient(
             forwarding.ProxyingClient(
                 direct,
-                adapters.HttpPeerProxyClient(buffers, oversized.record),
+                adapters.HttpPeerProxyClient(
+                    buffers, oversized.record, invalid.record
+                ),
                 monitor,
                 placement,
                 decisions.ProxyPeers(config.name),
--- a/src/bulrushhold/web/__init__.py
+++ b/src/bulrushhold/web/__init__.py
@@ -8,9 +8,11 @@
 from bulrushhold.web._clients import ClientGuard
 from bulrushhold.web._clients import make_guard
 from bulrushhold.web._connections import make_session
+from bulrushhold.web._connections import StrictConnector
 from bulrushhold.web._engine import HttpEngineClient
 from bulrushhold.web._ingress import Ingress
 from bulrushhold.web._instancelist import HttpPlatformList
+from bulrushhold.web._invalidresponses import InvalidResponses
 from bulrushhold.web._listeners import ApplicationRunner
 from bulrushhold.web._listeners import start_application
 from bulrushhold.web._metrics import metrics_application
@@ -31,10 +33,12 @@
     'HttpPlatformList',
     'HttpServiceClient',
     'Ingress',
+    'InvalidResponses',
     'MAX_HEAD_BYTES',
     'MemoryMonitor',
     'PeerProxyServer',
     'READ_AHEAD_BYTES',
+    'StrictConnector',
     'close_runner',
     'count_unsent',
     'make_guard',
