The product's own interface, its client and commands check responses

Callers of a plain service got a status 000, an answer whose length nobody could tell, and half of a body that a reset had cut as a 200 with a length. The client library took such answers of an entry, and so did `bulrushhold table show`.

Cause: their connections were the library's own, without the checks that requests on the platform have; commands read with another, as lenient, library.

Change: the entry's session and the client's have the same connector, and commands read through the same session. A command shows an error whose body isn't an entry's in place of a traceback.

--- a/src/bulrushhold/cli.py
+++ b/src/bulrushhold/cli.py
@@ -336,27 +336,44 @@
 ) -> tuple[int, bytes]:
     """Send one request to an entry; raise on HTTP errors except for POST."""
     # Imported here because the daemons share this module and don't use it.
-    import urllib.error
-    import urllib.request
+    import aiohttp
 
-    request = urllib.request.Request(
-        f'http://{address}{path}', data=body, method=method
-    )
+    headers = {}
     if key_file:
-        key = settings.read_key(key_file)
-        request.add_header('Authorization', f'Bearer {key}')
+        headers['Authorization'] = f'Bearer {settings.read_key(key_file)}'
+    url = f'http://{address}{path}'
     try:
-        with urllib.request.urlopen(
-            request, timeout=REQUEST_TIMEOUT_S
-        ) as response:
-            return response.status, response.read()
-    except urllib.error.HTTPError as error:
-        content = error.read()
-        if method == 'POST':
-            return error.code, content
-        reason = json.loads(content).get('error', {}).get('reason', '')
+        status, content = asyncio.run(_exchange(method, url, headers, body))
+    except (aiohttp.ClientError, OSError, ValueError) as error:
         raise errors.BulrushholdError(
-            reason or str(error), path, address
+            str(error) or type(error).__name__, path, address
         ) from error
-    except (OSError, ValueError) as error:
-        raise errors.BulrushholdError(str(error), path, address) from error
+    if status >= 400 and method != 'POST':
+        raise errors.BulrushholdError(
+            _error_reason(content) or f'status {status}', path, address
+        )
+    return status, content
+
+
+async def _exchange(
+    method: str, url: str, headers: dict[str, str], body: bytes | None
+) -> tuple[int, bytes]:
+    import aiohttp
+
+    from bulrushhold import web
+
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    async with (
+        web.make_session() as session,
+        session.request(
+            method, url, data=body, headers=headers, timeout=timeout
+        ) as response,
+    ):
+        return response.status, await response.read()
+
+
+def _error_reason(content: bytes) -> str:
+    try:
+        return str(json.loads(content)['error']['reason'])
+    except (ValueError, LookupError, TypeError):
+        return ''
--- a/src/bulrushhold/client.py
+++ b/src/bulrushhold/client.py
@@ -16,6 +16,7 @@
 import uuid_utils
 
 from bulrushhold import errors
+from bulrushhold import web
 
 REFRESH_TIMEOUT_S: t.Final = 2.0
 RETRY_DELAY_S: t.Final = 0.2
@@ -87,7 +88,8 @@
         self.entries: list[str] = []
         self.entries_expire_at = 0.0
         self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+            connector=web.StrictConnector(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
         )
 
     async def __aenter__(self) -> 'Client':
--- a/src/bulrushhold/composition/_entry.py
+++ b/src/bulrushhold/composition/_entry.py
@@ -65,10 +65,9 @@
         from bulrushhold import web as adapters
 
         config = self.config
-        # No limit: the default of 100 connections would delay further
-        # streams.
+        invalid = adapters.InvalidResponses(self.metrics)
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=adapters.StrictConnector(on_invalid=invalid.record),
             auto_decompress=False,
         )
         self.view = entry.PlatformView(
