The soak draws answers that are no valid HTTP

A play with real processes, invalid-answers: a fifth of all answers of all servers is damaged for 5 s (nine kinds, three framings), and callers read bytes, not through a library. The drawn soak damages answers beside its other faults, and checks the heads that its callers get.

--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -4,8 +4,6 @@
 import contextlib
 import itertools
 import random
-import socket
-import struct
 import time
 
 import aiohttp
@@ -13,6 +11,7 @@
 import attrs
 
 from tests.platform.soak import badinput
+from tests.platform.soak import brokenanswers
 
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 EVENT_COUNT = 40
@@ -27,8 +26,6 @@
 POISON = 'poison'
 POISON_RUN_S = 0.1
 STOP_TIMEOUT_S = 1.0
-# Resets a connection as it is closed.
-NO_LINGER = struct.pack('ii', 1, 0)
 DEFAULT_ACCOUNT = 'vendors'
 DEFAULT_PRIORITY = 5
 LOAD_HEADER = 'Bulrushhold-Instance-Load'
@@ -438,7 +435,9 @@
                 while self._is_held(client, upstream=upstream):
                     await asyncio.sleep(0.05)
                 if not upstream and self._is_broken_off():
-                    await self._break_off(writer, data)
+                    await brokenanswers.break_off(
+                        writer, data, self.broken_rng
+                    )
                     break
                 writer.write(data)
                 await writer.drain()
@@ -448,13 +447,3 @@
     def _is_broken_off(self):
         share = self.broken_share
         return share > 0 and self.broken_rng.random() < share
-
-    async def _break_off(self, writer, data):
-        """Send a part of an answer, or all of it, and close or reset."""
-        writer.write(data[: self.broken_rng.randint(0, len(data))])
-        await writer.drain()
-        if self.broken_rng.random() < 0.5:
-            writer.get_extra_info('socket').setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-            )
-            writer.transport.abort()
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -12,6 +12,7 @@
 import yarl
 
 from tests.platform.soak import badinput
+from tests.platform.soak import brokenanswers
 from tests.platform.soak import demands
 from tests.platform.soak import fakes
 from tests.platform.soak import isolation
@@ -246,11 +247,21 @@
         url = self.system.url(entry, 'front', target)
         body = f'body {number}'.encode()
         with contextlib.suppress(*_CONNECTION_ERRORS):
-            async with self.session.post(
-                yarl.URL(url, encoded=True), data=body, headers=headers
-            ) as response:
-                data = await response.read()
-                self._check_response(kind, ident, target, body, response, data)
+            try:
+                async with self.session.post(
+                    yarl.URL(url, encoded=True), data=body, headers=headers
+                ) as response:
+                    self._check_head(target, response)
+                    data = await response.read()
+            except aiohttp.ClientResponseError as error:
+                self._check_head(target, error)
+                return
+            self._check_response(kind, ident, target, body, response, data)
+
+    def _check_head(self, target, response):
+        fault = brokenanswers.find_fault(response)
+        if fault:
+            self.report.violations.append(f'invalid: {target}: {fault}')
 
     def _pick_prefix(self, kind, ident):
         """Return the prefix of a route of a kind for a request."""
--- a/tests/platform/soak/scenarios.py
+++ b/tests/platform/soak/scenarios.py
@@ -16,6 +16,7 @@
 from tests.platform.soak import drains
 from tests.platform.soak import endless
 from tests.platform.soak import figures
+from tests.platform.soak import invalid
 from tests.platform.soak import keptconnections
 from tests.platform.soak import loadrun
 from tests.platform.soak import oddlists
@@ -162,6 +163,7 @@
     'large-account': play_large_account,
     'slow-readers': play_slow_readers,
     'endless-bytes': endless.play,
+    'invalid-answers': invalid.play,
     'kept-connections': keptconnections.play,
     'uneven-engines': uneven.play_engines,
     'uneven-servers': uneven.play_servers,
