An event without an end isn't collected by the own interface

An engine that sends an event without its end filled the memory of the entry of the product's own interface, until the process ended with the requests of all others.

Cause: HttpEngineClient keeps what precedes a line's end, without a bound, and searches it again with each part.

Change: an event of more than 1 MB is an oversized response; the generation goes on at another engine.

--- a/src/bulrushhold/web/_engine.py
+++ b/src/bulrushhold/web/_engine.py
@@ -9,12 +9,15 @@
 
 from bulrushhold import errors
 from bulrushhold import ports
+from bulrushhold.web import _responsesyntax
 
 CONNECT_TIMEOUT_S: t.Final = 1.0
 PROBE_TIMEOUT_S: t.Final = 0.3
 RUNNING_HEADER: t.Final = 'X-Running'
 LEAVING_HEADER: t.Final = 'X-Leaving'
 FINAL_STATUSES: t.Final = frozenset((400, 413, 422))
+# Of an event without its end.
+MAX_EVENT_BYTES: t.Final = 1 << 20
 _DATA_PREFIX: t.Final = b'data: '
 
 _EVENT_DECODER = msgspec.json.Decoder(ports.Event)
@@ -57,6 +60,10 @@
         try:
             while chunk := await read_chunk():
                 *lines, pending = (pending + chunk).split(b'\n')
+                if len(pending) > MAX_EVENT_BYTES:
+                    raise _responsesyntax.ResponseLimitError(
+                        len(pending), 'event'
+                    )
                 for line in lines:
                     if line.startswith(_DATA_PREFIX) and not on_event(
                         _EVENT_DECODER.decode(line[len(_DATA_PREFIX) :])
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -9,6 +9,7 @@
 
 from bulrushhold import calls
 from bulrushhold import errors
+from bulrushhold import ports
 from bulrushhold import web
 from tests import test_backend_connections
 
@@ -208,6 +209,62 @@
     assert (address, reason) == (endless.address, 'response body')
 
 
+@pytest.mark.parametrize(
+    ('start', 'part'),
+    [
+        (b'', b'x'),
+        (b'HTTP/1.1 200 O', b'K'),
+        (b'HTTP/1.1 200 OK\r\nX: ', b'x'),
+        (b'HTTP/1.1 200 OK\r\n', b'X: y\r\n'),
+        (CHUNKED_HEAD + b'1', b'0'),
+        (CHUNKED_HEAD + b'1;', b'x'),
+        (CHUNKED_HEAD + b'0\r\n', b'X: y\r\n'),
+        (CHUNKED_HEAD + b'0\r\nX: ', b'x'),
+        (CHUNKED_HEAD + b'0\r\nX: y\r\n', b' x\r\n'),
+    ],
+)
+async def test_no_part_of_a_response_is_without_end(
+    client, endless, start, part
+):
+    # Guards against memory, or time of the loop, that one line takes.
+    endless.start, endless.part = start, part
+    started = time.monotonic()
+    with pytest.raises(errors.InvalidResponseError):
+        async with asyncio.timeout(TIMEOUT_S):
+            response = await send(client, endless.address)
+            await response.body()
+    assert time.monotonic() - started < CLOSED_S
+    await wait_until_closed(endless)
+    assert endless.sent < IN_FLIGHT_BYTES
+
+
+async def test_an_event_without_end_is_not_collected(endless):
+    # Guards against an engine that fills the memory of the own interface.
+    endless.start, endless.part = CHUNKED_HEAD, CHUNK
+    endless.start += b'6\r\ndata: \r\n'
+    generation = ports.GenerationRequest(
+        request='r',
+        attempt=1,
+        model='m',
+        messages=[],
+        prefix=[],
+        max_tokens=1,
+        priority=0,
+        deadline_s=TIMEOUT_S,
+    )
+    started = time.monotonic()
+    async with web.make_session() as session:
+        with pytest.raises(errors.EngineLostError) as exc_info:
+            async with asyncio.timeout(TIMEOUT_S):
+                await web.HttpEngineClient(session).run(
+                    endless.address, generation, lambda event: True
+                )
+    assert 'too large' in exc_info.value.reason
+    assert time.monotonic() - started < CLOSED_S
+    await wait_until_closed(endless)
+    assert endless.sent < IN_FLIGHT_BYTES
+
+
 @pytest.mark.parametrize(('start', 'part'), ENDLESS_BODIES)
 async def test_a_body_is_passed_on_without_a_budget_as_it_is_read(
     client, endless, start, part
