The client library survives what is no list, event or bounded answer

A caller of the client library got a JSONDecodeError or a KeyError where an entry's answer was valid HTTP but no list of entries, and an answer without an end was collected whole, as it was by commands.

Cause: what was decoded from an answer was believed.

Change: such a list is passed over as if the entry hadn't answered, such an event counts as a broken stream, and answers are bounded (8 MB; 64 MB for commands).

Failed before, on a scratch copy of: 3 of 6 tests, those of lists.

--- a/src/bulrushhold/cli.py
+++ b/src/bulrushhold/cli.py
@@ -17,6 +17,8 @@
 
 REQUEST_TIMEOUT_S: t.Final = 15.0
 POLL_INTERVAL_S: t.Final = 0.5
+# Far more than the table of all client accounts.
+MAX_ANSWER_BYTES: t.Final = 64 << 20
 _FILE_PATH = click.Path(dir_okay=False)
 
 
@@ -369,7 +371,9 @@
             method, url, data=body, headers=headers, timeout=timeout
         ) as response,
     ):
-        return response.status, await response.read()
+        return response.status, await web.read_whole(
+            response, MAX_ANSWER_BYTES
+        )
 
 
 def _error_reason(content: bytes) -> str:
--- a/src/bulrushhold/client.py
+++ b/src/bulrushhold/client.py
@@ -21,11 +21,15 @@
 REFRESH_TIMEOUT_S: t.Final = 2.0
 RETRY_DELAY_S: t.Final = 0.2
 READ_TIMEOUT_S: t.Final = 1.5
+# More than an entry passes on of a service's answer.
+MAX_ANSWER_BYTES: t.Final = 8 << 20
 _CONNECTION_ERRORS: t.Final = (
     aiohttp.ClientError,
     ConnectionError,
     asyncio.TimeoutError,
 )
+# Everything that decoding and indexing arbitrary JSON can raise.
+_DECODE_ERRORS: t.Final = (ValueError, LookupError, TypeError)
 
 
 @attrs.define(slots=False)
@@ -147,7 +151,7 @@
                     failed.deadline = deadline
                     yield token
                 raise _stream_error('the stream ended early', entry)
-            except _CONNECTION_ERRORS as error:
+            except (*_CONNECTION_ERRORS, *_DECODE_ERRORS) as error:
                 failed.record(entry)
                 ran = _combine_ran(ran, _ran_after(error))
                 if time.monotonic() > deadline:
@@ -193,7 +197,7 @@
                         'Idempotency-Key': key,
                     },
                 ) as response:
-                    content = await response.read()
+                    content = await web.read_whole(response, MAX_ANSWER_BYTES)
                     error = _decode_error(response.status, content, entry)
                 if error is None:
                     return Answer(response.status, content)
@@ -226,7 +230,7 @@
             url, json=body, headers=all_headers, timeout=timeout
         ) as response:
             if response.status != 200:
-                content = await response.read()
+                content = await web.read_whole(response, MAX_ANSWER_BYTES)
                 error = _decode_error(response.status, content, entry)
                 raise error or _stream_error(
                     f'status {response.status}', entry
@@ -297,11 +301,13 @@
                 ) as response:
                     if response.status != 200:
                         continue
-                    answer = await response.json()
-            except _CONNECTION_ERRORS:
+                    content = await web.read_whole(response, MAX_ANSWER_BYTES)
+                answer = json.loads(content)
+                entries, keep_s = list(answer['entries']), answer['keep_s']
+                self.entries_expire_at = time.monotonic() + keep_s
+            except (*_CONNECTION_ERRORS, *_DECODE_ERRORS):
                 continue
-            self.entries = answer['entries']
-            self.entries_expire_at = time.monotonic() + answer['keep_s']
+            self.entries = entries
             return
 
 
--- a/tests/test_invalid_answers.py
+++ b/tests/test_invalid_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import aiohttp
 import attrs
 from click import testing as click_testing
 import pytest
@@ -174,6 +175,34 @@
     assert caught.value.ran is errors.Ran.UNKNOWN
 
 
+@pytest.mark.parametrize('body', [b'ok', b'[]', b'{"entries": 1}'])
+async def test_the_client_library_survives_what_is_no_list(server, body):
+    # Guards against an error that no caller of the library expects.
+    server.response = http_responses.response(
+        b'Content-Length: %d' % len(body), body=body
+    )
+    async with client.Client(
+        'vendors', [server.address], deadline_s=0.5
+    ) as caller:
+        answer = await caller.call('booking', 'slots')
+    assert (answer.status, answer.body) == (200, body)
+
+
+@pytest.mark.parametrize('line', [b'id: x', b'data: x', b'data: {}'])
+async def test_the_client_library_survives_what_is_no_event(server, line):
+    # Guards against an error that no caller of the library expects.
+    body = line + b'\n\n'
+    server.response = http_responses.response(
+        b'Content-Length: %d' % len(body), body=body
+    )
+    async with client.Client(
+        'vendors', [server.address], deadline_s=0.5
+    ) as caller:
+        with pytest.raises((errors.RequestError, aiohttp.ClientError)):
+            async for _ in caller.generate('small', conftest.PROMPT):
+                pass
+
+
 @pytest.fixture
 def show_table(tmp_path, server):
     """Return a function that runs the command."""
