A response may have as many fields as its head has room for

A valid answer with more than 128 fields was refused, and its caller got 502.

Cause: a bound of the HTTP library on their number. Heads are bounded by their size (64 KB), which is what memory depends on.

Change: the bound is as large as the size allows. A response that the library refuses in the middle of received data is recorded once.

--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -63,6 +63,7 @@
     :param on_invalid: called for each response that is invalid.
     :ivar scanner: of the response that is due; ``None`` before a request.
     :ivar payload: the body that is being received.
+    :ivar is_invalid: the response is, and the connection is being closed.
     :ivar peer_closed: the peer has received all of the request, and has
         closed the connection.
     """
@@ -74,6 +75,7 @@
         self.on_invalid = on_invalid
         self.scanner: _responsesyntax.ResponseScanner | None = None
         self.payload: streams.StreamReader | None = None
+        self.is_invalid = False
         self.peer_closed = False
 
     def set_response_params(
@@ -82,6 +84,9 @@
         """Expect a response; called for each request before it is sent."""
         self.scanner = _responsesyntax.ResponseScanner(not skip_payload)
         self.payload = None
+        if 'max_headers' in params:
+            # The size of the head bounds them.
+            params['max_headers'] = _responsesyntax.MAX_HEAD_BYTES
         super().set_response_params(skip_payload=skip_payload, **params)
 
     def feed_data(self, data: t.Any, size: int = 0) -> None:
@@ -114,6 +119,8 @@
             part, data = scanner.take(data)
             if part:
                 super().data_received(part)
+            if self.is_invalid:
+                return b''
         return data
 
     def set_exception(
@@ -135,6 +142,7 @@
     def _end_invalid(
         self, error: _responsesyntax.InvalidResponseError
     ) -> None:
+        self.is_invalid = True
         self._fail_payload(error)
         if self.transport is None:
             return
--- a/tests/http_responses.py
+++ b/tests/http_responses.py
@@ -85,6 +85,7 @@
     'a length with a sign': response(b'Content-Length: +2'),
     'an empty length': response(b'Content-Length:'),
     'a length of 64 bits': response(b'Content-Length: 18446744073709551615'),
+    'a field that the library refuses': with_field(b'Sec-WebSocket-Key1: 1'),
     'an invalid interim head': (
         b'HTTP/1.1 103 X\r\nContent-Length : 2\r\n\r\n' + response()
     ),
@@ -111,6 +112,10 @@
         response(b'X-Two: 1', b'X-Two: 2', b'Content-Length: 2'),
         (b'X-Two: 1', b'X-Two: 2'),
     ),
+    'many fields': (
+        response(*[b'X: 1'] * 2000, b'Content-Length: 2'),
+        (b'X: 1',) * 2000,
+    ),
     'blanks around a value': (
         with_field(b'X-Blank: \t a b \t '),
         (b'X-Blank: a b',),
