Responses of any bytes: a generator's test

Valid responses of which up to four bytes are others, 600 seeds, judged by a reader of its own: each caller gets one HTTP response.

--- a/tests/test_invalid_responses.py
+++ b/tests/test_invalid_responses.py
@@ -1,6 +1,7 @@
 """Tests of backend servers that send what is no valid HTTP response."""
 
 import asyncio
+import random
 
 import attrs
 import pytest
@@ -12,6 +13,7 @@
 from bulrushhold import web
 from tests import http_responses
 from tests import ingress_process
+from tests.platform.soak import invalid
 from tests import test_backend_connections
 from tests import test_broken_responses
 
@@ -20,6 +22,8 @@
 # Far below any deadline.
 AT_ONCE_S = 0.5
 PAUSE_S = 0.02
+# Those that have a meaning in responses, and some that mustn't be in any.
+ODD_BYTES = b'\r\n\t :;,0123456789aAfF\x00\x01\x7f\x80\xff'
 
 
 @attrs.define
@@ -326,6 +330,42 @@
     assert len(reports.records) == server.requests == 6
 
 
+def mutate(chance):
+    """Return a valid response of which some bytes are others."""
+    data, _ = http_responses.VALID[chance.choice(list(http_responses.VALID))]
+    data = bytearray(data[:400])
+    for _ in range(chance.choice((1, 1, 1, 2, 4))):
+        place = chance.randrange(len(data))
+        match chance.randrange(3):
+            case 0:
+                data[place] = chance.choice(ODD_BYTES)
+            case 1:
+                data.insert(place, chance.choice(ODD_BYTES))
+            case 2:
+                del data[place]
+    return bytes(data)
+
+
+@pytest.mark.parametrize('first', range(0, 600, 200))
+async def test_a_caller_of_a_server_that_sends_anything_gets_http(
+    server, port, first
+):
+    # Guards against forms of invalid responses that nobody has thought of.
+    host = '127.0.0.1'
+    server.keeps = False
+    for seed in range(first, first + 200):
+        server.response = mutate(random.Random(seed))
+        async with asyncio.timeout(TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(b'POST /plain HTTP/1.1\r\nHost: h\r\n')
+            writer.write(b'Connection: close\r\nContent-Length: 0\r\n\r\n')
+            received = await invalid.read_response(reader)
+            assert await reader.read() == b''
+        writer.close()
+        assert not received.fault, f'{seed}: {received.fault}'
+        assert 200 <= received.status <= 599, seed
+
+
 async def test_a_session_that_closes_completes_no_response(server):
     # Guards against half of a body that looks whole as an entry shuts down.
     server.response = http_responses.response(b'X: 1', body=b'half')
