An odd count in an engine's answer ends no generation

A generation of the product's own interface failed with an error that nobody expects where an engine's valid answer counted its requests as "²", or in 5,000 digits.

Cause: str.isdigit() takes characters that int() doesn't, and int() has a limit of digits.

Change: a count is up to nine ASCII digits; else the answer has no report.

--- a/src/bulrushhold/web/_engine.py
+++ b/src/bulrushhold/web/_engine.py
@@ -132,7 +132,7 @@
                 str(error) or type(error).__name__, 'dispatch', address
             ) from error
         running = response.headers.get(RUNNING_HEADER, '')
-        if running.isdigit():
+        if running.isascii() and running.isdigit() and len(running) < 10:
             self.reports[address] = ports.EngineLoadReport(
                 int(running), LEAVING_HEADER in response.headers
             )
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,6 +14,16 @@
 from tests import test_backend_connections
 
 INTERIM_HEAD = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+GENERATION = ports.GenerationRequest(
+    request='r',
+    attempt=1,
+    model='m',
+    messages=[],
+    prefix=[],
+    max_tokens=1,
+    priority=0,
+    deadline_s=5.0,
+)
 PART_BYTES = 64 << 10
 # Bytes that two sockets on the loopback network hold unread, and more.
 IN_FLIGHT_BYTES = 16 << 20
@@ -242,22 +252,12 @@
     # Guards against an engine that fills the memory of the own interface.
     endless.start, endless.part = CHUNKED_HEAD, CHUNK
     endless.start += b'6\r\ndata: \r\n'
-    generation = ports.GenerationRequest(
-        request='r',
-        attempt=1,
-        model='m',
-        messages=[],
-        prefix=[],
-        max_tokens=1,
-        priority=0,
-        deadline_s=TIMEOUT_S,
-    )
     started = time.monotonic()
     async with web.make_session() as session:
         with pytest.raises(errors.EngineLostError) as exc_info:
             async with asyncio.timeout(TIMEOUT_S):
                 await web.HttpEngineClient(session).run(
-                    endless.address, generation, lambda event: True
+                    endless.address, GENERATION, lambda event: True
                 )
     assert 'too large' in exc_info.value.reason
     assert time.monotonic() - started < CLOSED_S
--- a/tests/test_invalid_answers.py
+++ b/tests/test_invalid_answers.py
@@ -16,6 +16,7 @@
 from tests import conftest
 from tests import http_responses
 from tests import test_broken_responses
+from tests import test_endless_responses
 from tests import test_invalid_responses
 
 HALF = b'HTTP/1.1 200 OK\r\nX-Stamp: 1\r\n\r\n{"half'
@@ -246,3 +247,18 @@
     assert result.exit_code == 1
     expected = 'why' if body.startswith(b'{') else 'status 403'
     assert expected in result.stderr
+
+
+@pytest.mark.parametrize('running', ['²', '9' * 5000, '-1', 'x', ''])
+async def test_an_odd_count_of_an_engine_is_no_report(server, running):
+    # Guards against an error that ends a generation.
+    server.response = http_responses.response(
+        b'X-Running: ' + running.encode(), b'Content-Length: 2'
+    )
+    async with web.make_session() as session:
+        engines = web.HttpEngineClient(session)
+        with pytest.raises(errors.EngineLostError):
+            await engines.run(
+                server.address, test_endless_responses.GENERATION, bool
+            )
+    assert engines.reports == {}
