--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -1,6 +1,7 @@
 """Tests of backend servers whose responses break off at any byte."""
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -491,20 +492,30 @@
         return await self.client.send(self.proxy, call, attempt)
 
 
-@pytest_asyncio.fixture
-async def proxied_port(server):
-    client = web.HttpBackendClient(StatementDialect())
+@contextlib.asynccontextmanager
+async def serve_by_proxy(client, address):
+    """Serve callers by way of another entry; the context is the port.
+
+    :param client: of the entry that reaches the server.
+    """
     proxy = web.PeerProxyServer(DirectHandler(client))
     await proxy.start('127.0.0.1', 0)
     peer_client = web.HttpPeerProxyClient()
-    address = f'127.0.0.1:{proxy.runner.addresses[0][1]}'
-    forwarder = Forwarder(ProxiedClient(peer_client, address), server.address)
+    proxy_address = f'127.0.0.1:{proxy.runner.addresses[0][1]}'
+    forwarder = Forwarder(ProxiedClient(peer_client, proxy_address), address)
     ingress = web.Ingress(forwarder.handle, ingress_process.CallerDialect())
     await ingress.start('127.0.0.1', 0)
     yield ingress.runner.addresses[0][1]
     await ingress.close()
     await peer_client.close()
     await proxy.close()
+
+
+@pytest_asyncio.fixture
+async def proxied_port(server):
+    client = web.HttpBackendClient(StatementDialect())
+    async with serve_by_proxy(client, server.address) as port:
+        yield port
     await client.close()
 
 
--- a/tests/test_invalid_responses.py
+++ b/tests/test_invalid_responses.py
@@ -139,22 +139,10 @@
 
 @pytest_asyncio.fixture
 async def proxied_port(client, server):
-    proxy = web.PeerProxyServer(
-        test_broken_responses.DirectHandler(NewConnections(client))
-    )
-    await proxy.start('127.0.0.1', 0)
-    peer_client = web.HttpPeerProxyClient()
-    address = f'127.0.0.1:{proxy.runner.addresses[0][1]}'
-    forwarder = test_broken_responses.Forwarder(
-        test_broken_responses.ProxiedClient(peer_client, address),
-        server.address,
-    )
-    ingress = web.Ingress(forwarder.handle, ingress_process.CallerDialect())
-    await ingress.start('127.0.0.1', 0)
-    yield ingress.runner.addresses[0][1]
-    await ingress.close()
-    await peer_client.close()
-    await proxy.close()
+    async with test_broken_responses.serve_by_proxy(
+        NewConnections(client), server.address
+    ) as port:
+        yield port
 
 
 async def fetch(port, target='/plain', method='POST'):
