--- a/src/bulrushhold/web/_clientconnection.py
+++ b/src/bulrushhold/web/_clientconnection.py
@@ -342,6 +342,8 @@
         except ConnectionError:
             raise
         except Exception as exc:
+            if request.writer.output_size:
+                raise
             error = self.handle_error(request, exc=exc)
             return await super().finish_response(request, error, start_time)
 
--- a/src/bulrushhold/web/_responsesyntax.py
+++ b/src/bulrushhold/web/_responsesyntax.py
@@ -190,6 +190,7 @@
     """The fields of a head or of trailers.
 
     :param part: what they are, for errors.
+    :ivar size: bytes of all lines.
     :ivar items: names in lower case, and values.
     """
 
@@ -257,7 +258,7 @@
         """Return the framing of the body: RFC 9112, section 6.3.
 
         :param has_body: whether a response to the request's method has one.
-        :raises InvalidResponseError: if its end can't be told.
+        :raises InvalidResponseError: if its end is ambiguous.
         """
         codings = self.fields.values(b'transfer-encoding')
         lengths = self.fields.values(b'content-length')
