A reset just after the end of an early response fails it

Half of a body was still whole where the server's system had taken all of the upload, and the server, which had read a part of it, ended its side and reset the connection 20 ms later.

Cause: what the peer's system has acknowledged says nothing about what the peer reads.

Change: after an unframed response to a request of more than 64 KB, the connection stays open for 0.1 s more. Smaller requests are read before they are answered, and aren't delayed. A head that says so (early) was tried and taken back: when it is read, the upload may be over.

--- a/src/bulrushhold/web/_connections.py
+++ b/src/bulrushhold/web/_connections.py
@@ -6,6 +6,7 @@
 import fcntl
 import functools
 import socket
+import struct
 import termios
 import typing as t
 
@@ -34,9 +35,17 @@
 # From the system's ``tcp_states.h``.
 _TCP_ESTABLISHED: t.Final = 1
 _TCP_CLOSE: t.Final = 7
+# From ``struct tcp_info`` of the system's ``tcp.h``.
+_TCP_BYTES_ACKED_AT: t.Final = 120
+_COUNT: t.Final = struct.Struct('=Q')
 # Interval at which a connection is checked whose peer has ended its response
 # before it had all of the request.
 SENT_CHECK_S: t.Final = 0.01
+# A peer that hasn't read all of a large request may reset the connection
+# within this time after it has ended its response. Smaller ones are read
+# before they are answered.
+LATE_RESET_S: t.Final = 0.1
+SMALL_REQUEST_BYTES: t.Final = 64 << 10
 
 
 # Called with the address, the bytes received and what exceeded its limit.
@@ -63,6 +72,7 @@
     :param on_invalid: called for each response that is invalid.
     :ivar scanner: of the response that is due; ``None`` before a request.
     :ivar payload: the body that is being received.
+    :ivar acknowledged: bytes that the peer had before the request.
     :ivar is_invalid: the response is, and the connection is being closed.
     :ivar peer_closed: the peer has received all of the request, and has
         closed the connection.
@@ -75,6 +85,7 @@
         self.on_invalid = on_invalid
         self.scanner: _responsesyntax.ResponseScanner | None = None
         self.payload: streams.StreamReader | None = None
+        self.acknowledged = 0
         self.is_invalid = False
         self.peer_closed = False
 
@@ -84,6 +95,7 @@
         """Expect a response; called for each request before it is sent."""
         self.scanner = _responsesyntax.ResponseScanner(not skip_payload)
         self.payload = None
+        self.acknowledged = _count_acknowledged(self.transport)
         if 'max_headers' in params:
             # The size of the head bounds them.
             params['max_headers'] = _responsesyntax.MAX_HEAD_BYTES
@@ -160,7 +172,9 @@
         The end of the connection completes a response without a length, but
         a peer that then resets it, as it doesn't want the rest of the
         request, has broken off. Which of the two it is shows once the peer
-        has all of the request: until then the connection stays open.
+        has all of the request, and a moment later: the peer's system takes
+        what the peer itself doesn't read. Until then the connection stays
+        open.
         """
         super().eof_received()
         body = self.scanner.body if self.scanner is not None else None
@@ -179,10 +193,19 @@
         if _has_unacknowledged(transport):
             self._loop.call_later(SENT_CHECK_S, self._end_response)
             return False
+        if self._is_large_request():
+            self.acknowledged = _count_acknowledged(transport)
+            self._loop.call_later(LATE_RESET_S, self._end_response)
+            return False
         self.peer_closed = True
         transport.close()
         return True
 
+    def _is_large_request(self) -> bool:
+        """Return whether the peer's system may hold some that isn't read."""
+        sent = _count_acknowledged(self.transport) - self.acknowledged
+        return sent > SMALL_REQUEST_BYTES
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that isn't complete.
 
@@ -260,6 +283,19 @@
     return int(info[0])
 
 
+def _count_acknowledged(transport: asyncio.BaseTransport | None) -> int:
+    """Return how many bytes the peer's system has received."""
+    if transport is None:
+        return 0
+    connection = transport.get_extra_info('socket')
+    size = _TCP_BYTES_ACKED_AT + _COUNT.size
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+        return int(_COUNT.unpack_from(info, _TCP_BYTES_ACKED_AT)[0])
+    except (OSError, struct.error):
+        return 0
+
+
 def _has_unacknowledged(transport: asyncio.Transport) -> bool:
     """Return whether the peer doesn't have all that was written yet."""
     if transport.get_write_buffer_size():
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -55,6 +55,15 @@
     reset(connection)
 
 
+async def take_part_and_reset(connection):
+    # Its system has more room for what isn't read, and takes all of it.
+    loop = asyncio.get_running_loop()
+    taken = 0
+    while taken < SMALL_UPLOAD_BYTES // 2:
+        taken += len(await loop.sock_recv(connection, 1 << 18))
+    await end_and_reset_later(connection)
+
+
 async def end_and_read(connection):
     connection.shutdown(socket.SHUT_WR)
     await asyncio.sleep(PAUSE_S)
@@ -69,6 +78,7 @@
     close_unread,
     end_and_reset,
     end_and_reset_later,
+    take_part_and_reset,
 ]
 
 
