--- a/tests/platform/soak/invalid.py
+++ b/tests/platform/soak/invalid.py
@@ -44,7 +44,7 @@
 
 
 FRAMINGS = (_with_length, _in_chunks, _until_closed)
-# Each takes a head that ends before its framing, and the whole response.
+# Each takes a whole response, with one of these framings.
 DAMAGES = {
     'status 000': lambda data: data.replace(b' 200 ', b' 000 ', 1),
     'status 600': lambda data: data.replace(b' 200 ', b' 600 ', 1),
