--- a/review/stand-ins-2/harness.py
+++ b/review/stand-ins-2/harness.py
@@ -57,7 +57,7 @@
 [limits]
 cpu-share = 0.968
 cores = 2
-memory-mb = 150
+memory-mb = {memory_mb}
 max-fds = 4100
 link-mbps = 1000.0
 disk-mb = 64
@@ -367,9 +367,12 @@
     :ivar statuses: what clients got, by id of the request.
     """
 
-    def __init__(self, record: Record, folder: pathlib.Path) -> None:
+    def __init__(
+        self, record: Record, folder: pathlib.Path, memory_mb: int = 150
+    ) -> None:
         self.record = record
         self.folder = folder
+        self.memory_mb = memory_mb
         self.network = _free_network()
         self.engines: list[Engine] = []
         self.other_items: list[t.Any] = []
@@ -448,6 +451,7 @@
                     f'{k} = "{ip}:{port}"' for k, port in listen.items()
                 ),
                 cloud=self.cloud,
+                memory_mb=self.memory_mb,
             )
         )
         env = {
@@ -662,11 +666,12 @@
 Case = cabc.Callable[[Deployment, Record, bool], cabc.Awaitable[str]]
 
 
-def main(folder: str, case: Case) -> t.NoReturn:
+def main(folder: str, case: Case, memory_mb: int = 150) -> t.NoReturn:
     """Play a case and exit with its result.
 
     :param case: returns how the rule was broken, or ``''``; it gets whether
         there is trouble.
+    :param memory_mb: of each machine.
     """
     place = pathlib.Path(folder).resolve().parent
     trouble = os.environ.get('TROUBLE', '1') != '0'
@@ -674,7 +679,7 @@
     record('with trouble' if trouble else 'without trouble')
     code = 2
     try:
-        code = asyncio.run(_play(case, record, trouble))
+        code = asyncio.run(_play(case, record, trouble, memory_mb))
     except (CouldNotRunError, OSError) as error:
         record(f'could not run: {error}')
     record(f'exit {code}')
@@ -682,9 +687,12 @@
     sys.exit(code)
 
 
-async def _play(case: Case, record: Record, trouble: bool) -> int:
+async def _play(
+    case: Case, record: Record, trouble: bool, memory_mb: int
+) -> int:
     with tempfile.TemporaryDirectory(prefix='review-') as temporary:
-        deployment = Deployment(record, pathlib.Path(temporary))
+        folder = pathlib.Path(temporary)
+        deployment = Deployment(record, folder, memory_mb)
         try:
             broken = await case(deployment, record, trouble)
         finally:
