--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,7 +27,7 @@
 # Two processes that write the same hardly ever do it at the same moment.
 SPREAD_S = 0.1
 RECOVERY_S = 12.0
-RESTART_S = 0.9
+RESTART_S = 0.7
 SOON_S = 6.0
 READ_S = 5.0
 ALPHABET = string.ascii_lowercase + string.digits
