Log what a control process loads at a start, and slow commands

A control process that hung as it read its files had written nothing: the first line came after the load, and no metric is served before it.

Two lines frame the load now, with the sizes of the files before it and the records, entries, dropped bytes and seconds after it. Commands that hold up the process for 0.1 s or more are logged with index and size, and all of them are timed as command.apply.

--- a/src/bulrushhold/control/_server.py
+++ b/src/bulrushhold/control/_server.py
@@ -29,6 +29,8 @@
 # configuration requests to join again.
 REJOIN_AFTER_S: t.Final = 2.5
 MIN_WAIT_S: t.Final = 0.001
+# Commands that take longer are logged: the process answers nothing meanwhile.
+SLOW_COMMAND_S: t.Final = 0.1
 CLAIM_EXPIRY_INTERVAL_S: t.Final = 30.0
 _REPLICA_MESSAGES: t.Final = (
     messages.VoteRequest,
@@ -166,7 +168,7 @@
     def _apply(self, entry: messages.LogEntry) -> None:
         result = b''
         if entry.kind == messages.KIND_COMMAND:
-            result = self.state.apply(entry.data)
+            result = self._apply_command(entry)
         pending = self.pending_proposals.pop(entry.index, None)
         if pending is not None and not pending.future.done():
             same_term = pending.term == entry.term
@@ -180,6 +182,19 @@
         if snapshot_due and entry.index == self.replica.applied:
             self._snapshot(entry.index)
 
+    def _apply_command(self, entry: messages.LogEntry) -> bytes:
+        started_at = time.monotonic()
+        result = self.state.apply(entry.data)
+        seconds = time.monotonic() - started_at
+        self.metrics.time('command.apply', seconds)
+        if seconds >= SLOW_COMMAND_S:
+            loguru.logger.bind(
+                index=entry.index,
+                bytes=len(entry.data),
+                seconds=round(seconds, 3),
+            ).warning('command applied slowly')
+        return result
+
     def _snapshot(self, index: int) -> None:
         snapshot = self.replica.compact(index, self.state.dump())
         saved = self.replica.saved - index
--- a/src/bulrushhold/node/_filelog.py
+++ b/src/bulrushhold/node/_filelog.py
@@ -7,9 +7,11 @@
 
 import os
 import pathlib
+import time
 import typing as t
 
 import attrs
+import loguru
 import msgspec
 
 from bulrushhold import decisions
@@ -91,11 +93,19 @@
 
         :raises StorageError: for any other damage, with file and offset.
         """
+        started_at = time.monotonic()
         persisted_state = decisions.PersistedState(founding=founding)
         snapshot = self._read(self.snapshot_path)
+        data = self._read(self.log_path) or b''
+        # Written before the files are decoded: a process that hangs there
+        # has logged nothing else yet.
+        loguru.logger.bind(
+            folder=str(self.folder),
+            snapshot_bytes=len(snapshot or b''),
+            log_bytes=len(data),
+        ).info('storage loading')
         if snapshot is not None:
             persisted_state.snapshot = self._load_snapshot(snapshot)
-        data = self._read(self.log_path) or b''
         payloads, valid_length = self._read_records(
             data, self.log_path, allow_torn_tail=True
         )
@@ -107,6 +117,12 @@
             )
         self.term, self.vote = persisted_state.term, persisted_state.vote
         self._open_log(valid_length)
+        loguru.logger.bind(
+            records=len(payloads),
+            entries=len(persisted_state.entries),
+            truncated_bytes=len(data) - valid_length,
+            seconds=round(time.monotonic() - started_at, 3),
+        ).info('storage loaded')
         return persisted_state
 
     def save(
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,9 +4,11 @@
 import os
 
 import attrs
+import loguru
 import pytest
 
 from bulrushhold import control
+from bulrushhold.control import _server as control_server
 from bulrushhold import errors
 from bulrushhold import messages
 from bulrushhold import node
@@ -85,6 +87,49 @@
     assert raised.value.peer == str(store.log_path)
 
 
+@pytest.fixture
+def log_lines():
+    lines = []
+    sink = loguru.logger.add(
+        lambda line: lines.append(
+            (line.record['message'], line.record['extra'])
+        )
+    )
+    yield lines
+    loguru.logger.remove(sink)
+
+
+def test_a_start_that_hangs_in_its_files_tells_their_size(store, log_lines):
+    # Guards against a start that hangs without any line in the log.
+    store.save(1, '', entries(1, 2))
+    size = store.log_path.stat().st_size
+    reload(store)
+    [loading, loaded] = log_lines
+    assert loading[0] == 'storage loading'
+    assert loading[1]['log_bytes'] == size
+    assert loaded[0] == 'storage loaded'
+    assert (loaded[1]['records'], loaded[1]['entries']) == (1, 2)
+
+
+def test_an_incomplete_last_record_is_logged(store, log_lines):
+    store.save(1, '', entries(1, 1))
+    with store.log_path.open('ab') as file:
+        file.write(b'torn')
+    reload(store)
+    assert log_lines[1][1]['truncated_bytes'] == 4
+
+
+async def test_a_command_that_holds_up_the_process_is_logged(
+    make_system, log_lines, monkeypatch
+):
+    # Guards against silent seconds in which a control process answers nothing.
+    system = await make_system()
+    monkeypatch.setattr(control_server, 'SLOW_COMMAND_S', 0.0)
+    await system.entries['e1'].control.propose(messages.ForgetClaims(0.0), 5)
+    slow = [x for name, x in log_lines if name == 'command applied slowly']
+    assert slow[-1]['index'] == system.control.replica.applied
+
+
 @pytest.mark.parametrize('name', ['identity', 'snapshot'])
 def test_a_damaged_identity_or_snapshot_fails_the_load(store, name):
     state = messages.InstallSnapshot(1, '', 2, 1, FOUNDING, b'state', 0)
