Search the rest of a torn log in linear time

Callers: none reached control for a minute and longer.

Cause: a record that isn't whole is either the last write, which was never acknowledged, or damage before acknowledged records, and only a whole record behind it tells them apart. The search took each byte for the start of one, and copied the rest of the file at each: n bytes in time n squared. It ran before any port was open and before the first line of the log.

Change: the payload of each record begins with the encoding of its first field (three are possible: which comes first is up to Python and msgspec, and a folder may be of another version).

The format on disk is unchanged.

Damage before a whole record is still an error, in each order of fields.

An unused limit (MAX_RECORD_BYTES) goes.

--- a/src/bulrushhold/node/_filelog.py
+++ b/src/bulrushhold/node/_filelog.py
@@ -7,6 +7,7 @@
 
 import os
 import pathlib
+import re
 import time
 import typing as t
 
@@ -20,7 +21,10 @@
 from bulrushhold.node import _records
 from bulrushhold import ports
 
-MAX_RECORD_BYTES: t.Final = 256 << 20
+# How the encoding of each ``_Record`` begins: a map of three fields, and the
+# name of the first. Python and msgspec decide their order, so that logs of
+# other versions may have another one.
+_RECORD_START: t.Final = re.compile(rb'\x83(?:\xa4term|\xa4vote|\xa7entries)')
 
 
 @attrs.frozen
@@ -214,7 +218,7 @@
             payload = _records.decode_record_at(data, offset)
             if payload is None:
                 if allow_torn_tail and not _records.has_valid_record_after(
-                    data, offset
+                    data, offset, _RECORD_START
                 ):
                     break
                 raise self._error(f'damaged at offset {offset}', path)
