Write the rest of a record without copying it

Cause: write_all() made a new copy of what was left after each part of a write, n * k / 2 bytes for k parts. It passes on a view now. The writer of log lines had the same loop, in a thread of its own, and uses the function.

--- a/src/bulrushhold/node/_logs.py
+++ b/src/bulrushhold/node/_logs.py
@@ -7,7 +7,6 @@
 
 import json
 import logging
-import os
 import queue
 import sys
 import threading
@@ -16,6 +15,8 @@
 
 import loguru
 
+from bulrushhold.node import _records
+
 # Bounds log volume and CPU use.
 MAX_LINES_PER_S: t.Final = 300
 MAX_QUEUED_LINES: t.Final = 2000
@@ -78,8 +79,7 @@
         while (line := self.queue.get()) is not None:
             data = line.encode() + b'\n'
             try:
-                while data:
-                    data = data[os.write(self.descriptor, data) :]
+                _records.write_all(self.descriptor, data)
             except OSError:
                 # The error can't be logged; requests are still served.
                 self.dropped += 1
--- a/src/bulrushhold/node/_records.py
+++ b/src/bulrushhold/node/_records.py
@@ -75,8 +75,9 @@
 
     :raises OSError: if the disk is full or fails.
     """
-    while data:
-        data = data[os.write(descriptor, data) :]
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
 
 
 def sync_folder(folder: str | os.PathLike[str]) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -130,6 +130,25 @@
     assert slow[-1]['index'] == system.control.replica.applied
 
 
+def test_a_disk_that_takes_little_at_a_time_gets_no_copies_of_the_rest(
+    store, monkeypatch
+):
+    # Guards against a write of n bytes in k parts that copies n * k bytes.
+    write = os.write
+    sources = set()
+
+    def write_little(descriptor, data):
+        sources.add(id(memoryview(data).obj))
+        return write(descriptor, data[:1000])
+
+    monkeypatch.setattr(os, 'write', write_little)
+    written = [messages.LogEntry(1, 1, messages.KIND_COMMAND, bytes(50_000))]
+    store.save(1, '', written)
+    monkeypatch.undo()
+    assert len(sources) == 1
+    assert reload(store).entries == written
+
+
 @pytest.mark.parametrize('name', ['identity', 'snapshot'])
 def test_a_damaged_identity_or_snapshot_fails_the_load(store, name):
     state = messages.InstallSnapshot(1, '', 2, 1, FOUNDING, b'state', 0)
