Rank requests without combining each route with each account

Cause: the order of a service's requests was found by listing the keys of all pairs of a route and an account, for each service: routes times accounts, in the loop of whoever builds an index of the map.

Change: distinct priorities of accounts and of each service's routes are enough. Each account's priority occurs with each route's, each other priority of a route with itself only, so that a rank is a sum of two positions. Nothing is enumerated.

Ranks are the same: compared with those of all pairs on random maps.

The test counts how often an account's priority is read: 200 times of 100 routes before, at most three now. It failed before.

--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -4,6 +4,7 @@
 look requests up in a :class:`RouteIndex` built from it.
 """
 
+import bisect
 import collections.abc as cabc
 import enum
 import typing as t
@@ -184,28 +185,70 @@
     return account.priority, route.priority
 
 
-def _priority_ranks(
-    route_map: RouteMap,
-) -> dict[str, dict[tuple[int, int], int]]:
+@attrs.frozen
+class _PriorityOrder:
+    """The order of the requests of one service.
+
+    Any account may use any route, so that the keys needn't be enumerated:
+    each priority of an account occurs with each of a route, and each other
+    priority of a route once, with itself.
+
+    :param accounts: distinct priorities of accounts, sorted.
+    :param routes: distinct priorities of the service's routes, sorted.
+    :param routes_only: those that no account has, sorted.
+    """
+
+    accounts: list[int]
+    routes: list[int]
+    routes_only: list[int]
+
+    def rank(self, key: tuple[int, int]) -> int | None:
+        """Return how many keys precede one; ``None`` if it doesn't occur."""
+        first, second = key
+        position = bisect.bisect_left(self.routes, second)
+        if self.routes[position : position + 1] != [second]:
+            return None
+        smaller = bisect.bisect_left(self.accounts, first)
+        preceding = smaller * len(self.routes)
+        preceding += bisect.bisect_left(self.routes_only, first)
+        if self.accounts[smaller : smaller + 1] == [first]:
+            return preceding + position
+        return preceding if first == second else None
+
+
+def _priority_orders(route_map: RouteMap) -> dict[str, _PriorityOrder]:
     """Return the order of requests for each service that has one.
 
     A service has an order if its routes of streams differ in priority.
     Accounts that differ only sort the requests of such services.
     """
-    by_service: dict[str, list[Route]] = {}
+    priorities: dict[str, set[int]] = {}
+    of_streams: dict[str, set[int]] = {}
     for route in route_map.routes:
         for target in route.targets:
             if target.weight > 0:
-                by_service.setdefault(target.service, []).append(route)
-    accounts = [None, *route_map.accounts]
-    ranks = {}
-    for service, of_service in by_service.items():
-        streams = [r for r in of_service if r.kind is Kind.STREAM]
-        if len({route.priority for route in streams}) < 2:
-            continue
-        keys = {_priority_key(r, a) for r in of_service for a in accounts}
-        ranks[service] = {key: n for n, key in enumerate(sorted(keys))}
-    return ranks
+                priorities.setdefault(target.service, set()).add(
+                    route.priority
+                )
+                if route.kind is Kind.STREAM:
+                    of_streams.setdefault(target.service, set()).add(
+                        route.priority
+                    )
+    of_accounts = {
+        account.priority
+        for account in route_map.accounts
+        if account.priority is not None
+    }
+    accounts = sorted(of_accounts)
+    return {
+        service: _PriorityOrder(
+            accounts,
+            sorted(priorities[service]),
+            sorted(priorities[service] - of_accounts),
+        )
+        for service, streams in of_streams.items()
+        if len(streams) >= 2
+    }
 
 
 class RouteIndex:
@@ -224,7 +267,7 @@
         for route in route_map.routes:
             host = self.hosts.setdefault(route.host.lower(), {})
             host[route.prefix] = route
-        self.priority_ranks = _priority_ranks(route_map)
+        self.priority_orders = _priority_orders(route_map)
 
     def priority(
         self, service: str, route: Route, account: ClientAccount | None
@@ -234,10 +277,10 @@
         :return: 0 for the most urgent, ``None`` if admission to the service
             isn't ordered.
         """
-        ranks = self.priority_ranks.get(service)
-        if ranks is None:
+        order = self.priority_orders.get(service)
+        if order is None:
             return None
-        return ranks.get(_priority_key(route, account))
+        return order.rank(_priority_key(route, account))
 
     def engine_priority(
         self, service: str, route: Route, account: ClientAccount | None
@@ -247,7 +290,7 @@
         :return: the account's, or else the route's; ``None`` if admission to
             the service isn't ordered.
         """
-        if service not in self.priority_ranks:
+        if service not in self.priority_orders:
             return None
         return _priority_key(route, account)[0]
 
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,6 +1,8 @@
 """Tests of the route map: validation, lookup and replication."""
 
 import attrs
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
 from bulrushhold import decisions
@@ -115,6 +117,74 @@
     ]
 
 
+class CountedAccount:
+    """Counts how often its priority is read."""
+
+    def __init__(self, number):
+        self.name, self.keys = f'a{number}', [f'key-{number}']
+        self.number = number
+        self.reads = 0
+
+    @property
+    def priority(self):
+        self.reads += 1
+        return self.number % 3
+
+
+def test_a_large_map_reads_each_account_a_few_times():
+    # Guards against entries and control that stand still for seconds, as each
+    # route of each service was combined with each account.
+    services = [f's{n}' for n in range(20)]
+    accounts = [CountedAccount(n) for n in range(100)]
+    streams = [
+        make_stream(f'r{n}', n % 3, targets=[routes.Target(service, 1.0)])
+        for n, service in enumerate(services * 5)
+    ]
+    index = routes.RouteIndex(make_map(*streams, accounts=accounts))
+    assert index.priority('s0', streams[0], None) == 0
+    assert max(account.reads for account in accounts) <= 3
+
+
+def enumerated_ranks(services_routes, accounts):
+    """Sort the keys of all pairs of a route and an account, as a reference."""
+    keys = {
+        (route.priority, route.priority)
+        if account is None or account.priority is None
+        else (account.priority, route.priority)
+        for route in services_routes
+        for account in [None, *accounts]
+    }
+    return {key: rank for rank, key in enumerate(sorted(keys))}
+
+
+@hypothesis.given(
+    st.lists(st.integers(0, 9), min_size=2, max_size=6),
+    st.lists(st.none() | st.integers(0, 9), max_size=6),
+)
+def test_ranks_are_those_of_all_pairs_of_routes_and_accounts(
+    route_priorities, account_priorities
+):
+    streams = [
+        make_stream(f'r{n}', priority)
+        for n, priority in enumerate(route_priorities)
+    ]
+    accounts = [
+        make_account(f'a{n}', priority)
+        for n, priority in enumerate(account_priorities)
+    ]
+    index = routes.RouteIndex(make_map(*streams, accounts=accounts))
+    ranks = enumerated_ranks(streams, accounts)
+    if len(set(route_priorities)) < 2:
+        ranks = {}
+    for route in streams:
+        for account in [None, *accounts]:
+            first = getattr(account, 'priority', None)
+            key = (route.priority if first is None else first, route.priority)
+            rank = index.priority('engines', route, account)
+            assert rank == ranks.get(key)
+    assert index.priority('engines', streams[0], make_account('x', 77)) is None
+
+
 def test_target_picks_services_by_weight():
     route = make_route(
         targets=[routes.Target('engines', 90), routes.Target('desk', 10)]
