Soak: large route maps, and kills of control in their writes

No soak killed all control processes while they wrote something large, nor left a part of a record on their disks: the route maps of all runs had a few hundred bytes. Now a run edits maps of thousands of accounts and hundreds of routes of three priorities, some led elsewhere each time; all control processes are killed at a moment of a write, a part of a record stays behind (a prefix, zeros, a prefix and zeros, zeros and the rest), and they are back within a second, beside the faults of the other runs.

--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -8,6 +8,7 @@
 import click
 
 from tests.platform.soak import contended
+from tests.platform.soak import largemaps
 from tests.platform.soak import system
 
 
@@ -17,16 +18,23 @@
     '--seconds', default=8.0, help='Duration of the faults in each run.'
 )
 @click.option('--keep', default='', help='Parent folder of the logs.')
-def main(seeds: str, seconds: float, keep: str) -> None:
+@click.option(
+    '--large-maps', is_flag=True, help='27,000 accounts and 1,400 routes.'
+)
+def main(seeds: str, seconds: float, keep: str, large_maps: bool) -> None:
     """Run the soak test for each seed and print the violated guarantees."""
     first, _, last = seeds.partition('-')
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         log_folder = tempfile.mkdtemp(prefix=f'soak-{seed}-', dir=keep or None)
         with system.LoopbackNetwork() as network:
-            soak = contended.ContendedSoakRun(
-                seed, log_folder, network.number, seconds
-            )
+            arguments = (seed, log_folder, network.number, seconds)
+            if large_maps:
+                soak = largemaps.LargeMapSoakRun(
+                    *arguments, accounts=27_000, routes=1_400
+                )
+            else:
+                soak = contended.ContendedSoakRun(*arguments)
             report = asyncio.run(soak.execute())
         click.echo(
             f'seed {seed}: {report.served} of {report.sent} served, '
--- a/tests/platform/soak/routemap.py
+++ b/tests/platform/soak/routemap.py
@@ -74,6 +74,25 @@
     ]
 
 
+def make_many_routes(count, first_moved, moved_count):
+    """Return routes of streams of three priorities, some led elsewhere.
+
+    :param first_moved: number of the first one that is.
+    """
+    moved = {(first_moved + n) % count for n in range(moved_count)}
+    return [
+        _route(
+            f'many-{number}',
+            f'/many/{number}/',
+            'streaming',
+            's-other' if number in moved else 's-model',
+            resumable=True,
+            priority=number % 3,
+        )
+        for number in range(count)
+    ]
+
+
 def make_large_route(prefix):
     """Return the route of large responses."""
     return _route(
--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -58,6 +58,8 @@
     :param seconds: how long faults are injected.
     """
 
+    PUT_TIMEOUT_S = 1.0
+
     def __init__(self, seed, folder, network_number, seconds):
         self.rng = random.Random(seed)
         self.cut_rng = random.Random(f'cut {seed}')
@@ -318,7 +320,7 @@
     async def _put_route_map(self, version):
         program = self.rng.choice(self.system.programs_with_role('control'))
         url = self.system.url(program, 'control', '/bulrushhold/Config.Put')
-        timeout = aiohttp.ClientTimeout(total=1.0)
+        timeout = aiohttp.ClientTimeout(total=self.PUT_TIMEOUT_S)
         with contextlib.suppress(*_CONNECTION_ERRORS):
             async with self.session.post(
                 url,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -8,10 +8,12 @@
 import pytest
 
 from tests.platform.soak import contended
+from tests.platform.soak import largemaps
 from tests.platform.soak import netfault
 from tests.platform.soak import system
 
 DURATION_S = 4.0
+LARGE_MAP_S = 8.0
 
 
 @pytest.mark.parametrize('seed', [1, 2])
@@ -29,6 +31,17 @@
     assert report.served > 20
 
 
+async def test_large_route_maps_survive_kills_in_their_writes(tmp_path):
+    # Guards against control processes that hang at their start as a record of
+    # their log is incomplete, and don't return what was acknowledged.
+    with system.LoopbackNetwork() as network:
+        report = await largemaps.LargeMapSoakRun(
+            1, tmp_path, network.number, LARGE_MAP_S
+        ).execute()
+    assert report.violations == []
+    assert report.served > 20
+
+
 def test_concurrent_runs_use_separate_networks():
     """Guards against concurrent runs that bind the same addresses."""
     with system.LoopbackNetwork() as one, system.LoopbackNetwork() as other:
