Drop old table rows without looking at all of them

Cause: the oldest revision of a full history is dropped with each edit, and the versions of all rows were searched for what only it needed.

Change: only the rows that the dropped revision changed are looked at. Versions of others were dropped with the revision that replaced them.

The test counts the rows that ten edits look at, of 1,000: it failed before.

--- a/src/bulrushhold/decisions/_table.py
+++ b/src/bulrushhold/decisions/_table.py
@@ -167,15 +167,19 @@
             messages.HistoryItem(self.revision, edit.author, edit.at, changes)
         )
         if len(self.history) > MAX_HISTORY_ITEMS:
-            self.changed.pop(0)
             self._drop_versions(self.history.pop(0).revision)
 
     def _drop_versions(self, revision: int) -> None:
-        """Drop the row versions that only older base revisions need."""
+        """Drop the row versions that only older base revisions need.
+
+        Only rows that a dropped revision changed can have any.
+        """
         self.floor = revision
-        for versions in self.versions.values():
-            while len(versions) > 1 and versions[1].revision <= revision:
-                del versions[0]
+        while self.changed and self.changed[0][0] <= revision:
+            for key in self.changed.pop(0)[1]:
+                versions = self.versions[key]
+                while len(versions) > 1 and versions[1].revision <= revision:
+                    del versions[0]
 
     def _row_at(self, key: str, revision: int) -> messages.Row | None:
         for version in reversed(self.versions.get(key, ())):
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -1,5 +1,7 @@
 """Table edits: conflicts, resends, CSV parsing and loss of control."""
 
+import random
+
 import attrs
 import pytest
 
@@ -107,6 +109,68 @@
     assert removed == ['vendors/chat']
 
 
+class CountedRows(dict):
+    """Counts the rows that are looked at."""
+
+    count = 0
+
+    def __getitem__(self, key):
+        self.count += 1
+        return super().__getitem__(key)
+
+    def get(self, key, default=None):
+        self.count += 1
+        return super().get(key, default)
+
+    def values(self):
+        self.count += len(self)
+        return super().values()
+
+
+def table_edit(number, table, keys):
+    rows = [
+        attrs.evolve(table.versions[key][-1].row, weight=number + 1.0)
+        for key in keys
+    ]
+    return messages.TableEdit(f'e{number}', table.revision, 'o', 0.0, rows, [])
+
+
+@pytest.fixture
+def long_history(monkeypatch):
+    monkeypatch.setattr(decisions._table, 'MAX_HISTORY_ITEMS', 5)
+
+
+def test_edits_beyond_a_full_history_look_at_their_rows_only(long_history):
+    # Guards against a replay of the log that takes edits times rows.
+    table = decisions.TableState()
+    rows = [conftest.row(f'a{n}') for n in range(1000)]
+    table.apply(messages.TableEdit('first', 0, 'o', 0.0, rows, []))
+    table.versions = CountedRows(table.versions)
+    for number in range(1, 11):
+        pushed = table_edit(number, table, ['a7/chat'])
+        assert table.apply(pushed).accepted
+    # The first revision changed all rows.
+    assert table.versions.count <= 1000 + 10 * 10
+    assert table.floor == 6
+    assert [v.revision for v in table.versions['a7/chat']] == [*range(6, 12)]
+
+
+def test_versions_are_kept_for_the_base_revisions_that_are_left(long_history):
+    rng = random.Random(86)
+    table = decisions.TableState()
+    rows = [conftest.row(f'a{n}') for n in range(8)]
+    table.apply(messages.TableEdit('first', 0, 'o', 0.0, rows, []))
+    pulled = {1: table.rows()}
+    for number in range(60):
+        keys = rng.sample([row.key for row in rows], rng.randint(1, 3))
+        table.apply(table_edit(number, table, keys))
+        pulled[table.revision] = table.rows()
+        for revision in range(table.floor, table.revision + 1):
+            assert not revision or table.rows(revision) == pulled[revision]
+        for versions in table.versions.values():
+            assert len(versions) == 1 or versions[1].revision > table.floor
+
+
 def test_snapshot_round_trip(table):
     plain = decisions.TableState(
         table.revision,
