--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,4 @@
 	$(PY) -m bench.placement
 	$(PY) -m bench.scaling
 	$(PY) -m bench.control
+	$(PY) -m bench.growth
