A listed item without all fields names no server

The test's sound items lacked cold-left-ms, some config-version, and have them now, so that odd items stay odd for the reason that they are written for.

--- a/tests/platform/decoding.py
+++ b/tests/platform/decoding.py
@@ -26,8 +26,10 @@
     'service': 's-1',
     'address': '10.0.0.1:80',
     'zone': 'north',
+    'config-version': 'v1',
     'slots': 8,
     'state': 'draining',
+    'cold-left-ms': 0,
 }
 
 
--- a/tests/platform/soak/badinput.py
+++ b/tests/platform/soak/badinput.py
@@ -12,11 +12,14 @@
     b'{"id":"i-\xff\xfe","state":"ready"}',
     b'{"id":\xff}',
     b'{"id":"i-\\ud800","service":"other","address":"127.9.9.9:80",'
-    b'"zone":"z","slots":4,"state":"ready","config-version":"v1"}',
+    b'"zone":"z","slots":4,"state":"ready","config-version":"v1",'
+    b'"cold-left-ms":0}',
     b'{"id":"i-x","service":"s-desk","address":"127.9.9.9:99999",'
-    b'"zone":"z","slots":4,"state":"ready","config-version":"v1"}',
+    b'"zone":"z","slots":4,"state":"ready","config-version":"v1",'
+    b'"cold-left-ms":0}',
     b'{"id":"i-y","service":"s-desk","address":"127.9.9.9:80",'
-    b'"zone":"z","slots":18446744073709551616,"state":"ready"}',
+    b'"zone":"z","slots":18446744073709551616,"state":"ready",'
+    b'"config-version":"v1","cold-left-ms":0}',
     b'{"slots":' + b'9' * 5000 + b'}',
     b'{"id":"i-9,"state":"ready"}',
 )
--- a/tests/platform/soak/fakes.py
+++ b/tests/platform/soak/fakes.py
@@ -172,6 +172,7 @@
             'config-version': self.listed_version or self.version,
             'slots': 16,
             'state': 'draining' if self.draining else 'ready',
+            'cold-left-ms': 0,
         }
 
     async def handle(self, request):
--- a/tests/platform/soak/strangers.py
+++ b/tests/platform/soak/strangers.py
@@ -58,6 +58,7 @@
             'config-version': 'v1-1',
             'slots': self.slots,
             'state': 'ready',
+            'cold-left-ms': 0,
         }
 
     async def _serve(self, reader, writer):
--- a/tests/platform/test_fuzzing.py
+++ b/tests/platform/test_fuzzing.py
@@ -124,7 +124,7 @@
 @hypothesis.given(
     JSON,
     st.sampled_from(['id', 'service', 'address', 'zone', 'config-version'])
-    | st.sampled_from(['slots', 'state']),
+    | st.sampled_from(['slots', 'state', 'cold-left-ms']),
     st.text(st.characters(exclude_categories=()), max_size=20)
     | st.integers()
     | JSON,
@@ -135,8 +135,10 @@
         'service': 's',
         'address': '10.0.0.1:80',
         'zone': 'z',
+        'config-version': 'v1',
         'slots': 4,
         'state': 'ready',
+        'cold-left-ms': 0,
     }
     for candidate in (item, {**valid, name: value}):
         try:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -233,7 +233,7 @@
 def test_backend_list_item_is_decoded():
     backend = _backendlist._parse_backend({**decoding.ITEM, 'more': 1})
     assert backend.leaving and backend.data_centre == 'north'
-    assert backend.version == ''
+    assert backend.version == 'v1'
 
 
 def test_version_of_a_backend_is_decoded():
@@ -263,6 +263,11 @@
         {'slots': 1 << 64},
         {'slots': True},
         {'slots': float('inf')},
+        {'config-version': ''},
+        {'cold-left-ms': None},
+        {'cold-left-ms': '0'},
+        {'cold-left-ms': True},
+        {'cold-left-ms': float('nan')},
     ],
 )
 def test_an_invalid_item_of_the_list_is_rejected_when_decoded(change):
@@ -273,6 +278,20 @@
         _backendlist._parse_backend('text')
 
 
+@pytest.mark.parametrize('cold_left_ms', [0, 1500, 0.5, 10**400])
+def test_an_item_may_have_any_number_of_cold_milliseconds(cold_left_ms):
+    item = {**decoding.ITEM, 'cold-left-ms': cold_left_ms}
+    assert _backendlist._parse_backend(item).ident == 'i-1'
+
+
+@pytest.mark.parametrize('name', [*decoding.ITEM])
+def test_an_item_without_a_field_names_no_server(name):
+    # Guards against bookings at a server of another installation.
+    item = {key: v for key, v in decoding.ITEM.items() if key != name}
+    with pytest.raises(_backendlist._InvalidItemError, match=name):
+        _backendlist._parse_backend(item)
+
+
 # Settings
 
 SETTINGS = """
