Reject routes whose hosts differ in case only

Cause: RouteMap.check compared hosts as written, while they are looked up without regard to case (RFC 9110, 4.2.3), so that the later route replaced the former.

Change: hosts are compared as they are looked up. The test failed before.

--- a/src/bulrushhold/routes.py
+++ b/src/bulrushhold/routes.py
@@ -131,7 +131,10 @@
         """
         _check_unique('service', (service.name for service in self.services))
         names = {service.name for service in self.services}
-        _check_unique('route at', ((r.host, r.prefix) for r in self.routes))
+        # Names of hosts don't depend on case (RFC 9110, 4.2.3).
+        _check_unique(
+            'route at', ((r.host.lower(), r.prefix) for r in self.routes)
+        )
         for route in self.routes:
             _check_route(route, names)
         _check_unique('key', (key for a in self.accounts for key in a.keys))
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -45,6 +45,15 @@
     assert index.find('other.example', '/a/') is None
 
 
+def test_routes_whose_hosts_differ_in_case_only_are_rejected():
+    # Guards against a route that another one replaces in silence.
+    route_map = make_map(
+        make_route(), make_route('r2', host='Forms.EXAMPLE'), version=2
+    )
+    with pytest.raises(errors.RouteMapError, match='duplicate route at'):
+        route_map.check()
+
+
 def test_find_returns_none_without_a_matching_prefix():
     index = routes.RouteIndex(make_map())
     assert index.find('forms.example', '/b/a/') is None
