Reject an unknown service beside weights

Cause: service is not used beside weighted-backends, and so it wasn't read.

A known one beside weights is still accepted, and the weights count.

--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -206,6 +206,7 @@
         b'',
         b'[]',
         modified_document(('routes', 1, 'service'), 'nobody'),
+        modified_document(('routes', 0, 'service'), 'nobody'),
         modified_document(('routes', 1, 'path-prefix'), '/a/'),
         modified_document(
             ('routes', 0, 'weighted-backends', 0, 'weight'), -10
@@ -227,6 +228,12 @@
         _operators.read_document(data)
 
 
+def test_a_known_service_beside_weights_changes_nothing():
+    document = modified_document(('routes', 0, 'service'), 's-2')
+    [stream, _] = _operators.read_document(document).routes
+    assert [item.weight for item in stream.targets] == [90, 10]
+
+
 # Backend list
 
 
