--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -205,6 +205,7 @@
         json.dumps(DOCUMENT).encode()[:-20],
         b'',
         b'[]',
+        json.dumps({**DOCUMENT, 'x': 'y'}).encode().replace(b'"y"', b'"\xff"'),
         modified_document(('routes', 1, 'service'), 'nobody'),
         modified_document(('routes', 0, 'service'), 'nobody'),
         modified_document(('routes', 1, 'path-prefix'), '/a/'),
