Leave an engine whose failure has no end

Cause: the body of an engine's failure was read without a deadline and without probes.

Change: a stream that may go on elsewhere waits 0.5 s for that body, any other answer until its deadline.

--- a/src/bulrushhold/forwarding/_engine_stream.py
+++ b/src/bulrushhold/forwarding/_engine_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import typing as t
 
 from bulrushhold import calls
@@ -28,6 +29,8 @@
 # Short enough for a copy to survive one failed renewal. Tokens generated since
 # the last renewal have to be prefilled again after a failover.
 COPY_RENEWAL_S: t.Final = 1.5
+# The stream waits for the body of an engine's failure before it goes on.
+FAILURE_BODY_TIMEOUT_S: t.Final = 0.5
 NO_PROBE_ANSWER: t.Final = 'stalled, and no answer to a liveness probe'
 
 
@@ -301,21 +304,32 @@
     async def _failure_reply(
         self, response: calls.BackendResponse
     ) -> calls.Reply:
+        """Return an answer that is no stream.
+
+        :raises StreamLostError: if the stream may go on elsewhere, or the
+            body doesn't end in time.
+        """
+        head = response.head
+        may_go_on = head.status >= 500 and self.stream.job.route.repeatable
+        timeout_s = FAILURE_BODY_TIMEOUT_S if may_go_on else math.inf
+        reason = f'failed with status {head.status}'
+        reply = None
         try:
-            body = await response.body()
+            async with asyncio.timeout(self._until_deadline(timeout_s)):
+                body = await response.body()
+            reply = calls.Reply(head.status, head.headers, body, head.framed)
+        except TimeoutError:
+            reason += ', and its body did not end'
         except errors.BackendError as error:
             raise _streamloss.StreamLostError(
                 str(error), unreachable=False
             ) from error
-        head = response.head
-        reply = calls.Reply(head.status, head.headers, body, head.framed)
-        if head.status < 500 or not self.stream.job.route.repeatable:
+        if reply is not None and not may_go_on:
             return reply
-        self.stream.failure_reply = reply
-        self.evidence.record_failure()
-        raise _streamloss.StreamLostError(
-            f'failed with status {head.status}', unreachable=False
-        )
+        self.stream.failure_reply = reply or self.stream.failure_reply
+        if may_go_on:
+            self.evidence.record_failure()
+        raise _streamloss.StreamLostError(reason, unreachable=False)
 
     async def _relay(self, response: calls.BackendResponse) -> None:
         splitter = _events.EventSplitter()
