Take old heartbeats off the front of a leader's record

Operators: the work of control's leader for each command grows with their rate.

Cause: each append is a heartbeat whose send time is kept for two election timeouts, and each looked at all of them for those that are older.

Change: numbers and times increase together, so that the oldest are taken off the front until one is recent. Result: at most 1,500 (counted by the test, which failed before).

--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -57,7 +57,9 @@
         self.votes: set[str] = set()
         self.progress: dict[str, _raftstate.Progress] = {}
         self.heartbeat_number = 0
+        # Send times of the numbers from the oldest one on.
         self.heartbeat_sent_at: dict[int, float] = {}
+        self.oldest_heartbeat = 1
         self.next_heartbeat_at = 0.0
         # A restart loses the record of acknowledged heartbeats. Voting right
         # away could elect a second leader during the lease of the first, so
@@ -303,6 +305,7 @@
             for peer in self._peers()
         }
         self.heartbeat_sent_at = {}
+        self.oldest_heartbeat = self.heartbeat_number + 1
         # There is no lease yet, but the quorum check allows one round.
         for progress in self.progress.values():
             progress.acked_at = now - self.timing.lease_s
@@ -362,10 +365,9 @@
         self.heartbeat_sent_at[self.heartbeat_number] = now
         self.next_heartbeat_at = now + self.timing.heartbeat_s
         oldest = now - 2 * self.timing.election_s
-        for beat in [
-            b for b, at in self.heartbeat_sent_at.items() if at < oldest
-        ]:
-            del self.heartbeat_sent_at[beat]
+        while self.heartbeat_sent_at[self.oldest_heartbeat] < oldest:
+            del self.heartbeat_sent_at[self.oldest_heartbeat]
+            self.oldest_heartbeat += 1
         for peer in self.progress:
             self._send_append(peer)
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -461,6 +461,31 @@
     assert cluster.replicas[fresh].role is decisions.Role.FOLLOWER
 
 
+def test_many_proposals_look_at_each_heartbeat_once():
+    # Guards against a leader whose work per proposal grows with their rate.
+    class CountedHeartbeats(dict):
+        count = 0
+
+        def __getitem__(self, number):
+            self.count += 1
+            return super().__getitem__(number)
+
+        def items(self):
+            self.count += len(self)
+            return super().items()
+
+    leader = stable_cluster().leader()
+    sent = leader.heartbeat_sent_at = CountedHeartbeats(
+        leader.heartbeat_sent_at
+    )
+    now = leader.next_heartbeat_at
+    for number in range(500):
+        leader.propose(b'command %d' % number)
+        leader.flush(now + number * 0.01)
+    assert len(sent) <= 2 * TIMING.election_s / 0.01 + 2
+    assert sent.count <= 3 * 500
+
+
 def test_lagging_follower_gets_the_snapshot():
     cluster = stable_cluster()
     leader = cluster.leader().ident
