Append the parts of an event instead of copying it with each

Callers of all streams of an entry wait while one engine sends a long event in small parts.

Cause: the beginning of an event was joined with each part and searched as a whole, in the event loop; an event may have 1 MB.

Change: parts are appended to one buffer, of which only the new end is searched.

--- a/src/bulrushhold/forwarding/_events.py
+++ b/src/bulrushhold/forwarding/_events.py
@@ -29,10 +29,13 @@
 
 
 class EventSplitter:
-    """Reassembles events from chunks of any size."""
+    """Reassembles events from chunks of any size, in linear time.
+
+    :ivar buffer: the beginning of an event that isn't complete.
+    """
 
     def __init__(self) -> None:
-        self.buffer = b''
+        self.buffer = bytearray()
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that ``chunk`` completes.
@@ -40,11 +43,29 @@
         :raises BackendError: if an event exceeds ``MAX_EVENT_BYTES`` or its
             id is not an integer of 64 bits.
         """
-        *complete, self.buffer = (self.buffer + chunk).split(_EVENT_END)
+        # The end of an event may be split over two chunks.
+        unsearched = max(0, len(self.buffer) - len(_EVENT_END) + 1)
+        self.buffer += chunk
+        complete = self._take_complete(unsearched)
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise errors.BackendError('event too long', 'stream')
         return [Event(_event_id(data), data + _EVENT_END) for data in complete]
 
+    def _take_complete(self, unsearched: int) -> list[bytes]:
+        """Remove the complete events, and return them without their ends.
+
+        :param unsearched: offset before which no event ends.
+        """
+        complete = []
+        start = 0
+        end = self.buffer.find(_EVENT_END, unsearched)
+        while end >= 0:
+            complete.append(bytes(self.buffer[start:end]))
+            start = end + len(_EVENT_END)
+            end = self.buffer.find(_EVENT_END, start)
+        del self.buffer[:start]
+        return complete
+
 
 def _event_id(data: bytes) -> int | None:
     for line in data.split(b'\n'):
