Tell followers of a commit at once

Entries that watch a follower of control got an acknowledged map up to a heartbeat, 0.15 s, after others.

Cause: a commit was told with the next append or heartbeat only.

Change: a leader whose commit has advanced sends an append at once. While commands follow one another, the next one's append tells it, as before.

--- a/src/bulrushhold/decisions/_replica.py
+++ b/src/bulrushhold/decisions/_replica.py
@@ -57,6 +57,7 @@
         self.votes: set[str] = set()
         self.progress: dict[str, _raftstate.Progress] = {}
         self.heartbeat_number = 0
+        self.sent_commit = 0
         # Send times of the numbers from the oldest one on.
         self.heartbeat_sent_at: dict[int, float] = {}
         self.oldest_heartbeat = 1
@@ -176,8 +177,13 @@
             self._on_snapshot(message, now)
 
     def flush(self, now: float) -> None:
-        """Send new entries as leader without waiting for a heartbeat."""
-        if self.role is _raftstate.Role.LEADER and any(
+        """Send new entries and commits as leader, without a heartbeat's wait.
+
+        Followers apply a command as soon as the leader does.
+        """
+        if self.role is not _raftstate.Role.LEADER:
+            return
+        if self.commit > self.sent_commit or any(
             p.next <= self.last_index for p in self.progress.values()
         ):
             self._broadcast(now)
@@ -361,6 +367,7 @@
             del self.progress[peer]
 
     def _broadcast(self, now: float) -> None:
+        self.sent_commit = self.commit
         self.heartbeat_number += 1
         self.heartbeat_sent_at[self.heartbeat_number] = now
         self.next_heartbeat_at = now + self.timing.heartbeat_s
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -461,6 +461,21 @@
     assert cluster.replicas[fresh].role is decisions.Role.FOLLOWER
 
 
+def test_followers_apply_a_command_as_soon_as_it_is_acknowledged():
+    # Guards against followers that know of an acknowledged map only later.
+    cluster = stable_cluster()
+    cluster.network.clear()
+    cluster.propose()
+    leader = cluster.leader()
+    names = list(cluster.disks)
+    while cluster.network:
+        sender, receiver, message = cluster.network.pop(0)
+        cluster.replicas[receiver].receive(message, cluster.now)
+        cluster.process_ready(receiver)
+    assert leader.commit == leader.last_index
+    assert {cluster.applied[name] for name in names} == {leader.last_index}
+
+
 def test_many_proposals_look_at_each_heartbeat_once():
     # Guards against a leader whose work per proposal grows with their rate.
     class CountedHeartbeats(dict):
